--- /dev/null
+++ b/hawthornlead/timers.py
@@ -0,0 +1,174 @@
+"""The timer service: one clock per process that parts subscribe to.
+
+Parts never read a clock or sleep by themselves. They are handed a
+``TimerService``, so that a test can hand them a ``ManualTimerService`` and move
+time by hand::
+
+    timers = TimerService()
+    subscription = timers.every(1.0, renew_lease, name="lease")
+    subscription.cancel()
+"""
+
+import asyncio
+import heapq
+import inspect
+import itertools
+import time
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from loguru import logger
+
+Callback = Callable[[], Awaitable[None] | None]
+
+
+class Subscription:
+    """A subscription to the timer service, ended by ``cancel``."""
+
+    def __init__(self, name: str, callback: Callback):
+        self._name = name
+        self._callback = callback
+        self._cancelled = False
+
+    @property
+    def name(self) -> str:
+        """What the subscriber called itself."""
+        return self._name
+
+    @property
+    def cancelled(self) -> bool:
+        """Whether the subscription has ended."""
+        return self._cancelled
+
+    def cancel(self) -> None:
+        """End the subscription; a call that has started runs to its end."""
+        self._cancelled = True
+
+    async def run(self) -> None:
+        """Call the subscriber once, keeping its errors from other subscribers."""
+        if self._cancelled:
+            return
+        try:
+            outcome = self._callback()
+            if inspect.isawaitable(outcome):
+                await outcome
+        except Exception:
+            # One subscriber's bug must not stop the timers of all the others.
+            logger.exception("timer subscriber {} failed", self._name)
+
+
+class TimerService:
+    """The clock and timers of one process, on the running event loop."""
+
+    def __init__(self):
+        self._tasks: set[asyncio.Task] = set()
+
+    def now(self) -> float:
+        """Seconds on a monotonic clock; only differences mean anything."""
+        return time.monotonic()
+
+    def wall(self) -> float:
+        """Seconds since the epoch by this VM's clock, which may be wrong."""
+        return time.time()
+
+    async def sleep(self, delay: float) -> None:
+        """Wait for ``delay`` seconds."""
+        await asyncio.sleep(delay)
+
+    def every(self, interval: float, callback: Callback, name: str) -> Subscription:
+        """Call ``callback`` every ``interval`` seconds, never two at once."""
+        subscription = Subscription(name, callback)
+        self._spawn(self._repeat(interval, subscription))
+        return subscription
+
+    def after(self, delay: float, callback: Callback, name: str) -> Subscription:
+        """Call ``callback`` once, ``delay`` seconds from now."""
+        subscription = Subscription(name, callback)
+        self._spawn(self._once(delay, subscription))
+        return subscription
+
+    def stop(self) -> None:
+        """End all timers."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _repeat(self, interval: float, subscription: Subscription) -> None:
+        while not subscription.cancelled:
+            await asyncio.sleep(interval)
+            await subscription.run()
+
+    async def _once(self, delay: float, subscription: Subscription) -> None:
+        await asyncio.sleep(delay)
+        await subscription.run()
+
+
+class _Due(NamedTuple):
+    at: float
+    order: int
+    interval: float | None
+    subscription: Subscription
+
+
+class ManualTimerService(TimerService):
+    """A timer service whose time moves only by ``advance``, for tests."""
+
+    def __init__(self, start: float = 1000.0):
+        super().__init__()
+        self._now = start
+        self._order = itertools.count()
+        self._due: list[_Due] = []
+
+    def now(self) -> float:
+        """Seconds of the hand-moved clock."""
+        return self._now
+
+    def wall(self) -> float:
+        """Seconds of the hand-moved clock."""
+        return self._now
+
+    async def sleep(self, delay: float) -> None:
+        """Wait until the clock has been moved ``delay`` seconds on."""
+        woken = asyncio.Event()
+        self.after(delay, woken.set, name="sleep")
+        await woken.wait()
+
+    def every(self, interval: float, callback: Callback, name: str) -> Subscription:
+        """Call ``callback`` each time the clock passes ``interval`` seconds."""
+        return self._add(interval, interval, callback, name)
+
+    def after(self, delay: float, callback: Callback, name: str) -> Subscription:
+        """Call ``callback`` once the clock has moved ``delay`` seconds."""
+        return self._add(delay, None, callback, name)
+
+    async def advance(self, seconds: float) -> None:
+        """Move the clock, calling what falls due in order."""
+        end = self._now + seconds
+        while self._due and self._due[0].at <= end:
+            due = heapq.heappop(self._due)
+            self._now = max(self._now, due.at)
+            if due.subscription.cancelled:
+                continue
+            await due.subscription.run()
+            await self._settle()
+            if due.interval is None:
+                continue
+            self._push(due.at + due.interval, due.interval, due.subscription)
+        self._now = end
+        await self._settle()
+
+    def _add(self, delay, interval, callback, name) -> Subscription:
+        subscription = Subscription(name, callback)
+        self._push(self._now + delay, interval, subscription)
+        return subscription
+
+    def _push(self, at, interval, subscription) -> None:
+        heapq.heappush(self._due, _Due(at, next(self._order), interval, subscription))
+
+    async def _settle(self) -> None:
+        for _ in range(10):
+            await asyncio.sleep(0)
