--- /dev/null
+++ b/hawthornlead/events.py
@@ -0,0 +1,112 @@
+"""Numbered events: the catalogue, and the bounded ring that each process keeps.
+
+An event is logged and kept in the ring, from which ``hawthornlead timeline``
+collects it. The catalogue in docs/events.md is checked against this one::
+
+    events.emit(EventKind.TARGET_TAKEN, "engine-3", fence=7)
+"""
+
+from collections import deque
+from enum import Enum
+
+from loguru import logger
+
+from .clocks import HybridClock
+from .messages import EventRecord
+
+
+class EventKind(Enum):
+    """Every numbered event: its number, its log level and what it means.
+
+    Numbers are never reused. Each hundred belongs to one matter.
+    """
+
+    # 100: process
+    PROCESS_STARTED = (100, "INFO", "the process started")
+    PROCESS_DRAINING = (101, "INFO", "the process takes no new work and drains")
+    PROCESS_STOPPED = (102, "INFO", "the process stopped")
+    INVARIANT_BROKEN = (103, "CRITICAL", "an invariant did not hold")
+
+    # 200: peers and membership
+    PEER_CONNECTED = (200, "INFO", "a connection to another VM opened")
+    PEER_LOST = (201, "WARNING", "a connection to another VM ended")
+    PEER_SILENT = (202, "WARNING", "a connection to another VM went silent")
+    PEER_FRAME_REFUSED = (203, "WARNING", "a frame was malformed or too new")
+
+    # 300: store, leases, ownership
+    STORE_LOST = (300, "WARNING", "the object API stopped answering")
+    STORE_BACK = (301, "INFO", "the object API answers again")
+
+    # 400: bundles
+    BUNDLE_IN_FORCE = (400, "INFO", "a bundle came into force on this VM")
+
+    # 500: targets, slots, grants, loads
+    TARGET_SEEN = (500, "INFO", "a target was met in the VM list")
+
+    # 600: requests
+    REQUEST_ADMITTED = (600, "DEBUG", "a request was admitted and assigned")
+    REQUEST_SENT = (601, "DEBUG", "an attempt was sent to a target")
+    REQUEST_ANSWERED = (602, "DEBUG", "a request was answered whole")
+    REQUEST_REFUSED = (603, "INFO", "a request was refused")
+    REQUEST_RETRIED = (604, "INFO", "a request is tried on another target")
+    ANSWER_DROPPED = (605, "WARNING", "an answer that matched no attempt was dropped")
+    CALLER_LEFT = (606, "INFO", "a caller went away before its answer was whole")
+
+    # 700: claims
+
+    # 800: requests that crash targets
+
+    @property
+    def number(self) -> int:
+        """The event's number in logs and docs."""
+        return self.value[0]
+
+    @property
+    def level(self) -> str:
+        """The log level."""
+        return self.value[1]
+
+    @property
+    def meaning(self) -> str:
+        """What the event says, in a few words."""
+        return self.value[2]
+
+
+class EventRing:
+    """The newest events of one process; the oldest fall out when it is full."""
+
+    def __init__(self, vm: str, clock: HybridClock, size: int = 4096):
+        self._vm = vm
+        self._clock = clock
+        self._records: deque[EventRecord] = deque(maxlen=size)
+
+    @property
+    def clock(self) -> HybridClock:
+        """The process's hybrid logical clock."""
+        return self._clock
+
+    def emit(self, kind: EventKind, subject: str, **fields) -> None:
+        """Log one event and keep it.
+
+        ``subject`` names the request, target, adapter, bundle or VM it is about;
+        ``fields`` are further details, printed in the order given.
+        """
+        text = " ".join(f"{name}={value}" for name, value in fields.items())
+        at = self._clock.tick()
+        self._records.append(
+            EventRecord(at.wall_ms, at.logical, self._vm, kind.number, subject, text)
+        )
+        bound = logger.bind(event=kind.number, subject=subject, vm=self._vm)
+        bound.log(kind.level, "{} {} {}: {}", kind.number, kind.name, subject, text)
+
+    def newest(self, subject: str = "", limit: int = 1000) -> tuple[EventRecord, ...]:
+        """Return the newest events, oldest first, that mention ``subject``.
+
+        An empty ``subject`` matches all. ``limit`` is a number of events.
+        """
+        matching = [
+            record
+            for record in self._records
+            if subject in record.subject or subject in record.text
+        ]
+        return tuple(matching[-limit:])
--- /dev/null
+++ b/hawthornlead/metrics.py
@@ -0,0 +1,73 @@
+"""Metrics by prometheus_client, one registry per process object.
+
+Names carry their unit. Several processes' parts can live in one interpreter in
+tests, so every ``Metrics`` has a registry of its own.
+"""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1) + (
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    30.0,
+)
+
+
+class Metrics:
+    """All metrics of one process."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+
+        # requests
+        self.requests = self._counter(
+            "hawthornlead_requests_total", "Requests by outcome", ["outcome"]
+        )
+        self.attempts = self._counter(
+            "hawthornlead_attempts_total", "Attempts sent to targets", ["result"]
+        )
+        self.first_token = self._histogram(
+            "hawthornlead_first_token_seconds", "From admission to first token"
+        )
+        self.load_stall = self._histogram(
+            "hawthornlead_load_stall_seconds", "Wait of a request for a load"
+        )
+        self.relayed = self._counter(
+            "hawthornlead_relayed_chunks_total", "Chunks relayed to callers"
+        )
+        self.open_requests = self._gauge(
+            "hawthornlead_open_requests", "Requests being served"
+        )
+
+        # invariants
+        self.invariants_broken = self._counter(
+            "hawthornlead_invariants_broken_total", "Invariants broken", ["name"]
+        )
+
+        # peers
+
+        # store, leases, ownership
+
+        # bundles
+
+        # targets, slots, grants, loads
+        self.step_fill = self._gauge(
+            "hawthornlead_step_fill_ratio", "Fill of engine steps", ["target"]
+        )
+
+        # claims
+
+    def _counter(self, name, text, labels=()) -> Counter:
+        return Counter(name, text, labels, registry=self.registry)
+
+    def _gauge(self, name, text, labels=()) -> Gauge:
+        return Gauge(name, text, labels, registry=self.registry)
+
+    def _histogram(self, name, text, labels=()) -> Histogram:
+        return Histogram(
+            name, text, labels, registry=self.registry, buckets=LATENCY_BUCKETS_S
+        )
