--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -44,6 +44,20 @@
     version: int = PROTOCOL_VERSION
 
 
+@message("challenge")
+class Challenge(NamedTuple):
+    """Ask the other end to prove that it knows the shared secret."""
+
+    nonce: bytes
+
+
+@message("proof")
+class Proof(NamedTuple):
+    """The HMAC of a challenge and of the names of both ends."""
+
+    mac: bytes
+
+
 @message("heartbeat")
 class Heartbeat(NamedTuple):
     """Sent on every connection each second, and whenever its content changes.
--- a/hawthornlead/metrics.py
+++ b/hawthornlead/metrics.py
@@ -49,6 +49,17 @@
         )
 
         # peers
+        self.peer_bytes = self._counter(
+            "hawthornlead_peer_bytes_total",
+            "Bytes of frames between VMs",
+            ["direction", "message"],
+        )
+        self.peer_messages = self._counter(
+            "hawthornlead_peer_messages_total",
+            "Messages between VMs",
+            ["direction", "message"],
+        )
+        self.peers_live = self._gauge("hawthornlead_peers_live", "Connected VMs")
 
         # store, leases, ownership
 
