--- /dev/null
+++ b/hawthornlead/attempts.py
@@ -0,0 +1,263 @@
+"""One attempt of a request at one target.
+
+An attempt has an id of its own, so that a late or crossed answer to another attempt
+can never be taken for its own. It starts only under a grant, whose time is read
+right before the send. Each way of failing maps to what it proves of the run
+(docs/not-run.md).
+"""
+
+import asyncio
+import json
+from collections.abc import Awaitable
+from typing import NamedTuple, Protocol
+
+from result import Err, Ok
+from tornado import httputil
+
+from .bundles import Assignment
+from .errors import ErrorKind, Failure
+from .events import EventKind, EventRing
+from .exchanges import Exchange, TargetConnections
+from .grants import Grant
+from .invariants import Invariants
+from .metrics import Metrics
+from .relays import AnswerCheck, Expected
+from .settings import Settings
+from .timers import TimerService
+
+MAX_REFUSAL_BYTES = 65536
+GRANT_CHECK_S = 0.25
+
+
+class Sink(Protocol):
+    """Where an answer goes: the caller's stream, or a buffer for a whole answer."""
+
+    @property
+    def gone(self) -> bool:
+        """Whether the caller has left."""
+
+    def write(self, events: bytes) -> Awaitable[None] | None:
+        """Take whole token events; a future that is returned holds back the target."""
+
+
+class AttemptCall(NamedTuple):
+    """What one attempt needs to know."""
+
+    attempt_id: str
+    target: str
+    address: str
+    assignment: Assignment
+    prompt: str
+    max_tokens: int
+    offset: int
+    priority: int
+    deadline_at: float
+    fresh: bool
+
+
+class AttemptEnd(NamedTuple):
+    """How an attempt ended: ``failure`` is None when its answer came whole.
+
+    ``next_index`` is where a resumed attempt has to begin.
+    """
+
+    failure: Failure | None
+    next_index: int
+
+
+class AttemptRunner:
+    """Runs attempts; one call of ``run`` is one attempt, written straight down."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        timers: TimerService,
+        events: EventRing,
+        metrics: Metrics,
+        invariants: Invariants,
+        connections: TargetConnections,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._invariants = invariants
+        self._connections = connections
+
+    async def run(self, call: AttemptCall, grant: Grant, sink: Sink) -> AttemptEnd:
+        """Run one attempt to its end, whatever that is."""
+        opened = await self._connections.open(call.address, fresh=call.fresh)
+        if isinstance(opened, Err):
+            return self._ended(call, opened.err_value, call.offset)
+        exchange = opened.ok_value
+        # The process may have been frozen while it connected: the grant reads the
+        # clock again, here, with nothing awaited between this and the send.
+        begun = grant.begin(call.attempt_id)
+        if isinstance(begun, Err):
+            exchange.close()
+            return self._ended(call, begun.err_value, call.offset)
+        try:
+            end = await self._exchange(call, grant, exchange, sink)
+        finally:
+            exchange.release()
+            grant.finish(call.attempt_id)
+        return self._ended(call, *end)
+
+    async def _exchange(
+        self, call: AttemptCall, grant: Grant, exchange: Exchange, sink: Sink
+    ) -> tuple[Failure | None, int]:
+        assignment = call.assignment
+        check = AnswerCheck(
+            Expected(
+                call.attempt_id, assignment.adapter, assignment.version, call.offset
+            )
+        )
+        receiver = _Receiver(check, sink, exchange, self._metrics)
+        self._events.emit(
+            EventKind.REQUEST_SENT,
+            call.attempt_id,
+            target=call.target,
+            adapter=assignment.adapter,
+            version=assignment.version,
+        )
+        left = call.deadline_at - self._timers.now()
+        headers = httputil.HTTPHeaders({"Content-Type": "application/json"})
+        sent = await exchange.send(
+            "POST",
+            "/v1/completions",
+            headers,
+            _body(call),
+            receiver.take,
+            max(0.001, min(left, self._settings["STREAM_SILENT_S"])),
+        )
+        if isinstance(sent, Err):
+            return self._timed_out(call, sent.err_value), check.next_index
+        ended = await self._read(call, grant, exchange, receiver)
+        failure = receiver.judge(ended)
+        return failure, check.next_index
+
+    async def _read(
+        self, call: AttemptCall, grant: Grant, exchange: Exchange, receiver
+    ) -> Failure | None:
+        """Read the answer to its end, the deadline, silence or the grant's loss."""
+        silent_s = self._settings["STREAM_SILENT_S"]
+        reading = asyncio.ensure_future(exchange.read_to_end(silent_s))
+        while not reading.done():
+            now = self._timers.now()
+            if receiver.failure is not None:
+                exchange.close()
+                break
+            if receiver.caller_gone:
+                exchange.close()
+                return Failure(ErrorKind.CALLER_GONE, "the caller went away")
+            if now >= call.deadline_at:
+                exchange.close()
+                return Failure(ErrorKind.DEADLINE_PASSED, "the deadline passed")
+            if now >= grant.lost_at:
+                # The owner may take the slot once the grant has run out. Closing
+                # the stream first ends the run there before it can be evicted.
+                exchange.close()
+                return Failure(ErrorKind.TARGET_LOST, "the grant was lost")
+            left = min(GRANT_CHECK_S, call.deadline_at - now)
+            await asyncio.wait([reading], timeout=max(0.001, left))
+        result = await reading
+        return None if isinstance(result, Ok) else result.err_value
+
+    def _timed_out(self, call: AttemptCall, failure: Failure) -> Failure:
+        if self._timers.now() < call.deadline_at:
+            return failure
+        return Failure(ErrorKind.DEADLINE_PASSED, failure.detail)
+
+    def _ended(
+        self, call: AttemptCall, failure: Failure | None, next_index: int
+    ) -> AttemptEnd:
+        result = "whole" if failure is None else failure.kind.value
+        self._metrics.attempts.labels(result).inc()
+        if failure is not None and failure.kind is ErrorKind.WRONG_ANSWER:
+            self._events.emit(
+                EventKind.ANSWER_DROPPED, call.attempt_id, detail=failure.detail
+            )
+        return AttemptEnd(failure, next_index)
+
+
+class _Receiver:
+    """Takes the bytes of one answer and hands on what passed the check."""
+
+    def __init__(
+        self, check: AnswerCheck, sink: Sink, exchange: Exchange, metrics: Metrics
+    ):
+        self._check = check
+        self._sink = sink
+        self._exchange = exchange
+        self._relayed = metrics.relayed
+        self._refusal = b""
+        self.failure: Failure | None = None
+
+    @property
+    def caller_gone(self) -> bool:
+        """Whether the caller has left."""
+        return self._sink.gone
+
+    def take(self, data: bytes) -> Awaitable[None] | None:
+        """Take bytes of the body, from the exchange."""
+        if self.failure is not None:
+            return None
+        if self._is_refusal():
+            self._refusal = (self._refusal + data)[:MAX_REFUSAL_BYTES]
+            return None
+        before = self._check.next_index
+        checked = self._check.feed(data)
+        if isinstance(checked, Err):
+            self.failure = checked.err_value
+            self._exchange.close()
+            return None
+        self._relayed.inc(self._check.next_index - before)
+        if not checked.ok_value:
+            return None
+        return self._sink.write(checked.ok_value)
+
+    def judge(self, ended: Failure | None) -> Failure | None:
+        """Return what became of the attempt, None if its answer came whole."""
+        if self.failure is not None:
+            return self.failure
+        if self._is_refusal() and ended is None:
+            return _refused(self._exchange.head.status, self._refusal)
+        if self._check.done:
+            return None
+        if ended is not None:
+            return ended
+        return Failure(ErrorKind.ANSWER_CUT, "the answer ended without its end marker")
+
+    def _is_refusal(self) -> bool:
+        head = self._exchange.head
+        return head is not None and head.status != 200
+
+
+def _refused(status: int, body: bytes) -> Failure:
+    """Read a refusal; only the target's own word proves that nothing ran."""
+    try:
+        refusal = json.loads(body)
+        promised = refusal["ran"] is False
+        detail = str(refusal.get("error", status))
+    except (ValueError, KeyError, TypeError, AttributeError):
+        promised = False
+        detail = f"status {status}"
+    if promised:
+        return Failure(ErrorKind.TARGET_REFUSED, detail)
+    return Failure(ErrorKind.TARGET_LOST, detail)
+
+
+def _body(call: AttemptCall) -> bytes:
+    body = {
+        "id": call.attempt_id,
+        "adapter": call.assignment.adapter,
+        "version": call.assignment.version,
+        "base_model": call.assignment.base_model,
+        "prompt": call.prompt,
+        "max_tokens": call.max_tokens,
+        "stream": True,
+        "offset": call.offset,
+        "priority": call.priority,
+    }
+    return json.dumps(body).encode()
--- /dev/null
+++ b/hawthornlead/command_handlers.py
@@ -0,0 +1,334 @@
+"""HTTP towards callers: the requests that make a target do something."""
+
+import json
+import secrets
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+from tornado.web import RequestHandler
+
+from .bundles import CallerTerms
+from .errors import ErrorKind, Failure
+from .requests import CallerRequest, RequestPath
+from .rolls import BundleKeeper, InForce
+from .service_calls import ServiceCall, ServicePath
+from .settings import Settings
+from .sinks import CollectingSink, StreamSink, failure_fields
+from .timers import TimerService
+
+DEADLINE_HEADER = "Hawthornlead-Deadline-Ms"
+PRIORITY_HEADER = "Hawthornlead-Priority"
+REQUEST_ID_HEADER = "Hawthornlead-Request-Id"
+KEY_HEADER = "Idempotency-Key"
+MAX_KEY_LENGTH = 200
+MAX_TOKENS = 65536
+
+
+class CallerParts(NamedTuple):
+    """The parts that the handlers for callers work with."""
+
+    settings: Settings
+    timers: TimerService
+    keeper: BundleKeeper
+    requests: RequestPath
+    services: ServicePath
+    draining: "DrainCheck"
+
+
+class DrainCheck:
+    """Says whether this VM drains, and which addresses to go to instead."""
+
+    def refusal(self) -> Failure | None:
+        """Return the refusal to answer while draining, else None."""
+        raise NotImplementedError
+
+
+class CallerHandler(RequestHandler):
+    """What all handlers for callers share: who asks, until when, how errors look."""
+
+    def initialize(self, parts: CallerParts) -> None:
+        """Take the parts that the daemon built."""
+        self._parts = parts
+        self._request_id = secrets.token_hex(8)
+        self._sink = None
+
+    def prepare(self) -> None:
+        """Refuse what no route may read."""
+        self.set_header(REQUEST_ID_HEADER, self._request_id)
+        if len(self.request.headers) > self._parts.settings["MAX_HEADERS"]:
+            self.refuse(Failure(ErrorKind.TOO_LARGE, "too many headers"))
+
+    def on_connection_close(self) -> None:
+        """Note that the caller has left, so that its run is cancelled."""
+        if self._sink is not None:
+            self._sink.leave()
+
+    def refuse(self, failure: Failure) -> None:
+        """Answer a failure at once, with when to come back where that helps."""
+        self.set_status(failure.answer.status)
+        if failure.retry_after_s is not None:
+            seconds = max(1, round(failure.retry_after_s + 0.5))
+            self.set_header("Retry-After", str(seconds))
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(failure_fields(failure, self._request_id)))
+
+    def caller(self) -> Result[tuple[CallerTerms, InForce], Failure]:
+        """Return who asks by its token, under the bundle in force."""
+        drains = self._parts.draining.refusal()
+        if drains is not None:
+            return Err(drains)
+        serving = self._parts.keeper.may_serve()
+        if isinstance(serving, Err):
+            return serving
+        scheme, _, token = self.request.headers.get("Authorization", "").partition(" ")
+        if scheme != "Bearer" or not token:
+            return Err(Failure(ErrorKind.UNAUTHENTICATED, "a bearer token is needed"))
+        caller = serving.ok_value.bundle.caller_of(token.strip())
+        if caller is None:
+            return Err(Failure(ErrorKind.UNAUTHENTICATED, "no caller has this token"))
+        return Ok((caller, serving.ok_value))
+
+    def deadline_at(self) -> Result[float, Failure]:
+        """Return the request's deadline on the timer service's clock."""
+        settings = self._parts.settings
+        text = self.request.headers.get(DEADLINE_HEADER)
+        deadline_s = settings["DEFAULT_DEADLINE_S"]
+        if text is not None:
+            highest = int(settings["MAX_DEADLINE_S"] * 1000)
+            number = _whole_number(text, 1, highest)
+            if number is None:
+                return Err(_bad(f"{DEADLINE_HEADER}: 1 to {highest}, not {text!r}"))
+            deadline_s = number / 1000
+        return Ok(self._parts.timers.now() + deadline_s)
+
+    def priority(self, caller: CallerTerms) -> Result[int, Failure]:
+        """Return the request's priority; it can lower its caller's, not raise it."""
+        text = self.request.headers.get(PRIORITY_HEADER)
+        if text is None:
+            return Ok(caller.priority)
+        number = _whole_number(text, 0, 9)
+        if number is None:
+            return Err(_bad(f"{PRIORITY_HEADER}: 0 to 9, not {text!r}"))
+        return Ok(min(number, caller.priority))
+
+    def key(self) -> Result[str, Failure]:
+        """Return the idempotency key, empty where the request has none."""
+        key = self.request.headers.get(KEY_HEADER, "")
+        if len(key) > MAX_KEY_LENGTH:
+            return Err(_bad(f"{KEY_HEADER}: at most {MAX_KEY_LENGTH} characters"))
+        return Ok(key)
+
+
+class CompletionBody(NamedTuple):
+    """The checked body of a request for a completion."""
+
+    alias: str
+    prompt: str
+    max_tokens: int
+    stream: bool
+
+
+class CompletionHandler(CallerHandler):
+    """``POST /v1/completions``: run a prompt on the adapter assigned to the caller."""
+
+    async def post(self) -> None:
+        """Serve one request, streamed or whole."""
+        made = self._make_request()
+        if isinstance(made, Err):
+            self.refuse(made.err_value)
+            return
+        request, body = made.ok_value
+        if body.stream:
+            await self._stream(request)
+        else:
+            await self._collect(request)
+
+    def _make_request(self) -> Result[tuple[CallerRequest, CompletionBody], Failure]:
+        asked = self.caller()
+        if isinstance(asked, Err):
+            return asked
+        caller, in_force = asked.ok_value
+        body = read_completion(self.request.body)
+        checks = (body, self.deadline_at(), self.priority(caller), self.key())
+        for check in checks:
+            if isinstance(check, Err):
+                return check
+        read, deadline_at, priority, key = (check.ok_value for check in checks)
+        request = CallerRequest(
+            self._request_id,
+            caller,
+            read.alias,
+            read.prompt,
+            read.max_tokens,
+            priority,
+            deadline_at,
+            key,
+            in_force,
+        )
+        return Ok((request, read))
+
+    async def _stream(self, request: CallerRequest) -> None:
+        settings = self._parts.settings
+        sink = StreamSink(self, settings["GATHER_MS"] / 1000, settings["SLOW_CALLER_S"])
+        self._sink = sink
+        outcome = await self._parts.requests.serve(request, sink)
+        if sink.gone:
+            return
+        if isinstance(outcome, Ok) and outcome.ok_value is None:
+            await sink.finish()
+            await self.finish()
+            return
+        if isinstance(outcome, Ok):
+            self._replay(outcome.ok_value)
+            return
+        if not sink.started:
+            self.refuse(outcome.err_value)
+            return
+        await sink.fail(outcome.err_value, request.request_id)
+        await self.finish()
+
+    async def _collect(self, request: CallerRequest) -> None:
+        sink = CollectingSink()
+        self._sink = sink
+        outcome = await self._parts.requests.serve(request, sink)
+        if sink.gone:
+            return
+        if isinstance(outcome, Err):
+            self.refuse(outcome.err_value)
+            return
+        if outcome.ok_value is not None:
+            self._replay(outcome.ok_value)
+            return
+        self.set_header("Content-Type", "application/json")
+        await self.finish(sink.recorded())
+
+    def _replay(self, recorded) -> None:
+        """Answer with the recorded outcome of the first try."""
+        claimed = recorded.claimed
+        self.set_status(claimed.status)
+        self.set_header("Content-Type", claimed.content_type)
+        self.set_header("Hawthornlead-Replayed", "true")
+        self.finish(claimed.body)
+
+
+class ServiceHandler(CallerHandler):
+    """``/services/NAME/...``: call a plain service beside the model engines."""
+
+    async def get(self, service: str, path: str) -> None:
+        """Call the service."""
+        await self._call(service, path)
+
+    async def post(self, service: str, path: str) -> None:
+        """Call the service."""
+        await self._call(service, path)
+
+    async def put(self, service: str, path: str) -> None:
+        """Call the service."""
+        await self._call(service, path)
+
+    async def delete(self, service: str, path: str) -> None:
+        """Call the service."""
+        await self._call(service, path)
+
+    async def _call(self, service: str, path: str) -> None:
+        made = self._make_call(service, "/" + path)
+        if isinstance(made, Err):
+            self.refuse(made.err_value)
+            return
+        outcome = await self._parts.services.serve(made.ok_value)
+        if isinstance(outcome, Err):
+            self.refuse(outcome.err_value)
+            return
+        answer = outcome.ok_value
+        self.set_status(answer.status)
+        self.set_header("Content-Type", answer.content_type)
+        self.set_header("Hawthornlead-Target", answer.target)
+        if answer.replayed:
+            self.set_header("Hawthornlead-Replayed", "true")
+        self.finish(answer.body)
+
+    def _make_call(self, service: str, path: str) -> Result[ServiceCall, Failure]:
+        asked = self.caller()
+        if isinstance(asked, Err):
+            return asked
+        caller, in_force = asked.ok_value
+        method = self.request.method
+        terms = in_force.bundle.service_call(caller.name, service, method, path)
+        checks = (terms, self.deadline_at(), self.priority(caller), self.key())
+        for check in checks:
+            if isinstance(check, Err):
+                return check
+        service_terms, deadline_at, priority, key = (c.ok_value for c in checks)
+        if not service_terms.repeatable and not key:
+            return Err(_bad(f"{KEY_HEADER} is needed: this call may not be repeated"))
+        target_path = path
+        if self.request.query:
+            target_path += "?" + self.request.query
+        return Ok(
+            ServiceCall(
+                self._request_id,
+                caller,
+                service,
+                method,
+                target_path,
+                self.request.headers.get("Content-Type", ""),
+                self.request.body,
+                service_terms.repeatable,
+                priority,
+                deadline_at,
+                key,
+            )
+        )
+
+
+class UnknownHandler(RequestHandler):
+    """Any other path: a refusal in the same form as all others."""
+
+    def prepare(self) -> None:
+        """Answer that there is no such route."""
+        failure = Failure(ErrorKind.NOT_FOUND, f"no route {self.request.path}")
+        self.set_status(failure.answer.status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(failure_fields(failure, "")))
+
+
+def read_completion(body: bytes) -> Result[CompletionBody, Failure]:
+    """Check the JSON body of ``POST /v1/completions``."""
+    try:
+        fields = json.loads(body)
+    except ValueError as error:
+        return Err(_bad(f"the body is not JSON: {error}"))
+    if not isinstance(fields, dict):
+        return Err(_bad("the body is not a JSON object"))
+    unknown = sorted(set(fields) - {"model", "prompt", "max_tokens", "stream"})
+    if unknown:
+        return Err(_bad(f"unknown fields: {', '.join(unknown)}"))
+    alias, prompt = fields.get("model"), fields.get("prompt")
+    max_tokens, stream = fields.get("max_tokens", 256), fields.get("stream", False)
+    if not isinstance(alias, str) or not alias:
+        return Err(_bad("model: the name of an adapter, a string"))
+    if not isinstance(prompt, str):
+        return Err(_bad("prompt: a string"))
+    if type(max_tokens) is not int or not 1 <= max_tokens <= MAX_TOKENS:
+        return Err(_bad(f"max_tokens: 1 to {MAX_TOKENS}"))
+    if not isinstance(stream, bool):
+        return Err(_bad("stream: true or false"))
+    return Ok(CompletionBody(alias, prompt, max_tokens, stream))
+
+
+def caller_routes(parts: CallerParts) -> list:
+    """Return the tornado routes for callers."""
+    return [
+        (r"/v1/completions", CompletionHandler, {"parts": parts}),
+        (r"/services/([\w.-]+)/(.*)", ServiceHandler, {"parts": parts}),
+    ]
+
+
+def _whole_number(text: str, low: int, high: int) -> int | None:
+    if not text.isascii() or not text.isdigit() or not low <= int(text) <= high:
+        return None
+    return int(text)
+
+
+def _bad(detail: str) -> Failure:
+    return Failure(ErrorKind.BAD_REQUEST, detail)
--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -42,6 +42,7 @@
 
     # 500: targets, slots, grants, loads
     TARGET_SEEN = (500, "INFO", "a target was met in the VM list")
+    TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
     REQUEST_ADMITTED = (600, "DEBUG", "a request was admitted and assigned")
--- /dev/null
+++ b/hawthornlead/exchanges.py
@@ -0,0 +1,247 @@
+"""HTTP exchanges with targets: one request and its streamed response.
+
+A ``TargetConnections`` keeps idle connections to targets for reuse. Tornado's
+``HTTP1Connection`` speaks the protocol; what is added here is the keeping of
+connections and the proof of whether a request can have reached its target::
+
+    exchange = await connections.open(address, fresh=False)
+    await exchange.send("POST", "/v1/completions", headers, body)
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+from tornado import httputil, iostream
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.tcpclient import TCPClient
+
+from .errors import ErrorKind, Failure
+from .timers import TimerService
+
+# A target may close an idle connection at any time, and a request that crosses
+# with the closing is lost in doubt; a short idle time keeps that rare.
+IDLE_S = 5.0
+MAX_IDLE_PER_TARGET = 64
+CONNECT_S = 2.0
+MAX_ANSWER_BYTES = 1 << 30
+
+DataCallback = Callable[[bytes], Awaitable[None] | None]
+
+
+class Head(NamedTuple):
+    """The status and headers of a response."""
+
+    status: int
+    headers: httputil.HTTPHeaders
+
+
+class _Response(httputil.HTTPMessageDelegate):
+    """Hands a response's parts on to one exchange."""
+
+    def __init__(self, on_data: DataCallback, on_activity: Callable[[], None]):
+        self._on_data = on_data
+        self._on_activity = on_activity
+        self.head: asyncio.Future[Head | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.finished = False
+
+    def headers_received(self, start_line, headers):
+        if 100 <= start_line.code < 200:
+            return
+        self._on_activity()
+        if not self.head.done():
+            self.head.set_result(Head(start_line.code, headers))
+
+    def data_received(self, chunk):
+        self._on_activity()
+        return self._on_data(chunk)
+
+    def finish(self):
+        self.finished = True
+
+    def on_connection_close(self):
+        if not self.head.done():
+            self.head.set_result(None)
+
+
+class Exchange:
+    """One request to a target and its response, on a connection of its own."""
+
+    def __init__(self, pool, address: str, stream: iostream.IOStream, reused: bool):
+        self._pool = pool
+        self._address = address
+        self._stream = stream
+        self._reused = reused
+        self._response: _Response | None = None
+        self._reading: asyncio.Task | None = None
+        self._active_at = pool.timers.now()
+
+    @property
+    def reused(self) -> bool:
+        """Whether the connection had carried an exchange before."""
+        return self._reused
+
+    @property
+    def head(self) -> Head | None:
+        """The status and headers of the response, None until they came."""
+        if self._response is None or not self._response.head.done():
+            return None
+        return self._response.head.result()
+
+    @property
+    def active_at(self) -> float:
+        """When the last byte of the response came, on the timer service's clock."""
+        return self._active_at
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        headers: httputil.HTTPHeaders,
+        body: bytes,
+        on_data: DataCallback,
+        head_s: float,
+    ) -> Result[Head, Failure]:
+        """Send the request and wait up to ``head_s`` seconds for the headers.
+
+        From here on the request may have reached the target: every error is
+        ``TARGET_LOST``. The body goes to ``on_data`` as it comes; a future that it
+        returns holds back the reading.
+        """
+        params = HTTP1ConnectionParameters(
+            no_keep_alive=False, max_body_size=MAX_ANSWER_BYTES
+        )
+        connection = HTTP1Connection(self._stream, True, params)
+        self._response = _Response(on_data, self._note_activity)
+        headers["Host"] = self._address
+        headers["Content-Length"] = str(len(body))
+        self._note_activity()
+        start = httputil.RequestStartLine(method, path, "HTTP/1.1")
+        connection.write_headers(start, headers, body)
+        connection.finish()
+        self._reading = asyncio.ensure_future(connection.read_response(self._response))
+        try:
+            head = await asyncio.wait_for(asyncio.shield(self._response.head), head_s)
+        except TimeoutError:
+            self.close()
+            return Err(_lost(self._address, f"no answer within {head_s:.1f} s"))
+        if head is None:
+            return Err(_lost(self._address, "closed before its answer"))
+        return Ok(head)
+
+    async def read_to_end(self, silent_s: float) -> Result[None, Failure]:
+        """Wait for the end of the response, at most ``silent_s`` between bytes."""
+        while not self._reading.done():
+            left = self._active_at + silent_s - self._pool.timers.now()
+            if left <= 0:
+                self.close()
+                return Err(_lost(self._address, f"silent for {silent_s:.1f} s"))
+            await asyncio.wait([self._reading], timeout=left)
+        if not self._response.finished:
+            self.close()
+            return Err(_lost(self._address, "closed within its answer"))
+        return Ok(None)
+
+    def release(self) -> None:
+        """Give the connection back for reuse if its response came whole."""
+        whole = self._response is not None and self._response.finished
+        if whole and self._reading.done():
+            self._pool.keep(self._address, self._stream)
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Close the connection; the target sees its caller gone."""
+        self._stream.close()
+        if self._reading is not None:
+            self._reading.add_done_callback(_consume)
+
+    def _note_activity(self) -> None:
+        self._active_at = self._pool.timers.now()
+
+
+class _Idle(NamedTuple):
+    since: float
+    stream: iostream.IOStream
+
+
+class TargetConnections:
+    """Connections to targets, kept for reuse while idle for a short time."""
+
+    def __init__(self, *, timers: TimerService):
+        self._timers = timers
+        self._client = TCPClient()
+        self._idle: dict[str, deque[_Idle]] = {}
+
+    @property
+    def timers(self) -> TimerService:
+        """The process's timer service."""
+        return self._timers
+
+    async def open(
+        self, address: str, fresh: bool = False
+    ) -> Result[Exchange, Failure]:
+        """Return an exchange on an idle connection or on a new one.
+
+        Nothing has been sent when this fails, so its error is
+        ``TARGET_UNREACHABLE``. ``fresh`` True never reuses: a connection gone silent
+        says nothing of its target, a new one does.
+        """
+        if not fresh:
+            stream = self._take_idle(address)
+            if stream is not None:
+                return Ok(Exchange(self, address, stream, reused=True))
+        host, _, port = address.rpartition(":")
+        try:
+            stream = await asyncio.wait_for(
+                self._client.connect(host.strip("[]"), int(port)), CONNECT_S
+            )
+        except (OSError, iostream.StreamClosedError, TimeoutError) as error:
+            detail = f"no connection to {address}: {error or 'timeout'}"
+            return Err(Failure(ErrorKind.TARGET_UNREACHABLE, detail))
+        stream.set_nodelay(True)
+        return Ok(Exchange(self, address, stream, reused=False))
+
+    def keep(self, address: str, stream: iostream.IOStream) -> None:
+        """Keep an idle connection for the next exchange with its target."""
+        idle = self._idle.setdefault(address, deque())
+        if stream.closed() or len(idle) >= MAX_IDLE_PER_TARGET:
+            stream.close()
+            return
+        # With a close callback the stream listens while idle, so that a target's
+        # closing is seen before the next request is written into it.
+        stream.set_close_callback(lambda: None)
+        idle.append(_Idle(self._timers.now(), stream))
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for idle in self._idle.values():
+            for kept in idle:
+                kept.stream.close()
+        self._idle.clear()
+
+    def _take_idle(self, address: str) -> iostream.IOStream | None:
+        idle = self._idle.get(address)
+        while idle:
+            kept = idle.pop()
+            if kept.stream.closed():
+                continue
+            if self._timers.now() - kept.since > IDLE_S:
+                kept.stream.close()
+                continue
+            kept.stream.set_close_callback(None)
+            return kept.stream
+        return None
+
+
+def _lost(address: str, detail: str) -> Failure:
+    return Failure(ErrorKind.TARGET_LOST, f"{address}: {detail}")
+
+
+def _consume(task: asyncio.Task) -> None:
+    if not task.cancelled():
+        task.exception()
--- /dev/null
+++ b/hawthornlead/requests.py
@@ -0,0 +1,390 @@
+"""The path of a request: admit, assign, route, be granted, send, retry, answer.
+
+A request is assigned at its admission: the bundle in force at that moment names its
+adapter and version, and a roll that comes later does not change them.
+"""
+
+import hashlib
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .attempts import AttemptCall, AttemptEnd, AttemptRunner, Sink
+from .bundles import Assignment, CallerTerms
+from .claims import Claims
+from .errors import ErrorKind, Failure, Ran
+from .events import EventKind, EventRing
+from .grants import Grant, Grants
+from .invariants import Invariants
+from .limits import Admissions
+from .messages import Claimed
+from .metrics import Metrics
+from .popularities import Popularity
+from .retries import Retries
+from .rolls import BundleKeeper, InForce
+from .routers import Router
+from .settings import Settings
+from .suspects import Suspects
+from .target_deaths import TargetDeaths
+from .timers import TimerService
+from .views import TargetView, TargetViews
+
+# Errors after which a repeatable request may be tried again although it may have
+# run: its attempt is over, and what was handed on is counted.
+RESUMABLE = frozenset(
+    {ErrorKind.TARGET_LOST, ErrorKind.ANSWER_CUT, ErrorKind.WRONG_ANSWER}
+)
+MIN_WAIT_S = 0.05
+
+
+class CallerRequest(NamedTuple):
+    """A request as its caller sent it, with its limits worked out.
+
+    ``deadline_at`` is on the timer service's clock. ``key`` is the idempotency key,
+    empty for a request that may be repeated.
+    """
+
+    request_id: str
+    caller: CallerTerms
+    alias: str
+    prompt: str
+    max_tokens: int
+    priority: int
+    deadline_at: float
+    key: str
+    in_force: InForce
+
+    @property
+    def fingerprint(self) -> bytes:
+        """What two tries of the same request have in common."""
+        text = f"{self.caller.name}\n{self.alias}\n{self.max_tokens}\n{self.prompt}"
+        return hashlib.blake2b(text.encode(), digest_size=16).digest()
+
+
+class AnswerHead(NamedTuple):
+    """What gave an answer: told to the caller before the first token."""
+
+    request_id: str
+    adapter: str
+    version: str
+    target: str
+    bundle_seq: int
+
+
+class RequestSink(Sink):
+    """A sink that also takes the head of the answer."""
+
+    started: bool
+
+    def begin(self, head: AnswerHead) -> None:
+        """Note what will give the answer; a later call replaces an earlier one."""
+
+
+class RecordedAnswer(NamedTuple):
+    """The recorded outcome of an earlier try with the same idempotency key."""
+
+    claimed: Claimed
+
+
+class _Try(NamedTuple):
+    """Which target the next attempt goes to, and whether the adapter is there."""
+
+    view: TargetView
+    resident: bool
+
+
+class RequestPath:
+    """Serves requests for adapters; one call of ``serve`` is one request."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        timers: TimerService,
+        events: EventRing,
+        metrics: Metrics,
+        invariants: Invariants,
+        keeper: BundleKeeper,
+        admissions: Admissions,
+        views: TargetViews,
+        grants: Grants,
+        claims: Claims,
+        retries: Retries,
+        suspects: Suspects,
+        deaths: TargetDeaths,
+        router: Router,
+        placement,
+        popularity: Popularity,
+        attempts: AttemptRunner,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._invariants = invariants
+        self._keeper = keeper
+        self._admissions = admissions
+        self._views = views
+        self._grants = grants
+        self._claims = claims
+        self._retries = retries
+        self._suspects = suspects
+        self._deaths = deaths
+        self._router = router
+        self._placement = placement
+        self._popularity = popularity
+        self._attempts = attempts
+
+    async def serve(
+        self, request: CallerRequest, sink: RequestSink
+    ) -> Result[RecordedAnswer | None, Failure]:
+        """Serve one request; ``None`` means that its answer went to the sink whole.
+
+        Every error tells the truth about the run by its kind.
+        """
+        admitted = self._admissions.admit(request.caller, request.priority)
+        if isinstance(admitted, Err):
+            return self._refused(request, admitted.err_value)
+        self._metrics.open_requests.inc()
+        try:
+            return await self._serve_admitted(request, sink)
+        finally:
+            self._metrics.open_requests.dec()
+            admitted.ok_value.release()
+
+    async def _serve_admitted(self, request, sink):
+        assigned = request.in_force.bundle.assign(request.caller.name, request.alias)
+        if isinstance(assigned, Err):
+            return self._refused(request, assigned.err_value)
+        allowed = self._suspects.check(request.fingerprint)
+        if isinstance(allowed, Err):
+            return self._refused(request, allowed.err_value)
+        assignment = assigned.ok_value
+        self._popularity.observe(assignment.adapter, self._timers.now())
+        self._events.emit(
+            EventKind.REQUEST_ADMITTED,
+            request.request_id,
+            caller=request.caller.name,
+            adapter=assignment.adapter,
+            version=assignment.version,
+            bundle=request.in_force.seq,
+        )
+        if not request.key:
+            outcome = await self._try_targets(request, assignment, sink)
+            return self._answered(request, outcome)
+        return await self._serve_once(request, assignment, sink)
+
+    async def _serve_once(self, request, assignment, sink):
+        """Serve a request that runs at most once, under a claim on its key."""
+        claimed = await self._claims.claim(
+            request.caller.name, request.key, request.fingerprint, request.request_id
+        )
+        if isinstance(claimed, Err):
+            return self._refused(request, claimed.err_value)
+        claim = claimed.ok_value
+        if claim.state == "done" and claim.body:
+            return Ok(RecordedAnswer(claim))
+        if claim.state != "new":
+            return self._refused(request, CLAIM_FAILURES[claim.state])
+        outcome = await self._try_targets(request, assignment, sink)
+        await self._record(request, outcome, sink)
+        return self._answered(request, outcome)
+
+    async def _record(self, request, failure: Failure | None, sink) -> None:
+        """Record how a claimed request ended.
+
+        Where the record itself fails the claim stays without an outcome, which
+        later tries are told as 'may have run': never as 'not run'.
+        """
+        if failure is None:
+            state, body = "done", sink.recorded()
+        elif failure.answer.ran is Ran.NOT_RUN:
+            state, body = "not_run", b""
+        else:
+            state, body = "unknown", b""
+        await self._claims.record(
+            request.caller.name,
+            request.key,
+            request.request_id,
+            state,
+            200 if failure is None else failure.answer.status,
+            "application/json",
+            body,
+        )
+
+    async def _try_targets(
+        self, request: CallerRequest, assignment: Assignment, sink: RequestSink
+    ) -> Failure | None:
+        """Try targets until one answered whole or no further try is allowed."""
+        offset = 0
+        ran = False
+        tried: set[str] = set()
+        self._retries.first_attempt()
+        for number in range(1, self._settings["MAX_ATTEMPTS"] + 1):
+            granted = await self._grant(request, assignment, tried)
+            if isinstance(granted, Err):
+                failure = granted.err_value
+                end = AttemptEnd(failure, offset)
+            else:
+                one_try, grant = granted.ok_value
+                tried.add(one_try.view.target)
+                end = await self._attempt(
+                    request, assignment, one_try, grant, offset, number, sink
+                )
+                failure = end.failure
+            if failure is None:
+                return None
+            offset = end.next_index
+            ran = ran or failure.answer.ran is not Ran.NOT_RUN
+            if not await self._may_retry(request, failure, number):
+                break
+            self._events.emit(
+                EventKind.REQUEST_RETRIED, request.request_id, after=failure.kind.value
+            )
+        return _truthful(failure, ran)
+
+    async def _may_retry(self, request, failure: Failure, number: int) -> bool:
+        """Wait out the backoff and say whether another attempt may start."""
+        repeatable = not request.key
+        allowed = failure.answer.retry or (repeatable and failure.kind in RESUMABLE)
+        if not allowed or number == self._settings["MAX_ATTEMPTS"]:
+            return False
+        backoff_s = self._retries.backoff(number)
+        if self._timers.now() + backoff_s >= request.deadline_at:
+            return False
+        if not self._retries.take():
+            return False
+        await self._timers.sleep(backoff_s)
+        return True
+
+    async def _attempt(
+        self, request, assignment, one_try: _Try, grant: Grant, offset, number, sink
+    ) -> AttemptEnd:
+        view = one_try.view
+        attempt_id = f"{request.request_id}.{number}"
+        sink.begin(
+            AnswerHead(
+                request.request_id,
+                assignment.adapter,
+                assignment.version,
+                view.target,
+                request.in_force.seq,
+            )
+        )
+        call = AttemptCall(
+            attempt_id,
+            view.target,
+            view.address,
+            assignment,
+            request.prompt,
+            request.max_tokens,
+            offset,
+            request.priority,
+            request.deadline_at,
+            fresh=bool(request.key) or number > 1,
+        )
+        self._deaths.started(view.target, attempt_id, request.fingerprint)
+        try:
+            end = await self._attempts.run(call, grant, sink)
+        finally:
+            self._deaths.ended(view.target, attempt_id)
+        if end.failure is None:
+            self._suspects.completed(request.fingerprint)
+        elif end.failure.kind in (ErrorKind.TARGET_LOST, ErrorKind.TARGET_UNREACHABLE):
+            await self._deaths.suspect(view, request.fingerprint, end.failure)
+        elif end.failure.kind is ErrorKind.CALLER_GONE:
+            self._events.emit(EventKind.CALLER_LEFT, attempt_id, target=view.target)
+        return end
+
+    async def _grant(
+        self, request: CallerRequest, assignment: Assignment, tried: set[str]
+    ) -> Result[tuple[_Try, Grant], Failure]:
+        """Get a grant on the best target that gives one before the deadline."""
+        failure = Failure(
+            ErrorKind.NO_TARGET, f"no target serves {assignment.base_model}", 1.0
+        )
+        for one_try in self._tries(assignment, tried):
+            wait_s = request.deadline_at - self._timers.now()
+            if wait_s < MIN_WAIT_S:
+                return Err(
+                    Failure(ErrorKind.TOO_LATE_TO_START, "no time is left to run")
+                )
+            started = self._timers.now()
+            granted = await self._grants.acquire(
+                one_try.view.target,
+                assignment,
+                wait_s=wait_s,
+                load=not one_try.resident,
+                priority=request.priority,
+            )
+            stalled_s = self._timers.now() - started
+            if isinstance(granted, Ok):
+                if granted.ok_value.loaded_s > 0:
+                    self._metrics.load_stall.observe(stalled_s)
+                return Ok((one_try, granted.ok_value))
+            failure = granted.err_value
+            if not failure.answer.retry:
+                return Err(failure)
+        return Err(failure)
+
+    def _tries(self, assignment: Assignment, tried: set[str]) -> list[_Try]:
+        """Order the targets: where the adapter is first, then where to load it."""
+        now = self._timers.now()
+        views = self._views.views()
+        usable = [view for view in views if not view.leaving]
+        by_name = {view.target: view for view in usable}
+        tries = []
+        for candidate in self._router.choose(assignment, usable, self._popularity, now):
+            view = by_name[candidate.target]
+            tries.append(_Try(view, candidate.resident))
+        placed = self._placement.choose(assignment, usable, self._popularity, now)
+        named = {one_try.view.target for one_try in tries}
+        for target in placed:
+            if target not in named:
+                tries.append(_Try(by_name[target], resident=False))
+        fresh = [one_try for one_try in tries if one_try.view.target not in tried]
+        return fresh or tries
+
+    def _answered(self, request, failure: Failure | None):
+        if failure is not None:
+            return self._refused(request, failure)
+        self._metrics.requests.labels("whole").inc()
+        self._events.emit(EventKind.REQUEST_ANSWERED, request.request_id)
+        return Ok(None)
+
+    def _refused(self, request, failure: Failure) -> Err[Failure]:
+        self._metrics.requests.labels(failure.kind.value).inc()
+        self._events.emit(
+            EventKind.REQUEST_REFUSED,
+            request.request_id,
+            kind=failure.kind.value,
+            ran=failure.answer.ran.value,
+            detail=failure.detail,
+        )
+        return Err(failure)
+
+
+CLAIM_FAILURES: dict[str, Failure] = {
+    "running": Failure(
+        ErrorKind.DUPLICATE_RUNNING, "the first try with this key still runs", 1.0
+    ),
+    "done": Failure(
+        ErrorKind.DUPLICATE_DONE, "it ran; its answer was too large to be kept"
+    ),
+    "unknown": Failure(
+        ErrorKind.DUPLICATE_UNKNOWN, "the first try with this key may have run"
+    ),
+    "reused": Failure(ErrorKind.KEY_REUSED, "this key stands for a different request"),
+}
+
+
+def _truthful(failure: Failure, ran: bool) -> Failure:
+    """Return the failure to answer, never 'not run' when an earlier attempt ran.
+
+    Guards against a retry that ends in a refusal: the last attempt did not run, but
+    the one before it may have.
+    """
+    if not ran or failure.answer.ran is not Ran.NOT_RUN:
+        return failure
+    detail = f"an earlier attempt may have run; then: {failure.detail}"
+    return Failure(ErrorKind.TARGET_LOST, detail, failure.retry_after_s)
--- /dev/null
+++ b/hawthornlead/service_calls.py
@@ -0,0 +1,252 @@
+"""The path of a call to a plain service beside the model engines.
+
+A call that may not be repeated runs under a claim on its idempotency key and is
+sent once, on a fresh connection. A call that may be repeated is retried within the
+same budget as requests for adapters.
+"""
+
+import hashlib
+from random import Random
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+from tornado import httputil
+
+from .bundles import CallerTerms
+from .claims import Claims
+from .errors import ErrorKind, Failure, Ran
+from .events import EventKind, EventRing
+from .exchanges import TargetConnections
+from .limits import Admissions
+from .metrics import Metrics
+from .platforms import VmEntry, VmList
+from .requests import CLAIM_FAILURES
+from .retries import Retries
+from .settings import Settings
+from .timers import TimerService
+
+ATTEMPT_HEADER = "Hawthornlead-Attempt"
+MAX_SERVICE_ANSWER = 8 << 20
+
+
+class ServiceCall(NamedTuple):
+    """One call to a plain service; ``deadline_at`` is on the service's clock."""
+
+    request_id: str
+    caller: CallerTerms
+    service: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    repeatable: bool
+    priority: int
+    deadline_at: float
+    key: str
+
+    @property
+    def fingerprint(self) -> bytes:
+        """What two tries of the same call have in common."""
+        text = f"{self.caller.name}\n{self.service}\n{self.method}\n{self.path}\n"
+        return hashlib.blake2b(text.encode() + self.body, digest_size=16).digest()
+
+
+class ServiceAnswer(NamedTuple):
+    """The whole answer of a service."""
+
+    status: int
+    content_type: str
+    body: bytes
+    target: str
+    replayed: bool = False
+
+
+class ServicePath:
+    """Serves calls to plain services."""
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        timers: TimerService,
+        events: EventRing,
+        metrics: Metrics,
+        rng: Random,
+        vm_list: VmList,
+        admissions: Admissions,
+        claims: Claims,
+        retries: Retries,
+        connections: TargetConnections,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._rng = rng
+        self._vm_list = vm_list
+        self._admissions = admissions
+        self._claims = claims
+        self._retries = retries
+        self._connections = connections
+        self._open: dict[str, int] = {}
+
+    async def serve(self, call: ServiceCall) -> Result[ServiceAnswer, Failure]:
+        """Serve one call; every error tells the truth about the run by its kind."""
+        admitted = self._admissions.admit(call.caller, call.priority)
+        if isinstance(admitted, Err):
+            return self._refused(call, admitted.err_value)
+        try:
+            outcome = await self._serve_admitted(call)
+        finally:
+            admitted.ok_value.release()
+        if isinstance(outcome, Err):
+            return self._refused(call, outcome.err_value)
+        self._metrics.requests.labels("whole").inc()
+        self._events.emit(EventKind.REQUEST_ANSWERED, call.request_id)
+        return outcome
+
+    async def _serve_admitted(self, call):
+        if not call.key:
+            return await self._try_targets(call)
+        claimed = await self._claims.claim(
+            call.caller.name, call.key, call.fingerprint, call.request_id
+        )
+        if isinstance(claimed, Err):
+            return claimed
+        claim = claimed.ok_value
+        if claim.state == "done" and claim.content_type:
+            return Ok(
+                ServiceAnswer(claim.status, claim.content_type, claim.body, "", True)
+            )
+        if claim.state != "new":
+            return Err(CLAIM_FAILURES[claim.state])
+        outcome = await self._try_targets(call)
+        await self._record(call, outcome)
+        return outcome
+
+    async def _record(self, call, outcome) -> None:
+        state, status, content_type, body = "unknown", 0, "", b""
+        if isinstance(outcome, Ok):
+            state = "done"
+            status, content_type, body, _, _ = outcome.ok_value
+        elif outcome.err_value.answer.ran is Ran.NOT_RUN:
+            state = "not_run"
+        await self._claims.record(
+            call.caller.name,
+            call.key,
+            call.request_id,
+            state,
+            status,
+            content_type,
+            body,
+        )
+
+    async def _try_targets(self, call) -> Result[ServiceAnswer, Failure]:
+        self._retries.first_attempt()
+        ran = False
+        tried: set[str] = set()
+        for number in range(1, self._settings["MAX_ATTEMPTS"] + 1):
+            outcome = await self._attempt(call, number, tried)
+            if isinstance(outcome, Ok):
+                return outcome
+            failure = outcome.err_value
+            ran = ran or failure.answer.ran is not Ran.NOT_RUN
+            if not await self._may_retry(call, failure, number):
+                break
+        if ran and failure.answer.ran is Ran.NOT_RUN:
+            failure = Failure(ErrorKind.TARGET_LOST, failure.detail)
+        return Err(failure)
+
+    async def _may_retry(self, call, failure: Failure, number: int) -> bool:
+        allowed = failure.answer.retry or (
+            call.repeatable and failure.kind is ErrorKind.TARGET_LOST
+        )
+        if not allowed or number == self._settings["MAX_ATTEMPTS"]:
+            return False
+        backoff_s = self._retries.backoff(number)
+        if self._timers.now() + backoff_s >= call.deadline_at:
+            return False
+        if not self._retries.take():
+            return False
+        await self._timers.sleep(backoff_s)
+        return True
+
+    async def _attempt(self, call, number: int, tried: set[str]):
+        entry = self._choose(call.service, tried)
+        if entry is None:
+            return Err(
+                Failure(ErrorKind.NO_TARGET, f"no target runs {call.service}", 1.0)
+            )
+        tried.add(entry.name)
+        left = call.deadline_at - self._timers.now()
+        if left <= 0:
+            return Err(Failure(ErrorKind.TOO_LATE_TO_START, "no time is left to run"))
+        # A reused connection may be closed by the target just as the call is
+        # written into it, which leaves in doubt whether it ran: a call that may not
+        # be repeated gets a fresh one.
+        fresh = not call.repeatable or number > 1
+        opened = await self._connections.open(entry.address, fresh=fresh)
+        if isinstance(opened, Err):
+            return opened
+        exchange = opened.ok_value
+        self._open[entry.name] = self._open.get(entry.name, 0) + 1
+        try:
+            return await self._exchange(call, number, entry, exchange)
+        finally:
+            self._open[entry.name] -= 1
+            exchange.release()
+
+    async def _exchange(self, call, number: int, entry: VmEntry, exchange):
+        attempt_id = f"{call.request_id}.{number}"
+        headers = httputil.HTTPHeaders({ATTEMPT_HEADER: attempt_id})
+        if call.content_type:
+            headers["Content-Type"] = call.content_type
+        if call.key:
+            headers["Idempotency-Key"] = call.key
+        self._events.emit(EventKind.REQUEST_SENT, attempt_id, target=entry.name)
+        body = bytearray()
+        left = call.deadline_at - self._timers.now()
+        silent_s = max(0.001, min(left, self._settings["STREAM_SILENT_S"]))
+        sent = await exchange.send(
+            call.method, call.path, headers, call.body, body.extend, silent_s
+        )
+        if isinstance(sent, Err):
+            return sent
+        ended = await exchange.read_to_end(silent_s)
+        if isinstance(ended, Err):
+            return ended
+        head = sent.ok_value
+        if head.status == 503 and head.headers.get("Ran", "").lower() == "no":
+            detail = f"{entry.name} refused the call"
+            return Err(Failure(ErrorKind.TARGET_REFUSED, detail, 1.0))
+        if head.status >= 500:
+            detail = f"{entry.name} answered {head.status}"
+            return Err(Failure(ErrorKind.TARGET_LOST, detail))
+        # An answer that names another attempt is another caller's: it was crossed.
+        named = head.headers.get(ATTEMPT_HEADER, attempt_id)
+        if named != attempt_id:
+            self._events.emit(EventKind.ANSWER_DROPPED, attempt_id, named=named)
+            return Err(Failure(ErrorKind.WRONG_ANSWER, "the answer was crossed"))
+        content_type = head.headers.get("Content-Type", "application/octet-stream")
+        return Ok(ServiceAnswer(head.status, content_type, bytes(body), entry.name))
+
+    def _choose(self, service: str, tried: set[str]) -> VmEntry | None:
+        """Return the target with the fewest open calls among two at random."""
+        live = [entry for entry in self._vm_list.services(service)]
+        usable = [entry for entry in live if entry.state == "live"]
+        fresh = [entry for entry in usable if entry.name not in tried] or usable
+        if not fresh:
+            return None
+        picked = self._rng.sample(fresh, min(2, len(fresh)))
+        return min(picked, key=lambda entry: self._open.get(entry.name, 0))
+
+    def _refused(self, call, failure: Failure) -> Err[Failure]:
+        self._metrics.requests.labels(failure.kind.value).inc()
+        self._events.emit(
+            EventKind.REQUEST_REFUSED,
+            call.request_id,
+            kind=failure.kind.value,
+            ran=failure.answer.ran.value,
+            detail=failure.detail,
+        )
+        return Err(failure)
