Add object API clients, a store in memory and the VM list

An update stamps the id of its write into the value and keeps the ids of the sixteen writes before, so that a writer that lost its reply finds its write also when others wrote after it; past that it answers that the write may have taken effect. Keeping only the newest id was ruled out: one write by another between the write and the read back would have led to a second effect.

Watches list and follow, list again after 410 and each WATCH_RELIST_S (a store that left out an event can't be found out otherwise), drop events and lists older than what they handed out, and open a new connection after WATCH_SILENT_S without a line; the store's bookmarks must come more often.

--- /dev/null
+++ b/hawthornlead/platforms.py
@@ -0,0 +1,123 @@
+"""The platform's VM list: which VMs there are, live or leaving. It lags."""
+
+import json
+from collections.abc import Callable
+from typing import NamedTuple
+
+from loguru import logger
+from result import Err, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+
+from .errors import ErrorKind, Failure
+
+
+class VmEntry(NamedTuple):
+    """One VM of the list; ``role`` is "entry", "engine" or "service"."""
+
+    name: str
+    role: str
+    address: str
+    data_centre: str
+    state: str
+    attributes: dict
+
+
+class VmList:
+    """The newest VM list that was read, read anew at each interval."""
+
+    def __init__(
+        self, *, settings, timers, events=None, metrics=None, invariants=None, rng=None
+    ):
+        self._timers = timers
+        self._url = f"http://{settings['VM_LIST_ADDRESS']}/vms"
+        self._interval = settings["VM_LIST_INTERVAL_S"]
+        self._timeout_s = settings["STORE_TIMEOUT_S"]
+        self._client = None
+        self._entries: tuple[VmEntry, ...] = ()
+        self._read_at = float("-inf")
+        self._subscribers: list[Callable[[], None]] = []
+        self._subscription = None
+
+    @property
+    def entries(self) -> tuple[VmEntry, ...]:
+        """All VMs of the newest list, by name."""
+        return self._entries
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the newest list was asked for; infinite before the first."""
+        return self._timers.now() - self._read_at
+
+    def start(self) -> None:
+        """Begin to read the list."""
+        self._client = AsyncHTTPClient(force_instance=True)
+        self._timers.after(0, self.read, "VM list")
+        self._subscription = self._timers.every(self._interval, self.read, "VM list")
+
+    async def stop(self) -> None:
+        """Read no more."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+        if self._client is not None:
+            self._client.close()
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` whenever the list has changed."""
+        self._subscribers.append(callback)
+
+    def engines(self) -> tuple[VmEntry, ...]:
+        """All model engines."""
+        return self._with_role("engine")
+
+    def services(self, name: str) -> tuple[VmEntry, ...]:
+        """All VMs of the plain service ``name``."""
+        return tuple(
+            entry
+            for entry in self._with_role("service")
+            if entry.attributes.get("service") == name
+        )
+
+    def entry_vms(self) -> tuple[VmEntry, ...]:
+        """All entry VMs."""
+        return self._with_role("entry")
+
+    def take(self, entries: tuple[VmEntry, ...], sent_at: float) -> None:
+        """Take a list that was asked for at ``sent_at``, unless a newer is held."""
+        if sent_at < self._read_at:
+            return
+        self._read_at = sent_at
+        entries = tuple(sorted(entries, key=lambda entry: entry.name))
+        if entries == self._entries:
+            return
+        self._entries = entries
+        for callback in self._subscribers:
+            callback()
+
+    async def read(self) -> Result[None, Failure]:
+        """Read the list once."""
+        sent_at = self._timers.now()
+        request = HTTPRequest(
+            self._url, connect_timeout=self._timeout_s, request_timeout=self._timeout_s
+        )
+        try:
+            response = await self._client.fetch(request)
+            entries = tuple(_entry(vm) for vm in json.loads(response.body)["vms"])
+        except (HTTPClientError, OSError, ValueError, KeyError, TypeError) as error:
+            logger.debug("VM list not read: {!r}", error)
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, f"VM list: {error}", 1.0))
+        self.take(entries, sent_at)
+        return Ok(None)
+
+    def _with_role(self, role: str) -> tuple[VmEntry, ...]:
+        return tuple(entry for entry in self._entries if entry.role == role)
+
+
+def _entry(vm: dict) -> VmEntry:
+    return VmEntry(
+        vm["name"],
+        vm["role"],
+        vm["address"],
+        vm["data_centre"],
+        vm["state"],
+        dict(vm.get("attributes", {})),
+    )
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -83,6 +83,12 @@
     "VM_LIST_INTERVAL_S": Setting(
         "platform", "number", 1.0, "seconds between reads of the VM list", 0.05, 60
     ),
+    "WATCH_SILENT_S": Setting(
+        "platform", "number", 5.0, "silence after which a watch is dead", 0.1, 60
+    ),
+    "WATCH_RELIST_S": Setting(
+        "platform", "number", 60.0, "seconds between full lists of a watch", 0.5, 3600
+    ),
     # lease
     "LEASE_S": Setting("lease", "number", 6.0, "how long a lease lasts", 0.2, 120),
     "LEASE_RENEW_S": Setting(
--- /dev/null
+++ b/hawthornlead/tests/test_platforms.py
@@ -0,0 +1,52 @@
+"""Tests of the VM list."""
+
+import json
+
+import tornado.httpserver
+import tornado.testing
+import tornado.web
+
+from hawthornlead.platforms import VmEntry, VmList
+from hawthornlead.settings import default_settings
+from hawthornlead.timers import ManualTimerService
+
+ENGINE = VmEntry("e1", "engine", "127.0.0.1:1", "dc1", "live", {"slots": 2})
+TIMING = VmEntry("s1", "service", "127.0.0.1:2", "dc1", "live", {"service": "timing"})
+ENTRY = VmEntry("vm-1", "entry", "127.0.0.1:3", "dc1", "leaving", {})
+
+
+class ListHandler(tornado.web.RequestHandler):
+    """Answers with three VMs."""
+
+    def get(self):
+        vms = [entry._asdict() for entry in (ENGINE, TIMING, ENTRY)]
+        self.write(json.dumps({"vms": vms}))
+
+
+async def test_reads_list_and_keeps_newest():
+    server = tornado.httpserver.HTTPServer(
+        tornado.web.Application([("/vms", ListHandler)])
+    )
+    socket, port = tornado.testing.bind_unused_port()
+    server.add_socket(socket)
+    timers = ManualTimerService()
+    settings = default_settings(VM_LIST_ADDRESS=f"127.0.0.1:{port}")
+    vm_list = VmList(settings=settings, timers=timers)
+    changes = []
+    vm_list.subscribe(lambda: changes.append(vm_list.entries))
+    vm_list.start()
+    assert (await vm_list.read()).is_ok()
+    assert vm_list.engines() == (ENGINE,)
+    assert vm_list.services("timing") == (TIMING,)
+    assert vm_list.services("other") == ()
+    assert vm_list.entry_vms() == (ENTRY,)
+    assert (await vm_list.read()).is_ok()
+    assert len(changes) == 1
+    server.stop()
+    await server.close_all_connections()
+    assert (await vm_list.read()).is_err()
+    assert vm_list.entries and vm_list.age_s == 0
+    # An answer that was asked for earlier than the one held changes nothing.
+    vm_list.take((), timers.now() - 1)
+    assert vm_list.entries
+    await vm_list.stop()
--- /dev/null
+++ b/hawthornlead/tests/test_stores.py
@@ -0,0 +1,287 @@
+"""Tests of the object API clients: conditional updates, lost replies, watches."""
+
+import asyncio
+import json
+import random
+
+import pytest
+import tornado.httpserver
+import tornado.testing
+import tornado.web
+
+from hawthornlead.errors import ErrorKind
+from hawthornlead.http_stores import HttpObjectStore
+from hawthornlead.memory_stores import MemoryObjects, MemoryStore
+from hawthornlead.settings import default_settings
+from hawthornlead.stores import may_have_taken_effect
+from hawthornlead.timers import ManualTimerService, TimerService
+
+
+def make_store(objects=None, timers=None, name="vm-1", seed=1) -> MemoryStore:
+    return MemoryStore(
+        objects,
+        settings=default_settings(VM_NAME=name, WATCH_SILENT_S=4.0),
+        timers=timers or ManualTimerService(),
+        rng=random.Random(seed),
+    )
+
+
+def add_one(value):
+    return {**(value or {}), "n": (value or {}).get("n", 0) + 1}
+
+
+async def test_conditional_put():
+    store = make_store()
+    first = (await store.put("k", "a", {"n": 1}, None)).ok_value
+    assert (await store.put("k", "a", {"n": 2}, None)).err_value.kind is (
+        ErrorKind.VERSION_CONFLICT
+    )
+    assert (await store.put("k", "a", {"n": 2}, first.version)).is_ok()
+    assert (await store.put("k", "a", {"n": 3}, first.version)).is_err()
+    big = {"n": "x" * (1 << 20)}
+    assert (await store.put("k", "b", big, None)).err_value.kind is ErrorKind.TOO_LARGE
+
+
+async def test_lost_reply_takes_effect_once():
+    # A caller would see a counter raised twice for one change: the write took
+    # effect, its reply was lost, and the writer wrote again.
+    store = make_store()
+    for lost in (1, 0, 1):
+        store.lose_next_reply = lost
+        assert (await store.update("k", "a", add_one)).is_ok()
+    assert (await store.get("k", "a")).ok_value.value["n"] == 3
+
+
+async def test_lost_reply_then_others_write():
+    # As above, but other writers changed the object before the first one reads
+    # it back, so that the newest write id is no longer its own. Up to 15 writes
+    # later it still finds its id; later than that it says that it doesn't know.
+    for others, known in ((15, True), (16, False)):
+        objects = MemoryObjects()
+        store, other = make_store(objects), make_store(objects, name="vm-2", seed=2)
+        store.lose_next_reply = 1
+        put = store._put
+
+        async def put_then_others(*args, put=put, other=other, others=others):
+            outcome = await put(*args)
+            for _ in range(others):
+                assert (await other.update("k", "a", add_one)).is_ok()
+            return outcome
+
+        store._put = put_then_others
+        updated = await store.update("k", "a", add_one)
+        assert updated.is_ok() is known
+        assert known or may_have_taken_effect(updated.err_value)
+        assert (await other.get("k", "a")).ok_value.value["n"] == others + 1
+
+
+async def test_outage_tells_what_is_known():
+    store = make_store()
+    store.outage = True
+    failure = (await store.update("k", "a", add_one)).err_value
+    assert failure.kind is ErrorKind.STORE_UNAVAILABLE
+    assert failure.retry_after_s and not may_have_taken_effect(failure)
+    failure = (await store.put("k", "a", {}, None)).err_value
+    assert may_have_taken_effect(failure)
+
+
+async def test_nothing_to_do_writes_nothing():
+    store = make_store()
+    assert (await store.update("k", "a", lambda value: None)).is_ok()
+    assert store.objects.writes == 0
+
+
+async def test_concurrent_updates_all_count():
+    objects, timers = MemoryObjects(), TimerService()
+    stores = [make_store(objects, timers, f"vm-{i}", seed=i) for i in range(8)]
+    await asyncio.gather(*(store.update("k", "a", add_one) for store in stores))
+    assert objects.get("k", "a").value["n"] == 8
+
+
+async def test_stale_read_is_read_again():
+    # A read waits in a slow network while a newer one answers; its late answer
+    # would move the reader back to the old value.
+    store = make_store()
+    await store.update("k", "a", add_one)
+    old = await store._get("k", "a")
+    await store.update("k", "a", add_one)
+    fresh, late = store._get, [old]
+
+    async def late_then_fresh(kind, name):
+        return late.pop() if late else await fresh(kind, name)
+
+    store._get = late_then_fresh
+    assert (await store.get("k", "a")).ok_value.value["n"] == 2
+    late[:] = [old] * 5
+    assert (await store.get("k", "a")).is_err()
+
+
+class Follower:
+    """Records what a watch hands out."""
+
+    def __init__(self, store):
+        self.seen = []
+        self.synced = 0
+        self.watch = store.watch("k", self.take, self.count)
+
+    def take(self, event):
+        self.seen.append((event.type, event.object.name, event.object.value.get("n")))
+
+    def count(self):
+        self.synced += 1
+
+
+async def followed(store, timers):
+    follower = Follower(store)
+    await timers.advance(0)
+    return follower
+
+
+async def test_watch_lists_then_follows():
+    timers = ManualTimerService()
+    store = make_store(timers=timers)
+    stored = (await store.put("k", "a", {"n": 1}, None)).ok_value
+    await store.put("other", "x", {"n": 9}, None)
+    follower = await followed(store, timers)
+    stored = (await store.put("k", "a", {"n": 2}, stored.version)).ok_value
+    await store.delete("k", "a", stored.version)
+    await timers.advance(0)
+    assert follower.seen == [("put", "a", 1), ("put", "a", 2), ("delete", "a", None)]
+    assert follower.synced == 1
+
+
+@pytest.mark.parametrize("forgotten", [False, True])
+async def test_watch_resumes_or_relists(forgotten):
+    # The connection of a watch ends; meanwhile one object changes and another is
+    # deleted. Where the store has forgotten the version, only a list tells.
+    timers = ManualTimerService()
+    store = make_store(timers=timers)
+    gone = (await store.put("k", "gone", {"n": 1}, None)).ok_value
+    follower = await followed(store, timers)
+    store.cut_watches()
+    await timers.advance(0)
+    await store.put("k", "new", {"n": 2}, None)
+    await store.delete("k", "gone", gone.version)
+    if forgotten:
+        store.objects.forget_history()
+    await timers.advance(10)
+    assert sorted(follower.seen[1:]) == [("delete", "gone", None), ("put", "new", 2)]
+    assert follower.synced == (2 if forgotten else 1)
+
+
+async def test_silent_watch_is_reopened():
+    # Something between store and VM loses track of the open connection: nothing
+    # arrives on it any more, though new connections work.
+    timers = ManualTimerService()
+    store = make_store(timers=timers)
+    follower = await followed(store, timers)
+    await timers.advance(20)
+    assert follower.seen == []
+    store.silence_watches()
+    await store.put("k", "a", {"n": 1}, None)
+    await timers.advance(8)
+    assert follower.seen == [("put", "a", 1)]
+
+
+async def test_watch_drops_stale_events():
+    # A connection thought dead still delivers an old event after a newer one.
+    timers = ManualTimerService()
+    store = make_store(timers=timers)
+    follower = await followed(store, timers)
+    old = (await store.put("k", "a", {"n": 1}, None)).ok_value
+    new = (await store.put("k", "a", {"n": 2}, old.version)).ok_value
+    await store.delete("k", "a", new.version)
+    await timers.advance(0)
+    seen = list(follower.seen)
+    store.objects._tell("k", "put", old)
+    store.objects._tell("k", "put", new)
+    await timers.advance(0)
+    assert follower.seen == seen
+
+
+async def test_watch_survives_outage():
+    timers = ManualTimerService()
+    store = make_store(timers=timers)
+    store.outage = True
+    follower = await followed(store, timers)
+    await timers.advance(30)
+    store.outage = False
+    await store.put("k", "a", {"n": 1}, None)
+    await timers.advance(5)
+    assert follower.seen == [("put", "a", 1)]
+
+
+class ObjectHandler(tornado.web.RequestHandler):
+    """The object API over a ``MemoryObjects``, as the platform speaks it."""
+
+    def initialize(self, objects):
+        self.objects = objects
+
+    async def get(self, kind, name=None):
+        if name is not None:
+            found = self.objects.get(kind, name)
+            if found is None:
+                self.set_status(404)
+                return
+            self.write(found._asdict())
+            return
+        if not self.get_query_argument("watch", ""):
+            listed = self.objects.list(kind)
+            items = [item._asdict() for item in listed.items]
+            self.write({"version": listed.version, "items": items})
+            return
+        queue = self.objects.follow(kind, int(self.get_query_argument("since")))
+        while (line := await queue.get()) is not None:
+            self.write(json.dumps({**line._asdict(), "kind": kind}) + "\n")
+            await self.flush()
+
+    def put(self, kind, name):
+        self._write(kind, name, json.loads(self.request.body))
+
+    def delete(self, kind, name):
+        self._write(kind, name, None)
+
+    def _write(self, kind, name, value):
+        match = self.request.headers.get("If-Match")
+        written = self.objects.write(kind, name, value, match and int(match))
+        if written.is_err():
+            self.set_status(412)
+            return
+        self.write({"version": written.ok_value.version})
+
+
+async def test_http_store():
+    objects = MemoryObjects()
+    app = tornado.web.Application(
+        [(r"/objects/([^/]+)(?:/([^/]+))?", ObjectHandler, {"objects": objects})]
+    )
+    server = tornado.httpserver.HTTPServer(app)
+    socket, port = tornado.testing.bind_unused_port()
+    server.add_socket(socket)
+    settings = default_settings(VM_NAME="vm-1", STORE_ADDRESS=f"127.0.0.1:{port}")
+    store = HttpObjectStore(
+        settings=settings, timers=TimerService(), rng=random.Random(1)
+    )
+    assert (await store.get("k", "a")).ok_value is None
+    seen = asyncio.Queue()
+    store.watch("k", seen.put_nowait)
+    for _ in range(2):
+        assert (await store.update("k", "a", add_one)).is_ok()
+    while (event := await seen.get()).object.value["n"] != 2:
+        pass
+    stored = (await store.get("k", "a")).ok_value
+    assert stored.value["n"] == 2
+    assert event.object == stored
+    listed = (await store.list("k")).ok_value
+    assert listed.items == (stored,)
+    assert (await store.put("k", "a", {}, 99)).err_value.kind is (
+        ErrorKind.VERSION_CONFLICT
+    )
+    assert (await store.delete("k", "a", stored.version)).is_ok()
+    assert (await seen.get()).type == "delete"
+    server.stop()
+    await server.close_all_connections()
+    failure = (await store.put("k", "a", {}, None)).err_value
+    assert failure.kind is ErrorKind.STORE_UNAVAILABLE
+    assert not may_have_taken_effect(failure)
+    await store.stop()
