--- /dev/null
+++ b/hawthornlead/bundle_libraries.py
@@ -0,0 +1,370 @@
+"""Where the chunks and signatures of bundles are kept and fetched from.
+
+The store keeps each chunk under its digest and each bundle's signatures under the
+bundle's. A VM asks another VM first, so that the store's reads do not grow with the
+fleet. Whatever comes from whomever is checked: chunks against their digest,
+signatures against the operators' keys.
+"""
+
+import asyncio
+import base64
+import json
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .bundle_checks import check_document
+from .bundles import Bundle, BundleChunk, read_manifest, unpack
+from .errors import ErrorKind, Failure
+from .messages import Chunk, Failed, FetchChunk
+from .signatures import (
+    OperatorKeys,
+    Purpose,
+    SignedStatement,
+    read_signed,
+)
+
+CHUNK_KIND = "bundle-chunk"
+RELEASE_KIND = "bundle-release"
+# A release is asked from VMs like a chunk, under this prefix and its digest.
+RELEASE_PREFIX = "release:"
+FETCHES_AT_ONCE = 8
+
+
+def failed(failure: Failure) -> Failed:
+    """Return the reply that carries a failure to the VM that called."""
+    return Failed(failure.kind.value, failure.detail, failure.retry_after_s)
+
+
+class Release(NamedTuple):
+    """The signatures of one bundle."""
+
+    prepared: SignedStatement
+    approved: SignedStatement | None = None
+    retired: SignedStatement | None = None
+
+
+class Released(NamedTuple):
+    """A bundle whose content and signatures were verified."""
+
+    bundle: Bundle
+    release: Release
+
+
+class BundleLibrary:
+    """The chunks and releases that one VM holds, and how it gets others."""
+
+    def __init__(self, *, settings, store, mesh, keys: OperatorKeys):
+        self._data_centre = settings["DATA_CENTRE"]
+        self._vm = settings["VM_NAME"]
+        self._store = store
+        self._mesh = mesh
+        self._keys = keys
+        self._chunks: dict[str, BundleChunk] = {}
+        self._releases: dict[str, bytes] = {}
+        self._held: dict[str, Bundle] = {}
+        self._fetching: dict[str, asyncio.Task] = {}
+        self._at_once = asyncio.Semaphore(FETCHES_AT_ONCE)
+        mesh.on(FetchChunk, self._answer_chunk)
+
+    @property
+    def keys(self) -> OperatorKeys:
+        """The public keys of the operators."""
+        return self._keys
+
+    def helper(self) -> str:
+        """Name the VM of this data centre that fetches for the others.
+
+        Two VMs that differ about it cost a few reads more, nothing else.
+        """
+        names = [self._vm]
+        for peer in self._mesh.live:
+            if peer.data_centre == self._data_centre:
+                names.append(peer.vm)
+        return min(names)
+
+    async def load(
+        self, digest: str, sources: Iterable[str] = ()
+    ) -> Result[Released, Failure]:
+        """Fetch a bundle and verify its content and both signatures.
+
+        ``sources`` name VMs that are likely to hold it. The store comes last.
+        """
+        asked = self._sources(sources)
+        release = await self._load_release(digest, asked)
+        if release.is_err():
+            return release
+        bundle = self._held.get(digest)
+        if bundle is not None:
+            return Ok(Released(bundle, release.unwrap()))
+        assembled = await self._load_bundle(digest, asked)
+        return assembled.map(lambda found: Released(found, release.unwrap()))
+
+    def keep_only(self, digests: Iterable[str]) -> None:
+        """Forget all bundles but these."""
+        wanted = set(digests)
+        self._held = {d: b for d, b in self._held.items() if d in wanted}
+        self._releases = {d: r for d, r in self._releases.items() if d in wanted}
+        needed = set(self._held)
+        for bundle in self._held.values():
+            needed.update(bundle.parts)
+        self._chunks = {d: c for d, c in self._chunks.items() if d in needed}
+
+    # Orders of operators
+
+    async def put_chunk(self, chunk: BundleChunk) -> Result[None, Failure]:
+        """Keep an uploaded chunk in the store."""
+        unpacked = unpack(chunk)
+        if unpacked.is_err():
+            return unpacked
+        value = {"content": base64.b64encode(chunk.content).decode()}
+        put = await self._store.put(CHUNK_KIND, chunk.digest, value, None)
+        # A conflict says that the chunk is there: its name is its content.
+        if put.is_err() and put.err_value.kind is not ErrorKind.VERSION_CONFLICT:
+            return put
+        return Ok(None)
+
+    async def missing(self, digests: Iterable[str]) -> Result[list[str], Failure]:
+        """Name the chunks that the store does not hold."""
+        absent = []
+        for digest in digests:
+            got = await self._store.get(CHUNK_KIND, digest)
+            if got.is_err():
+                return got
+            if got.unwrap() is None:
+                absent.append(digest)
+        return Ok(absent)
+
+    async def prepare(self, prepared: SignedStatement) -> Result[Bundle, Failure]:
+        """Take in a bundle whose chunks were uploaded, with its signature."""
+        digest = prepared.statement.digest
+        known = self._keys.verify(prepared, Purpose.PREPARE, digest)
+        if known.is_err():
+            return known
+        loaded = await self._load_bundle(digest, ())
+        if loaded.is_err():
+            return loaded
+        faults = check_document(loaded.unwrap().document())
+        if faults:
+            detail = "\n".join(str(fault) for fault in faults)
+            return Err(Failure(ErrorKind.BAD_BUNDLE, detail))
+
+        def change(value):
+            return None if value else {"prepared": prepared.document()}
+
+        written = await self._store.update(RELEASE_KIND, digest, change)
+        return written.map(lambda _: loaded.unwrap())
+
+    async def approve(self, approved: SignedStatement) -> Result[None, Failure]:
+        """Take in the approval of a prepared bundle."""
+        digest = approved.statement.digest
+        stored = await self._stored_release(digest)
+        if stored.is_err():
+            return stored
+        release = stored.unwrap()
+        valid = self._keys.verify_release(release.prepared, approved, digest)
+        if valid.is_err():
+            return valid
+        return await self._add(digest, "approved", approved)
+
+    async def retire(self, retired: SignedStatement) -> Result[None, Failure]:
+        """Take in the order that a bundle must not be rolled any more."""
+        digest = retired.statement.digest
+        known = self._keys.verify(retired, Purpose.RETIRE, digest)
+        if known.is_err():
+            return known
+        return await self._add(digest, "retired", retired)
+
+    async def released_from_store(self, digest: str) -> Result[Released, Failure]:
+        """Load a bundle with its signatures as the store has them now.
+
+        A roll is begun on these: a copy on a VM may not know that the bundle was
+        retired.
+        """
+        stored = await self._stored_release(digest)
+        if stored.is_err():
+            return stored
+        release = stored.unwrap()
+        if release.retired is not None:
+            detail = f"bundle {digest[:12]} was retired"
+            return Err(Failure(ErrorKind.FORBIDDEN, detail))
+        if release.approved is None:
+            detail = f"bundle {digest[:12]} is not approved"
+            return Err(Failure(ErrorKind.BAD_SIGNATURE, detail))
+        return await self.load(digest)
+
+    # Fetching
+
+    def _sources(self, sources: Iterable[str]) -> tuple[str, ...]:
+        named = list(dict.fromkeys(sources))
+        helper = self.helper()
+        if helper != self._vm:
+            named.insert(0, helper)
+        return tuple(vm for vm in dict.fromkeys(named) if vm != self._vm)
+
+    async def _load_release(
+        self, digest: str, sources: tuple[str, ...]
+    ) -> Result[Release, Failure]:
+        failure = Failure(ErrorKind.BAD_SIGNATURE, f"no signatures of {digest[:12]}")
+        held = self._releases.get(digest)
+        if held is not None:
+            return _read_release(held)
+        for vm in sources:
+            reply = await self._mesh.call(vm, FetchChunk(RELEASE_PREFIX + digest))
+            if reply.is_err() or not isinstance(reply.unwrap(), Chunk):
+                continue
+            verified = self._verify(digest, reply.unwrap().content)
+            if verified.is_ok():
+                return verified
+            failure = verified.unwrap_err()
+        got = await self._store.get(RELEASE_KIND, digest)
+        if got.is_err():
+            return got
+        if got.unwrap() is None:
+            return Err(failure)
+        return self._verify(digest, json.dumps(got.unwrap().value).encode())
+
+    def _verify(self, digest: str, content: bytes) -> Result[Release, Failure]:
+        read = _read_release(content)
+        if read.is_err():
+            return read
+        release = read.unwrap()
+        if release.approved is None:
+            detail = f"bundle {digest[:12]} is not approved"
+            return Err(Failure(ErrorKind.BAD_SIGNATURE, detail))
+        valid = self._keys.verify_release(release.prepared, release.approved, digest)
+        if valid.is_err():
+            return valid
+        self._releases[digest] = content
+        return read
+
+    async def _load_bundle(
+        self, digest: str, sources: tuple[str, ...]
+    ) -> Result[Bundle, Failure]:
+        manifest = await self._get(digest, sources)
+        if manifest.is_err():
+            return manifest
+        read = read_manifest(manifest.unwrap())
+        if read.is_err():
+            return read
+        earlier = list(self._held.values())
+        wanted = []
+        for part in read.unwrap().parts.values():
+            if not any(bundle.holds_part(part) for bundle in earlier):
+                wanted.append(part)
+        fetched = await asyncio.gather(*(self._get(part, sources) for part in wanted))
+        for outcome in fetched:
+            if outcome.is_err():
+                return outcome
+        chunks = {outcome.unwrap().digest: outcome.unwrap() for outcome in fetched}
+        assembled = Bundle.assemble(manifest.unwrap(), chunks, earlier)
+        if assembled.is_ok():
+            self._held[digest] = assembled.unwrap()
+        return assembled
+
+    async def _get(
+        self, digest: str, sources: tuple[str, ...]
+    ) -> Result[BundleChunk, Failure]:
+        """Return a chunk; several askers at once share one fetch."""
+        held = self._chunks.get(digest)
+        if held is not None:
+            return Ok(held)
+        task = self._fetching.get(digest)
+        if task is None:
+            task = asyncio.get_running_loop().create_task(self._fetch(digest, sources))
+            self._fetching[digest] = task
+            task.add_done_callback(lambda _: self._fetching.pop(digest, None))
+        return await asyncio.shield(task)
+
+    async def _fetch(
+        self, digest: str, sources: tuple[str, ...]
+    ) -> Result[BundleChunk, Failure]:
+        async with self._at_once:
+            for vm in sources:
+                reply = await self._mesh.call(vm, FetchChunk(digest))
+                if reply.is_err() or not isinstance(reply.unwrap(), Chunk):
+                    continue
+                chunk = BundleChunk(digest, reply.unwrap().content)
+                if unpack(chunk).is_ok():
+                    self._chunks[digest] = chunk
+                    return Ok(chunk)
+            return await self._fetch_stored(digest)
+
+    async def _fetch_stored(self, digest: str) -> Result[BundleChunk, Failure]:
+        got = await self._store.get(CHUNK_KIND, digest)
+        if got.is_err():
+            return got
+        if got.unwrap() is None:
+            detail = f"nobody holds chunk {digest[:12]}"
+            return Err(Failure(ErrorKind.NOT_FOUND, detail))
+        content = base64.b64decode(got.unwrap().value["content"])
+        chunk = BundleChunk(digest, content)
+        checked = unpack(chunk)
+        if checked.is_err():
+            return checked
+        self._chunks[digest] = chunk
+        return Ok(chunk)
+
+    async def _answer_chunk(self, sender, message: FetchChunk):
+        digest = message.digest
+        if digest.startswith(RELEASE_PREFIX):
+            content = self._releases.get(digest.removeprefix(RELEASE_PREFIX))
+            if content is not None:
+                return Chunk(digest, content)
+        elif digest in self._chunks:
+            return Chunk(digest, self._chunks[digest].content)
+        elif self.helper() == self._vm and sender.data_centre == self._data_centre:
+            got = await self._get(digest, ())
+            if got.is_ok():
+                return Chunk(digest, got.unwrap().content)
+        return failed(Failure(ErrorKind.NOT_FOUND, f"{self._vm} lacks {digest[:24]}"))
+
+    # Releases in the store
+
+    async def _stored_release(self, digest: str) -> Result[Release, Failure]:
+        got = await self._store.get(RELEASE_KIND, digest)
+        if got.is_err():
+            return got
+        if got.unwrap() is None:
+            detail = f"no bundle {digest[:12]} was prepared"
+            return Err(Failure(ErrorKind.NOT_FOUND, detail))
+        return _read_release(json.dumps(got.unwrap().value).encode())
+
+    async def _add(
+        self, digest: str, key: str, signed: SignedStatement
+    ) -> Result[None, Failure]:
+        absent = False
+
+        def change(value):
+            nonlocal absent
+            absent = value is None
+            if absent or key in value:
+                return None
+            return {**value, key: signed.document()}
+
+        written = await self._store.update(RELEASE_KIND, digest, change)
+        if written.is_ok() and absent:
+            detail = f"no bundle {digest[:12]} was prepared"
+            return Err(Failure(ErrorKind.NOT_FOUND, detail))
+        return written.map(lambda _: None)
+
+
+def _read_release(content: bytes) -> Result[Release, Failure]:
+    try:
+        document = json.loads(content)
+        statements = {
+            key: document[key]
+            for key in Release._fields
+            if document.get(key) is not None
+        }
+        read = {key: read_signed(value) for key, value in statements.items()}
+    except (ValueError, AttributeError) as error:
+        detail = f"the signatures are malformed: {error}"
+        return Err(Failure(ErrorKind.BAD_SIGNATURE, detail))
+    for signed in read.values():
+        if signed.is_err():
+            return signed
+    if "prepared" not in read:
+        return Err(Failure(ErrorKind.BAD_SIGNATURE, "no signature of a preparer"))
+    return Ok(Release(**{key: signed.unwrap() for key, signed in read.items()}))
--- /dev/null
+++ b/hawthornlead/bundle_pointers.py
@@ -0,0 +1,113 @@
+"""The pointer to the bundle in force, and the only ways in which it changes.
+
+``bundle/pointer`` is one small object, changed by conditional update only. A stage
+has a sequence number that is never used again, so that a late word on one stage
+can't be taken for one on another with the same content. Numbers of abandoned
+stages are skipped.
+"""
+
+from typing import Any, NamedTuple
+
+POINTER_KIND = "bundle"
+POINTER_NAME = "pointer"
+ROLLS_REMEMBERED = 50
+
+
+class Stage(NamedTuple):
+    """A bundle that is staged. Only the process named by it can accept it."""
+
+    seq: int
+    digest: str
+    vm: str
+    incarnation: str
+    order_id: str = ""
+    operator: str = ""
+
+
+class PastRoll(NamedTuple):
+    """One order to roll that has ended."""
+
+    seq: int
+    digest: str
+    order_id: str
+    operator: str
+    accepted: bool
+    waived: tuple[str, ...] = ()
+
+
+class Pointer(NamedTuple):
+    """The bundle in force (``seq`` 0: none), the staged one and past rolls.
+
+    ``last_seq`` is the highest sequence number ever given to a stage.
+    """
+
+    seq: int = 0
+    digest: str = ""
+    last_seq: int = 0
+    staged: Stage | None = None
+    past: tuple[PastRoll, ...] = ()
+
+    @property
+    def decided_seq(self) -> int:
+        """Every stage up to this one was accepted or abandoned."""
+        return self.staged.seq - 1 if self.staged else self.last_seq
+
+    def ended(self, order_id: str) -> PastRoll | None:
+        """Return how an order ended, None when it is not remembered."""
+        for roll in self.past:
+            if roll.order_id == order_id:
+                return roll
+        return None
+
+    def with_stage(self, stage: Stage) -> "Pointer":
+        """Stage a bundle under the next number, abandoning an earlier stage."""
+        clear = self.without_stage()
+        number = self.last_seq + 1
+        return clear._replace(last_seq=number, staged=stage._replace(seq=number))
+
+    def without_stage(self) -> "Pointer":
+        """Abandon the staged bundle."""
+        return self._end(accepted=False, waived=())
+
+    def with_accepted(self, waived: tuple[str, ...] = ()) -> "Pointer":
+        """Put the staged bundle in force."""
+        ended = self._end(accepted=True, waived=waived)
+        return ended._replace(seq=self.staged.seq, digest=self.staged.digest)
+
+    def _end(self, accepted: bool, waived: tuple[str, ...]) -> "Pointer":
+        if self.staged is None:
+            return self
+        stage = self.staged
+        roll = PastRoll(
+            stage.seq, stage.digest, stage.order_id, stage.operator, accepted, waived
+        )
+        past = (roll, *self.past)[:ROLLS_REMEMBERED]
+        return self._replace(staged=None, past=past)
+
+
+def read_pointer(value: dict[str, Any] | None) -> Pointer:
+    """Read the pointer as the store keeps it; None: no bundle was ever staged."""
+    if value is None:
+        return Pointer()
+    staged = value.get("staged")
+    past = []
+    for roll in value.get("past", ()):
+        past.append(PastRoll(**{**roll, "waived": tuple(roll["waived"])}))
+    return Pointer(
+        value["seq"],
+        value["digest"],
+        value["last_seq"],
+        Stage(**staged) if staged else None,
+        tuple(past),
+    )
+
+
+def pointer_document(pointer: Pointer) -> dict[str, Any]:
+    """Return a pointer as JSON values."""
+    return {
+        "seq": pointer.seq,
+        "digest": pointer.digest,
+        "last_seq": pointer.last_seq,
+        "staged": pointer.staged._asdict() if pointer.staged else None,
+        "past": [{**r._asdict(), "waived": list(r.waived)} for r in pointer.past],
+    }
--- a/hawthornlead/bundles.py
+++ b/hawthornlead/bundles.py
@@ -245,6 +245,33 @@
             parts.append(part)
         return Ok(cls(manifest, read.unwrap().name, read.unwrap().note, parts))
 
+    @property
+    def parts(self) -> Iterable[str]:
+        """The digests of the chunks besides the manifest."""
+        return self._parts.keys()
+
+    def document(self) -> BundleDocument:
+        """Return the document that this bundle would be made of."""
+        callers = []
+        for entry in self._callers.values():
+            aliases = {
+                alias: target._asdict() for alias, target in entry.aliases.items()
+            }
+            row = {**entry.terms._asdict(), "aliases": aliases}
+            row["token_sha256"] = list(entry.token_sha256)
+            row["services"] = sorted(entry.services)
+            callers.append(row)
+        services = []
+        for name, calls in self._services.items():
+            services.append({"name": name, "calls": [c._asdict() for c in calls]})
+        return {
+            "name": self._name,
+            "note": self._note,
+            "adapters": [row._asdict() for row in self.adapters()],
+            "callers": callers,
+            "services": services,
+        }
+
     def holds_part(self, digest: str) -> bool:
         """Tell whether a chunk is a part of this bundle."""
         return digest in self._parts
--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -39,6 +39,13 @@
 
     # 400: bundles
     BUNDLE_IN_FORCE = (400, "INFO", "a bundle came into force on this VM")
+    BUNDLE_STAGED = (401, "INFO", "a staged bundle was verified and acknowledged")
+    BUNDLE_DECIDED = (402, "INFO", "a staged bundle was accepted or abandoned")
+    BUNDLE_REFUSED = (403, "WARNING", "a bundle could not be fetched or verified")
+    ROLL_STARTED = (404, "INFO", "an operator's order to roll a bundle was begun")
+    ROLL_ENDED = (405, "INFO", "an operator's order to roll a bundle has ended")
+    BUNDLE_BEHIND = (406, "WARNING", "a newer bundle is in force elsewhere")
+    OPERATOR_REFUSED = (407, "WARNING", "an operator's request was refused")
 
     # 500: targets, slots, grants, loads
     TARGET_SEEN = (500, "INFO", "a target was met in the VM list")
--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -256,10 +256,18 @@
 
 @message("stage-bundle")
 class StageBundle(NamedTuple):
-    """A bundle was staged: fetch and verify it, and acknowledge."""
+    """A bundle was staged: fetch and verify it, and acknowledge.
+
+    ``base_seq`` and ``base_digest`` were in force when it was staged; ``vm`` and
+    ``incarnation`` staged it, and no other process can accept it.
+    """
 
     seq: int
     digest: str
+    base_seq: int = 0
+    base_digest: str = ""
+    vm: str = ""
+    incarnation: str = ""
 
 
 @message("staged-bundle")
@@ -303,12 +311,20 @@
 
 @message("bundle-pointer")
 class BundlePointer(NamedTuple):
-    """The newest accepted bundle that a VM knows, and what is staged after it."""
+    """The newest accepted bundle that a VM knows, and what is staged after it.
+
+    Every stage up to ``decided_seq`` was accepted or abandoned. ``age_s`` seconds
+    ago the staged bundle was not accepted yet; negative when nothing says so.
+    """
 
     seq: int
     digest: str
     staged_seq: int
     staged_digest: str
+    decided_seq: int = 0
+    staged_vm: str = ""
+    staged_incarnation: str = ""
+    age_s: float = -1.0
 
 
 # Leases
--- a/hawthornlead/metrics.py
+++ b/hawthornlead/metrics.py
@@ -53,6 +53,15 @@
         # store, leases, ownership
 
         # bundles
+        self.bundle_seq = self._gauge(
+            "hawthornlead_bundle_in_force_seq", "Sequence number in force"
+        )
+        self.rolls = self._counter(
+            "hawthornlead_rolls_total", "Rolls run by this VM", ["outcome"]
+        )
+        self.acknowledgement = self._histogram(
+            "hawthornlead_roll_seconds", "From staging to acceptance of a roll"
+        )
 
         # targets, slots, grants, loads
         self.step_fill = self._gauge(
--- /dev/null
+++ b/hawthornlead/roll_orders.py
@@ -0,0 +1,408 @@
+"""Rolling a bundle for an operator: stage, gather every VM's word, accept.
+
+Each step on the pointer is a conditional update. A roll that can't be accepted
+abandons its stage and tells which VMs gave no word. Only the process that staged a
+bundle accepts it, under the stage's own sequence number, so that a stage that was
+abandoned by another can't come into force any more.
+"""
+
+import asyncio
+from collections import defaultdict
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .bundle_diffs import diff
+from .bundle_knowledge import told_by_pointer
+from .bundle_pointers import (
+    POINTER_KIND,
+    POINTER_NAME,
+    PastRoll,
+    Pointer,
+    Stage,
+    pointer_document,
+    read_pointer,
+)
+from .errors import ErrorKind, Failure
+from .events import EventKind
+from .messages import BundleDecided, StageBundle, StagedBundle
+from .registered_vms import RegisteredVm, list_registered
+from .signatures import Purpose, SignedStatement, Statement
+
+CHANGES_TOLD = 20
+# A VM that has not acknowledged is asked again after this share of the longest
+# wait.
+ASK_AGAIN_SHARE = 0.08
+
+
+class RollOutcome(NamedTuple):
+    """An accepted roll: its sequence number, who gave their word, who did not.
+
+    ``gone`` names VMs that were proved to have stopped, ``waived`` those that the
+    operator's order accepts without.
+    """
+
+    seq: int
+    digest: str
+    acknowledged: tuple[str, ...]
+    gone: tuple[str, ...] = ()
+    waived: tuple[str, ...] = ()
+
+
+class _Words(NamedTuple):
+    acknowledged: tuple[str, ...]
+    gone: tuple[str, ...]
+    waived: tuple[str, ...]
+    silent: dict[str, str]
+
+
+async def abandon_stage(store, seq: int) -> Result[Pointer, Failure]:
+    """Abandon a stage if it is still the one staged; return the pointer."""
+
+    def change(value):
+        pointer = read_pointer(value)
+        if pointer.staged is None or pointer.staged.seq != seq:
+            return None
+        return pointer_document(pointer.without_stage())
+
+    written = await store.update(POINTER_KIND, POINTER_NAME, change)
+    return written.map(lambda stored: read_pointer(stored.value or None))
+
+
+class RollOrders:
+    """Carries out the orders of operators on one VM."""
+
+    def __init__(
+        self,
+        *,
+        settings,
+        timers,
+        events,
+        metrics,
+        store,
+        mesh,
+        members,
+        library,
+        keeper,
+    ):
+        self._vm = settings["VM_NAME"]
+        self._acknowledge_s = settings["ACKNOWLEDGE_S"]
+        self._again_s = ASK_AGAIN_SHARE * settings["ACKNOWLEDGE_S"]
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._store = store
+        self._mesh = mesh
+        self._members = members
+        self._library = library
+        self._keeper = keeper
+        self._running: set[str] = set()
+
+    async def roll(self, order: SignedStatement) -> Result[RollOutcome, Failure]:
+        """Carry out one signed order to roll a bundle."""
+        valid = self._valid(order)
+        if valid.is_err():
+            return valid
+        statement = valid.unwrap()
+        if statement.order_id in self._running:
+            detail = "this order is being carried out: wait for its end"
+            return Err(Failure(ErrorKind.ROLL_CONFLICT, detail, 1.0))
+        self._events.emit(
+            EventKind.ROLL_STARTED,
+            statement.digest,
+            operator=statement.operator,
+            order=statement.order_id,
+        )
+        self._running.add(statement.order_id)
+        try:
+            outcome = await self._roll(statement)
+        finally:
+            self._running.discard(statement.order_id)
+        result = "accepted" if outcome.is_ok() else outcome.unwrap_err().kind.value
+        self._metrics.rolls.labels(result).inc()
+        self._events.emit(
+            EventKind.ROLL_ENDED,
+            statement.digest,
+            order=statement.order_id,
+            outcome=result,
+        )
+        return outcome
+
+    async def retire(self, order: SignedStatement) -> Result[None, Failure]:
+        """Bar a bundle from being rolled; one in force or staged is refused."""
+        digest = order.statement.digest
+        read = await self._keeper.read_pointer()
+        if read.is_err():
+            return read
+        pointer = read.unwrap()
+        if pointer.digest == digest or (
+            pointer.staged is not None and pointer.staged.digest == digest
+        ):
+            detail = f"bundle {digest[:12]} is in force or staged: roll another first"
+            return Err(Failure(ErrorKind.FORBIDDEN, detail))
+        return await self._library.retire(order)
+
+    def _valid(self, order: SignedStatement) -> Result[Statement, Failure]:
+        purpose = Purpose.ROLL
+        if order.statement.purpose == Purpose.WAIVE.value:
+            purpose = Purpose.WAIVE
+        valid = self._library.keys.verify(order, purpose)
+        if valid.is_err():
+            return valid
+        statement = valid.unwrap()
+        if not statement.order_id:
+            return Err(Failure(ErrorKind.BAD_REQUEST, "the order has no order id"))
+        if bool(statement.waived) != (purpose is Purpose.WAIVE):
+            detail = "a waiver names VMs or data centres, a plain roll names none"
+            return Err(Failure(ErrorKind.BAD_REQUEST, detail))
+        return valid
+
+    async def _roll(self, statement: Statement) -> Result[RollOutcome, Failure]:
+        loaded = await self._library.released_from_store(statement.digest)
+        if loaded.is_err():
+            return loaded
+        self._keeper.hold_loaded(loaded.unwrap().bundle)
+        staged = await self._stage(statement)
+        if staged.is_err():
+            return staged
+        pointer = staged.unwrap()
+        ended = pointer.ended(statement.order_id)
+        ours = pointer.staged is not None and (
+            pointer.staged.order_id == statement.order_id
+        )
+        if ended is not None and not ours:
+            return self._told_before(ended)
+        started_at = self._timers.now()
+        words = await self._gather_words(pointer, statement)
+        if words.is_err():
+            return await self._abandon(pointer.staged, words.unwrap_err())
+        if words.unwrap().silent:
+            failure = _not_accepted(words.unwrap().silent)
+            return await self._abandon(pointer.staged, failure)
+        outcome = await self._accept(pointer.staged, words.unwrap())
+        if outcome.is_ok():
+            self._metrics.acknowledgement.observe(self._timers.now() - started_at)
+        return outcome
+
+    def _told_before(self, ended: PastRoll) -> Result[RollOutcome, Failure]:
+        # The operator sends an order again whose answer was lost: it is answered
+        # by what became of it and not carried out a second time.
+        if ended.accepted:
+            return Ok(RollOutcome(ended.seq, ended.digest, (), waived=ended.waived))
+        detail = "this order was carried out before, not accepted, and abandoned"
+        return Err(Failure(ErrorKind.ROLL_NOT_ACCEPTED, detail))
+
+    # Staging
+
+    async def _stage(self, statement: Statement) -> Result[Pointer, Failure]:
+        """Stage the bundle; the pointer returned has the stage or the past roll."""
+        refusal: Pointer | None = None
+
+        def change(value):
+            nonlocal refusal
+            refusal = None
+            pointer = read_pointer(value)
+            if pointer.ended(statement.order_id) is not None:
+                return None
+            busy = pointer.staged is not None and self._is_alive(pointer.staged)
+            if pointer.seq != statement.expected_seq or busy:
+                refusal = pointer
+                return None
+            stage = Stage(
+                0,
+                statement.digest,
+                self._vm,
+                self._mesh.incarnation,
+                statement.order_id,
+                statement.operator,
+            )
+            return pointer_document(pointer.with_stage(stage))
+
+        sent_at = self._timers.now()
+        written = await self._store.update(POINTER_KIND, POINTER_NAME, change)
+        if written.is_err():
+            return Err(_unknown(written.unwrap_err(), "nothing was accepted"))
+        if refusal is not None:
+            return await self._conflict(refusal, statement.digest)
+        pointer = read_pointer(written.unwrap().value or None)
+        self._keeper.take(told_by_pointer(pointer, sent_at))
+        return Ok(pointer)
+
+    def _is_alive(self, stage: Stage) -> bool:
+        """Tell whether the process that staged a bundle may be at work on it.
+
+        A wrong answer costs one of two rolls, and nothing else: both go on by
+        conditional updates of the one pointer.
+        """
+        if stage.vm == self._vm:
+            same = stage.incarnation == self._mesh.incarnation
+            return same and stage.order_id in self._running
+        return any(
+            peer.vm == stage.vm and peer.incarnation == stage.incarnation
+            for peer in self._mesh.live
+        )
+
+    async def _conflict(
+        self, pointer: Pointer, wanted: str
+    ) -> Result[Pointer, Failure]:
+        if pointer.staged is not None:
+            winner, stage = pointer.staged.digest, pointer.staged
+            told = f"is being rolled by {stage.operator} at {stage.vm}"
+        else:
+            winner = pointer.digest
+            told = f"is in force as {pointer.seq}, rolled by {_roller_of(pointer)}"
+        lines = [
+            f"bundle {winner[:12]} {told}",
+            *await self._differences(winner, wanted),
+        ]
+        return Err(Failure(ErrorKind.ROLL_CONFLICT, "\n".join(lines)))
+
+    async def _differences(self, winner: str, wanted: str) -> list[str]:
+        if winner == wanted:
+            return ["it is the same bundle"]
+        ours = await self._library.load(wanted)
+        theirs = await self._library.load(winner) if winner else None
+        if ours.is_err() or (theirs is not None and theirs.is_err()):
+            return []
+        old = theirs.unwrap().bundle if theirs is not None else None
+        changes = [str(change) for change in diff(old, ours.unwrap().bundle)]
+        lines = ["what yours would change in it:", *changes[:CHANGES_TOLD]]
+        if len(changes) > CHANGES_TOLD:
+            lines.append(f"and {len(changes) - CHANGES_TOLD} more")
+        return lines
+
+    # Words of all VMs
+
+    async def _gather_words(
+        self, pointer: Pointer, statement: Statement
+    ) -> Result[_Words, Failure]:
+        # Read after the stage was written: a VM that is not in this list read the
+        # pointer after it registered, and so after the stage, and is in doubt.
+        listed = await list_registered(self._store)
+        if listed.is_err():
+            return listed
+        entries: dict[str, list[RegisteredVm]] = defaultdict(list)
+        for entry in listed.unwrap():
+            entries[entry.vm].append(entry)
+        waived, gone, wanted = [], [], []
+        for vm in sorted(entries):
+            if all(self._is_gone(entry) for entry in entries[vm]):
+                gone.append(vm)
+            else:
+                wanted.append(vm)
+        words = await asyncio.gather(
+            *(self._word(vm, entries[vm], pointer) for vm in wanted)
+        )
+        acknowledged, silent = [], {}
+        for vm, word in zip(wanted, words, strict=True):
+            names = {vm, *(entry.data_centre for entry in entries[vm])}
+            if word.is_ok():
+                (acknowledged if word.unwrap() else gone).append(vm)
+            elif names & set(statement.waived):
+                waived.append(vm)
+            else:
+                data_centre = entries[vm][0].data_centre
+                silent[vm] = f"{vm} ({data_centre}): {word.unwrap_err().detail}"
+        return Ok(_Words(tuple(acknowledged), tuple(gone), tuple(waived), silent))
+
+    def _is_gone(self, entry: RegisteredVm) -> bool:
+        return self._members.proof_gone(entry.vm, entry.incarnation) is not None
+
+    async def _word(
+        self, vm: str, entries: list[RegisteredVm], pointer: Pointer
+    ) -> Result[bool, Failure]:
+        """Return True for a VM's word, False when it is proved gone meanwhile."""
+        stage = pointer.staged
+        message = StageBundle(
+            stage.seq,
+            stage.digest,
+            pointer.seq,
+            pointer.digest,
+            stage.vm,
+            stage.incarnation,
+        )
+        until = self._timers.now() + self._acknowledge_s
+        while True:
+            left = until - self._timers.now()
+            wait_s = min(left, self._acknowledge_s / 3)
+            reply = await self._mesh.call(vm, message, timeout_s=wait_s)
+            if reply.is_ok() and _is_word(reply.unwrap(), vm, stage):
+                return Ok(True)
+            if all(self._is_gone(entry) for entry in entries):
+                return Ok(False)
+            if self._timers.now() + self._again_s >= until:
+                break
+            await self._timers.sleep(self._again_s)
+        if reply.is_ok():
+            return Err(Failure(ErrorKind.BAD_MESSAGE, "not a word on this stage"))
+        return reply
+
+    # Deciding
+
+    async def _accept(
+        self, stage: Stage, words: _Words
+    ) -> Result[RollOutcome, Failure]:
+        def change(value):
+            pointer = read_pointer(value)
+            if pointer.staged is None or pointer.staged.seq != stage.seq:
+                return None
+            return pointer_document(pointer.with_accepted(words.waived))
+
+        # Noted with no await between this and the sending: no answer of this VM
+        # that vouches for "not accepted" can be later than the write.
+        self._keeper.begin_accepting(stage.seq)
+        sent_at = self._timers.now()
+        written = await self._store.update(POINTER_KIND, POINTER_NAME, change)
+        if written.is_err():
+            told = "it may be in force: ask again with the same order"
+            return Err(_unknown(written.unwrap_err(), told))
+        pointer = read_pointer(written.unwrap().value or None)
+        self._keeper.take(told_by_pointer(pointer, sent_at))
+        ended = pointer.ended(stage.order_id)
+        if ended is None or not ended.accepted:
+            refused = await self._conflict(pointer, stage.digest)
+            return Err(refused.unwrap_err())
+        self._mesh.broadcast(BundleDecided(stage.seq, stage.digest, True))
+        return Ok(
+            RollOutcome(
+                stage.seq, stage.digest, words.acknowledged, words.gone, words.waived
+            )
+        )
+
+    async def _abandon(
+        self, stage: Stage, failure: Failure
+    ) -> Result[RollOutcome, Failure]:
+        # The answer holds either way: this process never sends the write that
+        # accepts the stage from here on, and no other process may.
+        sent_at = self._timers.now()
+        abandoned = await abandon_stage(self._store, stage.seq)
+        if abandoned.is_ok():
+            self._keeper.take(told_by_pointer(abandoned.unwrap(), sent_at))
+            self._mesh.broadcast(BundleDecided(stage.seq, stage.digest, False))
+        detail = f"bundle {stage.digest[:12]} was not accepted: {failure.detail}"
+        return Err(Failure(ErrorKind.ROLL_NOT_ACCEPTED, detail, failure.retry_after_s))
+
+
+def _roller_of(pointer: Pointer) -> str:
+    for roll in pointer.past:
+        if roll.seq == pointer.seq:
+            return roll.operator
+    return "nobody"
+
+
+def _is_word(reply, vm: str, stage: Stage) -> bool:
+    if not isinstance(reply, StagedBundle):
+        return False
+    return (reply.vm, reply.seq, reply.digest) == (vm, stage.seq, stage.digest)
+
+
+def _not_accepted(silent: dict[str, str]) -> Failure:
+    detail = "no word from " + "; ".join(silent.values())
+    return Failure(ErrorKind.ROLL_NOT_ACCEPTED, detail)
+
+
+def _unknown(failure: Failure, told: str) -> Failure:
+    if failure.kind is not ErrorKind.STORE_UNAVAILABLE:
+        return failure
+    detail = f"the store did not answer ({failure.detail}); {told}"
+    return Failure(ErrorKind.ROLL_UNKNOWN, detail, 1.0)
--- /dev/null
+++ b/hawthornlead/rolls.py
@@ -0,0 +1,456 @@
+"""The bundle in force on this VM: which one, how fresh, and may it be served.
+
+A VM serves a bundle only while it can tell that no newer one is in force
+elsewhere. ``BundleKeeper.may_serve`` is asked for each request and reads the clock
+itself, so that a process that was frozen refuses before it has heard anybody::
+
+    permitted = keeper.may_serve()
+    if permitted.is_err():
+        return permitted
+    bundle = permitted.unwrap().bundle
+"""
+
+import asyncio
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .bundle_knowledge import (
+    NEVER,
+    BundleKnowledge,
+    Told,
+    told_by_peer,
+    told_by_pointer,
+)
+from .bundle_libraries import BundleLibrary, failed
+from .bundle_pointers import POINTER_KIND, POINTER_NAME, Pointer, Stage, read_pointer
+from .bundles import Bundle
+from .errors import ErrorKind, Failure
+from .events import EventKind
+from .messages import (
+    BundleDecided,
+    BundlePointer,
+    FetchBundlePointer,
+    StageBundle,
+    StagedBundle,
+)
+from .roll_orders import RollOrders, RollOutcome, abandon_stage
+from .signatures import OperatorKeys, SignedStatement
+
+# How often a VM asks others, as a share of the shorter of its two bounds.
+ASKS_PER_BOUND = 5
+PEERS_ASKED = 2
+# So many VMs of a data centre read the pointer for all of it.
+READERS_PER_DATA_CENTRE = 2
+# A VM whose word is older than this share of a bound reads the store itself.
+OWN_READ_SHARE = 0.4
+# A stage older than so many ACKNOWLEDGE_S is not being worked on any more.
+STALE_STAGE = 3
+
+
+class InForce(NamedTuple):
+    """The bundle that is in force on this VM, and its sequence number."""
+
+    seq: int
+    digest: str
+    bundle: Bundle
+
+
+class Acknowledged(NamedTuple):
+    """The stage that this VM acknowledged last, and when it was asked to."""
+
+    seq: int
+    at: float
+
+
+class BundleKeeper:
+    """Keeps the bundle in force on one VM, and runs rolls for operators."""
+
+    def __init__(
+        self,
+        *,
+        settings,
+        timers,
+        events,
+        metrics,
+        invariants,
+        rng,
+        store,
+        mesh,
+        members,
+        leases,
+    ):
+        self._vm = settings["VM_NAME"]
+        self._data_centre = settings["DATA_CENTRE"]
+        self._doubt_s = settings["DOUBT_S"]
+        self._isolation_s = settings["ISOLATION_S"]
+        self._stale_s = STALE_STAGE * settings["ACKNOWLEDGE_S"]
+        self._ask_s = min(self._doubt_s, self._isolation_s) / ASKS_PER_BOUND
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._invariants = invariants
+        self._rng = rng
+        self._store = store
+        self._mesh = mesh
+        self._leases = leases
+        keys = OperatorKeys(settings["OPERATORS"])
+        self._library = BundleLibrary(
+            settings=settings, store=store, mesh=mesh, keys=keys
+        )
+        self._orders = RollOrders(
+            settings=settings,
+            timers=timers,
+            events=events,
+            metrics=metrics,
+            store=store,
+            mesh=mesh,
+            members=members,
+            library=self._library,
+            keeper=self,
+        )
+        self._knowledge = BundleKnowledge()
+        self._in_force: InForce | None = None
+        self._permit: Ok[InForce] | None = None
+        self._accepting_seq = 0
+        self._acknowledged = Acknowledged(0, NEVER)
+        self._joined_as = ""
+        self._contact_at = NEVER
+        self._source = ""
+        self._loaded: dict[str, Bundle] = {}
+        self._busy: set[str] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._subscription = None
+        mesh.on(StageBundle, self._answer_stage)
+        mesh.on(BundleDecided, self._take_decision)
+        mesh.on(FetchBundlePointer, self._answer_pointer)
+
+    @property
+    def in_force(self) -> InForce | None:
+        """The bundle in force on this VM, as far as it knows."""
+        return self._in_force
+
+    @property
+    def staged_seq(self) -> int:
+        """The staged and undecided bundle's sequence number; 0: none."""
+        staged = self._knowledge.staged
+        return staged.seq if staged else 0
+
+    @property
+    def seq_in_force(self) -> int:
+        """The sequence number in force on this VM; 0: none."""
+        return self._in_force.seq if self._in_force else 0
+
+    @property
+    def library(self) -> BundleLibrary:
+        """The chunks and signatures that this VM holds."""
+        return self._library
+
+    def start(self) -> None:
+        """Begin to ask for the pointer, at once and then often."""
+        self._subscription = self._timers.every(self._ask_s, self._ask, "bundles")
+        self._spawn("store", self._read_store())
+
+    async def stop(self) -> None:
+        """Ask no more. What is in force stays readable."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def may_serve(self) -> Result[InForce, Failure]:
+        """Return the bundle to serve, or why no request may be served now.
+
+        Every comparison is with the clock at this call. All moments it compares
+        are when a question was sent that was answered later: an answer that
+        waited in a socket while this process was frozen makes nothing fresh.
+        """
+        refusal = self._refusal(self._timers.now())
+        if refusal is not None:
+            return Err(refusal)
+        return self._permit
+
+    async def roll(self, order: SignedStatement) -> Result[RollOutcome, Failure]:
+        """Roll the bundle that a signed order names, or tell why not."""
+        return await self._orders.roll(order)
+
+    async def retire(self, order: SignedStatement) -> Result[None, Failure]:
+        """Bar a bundle from being rolled any more."""
+        return await self._orders.retire(order)
+
+    async def read_pointer(self) -> Result[Pointer, Failure]:
+        """Read the pointer from the store and take in what it says."""
+        read_at = self._timers.now()
+        # The incarnation is noted before the read: a VM has joined when it has
+        # read the pointer after it was registered, since a roll that was staged
+        # later than that read finds it registered and waits for its word.
+        incarnation = self._leases.incarnation
+        registered = self._leases.state in ("held", "lapsed")
+        got = await self._store.get(POINTER_KIND, POINTER_NAME)
+        if got.is_err():
+            return got
+        stored = got.unwrap()
+        pointer = read_pointer(stored.value if stored else None)
+        if registered:
+            self._joined_as = incarnation
+        self._contact_at = max(self._contact_at, read_at)
+        self.take(told_by_pointer(pointer, read_at))
+        return Ok(pointer)
+
+    def take(self, told: Told, source: str = "") -> None:
+        """Take in what a source tells, and put in force what is accepted."""
+        before = self._knowledge.seq
+        self._knowledge.merge(told, self._timers.now())
+        if self._knowledge.seq > before:
+            self._source = source
+        self._follow()
+
+    def hold_loaded(self, bundle: Bundle) -> None:
+        """Keep a verified bundle at hand, so that accepting it takes no time."""
+        self._loaded[bundle.digest] = bundle
+
+    def begin_accepting(self, seq: int) -> None:
+        """Note that the write which accepts a stage is about to be sent.
+
+        From here on this VM no longer vouches that the stage is not accepted:
+        the write may take effect and its reply be lost.
+        """
+        self._knowledge.confirm(seq, self._timers.now())
+        self._accepting_seq = max(self._accepting_seq, seq)
+
+    def take_abandoned(self, seq: int) -> None:
+        """Take in that a stage was abandoned."""
+        self._knowledge.abandoned(seq)
+
+    # Serving
+
+    def _refusal(self, now: float) -> Failure | None:
+        if self._joined_as == "" or self._leases.incarnation != self._joined_as:
+            return Failure(ErrorKind.NOT_READY, "this VM is not registered yet", 1.0)
+        if self._leases.state in ("new", "ended"):
+            return Failure(ErrorKind.NOT_READY, "this VM is not registered", 1.0)
+        knowledge = self._knowledge
+        if knowledge.seq == 0:
+            return Failure(ErrorKind.NO_BUNDLE, "no bundle was rolled yet", 5.0)
+        if self._in_force is None or self._in_force.seq < knowledge.seq:
+            detail = f"bundle {knowledge.seq} is in force and not here yet"
+            return Failure(ErrorKind.BUNDLE_BEHIND, detail, 1.0)
+        staged = knowledge.staged
+        if staged is not None and now - self._trusted(now) > self._doubt_s:
+            detail = f"bundle {staged.seq} may be in force: no word for a while"
+            return Failure(ErrorKind.BUNDLE_UNDECIDED, detail, 1.0)
+        if now - self._contact_at > self._isolation_s:
+            detail = "this VM hears neither the store nor another VM"
+            return Failure(ErrorKind.ISOLATED, detail, 1.0)
+        return None
+
+    def _trusted(self, now: float) -> float:
+        confirmed_at = self._confirmed(now)
+        if self._acknowledged.seq == self.staged_seq:
+            return max(confirmed_at, self._acknowledged.at)
+        return confirmed_at
+
+    def _confirmed(self, now: float) -> float:
+        """Return when the staged bundle was surely not accepted yet.
+
+        Only the process that staged it can accept it, so that this process itself
+        knows that its own stage is not accepted until it sends the write.
+        """
+        staged = self._knowledge.staged
+        if staged is None:
+            return now
+        own = staged.vm == self._vm and staged.incarnation == self._mesh.incarnation
+        if own and staged.seq > self._accepting_seq:
+            return now
+        return self._knowledge.confirmed_at
+
+    # Coming into force
+
+    def _follow(self) -> None:
+        knowledge = self._knowledge
+        if knowledge.seq <= self.seq_in_force:
+            return
+        bundle = self._loaded.get(knowledge.digest)
+        if bundle is not None:
+            self._put_in_force(knowledge.seq, bundle)
+            return
+        self._events.emit(EventKind.BUNDLE_BEHIND, knowledge.digest, seq=knowledge.seq)
+        self._spawn("catch-up", self._catch_up())
+
+    def _put_in_force(self, seq: int, bundle: Bundle) -> None:
+        old = self._in_force
+        grows = old is None or seq > old.seq
+        if not self._invariants.check("bundle-seq-grows", grows, f"{seq}"):
+            return
+        self._in_force = InForce(seq, bundle.digest, bundle)
+        self._permit = Ok(self._in_force)
+        wanted = {bundle.digest}
+        if old is not None:
+            wanted.add(old.digest)
+        if self._knowledge.staged is not None:
+            wanted.add(self._knowledge.staged.digest)
+        self._loaded = {d: b for d, b in self._loaded.items() if d in wanted}
+        self._library.keep_only(wanted)
+        self._metrics.bundle_seq.set(seq)
+        self._events.emit(EventKind.BUNDLE_IN_FORCE, bundle.digest, seq=seq)
+
+    async def _catch_up(self) -> None:
+        while True:
+            seq, digest = self._knowledge.seq, self._knowledge.digest
+            if self._in_force is not None and self._in_force.seq >= seq:
+                return
+            sources = [vm for vm in (self._source,) if vm]
+            loaded = await self._library.load(digest, sources)
+            if loaded.is_err():
+                self._refused(digest, loaded.unwrap_err())
+                return
+            self.hold_loaded(loaded.unwrap().bundle)
+            if self._knowledge.seq == seq and self.seq_in_force < seq:
+                self._put_in_force(seq, loaded.unwrap().bundle)
+
+    def _refused(self, digest: str, failure: Failure) -> None:
+        self._events.emit(
+            EventKind.BUNDLE_REFUSED,
+            digest,
+            kind=failure.kind.value,
+            detail=failure.detail,
+        )
+
+    # Asking
+
+    def _ask(self) -> None:
+        now = self._timers.now()
+        for peer in self._mesh.live:
+            told = peer.heartbeat.in_force_seq if peer.heartbeat else 0
+            if told > self._knowledge.seq:
+                self._spawn(f"ask {peer.vm}", self._ask_peer(peer.vm))
+        for vm in self._asked():
+            self._spawn(f"ask {vm}", self._ask_peer(vm))
+        if self._reads_store(now):
+            self._spawn("store", self._read_store())
+        if self.seq_in_force < self._knowledge.seq:
+            self._spawn("catch-up", self._catch_up())
+
+    def _asked(self) -> set[str]:
+        live = {peer.vm for peer in self._mesh.live} - {self._vm}
+        names = sorted(live)
+        asked = set(self._rng.sample(names, min(PEERS_ASKED, len(names))))
+        staged = self._knowledge.staged
+        if staged is not None:
+            # The VM that staged it always knows, the readers nearly so.
+            asked.update(vm for vm in (staged.vm, *self._readers()) if vm in live)
+        return asked
+
+    def _readers(self) -> list[str]:
+        names = {self._vm}
+        for peer in self._mesh.live:
+            if peer.data_centre == self._data_centre:
+                names.add(peer.vm)
+        return sorted(names)[:READERS_PER_DATA_CENTRE]
+
+    def _reads_store(self, now: float) -> bool:
+        if self._vm in self._readers():
+            return True
+        if self._leases.incarnation != self._joined_as:
+            return True
+        if now - self._contact_at > OWN_READ_SHARE * self._isolation_s:
+            return True
+        return now - self._trusted(now) > OWN_READ_SHARE * self._doubt_s
+
+    async def _ask_peer(self, vm: str) -> None:
+        asked_at = self._timers.now()
+        reply = await self._mesh.call(vm, FetchBundlePointer())
+        if reply.is_err() or not isinstance(reply.unwrap(), BundlePointer):
+            return
+        self._contact_at = max(self._contact_at, asked_at)
+        self.take(told_by_peer(reply.unwrap(), asked_at), vm)
+
+    async def _read_store(self) -> None:
+        read = await self.read_pointer()
+        if read.is_err():
+            return
+        staged = self._knowledge.staged
+        if staged is None or self._vm not in self._readers():
+            return
+        # The VM that staged it died or gave up without the store. Any VM may
+        # abandon a stage: its acceptance is a conditional update and then fails.
+        sent_at = self._timers.now()
+        if sent_at - self._knowledge.staged_at > self._stale_s:
+            abandoned = await abandon_stage(self._store, staged.seq)
+            if abandoned.is_ok():
+                self.take(told_by_pointer(abandoned.unwrap(), sent_at))
+
+    # Answering
+
+    async def _answer_pointer(self, sender, message) -> BundlePointer:
+        now = self._timers.now()
+        knowledge = self._knowledge
+        staged = knowledge.staged or Stage(0, "", "", "")
+        confirmed_at = self._confirmed(now)
+        return BundlePointer(
+            knowledge.seq,
+            knowledge.digest,
+            staged.seq,
+            staged.digest,
+            knowledge.decided_seq,
+            staged.vm,
+            staged.incarnation,
+            now - confirmed_at if confirmed_at != NEVER else -1.0,
+        )
+
+    async def _answer_stage(self, sender, message: StageBundle):
+        received_at = self._timers.now()
+        loaded = await self._library.load(message.digest, [message.vm])
+        if loaded.is_err():
+            self._refused(message.digest, loaded.unwrap_err())
+            return failed(loaded.unwrap_err())
+        if message.seq <= self._knowledge.decided_seq:
+            detail = f"stage {message.seq} is decided"
+            return failed(Failure(ErrorKind.ROLL_CONFLICT, detail))
+        self.hold_loaded(loaded.unwrap().bundle)
+        staged = Stage(message.seq, message.digest, message.vm, message.incarnation)
+        known = self._knowledge.staged
+        first = known is None or known.seq < message.seq
+        base = (message.base_seq, message.base_digest)
+        self.take(Told(*base, message.seq - 1, staged), message.vm)
+        if first:
+            # It can't be accepted without this VM's first acknowledgement, which
+            # is not sent yet. Under a waiver that is not true, so that this VM
+            # uses it for itself only and vouches for nothing to others.
+            self._acknowledged = Acknowledged(message.seq, received_at)
+        if self.staged_seq != message.seq:
+            detail = f"stage {message.seq} is decided"
+            return failed(Failure(ErrorKind.ROLL_CONFLICT, detail))
+        self._events.emit(EventKind.BUNDLE_STAGED, message.digest, seq=message.seq)
+        return StagedBundle(
+            message.seq, message.digest, self._vm, self._mesh.incarnation
+        )
+
+    async def _take_decision(self, sender, message: BundleDecided) -> None:
+        self._events.emit(
+            EventKind.BUNDLE_DECIDED,
+            message.digest,
+            seq=message.seq,
+            accepted=message.accepted,
+        )
+        if not message.accepted:
+            self._knowledge.abandoned(message.seq)
+            return
+        self.take(Told(message.seq, message.digest, message.seq, None), sender.vm)
+
+    def _spawn(self, name: str, coroutine) -> None:
+        """Run one thing beside the others, unless it is under way already."""
+        if name in self._busy:
+            coroutine.close()
+            return
+        self._busy.add(name)
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+
+        def done(_):
+            self._tasks.discard(task)
+            self._busy.discard(name)
+
+        task.add_done_callback(done)
--- /dev/null
+++ b/hawthornlead/tests/fakes_bundles.py
@@ -0,0 +1,331 @@
+"""Several VMs' bundle keepers in one process, with faults, for tests."""
+
+import asyncio
+import copy
+import random
+
+from result import Err, Ok, Result
+
+from hawthornlead.bundles import prepare, token_hash
+from hawthornlead.clocks import HybridClock
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.events import EventRing
+from hawthornlead.invariants import Invariants
+from hawthornlead.messages import Failed
+from hawthornlead.metrics import Metrics
+from hawthornlead.rolls import BundleKeeper
+from hawthornlead.settings import default_settings
+from hawthornlead.signatures import Statement, generate_key, public_text, sign
+from hawthornlead.timers import ManualTimerService
+
+ANNA, BERTA = generate_key(), generate_key()
+OPERATORS = {"anna": public_text(ANNA), "berta": public_text(BERTA)}
+
+
+class Stored:
+    """One object of a ``FakeObjects``."""
+
+    def __init__(self, name, version, value):
+        self.name, self.version, self.value = name, version, value
+
+
+class Listed:
+    """All objects of a kind."""
+
+    def __init__(self, items):
+        self.items = items
+
+
+class FakeObjects:
+    """What all VMs' stores share."""
+
+    def __init__(self):
+        self.values: dict[tuple[str, str], Stored] = {}
+        self.version = 0
+        self.reads = 0
+        self.writes = 0
+
+
+class FakeStore:
+    """One VM's store: ``out`` answers nothing, ``lose_next`` loses replies."""
+
+    def __init__(self, objects: FakeObjects):
+        self.objects = objects
+        self.out = False
+        self.lose_next = 0
+        self.before_write = None
+
+    async def get(self, kind, name):
+        """Read one object."""
+        await asyncio.sleep(0)
+        if self.out:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, "outage"))
+        self.objects.reads += 1
+        return Ok(copy.deepcopy(self.objects.values.get((kind, name))))
+
+    async def list(self, kind):
+        """Read all objects of a kind."""
+        await asyncio.sleep(0)
+        if self.out:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, "outage"))
+        items = [v for k, v in self.objects.values.items() if k[0] == kind]
+        return Ok(Listed(copy.deepcopy(items)))
+
+    async def put(self, kind, name, value, version):
+        """Write one object if its version fits."""
+        await asyncio.sleep(0)
+        if self.before_write is not None:
+            await self.before_write(kind)
+        if self.out:
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, "outage"))
+        current = self.objects.values.get((kind, name))
+        if (current.version if current else None) != version:
+            return Err(Failure(ErrorKind.VERSION_CONFLICT, "another write"))
+        self.objects.version += 1
+        self.objects.writes += 1
+        stored = Stored(name, self.objects.version, copy.deepcopy(value))
+        self.objects.values[(kind, name)] = stored
+        if self.lose_next:
+            self.lose_next -= 1
+            self.out = True
+            return Err(Failure(ErrorKind.STORE_UNAVAILABLE, "lost reply"))
+        return Ok(stored)
+
+    async def update(self, kind, name, change):
+        """Read, change and write until no other write came between."""
+        while True:
+            got = await self.get(kind, name)
+            if got.is_err():
+                return got
+            current = got.unwrap()
+            value = change(copy.deepcopy(current.value) if current else None)
+            if value is None:
+                return Ok(current or Stored(name, 0, {}))
+            version = current.version if current else None
+            put = await self.put(kind, name, value, version)
+            conflict = (
+                put.is_err() and put.unwrap_err().kind is ErrorKind.VERSION_CONFLICT
+            )
+            if not conflict:
+                return put
+
+
+class FakePeer:
+    """Another VM as a mesh shows it."""
+
+    def __init__(self, vm, incarnation, data_centre):
+        self.vm, self.incarnation, self.data_centre = vm, incarnation, data_centre
+        self.heartbeat = None
+
+
+class FakeNetwork:
+    """The meshes of one test and what is cut between them."""
+
+    def __init__(self):
+        self.meshes: dict[str, FakeMesh] = {}
+        self.cuts: set[frozenset[str]] = set()
+        self.frozen: set[str] = set()
+        self.drops: list[type] = []
+
+    def reaches(self, a: str, b: str) -> bool:
+        """Whether two VMs can talk."""
+        if b not in self.meshes or self.frozen & {a, b}:
+            return False
+        return frozenset((a, b)) not in self.cuts
+
+
+class FakeMesh:
+    """The mesh of one VM."""
+
+    def __init__(self, network, vm, incarnation, data_centre):
+        self.network = network
+        self.vm, self.incarnation, self.data_centre = vm, incarnation, data_centre
+        self.handlers = {}
+        network.meshes[vm] = self
+
+    @property
+    def live(self):
+        """The VMs that this one is connected to."""
+        return tuple(
+            FakePeer(m.vm, m.incarnation, m.data_centre)
+            for m in self.network.meshes.values()
+            if m is not self and self.network.reaches(self.vm, m.vm)
+        )
+
+    def on(self, message_type, handler):
+        """Let a handler answer messages of a type."""
+        self.handlers[message_type] = handler
+
+    async def call(self, vm, message, timeout_s=None) -> Result:
+        """Call a VM; one that can't be reached fails at once."""
+        await asyncio.sleep(0)
+        if vm != self.vm and not self.network.reaches(self.vm, vm):
+            return Err(Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm} is not connected"))
+        sender = FakePeer(self.vm, self.incarnation, self.data_centre)
+        reply = await self.network.meshes[vm].handlers[type(message)](sender, message)
+        if vm != self.vm and not self.network.reaches(self.vm, vm):
+            return Err(Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm} was lost"))
+        if isinstance(reply, Failed):
+            return Err(Failure(ErrorKind(reply.kind), reply.detail))
+        return Ok(reply)
+
+    def broadcast(self, message):
+        """Send to all that can be reached, unless this kind is dropped."""
+        if type(message) in self.network.drops:
+            return
+        for peer in self.live:
+            asyncio.get_running_loop().create_task(self.call(peer.vm, message))
+
+
+class FakeLeases:
+    """The lease of one VM."""
+
+    def __init__(self, incarnation):
+        self.incarnation = incarnation
+        self.state = "held"
+
+
+class FakeMembers:
+    """Which VMs are proved gone."""
+
+    def __init__(self, gone):
+        self._gone = gone
+
+    def proof_gone(self, vm, incarnation):
+        """Return the proof that an incarnation has stopped."""
+        return "refused" if (vm, incarnation) in self._gone else None
+
+
+class Vm:
+    """One VM with its keeper and its faults."""
+
+    def __init__(self, fleet, name, data_centre, incarnation):
+        self.name, self.incarnation = name, incarnation
+        self.store = FakeStore(fleet.objects)
+        self.mesh = FakeMesh(fleet.network, name, incarnation, data_centre)
+        self.leases = FakeLeases(incarnation)
+        timers = fleet.timers
+        events = EventRing(name, HybridClock(timers))
+        self.keeper = BundleKeeper(
+            settings=default_settings(
+                VM_NAME=name, DATA_CENTRE=data_centre, OPERATORS=OPERATORS
+            ),
+            timers=timers,
+            events=events,
+            metrics=Metrics(),
+            invariants=Invariants(events),
+            rng=random.Random(name + incarnation),
+            store=self.store,
+            mesh=self.mesh,
+            members=FakeMembers(fleet.gone),
+            leases=self.leases,
+        )
+
+
+class Fleet:
+    """VMs in two data centres that share a store and a network."""
+
+    def __init__(self):
+        self.timers = ManualTimerService()
+        self.objects = FakeObjects()
+        self.network = FakeNetwork()
+        self.gone: set[tuple[str, str]] = set()
+        self.vms: dict[str, Vm] = {}
+        self.orders = 0
+
+    async def add(self, name, data_centre="santander", incarnation="1") -> Vm:
+        """Register and start a VM, replacing one of its name."""
+        lease = {"vm": name, "data_centre": data_centre, "state": "live"}
+        entry = {f"{name}.{incarnation}": lease}
+        stored = self.objects.values.setdefault(
+            ("leases", data_centre), Stored(data_centre, 1, {"entries": {}})
+        )
+        stored.value["entries"].update(entry)
+        vm = Vm(self, name, data_centre, f"{name}.{incarnation}")
+        self.vms[name] = vm
+        vm.keeper.start()
+        await self.settle()
+        return vm
+
+    async def kill(self, name, proved=False) -> None:
+        """End a VM's process without a word."""
+        vm = self.vms.pop(name)
+        del self.network.meshes[name]
+        await vm.keeper.stop()
+        if proved:
+            self.gone.add((name, vm.incarnation))
+
+    async def settle(self) -> None:
+        """Let everything run that needs no time."""
+        for _ in range(60):
+            await asyncio.sleep(0)
+
+    async def run(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        for _ in range(round(seconds / 0.1)):
+            await self.timers.advance(0.1)
+            await self.settle()
+
+    async def release(self, version: str, at: str = "a") -> str:
+        """Prepare and approve a bundle that assigns a version; return its digest."""
+        prepared = prepare(document(version)).unwrap()
+        library = self.vms[at].keeper.library
+        for chunk in prepared.chunks:
+            (await library.put_chunk(chunk)).unwrap()
+        digest = prepared.bundle.digest
+        signed = sign(ANNA, Statement("prepare", "anna", digest))
+        (await library.prepare(signed)).unwrap()
+        approved = sign(BERTA, Statement("approve", "berta", digest))
+        (await library.approve(approved)).unwrap()
+        return digest
+
+    def order(self, digest, expected_seq, waived=()):
+        """Sign an order to roll."""
+        self.orders += 1
+        purpose = "waive" if waived else "roll"
+        order_id = f"order-{self.orders}"
+        return sign(
+            ANNA, Statement(purpose, "anna", digest, order_id, expected_seq, waived)
+        )
+
+    async def roll(self, at, digest, expected_seq, waived=(), limit_s=30.0):
+        """Roll at a VM and let time pass until it has answered."""
+        order = self.order(digest, expected_seq, waived)
+        return await self.finish(self.vms[at].keeper.roll(order), limit_s)
+
+    async def finish(self, coroutine, limit_s=30.0):
+        """Let time pass until a coroutine has ended."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        await self.settle()
+        while not task.done() and limit_s > 0:
+            await self.run(0.1)
+            limit_s -= 0.1
+        return await task
+
+    def served(self, name: str) -> int:
+        """Return the sequence number that a VM serves now; 0: it refuses."""
+        permitted = self.vms[name].keeper.may_serve()
+        return permitted.unwrap().seq if permitted.is_ok() else 0
+
+    def refusal(self, name: str) -> ErrorKind:
+        """Return the kind with which a VM refuses now."""
+        return self.vms[name].keeper.may_serve().unwrap_err().kind
+
+
+def document(version: str) -> dict:
+    """Return a bundle document that assigns one version."""
+    return {
+        "name": f"bundle-{version}",
+        "adapters": [{"adapter": "tides", "version": version, "base_model": "b"}],
+        "callers": [
+            {
+                "name": "office",
+                "token_sha256": [token_hash("secret")],
+                "priority": 5,
+                "rate": 10,
+                "burst": 20,
+                "concurrency": 8,
+                "aliases": {"brief": {"adapter": "tides", "version": version}},
+            }
+        ],
+    }
