Add log set-up, settings errors all at once, reference pages from tables

Lines of tornado and websockets went past loguru; they are now routed into it, and alike lines are limited to 5 in 10 s, because a failing target makes one per request.

read_settings reported misfits only once all other errors were mended, and [DEFAULT] leaked its keys into every section; both are told at once now. A cancelled timer slept on until due, holding its task for the length of a deadline; cancel ends the task.

--- /dev/null
+++ b/hawthornlead/logs.py
@@ -0,0 +1,174 @@
+"""Log set-up: loguru to standard error, as text or as JSON lines.
+
+This is the one module that imports ``logging``: tornado and websockets log through
+the standard library, and without a handler of ours their lines would go past the
+chosen level and form. Everything else imports ``logger`` from loguru::
+
+    configure_logs(settings, timers)
+"""
+
+import inspect
+import json
+import logging
+import sys
+from collections import OrderedDict
+from typing import Any, NamedTuple, TextIO
+
+from loguru import logger
+
+from .timers import TimerService
+
+REPEAT_LINES = 5
+REPEAT_WINDOW_S = 10.0
+REPEAT_KEYS = 1024
+
+TEXT_FORMAT = (
+    "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <8} {name}: {message}{extra[left_out]}"
+)
+
+
+class _LineKey(NamedTuple):
+    module: str
+    line: int
+    event: int
+    subject: str
+
+
+class _Window:
+    """What was written and left out of one kind of line."""
+
+    def __init__(self, started_at: float):
+        self.started_at = started_at
+        self.written = 0
+        self.left_out = 0
+
+
+class RepeatLimiter:
+    """A loguru filter that writes only the first lines of each kind in a window.
+
+    The failure it guards against: a target or peer that fails for every request
+    makes a line per request, which costs more processor time than the requests and
+    hides all other lines. Lines are alike when they come from the same place with
+    the same event number and subject. At most ``lines`` of them are written per
+    ``window_s`` seconds; the first line after that tells how many were left out.
+    Memory is bounded because only the ``REPEAT_KEYS`` newest kinds are remembered.
+    CRITICAL lines are always written. The event ring keeps every event all the same.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        lines: int = REPEAT_LINES,
+        window_s: float = REPEAT_WINDOW_S,
+    ):
+        self._timers = timers
+        self._lines = lines
+        self._window_s = window_s
+        self._windows: OrderedDict[_LineKey, _Window] = OrderedDict()
+
+    def __call__(self, record: dict[str, Any]) -> bool:
+        """Tell whether the line is to be written."""
+        extra = record["extra"]
+        extra["left_out"] = ""
+        if record["level"].name == "CRITICAL":
+            return True
+        key = _LineKey(
+            record["name"] or "",
+            record["line"],
+            extra.get("event", 0),
+            extra.get("subject", ""),
+        )
+        window, left_out = self._window(key)
+        if left_out:
+            extra["left_out"] = f" ({left_out} alike left out)"
+        window.written += 1
+        if window.written <= self._lines:
+            return True
+        window.left_out += 1
+        return False
+
+    def _window(self, key: _LineKey) -> tuple[_Window, int]:
+        """Return the window of ``key`` and what the one before it left out."""
+        now = self._timers.now()
+        window = self._windows.get(key)
+        if window is not None and now - window.started_at < self._window_s:
+            self._windows.move_to_end(key)
+            return window, 0
+        fresh = self._windows[key] = _Window(now)
+        self._windows.move_to_end(key)
+        if len(self._windows) > REPEAT_KEYS:
+            self._windows.popitem(last=False)
+        return fresh, window.left_out if window else 0
+
+
+class LibraryHandler(logging.Handler):
+    """Hands the lines of libraries that use ``logging`` on to loguru."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log one line of a library under the library's own place and level."""
+        try:
+            level: str | int = logger.level(record.levelname).name
+        except ValueError:
+            level = record.levelno
+        depth = _depth_of_caller()
+        logger.opt(depth=depth, exception=record.exc_info).log(
+            level, "{}", record.getMessage()
+        )
+
+
+def configure_logs(
+    settings: dict[str, Any], timers: TimerService, stream: TextIO | None = None
+) -> None:
+    """Write logs as ``LOG_LEVEL`` and ``LOG_FORMAT`` say, to standard error.
+
+    ``stream`` replaces standard error in tests. Calling it again replaces what an
+    earlier call set up.
+    """
+    stream = sys.stderr if stream is None else stream
+    limiter = RepeatLimiter(timers)
+    level = settings["LOG_LEVEL"]
+    logger.remove()
+    if settings["LOG_FORMAT"] == "json":
+        logger.add(
+            lambda message: stream.write(json_line(message.record)),
+            level=level,
+            filter=limiter,
+            format="{message}",
+            diagnose=False,
+        )
+    else:
+        logger.add(
+            stream, level=level, filter=limiter, format=TEXT_FORMAT, diagnose=False
+        )
+    logging.basicConfig(
+        handlers=[LibraryHandler()], level=logging.getLevelName(level), force=True
+    )
+
+
+def json_line(record: dict[str, Any]) -> str:
+    """Return one log record as a line of JSON, newline included.
+
+    ``event`` and ``subject`` are null for a line that is no numbered event.
+    """
+    extra = record["extra"]
+    line = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "module": record["name"],
+        "event": extra.get("event"),
+        "subject": extra.get("subject"),
+        "vm": extra.get("vm"),
+        "message": record["message"] + extra.get("left_out", ""),
+    }
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    return json.dumps(line) + "\n"
+
+
+def _depth_of_caller() -> int:
+    """Count the frames between ``LibraryHandler.emit`` and the library's own line."""
+    frame, depth = inspect.currentframe().f_back, 0
+    while frame and (depth == 0 or frame.f_code.co_filename == logging.__file__):
+        frame = frame.f_back
+        depth += 1
+    return depth
--- /dev/null
+++ b/hawthornlead/references.py
@@ -0,0 +1,149 @@
+"""Reference pages made from the tables in the code, so that they can't drift.
+
+``scripts/docs`` writes the pages, and a test fails when a committed page differs
+from what its table gives. A page is a function entered in ``PAGES``::
+
+    text = PAGES["events.md"]()
+"""
+
+from collections.abc import Callable, Iterable
+
+from prometheus_client import Metric
+
+from .errors import ANSWERS, ErrorKind
+from .events import EventKind
+from .metrics import Metrics
+from .settings import FITS, FREE_SECTIONS, SETTINGS, Setting
+
+PAGES: dict[str, Callable[[], str]] = {}
+
+GENERATED = "<!-- Made by scripts/docs from hawthornlead/{}.py. -->"
+
+
+def page(name: str):
+    """Enter a function in ``PAGES`` under the file name of its page."""
+
+    def enter(function):
+        PAGES[name] = function
+        return function
+
+    return enter
+
+
+@page("settings.md")
+def settings_page() -> str:
+    """Return the page of all settings, by section, and of how they must fit."""
+    lines = _head("Settings", "settings")
+    lines += [
+        "A settings file is INI. `hawthornlead check-settings FILE` prints the values",
+        "in effect, or all errors at once. A key without a default must be given. An",
+        "unknown section or key is an error. For embedding, the same settings are a",
+        "dict by upper-case name: `default_settings(GRANT_SIZE=4)`.",
+    ]
+    for section in dict.fromkeys(row.section for row in SETTINGS.values()):
+        rows = [
+            (f"`{name.lower()}`", _default(row), _allowed(row), row.text)
+            for name, row in SETTINGS.items()
+            if row.section == section
+        ]
+        lines += ["", f"## [{section}]", ""]
+        lines += _table(("key", "default", "allowed", "meaning"), rows)
+    for section, name in FREE_SECTIONS.items():
+        text = f"Holds any key; read as one table under `{name}`."
+        lines += ["", f"## [{section}]", "", text]
+    lines += ["", "## How values must fit", ""]
+    fits = [
+        (f"`{lesser.lower()}` x {factor}", f"`{greater.lower()}`")
+        for lesser, greater, factor in FITS
+    ]
+    lines += _table(("this", "is at most"), fits)
+    lines += ["", "`tls_certificate` and `tls_key` are given both or neither."]
+    return _text(lines)
+
+
+@page("events.md")
+def events_page() -> str:
+    """Return the catalogue of numbered events."""
+    lines = _head("Events", "events")
+    lines += [
+        "Each event is a log line and a record in the ring of its process, from which",
+        "`hawthornlead timeline` reads. Numbers are never reused. The same table is",
+        "printed by `hawthornlead events`.",
+        "",
+    ]
+    lines += _table(("number", "name", "level", "meaning"), event_rows())
+    return _text(lines)
+
+
+@page("errors.md")
+def errors_page() -> str:
+    """Return the closed list of error kinds and how each is answered."""
+    lines = _head("Errors", "errors")
+    lines += [
+        "Every refusal is of one of these kinds. `ran` says what is known about",
+        "whether the request ran on a target; only `not run` promises that it did not.",
+        "`retry` says whether the layer itself may try another target.",
+        "",
+    ]
+    rows = []
+    for kind in ErrorKind:
+        answer = ANSWERS[kind]
+        retry = "yes" if answer.retry else "no"
+        rows.append((f"`{kind.value}`", str(answer.status), answer.ran.value, retry))
+    lines += _table(("kind", "status", "ran", "retry"), rows)
+    return _text(lines)
+
+
+@page("metrics.md")
+def metrics_page() -> str:
+    """Return the list of metrics that `/metrics` exposes."""
+    lines = _head("Metrics", "metrics")
+    families = sorted(Metrics().registry.collect(), key=lambda family: family.name)
+    rows = [
+        (f"`{_metric_name(family)}`", family.type, family.documentation)
+        for family in families
+    ]
+    lines += _table(("name", "type", "meaning"), rows)
+    return _text(lines)
+
+
+def event_rows() -> list[tuple[str, str, str, str]]:
+    """Return number, name, level and meaning of every event, by number."""
+    kinds = sorted(EventKind, key=lambda kind: kind.number)
+    return [(str(kind.number), kind.name, kind.level, kind.meaning) for kind in kinds]
+
+
+def _metric_name(family: Metric) -> str:
+    return family.name + ("_total" if family.type == "counter" else "")
+
+
+def _default(row: Setting) -> str:
+    if row.default is None:
+        return "must be given"
+    return f"`{row.default}`" if row.default != "" else "empty"
+
+
+def _allowed(row: Setting) -> str:
+    if row.choices:
+        return ", ".join(row.choices)
+    if row.low is None:
+        return row.kind.replace("_", " ")
+    return f"{row.kind}, {row.low:g} to {row.high:g}"
+
+
+def _head(title: str, module: str) -> list[str]:
+    return [f"# {title}", "", GENERATED.format(module), ""]
+
+
+def _table(heads: tuple[str, ...], rows: Iterable[tuple[str, ...]]) -> list[str]:
+    lines = [_row(heads), _row(("---",) * len(heads))]
+    lines += [_row(row) for row in rows]
+    return lines
+
+
+def _row(cells: Iterable[str]) -> str:
+    return "| " + " | ".join(cells) + " |"
+
+
+def _text(lines: list[str]) -> str:
+    return "\n".join(lines) + "\n"
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -281,7 +281,9 @@
 
     The error holds every fault of the file, not just the first.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    # An empty default section can't be written in a file, so that [DEFAULT] is an
+    # unknown section like any other and does not leak keys into all sections.
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
@@ -290,29 +292,17 @@
         return Err([fault])
     settings = default_settings()
     errors = _read_sections(parser, settings)
-    errors += _missing(settings, {(error.section, error.key) for error in errors})
+    told = {(error.section, error.key) for error in errors}
+    errors += _missing(settings, told)
+    errors += _misfits(settings, told)
     if errors:
         return Err(errors)
-    return configure_settings(settings)
+    return Ok(settings)
 
 
 def configure_settings(settings: Settings) -> Result[Settings, list[SettingError]]:
     """Check what no single key shows: how the settings fit together."""
-    errors = []
-    for lesser, greater, factor in FITS:
-        if settings[lesser] * factor <= settings[greater]:
-            continue
-        row = SETTINGS[lesser]
-        errors.append(
-            SettingError(
-                row.section,
-                lesser.lower(),
-                str(settings[lesser]),
-                f"at most {greater.lower()} ({settings[greater]}) / {factor}",
-            )
-        )
-    if bool(settings["TLS_CERTIFICATE"]) != bool(settings["TLS_KEY"]):
-        errors.append(SettingError("tls", "tls_key", "one", "both files or neither"))
+    errors = _misfits(settings, told=set())
     if errors:
         return Err(errors)
     return Ok(settings)
@@ -327,6 +317,23 @@
 )
 
 
+def _misfits(settings: Settings, told: set) -> list[SettingError]:
+    """Return what does not fit together, leaving out keys with an error ``told``."""
+    errors = []
+    for lesser, greater, factor in FITS:
+        row = SETTINGS[lesser]
+        places = {(row.section, lesser.lower())}
+        places.add((SETTINGS[greater].section, greater.lower()))
+        if places & told or settings[lesser] * factor <= settings[greater]:
+            continue
+        allowed = f"at most {greater.lower()} ({settings[greater]}) / {factor}"
+        found = str(settings[lesser])
+        errors.append(SettingError(row.section, lesser.lower(), found, allowed))
+    if bool(settings["TLS_CERTIFICATE"]) != bool(settings["TLS_KEY"]):
+        errors.append(SettingError("tls", "tls_key", "one", "both files or neither"))
+    return errors
+
+
 def _read_sections(parser, settings: Settings) -> list[SettingError]:
     known = {row.section for row in SETTINGS.values()}
     errors = []
--- /dev/null
+++ b/hawthornlead/tests/test_logs.py
@@ -0,0 +1,109 @@
+"""Tests of the log set-up."""
+
+import io
+import json
+import logging  # noqa: TID251 -- stands for a library that logs this way
+
+import pytest
+from loguru import logger
+
+from hawthornlead.clocks import HybridClock
+from hawthornlead.events import EventKind, EventRing
+from hawthornlead.logs import REPEAT_KEYS, configure_logs
+from hawthornlead.settings import default_settings
+from hawthornlead.timers import ManualTimerService
+
+
+@pytest.fixture
+def timers():
+    """Time moved by hand."""
+    return ManualTimerService()
+
+
+@pytest.fixture
+def stream():
+    """Where lines are written; log set-up is undone afterwards."""
+    yield io.StringIO()
+    logger.remove()
+    logging.basicConfig(handlers=[logging.NullHandler()], force=True)
+
+
+def json_lines(stream):
+    return [json.loads(line) for line in stream.getvalue().splitlines()]
+
+
+def test_json_line_carries_event_number_and_subject(timers, stream):
+    configure_logs(default_settings(LOG_FORMAT="json"), timers, stream)
+    ring = EventRing("vm-1", HybridClock(timers))
+    ring.emit(EventKind.PEER_LOST, "vm-2", reason="closed")
+    (line,) = json_lines(stream)
+    assert (line["event"], line["subject"], line["vm"]) == (201, "vm-2", "vm-1")
+    assert line["level"] == "WARNING"
+    assert "reason=closed" in line["message"]
+
+
+def test_text_line_carries_event(timers, stream):
+    configure_logs(default_settings(), timers, stream)
+    EventRing("vm-1", HybridClock(timers)).emit(EventKind.STORE_LOST, "store")
+    assert "300 STORE_LOST store" in stream.getvalue()
+
+
+def test_level_holds_for_own_and_library_lines(timers, stream):
+    configure_logs(default_settings(LOG_LEVEL="WARNING"), timers, stream)
+    logger.info("own quiet")
+    logging.getLogger("tornado.access").info("library quiet")
+    logging.getLogger("tornado.access").warning("library loud {}")
+    assert "quiet" not in stream.getvalue()
+    assert "library loud {}" in stream.getvalue()
+
+
+def test_library_line_names_the_library_module(timers, stream):
+    configure_logs(default_settings(LOG_FORMAT="json"), timers, stream)
+    logging.getLogger("websockets").error("refused %s", "frame")
+    (line,) = json_lines(stream)
+    assert line["message"] == "refused frame"
+    assert line["module"].endswith("test_logs")
+
+
+def test_exception_is_on_the_json_line(timers, stream):
+    configure_logs(default_settings(LOG_FORMAT="json"), timers, stream)
+    try:
+        raise KeyError("lost")
+    except KeyError:
+        logger.exception("failed")
+    assert json_lines(stream)[0]["exception"] == "KeyError('lost')"
+
+
+async def test_repeated_lines_are_limited_and_counted(timers, stream):
+    # An engine refuses every request for ten seconds. Without a limit the operator
+    # sees thousands of equal lines and nothing else, and the process spends its time
+    # on them. The cause is one line per failed request.
+    configure_logs(default_settings(), timers, stream)
+    ring = EventRing("vm-1", HybridClock(timers))
+    for _ in range(100):
+        ring.emit(EventKind.PEER_LOST, "vm-2")
+    ring.emit(EventKind.PEER_LOST, "vm-3")
+    assert stream.getvalue().count("vm-2") == 5
+    assert stream.getvalue().count("vm-3") == 1
+    await timers.advance(11)
+    ring.emit(EventKind.PEER_LOST, "vm-2")
+    assert "(95 alike left out)" in stream.getvalue()
+    assert len(ring.newest("vm-2")) == 101
+
+
+def test_critical_lines_are_never_left_out(timers, stream):
+    configure_logs(default_settings(), timers, stream)
+    for _ in range(20):
+        logger.critical("invariant")
+    assert stream.getvalue().count("invariant") == 20
+
+
+def test_kinds_remembered_are_bounded(timers, stream):
+    configure_logs(default_settings(), timers, stream)
+    ring = EventRing("vm-1", HybridClock(timers))
+    for _ in range(6):
+        ring.emit(EventKind.PEER_LOST, "vm-first")
+    for number in range(REPEAT_KEYS):
+        ring.emit(EventKind.PEER_LOST, f"vm-{number}")
+    ring.emit(EventKind.PEER_LOST, "vm-first")
+    assert stream.getvalue().count("\n") == 5 + REPEAT_KEYS + 1
--- /dev/null
+++ b/hawthornlead/tests/test_settings.py
@@ -0,0 +1,167 @@
+"""Tests of the settings table and of reading INI files."""
+
+import pytest
+from hypothesis import given, settings, strategies
+
+from hawthornlead.settings import (
+    FITS,
+    READERS,
+    SETTINGS,
+    SettingError,
+    configure_settings,
+    default_settings,
+    read_settings,
+)
+
+VALID = """
+[vm]
+vm_name = vm-1
+data_centre = bilbao
+caller_address = 127.0.0.1:8080
+peer_address = 127.0.0.1:8081
+[platform]
+store_address = 127.0.0.1:9000
+vm_list_address = [::1]:9001
+"""
+
+
+@pytest.fixture
+def read(tmp_path):
+    """Read the settings from a text."""
+
+    def read_text(text):
+        path = tmp_path / "settings.ini"
+        path.write_text(text)
+        return read_settings(str(path))
+
+    return read_text
+
+
+def places(result):
+    return [(error.section, error.key) for error in result.unwrap_err()]
+
+
+def test_valid_file_over_defaults(read):
+    values = read(VALID + "[grants]\ngrant_size = 12\n").unwrap()
+    assert values["VM_NAME"] == "vm-1"
+    assert values["GRANT_SIZE"] == 12
+    assert values["LEASE_S"] == SETTINGS["LEASE_S"].default
+
+
+def test_free_section_holds_any_key(read):
+    values = read(VALID + "[operators]\nana = abc\nben = def\n").unwrap()
+    assert values["OPERATORS"] == {"ana": "abc", "ben": "def"}
+
+
+def test_missing_file_is_one_error(tmp_path):
+    (error,) = read_settings(str(tmp_path / "none.ini")).unwrap_err()
+    assert "none.ini" in error.found
+
+
+@pytest.mark.parametrize(
+    "text", ["no section", "[vm]\nvm_name=a\nvm_name=b\n", "[vm]\n[vm]\n"]
+)
+def test_malformed_file(read, text):
+    (error,) = read(text).unwrap_err()
+    assert error.allowed == "a readable INI file"
+
+
+@pytest.mark.parametrize(
+    ("section", "key", "text"),
+    [
+        ("vm", "region", "a b"),
+        ("vm", "region", ""),
+        ("vm", "metrics_address", "localhost:80"),
+        ("vm", "metrics_address", "127.0.0.1"),
+        ("vm", "metrics_address", "127.0.0.1:70000"),
+        ("platform", "store_timeout_s", "soon"),
+        ("platform", "store_timeout_s", "nan"),
+        ("platform", "store_timeout_s", "inf"),
+        ("platform", "store_timeout_s", "0.01"),
+        ("grants", "grant_size", "1.5"),
+        ("grants", "grant_size", "0"),
+        ("grants", "grant_size", "2000"),
+        ("logs", "log_level", "loud"),
+    ],
+)
+def test_value_out_of_what_is_allowed(read, section, key, text):
+    body = VALID.replace("[vm]", f"[vm]\n{key} = {text}") if section == "vm" else VALID
+    if section == "platform":
+        body = VALID.replace("[platform]", f"[platform]\n{key} = {text}")
+    if section not in ("vm", "platform"):
+        body = VALID + f"[{section}]\n{key} = {text}\n"
+    (error,) = read(body).unwrap_err()
+    assert (error.section, error.key, error.found) == (section, key, text)
+    assert error.allowed
+
+
+def test_unknown_section_and_keys(read):
+    text = VALID + "[grants]\nsize = 3\nlease_s = 3\n[extra]\na = 1\n[DEFAULT]\nb = 2\n"
+    assert places(read(text)) == [
+        ("grants", "size"),
+        ("grants", "lease_s"),
+        ("extra", ""),
+        ("DEFAULT", ""),
+    ]
+
+
+def test_all_errors_at_once(read):
+    # An operator with five faults in a file would otherwise start the process five
+    # times, learning one fault each time. Missing, malformed, unknown and misfitting
+    # keys are found in different steps, so each step must run.
+    text = "[vm]\nvm_name = a b\n[lease]\nlease_s = 1\n[tls]\ntls_key = k\n[x]\n"
+    assert set(places(read(text))) == {
+        ("vm", "vm_name"),
+        ("x", ""),
+        ("vm", "data_centre"),
+        ("vm", "caller_address"),
+        ("vm", "peer_address"),
+        ("platform", "store_address"),
+        ("platform", "vm_list_address"),
+        ("lease", "lease_renew_s"),
+        ("tls", "tls_key"),
+    }
+
+
+def test_key_with_an_error_is_told_once(read):
+    text = VALID + "[lease]\nlease_s = 1000\nlease_renew_s = 5\n"
+    assert places(read(text)) == [("lease", "lease_s")]
+
+
+@pytest.mark.parametrize(("lesser", "greater", "factor"), FITS)
+def test_fits(lesser, greater, factor):
+    values = default_settings()
+    values[lesser] = values[greater] / factor
+    assert configure_settings(values).is_ok()
+    values[lesser] = values[greater] / factor * 1.01
+    (error,) = configure_settings(values).unwrap_err()
+    assert error.key == lesser.lower()
+
+
+def test_certificate_and_key_come_together():
+    for name in ("TLS_CERTIFICATE", "TLS_KEY"):
+        (error,) = configure_settings(default_settings(**{name: "f"})).unwrap_err()
+        assert error.section == "tls"
+
+
+def test_defaults_pass_their_own_readers():
+    for name, row in SETTINGS.items():
+        if row.default is None:
+            continue
+        text = str(row.default)
+        assert READERS[row.kind](text, row) == row.default, name
+
+
+def test_error_as_text():
+    error = SettingError("vm", "region", "", "letters")
+    assert str(error) == "[vm] region: found '', allowed: letters"
+
+
+@settings(derandomize=True)
+@given(strategies.sampled_from(sorted(SETTINGS)), strategies.text(max_size=20))
+def test_readers_refuse_only_by_value_error(name, text):
+    row = SETTINGS[name]
+    try:
+        READERS[row.kind](text, row)
+    except ValueError as error:
+        assert str(error)
--- a/hawthornlead/timers.py
+++ b/hawthornlead/timers.py
@@ -29,6 +29,7 @@
         self._name = name
         self._callback = callback
         self._cancelled = False
+        self._waiting: asyncio.Task | None = None
 
     @property
     def name(self) -> str:
@@ -43,6 +44,20 @@
     def cancel(self) -> None:
         """End the subscription; a call that has started runs to its end."""
         self._cancelled = True
+        # A cancelled timer that slept on until it was due would keep its task and
+        # callback in memory for that long, such as one per finished request.
+        if self._waiting is not None:
+            self._waiting.cancel()
+
+    async def wait(self, delay: float) -> None:
+        """Sleep before a call; ``cancel`` cuts the sleep short and ends the task."""
+        if self._cancelled:
+            return
+        self._waiting = asyncio.current_task()
+        try:
+            await asyncio.sleep(delay)
+        finally:
+            self._waiting = None
 
     async def run(self) -> None:
         """Call the subscriber once, keeping its errors from other subscribers."""
@@ -99,11 +114,11 @@
 
     async def _repeat(self, interval: float, subscription: Subscription) -> None:
         while not subscription.cancelled:
-            await asyncio.sleep(interval)
+            await subscription.wait(interval)
             await subscription.run()
 
     async def _once(self, delay: float, subscription: Subscription) -> None:
-        await asyncio.sleep(delay)
+        await subscription.wait(delay)
         await subscription.run()
 
 
@@ -115,7 +130,11 @@
 
 
 class ManualTimerService(TimerService):
-    """A timer service whose time moves only by ``advance``, for tests."""
+    """A timer service whose time moves only by ``advance``, for tests.
+
+    ``advance`` waits for each callback to end, so a callback must not itself sleep
+    on this service: it would wait for the ``advance`` that waits for it.
+    """
 
     def __init__(self, start: float = 1000.0):
         super().__init__()
