Add the command line: serve, check-settings, status, entry, timeline, events

Queries ask a running VM over HTTP and print a table or its JSON. check-settings prints an INI that reads back equal, without the peer secret. The time line is sorted by the hybrid time, then VM, so that a cause stands before its effect.

--- /dev/null
+++ b/hawthornlead/main.py
@@ -0,0 +1,39 @@
+"""The command line: one program for the daemon, for operators and for queries."""
+
+from collections.abc import Sequence
+
+import click
+
+from . import __version__
+from .logs import configure_logs
+from .queries import QUERIES, effective_settings
+from .timers import TimerService
+
+
+@click.group()
+@click.version_option(__version__, prog_name="hawthornlead")
+def cli():
+    """Serve answers from base models dressed in very many LoRA adapters."""
+
+
+@cli.command()
+@click.option(
+    "-c", "--settings", "path", required=True, metavar="FILE", help="Settings (INI)."
+)
+def serve(path: str) -> None:
+    """Run the daemon of this VM until it is asked to stop."""
+    settings = effective_settings(path)
+    configure_logs(settings, TimerService())
+    # Imported here so that queries do not pay for loading the whole daemon.
+    from .daemons import run_daemon
+
+    run_daemon(settings)
+
+
+for query in QUERIES.values():
+    cli.add_command(query)
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
+    """Run the command line on ``arguments``, or on those of the process."""
+    cli.main(args=arguments, prog_name="hawthornlead")
--- /dev/null
+++ b/hawthornlead/queries.py
@@ -0,0 +1,217 @@
+"""Queries of the command line: they look and never change anything.
+
+A query that asks a running VM takes its caller address, and prints a table for a
+person or, with ``--json``, the VM's own answer::
+
+    hawthornlead timeline --vm 10.0.0.4:8080 --subject engine-3
+"""
+
+import datetime
+import json
+import sys
+from typing import Any
+from urllib.parse import urlencode
+
+import click
+from result import Err, Ok, Result
+from tornado.httpclient import HTTPClient, HTTPError
+
+from .errors import ErrorKind, Failure
+from .references import event_rows
+from .settings import FREE_SECTIONS, SETTINGS, Settings, read_settings
+
+ASK_TIMEOUT_S = 10.0
+SECRETS = frozenset({"PEER_SECRET"})
+
+QUERIES: dict[str, click.Command] = {}
+
+
+def query(command: click.Command) -> click.Command:
+    """Enter a command in ``QUERIES``, from which the command line takes it."""
+    QUERIES[command.name] = command
+    return command
+
+
+def asks_vm(function):
+    """Add the options of a query that asks a running VM."""
+    for option in (
+        click.option("--json", "as_json", is_flag=True, help="Print JSON."),
+        click.option("--ca", metavar="FILE", help="Certificates to trust (PEM)."),
+        click.option(
+            "--vm",
+            required=True,
+            metavar="IP:PORT",
+            help="Caller address of any VM, or https://IP:PORT.",
+        ),
+    ):
+        function = option(function)
+    return function
+
+
+@query
+@click.command("check-settings")
+@click.argument("path", metavar="FILE")
+def check_settings(path: str) -> None:
+    """Print the settings in effect as INI, or all errors at once."""
+    click.echo(settings_as_ini(effective_settings(path)), nl=False)
+
+
+@query
+@click.command()
+def events() -> None:
+    """Print the catalogue of numbered events."""
+    click.echo(as_table(("number", "name", "level", "meaning"), event_rows()))
+
+
+@query
+@click.command()
+@asks_vm
+def status(vm: str, ca: str | None, as_json: bool) -> None:
+    """Show what one VM knows of itself, its peers, targets and bundle."""
+    answer = _answer_or_exit(ask_vm(vm, "/status", {}, ca))
+    if as_json:
+        return click.echo(json.dumps(answer))
+    return click.echo(as_table(("what", "value"), flat_rows(answer)))
+
+
+@query
+@click.command()
+@click.option("--data-centre", default="", help="Data centre of the caller.")
+@asks_vm
+def entry(vm: str, ca: str | None, as_json: bool, data_centre: str) -> None:
+    """Show which entry addresses a VM tells callers to use."""
+    asked = {"data_centre": data_centre} if data_centre else {}
+    answer = _answer_or_exit(ask_vm(vm, "/entry", asked, ca))
+    if as_json:
+        return click.echo(json.dumps(answer))
+    rows = [(address, str(answer["keep_s"])) for address in answer["addresses"]]
+    return click.echo(as_table(("address", "keep_s"), rows))
+
+
+@query
+@click.command()
+@click.option("--subject", default="", help="Request, target, adapter, bundle or VM.")
+@click.option("--limit", default=1000, show_default=True, help="Most events per VM.")
+@asks_vm
+def timeline(vm: str, ca: str | None, as_json: bool, subject: str, limit: int) -> None:
+    """Show the events of all VMs in one line of time, causes before effects."""
+    asked = {"subject": subject, "limit": str(limit)}
+    answer = _answer_or_exit(ask_vm(vm, "/timeline", asked, ca))
+    if as_json:
+        return click.echo(json.dumps(answer))
+    heads = ("time", "vm", "number", "subject", "text")
+    click.echo(as_table(heads, timeline_rows(answer["events"])))
+    for missing in answer.get("missing", ()):
+        click.echo(f"no events from {missing}: it did not answer", err=True)
+    return None
+
+
+def effective_settings(path: str) -> Settings:
+    """Return the settings of a file, or print all its errors and exit with 1."""
+    outcome = read_settings(path)
+    if isinstance(outcome, Ok):
+        return outcome.ok_value
+    for error in outcome.err_value:
+        click.echo(str(error), err=True)
+    sys.exit(1)
+
+
+def settings_as_ini(settings: Settings) -> str:
+    """Return settings as the text of an INI file; secrets are not shown."""
+    lines = []
+    for section in dict.fromkeys(row.section for row in SETTINGS.values()):
+        lines.append(f"[{section}]")
+        for name, row in SETTINGS.items():
+            if row.section != section:
+                continue
+            if name in SECRETS and settings[name]:
+                lines.append(f"# {name.lower()} is given and not shown")
+                continue
+            lines.append(f"{name.lower()} = {settings[name]}".rstrip())
+        lines.append("")
+    for section, name in FREE_SECTIONS.items():
+        lines.append(f"[{section}]")
+        lines += [f"{key} = {value}" for key, value in settings[name].items()]
+        lines.append("")
+    return "\n".join(lines)
+
+
+def ask_vm(
+    vm: str, path: str, asked: dict[str, str], ca: str | None = None
+) -> Result[Any, Failure]:
+    """Return a VM's JSON answer to a GET of ``path``.
+
+    ``vm`` is IP:PORT, or begins with ``https://`` where callers use TLS.
+    """
+    base = vm if "://" in vm else f"http://{vm}"
+    address = f"{base}{path}" + (f"?{urlencode(asked)}" if asked else "")
+    client = HTTPClient()
+    try:
+        response = client.fetch(
+            address,
+            connect_timeout=ASK_TIMEOUT_S,
+            request_timeout=ASK_TIMEOUT_S,
+            ca_certs=ca,
+        )
+        return Ok(json.loads(response.body))
+    except HTTPError as error:
+        return Err(Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm}: {_told(error)}"))
+    except (OSError, ValueError) as error:
+        return Err(Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm}: {error}"))
+    finally:
+        client.close()
+
+
+def timeline_rows(records: list[dict[str, Any]]) -> list[tuple[str, ...]]:
+    """Return the rows of a time line, sorted so that causes stand before effects."""
+    ordered = sorted(records, key=lambda r: (r["wall_ms"], r["logical"], r["vm"]))
+    rows = []
+    for record in ordered:
+        at = datetime.datetime.fromtimestamp(record["wall_ms"] / 1000, datetime.UTC)
+        time = f"{at:%Y-%m-%dT%H:%M:%S}.{record['wall_ms'] % 1000:03d}Z"
+        if record["logical"]:
+            time += f"+{record['logical']}"
+        number = str(record["number"])
+        rows.append((time, record["vm"], number, record["subject"], record["text"]))
+    return rows
+
+
+def flat_rows(answer: Any, prefix: str = "") -> list[tuple[str, str]]:
+    """Return nested JSON as rows of a dotted name and a value."""
+    if isinstance(answer, dict):
+        items = list(answer.items())
+    elif isinstance(answer, list):
+        items = list(enumerate(answer))
+    else:
+        return [(prefix, str(answer))]
+    if not items:
+        return [(prefix, "none")]
+    rows = []
+    for key, value in items:
+        rows += flat_rows(value, f"{prefix}.{key}" if prefix else str(key))
+    return rows
+
+
+def as_table(heads: tuple[str, ...], rows: list[tuple[str, ...]]) -> str:
+    """Return columns aligned by spaces."""
+    lines = [heads, *rows]
+    widths = [max(len(line[column]) for line in lines) for column in range(len(heads))]
+    return "\n".join(
+        "  ".join(
+            cell.ljust(width) for cell, width in zip(line, widths, strict=True)
+        ).rstrip()
+        for line in lines
+    )
+
+
+def _told(error: HTTPError) -> str:
+    body = error.response.body if error.response is not None else b""
+    return f"{error} {body.decode('utf-8', 'replace')}".strip()
+
+
+def _answer_or_exit(outcome: Result[Any, Failure]) -> Any:
+    if isinstance(outcome, Ok):
+        return outcome.ok_value
+    failure = outcome.err_value
+    click.echo(f"{failure.kind.value}: {failure.detail}", err=True)
+    sys.exit(1)
