Add views of targets from the VM list and their owners

Routing needs one cheap table of what this VM knows of each target. The newest fence wins, then the newest serial, so that a superseded owner's late message hides nothing; nothing that must hold rests on a view.

--- /dev/null
+++ b/hawthornlead/tests/fakes_targets.py
@@ -0,0 +1,78 @@
+"""Small fakes of the parts around targets: VM list, owners, mesh."""
+
+from typing import NamedTuple
+
+from hawthornlead.clocks import HybridClock
+from hawthornlead.events import EventRing
+from hawthornlead.invariants import Invariants
+from hawthornlead.metrics import Metrics
+from hawthornlead.timers import ManualTimerService
+
+
+class Parts(NamedTuple):
+    """The collaborators that every part is handed."""
+
+    timers: ManualTimerService
+    events: EventRing
+    invariants: Invariants
+    metrics: Metrics
+
+
+def make_parts() -> Parts:
+    """Build collaborators on a clock that is moved by hand."""
+    timers = ManualTimerService()
+    events = EventRing("vm-1", HybridClock(timers))
+    return Parts(timers, events, Invariants(events), Metrics())
+
+
+class FakeEntry(NamedTuple):
+    """An entry of the VM list."""
+
+    name: str
+    role: str
+    address: str
+    data_centre: str
+    state: str
+    attributes: dict
+
+
+def engine_entry(name, state="live", **attributes) -> FakeEntry:
+    """An engine of the VM list, with usual attributes."""
+    usual = {
+        "base_models": ["base"],
+        "slots": 2,
+        "fencing": True,
+        "weight_store": "weights",
+        "max_running": 8,
+    }
+    usual.update(attributes)
+    return FakeEntry(name, "engine", f"127.0.0.1:{len(name)}", "dc-1", state, usual)
+
+
+class FakeVmList:
+    """A VM list that a test fills."""
+
+    def __init__(self, *entries):
+        self.entries = list(entries)
+        self.subscribers = []
+
+    def engines(self):
+        """All engines."""
+        return [entry for entry in self.entries if entry.role == "engine"]
+
+    def subscribe(self, callback):
+        """Call back when the list changes."""
+        self.subscribers.append(callback)
+
+    def changed(self):
+        """Tell the subscribers."""
+        for callback in self.subscribers:
+            callback()
+
+
+class FakeOwnerRecord(NamedTuple):
+    """Who owns a resource."""
+
+    vm: str
+    incarnation: str
+    fence: int
--- /dev/null
+++ b/hawthornlead/tests/test_views.py
@@ -0,0 +1,60 @@
+"""Tests of what a VM knows of targets."""
+
+from hawthornlead.messages import TargetState
+from hawthornlead.views import TargetViews
+
+from .fakes_targets import FakeOwnerRecord, FakeVmList, engine_entry, make_parts
+
+
+class _Owners:
+    def owner_of(self, resource):
+        if resource == "target:engine-1":
+            return FakeOwnerRecord("vm-2", "a", 3)
+        return None
+
+
+def _state(fence, serial, leaving=False):
+    return TargetState("engine-1", fence, serial, 2, 0, 0, leaving, ())
+
+
+def _views(vm_list):
+    parts = make_parts()
+    views = TargetViews(
+        timers=parts.timers, events=parts.events, vm_list=vm_list, owners=_Owners()
+    )
+    vm_list.subscribe(views._on_vm_list)
+    return views
+
+
+def test_view_joins_vm_list_owner_and_state():
+    views = _views(FakeVmList(engine_entry("engine-1"), engine_entry("engine-2")))
+    assert views.take(_state(3, 1))
+    first, second = views.views()
+    assert (first.owner_vm, first.state.serial, first.leaving) == ("vm-2", 1, False)
+    assert (second.owner_vm, second.state, second.base_models) == ("", None, ("base",))
+
+
+def test_late_message_of_superseded_owner_hides_nothing():
+    """A frozen owner wakes and tells what it believed.
+
+    A router that believed it would send requests to an adapter that was evicted.
+    The successor told earlier, under a greater fence; that stays.
+    """
+    views = _views(FakeVmList(engine_entry("engine-1")))
+    assert views.take(_state(4, 1))
+    assert not views.take(_state(3, 99))
+    assert views.view("engine-1").state.fence == 4
+    assert not views.take(_state(4, 0))
+
+
+def test_leaving_target_is_told_by_vm_list_or_owner():
+    vm_list = FakeVmList(engine_entry("engine-1", state="leaving"))
+    views = _views(vm_list)
+    assert views.view("engine-1").leaving
+    vm_list.entries = [engine_entry("engine-1")]
+    vm_list.changed()
+    views.take(_state(3, 1, leaving=True))
+    assert views.view("engine-1").leaving
+    vm_list.entries = []
+    vm_list.changed()
+    assert views.view("engine-1") is None and views.views() == ()
--- /dev/null
+++ b/hawthornlead/views.py
@@ -0,0 +1,142 @@
+"""What this VM knows of every target: the VM list and what owners tell.
+
+A view is knowledge for choosing only. It lags, and nothing that must hold rests on
+it: the right to run is a grant, given by the target's owner.
+"""
+
+from typing import NamedTuple
+
+from .events import EventKind, EventRing
+from .messages import TargetState
+from .timers import TimerService
+
+# Owners change without a call to this module, so the views are rebuilt this often
+# even when nothing else was heard.
+VIEW_KEEP_S = 0.25
+
+
+def target_resource(target: str) -> str:
+    """Name the resource that a target's owner owns."""
+    return f"target:{target}"
+
+
+class TargetView(NamedTuple):
+    """What this VM knows of one target.
+
+    ``owner_vm`` is empty while nobody owns it, ``state`` None until its owner was
+    heard, ``heard_at`` by the timer service's clock (0 when never heard).
+    """
+
+    target: str
+    address: str
+    data_centre: str
+    base_models: tuple[str, ...]
+    owner_vm: str
+    state: TargetState | None
+    heard_at: float
+    leaving: bool
+    slots: int = 0
+    max_running: int = 0
+    fencing: bool = False
+    weight_store: str = ""
+
+
+class TargetViews:
+    """The views of all targets of the VM list."""
+
+    def __init__(self, *, timers: TimerService, events: EventRing, vm_list, owners):
+        self._timers = timers
+        self._events = events
+        self._vm_list = vm_list
+        self._owners = owners
+        self._states: dict[str, TargetState] = {}
+        self._heard_at: dict[str, float] = {}
+        self._views: dict[str, TargetView] = {}
+        self._all: tuple[TargetView, ...] = ()
+        self._built_at: float | None = None
+        self._seen: set[str] = set()
+
+    def start(self, mesh) -> None:
+        """Listen to owners over ``mesh`` and to the VM list."""
+        mesh.on(TargetState, self._on_target_state)
+        self._vm_list.subscribe(self._on_vm_list)
+
+    async def stop(self) -> None:
+        """Nothing to end: the mesh and the VM list end their own."""
+
+    def views(self) -> tuple[TargetView, ...]:
+        """Return the views of all targets, in the order of the VM list."""
+        self._refresh()
+        return self._all
+
+    def view(self, target: str) -> TargetView | None:
+        """Return the view of one target, or None if the VM list lacks it."""
+        self._refresh()
+        return self._views.get(target)
+
+    def take(self, state: TargetState) -> bool:
+        """Take in what an owner tells; return whether it was news.
+
+        The newest fence wins, then the newest serial: a message of a superseded
+        owner that comes late must not hide what its successor told.
+        """
+        known = self._states.get(state.target)
+        if known is not None:
+            if (state.fence, state.serial) < (known.fence, known.serial):
+                return False
+        self._states[state.target] = state
+        self._heard_at[state.target] = self._timers.now()
+        self._built_at = None
+        return True
+
+    async def _on_target_state(self, sender, state: TargetState) -> None:
+        self.take(state)
+
+    def _on_vm_list(self, *_unused) -> None:
+        self._built_at = None
+
+    def _refresh(self) -> None:
+        now = self._timers.now()
+        if self._built_at is not None and now - self._built_at < VIEW_KEEP_S:
+            return
+        self._built_at = now
+        views = {}
+        for entry in self._vm_list.engines():
+            views[entry.name] = self._build(entry)
+        self._views = views
+        self._all = tuple(views.values())
+        self._meet_and_forget()
+
+    def _build(self, entry) -> TargetView:
+        attributes = entry.attributes
+        owner = self._owners.owner_of(target_resource(entry.name))
+        state = self._states.get(entry.name)
+        leaving = entry.state == "leaving" or (state is not None and state.leaving)
+        return TargetView(
+            target=entry.name,
+            address=entry.address,
+            data_centre=entry.data_centre,
+            base_models=tuple(attributes.get("base_models", ())),
+            owner_vm=owner.vm if owner is not None else "",
+            state=state,
+            heard_at=self._heard_at.get(entry.name, 0.0),
+            leaving=leaving,
+            slots=int(attributes.get("slots", 0)),
+            max_running=int(attributes.get("max_running", 0)),
+            fencing=bool(attributes.get("fencing", False)),
+            weight_store=str(attributes.get("weight_store", "")),
+        )
+
+    def _meet_and_forget(self) -> None:
+        for target in self._views.keys() - self._seen:
+            view = self._views[target]
+            self._events.emit(
+                EventKind.TARGET_SEEN,
+                target,
+                address=view.address,
+                fencing=view.fencing,
+            )
+        for target in self._seen - self._views.keys():
+            self._states.pop(target, None)
+            self._heard_at.pop(target, None)
+        self._seen = set(self._views)
