Add the client of a target, which says what a failure proves

Connection refused, a timeout while connecting and refusals of the protocol prove that nothing happened; silence after the body was written proves nothing. Other system errors were ruled out as proof, since they also come after bytes were sent. The right to order is checked again right before the body is written: a process frozen while connecting would otherwise send an order after its lease.

--- /dev/null
+++ b/hawthornlead/targets.py
@@ -0,0 +1,253 @@
+"""Client of one target: orders, reports, health, cancels.
+
+Every call opens a connection of its own, so that a connection that went silent for
+good (something between the two ends lost track of it) cannot take later calls with
+it. Every call has a timeout. What a failure proves about the call is in its kind:
+
+- ``TARGET_UNREACHABLE``: no connection, so the call was not carried out.
+- ``TARGET_REFUSED``, ``STALE_FENCE``, ``NO_SLOT``, ``LOAD_FAILED``, ``NOT_FOUND``:
+  the target answered that it did not carry it out.
+- ``NO_GRANT``: the sender's own right ran out before the bytes were written.
+- ``TARGET_LOST``: bytes were sent and no whole answer came; it may have happened.
+"""
+
+import json
+import random
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
+
+from .errors import ErrorKind, Failure
+from .messages import Resident
+
+# A call that asks and changes nothing: long enough for a busy engine's event loop.
+QUESTION_S = 2.0
+MAX_CLIENTS = 200
+
+
+class Order(Enum):
+    """What a target can be ordered to do."""
+
+    LOAD = "load"
+    EVICT = "evict"
+    ROLE = "role"
+    FENCE = "fence"
+
+
+class OrderReply(NamedTuple):
+    """A carried out order: the engine's clock in seconds, and its start."""
+
+    now: float
+    boot_id: str
+
+
+class Health(NamedTuple):
+    """A target's answer to a probe: its start and its clock, never lagging."""
+
+    boot_id: str
+    now: float
+
+
+class Report(NamedTuple):
+    """A target's report of its load; it may be older than now.
+
+    ``as_of`` is the moment that it describes, on the engine's own clock.
+    """
+
+    boot_id: str
+    as_of: float
+    slots: int
+    max_running: int
+    running: int
+    queued: int
+    residents: tuple[Resident, ...]
+    steps: int
+    step_fill: float
+
+
+_REFUSALS = {
+    "stale-fence": ErrorKind.STALE_FENCE,
+    "no-free-slot": ErrorKind.NO_SLOT,
+    "load-failed": ErrorKind.LOAD_FAILED,
+    "not-resident": ErrorKind.NOT_FOUND,
+}
+
+
+class _RightLostError(Exception):
+    """The right to order ended while the connection was being made."""
+
+
+class TargetClient:
+    """Client of the target at ``address`` (IP:PORT)."""
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        rng: random.Random,
+        http_client: AsyncHTTPClient | None = None,
+    ):
+        self._address = address
+        self._rng = rng
+        self._http_client = http_client or AsyncHTTPClient(
+            force_instance=True, max_clients=MAX_CLIENTS
+        )
+
+    @property
+    def address(self) -> str:
+        """The target's IP:PORT."""
+        return self._address
+
+    async def order(
+        self,
+        op: Order,
+        fence: int,
+        adapter: str,
+        version: str,
+        base_model: str,
+        timeout_s: float,
+        still_right: Callable[[], bool] = lambda: True,
+    ) -> Result[OrderReply, Failure]:
+        """Give one order and wait for it to be carried out.
+
+        ``still_right`` is asked once more after the connection was made, right
+        before the body is written. Without it a process that is frozen while it
+        connects would, woken after its lease, still send the order.
+        """
+        body = json.dumps(
+            {
+                "order_id": f"{self._rng.getrandbits(64):016x}",
+                "fence": fence,
+                "op": op.value,
+                "adapter": adapter,
+                "version": version,
+                "base_model": base_model,
+            }
+        ).encode()
+
+        writing = False
+
+        async def write_body(write):
+            nonlocal writing
+            if not still_right():
+                raise _RightLostError
+            writing = True
+            await write(body)
+
+        answer = await self._fetch(
+            "/orders",
+            timeout_s,
+            method="POST",
+            body_producer=write_body,
+            headers={
+                "Content-Type": "application/json",
+                "Content-Length": str(len(body)),
+            },
+        )
+        if isinstance(answer, Err):
+            failure = answer.err_value
+            if failure.kind is ErrorKind.TARGET_LOST and not writing:
+                # Without its body the target cannot have understood the order.
+                return Err(failure._replace(kind=ErrorKind.TARGET_UNREACHABLE))
+            return answer
+        return _read(
+            answer.ok_value, lambda b: OrderReply(float(b["now"]), b["boot_id"])
+        )
+
+    async def report(self) -> Result[Report, Failure]:
+        """Read the target's report of its load."""
+        answer = await self._fetch("/report", QUESTION_S)
+        if isinstance(answer, Err):
+            return answer
+        return _read(answer.ok_value, _read_report)
+
+    async def health(self) -> Result[Health, Failure]:
+        """Probe the target."""
+        answer = await self._fetch("/health", QUESTION_S)
+        if isinstance(answer, Err):
+            return answer
+        return _read(answer.ok_value, lambda b: Health(b["boot_id"], float(b["now"])))
+
+    async def cancel(self, request_id: str) -> Result[None, Failure]:
+        """Cancel a request; one that the target does not know is no error."""
+        body = json.dumps({"id": request_id}).encode()
+        answer = await self._fetch("/v1/cancel", QUESTION_S, method="POST", body=body)
+        if isinstance(answer, Err):
+            return answer
+        return Ok(None)
+
+    async def _fetch(
+        self, path: str, timeout_s: float, **options
+    ) -> Result[HTTPResponse, Failure]:
+        try:
+            response = await self._http_client.fetch(
+                f"http://{self._address}{path}",
+                raise_error=False,
+                follow_redirects=False,
+                connect_timeout=timeout_s,
+                request_timeout=timeout_s,
+                **options,
+            )
+        except _RightLostError:
+            return Err(Failure(ErrorKind.NO_GRANT, "the right to order ended"))
+        except (OSError, HTTPTimeoutError, HTTPStreamClosedError) as error:
+            return Err(self._failure_of(error))
+        return self._checked(response)
+
+    def _checked(self, response: HTTPResponse) -> Result[HTTPResponse, Failure]:
+        if response.code == 599:
+            return Err(self._failure_of(response.error))
+        if response.code in (200, 204):
+            return Ok(response)
+        try:
+            name = str(json.loads(response.body)["error"])
+        except (ValueError, KeyError, TypeError):
+            # Not an answer of the protocol: it promises nothing.
+            detail = f"{self._address} answered {response.code}"
+            return Err(Failure(ErrorKind.TARGET_LOST, detail))
+        kind = _REFUSALS.get(name, ErrorKind.TARGET_REFUSED)
+        return Err(Failure(kind, f"{self._address} refused: {name}"))
+
+    def _failure_of(self, error: BaseException | None) -> Failure:
+        detail = f"{self._address}: {error!r}"
+        if isinstance(error, HTTPTimeoutError):
+            # Tornado says in which phase the time ran out; before the connection
+            # stood, no byte was sent.
+            unsent = "connecting" in str(error) or "queue" in str(error)
+        else:
+            # Any other error of the system can also come after bytes were sent.
+            unsent = isinstance(error, ConnectionRefusedError)
+        if unsent:
+            return Failure(ErrorKind.TARGET_UNREACHABLE, detail)
+        return Failure(ErrorKind.TARGET_LOST, detail)
+
+
+def _read(response: HTTPResponse, convert) -> Result:
+    try:
+        return Ok(convert(json.loads(response.body)))
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
+        # The call was answered 200, but not with what was asked for.
+        return Err(Failure(ErrorKind.TARGET_LOST, f"malformed answer: {error!r}"))
+
+
+def _read_report(body: dict) -> Report:
+    residents = []
+    for entry in body["residents"]:
+        residents.append(
+            Resident(entry["adapter"], entry["version"], int(entry["running"]))
+        )
+    return Report(
+        boot_id=body["boot_id"],
+        as_of=float(body["as_of"]),
+        slots=int(body["slots"]),
+        max_running=int(body["max_running"]),
+        running=int(body["running"]),
+        queued=int(body["queued"]),
+        residents=tuple(residents),
+        steps=int(body["steps"]),
+        step_fill=float(body["step_fill"]),
+    )
--- /dev/null
+++ b/hawthornlead/tests/test_targets.py
@@ -0,0 +1,106 @@
+"""Tests of the client of a target: what each failure proves."""
+
+import asyncio
+import random
+import socket
+
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application, RequestHandler
+
+from hawthornlead.errors import ErrorKind
+from hawthornlead.targets import Order, TargetClient
+
+
+class _Orders(RequestHandler):
+    async def post(self):
+        self.application.settings["got"].append(self.request.body)
+        status, body, delay = self.application.settings["answer"]
+        await asyncio.sleep(delay)
+        self.set_status(status)
+        self.write(body)
+
+
+async def _engine(answer):
+    got = []
+    app = Application([("/.*", _Orders)], got=got, answer=answer)
+    sock, port = bind_unused_port()
+    server = HTTPServer(app)
+    server.add_socket(sock)
+    return TargetClient(f"127.0.0.1:{port}", rng=random.Random(1)), server, got
+
+
+async def _order(client, timeout_s=2.0, still_right=lambda: True):
+    return await client.order(
+        Order.LOAD, 3, "tide", "1", "base", timeout_s, still_right
+    )
+
+
+async def test_order_carried_out():
+    client, server, got = await _engine(
+        (200, {"ok": True, "now": 7.5, "boot_id": "b"}, 0)
+    )
+    reply = (await _order(client)).unwrap()
+    assert (reply.now, reply.boot_id) == (7.5, "b")
+    assert b'"fence": 3' in got[0]
+    server.stop()
+
+
+async def test_refusals_are_told_apart():
+    for status, name, kind in (
+        (409, "stale-fence", ErrorKind.STALE_FENCE),
+        (409, "no-free-slot", ErrorKind.NO_SLOT),
+        (409, "not-resident", ErrorKind.NOT_FOUND),
+        (502, "load-failed", ErrorKind.LOAD_FAILED),
+        (409, "leaving", ErrorKind.TARGET_REFUSED),
+    ):
+        client, server, _ = await _engine((status, {"error": name}, 0))
+        assert (await _order(client)).unwrap_err().kind is kind
+        server.stop()
+
+
+async def test_connect_refused_proves_that_nothing_happened():
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    client = TargetClient(f"127.0.0.1:{sock.getsockname()[1]}", rng=random.Random(1))
+    assert (await _order(client)).unwrap_err().kind is ErrorKind.TARGET_UNREACHABLE
+    sock.close()
+
+
+async def test_silence_after_the_bytes_proves_nothing():
+    """An engine takes an order and does not answer in time.
+
+    Told as 'not carried out', an evict that did happen would leave the owner
+    granting an adapter that is gone. The order was received: it may have happened.
+    """
+    client, server, got = await _engine((200, {}, 5))
+    assert (await _order(client, 0.2)).unwrap_err().kind is ErrorKind.TARGET_LOST
+    assert len(got) == 1
+    server.stop()
+
+
+async def test_answer_outside_the_protocol_proves_nothing():
+    for answer in ((200, "nonsense", 0), (500, "nonsense", 0), (200, "[]", 0)):
+        client, server, _ = await _engine(answer)
+        assert (await _order(client)).unwrap_err().kind is ErrorKind.TARGET_LOST
+        server.stop()
+
+
+async def test_right_lost_while_connecting_sends_nothing():
+    """An owner freezes while it connects and wakes after its lease.
+
+    Its right was checked before the order; by the time the bytes go out a
+    successor may have evicted. The right is checked again before the body.
+    """
+    client, server, got = await _engine((200, {"ok": True}, 0))
+    refused = await _order(client, still_right=lambda: False)
+    assert refused.unwrap_err().kind is ErrorKind.NO_GRANT
+    assert got == []
+    server.stop()
+
+
+async def test_malformed_report_and_health():
+    client, server, _ = await _engine((200, {"boot_id": "b"}, 0))
+    server.stop()
+    assert (await client.health()).is_err()
+    assert (await client.report()).is_err()
--- a/hawthornlead/views.py
+++ b/hawthornlead/views.py
@@ -20,6 +20,11 @@
     return f"target:{target}"
 
 
+class _Age(NamedTuple):
+    fence: int
+    serial: int
+
+
 class TargetView(NamedTuple):
     """What this VM knows of one target.
 
@@ -81,9 +86,8 @@
         owner that comes late must not hide what its successor told.
         """
         known = self._states.get(state.target)
-        if known is not None:
-            if (state.fence, state.serial) < (known.fence, known.serial):
-                return False
+        if known is not None and _age(state) < _age(known):
+            return False
         self._states[state.target] = state
         self._heard_at[state.target] = self._timers.now()
         self._built_at = None
@@ -140,3 +144,7 @@
             self._states.pop(target, None)
             self._heard_at.pop(target, None)
         self._seen = set(self._views)
+
+
+def _age(state: TargetState) -> _Age:
+    return _Age(state.fence, state.serial)
