--- /dev/null
+++ b/hawthornlead/load_orders.py
@@ -0,0 +1,79 @@
+"""Load order: which waiting load takes the next share of the weight store.
+
+Strategies are entered in ``LOAD_ORDERS`` by the ``load_order`` decorator and chosen
+by the setting ``LOAD_ORDER``. The holder of an allowance sorts by ``key``, smallest
+first, each time a share becomes free::
+
+    waiting.sort(key=order.key)
+"""
+
+import math
+from typing import NamedTuple
+
+LOAD_ORDERS: dict[str, type["LoadOrder"]] = {}
+
+
+class LoadRequest(NamedTuple):
+    """A load that waits for its share of the weight store.
+
+    Times are seconds on the holder's clock. ``deadline_at`` is the earliest moment
+    by which a waiting request must have its adapter, ``math.inf`` when none has
+    one. ``waiting`` counts the requests that wait for this load, 0 for a copy that
+    is loaded ahead. A higher ``priority`` is more important.
+    """
+
+    adapter: str
+    version: str
+    priority: int
+    deadline_at: float
+    asked_at: float
+    waiting: int
+
+
+def load_order(name: str):
+    """Enter a load order in ``LOAD_ORDERS`` under ``name``."""
+
+    def enter(cls):
+        LOAD_ORDERS[name] = cls
+        return cls
+
+    return enter
+
+
+class LoadOrder:
+    """Base class of the load orders."""
+
+    def __init__(self, *, settings: dict):
+        self._settings = settings
+
+    def key(self, request: LoadRequest) -> tuple:
+        """Return what sorts loads, the smallest first."""
+        raise NotImplementedError
+
+
+@load_order("arrival")
+class ArrivalOrder(LoadOrder):
+    """Baseline: first come, first served."""
+
+    def key(self, request):
+        """Return the moment of asking."""
+        return request.asked_at, request.adapter, request.version
+
+
+@load_order("deadline")
+class DeadlineOrder(LoadOrder):
+    """Priority first, then the moment by which a load is due.
+
+    A load is due at its deadline or ``PATIENCE_S`` after it was asked for,
+    whichever comes first, and ``WAITING_LEAD_S`` earlier for each doubling of the
+    requests that wait for it: one load then ends several waits. Since the due
+    moment never moves back, no load of a priority starves behind newer ones. A
+    copy that is loaded ahead has nobody waiting and goes after all others.
+    """
+
+    def key(self, request):
+        """Return whether anyone waits, the priority and the due moment."""
+        due = min(request.deadline_at, request.asked_at + self._settings["PATIENCE_S"])
+        due -= self._settings["WAITING_LEAD_S"] * math.log2(max(1, request.waiting))
+        ahead = request.waiting == 0
+        return ahead, -request.priority, due, request.adapter, request.version
--- /dev/null
+++ b/hawthornlead/popularities.py
@@ -0,0 +1,131 @@
+"""Popularity: how often each adapter has been asked for lately.
+
+Strategies are entered in ``POPULARITIES`` by the ``popularity`` decorator and
+chosen by the setting ``POPULARITY``::
+
+    counters = POPULARITIES["decayed"](settings=settings)
+    counters.observe("tides-12", now=timers.now())
+    counters.rate("tides-12", now=timers.now())
+
+A VM keeps one for the requests that it admits, which its router and placement
+read, and one for the grants that it hands out as an owner, which the eviction
+reads. Rates are of what this VM saw. ``share`` scales them to the whole system.
+"""
+
+import math
+
+POPULARITIES: dict[str, type["Popularity"]] = {}
+
+# A rate below this (requests a second) is as good as none: about one request a day.
+FORGOTTEN_RATE = 1e-5
+# Counters are looked through for forgotten ones after this many observations.
+FORGET_EVERY = 4096
+
+
+def popularity(name: str):
+    """Enter a popularity strategy in ``POPULARITIES`` under ``name``."""
+
+    def enter(cls):
+        POPULARITIES[name] = cls
+        return cls
+
+    return enter
+
+
+class Popularity:
+    """Base class of the popularity strategies; counts nothing."""
+
+    def __init__(self, *, settings: dict):
+        self._share = 1.0
+        self._settings = settings
+
+    @property
+    def share(self) -> float:
+        """The share of all requests that this VM sees, above 0, at most 1."""
+        return self._share
+
+    @share.setter
+    def share(self, share: float) -> None:
+        self._share = min(1.0, max(share, 1e-3))
+
+    def observe(self, adapter: str, now: float, count: int = 1) -> None:
+        """Count ``count`` requests for ``adapter`` at ``now`` (seconds)."""
+
+    def rate(self, adapter: str, now: float) -> float:
+        """Return the requests a second for ``adapter``, older ones counting less."""
+        return 0.0
+
+    def seen_at(self, adapter: str) -> float:
+        """Return when ``adapter`` was last observed, ``-inf`` when never."""
+        return -math.inf
+
+
+class _Counter:
+    """The decayed counts of one adapter at the moment of its last request."""
+
+    __slots__ = ("at", "fast", "slow")
+
+    def __init__(self, at: float):
+        self.at = at
+        self.fast = 0.0
+        self.slow = 0.0
+
+
+@popularity("decayed")
+class DecayedCounters(Popularity):
+    """Two exact, exponentially decayed counters for each adapter asked for lately.
+
+    The slow counter (``SLOW_HALF_LIFE_S``) knows the steady popularity. The fast
+    one (``FAST_HALF_LIFE_S``) follows a sudden shift: a burst of requests raises
+    the rate within seconds. The rate is the higher of the slow estimate and the
+    fast one less the single request that brought the adapter here, so that a
+    one-off request doesn't look hot.
+    """
+
+    def __init__(self, *, settings: dict):
+        super().__init__(settings=settings)
+        self._fast_decay = math.log(2) / settings["FAST_HALF_LIFE_S"]
+        self._slow_decay = math.log(2) / settings["SLOW_HALF_LIFE_S"]
+        self._counters: dict[str, _Counter] = {}
+        self._until_forget = FORGET_EVERY
+
+    def __len__(self) -> int:
+        return len(self._counters)
+
+    def observe(self, adapter: str, now: float, count: int = 1) -> None:
+        """Count ``count`` requests for ``adapter`` at ``now`` (seconds)."""
+        counter = self._counters.get(adapter)
+        if counter is None:
+            counter = self._counters[adapter] = _Counter(now)
+        age = max(0.0, now - counter.at)
+        counter.fast = counter.fast * math.exp(-self._fast_decay * age) + count
+        counter.slow = counter.slow * math.exp(-self._slow_decay * age) + count
+        counter.at = max(counter.at, now)
+        self._until_forget -= 1
+        if self._until_forget <= 0:
+            self._forget(now)
+
+    def rate(self, adapter: str, now: float) -> float:
+        """Return the requests a second for ``adapter``, older ones counting less."""
+        counter = self._counters.get(adapter)
+        if counter is None:
+            return 0.0
+        return self._rate(counter, now) / self._share
+
+    def seen_at(self, adapter: str) -> float:
+        """Return when ``adapter`` was last observed, ``-inf`` when never."""
+        counter = self._counters.get(adapter)
+        return -math.inf if counter is None else counter.at
+
+    def _rate(self, counter: _Counter, now: float) -> float:
+        age = max(0.0, now - counter.at)
+        slow = counter.slow * math.exp(-self._slow_decay * age)
+        fast = (counter.fast - 1.0) * math.exp(-self._fast_decay * age)
+        return max(slow * self._slow_decay, fast * self._fast_decay)
+
+    def _forget(self, now: float) -> None:
+        """Drop counters that have decayed to nothing, so that memory is bounded."""
+        self._until_forget = max(FORGET_EVERY, len(self._counters))
+        for adapter, counter in list(self._counters.items()):
+            if self._rate(counter, now) < FORGOTTEN_RATE:
+                del self._counters[adapter]
--- /dev/null
+++ b/hawthornlead/routers.py
@@ -0,0 +1,134 @@
+"""Routing: which target gets a request.
+
+Strategies are entered in ``ROUTERS`` by the ``router`` decorator and chosen by the
+setting ``ROUTER``. A router is handed the placement that says where to load::
+
+    placement = PLACEMENTS[settings["PLACEMENT"]](settings=settings)
+    router = ROUTERS[settings["ROUTER"]](settings=settings, placement=placement)
+    candidates = router.choose(assignment, views, popularity, now)
+"""
+
+from collections.abc import Sequence
+from typing import TYPE_CHECKING, NamedTuple
+
+from hawthornlead.placements import Placement, holds, usable_views, work
+from hawthornlead.popularities import Popularity
+from hawthornlead.views import TargetView
+
+if TYPE_CHECKING:
+    from hawthornlead.bundles import Assignment
+
+ROUTERS: dict[str, type["Router"]] = {}
+
+
+class Candidate(NamedTuple):
+    """A target for a request, and whether the adapter was resident when last told.
+
+    ``resident`` is False while the adapter is still being loaded there.
+    """
+
+    target: str
+    resident: bool
+
+
+def router(name: str):
+    """Enter a routing strategy in ``ROUTERS`` under ``name``."""
+
+    def enter(cls):
+        ROUTERS[name] = cls
+        return cls
+
+    return enter
+
+
+class Router:
+    """Base class of the routing strategies."""
+
+    def __init__(self, *, settings: dict, placement: Placement):
+        self._settings = settings
+        self._placement = placement
+
+    def choose(
+        self,
+        assignment: "Assignment",
+        views: Sequence[TargetView],
+        popularity: Popularity,
+        now: float,
+    ) -> list[Candidate]:
+        """Return the targets to try, best first; empty when none may take it."""
+        raise NotImplementedError
+
+
+def _candidates(assignment, views, names: Sequence[str]) -> list[Candidate]:
+    by_name = {view.target: view for view in views}
+    return [
+        Candidate(name, holds(by_name[name], assignment, loading=False))
+        for name in names
+    ]
+
+
+@router("least-loaded")
+class LeastLoadedRouter(Router):
+    """Baseline: a resident copy where there is one, else the least loaded target."""
+
+    def choose(self, assignment, views, popularity, now):
+        """Return targets that hold the adapter, then the others, least work first."""
+        usable = usable_views(assignment, views)
+        usable.sort(key=lambda view: (not holds(view, assignment), work(view)))
+        return _candidates(assignment, usable, [view.target for view in usable])
+
+
+@router("hashing")
+class HashingRouter(Router):
+    """Baseline: rendezvous hashing of the adapter, whatever is resident or busy."""
+
+    def choose(self, assignment, views, popularity, now):
+        """Return the placement's order."""
+        names = self._placement.choose(assignment, views, popularity, now)
+        return _candidates(assignment, views, names)
+
+
+@router("affinity")
+class AffinityRouter(Router):
+    """Targets that hold the adapter while they aren't overloaded, then a new copy.
+
+    A target is overloaded beyond ``LOAD_BOUND`` times the mean work of the usable
+    targets, and beyond ``TARGET_FULL``. Among copies, ``BATCH_WEIGHT`` prefers the
+    fuller target, so that batches fill, and its absence the emptier one.
+    """
+
+    def choose(self, assignment, views, popularity, now):
+        """Return ready copies, loading copies, placements, then overloaded copies."""
+        usable = usable_views(assignment, views)
+        if not usable:
+            return []
+        bound = self._bound(usable)
+        ready, loading, overloaded = [], [], []
+        for view in usable:
+            if not holds(view, assignment):
+                continue
+            if work(view) >= bound:
+                overloaded.append(view)
+            elif holds(view, assignment, loading=False):
+                ready.append(view)
+            else:
+                loading.append(view)
+        ready.sort(key=self._preference)
+        overloaded.sort(key=work)
+        holders = {view.target for view in ready + loading + overloaded}
+        others = [view for view in usable if view.target not in holders]
+        names = [view.target for view in ready + loading]
+        names += self._placement.choose(assignment, others, popularity, now)
+        names += [view.target for view in overloaded]
+        return _candidates(assignment, usable, names)
+
+    def _bound(self, usable: Sequence[TargetView]) -> float:
+        mean = sum(work(view) for view in usable) / len(usable)
+        return max(self._settings["LOAD_BOUND"] * mean, self._settings["TARGET_FULL"])
+
+    def _preference(self, view: TargetView) -> tuple:
+        share = work(view) / self._settings["TARGET_FULL"]
+        weight = self._settings["BATCH_WEIGHT"]
+        # Up to full, a fuller batch costs each step little; beyond, requests queue.
+        queued = max(0.0, share - 1.0)
+        return (1 - 2 * weight) * share + queued * 10, view.target
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -133,6 +133,41 @@
     "PLACEMENT": Setting("policy", "name", "spread", "strategy: where to load"),
     "EVICTION": Setting("policy", "name", "popularity", "strategy: what to evict"),
     "LOAD_ORDER": Setting("policy", "name", "deadline", "strategy: order of loads"),
+    "POPULARITY": Setting("policy", "name", "decayed", "strategy: popularity"),
+    "FAST_HALF_LIFE_S": Setting(
+        "policy", "number", 20.0, "half-life of the count that follows shifts", 1, 86400
+    ),
+    "SLOW_HALF_LIFE_S": Setting(
+        "policy", "number", 240.0, "half-life of the steady count", 1, 864000
+    ),
+    "CHOICES": Setting("policy", "integer", 4, "targets weighed for a load", 1, 1024),
+    "TARGET_FULL": Setting(
+        "policy", "integer", 16, "requests at once that fill a target's step", 1, 4096
+    ),
+    "LOAD_BOUND": Setting(
+        "policy", "number", 1.5, "work of a copy, times the mean, at most", 1, 100
+    ),
+    "COPY_RATE": Setting(
+        "policy", "number", 4.0, "requests a second that one copy carries", 0.001, 1e4
+    ),
+    "COPY_DISCOUNT": Setting(
+        "policy", "number", 0.25, "worth of a copy that has another", 0, 1
+    ),
+    "STALL_WEIGHT": Setting(
+        "policy", "number", 1.0, "weight of load stalls in placement", 0, 100
+    ),
+    "LOAD_WEIGHT": Setting(
+        "policy", "number", 0.05, "weight of a target's work in placement", 0, 100
+    ),
+    "BATCH_WEIGHT": Setting(
+        "policy", "number", 0.3, "0: emptier copy first, 1: fuller one", 0, 1
+    ),
+    "PATIENCE_S": Setting(
+        "policy", "number", 5.0, "after this a load is as urgent as one due", 0, 600
+    ),
+    "WAITING_LEAD_S": Setting(
+        "policy", "number", 1.0, "lead per doubling of waiting requests", 0, 600
+    ),
     # requests
     "DEFAULT_DEADLINE_S": Setting(
         "requests", "number", 60.0, "deadline of a request that names none", 0.1, 3600
--- /dev/null
+++ b/hawthornlead/tests/test_popularities.py
@@ -0,0 +1,63 @@
+"""Tests of the popularity strategies."""
+
+import math
+
+import pytest
+
+from hawthornlead.popularities import FORGET_EVERY, POPULARITIES
+from hawthornlead.settings import default_settings
+
+
+def make_counters(**overrides):
+    return POPULARITIES["decayed"](settings=default_settings(**overrides))
+
+
+def test_steady_rate_is_learned():
+    counters = make_counters()
+    for second in range(4000):
+        counters.observe("tides", float(second), count=2)
+    assert counters.rate("tides", 4000.0) == pytest.approx(2.0, rel=0.05)
+
+
+def test_rate_halves_in_a_half_life():
+    counters = make_counters(SLOW_HALF_LIFE_S=100.0)
+    counters.observe("tides", 0.0)
+    assert counters.rate("tides", 100.0) == pytest.approx(
+        counters.rate("tides", 0.0) / 2
+    )
+
+
+def test_one_request_counts_less_than_a_burst():
+    counters = make_counters()
+    counters.observe("once", 10.0)
+    for step in range(4):
+        counters.observe("burst", 10.0 + step / 10)
+    assert counters.rate("burst", 11.0) > 10 * counters.rate("once", 11.0)
+
+
+def test_share_scales_to_all_vms():
+    counters = make_counters()
+    counters.observe("tides", 0.0)
+    alone = counters.rate("tides", 1.0)
+    counters.share = 0.25
+    assert counters.rate("tides", 1.0) == pytest.approx(4 * alone)
+
+
+def test_unknown_adapter():
+    counters = make_counters()
+    assert counters.rate("none", 1.0) == 0.0
+    assert counters.seen_at("none") == -math.inf
+
+
+def test_idle_adapters_are_forgotten():
+    """Memory grows without end when every adapter ever asked for is kept.
+
+    A fleet's adapters come and go for weeks; counters that have decayed to
+    nothing must go too, while the busy ones stay.
+    """
+    counters = make_counters()
+    for number in range(3 * FORGET_EVERY):
+        counters.observe(f"adapter-{number}", 10.0 * number)
+        counters.observe("busy", 10.0 * number)
+    assert len(counters) < FORGET_EVERY
+    assert counters.rate("busy", 30.0 * FORGET_EVERY) > 0
