--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -105,6 +105,7 @@
     queued: int
     leaving: bool
     residents: tuple[Resident, ...]
+    boot_id: str = ""
 
 
 @message("acquire-grant")
