--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -61,8 +61,15 @@
     CALLER_LEFT = (606, "INFO", "a caller went away before its answer was whole")
 
     # 700: claims
+    CLAIMS_SEALED = (700, "DEBUG", "the claims of a range were sealed in a segment")
+    CLAIM_DIRECT = (701, "INFO", "claims are written past a VM that did not answer")
+    OUTCOME_OWED = (702, "WARNING", "an outcome could not be recorded yet")
+    OUTCOME_GIVEN_UP = (703, "WARNING", "an outcome was never recorded")
 
     # 800: requests that crash targets
+    REQUEST_SUSPECTED = (800, "INFO", "a request was on a target that died")
+    REQUEST_QUARANTINED = (801, "WARNING", "a request is refused for its crashes")
+    REQUEST_CLEARED = (802, "INFO", "a suspected request completed whole")
 
     @property
     def number(self) -> int:
--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -215,12 +215,17 @@
 
 @message("claim")
 class Claim(NamedTuple):
-    """Claim an idempotency key before its request is sent to a target."""
+    """Claim an idempotency key before its request is sent to a target.
+
+    ``vm`` and ``incarnation`` name the VM that will run the request.
+    """
 
     caller: str
     key: str
     fingerprint: bytes
     attempt_id: str
+    vm: str = ""
+    incarnation: str = ""
 
 
 @message("claimed")
--- a/hawthornlead/metrics.py
+++ b/hawthornlead/metrics.py
@@ -69,6 +69,15 @@
         )
 
         # claims
+        self.claims = self._counter(
+            "hawthornlead_claims_total", "Claims by what was answered", ["state"]
+        )
+        self.claim_time = self._histogram(
+            "hawthornlead_claim_seconds", "Time that a claim takes"
+        )
+        self.outcomes_owed = self._gauge(
+            "hawthornlead_outcomes_owed", "Outcomes that wait to be recorded"
+        )
 
     def _counter(self, name, text, labels=()) -> Counter:
         return Counter(name, text, labels, registry=self.registry)
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -355,6 +355,7 @@
     ("HEARTBEAT_S", "PEER_SILENT_S", 2),
     ("GRANT_RENEW_S", "GRANT_S", 2),
     ("DEFAULT_DEADLINE_S", "MAX_DEADLINE_S", 1),
+    ("MAX_DEADLINE_S", "CLAIM_KEEP_S", 2),
 )
 
 
--- /dev/null
+++ b/hawthornlead/suspects.py
@@ -0,0 +1,159 @@
+"""Requests that crash their target: suspicion, quarantine, clearing.
+
+A request is known by its fingerprint, which covers caller, alias and body, so that
+it is recognised when its caller sends it again through another VM. All requests on
+a target when it dies become suspects, on every VM. A suspect may run only where no
+other suspect runs, so that a second death points at one. After
+``CRASHES_TO_QUARANTINE`` deaths a request is refused for ``QUARANTINE_S``; one that
+completes whole is cleared. So one such request takes down that many targets, and
+as many more as were already running it when the word of the last death came.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .errors import ErrorKind, Failure
+from .events import EventKind
+from .messages import CrashSuspects, Done
+
+MAX_SUSPECTS = 8192
+MAX_FINGERPRINTS = 4096
+# Reports of one death that don't know the boot id come within this time.
+SAME_DEATH_S = 5.0
+
+
+class _Death(NamedTuple):
+    target: str
+    boot_id: str
+
+
+class _Suspect:
+    """The deaths that a request was there for, and until when it is refused."""
+
+    def __init__(self):
+        self.deaths: set[_Death] = set()
+        self.last_at = 0.0
+        self.refused_until: float | None = None
+
+
+class Suspects:
+    """The suspects that one VM knows of, from itself and from the other VMs."""
+
+    def __init__(self, *, settings, timers, events, mesh=None):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._suspects: OrderedDict[bytes, _Suspect] = OrderedDict()
+        self._unnamed: OrderedDict[str, tuple[float, int]] = OrderedDict()
+        self._cleared: OrderedDict[tuple[bytes, _Death], None] = OrderedDict()
+        if mesh is not None:
+            mesh.on(CrashSuspects, self._on_crash_suspects)
+
+    @property
+    def count(self) -> int:
+        """How many fingerprints are remembered."""
+        return len(self._suspects)
+
+    def check(self, fingerprint: bytes) -> Result[None, Failure]:
+        """Refuse a request that is in quarantine, saying for how long."""
+        suspect = self._current(fingerprint)
+        if suspect is None or suspect.refused_until is None:
+            return Ok(None)
+        left_s = suspect.refused_until - self._timers.now()
+        detail = f"this request was on {len(suspect.deaths)} targets as they died"
+        return Err(Failure(ErrorKind.QUARANTINED, detail, left_s))
+
+    def is_suspect(self, fingerprint: bytes) -> bool:
+        """Whether a request was on a target that died, and has not completed since."""
+        return self._current(fingerprint) is not None
+
+    def may_join(self, fingerprint: bytes, running: Iterable[bytes]) -> bool:
+        """Whether a request may run on a target beside those that run there.
+
+        A suspect may not join another suspect. Trying itself again is refused too:
+        the second would tell nothing that the first does not.
+        """
+        if not self.is_suspect(fingerprint):
+            return True
+        return not any(self.is_suspect(other) for other in running)
+
+    def completed(self, fingerprint: bytes) -> None:
+        """Clear a suspect whose request completed whole; no conviction is lifted."""
+        suspect = self._current(fingerprint)
+        if suspect is None or suspect.refused_until is not None:
+            return
+        for death in suspect.deaths:
+            self._cleared[fingerprint, death] = None
+        while len(self._cleared) > MAX_SUSPECTS:
+            self._cleared.popitem(last=False)
+        del self._suspects[fingerprint]
+        self._events.emit(EventKind.REQUEST_CLEARED, fingerprint.hex())
+
+    def died(self, target: str, boot_id: str, fingerprints: Iterable[bytes]) -> None:
+        """Merge a report of the requests that were on a target as it died.
+
+        Several VMs report one death; it counts once for each fingerprint.
+        """
+        death = self._death(target, boot_id)
+        for fingerprint in list(fingerprints)[:MAX_FINGERPRINTS]:
+            if (fingerprint, death) in self._cleared:
+                # The report was overtaken: the request has completed since.
+                continue
+            self._accuse(fingerprint, death)
+
+    async def _on_crash_suspects(self, sender, message: CrashSuspects):
+        self.died(message.target, message.boot_id, message.fingerprints)
+        return Done()
+
+    def _accuse(self, fingerprint: bytes, death: _Death) -> None:
+        suspect = self._current(fingerprint)
+        if suspect is None:
+            suspect = self._suspects[fingerprint] = _Suspect()
+            self._forget_oldest()
+        if death in suspect.deaths or suspect.refused_until is not None:
+            return
+        suspect.deaths.add(death)
+        suspect.last_at = self._timers.now()
+        self._suspects.move_to_end(fingerprint)
+        name = fingerprint.hex()
+        if len(suspect.deaths) < self._settings["CRASHES_TO_QUARANTINE"]:
+            self._events.emit(EventKind.REQUEST_SUSPECTED, name, target=death.target)
+            return
+        suspect.refused_until = suspect.last_at + self._settings["QUARANTINE_S"]
+        self._events.emit(EventKind.REQUEST_QUARANTINED, name, target=death.target)
+
+    def _death(self, target: str, boot_id: str) -> _Death:
+        """Name a death; one without a boot id by its time."""
+        if boot_id:
+            return _Death(target, boot_id)
+        now = self._timers.now()
+        at, number = self._unnamed.get(target, (now, 0))
+        if now - at > SAME_DEATH_S:
+            number += 1
+            at = now
+        self._unnamed[target] = (at, number)
+        self._unnamed.move_to_end(target)
+        if len(self._unnamed) > MAX_SUSPECTS:
+            self._unnamed.popitem(last=False)
+        return _Death(target, f"?{number}")
+
+    def _current(self, fingerprint: bytes) -> _Suspect | None:
+        """Return a suspect unless its suspicion or quarantine is over."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return None
+        ends_at = suspect.refused_until
+        if ends_at is None:
+            ends_at = suspect.last_at + self._settings["QUARANTINE_S"]
+        if suspect.deaths and self._timers.now() >= ends_at:
+            del self._suspects[fingerprint]
+            return None
+        return suspect
+
+    def _forget_oldest(self) -> None:
+        """Bound the memory; the suspects longest without a death go first."""
+        while len(self._suspects) > MAX_SUSPECTS:
+            self._suspects.popitem(last=False)
--- /dev/null
+++ b/hawthornlead/tests/test_retries.py
@@ -0,0 +1,58 @@
+"""Retry budget and backoff."""
+
+import random
+
+import pytest
+
+from hawthornlead.retries import FLOOR, LONGEST_S, WINDOW_S, Retries
+from hawthornlead.settings import default_settings
+from hawthornlead.timers import ManualTimerService
+
+
+@pytest.fixture
+def timers():
+    return ManualTimerService()
+
+
+@pytest.fixture
+def retries(timers):
+    return Retries(
+        settings=default_settings(RETRY_SHARE=0.1), timers=timers, rng=random.Random(1)
+    )
+
+
+async def test_a_failing_target_does_not_multiply_load(retries, timers):
+    """Every request fails for half a minute under load.
+
+    Without a budget each would be sent three times, and the targets that are left
+    would fail as well. With it, attempts stay within a tenth above the requests.
+    """
+    sent = 0
+    for _ in range(30 * 50):
+        await timers.advance(0.02)
+        retries.first_attempt()
+        sent += 1
+        while retries.take():
+            sent += 1
+    windows = 30 / WINDOW_S
+    assert 1500 * 1.09 <= sent <= 1500 * 1.1 + FLOOR * (windows + 1)
+
+
+async def test_a_quiet_vm_may_retry_and_the_window_slides(retries, timers):
+    assert [retries.take() for _ in range(FLOOR + 1)] == [True] * FLOOR + [False]
+    await timers.advance(WINDOW_S + 1)
+    assert retries.left == FLOOR
+
+
+def test_backoff_has_full_jitter_under_a_growing_limit(retries):
+    for number, limit in ((1, 0.025), (2, 0.05), (3, 0.1), (20, LONGEST_S)):
+        waits = [retries.backoff(number) for _ in range(500)]
+        assert min(waits) < limit * 0.05
+        assert limit * 0.9 < max(waits) <= limit
+
+
+async def test_no_retry_is_planned_past_the_deadline(retries, timers):
+    assert retries.next_wait(1, timers.now()) is None
+    assert retries.left == FLOOR
+    assert retries.next_wait(1, timers.now() + 1) <= 0.025
+    assert retries.left == FLOOR - 1
