Add VM leases renewed through an aggregator, and ownership with fences

A renewal goes to the data centre's first VM by rendezvous hashing, which folds what arrives within half a renewal interval into one conditional update.

The wait before another's lease is ended is LEASE_S * (1 + e) / (1 - e): either clock may be off by the rate error, so that (1 + e) alone would be too short. After an outage nobody is ended for silence until the own lease has been held for LEASE_S; else whoever renews first would end all the others, whose counters stood still as well.

A record keeps the earlier owners of which no proof tells that they stopped, so that a chain of takeovers does not hide the first one; a release whose reply was lost keeps its owner from believing the record as it saw it last. Records of owners that are not registered are taken only after a fresh list of the registrations.

--- /dev/null
+++ b/hawthornlead/aggregators.py
@@ -0,0 +1,96 @@
+"""The aggregator's side of renewing leases: many renewals, one write.
+
+Any VM answers ``RenewLease``; which one is asked is the asker's choice. What
+arrives within ``gather_s`` goes into one conditional update per object, so that
+the writes per second do not grow with the VMs of a data centre.
+"""
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from .errors import ErrorKind, Failure
+from .lease_objects import KIND, LIVE, with_renewed
+from .messages import Failed, LeaseRenewed, RenewLease
+from .registrations import RegistrationTable
+
+
+class RenewalFolder:
+    """Folds the renewals of a data centre's VMs into one write per object."""
+
+    def __init__(self, *, store, timers, table: RegistrationTable, gather_s, keep_s):
+        self._store = store
+        self._timers = timers
+        self._table = table
+        self._gather_s = gather_s
+        self._keep_s = keep_s
+        self._waiting: dict[str, dict[str, tuple[int, asyncio.Future]]] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def stop(self) -> None:
+        """Drop what is being gathered; the askers write by themselves."""
+        for task in self._tasks:
+            task.cancel()
+
+    async def handle(self, sender, message: RenewLease) -> LeaseRenewed | Failed:
+        """Answer a renewal once it is in the store."""
+        renewed = await self.renew(message.incarnation, message.counter)
+        if renewed.is_ok():
+            return LeaseRenewed(message.counter)
+        failure = renewed.err_value
+        return Failed(failure.kind.value, failure.detail, failure.retry_after_s)
+
+    async def renew(self, incarnation: str, counter: int) -> Result[None, Failure]:
+        """Renew together with what else arrives within the gathering time."""
+        seen = self._table.seen(incarnation)
+        if seen is None:
+            return Err(Failure(ErrorKind.NOT_FOUND, f"{incarnation} is not known here"))
+        if seen.shard not in self._waiting:
+            self._waiting[seen.shard] = {}
+            task = asyncio.get_running_loop().create_task(self._fold(seen.shard))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        future = asyncio.get_running_loop().create_future()
+        replaced = self._waiting[seen.shard].get(incarnation)
+        if replaced is not None:
+            newer = Failure(ErrorKind.VERSION_CONFLICT, "a newer renewal arrived")
+            _settle(replaced[1], Err(newer))
+        self._waiting[seen.shard][incarnation] = (counter, future)
+        return await future
+
+    async def write(self, shard: str, counters: dict[str, int]) -> Result:
+        """Write renewals at once; the answer is the object as stored."""
+        pruned = self._table.ended_before(shard, self._timers.now() - self._keep_s)
+        written = await self._store.update(
+            KIND, shard, lambda value: with_renewed(value, counters, pruned)
+        )
+        if written.is_ok():
+            self._table.take(written.ok_value)
+        return written
+
+    async def _fold(self, shard: str) -> None:
+        try:
+            await self._timers.sleep(self._gather_s)
+        finally:
+            waiting = self._waiting.pop(shard)
+        counters = {key: counter for key, (counter, _) in waiting.items()}
+        written = await self.write(shard, counters)
+        for incarnation, (counter, future) in waiting.items():
+            _settle(future, outcome_of(written, incarnation, counter))
+
+
+def outcome_of(written: Result, incarnation: str, counter: int) -> Result:
+    """Tell from the object as stored whether one renewal stands in it."""
+    if written.is_err():
+        return written
+    entry = written.ok_value.value.get("entries", {}).get(incarnation)
+    if entry is None or entry["state"] != LIVE:
+        return Err(Failure(ErrorKind.STALE_FENCE, f"{incarnation} was ended"))
+    if entry["counter"] < counter:
+        return Err(Failure(ErrorKind.VERSION_CONFLICT, "the renewal was not written"))
+    return Ok(None)
+
+
+def _settle(future: asyncio.Future, outcome: Result) -> None:
+    if not future.done():
+        future.set_result(outcome)
--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -36,6 +36,13 @@
     # 300: store, leases, ownership
     STORE_LOST = (300, "WARNING", "the object API stopped answering")
     STORE_BACK = (301, "INFO", "the object API answers again")
+    VM_REGISTERED = (302, "INFO", "this VM registered and holds a lease")
+    LEASE_LAPSED = (303, "WARNING", "this VM's lease ran out unrenewed")
+    LEASE_ENDED = (304, "WARNING", "this VM's incarnation was ended")
+    VM_ENDED = (305, "INFO", "this VM ended another's incarnation, or its own")
+    OWNERSHIP_TAKEN = (306, "INFO", "this VM became owner of a resource")
+    OWNERSHIP_LOST = (307, "WARNING", "this VM is no longer owner of a resource")
+    OWNERSHIP_RELEASED = (308, "INFO", "this VM gave a resource back")
 
     # 400: bundles
     BUNDLE_IN_FORCE = (400, "INFO", "a bundle came into force on this VM")
--- /dev/null
+++ b/hawthornlead/owners.py
@@ -0,0 +1,437 @@
+"""Ownership of targets and load allowances, with fencing numbers.
+
+A resource has at most one owner at a time that may do anything with it: it is
+taken by a conditional update that raises the fence, and only once the recorded
+owner's incarnation is ended, which it is only when its lease has run out or its
+process has stopped. ``right`` reads the clock, so that an owner that was frozen
+past its lease finds out before its next order.
+"""
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+from typing import NamedTuple
+
+from loguru import logger
+from result import Err, Ok, Result
+
+from .errors import Failure
+from .events import EventKind
+from .leases import longest_by_any_clock
+from .owner_records import (
+    KIND,
+    FormerOwner,
+    OwnerRecord,
+    freed_record,
+    records_of,
+    shard_of,
+    taken_record,
+    with_records,
+)
+from .stores import StoredObject
+from .takers import FreeResource, TakingOrder
+
+__all__ = ["OrderRight", "OwnerRecord", "Owners", "Ownership"]
+
+TICK_S = 0.2
+
+
+class OrderRight(Enum):
+    """What an owner may do now.
+
+    ``DEGRADED``: the lease has run out, or runs out too soon, and the store has
+    not said that another took the resource. ``NONE``: not the owner, or not yet,
+    while the orders of a predecessor may still be running.
+    """
+
+    FULL = "full"
+    DEGRADED = "degraded"
+    NONE = "none"
+
+
+class Ownership(NamedTuple):
+    """A resource that this VM owns.
+
+    ``predecessor_stopped`` is False while any earlier owner is not proved to have
+    stopped: it may still send an order that it had checked before it froze.
+    """
+
+    resource: str
+    fence: int
+    taken_at: float
+    predecessor: str
+    predecessor_stopped: bool
+
+
+class _Owned(NamedTuple):
+    incarnation: str
+    fence: int
+    taken_at: float
+    full_at: float
+    predecessor: str
+    unproved: tuple[FormerOwner, ...]
+
+
+class Owners:
+    """The resources that this VM owns, and who owns the others."""
+
+    def __init__(
+        self,
+        *,
+        settings,
+        timers,
+        events,
+        rng,
+        store,
+        leases,
+        members,
+        metrics=None,
+        invariants=None,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._rng = rng
+        self._store = store
+        self._leases = leases
+        self._members = members
+        self._invariants = invariants
+        self._vm = settings["VM_NAME"]
+        self._order = TakingOrder(settings=settings, timers=timers, members=members)
+        self._wanted: dict[str, str] = {}
+        self._records: dict[str, OwnerRecord] = {}
+        self._versions: dict[str, int] = {}
+        self._owned: dict[str, _Owned] = {}
+        self._releasing: set[str] = set()
+        self._on_taken: list[Callable[[Ownership], None]] = []
+        self._on_lost: list[Callable[[str], None]] = []
+        self._synced = False
+        self._stopping = False
+        self._watch = None
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begin to watch records and to take what is wanted and free."""
+        self._leases.on_ended(self._lose_all)
+        self._watch = self._store.watch(KIND, self._take_event, self._mark_synced)
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Take nothing more; see ``release_all`` for giving back."""
+        self._stopping = True
+        if self._watch is not None:
+            self._watch.cancel()
+        if self._task is not None:
+            self._task.cancel()
+
+    def want(self, resource: str, data_centre: str) -> None:
+        """Take part in owning a resource that stands in a data centre."""
+        self._wanted[resource] = data_centre
+
+    def forget(self, resource: str) -> None:
+        """Own a resource no more: its target is gone. Given back if owned."""
+        self._wanted.pop(resource, None)
+
+    def owned(self, resource: str) -> Ownership | None:
+        """Return the ownership of a resource that this VM has taken."""
+        owned = self._owned.get(resource)
+        if owned is None:
+            return None
+        return Ownership(
+            resource,
+            owned.fence,
+            owned.taken_at,
+            owned.predecessor,
+            all(self._has_stopped(former) for former in owned.unproved),
+        )
+
+    def owned_resources(self) -> tuple[str, ...]:
+        """All resources that this VM has taken and not lost."""
+        return tuple(self._owned)
+
+    def owner_of(self, resource: str) -> OwnerRecord | None:
+        """Return the newest record known; None when nobody owns the resource."""
+        record = self._records.get(resource)
+        if record is None or record.free:
+            return None
+        return record
+
+    def right(self, resource: str, longest_s: float = 0.0) -> OrderRight:
+        """Tell what this VM may do with a resource for ``longest_s`` from now.
+
+        Called right before each order: what was true before a wait may not be.
+        """
+        owned = self._owned.get(resource)
+        if owned is None or self._leases.state == "ended":
+            return OrderRight.NONE
+        if owned.incarnation != self._leases.incarnation:
+            return OrderRight.NONE
+        if self._timers.now() < owned.full_at:
+            return OrderRight.NONE
+        if not self._leases.held(longest_s):
+            return OrderRight.DEGRADED
+        return OrderRight.FULL
+
+    def on_taken(self, callback: Callable[[Ownership], None]) -> None:
+        """Call ``callback`` with each ownership that this VM gets."""
+        self._on_taken.append(callback)
+
+    def on_lost(self, callback: Callable[[str], None]) -> None:
+        """Call ``callback`` with each resource that this VM owns no longer."""
+        self._on_lost.append(callback)
+
+    async def release(self, resource: str) -> Result[None, Failure]:
+        """Give a resource back, so that a successor takes it without waiting.
+
+        No order to it may be under way. It is not taken again before ``want``.
+        """
+        return await self._release((resource,))
+
+    async def release_all(self) -> Result[None, Failure]:
+        """Give back everything, at shutdown, and take nothing more."""
+        self._stopping = True
+        return await self._release(tuple(self._owned))
+
+    async def _release(self, resources: tuple[str, ...]) -> Result[None, Failure]:
+        outcome: Result[None, Failure] = Ok(None)
+        now = self._timers.now()
+        waited = {name for name in resources if now >= self._full_at(name)}
+        for resource in resources:
+            self._wanted.pop(resource, None)
+            self._releasing.add(resource)
+            # The right ends before the write is sent: from then on a successor
+            # may have it.
+            self._lose(resource, EventKind.OWNERSHIP_RELEASED)
+        for shard, names in _by_shard(resources).items():
+            written = await self._store.update(
+                KIND,
+                shard,
+                lambda value, n=names: self._with_released(value, n, waited),
+            )
+            if written.is_err():
+                # Whether it was given back is unknown: it stays in ``_releasing``,
+                # which keeps an old record from being taken for a present one.
+                outcome = Err(written.err_value)
+                continue
+            self._releasing.difference_update(names)
+            self._take(written.ok_value)
+        return outcome
+
+    def _full_at(self, resource: str) -> float:
+        owned = self._owned.get(resource)
+        return owned.full_at if owned is not None else float("inf")
+
+    def _with_released(self, value, names: list[str], waited: set[str]):
+        records = records_of(value or {})
+        freed = {}
+        for name in names:
+            record = records.get(name)
+            if record is None or not self._is_mine(record):
+                continue
+            freed[name] = freed_record(record, name in waited)
+        return with_records(value, freed) if freed else None
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._tick()
+            except Exception:
+                # A bug met with one resource must not end the taking of all others.
+                logger.exception("taking ownership failed")
+            await self._timers.sleep(TICK_S * self._rng.uniform(0.75, 1.0))
+
+    async def _tick(self) -> None:
+        if not self._synced or not self._leases.synced or self._stopping:
+            return
+        unwanted = [name for name in self._owned if name not in self._wanted]
+        unfinished = tuple(self._releasing) + tuple(unwanted)
+        if unfinished:
+            await self._release_again(unfinished)
+        if self._members.draining:
+            return
+        if not self._leases.held(self._settings["LEASE_RENEW_S"]):
+            return
+        due = self._due()
+        if not due:
+            return
+        for shard, names in _by_shard(due).items():
+            await self._take_over(shard, names)
+
+    async def _release_again(self, names: tuple[str, ...]) -> None:
+        wanted = {name: self._wanted[name] for name in names if name in self._wanted}
+        await self._release(names)
+        self._wanted.update(wanted)
+
+    def _due(self) -> list[str]:
+        free = []
+        for resource, data_centre in self._wanted.items():
+            record = self._records.get(resource)
+            if resource in self._releasing or not self._may_take(record):
+                continue
+            free.append(FreeResource(resource, data_centre))
+        owners: dict[str, str] = {}
+        for resource in self._wanted:
+            record = self._records.get(resource)
+            if record is not None and not self._may_take(record):
+                owners[resource] = record.vm
+        return self._order.due(free, self._wanted, owners)
+
+    def _may_take(self, record: OwnerRecord | None) -> bool:
+        """Whether a record names no owner, or one whose incarnation is ended.
+
+        One that is not registered as far as is known counts as free here; before
+        it is taken, ``_ended_among`` asks the store.
+        """
+        if record is None or record.free:
+            return True
+        if record.incarnation == self._leases.incarnation:
+            return False
+        known = self._leases.registration_of(record.incarnation)
+        return known is None or known.state == "ended"
+
+    async def _take_over(self, shard: str, names: list[str]) -> None:
+        ended = await self._ended_among(names)
+        if ended.is_err():
+            return
+        incarnation = self._leases.incarnation
+        written = await self._store.update(
+            KIND,
+            shard,
+            lambda value: self._with_taken(value, names, ended.ok_value, incarnation),
+        )
+        if written.is_ok():
+            self._take(written.ok_value)
+            return
+        logger.debug("ownership not taken: {}", written.err_value.detail)
+
+    async def _ended_among(self, names: list[str]) -> Result[set[str], Failure]:
+        """Return the recorded owners' incarnations that are ended for certain.
+
+        An incarnation that this VM's view does not hold was ended and pruned, or
+        registered a moment ago. The store tells: it registered before it owned
+        anything, so that a list read after the record was holds it if it lives.
+        """
+        recorded = {self._records[n].incarnation for n in names if n in self._records}
+        recorded.discard("")
+        ended, unknown = set(), set()
+        for incarnation in recorded:
+            known = self._leases.registration_of(incarnation)
+            if known is None:
+                unknown.add(incarnation)
+            elif known.state == "ended":
+                ended.add(incarnation)
+        if not unknown:
+            return Ok(ended)
+        present = await self._leases.live_in_store()
+        if present.is_err():
+            return present
+        return Ok(ended | (unknown - present.ok_value))
+
+    def _with_taken(self, value, names, ended: set[str], incarnation: str):
+        if incarnation != self._leases.incarnation or not self._leases.held():
+            return None
+        records = records_of(value or {})
+        taken = {}
+        for name in names:
+            record = records.get(name)
+            free = record is None or record.free or record.incarnation in ended
+            if not free or name not in self._wanted:
+                continue
+            stopped = record is None or record.free or self._has_stopped(record)
+            if record is not None:
+                left = [f for f in record.unproved if not self._has_stopped(f)]
+                record = record._replace(unproved=tuple(left))
+            taken[name] = taken_record(record, self._vm, incarnation, stopped)
+        return with_records(value, taken) if taken else None
+
+    def _has_stopped(self, former: FormerOwner | OwnerRecord) -> bool:
+        known = self._leases.registration_of(former.incarnation)
+        if known is not None and known.stopped:
+            return True
+        if not former.vm:
+            return False
+        proof = self._members.proof_gone(former.vm, former.incarnation)
+        return proof is not None
+
+    def _is_mine(self, record: OwnerRecord) -> bool:
+        return record.incarnation == self._leases.incarnation
+
+    def _mark_synced(self) -> None:
+        self._synced = True
+
+    def _take_event(self, event) -> None:
+        self._take(event.object)
+
+    def _take(self, stored: StoredObject) -> None:
+        """Take in an object as it was read or written, unless a newer is known.
+
+        The watch may tell of the state before a takeover after the answer to the
+        takeover has arrived; by its version it is left aside.
+        """
+        if stored.version <= self._versions.get(stored.name, 0):
+            return
+        self._versions[stored.name] = stored.version
+        for resource, record in records_of(stored.value).items():
+            old = self._records.get(resource)
+            if old is not None and self._invariants is not None:
+                rises = record.fence >= old.fence
+                self._invariants.check("fence-never-falls", rises, resource)
+            self._records[resource] = record
+            self._compare(resource, old, record)
+
+    def _compare(self, resource, old: OwnerRecord | None, record: OwnerRecord) -> None:
+        owned = self._owned.get(resource)
+        if not self._is_mine(record):
+            if owned is not None:
+                self._lose(resource, EventKind.OWNERSHIP_LOST)
+            return
+        if resource in self._releasing:
+            return
+        if owned is not None and owned.fence == record.fence:
+            return
+        if owned is not None:
+            self._lose(resource, EventKind.OWNERSHIP_LOST)
+        self._get(resource, old, record)
+
+    def _get(self, resource, old: OwnerRecord | None, record: OwnerRecord) -> None:
+        now = self._timers.now()
+        wait = longest_by_any_clock(
+            self._settings["ORDER_S"], self._settings["CLOCK_RATE_ERROR"]
+        )
+        self._owned[resource] = _Owned(
+            record.incarnation,
+            record.fence,
+            now,
+            now + wait if record.wait else now,
+            old.vm if old is not None else "",
+            record.unproved,
+        )
+        ownership = self.owned(resource)
+        self._events.emit(
+            EventKind.OWNERSHIP_TAKEN,
+            resource,
+            fence=ownership.fence,
+            predecessor=ownership.predecessor or "none",
+            stopped=ownership.predecessor_stopped,
+        )
+        for callback in self._on_taken:
+            callback(ownership)
+
+    def _lose(self, resource: str, kind: EventKind) -> None:
+        owned = self._owned.pop(resource, None)
+        if owned is None:
+            return
+        self._events.emit(kind, resource, fence=owned.fence)
+        for callback in self._on_lost:
+            callback(resource)
+
+    def _lose_all(self) -> None:
+        for resource in tuple(self._owned):
+            self._lose(resource, EventKind.OWNERSHIP_LOST)
+
+
+def _by_shard(resources) -> dict[str, list[str]]:
+    shards: dict[str, list[str]] = {}
+    for resource in resources:
+        shards.setdefault(shard_of(resource), []).append(resource)
+    return shards
--- /dev/null
+++ b/hawthornlead/tests/test_leases.py
@@ -0,0 +1,224 @@
+"""Tests of VM leases: renewed by few writes, ended safely, never revived."""
+
+import pytest
+
+from hawthornlead.errors import ErrorKind
+from hawthornlead.leases import longest_by_any_clock
+from hawthornlead.messages import RenewLease
+
+from .fakes_vms import World
+
+
+@pytest.fixture
+async def world():
+    made = World(LEASE_S=6.0, LEASE_RENEW_S=1.5, ORDER_S=4.0, WATCH_SILENT_S=4.0)
+    yield made
+    await made.stop()
+
+
+def states(world):
+    return [vm.leases.state for vm in world.vms.values()]
+
+
+async def test_registers_and_holds(world):
+    vm = world.add("vm-1")
+    assert vm.leases.state == "new" and not vm.leases.held()
+    await world.run(20)
+    assert vm.leases.state == "held" and vm.leases.held(3.0)
+    assert not vm.leases.held(6.0)
+    (registration,) = vm.leases.registered()
+    assert registration.vm == "vm-1" and registration.state == "live"
+
+
+async def writes_of(vms, seconds=30):
+    world = World(WATCH_SILENT_S=4.0)
+    for number in range(vms):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    before = world.objects.writes
+    await world.run(seconds)
+    assert set(states(world)) == {"held"}
+    await world.stop()
+    return world.objects.writes - before
+
+
+async def test_writes_do_not_grow_with_vms():
+    few, many = await writes_of(3), await writes_of(12)
+    assert many <= few * 1.25
+    assert many <= 30 / 0.75 + 1
+
+
+async def test_more_vms_than_one_object_holds(monkeypatch, world):
+    monkeypatch.setattr("hawthornlead.lease_objects.VMS_PER_SHARD", 2)
+    for number in range(5):
+        world.add(f"vm-{number}")
+    await world.run(15)
+    assert set(states(world)) == {"held"}
+    listed = world.objects.list("leases")
+    assert sorted(item.name for item in listed.items) == ["dc1-0", "dc1-1", "dc1-2"]
+
+
+async def test_renewal_took_effect_and_reply_lost(world):
+    # The store takes a registration, and later renewals, but the replies are
+    # lost. The VM must neither register twice nor think that it lost its lease.
+    vm = world.add("vm-1")
+    vm.store.lose_next_reply = 1
+    await world.run(3)
+    for _ in range(5):
+        vm.store.lose_next_reply = 1
+        await world.run(2)
+        assert vm.leases.state == "held"
+    assert len(vm.leases.registered()) == 1
+
+
+async def test_aggregator_dies(world):
+    # The VM that writes the renewals of the others dies; its own lease runs out,
+    # theirs must not.
+    vms = [world.add(f"vm-{number}") for number in range(4)]
+    await world.run(5)
+    aggregator = world.vms[vms[0].leases._aggregator()]
+    await world.kill(aggregator)
+    rest = [vm for vm in vms if vm is not aggregator]
+    for _ in range(20):
+        await world.run(1)
+        assert all(vm.leases.held() for vm in rest)
+    gone = rest[0].leases.registration_of(aggregator.leases.incarnation)
+    assert gone.state == "ended" and gone.proof == "refused"
+
+
+@pytest.mark.parametrize("trouble", ["frozen", "store cut"])
+async def test_aggregator_is_of_no_use(world, trouble):
+    # The aggregator is frozen, or alone is cut from the store. The others renew
+    # by themselves before their leases run out.
+    vms = [world.add(f"vm-{number}") for number in range(4)]
+    await world.run(5)
+    aggregator = world.vms[vms[0].leases._aggregator()]
+    if trouble == "frozen":
+        # The others take it for live, as until they have noticed.
+        aggregator.gate.clear()
+    else:
+        aggregator.store.outage = True
+    for _ in range(20):
+        await world.run(1)
+        assert all(vm.leases.held() for vm in vms if vm is not aggregator)
+    assert not aggregator.leases.held()
+    aggregator.gate.set()
+    await world.run(0.1)
+
+
+async def test_silent_vm_is_ended_only_after_its_lease(world):
+    # A VM freezes. Silence proves nothing: it is ended only when its lease must
+    # have run out by its own clock, here the slowest allowed, and that of the
+    # observer the fastest allowed.
+    frozen = world.add("vm-1", rate=0.99)
+    other = world.add("vm-2", rate=1.01)
+    await world.run(5)
+    incarnation = frozen.leases.incarnation
+    early = await other.leases.end("vm-1", incarnation, None)
+    assert early.err_value.kind is ErrorKind.NOT_READY
+    assert 0 < early.err_value.retry_after_s <= longest_by_any_clock(6.0, 0.01)
+    world.freeze(frozen)
+    ended = False
+    for _ in range(150):
+        await world.run(0.1)
+        ended = other.leases.registration_of(incarnation).state == "ended"
+        assert not (ended and frozen.leases.held())
+    assert ended
+    assert other.leases.registration_of(incarnation).proof == "silent"
+
+
+async def test_ended_vm_wakes_up(world):
+    # A frozen VM is ended by another and wakes up. It must find out, never renew
+    # the ended incarnation, and come back as a new one.
+    frozen, other = world.add("vm-1"), world.add("vm-2")
+    await world.run(5)
+    old = frozen.leases.incarnation
+    noticed = []
+    frozen.leases.on_ended(lambda: noticed.append(frozen.leases.state))
+    world.freeze(frozen)
+    await world.run(15)
+    assert not frozen.leases.held()
+    renewed = await other.leases._folder.write("dc1-0", {old: 10**6})
+    assert renewed.ok_value.value["entries"][old]["state"] == "ended"
+    world.thaw(frozen)
+    await world.run(5)
+    assert noticed == ["ended"]
+    assert frozen.leases.state == "held" and frozen.leases.incarnation != old
+    assert other.leases.registration_of(old).state == "ended"
+
+
+async def test_end_meets_renewal(world):
+    # An observer that was cut off has not seen newer renewals and believes that
+    # the lease ran out; its end must fail on the counter in the store.
+    holder, observer = world.add("vm-1"), world.add("vm-2")
+    await world.run(3)
+    incarnation = holder.leases.incarnation
+    seen = observer.leases._table.seen(incarnation)
+    await world.run(20)
+    stale = seen._replace(since=seen.since - 100)
+    observer.leases._table._seen[incarnation] = stale
+    ended = await observer.leases.end("vm-1", incarnation, None)
+    assert ended.err_value.kind is ErrorKind.VERSION_CONFLICT
+    await world.run(5)
+    assert holder.leases.state == "held"
+
+
+async def test_store_outage_then_back(world):
+    # The store is down for a minute. Leases lapse; nobody may be ended meanwhile,
+    # and when it is back all hold their leases again, as the same incarnations.
+    vms = [world.add(f"vm-{number}") for number in range(3)]
+    await world.run(5)
+    before = [vm.leases.incarnation for vm in vms]
+    world.objects.outage = True
+    await world.run(60)
+    assert states(world) == ["lapsed"] * 3
+    world.objects.outage = False
+    await world.run(5)
+    assert states(world) == ["held"] * 3
+    assert [vm.leases.incarnation for vm in vms] == before
+
+
+async def test_store_back_for_one_vm_first(world):
+    # After an outage one VM reaches the store some seconds before the others do.
+    # All counters have stood still, but it must not end the others for that.
+    first, *others = [world.add(f"vm-{number}") for number in range(3)]
+    await world.run(5)
+    world.objects.outage = True
+    await world.run(30)
+    for vm in others:
+        vm.store.outage = True
+        world.cuts.add(frozenset((first.name, vm.name)))
+    world.objects.outage = False
+    await world.run(4)
+    assert first.leases.state == "held"
+    for vm in others:
+        vm.store.outage = False
+    await world.run(10)
+    assert states(world) == ["held"] * 3
+    assert {r.state for r in first.leases.registered()} == {"live"}
+
+
+async def test_release_and_replacement(world):
+    # A VM shuts down in order and another of the same name takes its place.
+    old, other = world.add("vm-1"), world.add("vm-2")
+    await world.run(5)
+    assert (await old.leases.release()).is_ok()
+    assert old.leases.state == "ended" and not old.leases.held()
+    await old.stop()
+    new = world.add("vm-1")
+    await world.run(5)
+    known = {r.incarnation: r for r in other.leases.registered()}
+    assert known[old.leases.incarnation].proof == "released"
+    assert known[new.leases.incarnation].state == "live"
+    await world.run(6 * 20 + 10)
+    assert (
+        old.leases.incarnation
+        not in world.objects.get("leases", "dc1-0").value["entries"]
+    )
+
+
+async def test_unknown_incarnation_is_told_so(world):
+    vm = world.add("vm-1")
+    await world.run(3)
+    reply = await vm.leases._folder.handle(None, RenewLease("x", "x.1", 1))
+    assert reply.kind == ErrorKind.NOT_FOUND.value
--- /dev/null
+++ b/hawthornlead/tests/test_owners.py
@@ -0,0 +1,229 @@
+"""Tests of ownership: one owner at a time, fences that rise, quick takeovers."""
+
+import pytest
+
+from hawthornlead.owner_records import (
+    FORGOTTEN,
+    MOST_UNPROVED,
+    OwnerRecord,
+    records_of,
+    shard_of,
+    taken_record,
+)
+from hawthornlead.owners import OrderRight
+
+from .fakes_vms import World
+
+ENGINE = "target:engine-1"
+
+
+@pytest.fixture
+async def world():
+    made = World(LEASE_S=6.0, LEASE_RENEW_S=1.5, ORDER_S=4.0, WATCH_SILENT_S=4.0)
+    made.want(ENGINE)
+    yield made
+    await made.stop()
+
+
+def rights(world, resource=ENGINE):
+    return [vm.owners.right(resource) for vm in world.vms.values()]
+
+
+async def test_takes_wanted(world):
+    first, second = world.add("vm-1"), world.add("vm-2")
+    await world.run(5)
+    assert sorted(right.value for right in rights(world)) == ["full", "none"]
+    owner = world.owner_of(ENGINE)
+    ownership = owner.owners.owned(ENGINE)
+    assert ownership.fence == 1 and ownership.predecessor_stopped
+    for vm in (first, second):
+        record = vm.owners.owner_of(ENGINE)
+        assert (record.vm, record.fence) == (owner.name, 1)
+    assert owner.owners.right(ENGINE, longest_s=6.0) is OrderRight.DEGRADED
+
+
+async def test_spread_evenly_without_needless_moves(world):
+    engines = [f"target:engine-{number}" for number in range(2, 13)]
+    world.want(*engines)
+    vms = [world.add(f"vm-{number}") for number in range(6)]
+    await world.run(10)
+    assert [len(vm.owners.owned_resources()) for vm in vms] == [2] * 6
+    fences = {vm.name: vm.owners.owned_resources() for vm in vms}
+    world.add("vm-late")
+    await world.run(10)
+    assert {vm.name: vm.owners.owned_resources() for vm in vms} == fences
+
+
+async def test_proved_gone_is_replaced_quickly(world):
+    # The owner's process is killed and its port refuses. Another takes over
+    # within about a second and need not wait for the dead owner's lease.
+    for number in range(3):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    owner = world.owner_of(ENGINE)
+    await world.kill(owner)
+    await world.run(1.5)
+    successor = world.owner_of(ENGINE)
+    ownership = successor.owners.owned(ENGINE)
+    assert ownership.fence == 2 and ownership.predecessor == owner.name
+    assert ownership.predecessor_stopped
+
+
+async def test_owner_frozen_past_its_lease(world):
+    # The owner freezes. A successor takes over when the lease has run out, and
+    # waits out the longest order. The first wakes up: it must not order anything,
+    # from its first instruction on, and must learn that it was superseded.
+    for number in range(3):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    frozen = world.owner_of(ENGINE)
+    lost = []
+    frozen.owners.on_lost(lost.append)
+    world.freeze(frozen)
+    await world.run(9)
+    others = [vm for vm in world.vms.values() if vm is not frozen]
+    (successor,) = [vm for vm in others if vm.owners.owned(ENGINE)]
+    assert successor.owners.right(ENGINE) is OrderRight.NONE
+    await world.run(5)
+    assert world.owner_of(ENGINE) is successor
+    ownership = successor.owners.owned(ENGINE)
+    assert ownership.fence == 2 and not ownership.predecessor_stopped
+    assert frozen.owners.right(ENGINE) is OrderRight.DEGRADED
+    world.thaw(frozen)
+    await world.run(2)
+    assert frozen.owners.right(ENGINE) is OrderRight.NONE and lost == [ENGINE]
+    assert world.owner_of(ENGINE) is successor
+    # Proof that comes later tells the successor that nothing more can follow.
+    world.killed.add(records(world)[0].unproved[0].incarnation)
+    assert successor.owners.owned(ENGINE).predecessor_stopped
+
+
+def records(world, resource=ENGINE) -> list[OwnerRecord]:
+    stored = world.objects.get("owners", shard_of(resource))
+    return [records_of(stored.value)[resource]]
+
+
+async def test_take_took_effect_and_reply_lost(world):
+    # The takeover is written and its reply lost, with the read back failing too.
+    # The VM must not leave the resource without an owner that knows itself one.
+    vm = world.add("vm-1")
+    put = vm.store._put
+
+    async def put_then_outage(kind, *args):
+        if kind == "owners":
+            vm.store._put = put
+            await put(kind, *args)
+            vm.store.outage = True
+        return await put(kind, *args)
+
+    vm.store._put = put_then_outage
+    await world.run(3)
+    assert records(world)[0].vm == "vm-1"
+    assert vm.owners.right(ENGINE) is OrderRight.NONE
+    vm.store.outage = False
+    await world.run(10)
+    assert world.owner_of(ENGINE) is vm
+    assert vm.owners.owned(ENGINE).fence == 1
+
+
+async def test_two_take_over_at_once(world, monkeypatch):
+    # All VMs believe that it is their turn and take in the same instant: one
+    # conditional update wins, the others see its owner live and leave it.
+    monkeypatch.setattr("hawthornlead.takers.BACK_OFF_S", 0.0)
+    for number in range(5):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    for fence in (1, 2, 3):
+        owner = world.owner_of(ENGINE)
+        assert owner.owners.owned(ENGINE).fence == fence
+        await world.kill(owner)
+        await world.run(5)
+
+
+async def test_store_outage_degrades_then_recovers(world):
+    # The store is down for a minute. The owner can't tell that from its own cut:
+    # it goes degraded, nobody else takes over, and it recovers with its fence.
+    for number in range(3):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    owner = world.owner_of(ENGINE)
+    world.objects.outage = True
+    await world.run(60)
+    assert owner.owners.right(ENGINE) is OrderRight.DEGRADED
+    assert world.owners_of(ENGINE) == []
+    world.objects.outage = False
+    await world.run(5)
+    assert world.owner_of(ENGINE) is owner
+    assert owner.owners.owned(ENGINE).fence == 1
+
+
+async def test_release_at_shutdown(world):
+    # A graceful shutdown gives back: the successor has the right at once.
+    for number in range(3):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    owner = world.owner_of(ENGINE)
+    assert (await owner.owners.release_all()).is_ok()
+    assert owner.owners.right(ENGINE) is OrderRight.NONE
+    assert (await owner.leases.release()).is_ok()
+    await world.run(1.5)
+    successor = world.owner_of(ENGINE)
+    ownership = successor.owners.owned(ENGINE)
+    assert successor is not owner and ownership.fence == 2
+    assert ownership.predecessor_stopped
+
+
+async def test_release_with_lost_reply(world):
+    # The release took effect, its reply was lost and the store then went away.
+    # Another VM takes the resource; what the releaser last saw in the store says
+    # that it still owns it, which it must not believe.
+    releaser = world.add("vm-1")
+    await world.run(5)
+    other = world.add("vm-2")
+    await world.run(3)
+    releaser.store.outage = True
+    releaser.store.cut_watches()
+    assert (await releaser.owners.release(ENGINE)).is_err()
+    releaser.owners.want(ENGINE, "dc1")
+    assert releaser.owners.right(ENGINE) is OrderRight.NONE
+    await world.run(5)
+    assert releaser.owners.right(ENGINE) is OrderRight.NONE
+    releaser.store.outage = False
+    await world.run(5)
+    assert world.owner_of(ENGINE).owners.owned(ENGINE).fence == 2
+    assert other.leases.held()
+
+
+async def test_forget_gives_back(world):
+    vm = world.add("vm-1")
+    await world.run(5)
+    vm.owners.forget(ENGINE)
+    await world.run(1)
+    assert vm.owners.right(ENGINE) is OrderRight.NONE
+    assert records(world)[0].free and records(world)[0].fence == 1
+
+
+async def test_unknown_incarnation_is_looked_up(world):
+    # A VM's view of the registrations lags behind its view of the records: the
+    # owner looks unregistered, though it has just registered and taken.
+    late, owner = world.add("vm-1"), world.add("vm-2")
+    late.owners.forget(ENGINE)
+    await world.run(5)
+    assert world.owner_of(ENGINE) is owner
+    del late.leases._table._seen[owner.leases.incarnation]
+    late.owners.want(ENGINE, "dc1")
+    ended = await late.owners._ended_among([ENGINE])
+    assert ended.ok_value == set()
+    await world.run(5)
+    assert world.owner_of(ENGINE) is owner
+
+
+def test_unproved_predecessors_are_kept():
+    record = None
+    for number in range(MOST_UNPROVED + 5):
+        record = taken_record(record, f"vm-{number}", f"i{number}", stopped=False)
+    assert record.fence == MOST_UNPROVED + 5
+    assert len(record.unproved) == MOST_UNPROVED
+    assert record.unproved[0] == FORGOTTEN and record.wait
+    record = taken_record(record, "vm-x", "ix", stopped=True)
+    assert record.wait and len(record.unproved) == MOST_UNPROVED
