--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -153,7 +153,7 @@
             admitted.ok_value.release()
 
     async def _serve_admitted(self, request, sink):
-        assigned = request.in_force.bundle.assign(request.caller.name, request.alias)
+        assigned = request.in_force.bundle.assign(request.caller, request.alias)
         if isinstance(assigned, Err):
             return self._refused(request, assigned.err_value)
         allowed = self._suspects.check(request.fingerprint)
