--- a/hawthornlead/references.py
+++ b/hawthornlead/references.py
@@ -1,12 +1,16 @@
 """Reference pages made from the tables in the code, so that they can't drift.
 
 ``scripts/docs`` writes the pages, and a test fails when a committed page differs
-from what its table gives. A page is a function entered in ``PAGES``::
+from what its table gives. It also marks, in pages written by hand, the modules that
+a page rests on and that are not in the code yet. A page is a function entered in
+``PAGES``::
 
     text = PAGES["events.md"]()
 """
 
+import re
 from collections.abc import Callable, Iterable
+from pathlib import Path
 
 from prometheus_client import Metric
 
@@ -107,6 +111,22 @@
     return _text(lines)
 
 
+def with_planned_marks(text: str) -> str:
+    """Return a page with ``(planned)`` after each missing module it rests on."""
+    lines = []
+    for line in text.split("\n"):
+        if line.startswith("Rests on: "):
+            modules = re.findall(r"`(\w+)`", line)
+            line = "Rests on: " + ", ".join(_marked(module) for module in modules)
+        lines.append(line)
+    return "\n".join(lines)
+
+
+def _marked(module: str) -> str:
+    exists = Path(__file__).with_name(f"{module}.py").exists()
+    return f"`{module}`" if exists else f"`{module}` (planned)"
+
+
 def event_rows() -> list[tuple[str, str, str, str]]:
     """Return number, name, level and meaning of every event, by number."""
     kinds = sorted(EventKind, key=lambda kind: kind.number)
--- a/hawthornlead/tests/test_references.py
+++ b/hawthornlead/tests/test_references.py
@@ -1,13 +1,18 @@
 """Tests that the reference pages equal the tables in the code."""
 
+import re
 from pathlib import Path
 
 import pytest
 
 from hawthornlead.errors import ANSWERS, ErrorKind
-from hawthornlead.references import PAGES
+from hawthornlead.events import EventKind
+from hawthornlead.references import PAGES, with_planned_marks
+from hawthornlead.settings import SETTINGS
 
 DOCS = Path(__file__).parents[2] / "docs"
+OPERATORS = sorted((DOCS / "operators").glob("*.md"))
+PROSE = [*OPERATORS, DOCS.parent / "README.md", *DOCS.glob("*.md")]
 
 
 @pytest.mark.parametrize("name", sorted(PAGES))
@@ -23,3 +28,28 @@
 def test_only_kinds_known_not_to_have_run_are_retried():
     for kind, answer in ANSWERS.items():
         assert not answer.retry or answer.ran.value == "not run", kind
+
+
+@pytest.mark.parametrize("page", OPERATORS, ids=lambda page: page.name)
+def test_operators_page_names_what_exists(page):
+    # An operator searches the logs for an event that the page names, and concludes
+    # from its absence that all is well. The name was changed in the code only.
+    text = page.read_text(encoding="utf-8")
+    assert text == with_planned_marks(text), "run scripts/docs"
+    known_events = {f"{kind.number} {kind.name}" for kind in EventKind}
+    events = set(re.findall(r"\b\d{3} [A-Z]+_[A-Z_]+", text))
+    if "(planned)" not in text:
+        assert events <= known_events
+    words = set(re.findall(r"`([a-z]+(?:[-_][a-z]+)+)`", text))
+    kinds = {kind.value for kind in ErrorKind}
+    settings = {name.lower() for name in SETTINGS}
+    metrics = set(re.findall(r"hawthornlead_\w+", PAGES["metrics.md"]()))
+    modules = set(re.findall(r"`(\w+)`", "".join(re.findall("Rests on.*", text))))
+    assert words <= kinds | settings | metrics | modules
+
+
+@pytest.mark.parametrize("page", PROSE, ids=lambda page: page.name)
+def test_links_between_pages_lead_somewhere(page):
+    text = page.read_text(encoding="utf-8")
+    for link in re.findall(r"\]\(([^)#:]+)\)", text):
+        assert (page.parent / link).exists(), link
