--- a/hawthornlead/command_handlers.py
+++ b/hawthornlead/command_handlers.py
@@ -8,6 +8,7 @@
 from tornado.web import RequestHandler
 
 from .bundles import CallerTerms
+from .drains import Drain
 from .errors import ErrorKind, Failure
 from .requests import CallerRequest, RequestPath
 from .rolls import BundleKeeper, InForce
@@ -32,15 +33,7 @@
     keeper: BundleKeeper
     requests: RequestPath
     services: ServicePath
-    draining: "DrainCheck"
-
-
-class DrainCheck:
-    """Says whether this VM drains, and which addresses to go to instead."""
-
-    def refusal(self) -> Failure | None:
-        """Return the refusal to answer while draining, else None."""
-        raise NotImplementedError
+    drain: Drain
 
 
 class CallerHandler(RequestHandler):
@@ -74,7 +67,7 @@
 
     def caller(self) -> Result[tuple[CallerTerms, InForce], Failure]:
         """Return who asks by its token, under the bundle in force."""
-        drains = self._parts.draining.refusal()
+        drains = self._parts.drain.refusal()
         if drains is not None:
             return Err(drains)
         serving = self._parts.keeper.may_serve()
--- a/hawthornlead/invariants.py
+++ b/hawthornlead/invariants.py
@@ -10,6 +10,7 @@
 from collections import Counter
 
 from .events import EventKind, EventRing
+from .metrics import Metrics
 
 FATAL = False
 
@@ -21,8 +22,9 @@
 class Invariants:
     """The invariants of one process, by name."""
 
-    def __init__(self, events: EventRing):
+    def __init__(self, events: EventRing, metrics: Metrics | None = None):
         self._events = events
+        self._metrics = metrics
         self._checked: Counter[str] = Counter()
         self._broken: Counter[str] = Counter()
 
@@ -42,6 +44,8 @@
         if holds:
             return True
         self._broken[name] += 1
+        if self._metrics is not None:
+            self._metrics.invariants_broken.labels(name).inc()
         self._events.emit(EventKind.INVARIANT_BROKEN, name, detail=detail)
         if FATAL:
             raise InvariantBroken(f"{name}: {detail}")
--- a/hawthornlead/targets.py
+++ b/hawthornlead/targets.py
@@ -226,6 +226,23 @@
         return Failure(ErrorKind.TARGET_LOST, detail)
 
 
+class TargetClients:
+    """One client for each target address, on one HTTP client with room for all."""
+
+    def __init__(self, *, rng: random.Random):
+        self._rng = rng
+        self._http_client = AsyncHTTPClient(force_instance=True, max_clients=1000)
+        self._clients: dict[str, TargetClient] = {}
+
+    def client(self, address: str) -> TargetClient:
+        """Return the client of the target at an address."""
+        client = self._clients.get(address)
+        if client is None:
+            client = TargetClient(address, rng=self._rng, http_client=self._http_client)
+            self._clients[address] = client
+        return client
+
+
 def _read(response: HTTPResponse, convert) -> Result:
     try:
         return Ok(convert(json.loads(response.body)))
