--- /dev/null
+++ b/hawthornlead/allowances.py
@@ -0,0 +1,359 @@
+"""The load allowance of a weight store, shared by all VMs.
+
+The VM that owns ``allowance:WEIGHT_STORE`` hands out leave to load, one ``Permit``
+per load. It keeps to ``LOADS_PER_S`` over any stretch of time and ``LOADS_AT_ONCE``
+at a time. A permit ends when its load is reported to have ended, or when the longest
+load is over.
+
+**Change of holder.** A new holder does not know its predecessor's permits, so it
+hands out nothing until all of them have ended by time. That costs ``LOAD_S`` without
+loads. Loads under way go on, and so do requests for what is resident.
+
+**Outage.** A holder whose lease lapsed without the store saying so may have a
+successor that it can't hear of, and a holder whose predecessor is not proved to have
+stopped may have such a predecessor. Each of the two gives out half: half of the loads
+at once, rounded down, and half of the rate. Together they keep to the whole. With
+``LOADS_AT_ONCE`` = 1 the half is one load all the same, and two holders can then run
+two at once; so can a third holder that follows two which were each cut off without
+proof that they stopped.
+"""
+
+import random
+from collections import deque
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .casts import send
+from .errors import ErrorKind, Failure
+from .events import EventKind, EventRing
+from .grant_ledgers import AdapterVersion
+from .invariants import Invariants
+from .load_orders import LoadOrder, LoadRequest
+from .messages import AcquireLoad, Done, Failed, LoadPermit, ReleaseLoad
+from .metrics import Metrics
+from .owners import OrderRight
+from .timers import TimerService
+from .waits import Signal
+
+# A load must start within this time of its permit.
+START_S = 2.0
+
+
+def allowance_resource(weight_store: str) -> str:
+    """Name the resource that the holder of an allowance owns."""
+    return f"allowance:{weight_store}"
+
+
+class Permit(NamedTuple):
+    """Leave to start one load until ``start_by``, on the clock of who asked."""
+
+    permit_id: str
+    weight_store: str
+    holder_vm: str
+    start_by: float
+    ends_at: float
+
+
+class _Waiter:
+    def __init__(self, request: LoadRequest):
+        self.request = request
+        self.changed = Signal()
+
+
+class LoadAllowance:
+    """The allowance of one weight store, at its holder."""
+
+    def __init__(
+        self,
+        *,
+        settings: dict,
+        timers: TimerService,
+        events: EventRing,
+        metrics: Metrics,
+        invariants: Invariants,
+        rng: random.Random,
+        owners,
+        order: LoadOrder,
+        weight_store: str,
+        ownership,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._invariants = invariants
+        self._rng = rng
+        self._owners = owners
+        self._order = order
+        self._weight_store = weight_store
+        self._ownership = ownership
+        self._stopped = False
+        self._ends_at: dict[str, float] = {}
+        self._started: deque[float] = deque()
+        self._waiters: list[_Waiter] = []
+        self._opens_at = ownership.taken_at
+        if ownership.predecessor or ownership.fence > 1:
+            self._opens_at += self._permit_s()
+
+    @property
+    def out(self) -> int:
+        """How many permits have not ended."""
+        self._sweep()
+        return len(self._ends_at)
+
+    @property
+    def opens_at(self) -> float:
+        """When the first permit may be given out."""
+        return self._opens_at
+
+    def stop(self) -> None:
+        """Hand out nothing more."""
+        self._stopped = True
+        self._wake()
+
+    async def acquire(self, ask: AcquireLoad) -> Result[LoadPermit, Failure]:
+        """Wait for leave, ``ask.wait_s`` at most; refuse at once what can't be made."""
+        asked_at = self._timers.now()
+        deadline_at = asked_at + ask.wait_s
+        expected_s = self.expected_wait_s()
+        if expected_s > ask.wait_s:
+            return self._refusal("the weight store's loads are spoken for", expected_s)
+        waiter = _Waiter(
+            LoadRequest(
+                ask.adapter, ask.version, ask.priority, deadline_at, asked_at, 1
+            )
+        )
+        self._waiters.append(waiter)
+        try:
+            while True:
+                if self._right() is OrderRight.NONE:
+                    failure = Failure(ErrorKind.NO_GRANT, "not the allowance's holder")
+                    return Err(failure)
+                now = self._timers.now()
+                if now >= deadline_at:
+                    return self._refusal("no load came free", self.expected_wait_s())
+                pause = self._pause_s()
+                if pause <= 0 and self._first() is waiter:
+                    return Ok(self._issue(now - asked_at))
+                pause = min(deadline_at - now, max(pause, 0.001))
+                await waiter.changed.wait(self._timers, pause)
+        finally:
+            self._waiters.remove(waiter)
+            self._wake()
+
+    def release(self, permit_id: str) -> None:
+        """End a permit: its load has ended."""
+        if self._ends_at.pop(permit_id, None) is not None:
+            self._count()
+            self._wake()
+
+    def expected_wait_s(self) -> float:
+        """Estimate how long a new asker would wait, from the queue and the rate."""
+        opening = max(0.0, self._opens_at - self._timers.now())
+        return opening + len(self._waiters) / self._rate()
+
+    def _right(self) -> OrderRight:
+        if self._stopped:
+            return OrderRight.NONE
+        owned = self._owners.owned(allowance_resource(self._weight_store))
+        if owned is None or owned.fence != self._ownership.fence:
+            return OrderRight.NONE
+        return self._owners.right(allowance_resource(self._weight_store), 0.0)
+
+    def _half(self) -> bool:
+        if self._right() is not OrderRight.FULL:
+            return True
+        owned = self._owners.owned(allowance_resource(self._weight_store))
+        # A predecessor may be proved to have stopped only later.
+        return owned is None or not owned.predecessor_stopped
+
+    def _rate(self) -> float:
+        share = 0.5 if self._half() else 1.0
+        return self._settings["LOADS_PER_S"] * share
+
+    def _at_once(self) -> int:
+        whole = self._settings["LOADS_AT_ONCE"]
+        return max(1, whole // 2) if self._half() else whole
+
+    def _permit_s(self) -> float:
+        error = self._settings["CLOCK_RATE_ERROR"]
+        return (START_S + self._settings["LOAD_S"]) * (1 + 2 * error)
+
+    def _pause_s(self) -> float:
+        """Return how long until a permit may be given out, by what is known now."""
+        self._sweep()
+        now = self._timers.now()
+        pause = self._opens_at - now
+        if len(self._ends_at) >= self._at_once():
+            pause = max(pause, min(self._ends_at.values()) - now)
+        # At most `loads` starts in any stretch of `span` seconds, which lets
+        # LOADS_AT_ONCE start together after a quiet time and no more than the rate.
+        loads = max(1, int(self._rate()))
+        span = loads / self._rate()
+        if len(self._started) >= loads:
+            pause = max(pause, self._started[-loads] + span - now)
+        return pause
+
+    def _issue(self, waited_s: float) -> LoadPermit:
+        now = self._timers.now()
+        permit_id = f"{self._ownership.fence}-{self._rng.getrandbits(64):016x}"
+        self._ends_at[permit_id] = now + self._permit_s()
+        self._started.append(now)
+        while len(self._started) > max(1, int(self._settings["LOADS_PER_S"])):
+            self._started.popleft()
+        self._invariants.check(
+            "allowance-not-exceeded",
+            len(self._ends_at) <= self._settings["LOADS_AT_ONCE"]
+            and now >= self._opens_at,
+            f"{self._weight_store} out={len(self._ends_at)}",
+        )
+        self._count()
+        return LoadPermit(permit_id, waited_s + START_S)
+
+    def _first(self) -> _Waiter:
+        return min(self._waiters, key=lambda waiter: self._order.key(waiter.request))
+
+    def _sweep(self) -> None:
+        now = self._timers.now()
+        for permit_id, ends_at in list(self._ends_at.items()):
+            if now >= ends_at:
+                del self._ends_at[permit_id]
+
+    def _wake(self) -> None:
+        for waiter in self._waiters:
+            waiter.changed.fire()
+
+    def _count(self) -> None:
+        gauge = self._metrics.load_permits.labels(self._weight_store)
+        gauge.set(len(self._ends_at))
+
+    def _refusal(self, detail: str, retry_after_s: float) -> Err[Failure]:
+        return Err(Failure(ErrorKind.OVERLOADED, detail, retry_after_s))
+
+
+class Allowances:
+    """Both sides of load allowances on one VM: what it holds and what it asks for."""
+
+    def __init__(
+        self,
+        *,
+        settings: dict,
+        timers: TimerService,
+        events: EventRing,
+        metrics: Metrics,
+        invariants: Invariants,
+        rng: random.Random,
+        mesh,
+        owners,
+        order: LoadOrder,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._invariants = invariants
+        self._rng = rng
+        self._mesh = mesh
+        self._owners = owners
+        self._order = order
+        self._held: dict[str, LoadAllowance] = {}
+
+    def start(self) -> None:
+        """Answer for the allowances that this VM comes to own."""
+        self._mesh.on(AcquireLoad, self._on_acquire)
+        self._mesh.on(ReleaseLoad, self._on_release)
+
+    async def stop(self) -> None:
+        """Hand out nothing more."""
+        for weight_store in list(self._held):
+            self.lost(allowance_resource(weight_store))
+
+    def taken(self, ownership) -> None:
+        """Begin to hold an allowance that this VM has come to own."""
+        weight_store = ownership.resource.partition(":")[2]
+        self.lost(ownership.resource)
+        self._held[weight_store] = LoadAllowance(
+            settings=self._settings,
+            timers=self._timers,
+            events=self._events,
+            metrics=self._metrics,
+            invariants=self._invariants,
+            rng=self._rng,
+            owners=self._owners,
+            order=self._order,
+            weight_store=weight_store,
+            ownership=ownership,
+        )
+        self._events.emit(
+            EventKind.ALLOWANCE_OWNED, weight_store, fence=ownership.fence
+        )
+
+    def lost(self, resource: str) -> None:
+        """End holding an allowance."""
+        weight_store = resource.partition(":")[2]
+        allowance = self._held.pop(weight_store, None)
+        if allowance is None:
+            return
+        allowance.stop()
+        self._events.emit(EventKind.ALLOWANCE_GIVEN_UP, weight_store)
+
+    async def acquire(
+        self,
+        weight_store: str,
+        target: str,
+        key: AdapterVersion,
+        priority: int,
+        wait_s: float,
+    ) -> Result[Permit, Failure]:
+        """Ask the allowance's holder for leave to start one load."""
+        owner = self._owners.owner_of(allowance_resource(weight_store))
+        if owner is None:
+            detail = f"nobody hands out loads of {weight_store}"
+            return Err(Failure(ErrorKind.NO_GRANT, detail, retry_after_s=1.0))
+        # The permit's time counts from here, before the holder can have begun it.
+        sent_at = self._timers.now()
+        ask = AcquireLoad(
+            weight_store, target, key.adapter, key.version, priority, wait_s
+        )
+        reply = await self._mesh.call(
+            owner.vm, ask, timeout_s=wait_s + self._settings["PEER_CALL_S"]
+        )
+        if isinstance(reply, Err):
+            return reply
+        permit = reply.ok_value
+        error = self._settings["CLOCK_RATE_ERROR"]
+        start_by = sent_at + permit.start_within_s * (1 - 2 * error)
+        return Ok(
+            Permit(
+                permit.permit_id,
+                weight_store,
+                owner.vm,
+                start_by,
+                start_by + self._settings["LOAD_S"],
+            )
+        )
+
+    def release(self, permit: Permit, *, loaded: bool) -> None:
+        """Tell the holder that a permit's load has ended, or never started.
+
+        A lost message costs only time: the permit ends by itself.
+        """
+        message = ReleaseLoad(permit.weight_store, permit.permit_id, loaded)
+        send(self._mesh, permit.holder_vm, message)
+
+    async def _on_acquire(self, sender, ask: AcquireLoad):
+        allowance = self._held.get(ask.weight_store)
+        if allowance is None:
+            return Failed(ErrorKind.NO_GRANT.value, "not the allowance's holder", 0.5)
+        outcome = await allowance.acquire(ask)
+        if isinstance(outcome, Err):
+            failure = outcome.err_value
+            return Failed(failure.kind.value, failure.detail, failure.retry_after_s)
+        return outcome.ok_value
+
+    async def _on_release(self, sender, message: ReleaseLoad):
+        allowance = self._held.get(message.weight_store)
+        if allowance is not None:
+            allowance.release(message.permit_id)
+        return Done()
--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -56,6 +56,20 @@
 
     # 500: targets, slots, grants, loads
     TARGET_SEEN = (500, "INFO", "a target was met in the VM list")
+    TARGET_OWNED = (501, "INFO", "this VM began to decide for a target")
+    TARGET_GIVEN_UP = (502, "INFO", "this VM decides for a target no more")
+    OWNER_SUPERSEDED = (503, "WARNING", "a target refused an old fencing number")
+    TARGET_RESTARTED = (504, "WARNING", "a target started anew, its slots empty")
+    TARGET_SILENT = (505, "WARNING", "a target does not answer its owner")
+    TARGET_ANSWERS = (506, "INFO", "a target answers its owner again")
+    LOAD_STARTED = (507, "INFO", "a load was ordered")
+    LOAD_ENDED = (508, "INFO", "a load ended, the adapter is resident")
+    LOAD_NOT_DONE = (509, "WARNING", "a load failed or its outcome is unknown")
+    ADAPTER_EVICTED = (510, "INFO", "an adapter was evicted")
+    GRANT_REVOKED = (511, "DEBUG", "a grant was asked back")
+    GRANT_LOST = (512, "WARNING", "a grant with running requests was not renewed")
+    ALLOWANCE_OWNED = (513, "INFO", "this VM began to hand out loads")
+    ALLOWANCE_GIVEN_UP = (514, "INFO", "this VM hands out loads no more")
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
--- /dev/null
+++ b/hawthornlead/evict_guards.py
@@ -0,0 +1,137 @@
+"""What the owner of a target may order, and from when on.
+
+Three things restrict an owner: its lease (``right``), what its predecessor may
+still do, and whether the target refuses old fencing numbers.
+"""
+
+from .engine_clocks import EngineClock
+from .grant_ledgers import SEND_S, GrantLedger
+from .timers import TimerService
+
+# How long an accepted fence order lets a degraded owner go on granting.
+FENCE_FRESH_S = 2.0
+
+
+class EvictGuard:
+    """The restrictions that a takeover puts on one target's owner."""
+
+    def __init__(
+        self,
+        *,
+        settings: dict,
+        timers: TimerService,
+        clock: EngineClock,
+        ledger: GrantLedger,
+        ownership,
+        fencing: bool,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._clock = clock
+        self._ledger = ledger
+        self._ownership = ownership
+        self._fencing = fencing
+        self._fenced_at: float | None = None
+        self._first_fenced_at: float | None = None
+        self._stopped = ownership.predecessor_stopped
+        self._ready = False
+        # Nobody owned the target before, so nobody's grants or orders are about.
+        self._first = not ownership.predecessor and ownership.fence <= 1
+        self._right_since: float | None = None
+        if self._first:
+            self._stopped = True
+        elif self._stopped:
+            self._distrust_from(ownership.taken_at)
+        else:
+            ledger.distrust_until(None)
+
+    @property
+    def needs_fence(self) -> bool:
+        """Whether the target must still be told this owner's fencing number."""
+        return self._fencing and self._first_fenced_at is None
+
+    @property
+    def may_evict(self) -> bool:
+        """Whether an eviction may be ordered at all under this ownership.
+
+        A predecessor that is only out of its lease may be cut from the store and
+        degraded: it goes on granting what is resident. A fencing target makes it
+        notice; on one that ignores fencing numbers its requests would lose their
+        adapter, so nothing is evicted there until it is proved to have stopped.
+        """
+        if self._fencing:
+            return self._first_fenced_at is not None
+        return self._stopped
+
+    @property
+    def ready(self) -> bool:
+        """Whether a report has shown what the target holds since the takeover."""
+        return self._ready
+
+    @property
+    def ready_after(self) -> float | None:
+        """The moment after which a report makes this owner ready, or None yet.
+
+        The right to order begins when the predecessor's last orders have ended. A
+        fencing target refuses them besides, from the fence order on.
+        """
+        return self._first_fenced_at if self._fencing else self._right_since
+
+    def has_right(self) -> None:
+        """Note that this owner has the right to order."""
+        if self._right_since is None:
+            self._right_since = self._timers.now()
+
+    def fenced(self, sent_at: float, answered_at: float) -> None:
+        """Note that the target accepted a fence order of this owner's number."""
+        self._fenced_at = sent_at
+        if self._first_fenced_at is not None:
+            return
+        self._first_fenced_at = answered_at
+        if not self._stopped:
+            # The predecessor's last accepted fence order may just precede ours.
+            self._distrust_from(answered_at + self._stretched(FENCE_FRESH_S))
+
+    def fence_fresh(self) -> bool:
+        """Whether a fence order was accepted lately enough to grant while degraded."""
+        if not self._fencing:
+            return True
+        if self._fenced_at is None:
+            return False
+        return self._timers.now() - self._fenced_at < FENCE_FRESH_S
+
+    def predecessor_gone(self) -> None:
+        """Note a positive proof that the predecessor has stopped, found later.
+
+        What it granted until now runs out like any other unknown grant.
+        """
+        if self._stopped:
+            return
+        self._stopped = True
+        if not self._fencing or self._first_fenced_at is None:
+            self._distrust_from(self._timers.now())
+
+    def observe(self, as_of: float) -> None:
+        """Note that a report of the engine time ``as_of`` was merged."""
+        after = self.ready_after
+        if after is not None and self._clock.proves_after(as_of, after):
+            self._ready = True
+
+    def restarted(self) -> None:
+        """The target restarted, and has forgotten the fencing number."""
+        self._ready = False
+        self._fenced_at = None
+        if self._fencing:
+            self._first_fenced_at = None
+
+    def _distrust_from(self, stopped_at: float | None) -> None:
+        if stopped_at is None:
+            self._ledger.distrust_until(None)
+            return
+        # A grant that the predecessor gave right before it stopped may reach its
+        # VM later, but its time counts from the asking.
+        moment = stopped_at + self._ledger.longest_s() + SEND_S
+        self._ledger.distrust_until(moment)
+
+    def _stretched(self, seconds: float) -> float:
+        return seconds * (1 + 2 * self._settings["CLOCK_RATE_ERROR"])
--- /dev/null
+++ b/hawthornlead/grant_ledgers.py
@@ -0,0 +1,183 @@
+"""The owner's book of the grants that it has given out on one target.
+
+An adapter may be evicted only when ``idle`` says so: every grant on it was given
+back, or ran out and a report taken later than that shows none running. Grants of an
+earlier owner are unknown; they count as one grant on every adapter.
+"""
+
+import random
+from typing import NamedTuple
+
+from .engine_clocks import EngineClock
+from .targets import Report
+from .timers import TimerService
+
+# A request that began in the last moment of its grant is on the way to the target
+# for this long at most; a report must be later than that to prove that none runs.
+SEND_S = 1.0
+
+
+class AdapterVersion(NamedTuple):
+    """An adapter in one version."""
+
+    adapter: str
+    version: str
+
+
+class HeldGrant(NamedTuple):
+    """A grant that a VM holds; ``ends_at`` is on the owner's clock, rate included."""
+
+    grant_id: str
+    vm: str
+    key: AdapterVersion
+    count: int
+    ends_at: float
+    revoked: bool = False
+
+
+class GrantLedger:
+    """Grants given out on one target."""
+
+    def __init__(
+        self,
+        *,
+        settings: dict,
+        timers: TimerService,
+        rng: random.Random,
+        clock: EngineClock,
+        fence: int,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._rng = rng
+        self._clock = clock
+        self._fence = fence
+        self._held: dict[str, HeldGrant] = {}
+        # Ran out, and no report has proved yet that nothing runs under them.
+        self._ran_out: dict[str, HeldGrant] = {}
+        # Earlier owners' grants: the moment by which all have run out, and the
+        # adapters that a report after it showed running. None: not known yet.
+        self._unknown_until: float | None = None
+        self._unknown_running: set[AdapterVersion] | None = set()
+
+    @property
+    def out(self) -> int:
+        """How many grants VMs hold."""
+        return len(self._held)
+
+    @property
+    def proof_wanted_after(self) -> float | None:
+        """The latest moment after which a report would settle something, or None."""
+        moments = [grant.ends_at + SEND_S for grant in self._ran_out.values()]
+        if self._unknown_until is not None and self._unknown_running != set():
+            moments.append(self._unknown_until)
+        past = [moment for moment in moments if moment <= self._timers.now()]
+        return max(past, default=None)
+
+    def longest_s(self) -> float:
+        """How long a grant can be used by the clock of a VM, seen by the owner's.
+
+        Both clocks may be wrong in rate, one fast and one slow.
+        """
+        error = self._settings["CLOCK_RATE_ERROR"]
+        return self._settings["GRANT_S"] * (1 + 2 * error)
+
+    def distrust_until(self, moment: float | None) -> None:
+        """Count unknown grants of earlier owners that run out at ``moment``.
+
+        ``None``: they may still be given out, so nothing is idle.
+        """
+        self._unknown_until = moment
+        self._unknown_running = None
+
+    def issue(self, vm: str, key: AdapterVersion, count: int) -> HeldGrant:
+        """Enter a grant that starts now."""
+        grant_id = f"{self._fence}-{self._rng.getrandbits(64):016x}"
+        ends_at = self._timers.now() + self.longest_s()
+        grant = HeldGrant(grant_id, vm, key, count, ends_at)
+        self._held[grant_id] = grant
+        return grant
+
+    def renew(self, grant_ids) -> tuple[str, ...]:
+        """Extend grants from now on; return those that had not run out."""
+        self.sweep()
+        ends_at = self._timers.now() + self.longest_s()
+        renewed = []
+        for grant_id in grant_ids:
+            if grant_id not in self._held:
+                continue
+            self._held[grant_id] = self._held[grant_id]._replace(ends_at=ends_at)
+            renewed.append(grant_id)
+        return tuple(renewed)
+
+    def get(self, grant_id: str) -> HeldGrant | None:
+        """Return a grant that was not given back, or None."""
+        return self._held.get(grant_id) or self._ran_out.get(grant_id)
+
+    def release(self, grant_id: str) -> None:
+        """Strike a grant: its holder said that nothing runs under it or will."""
+        self._held.pop(grant_id, None)
+        self._ran_out.pop(grant_id, None)
+
+    def revoke(self, key: AdapterVersion) -> list[HeldGrant]:
+        """Mark the grants on an adapter as asked back; return those newly marked."""
+        marked = []
+        for grant in self._held.values():
+            if grant.key != key or grant.revoked:
+                continue
+            marked.append(grant)
+        for grant in marked:
+            self._held[grant.grant_id] = grant._replace(revoked=True)
+        return marked
+
+    def held_on(self, key: AdapterVersion) -> list[HeldGrant]:
+        """Return the grants on an adapter that have not run out."""
+        return [grant for grant in self._held.values() if grant.key == key]
+
+    def sweep(self) -> None:
+        """Move grants whose time is over to those that want a proof."""
+        now = self._timers.now()
+        for grant in list(self._held.values()):
+            if now < grant.ends_at:
+                continue
+            del self._held[grant.grant_id]
+            self._ran_out[grant.grant_id] = grant
+
+    def observe(self, report: Report) -> None:
+        """Strike what a report proves not to run.
+
+        A request may wait inside the engine, and the report does not tell of which
+        adapter; so a report with a queue proves nothing.
+        """
+        self.sweep()
+        if report.queued > 0:
+            return
+        running = set()
+        for resident in report.residents:
+            if resident.running > 0:
+                running.add(AdapterVersion(resident.adapter, resident.version))
+        for grant in list(self._ran_out.values()):
+            if grant.key in running:
+                continue
+            if self._clock.proves_after(report.as_of, grant.ends_at + SEND_S):
+                del self._ran_out[grant.grant_id]
+        self._observe_unknown(report, running)
+
+    def idle(self, key: AdapterVersion) -> bool:
+        """Whether nothing runs on the adapter and nobody may start anything."""
+        self.sweep()
+        if self._unknown_running is None or key in self._unknown_running:
+            return False
+        if any(grant.key == key for grant in self._held.values()):
+            return False
+        return all(grant.key != key for grant in self._ran_out.values())
+
+    def _observe_unknown(self, report: Report, running: set[AdapterVersion]) -> None:
+        if self._unknown_until is None:
+            return
+        if not self._clock.proves_after(report.as_of, self._unknown_until):
+            return
+        if self._unknown_running is None:
+            self._unknown_running = running
+        else:
+            self._unknown_running &= running
--- /dev/null
+++ b/hawthornlead/grants.py
@@ -0,0 +1,372 @@
+"""The grants that this VM holds: its right to run requests on targets.
+
+A request needs a grant of its target's owner for its adapter version. Grants are
+kept and shared, so that most requests need no round trip::
+
+    granted = await grants.acquire("engine-3", assignment, wait_s=2.0)
+    grant = granted.ok_value
+    if grant.begin(attempt_id).is_ok():
+        ...                                     # send, relay the answer
+        grant.finish(attempt_id, ended=True)    # the target is known to be done
+
+A grant's time counts from the moment its asking was *sent*, by the monotonic clock,
+shortened by the error that two clocks' rates may have. So it is over here before it
+is over at the owner, however long the reply took.
+
+A request that runs longer than its grant goes on: the owner does not evict before a
+report shows that nothing runs, so a stream survives the loss of an owner.
+"""
+
+import asyncio
+import math
+import weakref
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .casts import send
+from .errors import ErrorKind, Failure
+from .events import EventKind, EventRing
+from .grant_ledgers import AdapterVersion
+from .invariants import Invariants
+from .messages import (
+    AcquireGrant,
+    Done,
+    GrantReply,
+    ReleaseGrant,
+    RenewGrants,
+    RevokeGrant,
+)
+from .metrics import Metrics
+from .timers import TimerService
+from .views import target_resource
+from .waits import wait_done
+
+# A grant with less time left than this is not handed to another request.
+LEAST_LEFT_S = 0.25
+
+
+class GrantKey(NamedTuple):
+    """What a grant is for."""
+
+    target: str
+    key: AdapterVersion
+
+
+class _Held:
+    """One grant of an owner, shared by up to ``count`` requests."""
+
+    def __init__(self, key: GrantKey, reply: GrantReply, owner_vm: str, ends_at: float):
+        self.key = key
+        self.reply = reply
+        self.owner_vm = owner_vm
+        self.ends_at = ends_at
+        self.running: set[str] = set()
+        # Handed out and not begun. Weak: a request that fails before its attempt
+        # drops its ``Grant``, and its place is free again.
+        self.reserved: weakref.WeakSet[Grant] = weakref.WeakSet()
+        self.used_at = -math.inf
+        # Requests begun since the owner was last told; it counts the first itself.
+        self.begun = -1
+        self.revoked = False
+        # A request under it may still run though its attempt is over.
+        self.doubtful = False
+
+    @property
+    def busy(self) -> bool:
+        return bool(self.running) or len(self.reserved) > 0
+
+    def take_begun(self) -> int:
+        begun, self.begun = max(0, self.begun), min(0, self.begun)
+        return begun
+
+    @property
+    def room(self) -> int:
+        return self.reply.count - len(self.running) - len(self.reserved)
+
+
+class Grant:
+    """One request's place under a grant, for one attempt."""
+
+    def __init__(self, grants: "Grants", held: _Held, loaded_s: float):
+        self._grants = grants
+        self._held = held
+        self._loaded_s = loaded_s
+        held.reserved.add(self)
+
+    @property
+    def grant_id(self) -> str:
+        """The owner's name of the grant."""
+        return self._held.reply.grant_id
+
+    @property
+    def fence(self) -> int:
+        """The fencing number of the owner that gave it."""
+        return self._held.reply.fence
+
+    @property
+    def ends_at(self) -> float:
+        """When it runs out, by this VM's clock; later after each renewal."""
+        return self._held.ends_at
+
+    @property
+    def lost_at(self) -> float:
+        """When a running attempt must be broken off: never.
+
+        A grant that ran out lets nothing begin, but the owner, and any successor,
+        evicts only after a report that shows nothing running on the adapter.
+        """
+        return math.inf
+
+    @property
+    def loaded_s(self) -> float:
+        """How long the owner loaded for this request, in seconds."""
+        return self._loaded_s
+
+    def begin(self, attempt_id: str) -> Result[None, Failure]:
+        """Start an attempt; call it right before the bytes are sent.
+
+        Refused when the grant has run out: the process may have been frozen since
+        it was acquired, and the adapter evicted meanwhile.
+        """
+        return self._grants.begin(self, self._held, attempt_id)
+
+    def finish(self, attempt_id: str, *, ended: bool = False) -> None:
+        """End an attempt.
+
+        ``ended`` says that the target is known to be done with it: it answered to
+        the end, refused, or was never reached. Else the grant is not given back but
+        left to run out, so that the adapter stays until a report shows it idle.
+        """
+        self._grants.finish(self, self._held, attempt_id, ended)
+
+
+class Grants:
+    """All grants that this VM holds."""
+
+    def __init__(
+        self,
+        *,
+        settings: dict,
+        timers: TimerService,
+        events: EventRing,
+        metrics: Metrics,
+        invariants: Invariants,
+        mesh,
+        owners,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._invariants = invariants
+        self._mesh = mesh
+        self._owners = owners
+        self._held: dict[str, _Held] = {}
+        self._by_key: dict[GrantKey, list[_Held]] = {}
+        self._asking: dict[tuple[GrantKey, bool], asyncio.Task] = {}
+        self._revoked_early: dict[str, float] = {}
+        self._timer = None
+
+    def start(self) -> None:
+        """Renew and give back from now on."""
+        self._mesh.on(RevokeGrant, self._on_revoke)
+        self._timer = self._timers.every(
+            self._settings["GRANT_RENEW_S"], self.renew, name="grants"
+        )
+
+    async def stop(self) -> None:
+        """Give back all grants under which nothing runs."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for held in list(self._held.values()):
+            held.revoked = True
+            self._release_if_idle(held)
+
+    async def acquire(
+        self,
+        target: str,
+        assignment,
+        wait_s: float,
+        load: bool = True,
+        priority: int = 0,
+    ) -> Result[Grant, Failure]:
+        """Get a place under a grant, from those held or from the target's owner.
+
+        Requests that ask for the same at once share one asking.
+        """
+        key = GrantKey(target, AdapterVersion(assignment.adapter, assignment.version))
+        until = self._timers.now() + wait_s
+        loaded_s = 0.0
+        while True:
+            held = self._usable(key)
+            if held is not None:
+                return Ok(Grant(self, held, loaded_s))
+            left = until - self._timers.now()
+            if left < 0:
+                return Err(_no_grant("no grant came in time"))
+            asking = self._ask(key, assignment.base_model, left, load, priority)
+            if not await wait_done(self._timers, asking, left):
+                return Err(_no_grant("no grant came in time"))
+            outcome = asking.result()
+            if isinstance(outcome, Err):
+                return outcome
+            loaded_s = max(loaded_s, outcome.ok_value.loaded_s)
+
+    def begin(self, grant: Grant, held: _Held, attempt_id: str) -> Result:
+        """See ``Grant.begin``."""
+        held.reserved.discard(grant)
+        now = self._timers.now()
+        if now >= held.ends_at or self._held.get(held.reply.grant_id) is not held:
+            return Err(_no_grant("the grant ran out before the request was sent"))
+        held.running.add(attempt_id)
+        held.used_at = now
+        held.begun += 1
+        self._invariants.check(
+            "grant-before-send",
+            now < held.ends_at and len(held.running) <= held.reply.count,
+            f"{attempt_id} under {held.reply.grant_id}",
+        )
+        return Ok(None)
+
+    def finish(self, grant: Grant, held: _Held, attempt_id: str, ended: bool) -> None:
+        """See ``Grant.finish``."""
+        held.reserved.discard(grant)
+        if attempt_id in held.running:
+            held.running.discard(attempt_id)
+            held.doubtful = held.doubtful or not ended
+        if held.revoked:
+            self._release_if_idle(held)
+
+    async def renew(self) -> None:
+        """Renew what is in use, give back what is idle, drop what ran out."""
+        now = self._timers.now()
+        for grant_id, at in list(self._revoked_early.items()):
+            if now - at > self._settings["GRANT_S"]:
+                del self._revoked_early[grant_id]
+        in_use: dict[str, list[_Held]] = {}
+        for held in list(self._held.values()):
+            if now >= held.ends_at and not held.busy:
+                self._drop(held)
+                continue
+            if held.busy and not held.doubtful:
+                in_use.setdefault(held.key.target, []).append(held)
+            elif now - held.used_at >= self._settings["GRANT_RENEW_S"]:
+                self._release_if_idle(held)
+        calls = [self._renew(target, held) for target, held in in_use.items()]
+        await asyncio.gather(*calls)
+        self._metrics.grants_held.set(len(self._held))
+
+    async def _renew(self, target: str, in_use: list[_Held]) -> None:
+        sent_at = self._timers.now()
+        renewed: tuple[str, ...] = ()
+        ttl_s = 0.0
+        owner = self._owners.owner_of(target_resource(target))
+        if owner is not None:
+            ids = tuple(held.reply.grant_id for held in in_use)
+            begun = tuple(held.take_begun() for held in in_use)
+            reply = await self._mesh.call(owner.vm, RenewGrants(target, ids, begun))
+            if isinstance(reply, Ok):
+                renewed, ttl_s = reply.ok_value
+        for held in in_use:
+            if held.reply.grant_id in renewed:
+                held.ends_at = max(held.ends_at, sent_at + self._shortened(ttl_s))
+                continue
+            self._events.emit(
+                EventKind.GRANT_LOST,
+                target,
+                grant=held.reply.grant_id,
+                running=len(held.running),
+            )
+
+    def _usable(self, key: GrantKey) -> _Held | None:
+        """Return the held grant with room that ends last, or None."""
+        soonest = self._timers.now() + LEAST_LEFT_S
+        best = None
+        for held in self._by_key.get(key, ()):
+            if held.revoked or held.room <= 0 or held.ends_at < soonest:
+                continue
+            if best is None or held.ends_at > best.ends_at:
+                best = held
+        return best
+
+    def _ask(
+        self, key: GrantKey, base_model: str, wait_s: float, load: bool, priority: int
+    ) -> asyncio.Task:
+        asking = self._asking.get((key, load))
+        if asking is not None and not asking.done():
+            return asking
+        ask = AcquireGrant(
+            key.target,
+            key.key.adapter,
+            key.key.version,
+            base_model,
+            self._settings["GRANT_SIZE"],
+            priority,
+            wait_s,
+            load,
+        )
+        asking = asyncio.get_running_loop().create_task(self._call(key, ask))
+        self._asking[key, load] = asking
+
+        def forget(task):
+            if self._asking.get((key, load)) is task:
+                del self._asking[key, load]
+
+        asking.add_done_callback(forget)
+        return asking
+
+    async def _call(
+        self, key: GrantKey, ask: AcquireGrant
+    ) -> Result[GrantReply, Failure]:
+        owner = self._owners.owner_of(target_resource(key.target))
+        if owner is None:
+            return Err(_no_grant(f"{key.target} has no owner"))
+        # Read before the asking leaves: the owner cannot have begun to count yet.
+        sent_at = self._timers.now()
+        timeout_s = ask.wait_s + self._settings["PEER_CALL_S"]
+        reply = await self._mesh.call(owner.vm, ask, timeout_s=timeout_s)
+        if isinstance(reply, Err):
+            return reply
+        grant = reply.ok_value
+        held = _Held(key, grant, owner.vm, sent_at + self._shortened(grant.ttl_s))
+        # A revocation may overtake the grant that it is about.
+        held.revoked = self._revoked_early.pop(grant.grant_id, None) is not None
+        held.used_at = self._timers.now()
+        self._held[grant.grant_id] = held
+        self._by_key.setdefault(key, []).append(held)
+        if held.revoked:
+            self._release_if_idle(held)
+        return Ok(grant)
+
+    def _shortened(self, ttl_s: float) -> float:
+        return ttl_s * (1 - 2 * self._settings["CLOCK_RATE_ERROR"])
+
+    async def _on_revoke(self, sender, message: RevokeGrant):
+        held = self._held.get(message.grant_id)
+        if held is None:
+            self._revoked_early[message.grant_id] = self._timers.now()
+            return Done()
+        held.revoked = True
+        self._release_if_idle(held)
+        return Done()
+
+    def _release_if_idle(self, held: _Held) -> None:
+        """Give a grant back, unless something may run or begin under it."""
+        if held.busy or held.doubtful:
+            return
+        self._drop(held)
+        message = ReleaseGrant(held.key.target, held.reply.grant_id, held.take_begun())
+        send(self._mesh, held.owner_vm, message)
+
+    def _drop(self, held: _Held) -> None:
+        self._held.pop(held.reply.grant_id, None)
+        siblings = self._by_key.get(held.key, [])
+        if held in siblings:
+            siblings.remove(held)
+        if not siblings:
+            self._by_key.pop(held.key, None)
+
+
+def _no_grant(detail: str) -> Failure:
+    return Failure(ErrorKind.NO_GRANT, detail, retry_after_s=1.0)
--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -139,10 +139,14 @@
 
 @message("renew-grants")
 class RenewGrants(NamedTuple):
-    """Ask an owner to extend grants that still have running requests."""
+    """Ask an owner to extend grants that still have running requests.
+
+    ``begun`` tells for each grant how many requests began since it was last told.
+    """
 
     target: str
     grant_ids: tuple[str, ...]
+    begun: tuple[int, ...] = ()
 
 
 @message("renewed-grants")
@@ -159,6 +163,7 @@
 
     target: str
     grant_id: str
+    begun: int = 0
 
 
 @message("revoke-grant")
--- a/hawthornlead/metrics.py
+++ b/hawthornlead/metrics.py
@@ -67,6 +67,21 @@
         self.step_fill = self._gauge(
             "hawthornlead_step_fill_ratio", "Fill of engine steps", ["target"]
         )
+        self.loads = self._counter(
+            "hawthornlead_loads_total", "Loads ordered, by result", ["result"]
+        )
+        self.evictions = self._counter(
+            "hawthornlead_evictions_total", "Adapters evicted"
+        )
+        self.grants_out = self._gauge(
+            "hawthornlead_grants_out", "Grants given out on owned targets", ["target"]
+        )
+        self.grants_held = self._gauge(
+            "hawthornlead_grants_held", "Grants that this VM holds"
+        )
+        self.load_permits = self._gauge(
+            "hawthornlead_load_permits", "Loads under way", ["weight_store"]
+        )
 
         # claims
         self.claims = self._counter(
--- /dev/null
+++ b/hawthornlead/orders.py
@@ -0,0 +1,144 @@
+"""Orders of an owner to its target, each under its lease.
+
+The right to order is read from the clock right before each order, and once more
+when the connection stands and the bytes are about to go out. What remains is a
+process frozen between that last look and the write: a fencing target refuses the
+order that comes after it wakes, another one carries it out.
+"""
+
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from .errors import ErrorKind, Failure
+from .events import EventKind, EventRing
+from .evict_guards import EvictGuard
+from .grant_ledgers import AdapterVersion
+from .invariants import Invariants
+from .owners import OrderRight
+from .targets import Order, OrderReply, TargetClient
+from .timers import TimerService
+from .views import target_resource
+
+
+class TargetOrders:
+    """The orders of one owner of one target."""
+
+    def __init__(
+        self,
+        *,
+        settings: dict,
+        timers: TimerService,
+        events: EventRing,
+        invariants: Invariants,
+        owners,
+        client: TargetClient,
+        guard: EvictGuard,
+        target: str,
+        fence: int,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._invariants = invariants
+        self._owners = owners
+        self._client = client
+        self._guard = guard
+        self._target = target
+        self._fence = fence
+        self._superseded = False
+        self._stopped = False
+
+    @property
+    def superseded(self) -> bool:
+        """Whether the target knows a later owner."""
+        return self._superseded
+
+    @property
+    def ready(self) -> bool:
+        """Whether the target's slots are known since the takeover."""
+        return self._guard.ready
+
+    def stop(self) -> None:
+        """Order nothing any more: the ownership is over."""
+        self._stopped = True
+
+    def right(self) -> OrderRight:
+        """Return what may be ordered now, by the clock at this call."""
+        if self._superseded or self._stopped:
+            return OrderRight.NONE
+        owned = self._owners.owned(target_resource(self._target))
+        if owned is None or owned.fence != self._fence:
+            return OrderRight.NONE
+        # A successor waits out ORDER_S after the lease, so an order needs no more
+        # than a lease that is held when it starts.
+        return self._owners.right(target_resource(self._target), 0.0)
+
+    def may_evict(self) -> bool:
+        """Whether an eviction may be ordered now."""
+        return self.right() is OrderRight.FULL and self._guard.may_evict
+
+    async def load(
+        self, key: AdapterVersion, base_model: str, in_time: Callable[[], bool]
+    ) -> Result[OrderReply, Failure]:
+        """Order a load; ``in_time`` says whether its permit still holds."""
+        return await self._order(
+            Order.LOAD,
+            key,
+            base_model,
+            self._settings["LOAD_S"],
+            lambda: self.right() is not OrderRight.NONE and in_time(),
+        )
+
+    async def evict(
+        self, key: AdapterVersion, idle: Callable[[], bool]
+    ) -> Result[OrderReply, Failure]:
+        """Order an eviction of an adapter version that ``idle`` proves unused."""
+
+        def allowed() -> bool:
+            return self.may_evict() and idle()
+
+        return await self._order(
+            Order.EVICT, key, "", self._settings["ORDER_S"], allowed
+        )
+
+    async def fence(self) -> Result[OrderReply, Failure]:
+        """Tell the target this owner's fencing number."""
+        sent_at = self._timers.now()
+        reply = await self._order(
+            Order.FENCE,
+            AdapterVersion("", ""),
+            "",
+            self._settings["ORDER_S"],
+            lambda: self.right() is not OrderRight.NONE,
+        )
+        if isinstance(reply, Ok):
+            self._guard.fenced(sent_at, self._timers.now())
+        return reply
+
+    async def _order(
+        self,
+        op: Order,
+        key: AdapterVersion,
+        base_model: str,
+        timeout_s: float,
+        allowed: Callable[[], bool],
+    ) -> Result[OrderReply, Failure]:
+        if not allowed():
+            detail = f"no right to order {op.value} at {self._target}"
+            return Err(Failure(ErrorKind.NO_GRANT, detail))
+        owned = self._owners.owned(target_resource(self._target))
+        self._invariants.check(
+            "order-under-lease",
+            owned is not None and owned.fence == self._fence,
+            f"{op.value} {self._target} fence={self._fence}",
+        )
+        reply = await self._client.order(
+            op, self._fence, key.adapter, key.version, base_model, timeout_s, allowed
+        )
+        if isinstance(reply, Err) and reply.err_value.kind is ErrorKind.STALE_FENCE:
+            self._superseded = True
+            self._events.emit(
+                EventKind.OWNER_SUPERSEDED, self._target, fence=self._fence
+            )
+        return reply
--- /dev/null
+++ b/hawthornlead/slots.py
@@ -0,0 +1,482 @@
+"""The owner's side of one target: who may run there, and what it has loaded.
+
+A ``TargetOwner`` lives on the VM that owns ``target:NAME``, from taking it to losing
+it. It reads the target's reports, gives grants, and lets the loader load and evict.
+Other VMs' requests reach it as messages through ``TargetOwners``.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .allowances import Allowances
+from .engine_clocks import EngineClock
+from .errors import ErrorKind, Failure
+from .events import EventKind, EventRing
+from .evict_guards import EvictGuard
+from .grant_ledgers import AdapterVersion, GrantLedger, HeldGrant
+from .invariants import Invariants
+from .load_queues import Load, LoadQueue
+from .loaders import Loader
+from .messages import (
+    AcquireGrant,
+    GrantReply,
+    ReleaseGrant,
+    RenewedGrants,
+    RenewGrants,
+    Resident,
+    RevokeGrant,
+    TargetState,
+)
+from .metrics import Metrics
+from .orders import TargetOrders
+from .owners import OrderRight
+from .residencies import Residency
+from .targets import TargetClient
+from .timers import TimerService
+from .waits import Signal, wait_done
+
+# A probe is sent at least this often, for restarts; more often when a proof waits.
+PROBE_S = 2.0
+# Unanswered calls in a row after which the target counts as silent.
+MISSED_CALLS = 3
+
+
+class OwnedTarget(NamedTuple):
+    """What the VM list says of an owned target."""
+
+    name: str
+    address: str
+    slots: int
+    fencing: bool
+    weight_store: str
+
+
+class Policies(NamedTuple):
+    """The strategies that a target's owner asks."""
+
+    eviction: object
+    load_order: object
+    popularity: object
+    copies: Callable[[Resident], int] | None = None
+
+
+class TargetOwner:
+    """Decides for one target."""
+
+    def __init__(
+        self,
+        *,
+        settings: dict,
+        timers: TimerService,
+        events: EventRing,
+        metrics: Metrics,
+        invariants: Invariants,
+        rng: random.Random,
+        owners,
+        allowances: Allowances,
+        policies: Policies,
+        client: TargetClient,
+        target: OwnedTarget,
+        ownership,
+        cast: Callable[[str, RevokeGrant], object],
+        predecessor_gone: Callable[[], bool] = lambda: False,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._invariants = invariants
+        self._client = client
+        self._target = target
+        self._fence = ownership.fence
+        self._cast = cast
+        self._predecessor_gone = predecessor_gone
+        self._clock = EngineClock()
+        self._residency = Residency(self._clock, target.slots)
+        self._queue = LoadQueue(policies.load_order)
+        self._popularity = policies.popularity
+        self._changed = Signal()
+        self._ledger = GrantLedger(
+            settings=settings,
+            timers=timers,
+            rng=rng,
+            clock=self._clock,
+            fence=ownership.fence,
+        )
+        self._guard = EvictGuard(
+            settings=settings,
+            timers=timers,
+            clock=self._clock,
+            ledger=self._ledger,
+            ownership=ownership,
+            fencing=target.fencing,
+        )
+        self._orders = TargetOrders(
+            settings=settings,
+            timers=timers,
+            events=events,
+            invariants=invariants,
+            owners=owners,
+            client=client,
+            guard=self._guard,
+            target=target.name,
+            fence=ownership.fence,
+        )
+        self._loader = Loader(
+            settings=settings,
+            timers=timers,
+            events=events,
+            metrics=metrics,
+            invariants=invariants,
+            target=target.name,
+            weight_store=target.weight_store,
+            orders=self._orders,
+            ledger=self._ledger,
+            residency=self._residency,
+            queue=self._queue,
+            allowances=allowances,
+            eviction=policies.eviction,
+            popularity=policies.popularity,
+            changed=self._changed,
+            revoke=self._revoke,
+            copies=policies.copies,
+        )
+        self._leaving = False
+        self._missed = 0
+        self._probe_wanted = True
+        self._polling = False
+        self._timer = None
+        self._running = 0
+        self._queued = 0
+        self._fencing_now: asyncio.Task | None = None
+
+    @property
+    def fence(self) -> int:
+        """The fencing number of this ownership."""
+        return self._fence
+
+    @property
+    def ready(self) -> bool:
+        """Whether the target's slots are known since the takeover."""
+        return self._guard.ready
+
+    @property
+    def leaving(self) -> bool:
+        """Whether the target leaves and takes no new work."""
+        return self._leaving
+
+    @leaving.setter
+    def leaving(self, leaving: bool) -> None:
+        self._leaving = leaving
+
+    @property
+    def silent(self) -> bool:
+        """Whether the target has stopped answering its owner."""
+        return self._missed >= MISSED_CALLS
+
+    def start(self) -> None:
+        """Begin to read reports."""
+        self._timer = self._timers.every(
+            self._settings["REPORT_INTERVAL_S"],
+            self.poll,
+            name=f"report of {self._target.name}",
+        )
+        self._events.emit(EventKind.TARGET_OWNED, self._target.name, fence=self._fence)
+
+    def give_up(self) -> None:
+        """Grant and order nothing from now on; what is under way ends in ``stop``."""
+        self._orders.stop()
+        self._changed.fire()
+
+    async def stop(self) -> None:
+        """End; grants that are out run out by themselves."""
+        self.give_up()
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._loader.stop()
+        self._metrics.grants_out.labels(self._target.name).set(0)
+        self._events.emit(
+            EventKind.TARGET_GIVEN_UP, self._target.name, fence=self._fence
+        )
+
+    def state(self, serial: int) -> TargetState:
+        """Return what other VMs are told; a silent target has nothing to offer."""
+        silent = self.silent
+        return TargetState(
+            target=self._target.name,
+            fence=self._fence,
+            serial=serial,
+            slots=0 if silent else self._residency.size,
+            running=self._running,
+            queued=self._queued,
+            leaving=self._leaving,
+            residents=() if silent else self._residency.residents(),
+        )
+
+    async def acquire(self, vm: str, ask: AcquireGrant) -> Result[GrantReply, Failure]:
+        """Give ``vm`` a grant, after a load where one is needed and in time."""
+        key = AdapterVersion(ask.adapter, ask.version)
+        asking = _Asking(vm, key, ask, self._now(), self._now() + ask.wait_s)
+        self._popularity.observe(ask.adapter, self._now())
+        while True:
+            refusal = self._refusal()
+            if refusal is not None:
+                return Err(refusal)
+            if not self._guard.ready:
+                if not await self._changed.wait(
+                    self._timers, asking.until - self._now()
+                ):
+                    return Err(_no_grant("the owner is still learning the target"))
+                continue
+            slot = self._residency.get(key)
+            if slot is not None and slot.grantable:
+                outcome = await self._grant_resident(asking)
+            else:
+                outcome = await self._load_and_grant(asking)
+            if isinstance(outcome, Err) or outcome.ok_value is not None:
+                return outcome
+
+    def renew(self, message: RenewGrants) -> RenewedGrants:
+        """Extend grants, as far as this owner may still give any."""
+        right = self._orders.right()
+        allowed = right is OrderRight.FULL or (
+            right is OrderRight.DEGRADED and self._guard.fence_fresh()
+        )
+        if right is OrderRight.DEGRADED and not allowed:
+            # The next renewal, GRANT_RENEW_S from now, may find it accepted.
+            self._start_refence()
+        if not allowed or not self._guard.ready:
+            return RenewedGrants((), 0.0)
+        renewed = self._ledger.renew(message.grant_ids)
+        for grant_id, begun in zip(message.grant_ids, message.begun, strict=False):
+            self._observe(grant_id, begun)
+        return RenewedGrants(renewed, self._settings["GRANT_S"])
+
+    def release(self, message: ReleaseGrant) -> None:
+        """Take a grant back from its holder."""
+        self._observe(message.grant_id, message.begun)
+        self._ledger.release(message.grant_id)
+        self._changed.fire()
+
+    def suspect(self) -> None:
+        """Probe the target soon: a request failed there."""
+        self._probe_wanted = True
+        if not self._polling:
+            self._timers.after(0, self.poll, name="suspected target")
+
+    async def poll(self) -> None:
+        """Fence, probe and read the report, as far as each is due."""
+        if self._polling:
+            return
+        self._polling = True
+        try:
+            if self._orders.right() is not OrderRight.NONE:
+                self._guard.has_right()
+                if self._guard.needs_fence:
+                    await self._orders.fence()
+            if self._probe_due():
+                await self._probe()
+            await self._read_report()
+        finally:
+            self._polling = False
+        if self._predecessor_gone():
+            self._guard.predecessor_gone()
+        self._loader.start_loads()
+        self._changed.fire()
+        self._metrics.grants_out.labels(self._target.name).set(self._ledger.out)
+
+    def _now(self) -> float:
+        return self._timers.now()
+
+    def _observe(self, grant_id: str, begun: int) -> None:
+        """Count the requests that a holder told of; the first was counted before."""
+        grant = self._ledger.get(grant_id)
+        if grant is not None and begun > 0:
+            self._popularity.observe(grant.key.adapter, self._now(), begun)
+
+    def _refusal(self) -> Failure | None:
+        if self._orders.right() is OrderRight.NONE:
+            return _no_grant(f"no right to grant on {self._target.name}")
+        if self._leaving:
+            detail = f"{self._target.name} is leaving"
+            return Failure(ErrorKind.TARGET_REFUSED, detail)
+        if self.silent:
+            detail = f"{self._target.name} does not answer"
+            return Failure(ErrorKind.TARGET_UNREACHABLE, detail)
+        return None
+
+    async def _grant_resident(
+        self, asking: "_Asking"
+    ) -> Result[GrantReply | None, Failure]:
+        """Grant what is resident; Ok(None) when it must be looked at again."""
+        if self._orders.right() is OrderRight.FULL or self._guard.fence_fresh():
+            return Ok(self._grant(asking, 0.0))
+        fenced = await self._refence()
+        return fenced if isinstance(fenced, Err) else Ok(None)
+
+    async def _load_and_grant(
+        self, asking: "_Asking"
+    ) -> Result[GrantReply | None, Failure]:
+        """Load and grant; Ok(None) when the slot must be looked at again."""
+        began_at = self._now()
+        joined = self._join(asking)
+        if isinstance(joined, Err):
+            return joined
+        load = joined.ok_value
+        try:
+            outcome = await self._wait_for(load, asking.until)
+            if isinstance(outcome, Err):
+                return outcome
+            if load.slot.grantable and self._orders.right() is OrderRight.FULL:
+                return Ok(self._grant(asking, self._now() - began_at))
+            return Ok(None)
+        finally:
+            # The slot was held against eviction until here, for this request.
+            if load.slot is not None:
+                load.slot.wanted -= 1
+            elif self._queue.leave(load):
+                self._changed.fire()
+
+    def _join(self, asking: "_Asking") -> Result[Load, Failure]:
+        """Join the load, or refuse at once what can't be made in time."""
+        now = self._now()
+        key, ask, until = asking.key, asking.ask, asking.until
+        if not ask.load:
+            return Err(Failure(ErrorKind.NO_SLOT, "not resident", retry_after_s=1.0))
+        retry_in = self._queue.retry_in(key, now)
+        if retry_in > 0:
+            detail = f"loading {key.adapter} {key.version} failed lately"
+            return Err(Failure(ErrorKind.LOAD_FAILED, detail, retry_after_s=retry_in))
+        estimate = self._loader.estimate_s(key)
+        if now + estimate > until:
+            detail = "a load can't be made in time"
+            return Err(Failure(ErrorKind.NO_SLOT, detail, retry_after_s=estimate))
+        load = self._queue.join(key, ask.base_model, ask.priority, until, now)
+        self._loader.start_loads()
+        return Ok(load)
+
+    async def _wait_for(self, load: Load, until: float) -> Result[None, Failure]:
+        left = until - self._now()
+        if not await wait_done(self._timers, load.ended, left):
+            detail = "the load was not made in time"
+            return Err(Failure(ErrorKind.NO_SLOT, detail, retry_after_s=1.0))
+        return load.ended.result()
+
+    def _grant(self, asking: "_Asking", loaded_s: float) -> GrantReply:
+        """Give a grant; called with nothing awaited since the right was read."""
+        count = max(1, min(asking.ask.count, self._settings["GRANT_SIZE"]))
+        grant = self._ledger.issue(asking.vm, asking.key, count)
+        self._invariants.check(
+            "order-under-lease",
+            self._orders.right() is not OrderRight.NONE,
+            f"grant {grant.grant_id} on {self._target.name}",
+        )
+        # The holder counts from its asking, so the wait here is added.
+        ttl_s = self._now() - asking.asked_at + self._settings["GRANT_S"]
+        return GrantReply(grant.grant_id, self._fence, count, ttl_s, loaded_s)
+
+    def _revoke(self, grants: list[HeldGrant]) -> None:
+        for grant in grants:
+            self._events.emit(
+                EventKind.GRANT_REVOKED,
+                self._target.name,
+                grant=grant.grant_id,
+                vm=grant.vm,
+            )
+            self._cast(grant.vm, RevokeGrant(self._target.name, grant.grant_id))
+
+    def _start_refence(self) -> asyncio.Task:
+        if self._fencing_now is None or self._fencing_now.done():
+            loop = asyncio.get_running_loop()
+            self._fencing_now = loop.create_task(self._orders.fence())
+        return self._fencing_now
+
+    async def _refence(self) -> Result[None, Failure]:
+        """Have the target accept this owner's number; all who wait share one order."""
+        reply = await asyncio.shield(self._start_refence())
+        if isinstance(reply, Err):
+            detail = f"{self._target.name} did not accept the fencing number"
+            return Err(_no_grant(detail))
+        return Ok(None)
+
+    def _probe_due(self) -> bool:
+        probed_at = self._clock.probed_at
+        if self._probe_wanted or probed_at is None:
+            return True
+        moments = [self._ledger.proof_wanted_after]
+        if not self._guard.ready:
+            moments.append(self._guard.ready_after)
+        for slot in self._residency.slots():
+            moments.append(slot.settled_after)
+        for moment in moments:
+            if moment is not None and probed_at < moment <= self._now():
+                return True
+        return self._now() - probed_at >= PROBE_S
+
+    async def _probe(self) -> None:
+        sent_at = self._now()
+        health = await self._client.health()
+        self._answered(isinstance(health, Ok))
+        if isinstance(health, Err):
+            return
+        self._probe_wanted = False
+        if self._clock.note(sent_at, health.ok_value.now, health.ok_value.boot_id):
+            self._on_restart()
+
+    def _on_restart(self) -> None:
+        """Begin anew: the slots are empty, and grants on them are asked back.
+
+        Nothing is loaded again by itself. Requests ask for what they need, through
+        the allowance, so that a restart makes no stampede on the weight store.
+        """
+        for slot in self._residency.slots():
+            self._revoke(self._ledger.revoke(slot.key))
+        self._residency.clear()
+        self._guard.restarted()
+        self._loader.restarted()
+        self._events.emit(
+            EventKind.TARGET_RESTARTED, self._target.name, boot_id=self._clock.boot_id
+        )
+
+    async def _read_report(self) -> None:
+        answer = await self._client.report()
+        if isinstance(answer, Err):
+            self._answered(False)
+            return
+        report = answer.ok_value
+        if report.boot_id != self._clock.boot_id:
+            # Of another start: it tells nothing of this one, but asks for a probe.
+            self._probe_wanted = True
+            return
+        self._running = report.running
+        self._queued = report.queued
+        self._ledger.observe(report)
+        self._residency.observe(report)
+        self._guard.observe(report.as_of)
+        self._metrics.step_fill.labels(self._target.name).set(report.step_fill)
+
+    def _answered(self, answered: bool) -> None:
+        was_silent = self.silent
+        self._missed = 0 if answered else self._missed + 1
+        if self.silent == was_silent:
+            return
+        kind = EventKind.TARGET_SILENT if self.silent else EventKind.TARGET_ANSWERS
+        self._events.emit(kind, self._target.name)
+
+
+class _Asking(NamedTuple):
+    """One VM's asking for a grant."""
+
+    vm: str
+    key: AdapterVersion
+    ask: AcquireGrant
+    asked_at: float
+    until: float
+
+
+def _no_grant(detail: str) -> Failure:
+    return Failure(ErrorKind.NO_GRANT, detail, retry_after_s=1.0)
--- /dev/null
+++ b/hawthornlead/target_owners.py
@@ -0,0 +1,266 @@
+"""All targets that this VM owns, and the messages that other VMs send their owner."""
+
+import random
+from collections.abc import Callable
+
+from result import Err
+
+from .allowances import Allowances, allowance_resource
+from .casts import send
+from .errors import ErrorKind, Failure
+from .events import EventRing
+from .invariants import Invariants
+from .messages import (
+    AcquireGrant,
+    Done,
+    Failed,
+    ReleaseGrant,
+    RenewedGrants,
+    RenewGrants,
+    Resident,
+    TargetState,
+    TargetSuspect,
+)
+from .metrics import Metrics
+from .slots import OwnedTarget, Policies, TargetOwner
+from .targets import TargetClient
+from .timers import TimerService
+from .views import TargetViews, target_resource
+
+# States are told at most this often, soon after a change ...
+TELL_S = 0.1
+# ... and this often without one. With many targets the pause grows, so that all
+# owners together send each VM this many states a second.
+RETELL_S = 3.0
+STATES_PER_S = 40.0
+DEFAULT_WEIGHT_STORE = "default"
+
+
+class _Told:
+    """What was last told of one target."""
+
+    def __init__(self):
+        self.state: TargetState | None = None
+        self.at = float("-inf")
+        self.serial = 0
+
+
+class TargetOwners:
+    """Keeps a ``TargetOwner`` for each target that this VM owns."""
+
+    def __init__(
+        self,
+        *,
+        settings: dict,
+        timers: TimerService,
+        events: EventRing,
+        metrics: Metrics,
+        invariants: Invariants,
+        rng: random.Random,
+        mesh,
+        owners,
+        vm_list,
+        views: TargetViews,
+        allowances: Allowances,
+        policies: Policies,
+        make_client: Callable[[str], TargetClient],
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._invariants = invariants
+        self._rng = rng
+        self._mesh = mesh
+        self._owners = owners
+        self._vm_list = vm_list
+        self._views = views
+        self._allowances = allowances
+        self._policies = policies._replace(copies=self._copies)
+        self._make_client = make_client
+        self._targets: dict[str, TargetOwner] = {}
+        self._told: dict[str, _Told] = {}
+        self._wanted: set[str] = set()
+        self._timer = None
+
+    @property
+    def targets(self) -> dict[str, TargetOwner]:
+        """The owned targets by name."""
+        return dict(self._targets)
+
+    def start(self) -> None:
+        """Want the targets of the VM list and answer for those that are owned."""
+        self._mesh.on(AcquireGrant, self._on_acquire)
+        self._mesh.on(RenewGrants, self._on_renew)
+        self._mesh.on(ReleaseGrant, self._on_release)
+        self._mesh.on(TargetSuspect, self._on_suspect)
+        self._owners.on_taken(self._on_taken)
+        self._owners.on_lost(self._on_lost)
+        self._vm_list.subscribe(self._on_vm_list)
+        self._on_vm_list()
+        self._timer = self._timers.every(TELL_S, self._tell_all, name="target states")
+
+    async def stop(self) -> None:
+        """Give up all targets."""
+        if self._timer is not None:
+            self._timer.cancel()
+        owners = list(self._targets.values())
+        self._targets.clear()
+        for owner in owners:
+            owner.give_up()
+            await owner.stop()
+
+    def _on_vm_list(self, *_unused) -> None:
+        wanted = {}
+        for entry in self._vm_list.engines():
+            wanted[target_resource(entry.name)] = entry.data_centre
+            store = allowance_resource(_weight_store(entry))
+            wanted.setdefault(store, entry.data_centre)
+            if entry.name in self._targets:
+                self._targets[entry.name].leaving = entry.state == "leaving"
+        for resource, data_centre in wanted.items():
+            if resource not in self._wanted:
+                self._owners.want(resource, data_centre)
+        for resource in self._wanted - wanted.keys():
+            self._owners.forget(resource)
+        self._wanted = set(wanted)
+
+    def _on_taken(self, ownership) -> None:
+        kind, _, name = ownership.resource.partition(":")
+        if kind == "allowance":
+            self._allowances.taken(ownership)
+            return
+        entry = self._entry(name)
+        if kind != "target" or entry is None:
+            return
+        self._on_lost(ownership.resource)
+        owner = self._build(entry, ownership)
+        self._targets[name] = owner
+        self._told[name] = _Told()
+        owner.leaving = entry.state == "leaving"
+        owner.start()
+        self._timers.after(0, owner.poll, name="target taken")
+
+    def _on_lost(self, resource: str) -> None:
+        kind, _, name = resource.partition(":")
+        if kind == "allowance":
+            self._allowances.lost(resource)
+            return
+        owner = self._targets.pop(name, None) if kind == "target" else None
+        if owner is None:
+            return
+        del self._told[name]
+        owner.give_up()
+        self._timers.after(0, owner.stop, name="target lost")
+
+    def _entry(self, name: str):
+        for entry in self._vm_list.engines():
+            if entry.name == name:
+                return entry
+        return None
+
+    def _build(self, entry, ownership) -> TargetOwner:
+        target = OwnedTarget(
+            name=entry.name,
+            address=entry.address,
+            slots=int(entry.attributes.get("slots", 0)),
+            fencing=bool(entry.attributes.get("fencing", False)),
+            weight_store=_weight_store(entry),
+        )
+        return TargetOwner(
+            settings=self._settings,
+            timers=self._timers,
+            events=self._events,
+            metrics=self._metrics,
+            invariants=self._invariants,
+            rng=self._rng,
+            owners=self._owners,
+            allowances=self._allowances,
+            policies=self._policies,
+            client=self._make_client(entry.address),
+            target=target,
+            ownership=ownership,
+            cast=lambda vm, message: send(self._mesh, vm, message),
+            predecessor_gone=lambda: self._predecessor_gone(ownership),
+        )
+
+    def _predecessor_gone(self, ownership) -> bool:
+        """Whether all earlier owners are proved to have stopped, by now."""
+        owned = self._owners.owned(ownership.resource)
+        if owned is None or owned.fence != ownership.fence:
+            return False
+        return owned.predecessor_stopped
+
+    def _copies(self, resident: Resident) -> int:
+        """Count the other targets that hold an adapter version, as far as known."""
+        copies = -1
+        for view in self._views.views():
+            if view.state is None:
+                continue
+            for other in view.state.residents:
+                if other[:2] == resident[:2]:
+                    copies += 1
+        return max(0, copies)
+
+    def _tell_all(self) -> None:
+        count = len(self._vm_list.engines())
+        retell_s = max(RETELL_S, count / STATES_PER_S)
+        now = self._timers.now()
+        for name, owner in self._targets.items():
+            told = self._told[name]
+            state = owner.state(told.serial)
+            if now - told.at < retell_s and not _differs(told.state, state):
+                continue
+            told.serial += 1
+            told.at = now
+            told.state = state._replace(serial=told.serial)
+            self._views.take(told.state)
+            self._mesh.broadcast(told.state)
+
+    async def _on_acquire(self, sender, ask: AcquireGrant):
+        owner = self._targets.get(ask.target)
+        if owner is None:
+            return _failed(_not_owner(ask.target))
+        outcome = await owner.acquire(sender.vm, ask)
+        if isinstance(outcome, Err):
+            return _failed(outcome.err_value)
+        return outcome.ok_value
+
+    async def _on_renew(self, sender, message: RenewGrants):
+        owner = self._targets.get(message.target)
+        if owner is None:
+            return RenewedGrants((), 0.0)
+        return owner.renew(message)
+
+    async def _on_release(self, sender, message: ReleaseGrant):
+        owner = self._targets.get(message.target)
+        if owner is not None:
+            owner.release(message)
+        return Done()
+
+    async def _on_suspect(self, sender, message: TargetSuspect):
+        owner = self._targets.get(message.target)
+        if owner is not None:
+            owner.suspect()
+        return Done()
+
+
+def _weight_store(entry) -> str:
+    return str(entry.attributes.get("weight_store") or DEFAULT_WEIGHT_STORE)
+
+
+def _differs(told: TargetState | None, state: TargetState) -> bool:
+    """Whether what routing depends on has changed; counts wait for their turn."""
+    if told is None or (told.slots, told.leaving) != (state.slots, state.leaving):
+        return True
+    before = [(r.adapter, r.version, r.loading) for r in told.residents]
+    after = [(r.adapter, r.version, r.loading) for r in state.residents]
+    return before != after
+
+
+def _not_owner(target: str) -> Failure:
+    return Failure(ErrorKind.NO_GRANT, f"not the owner of {target}", retry_after_s=0.5)
+
+
+def _failed(failure: Failure) -> Failed:
+    return Failed(failure.kind.value, failure.detail, failure.retry_after_s)
--- /dev/null
+++ b/hawthornlead/tests/fakes_worlds.py
@@ -0,0 +1,330 @@
+"""A few VMs with one target in one process, on clocks that are moved by hand.
+
+VMs can be frozen (their tasks neither send nor hear, and wake with the clock far
+on), killed, and cut from one another; ownership is handed over by the test.
+"""
+
+import asyncio
+import random
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from hawthornlead.allowances import Allowances
+from hawthornlead.clocks import HybridClock
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.events import EventRing
+from hawthornlead.evictions import EVICTIONS
+from hawthornlead.grant_ledgers import AdapterVersion
+from hawthornlead.grants import Grants
+from hawthornlead.invariants import Invariants
+from hawthornlead.load_orders import LOAD_ORDERS
+from hawthornlead.messages import Done, Failed
+from hawthornlead.metrics import Metrics
+from hawthornlead.owners import OrderRight
+from hawthornlead.popularities import POPULARITIES
+from hawthornlead.settings import default_settings
+from hawthornlead.slots import Policies
+from hawthornlead.target_owners import TargetOwners
+from hawthornlead.timers import ManualTimerService
+from hawthornlead.views import TargetViews
+
+from .fakes_engines import FakeEngine, FakeTargetClient
+from .fakes_targets import FakeOwnerRecord, FakeVmList, engine_entry
+
+TARGET = "target:engine"
+ALLOWANCE = "allowance:weights"
+STEP_S = 0.05
+
+
+class Assigned(NamedTuple):
+    """What a request is assigned."""
+
+    adapter: str
+    version: str = "1"
+    base_model: str = "base"
+    priority: int = 0
+
+
+class FakeOwnership(NamedTuple):
+    """A resource that a VM owns."""
+
+    resource: str
+    fence: int
+    taken_at: float
+    predecessor: str
+    predecessor_stopped: bool
+
+
+class FakePeer(NamedTuple):
+    """The sender of a message."""
+
+    vm: str
+
+
+class FakeOwners:
+    """One VM's view of who owns what, which the test sets."""
+
+    def __init__(self, records):
+        self.records = records
+        self.ownerships = {}
+        self.rights = {}
+        self.taken = []
+        self.lost = []
+
+    def want(self, resource, data_centre):
+        """Take nothing by itself."""
+
+    def forget(self, resource):
+        """Give nothing back by itself."""
+
+    def on_taken(self, callback):
+        """Call back with ownerships."""
+        self.taken.append(callback)
+
+    def on_lost(self, callback):
+        """Call back with resources."""
+        self.lost.append(callback)
+
+    def owner_of(self, resource):
+        """The newest record."""
+        return self.records.get(resource)
+
+    def owned(self, resource):
+        """This VM's ownership."""
+        return self.ownerships.get(resource)
+
+    def right(self, resource, longest_s=0.0):
+        """This VM's right."""
+        if resource not in self.ownerships:
+            return OrderRight.NONE
+        return self.rights[resource]
+
+
+class FakeMesh:
+    """One VM's mesh; the world carries its messages."""
+
+    def __init__(self, world, vm):
+        self._world = world
+        self.vm = vm
+        self.handlers = {}
+
+    @property
+    def myself(self):
+        """This VM as a sender."""
+        return FakePeer(self.vm)
+
+    def on(self, message_type, handler):
+        """Enter a handler."""
+        self.handlers[message_type] = handler
+
+    async def answer(self, sender, message):
+        """Handle a message."""
+        return await self.handlers[type(message)](sender, message) or Done()
+
+    async def call(self, vm, message, timeout_s=2.0):
+        """Send and wait for the reply."""
+        return await self._world.carry(self.vm, vm, message, timeout_s)
+
+    def cast(self, vm, message):
+        """Send without a reply."""
+        self._world.spawn(self._world.carry(self.vm, vm, message, 1e9))
+        return True
+
+    def broadcast(self, message):
+        """Send to all others."""
+        for vm in self._world.vms:
+            if vm != self.vm:
+                self.cast(vm, message)
+
+
+class Vm:
+    """One entry VM's parts."""
+
+    def __init__(self, world, name):
+        self.name = name
+        self.timers = ManualTimerService()
+        self.dead = False
+        self.awake = asyncio.Event()
+        self.awake.set()
+        settings = world.settings
+        events = EventRing(name, HybridClock(self.timers))
+        self.invariants = Invariants(events)
+        self.metrics = Metrics()
+        self.mesh = FakeMesh(world, name)
+        self.owners = FakeOwners(world.records)
+        self.client = FakeTargetClient(world.engine, self.awake.wait)
+        rng = random.Random(name)
+        common = {
+            "settings": settings,
+            "timers": self.timers,
+            "events": events,
+            "metrics": self.metrics,
+            "invariants": self.invariants,
+            "mesh": self.mesh,
+            "owners": self.owners,
+        }
+        order = LOAD_ORDERS["deadline"](settings=settings)
+        self.allowances = Allowances(rng=rng, order=order, **common)
+        self.views = TargetViews(
+            timers=self.timers,
+            events=events,
+            vm_list=world.vm_list,
+            owners=self.owners,
+        )
+        self.targets = TargetOwners(
+            rng=rng,
+            vm_list=world.vm_list,
+            views=self.views,
+            allowances=self.allowances,
+            policies=Policies(
+                EVICTIONS["popularity"](settings=settings),
+                order,
+                POPULARITIES["decayed"](settings=settings),
+            ),
+            make_client=lambda address: self.client,
+            **common,
+        )
+        self.grants = Grants(**common)
+        self.allowances.start()
+        self.views.start(self.mesh)
+        self.targets.start()
+        self.grants.start()
+
+
+class World:
+    """VMs ``a``, ``b``, ... and one target."""
+
+    def __init__(self, vms="ab", *, slots=1, fencing=True, **settings):
+        self.settings = default_settings(
+            VM_NAME="a", **{"LOADS_PER_S": 100.0, "LOAD_S": 5.0, **settings}
+        )
+        self.timers = ManualTimerService()
+        self.engine = FakeEngine(self.timers, slots=slots, fencing=fencing)
+        self.records = {}
+        entry = engine_entry("engine", fencing=fencing, slots=slots)
+        self.vm_list = FakeVmList(entry)
+        self.cuts = set()
+        self._tasks = set()
+        self.vms = {}
+        for name in vms:
+            self.vms[name] = Vm(self, name)
+
+    def spawn(self, coroutine):
+        """Run a task."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def carry(self, sender, vm, message, timeout_s):
+        """Carry a message there and its reply back."""
+        away = Err(Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm} is away"))
+        source, other = self.vms[sender], self.vms[vm]
+        await source.awake.wait()
+        if source.dead or other.dead or frozenset((sender, vm)) in self.cuts:
+            return away
+        handling = self.spawn(self._handle(source, other, message))
+        over = asyncio.Event()
+        source.timers.after(timeout_s, over.set, name="call")
+        waiting = asyncio.ensure_future(over.wait())
+        await asyncio.wait({handling, waiting}, return_when="FIRST_COMPLETED")
+        waiting.cancel()
+        await source.awake.wait()
+        if not handling.done() or frozenset((sender, vm)) in self.cuts:
+            return away
+        return handling.result()
+
+    async def _handle(self, source, other, message):
+        await other.awake.wait()
+        reply = await other.mesh.answer(FakePeer(source.name), message)
+        await other.awake.wait()
+        if other.dead:
+            return Err(Failure(ErrorKind.PEER_UNAVAILABLE, "died"))
+        if isinstance(reply, Failed):
+            kind = ErrorKind(reply.kind)
+            return Err(Failure(kind, reply.detail, reply.retry_after_s))
+        return Ok(reply)
+
+    def give(self, vm, resource=TARGET, *, stopped=False, old_right=OrderRight.NONE):
+        """Let ``vm`` take a resource; ``old_right`` is what its predecessor believes.
+
+        ``stopped`` says that the predecessor is proved to have stopped.
+        """
+        record = self.records.get(resource)
+        fence = record.fence + 1 if record else 1
+        before = record.vm if record else ""
+        if before:
+            old = self.vms[before].owners
+            if old_right is OrderRight.NONE:
+                old.ownerships.pop(resource, None)
+                if not self.vms[before].dead and self.vms[before].awake.is_set():
+                    for callback in old.lost:
+                        callback(resource)
+            else:
+                old.rights[resource] = old_right
+        self.records[resource] = FakeOwnerRecord(vm, vm, fence)
+        taker = self.vms[vm]
+        ownership = FakeOwnership(
+            resource, fence, taker.timers.now(), before, stopped or not before
+        )
+        taker.owners.ownerships[resource] = ownership
+        taker.owners.rights[resource] = OrderRight.FULL
+        for callback in taker.owners.taken:
+            callback(ownership)
+
+    def degrade(self, vm, resource=TARGET):
+        """Let the lease of an owner lapse, unknown whether others see it too."""
+        self.vms[vm].owners.rights[resource] = OrderRight.DEGRADED
+
+    async def advance(self, seconds):
+        """Move all clocks on; a frozen VM's stands until it wakes."""
+        for _ in range(round(seconds / STEP_S)):
+            await self.timers.advance(STEP_S)
+            for vm in self.vms.values():
+                if vm.dead or not vm.awake.is_set():
+                    continue
+                await vm.timers.advance(STEP_S)
+
+    def freeze(self, vm):
+        """Stop a VM's process for a while."""
+        self.vms[vm].awake.clear()
+
+    async def thaw(self, vm):
+        """Wake a VM: its clock is right at once, then its timers run."""
+        woken = self.vms[vm]
+        woken.timers._now = self.timers.now()
+        woken.awake.set()
+        await woken.timers.advance(0)
+
+    def kill(self, vm):
+        """End a VM's process."""
+        self.vms[vm].dead = True
+        self.vms[vm].awake.clear()
+
+    def acquire(self, vm, adapter, wait_s=60.0, load=True):
+        """Ask for a grant in a task."""
+        grants = self.vms[vm].grants
+        return self.spawn(grants.acquire("engine", Assigned(adapter), wait_s, load))
+
+    async def acquired(self, vm, adapter, wait_s=60.0, load=True):
+        """Ask for a grant and move time until it is there or refused."""
+        task = self.acquire(vm, adapter, wait_s, load)
+        for _ in range(round(wait_s / STEP_S) + 60):
+            if task.done():
+                return task.result()
+            await self.advance(STEP_S)
+        return task.result()
+
+    def send(self, vm, grant, adapter, request_id):
+        """Begin an attempt and send it; True when it runs."""
+        if grant.begin(request_id).is_err():
+            return False
+        if self.engine.start(request_id, _key(adapter)):
+            return True
+        grant.finish(request_id, ended=True)
+        return False
+
+
+def _key(adapter):
+    return AdapterVersion(adapter, "1")
--- /dev/null
+++ b/hawthornlead/tests/test_allowances.py
@@ -0,0 +1,153 @@
+"""Tests of the load allowance: never exceeded, also through a change of holder."""
+
+from hawthornlead.errors import ErrorKind
+from hawthornlead.grant_ledgers import AdapterVersion
+from hawthornlead.owners import OrderRight
+
+from .fakes_worlds import ALLOWANCE, World
+
+
+class _Loads:
+    """Loads at the weight store, as the store would count them."""
+
+    def __init__(self, world):
+        self.world = world
+        self.running = 0
+        self.most = 0
+        self.started = []
+
+    async def run(self, vm, number, load_s, *, release=True, wait_s=60.0, priority=0):
+        """Ask ``vm`` for leave and load."""
+        allowances = self.world.vms[vm].allowances
+        key = AdapterVersion(f"adapter-{number}", "1")
+        leave = await allowances.acquire("weights", "engine", key, priority, wait_s)
+        if leave.is_err():
+            return leave
+        self.running += 1
+        self.most = max(self.most, self.running)
+        self.started.append((self.world.timers.now(), number))
+        await self.world.timers.sleep(load_s)
+        self.running -= 1
+        if release:
+            allowances.release(leave.ok_value, loaded=True)
+        return leave
+
+    def spawn(self, vm, number, load_s, **options):
+        return self.world.spawn(self.run(vm, number, load_s, **options))
+
+    def most_in(self, span_s):
+        """The most loads that were started within any stretch of time."""
+        times = [at for at, _ in self.started]
+        return max(
+            len([at for at in times if start <= at < start + span_s - 1e-6])
+            for start in times
+        )
+
+
+async def _world(vms="ab", **settings):
+    world = World(vms, **{"LOADS_PER_S": 6.0, "LOADS_AT_ONCE": 2, **settings})
+    world.give("a", ALLOWANCE)
+    return world, _Loads(world)
+
+
+async def test_rate_and_loads_at_once():
+    world, loads = await _world()
+    tasks = [loads.spawn("ab"[n % 2], n, 0.2) for n in range(24)]
+    await world.advance(10)
+    assert all(task.done() for task in tasks)
+    assert loads.most == 2 and loads.most_in(1.0) <= 6
+
+
+async def test_a_failed_vm_loses_its_permits_only_by_time():
+    """A VM dies while its load runs at the engine, and gives nothing back.
+
+    Its permit must count until the load has surely ended, and no longer: then the
+    share is free again.
+    """
+    world, loads = await _world(LOADS_AT_ONCE=1)
+    loads.spawn("b", 1, 4.0, release=False)
+    await world.advance(0.5)
+    world.kill("b")
+    waiting = loads.spawn("a", 2, 0.1)
+    await world.advance(5)
+    assert not waiting.done()
+    await world.advance(4)
+    assert waiting.done() and loads.most == 1
+
+
+async def test_change_of_holder_waits_for_unknown_permits():
+    """The holder dies with two loads running, of which its successor knows nothing.
+
+    Handing out two more at once would run four at the weight store and slow all.
+    """
+    world, loads = await _world("abc")
+    for number in range(2):
+        loads.spawn("b", number, 4.9)
+    await world.advance(0.5)
+    world.kill("a")
+    world.give("c", ALLOWANCE, stopped=True)
+    later = [loads.spawn("b", 10 + n, 0.3) for n in range(6)]
+    await world.advance(30)
+    assert all(task.done() for task in later)
+    assert loads.most == 2 and loads.most_in(1.0) <= 6
+
+
+async def test_two_holders_in_doubt_share_the_allowance():
+    """The holder is cut from the store and a successor took over without proof.
+
+    Both hand out loads. Each gives half, so that together they keep to the whole.
+    """
+    world, loads = await _world("ab")
+    world.give("b", ALLOWANCE, old_right=OrderRight.DEGRADED)
+    await world.advance(10)
+    for number in range(12):
+        world.records[ALLOWANCE] = world.records[ALLOWANCE]._replace(
+            vm="ab"[number % 2]
+        )
+        loads.spawn("b", number, 0.4)
+        await world.advance(0.05)
+    await world.advance(20)
+    assert loads.running == 0 and len(loads.started) == 12
+    assert loads.most == 2 and loads.most_in(1.0) <= 6
+
+
+async def test_frozen_holder_hands_out_nothing_when_it_wakes():
+    """A holder freezes with askers waiting and wakes after its successor began."""
+    world, loads = await _world("ab", LOADS_AT_ONCE=1)
+    loads.spawn("b", 1, 3.0)
+    await world.advance(0.5)
+    waiting = loads.spawn("b", 2, 1.0)
+    await world.advance(0.5)
+    world.freeze("a")
+    world.give("b", ALLOWANCE, stopped=True)
+    await world.advance(20)
+    await world.thaw("a")
+    await world.advance(1)
+    assert waiting.result().is_err() and loads.most == 1
+
+
+async def test_what_cannot_be_made_in_time_is_refused_at_once():
+    world, loads = await _world(LOADS_PER_S=1.0, LOADS_AT_ONCE=1)
+    for number in range(5):
+        loads.spawn("a", number, 0.5)
+    await world.advance(0.1)
+    refused = loads.spawn("a", 9, 0.5, wait_s=1.0)
+    await world.advance(0.1)
+    failure = refused.result().unwrap_err()
+    assert failure.kind is ErrorKind.OVERLOADED and failure.retry_after_s > 1.0
+
+
+async def test_load_order_decides_who_goes_next():
+    world, loads = await _world(LOADS_AT_ONCE=1)
+    loads.spawn("a", 0, 1.0)
+    await world.advance(0.1)
+    loads.spawn("a", 1, 0.1)
+    loads.spawn("a", 2, 0.1, priority=5)
+    await world.advance(5)
+    assert [number for _, number in loads.started] == [0, 2, 1]
+
+
+async def test_nobody_holds_the_allowance():
+    world = World("a")
+    leave = await _Loads(world).run("a", 1, 0.1)
+    assert leave.unwrap_err().kind is ErrorKind.NO_GRANT
