--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -46,9 +46,17 @@
 
     # 400: bundles
     BUNDLE_IN_FORCE = (400, "INFO", "a bundle came into force on this VM")
+    BUNDLE_STAGED = (401, "INFO", "a staged bundle was verified and acknowledged")
+    BUNDLE_DECIDED = (402, "INFO", "a staged bundle was accepted or abandoned")
+    BUNDLE_REFUSED = (403, "WARNING", "a bundle could not be fetched or verified")
+    ROLL_STARTED = (404, "INFO", "an operator's order to roll a bundle was begun")
+    ROLL_ENDED = (405, "INFO", "an operator's order to roll a bundle has ended")
+    BUNDLE_BEHIND = (406, "WARNING", "a newer bundle is in force elsewhere")
+    OPERATOR_REFUSED = (407, "WARNING", "an operator's request was refused")
 
     # 500: targets, slots, grants, loads
     TARGET_SEEN = (500, "INFO", "a target was met in the VM list")
+    TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
     REQUEST_ADMITTED = (600, "DEBUG", "a request was admitted and assigned")
@@ -60,8 +68,15 @@
     CALLER_LEFT = (606, "INFO", "a caller went away before its answer was whole")
 
     # 700: claims
+    CLAIMS_SEALED = (700, "DEBUG", "the claims of a range were sealed in a segment")
+    CLAIM_DIRECT = (701, "INFO", "claims are written past a VM that did not answer")
+    OUTCOME_OWED = (702, "WARNING", "an outcome could not be recorded yet")
+    OUTCOME_GIVEN_UP = (703, "WARNING", "an outcome was never recorded")
 
     # 800: requests that crash targets
+    REQUEST_SUSPECTED = (800, "INFO", "a request was on a target that died")
+    REQUEST_QUARANTINED = (801, "WARNING", "a request is refused for its crashes")
+    REQUEST_CLEARED = (802, "INFO", "a suspected request completed whole")
 
     @property
     def number(self) -> int:
--- a/hawthornlead/metrics.py
+++ b/hawthornlead/metrics.py
@@ -53,6 +53,15 @@
         # store, leases, ownership
 
         # bundles
+        self.bundle_seq = self._gauge(
+            "hawthornlead_bundle_in_force_seq", "Sequence number in force"
+        )
+        self.rolls = self._counter(
+            "hawthornlead_rolls_total", "Rolls run by this VM", ["outcome"]
+        )
+        self.acknowledgement = self._histogram(
+            "hawthornlead_roll_seconds", "From staging to acceptance of a roll"
+        )
 
         # targets, slots, grants, loads
         self.step_fill = self._gauge(
@@ -60,6 +69,15 @@
         )
 
         # claims
+        self.claims = self._counter(
+            "hawthornlead_claims_total", "Claims by what was answered", ["state"]
+        )
+        self.claim_time = self._histogram(
+            "hawthornlead_claim_seconds", "Time that a claim takes"
+        )
+        self.outcomes_owed = self._gauge(
+            "hawthornlead_outcomes_owed", "Outcomes that wait to be recorded"
+        )
 
     def _counter(self, name, text, labels=()) -> Counter:
         return Counter(name, text, labels, registry=self.registry)
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -139,6 +139,41 @@
     "PLACEMENT": Setting("policy", "name", "spread", "strategy: where to load"),
     "EVICTION": Setting("policy", "name", "popularity", "strategy: what to evict"),
     "LOAD_ORDER": Setting("policy", "name", "deadline", "strategy: order of loads"),
+    "POPULARITY": Setting("policy", "name", "decayed", "strategy: popularity"),
+    "FAST_HALF_LIFE_S": Setting(
+        "policy", "number", 20.0, "half-life of the count that follows shifts", 1, 86400
+    ),
+    "SLOW_HALF_LIFE_S": Setting(
+        "policy", "number", 240.0, "half-life of the steady count", 1, 864000
+    ),
+    "CHOICES": Setting("policy", "integer", 4, "targets weighed for a load", 1, 1024),
+    "TARGET_FULL": Setting(
+        "policy", "integer", 16, "requests at once that fill a target's step", 1, 4096
+    ),
+    "LOAD_BOUND": Setting(
+        "policy", "number", 1.5, "work of a copy, times the mean, at most", 1, 100
+    ),
+    "COPY_RATE": Setting(
+        "policy", "number", 4.0, "requests a second that one copy carries", 0.001, 1e4
+    ),
+    "COPY_DISCOUNT": Setting(
+        "policy", "number", 0.25, "worth of a copy that has another", 0, 1
+    ),
+    "STALL_WEIGHT": Setting(
+        "policy", "number", 1.0, "weight of load stalls in placement", 0, 100
+    ),
+    "LOAD_WEIGHT": Setting(
+        "policy", "number", 0.05, "weight of a target's work in placement", 0, 100
+    ),
+    "BATCH_WEIGHT": Setting(
+        "policy", "number", 0.3, "0: emptier copy first, 1: fuller one", 0, 1
+    ),
+    "PATIENCE_S": Setting(
+        "policy", "number", 5.0, "after this a load is as urgent as one due", 0, 600
+    ),
+    "WAITING_LEAD_S": Setting(
+        "policy", "number", 1.0, "lead per doubling of waiting requests", 0, 600
+    ),
     # requests
     "DEFAULT_DEADLINE_S": Setting(
         "requests", "number", 60.0, "deadline of a request that names none", 0.1, 3600
@@ -287,7 +322,9 @@
 
     The error holds every fault of the file, not just the first.
     """
-    parser = configparser.ConfigParser(interpolation=None)
+    # An empty default section can't be written in a file, so that [DEFAULT] is an
+    # unknown section like any other and does not leak keys into all sections.
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
@@ -296,29 +333,17 @@
         return Err([fault])
     settings = default_settings()
     errors = _read_sections(parser, settings)
-    errors += _missing(settings, {(error.section, error.key) for error in errors})
+    told = {(error.section, error.key) for error in errors}
+    errors += _missing(settings, told)
+    errors += _misfits(settings, told)
     if errors:
         return Err(errors)
-    return configure_settings(settings)
+    return Ok(settings)
 
 
 def configure_settings(settings: Settings) -> Result[Settings, list[SettingError]]:
     """Check what no single key shows: how the settings fit together."""
-    errors = []
-    for lesser, greater, factor in FITS:
-        if settings[lesser] * factor <= settings[greater]:
-            continue
-        row = SETTINGS[lesser]
-        errors.append(
-            SettingError(
-                row.section,
-                lesser.lower(),
-                str(settings[lesser]),
-                f"at most {greater.lower()} ({settings[greater]}) / {factor}",
-            )
-        )
-    if bool(settings["TLS_CERTIFICATE"]) != bool(settings["TLS_KEY"]):
-        errors.append(SettingError("tls", "tls_key", "one", "both files or neither"))
+    errors = _misfits(settings, told=set())
     if errors:
         return Err(errors)
     return Ok(settings)
@@ -330,9 +355,27 @@
     ("HEARTBEAT_S", "PEER_SILENT_S", 2),
     ("GRANT_RENEW_S", "GRANT_S", 2),
     ("DEFAULT_DEADLINE_S", "MAX_DEADLINE_S", 1),
+    ("MAX_DEADLINE_S", "CLAIM_KEEP_S", 2),
 )
 
 
+def _misfits(settings: Settings, told: set) -> list[SettingError]:
+    """Return what does not fit together, leaving out keys with an error ``told``."""
+    errors = []
+    for lesser, greater, factor in FITS:
+        row = SETTINGS[lesser]
+        places = {(row.section, lesser.lower())}
+        places.add((SETTINGS[greater].section, greater.lower()))
+        if places & told or settings[lesser] * factor <= settings[greater]:
+            continue
+        allowed = f"at most {greater.lower()} ({settings[greater]}) / {factor}"
+        found = str(settings[lesser])
+        errors.append(SettingError(row.section, lesser.lower(), found, allowed))
+    if bool(settings["TLS_CERTIFICATE"]) != bool(settings["TLS_KEY"]):
+        errors.append(SettingError("tls", "tls_key", "one", "both files or neither"))
+    return errors
+
+
 def _read_sections(parser, settings: Settings) -> list[SettingError]:
     known = {row.section for row in SETTINGS.values()}
     errors = []
