--- a/hawthornlead/attempts.py
+++ b/hawthornlead/attempts.py
@@ -23,10 +23,11 @@
 from .metrics import Metrics
 from .relays import AnswerCheck, Expected
 from .settings import Settings
+from .targets import TargetClients
 from .timers import TimerService
 
 MAX_REFUSAL_BYTES = 65536
-GRANT_CHECK_S = 0.25
+CHECK_S = 0.25
 
 
 class Sink(Protocol):
@@ -77,6 +78,7 @@
         metrics: Metrics,
         invariants: Invariants,
         connections: TargetConnections,
+        clients: TargetClients,
     ):
         self._settings = settings
         self._timers = timers
@@ -84,6 +86,7 @@
         self._metrics = metrics
         self._invariants = invariants
         self._connections = connections
+        self._clients = clients
 
     async def run(self, call: AttemptCall, grant: Grant, sink: Sink) -> AttemptEnd:
         """Run one attempt to its end, whatever that is."""
@@ -97,16 +100,29 @@
         if isinstance(begun, Err):
             exchange.close()
             return self._ended(call, begun.err_value, call.offset)
+        ended = False
         try:
-            end = await self._exchange(call, grant, exchange, sink)
+            end = await self._exchange(call, exchange, sink)
+            ended = end.failure is None or await self._stopped(call, end.failure)
         finally:
             exchange.release()
-            grant.finish(call.attempt_id)
-        return self._ended(call, *end)
+            grant.finish(call.attempt_id, ended=ended)
+        return self._ended(call, end.failure, end.next_index)
+
+    async def _stopped(self, call: AttemptCall, failure: Failure) -> bool:
+        """Whether the target is known to be done with an attempt that failed.
+
+        A closed connection alone proves nothing: the target may run on until it
+        notices. A cancel that it answered does, and frees the grant at once.
+        """
+        if failure.kind is ErrorKind.TARGET_REFUSED:
+            return True
+        cancelled = await self._clients.client(call.address).cancel(call.attempt_id)
+        return isinstance(cancelled, Ok)
 
     async def _exchange(
-        self, call: AttemptCall, grant: Grant, exchange: Exchange, sink: Sink
-    ) -> tuple[Failure | None, int]:
+        self, call: AttemptCall, exchange: Exchange, sink: Sink
+    ) -> AttemptEnd:
         assignment = call.assignment
         check = AnswerCheck(
             Expected(
@@ -132,15 +148,15 @@
             max(0.001, min(left, self._settings["STREAM_SILENT_S"])),
         )
         if isinstance(sent, Err):
-            return self._timed_out(call, sent.err_value), check.next_index
-        ended = await self._read(call, grant, exchange, receiver)
-        failure = receiver.judge(ended)
-        return failure, check.next_index
+            failure = self._timed_out(call, sent.err_value)
+            return AttemptEnd(failure, check.next_index)
+        ended = await self._read(call, exchange, receiver)
+        return AttemptEnd(receiver.judge(ended), check.next_index)
 
     async def _read(
-        self, call: AttemptCall, grant: Grant, exchange: Exchange, receiver
+        self, call: AttemptCall, exchange: Exchange, receiver: "_Receiver"
     ) -> Failure | None:
-        """Read the answer to its end, the deadline, silence or the grant's loss."""
+        """Read the answer to its end, the deadline, silence or the caller's leaving."""
         silent_s = self._settings["STREAM_SILENT_S"]
         reading = asyncio.ensure_future(exchange.read_to_end(silent_s))
         while not reading.done():
@@ -154,12 +170,7 @@
             if now >= call.deadline_at:
                 exchange.close()
                 return Failure(ErrorKind.DEADLINE_PASSED, "the deadline passed")
-            if now >= grant.lost_at:
-                # The owner may take the slot once the grant has run out. Closing
-                # the stream first ends the run there before it can be evicted.
-                exchange.close()
-                return Failure(ErrorKind.TARGET_LOST, "the grant was lost")
-            left = min(GRANT_CHECK_S, call.deadline_at - now)
+            left = min(CHECK_S, call.deadline_at - now)
             await asyncio.wait([reading], timeout=max(0.001, left))
         result = await reading
         return None if isinstance(result, Ok) else result.err_value
--- a/hawthornlead/command_handlers.py
+++ b/hawthornlead/command_handlers.py
@@ -253,7 +253,7 @@
             return asked
         caller, in_force = asked.ok_value
         method = self.request.method
-        terms = in_force.bundle.service_call(caller.name, service, method, path)
+        terms = in_force.bundle.service_call(caller, service, method, path)
         checks = (terms, self.deadline_at(), self.priority(caller), self.key())
         for check in checks:
             if isinstance(check, Err):
