--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Small programs that show how to embed the parts."""
--- a/scripts/binary_start.py
+++ b/scripts/binary_start.py
@@ -8,13 +8,10 @@
 
 import os
 import sys
-from importlib.machinery import ExtensionFileLoader, ModuleSpec
+from importlib.machinery import EXTENSION_SUFFIXES, ExtensionFileLoader, ModuleSpec
 from importlib.util import spec_from_file_location
 
-if sys.version_info[:2] != (3, 11):
-    sys.exit("hawthornlead needs Python 3.11")
-
-SUFFIXES = (".cpython-311-x86_64-linux-gnu.so", ".abi3.so", ".so")
+ARCHIVE = __spec__.loader
 
 
 class CompiledFinder:
@@ -26,7 +23,7 @@
     def find_spec(self, name, path=None, target=None) -> ModuleSpec | None:
         """Return how to load the module ``name``, or None if it isn't compiled."""
         inside = name.replace(".", "/")
-        for suffix in SUFFIXES:
+        for suffix in EXTENSION_SUFFIXES:
             try:
                 content = self._archive.get_data(inside + suffix)
             except OSError:
@@ -46,8 +43,12 @@
         )
 
 
+built_for = ARCHIVE.get_data("built-for").decode()
+if "python{}.{}".format(*sys.version_info) != built_for:
+    sys.exit(f"hawthornlead: this file is built for {built_for}")
+
 sys.dont_write_bytecode = True
-sys.meta_path.insert(0, CompiledFinder(__spec__.loader))
+sys.meta_path.insert(0, CompiledFinder(ARCHIVE))
 
 if __name__ == "__main__":
     from hawthornlead.main import main
--- a/scripts/build_binary.py
+++ b/scripts/build_binary.py
@@ -10,7 +10,8 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-SHEBANG = b"#!/usr/bin/env -S python3.11 -B -I\n"
+PYTHON = "python{}.{}".format(*sys.version_info)
+SHEBANG = f"#!/usr/bin/env -S {PYTHON} -B -I\n".encode()
 # A fixed time in the archive makes equal sources give equal bytes.
 STAMP = (2020, 1, 1, 0, 0, 0)
 LEFT_OUT = re.compile(r"(^|/)(tests?|__pycache__)/|\.pyi$|(^|/)py\.typed$|\.[ch]$")
@@ -23,12 +24,16 @@
     out.parent.mkdir(parents=True, exist_ok=True)
     files = {"__main__.py": ROOT / "scripts" / "binary_start.py"}
     for path in sorted((ROOT / "hawthornlead").glob("*.py")):
+        # The bench is no part of what runs on a VM.
+        if path.name.startswith("bench_"):
+            continue
         files[f"hawthornlead/{path.name}"] = path
     for name in sorted(needed_distributions()):
         files.update(files_of(name))
     with open(out, "wb") as target:
         target.write(SHEBANG)
         with zipfile.ZipFile(target, "w", zipfile.ZIP_DEFLATED) as archive:
+            put(archive, "built-for", PYTHON.encode())
             for inside, path in files.items():
                 add(archive, inside, path)
     out.chmod(0o755)
--- a/scripts/check_build.py
+++ b/scripts/check_build.py
@@ -73,7 +73,7 @@
         base = Path(name)
         path = base / "settings.ini"
         path.write_text(SETTINGS.format(*free_ports(4)), encoding="utf-8")
-        python = Path(sys.base_prefix, "bin", "python3.11")
+        python = Path(sys.base_prefix, "bin", "python{}.{}".format(*sys.version_info))
         probe = [str(python), "-B", "-I", "-c", PROBE, str(binary)]
         faults += report("compiled parts", run(probe, base), {0})
         command = [str(binary), "check-settings", str(path)]
