--- /dev/null
+++ b/hawthornlead/statuses.py
@@ -0,0 +1,124 @@
+"""What one VM knows of itself, its peers, its targets and the bundle in force."""
+
+import json
+from typing import Any, NamedTuple
+
+from tornado.web import RequestHandler
+
+from .invariants import Invariants
+from .leases import LeaseKeeper
+from .limits import Admissions
+from .owners import Owners
+from .rolls import BundleKeeper
+from .settings import Settings
+from .stores import ObjectStore
+from .timers import TimerService
+from .views import TargetView, TargetViews
+
+
+class StatusParts(NamedTuple):
+    """The parts that the status reads; ``mesh`` and ``members`` as in the daemon."""
+
+    settings: Settings
+    timers: TimerService
+    store: ObjectStore
+    mesh: Any
+    members: Any
+    leases: LeaseKeeper
+    owners: Owners
+    keeper: BundleKeeper
+    views: TargetViews
+    admissions: Admissions
+    invariants: Invariants
+
+
+class StatusHandler(RequestHandler):
+    """``GET /status``: the state of this VM as JSON."""
+
+    def initialize(self, parts: StatusParts) -> None:
+        """Take the parts that the daemon built."""
+        self._parts = parts
+
+    def get(self) -> None:
+        """Answer the state of now."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(status_of(self._parts)))
+
+
+def status_of(parts: StatusParts) -> dict[str, Any]:
+    """Return the state of a VM as JSON fields; times are in seconds ago."""
+    settings = parts.settings
+    return {
+        "vm": settings["VM_NAME"],
+        "data_centre": settings["DATA_CENTRE"],
+        "draining": parts.members.draining,
+        "open_requests": parts.admissions.open,
+        "lease": {
+            "state": parts.leases.state,
+            "incarnation": parts.leases.incarnation,
+        },
+        "store_answered_s_ago": _ago(parts, parts.store.answered_at),
+        "bundle": _bundle(parts),
+        "owned": sorted(parts.owners.owned_resources()),
+        "peers": _peers(parts),
+        "targets": _targets(parts),
+        "invariants_broken": parts.invariants.broken,
+    }
+
+
+def _bundle(parts: StatusParts) -> dict[str, Any]:
+    in_force = parts.keeper.in_force
+    serving = parts.keeper.may_serve()
+    return {
+        "seq": in_force.seq if in_force else 0,
+        "digest": in_force.digest if in_force else "",
+        "staged_seq": parts.keeper.staged_seq,
+        "refusing": serving.err_value.kind.value if serving.is_err() else "",
+    }
+
+
+def _peers(parts: StatusParts) -> list[dict[str, Any]]:
+    return [
+        {
+            "vm": peer.vm,
+            "data_centre": peer.data_centre,
+            "address": peer.address,
+            "heard_s_ago": _ago(parts, peer.heard_at),
+        }
+        for peer in sorted(parts.mesh.live, key=lambda peer: peer.vm)
+    ]
+
+
+def _targets(parts: StatusParts) -> list[dict[str, Any]]:
+    return [
+        {
+            "target": view.target,
+            "data_centre": view.data_centre,
+            "owner": view.owner_vm,
+            "leaving": view.leaving,
+            "residents": _residents(view),
+            "heard_s_ago": _ago(parts, view.heard_at),
+        }
+        for view in parts.views.views()
+    ]
+
+
+def _residents(view: TargetView) -> list[str]:
+    if view.state is None:
+        return []
+    return [f"{each.adapter}@{each.version}" for each in view.state.residents]
+
+
+def _ago(parts: StatusParts, moment: float) -> float | None:
+    """Return how long ago a moment was, None for never.
+
+    Never is told as 0 or as minus infinity by the parts.
+    """
+    if moment in (0, float("-inf")):
+        return None
+    return round(parts.timers.now() - moment, 3)
+
+
+def status_routes(parts: StatusParts) -> list:
+    """Return the route of the status."""
+    return [(r"/status", StatusHandler, {"parts": parts})]
