--- a/hawthornlead/queries.py
+++ b/hawthornlead/queries.py
@@ -52,7 +52,7 @@
 @click.command("check-settings")
 @click.argument("path", metavar="FILE")
 def check_settings(path: str) -> None:
-    """Print the settings in effect as INI, or all errors at once."""
+    """Print settings in effect, or all errors."""
     click.echo(settings_as_ini(effective_settings(path)), nl=False)
 
 
@@ -67,7 +67,7 @@
 @click.command()
 @asks_vm
 def status(vm: str, ca: str | None, as_json: bool) -> None:
-    """Show what one VM knows of itself, its peers, targets and bundle."""
+    """Show the state of one VM and what it knows."""
     answer = _answer_or_exit(ask_vm(vm, "/status", {}, ca))
     if as_json:
         return click.echo(json.dumps(answer))
@@ -79,7 +79,7 @@
 @click.option("--data-centre", default="", help="Data centre of the caller.")
 @asks_vm
 def entry(vm: str, ca: str | None, as_json: bool, data_centre: str) -> None:
-    """Show which entry addresses a VM tells callers to use."""
+    """Show which addresses callers are told to use."""
     asked = {"data_centre": data_centre} if data_centre else {}
     answer = _answer_or_exit(ask_vm(vm, "/entry", asked, ca))
     if as_json:
@@ -94,7 +94,7 @@
 @click.option("--limit", default=1000, show_default=True, help="Most events per VM.")
 @asks_vm
 def timeline(vm: str, ca: str | None, as_json: bool, subject: str, limit: int) -> None:
-    """Show the events of all VMs in one line of time, causes before effects."""
+    """Show one time line of the events of all VMs."""
     asked = {"subject": subject, "limit": str(limit)}
     answer = _answer_or_exit(ask_vm(vm, "/timeline", asked, ca))
     if as_json:
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -16,7 +16,7 @@
 
 
 class SettingError(NamedTuple):
-    """One error in a settings file."""
+    """One error in a settings file; ``section`` is empty for the file as a whole."""
 
     section: str
     key: str
@@ -24,9 +24,10 @@
     allowed: str
 
     def __str__(self) -> str:
-        return f"[{self.section}] {self.key}: found {self.found!r}, allowed: " + (
-            self.allowed
-        )
+        if not self.section:
+            return f"{self.found}; allowed: {self.allowed}"
+        place = f"[{self.section}] {self.key}".rstrip()
+        return f"{place}: found {self.found!r}, allowed: {self.allowed}"
 
 
 class Setting(NamedTuple):
@@ -329,7 +330,8 @@
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
-        fault = SettingError("", "", f"{path}: {error}", "a readable INI file")
+        told = " ".join(str(error).split())
+        fault = SettingError("", "", f"{path}: {told}", "a readable INI file")
         return Err([fault])
     settings = default_settings()
     errors = _read_sections(parser, settings)
--- a/hawthornlead/tests/test_settings.py
+++ b/hawthornlead/tests/test_settings.py
@@ -155,6 +155,14 @@
 def test_error_as_text():
     error = SettingError("vm", "region", "", "letters")
     assert str(error) == "[vm] region: found '', allowed: letters"
+    unknown = SettingError("x", "", "an unknown section", "vm")
+    assert str(unknown) == "[x]: found 'an unknown section', allowed: vm"
+
+
+def test_error_of_the_whole_file_is_one_line(read):
+    (error,) = read("no section").unwrap_err()
+    assert str(error).endswith("'no section'; allowed: a readable INI file")
+    assert "\n" not in str(error)
 
 
 @settings(derandomize=True)
