--- a/hawthornlead/hashes.py
+++ b/hawthornlead/hashes.py
@@ -1,15 +1,11 @@
-"""Hashes that are the same on every VM and in every process.
-
-Python's own ``hash`` differs from process to process, so what several VMs must
-agree on without a message is hashed here.
-"""
+"""Hashes that all VMs agree on, and rendezvous hashing over names."""
 
 import hashlib
 from collections.abc import Iterable
 
 
 def digest64(*parts: str) -> int:
-    """Return a 64-bit hash of the parts, which depends on where each one ends."""
+    """Return 64 bits that depend on every part and on where each one ends."""
     digest = hashlib.blake2b(digest_size=8)
     for part in parts:
         encoded = part.encode()
@@ -19,10 +15,8 @@
 
 
 def rendezvous(key: str, names: Iterable[str]) -> list[str]:
-    """Order names by rendezvous hashing for a key, best first.
-
-    When a name goes or comes, only the keys move that it was or becomes best for::
+    """Return ``names`` in the order in which they should hold ``key``, best first.
 
-        aggregator = rendezvous("leases/gijon-0", members.live_vms())[0]
+    When a name goes, only the keys that it came first for move.
     """
     return sorted(names, key=lambda name: (digest64(key, name), name), reverse=True)
--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -119,6 +119,7 @@
     queued: int
     leaving: bool
     residents: tuple[Resident, ...]
+    boot_id: str = ""
 
 
 @message("acquire-grant")
@@ -152,10 +153,14 @@
 
 @message("renew-grants")
 class RenewGrants(NamedTuple):
-    """Ask an owner to extend grants that still have running requests."""
+    """Ask an owner to extend grants that still have running requests.
+
+    ``begun`` tells for each grant how many requests began since it was last told.
+    """
 
     target: str
     grant_ids: tuple[str, ...]
+    begun: tuple[int, ...] = ()
 
 
 @message("renewed-grants")
@@ -172,6 +177,7 @@
 
     target: str
     grant_id: str
+    begun: int = 0
 
 
 @message("revoke-grant")
@@ -228,12 +234,17 @@
 
 @message("claim")
 class Claim(NamedTuple):
-    """Claim an idempotency key before its request is sent to a target."""
+    """Claim an idempotency key before its request is sent to a target.
+
+    ``vm`` and ``incarnation`` name the VM that will run the request.
+    """
 
     caller: str
     key: str
     fingerprint: bytes
     attempt_id: str
+    vm: str = ""
+    incarnation: str = ""
 
 
 @message("claimed")
@@ -270,10 +281,18 @@
 
 @message("stage-bundle")
 class StageBundle(NamedTuple):
-    """A bundle was staged: fetch and verify it, and acknowledge."""
+    """A bundle was staged: fetch and verify it, and acknowledge.
+
+    ``base_seq`` and ``base_digest`` were in force when it was staged; ``vm`` and
+    ``incarnation`` staged it, and no other process can accept it.
+    """
 
     seq: int
     digest: str
+    base_seq: int = 0
+    base_digest: str = ""
+    vm: str = ""
+    incarnation: str = ""
 
 
 @message("staged-bundle")
@@ -317,12 +336,20 @@
 
 @message("bundle-pointer")
 class BundlePointer(NamedTuple):
-    """The newest accepted bundle that a VM knows, and what is staged after it."""
+    """The newest accepted bundle that a VM knows, and what is staged after it.
+
+    Every stage up to ``decided_seq`` was accepted or abandoned. ``age_s`` seconds
+    ago the staged bundle was not accepted yet; negative when nothing says so.
+    """
 
     seq: int
     digest: str
     staged_seq: int
     staged_digest: str
+    decided_seq: int = 0
+    staged_vm: str = ""
+    staged_incarnation: str = ""
+    age_s: float = -1.0
 
 
 # Leases
