Say which VMs are live or proved gone, and answer callers with entry addresses

A successor may act on positive proof only: a goodbye, two fresh connections refused at the port where the incarnation listened, or lasting absence from a fresh VM list that named it before. Proof is looked for on a timer and the question only reads it, since it is asked while ownership is taken. Absence must last, because a lagging list can drop a replaced VM before it takes up its successor. Answers are drawn by spare capacity, so that callers asking at once do not meet on one VM; the tests drew 1000 answers.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -32,6 +32,7 @@
     PEER_LOST = (201, "WARNING", "a connection to another VM ended")
     PEER_SILENT = (202, "WARNING", "a connection to another VM went silent")
     PEER_FRAME_REFUSED = (203, "WARNING", "a frame was malformed or too new")
+    PEER_GOODBYE = (204, "INFO", "another VM said that it stopped for good")
 
     # 300: store, leases, ownership
     STORE_LOST = (300, "WARNING", "the object API stopped answering")
--- /dev/null
+++ b/hawthornlead/members.py
@@ -0,0 +1,247 @@
+"""Which VMs are live, draining or proved gone, and which addresses callers get.
+
+What is said here of other VMs is this VM's own view and decides nothing that must be
+agreed on; that goes through the object API. Only ``proof_gone`` is more than a view:
+a successor acts on it, so silence never counts as proof.
+"""
+
+import asyncio
+import random
+from typing import NamedTuple
+
+from .events import EventKind
+from .meshes import PeerInfo
+from .messages import Goodbye, Hello
+
+# How often a fresh connection must be refused, one after the other.
+REFUSALS = 2
+# A VM list older than this many reading intervals proves no absence.
+FRESH_INTERVALS = 3
+# Callers asking at once get spans from this share of ENTRY_KEEP_S up to all of it.
+LEAST_KEPT = 0.75
+MET_KEPT = 4096
+# Fresh connections opened at once when many VMs were lost.
+PROBES_AT_ONCE = 64
+
+
+class EntryAnswer(NamedTuple):
+    """Entry addresses, best first, and how long a caller keeps them (seconds)."""
+
+    addresses: tuple[str, ...]
+    keep_s: float
+
+
+class _Entry(NamedTuple):
+    address: str
+    data_centre: str
+    spare: int
+
+
+class _Met:
+    """An incarnation that this VM was connected to."""
+
+    def __init__(self, address: str):
+        self.address = address
+        self.refusals = 0
+        self.listed = False
+        self.absent_since: float | None = None
+
+
+class Members:
+    """The other VMs, as this one sees them by its mesh and the VM list.
+
+    ::
+
+        proof = members.proof_gone(vm, incarnation)
+        if proof is not None:
+            await leases.end(vm, incarnation, proof)
+    """
+
+    def __init__(
+        self,
+        *,
+        settings,
+        timers,
+        events,
+        mesh,
+        vm_list,
+        metrics=None,
+        rng: random.Random | None = None,
+    ):
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._mesh = mesh
+        self._vm_list = vm_list
+        self._rng = rng or random.Random()
+        self._draining = False
+        self._subscription = None
+        self._met: dict[tuple[str, str], _Met] = {}
+        mesh.on(Hello, self._on_hello)
+        mesh.on(Goodbye, self._on_goodbye)
+
+    @property
+    def draining(self) -> bool:
+        """Whether this VM is leaving the entry answers for good."""
+        return self._draining
+
+    def start(self) -> None:
+        """Begin to look for proof that lost VMs are gone."""
+        interval = self._settings["HEARTBEAT_S"]
+        self._subscription = self._timers.every(interval, self.look, name="members")
+
+    async def stop(self) -> None:
+        """Look no more."""
+        if self._subscription is not None:
+            self._subscription.cancel()
+
+    def start_draining(self) -> None:
+        """Leave the answers of this VM, and by a heartbeat those of all others."""
+        self._draining = True
+        self._mesh.heartbeat_changed()
+
+    def live_vms(self) -> tuple[str, ...]:
+        """Name this VM and those it is connected to, sorted."""
+        return tuple(sorted({self._mesh.vm, *(info.vm for info in self._mesh.live)}))
+
+    def in_data_centre(self, data_centre: str) -> tuple[str, ...]:
+        """Name the live VMs of a data centre, sorted."""
+        names = {info.vm for info in self._mesh.live if info.data_centre == data_centre}
+        if self._settings["DATA_CENTRE"] == data_centre:
+            names.add(self._mesh.vm)
+        return tuple(sorted(names))
+
+    def silent(self, vm: str, longer_than_s: float) -> bool:
+        """Whether nothing was heard of a VM for longer than this many seconds."""
+        if vm == self._mesh.vm:
+            return False
+        now = self._timers.now()
+        for info in self._mesh.live:
+            if info.vm == vm:
+                return now - info.heard_at > longer_than_s
+        return True
+
+    def proof_gone(self, vm: str, incarnation: str) -> str | None:
+        """Return what proves that an incarnation has stopped, None without proof.
+
+        ``goodbye``: it said so. ``refused``: fresh connections to the port on which
+        it listened are refused, so its process is gone. ``absent``: a fresh VM list
+        no longer names the VM, which it named after this VM had met the incarnation.
+        A frozen VM refuses nothing and stays listed, so that a freeze proves nothing,
+        and neither does a cut. Only ``goodbye`` counts for a VM that was never met.
+        """
+        if self._mesh.gone(vm, incarnation):
+            return "goodbye"
+        met = self._met.get((vm, incarnation))
+        if met is None or self._connected(vm, incarnation):
+            return None
+        if met.refusals >= REFUSALS:
+            return "refused"
+        if self._list_is_fresh() and self._long_absent(met):
+            return "absent"
+        return None
+
+    def entry_answer(self, data_centre: str = "") -> EntryAnswer:
+        """Return the addresses that a caller in a data centre should use, best first.
+
+        Up to ``ENTRY_ANSWERS`` of its own data centre come first and as many of
+        others follow. The order is drawn by spare capacity and the time to keep the
+        answer is drawn too, so that callers that all ask at once after a failure
+        neither meet on one VM nor come back together.
+        """
+        drawn = sorted(self._entries(), key=self._draw, reverse=True)
+        count = self._settings["ENTRY_ANSWERS"]
+        near = [entry for entry in drawn if entry.data_centre == data_centre]
+        far = [entry for entry in drawn if entry.data_centre != data_centre]
+        chosen = near[:count] + far[:count]
+        keep_s = self._settings["ENTRY_KEEP_S"] * self._rng.uniform(LEAST_KEPT, 1.0)
+        return EntryAnswer(tuple(entry.address for entry in chosen), keep_s)
+
+    async def look(self) -> None:
+        """Look once for what proves that lost VMs are gone."""
+        listed = {entry.name for entry in self._vm_list.entries}
+        connected = {(info.vm, info.incarnation) for info in self._mesh.live}
+        fresh = self._list_is_fresh()
+        lost = []
+        for (vm, incarnation), met in self._met.items():
+            if fresh:
+                self._note_listed(met, vm in listed)
+            if (vm, incarnation) in connected:
+                met.refusals = 0
+                continue
+            if met.refusals < REFUSALS and not self._mesh.gone(vm, incarnation):
+                lost.append(met)
+        self._rng.shuffle(lost)
+        await asyncio.gather(*(self._probe(met) for met in lost[:PROBES_AT_ONCE]))
+
+    async def _probe(self, met: _Met) -> None:
+        probed = await self._mesh.probe(met.address)
+        met.refusals = met.refusals + 1 if probed == "refused" else 0
+
+    async def _on_hello(self, sender: PeerInfo, hello: Hello) -> None:
+        key = (sender.vm, sender.incarnation)
+        if key not in self._met:
+            self._met[key] = _Met(sender.address)
+        while len(self._met) > MET_KEPT:
+            del self._met[next(iter(self._met))]
+
+    async def _on_goodbye(self, sender: PeerInfo, goodbye: Goodbye) -> None:
+        self._events.emit(
+            EventKind.PEER_GOODBYE, sender.vm, incarnation=sender.incarnation
+        )
+
+    def _note_listed(self, met: _Met, listed: bool) -> None:
+        if listed:
+            met.listed = True
+            met.absent_since = None
+        elif met.absent_since is None:
+            met.absent_since = self._timers.now()
+
+    def _long_absent(self, met: _Met) -> bool:
+        # The list lags: just after a VM was replaced under its name, the list may
+        # have dropped the old one and not yet taken up the new. Such a gap is short,
+        # and the new one is connected meanwhile; a lasting absence is no such gap.
+        if not met.listed or met.absent_since is None:
+            return False
+        absent_s = self._timers.now() - met.absent_since
+        return absent_s > 2 * self._settings["PEER_SILENT_S"]
+
+    def _list_is_fresh(self) -> bool:
+        longest_s = FRESH_INTERVALS * self._settings["VM_LIST_INTERVAL_S"]
+        return self._vm_list.age_s <= longest_s
+
+    def _connected(self, vm: str, incarnation: str) -> bool:
+        return any(
+            info.vm == vm and info.incarnation == incarnation
+            for info in self._mesh.live
+        )
+
+    def _entries(self) -> list[_Entry]:
+        settings = self._settings
+        listed = {entry.name: entry for entry in self._vm_list.entry_vms()}
+        entries = []
+        if not self._draining and not self._leaving(listed.get(self._mesh.vm)):
+            heartbeat = self._mesh.heartbeat_source()
+            entries.append(
+                _Entry(
+                    settings["CALLER_ADDRESS"],
+                    settings["DATA_CENTRE"],
+                    heartbeat.capacity - heartbeat.open_requests,
+                )
+            )
+        for info in self._mesh.live:
+            entry, heartbeat = listed.get(info.vm), info.heartbeat
+            if entry is None or heartbeat is None:
+                continue
+            if heartbeat.draining or self._leaving(entry):
+                continue
+            spare = heartbeat.capacity - heartbeat.open_requests
+            entries.append(_Entry(entry.address, info.data_centre, spare))
+        return entries
+
+    def _leaving(self, entry) -> bool:
+        return entry is not None and entry.state == "leaving"
+
+    def _draw(self, entry: _Entry) -> float:
+        # A weighted draw without replacement: the greatest of random() ** (1 / w).
+        return self._rng.random() ** (1.0 / max(1, entry.spare))
--- /dev/null
+++ b/hawthornlead/tests/test_members.py
@@ -0,0 +1,163 @@
+"""Tests of what a VM knows of the others and of entry answers."""
+
+import random
+from collections import Counter
+
+import pytest
+
+from hawthornlead.clocks import HybridClock
+from hawthornlead.events import EventRing
+from hawthornlead.members import Members
+from hawthornlead.messages import Heartbeat
+from hawthornlead.platforms import VmEntry, VmList
+from hawthornlead.settings import default_settings
+from hawthornlead.timers import ManualTimerService
+
+from .fakes_mesh import LocalNetwork
+
+PLACES = {"a": "gijon", "b": "gijon", "c": "bilbao", "d": "bilbao"}
+
+
+class Fleet:
+    """Four meshes, and the members of the first."""
+
+    def __init__(self):
+        self.timers = ManualTimerService()
+        self.network = LocalNetwork(self.timers)
+        self.meshes = {}
+        settings = default_settings(
+            VM_NAME="a",
+            DATA_CENTRE="gijon",
+            CALLER_ADDRESS="a:80",
+            VM_LIST_ADDRESS="127.0.0.1:1",
+            ENTRY_ANSWERS=2,
+        )
+        for vm, place in PLACES.items():
+            mesh = self.network.join(vm, place)
+            mesh.heartbeat_source = lambda: Heartbeat(1, 0, False, 0, 100, 0.0)
+            self.meshes[vm] = mesh
+        self.vm_list = VmList(settings=settings, timers=self.timers)
+        self.members = Members(
+            settings=settings,
+            timers=self.timers,
+            events=EventRing("a", HybridClock(self.timers)),
+            mesh=self.meshes["a"],
+            vm_list=self.vm_list,
+            rng=random.Random(1),
+        )
+        self.listed = dict.fromkeys(PLACES, "live")
+
+    async def run(self, seconds):
+        """Let time pass, with a look and a read of the VM list each second."""
+        for _ in range(seconds):
+            self.read()
+            await self.members.look()
+            await self.timers.advance(1.0)
+
+    def read(self):
+        entries = tuple(
+            VmEntry(vm, "entry", f"{vm}:80", PLACES[vm], state, {})
+            for vm, state in self.listed.items()
+        )
+        self.vm_list.take(entries, self.timers.now())
+
+    def answers(self, data_centre, count=1):
+        return [self.members.entry_answer(data_centre) for _ in range(count)]
+
+
+@pytest.fixture
+async def fleet():
+    fleet = Fleet()
+    await fleet.timers.advance(0)
+    await fleet.run(1)
+    return fleet
+
+
+async def test_live_vms_and_silence(fleet):
+    assert fleet.members.live_vms() == ("a", "b", "c", "d")
+    assert fleet.members.in_data_centre("gijon") == ("a", "b")
+    fleet.network.cut("a", "b")
+    assert fleet.members.live_vms() == ("a", "c", "d")
+    fleet.network.silence("a", "c")
+    await fleet.run(4)
+    assert fleet.members.silent("b", 3.0) and fleet.members.silent("c", 3.0)
+    assert not fleet.members.silent("d", 3.0) and not fleet.members.silent("a", 0.0)
+
+
+async def test_a_freeze_or_a_cut_proves_nothing(fleet):
+    """An owner is frozen or cut off; a successor that took silence for proof would
+    evict adapters under the requests that it still runs once it wakes.
+    """
+    fleet.network.silence("a", "b")
+    fleet.network.cut("a", "c")
+    await fleet.run(60)
+    assert fleet.members.proof_gone("b", "b-1") is None
+    assert fleet.members.proof_gone("c", "c-1") is None
+
+
+async def test_two_refusals_prove_that_a_process_is_gone(fleet):
+    fleet.network.leave("b")
+    assert fleet.members.proof_gone("b", "b-1") is None
+    await fleet.run(1)
+    assert fleet.members.proof_gone("b", "b-1") is None
+    await fleet.run(1)
+    assert fleet.members.proof_gone("b", "b-1") == "refused"
+    assert fleet.members.proof_gone("b", "b-0") is None
+
+
+async def test_a_goodbye_proves_it_at_once(fleet):
+    await fleet.meshes["b"].stop(goodbye=True)
+    await fleet.timers.advance(0)
+    assert fleet.members.proof_gone("b", "b-1") == "goodbye"
+    assert fleet.members.proof_gone("b", "b-2") is None
+
+
+async def test_lasting_absence_from_a_fresh_list_is_proof(fleet):
+    fleet.network.cut("a", "b")
+    del fleet.listed["b"]
+    await fleet.run(5)
+    assert fleet.members.proof_gone("b", "b-1") is None
+    await fleet.run(5)
+    assert fleet.members.proof_gone("b", "b-1") == "absent"
+
+
+async def test_absence_from_a_stale_list_or_of_a_connected_vm_proves_nothing(fleet):
+    fleet.network.cut("a", "b")
+    del fleet.listed["b"]
+    fleet.read()
+    await fleet.timers.advance(60.0)
+    await fleet.members.look()
+    assert fleet.members.proof_gone("b", "b-1") is None
+    fleet.network.heal("a", "b")
+    await fleet.run(20)
+    assert fleet.members.proof_gone("b", "b-1") is None
+
+
+async def test_answers_name_the_callers_data_centre_first_and_a_way_out(fleet):
+    for answer in fleet.answers("bilbao", 20):
+        assert set(answer.addresses[:2]) == {"c:80", "d:80"}
+        assert set(answer.addresses[2:]) == {"a:80", "b:80"}
+        assert 7.5 <= answer.keep_s <= 10.0
+
+
+async def test_callers_that_ask_at_once_spread_by_spare_capacity(fleet):
+    """A VM dies and all its callers ask for another address in the same second.
+
+    Were they all told the same best one, it would be overloaded next.
+    """
+    fleet.meshes["c"].heartbeat_source = lambda: Heartbeat(1, 0, False, 75, 100, 0.0)
+    answers = fleet.answers("bilbao", 1000)
+    firsts = Counter(answer.addresses[0] for answer in answers)
+    assert 150 < firsts["c:80"] < 250
+    assert 750 < firsts["d:80"] < 850
+    assert len({answer.keep_s for answer in answers}) == 1000
+
+
+async def test_draining_and_leaving_vms_are_out_of_answers_at_once(fleet):
+    fleet.meshes["b"].heartbeat_source = lambda: Heartbeat(1, 0, True, 0, 100, 0.0)
+    fleet.listed["c"] = "leaving"
+    fleet.read()
+    assert set(fleet.answers("gijon")[0].addresses) == {"a:80", "d:80"}
+    fleet.members.start_draining()
+    assert fleet.members.draining
+    assert fleet.answers("gijon")[0].addresses == ("d:80",)
