--- a/hawthornlead/references.py
+++ b/hawthornlead/references.py
@@ -16,6 +16,7 @@
 
 from .errors import ANSWERS, ErrorKind
 from .events import EventKind
+from .messages import MESSAGES
 from .metrics import Metrics
 from .settings import FITS, FREE_SECTIONS, SETTINGS, Setting
 
@@ -23,6 +24,9 @@
 
 GENERATED = "<!-- Made by scripts/docs from hawthornlead/{}.py. -->"
 
+MESSAGES_MARK = "<!-- messages -->"
+END_MARK = "<!-- end -->"
+
 
 def page(name: str):
     """Enter a function in ``PAGES`` under the file name of its page."""
@@ -122,6 +126,18 @@
     return "\n".join(lines)
 
 
+def with_messages(text: str) -> str:
+    """Return a page with the table of messages between its two marks."""
+    rows = []
+    for name, cls in MESSAGES.items():
+        meaning = (cls.__doc__ or "").split("\n")[0]
+        rows.append((f"`{name}`", ", ".join(cls._fields), meaning))
+    table = "\n".join(_table(("name", "fields", "meaning"), rows))
+    head, _, rest = text.partition(MESSAGES_MARK)
+    _, _, tail = rest.partition(END_MARK)
+    return f"{head}{MESSAGES_MARK}\n{table}\n{END_MARK}{tail}"
+
+
 def _marked(module: str) -> str:
     exists = Path(__file__).with_name(f"{module}.py").exists()
     return f"`{module}`" if exists else f"`{module}` (planned)"
--- a/hawthornlead/tests/test_references.py
+++ b/hawthornlead/tests/test_references.py
@@ -7,7 +7,7 @@
 
 from hawthornlead.errors import ANSWERS, ErrorKind
 from hawthornlead.events import EventKind
-from hawthornlead.references import PAGES, with_planned_marks
+from hawthornlead.references import PAGES, with_messages, with_planned_marks
 from hawthornlead.settings import SETTINGS
 
 DOCS = Path(__file__).parents[2] / "docs"
@@ -21,6 +21,11 @@
     assert (DOCS / name).read_text(encoding="utf-8") == PAGES[name]()
 
 
+def test_protocol_page_lists_every_message():
+    text = (DOCS / "protocol-vms.md").read_text(encoding="utf-8")
+    assert text == with_messages(text), "run scripts/docs"
+
+
 def test_every_error_kind_has_an_answer():
     assert set(ANSWERS) == set(ErrorKind)
 
