Test the HTTP store against the stand-in; name incarnations after their process

A VM that was ended and goes on does so under the process's first incarnation with a number behind it. Peers know a process by its first incarnation only; proof that it has stopped then holds for all of its incarnations, and the end of one of them is never taken for proof.

--- a/hawthornlead/lease_enders.py
+++ b/hawthornlead/lease_enders.py
@@ -13,6 +13,7 @@
     SILENT,
     STOP_PROOFS,
     Registration,
+    process_of,
     with_ended,
     with_pruned,
 )
@@ -166,17 +167,21 @@
             registration = seen.registration
             if registration.incarnation == self._holder.incarnation:
                 continue
-            proof = self._members.proof_gone(registration.vm, registration.incarnation)
+            proof = self._proof_gone(registration)
             silent = steady and self._is_watched(registration)
             if proof is not None or (silent and self._left_of(seen) <= 0):
                 suspects.append((seen, proof))
         for seen in self._registrations.in_doubt():
             registration = seen.registration
-            proof = self._members.proof_gone(registration.vm, registration.incarnation)
+            proof = self._proof_gone(registration)
             if proof is not None:
                 suspects.append((seen, proof))
         return suspects
 
+    def _proof_gone(self, registration: Registration) -> str | None:
+        process = process_of(registration.incarnation)
+        return self._members.proof_gone(registration.vm, process)
+
     def _is_watched(self, registration: Registration) -> bool:
         """Whether it is for this VM to end another for its silence.
 
--- a/hawthornlead/lease_objects.py
+++ b/hawthornlead/lease_objects.py
@@ -47,6 +47,25 @@
         return self.state == ENDED and self.proof in STOP_PROOFS
 
 
+def next_incarnation(incarnation: str) -> str:
+    """Name the incarnation under which the same process goes on after an end.
+
+    >>> next_incarnation("vm-1.5f"), next_incarnation("vm-1.5f+2")
+    ('vm-1.5f+2', 'vm-1.5f+3')
+    """
+    process, _, number = incarnation.partition("+")
+    return f"{process}+{int(number or 1) + 1}"
+
+
+def process_of(incarnation: str) -> str:
+    """Return the first incarnation of the process, which the other VMs meet.
+
+    Proof that a process has stopped is proof for all of its incarnations; that one
+    of them was ended proves nothing of the process.
+    """
+    return incarnation.partition("+")[0]
+
+
 def registrations(value: dict) -> list[Registration]:
     """Read all entries of one object."""
     return [
--- a/hawthornlead/leases.py
+++ b/hawthornlead/leases.py
@@ -23,6 +23,7 @@
     LIVE,
     RELEASED,
     Registration,
+    next_incarnation,
     registrations,
     with_ended,
     with_registered,
@@ -65,7 +66,7 @@
         self._data_centre = settings["DATA_CENTRE"]
         self._lease_s = settings["LEASE_S"]
         self._renew_s = settings["LEASE_RENEW_S"]
-        self._incarnation = incarnation or self._new_incarnation()
+        self._incarnation = incarnation or f"{self._vm}.{rng.getrandbits(64):016x}"
         self._counter = 0
         self._until = float("-inf")
         self._held_since = float("-inf")
@@ -242,7 +243,7 @@
 
     def _begin_anew(self) -> None:
         former, shard = self._incarnation, self._shard
-        self._incarnation = self._new_incarnation()
+        self._incarnation = next_incarnation(former)
         self._counter = 0
         self._shard = ""
         self._tried_number = 0
@@ -264,9 +265,6 @@
 
         self._timers.after(wait, prove_stopped, name="former incarnation")
 
-    def _new_incarnation(self) -> str:
-        return f"{self._vm}.{self._rng.getrandbits(64):016x}"
-
     async def _enter(self, incarnation: str) -> Result[StoredObject, Failure]:
         """Enter a lease into the first object that has room for it.
 
--- a/hawthornlead/owners.py
+++ b/hawthornlead/owners.py
@@ -15,6 +15,7 @@
 
 from .errors import Failure
 from .events import EventKind
+from .lease_objects import process_of
 from .leases import longest_by_any_clock
 from .owner_records import (
     KIND,
@@ -313,7 +314,8 @@
             return True
         if not former.vm:
             return False
-        proof = self._members.proof_gone(former.vm, former.incarnation)
+        process = process_of(former.incarnation)
+        proof = self._members.proof_gone(former.vm, process)
         return proof is not None
 
     def _is_mine(self, record: OwnerRecord) -> bool:
--- a/hawthornlead/tests/fakes_vms.py
+++ b/hawthornlead/tests/fakes_vms.py
@@ -14,6 +14,7 @@
 from hawthornlead.errors import ErrorKind, Failure
 from hawthornlead.events import EventRing
 from hawthornlead.invariants import Invariants
+from hawthornlead.lease_objects import process_of
 from hawthornlead.leases import LeaseKeeper
 from hawthornlead.memory_stores import MemoryObjects, MemoryStore
 from hawthornlead.messages import Failed
@@ -204,7 +205,7 @@
     async def kill(self, vm):
         """End a VM's process at once."""
         vm.alive = False
-        self.killed.add(vm.leases.incarnation)
+        self.killed.add(process_of(vm.leases.incarnation))
         await vm.stop()
 
     def freeze(self, vm):
--- a/hawthornlead/tests/test_owners.py
+++ b/hawthornlead/tests/test_owners.py
@@ -175,23 +175,48 @@
 
 async def test_release_with_lost_reply(world):
     # The release took effect, its reply was lost and the store then went away.
-    # Another VM takes the resource; what the releaser last saw in the store says
-    # that it still owns it, which it must not believe.
+    # Another VM takes the resource. A late watch event from before the release
+    # says that the releaser owns it, which it must not believe.
     releaser = world.add("vm-1")
     await world.run(5)
     other = world.add("vm-2")
     await world.run(3)
-    releaser.store.outage = True
-    releaser.store.cut_watches()
+    releaser.store.silence_watches()
+    shard = shard_of(ENGINE)
+    before = (await other.store.update("owners", shard, dict)).ok_value
+    put = releaser.store._put
+
+    async def put_then_outage(*args):
+        await put(*args)
+        releaser.store.outage = True
+        return await put(*args)
+
+    releaser.store._put = put_then_outage
     assert (await releaser.owners.release(ENGINE)).is_err()
+    releaser.store._put = put
+    assert records(world)[0].free
+    releaser.owners._take(before)
     releaser.owners.want(ENGINE, "dc1")
     assert releaser.owners.right(ENGINE) is OrderRight.NONE
-    await world.run(5)
-    assert releaser.owners.right(ENGINE) is OrderRight.NONE
+    await world.run(2)
+    assert world.owner_of(ENGINE) is other
     releaser.store.outage = False
+    await world.run(10)
+    assert world.owner_of(ENGINE) is other
+    assert other.owners.owned(ENGINE).fence == 2
+
+
+async def test_late_event_does_not_take_away(world):
+    # A VM takes a resource; a watch event from before that arrives afterwards and
+    # shows the former owner. The VM must not give up what it owns.
+    world.add("vm-1")
     await world.run(5)
-    assert world.owner_of(ENGINE).owners.owned(ENGINE).fence == 2
-    assert other.leases.held()
+    before = world.objects.get("owners", shard_of(ENGINE))
+    await world.kill(world.vms["vm-1"])
+    successor = world.add("vm-2")
+    await world.run(5)
+    successor.owners._take(before)
+    assert world.owner_of(ENGINE) is successor
 
 
 async def test_forget_gives_back(world):
--- a/hawthornlead/tests/test_stores.py
+++ b/hawthornlead/tests/test_stores.py
@@ -1,13 +1,9 @@
 """Tests of the object API clients: conditional updates, lost replies, watches."""
 
 import asyncio
-import json
 import random
 
 import pytest
-import tornado.httpserver
-import tornado.testing
-import tornado.web
 
 from hawthornlead.errors import ErrorKind
 from hawthornlead.http_stores import HttpObjectStore
@@ -16,6 +12,8 @@
 from hawthornlead.stores import may_have_taken_effect
 from hawthornlead.timers import ManualTimerService, TimerService
 
+from .standins.object_api import ObjectApiStandIn
+
 
 def make_store(objects=None, timers=None, name="vm-1", seed=1) -> MemoryStore:
     return MemoryStore(
@@ -211,77 +209,84 @@
     assert follower.seen == [("put", "a", 1)]
 
 
-class ObjectHandler(tornado.web.RequestHandler):
-    """The object API over a ``MemoryObjects``, as the platform speaks it."""
-
-    def initialize(self, objects):
-        self.objects = objects
-
-    async def get(self, kind, name=None):
-        if name is not None:
-            found = self.objects.get(kind, name)
-            if found is None:
-                self.set_status(404)
-                return
-            self.write(found._asdict())
-            return
-        if not self.get_query_argument("watch", ""):
-            listed = self.objects.list(kind)
-            items = [item._asdict() for item in listed.items]
-            self.write({"version": listed.version, "items": items})
-            return
-        queue = self.objects.follow(kind, int(self.get_query_argument("since")))
-        while (line := await queue.get()) is not None:
-            self.write(json.dumps({**line._asdict(), "kind": kind}) + "\n")
-            await self.flush()
-
-    def put(self, kind, name):
-        self._write(kind, name, json.loads(self.request.body))
-
-    def delete(self, kind, name):
-        self._write(kind, name, None)
-
-    def _write(self, kind, name, value):
-        match = self.request.headers.get("If-Match")
-        written = self.objects.write(kind, name, value, match and int(match))
-        if written.is_err():
-            self.set_status(412)
-            return
-        self.write({"version": written.ok_value.version})
-
-
-async def test_http_store():
-    objects = MemoryObjects()
-    app = tornado.web.Application(
-        [(r"/objects/([^/]+)(?:/([^/]+))?", ObjectHandler, {"objects": objects})]
-    )
-    server = tornado.httpserver.HTTPServer(app)
-    socket, port = tornado.testing.bind_unused_port()
-    server.add_socket(socket)
-    settings = default_settings(VM_NAME="vm-1", STORE_ADDRESS=f"127.0.0.1:{port}")
-    store = HttpObjectStore(
-        settings=settings, timers=TimerService(), rng=random.Random(1)
+@pytest.fixture
+async def stand_in():
+    started = ObjectApiStandIn(bookmark_s=0.05)
+    await started.start()
+    yield started
+    await started.stop()
+
+
+@pytest.fixture
+async def http_store(stand_in):
+    made = HttpObjectStore(
+        settings=default_settings(
+            VM_NAME="vm-1",
+            STORE_ADDRESS=stand_in.address,
+            STORE_TIMEOUT_S=1.0,
+            WATCH_SILENT_S=0.3,
+        ),
+        timers=TimerService(),
+        rng=random.Random(1),
     )
-    assert (await store.get("k", "a")).ok_value is None
+    yield made
+    await made.stop()
+
+
+async def test_http_store(stand_in, http_store):
+    store = http_store
+    assert (await store.get("k", "a/b")).ok_value is None
     seen = asyncio.Queue()
     store.watch("k", seen.put_nowait)
     for _ in range(2):
-        assert (await store.update("k", "a", add_one)).is_ok()
+        assert (await store.update("k", "a/b", add_one)).is_ok()
     while (event := await seen.get()).object.value["n"] != 2:
         pass
-    stored = (await store.get("k", "a")).ok_value
+    stored = (await store.get("k", "a/b")).ok_value
     assert stored.value["n"] == 2
     assert event.object == stored
     listed = (await store.list("k")).ok_value
     assert listed.items == (stored,)
-    assert (await store.put("k", "a", {}, 99)).err_value.kind is (
-        ErrorKind.VERSION_CONFLICT
-    )
-    assert (await store.delete("k", "a", stored.version)).is_ok()
+    for version in (None, 99):
+        failure = (await store.put("k", "a/b", {}, version)).err_value
+        assert failure.kind is ErrorKind.VERSION_CONFLICT
+    big = {"n": "x" * (1 << 20)}
+    assert (await store.put("k", "c", big, None)).err_value.kind is ErrorKind.TOO_LARGE
+    assert (await store.delete("k", "a/b", stored.version)).is_ok()
     assert (await seen.get()).type == "delete"
-    server.stop()
-    await server.close_all_connections()
-    failure = (await store.put("k", "a", {}, None)).err_value
+
+
+async def test_http_lost_reply(stand_in, http_store):
+    # The connection closes without an answer after the write took effect.
+    stand_in.set_faults(lose_replies=1)
+    assert (await http_store.update("k", "a", add_one)).is_ok()
+    assert stand_in.objects["k", "a"].value["n"] == 1
+    assert len(stand_in.writes) == 1
+
+
+async def test_http_outage(stand_in, http_store):
+    stand_in.set_faults(outage=True)
+    failure = (await http_store.put("k", "a", {}, None)).err_value
+    assert failure.kind is ErrorKind.STORE_UNAVAILABLE
+    assert may_have_taken_effect(failure)
+    await stand_in.stop()
+    failure = (await http_store.put("k", "a", {}, None)).err_value
     assert failure.kind is ErrorKind.STORE_UNAVAILABLE
     assert not may_have_taken_effect(failure)
-    await store.stop()
+
+
+@pytest.mark.parametrize("trouble", ["silent", "expire", "outage"])
+async def test_http_watch_recovers(stand_in, http_store, trouble):
+    # The watch's connection goes silent for good, or the store forgets its past,
+    # or is away for a while; what changed meanwhile must be told all the same.
+    seen = asyncio.Queue()
+    synced = asyncio.Event()
+    http_store.watch("k", seen.put_nowait, synced.set)
+    await synced.wait()
+    while not stand_in.watchers:
+        await asyncio.sleep(0.01)
+    stand_in.set_faults(**{trouble: True})
+    stand_in.store("k", "a", {"n": 1})
+    if trouble == "outage":
+        stand_in.set_faults(outage=False)
+    assert (await seen.get()).object.value == {"n": 1}
