--- a/hawthornlead/lease_enders.py
+++ b/hawthornlead/lease_enders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from loguru import logger
 from result import Err, Ok, Result
 
 from .errors import ErrorKind, Failure
@@ -128,8 +129,13 @@
     async def _run(self) -> None:
         while True:
             await self._timers.sleep(min(self._renew_s / 4, 0.25))
-            if self._registrations.synced and self._holder.held():
+            if not self._registrations.synced or not self._holder.held():
+                continue
+            try:
                 await self._sweep()
+            except Exception:
+                # A bug met with one VM must not keep the others' leases for ever.
+                logger.exception("ending leases failed")
 
     async def _sweep(self) -> None:
         """End the leases of VMs that are proved gone or have run out.
--- a/hawthornlead/lease_objects.py
+++ b/hawthornlead/lease_objects.py
@@ -14,6 +14,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from .stored_objects import StoreList
+
 KIND = "leases"
 LIVE = "live"
 ENDED = "ended"
@@ -83,6 +85,16 @@
     ]
 
 
+def live_among(listed: StoreList) -> set[str]:
+    """Return the incarnations that are live in a list of all objects."""
+    return {
+        registration.incarnation
+        for item in listed.items
+        for registration in registrations(item.value)
+        if registration.state == LIVE
+    }
+
+
 def with_registered(value: dict | None, new: Registration) -> dict | None:
     """Enter a VM start, or return None when it is there already."""
     value = value or {"entries": {}}
--- a/hawthornlead/leases.py
+++ b/hawthornlead/leases.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 
+from loguru import logger
 from result import Err, Ok, Result
 
 from .aggregators import RenewalFolder, outcome_of
@@ -23,8 +24,8 @@
     LIVE,
     RELEASED,
     Registration,
+    live_among,
     next_incarnation,
-    registrations,
     with_ended,
     with_registered,
 )
@@ -147,15 +148,7 @@
 
     async def live_in_store(self) -> Result[set[str], Failure]:
         """Read from the store which incarnations are live now."""
-        listed = await self._store.list(KIND)
-        if listed.is_err():
-            return listed
-        live = set()
-        for item in listed.ok_value.items:
-            for registration in registrations(item.value):
-                if registration.state == LIVE:
-                    live.add(registration.incarnation)
-        return Ok(live)
+        return (await self._store.list(KIND)).map(live_among)
 
     def on_ended(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` when this VM learns that its incarnation was ended.
@@ -350,7 +343,11 @@
     async def _keep(self) -> None:
         while not self._released:
             begun_at = self._timers.now()
-            await self._keep_once()
+            try:
+                await self._keep_once()
+            except Exception:
+                # A bug met in one renewal must not end all later ones.
+                logger.exception("keeping the lease failed")
             if not self._ended and not self.held() and not self._lapse_told:
                 self._lapse_told = True
                 self._events.emit(
--- a/hawthornlead/metrics.py
+++ b/hawthornlead/metrics.py
@@ -51,6 +51,14 @@
         # peers
 
         # store, leases, ownership
+        self.store_calls = self._counter(
+            "hawthornlead_store_calls_total",
+            "Calls of the object API",
+            ["call", "outcome"],
+        )
+        self.owned_resources = self._gauge(
+            "hawthornlead_owned_resources", "Resources that this VM owns"
+        )
 
         # bundles
         self.bundle_seq = self._gauge(
--- a/hawthornlead/owners.py
+++ b/hawthornlead/owners.py
@@ -59,6 +59,7 @@
         self._store = store
         self._leases = leases
         self._members = members
+        self._metrics = metrics
         self._invariants = invariants
         self._vm = settings["VM_NAME"]
         self._order = TakingOrder(settings=settings, timers=timers, members=members)
@@ -77,7 +78,9 @@
     def start(self) -> None:
         """Begin to watch records and to take what is wanted and free."""
         self._leases.on_ended(self._lose_all)
-        self._watch = self._store.watch(KIND, self._take_event, self._mark_synced)
+        self._watch = self._store.watch(
+            KIND, lambda event: self._take(event.object), self._mark_synced
+        )
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def stop(self) -> None:
@@ -324,9 +327,6 @@
     def _mark_synced(self) -> None:
         self._synced = True
 
-    def _take_event(self, event) -> None:
-        self._take(event.object)
-
     def _take(self, stored: StoredObject) -> None:
         """Take in an object as it was read or written, unless a newer is known.
 
@@ -372,7 +372,7 @@
             record.unproved,
         )
         ownership = self.owned(resource)
-        self._events.emit(
+        self._tell(
             EventKind.OWNERSHIP_TAKEN,
             resource,
             fence=ownership.fence,
@@ -386,10 +386,15 @@
         owned = self._owned.pop(resource, None)
         if owned is None:
             return
-        self._events.emit(kind, resource, fence=owned.fence)
+        self._tell(kind, resource, fence=owned.fence)
         for callback in self._on_lost:
             callback(resource)
 
+    def _tell(self, kind: EventKind, resource: str, **fields) -> None:
+        self._events.emit(kind, resource, **fields)
+        if self._metrics is not None:
+            self._metrics.owned_resources.set(len(self._owned))
+
     def _lose_all(self) -> None:
         for resource in tuple(self._owned):
             self._lose(resource, EventKind.OWNERSHIP_LOST)
--- a/hawthornlead/stores.py
+++ b/hawthornlead/stores.py
@@ -116,7 +116,7 @@
         for _ in range(STALE_TRIES):
             sent_at = self._timers.now()
             known = self._versions.get((kind, name), 0)
-            got = self._note(sent_at, await self._get(kind, name))
+            got = self._note("get", sent_at, await self._get(kind, name))
             if got.is_err():
                 return got
             if self._is_current(kind, name, known, got.ok_value):
@@ -128,7 +128,7 @@
     ) -> Result[StoredObject, Failure]:
         """Write one object if it still has ``version`` (None: does not exist)."""
         sent_at = self._timers.now()
-        put = self._note(sent_at, await self._put(kind, name, value, version))
+        put = self._note("put", sent_at, await self._put(kind, name, value, version))
         if put.is_ok():
             self._remember(kind, name, put.ok_value.version)
         return put
@@ -136,13 +136,13 @@
     async def delete(self, kind: str, name: str, version: int) -> Result[None, Failure]:
         """Delete one object if it still has ``version``."""
         sent_at = self._timers.now()
-        return self._note(sent_at, await self._delete(kind, name, version))
+        return self._note("delete", sent_at, await self._delete(kind, name, version))
 
     async def list(self, kind: str) -> Result[StoreList, Failure]:
         """Read all objects of a kind."""
         for _ in range(STALE_TRIES):
             sent_at = self._timers.now()
-            listed = self._note(sent_at, await self._list(kind))
+            listed = self._note("list", sent_at, await self._list(kind))
             if listed.is_err():
                 return listed
             version = listed.ok_value.version
@@ -243,7 +243,7 @@
         if len(self._versions) > VERSIONS_REMEMBERED:
             self._versions.popitem(last=False)
 
-    def _note(self, sent_at: float, outcome: Result) -> Result:
+    def _note(self, call: str, sent_at: float, outcome: Result) -> Result:
         lost = (
             outcome.is_err() and outcome.err_value.kind is ErrorKind.STORE_UNAVAILABLE
         )
@@ -254,4 +254,7 @@
             detail = outcome.err_value.detail if lost else ""
             self._events.emit(kind, "store", detail=detail)
         self._lost = lost
+        if self._metrics is not None:
+            name = "ok" if outcome.is_ok() else outcome.err_value.kind.value
+            self._metrics.store_calls.labels(call, name).inc()
         return outcome
