--- a/hawthornlead/tests/test_leases.py
+++ b/hawthornlead/tests/test_leases.py
@@ -6,6 +6,7 @@
 from hawthornlead.leases import longest_by_any_clock
 from hawthornlead.messages import RenewLease
 from hawthornlead.renewal_objects import with_entered, with_removed
+from hawthornlead.stores import WatchEvent
 
 from .fakes_vms import World
 
@@ -175,6 +176,24 @@
     assert holder.leases.state == "held"
 
 
+async def test_late_events_change_nothing(world):
+    # Watch events from before a VM registered arrive after it has, and after the
+    # end of another. Neither must look ended, or alive again, for that.
+    gone = world.add("vm-1")
+    await world.run(3)
+    objects = world.objects
+    old = [objects.get("leases", "dc1-0"), objects.get("renewals-dc1", "dc1-0")]
+    vm = world.add("vm-2")
+    await world.kill(gone)
+    await world.run(3)
+    vm.leases._take_event(WatchEvent("put", old[0]))
+    vm.leases._take_counters(WatchEvent("put", old[1]))
+    assert vm.leases.state == "held"
+    assert vm.leases.registration_of(gone.leases.incarnation).state == "ended"
+    assert vm.leases._counters.seen(gone.leases.incarnation) is None
+    assert vm.leases._counters.seen(vm.leases.incarnation) is not None
+
+
 async def test_store_outage_then_back(world):
     # The store is down for a minute. Leases lapse; nobody may be ended meanwhile,
     # and when it is back all hold their leases again, as the same incarnations.
