--- a/hawthornlead/owners.py
+++ b/hawthornlead/owners.py
@@ -231,16 +231,13 @@
 
     def _due(self) -> list[str]:
         free = []
-        for resource, data_centre in self._wanted.items():
-            record = self._records.get(resource)
-            if resource in self._releasing or not self._may_take(record):
-                continue
-            free.append(FreeResource(resource, data_centre))
         owners: dict[str, str] = {}
-        for resource in self._wanted:
+        for resource, data_centre in self._wanted.items():
             record = self._records.get(resource)
-            if record is not None and not self._may_take(record):
+            if not self._may_take(record):
                 owners[resource] = record.vm
+            elif resource not in self._releasing:
+                free.append(FreeResource(resource, data_centre))
         return self._order.due(free, self._wanted, owners)
 
     def _may_take(self, record: OwnerRecord | None) -> bool:
--- a/hawthornlead/takers.py
+++ b/hawthornlead/takers.py
@@ -47,6 +47,8 @@
         self._free_since = {
             item.resource: self._free_since.get(item.resource, now) for item in free
         }
+        if not free:
+            return []
         counts = Counter(owners.values())
         resources_in = Counter(wanted.values())
         due = []
