--- a/hawthornlead/tests/test_leases.py
+++ b/hawthornlead/tests/test_leases.py
@@ -176,6 +176,21 @@
     assert holder.leases.state == "held"
 
 
+async def test_slow_answer_does_not_lengthen_the_lease(world):
+    # The store answers a renewal later than the lease lasts. Counted from the
+    # answer, the VM would think that it holds a lease which others may end.
+    vm = world.add("vm-1")
+    await world.run(3)
+    vm.store.slow_s = 4.0
+    await world.run(7)
+    for _ in range(200):
+        await world.run(0.1)
+        assert not vm.leases.held()
+    vm.store.slow_s = 0.0
+    await world.run(12)
+    assert vm.leases.state == "held"
+
+
 async def test_late_events_change_nothing(world):
     # Watch events from before a VM registered arrive after it has, and after the
     # end of another. Neither must look ended, or alive again, for that.
