--- a/hawthornlead/lease_enders.py
+++ b/hawthornlead/lease_enders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from loguru import logger
 from result import Err, Ok, Result
 
 from .errors import ErrorKind, Failure
@@ -13,6 +14,7 @@
     SILENT,
     STOP_PROOFS,
     Registration,
+    process_of,
     with_ended,
     with_pruned,
 )
@@ -127,8 +129,13 @@
     async def _run(self) -> None:
         while True:
             await self._timers.sleep(min(self._renew_s / 4, 0.25))
-            if self._registrations.synced and self._holder.held():
+            if not self._registrations.synced or not self._holder.held():
+                continue
+            try:
                 await self._sweep()
+            except Exception:
+                # A bug met with one VM must not keep the others' leases for ever.
+                logger.exception("ending leases failed")
 
     async def _sweep(self) -> None:
         """End the leases of VMs that are proved gone or have run out.
@@ -166,17 +173,21 @@
             registration = seen.registration
             if registration.incarnation == self._holder.incarnation:
                 continue
-            proof = self._members.proof_gone(registration.vm, registration.incarnation)
+            proof = self._proof_gone(registration)
             silent = steady and self._is_watched(registration)
             if proof is not None or (silent and self._left_of(seen) <= 0):
                 suspects.append((seen, proof))
         for seen in self._registrations.in_doubt():
             registration = seen.registration
-            proof = self._members.proof_gone(registration.vm, registration.incarnation)
+            proof = self._proof_gone(registration)
             if proof is not None:
                 suspects.append((seen, proof))
         return suspects
 
+    def _proof_gone(self, registration: Registration) -> str | None:
+        process = process_of(registration.incarnation)
+        return self._members.proof_gone(registration.vm, process)
+
     def _is_watched(self, registration: Registration) -> bool:
         """Whether it is for this VM to end another for its silence.
 
--- a/hawthornlead/leases.py
+++ b/hawthornlead/leases.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections.abc import Callable
 
+from loguru import logger
 from result import Err, Ok, Result
 
 from .aggregators import RenewalFolder, outcome_of
@@ -23,7 +24,8 @@
     LIVE,
     RELEASED,
     Registration,
-    registrations,
+    live_among,
+    next_incarnation,
     with_ended,
     with_registered,
 )
@@ -65,7 +67,7 @@
         self._data_centre = settings["DATA_CENTRE"]
         self._lease_s = settings["LEASE_S"]
         self._renew_s = settings["LEASE_RENEW_S"]
-        self._incarnation = incarnation or self._new_incarnation()
+        self._incarnation = incarnation or f"{self._vm}.{rng.getrandbits(64):016x}"
         self._counter = 0
         self._until = float("-inf")
         self._held_since = float("-inf")
@@ -146,15 +148,7 @@
 
     async def live_in_store(self) -> Result[set[str], Failure]:
         """Read from the store which incarnations are live now."""
-        listed = await self._store.list(KIND)
-        if listed.is_err():
-            return listed
-        live = set()
-        for item in listed.ok_value.items:
-            for registration in registrations(item.value):
-                if registration.state == LIVE:
-                    live.add(registration.incarnation)
-        return Ok(live)
+        return (await self._store.list(KIND)).map(live_among)
 
     def on_ended(self, callback: Callable[[], None]) -> None:
         """Call ``callback`` when this VM learns that its incarnation was ended.
@@ -242,7 +236,7 @@
 
     def _begin_anew(self) -> None:
         former, shard = self._incarnation, self._shard
-        self._incarnation = self._new_incarnation()
+        self._incarnation = next_incarnation(former)
         self._counter = 0
         self._shard = ""
         self._tried_number = 0
@@ -264,9 +258,6 @@
 
         self._timers.after(wait, prove_stopped, name="former incarnation")
 
-    def _new_incarnation(self) -> str:
-        return f"{self._vm}.{self._rng.getrandbits(64):016x}"
-
     async def _enter(self, incarnation: str) -> Result[StoredObject, Failure]:
         """Enter a lease into the first object that has room for it.
 
@@ -352,7 +343,11 @@
     async def _keep(self) -> None:
         while not self._released:
             begun_at = self._timers.now()
-            await self._keep_once()
+            try:
+                await self._keep_once()
+            except Exception:
+                # A bug met in one renewal must not end all later ones.
+                logger.exception("keeping the lease failed")
             if not self._ended and not self.held() and not self._lapse_told:
                 self._lapse_told = True
                 self._events.emit(
