Test the book of grants, and freezes on either side of the last look

Mutations of the guards on a scratch copy showed three that no test caught: the second look at the right, the notice of a restart, the lost answer to an eviction. Each now has a test in which it fails.

--- a/hawthornlead/tests/fakes_engines.py
+++ b/hawthornlead/tests/fakes_engines.py
@@ -34,6 +34,7 @@
         self.loads: list[AdapterVersion] = []
         self.orders: list[tuple] = []
         self.violations: list[str] = []
+        self._started_at = timers.now() - 5e4
         self._snapshots = deque(maxlen=2000)
         self.snapshot()
 
@@ -43,8 +44,8 @@
         return f"boot-{self.boots}"
 
     def now(self):
-        """The engine's own clock."""
-        return self.timers.now() + 5e4
+        """The engine's own clock, which begins anew with each start."""
+        return self.timers.now() - self._started_at
 
     def snapshot(self):
         """Note the state for reports that lag."""
@@ -72,6 +73,7 @@
     def restart(self):
         """Start anew, with empty slots and no memory of fences."""
         self.boots += 1
+        self._started_at = self.timers.now()
         self.highest_fence = 0
         self.running.clear()
         self.residents.clear()
@@ -137,13 +139,14 @@
     """One VM's client of a ``FakeEngine``.
 
     ``awake`` is awaited before bytes leave and after an answer came, so that a
-    frozen VM neither sends nor hears. ``freeze_after_check`` is awaited between
-    the last look at the right and the write.
+    frozen VM neither sends nor hears. ``freeze_before_check`` is awaited while it
+    connects, ``freeze_after_check`` between the last look at the right and the write.
     """
 
     def __init__(self, engine, awake):
         self._engine = engine
         self._awake = awake
+        self.freeze_before_check = None
         self.freeze_after_check = None
         self.cut = False
 
@@ -154,6 +157,8 @@
         await self._awake()
         if self.cut or self._engine.down:
             return Err(Failure(ErrorKind.TARGET_UNREACHABLE, "down"))
+        if self.freeze_before_check is not None:
+            await self.freeze_before_check(op)
         if not still_right():
             return Err(Failure(ErrorKind.NO_GRANT, "the right ended"))
         if self.freeze_after_check is not None:
--- a/hawthornlead/tests/test_slots.py
+++ b/hawthornlead/tests/test_slots.py
@@ -26,6 +26,23 @@
     return grant
 
 
+async def _freeze_at(world, place):
+    """Freeze owner ``a`` in an eviction, let ``c`` succeed it; return its waking."""
+    woken = asyncio.Event()
+
+    async def freeze(op):
+        if op is Order.EVICT:
+            await woken.wait()
+
+    setattr(world.vms["a"].client, place, freeze)
+    world.acquire("a", "lap", wait_s=100)
+    await world.advance(1)
+    world.freeze("a")
+    world.give("c", ALLOWANCE, stopped=True)
+    world.give("c", stopped=True)
+    return woken
+
+
 def _evictions(world):
     return [order for order in world.engine.orders if order[0] is Order.EVICT]
 
@@ -156,23 +173,15 @@
     again when the connection stands, so it is not sent, whatever the target.
     """
     world = await _world("abc", fencing=False)
-    grant = (await world.acquired("b", "tide")).unwrap()
-    del grant
+    await world.acquired("b", "tide")
     await world.advance(4)
-    wanted = world.acquire("a", "lap", wait_s=100)
-    await asyncio.sleep(0)
-    world.freeze("a")
-    await world.advance(5)
-    world.give("c", ALLOWANCE, stopped=True)
-    world.give("c", stopped=True)
+    woken = await _freeze_at(world, "freeze_before_check")
     await world.advance(20)
     await _streaming(world, "c", "tide", "r2")
-    world.engine.orders.clear()
-    await world.thaw("a")
+    woken.set()
     await world.advance(5)
     assert _evictions(world) == []
     assert world.engine.end("r2") and world.engine.violations == []
-    assert wanted.done()
 
 
 @pytest.mark.parametrize("fencing", [True, False])
@@ -186,18 +195,7 @@
     world = await _world("abc", fencing=fencing)
     await world.acquired("b", "tide")
     await world.advance(4)
-    woken = asyncio.Event()
-
-    async def freeze(op):
-        if op is Order.EVICT:
-            await woken.wait()
-
-    world.vms["a"].client.freeze_after_check = freeze
-    world.acquire("a", "lap", wait_s=100)
-    await world.advance(1)
-    world.freeze("a")
-    world.give("c", ALLOWANCE, stopped=True)
-    world.give("c", stopped=True)
+    woken = await _freeze_at(world, "freeze_after_check")
     await world.advance(20)
     await _streaming(world, "c", "tide", "r2")
     woken.set()
@@ -280,6 +278,7 @@
     world.engine.restart()
     await world.advance(10)
     assert len(world.engine.loads) == 2 and world.engine.residents == set()
+    assert world.vms["b"].views.view("engine").state.residents == ()
     assert (await world.acquired("b", "tide")).is_ok()
     await world.advance(10)
     assert len(world.engine.loads) == 3
@@ -311,10 +310,14 @@
     world = await _world()
     await world.acquired("b", "tide")
     await world.advance(4)
+    world.engine.report_lag_s = 5.0
     world.engine.lose_replies = 1
     wanted = world.acquire("a", "lap", wait_s=60)
-    await world.advance(2)
-    assert (await world.acquired("b", "tide", load=False)).is_err()
+    await world.advance(1)
+    assert world.engine.residents == set()
+    asked = world.acquire("b", "tide", wait_s=5, load=False)
+    await world.advance(0.2)
+    assert asked.result().is_err()
     await world.advance(20)
     assert wanted.done() and world.engine.violations == []
     assert (await world.acquired("b", "lap", wait_s=30)).is_ok()
