--- a/hawthornlead/grant_ledgers.py
+++ b/hawthornlead/grant_ledgers.py
@@ -130,9 +130,12 @@
             self._held[grant.grant_id] = grant._replace(revoked=True)
         return marked
 
-    def held_on(self, key: AdapterVersion) -> list[HeldGrant]:
-        """Return the grants on an adapter that have not run out."""
-        return [grant for grant in self._held.values() if grant.key == key]
+    def revoke_all(self) -> list[HeldGrant]:
+        """Mark all grants as asked back; return those newly marked."""
+        marked = []
+        for key in {grant.key for grant in self._held.values()}:
+            marked += self.revoke(key)
+        return marked
 
     def sweep(self) -> None:
         """Move grants whose time is over to those that want a proof."""
--- a/hawthornlead/orders.py
+++ b/hawthornlead/orders.py
@@ -6,7 +6,8 @@
 order that comes after it wakes, another one carries it out.
 """
 
-from collections.abc import Callable
+import asyncio
+from collections.abc import Awaitable, Callable
 
 from result import Err, Ok, Result
 
@@ -48,6 +49,7 @@
         self._fence = fence
         self._superseded = False
         self._stopped = False
+        self._fencing: asyncio.Task | None = None
 
     @property
     def superseded(self) -> bool:
@@ -102,6 +104,13 @@
             Order.EVICT, key, "", self._settings["ORDER_S"], allowed
         )
 
+    def start_fence(self) -> Awaitable[Result[OrderReply, Failure]]:
+        """Order ``fence`` unless one is under way; all who wait share its outcome."""
+        if self._fencing is None or self._fencing.done():
+            loop = asyncio.get_running_loop()
+            self._fencing = loop.create_task(self.fence())
+        return asyncio.shield(self._fencing)
+
     async def fence(self) -> Result[OrderReply, Failure]:
         """Tell the target this owner's fencing number."""
         sent_at = self._timers.now()
--- a/hawthornlead/slots.py
+++ b/hawthornlead/slots.py
@@ -5,7 +5,6 @@
 Other VMs' requests reach it as messages through ``TargetOwners``.
 """
 
-import asyncio
 import random
 from collections.abc import Callable
 from typing import NamedTuple
@@ -27,42 +26,19 @@
     ReleaseGrant,
     RenewedGrants,
     RenewGrants,
-    Resident,
     RevokeGrant,
     TargetState,
 )
 from .metrics import Metrics
 from .orders import TargetOrders
+from .owned_targets import OwnedTarget, Policies
 from .owners import OrderRight
 from .residencies import Residency
+from .target_readers import TargetReader
 from .targets import TargetClient
 from .timers import TimerService
 from .waits import Signal, wait_done
 
-# A probe is sent at least this often, for restarts; more often when a proof waits.
-PROBE_S = 2.0
-# Unanswered calls in a row after which the target counts as silent.
-MISSED_CALLS = 3
-
-
-class OwnedTarget(NamedTuple):
-    """What the VM list says of an owned target."""
-
-    name: str
-    address: str
-    slots: int
-    fencing: bool
-    weight_store: str
-
-
-class Policies(NamedTuple):
-    """The strategies that a target's owner asks."""
-
-    eviction: object
-    load_order: object
-    popularity: object
-    copies: Callable[[Resident], int] | None = None
-
 
 class TargetOwner:
     """Decides for one target."""
@@ -90,7 +66,6 @@
         self._events = events
         self._metrics = metrics
         self._invariants = invariants
-        self._client = client
         self._target = target
         self._fence = ownership.fence
         self._cast = cast
@@ -146,13 +121,20 @@
             copies=policies.copies,
         )
         self._leaving = False
-        self._missed = 0
-        self._probe_wanted = True
+        self._reader = TargetReader(
+            timers=timers,
+            events=events,
+            metrics=metrics,
+            target=target.name,
+            client=client,
+            clock=self._clock,
+            ledger=self._ledger,
+            residency=self._residency,
+            guard=self._guard,
+            on_restart=self._on_restart,
+        )
         self._polling = False
         self._timer = None
-        self._running = 0
-        self._queued = 0
-        self._fencing_now: asyncio.Task | None = None
 
     @property
     def fence(self) -> int:
@@ -176,7 +158,7 @@
     @property
     def silent(self) -> bool:
         """Whether the target has stopped answering its owner."""
-        return self._missed >= MISSED_CALLS
+        return self._reader.silent
 
     def start(self) -> None:
         """Begin to read reports."""
@@ -211,8 +193,8 @@
             fence=self._fence,
             serial=serial,
             slots=0 if silent else self._residency.size,
-            running=self._running,
-            queued=self._queued,
+            running=self._reader.running,
+            queued=self._reader.queued,
             leaving=self._leaving,
             residents=() if silent else self._residency.residents(),
         )
@@ -248,7 +230,7 @@
         )
         if right is OrderRight.DEGRADED and not allowed:
             # The next renewal, GRANT_RENEW_S from now, may find it accepted.
-            self._start_refence()
+            self._orders.start_fence()
         if not allowed or not self._guard.ready:
             return RenewedGrants((), 0.0)
         renewed = self._ledger.renew(message.grant_ids)
@@ -264,7 +246,7 @@
 
     def suspect(self) -> None:
         """Probe the target soon: a request failed there."""
-        self._probe_wanted = True
+        self._reader.want_probe()
         if not self._polling:
             self._timers.after(0, self.poll, name="suspected target")
 
@@ -278,9 +260,7 @@
                 self._guard.has_right()
                 if self._guard.needs_fence:
                     await self._orders.fence()
-            if self._probe_due():
-                await self._probe()
-            await self._read_report()
+            await self._reader.read()
         finally:
             self._polling = False
         if self._predecessor_gone():
@@ -315,8 +295,11 @@
         """Grant what is resident; Ok(None) when it must be looked at again."""
         if self._orders.right() is OrderRight.FULL or self._guard.fence_fresh():
             return Ok(self._grant(asking, 0.0))
-        fenced = await self._refence()
-        return fenced if isinstance(fenced, Err) else Ok(None)
+        fenced = await self._orders.start_fence()
+        if isinstance(fenced, Err):
+            detail = f"{self._target.name} did not accept the fencing number"
+            return Err(_no_grant(detail))
+        return Ok(None)
 
     async def _load_and_grant(
         self, asking: "_Asking"
@@ -389,83 +372,14 @@
             )
             self._cast(grant.vm, RevokeGrant(self._target.name, grant.grant_id))
 
-    def _start_refence(self) -> asyncio.Task:
-        if self._fencing_now is None or self._fencing_now.done():
-            loop = asyncio.get_running_loop()
-            self._fencing_now = loop.create_task(self._orders.fence())
-        return self._fencing_now
-
-    async def _refence(self) -> Result[None, Failure]:
-        """Have the target accept this owner's number; all who wait share one order."""
-        reply = await asyncio.shield(self._start_refence())
-        if isinstance(reply, Err):
-            detail = f"{self._target.name} did not accept the fencing number"
-            return Err(_no_grant(detail))
-        return Ok(None)
-
-    def _probe_due(self) -> bool:
-        probed_at = self._clock.probed_at
-        if self._probe_wanted or probed_at is None:
-            return True
-        moments = [self._ledger.proof_wanted_after]
-        if not self._guard.ready:
-            moments.append(self._guard.ready_after)
-        for slot in self._residency.slots():
-            moments.append(slot.settled_after)
-        for moment in moments:
-            if moment is not None and probed_at < moment <= self._now():
-                return True
-        return self._now() - probed_at >= PROBE_S
-
-    async def _probe(self) -> None:
-        sent_at = self._now()
-        health = await self._client.health()
-        self._answered(isinstance(health, Ok))
-        if isinstance(health, Err):
-            return
-        self._probe_wanted = False
-        if self._clock.note(sent_at, health.ok_value.now, health.ok_value.boot_id):
-            self._on_restart()
-
     def _on_restart(self) -> None:
-        """Begin anew: the slots are empty, and grants on them are asked back.
+        """Ask all grants back: the slots are empty.
 
         Nothing is loaded again by itself. Requests ask for what they need, through
         the allowance, so that a restart makes no stampede on the weight store.
         """
-        for slot in self._residency.slots():
-            self._revoke(self._ledger.revoke(slot.key))
-        self._residency.clear()
-        self._guard.restarted()
+        self._revoke(self._ledger.revoke_all())
         self._loader.restarted()
-        self._events.emit(
-            EventKind.TARGET_RESTARTED, self._target.name, boot_id=self._clock.boot_id
-        )
-
-    async def _read_report(self) -> None:
-        answer = await self._client.report()
-        if isinstance(answer, Err):
-            self._answered(False)
-            return
-        report = answer.ok_value
-        if report.boot_id != self._clock.boot_id:
-            # Of another start: it tells nothing of this one, but asks for a probe.
-            self._probe_wanted = True
-            return
-        self._running = report.running
-        self._queued = report.queued
-        self._ledger.observe(report)
-        self._residency.observe(report)
-        self._guard.observe(report.as_of)
-        self._metrics.step_fill.labels(self._target.name).set(report.step_fill)
-
-    def _answered(self, answered: bool) -> None:
-        was_silent = self.silent
-        self._missed = 0 if answered else self._missed + 1
-        if self.silent == was_silent:
-            return
-        kind = EventKind.TARGET_SILENT if self.silent else EventKind.TARGET_ANSWERS
-        self._events.emit(kind, self._target.name)
 
 
 class _Asking(NamedTuple):
--- a/hawthornlead/target_owners.py
+++ b/hawthornlead/target_owners.py
@@ -22,7 +22,8 @@
     TargetSuspect,
 )
 from .metrics import Metrics
-from .slots import OwnedTarget, Policies, TargetOwner
+from .owned_targets import OwnedTarget, Policies
+from .slots import TargetOwner
 from .targets import TargetClient
 from .timers import TimerService
 from .views import TargetViews, target_resource
--- /dev/null
+++ b/hawthornlead/target_readers.py
@@ -0,0 +1,135 @@
+"""What an owner reads from its target: probes, reports, restarts, silence."""
+
+from collections.abc import Callable
+
+from result import Err, Ok
+
+from .engine_clocks import EngineClock
+from .events import EventKind, EventRing
+from .evict_guards import EvictGuard
+from .grant_ledgers import GrantLedger
+from .metrics import Metrics
+from .residencies import Residency
+from .targets import TargetClient
+from .timers import TimerService
+
+# A probe is sent at least this often, for restarts; more often when a proof waits.
+PROBE_S = 2.0
+# Unanswered calls in a row after which the target counts as silent.
+MISSED_CALLS = 3
+
+
+class TargetReader:
+    """Reads one target and hands what it tells to the owner's books."""
+
+    def __init__(
+        self,
+        *,
+        timers: TimerService,
+        events: EventRing,
+        metrics: Metrics,
+        target: str,
+        client: TargetClient,
+        clock: EngineClock,
+        ledger: GrantLedger,
+        residency: Residency,
+        guard: EvictGuard,
+        on_restart: Callable[[], None],
+    ):
+        self._timers = timers
+        self._events = events
+        self._metrics = metrics
+        self._target = target
+        self._client = client
+        self._clock = clock
+        self._ledger = ledger
+        self._residency = residency
+        self._guard = guard
+        self._on_restart = on_restart
+        self._missed = 0
+        self._probe_wanted = True
+        self._running = 0
+        self._queued = 0
+
+    @property
+    def silent(self) -> bool:
+        """Whether the target has stopped answering."""
+        return self._missed >= MISSED_CALLS
+
+    @property
+    def running(self) -> int:
+        """The requests that ran there by the newest report."""
+        return self._running
+
+    @property
+    def queued(self) -> int:
+        """The requests that waited there by the newest report."""
+        return self._queued
+
+    def want_probe(self) -> None:
+        """Probe at the next reading."""
+        self._probe_wanted = True
+
+    async def read(self) -> None:
+        """Probe if that is due, then read the report."""
+        if self._probe_due():
+            await self._probe()
+        await self._read_report()
+
+    def _probe_due(self) -> bool:
+        probed_at = self._clock.probed_at
+        if self._probe_wanted or probed_at is None:
+            return True
+        moments = [self._ledger.proof_wanted_after]
+        if not self._guard.ready:
+            moments.append(self._guard.ready_after)
+        for slot in self._residency.slots():
+            moments.append(slot.settled_after)
+        now = self._timers.now()
+        for moment in moments:
+            if moment is not None and probed_at < moment <= now:
+                return True
+        return now - probed_at >= PROBE_S
+
+    async def _probe(self) -> None:
+        sent_at = self._timers.now()
+        health = await self._client.health()
+        self._answered(isinstance(health, Ok))
+        if isinstance(health, Err):
+            return
+        self._probe_wanted = False
+        if self._clock.note(sent_at, health.ok_value.now, health.ok_value.boot_id):
+            self._restarted()
+
+    def _restarted(self) -> None:
+        self._residency.clear()
+        self._guard.restarted()
+        self._events.emit(
+            EventKind.TARGET_RESTARTED, self._target, boot_id=self._clock.boot_id
+        )
+        self._on_restart()
+
+    async def _read_report(self) -> None:
+        answer = await self._client.report()
+        if isinstance(answer, Err):
+            self._answered(False)
+            return
+        report = answer.ok_value
+        if report.boot_id != self._clock.boot_id:
+            # Of another start: it tells nothing of this one, but asks for a probe.
+            self._probe_wanted = True
+            return
+        self._running = report.running
+        self._queued = report.queued
+        self._ledger.observe(report)
+        self._residency.observe(report)
+        self._guard.observe(report.as_of)
+        self._metrics.step_fill.labels(self._target).set(report.step_fill)
+
+    def _answered(self, answered: bool) -> None:
+        was_silent = self.silent
+        self._missed = 0 if answered else self._missed + 1
+        if self.silent == was_silent:
+            return
+        kind = EventKind.TARGET_SILENT if self.silent else EventKind.TARGET_ANSWERS
+        self._events.emit(kind, self._target)
--- a/hawthornlead/tests/fakes_worlds.py
+++ b/hawthornlead/tests/fakes_worlds.py
@@ -21,10 +21,10 @@
 from hawthornlead.load_orders import LOAD_ORDERS
 from hawthornlead.messages import Done, Failed
 from hawthornlead.metrics import Metrics
+from hawthornlead.owned_targets import Policies
 from hawthornlead.owners import OrderRight
 from hawthornlead.popularities import POPULARITIES
 from hawthornlead.settings import default_settings
-from hawthornlead.slots import Policies
 from hawthornlead.target_owners import TargetOwners
 from hawthornlead.timers import ManualTimerService
 from hawthornlead.views import TargetViews
