--- a/hawthornlead/tests/test_targets.py
+++ b/hawthornlead/tests/test_targets.py
@@ -9,8 +9,11 @@
 from tornado.web import Application, RequestHandler
 
 from hawthornlead.errors import ErrorKind
+from hawthornlead.messages import Resident
 from hawthornlead.targets import Order, TargetClient
 
+from .standins.engine import EngineStandIn
+
 
 class _Orders(RequestHandler):
     async def post(self):
@@ -104,3 +107,26 @@
     server.stop()
     assert (await client.health()).is_err()
     assert (await client.report()).is_err()
+
+
+async def test_orders_and_reports_of_an_engine():
+    engine = EngineStandIn(name="engine-1", slots=1, load_s=0.001, fencing=True)
+    client = TargetClient(await engine.start(), rng=random.Random(1))
+    health = (await client.health()).unwrap()
+    assert (await _order(client)).unwrap().boot_id == health.boot_id
+    assert (await _order(client)).is_ok()
+    full = await client.order(Order.LOAD, 3, "lap", "1", "base", 2.0)
+    assert full.unwrap_err().kind is ErrorKind.NO_SLOT
+    stale = await client.order(Order.EVICT, 2, "tide", "1", "", 2.0)
+    assert stale.unwrap_err().kind is ErrorKind.STALE_FENCE
+    report = (await client.report()).unwrap()
+    assert report.residents == (Resident("tide", "1", 0),) and report.slots == 1
+    assert report.as_of >= health.now
+    assert (await client.order(Order.EVICT, 3, "tide", "1", "", 2.0)).is_ok()
+    gone = await client.order(Order.EVICT, 3, "tide", "1", "", 2.0)
+    assert gone.unwrap_err().kind is ErrorKind.NOT_FOUND
+    engine.set_faults(fail_loads=1)
+    assert (await _order(client)).unwrap_err().kind is ErrorKind.LOAD_FAILED
+    assert (await client.cancel("unknown")).is_ok()
+    await engine.stop()
+    assert (await client.health()).unwrap_err().kind is ErrorKind.TARGET_UNREACHABLE
