Add claims: at most once per caller and idempotency key

A request that must not be repeated is claimed before it is sent.

Heads are sealed into segments that are never written over: a segment is named by the serial of the head that it was made from, so two VMs sealing one head write the same. Ages are taken by each VM's own monotonic clock, since clocks of VMs can't be compared; a claim can be kept longer than its time, never shorter.

--- /dev/null
+++ b/hawthornlead/claim_ranges.py
@@ -0,0 +1,253 @@
+"""One range of claims in the object API: group commit, sealing, retention.
+
+All claims and outcomes that a VM has for a range at a moment are committed by one
+conditional update of the range's head object, ``claims/RANGE``. A head that has
+grown is sealed: its rows go into a segment object that never changes,
+``claim-segments/RANGE.SERIAL``, and the head names it. Any number of VMs may commit
+to a range at once; the conditional update makes one of them go first.
+
+Retention compares no clocks: a VM drops a segment when it has itself seen it sealed
+for ``CLAIM_KEEP_S`` by its monotonic clock, so that no claim is kept shorter.
+"""
+
+import asyncio
+import json
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .claim_rows import FREE, NEW, ClaimBook, ClaimRow, IsGone, read_rows, row_id
+from .errors import ErrorKind, Failure
+from .events import EventKind
+from .messages import Claim, RecordOutcome
+
+HEADS = "claims"
+SEGMENTS = "claim-segments"
+SEAL_ROWS = 500
+SEAL_BYTES = 256 << 10
+BATCH = 256
+MAX_PENDING = 2048
+READ_TRIES = 8
+RETRY_AFTER_S = 1.0
+
+
+class _Pending(NamedTuple):
+    operation: Claim | RecordOutcome
+    answer: asyncio.Future
+
+
+class _Commit:
+    """One change of a head; called again for each try of the update."""
+
+    def __init__(self, operations, claim_range: "ClaimRange"):
+        self._operations = operations
+        self._range = claim_range
+        # One moment for all tries: a try whose reply was lost may be the one that
+        # stands, and its answers must be those of the later tries.
+        self._now = claim_range.now()
+        self.answers: list[Result] = []
+        self.missing: list[str] = []
+        self.dropped: list[str] = []
+
+    def __call__(self, value: dict | None) -> dict | None:
+        book = ClaimBook(value, self._range.segments)
+        self.missing = book.missing
+        if self.missing:
+            return None
+        self.dropped = self._range.expired(book.names, self._now)
+        for name in self.dropped:
+            book.drop(name)
+        self.answers = [self._apply(book, operation) for operation in self._operations]
+        return book.value() if book.changed else None
+
+    def _apply(self, book: ClaimBook, operation) -> Result:
+        if isinstance(operation, RecordOutcome):
+            return book.record(operation)
+        before = book.get(row_id(operation.caller, operation.key))
+        claimed = book.claim(operation, self._range.is_gone)
+        if claimed.state == NEW:
+            self._range.check_new(operation, before)
+        return Ok(claimed)
+
+
+class ClaimRange:
+    """The commits of this VM to one range."""
+
+    def __init__(
+        self, number: int, *, settings, timers, events, invariants, store, is_gone
+    ):
+        self._name = str(number)
+        self._settings = settings
+        self._timers = timers
+        self._events = events
+        self._invariants = invariants
+        self._store = store
+        self.is_gone: IsGone = is_gone
+        self.segments: dict[str, dict[str, ClaimRow]] = {}
+        self._seen_at: dict[str, float] = {}
+        self._head = (-1, timers.now())
+        self._pending: list[_Pending] = []
+        self._task: asyncio.Task | None = None
+
+    async def submit(self, operation: Claim | RecordOutcome) -> Result:
+        """Commit one claim or outcome together with what comes meanwhile."""
+        if len(self._pending) >= MAX_PENDING:
+            detail = "too many claims wait to be written"
+            return Err(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S))
+        pending = _Pending(operation, asyncio.get_running_loop().create_future())
+        self._pending.append(pending)
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._run())
+        return await pending.answer
+
+    async def stop(self) -> None:
+        """Let the commit under way end."""
+        if self._task is not None:
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def now(self) -> float:
+        """Seconds on the VM's monotonic clock."""
+        return self._timers.now()
+
+    def expired(self, names: list[str], now: float) -> list[str]:
+        """Return the oldest segments whose retention is over.
+
+        A later segment may hold what became of a claim in an earlier one, so they
+        are dropped from the oldest on, without a gap.
+        """
+        found = []
+        for name in names:
+            seen_at = self._seen_at.setdefault(name, now)
+            if now - seen_at < self._settings["CLAIM_KEEP_S"]:
+                break
+            found.append(name)
+        return found
+
+    def check_new(self, claim: Claim, before: ClaimRow | None) -> None:
+        """Assert that a key told to be new has no standing claim of another."""
+        holds = before is None or before.state == FREE
+        holds = holds or before.attempt_id == claim.attempt_id
+        self._invariants.check("claim-new-once", holds, claim.attempt_id)
+
+    async def _run(self) -> None:
+        try:
+            await self._timers.sleep(self._settings["CLAIM_GATHER_MS"] / 1000)
+            while self._pending:
+                batch = self._pending[:BATCH]
+                del self._pending[:BATCH]
+                await self._answer(batch)
+        finally:
+            self._task = None
+            abandoned, self._pending = self._pending, []
+            _settle(abandoned, Err(_unread("the commit was abandoned")))
+
+    async def _answer(self, batch: list[_Pending]) -> None:
+        commit = _Commit([pending.operation for pending in batch], self)
+        try:
+            committed = await self._commit(commit)
+        except BaseException:
+            _settle(batch, Err(_unread("the commit was abandoned")))
+            raise
+        if isinstance(committed, Err):
+            _settle(batch, committed)
+            return
+        for pending, answer in zip(batch, commit.answers, strict=True):
+            _settle([pending], answer)
+        head = committed.ok_value.value
+        named = head.get("segments", [])
+        await self._clean_up([name for name in commit.dropped if name not in named])
+        await self._seal(head)
+
+    async def _commit(self, commit: _Commit) -> Result:
+        for _ in range(READ_TRIES):
+            written = await self._store.update(HEADS, self._name, commit)
+            if isinstance(written, Err) or not commit.missing:
+                return written
+            read = await self._read_segments(commit.missing)
+            if isinstance(read, Err):
+                return read
+        return Err(_unread("segments change faster than they are read"))
+
+    async def _read_segments(self, names: list[str]) -> Result[None, Failure]:
+        for name in names:
+            got = await self._store.get(SEGMENTS, name)
+            if isinstance(got, Err):
+                return got
+            if got.ok_value is None:
+                # Dropped since the head was read: the next read of the head tells.
+                continue
+            self.segments[name] = read_rows(got.ok_value.value["claims"])
+        return Ok(None)
+
+    async def _clean_up(self, dropped: list[str]) -> None:
+        """Delete segments that the head no longer names."""
+        for name in dropped:
+            self.segments.pop(name, None)
+            self._seen_at.pop(name, None)
+            got = await self._store.get(SEGMENTS, name)
+            if isinstance(got, Ok) and got.ok_value is not None:
+                await self._store.delete(SEGMENTS, name, got.ok_value.version)
+
+    async def _seal(self, value: dict) -> None:
+        """Move the head's rows into a segment where there are many or old ones.
+
+        The segment is written first and named by the head's serial, so that two
+        VMs which seal the same head write the same segment, and a segment is never
+        written over. A crash in between leaves one that no head names: it is never
+        read, and costs its space.
+        """
+        if not self._is_due(value):
+            return
+        serial = value["serial"]
+        name = f"{self._name}.{serial}"
+        rows = value["claims"]
+        put = await self._store.put(SEGMENTS, name, {"claims": rows}, None)
+        if (
+            isinstance(put, Err)
+            and put.err_value.kind is not ErrorKind.VERSION_CONFLICT
+        ):
+            got = await self._store.get(SEGMENTS, name)
+            if isinstance(got, Err) or got.ok_value is None:
+                return
+
+        def change(current: dict | None) -> dict | None:
+            if current is None or current["serial"] != serial:
+                return None
+            names = [*current["segments"], name]
+            sealed = {"serial": serial + 1, "sealed_at_serial": serial}
+            return {**sealed, "segments": names, "claims": {}}
+
+        sealed = await self._store.update(HEADS, self._name, change)
+        if isinstance(sealed, Err):
+            return
+        if name in sealed.ok_value.value["segments"]:
+            self.segments[name] = read_rows(rows)
+            self._seen_at.setdefault(name, self._timers.now())
+            self._events.emit(EventKind.CLAIMS_SEALED, name, claims=len(rows))
+            return
+        # Another commit came first, so that no head will ever name this segment.
+        got = await self._store.get(SEGMENTS, name)
+        if isinstance(got, Ok) and got.ok_value is not None:
+            await self._store.delete(SEGMENTS, name, got.ok_value.version)
+
+    def _is_due(self, value: dict) -> bool:
+        rows = value.get("claims")
+        if not rows:
+            return False
+        if self._head[0] != value["sealed_at_serial"]:
+            self._head = (value["sealed_at_serial"], self._timers.now())
+        if len(rows) >= SEAL_ROWS:
+            return True
+        if self._timers.now() - self._head[1] >= self._settings["CLAIM_KEEP_S"] / 2:
+            return True
+        return len(json.dumps(rows)) >= SEAL_BYTES
+
+
+def _unread(detail: str) -> Failure:
+    return Failure(ErrorKind.STORE_UNAVAILABLE, f"claims: {detail}", RETRY_AFTER_S)
+
+
+def _settle(batch: list[_Pending], answer: Result) -> None:
+    for pending in batch:
+        if not pending.answer.done():
+            pending.answer.set_result(answer)
