Test a claim committed while another VM seals, and a write that lands late

Both guards could be removed without a test noticing: emptying a head without looking at its serial, and giving back a claim that no row shows. Each test fails without its guard.

--- a/hawthornlead/tests/test_claims.py
+++ b/hawthornlead/tests/test_claims.py
@@ -6,10 +6,13 @@
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from result import Err
 
 from hawthornlead.claim_ranges import HEADS, SEAL_ROWS, SEGMENTS
 from hawthornlead.errors import ErrorKind, Ran
 from hawthornlead.hashes import rendezvous
+from hawthornlead.messages import Claim
+from hawthornlead.stores import unavailable
 from hawthornlead.tests.fakes_claims import ClaimFleet
 
 COMMITTER = rendezvous("claims/0", ["vm-1", "vm-2", "vm-3"])[0]
@@ -262,6 +265,62 @@
             assert await fleet.state(FIRST, f"{vm}-{number}", "again") == "running"
 
 
+async def test_claim_committed_while_another_vm_seals(fleet):
+    """One VM seals a head; another commits a claim between its two writes.
+
+    A head emptied without looking would lose that claim, and its request would run
+    a second time.
+    """
+    store = fleet.vms[COMMITTER].store
+    put = store._put
+    between = []
+
+    async def no_seal(value):
+        pass
+
+    async def put_then_other_commits(kind, *args):
+        outcome = await put(kind, *args)
+        if kind == SEGMENTS and not between:
+            between.append(fleet.vms[FIRST].claims._ranges[0])
+            # The other one is killed before it seals the full head itself.
+            between[0]._seal = no_seal
+            claim = Claim("gijon", "k", b"f", "a1", FIRST, "start-1")
+            between.append(await between[0].submit(claim))
+        return outcome
+
+    store._put = put_then_other_commits
+    await seal(fleet)
+    assert between[1].ok_value.state == "new"
+    assert await fleet.state(SECOND, "k", "a2") == "running"
+    claims = fleet.vms[SECOND].claims
+    (filled,) = await fleet.finish(claims.claim("filler", "fill-0", b"f", "a3"))
+    assert filled.ok_value.state == "running"
+
+
+async def test_write_in_doubt_that_lands_after_the_claim_was_given_back(fleet):
+    """A claim's write is held up on its way to the store, which seems down.
+
+    The request is refused and its claim given back. Then the old write arrives: it
+    must not take the key, or nobody would ever free it.
+    """
+    vm = fleet.vms[COMMITTER]
+    put = vm.store._put
+    held = []
+
+    async def hold_up(*args):
+        held.append(args)
+        vm.store.outage = True
+        return Err(unavailable("store: no reply", True))
+
+    vm.store._put = hold_up
+    assert await fleet.state(COMMITTER, "k", "a1") == "store-unavailable"
+    vm.store._put = put
+    vm.store.outage = False
+    await fleet.timers.advance(3)
+    assert (await put(*held[0])).err_value.kind is ErrorKind.VERSION_CONFLICT
+    assert await fleet.state(SECOND, "k", "a2") == "new"
+
+
 async def test_claims_are_kept_for_their_time_and_then_forgotten():
     """A caller sends an old key again after the claims' retention.
 
