Write over the claim head as last seen, and describe claims

Each commit read the head before it wrote it. Rows name their attempt, so a commit can safely be done again, and the conditional update tells when the head was old: the read is only needed after a conflict, a lost reply, or for an answer that writes nothing.

--- a/hawthornlead/claim_ranges.py
+++ b/hawthornlead/claim_ranges.py
@@ -20,6 +20,8 @@
 from .errors import ErrorKind, Failure
 from .events import EventKind
 from .messages import Claim, RecordOutcome
+from .stored_objects import StoredObject
+from .write_ids import stamp
 
 HEADS = "claims"
 SEGMENTS = "claim-segments"
@@ -86,6 +88,7 @@
         self.segments: dict[str, dict[str, ClaimRow]] = {}
         self._seen_at: dict[str, float] = {}
         self._head = (-1, timers.now())
+        self._known: StoredObject | None = None
         self._pending: list[_Pending] = []
         self._task: asyncio.Task | None = None
 
@@ -159,15 +162,43 @@
         await self._seal(head)
 
     async def _commit(self, commit: _Commit) -> Result:
+        written = await self._write_over_known(commit)
+        if written is not None:
+            return written
         for _ in range(READ_TRIES):
             written = await self._store.update(HEADS, self._name, commit)
-            if isinstance(written, Err) or not commit.missing:
+            if isinstance(written, Err):
+                return written
+            if not commit.missing:
+                self._known = written.ok_value
                 return written
             read = await self._read_segments(commit.missing)
             if isinstance(read, Err):
                 return read
         return Err(_unread("segments change faster than they are read"))
 
+    async def _write_over_known(self, commit: _Commit) -> Result | None:
+        """Write over the head as it was last seen, which saves reading it.
+
+        None where that did not do: another VM wrote meanwhile, the reply was lost,
+        or nothing is to be written, so that the answers hang on an old head. What
+        the commit does may be done again, since a row names its attempt: a claim
+        that took effect unseen is found, and is the asker's own.
+        """
+        known, self._known = self._known, None
+        if known is None or known.version == 0:
+            return None
+        value = commit(known.value)
+        if value is None or commit.missing:
+            return None
+        write_id = f"{self._settings['VM_NAME']}@{known.version}"
+        stamped = stamp(value, known, write_id)
+        written = await self._store.put(HEADS, self._name, stamped, known.version)
+        if isinstance(written, Err):
+            return None
+        self._known = written.ok_value
+        return written
+
     async def _read_segments(self, names: list[str]) -> Result[None, Failure]:
         for name in names:
             got = await self._store.get(SEGMENTS, name)
@@ -220,6 +251,7 @@
         sealed = await self._store.update(HEADS, self._name, change)
         if isinstance(sealed, Err):
             return
+        self._known = sealed.ok_value
         if name in sealed.ok_value.value["segments"]:
             self.segments[name] = read_rows(rows)
             self._seen_at.setdefault(name, self._timers.now())
--- a/hawthornlead/tests/test_claims.py
+++ b/hawthornlead/tests/test_claims.py
@@ -143,6 +143,32 @@
     assert await fleet.state(SECOND, "k", "a2") == "running"
 
 
+async def test_lost_reply_of_a_write_over_the_known_head(fleet):
+    """The committing VM writes over the head it knows, and the reply is lost.
+
+    It reads the head, finds the claim there, and must not take it for another's.
+    """
+    assert await fleet.state(FIRST, "k1", "a1") == "new"
+    reads = fleet.objects.reads
+    assert await fleet.state(FIRST, "k2", "a2") == "new"
+    assert fleet.objects.reads == reads
+    fleet.vms[COMMITTER].store.lose_next_reply = 1
+    assert await fleet.state(FIRST, "k3", "a3") == "new"
+    assert await fleet.state(SECOND, "k3", "a4") == "running"
+
+
+async def test_no_answer_hangs_on_an_old_head(fleet):
+    """Another VM frees a key directly, unseen by the VM that commits.
+
+    The committing VM still knows the claim as running. It has nothing to write, so
+    that no conditional update would tell it: it must read before it answers.
+    """
+    assert await fleet.state(COMMITTER, "k", "a1") == "new"
+    fleet.vms[FIRST].cut = True
+    await fleet.record(FIRST, "k", "a1", "not_run")
+    assert await fleet.state(COMMITTER, "k", "a2") == "new"
+
+
 async def test_the_committing_vm_is_silent(fleet):
     """The VM that commits for a range freezes: claims go past it directly.
 
