--- a/hawthornlead/bench_figures.py
+++ b/hawthornlead/bench_figures.py
@@ -19,8 +19,10 @@
 class RunFigures(NamedTuple):
     """What one run measured, after its warm-up; stalls and latencies in seconds.
 
-    ``stall_shift_s`` and ``stall_steady_s`` are mean stalls of a request in the
-    first minute after a popularity shift, and from the second minute on.
+    Requests, stalls, ``in_time`` and ``worst_caller`` are of model requests,
+    ``service_in_time`` of calls of plain services. ``stall_shift_s`` and
+    ``stall_steady_s`` are mean stalls of a request in the first minute after a
+    popularity shift, and from the second minute on.
     ``floor_stall_s`` and ``floor_loads`` are the clairvoyant bounds of
     ``bench_bounds``. ``timeline`` is the mean stall by ten seconds since a shift.
     """
@@ -36,6 +38,7 @@
     batch_fill: float
     tokens_per_step: float
     in_time: float
+    service_in_time: float
     worst_caller: float
     refused: int
     first_token_p50_s: float
@@ -63,6 +66,7 @@
         self._refused = 0
         self._in_time = 0
         self._requests = 0
+        self._service = [0, 0]
         self._callers: dict[int, list[int]] = {}
         self._shift = [0.0, 0]
         self._steady = [0.0, 0]
@@ -123,6 +127,7 @@
             tokens / deployment.max_running,
             tokens,
             self._in_time / max(1, self._requests),
+            self._service[0] / max(1, self._service[1]),
             min(shares, default=1.0),
             self._refused,
             _seconds(self._first, 50),
@@ -139,13 +144,15 @@
 
     def _count(self, job: Job, in_time: bool) -> None:
         arrival = job.arrival
+        if arrival.adapter < 0:
+            self._service[0] += in_time
+            self._service[1] += 1
+            return
         self._requests += 1
         self._in_time += in_time
         caller = self._callers.setdefault(arrival.caller, [0, 0])
         caller[0] += in_time
         caller[1] += 1
-        if arrival.adapter < 0:
-            return
         self._stall_total_s += job.stall_s
         self._stalled += job.stall_s > 0
         self._stalls.record_value(_microseconds(job.stall_s))
--- a/hawthornlead/bench_owners.py
+++ b/hawthornlead/bench_owners.py
@@ -48,6 +48,13 @@
             idle.append(Resident(slot.adapter, "1", 0))
         return idle
 
+    def can_hold(self, adapter: str) -> bool:
+        """Return whether it holds the adapter, or has a slot for one more load."""
+        if adapter in self.resident or adapter in self.waiting:
+            return True
+        room = self.slots - len(self.resident) + len(self.evictable())
+        return room > len(self.waiting)
+
     def can_load(self) -> bool:
         """Return whether a load could start now."""
         if len(self.resident) < self.slots:
@@ -109,6 +116,11 @@
         """Forget all waiting loads of a target that has restarted."""
         self._waiting = [pair for pair in self._waiting if pair[0] is not target]
 
+    def forget(self, target: BenchTarget, slot: Slot) -> None:
+        """Forget a load that nobody waits for any more."""
+        if (target, slot) in self._waiting:
+            self._waiting.remove((target, slot))
+
     def ended(self) -> None:
         """Give a share back: a load has ended, well or not."""
         self._running -= 1
--- a/hawthornlead/load_orders.py
+++ b/hawthornlead/load_orders.py
@@ -62,18 +62,20 @@
 
 @load_order("deadline")
 class DeadlineOrder(LoadOrder):
-    """Priority first, then the moment by which a load is due.
+    """By the moment at which a load is due, moved by priority and waiting requests.
 
     A load is due at its deadline or ``PATIENCE_S`` after it was asked for,
-    whichever comes first, and ``WAITING_LEAD_S`` earlier for each doubling of the
-    requests that wait for it: one load then ends several waits. Since the due
-    moment never moves back, no load of a priority starves behind newer ones. A
-    copy that is loaded ahead has nobody waiting and goes after all others.
+    whichever comes first, and is moved ahead by ``PRIORITY_LEAD_S`` for each level
+    of priority and by ``WAITING_LEAD_S`` for each doubling of the requests that
+    wait for it: one load then ends several waits. All leads are bounded, so a load
+    never starves behind newer ones, as it does when priority alone decides and a
+    burst outruns the weight store. A copy that is loaded ahead has nobody waiting
+    and goes after all others.
     """
 
     def key(self, request):
-        """Return whether anyone waits, the priority and the due moment."""
+        """Return whether anyone waits, and the due moment."""
         due = min(request.deadline_at, request.asked_at + self._settings["PATIENCE_S"])
         due -= self._settings["WAITING_LEAD_S"] * math.log2(max(1, request.waiting))
-        ahead = request.waiting == 0
-        return ahead, -request.priority, due, request.adapter, request.version
+        due -= self._settings["PRIORITY_LEAD_S"] * request.priority
+        return request.waiting == 0, due, request.adapter, request.version
--- a/hawthornlead/placements.py
+++ b/hawthornlead/placements.py
@@ -16,6 +16,9 @@
 if TYPE_CHECKING:
     from hawthornlead.bundles import Assignment
 
+# Above any rate, so that a target without a slot to give comes after all others.
+NO_SLOT_PRICE = 1e6
+
 PLACEMENTS: dict[str, type["Placement"]] = {}
 
 
@@ -150,22 +153,26 @@
 
     def _price(self, view: TargetView, popularity: Popularity, now: float) -> float:
         slot = slot_price(view, popularity, now)
-        load = work(view) / self._settings["TARGET_FULL"]
+        load = work(view) / (view.max_running or self._settings["TARGET_FULL"])
         return (
             self._settings["STALL_WEIGHT"] * slot + self._settings["LOAD_WEIGHT"] * load
         )
 
 
 def slot_price(view: TargetView, popularity: Popularity, now: float) -> float:
-    """Return the rate of the resident that a load would push out.
+    """Return the rate of the resident that one more load would push out.
 
-    0 with a free slot, infinite when every slot is in use by running requests.
+    0 with a free slot. Loads that wait push out the cheapest ones first; when they
+    and running requests leave none, ``NO_SLOT_PRICE`` for each load too many.
     """
-    if len(view.state.residents) < view.state.slots:
+    missing = len(view.state.residents) + 1 - view.state.slots
+    if missing <= 0:
         return 0.0
-    price = math.inf
-    for resident in view.state.residents:
-        if resident.running or resident.loading:
-            continue
-        price = min(price, popularity.rate(resident.adapter, now))
-    return price
+    rates = sorted(
+        popularity.rate(resident.adapter, now)
+        for resident in view.state.residents
+        if not resident.running and not resident.loading
+    )
+    if missing <= len(rates):
+        return rates[missing - 1]
+    return NO_SLOT_PRICE * (missing - len(rates))
--- a/hawthornlead/routers.py
+++ b/hawthornlead/routers.py
@@ -93,7 +93,7 @@
     """Targets that hold the adapter while they aren't overloaded, then a new copy.
 
     A target is overloaded beyond ``LOAD_BOUND`` times the mean work of the usable
-    targets, and beyond ``TARGET_FULL``. Among copies, ``BATCH_WEIGHT`` prefers the
+    targets, and beyond a full step. Among copies, ``BATCH_WEIGHT`` prefers the
     fuller target, so that batches fill, and its absence the emptier one.
     """
 
@@ -102,12 +102,12 @@
         usable = usable_views(assignment, views)
         if not usable:
             return []
-        bound = self._bound(usable)
+        mean = sum(work(view) for view in usable) / len(usable)
         ready, loading, overloaded = [], [], []
         for view in usable:
             if not holds(view, assignment):
                 continue
-            if work(view) >= bound:
+            if work(view) >= max(self._settings["LOAD_BOUND"] * mean, self._full(view)):
                 overloaded.append(view)
             elif holds(view, assignment, loading=False):
                 ready.append(view)
@@ -122,12 +122,11 @@
         names += [view.target for view in overloaded]
         return _candidates(assignment, usable, names)
 
-    def _bound(self, usable: Sequence[TargetView]) -> float:
-        mean = sum(work(view) for view in usable) / len(usable)
-        return max(self._settings["LOAD_BOUND"] * mean, self._settings["TARGET_FULL"])
+    def _full(self, view: TargetView) -> int:
+        return view.max_running or self._settings["TARGET_FULL"]
 
     def _preference(self, view: TargetView) -> tuple:
-        share = work(view) / self._settings["TARGET_FULL"]
+        share = work(view) / self._full(view)
         weight = self._settings["BATCH_WEIGHT"]
         # Up to full, a fuller batch costs each step little; beyond, requests queue.
         queued = max(0.0, share - 1.0)
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -148,7 +148,7 @@
     ),
     "CHOICES": Setting("policy", "integer", 4, "targets weighed for a load", 1, 1024),
     "TARGET_FULL": Setting(
-        "policy", "integer", 16, "requests at once that fill a target's step", 1, 4096
+        "policy", "integer", 16, "requests that fill a step, if not told", 1, 4096
     ),
     "LOAD_BOUND": Setting(
         "policy", "number", 1.5, "work of a copy, times the mean, at most", 1, 100
@@ -171,6 +171,9 @@
     "PATIENCE_S": Setting(
         "policy", "number", 5.0, "after this a load is as urgent as one due", 0, 600
     ),
+    "PRIORITY_LEAD_S": Setting(
+        "policy", "number", 0.25, "lead of a load per level of priority", 0, 600
+    ),
     "WAITING_LEAD_S": Setting(
         "policy", "number", 1.0, "lead per doubling of waiting requests", 0, 600
     ),
