--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -36,6 +36,13 @@
     # 300: store, leases, ownership
     STORE_LOST = (300, "WARNING", "the object API stopped answering")
     STORE_BACK = (301, "INFO", "the object API answers again")
+    VM_REGISTERED = (302, "INFO", "this VM registered and holds a lease")
+    LEASE_LAPSED = (303, "WARNING", "this VM's lease ran out unrenewed")
+    LEASE_ENDED = (304, "WARNING", "this VM's incarnation was ended")
+    VM_ENDED = (305, "INFO", "this VM ended another's incarnation, or its own")
+    OWNERSHIP_TAKEN = (306, "INFO", "this VM became owner of a resource")
+    OWNERSHIP_LOST = (307, "WARNING", "this VM is no longer owner of a resource")
+    OWNERSHIP_RELEASED = (308, "INFO", "this VM gave a resource back")
 
     # 400: bundles
     BUNDLE_IN_FORCE = (400, "INFO", "a bundle came into force on this VM")
@@ -49,6 +56,20 @@
 
     # 500: targets, slots, grants, loads
     TARGET_SEEN = (500, "INFO", "a target was met in the VM list")
+    TARGET_OWNED = (501, "INFO", "this VM began to decide for a target")
+    TARGET_GIVEN_UP = (502, "INFO", "this VM decides for a target no more")
+    OWNER_SUPERSEDED = (503, "WARNING", "a target refused an old fencing number")
+    TARGET_RESTARTED = (504, "WARNING", "a target started anew, its slots empty")
+    TARGET_SILENT = (505, "WARNING", "a target does not answer its owner")
+    TARGET_ANSWERS = (506, "INFO", "a target answers its owner again")
+    LOAD_STARTED = (507, "INFO", "a load was ordered")
+    LOAD_ENDED = (508, "INFO", "a load ended, the adapter is resident")
+    LOAD_NOT_DONE = (509, "WARNING", "a load failed or its outcome is unknown")
+    ADAPTER_EVICTED = (510, "INFO", "an adapter was evicted")
+    GRANT_REVOKED = (511, "DEBUG", "a grant was asked back")
+    GRANT_LOST = (512, "WARNING", "a grant with running requests was not renewed")
+    ALLOWANCE_OWNED = (513, "INFO", "this VM began to hand out loads")
+    ALLOWANCE_GIVEN_UP = (514, "INFO", "this VM hands out loads no more")
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
@@ -61,8 +82,15 @@
     CALLER_LEFT = (606, "INFO", "a caller went away before its answer was whole")
 
     # 700: claims
+    CLAIMS_SEALED = (700, "DEBUG", "the claims of a range were sealed in a segment")
+    CLAIM_DIRECT = (701, "INFO", "claims are written past a VM that did not answer")
+    OUTCOME_OWED = (702, "WARNING", "an outcome could not be recorded yet")
+    OUTCOME_GIVEN_UP = (703, "WARNING", "an outcome was never recorded")
 
     # 800: requests that crash targets
+    REQUEST_SUSPECTED = (800, "INFO", "a request was on a target that died")
+    REQUEST_QUARANTINED = (801, "WARNING", "a request is refused for its crashes")
+    REQUEST_CLEARED = (802, "INFO", "a suspected request completed whole")
 
     @property
     def number(self) -> int:
