--- a/hawthornlead/tests/test_leases.py
+++ b/hawthornlead/tests/test_leases.py
@@ -191,6 +191,17 @@
     assert vm.leases.state == "held"
 
 
+async def test_late_renewal_of_a_former_incarnation(world):
+    # The answer to a renewal arrives after the VM has learned that it was ended.
+    vm = world.add("vm-1")
+    await world.run(3)
+    vm.leases._extend("vm-1.former", vm.timers.now() + 100)
+    assert not vm.leases.held(50)
+    vm.leases._note_ended("test")
+    vm.leases._extend(vm.leases.incarnation, vm.timers.now() + 100)
+    assert vm.leases._until < vm.timers.now() + 50
+
+
 async def test_late_events_change_nothing(world):
     # Watch events from before a VM registered arrive after it has, and after the
     # end of another. Neither must look ended, or alive again, for that.
--- a/hawthornlead/tests/test_owners.py
+++ b/hawthornlead/tests/test_owners.py
@@ -1,5 +1,7 @@
 """Tests of ownership: one owner at a time, fences that rise, quick takeovers."""
 
+import asyncio
+
 import pytest
 
 from hawthornlead.owner_records import (
@@ -219,6 +221,30 @@
     assert world.owner_of(ENGINE) is successor
 
 
+async def test_ended_owner_sees_its_old_record(world):
+    # An owner was ended and has noticed. The record still names it, since nobody
+    # took the resource yet, and is told anew with another change of the object.
+    # It may order nothing under it, also when it is registered again.
+    owner = world.add("vm-1")
+    await world.run(5)
+    other = world.add("vm-2")
+    await world.run(3)
+    other.owners.forget(ENGINE)
+    ended = await other.leases.end("vm-1", owner.leases.incarnation, "refused")
+    assert ended.is_ok()
+    while owner.leases.state != "ended":
+        await asyncio.sleep(0)
+    written = await other.store.update("owners", shard_of(ENGINE), dict)
+    owner.owners._take(written.ok_value)
+    assert owner.leases.state == "ended" and owner.owners.owned(ENGINE).fence == 1
+    assert owner.owners.right(ENGINE) is OrderRight.NONE
+    assert (await owner.leases.register()).is_ok()
+    assert owner.leases.held()
+    assert owner.owners.right(ENGINE) is OrderRight.NONE
+    await world.run(10)
+    assert owner.owners.owned(ENGINE).fence == 2
+
+
 async def test_forget_gives_back(world):
     vm = world.add("vm-1")
     await world.run(5)
--- a/hawthornlead/tests/test_stores.py
+++ b/hawthornlead/tests/test_stores.py
@@ -9,7 +9,7 @@
 from hawthornlead.http_stores import HttpObjectStore
 from hawthornlead.memory_stores import MemoryObjects, MemoryStore
 from hawthornlead.settings import default_settings
-from hawthornlead.stores import may_have_taken_effect
+from hawthornlead.stores import StoreList, may_have_taken_effect
 from hawthornlead.timers import ManualTimerService, TimerService
 
 from .standins.object_api import ObjectApiStandIn
@@ -197,6 +197,26 @@
     assert follower.seen == seen
 
 
+async def test_watch_refuses_older_list():
+    # A list is answered late, from before an object was deleted, and after it an
+    # old event arrives. Neither may bring the object back.
+    timers = ManualTimerService()
+    store = make_store(timers=timers)
+    follower = await followed(store, timers)
+    first = (await store.put("k", "a", {"n": 1}, None)).ok_value
+    second = (await store.put("k", "a", {"n": 2}, first.version)).ok_value
+    await store.delete("k", "a", second.version)
+    await timers.advance(61)
+    store.cut_watches()
+    await timers.advance(5)
+    assert follower.synced == 2
+    seen = list(follower.seen)
+    follower.watch._take_list(StoreList(first.version, (first,)))
+    store.objects._tell("k", "put", second)
+    await timers.advance(0)
+    assert follower.seen == seen
+
+
 async def test_watch_survives_outage():
     timers = ManualTimerService()
     store = make_store(timers=timers)
