Part pending calls, probes and sessions from the mesh; outlive bad addresses

An address that is none ended the task that dials a VM for good (ValueError passed it), and a refused port 0 would have counted as proof that a process is gone; both have a test now.

--- /dev/null
+++ b/hawthornlead/calls.py
@@ -0,0 +1,71 @@
+"""Calls to other VMs that wait for their replies."""
+
+import asyncio
+import heapq
+import itertools
+from typing import Any, NamedTuple
+
+from result import Err
+
+from .errors import ErrorKind, Failure
+from .meshes import outcome_of
+
+
+class _Call(NamedTuple):
+    vm: str
+    outcome: asyncio.Future
+
+
+class PendingCalls:
+    """The calls of one VM that were sent and not answered, by message id."""
+
+    def __init__(self, timers):
+        self._timers = timers
+        self._ids = itertools.count(1)
+        self._calls: dict[int, _Call] = {}
+        self._ends: list[tuple[float, int]] = []
+
+    def new_id(self) -> int:
+        """Return an id that no message of this VM has had."""
+        return next(self._ids)
+
+    async def wait(self, message_id: int, vm: str, wait_s: float) -> Any:
+        """Wait for the outcome of a call that was sent, ``wait_s`` seconds at most."""
+        outcome = asyncio.get_running_loop().create_future()
+        self._calls[message_id] = _Call(vm, outcome)
+        heapq.heappush(self._ends, (self._timers.now() + wait_s, message_id))
+        try:
+            return await outcome
+        finally:
+            self._calls.pop(message_id, None)
+
+    def settle(self, vm: str, message_id: int, reply: Any) -> None:
+        """Take a reply; one that is late or from another VM is dropped."""
+        call = self._calls.get(message_id)
+        if call is not None and call.vm == vm:
+            _settle(call, outcome_of(reply))
+
+    def lose(self, vm: str) -> None:
+        """Fail all calls to a VM that is not connected any more."""
+        for call in tuple(self._calls.values()):
+            if call.vm == vm:
+                _settle(call, unavailable(f"{vm} was lost"))
+
+    def end_late(self) -> None:
+        """Fail the calls whose time is over."""
+        now = self._timers.now()
+        while self._ends and self._ends[0][0] <= now:
+            _, message_id = heapq.heappop(self._ends)
+            call = self._calls.get(message_id)
+            if call is not None:
+                _settle(call, unavailable(f"{call.vm} did not reply"))
+
+
+def unavailable(detail: str) -> Err[Failure]:
+    """Return the outcome of a call that a VM did not answer."""
+    return Err(Failure(ErrorKind.PEER_UNAVAILABLE, detail))
+
+
+def _settle(call: _Call, outcome: Any) -> None:
+    if not call.outcome.done():
+        call.outcome.set_result(outcome)
--- /dev/null
+++ b/hawthornlead/peer_sessions.py
@@ -0,0 +1,54 @@
+"""What a VM knows of one connected VM: its connections, and which to send on."""
+
+from .connections import Connection
+from .meshes import PeerInfo
+from .messages import Heartbeat, Hello
+
+
+class PeerSession:
+    """The connections with one incarnation of another VM."""
+
+    def __init__(self, hello: Hello):
+        self._heard_at = 0.0
+        self.hello = hello
+        self.heartbeat: Heartbeat | None = None
+        self.connections: list[Connection] = []
+        self.open_handlers = 0
+
+    @property
+    def info(self) -> PeerInfo:
+        """The VM as told to other parts."""
+        for connection in self.connections:
+            self._heard_at = max(self._heard_at, connection.heard_at)
+        vm, incarnation, data_centre, address, _ = self.hello
+        return PeerInfo(
+            vm, incarnation, data_centre, address, self.heartbeat, self._heard_at
+        )
+
+    def add(self, connection: Connection) -> None:
+        """Add a connection, in place of an older one that the same end dialled."""
+        for older in tuple(self.connections):
+            if older.dialled == connection.dialled:
+                older.abort("replaced by a fresh connection")
+                self.connections.remove(older)
+        self.connections.append(connection)
+
+    def best(self, own: str, heard_after: float) -> Connection:
+        """Return the connection to send on: heard lately, then the lesser name's."""
+        first = own < self.hello.vm
+        return max(
+            self.connections,
+            key=lambda each: (each.heard_at > heard_after, each.dialled == first),
+        )
+
+    def spare(self, own: str, opened_before: float) -> list[Connection]:
+        """Return the connections that ``own`` dialled and should close again.
+
+        Both ends must have had time to take up the other one, else replies that are
+        under way would be lost with the connection.
+        """
+        if len(self.connections) < 2 or own < self.hello.vm:
+            return []
+        if any(each.opened_at > opened_before for each in self.connections):
+            return []
+        return [each for each in self.connections if each.dialled]
--- a/hawthornlead/peers.py
+++ b/hawthornlead/peers.py
@@ -9,16 +9,15 @@
 """
 
 import asyncio
-import heapq
-import itertools
 import random
-from typing import Any, NamedTuple
+from typing import Any
 
 from result import Err, Ok, Result
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.exceptions import ConnectionClosed, WebSocketException
 
+from .calls import PendingCalls, unavailable
 from .codecs import Frame, encode
 from .connections import Connection, QuietLogger
 from .errors import ErrorKind, Failure
@@ -32,6 +31,8 @@
     Hello,
     Proof,
 )
+from .peer_sessions import PeerSession
+from .probes import probe
 
 CALL_SWEEP_S = 0.05
 MAX_OPEN_HANDLERS = 1024
@@ -39,32 +40,6 @@
 TOO_BIG_CODE = 1009
 
 
-class _Peer:
-    """What is known of a connected VM."""
-
-    def __init__(self, hello: Hello):
-        self.hello = hello
-        self.heartbeat: Heartbeat | None = None
-        self.connections: list[Connection] = []
-        self.open_handlers = 0
-        self.heard_at = 0.0
-
-    @property
-    def info(self) -> PeerInfo:
-        """The VM as told to other parts."""
-        for connection in self.connections:
-            self.heard_at = max(self.heard_at, connection.heard_at)
-        vm, incarnation, data_centre, address, _ = self.hello
-        return PeerInfo(
-            vm, incarnation, data_centre, address, self.heartbeat, self.heard_at
-        )
-
-
-class _Call(NamedTuple):
-    vm: str
-    outcome: asyncio.Future
-
-
 class PeerMesh(Mesh):
     """The mesh of this VM with the VMs named to ``set_peers``.
 
@@ -102,15 +77,13 @@
         self._server = None
         self._subscriptions = []
         self._connections: set[Connection] = set()
-        self._peers: dict[str, _Peer] = {}
+        self._peers: dict[str, PeerSession] = {}
         self._vacant: dict[str, asyncio.Event] = {}
         self._diallers: dict[str, tuple[str, asyncio.Task]] = {}
         self._tasks: set[asyncio.Task] = set()
         # Incarnations that were replaced or said goodbye; the value tells which.
         self._ended: dict[tuple[str, str], str] = {}
-        self._ids = itertools.count(1)
-        self._calls: dict[int, _Call] = {}
-        self._call_ends: list[tuple[float, int]] = []
+        self._calls = PendingCalls(timers)
         self._checked_at = timers.now()
 
     @property
@@ -144,7 +117,7 @@
         self._checked_at = self._timers.now()
         self._subscriptions = [
             every(beat_s, self._check, name="heartbeat"),
-            every(CALL_SWEEP_S, self._end_late_calls, name="calls"),
+            every(CALL_SWEEP_S, self._calls.end_late, name="calls"),
         ]
 
     async def stop(self, goodbye: bool = False) -> None:
@@ -194,17 +167,7 @@
         ``refused`` proves that no process listens there. ``accepted`` proves
         nothing, since a frozen process accepts too, nor does ``silent``.
         """
-        host, _, port = address.rpartition(":")
-        wait_s = self._settings["PEER_CALL_S"]
-        try:
-            async with asyncio.timeout(wait_s):
-                _, writer = await asyncio.open_connection(host.strip("[]"), int(port))
-        except ConnectionRefusedError:
-            return "refused"
-        except OSError:
-            return "silent"
-        writer.close()
-        return "accepted"
+        return await probe(address, self._settings["PEER_CALL_S"])
 
     async def call(
         self, vm: str, message: Any, timeout_s: float | None = None
@@ -217,20 +180,14 @@
         """
         if vm == self.vm:
             return outcome_of(await self.answer(self.myself, message))
-        message_id = next(self._ids)
+        message_id = self._calls.new_id()
         encoded = self._encode(message, message_id)
         if encoded.is_err():
             return encoded
         if not self._send(vm, encoded.unwrap(), message):
-            return _unavailable(f"{vm} is not connected")
-        outcome = asyncio.get_running_loop().create_future()
+            return unavailable(f"{vm} is not connected")
         wait_s = self._settings["PEER_CALL_S"] if timeout_s is None else timeout_s
-        self._calls[message_id] = _Call(vm, outcome)
-        heapq.heappush(self._call_ends, (self._timers.now() + wait_s, message_id))
-        try:
-            return await outcome
-        finally:
-            self._calls.pop(message_id, None)
+        return await self._calls.wait(message_id, vm, wait_s)
 
     def cast(self, vm: str, message: Any) -> bool:
         """Send a message that has no reply; False when it can't be sent."""
@@ -267,7 +224,9 @@
             await self._vacancy(vm).wait()
             try:
                 ws = await connect(f"ws://{address}/", proxy=None, **self._options())
-            except (OSError, InvalidHandshake, ConnectionClosed, EOFError):
+            except (OSError, EOFError, ValueError, WebSocketException):
+                # ValueError: the address is none. It comes from outside and may be
+                # mended there, so that the dialling must go on.
                 pause_s = min(max(2 * pause_s, beat_s / 4), 4 * beat_s)
                 continue
             await self._run(ws, vm)
@@ -299,7 +258,7 @@
             connection.abort("ended")
             self._dismiss(connection)
 
-    async def _greet(self, connection: Connection, expected: str) -> _Peer | None:
+    async def _greet(self, connection: Connection, expected: str) -> PeerSession | None:
         own = Hello(
             self.vm, self._incarnation, self._settings["DATA_CENTRE"], self._address
         )
@@ -323,7 +282,7 @@
             return Err(Failure(ErrorKind.BAD_MESSAGE, fault))
         return Ok(hello)
 
-    def _admit(self, connection: Connection, hello: Hello) -> _Peer:
+    def _admit(self, connection: Connection, hello: Hello) -> PeerSession:
         peer = self._peers.get(hello.vm)
         if peer is not None and peer.hello.incarnation != hello.incarnation:
             # The VM was replaced while its old connection still looks open. A frozen
@@ -331,14 +290,10 @@
             self._end(peer, "replaced")
             peer = None
         if peer is None:
-            peer = self._peers[hello.vm] = _Peer(hello)
-        for older in tuple(peer.connections):
-            if older.dialled == connection.dialled:
-                older.abort("replaced by a fresh connection")
-                peer.connections.remove(older)
+            peer = self._peers[hello.vm] = PeerSession(hello)
         connection.hello = hello
         connection.heard_at = self._timers.now()
-        peer.connections.append(connection)
+        peer.add(connection)
         self._vacancy(hello.vm).clear()
         self._metrics.peers_live.set(len(self._peers))
         self._events.emit(
@@ -362,7 +317,7 @@
         if not peer.connections:
             self._forget(peer)
 
-    def _end(self, peer: _Peer, how: str) -> None:
+    def _end(self, peer: PeerSession, how: str) -> None:
         self._ended[(peer.hello.vm, peer.hello.incarnation)] = how
         while len(self._ended) > ENDED_KEPT:
             del self._ended[next(iter(self._ended))]
@@ -370,16 +325,14 @@
             connection.abort(how)
         self._forget(peer)
 
-    def _forget(self, peer: _Peer) -> None:
+    def _forget(self, peer: PeerSession) -> None:
         vm = peer.hello.vm
         if self._peers.get(vm) is not peer:
             return
         del self._peers[vm]
         self._vacancy(vm).set()
         self._metrics.peers_live.set(len(self._peers))
-        for call in tuple(self._calls.values()):
-            if call.vm == vm and not call.outcome.done():
-                call.outcome.set_result(_unavailable(f"{vm} was lost"))
+        self._calls.lose(vm)
 
     def _vacancy(self, vm: str) -> asyncio.Event:
         if vm not in self._vacant:
@@ -404,18 +357,10 @@
         peer = self._peers.get(vm)
         if peer is None or not peer.connections:
             return False
-        return self._best(peer).send(data, message)
+        heard_after = self._timers.now() - 2 * self._settings["HEARTBEAT_S"]
+        return peer.best(self.vm, heard_after).send(data, message)
 
-    def _best(self, peer: _Peer) -> Connection:
-        fresh_s = 2 * self._settings["HEARTBEAT_S"]
-        now = self._timers.now()
-        first = self.vm < peer.hello.vm
-        return max(
-            peer.connections,
-            key=lambda each: (now - each.heard_at < fresh_s, each.dialled == first),
-        )
-
-    async def _read(self, connection: Connection, peer: _Peer) -> None:
+    async def _read(self, connection: Connection, peer: PeerSession) -> None:
         while True:
             outcome = await connection.receive()
             if outcome.is_err():
@@ -428,12 +373,10 @@
             self._clock.observe(frame.at)
             self._take(peer, frame)
 
-    def _take(self, peer: _Peer, frame: Frame) -> None:
+    def _take(self, peer: PeerSession, frame: Frame) -> None:
         message = frame.message
         if frame.reply_to:
-            call = self._calls.get(frame.reply_to)
-            if call and call.vm == peer.hello.vm and not call.outcome.done():
-                call.outcome.set_result(outcome_of(message))
+            self._calls.settle(peer.hello.vm, frame.reply_to, message)
             return
         if isinstance(message, Hello | Challenge | Proof):
             return
@@ -447,7 +390,7 @@
             return
         self._spawn(self._handle(peer, frame))
 
-    async def _handle(self, peer: _Peer, frame: Frame) -> None:
+    async def _handle(self, peer: PeerSession, frame: Frame) -> None:
         if peer.open_handlers >= MAX_OPEN_HANDLERS:
             reply = Failed(ErrorKind.OVERLOADED.value, "too many calls at once", 1.0)
         else:
@@ -482,25 +425,9 @@
                 self._events.emit(EventKind.PEER_SILENT, vm)
                 connection.abort("silent")
         for peer in tuple(self._peers.values()):
-            self._retire(peer, now - 2 * beat_s)
-
-    def _retire(self, peer: _Peer, before: float) -> None:
-        if len(peer.connections) < 2 or self.vm < peer.hello.vm:
-            return
-        if any(each.opened_at > before for each in peer.connections):
-            return
-        for connection in tuple(peer.connections):
-            if connection.dialled:
+            for connection in peer.spare(self.vm, now - 2 * beat_s):
                 self._spawn(connection.close())
 
-    def _end_late_calls(self) -> None:
-        now = self._timers.now()
-        while self._call_ends and self._call_ends[0][0] <= now:
-            _, message_id = heapq.heappop(self._call_ends)
-            call = self._calls.get(message_id)
-            if call is not None and not call.outcome.done():
-                call.outcome.set_result(_unavailable(f"{call.vm} did not reply"))
-
     async def _flush(self) -> None:
         end = self._timers.now() + self._settings["HEARTBEAT_S"]
         while self._timers.now() < end:
@@ -513,7 +440,3 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
-
-
-def _unavailable(detail: str) -> Err[Failure]:
-    return Err(Failure(ErrorKind.PEER_UNAVAILABLE, detail))
--- a/hawthornlead/tests/fakes_mesh.py
+++ b/hawthornlead/tests/fakes_mesh.py
@@ -244,6 +244,9 @@
 
     def cast(self, vm: str, message: Any) -> bool:
         """Send a message that has no reply; False when the VM is not connected."""
+        if vm == self.vm:
+            self._network.spawn(self.answer(self.myself, message))
+            return True
         if vm not in self._network.reachable(self.vm):
             return False
         self._network.spawn(self.deliver(vm, message))
--- a/hawthornlead/tests/test_peers.py
+++ b/hawthornlead/tests/test_peers.py
@@ -7,6 +7,7 @@
 import pytest
 from websockets.asyncio.client import connect
 
+from hawthornlead import peers
 from hawthornlead.clocks import HybridClock, HybridTime
 from hawthornlead.codecs import Frame, encode
 from hawthornlead.errors import ErrorKind
@@ -161,6 +162,39 @@
     await forwarder.stop()
 
 
+async def test_a_process_that_stood_still_does_not_close_its_connections():
+    """A VM is paused for a while and wakes with its connections in order.
+
+    All look silent, since their frames wait to be read. Closing all of them at once
+    would cut every VM that was paused from the fleet.
+    """
+    quiet = {"HEARTBEAT_S": 15, "PEER_SILENT_S": 60}
+    async with running("a", "b", **quiet) as (a, b):
+        await until(lambda: a.live and b.live)
+        (connection,) = a._peers["b"].connections
+        connection.heard_at -= 100
+        a._checked_at -= 100
+        a._check()
+        assert 202 not in numbers(a)
+        a._check()
+        assert 202 in numbers(a)
+
+
+@pytest.mark.parametrize("address", ["no address", "127.0.0.1:99999", ":", "x:y"])
+async def test_an_address_that_is_none_does_not_end_the_dialling(address, monkeypatch):
+    tried = []
+
+    def count(uri, **options):
+        tried.append(uri)
+        return connect(uri, **options)
+
+    monkeypatch.setattr(peers, "connect", count)
+    async with running("a") as (a,):
+        a.set_peers({"c": address})
+        await until(lambda: len(tried) >= 3)
+        assert await a.probe(address) == "silent"
+
+
 async def test_a_malformed_frame_ends_its_connection_only():
     """A VM of an unknown release, or anything else, sends what is no frame.
 
@@ -273,12 +307,6 @@
     the connection is dropped once the bound is reached.
     """
     a = await started("a", PEER_SILENT_S=60)
-    reader, writer = None, None
-
-    async def accept(stream_reader, stream_writer):
-        nonlocal reader, writer
-        reader, writer = stream_reader, stream_writer
-
     hello = Frame(0, 0, HybridTime(1, 0), Hello("x", "x-1", "gijon", "127.0.0.1:1"))
     async with connect(f"ws://{a.address}/", proxy=None, max_queue=1) as ws:
         await ws.send(encode(hello, LIMIT).unwrap())
