--- a/hawthornlead/owners.py
+++ b/hawthornlead/owners.py
@@ -15,6 +15,7 @@
 
 from .errors import Failure
 from .events import EventKind
+from .lease_objects import process_of
 from .leases import longest_by_any_clock
 from .owner_records import (
     KIND,
@@ -58,6 +59,7 @@
         self._store = store
         self._leases = leases
         self._members = members
+        self._metrics = metrics
         self._invariants = invariants
         self._vm = settings["VM_NAME"]
         self._order = TakingOrder(settings=settings, timers=timers, members=members)
@@ -76,7 +78,9 @@
     def start(self) -> None:
         """Begin to watch records and to take what is wanted and free."""
         self._leases.on_ended(self._lose_all)
-        self._watch = self._store.watch(KIND, self._take_event, self._mark_synced)
+        self._watch = self._store.watch(
+            KIND, lambda event: self._take(event.object), self._mark_synced
+        )
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def stop(self) -> None:
@@ -227,16 +231,13 @@
 
     def _due(self) -> list[str]:
         free = []
-        for resource, data_centre in self._wanted.items():
-            record = self._records.get(resource)
-            if resource in self._releasing or not self._may_take(record):
-                continue
-            free.append(FreeResource(resource, data_centre))
         owners: dict[str, str] = {}
-        for resource in self._wanted:
+        for resource, data_centre in self._wanted.items():
             record = self._records.get(resource)
-            if record is not None and not self._may_take(record):
+            if not self._may_take(record):
                 owners[resource] = record.vm
+            elif resource not in self._releasing:
+                free.append(FreeResource(resource, data_centre))
         return self._order.due(free, self._wanted, owners)
 
     def _may_take(self, record: OwnerRecord | None) -> bool:
@@ -313,7 +314,8 @@
             return True
         if not former.vm:
             return False
-        proof = self._members.proof_gone(former.vm, former.incarnation)
+        process = process_of(former.incarnation)
+        proof = self._members.proof_gone(former.vm, process)
         return proof is not None
 
     def _is_mine(self, record: OwnerRecord) -> bool:
@@ -322,9 +324,6 @@
     def _mark_synced(self) -> None:
         self._synced = True
 
-    def _take_event(self, event) -> None:
-        self._take(event.object)
-
     def _take(self, stored: StoredObject) -> None:
         """Take in an object as it was read or written, unless a newer is known.
 
@@ -370,7 +369,7 @@
             record.unproved,
         )
         ownership = self.owned(resource)
-        self._events.emit(
+        self._tell(
             EventKind.OWNERSHIP_TAKEN,
             resource,
             fence=ownership.fence,
@@ -384,10 +383,15 @@
         owned = self._owned.pop(resource, None)
         if owned is None:
             return
-        self._events.emit(kind, resource, fence=owned.fence)
+        self._tell(kind, resource, fence=owned.fence)
         for callback in self._on_lost:
             callback(resource)
 
+    def _tell(self, kind: EventKind, resource: str, **fields) -> None:
+        self._events.emit(kind, resource, **fields)
+        if self._metrics is not None:
+            self._metrics.owned_resources.set(len(self._owned))
+
     def _lose_all(self) -> None:
         for resource in tuple(self._owned):
             self._lose(resource, EventKind.OWNERSHIP_LOST)
