--- /dev/null
+++ b/hawthornlead/commands.py
@@ -0,0 +1,253 @@
+"""Commands of operators: keys, and preparing, approving, rolling, retiring bundles.
+
+Each command signs what it sends with the operator's private key, prints what the
+VM answers, and ends with a code other than 0 when the VM refuses.
+"""
+
+import asyncio
+import base64
+import hashlib
+import json
+import os
+import secrets
+import time
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+
+from .bundle_diffs import diff
+from .bundles import Bundle, prepare
+from .operator_handlers import (
+    OPERATOR_HEADER,
+    ORDER_HEADER,
+    SIGNATURE_HEADER,
+    TIME_HEADER,
+)
+from .signatures import (
+    Purpose,
+    Statement,
+    generate_key,
+    private_text,
+    public_text,
+    read_private,
+    sign,
+    sign_request,
+)
+
+REQUEST_TIMEOUT_S = 60.0
+
+
+class Operator(NamedTuple):
+    """Who signs, with which key, and to which VM it goes."""
+
+    name: str
+    key: Any
+    url: str
+
+    def send(self, method: str, path: str, value: Any = None) -> dict[str, Any]:
+        """Send a signed request and return the answer; a refusal ends the command."""
+        body = b"" if value is None else json.dumps(value).encode()
+        request = sign_request(
+            self.key,
+            self.name,
+            method,
+            path,
+            hashlib.sha256(body).hexdigest(),
+            int(time.time()),
+            secrets.token_hex(16),
+        )
+        headers = {
+            OPERATOR_HEADER: self.name,
+            TIME_HEADER: str(request.time_s),
+            ORDER_HEADER: request.order_id,
+            SIGNATURE_HEADER: base64.b64encode(request.signature).decode(),
+        }
+        return asyncio.run(self._fetch(method, path, headers, body))
+
+    def order(self, purpose: Purpose, digest: str, **fields: Any) -> dict[str, Any]:
+        """Return a signed statement as it is sent."""
+        statement = Statement(purpose.value, self.name, digest, **fields)
+        return sign(self.key, statement).document()
+
+    async def _fetch(self, method, path, headers, body) -> dict[str, Any]:
+        request = HTTPRequest(
+            self.url + path,
+            method=method,
+            headers=headers,
+            body=body if method == "POST" else None,
+            request_timeout=REQUEST_TIMEOUT_S,
+        )
+        try:
+            response = await AsyncHTTPClient().fetch(request, raise_error=False)
+        except (OSError, HTTPError) as error:
+            raise click.ClickException(f"{self.url}: {error}") from None
+        return _answer(response)
+
+
+def _answer(response) -> dict[str, Any]:
+    try:
+        fields = json.loads(response.body or b"")
+    except ValueError:
+        fields = {}
+    if response.code == 200 and isinstance(fields, dict):
+        return fields
+    if not isinstance(fields, dict) or "error" not in fields:
+        raise click.ClickException(f"answer {response.code}: {response.reason}")
+    raise click.ClickException(f"{fields['error']}: {fields.get('detail', '')}")
+
+
+def operator_options(function):
+    """Add the options that say who signs and where it goes."""
+    for option in (
+        click.option("--vm", "address", required=True, metavar="IP:PORT"),
+        click.option("--key", "path_of_key", required=True, metavar="FILE"),
+        click.option("--operator", "name", required=True, metavar="NAME"),
+    ):
+        function = option(function)
+    return function
+
+
+def _operator(name: str, path: str, address: str) -> Operator:
+    url = address if "://" in address else f"http://{address}"
+    return Operator(name, _read_key(path), url)
+
+
+def _read_key(path: str):
+    try:
+        read = read_private(Path(path).read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError) as error:
+        raise click.ClickException(f"{path}: {error}") from None
+    if read.is_err():
+        raise click.ClickException(f"{path}: {read.unwrap_err().detail}")
+    return read.unwrap()
+
+
+def _read_document(path: str) -> Any:
+    try:
+        return json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise click.ClickException(f"{path}: {error}") from None
+
+
+@click.group("keys")
+def keys_group():
+    """Make and show operators' keys."""
+
+
+@keys_group.command("new")
+@click.argument("path", metavar="FILE")
+def keys_new(path: str) -> None:
+    """Write a new private key to FILE and print its public key."""
+    key = generate_key()
+    try:
+        handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+    except OSError as error:
+        raise click.ClickException(f"{path}: {error}") from None
+    with os.fdopen(handle, "w", encoding="utf-8") as file:
+        file.write(private_text(key) + "\n")
+    click.echo(public_text(key))
+
+
+@keys_group.command("show")
+@click.argument("path", metavar="FILE")
+def keys_show(path: str) -> None:
+    """Print the public key of the private key in FILE."""
+    click.echo(public_text(_read_key(path)))
+
+
+@click.group("bundle")
+def bundle_group():
+    """Prepare, approve, roll and retire bundles."""
+
+
+@bundle_group.command("prepare")
+@click.argument("path", metavar="DOCUMENT")
+@operator_options
+def bundle_prepare(path: str, name: str, address: str, **options) -> None:
+    """Check DOCUMENT, send it, sign it as its preparer and print its digest."""
+    operator = _operator(name, options["path_of_key"], address)
+    made = prepare(_read_document(path))
+    if made.is_err():
+        raise click.ClickException(made.unwrap_err().detail)
+    for chunk in made.unwrap().chunks:
+        content = base64.b64encode(chunk.content).decode()
+        fields = {"digest": chunk.digest, "content": content}
+        operator.send("POST", "/operator/chunks", fields)
+    digest = made.unwrap().bundle.digest
+    operator.send("POST", "/operator/bundles", operator.order(Purpose.PREPARE, digest))
+    click.echo(digest)
+
+
+@bundle_group.command("diff")
+@click.argument("old", metavar="OLD")
+@click.argument("new", metavar="NEW")
+def bundle_diff(old: str, new: str) -> None:
+    """Print what changes when the document NEW follows OLD."""
+    bundles = []
+    for path in (old, new):
+        read = Bundle.read(_read_document(path))
+        if read.is_err():
+            raise click.ClickException(f"{path}:\n{read.unwrap_err().detail}")
+        bundles.append(read.unwrap())
+    for change in diff(*bundles):
+        click.echo(str(change))
+
+
+@bundle_group.command("approve")
+@click.argument("digest")
+@operator_options
+def bundle_approve(digest: str, name: str, address: str, **options) -> None:
+    """Approve a bundle that another operator prepared."""
+    operator = _operator(name, options["path_of_key"], address)
+    order = operator.order(Purpose.APPROVE, digest)
+    operator.send("POST", "/operator/approve", order)
+    click.echo(f"approved {digest}")
+
+
+@bundle_group.command("roll")
+@click.argument("digest")
+@click.option("--expect", type=int, help="Sequence number in force, as you saw it.")
+@click.option("--waive", multiple=True, metavar="VM|DATA_CENTRE")
+@click.option("--order-id", help="Repeat an order whose answer was lost.")
+@operator_options
+def bundle_roll(
+    digest: str, expect: int | None, waive, order_id, name, address, **options
+) -> None:
+    """Put a bundle in force on every VM. An earlier one: that is the roll back."""
+    operator = _operator(name, options["path_of_key"], address)
+    if expect is None:
+        expect = operator.send("GET", "/operator/bundle")["seq"]
+    order_id = order_id or secrets.token_hex(16)
+    click.echo(f"order {order_id}, expecting {expect} in force", err=True)
+    purpose = Purpose.WAIVE if waive else Purpose.ROLL
+    order = operator.order(
+        purpose, digest, order_id=order_id, expected_seq=expect, waived=tuple(waive)
+    )
+    rolled = operator.send("POST", f"/operator/{purpose.value}", order)
+    click.echo(f"in force as {rolled['seq']}: {rolled['digest']}")
+    for key in ("acknowledged", "gone", "waived"):
+        if rolled[key]:
+            click.echo(f"{key}: {', '.join(rolled[key])}")
+
+
+@bundle_group.command("retire")
+@click.argument("digest")
+@operator_options
+def bundle_retire(digest: str, name: str, address: str, **options) -> None:
+    """Bar a bundle from being rolled any more."""
+    operator = _operator(name, options["path_of_key"], address)
+    order = operator.order(Purpose.RETIRE, digest, order_id=secrets.token_hex(16))
+    operator.send("POST", "/operator/retire", order)
+    click.echo(f"retired {digest}")
+
+
+@bundle_group.command("show")
+@operator_options
+def bundle_show(name: str, address: str, **options) -> None:
+    """Print what is in force, what is staged, the past rolls, and this VM's state."""
+    operator = _operator(name, options["path_of_key"], address)
+    shown = operator.send("GET", "/operator/bundle")
+    shown["this_vm"] = operator.send("GET", "/operator/status")
+    click.echo(json.dumps(shown, indent=2))
