--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -44,6 +44,20 @@
     version: int = PROTOCOL_VERSION
 
 
+@message("challenge")
+class Challenge(NamedTuple):
+    """Ask the other end to prove that it knows the shared secret."""
+
+    nonce: bytes
+
+
+@message("proof")
+class Proof(NamedTuple):
+    """The HMAC of a challenge and of the names of both ends."""
+
+    mac: bytes
+
+
 @message("heartbeat")
 class Heartbeat(NamedTuple):
     """Sent on every connection each second, and whenever its content changes.
@@ -139,10 +153,14 @@
 
 @message("renew-grants")
 class RenewGrants(NamedTuple):
-    """Ask an owner to extend grants that still have running requests."""
+    """Ask an owner to extend grants that still have running requests.
+
+    ``begun`` tells for each grant how many requests began since it was last told.
+    """
 
     target: str
     grant_ids: tuple[str, ...]
+    begun: tuple[int, ...] = ()
 
 
 @message("renewed-grants")
@@ -159,6 +177,7 @@
 
     target: str
     grant_id: str
+    begun: int = 0
 
 
 @message("revoke-grant")
--- a/hawthornlead/metrics.py
+++ b/hawthornlead/metrics.py
@@ -49,8 +49,27 @@
         )
 
         # peers
+        self.peer_bytes = self._counter(
+            "hawthornlead_peer_bytes_total",
+            "Bytes of frames between VMs",
+            ["direction", "message"],
+        )
+        self.peer_messages = self._counter(
+            "hawthornlead_peer_messages_total",
+            "Messages between VMs",
+            ["direction", "message"],
+        )
+        self.peers_live = self._gauge("hawthornlead_peers_live", "Connected VMs")
 
         # store, leases, ownership
+        self.store_calls = self._counter(
+            "hawthornlead_store_calls_total",
+            "Calls of the object API",
+            ["call", "outcome"],
+        )
+        self.owned_resources = self._gauge(
+            "hawthornlead_owned_resources", "Resources that this VM owns"
+        )
 
         # bundles
         self.bundle_seq = self._gauge(
@@ -67,6 +86,21 @@
         self.step_fill = self._gauge(
             "hawthornlead_step_fill_ratio", "Fill of engine steps", ["target"]
         )
+        self.loads = self._counter(
+            "hawthornlead_loads_total", "Loads ordered, by result", ["result"]
+        )
+        self.evictions = self._counter(
+            "hawthornlead_evictions_total", "Adapters evicted"
+        )
+        self.grants_out = self._gauge(
+            "hawthornlead_grants_out", "Grants given out on owned targets", ["target"]
+        )
+        self.grants_held = self._gauge(
+            "hawthornlead_grants_held", "Grants that this VM holds"
+        )
+        self.load_permits = self._gauge(
+            "hawthornlead_load_permits", "Loads under way", ["weight_store"]
+        )
 
         # claims
         self.claims = self._counter(
--- a/hawthornlead/owners.py
+++ b/hawthornlead/owners.py
@@ -9,25 +9,25 @@
 
 import asyncio
 from collections.abc import Callable
-from enum import Enum
-from typing import NamedTuple
 
 from loguru import logger
 from result import Err, Ok, Result
 
 from .errors import Failure
 from .events import EventKind
+from .lease_objects import process_of
 from .leases import longest_by_any_clock
 from .owner_records import (
     KIND,
     FormerOwner,
     OwnerRecord,
+    by_shard,
     freed_record,
     records_of,
-    shard_of,
     taken_record,
     with_records,
 )
+from .ownerships import OrderRight, OwnedState, Ownership
 from .stores import StoredObject
 from .takers import FreeResource, TakingOrder
 
@@ -36,42 +36,6 @@
 TICK_S = 0.2
 
 
-class OrderRight(Enum):
-    """What an owner may do now.
-
-    ``DEGRADED``: the lease has run out, or runs out too soon, and the store has
-    not said that another took the resource. ``NONE``: not the owner, or not yet,
-    while the orders of a predecessor may still be running.
-    """
-
-    FULL = "full"
-    DEGRADED = "degraded"
-    NONE = "none"
-
-
-class Ownership(NamedTuple):
-    """A resource that this VM owns.
-
-    ``predecessor_stopped`` is False while any earlier owner is not proved to have
-    stopped: it may still send an order that it had checked before it froze.
-    """
-
-    resource: str
-    fence: int
-    taken_at: float
-    predecessor: str
-    predecessor_stopped: bool
-
-
-class _Owned(NamedTuple):
-    incarnation: str
-    fence: int
-    taken_at: float
-    full_at: float
-    predecessor: str
-    unproved: tuple[FormerOwner, ...]
-
-
 class Owners:
     """The resources that this VM owns, and who owns the others."""
 
@@ -95,13 +59,14 @@
         self._store = store
         self._leases = leases
         self._members = members
+        self._metrics = metrics
         self._invariants = invariants
         self._vm = settings["VM_NAME"]
         self._order = TakingOrder(settings=settings, timers=timers, members=members)
         self._wanted: dict[str, str] = {}
         self._records: dict[str, OwnerRecord] = {}
         self._versions: dict[str, int] = {}
-        self._owned: dict[str, _Owned] = {}
+        self._owned: dict[str, OwnedState] = {}
         self._releasing: set[str] = set()
         self._on_taken: list[Callable[[Ownership], None]] = []
         self._on_lost: list[Callable[[str], None]] = []
@@ -113,7 +78,9 @@
     def start(self) -> None:
         """Begin to watch records and to take what is wanted and free."""
         self._leases.on_ended(self._lose_all)
-        self._watch = self._store.watch(KIND, self._take_event, self._mark_synced)
+        self._watch = self._store.watch(
+            KIND, lambda event: self._take(event.object), self._mark_synced
+        )
         self._task = asyncio.get_running_loop().create_task(self._run())
 
     async def stop(self) -> None:
@@ -202,7 +169,7 @@
             # The right ends before the write is sent: from then on a successor
             # may have it.
             self._lose(resource, EventKind.OWNERSHIP_RELEASED)
-        for shard, names in _by_shard(resources).items():
+        for shard, names in by_shard(resources).items():
             written = await self._store.update(
                 KIND,
                 shard,
@@ -254,7 +221,7 @@
         due = self._due()
         if not due:
             return
-        for shard, names in _by_shard(due).items():
+        for shard, names in by_shard(due).items():
             await self._take_over(shard, names)
 
     async def _release_again(self, names: tuple[str, ...]) -> None:
@@ -264,16 +231,13 @@
 
     def _due(self) -> list[str]:
         free = []
-        for resource, data_centre in self._wanted.items():
-            record = self._records.get(resource)
-            if resource in self._releasing or not self._may_take(record):
-                continue
-            free.append(FreeResource(resource, data_centre))
         owners: dict[str, str] = {}
-        for resource in self._wanted:
+        for resource, data_centre in self._wanted.items():
             record = self._records.get(resource)
-            if record is not None and not self._may_take(record):
+            if not self._may_take(record):
                 owners[resource] = record.vm
+            elif resource not in self._releasing:
+                free.append(FreeResource(resource, data_centre))
         return self._order.due(free, self._wanted, owners)
 
     def _may_take(self, record: OwnerRecord | None) -> bool:
@@ -350,7 +314,8 @@
             return True
         if not former.vm:
             return False
-        proof = self._members.proof_gone(former.vm, former.incarnation)
+        process = process_of(former.incarnation)
+        proof = self._members.proof_gone(former.vm, process)
         return proof is not None
 
     def _is_mine(self, record: OwnerRecord) -> bool:
@@ -359,9 +324,6 @@
     def _mark_synced(self) -> None:
         self._synced = True
 
-    def _take_event(self, event) -> None:
-        self._take(event.object)
-
     def _take(self, stored: StoredObject) -> None:
         """Take in an object as it was read or written, unless a newer is known.
 
@@ -398,7 +360,7 @@
         wait = longest_by_any_clock(
             self._settings["ORDER_S"], self._settings["CLOCK_RATE_ERROR"]
         )
-        self._owned[resource] = _Owned(
+        self._owned[resource] = OwnedState(
             record.incarnation,
             record.fence,
             now,
@@ -407,7 +369,7 @@
             record.unproved,
         )
         ownership = self.owned(resource)
-        self._events.emit(
+        self._tell(
             EventKind.OWNERSHIP_TAKEN,
             resource,
             fence=ownership.fence,
@@ -421,17 +383,15 @@
         owned = self._owned.pop(resource, None)
         if owned is None:
             return
-        self._events.emit(kind, resource, fence=owned.fence)
+        self._tell(kind, resource, fence=owned.fence)
         for callback in self._on_lost:
             callback(resource)
 
+    def _tell(self, kind: EventKind, resource: str, **fields) -> None:
+        self._events.emit(kind, resource, **fields)
+        if self._metrics is not None:
+            self._metrics.owned_resources.set(len(self._owned))
+
     def _lose_all(self) -> None:
         for resource in tuple(self._owned):
             self._lose(resource, EventKind.OWNERSHIP_LOST)
-
-
-def _by_shard(resources) -> dict[str, list[str]]:
-    shards: dict[str, list[str]] = {}
-    for resource in resources:
-        shards.setdefault(shard_of(resource), []).append(resource)
-    return shards
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -16,7 +16,7 @@
 
 
 class SettingError(NamedTuple):
-    """One error in a settings file."""
+    """One error in a settings file; ``section`` is empty for the file as a whole."""
 
     section: str
     key: str
@@ -24,9 +24,10 @@
     allowed: str
 
     def __str__(self) -> str:
-        return f"[{self.section}] {self.key}: found {self.found!r}, allowed: " + (
-            self.allowed
-        )
+        if not self.section:
+            return f"{self.found}; allowed: {self.allowed}"
+        place = f"[{self.section}] {self.key}".rstrip()
+        return f"{place}: found {self.found!r}, allowed: {self.allowed}"
 
 
 class Setting(NamedTuple):
@@ -148,7 +149,7 @@
     ),
     "CHOICES": Setting("policy", "integer", 4, "targets weighed for a load", 1, 1024),
     "TARGET_FULL": Setting(
-        "policy", "integer", 16, "requests at once that fill a target's step", 1, 4096
+        "policy", "integer", 16, "requests that fill a step, if not told", 1, 4096
     ),
     "LOAD_BOUND": Setting(
         "policy", "number", 1.5, "work of a copy, times the mean, at most", 1, 100
@@ -171,6 +172,9 @@
     "PATIENCE_S": Setting(
         "policy", "number", 5.0, "after this a load is as urgent as one due", 0, 600
     ),
+    "PRIORITY_LEAD_S": Setting(
+        "policy", "number", 0.25, "lead of a load per level of priority", 0, 600
+    ),
     "WAITING_LEAD_S": Setting(
         "policy", "number", 1.0, "lead per doubling of waiting requests", 0, 600
     ),
@@ -329,7 +333,8 @@
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
-        fault = SettingError("", "", f"{path}: {error}", "a readable INI file")
+        told = " ".join(str(error).split())
+        fault = SettingError("", "", f"{path}: {told}", "a readable INI file")
         return Err([fault])
     settings = default_settings()
     errors = _read_sections(parser, settings)
--- a/hawthornlead/tests/fakes_vms.py
+++ b/hawthornlead/tests/fakes_vms.py
@@ -14,6 +14,7 @@
 from hawthornlead.errors import ErrorKind, Failure
 from hawthornlead.events import EventRing
 from hawthornlead.invariants import Invariants
+from hawthornlead.lease_objects import process_of
 from hawthornlead.leases import LeaseKeeper
 from hawthornlead.memory_stores import MemoryObjects, MemoryStore
 from hawthornlead.messages import Failed
@@ -65,8 +66,11 @@
         self.calls += 1
         task = asyncio.ensure_future(self._world.deliver(self._vm, vm, message))
         timeout = self._vm.timers.after(timeout_s or 2.0, task.cancel, "call")
-        await asyncio.wait({task})
-        timeout.cancel()
+        try:
+            await asyncio.wait({task})
+        finally:
+            timeout.cancel()
+            task.cancel()
         await self._vm.gate.wait()
         if task.cancelled():
             return Err(Failure(ErrorKind.PEER_UNAVAILABLE, "no answer", 1.0))
@@ -201,7 +205,7 @@
     async def kill(self, vm):
         """End a VM's process at once."""
         vm.alive = False
-        self.killed.add(vm.leases.incarnation)
+        self.killed.add(process_of(vm.leases.incarnation))
         await vm.stop()
 
     def freeze(self, vm):
--- a/hawthornlead/tests/test_hashes.py
+++ b/hawthornlead/tests/test_hashes.py
@@ -14,3 +14,13 @@
         assert sorted(order) == names
         rest = [name for name in names if name != order[-1]]
         assert rendezvous(f"adapter-{number}", rest) == order[:-1]
+
+
+def test_the_digest_is_the_same_in_every_process():
+    assert digest64("target:engine-1", "vm-1") == 0x961D5A3381CA31D8
+
+
+def test_keys_spread_over_all_names():
+    names = [f"vm-{number}" for number in range(9)]
+    firsts = [rendezvous(f"key-{number}", names)[0] for number in range(900)]
+    assert all(60 < firsts.count(name) < 140 for name in names)
