--- a/hawthornlead/bundle_libraries.py
+++ b/hawthornlead/bundle_libraries.py
@@ -17,7 +17,8 @@
 from .bundle_checks import check_document
 from .bundles import Bundle, BundleChunk, read_manifest, unpack
 from .errors import ErrorKind, Failure
-from .messages import Chunk, Failed, FetchChunk
+from .meshes import failed
+from .messages import Chunk, FetchChunk
 from .signatures import (
     OperatorKeys,
     Purpose,
@@ -32,11 +33,6 @@
 FETCHES_AT_ONCE = 8
 
 
-def failed(failure: Failure) -> Failed:
-    """Return the reply that carries a failure to the VM that called."""
-    return Failed(failure.kind.value, failure.detail, failure.retry_after_s)
-
-
 class Release(NamedTuple):
     """The signatures of one bundle."""
 
@@ -145,7 +141,10 @@
         loaded = await self._load_bundle(digest, ())
         if loaded.is_err():
             return loaded
-        faults = check_document(loaded.unwrap().document())
+        # In a thread, since it takes a good part of a second at 18,000 adapters
+        # and streams are relayed meanwhile.
+        document = loaded.unwrap().document()
+        faults = await asyncio.to_thread(check_document, document)
         if faults:
             detail = "\n".join(str(fault) for fault in faults)
             return Err(Failure(ErrorKind.BAD_BUNDLE, detail))
--- a/hawthornlead/operator_handlers.py
+++ b/hawthornlead/operator_handlers.py
@@ -74,9 +74,10 @@
 class OperatorHandler(RequestHandler):
     """What all operator routes share: the signature, the answer."""
 
-    def initialize(self, keeper: BundleKeeper, guard: RequestGuard) -> None:
+    def initialize(self, keeper: BundleKeeper, guard: RequestGuard, mesh) -> None:
         """Take the parts that the daemon built."""
         self._keeper = keeper
+        self._mesh = mesh
         self._guard = guard
         self._operator = ""
 
@@ -251,6 +252,7 @@
             "seq": self._keeper.seq_in_force,
             "staged_seq": self._keeper.staged_seq,
             "serves": permitted.is_ok(),
+            "connected": sorted(peer.vm for peer in self._mesh.live),
         }
         if permitted.is_err():
             fields["error"] = permitted.unwrap_err().kind.value
@@ -258,10 +260,10 @@
         self.answer(fields)
 
 
-def operator_routes(keeper: BundleKeeper, *, timers, events) -> list:
+def operator_routes(*, settings, timers, events, keeper: BundleKeeper, mesh) -> list:
     """Return the tornado routes for operators."""
-    guard = RequestGuard(keeper.library.keys, timers, events)
-    parts = {"keeper": keeper, "guard": guard}
+    guard = RequestGuard(OperatorKeys(settings["OPERATORS"]), timers, events)
+    parts = {"keeper": keeper, "guard": guard, "mesh": mesh}
     return [
         ("/operator/chunks", ChunkHandler, parts),
         ("/operator/bundles", BundleHandler, parts),
--- a/hawthornlead/registered_vms.py
+++ b/hawthornlead/registered_vms.py
@@ -1,36 +1,25 @@
 """Which VMs a roll must hear from, as the store has them at that moment."""
 
-from typing import NamedTuple
-
 from result import Result
 
 from .errors import Failure
+from .lease_objects import KIND, Registration, registrations
 
-LEASE_KIND = "leases"
-# Why an entry was ended; of these each proves that the process has stopped. One
-# that was ended because its lease ran out may still be serving behind a cut.
-STOP_PROOFS = frozenset(("released", "goodbye", "refused", "absent"))
-
-
-class RegisteredVm(NamedTuple):
-    """One VM start that is not known to have stopped."""
-
-    vm: str
-    incarnation: str
-    data_centre: str
 
+async def list_registered(store) -> Result[tuple[Registration, ...], Failure]:
+    """Read from the store all VM starts that are not proved to have stopped.
 
-async def list_registered(store) -> Result[tuple[RegisteredVm, ...], Failure]:
-    """Read from the store all VM starts that are not known to have stopped."""
-    listed = await store.list(LEASE_KIND)
-    return listed.map(_registered)
+    One that was ended because its lease ran out is among them: it may still be
+    serving behind a cut.
+    """
+    listed = await store.list(KIND)
+    return listed.map(_not_stopped)
 
 
-def _registered(listed) -> tuple[RegisteredVm, ...]:
+def _not_stopped(listed) -> tuple[Registration, ...]:
     found = []
     for item in listed.items:
-        for incarnation, entry in item.value.get("entries", {}).items():
-            if entry["state"] == "ended" and entry.get("proof") in STOP_PROOFS:
-                continue
-            found.append(RegisteredVm(entry["vm"], incarnation, entry["data_centre"]))
+        for registration in registrations(item.value):
+            if not registration.stopped:
+                found.append(registration)
     return tuple(found)
--- a/hawthornlead/roll_orders.py
+++ b/hawthornlead/roll_orders.py
@@ -25,8 +25,9 @@
 )
 from .errors import ErrorKind, Failure
 from .events import EventKind
+from .lease_objects import Registration
 from .messages import BundleDecided, StageBundle, StagedBundle
-from .registered_vms import RegisteredVm, list_registered
+from .registered_vms import list_registered
 from .signatures import Purpose, SignedStatement, Statement
 
 CHANGES_TOLD = 20
@@ -281,7 +282,7 @@
         listed = await list_registered(self._store)
         if listed.is_err():
             return listed
-        entries: dict[str, list[RegisteredVm]] = defaultdict(list)
+        entries: dict[str, list[Registration]] = defaultdict(list)
         for entry in listed.unwrap():
             entries[entry.vm].append(entry)
         waived, gone, wanted = [], [], []
@@ -305,11 +306,11 @@
                 silent[vm] = f"{vm} ({data_centre}): {word.unwrap_err().detail}"
         return Ok(_Words(tuple(acknowledged), tuple(gone), tuple(waived), silent))
 
-    def _is_gone(self, entry: RegisteredVm) -> bool:
+    def _is_gone(self, entry: Registration) -> bool:
         return self._members.proof_gone(entry.vm, entry.incarnation) is not None
 
     async def _word(
-        self, vm: str, entries: list[RegisteredVm], pointer: Pointer
+        self, vm: str, entries: list[Registration], pointer: Pointer
     ) -> Result[bool, Failure]:
         """Return True for a VM's word, False when it is proved gone meanwhile."""
         stage = pointer.staged
--- a/hawthornlead/rolls.py
+++ b/hawthornlead/rolls.py
@@ -22,11 +22,12 @@
     told_by_peer,
     told_by_pointer,
 )
-from .bundle_libraries import BundleLibrary, failed
+from .bundle_libraries import BundleLibrary
 from .bundle_pointers import POINTER_KIND, POINTER_NAME, Pointer, Stage, read_pointer
 from .bundles import Bundle
 from .errors import ErrorKind, Failure
 from .events import EventKind
+from .meshes import failed
 from .messages import (
     BundleDecided,
     BundlePointer,
--- a/hawthornlead/tests/fakes_bundles.py
+++ b/hawthornlead/tests/fakes_bundles.py
@@ -11,6 +11,7 @@
 from hawthornlead.errors import ErrorKind, Failure
 from hawthornlead.events import EventRing
 from hawthornlead.invariants import Invariants
+from hawthornlead.lease_objects import Registration
 from hawthornlead.messages import Failed
 from hawthornlead.metrics import Metrics
 from hawthornlead.rolls import BundleKeeper
@@ -259,7 +260,9 @@
 
     async def add(self, name, data_centre="santander", incarnation="1") -> Vm:
         """Register and start a VM, replacing one of its name."""
-        lease = {"vm": name, "data_centre": data_centre, "state": "live"}
+        lease = Registration(
+            name, "", data_centre, f"{name}:1", f"{name}:2", 1, "live"
+        )._asdict()
         entry = {f"{name}.{incarnation}": lease}
         stored = self.objects.values.setdefault(
             ("leases", data_centre), Stored(data_centre, 1, {"entries": {}})
--- a/hawthornlead/tests/test_operator_handlers.py
+++ b/hawthornlead/tests/test_operator_handlers.py
@@ -23,7 +23,7 @@
 from hawthornlead.signatures import Statement, generate_key, private_text, sign
 from hawthornlead.timers import TimerService
 
-from .fakes_bundles import ANNA, BERTA, Fleet, document
+from .fakes_bundles import ANNA, BERTA, OPERATORS, Fleet, document
 
 
 class Site:
@@ -46,7 +46,13 @@
         await self.fleet.add("b", "bilbao")
         timers = TimerService()
         events = EventRing("a", HybridClock(timers))
-        routes = operator_routes(vm.keeper, timers=timers, events=events)
+        routes = operator_routes(
+            settings={"OPERATORS": OPERATORS},
+            timers=timers,
+            events=events,
+            keeper=vm.keeper,
+            mesh=vm.mesh,
+        )
         application = Application(routes, log_function=self.requests.append)
         socket, port = bind_unused_port()
         self.server = HTTPServer(application)
