--- /dev/null
+++ b/hawthornlead/tests/test_rolls_joined.py
@@ -0,0 +1,84 @@
+"""Rolls over the mesh's codec and the store's conditional updates, not fakes."""
+
+import random
+
+from hawthornlead.invariants import Invariants
+from hawthornlead.lease_objects import KIND, Registration, with_registered
+from hawthornlead.memory_stores import MemoryObjects, MemoryStore
+from hawthornlead.messages import BundleDecided
+from hawthornlead.metrics import Metrics
+from hawthornlead.rolls import BundleKeeper
+from hawthornlead.timers import ManualTimerService
+
+from .fakes_bundles import OPERATORS, FakeLeases, FakeMembers, Fleet
+from .fakes_mesh import LocalNetwork
+
+
+class JoinedVm:
+    """One VM on the in-process mesh and the store in memory."""
+
+    def __init__(self, fleet, name):
+        timers = fleet.timers
+        incarnation = f"{name}-1"
+        self.mesh = fleet.network.join(name, "gijon", incarnation, OPERATORS=OPERATORS)
+        settings = self.mesh.settings
+        rng = random.Random(name)
+        self.store = MemoryStore(
+            fleet.objects, settings=settings, timers=timers, rng=rng
+        )
+        events = self.mesh._events
+        self.keeper = BundleKeeper(
+            settings=settings,
+            timers=timers,
+            events=events,
+            metrics=Metrics(),
+            invariants=Invariants(events),
+            rng=rng,
+            store=self.store,
+            mesh=self.mesh,
+            members=FakeMembers(set()),
+            leases=FakeLeases(incarnation),
+        )
+
+
+class JoinedFleet(Fleet):
+    """VMs whose messages pass the codec and whose writes are stamped."""
+
+    def __init__(self):
+        self.timers = ManualTimerService()
+        self.objects = MemoryObjects()
+        self.network = LocalNetwork(self.timers)
+        self.vms = {}
+        self.orders = 0
+
+    async def add(self, name):
+        """Register and start a VM."""
+        vm = JoinedVm(self, name)
+        new = Registration(name, f"{name}-1", "gijon", "", "", 1, "live")
+        await vm.store.update(KIND, "gijon-0", lambda v: with_registered(v, new))
+        vm.keeper.start()
+        self.vms[name] = vm
+        await self.settle()
+
+
+async def test_a_roll_over_mesh_and_store_whose_reply_is_lost():
+    """The accepting write takes effect and its reply is lost once.
+
+    The store's client reads its own write back, so that the operator is told what
+    is true; a VM that misses the decision learns of it by asking.
+    """
+    fleet = JoinedFleet()
+    for name in ("a", "b", "c"):
+        await fleet.add(name)
+    first = await fleet.release("v1")
+    second = await fleet.release("v2")
+    assert (await fleet.roll("a", first, 0)).unwrap().acknowledged == ("a", "b", "c")
+    await fleet.settle()
+    assert [fleet.served(vm) for vm in "abc"] == [1, 1, 1]
+    fleet.vms["b"].store.lose_next_reply = 2
+    fleet.network.drop("b", "c", BundleDecided)
+    assert (await fleet.roll("b", second, 1)).unwrap().seq == 2
+    await fleet.run(3.1)
+    assert [fleet.served(vm) for vm in "abc"] == [2, 2, 2]
+    for vm in fleet.vms.values():
+        await vm.keeper.stop()
