--- a/hawthornlead/bench_runs.py
+++ b/hawthornlead/bench_runs.py
@@ -56,6 +56,15 @@
             shared=True,
         ),
         Policy("true-rates", "affinity", "spread", "popularity", "deadline", "true"),
+        Policy(
+            "chosen-sketch",
+            "affinity",
+            "spread",
+            "popularity",
+            "deadline",
+            "sketch",
+            spare=True,
+        ),
         Policy("clairvoyant", "affinity", "clairvoyant", "clairvoyant", "deadline"),
     )
 }
--- a/hawthornlead/popularities.py
+++ b/hawthornlead/popularities.py
@@ -77,9 +77,8 @@
 
     The slow counter (``SLOW_HALF_LIFE_S``) knows the steady popularity. The fast
     one (``FAST_HALF_LIFE_S``) follows a sudden shift: a burst of requests raises
-    the rate within seconds. The rate is the higher of the slow estimate and the
-    fast one less the single request that brought the adapter here, so that a
-    one-off request doesn't look hot.
+    the rate within seconds. The rate is their mean, weighed by ``FAST_WEIGHT``,
+    which is low enough that a one-off request doesn't look hot.
     """
 
     def __init__(self, *, settings: dict):
@@ -120,8 +119,10 @@
     def _rate(self, counter: _Counter, now: float) -> float:
         age = max(0.0, now - counter.at)
         slow = counter.slow * math.exp(-self._slow_decay * age)
-        fast = (counter.fast - 1.0) * math.exp(-self._fast_decay * age)
-        return max(slow * self._slow_decay, fast * self._fast_decay)
+        fast = counter.fast * math.exp(-self._fast_decay * age)
+        weight = self._settings["FAST_WEIGHT"]
+        steady = (1 - weight) * slow * self._slow_decay
+        return steady + weight * fast * self._fast_decay
 
     def _forget(self, now: float) -> None:
         """Drop counters that have decayed to nothing, so that memory is bounded."""
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -145,7 +145,10 @@
         "policy", "number", 20.0, "half-life of the count that follows shifts", 1, 86400
     ),
     "SLOW_HALF_LIFE_S": Setting(
-        "policy", "number", 240.0, "half-life of the steady count", 1, 864000
+        "policy", "number", 120.0, "half-life of the steady count", 1, 864000
+    ),
+    "FAST_WEIGHT": Setting(
+        "policy", "number", 0.2, "weight of the fast count beside the slow one", 0, 1
     ),
     "CHOICES": Setting("policy", "integer", 4, "targets weighed for a load", 1, 1024),
     "TARGET_FULL": Setting(
@@ -164,7 +167,7 @@
         "policy", "number", 1.0, "weight of load stalls in placement", 0, 100
     ),
     "LOAD_WEIGHT": Setting(
-        "policy", "number", 0.05, "weight of a target's work in placement", 0, 100
+        "policy", "number", 0.002, "weight of a target's work in placement", 0, 100
     ),
     "BATCH_WEIGHT": Setting(
         "policy", "number", 0.3, "0: emptier copy first, 1: fuller one", 0, 1
