--- a/hawthornlead/metrics.py
+++ b/hawthornlead/metrics.py
@@ -49,8 +49,27 @@
         )
 
         # peers
+        self.peer_bytes = self._counter(
+            "hawthornlead_peer_bytes_total",
+            "Bytes of frames between VMs",
+            ["direction", "message"],
+        )
+        self.peer_messages = self._counter(
+            "hawthornlead_peer_messages_total",
+            "Messages between VMs",
+            ["direction", "message"],
+        )
+        self.peers_live = self._gauge("hawthornlead_peers_live", "Connected VMs")
 
         # store, leases, ownership
+        self.store_calls = self._counter(
+            "hawthornlead_store_calls_total",
+            "Calls of the object API",
+            ["call", "outcome"],
+        )
+        self.owned_resources = self._gauge(
+            "hawthornlead_owned_resources", "Resources that this VM owns"
+        )
 
         # bundles
         self.bundle_seq = self._gauge(
