--- a/hawthornlead/bench_runs.py
+++ b/hawthornlead/bench_runs.py
@@ -28,7 +28,12 @@
 
 
 class Policy(NamedTuple):
-    """The strategies of one run, by their names in the registries."""
+    """The strategies of one run, by their names in the registries.
+
+    ``counts`` tells who shares popularity counts: ``apart`` (a VM keeps one for
+    requests that it admits and one for grants that it hands out), ``vm`` (one count
+    of both, as in the daemon) or ``fleet`` (all VMs count into one).
+    """
 
     name: str
     router: str
@@ -37,7 +42,7 @@
     load_order: str
     popularity: str = "decayed"
     spare: bool = False
-    shared: bool = False
+    counts: str = "vm"
 
 
 POLICIES = {
@@ -46,6 +51,15 @@
         Policy("least-loaded+lru", "least-loaded", "least-loaded", "lru", "arrival"),
         Policy("hashing+lru", "hashing", "hashing", "lru", "arrival"),
         Policy("chosen", "affinity", "spread", "popularity", "deadline", spare=True),
+        Policy(
+            "chosen-apart",
+            "affinity",
+            "spread",
+            "popularity",
+            "deadline",
+            spare=True,
+            counts="apart",
+        ),
         Policy(
             "chosen-shared",
             "affinity",
@@ -53,7 +67,7 @@
             "popularity",
             "deadline",
             spare=True,
-            shared=True,
+            counts="fleet",
         ),
         Policy("true-rates", "affinity", "spread", "popularity", "deadline", "true"),
         Policy(
@@ -134,8 +148,9 @@
         self._granted = [kind(settings=settings) for _ in range(count)]
         for popularity in self._admitted:
             popularity.share = 1 / count
-        if policy.shared:
+        if policy.counts == "fleet":
             self._admitted = [kind(settings=settings)] * count
+        if policy.counts != "apart":
             self._granted = self._admitted
 
     def _make_targets(self) -> None:
@@ -200,7 +215,7 @@
         if index < len(targets) and not target.can_hold(adapter):
             self._ask(job, targets, index + 1)
             return
-        if not self._policy.shared:
+        if self._policy.counts != "fleet":
             self._granted[target.owner_vm].observe(adapter, self._queue.now)
         slot = target.resident.get(adapter)
         if slot is None:
--- a/hawthornlead/benches.py
+++ b/hawthornlead/benches.py
@@ -49,14 +49,15 @@
 @main.command()
 @click.option("--deployment", "deployments", multiple=True)
 @click.option("--policy", "policies", multiple=True, help="default: all")
-@click.option("--seeds", default=5, help="how many seeds, from 1")
+@click.option("--seeds", default=5, help="how many seeds")
+@click.option("--first-seed", default=11, help="the first of them")
 @click.option("--workers", default=4, help="runs at a time")
 @click.option("--set", "pairs", multiple=True, help="KEY=VALUE of the deployment")
 @click.option("--label", default="compare", help="start of the files' names")
-def compare(deployments, policies, seeds, workers, pairs, label):
+def compare(deployments, policies, seeds, first_seed, workers, pairs, label):
     """Run policies side by side with the same seeds."""
     overrides = dict(pair.split("=", 1) for pair in pairs)
-    numbers = range(1, seeds + 1)
+    numbers = range(first_seed, first_seed + seeds)
     for name in deployments or ("mareas", "cwmtaf"):
         names = policies or tuple(POLICIES)
         orders = [
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -150,7 +150,7 @@
     "FAST_WEIGHT": Setting(
         "policy", "number", 0.2, "weight of the fast count beside the slow one", 0, 1
     ),
-    "CHOICES": Setting("policy", "integer", 4, "targets weighed for a load", 1, 1024),
+    "CHOICES": Setting("policy", "integer", 6, "targets weighed for a load", 1, 1024),
     "TARGET_FULL": Setting(
         "policy", "integer", 16, "requests that fill a step, if not told", 1, 4096
     ),
@@ -161,7 +161,7 @@
         "policy", "number", 4.0, "requests a second that one copy carries", 0.001, 1e4
     ),
     "COPY_DISCOUNT": Setting(
-        "policy", "number", 0.25, "worth of a copy that has another", 0, 1
+        "policy", "number", 0.05, "worth of a copy that has another", 0, 1
     ),
     "STALL_WEIGHT": Setting(
         "policy", "number", 1.0, "weight of load stalls in placement", 0, 100
