Run the whole path as separate processes

Listening ports are set aside on a loopback address per VM: on 127.0.0.1 an outgoing connection took the port between its choice and its use.

--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -51,10 +51,12 @@
 from .service_calls import ServicePath
 from .settings import Settings
 from .slots import Policies
+from .statuses import StatusParts, status_routes
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
 from .target_owners import TargetOwners
 from .targets import TargetClients
+from .timelines import Timeline, timeline_routes
 from .timers import TimerService
 from .views import TargetViews
 
@@ -142,7 +144,7 @@
         await self._owners.stop()
         await self._leases.stop()
         await self._members.stop()
-        await self._mesh.stop()
+        await self._mesh.stop(goodbye=True)
         await self._views.stop()
         await self._vm_list.stop()
         await self._store.stop()
@@ -198,6 +200,9 @@
     def _build_targets(self) -> None:
         settings, base, rng = self._settings, self._base, self._rng
         self._popularity = POPULARITIES[settings["POPULARITY"]](settings=settings)
+        # Owners count what all VMs begin on their targets, by their renewals; sharing
+        # the counters of this VM's own requests would count those twice.
+        owners_popularity = POPULARITIES[settings["POPULARITY"]](settings=settings)
         self._placement = PLACEMENTS[settings["PLACEMENT"]](settings=settings)
         router = ROUTERS[settings["ROUTER"]]
         self._router = router(settings=settings, placement=self._placement)
@@ -227,7 +232,7 @@
             vm_list=self._vm_list,
             views=self._views,
             allowances=self._allowances,
-            policies=Policies(eviction, order, self._popularity),
+            policies=Policies(eviction, order, owners_popularity),
             make_client=self._clients.client,
         )
         self._grants = Grants(
@@ -304,16 +309,48 @@
             keeper=self._keeper,
             mesh=self._mesh,
         )
+        inside = metrics_routes(queries) + self._state_routes()
         metrics_address = self._settings["METRICS_ADDRESS"]
         if metrics_address:
-            self._serve(Application(metrics_routes(queries)), metrics_address)
+            self._serve(Application(inside), metrics_address)
         else:
-            routes += metrics_routes(queries)
-        application = Application(routes, default_handler_class=UnknownHandler)
+            routes += inside
+        application = Application(
+            routes,
+            default_handler_class=UnknownHandler,
+            log_function=lambda handler: None,
+        )
         self._caller_address = self._serve(
             application, self._settings["CALLER_ADDRESS"], self._tls()
         )
 
+    def _state_routes(self) -> list:
+        """Return the routes of the time line and the status.
+
+        They name requests and adapters, so that operators who give the metrics an
+        address of their own keep callers from them.
+        """
+        timeline = Timeline(
+            settings=self._settings,
+            events=self._events,
+            mesh=self._mesh,
+            members=self._members,
+        )
+        status = StatusParts(
+            self._settings,
+            self._timers,
+            self._store,
+            self._mesh,
+            self._members,
+            self._leases,
+            self._owners,
+            self._keeper,
+            self._views,
+            self._admissions,
+            self._invariants,
+        )
+        return timeline_routes(timeline) + status_routes(status)
+
     def _serve(self, application, address: str, tls=None) -> str:
         host, _, port = address.rpartition(":")
         sockets = bind_sockets(int(port), host.strip("[]"))
--- a/hawthornlead/main.py
+++ b/hawthornlead/main.py
@@ -5,6 +5,7 @@
 import click
 
 from . import __version__
+from .commands import bundle_group, keys_group
 from .logs import configure_logs
 from .queries import QUERIES, effective_settings
 from .timers import TimerService
@@ -30,6 +31,8 @@
     run_daemon(settings)
 
 
+cli.add_command(bundle_group, "bundle")
+cli.add_command(keys_group, "keys")
 for query in QUERIES.values():
     cli.add_command(query)
 
--- a/hawthornlead/tests/fleets.py
+++ b/hawthornlead/tests/fleets.py
@@ -94,8 +94,9 @@
     async def start_standins(self) -> None:
         """Start the stand-ins and learn their addresses."""
         text = self._deployment.standins
-        for spec in self._deployment.vms:
-            self._ports[spec.name] = (_free_address(), _free_address())
+        for number, spec in enumerate(self._deployment.vms, start=1):
+            host = _loopback_host(number)
+            self._ports[spec.name] = (_free_address(host), _free_address(host))
             text += (
                 f"\n[vm {spec.name}]\nrole = entry\n"
                 f"address = {self._ports[spec.name][0]}\n"
@@ -224,9 +225,10 @@
 
     async def stop(self) -> None:
         """End every process of the fleet, by its id."""
-        for name in list(self.vms):
-            self.thaw_vm(name)
-            await self.kill_vm(name)
+        for name, vm in list(self.vms.items()):
+            if vm.process.returncode is None:
+                self.thaw_vm(name)
+                await self.kill_vm(name)
         if self._standins is not None and self._standins.returncode is None:
             self._standins.kill()
             await self._standins.wait()
@@ -255,7 +257,16 @@
         return "\n".join(lines) + "\n"
 
 
-def _free_address() -> str:
+def _loopback_host(number: int) -> str:
+    """Return a loopback address for one VM of this process's fleet.
+
+    Connections go out from 127.0.0.1. A port that was free there a moment ago may
+    be one of theirs by the time a VM listens; on an address of its own it can't.
+    """
+    return f"127.{10 + os.getpid() % 200}.{number}.1"
+
+
+def _free_address(host: str) -> str:
     with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
