Wait out an order that its owner did not survive

An owner may send an eviction and die, or shut down, before its answer. The owner record now says whether an order of an earlier owner may be under way; on ignoring targets the successor waits ORDER_S and the clock rate error before it grants. Waiting on fencing targets too was ruled out: they refuse the order once the successor's number is accepted, and a takeover there stays quick.

--- a/hawthornlead/attempts.py
+++ b/hawthornlead/attempts.py
@@ -103,22 +103,30 @@
         ended = False
         try:
             end = await self._exchange(call, exchange, sink)
-            ended = end.failure is None or await self._stopped(call, end.failure)
+            ended = end.failure is None or await self._stopped(
+                call, exchange, end.failure
+            )
         finally:
             exchange.release()
             grant.finish(call.attempt_id, ended=ended)
         return self._ended(call, end.failure, end.next_index)
 
-    async def _stopped(self, call: AttemptCall, failure: Failure) -> bool:
+    async def _stopped(
+        self, call: AttemptCall, exchange: Exchange, failure: Failure
+    ) -> bool:
         """Whether the target is known to be done with an attempt that failed.
 
         A closed connection alone proves nothing: the target may run on until it
         notices. A cancel that it answered does, and frees the grant at once.
+
+        GRA-6: but not before the answer had begun. The cancel has a connection of
+        its own and may overtake a request that is still on its way; the target then
+        knows no such request, runs it later, and the owner evicts under it.
         """
         if failure.kind is ErrorKind.TARGET_REFUSED:
             return True
         cancelled = await self._clients.client(call.address).cancel(call.attempt_id)
-        return isinstance(cancelled, Ok)
+        return isinstance(cancelled, Ok) and exchange.head is not None
 
     async def _exchange(
         self, call: AttemptCall, exchange: Exchange, sink: Sink
--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -143,14 +143,19 @@
         await self._leases.release()
         await self._owners.stop()
         await self._leases.stop()
-        await self._members.stop()
-        await self._mesh.stop(goodbye=True)
         await self._views.stop()
         await self._vm_list.stop()
-        await self._store.stop()
         self._connections.close()
         for server in self._servers:
             await server.close_all_connections()
+        # OWN-4: a goodbye and a refused peer port are taken as proof that this process
+        # does nothing any more. While a request or a write of it is under way they
+        # prove too much: others act as if it were gone and meet what it still does.
+        # So the port is closed after everything else; the store is kept until then
+        # for what peers still ask.
+        await self._members.stop()
+        await self._mesh.stop(goodbye=True)
+        await self._store.stop()
         self._timers.stop()
         self._events.emit(EventKind.PROCESS_STOPPED, self._settings["VM_NAME"])
 
--- a/hawthornlead/evict_guards.py
+++ b/hawthornlead/evict_guards.py
@@ -5,7 +5,7 @@
 """
 
 from .engine_clocks import EngineClock
-from .grant_ledgers import SEND_S, GrantLedger
+from .grant_ledgers import GrantLedger
 from .timers import TimerService
 
 # How long an accepted fence order lets a degraded owner go on granting.
@@ -33,8 +33,11 @@
         self._fencing = fencing
         self._fenced_at: float | None = None
         self._first_fenced_at: float | None = None
+        # The target's start that accepted the fence order.
+        self._fenced_boot = ""
         self._stopped = ownership.predecessor_stopped
         self._ready = False
+        self._orders_end_at = ownership.orders_end_at
         # Nobody owned the target before, so nobody's grants or orders are about.
         self._first = not ownership.predecessor and ownership.fence <= 1
         self._right_since: float | None = None
@@ -48,7 +51,7 @@
     @property
     def needs_fence(self) -> bool:
         """Whether the target must still be told this owner's fencing number."""
-        return self._fencing and self._first_fenced_at is None
+        return self._fencing and not self._is_fenced
 
     @property
     def may_evict(self) -> bool:
@@ -60,7 +63,8 @@
         adapter, so nothing is evicted there until it is proved to have stopped.
         """
         if self._fencing:
-            return self._first_fenced_at is not None
+            return self._is_fenced
+        # OWN-8, OWN-9: "stopped" speaks of all earlier owners, not of the last.
         return self._stopped
 
     @property
@@ -72,31 +76,62 @@
     def ready_after(self) -> float | None:
         """The moment after which a report makes this owner ready, or None yet.
 
-        The right to order begins when the predecessor's last orders have ended. A
-        fencing target refuses them besides, from the fence order on.
+        A fencing target refuses a predecessor's orders from the fence order on. On
+        one that ignores fencing numbers they must have ended.
         """
-        return self._first_fenced_at if self._fencing else self._right_since
+        if self._fencing:
+            # OWN-7: a grant before the fence order was accepted could meet an
+            # eviction that a frozen predecessor sends now, or sent before.
+            return self._first_fenced_at if self._is_fenced else None
+        if self._right_since is None:
+            return None
+        # GRA-8: a predecessor that died or shut down may have sent an eviction just
+        # before. It would take effect under a request that was granted at once.
+        return max(self._right_since, self._orders_end_at)
+
+    @property
+    def _is_fenced(self) -> bool:
+        """Whether this owner's number was accepted by the target's present start.
+
+        The reply to a fence order may arrive after a probe told of a restart: the
+        number that it speaks of is forgotten.
+        """
+        if self._first_fenced_at is None:
+            return False
+        return self._clock.boot_id in (None, self._fenced_boot)
 
     def has_right(self) -> None:
         """Note that this owner has the right to order."""
         if self._right_since is None:
             self._right_since = self._timers.now()
 
-    def fenced(self, sent_at: float, answered_at: float) -> None:
-        """Note that the target accepted a fence order of this owner's number."""
+    def fenced(self, sent_at: float, answered_at: float, boot_id: str) -> bool:
+        """Note that the target accepted a fence order of this owner's number.
+
+        False when that was another start of the target than the present one, or
+        one that no probe has told of yet.
+        """
+        if self._clock.boot_id not in (None, boot_id):
+            return False
+        if boot_id != self._fenced_boot:
+            self._fenced_boot = boot_id
+            self._first_fenced_at = None
         self._fenced_at = sent_at
         if self._first_fenced_at is not None:
-            return
+            return True
         self._first_fenced_at = answered_at
         if not self._stopped:
-            # The predecessor's last accepted fence order may just precede ours.
+            # OWN-10: the predecessor's last accepted fence order may just precede
+            # ours, and it grants for that freshness after it. Its last grant must
+            # have run out too before anything is evicted.
             self._distrust_from(answered_at + self._stretched(FENCE_FRESH_S))
+        return True
 
     def fence_fresh(self) -> bool:
         """Whether a fence order was accepted lately enough to grant while degraded."""
         if not self._fencing:
             return True
-        if self._fenced_at is None:
+        if self._fenced_at is None or not self._is_fenced:
             return False
         return self._timers.now() - self._fenced_at < FENCE_FRESH_S
 
@@ -108,7 +143,7 @@
         if self._stopped:
             return
         self._stopped = True
-        if not self._fencing or self._first_fenced_at is None:
+        if not self._is_fenced:
             self._distrust_from(self._timers.now())
 
     def observe(self, as_of: float) -> None:
@@ -130,7 +165,7 @@
             return
         # A grant that the predecessor gave right before it stopped may reach its
         # VM later, but its time counts from the asking.
-        moment = stopped_at + self._ledger.longest_s() + SEND_S
+        moment = stopped_at + self._ledger.longest_s() + self._ledger.send_s()
         self._ledger.distrust_until(moment)
 
     def _stretched(self, seconds: float) -> float:
--- a/hawthornlead/grant_ledgers.py
+++ b/hawthornlead/grant_ledgers.py
@@ -68,7 +68,7 @@
     @property
     def proof_wanted_after(self) -> float | None:
         """The latest moment after which a report would settle something, or None."""
-        moments = [grant.ends_at + SEND_S for grant in self._ran_out.values()]
+        moments = [self._landed_by(grant) for grant in self._ran_out.values()]
         if self._unknown_until is not None and self._unknown_running != set():
             moments.append(self._unknown_until)
         past = [moment for moment in moments if moment <= self._timers.now()]
@@ -82,11 +82,19 @@
         error = self._settings["CLOCK_RATE_ERROR"]
         return self._settings["GRANT_S"] * (1 + 2 * error)
 
+    def send_s(self) -> float:
+        """How long a request is under way from the check of its grant, at most."""
+        return SEND_S * (1 + 2 * self._settings["CLOCK_RATE_ERROR"])
+
     def distrust_until(self, moment: float | None) -> None:
         """Count unknown grants of earlier owners that run out at ``moment``.
 
         ``None``: they may still be given out, so nothing is idle.
         """
+        if moment is not None and self._unknown_until is not None:
+            # GRA-11: of several moments the latest counts. An earlier one would let
+            # a report pass as proof while grants from before the later one are out.
+            moment = max(moment, self._unknown_until)
         self._unknown_until = moment
         self._unknown_running = None
 
@@ -162,7 +170,10 @@
         for grant in list(self._ran_out.values()):
             if grant.key in running:
                 continue
-            if self._clock.proves_after(report.as_of, grant.ends_at + SEND_S):
+            # GRA-5: a request that was sent in the grant's last moment is on its way
+            # for SEND_S. A report from before that shows nothing running, and the
+            # eviction would meet the request as it arrives.
+            if self._clock.proves_after(report.as_of, self._landed_by(grant)):
                 del self._ran_out[grant.grant_id]
         self._observe_unknown(report, running)
 
@@ -175,6 +186,10 @@
             return False
         return all(grant.key != key for grant in self._ran_out.values())
 
+    def _landed_by(self, grant: HeldGrant) -> float:
+        """When the last request under a grant that ran out has arrived."""
+        return grant.ends_at + self.send_s()
+
     def _observe_unknown(self, report: Report, running: set[AdapterVersion]) -> None:
         if self._unknown_until is None:
             return
--- a/hawthornlead/grants.py
+++ b/hawthornlead/grants.py
@@ -217,6 +217,8 @@
         """See ``Grant.begin``."""
         held.reserved.discard(grant)
         now = self._timers.now()
+        # GRA-2: read right before the send. GRA-10: one that was given back is over,
+        # whatever a late reply says of its time.
         if now >= held.ends_at or self._held.get(held.reply.grant_id) is not held:
             return Err(_no_grant("the grant ran out before the request was sent"))
         held.running.add(attempt_id)
@@ -234,6 +236,9 @@
         held.reserved.discard(grant)
         if attempt_id in held.running:
             held.running.discard(attempt_id)
+            # GRA-6: a request whose end was not seen may still run. Given back as
+            # idle, the grant would let the owner evict under it; it runs out instead,
+            # and the owner wants a report that shows the adapter idle.
             held.doubtful = held.doubtful or not ended
         if held.revoked:
             self._release_if_idle(held)
@@ -269,6 +274,10 @@
             if isinstance(reply, Ok):
                 renewed, ttl_s = reply.ok_value
         for held in in_use:
+            # GRA-10: it was given back while the reply was under way. Extended now,
+            # a request could begin under it though the owner counts it as returned.
+            if self._held.get(held.reply.grant_id) is not held:
+                continue
             if held.reply.grant_id in renewed:
                 held.ends_at = max(held.ends_at, sent_at + self._shortened(ttl_s))
                 continue
--- a/hawthornlead/loaders.py
+++ b/hawthornlead/loaders.py
@@ -287,8 +287,9 @@
 
     async def _evict(self, victim: Slot) -> bool:
         """Evict; return whether the slot is free. No grant is given meanwhile."""
+        # GRA-7: nothing is granted on it from here until its outcome is known.
         victim.state = SlotState.EVICTING
-        sent_at = self._timers.now()
+        victim.evict_open = True
         reply = await self._orders.evict(
             victim.key, lambda: self._ledger.idle(victim.key) and victim.wanted == 0
         )
@@ -300,7 +301,8 @@
                 self._ledger.idle(victim.key),
                 f"{self._target} {victim.key.adapter}",
             )
-            self._residency.gone(victim, reply.ok_value.now)
+            same_start = reply.ok_value.boot_id == self._residency.boot_id
+            self._residency.gone(victim, reply.ok_value.now if same_start else None)
             self._metrics.evictions.inc()
             self._events.emit(
                 EventKind.ADAPTER_EVICTED, self._target, adapter=victim.key
@@ -311,9 +313,13 @@
             self._residency.gone(victim)
             return True
         if kind is ErrorKind.TARGET_LOST:
-            self._residency.lost(victim, sent_at + self._settings["ORDER_S"])
+            # GRA-8: it may still take effect, also under this same owner. Granted
+            # meanwhile, its requests would lose their adapter. The bytes may have
+            # left just before the timeout, so the time counts from here.
+            self._residency.lost(victim, self._timers.now() + self._orders.longest_s)
             return False
         victim.state = SlotState.RESIDENT
+        victim.evict_open = False
         return False
 
     def _idle_slots(self) -> list[Slot]:
--- a/hawthornlead/orders.py
+++ b/hawthornlead/orders.py
@@ -16,6 +16,7 @@
 from .evict_guards import EvictGuard
 from .grant_ledgers import AdapterVersion
 from .invariants import Invariants
+from .lease_enders import longest_by_any_clock
 from .owners import OrderRight
 from .targets import Order, OrderReply, TargetClient
 from .timers import TimerService
@@ -50,6 +51,8 @@
         self._superseded = False
         self._stopped = False
         self._fencing: asyncio.Task | None = None
+        # Evictions that were sent and not answered, and until when each may land.
+        self._landing: dict[str, float] = {}
 
     @property
     def superseded(self) -> bool:
@@ -61,6 +64,18 @@
         """Whether the target's slots are known since the takeover."""
         return self._guard.ready
 
+    @property
+    def longest_s(self) -> float:
+        """How long an order may be under way from its last check to its effect."""
+        return longest_by_any_clock(
+            self._settings["ORDER_S"], self._settings["CLOCK_RATE_ERROR"]
+        )
+
+    @property
+    def evicts_end_at(self) -> float:
+        """When every eviction that was sent has surely taken effect, or never will."""
+        return max(self._landing.values(), default=float("-inf"))
+
     def stop(self) -> None:
         """Order nothing any more: the ownership is over."""
         self._stopped = True
@@ -73,7 +88,9 @@
         if owned is None or owned.fence != self._fence:
             return OrderRight.NONE
         # A successor waits out ORDER_S after the lease, so an order needs no more
-        # than a lease that is held when it starts.
+        # than a lease that is held when it starts. A load may last longer (LOAD_S):
+        # one that lands late fills a slot, which the successor's reports show, and
+        # takes no adapter from any request.
         return self._owners.right(target_resource(self._target), 0.0)
 
     def may_evict(self) -> bool:
@@ -97,12 +114,23 @@
     ) -> Result[OrderReply, Failure]:
         """Order an eviction of an adapter version that ``idle`` proves unused."""
 
+        serial = f"{key.adapter}/{key.version}"
+
         def allowed() -> bool:
-            return self.may_evict() and idle()
+            if not self.may_evict() or not idle():
+                return False
+            # Asked right before the bytes are written.
+            self._landing[serial] = self._timers.now() + self.longest_s
+            return True
 
-        return await self._order(
+        reply = await self._order(
             Order.EVICT, key, "", self._settings["ORDER_S"], allowed
         )
+        # GRA-8: what got no answer may land until its time is over; an answer,
+        # whatever it says, and a connection that never stood, end it.
+        if isinstance(reply, Ok) or reply.err_value.kind is not ErrorKind.TARGET_LOST:
+            self._landing.pop(serial, None)
+        return reply
 
     def start_fence(self) -> Awaitable[Result[OrderReply, Failure]]:
         """Order ``fence`` unless one is under way; all who wait share its outcome."""
@@ -121,8 +149,12 @@
             self._settings["ORDER_S"],
             lambda: self.right() is not OrderRight.NONE,
         )
-        if isinstance(reply, Ok):
-            self._guard.fenced(sent_at, self._timers.now())
+        if isinstance(reply, Err):
+            return reply
+        boot_id = reply.ok_value.boot_id
+        if not self._guard.fenced(sent_at, self._timers.now(), boot_id):
+            detail = f"{self._target} restarted"
+            return Err(Failure(ErrorKind.TARGET_LOST, detail))
         return reply
 
     async def _order(
--- a/hawthornlead/owner_records.py
+++ b/hawthornlead/owner_records.py
@@ -3,11 +3,13 @@
 The value of ``owners/SHARD`` maps each resource to its record::
 
     {"records": {"target:engine-3": {"vm": "vm-1", "incarnation": "vm-1.5f",
-                                     "fence": 7, "wait": false, "unproved": []}}}
+                                     "fence": 7, "wait": false, "unproved": [],
+                                     "unsettled": false}}}
 
 ``unproved`` names the earlier owners of which no proof has told that they stopped;
-``wait`` tells that the owner has to wait out ``ORDER_S`` first. A released record
-names no VM and keeps its fence.
+``wait`` tells that the owner has to wait out ``ORDER_S`` first. ``unsettled`` tells
+that an order of an earlier owner may be under way, also of one that has stopped
+since. A released record names no VM and keeps its fence.
 """
 
 from collections.abc import Iterable
@@ -40,6 +42,7 @@
     fence: int
     wait: bool = False
     unproved: tuple[FormerOwner, ...] = ()
+    unsettled: bool = False
 
     @property
     def free(self) -> bool:
@@ -61,6 +64,7 @@
             record["fence"],
             record["wait"],
             tuple(FormerOwner(*former) for former in record["unproved"]),
+            record["unsettled"],
         )
         for resource, record in value.get("records", {}).items()
     }
@@ -85,21 +89,29 @@
     """
     if old is None:
         return OwnerRecord(vm, incarnation, 1)
+    # OWN-9: all earlier owners without proof are handed on, not just the last. Else
+    # a degraded owner of an ignoring target is forgotten when its successor stops
+    # with proof; the next owner evicts, and breaks requests under its grants.
     unproved = old.unproved
     if not old.free and not stopped:
         unproved += (FormerOwner(old.vm, old.incarnation),)
     if len(unproved) > MOST_UNPROVED:
         unproved = (FORGOTTEN, *unproved[1 - MOST_UNPROVED :])
     wait = bool(unproved) and (old.wait or unproved != old.unproved)
-    return OwnerRecord(vm, incarnation, old.fence + 1, wait, unproved)
+    # GRA-8: the proof that an owner's process ended tells nothing of an order that
+    # it sent before; only one that gave back with no order open leaves none.
+    unsettled = not old.free or old.unsettled
+    return OwnerRecord(vm, incarnation, old.fence + 1, wait, unproved, unsettled)
 
 
-def freed_record(old: OwnerRecord, waited: bool) -> OwnerRecord:
+def freed_record(old: OwnerRecord, waited: bool, settled: bool) -> OwnerRecord:
     """Return the record after its owner gave the resource back.
 
-    ``waited`` tells whether the owner had waited out its predecessor's orders.
+    ``waited`` tells whether the owner had waited out its predecessor's orders,
+    ``settled`` that no order of its own or an earlier owner can be under way.
     """
-    return OwnerRecord("", "", old.fence, old.wait and not waited, old.unproved)
+    wait = old.wait and not waited
+    return OwnerRecord("", "", old.fence, wait, old.unproved, not settled)
 
 
 def by_shard(resources: Iterable[str]) -> dict[str, list[str]]:
--- a/hawthornlead/owners.py
+++ b/hawthornlead/owners.py
@@ -70,6 +70,7 @@
         self._releasing: set[str] = set()
         self._on_taken: list[Callable[[Ownership], None]] = []
         self._on_lost: list[Callable[[str], None]] = []
+        self._has_open_order: Callable[[str], bool] = lambda resource: False
         self._synced = False
         self._stopping = False
         self._watch = None
@@ -110,6 +111,7 @@
             owned.taken_at,
             owned.predecessor,
             all(self._has_stopped(former) for former in owned.unproved),
+            owned.orders_end_at,
         )
 
     def owned_resources(self) -> tuple[str, ...]:
@@ -126,7 +128,9 @@
     def right(self, resource: str, longest_s: float = 0.0) -> OrderRight:
         """Tell what this VM may do with a resource for ``longest_s`` from now.
 
-        Called right before each order: what was true before a wait may not be.
+        Called right before each order: what was true before a wait may not be. An
+        order asks with 0: it may outlast the lease, since a successor waits out
+        ``ORDER_S`` after it. Only what no successor waits for needs ``longest_s``.
         """
         owned = self._owned.get(resource)
         if owned is None or self._leases.state == "ended":
@@ -147,10 +151,18 @@
         """Call ``callback`` with each resource that this VM owns no longer."""
         self._on_lost.append(callback)
 
+    def tell_open_orders(self, has_open_order: Callable[[str], bool]) -> None:
+        """Ask ``has_open_order`` at each release whether an order may be under way.
+
+        After a release with an open order the successor waits as after a death.
+        """
+        self._has_open_order = has_open_order
+
     async def release(self, resource: str) -> Result[None, Failure]:
         """Give a resource back, so that a successor takes it without waiting.
 
-        No order to it may be under way. It is not taken again before ``want``.
+        If an order is under way (see ``tell_open_orders``), the successor waits it
+        out. It is not taken again before ``want``.
         """
         return await self._release((resource,))
 
@@ -163,17 +175,19 @@
         outcome: Result[None, Failure] = Ok(None)
         now = self._timers.now()
         waited = {name for name in resources if now >= self._full_at(name)}
+        settled = {name for name in resources if now >= self._orders_end_at(name)}
         for resource in resources:
             self._wanted.pop(resource, None)
             self._releasing.add(resource)
             # The right ends before the write is sent: from then on a successor
             # may have it.
             self._lose(resource, EventKind.OWNERSHIP_RELEASED)
+        settled -= {name for name in resources if self._has_open_order(name)}
         for shard, names in by_shard(resources).items():
             written = await self._store.update(
                 KIND,
                 shard,
-                lambda value, n=names: self._with_released(value, n, waited),
+                lambda value, n=names: self._with_released(value, n, waited, settled),
             )
             if written.is_err():
                 # Whether it was given back is unknown: it stays in ``_releasing``,
@@ -188,14 +202,20 @@
         owned = self._owned.get(resource)
         return owned.full_at if owned is not None else float("inf")
 
-    def _with_released(self, value, names: list[str], waited: set[str]):
+    def _orders_end_at(self, resource: str) -> float:
+        owned = self._owned.get(resource)
+        return owned.orders_end_at if owned is not None else float("inf")
+
+    def _with_released(
+        self, value, names: list[str], waited: set[str], settled: set[str]
+    ):
         records = records_of(value or {})
         freed = {}
         for name in names:
             record = records.get(name)
             if record is None or not self._is_mine(record):
                 continue
-            freed[name] = freed_record(record, name in waited)
+            freed[name] = freed_record(record, name in waited, name in settled)
         return with_records(value, freed) if freed else None
 
     async def _run(self) -> None:
@@ -357,6 +377,9 @@
 
     def _get(self, resource, old: OwnerRecord | None, record: OwnerRecord) -> None:
         now = self._timers.now()
+        # OWN-6: an order that was checked in the last moment of a lease runs for
+        # ORDER_S by its sender's clock, which may be slower than this one. Without
+        # the rate error it would take effect after the first grant given here.
         wait = longest_by_any_clock(
             self._settings["ORDER_S"], self._settings["CLOCK_RATE_ERROR"]
         )
@@ -367,6 +390,7 @@
             now + wait if record.wait else now,
             old.vm if old is not None else "",
             record.unproved,
+            now + wait if record.wait or record.unsettled else now,
         )
         ownership = self.owned(resource)
         self._tell(
--- a/hawthornlead/ownerships.py
+++ b/hawthornlead/ownerships.py
@@ -24,6 +24,8 @@
 
     ``predecessor_stopped`` is False while any earlier owner is not proved to have
     stopped: it may still send an order that it had checked before it froze.
+    Until ``orders_end_at`` an order of an earlier owner may take effect, also of one
+    that was proved to have stopped after it had sent it.
     """
 
     resource: str
@@ -31,6 +33,7 @@
     taken_at: float
     predecessor: str
     predecessor_stopped: bool
+    orders_end_at: float = float("-inf")
 
 
 class OwnedState(NamedTuple):
@@ -42,3 +45,4 @@
     full_at: float
     predecessor: str
     unproved: tuple[FormerOwner, ...]
+    orders_end_at: float
--- a/hawthornlead/residencies.py
+++ b/hawthornlead/residencies.py
@@ -37,6 +37,8 @@
         self.running = 0
         self.wanted = 0
         self.draining = False
+        # An eviction was sent, and its outcome is not known.
+        self.evict_open = False
         # Engine time of the last order that touched it.
         self.changed_at = float("-inf")
         # Owner time after which a lost order has surely ended.
@@ -116,9 +118,20 @@
         slot.settled_after = settled_after
 
     def clear(self) -> None:
-        """The target restarted: its slots are empty."""
-        self._slots.clear()
+        """The target restarted: its slots are empty.
+
+        GRA-8: an eviction that has no answer may have been sent to the new start,
+        before any probe told of it. Were its slot forgotten, the adapter could be
+        loaded and granted again and then evicted under its requests; so the slot
+        stays taken until the order is over.
+        """
         self._evicted_at.clear()
+        for key, slot in list(self._slots.items()):
+            if not slot.evict_open:
+                del self._slots[key]
+                continue
+            slot.running = 0
+            slot.changed_at = float("-inf")
 
     def observe(self, report: Report) -> None:
         """Merge a report of the target's present start."""
@@ -143,6 +156,7 @@
             if not self._clock.proves_after(as_of, slot.settled_after):
                 return
             slot.state = SlotState.RESIDENT
+            slot.evict_open = False
         if slot.state is not SlotState.RESIDENT or as_of <= slot.changed_at:
             return
         if told is None:
--- a/hawthornlead/slots.py
+++ b/hawthornlead/slots.py
@@ -160,6 +160,11 @@
         """Whether the target has stopped answering its owner."""
         return self._reader.silent
 
+    @property
+    def evicts_end_at(self) -> float:
+        """When every eviction that was sent has surely taken effect, or never will."""
+        return self._orders.evicts_end_at
+
     def start(self) -> None:
         """Begin to read reports."""
         self._timer = self._timers.every(
--- a/hawthornlead/target_owners.py
+++ b/hawthornlead/target_owners.py
@@ -82,6 +82,8 @@
         self._targets: dict[str, TargetOwner] = {}
         self._told: dict[str, _Told] = {}
         self._wanted: set[str] = set()
+        # Until when evictions of targets that were given up may take effect.
+        self._evicts_end_at: dict[str, float] = {}
         self._timer = None
 
     @property
@@ -97,6 +99,7 @@
         self._mesh.on(TargetSuspect, self._on_suspect)
         self._owners.on_taken(self._on_taken)
         self._owners.on_lost(self._on_lost)
+        self._owners.tell_open_orders(self._has_open_order)
         self._vm_list.subscribe(self._on_vm_list)
         self._on_vm_list()
         self._timer = self._timers.every(TELL_S, self._tell_all, name="target states")
@@ -106,9 +109,11 @@
         if self._timer is not None:
             self._timer.cancel()
         owners = list(self._targets.values())
+        for name, owner in self._targets.items():
+            owner.give_up()
+            self._evicts_end_at[target_resource(name)] = owner.evicts_end_at
         self._targets.clear()
         for owner in owners:
-            owner.give_up()
             await owner.stop()
 
     def _on_vm_list(self, *_unused) -> None:
@@ -152,8 +157,17 @@
             return
         del self._told[name]
         owner.give_up()
+        self._evicts_end_at[resource] = owner.evicts_end_at
         self._timers.after(0, owner.stop, name="target lost")
 
+    def _has_open_order(self, resource: str) -> bool:
+        """Whether an eviction that this VM sent may still take effect.
+
+        GRA-8: at a shutdown or a move the resource is given back at once. A successor
+        that did not know of the open order would grant before it took effect.
+        """
+        return self._timers.now() < self._evicts_end_at.get(resource, float("-inf"))
+
     def _entry(self, name: str):
         for entry in self._vm_list.engines():
             if entry.name == name:
--- a/hawthornlead/tests/fakes_worlds.py
+++ b/hawthornlead/tests/fakes_worlds.py
@@ -54,6 +54,7 @@
     taken_at: float
     predecessor: str
     predecessor_stopped: bool
+    orders_end_at: float = float("-inf")
 
 
 class FakePeer(NamedTuple):
@@ -82,6 +83,9 @@
         """Call back with ownerships."""
         self.taken.append(callback)
 
+    def tell_open_orders(self, has_open_order):
+        """Give nothing back by itself."""
+
     def on_lost(self, callback):
         """Call back with resources."""
         self.lost.append(callback)
@@ -287,8 +291,11 @@
                 old.rights[resource] = old_right
         self.records[resource] = FakeOwnerRecord(vm, vm, fence)
         taker = self.vms[vm]
+        now = taker.timers.now()
+        # As real owners do, it waits out the orders of its predecessor.
+        ends_at = now + self.settings["ORDER_S"] * 1.03 if before else now
         ownership = FakeOwnership(
-            resource, fence, taker.timers.now(), before, stopped or not before
+            resource, fence, now, before, stopped or not before, ends_at
         )
         taker.owners.ownerships[resource] = ownership
         taker.owners.rights[resource] = OrderRight.FULL
--- /dev/null
+++ b/hawthornlead/tests/test_evict_guards.py
@@ -0,0 +1,181 @@
+"""Tests of what a takeover lets an owner order, and from when on."""
+
+import random
+from typing import NamedTuple
+
+import pytest
+
+from hawthornlead.engine_clocks import EngineClock
+from hawthornlead.evict_guards import FENCE_FRESH_S, EvictGuard
+from hawthornlead.grant_ledgers import AdapterVersion, GrantLedger
+from hawthornlead.messages import Resident
+from hawthornlead.ownerships import Ownership
+from hawthornlead.settings import default_settings
+from hawthornlead.targets import Report
+from hawthornlead.timers import ManualTimerService
+
+TIDE = AdapterVersion("tide", "1")
+
+
+class _Parts(NamedTuple):
+    timers: ManualTimerService
+    clock: EngineClock
+    ledger: GrantLedger
+    guard: EvictGuard
+
+    def observe(self, boot_id="boot-1"):
+        """Probe, then read a report of this moment that shows nothing running."""
+        now = self.timers.now()
+        if self.clock.note(now, now, boot_id):
+            self.guard.restarted()
+        residents = (Resident("tide", "1", 0),)
+        self.ledger.observe(Report(boot_id, now, 1, 8, 0, 0, residents, 0, 0.0))
+        self.guard.observe(now)
+
+    def fenced(self, boot_id="boot-1"):
+        """The target accepts the fence order, at once."""
+        now = self.timers.now()
+        return self.guard.fenced(now, now, boot_id)
+
+
+def _parts(fencing, *, stopped=False, orders_s=0.0):
+    timers = ManualTimerService()
+    settings = default_settings(VM_NAME="a")
+    clock = EngineClock()
+    ledger = GrantLedger(
+        settings=settings, timers=timers, rng=random.Random(1), clock=clock, fence=2
+    )
+    now = timers.now()
+    guard = EvictGuard(
+        settings=settings,
+        timers=timers,
+        clock=clock,
+        ledger=ledger,
+        ownership=Ownership("target:e", 2, now, "b", stopped, now + orders_s),
+        fencing=fencing,
+    )
+    guard.has_right()
+    return _Parts(timers, clock, ledger, guard)
+
+
+async def test_no_grant_before_the_fence_order_was_accepted():
+    """A new owner of a fencing target has not told it its number yet.
+
+    Its predecessor, frozen, wakes and sends an eviction, which the target accepts
+    still. A grant given before would lose its adapter.
+    """
+    parts = _parts(True)
+    await parts.timers.advance(1)
+    parts.observe()
+    assert not parts.guard.ready and not parts.guard.may_evict
+    assert parts.fenced()
+    parts.observe()
+    assert parts.guard.ready and parts.guard.may_evict
+
+
+async def test_restarted_target_has_to_be_told_again():
+    """The target restarts and forgets the number; an old owner's counts again."""
+    parts = _parts(True)
+    parts.fenced()
+    parts.observe()
+    await parts.timers.advance(1)
+    parts.observe("boot-2")
+    assert not parts.guard.ready and not parts.guard.may_evict
+    assert parts.guard.needs_fence
+    assert parts.fenced("boot-2")
+    parts.observe("boot-2")
+    assert parts.guard.ready and parts.guard.may_evict
+
+
+async def test_fence_reply_of_an_earlier_start():
+    """The target accepts the number and restarts; a probe tells of the restart.
+
+    Then the slow reply to the fence order arrives. The present start knows nothing
+    of the number: an old owner's eviction would be carried out under new grants.
+    """
+    parts = _parts(True)
+    parts.observe()
+    await parts.timers.advance(1)
+    parts.observe("boot-2")
+    assert not parts.fenced("boot-1")
+    parts.observe("boot-2")
+    assert not parts.guard.ready and not parts.guard.may_evict
+    assert not parts.guard.fence_fresh()
+
+
+async def test_restart_between_the_fence_order_and_the_first_probe():
+    parts = _parts(True)
+    assert parts.fenced("boot-1")
+    parts.observe("boot-2")
+    assert not parts.guard.ready and parts.guard.needs_fence
+
+
+async def test_degraded_predecessor_that_was_just_accepted():
+    """A degraded predecessor had its number accepted right before the successor.
+
+    It grants for that freshness on, and its last grant runs its whole time after
+    it. A report from before that moment would let the successor evict under it.
+    """
+    parts = _parts(True)
+    parts.fenced()
+    await parts.timers.advance(parts.ledger.longest_s() + parts.ledger.send_s())
+    parts.observe()
+    assert not parts.ledger.idle(TIDE)
+    await parts.timers.advance(FENCE_FRESH_S)
+    parts.observe()
+    assert not parts.ledger.idle(TIDE)
+    await parts.timers.advance(0.1)
+    parts.observe()
+    assert parts.ledger.idle(TIDE)
+
+
+async def test_earlier_moment_does_not_shorten_a_later_one():
+    """A successor waits out a degraded predecessor's grants on a fencing target.
+
+    The target restarts, and only then comes the proof that the predecessor has
+    stopped, with a moment of its own that is earlier. The later one stays.
+    """
+    parts = _parts(True)
+    parts.fenced()
+    parts.observe()
+    await parts.timers.advance(0.1)
+    parts.observe("boot-2")
+    parts.guard.predecessor_gone()
+    await parts.timers.advance(parts.ledger.longest_s() + parts.ledger.send_s() + 0.1)
+    parts.observe("boot-2")
+    assert not parts.ledger.idle(TIDE)
+    await parts.timers.advance(FENCE_FRESH_S)
+    parts.observe("boot-2")
+    assert parts.ledger.idle(TIDE)
+
+
+@pytest.mark.parametrize("fencing", [False, True])
+async def test_orders_of_a_stopped_predecessor(fencing):
+    """A predecessor is proved to have stopped, with an eviction under way.
+
+    On a target that ignores fencing numbers nothing is granted before the longest
+    order is over. A fencing target refuses the order, so that need not be waited.
+    """
+    parts = _parts(fencing, stopped=True, orders_s=8.0)
+    if fencing:
+        parts.fenced()
+    await parts.timers.advance(7.9)
+    parts.observe()
+    assert parts.guard.ready is fencing
+    await parts.timers.advance(0.2)
+    parts.observe()
+    assert parts.guard.ready
+
+
+async def test_ignoring_target_with_an_earlier_owner_unproved():
+    parts = _parts(False)
+    await parts.timers.advance(60)
+    parts.observe()
+    assert not parts.guard.may_evict and not parts.ledger.idle(TIDE)
+    parts.guard.predecessor_gone()
+    assert parts.guard.may_evict
+    parts.observe()
+    assert not parts.ledger.idle(TIDE)
+    await parts.timers.advance(parts.ledger.longest_s() + parts.ledger.send_s())
+    parts.observe()
+    assert parts.ledger.idle(TIDE)
--- a/hawthornlead/tests/test_grant_ledgers.py
+++ b/hawthornlead/tests/test_grant_ledgers.py
@@ -46,6 +46,10 @@
 async def _run_out(book):
     grant = book.ledger.issue("b", TIDE, 1)
     await book.timers.advance(book.ledger.longest_s() + SEND_S)
+    # By a clock that is fast by its rate error, SEND_S is not over yet.
+    book.observe()
+    assert not book.ledger.idle(TIDE)
+    await book.timers.advance(book.ledger.send_s() - SEND_S)
     return grant
 
 
--- a/hawthornlead/tests/test_grants.py
+++ b/hawthornlead/tests/test_grants.py
@@ -171,6 +171,28 @@
     assert grant.begin("r2").is_err()
 
 
+async def test_renewal_reply_after_the_grant_was_given_back(grants, mesh, parts):
+    """A renewal is under way when the grant is asked back and given back.
+
+    Its reply comes later and says that the grant was renewed. Were it extended, a
+    request could begin under a grant that the owner counts as returned.
+    """
+    grant = await _get(grants)
+    assert grant.begin("r1").is_ok()
+    ends_at = grant.ends_at
+    mesh.delay_s = 1.0
+    renewing = asyncio.ensure_future(grants.renew())
+    await parts.timers.advance(0.5)
+    assert mesh.of(RenewGrants)
+    await mesh.handlers[RevokeGrant](None, RevokeGrant("engine", "g1"))
+    grant.finish("r1", ended=True)
+    assert mesh.of(ReleaseGrant) == [ReleaseGrant("engine", "g1", 0)]
+    await parts.timers.advance(1.5)
+    await renewing
+    assert grant.ends_at == ends_at
+    assert grant.begin("r2").unwrap_err().kind is ErrorKind.NO_GRANT
+
+
 async def test_doubtful_end_is_not_given_back(grants, mesh, parts):
     grant = await _get(grants)
     assert grant.begin("r1").is_ok()
--- a/hawthornlead/tests/test_owners.py
+++ b/hawthornlead/tests/test_owners.py
@@ -105,6 +105,110 @@
     return [records_of(stored.value)[resource]]
 
 
+async def test_chain_of_owners_without_proof(world):
+    # An owner is frozen and its successor has no proof that it stopped. The
+    # successor is killed, which is proved, and a third VM takes over. It must not
+    # take the proof of the second's end for one of the first's: the first wakes in
+    # an outage and grants, and an eviction would break its requests.
+    for number in range(4):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    first = world.owner_of(ENGINE)
+    world.freeze(first)
+    await world.run(15)
+    second = world.owner_of(ENGINE)
+    await world.kill(second)
+    await world.run(8)
+    third = world.owner_of(ENGINE)
+    ownership = third.owners.owned(ENGINE)
+    assert ownership.fence == 3 and ownership.predecessor == second.name
+    assert not ownership.predecessor_stopped
+    await third.owners.release(ENGINE)
+    await world.run(8)
+    fourth = world.owner_of(ENGINE)
+    assert fourth.owners.owned(ENGINE).fence == 4
+    assert not fourth.owners.owned(ENGINE).predecessor_stopped
+    world.killed.add(first.leases.incarnation)
+    assert fourth.owners.owned(ENGINE).predecessor_stopped
+
+
+async def test_order_of_an_owner_with_a_slow_clock(world):
+    # An owner sends an order in the last moment of its lease, and its clock is
+    # slower than its successor's. After ORDER_S by the successor's clock the order
+    # may still take effect.
+    for number in range(2):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    world.freeze(world.owner_of(ENGINE))
+    await world.run(9)
+    (successor,) = [vm for vm in world.vms.values() if not vm.frozen]
+    owned = successor.owners.owned(ENGINE)
+    successor.timers._now = owned.taken_at + successor.settings["ORDER_S"] + 0.01
+    assert successor.owners.right(ENGINE) is OrderRight.NONE
+    successor.timers._now += 0.02 * successor.settings["ORDER_S"]
+    assert successor.owners.right(ENGINE) is not OrderRight.NONE
+
+
+async def test_order_that_its_owner_did_not_survive(world):
+    # An owner sends an eviction and is killed. The proof of its end says nothing of
+    # the order, which may take effect for ORDER_S. The successor must know, also
+    # the next one if it gives back before.
+    for number in range(3):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    owner = world.owner_of(ENGINE)
+    order_s = owner.settings["ORDER_S"]
+    assert (
+        owner.owners.owned(ENGINE).orders_end_at == owner.owners.owned(ENGINE).taken_at
+    )
+    await world.kill(owner)
+    for _ in range(2):
+        await world.run(2)
+        successor = world.owner_of(ENGINE)
+        owned = successor.owners.owned(ENGINE)
+        assert owned.predecessor_stopped
+        assert owned.orders_end_at >= owned.taken_at + order_s * 1.02
+        assert (await successor.owners.release(ENGINE)).is_ok()
+
+
+@pytest.mark.parametrize("open_order", [False, True])
+async def test_given_back_with_an_order_under_way(world, open_order):
+    # A VM shuts down and gives its target back right after it sent an eviction.
+    # The successor may go on at once only if no order is under way.
+    for number in range(2):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    owner = world.owner_of(ENGINE)
+    owner.owners.tell_open_orders(lambda resource: open_order)
+    assert (await owner.owners.release_all()).is_ok()
+    await world.run(2)
+    owned = world.owner_of(ENGINE).owners.owned(ENGINE)
+    assert owned.fence == 2 and owned.predecessor_stopped
+    assert (owned.orders_end_at > owned.taken_at) is open_order
+
+
+async def test_lease_shorter_than_the_longest_order():
+    # With LEASE_S below ORDER_S no lease is ever held for a whole order. The owner
+    # has the right all the same: its successor waits out the lease, then the order.
+    world = World(LEASE_S=3.0, LEASE_RENEW_S=1.0, ORDER_S=8.0, WATCH_SILENT_S=4.0)
+    world.want(ENGINE)
+    for number in range(2):
+        world.add(f"vm-{number}")
+    await world.run(5)
+    owner = world.owner_of(ENGINE)
+    assert owner.owners.right(ENGINE) is OrderRight.FULL
+    world.freeze(owner)
+    last_order_at = owner.leases._until
+    (other,) = [vm for vm in world.vms.values() if vm is not owner]
+    for _ in range(300):
+        if other.owners.right(ENGINE) is OrderRight.FULL:
+            break
+        await world.run(0.1)
+    assert other.owners.right(ENGINE) is OrderRight.FULL
+    assert other.timers.now() >= last_order_at + 8.0
+    await world.stop()
+
+
 async def test_take_took_effect_and_reply_lost(world):
     # The takeover is written and its reply lost, with the read back failing too.
     # The VM must not leave the resource without an owner that knows itself one.
