Test orders and loads that outlive their owner or their timeout

An eviction written just before its timeout can land ORDER_S later, also at a target that restarted unnoticed; a load (LOAD_S) outlives the wait of a successor (ORDER_S) but takes no adapter from a request. Each is now a test.

--- a/hawthornlead/tests/fakes_engines.py
+++ b/hawthornlead/tests/fakes_engines.py
@@ -1,5 +1,6 @@
 """A target in process, whose own record judges what was done to it."""
 
+import asyncio
 from collections import deque
 
 from result import Err, Ok
@@ -148,6 +149,10 @@
         self._awake = awake
         self.freeze_before_check = None
         self.freeze_after_check = None
+        # Seconds that the next eviction takes to be written, and then to land; its
+        # sender gives up at its timeout.
+        self.late_evict: tuple[float, float] | None = None
+        self._late: set[asyncio.Task] = set()
         self.cut = False
 
     async def order(
@@ -159,8 +164,16 @@
             return Err(Failure(ErrorKind.TARGET_UNREACHABLE, "down"))
         if self.freeze_before_check is not None:
             await self.freeze_before_check(op)
+        late = None
+        if op is Order.EVICT and self.late_evict is not None:
+            late, self.late_evict = self.late_evict, None
+            await self._engine.timers.sleep(late[0])
         if not still_right():
             return Err(Failure(ErrorKind.NO_GRANT, "the right ended"))
+        if late is not None:
+            self._land_late(late[1], fence, AdapterVersion(adapter, version))
+            await self._engine.timers.sleep(timeout_s - late[0])
+            return Err(Failure(ErrorKind.TARGET_LOST, "no answer in time"))
         if self.freeze_after_check is not None:
             await self.freeze_after_check(op)
         key = AdapterVersion(adapter, version)
@@ -173,6 +186,15 @@
             return outcome
         return Ok(OrderReply(self._engine.now(), self._engine.boot_id))
 
+    def _land_late(self, seconds, fence, key):
+        async def land():
+            await self._engine.timers.sleep(seconds)
+            await self._engine.carry_out(Order.EVICT, fence, key)
+
+        task = asyncio.get_running_loop().create_task(land())
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+
     async def report(self):
         """Read the report."""
         await self._awake()
--- /dev/null
+++ b/hawthornlead/tests/test_attempts.py
@@ -0,0 +1,84 @@
+"""Tests of what an attempt says of its end to the grant that it runs under."""
+
+from types import SimpleNamespace
+
+import pytest
+from result import Err, Ok
+
+from hawthornlead.attempts import AttemptCall, AttemptRunner
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.settings import default_settings
+
+from .fakes_targets import make_parts
+from .fakes_worlds import Assigned
+
+LOST = Failure(ErrorKind.TARGET_LOST, "the connection broke")
+
+
+class _Exchange:
+    """A connection that breaks, before or after the answer had begun."""
+
+    def __init__(self, head):
+        self.head = head
+
+    async def send(self, *args):
+        return Err(LOST) if self.head is None else Ok(self.head)
+
+    async def read_to_end(self, silent_s):
+        return Err(LOST)
+
+    def release(self):
+        """Nothing to give back."""
+
+    def close(self):
+        """Closed already."""
+
+
+class _Grant:
+    def __init__(self):
+        self.ended = None
+
+    def begin(self, attempt_id):
+        return Ok(None)
+
+    def finish(self, attempt_id, *, ended=False):
+        self.ended = ended
+
+
+@pytest.mark.parametrize(
+    ("begun", "cancelled", "ended"),
+    [
+        (False, Ok(None), False),
+        (True, Ok(None), True),
+        (True, Err(LOST), False),
+    ],
+)
+async def test_cancel_that_overtakes_its_request(begun, cancelled, ended):
+    """A connection breaks while the request is on its way to the target.
+
+    The cancel goes over a fresh connection, arrives first and is answered. Were the
+    grant given back now, the owner could evict while the request arrives and runs.
+    """
+    head = SimpleNamespace(status=200) if begun else None
+
+    async def open_connection(address, fresh):
+        return Ok(_Exchange(head))
+
+    async def cancel(request_id):
+        return cancelled
+
+    client = SimpleNamespace(cancel=cancel)
+    runner = AttemptRunner(
+        settings=default_settings(VM_NAME="vm-1"),
+        connections=SimpleNamespace(open=open_connection),
+        clients=SimpleNamespace(client=lambda address: client),
+        **make_parts()._asdict(),
+    )
+    call = AttemptCall(
+        "r1", "engine", "", Assigned("tide"), "tide?", 5, 0, 0, 100.0, False
+    )
+    grant = _Grant()
+    sink = SimpleNamespace(gone=False, write=lambda events: None)
+    end = await runner.run(call, grant, sink)
+    assert end.failure is not None
+    assert grant.ended is ended
--- /dev/null
+++ b/hawthornlead/tests/test_daemon_stops.py
@@ -0,0 +1,56 @@
+"""Tests of the order in which a daemon stops its parts."""
+
+from random import Random
+
+from hawthornlead.daemons import Daemon
+from hawthornlead.memory_stores import MemoryObjects, MemoryStore
+from hawthornlead.settings import default_settings
+from hawthornlead.timers import TimerService
+
+
+async def test_peer_port_is_closed_after_everything_else(monkeypatch):
+    """A VM shuts down while others look for proof that it is gone.
+
+    A peer port that refuses is such proof. Closed before the connections to targets
+    and callers, it would let a successor act while this process still does.
+    """
+    settings = default_settings(
+        VM_NAME="vm-1",
+        DATA_CENTRE="gijon",
+        CALLER_ADDRESS="127.0.0.1:0",
+        PEER_ADDRESS="127.0.0.1:0",
+        STORE_ADDRESS="127.0.0.1:1",
+        VM_LIST_ADDRESS="127.0.0.1:1",
+    )
+    timers = TimerService()
+    parts = {"settings": settings, "timers": timers, "rng": Random(1)}
+    objects = MemoryObjects()
+    daemon = Daemon(settings, store=MemoryStore(objects, **parts), seed=1)
+    await daemon.start()
+    (server,) = daemon._servers
+    done = []
+
+    def noted(name, part, method):
+        original = getattr(part, method)
+
+        async def call(*args, **kwargs):
+            done.append(name)
+            return await original(*args, **kwargs)
+
+        monkeypatch.setattr(part, method, call)
+
+    noted("mesh", daemon._mesh, "stop")
+    noted("callers", server, "close_all_connections")
+    noted("owners", daemon._owners, "release_all")
+    noted("lease", daemon._leases, "release")
+    noted("targets", daemon._target_owners, "stop")
+    close = daemon._connections.close
+
+    def close_targets():
+        done.append("connections")
+        close()
+
+    monkeypatch.setattr(daemon._connections, "close", close_targets)
+    await daemon.stop()
+    timers.stop()
+    assert done == ["targets", "owners", "lease", "connections", "callers", "mesh"]
--- a/hawthornlead/tests/test_slots.py
+++ b/hawthornlead/tests/test_slots.py
@@ -323,6 +323,76 @@
     assert (await world.acquired("b", "lap", wait_s=30)).is_ok()
 
 
+@pytest.mark.parametrize("fencing", [True, False])
+@pytest.mark.parametrize("restart", [False, True])
+async def test_eviction_that_lands_after_its_timeout(fencing, restart):
+    """An eviction is written just before its timeout, and its sender gives up.
+
+    It lands five seconds later. The report shows the adapter resident all the time,
+    a caller asks for it, and its stream would be broken by the sender's own order.
+    A target that restarted just before, unnoticed, has even loaded it anew.
+    """
+    world = await _world(fencing=fencing)
+    await world.acquired("b", "tide")
+    await world.advance(4)
+    world.vms["a"].client.late_evict = (7.5, 5.0)
+    wanted = world.acquire("a", "lap", wait_s=15)
+    await world.advance(6.5)
+    if restart:
+        world.engine.restart()
+    await world.advance(2)
+    asked = world.acquire("b", "tide", wait_s=40)
+    for _ in range(600):
+        if asked.done():
+            break
+        await world.advance(0.1)
+    grant = asked.result().unwrap()
+    assert world.send("b", grant, "tide", "r1")
+    await world.advance(20)
+    assert world.engine.end("r1") and world.engine.violations == []
+    assert wanted.done()
+
+
+async def test_load_that_outlives_its_owner():
+    """An owner is killed while a load runs that takes longer than ORDER_S.
+
+    It lands after its successor began to grant, in a slot that looked free to it.
+    What needs the slot meanwhile is refused; no request loses its adapter, and the
+    slot is used again.
+    """
+    world = await _world("abc", fencing=False)
+    world.engine.load_s = 20.0
+    world.acquire("a", "tide")
+    await world.advance(2)
+    assert world.engine.loading == 1
+    world.kill("a")
+    world.give("c", ALLOWANCE, stopped=True)
+    world.give("c", stopped=True)
+    await world.advance(10)
+    assert world.vms["c"].targets.targets["engine"].ready
+    world.engine.load_s = 0.2
+    refused = await world.acquired("c", "lap")
+    assert refused.unwrap_err().kind is ErrorKind.NO_SLOT
+    await world.advance(12)
+    assert (await world.acquired("c", "lap")).is_ok()
+    assert world.engine.violations == []
+    assert [key.adapter for key in world.engine.loads] == ["tide", "lap"]
+
+
+async def test_each_request_counts_once_for_its_owner():
+    world = await _world()
+    popularity = world.vms["a"].targets._policies.popularity
+    counted = []
+    popularity.observe = lambda adapter, now, count=1: counted.append(count)
+    for number in range(3):
+        grant = (await world.acquired("b", "tide")).unwrap()
+        assert world.send("b", grant, "tide", f"r{number}")
+        world.engine.end(f"r{number}")
+        grant.finish(f"r{number}", ended=True)
+    await world.advance(10)
+    assert sum(counted) == 3
+
+
 async def test_leaving_target_takes_no_new_work():
     world = await _world()
     await world.acquired("b", "tide")
