Judge owners, slots and grants together by the targets' own records

Real owners, target owners, allowances and grants of three VMs over the mesh's codec and the store in memory, with the engine and weight store stand-ins as judges: an owner killed with grants out, an eviction under way when its owner is killed or shuts down, and a change of the allowance's holder with loads under way. Clocks are moved by hand, so that nothing depends on the machine's speed.

--- /dev/null
+++ b/hawthornlead/tests/test_slots_joined.py
@@ -0,0 +1,161 @@
+"""Owners, slots and grants together; the stand-ins' own records are the judge."""
+
+import pytest
+
+from hawthornlead.timers import ManualTimerService
+
+from .fakes_joined import Fleet
+from .fakes_worlds import ALLOWANCE
+from .standins.engine import EngineStandIn
+from .standins.weight_store import WeightStoreStandIn
+
+
+@pytest.fixture
+async def build():
+    """Build a fleet, and stop it in the end."""
+    started = []
+
+    async def make(names=("engine",), *, weights=None, settings=(), **faults):
+        timers = ManualTimerService()
+        store = None
+        if weights is not None:
+            store = WeightStoreStandIn(name="weights", timers=timers, **weights)
+            faults["weight_store"] = await store.start()
+            started.append(store)
+        engines = {}
+        for name in names:
+            engines[name] = EngineStandIn(
+                name=name, timers=timers, token_s=0.05, **faults
+            )
+            await engines[name].start()
+            started.append(engines[name])
+        fleet = Fleet(timers, engines, store, **dict(settings))
+        started.append(fleet)
+        await fleet.until(lambda: fleet.owner(ALLOWANCE) is not None)
+        for name in names:
+            await fleet.until(lambda n=name: fleet.owner(f"target:{n}") is not None)
+        return fleet
+
+    yield make
+    for part in reversed(started):
+        await part.stop()
+
+
+async def _resident(fleet, adapter="tide"):
+    """Have an adapter loaded, and its grant given back again."""
+    asked = fleet.acquire(fleet.others()[0], adapter)
+    await fleet.until(asked.done)
+    assert asked.result().is_ok()
+    del asked
+    await fleet.advance(8)
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+async def test_owner_killed_with_grants_out(build, fencing):
+    """An owner is killed while a VM streams and holds grants, and a load waits.
+
+    Its successor knows of no grant. By the target's own record the adapter is never
+    evicted under the stream, nor under a request that begins in the last moment of
+    its grant; the load is made when both have ended.
+    """
+    fleet = await build(fencing=fencing, slots=1)
+    owner, (holder, other) = fleet.owner(), fleet.others()
+    asked = fleet.acquire(holder, "tide")
+    late = fleet.acquire(holder, "tide")
+    await fleet.until(lambda: asked.done() and late.done())
+    stream = fleet.send(holder, asked.result().unwrap(), "tide", "r1", 500)
+    await fleet.advance(1)
+    await fleet.kill(owner)
+    await fleet.until(lambda: fleet.owner() is not None)
+    wanted = fleet.acquire(other, "lap")
+    last = late.result().unwrap()
+    await fleet.until(lambda: holder.timers.now() > last.ends_at - 0.25)
+    second = fleet.send(holder, last, "tide", "r2", 300)
+    await fleet.until(lambda: stream.done() and second.done())
+    fleet.check()
+    for _ in range(5):
+        await fleet.until(wanted.done)
+        if wanted.result().is_ok():
+            break
+        wanted = fleet.acquire(other, "lap")
+    assert wanted.result().is_ok()
+    fleet.check()
+    outcomes = {run["id"]: run["outcome"] for run in fleet.engine.record()["runs"]}
+    assert outcomes == {"r1": "done", "r2": "done"}
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+@pytest.mark.parametrize("loss", ["killed", "shut down"])
+async def test_eviction_under_way_when_its_owner_goes(build, fencing, loss):
+    """An owner sends an eviction that the target carries out seven seconds later.
+
+    Meanwhile the owner is killed or shuts down, and its successor may take over at
+    once. Callers ask for the adapter, which the target still reports as resident.
+    None of their requests may lose it.
+    """
+    fleet = await build(fencing=fencing, slots=1)
+    owner, (holder, _) = fleet.owner(), fleet.others()
+    await _resident(fleet)
+    fleet.engine.set_faults(order_delay_s=7.0)
+    wanted = fleet.acquire(owner, "lap")
+    orders = fleet.engine.book.orders
+    await fleet.until(lambda: orders and orders[-1]["op"] == "evict")
+    fleet.engine.set_faults(order_delay_s=0.0)
+    if loss == "killed":
+        await fleet.kill(owner)
+    else:
+        await fleet.shut_down(owner)
+    wanted.cancel()
+    streams = []
+    for number in range(60):
+        asked = fleet.acquire(holder, "tide", 2.0, load=False)
+        await fleet.until(asked.done)
+        if asked.result().is_err():
+            await fleet.advance(0.5)
+            continue
+        grant = asked.result().ok_value
+        streams.append(fleet.send(holder, grant, "tide", f"r{number}", 100))
+        await fleet.advance(2)
+    await fleet.until(lambda: all(stream.done() for stream in streams))
+    assert any(order["op"] == "evict" and order["ended"] for order in orders)
+    fleet.check()
+
+
+async def test_allowance_through_a_change_of_its_holder(build):
+    """The holder of the weight store's allowance is killed with loads under way.
+
+    Its successor knows of none of them. By the weight store's own record there are
+    never more loads at once than allowed, nor more a second; afterwards all that
+    is wanted gets loaded.
+    """
+    settings = {"LOADS_PER_S": 1.0, "LOADS_AT_ONCE": 2, "LOAD_S": 8.0}
+    # A start is one step of the hand-moved clocks early or late at each hop.
+    weights = {"load_s": 5.0, "loads_per_s": 1.0, "at_once": 2, "slack_s": 0.25}
+    names = ("engine-1", "engine-2", "engine-3")
+    fleet = await build(
+        names, weights=weights, settings=settings, fencing=True, slots=8
+    )
+    holder = fleet.owner(ALLOWANCE)
+    asking = [vm for vm in fleet.vms.values() if vm is not holder][0]
+    wanted = {(name, f"adapter-{n}") for name in names for n in range(2)}
+    tasks = {}
+
+    def ask():
+        for target, adapter in wanted:
+            task = tasks.get((target, adapter))
+            if task is None or (task.done() and task.result().is_err()):
+                tasks[target, adapter] = fleet.acquire(asking, adapter, 15.0, target)
+
+    ask()
+    await fleet.until(lambda: fleet.weights.open == 2)
+    await fleet.kill(holder)
+    for _ in range(120):
+        await fleet.advance(1)
+        ask()
+        if all(task.done() and task.result().is_ok() for task in tasks.values()):
+            break
+    record = fleet.weights.record()
+    assert all(task.done() and task.result().is_ok() for task in tasks.values())
+    assert record["over_concurrency"] == 0 and record["most_at_once"] == 2
+    assert record["over_rate"] == 0
+    fleet.check()
