Rule out a late accepting write before a roll is answered again

An order that was sent again met its own stage and was answered 'conflict', or took the stage up again, while its accepting write could still be under way: the operator was told 'not accepted' and the bundle came into force later (BUN-12). The stage is now replaced under a new number by a conditional write, after which the late one can't take effect; elsewhere the order is answered as unknown. Weighed: reading back alone, which leaves the write under way.

Proof that a VM is gone is now of its process, whichever lease incarnation is named. A VM sends a heartbeat at once when its bundles change. Guards against stale doubt (BUN-3, 4, 6, 13, 14) were there and have tests now.

--- a/hawthornlead/bundle_knowledge.py
+++ b/hawthornlead/bundle_knowledge.py
@@ -37,8 +37,9 @@
 def told_by_peer(reply: BundlePointer, asked_at: float) -> Told:
     """Return what a VM tells that was asked at ``asked_at``.
 
-    The age counts from its reply, which is later than the asking, so that what is
-    reckoned here is never too late.
+    Guards against old answers that waited in a socket and prolong the service of a
+    replaced bundle (BUN-4). The age counts from its reply, which is later than the
+    asking, so that what is reckoned here is never too late.
     """
     staged = None
     if reply.staged_seq:
@@ -95,13 +96,18 @@
 
     def merge(self, told: Told, now: float) -> None:
         """Take in what a source tells."""
+        # Guards against late words that bring back an older bundle (BUN-3): seen
+        # from outside, a version that was replaced answers again. Numbers only grow.
         if told.seq > self._seq:
             self._seq, self._digest = told.seq, told.digest
         self._decided_seq = max(self._decided_seq, told.decided_seq, told.seq)
         staged = told.staged
         if staged is not None and staged.seq > self._decided_seq:
             if self._staged is None or staged.seq > self._staged.seq:
-                # A stage begins only when all before it are decided.
+                # A stage begins only when all before it are decided. Whoever tells
+                # of it tells, in ``told.seq``, what was in force when it began: else
+                # the new doubt would hide that an earlier stage was accepted, and
+                # proof on this one would make an old bundle served (BUN-14).
                 self._decided_seq = staged.seq - 1
                 self._staged, self._staged_at = staged, now
                 self._confirmed_at = NEVER
--- a/hawthornlead/bundle_pointers.py
+++ b/hawthornlead/bundle_pointers.py
@@ -1,9 +1,10 @@
 """The pointer to the bundle in force, and the only ways in which it changes.
 
 ``bundle/pointer`` is one small object, changed by conditional update only. A stage
-has a sequence number that is never used again, so that a late word on one stage
-can't be taken for one on another with the same content. Numbers of abandoned
-stages are skipped.
+has a sequence number that is never used again, numbers of abandoned stages included.
+It guards against a late word on one stage being taken for one on another (BUN-6),
+which would show as a VM that lost its doubt and serves an old bundle on: a read from
+before the stage has a lower ``last_seq`` and so decides nothing about it.
 """
 
 from typing import Any, NamedTuple
--- a/hawthornlead/members.py
+++ b/hawthornlead/members.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from .events import EventKind
+from .lease_objects import process_of
 from .meshes import PeerInfo
 from .messages import Goodbye, Hello
 
@@ -129,7 +130,11 @@
         no longer names the VM, which it named after this VM had met the incarnation.
         A frozen VM refuses nothing and stays listed, so that a freeze proves nothing,
         and neither does a cut. Only ``goodbye`` counts for a VM that was never met.
+
+        It is the process that is proved gone, whichever of its lease's incarnations
+        is named: one that goes on under a new lease has not stopped.
         """
+        incarnation = process_of(incarnation)
         if self._mesh.gone(vm, incarnation):
             return "goodbye"
         met = self._met.get((vm, incarnation))
--- a/hawthornlead/roll_orders.py
+++ b/hawthornlead/roll_orders.py
@@ -25,7 +25,7 @@
 )
 from .errors import ErrorKind, Failure
 from .events import EventKind
-from .lease_objects import Registration
+from .lease_objects import Registration, process_of
 from .messages import BundleDecided, StageBundle, StagedBundle
 from .registered_vms import list_registered
 from .signatures import Purpose, SignedStatement, Statement
@@ -106,8 +106,7 @@
             return valid
         statement = valid.unwrap()
         if statement.order_id in self._running:
-            detail = "this order is being carried out: wait for its end"
-            return Err(Failure(ErrorKind.ROLL_CONFLICT, detail, 1.0))
+            return Err(_under_way(self._vm))
         self._events.emit(
             EventKind.ROLL_STARTED,
             statement.digest,
@@ -167,12 +166,9 @@
         if staged.is_err():
             return staged
         pointer = staged.unwrap()
-        ended = pointer.ended(statement.order_id)
-        ours = pointer.staged is not None and (
-            pointer.staged.order_id == statement.order_id
-        )
-        if ended is not None and not ours:
-            return self._told_before(ended)
+        stage = pointer.staged
+        if stage is None or stage.order_id != statement.order_id:
+            return self._told_before(pointer.ended(statement.order_id))
         started_at = self._timers.now()
         words = await self._gather_words(pointer, statement)
         if words.is_err():
@@ -196,16 +192,27 @@
     # Staging
 
     async def _stage(self, statement: Statement) -> Result[Pointer, Failure]:
-        """Stage the bundle; the pointer returned has the stage or the past roll."""
+        """Stage the bundle; the pointer returned has the stage or the past roll.
+
+        An order that was sent again may find its own stage, with an accepting write
+        still under way whose reply was lost. It shows as "not accepted" being
+        answered for a bundle that comes into force later (BUN-12). So the stage is
+        never taken up again: it is replaced under a new number, by a conditional
+        write after which the late one meets another version and can't take effect.
+        """
         refusal: Pointer | None = None
 
         def change(value):
             nonlocal refusal
             refusal = None
             pointer = read_pointer(value)
-            if pointer.ended(statement.order_id) is not None:
+            stage = pointer.staged
+            again = stage is not None and stage.order_id == statement.order_id
+            if pointer.ended(statement.order_id) is not None and not again:
                 return None
-            busy = pointer.staged is not None and self._is_alive(pointer.staged)
+            busy = stage is not None and self._is_alive(stage)
+            if again and stage.vm == self._vm:
+                busy = False
             if pointer.seq != statement.expected_seq or busy:
                 refusal = pointer
                 return None
@@ -224,6 +231,9 @@
         if written.is_err():
             return Err(_unknown(written.unwrap_err(), "nothing was accepted"))
         if refusal is not None:
+            stage = refusal.staged
+            if stage is not None and stage.order_id == statement.order_id:
+                return Err(_under_way(stage.vm))
             return await self._conflict(refusal, statement.digest)
         pointer = read_pointer(written.unwrap().value or None)
         self._keeper.take(told_by_pointer(pointer, sent_at))
@@ -277,8 +287,10 @@
     async def _gather_words(
         self, pointer: Pointer, statement: Statement
     ) -> Result[_Words, Failure]:
-        # Read after the stage was written: a VM that is not in this list read the
-        # pointer after it registered, and so after the stage, and is in doubt.
+        # Guards against a VM that nobody waits for and that serves the old bundle
+        # on after the acceptance (BUN-11, BUN-13). The list is read after the stage
+        # was written: a VM that is not in it read the pointer after it registered,
+        # and so after the stage, and is in doubt by having read of it.
         listed = await list_registered(self._store)
         if listed.is_err():
             return listed
@@ -307,7 +319,11 @@
         return Ok(_Words(tuple(acknowledged), tuple(gone), tuple(waived), silent))
 
     def _is_gone(self, entry: Registration) -> bool:
-        return self._members.proof_gone(entry.vm, entry.incarnation) is not None
+        # A process that registered anew after its lease lapsed has two names. Proof
+        # is of the process: that one of its registrations was ended must not count
+        # as proof, or a roll is accepted without a VM that serves behind a cut.
+        process = process_of(entry.incarnation)
+        return self._members.proof_gone(entry.vm, process) is not None
 
     async def _word(
         self, vm: str, entries: list[Registration], pointer: Pointer
@@ -349,8 +365,10 @@
                 return None
             return pointer_document(pointer.with_accepted(words.waived))
 
-        # Noted with no await between this and the sending: no answer of this VM
-        # that vouches for "not accepted" can be later than the write.
+        # Guards against a VM that goes on serving the old bundle on this VM's word
+        # after the write took effect and its reply was lost (BUN-5). Noted with no
+        # await between this and the sending: no answer of this VM that vouches for
+        # "not accepted" can be later than the write.
         self._keeper.begin_accepting(stage.seq)
         sent_at = self._timers.now()
         written = await self._store.update(POINTER_KIND, POINTER_NAME, change)
@@ -373,8 +391,11 @@
     async def _abandon(
         self, stage: Stage, failure: Failure
     ) -> Result[RollOutcome, Failure]:
-        # The answer holds either way: this process never sends the write that
-        # accepts the stage from here on, and no other process may.
+        # Guards against "not accepted" for a bundle that comes into force later
+        # (BUN-12). The answer holds whatever becomes of this write: the one that
+        # accepts this stage was never sent, this process won't send it from here on,
+        # and no other process may. A stage whose accepting write was sent is never
+        # abandoned here: its order ends as unknown and is staged anew.
         sent_at = self._timers.now()
         abandoned = await abandon_stage(self._store, stage.seq)
         if abandoned.is_ok():
@@ -397,6 +418,11 @@
     return (reply.vm, reply.seq, reply.digest) == (vm, stage.seq, stage.digest)
 
 
+def _under_way(vm: str) -> Failure:
+    detail = f"this order is being carried out at {vm}: ask again with it"
+    return Failure(ErrorKind.ROLL_UNKNOWN, detail, 1.0)
+
+
 def _not_accepted(silent: dict[str, str]) -> Failure:
     detail = "no word from " + "; ".join(silent.values())
     return Failure(ErrorKind.ROLL_NOT_ACCEPTED, detail)
--- a/hawthornlead/rolls.py
+++ b/hawthornlead/rolls.py
@@ -113,6 +113,7 @@
         self._knowledge = BundleKnowledge()
         self._in_force: InForce | None = None
         self._permit: Ok[InForce] | None = None
+        self._held_told = (0, 0)
         self._accepting_seq = 0
         self._acknowledged = Acknowledged(0, NEVER)
         self._joined_as = ""
@@ -184,8 +185,9 @@
     async def read_pointer(self) -> Result[Pointer, Failure]:
         """Read the pointer from the store and take in what it says."""
         read_at = self._timers.now()
-        # The incarnation is noted before the read: a VM has joined when it has
-        # read the pointer after it was registered, since a roll that was staged
+        # Guards against a VM that no roll waits for and that never hears of one
+        # (BUN-7). The incarnation is noted before the read: a VM has joined when it
+        # has read the pointer after it was registered, since a roll that was staged
         # later than that read finds it registered and waits for its word.
         incarnation = self._leases.incarnation
         registered = self._leases.state in ("held", "lapsed")
@@ -207,6 +209,7 @@
         if self._knowledge.seq > before:
             self._source = source
         self._follow()
+        self._tell_change()
 
     def hold_loaded(self, bundle: Bundle) -> None:
         """Keep a verified bundle at hand, so that accepting it takes no time."""
@@ -224,6 +227,7 @@
     def take_abandoned(self, seq: int) -> None:
         """Take in that a stage was abandoned."""
         self._knowledge.abandoned(seq)
+        self._tell_change()
 
     # Serving
 
@@ -238,6 +242,10 @@
         if self._in_force is None or self._in_force.seq < knowledge.seq:
             detail = f"bundle {knowledge.seq} is in force and not here yet"
             return Failure(ErrorKind.BUNDLE_BEHIND, detail, 1.0)
+        # Guards against a VM that missed an acceptance and serves the old bundle on
+        # (BUN-2, BUN-9, BUN-13). Whoever knows of a stage is in doubt of it, however
+        # it came to know, by the roll's asking or by reading as a newcomer does:
+        # without fresh proof that it is not accepted the VM refuses.
         staged = knowledge.staged
         if staged is not None and now - self._trusted(now) > self._doubt_s:
             detail = f"bundle {staged.seq} may be in force: no word for a while"
@@ -257,7 +265,9 @@
         """Return when the staged bundle was surely not accepted yet.
 
         Only the process that staged it can accept it, so that this process itself
-        knows that its own stage is not accepted until it sends the write.
+        knows that its own stage is not accepted until it sends the write. No other
+        process is sure by itself, not one restarted under the VM's name either
+        (BUN-8): it can only hand on, with its age, what this one or the store said.
         """
         staged = self._knowledge.staged
         if staged is None:
@@ -297,6 +307,13 @@
         self._metrics.bundle_seq.set(seq)
         self._events.emit(EventKind.BUNDLE_IN_FORCE, bundle.digest, seq=seq)
 
+    def _tell_change(self) -> None:
+        """Send a heartbeat at once when what it says of bundles has changed."""
+        held = (self.seq_in_force, self.staged_seq)
+        if held != self._held_told:
+            self._held_told = held
+            self._mesh.heartbeat_changed()
+
     async def _catch_up(self) -> None:
         while True:
             seq, digest = self._knowledge.seq, self._knowledge.digest
@@ -310,6 +327,7 @@
             self.hold_loaded(loaded.unwrap().bundle)
             if self._knowledge.seq == seq and self.seq_in_force < seq:
                 self._put_in_force(seq, loaded.unwrap().bundle)
+                self._tell_change()
 
     def _refused(self, digest: str, failure: Failure) -> None:
         self._events.emit(
@@ -437,7 +455,7 @@
             accepted=message.accepted,
         )
         if not message.accepted:
-            self._knowledge.abandoned(message.seq)
+            self.take_abandoned(message.seq)
             return
         self.take(Told(message.seq, message.digest, message.seq, None), sender.vm)
 
--- a/hawthornlead/tests/fakes_bundles.py
+++ b/hawthornlead/tests/fakes_bundles.py
@@ -159,6 +159,7 @@
         self.network = network
         self.vm, self.incarnation, self.data_centre = vm, incarnation, data_centre
         self.handlers = {}
+        self.heartbeats = 0
         network.meshes[vm] = self
 
     @property
@@ -194,6 +195,10 @@
             return Err(Failure(ErrorKind(reply.kind), reply.detail))
         return Ok(reply)
 
+    def heartbeat_changed(self):
+        """Note what a heartbeat that is sent at once would tell."""
+        self.heartbeats += 1
+
     def broadcast(self, message):
         """Send to all that can be reached, unless this kind is dropped."""
         if type(message) in self.network.drops:
--- a/hawthornlead/tests/test_events.py
+++ b/hawthornlead/tests/test_events.py
@@ -37,6 +37,17 @@
     assert len(EventKind.__members__) == len(list(EventKind))
 
 
+def test_fields_may_have_any_name():
+    """Every refused request answers 500 in place of its own status.
+
+    The event of a refusal has a field ``kind``, which is also a parameter of
+    ``emit``; passed twice, it raises within the handler.
+    """
+    events = ring()
+    events.emit(EventKind.REQUEST_REFUSED, "r", kind="no-slot", subject="x")
+    assert events.newest()[0].text == "kind=no-slot subject=x"
+
+
 def test_ring_keeps_the_newest():
     events = ring(size=3)
     for number in range(5):
--- a/hawthornlead/tests/test_members.py
+++ b/hawthornlead/tests/test_members.py
@@ -95,6 +95,21 @@
     assert fleet.members.proof_gone("c", "c-1") is None
 
 
+async def test_a_new_lease_of_a_process_is_neither_proof_nor_without_proof(fleet):
+    """A VM's lease lapses in a store outage; its process goes on as ``b-1+2``.
+
+    Nothing has stopped, so neither name is proved gone. When the process dies both
+    are, or whoever waits for proof on the second waits for ever.
+    """
+    await fleet.run(10)
+    for incarnation in ("b-1", "b-1+2"):
+        assert fleet.members.proof_gone("b", incarnation) is None
+    fleet.network.leave("b")
+    await fleet.run(3)
+    for incarnation in ("b-1", "b-1+2"):
+        assert fleet.members.proof_gone("b", incarnation) == "refused"
+
+
 async def test_two_refusals_prove_that_a_process_is_gone(fleet):
     fleet.network.leave("b")
     assert fleet.members.proof_gone("b", "b-1") is None
--- a/hawthornlead/tests/test_rolls.py
+++ b/hawthornlead/tests/test_rolls.py
@@ -3,13 +3,20 @@
 import asyncio
 
 import pytest
+from result import Err
 
+from hawthornlead.bundle_knowledge import told_by_pointer
 from hawthornlead.bundle_pointers import read_pointer
-from hawthornlead.errors import ErrorKind
-from hawthornlead.messages import BundleDecided, BundlePointer, FetchBundlePointer
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.messages import (
+    BundleDecided,
+    BundlePointer,
+    FetchBundlePointer,
+    StageBundle,
+)
 from hawthornlead.signatures import Statement, sign
 
-from .fakes_bundles import ANNA, BERTA, Fleet
+from .fakes_bundles import ANNA, BERTA, FakeStore, Fleet
 
 
 @pytest.fixture
@@ -365,3 +372,143 @@
     assert again.unwrap().seq == first.seq
     await fleet.settle()
     assert fleet.served("c") == 2
+
+
+async def test_a_vm_that_starts_during_a_roll_is_in_doubt_of_it(fleet):
+    """A VM registers after the roll has listed the VMs, and reads of the stage.
+
+    Nobody waits for its word. It misses the decision and is cut off: were it in
+    doubt only of what it acknowledged, its callers would get the old bundle for as
+    long as it hears a single VM that knows no better.
+    """
+    (await fleet.roll("a", fleet.v1, 0)).unwrap()
+
+    async def start_late(kind):
+        if kind == "bundle" and _pointer(fleet).staged is not None:
+            fleet.vms["a"].store.before_write = None
+            new = await fleet.add("d")
+            new.store.out = True
+            fleet.network.cuts = {frozenset(("d", name)) for name in "abc"}
+            fleet.network.drops = [BundleDecided]
+
+    fleet.vms["a"].store.before_write = start_late
+    outcome = await fleet.finish(
+        fleet.vms["a"].keeper.roll(fleet.order(fleet.v2, 1)), 2.0
+    )
+    assert outcome.unwrap().acknowledged == ("a", "b", "c")
+    assert fleet.served("d") == 1
+    await fleet.run(3.2)
+    assert fleet.refusal("d") is ErrorKind.BUNDLE_UNDECIDED
+
+
+async def test_doubt_of_one_stage_does_not_hide_doubt_of_an_earlier_one(fleet):
+    """A VM misses that bundle 2 was accepted, and is asked to acknowledge stage 3.
+
+    What proves that 3 is not accepted yet would make it serve 1 again, in the place
+    of 2. A stage tells what was in force when it was written, so that the VM that
+    acknowledges it follows 2 first.
+    """
+    (await fleet.roll("a", fleet.v1, 0)).unwrap()
+    v3 = await fleet.release("v3")
+    fleet.network.drops = [BundleDecided]
+    (await fleet.roll("a", fleet.v2, 1)).unwrap()
+    (await fleet.vms["c"].keeper.library.load(v3)).unwrap()
+    fleet.vms["c"].store.out = True
+    assert fleet.served("c") == 1
+    stage = StageBundle(3, v3, 2, fleet.v2, "a", "a.1")
+    assert (await fleet.vms["a"].mesh.call("c", stage)).is_ok()
+    assert fleet.served("c") == 2
+
+
+async def test_a_read_from_before_the_stage_decides_nothing(fleet):
+    """A read of the pointer is answered after the VM acknowledged a later stage.
+
+    It shows no stage, which looks as if the stage had been abandoned; the VM would
+    lose its doubt and serve the old bundle past the acceptance that it then misses.
+    """
+    (await fleet.roll("a", fleet.v1, 0)).unwrap()
+    await fleet.settle()
+    store = fleet.vms["c"].store
+    old = _pointer(fleet)
+    fleet.network.drops = [BundleDecided]
+    (await fleet.roll("a", fleet.v2, 1)).unwrap()
+    store.out = True
+    fleet.network.cuts = {frozenset("ac"), frozenset("bc")}
+    keeper = fleet.vms["c"].keeper
+    keeper.take(told_by_pointer(old, fleet.timers.now() - 1))
+    assert keeper.staged_seq == 2
+    await fleet.run(3.2)
+    assert fleet.refusal("c") is ErrorKind.BUNDLE_UNDECIDED
+
+
+def _hold_accepting_write(fleet, vm):
+    """Let a VM's accepting write go unanswered; return where it is kept."""
+    store, held = fleet.vms[vm].store, []
+
+    async def hold(kind, name, value, version):
+        if kind != "bundle" or value["staged"] is not None:
+            return await FakeStore.put(store, kind, name, value, version)
+        held.append((kind, name, value, version))
+        del store.put
+        return Err(Failure(ErrorKind.STORE_UNAVAILABLE, "no reply"))
+
+    store.put = hold
+    return held
+
+
+@pytest.mark.parametrize("silent_vm", ["", "c"])
+async def test_a_late_accepting_write_does_not_undo_the_answer(fleet, silent_vm):
+    """The accepting write is under way for long, and the order is sent again.
+
+    The operator is told that the roll failed and goes on from there; then the write
+    lands and the bundle comes into force all the same. Nothing may be concluded
+    before a further write has made the late one impossible.
+    """
+    (await fleet.roll("a", fleet.v1, 0)).unwrap()
+    held = _hold_accepting_write(fleet, "a")
+    order = fleet.order(fleet.v2, 1)
+    first = await fleet.finish(fleet.vms["a"].keeper.roll(order))
+    assert first.unwrap_err().kind is ErrorKind.ROLL_UNKNOWN
+    elsewhere = await fleet.finish(fleet.vms["b"].keeper.roll(order))
+    assert elsewhere.unwrap_err().kind is ErrorKind.ROLL_UNKNOWN
+    if silent_vm:
+        fleet.network.cuts = {frozenset("ac"), frozenset("bc")}
+    again = await fleet.finish(fleet.vms["a"].keeper.roll(order))
+    landed = await fleet.vms["a"].store.put(*held[0])
+    assert landed.unwrap_err().kind is ErrorKind.VERSION_CONFLICT
+    if silent_vm:
+        assert again.unwrap_err().kind is ErrorKind.ROLL_NOT_ACCEPTED
+        assert _pointer(fleet).seq == 1
+        return
+    assert again.unwrap().seq == _pointer(fleet).seq == 3
+    third = await fleet.finish(fleet.vms["c"].keeper.roll(order))
+    assert third.unwrap().seq == 3
+
+
+async def test_a_new_lease_of_a_living_process_is_no_proof(fleet):
+    """A VM's lease lapses behind a cut and it registers anew as ``c.1+2``.
+
+    Its process runs and serves. Proof is of a process, whatever its registrations
+    are called: taken by their names, a dead VM's second one would block rolls for
+    ever, and the end of its first would count for the living process.
+    """
+    entries = fleet.objects.values[("leases", "bilbao")].value["entries"]
+    entries["c.1+2"] = dict(entries["c.1"])
+    entries["c.1"].update(state="ended", proof="silent")
+    fleet.network.cuts = {frozenset("ac"), frozenset("bc")}
+    failure = (await fleet.roll("a", fleet.v1, 0)).unwrap_err()
+    assert "c (bilbao)" in failure.detail
+    fleet.gone.add(("c", "c.1"))
+    assert (await fleet.roll("a", fleet.v1, 0)).unwrap().gone == ("c",)
+
+
+async def test_a_change_of_the_bundle_is_told_at_once(fleet):
+    mesh = fleet.vms["b"].mesh
+    assert mesh.heartbeats == 0
+    (await fleet.roll("a", fleet.v1, 0)).unwrap()
+    await fleet.settle()
+    assert mesh.heartbeats == 2
+    fleet.network.cuts = {frozenset("ac"), frozenset("bc")}
+    (await fleet.roll("a", fleet.v2, 1)).unwrap_err()
+    await fleet.settle()
+    assert mesh.heartbeats == 4
