--- a/hawthornlead/tests/demo.py
+++ b/hawthornlead/tests/demo.py
@@ -108,9 +108,7 @@
             "stream": stream,
         }
         where = address or self.addresses[0]
-        reply = await self._fleet.post(
-            where, "/v1/completions", body, **self.headers
-        )
+        reply = await self._fleet.post(where, "/v1/completions", body, **self.headers)
         answer = read_answer(reply)
         print(f"{self._name:>14} {alias:<8} {answer.told}")
         return answer
@@ -191,9 +189,7 @@
         print(f"settings and logs are in {self._fleet.folder}")
         await self._fleet.start_vms()
         found = await self._until_entries(self._any_vm(), len(self._fleet.vms))
-        self._checks.expect(
-            len(found) == 3, "/entry names all three entry VMs", found
-        )
+        self._checks.expect(len(found) == 3, "/entry names all three entry VMs", found)
         refused = read_answer(
             await self._fleet.post(
                 self._any_vm(), "/v1/completions", {"model": "tide", "prompt": ""}
@@ -284,9 +280,7 @@
         await asyncio.sleep(0.5)
         await self._fleet.kill_vm(KILLED)
         cut = await running
-        self._checks.expect(
-            not cut.whole, "the cut answer has no end marker", cut.told
-        )
+        self._checks.expect(not cut.whole, "the cut answer has no end marker", cut.told)
         others = [each for each in caller.addresses if each != address]
         answer = await caller.complete("tide", True, address=others[0])
         self._whole(answer, "tide", "1", 1, "the next address from /entry")
@@ -325,9 +319,7 @@
         self._checks.expect(code == 0, "the time line is answered", output[-500:])
         for name in self._fleet.vms:
             for number, what in ((400, "a bundle in force"), (601, "a request sent")):
-                found = any(
-                    line.split()[1:3] == [name, str(number)] for line in lines
-                )
+                found = any(line.split()[1:3] == [name, str(number)] for line in lines)
                 self._checks.expect(found, f"it tells of {what} at {name}", "nothing")
 
     def _whole(
