--- a/hawthornlead/target_owners.py
+++ b/hawthornlead/target_owners.py
@@ -82,6 +82,7 @@
         self._targets: dict[str, TargetOwner] = {}
         self._told: dict[str, _Told] = {}
         self._wanted: set[str] = set()
+        self._met: set[tuple[str, str]] = set()
         self._timer = None
 
     @property
@@ -204,6 +205,7 @@
         return max(0, copies)
 
     def _tell_all(self) -> None:
+        self._tell_joined()
         count = len(self._vm_list.engines())
         retell_s = max(RETELL_S, count / STATES_PER_S)
         now = self._timers.now()
@@ -218,6 +220,19 @@
             self._views.take(told.state)
             self._mesh.broadcast(told.state)
 
+    def _tell_joined(self) -> None:
+        """Tell every state to VMs that a connection has just opened to.
+
+        Without this a VM that joins knows of no usable target, and refuses its
+        first requests, until the owners tell their states again by themselves.
+        """
+        met = {(peer.vm, peer.incarnation) for peer in self._mesh.live}
+        for vm, _incarnation in met - self._met:
+            for told in self._told.values():
+                if told.state is not None:
+                    send(self._mesh, vm, told.state)
+        self._met = met
+
     async def _on_acquire(self, sender, ask: AcquireGrant):
         owner = self._targets.get(ask.target)
         if owner is None:
--- a/hawthornlead/tests/demo.py
+++ b/hawthornlead/tests/demo.py
@@ -313,9 +313,10 @@
         lines = output.splitlines()
         for line in lines:
             columns = line.split(maxsplit=3)
-            if len(columns) > 3 and columns[2].isdecimal():
-                if int(columns[2]) in TIMELINE_NUMBERS:
-                    print(line)
+            if len(columns) < 4 or not columns[2].isdecimal():
+                continue
+            if int(columns[2]) in TIMELINE_NUMBERS:
+                print(line)
         self._checks.expect(code == 0, "the time line is answered", output[-500:])
         for name in self._fleet.vms:
             for number, what in ((400, "a bundle in force"), (601, "a request sent")):
--- a/hawthornlead/tests/fakes_worlds.py
+++ b/hawthornlead/tests/fakes_worlds.py
@@ -60,6 +60,7 @@
     """The sender of a message."""
 
     vm: str
+    incarnation: str = ""
 
 
 class FakeOwners:
@@ -114,6 +115,11 @@
         """This VM as a sender."""
         return FakePeer(self.vm)
 
+    @property
+    def live(self):
+        """All VMs, as peers."""
+        return tuple(FakePeer(vm) for vm in self._world.vms)
+
     def on(self, message_type, handler):
         """Enter a handler."""
         self.handlers[message_type] = handler
@@ -232,6 +238,10 @@
         for name in vms:
             self.vms[name] = Vm(self, name)
 
+    def join(self, name):
+        """Add a VM later than the others."""
+        self.vms[name] = Vm(self, name)
+
     def spawn(self, coroutine):
         """Run a task."""
         task = asyncio.get_running_loop().create_task(coroutine)
