Let late words reach the rolls' state machine

It passed with a mutant in which an older number replaces a newer one, since no rule brought back an old word and only the bundle served was looked at. Now old decisions arrive late, and what a VM tells of its knowledge may not go back.

--- a/hawthornlead/tests/test_rolls.py
+++ b/hawthornlead/tests/test_rolls.py
@@ -512,3 +512,24 @@
     (await fleet.roll("a", fleet.v2, 1)).unwrap_err()
     await fleet.settle()
     assert mesh.heartbeats == 4
+
+
+async def test_a_restarted_vm_does_not_vouch_for_its_predecessor(fleet):
+    """A VM dies with its accepting write under way, and is started again.
+
+    The new process reads the stage, with its own VM's name on it, and the store
+    goes out. Took it the stage for its own it would say "not accepted" for as long
+    as the outage lasts, and all VMs would serve the old bundle after the write.
+    """
+    (await fleet.roll("a", fleet.v1, 0)).unwrap()
+    held = _hold_accepting_write(fleet, "a")
+    (await fleet.roll("a", fleet.v2, 1)).unwrap_err()
+    await fleet.kill("a", proved=True)
+    await fleet.add("a", incarnation="2")
+    assert fleet.vms["a"].keeper.staged_seq == 2
+    for vm in fleet.vms.values():
+        vm.store.out = True
+    (await FakeStore(fleet.objects, fleet.timers).put(*held[0])).unwrap()
+    assert _pointer(fleet).seq == 2
+    await fleet.run(3.2)
+    assert {fleet.refusal(vm) for vm in "abc"} == {ErrorKind.BUNDLE_UNDECIDED}
--- a/hawthornlead/tests/test_rolls_machine.py
+++ b/hawthornlead/tests/test_rolls_machine.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from hawthornlead.messages import BundleDecided
+from hawthornlead.messages import BundleDecided, FetchBundlePointer
 
 from .fakes_bundles import Fleet
 
@@ -20,6 +20,9 @@
 COUNTS: Counter[str] = Counter()
 
 
+COUNTED = ("struck", "stale, within the bound", "refused", "accepted", "late word")
+
+
 class Fault(NamedTuple):
     """What strikes when an accepting write is sent."""
 
@@ -39,6 +42,7 @@
         self.loop = asyncio.new_event_loop()
         self.rolls: dict[str, list[asyncio.Task]] = {name: [] for name in NAMES}
         self.highest: dict[str, int] = {}
+        self.told: dict[str, int] = {}
         self.starts = 0
         self.wait(self.begin())
 
@@ -129,11 +133,23 @@
         self.fleet.network.drops = [BundleDecided] if dropped else []
         self.fleet.network.slow_s = slow
 
+    @rule(vm=names, sender=names, newest=st.integers(0, 3))
+    def late_word(self, vm, sender, newest):
+        """A word on an earlier decision arrives long after it was sent."""
+        value = self.fleet.objects.values[("bundle", "pointer")].value
+        roll = value["past"][min(newest, len(value["past"]) - 1)]
+        word = BundleDecided(roll["seq"], roll["digest"], roll["accepted"])
+        take = self.fleet.vms[vm].mesh.handlers[BundleDecided]
+        self.wait(take(self.fleet.vms[sender].mesh, word))
+        COUNTS["late word"] += roll["seq"] < self.fleet.vms[vm].keeper.seq_in_force
+        self.look(vm)
+
     @rule(vm=names)
     def replace(self, vm):
         """A VM is killed and another started in its place."""
         self.starts += 1
         self.highest.pop(vm, None)
+        self.told.pop(vm, None)
         for task in self.rolls.pop(vm):
             task.cancel()
         self.rolls[vm] = []
@@ -154,8 +170,11 @@
         served = self.fleet.served(vm)
         in_force = self.fleet.vms[vm].keeper.seq_in_force
         assert served == 0 or served in self.fleet.objects.accepted_at
-        assert in_force >= self.highest.get(vm, 0)
-        self.highest[vm] = in_force
+        answer = self.fleet.vms[vm].mesh.handlers[FetchBundlePointer]
+        told = self.wait(answer(None, FetchBundlePointer())).seq
+        assert told >= in_force >= self.highest.get(vm, 0)
+        assert told >= self.told.get(vm, 0)
+        self.highest[vm], self.told[vm] = in_force, told
         stale_s = self.fleet.stale_for(vm)
         assert stale_s <= DOUBT_S + 0.01
         COUNTS["stale, within the bound"] += stale_s > 0
@@ -188,5 +207,5 @@
 def test_rolls_under_faults():
     COUNTS.clear()
     Rolls.TestCase("runTest").runTest()
-    for name in ("struck", "stale, within the bound", "refused", "accepted"):
+    for name in COUNTED:
         assert COUNTS[name] > 0
