Begin the long randomised run

Callers, faults and judges over a fleet of separate processes; the stand-ins' own records are compared with what callers were told.

--- a/hawthornlead/tests/deployments.py
+++ b/hawthornlead/tests/deployments.py
@@ -122,9 +122,11 @@
         """Approve a bundle as the second operator."""
         await self._checked("approve", OPERATORS[1], vm, digest)
 
-    async def roll(self, vm: str, digest: str, *more: str) -> tuple[int, str]:
+    async def roll(
+        self, vm: str, digest: str, *more: str, operator: int = 0
+    ) -> tuple[int, str]:
         """Roll a bundle; return the exit code and what was printed."""
-        return await self._run("roll", OPERATORS[0], vm, digest, *more)
+        return await self._run("roll", OPERATORS[operator], vm, digest, *more)
 
     async def put_in_force(self, vm: str, document: dict) -> str:
         """Prepare, approve and roll a bundle; return its digest."""
@@ -166,6 +168,25 @@
     await fleet.start_vms()
 
 
+def three_data_centres(operators: dict[str, str], **faults: Any) -> Deployment:
+    """Six VMs, eight engines (every other one fencing), two services.
+
+    ``faults`` are set on every engine from the beginning.
+    """
+    data_centres = ("santander", "bilbao", "gijon")
+    standins = PLATFORM_SECTIONS
+    for number in range(8):
+        common = {"slots": 3, "fencing": number % 2 == 0} | faults
+        data_centre = data_centres[number % 3]
+        standins += engine_section(f"engine-{number + 1}", data_centre, **common)
+    standins += service_section("bulletins-1", "bulletins", "santander")
+    standins += service_section("bulletins-2", "bulletins", "bilbao")
+    vms = tuple(
+        VmSpec(f"entry-{number + 1}", data_centres[number % 3]) for number in range(6)
+    )
+    return Deployment(vms, standins, FAST_SETTINGS, operators)
+
+
 def two_data_centres(operators: dict[str, str]) -> Deployment:
     """Three VMs, three engines and two services in two data centres."""
     standins = PLATFORM_SECTIONS
--- /dev/null
+++ b/hawthornlead/tests/soak.py
@@ -0,0 +1,259 @@
+"""The long randomised run: a fleet of processes under load and every kind of fault.
+
+``scripts/soak --seed 1 --minutes 2`` starts six VMs and the stand-ins as processes,
+sends requests of simulated callers, injects faults by a schedule drawn from the seed
+and compares, at the end, what callers were told with what the stand-ins recorded.
+The seed fixes the schedule and the requests, not the machine's timing. It ends with
+exit code 0 only when every line held and every line and fault was put to the test.
+"""
+
+import asyncio
+import json
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+import click
+
+from . import soak_faults
+from .deployments import (
+    FAST_SETTINGS,
+    Operators,
+    bundle_document,
+    caller_document,
+    three_data_centres,
+)
+from .fleets import Fleet
+from .soak_callers import Caller, Street
+from .soak_faults import FAULTS, World, inject
+from .soak_judges import JUDGES
+from .soak_records import Records, SeenStatus, Told
+
+CALLERS = 10
+ALIASES = [f"adapter-{number}" for number in range(14)]
+THINK_S = 0.15
+STATUS_S = 0.25
+FAULT_S = 1.0
+FAULTS_AT_ONCE = 3
+CALM_S = 6.0
+SHOWN = 10
+
+
+class Soak:
+    """One run."""
+
+    def __init__(self, seed: int, minutes: float):
+        self._seed = seed
+        self._until = 0.0
+        self._minutes = minutes
+        self._told: list[Told] = []
+        self._statuses: list[SeenStatus] = []
+        self._vms_at: dict[str, tuple[str, int]] = {}
+        self._fleet: Fleet | None = None
+        self._world: World | None = None
+
+    async def run(self, folder: Path) -> bool:
+        """Run, judge and print; True when all held."""
+        operators = Operators(folder)
+        keys = await operators.make_keys()
+        marker = soak_faults.CRASH_MARKER
+        deployment = three_data_centres(keys, crash_marker=marker, crash_after_tokens=1)
+        async with Fleet(deployment) as fleet:
+            self._fleet = fleet
+            rng = Random(f"{self._seed} faults")
+            self._world = World(fleet, operators, rng, time.monotonic, _document)
+            await self._begin()
+            unready = await self._load()
+            records = await self._records(unready)
+            held = self._report(records)
+            if not held:
+                await self._show_timeline(folder)
+        return held
+
+    async def _begin(self) -> None:
+        """Start all VMs, put a first bundle in force and make the callers."""
+        fleet, world = self._fleet, self._world
+        await fleet.start_vms()
+        await world.learn_normal()
+        first = next(iter(fleet.vms.values())).caller_address
+        digest = await world.made(first)
+        await world.rolled(first, digest, 0, 0)
+        for name in fleet.vms:
+            await fleet.wait_ready(name)
+        addresses = [vm.caller_address for vm in fleet.vms.values()]
+        street = Street(addresses, self._vm_at, self._told.append)
+        for number in range(CALLERS):
+            rng = Random(f"{self._seed} caller {number}")
+            world.callers.append(Caller(f"caller-{number}", ALIASES, street, rng))
+
+    async def _load(self) -> list[str]:
+        """Load and hurt the fleet, then let it calm down; return who isn't ready."""
+        begun = time.monotonic()
+        ends = begun + self._minutes * 60
+        watching = asyncio.create_task(self._watch())
+        asking = [
+            asyncio.create_task(caller.run(ends + CALM_S, THINK_S))
+            for caller in self._world.callers
+        ]
+        await self._hurt(ends)
+        await asyncio.gather(*asking)
+        unready = []
+        for name in self._fleet.vms:
+            try:
+                await self._fleet.wait_ready(name)
+            except RuntimeError as error:
+                unready.append(str(error))
+        watching.cancel()
+        return unready
+
+    async def _hurt(self, ends: float) -> None:
+        """Inject faults in a random order, all kinds before any comes again."""
+        rng = self._world.rng
+        deck: list[str] = []
+        running: set[asyncio.Task] = set()
+        while time.monotonic() < ends:
+            if not deck:
+                deck = sorted(FAULTS)
+                rng.shuffle(deck)
+            running = {task for task in running if not task.done()}
+            if len(running) < FAULTS_AT_ONCE:
+                running.add(asyncio.create_task(self._injected(deck.pop())))
+            await asyncio.sleep(rng.uniform(0.5, 1.5) * FAULT_S)
+        if running:
+            await asyncio.wait(running)
+
+    async def _injected(self, name: str) -> None:
+        at = time.monotonic()
+        try:
+            await inject(self._world, name)
+        except RuntimeError as error:
+            # An operator's order that a fault defeats is a refusal, not an error of
+            # the run; whatever else went wrong shows as a fault never injected.
+            click.echo(f"  {name}: {str(error)[-300:]}", err=True)
+        click.echo(f"  {name} {at:.1f} to {time.monotonic():.1f}", err=True)
+
+    async def _watch(self) -> None:
+        """Write down, again and again, what every VM says of itself."""
+        while True:
+            for name, vm in list(self._fleet.vms.items()):
+                asking = self._fleet.fetch(
+                    "GET", vm.caller_address, "/status", None, {}, 0.5
+                )
+                self._spawn_status(name, vm.process.pid, asking)
+            await asyncio.sleep(STATUS_S)
+
+    def _spawn_status(self, name: str, process_id: int, asking) -> None:
+        async def note():
+            reply = await asking
+            if reply.status != 200:
+                return
+            bundle = reply.json["bundle"]
+            self._statuses.append(
+                SeenStatus(
+                    time.monotonic(),
+                    name,
+                    process_id,
+                    bundle["seq"],
+                    bundle["digest"],
+                    bundle["refusing"],
+                    reply.json["invariants_broken"],
+                )
+            )
+
+        asyncio.get_running_loop().create_task(note())
+
+    async def _records(self, unready: list[str]) -> Records:
+        world = self._world
+        engines = {name: await self._fleet.record(name) for name in world.engines}
+        services = {name: await self._fleet.record(name) for name in world.services}
+        return Records(
+            self._told,
+            self._statuses,
+            world.drained,
+            world.rolls,
+            world.assigned,
+            engines,
+            services,
+            {"weights": await self._fleet.record("weights")},
+            FAST_SETTINGS.get("bundles", {}).get("doubt_s", 3.0),
+            world.crash_prompts,
+            unready,
+        )
+
+    def _report(self, records: Records) -> bool:
+        """Print what was put to the test and what did not hold."""
+        held = True
+        outcomes = Counter(f"{told.form} {told.outcome}" for told in records.told)
+        click.echo(f"seed {self._seed}, {self._minutes} minutes")
+        click.echo(f"requests: {len(records.told)}")
+        for outcome, count in sorted(outcomes.items()):
+            click.echo(f"  {count:6} {outcome}")
+        click.echo(f"faults injected: {sum(self._world.injected.values())}")
+        for name in sorted(FAULTS):
+            count = self._world.injected[name]
+            held = held and count > 0
+            click.echo(f"  {count:6} {name}{'' if count else '  NEVER'}")
+        click.echo("lines put to the test:")
+        for name, judge in JUDGES.items():
+            verdict = judge(records)
+            held = held and verdict.exercised > 0 and not verdict.broken
+            state = f"BROKEN {len(verdict.broken)}" if verdict.broken else "held"
+            state = state if verdict.exercised else "NEVER PUT TO THE TEST"
+            click.echo(f"  {verdict.exercised:6} {name}: {state}")
+            for line in verdict.broken[:SHOWN]:
+                click.echo(f"         {line}")
+        click.echo("held" if held else f"FAILED with seed {self._seed}")
+        return held
+
+    async def _show_timeline(self, folder: Path) -> None:
+        """Keep the time line of all VMs, and what callers were told, for reading."""
+        for vm in self._fleet.vms.values():
+            reply = await self._fleet.get(vm.caller_address, "/timeline?limit=1000")
+            if reply.status != 200:
+                continue
+            (folder / "timeline.json").write_bytes(reply.body)
+            break
+        told = [each._asdict() for each in self._told]
+        (folder / "told.json").write_text(json.dumps(told))
+        logs = self._fleet.folder
+        click.echo(f"time line and callers' records: {folder}; logs: {logs}")
+
+    def _vm_at(self, address: str) -> tuple[str, int]:
+        for name, vm in self._fleet.vms.items():
+            if vm.caller_address == address:
+                self._vms_at[address] = (name, vm.process.pid)
+        return self._vms_at.get(address, ("", 0))
+
+
+def _document(generation: int, rng: Random) -> dict:
+    """Return a bundle document; a few aliases differ from one to the next."""
+    callers = []
+    for number in range(CALLERS):
+        aliases = {}
+        for place, alias in enumerate(ALIASES):
+            adapter = ALIASES[(place + number) % len(ALIASES)]
+            version = str(generation) if rng.random() < 0.1 else "0"
+            aliases[alias] = (adapter, version)
+        terms = {"concurrency": 30, "priority": 3 + number % 5}
+        callers.append(caller_document(f"caller-{number}", aliases, **terms))
+    return bundle_document(f"bundle-{generation}", callers)
+
+
+@click.command()
+@click.option("--seed", default=1, help="Seed of the schedule and the requests.")
+@click.option("--minutes", default=2.0, help="Time under faults.")
+@click.option("--keep", default="soak-run", help="Folder for keys and records.")
+def main(seed: int, minutes: float, keep: str) -> None:
+    """Run the fleet under faults; exit code 0 when every line held."""
+    folder = Path(keep)
+    folder.mkdir(parents=True, exist_ok=True)
+    for old in folder.glob("*.key"):
+        old.unlink()
+    held = asyncio.run(Soak(seed, minutes).run(folder))
+    sys.exit(0 if held else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/hawthornlead/tests/soak_faults.py
@@ -0,0 +1,279 @@
+"""The faults of the long run: each is injected, held for a while and healed.
+
+A fault takes the ``World`` it acts on and counts itself when it was injected. VM
+faults take a VM of their own, so that no two work on one process at once::
+
+    await FAULTS["vm-killed"](world)
+"""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from contextlib import contextmanager
+from random import Random
+
+from .deployments import Operators
+from .fleets import Fleet
+from .soak_callers import Caller
+from .soak_records import Drained, RollTold
+
+CRASH_MARKER = "POISON"
+
+
+class World:
+    """What the faults act on; ``now`` is the run's clock."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        operators: Operators,
+        rng: Random,
+        now: Callable[[], float],
+        document: Callable[[int, Random], dict],
+    ):
+        self.fleet = fleet
+        self.operators = operators
+        self.rng = rng
+        self.now = now
+        self._document = document
+        self._generation = 0
+        self._in_use: set[str] = set()
+        self._normal: dict[str, dict] = {}
+        self.injected: Counter = Counter()
+        self.drained: list[Drained] = []
+        self.rolls: list[RollTold] = []
+        self.assigned: dict[str, dict] = {}
+        self.crash_prompts: list[str] = []
+        self.callers: list[Caller] = []
+        self.engines: list[str] = []
+        self.services: list[str] = []
+
+    @contextmanager
+    def own_vm(self):
+        """Choose a VM that no other fault works on; at most half are in use."""
+        free = sorted(set(self.fleet.vms) - self._in_use)
+        if not free or len(self._in_use) >= 3:
+            yield None
+            return
+        vm = self.rng.choice(free)
+        self._in_use.add(vm)
+        try:
+            yield vm
+        finally:
+            self._in_use.discard(vm)
+
+    def free_address(self) -> str:
+        """Return the address of a VM that no fault works on."""
+        free = sorted(set(self.fleet.vms) - self._in_use)
+        return self.fleet.vms[self.rng.choice(free)].caller_address
+
+    def an_engine(self) -> str:
+        """Choose an engine."""
+        return self.rng.choice(self.engines)
+
+    async def held(self, name: str, hold_s: float, **changes) -> None:
+        """Switch a stand-in's faults, hold them, and put back what was."""
+        normal = self._normal[name]
+        await self.fleet.faults(name, **changes)
+        try:
+            await asyncio.sleep(hold_s)
+        finally:
+            await self.fleet.faults(name, **{key: normal[key] for key in changes})
+
+    async def learn_normal(self) -> None:
+        """Note the faults that every stand-in has from the beginning."""
+        for name, address in self.fleet.addresses.items():
+            reply = await self.fleet.get(address, "/standin/faults")
+            self._normal[name] = reply.json
+            if name.startswith("engine-"):
+                self.engines.append(name)
+            if name.startswith("bulletins-"):
+                self.services.append(name)
+
+    def new_document(self) -> dict:
+        """Return a further bundle document, with some versions changed."""
+        self._generation += 1
+        return self._document(self._generation, self.rng)
+
+    async def made(self, address: str) -> str:
+        """Prepare and approve a further bundle; return its digest."""
+        document = self.new_document()
+        digest = await self.operators.prepare(address, document)
+        self.assigned[digest] = {
+            (caller["name"], alias): (target["adapter"], target["version"])
+            for caller in document["callers"]
+            for alias, target in caller["aliases"].items()
+        }
+        await self.operators.approve(address, digest)
+        return digest
+
+    async def rolled(self, address: str, digest: str, operator: int, expected: int):
+        """Roll a bundle as one of the operators and write down what was told."""
+        code, output = await self.operators.roll(
+            address, digest, "--expect", str(expected), operator=operator
+        )
+        seq = (
+            int(output.partition("in force as ")[2].partition(":")[0])
+            if not code
+            else 0
+        )
+        self.rolls.append(RollTold(self.now(), digest, expected, seq, output))
+
+    async def seq_in_force(self) -> int:
+        """Return the greatest bundle number that any free VM has in force."""
+        highest = 0
+        for name in sorted(set(self.fleet.vms) - self._in_use):
+            vm = self.fleet.vms.get(name)
+            reply = await self.fleet.get(vm.caller_address, "/status")
+            if reply.status == 200:
+                highest = max(highest, reply.json["bundle"]["seq"])
+        return highest
+
+
+Fault = Callable[[World], Awaitable[None]]
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(name: str) -> Callable[[Fault], Fault]:
+    """Enter a fault under its name."""
+
+    def enter(function: Fault) -> Fault:
+        FAULTS[name] = function
+        return function
+
+    return enter
+
+
+async def inject(world: World, name: str) -> None:
+    """Inject one fault, hold and heal it."""
+    await FAULTS[name](world)
+
+
+def stand_in_fault(name: str, kind: str, hold_s: float, **changes) -> None:
+    """Enter a fault that is a stand-in's own; lists are drawn from at random."""
+
+    async def run(world: World) -> None:
+        names = {"engine": world.engines, "service": world.services}
+        chosen = world.rng.choice(names.get(kind, [kind]))
+        world.injected[name] += 1
+        await world.held(chosen, hold_s, **changes)
+
+    FAULTS[name] = run
+
+
+stand_in_fault("store-outage", "store", 3.0, outage=True)
+stand_in_fault("store-slow", "store", 2.0, slow_s=0.3)
+stand_in_fault("store-silent", "store", 3.0, silent=True)
+stand_in_fault("lost-replies", "store", 1.0, lose_replies=6)
+stand_in_fault("watch-gaps", "store", 1.0, drop_events=4)
+stand_in_fault("watch-expired", "store", 0.1, expire=True)
+stand_in_fault("watch-too-old", "store", 1.0, force_410=3)
+stand_in_fault("vm-list-lag", "vms", 3.0, lag_s=2.0)
+stand_in_fault("vm-list-outage", "vms", 2.0, outage=True)
+stand_in_fault("loads-fail", "engine", 2.0, fail_loads=3)
+stand_in_fault("fetches-fail", "weights", 2.0, fail_fetches=3)
+stand_in_fault("weights-slow", "weights", 2.0, load_s=1.0)
+stand_in_fault("orders-slow", "engine", 3.0, order_delay_s=1.5)
+stand_in_fault("engine-silent", "engine", 3.0, silent=True)
+stand_in_fault("answers-crossed", "engine", 3.0, cross_answers=3)
+stand_in_fault("answers-late", "engine", 2.0, late_s=0.5)
+stand_in_fault("answers-truncated", "engine", 3.0, truncate=4)
+stand_in_fault("answers-doubled", "engine", 3.0, double=4)
+stand_in_fault("tokens-doubled", "engine", 3.0, double_tokens=4)
+stand_in_fault("wrong-version", "engine", 3.0, wrong_version=4)
+stand_in_fault("engine-overload", "engine", 2.0, overload=30)
+stand_in_fault("engine-leaving", "engine", 2.0, leaving=True)
+stand_in_fault("report-lag", "engine", 3.0, report_lag_s=1.0)
+stand_in_fault("service-refuses", "service", 2.0, refuse=5)
+stand_in_fault("service-fails", "service", 2.0, fail=5)
+stand_in_fault("service-crashes-before", "service", 2.0, crash_before=4)
+stand_in_fault("service-crashes-after", "service", 2.0, crash_after=4)
+stand_in_fault("service-slow", "service", 3.0, delay_s=0.6)
+
+
+@fault("engine-crash")
+async def engine_crash(world: World) -> None:
+    """An engine loses everything and comes back."""
+    world.injected["engine-crash"] += 1
+    await world.fleet.faults(world.an_engine(), crash=True)
+
+
+@fault("vm-killed")
+async def vm_killed(world: World) -> None:
+    """A VM is gone at once; a new process takes its name later."""
+    with world.own_vm() as vm:
+        if vm is None:
+            return
+        world.injected["vm-killed"] += 1
+        spec = world.fleet.vms[vm].spec
+        await world.fleet.kill_vm(vm)
+        await asyncio.sleep(world.rng.choice((0.0, 1.0, 4.0)))
+        await world.fleet.start_vm(spec)
+        await world.fleet.wait_alive(vm)
+
+
+@fault("vm-frozen")
+async def vm_frozen(world: World) -> None:
+    """A VM stands still for less, or for more, than its lease."""
+    with world.own_vm() as vm:
+        if vm is None:
+            return
+        world.injected["vm-frozen"] += 1
+        world.fleet.freeze_vm(vm)
+        await asyncio.sleep(world.rng.choice((0.3, 1.5, 5.0)))
+        world.fleet.thaw_vm(vm)
+        await asyncio.sleep(1.0)
+
+
+@fault("vm-replaced")
+async def vm_replaced(world: World) -> None:
+    """A VM is asked to stop, and a new one takes its name."""
+    with world.own_vm() as vm:
+        if vm is None:
+            return
+        world.injected["vm-replaced"] += 1
+        running = world.fleet.vms[vm]
+        asked_at = world.now()
+        code = await world.fleet.terminate_vm(vm)
+        world.drained.append(Drained(vm, running.process.pid, asked_at, code))
+        await world.fleet.start_vm(running.spec)
+        await world.fleet.wait_alive(vm)
+
+
+@fault("roll")
+async def roll(world: World) -> None:
+    """An operator rolls a further bundle."""
+    address = world.free_address()
+    digest = await world.made(address)
+    world.injected["roll"] += 1
+    await world.rolled(address, digest, 0, await world.seq_in_force())
+
+
+@fault("rolls-conflict")
+async def rolls_conflict(world: World) -> None:
+    """Two operators roll different bundles from two VMs at the same time."""
+    digests = [await world.made(world.free_address()) for _ in range(2)]
+    expected = await world.seq_in_force()
+    world.injected["rolls-conflict"] += 1
+    await asyncio.gather(
+        *(
+            world.rolled(world.free_address(), digest, operator, expected)
+            for operator, digest in enumerate(digests)
+        )
+    )
+
+
+@fault("crashing-request")
+async def crashing_request(world: World) -> None:
+    """A caller sends a request again and again that crashes whatever runs it."""
+    prompt = f"{CRASH_MARKER} {len(world.crash_prompts)}"
+    world.crash_prompts.append(prompt)
+    world.injected["crashing-request"] += 1
+    await world.rng.choice(world.callers).resend(prompt, 5)
+
+
+@fault("overload")
+async def overload(world: World) -> None:
+    """A caller sends far more at once than its bundle allows."""
+    world.injected["overload"] += 1
+    await world.rng.choice(world.callers).burst(60)
