--- a/hawthornlead/exchanges.py
+++ b/hawthornlead/exchanges.py
@@ -64,6 +64,10 @@
         self.finished = True
 
     def on_connection_close(self):
+        self.reading_ended()
+
+    def reading_ended(self, reading: asyncio.Task | None = None) -> None:
+        """Note that nothing more will come."""
         if not self.head.done():
             self.head.set_result(None)
 
@@ -124,6 +128,10 @@
         connection.write_headers(start, headers, body)
         connection.finish()
         self._reading = asyncio.ensure_future(connection.read_response(self._response))
+        # A connection that ends before the headers ends the reading without a word
+        # to the response; unnoticed, a dead target would look like a slow one until
+        # the deadline, and the request that it died of would never be suspected.
+        self._reading.add_done_callback(self._response.reading_ended)
         try:
             head = await asyncio.wait_for(asyncio.shield(self._response.head), head_s)
         except TimeoutError:
--- a/hawthornlead/relays.py
+++ b/hawthornlead/relays.py
@@ -98,6 +98,7 @@
             return Ok(b"")
         if self._done:
             return Err(_wrong("events after the end marker"))
+        before = self._next_index
         tokens, marker = _split_marker(events)
         if tokens:
             counted = self._count_tokens(tokens)
@@ -106,7 +107,12 @@
         if not marker:
             return Ok(tokens)
         ended = self._check_marker(marker)
-        return Ok(tokens) if ended is None else Err(ended)
+        if ended is not None:
+            # The tokens before a false marker are not handed on either. Counted as
+            # handed on, they would be missing from the answer that is resumed.
+            self._next_index = before
+            return Err(ended)
+        return Ok(tokens)
 
     def _count_tokens(self, tokens: bytes) -> Result[None, Failure]:
         """Compare the first and last index with the number of events between.
--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -75,6 +75,7 @@
     """A sink that also takes the head of the answer."""
 
     started: bool
+    count: int
 
     def begin(self, head: AnswerHead) -> None:
         """Note what will give the answer; a later call replaces an earlier one."""
@@ -233,7 +234,7 @@
                 )
                 failure = end.failure
             if failure is None:
-                return None
+                return self._counted(request, end, sink)
             offset = end.next_index
             ran = ran or failure.answer.ran is not Ran.NOT_RUN
             if not await self._may_retry(request, failure, number):
@@ -243,6 +244,18 @@
             )
         return _truthful(failure, ran)
 
+    def _counted(self, request, end: AttemptEnd, sink) -> Failure | None:
+        """Check that all tokens which the target counted went to the caller.
+
+        Guards against an answer over several attempts that lacks tokens: each end
+        marker was right, but an attempt began behind what had been handed on.
+        """
+        detail = f"{request.request_id}: {sink.count} of {end.next_index}"
+        whole = sink.count == end.next_index
+        if self._invariants.check("whole-answer-counted", whole, detail):
+            return None
+        return Failure(ErrorKind.WRONG_ANSWER, f"tokens are missing: {detail}")
+
     async def _may_retry(self, request, failure: Failure, number: int) -> bool:
         """Wait out the backoff and say whether another attempt may start."""
         repeatable = not request.key
--- a/hawthornlead/sinks.py
+++ b/hawthornlead/sinks.py
@@ -60,6 +60,11 @@
         """Whether a part of the answer has gone to the caller: never."""
         return False
 
+    @property
+    def count(self) -> int:
+        """How many tokens were taken."""
+        return len(self._texts)
+
     def begin(self, head: AnswerHead) -> None:
         """Note what gives the answer; a later attempt's head replaces it."""
         self._head = head
@@ -110,6 +115,11 @@
         """Whether a part of the answer has gone to the caller."""
         return self._started
 
+    @property
+    def count(self) -> int:
+        """How many tokens were taken."""
+        return self._count
+
     def begin(self, head: AnswerHead) -> None:
         """Note what gives the answer; the caller is told with the first token."""
         if not self._started:
--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -172,6 +172,7 @@
             self._told,
             self._statuses,
             world.drained,
+            world.hurt,
             world.rolls,
             world.assigned,
             engines,
--- a/hawthornlead/tests/soak_callers.py
+++ b/hawthornlead/tests/soak_callers.py
@@ -10,7 +10,7 @@
 from random import Random
 from typing import NamedTuple
 
-from .soak_http import Broken, Exchange, Unconnected, exchange
+from .soak_http import Broken, Exchange, Malformed, Unconnected, exchange
 from .soak_records import Told
 
 TRIES = 4
@@ -129,8 +129,8 @@
         for address in self._rng.sample(self._street.addresses, 3):
             try:
                 async with exchange(address, "GET", "/entry", {}, b"", 2.0) as got:
-                    answer = json.loads(await got.body())
-            except (Unconnected, Broken, ValueError):
+                    answer = _json(await got.body())
+            except (Unconnected, Broken, Malformed):
                 continue
             if answer.get("addresses"):
                 self._kept = list(answer["addresses"])
@@ -190,8 +190,10 @@
                 told = await read(got, seen[0])
         except Unconnected:
             told = told._replace(outcome="unconnected")
-        except Broken:
-            told = seen[0]._replace(outcome="broken")
+        except Broken as error:
+            told = seen[0]._replace(outcome="broken", detail=str(error))
+        except Malformed as error:
+            told = seen[0]._replace(outcome="malformed", detail=str(error))
         told = told._replace(ended_at=time.monotonic())
         self._street.note(told)
         if told.outcome in ("unconnected", "broken", "draining"):
@@ -262,8 +264,10 @@
 
 
 def _refused(told: Told, fields: dict) -> Told:
+    if not {"error", "ran", "detail", "id"} <= set(fields):
+        raise Malformed(f"a refusal without its fields: {fields}")
     return told._replace(
-        outcome=fields.get("error", "unknown"), ran=fields.get("ran", "")
+        outcome=fields["error"], ran=fields["ran"], detail=fields["detail"]
     )
 
 
@@ -271,5 +275,5 @@
     try:
         fields = json.loads(data)
     except ValueError:
-        raise Broken("no JSON") from None
+        raise Malformed(f"no JSON: {data[:80]!r}") from None
     return fields if isinstance(fields, dict) else {}
--- a/hawthornlead/tests/soak_faults.py
+++ b/hawthornlead/tests/soak_faults.py
@@ -15,7 +15,7 @@
 from .deployments import Operators
 from .fleets import Fleet
 from .soak_callers import Caller
-from .soak_records import Drained, RollTold
+from .soak_records import Drained, Hurt, RollTold
 
 CRASH_MARKER = "POISON"
 
@@ -41,6 +41,7 @@
         self._normal: dict[str, dict] = {}
         self.injected: Counter = Counter()
         self.drained: list[Drained] = []
+        self.hurt: list[Hurt] = []
         self.rolls: list[RollTold] = []
         self.assigned: dict[str, dict] = {}
         self.crash_prompts: list[str] = []
@@ -205,8 +206,10 @@
         if vm is None:
             return
         world.injected["vm-killed"] += 1
-        spec = world.fleet.vms[vm].spec
+        spec, process = world.fleet.vms[vm].spec, world.fleet.vms[vm].process
+        at = world.now()
         await world.fleet.kill_vm(vm)
+        world.hurt.append(Hurt(process.pid, at, world.now()))
         await asyncio.sleep(world.rng.choice((0.0, 1.0, 4.0)))
         await world.fleet.start_vm(spec)
         await world.fleet.wait_alive(vm)
@@ -219,9 +222,11 @@
         if vm is None:
             return
         world.injected["vm-frozen"] += 1
+        at, process_id = world.now(), world.fleet.vms[vm].process.pid
         world.fleet.freeze_vm(vm)
         await asyncio.sleep(world.rng.choice((0.3, 1.5, 5.0)))
         world.fleet.thaw_vm(vm)
+        world.hurt.append(Hurt(process_id, at, world.now()))
         await asyncio.sleep(1.0)
 
 
--- a/hawthornlead/tests/soak_http.py
+++ b/hawthornlead/tests/soak_http.py
@@ -23,6 +23,10 @@
     """The connection ended, or said nothing for too long, within an answer."""
 
 
+class Malformed(Exception):
+    """An answer came that is none by the protocol."""
+
+
 class Exchange:
     """One request's answer, read piece by piece."""
 
--- a/hawthornlead/tests/soak_judges.py
+++ b/hawthornlead/tests/soak_judges.py
@@ -273,6 +273,20 @@
     return Verdict(exercised, tuple(broken))
 
 
+@judge("cut-only-with-cause")
+def cut_only_with_cause(records: Records) -> Verdict:
+    """An answer ends without a word only where its VM was killed or frozen."""
+    exercised, broken = 0, []
+    for told in records.told:
+        if told.outcome not in ("broken", "malformed"):
+            continue
+        exercised += 1
+        if told.outcome == "broken" and _was_hurt(told, records):
+            continue
+        broken.append(f"{told.vm}: {told.request_id} {told.outcome}: {told.detail}")
+    return Verdict(exercised, tuple(broken))
+
+
 @judge("crashing-request-bounded")
 def crashing_request_bounded(records: Records) -> Verdict:
     """A request that crashes targets takes few of them with it."""
@@ -307,6 +321,15 @@
     return Verdict(len(vms), tuple(records.unready))
 
 
+def _was_hurt(told: Told, records: Records) -> bool:
+    return any(
+        hurt.process_id == told.process_id
+        and hurt.begun_at - SLACK_S < told.ended_at
+        and told.sent_at < hurt.ended_at + SLACK_S
+        for hurt in records.hurt
+    )
+
+
 def _digests(records: Records) -> dict[int, str]:
     digests = {status.seq: status.digest for status in records.statuses}
     return digests | {roll.seq: roll.digest for roll in records.rolls if roll.seq}
--- a/hawthornlead/tests/soak_records.py
+++ b/hawthornlead/tests/soak_records.py
@@ -11,9 +11,9 @@
     """One request as its caller saw it.
 
     ``form`` is "stream", "whole" or "service". ``outcome`` is "whole", "left" (the
-    caller went away), "unconnected", "broken" (the connection ended without a word
-    that ends an answer) or an error's kind. ``ran`` is what an error said of the
-    run. ``vm`` and ``process_id`` name the VM and its process.
+    caller went away), "unconnected", "broken" (the connection ended, or was silent,
+    without the end of an answer), "malformed" or an error's kind. ``ran`` is what an
+    error said of the run. ``vm`` and ``process_id`` name the VM and its process.
     """
 
     form: str
@@ -38,6 +38,7 @@
     count: int = 0
     replayed: bool = False
     received: str = ""
+    detail: str = ""
 
     @property
     def whole(self) -> bool:
@@ -57,6 +58,14 @@
     invariants_broken: dict[str, int]
 
 
+class Hurt(NamedTuple):
+    """A VM's process that was killed or frozen, and from when until when."""
+
+    process_id: int
+    begun_at: float
+    ended_at: float
+
+
 class Drained(NamedTuple):
     """A VM's process that was asked to stop, and how it ended."""
 
@@ -88,6 +97,7 @@
     told: list[Told]
     statuses: list[SeenStatus]
     drained: list[Drained]
+    hurt: list[Hurt]
     rolls: list[RollTold]
     assigned: dict[str, dict[tuple[str, str], tuple[str, str]]]
     engines: dict[str, dict[str, Any]]
--- /dev/null
+++ b/hawthornlead/tests/test_exchanges.py
@@ -0,0 +1,38 @@
+"""Tests of the exchanges with targets."""
+
+import asyncio
+
+import pytest
+from result import Err
+from tornado.httputil import HTTPHeaders
+
+from hawthornlead.errors import ErrorKind
+from hawthornlead.exchanges import TargetConnections
+from hawthornlead.timers import TimerService
+
+
+@pytest.mark.parametrize("reset", [False, True])
+async def test_a_target_that_dies_before_its_headers_is_seen_at_once(reset):
+    """A request crashes one target after the other and is never suspected.
+
+    The target reads the request and dies of it before it has answered a header. The
+    layer went on waiting for headers on the closed connection, up to the deadline,
+    and took the target for slow; so nobody asked whether it had died.
+    """
+
+    async def die(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        if reset:
+            writer.transport.abort()
+        writer.close()
+
+    server = await asyncio.start_server(die, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connections = TargetConnections(timers=TimerService())
+    opened = await connections.open(f"{host}:{port}")
+    exchange = opened.ok_value
+    sent = await exchange.send("POST", "/", HTTPHeaders(), b"{}", lambda data: None, 1)
+    server.close()
+    assert isinstance(sent, Err)
+    assert sent.err_value.kind is ErrorKind.TARGET_LOST
+    assert "closed before its answer" in sent.err_value.detail
--- a/hawthornlead/tests/test_relays.py
+++ b/hawthornlead/tests/test_relays.py
@@ -94,3 +94,21 @@
     outcome, passed = feed_all(answer_check, [b"".join(stream(texts=texts))])
     assert isinstance(outcome, Ok)
     assert token_texts(passed) == texts
+
+
+@pytest.mark.parametrize("pieces", [1, 2])
+def test_tokens_before_a_false_end_count_as_not_handed_on(pieces):
+    """A caller is told that an answer is whole though its tokens are missing.
+
+    A target sends its answer twice in one packet. The check refuses it for what
+    follows the end marker and hands none of it on, but it had counted the tokens;
+    the resumed attempt began behind them and its end marker fitted that count.
+    """
+    doubled = b"".join(stream() * 2)
+    # In one piece, or cut after the first token.
+    cut = doubled.index(b'data: {"i": 1')
+    parts = [doubled] if pieces == 1 else [doubled[:cut], doubled[cut:]]
+    answer_check = check()
+    outcome, passed = feed_all(answer_check, parts)
+    assert isinstance(outcome, Err)
+    assert answer_check.next_index == len(token_texts(passed)) == pieces - 1
