Measure idle fleets and single parts against size

The page of capacity needs slopes from real code. scripts/measure runs fleets of processes with the default settings and single parts with in-process fakes, each row in a fresh interpreter, and writes JSON to bench/results/slopes.

--- /dev/null
+++ b/hawthornlead/tests/measure.py
@@ -0,0 +1,62 @@
+"""The measurements behind docs/CAPACITY.md: ``scripts/measure vms`` and so on.
+
+Each writes one file under bench/results/slopes/. They use real processes on loopback
+and take from seconds to a few minutes; run one at a time on a quiet machine.
+"""
+
+import asyncio
+
+import click
+
+from . import measure_fleets, measure_parts
+
+
+@click.group()
+def main() -> None:
+    """Measure what the parts cost."""
+
+
+@main.command()
+def vms() -> None:
+    """Idle fleets of 3 to 24 VMs as processes."""
+    asyncio.run(measure_fleets.measure_vms())
+
+
+@main.command()
+def targets() -> None:
+    """Idle fleets of three VMs with 3 to 60 targets."""
+    asyncio.run(measure_fleets.measure_targets())
+
+
+@main.command()
+def changes() -> None:
+    """Configuration changes against VMs and adapters."""
+    asyncio.run(measure_fleets.measure_changes())
+
+
+@main.command()
+def peers() -> None:
+    """One VM's mesh against up to 370 others, in one process, that heartbeat."""
+    measure_parts.measure("peers", "peers_row", measure_parts.PEER_COUNTS)
+
+
+@main.command()
+def views() -> None:
+    """Views, router and VM list against targets."""
+    measure_parts.measure("views", "views_row", measure_parts.TARGET_COUNTS)
+
+
+@main.command()
+def adapters() -> None:
+    """Bundle and popularity counters against adapters."""
+    measure_parts.measure("adapters", "adapters_row", measure_parts.ADAPTER_COUNTS)
+
+
+@main.command()
+def base() -> None:
+    """Memory and time of an interpreter with the libraries, and with all code."""
+    measure_parts.measure("base", "base_row", ("libraries", "code"))
+
+
+if __name__ == "__main__":
+    main()
