Bound callers' connections and answer every refusal in its form

Whole daemons now run in one process at ports that the system chooses: the callers' port is bound before the VM registers, so that the registration and the entry answers carry the real address. The first requests through such a fleet showed that every refusal of the request path answered a bare 500: its event carries a field named kind, which collided with the argument of that name. The argument is positional now.

MAX_CONNECTIONS was not enforced and a head or a body could take for ever.

--- a/hawthornlead/command_handlers.py
+++ b/hawthornlead/command_handlers.py
@@ -65,6 +65,11 @@
         self.set_header("Content-Type", "application/json")
         self.finish(json.dumps(failure_fields(failure, self._request_id)))
 
+    def write_error(self, status_code: int, **kwargs) -> None:
+        """Answer what tornado or a bug refuses in the form of all refusals."""
+        kind = ErrorKind.BAD_REQUEST if status_code < 500 else ErrorKind.INTERNAL
+        self.refuse(Failure(kind, f"{self.request.method}: {self._reason}"))
+
     def caller(self) -> Result[tuple[CallerTerms, InForce], Failure]:
         """Return who asks by its token, under the bundle in force."""
         drains = self._parts.drain.refusal()
--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -11,6 +11,7 @@
 import asyncio
 import secrets
 import signal
+import socket
 import ssl
 from random import Random
 
@@ -21,6 +22,7 @@
 
 from .allowances import Allowances
 from .attempts import AttemptRunner
+from .caller_servers import CallerServer
 from .claims import Claims
 from .clocks import HybridClock
 from .command_handlers import CallerParts, UnknownHandler, caller_routes
@@ -60,14 +62,13 @@
 from .timers import TimerService
 from .views import TargetViews
 
-IDLE_CALLER_S = 120.0
-
 
 class Daemon:
     """All parts of one VM's process."""
 
     def __init__(self, settings: Settings, store=None, seed: int | None = None):
-        self._settings = settings
+        # A copy: a port that the system chose is entered in it at the start.
+        self._settings = settings = dict(settings)
         self._rng = Random(secrets.randbits(64) if seed is None else seed)
         self._timers = TimerService()
         self._metrics = Metrics()
@@ -85,12 +86,11 @@
         self._build_targets()
         self._build_requests()
         self._servers: list[HTTPServer] = []
-        self._caller_address = settings["CALLER_ADDRESS"]
 
     @property
     def caller_address(self) -> str:
         """The IP:PORT on which callers connect, once started."""
-        return self._caller_address
+        return self._settings["CALLER_ADDRESS"]
 
     @property
     def peer_address(self) -> str:
@@ -104,6 +104,12 @@
 
     async def start(self) -> None:
         """Start all parts, then answer callers."""
+        # Bound before anything is told to other VMs, so that what they are told is
+        # the address on which callers will be answered.
+        sockets = _bind(self._settings["CALLER_ADDRESS"])
+        self._settings["CALLER_ADDRESS"] = _address_of(
+            sockets, self._settings["CALLER_ADDRESS"]
+        )
         self._vm_list.start()
         self._store.start()
         await self._mesh.listen()
@@ -118,11 +124,11 @@
         self._claims.start()
         self._keeper.start()
         self._timers.every(self._settings["HEARTBEAT_S"], self._meet, "peers")
-        self._listen()
+        self._listen(sockets)
         self._events.emit(
             EventKind.PROCESS_STARTED,
             self._settings["VM_NAME"],
-            callers=self._caller_address,
+            callers=self.caller_address,
             peers=self._mesh.address,
         )
 
@@ -291,7 +297,7 @@
         )
         self._mesh.heartbeat_source = self._heartbeat
 
-    def _listen(self) -> None:
+    def _listen(self, sockets: list[socket.socket]) -> None:
         callers = CallerParts(
             self._settings,
             self._timers,
@@ -312,7 +318,9 @@
         inside = metrics_routes(queries) + self._state_routes()
         metrics_address = self._settings["METRICS_ADDRESS"]
         if metrics_address:
-            self._serve(Application(inside), metrics_address)
+            server = HTTPServer(Application(inside))
+            server.add_sockets(_bind(metrics_address))
+            self._servers.append(server)
         else:
             routes += inside
         application = Application(
@@ -320,9 +328,11 @@
             default_handler_class=UnknownHandler,
             log_function=lambda handler: None,
         )
-        self._caller_address = self._serve(
-            application, self._settings["CALLER_ADDRESS"], self._tls()
+        server = CallerServer(
+            application, settings=self._settings, ssl_options=self._tls()
         )
+        server.add_sockets(sockets)
+        self._servers.append(server)
 
     def _state_routes(self) -> list:
         """Return the routes of the time line and the status.
@@ -351,19 +361,6 @@
         )
         return timeline_routes(timeline) + status_routes(status)
 
-    def _serve(self, application, address: str, tls=None) -> str:
-        host, _, port = address.rpartition(":")
-        sockets = bind_sockets(int(port), host.strip("[]"))
-        server = HTTPServer(
-            application,
-            ssl_options=tls,
-            max_body_size=self._settings["MAX_BODY_BYTES"],
-            idle_connection_timeout=IDLE_CALLER_S,
-        )
-        server.add_sockets(sockets)
-        self._servers.append(server)
-        return f"{host}:{sockets[0].getsockname()[1]}"
-
     def _tls(self) -> ssl.SSLContext | None:
         if not self._settings["TLS_CERTIFICATE"]:
             return None
@@ -401,6 +398,17 @@
         return "" if serving.is_ok() else serving.err_value.detail
 
 
+def _bind(address: str) -> list[socket.socket]:
+    host, _, port = address.rpartition(":")
+    return bind_sockets(int(port), host.strip("[]"))
+
+
+def _address_of(sockets: list[socket.socket], asked: str) -> str:
+    """Return the address asked for, its port the real one."""
+    host, _, _ = asked.rpartition(":")
+    return f"{host}:{sockets[0].getsockname()[1]}"
+
+
 def run_daemon(settings: Settings) -> None:
     """Run the daemon until it is asked to stop, then drain and stop it."""
     AsyncHTTPClient.configure(
--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -122,7 +122,7 @@
         """The process's hybrid logical clock."""
         return self._clock
 
-    def emit(self, kind: EventKind, subject: str, **fields) -> None:
+    def emit(self, kind: EventKind, subject: str, /, **fields) -> None:
         """Log one event and keep it.
 
         ``subject`` names the request, target, adapter, bundle or VM it is about;
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -198,6 +198,9 @@
     "MAX_CONNECTIONS": Setting(
         "requests", "integer", 2000, "most open caller connections", 1, 100000
     ),
+    "CALLER_SILENT_S": Setting(
+        "requests", "number", 60.0, "longest wait for a head, then a body", 0.1, 3600
+    ),
     "MAX_OPEN_REQUESTS": Setting(
         "requests", "integer", 1000, "most requests at once on this VM", 1, 100000
     ),
