--- a/hawthornlead/service_calls.py
+++ b/hawthornlead/service_calls.py
@@ -211,10 +211,10 @@
             call.method, call.path, headers, call.body, body.extend, silent_s
         )
         if isinstance(sent, Err):
-            return sent
+            return Err(self._timed_out(call, sent.err_value))
         ended = await exchange.read_to_end(silent_s)
         if isinstance(ended, Err):
-            return ended
+            return Err(self._timed_out(call, ended.err_value))
         head = sent.ok_value
         if head.status == 503 and head.headers.get("Ran", "").lower() == "no":
             detail = f"{entry.name} refused the call"
@@ -230,6 +230,11 @@
         content_type = head.headers.get("Content-Type", "application/octet-stream")
         return Ok(ServiceAnswer(head.status, content_type, bytes(body), entry.name))
 
+    def _timed_out(self, call, failure: Failure) -> Failure:
+        if self._timers.now() < call.deadline_at:
+            return failure
+        return Failure(ErrorKind.DEADLINE_PASSED, failure.detail)
+
     def _choose(self, service: str, tried: set[str]) -> VmEntry | None:
         """Return the target with the fewest open calls among two at random."""
         live = [entry for entry in self._vm_list.services(service)]
