Ask for an operator's signature for the status and the time line

They name requests, adapters and VMs, and stood open on the callers' address wherever METRICS_ADDRESS was not set. There they need a signature now, like the operators' other routes; on METRICS_ADDRESS they stay open, as that address is for inside.

--- a/hawthornlead/commands.py
+++ b/hawthornlead/commands.py
@@ -6,11 +6,9 @@
 
 import asyncio
 import base64
-import hashlib
 import json
 import os
 import secrets
-import time
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -19,12 +17,7 @@
 
 from .bundle_diffs import diff
 from .bundles import Bundle, prepare
-from .operator_handlers import (
-    OPERATOR_HEADER,
-    ORDER_HEADER,
-    SIGNATURE_HEADER,
-    TIME_HEADER,
-)
+from .request_guards import signed_headers
 from .signatures import (
     Purpose,
     Statement,
@@ -33,7 +26,6 @@
     public_text,
     read_private,
     sign,
-    sign_request,
 )
 
 REQUEST_TIMEOUT_S = 60.0
@@ -49,21 +41,7 @@
     def send(self, method: str, path: str, value: Any = None) -> dict[str, Any]:
         """Send a signed request and return the answer; a refusal ends the command."""
         body = b"" if value is None else json.dumps(value).encode()
-        request = sign_request(
-            self.key,
-            self.name,
-            method,
-            path,
-            hashlib.sha256(body).hexdigest(),
-            int(time.time()),
-            secrets.token_hex(16),
-        )
-        headers = {
-            OPERATOR_HEADER: self.name,
-            TIME_HEADER: str(request.time_s),
-            ORDER_HEADER: request.order_id,
-            SIGNATURE_HEADER: base64.b64encode(request.signature).decode(),
-        }
+        headers = signed_headers(self.key, self.name, method, path, body)
         return asyncio.run(self._fetch(method, path, headers, body))
 
     def order(self, purpose: Purpose, digest: str, **fields: Any) -> dict[str, Any]:
--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -44,12 +44,14 @@
 from .platforms import VmList
 from .popularities import POPULARITIES
 from .query_handlers import QueryParts, metrics_routes, query_routes
+from .request_guards import RequestGuard
 from .requests import RequestPath
 from .retries import Retries
 from .rolls import BundleKeeper
 from .routers import ROUTERS
 from .service_calls import ServicePath
 from .settings import Settings
+from .signatures import OperatorKeys
 from .slots import Policies
 from .statuses import StatusParts, status_routes
 from .suspects import Suspects
@@ -302,19 +304,18 @@
         )
         queries = QueryParts(self._members, self._keeper, self._metrics, self._reason)
         routes = caller_routes(callers) + query_routes(queries)
-        routes += operator_routes(
-            settings=self._settings,
-            timers=self._timers,
-            events=self._events,
-            keeper=self._keeper,
-            mesh=self._mesh,
-        )
-        inside = metrics_routes(queries) + self._state_routes()
+        keys = OperatorKeys(self._settings["OPERATORS"])
+        guard = RequestGuard(keys, self._timers, self._events)
+        routes += operator_routes(guard=guard, keeper=self._keeper, mesh=self._mesh)
+        timeline, status = self._timeline(), self._status_parts()
+        routes += timeline_routes(timeline, guard) + status_routes(status, guard)
         metrics_address = self._settings["METRICS_ADDRESS"]
         if metrics_address:
+            inside = timeline_routes(timeline) + status_routes(status)
+            inside += metrics_routes(queries)
             self._serve(Application(inside), metrics_address)
         else:
-            routes += inside
+            routes += metrics_routes(queries)
         application = Application(
             routes,
             default_handler_class=UnknownHandler,
@@ -324,19 +325,16 @@
             application, self._settings["CALLER_ADDRESS"], self._tls()
         )
 
-    def _state_routes(self) -> list:
-        """Return the routes of the time line and the status.
-
-        They name requests and adapters, so that operators who give the metrics an
-        address of their own keep callers from them.
-        """
-        timeline = Timeline(
+    def _timeline(self) -> Timeline:
+        return Timeline(
             settings=self._settings,
             events=self._events,
             mesh=self._mesh,
             members=self._members,
         )
-        status = StatusParts(
+
+    def _status_parts(self) -> StatusParts:
+        return StatusParts(
             self._settings,
             self._timers,
             self._store,
@@ -349,7 +347,6 @@
             self._admissions,
             self._invariants,
         )
-        return timeline_routes(timeline) + status_routes(status)
 
     def _serve(self, application, address: str, tls=None) -> str:
         host, _, port = address.rpartition(":")
--- a/hawthornlead/statuses.py
+++ b/hawthornlead/statuses.py
@@ -3,12 +3,11 @@
 import json
 from typing import Any, NamedTuple
 
-from tornado.web import RequestHandler
-
 from .invariants import Invariants
 from .leases import LeaseKeeper
 from .limits import Admissions
 from .owners import Owners
+from .request_guards import RequestGuard, SignedHandler
 from .rolls import BundleKeeper
 from .settings import Settings
 from .stores import ObjectStore
@@ -32,11 +31,12 @@
     invariants: Invariants
 
 
-class StatusHandler(RequestHandler):
+class StatusHandler(SignedHandler):
     """``GET /status``: the state of this VM as JSON."""
 
-    def initialize(self, parts: StatusParts) -> None:
+    def initialize(self, guard: RequestGuard | None, parts: StatusParts) -> None:
         """Take the parts that the daemon built."""
+        super().initialize(guard)
         self._parts = parts
 
     def get(self) -> None:
@@ -119,6 +119,6 @@
     return round(parts.timers.now() - moment, 3)
 
 
-def status_routes(parts: StatusParts) -> list:
-    """Return the route of the status."""
-    return [(r"/status", StatusHandler, {"parts": parts})]
+def status_routes(parts: StatusParts, guard: RequestGuard | None = None) -> list:
+    """Return the route of the status; without a guard anybody may ask."""
+    return [(r"/status", StatusHandler, {"guard": guard, "parts": parts})]
--- a/hawthornlead/tests/test_operator_handlers.py
+++ b/hawthornlead/tests/test_operator_handlers.py
@@ -13,14 +13,21 @@
 from hawthornlead.clocks import HybridClock
 from hawthornlead.commands import bundle_group, keys_group
 from hawthornlead.events import EventRing
-from hawthornlead.operator_handlers import (
+from hawthornlead.operator_handlers import operator_routes
+from hawthornlead.request_guards import (
     OPERATOR_HEADER,
     ORDER_HEADER,
     SIGNATURE_HEADER,
     TIME_HEADER,
-    operator_routes,
+    RequestGuard,
+)
+from hawthornlead.signatures import (
+    OperatorKeys,
+    Statement,
+    generate_key,
+    private_text,
+    sign,
 )
-from hawthornlead.signatures import Statement, generate_key, private_text, sign
 from hawthornlead.timers import TimerService
 
 from .fakes_bundles import ANNA, BERTA, OPERATORS, Fleet, document
@@ -46,13 +53,8 @@
         await self.fleet.add("b", "bilbao")
         timers = TimerService()
         events = EventRing("a", HybridClock(timers))
-        routes = operator_routes(
-            settings={"OPERATORS": OPERATORS},
-            timers=timers,
-            events=events,
-            keeper=vm.keeper,
-            mesh=vm.mesh,
-        )
+        guard = RequestGuard(OperatorKeys(OPERATORS), timers, events)
+        routes = operator_routes(guard=guard, keeper=vm.keeper, mesh=vm.mesh)
         application = Application(routes, log_function=self.requests.append)
         socket, port = bind_unused_port()
         self.server = HTTPServer(application)
--- a/hawthornlead/timelines.py
+++ b/hawthornlead/timelines.py
@@ -13,10 +13,10 @@
 from typing import NamedTuple
 
 from result import Err
-from tornado.web import RequestHandler
 
 from .events import EventRing
 from .messages import CollectedEvents, CollectEvents, EventRecord
+from .request_guards import RequestGuard, SignedHandler
 
 # All answers stand in memory at once on the VM that is asked, so that the share of
 # each VM shrinks as the fleet grows: 20,000 records take about 7 MB.
@@ -67,11 +67,12 @@
         return CollectedEvents(self._events.newest(message.subject, limit))
 
 
-class TimelineHandler(RequestHandler):
+class TimelineHandler(SignedHandler):
     """``GET /timeline``: the events of all VMs, by ``subject`` and ``limit``."""
 
-    def initialize(self, timeline: Timeline) -> None:
+    def initialize(self, guard: RequestGuard | None, timeline: Timeline) -> None:
         """Take the part that collects."""
+        super().initialize(guard)
         self._timeline = timeline
 
     async def get(self) -> None:
@@ -90,6 +91,6 @@
         self.finish("]}")
 
 
-def timeline_routes(timeline: Timeline) -> list:
-    """Return the route of the time line."""
-    return [(r"/timeline", TimelineHandler, {"timeline": timeline})]
+def timeline_routes(timeline: Timeline, guard: RequestGuard | None = None) -> list:
+    """Return the route of the time line; without a guard anybody may ask."""
+    return [(r"/timeline", TimelineHandler, {"guard": guard, "timeline": timeline})]
