--- a/hawthornlead/commands.py
+++ b/hawthornlead/commands.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import functools
 import json
 import os
 import secrets
@@ -24,7 +25,7 @@
     generate_key,
     private_text,
     public_text,
-    read_private,
+    read_private_file,
     sign,
 )
 
@@ -37,6 +38,7 @@
     name: str
     key: Any
     url: str
+    ca: str | None
 
     def send(self, method: str, path: str, value: Any = None) -> dict[str, Any]:
         """Send a signed request and return the answer; a refusal ends the command."""
@@ -56,6 +58,7 @@
             headers=headers,
             body=body if method == "POST" else None,
             request_timeout=REQUEST_TIMEOUT_S,
+            ca_certs=self.ca,
         )
         try:
             response = await AsyncHTTPClient().fetch(request, raise_error=False)
@@ -77,36 +80,44 @@
 
 
 def operator_options(function):
-    """Add the options that say who signs and where it goes."""
-    for option in (
-        click.option("--vm", "address", required=True, metavar="IP:PORT"),
-        click.option("--key", "path_of_key", required=True, metavar="FILE"),
-        click.option("--operator", "name", required=True, metavar="NAME"),
-    ):
-        function = option(function)
-    return function
+    """Add the options that say who signs and where it goes, as one ``Operator``."""
 
+    @functools.wraps(function)
+    def command(*, operator, key, vm, ca, **options):
+        url = vm if "://" in vm else f"http://{vm}"
+        return function(operator=Operator(operator, _read_key(key), url, ca), **options)
 
-def _operator(name: str, path: str, address: str) -> Operator:
-    url = address if "://" in address else f"http://{address}"
-    return Operator(name, _read_key(path), url)
+    for option in (
+        click.option("--ca", metavar="FILE", help="Certificates to trust (PEM)."),
+        click.option(
+            "--vm",
+            required=True,
+            metavar="IP:PORT",
+            help="Caller address of any VM, or https://IP:PORT.",
+        ),
+        click.option("--key", required=True, metavar="FILE", help="Your private key."),
+        click.option(
+            "--operator", required=True, metavar="NAME", help="As in [operators]."
+        ),
+    ):
+        command = option(command)
+    return command
 
 
 def _read_key(path: str):
-    try:
-        read = read_private(Path(path).read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError) as error:
-        raise click.ClickException(f"{path}: {error}") from None
+    read = read_private_file(path)
     if read.is_err():
-        raise click.ClickException(f"{path}: {read.unwrap_err().detail}")
+        raise click.ClickException(read.unwrap_err().detail)
     return read.unwrap()
 
 
 def _read_document(path: str) -> Any:
     try:
         return json.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
-        raise click.ClickException(f"{path}: {error}") from None
+    except OSError as error:
+        raise click.ClickException(f"{path}: {error.strerror}") from None
+    except ValueError as error:
+        raise click.ClickException(f"{path}: not JSON: {error}") from None
 
 
 @click.group("keys")
@@ -122,7 +133,7 @@
     try:
         handle = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
     except OSError as error:
-        raise click.ClickException(f"{path}: {error}") from None
+        raise click.ClickException(f"{path}: {error.strerror}") from None
     with os.fdopen(handle, "w", encoding="utf-8") as file:
         file.write(private_text(key) + "\n")
     click.echo(public_text(key))
@@ -143,9 +154,8 @@
 @bundle_group.command("prepare")
 @click.argument("path", metavar="DOCUMENT")
 @operator_options
-def bundle_prepare(path: str, name: str, address: str, **options) -> None:
+def bundle_prepare(path: str, operator: Operator) -> None:
     """Check DOCUMENT, send it, sign it as its preparer and print its digest."""
-    operator = _operator(name, options["path_of_key"], address)
     made = prepare(_read_document(path))
     if made.is_err():
         raise click.ClickException(made.unwrap_err().detail)
@@ -176,9 +186,8 @@
 @bundle_group.command("approve")
 @click.argument("digest")
 @operator_options
-def bundle_approve(digest: str, name: str, address: str, **options) -> None:
+def bundle_approve(digest: str, operator: Operator) -> None:
     """Approve a bundle that another operator prepared."""
-    operator = _operator(name, options["path_of_key"], address)
     order = operator.order(Purpose.APPROVE, digest)
     operator.send("POST", "/operator/approve", order)
     click.echo(f"approved {digest}")
@@ -191,10 +200,9 @@
 @click.option("--order-id", help="Repeat an order whose answer was lost.")
 @operator_options
 def bundle_roll(
-    digest: str, expect: int | None, waive, order_id, name, address, **options
+    digest: str, expect: int | None, waive, order_id, operator: Operator
 ) -> None:
     """Put a bundle in force on every VM. An earlier one: that is the roll back."""
-    operator = _operator(name, options["path_of_key"], address)
     if expect is None:
         expect = operator.send("GET", "/operator/bundle")["seq"]
     order_id = order_id or secrets.token_hex(16)
@@ -213,9 +221,8 @@
 @bundle_group.command("retire")
 @click.argument("digest")
 @operator_options
-def bundle_retire(digest: str, name: str, address: str, **options) -> None:
+def bundle_retire(digest: str, operator: Operator) -> None:
     """Bar a bundle from being rolled any more."""
-    operator = _operator(name, options["path_of_key"], address)
     order = operator.order(Purpose.RETIRE, digest, order_id=secrets.token_hex(16))
     operator.send("POST", "/operator/retire", order)
     click.echo(f"retired {digest}")
@@ -223,9 +230,8 @@
 
 @bundle_group.command("show")
 @operator_options
-def bundle_show(name: str, address: str, **options) -> None:
+def bundle_show(operator: Operator) -> None:
     """Print what is in force, what is staged, the past rolls, and this VM's state."""
-    operator = _operator(name, options["path_of_key"], address)
     shown = operator.send("GET", "/operator/bundle")
     shown["this_vm"] = operator.send("GET", "/operator/status")
     click.echo(json.dumps(shown, indent=2))
--- a/hawthornlead/queries.py
+++ b/hawthornlead/queries.py
@@ -7,18 +7,22 @@
 """
 
 import datetime
+import functools
 import json
 import sys
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import urlencode
 
 import click
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from result import Err, Ok, Result
 from tornado.httpclient import HTTPClient, HTTPError
 
 from .errors import ErrorKind, Failure
 from .references import event_rows
+from .request_guards import signed_headers
 from .settings import FREE_SECTIONS, SETTINGS, Settings, read_settings
+from .signatures import read_private_file
 
 ASK_TIMEOUT_S = 10.0
 SECRETS = frozenset({"PEER_SECRET"})
@@ -26,6 +30,13 @@
 QUERIES: dict[str, click.Command] = {}
 
 
+class Signer(NamedTuple):
+    """An operator who signs queries, and the private key."""
+
+    operator: str
+    key: Ed25519PrivateKey
+
+
 def query(command: click.Command) -> click.Command:
     """Enter a command in ``QUERIES``, from which the command line takes it."""
     QUERIES[command.name] = command
@@ -48,6 +59,35 @@
     return function
 
 
+def may_sign(function):
+    """Add the options by which an operator signs a query.
+
+    They are needed on the callers' address, not on the metrics address.
+    """
+
+    @functools.wraps(function)
+    def command(*, operator, key, **options):
+        if bool(operator) != bool(key):
+            raise click.UsageError("--operator and --key go together")
+        return function(signer=_signer(operator, key), **options)
+
+    for option in (
+        click.option("--key", metavar="FILE", help="Your private key."),
+        click.option("--operator", metavar="NAME", help="As in [operators]."),
+    ):
+        command = option(command)
+    return command
+
+
+def _signer(operator: str | None, path: str | None) -> Signer | None:
+    if not operator:
+        return None
+    read = read_private_file(path)
+    if isinstance(read, Err):
+        raise click.ClickException(read.err_value.detail)
+    return Signer(operator, read.ok_value)
+
+
 @query
 @click.command("check-settings")
 @click.argument("path", metavar="FILE")
@@ -66,9 +106,10 @@
 @query
 @click.command()
 @asks_vm
-def status(vm: str, ca: str | None, as_json: bool) -> None:
+@may_sign
+def status(vm: str, ca: str | None, as_json: bool, signer: Signer | None) -> None:
     """Show the state of one VM and what it knows."""
-    answer = _answer_or_exit(ask_vm(vm, "/status", {}, ca))
+    answer = _answer_or_exit(ask_vm(vm, "/status", {}, ca, signer))
     if as_json:
         return click.echo(json.dumps(answer))
     return click.echo(as_table(("what", "value"), flat_rows(answer)))
@@ -93,10 +134,18 @@
 @click.option("--subject", default="", help="Request, target, adapter, bundle or VM.")
 @click.option("--limit", default=1000, show_default=True, help="Most events per VM.")
 @asks_vm
-def timeline(vm: str, ca: str | None, as_json: bool, subject: str, limit: int) -> None:
+@may_sign
+def timeline(
+    vm: str,
+    ca: str | None,
+    as_json: bool,
+    subject: str,
+    limit: int,
+    signer: Signer | None,
+) -> None:
     """Show one time line of the events of all VMs."""
     asked = {"subject": subject, "limit": str(limit)}
-    answer = _answer_or_exit(ask_vm(vm, "/timeline", asked, ca))
+    answer = _answer_or_exit(ask_vm(vm, "/timeline", asked, ca, signer))
     if as_json:
         return click.echo(json.dumps(answer))
     heads = ("time", "vm", "number", "subject", "text")
@@ -137,25 +186,34 @@
 
 
 def ask_vm(
-    vm: str, path: str, asked: dict[str, str], ca: str | None = None
+    vm: str,
+    path: str,
+    asked: dict[str, str],
+    ca: str | None = None,
+    signer: Signer | None = None,
 ) -> Result[Any, Failure]:
     """Return a VM's JSON answer to a GET of ``path``.
 
-    ``vm`` is IP:PORT, or begins with ``https://`` where callers use TLS.
+    ``vm`` is IP:PORT, or begins with ``https://`` where callers use TLS. A refusal
+    is returned as the VM told it.
     """
     base = vm if "://" in vm else f"http://{vm}"
-    address = f"{base}{path}" + (f"?{urlencode(asked)}" if asked else "")
+    path += f"?{urlencode(asked)}" if asked else ""
+    headers = {}
+    if signer is not None:
+        headers = signed_headers(signer.key, signer.operator, "GET", path, b"")
     client = HTTPClient()
     try:
         response = client.fetch(
-            address,
+            base + path,
+            headers=headers,
             connect_timeout=ASK_TIMEOUT_S,
             request_timeout=ASK_TIMEOUT_S,
             ca_certs=ca,
         )
         return Ok(json.loads(response.body))
     except HTTPError as error:
-        return Err(Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm}: {_told(error)}"))
+        return Err(_told(vm, error))
     except (OSError, ValueError) as error:
         return Err(Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm}: {error}"))
     finally:
@@ -204,9 +262,15 @@
     )
 
 
-def _told(error: HTTPError) -> str:
+def _told(vm: str, error: HTTPError) -> Failure:
     body = error.response.body if error.response is not None else b""
-    return f"{error} {body.decode('utf-8', 'replace')}".strip()
+    try:
+        fields = json.loads(body or b"")
+        return Failure(ErrorKind(fields["error"]), f"{vm}: {fields['detail']}")
+    except (ValueError, KeyError, TypeError):
+        text = (body or b"").decode("utf-8", "replace")
+        told = " ".join(f"{error} {text}".split())
+        return Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm}: {told}")
 
 
 def _answer_or_exit(outcome: Result[Any, Failure]) -> Any:
--- a/hawthornlead/signatures.py
+++ b/hawthornlead/signatures.py
@@ -14,6 +14,7 @@
 import binascii
 from collections.abc import Mapping
 from enum import Enum
+from pathlib import Path
 from typing import Any, NamedTuple
 
 from cryptography.exceptions import InvalidSignature
@@ -112,6 +113,19 @@
         return _refused("the private key is not 32 bytes in base64")
 
 
+def read_private_file(path: str) -> Result[Ed25519PrivateKey, Failure]:
+    """Read a private key from a file, as ``keys new`` writes it."""
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        return _refused(f"{path}: {error.strerror}")
+    except UnicodeDecodeError:
+        text = ""
+    return read_private(text).map_err(
+        lambda failure: failure._replace(detail=f"{path}: {failure.detail}")
+    )
+
+
 def sign(key: Ed25519PrivateKey, statement: Statement) -> SignedStatement:
     """Sign a statement."""
     return SignedStatement(statement, key.sign(_statement_bytes(statement)))
--- a/hawthornlead/tests/demo.py
+++ b/hawthornlead/tests/demo.py
@@ -18,7 +18,6 @@
     Operators,
     bundle_document,
     caller_document,
-    run_cli,
     two_data_centres,
 )
 from hawthornlead.tests.fleets import Fleet, Reply
@@ -328,13 +327,20 @@
 
     async def _timeline(self) -> None:
         scene("the time line over all processes, by hawthornlead timeline")
-        code, output = await run_cli("timeline", "--vm", self._any_vm())
+        code, output = await self._operators.ask(self._any_vm(), "timeline")
         lines = output.splitlines()
         for line in lines:
             columns = line.split(maxsplit=3)
             if len(columns) > 3 and columns[2] in TIMELINE_COLUMNS:
                 print(line)
         self._checks.expect(code == 0, "the time line is answered", output[-500:])
+        address = self._any_vm()
+        unsigned = await self._fleet.fetch("GET", address, "/timeline", None, {})
+        self._checks.expect(
+            unsigned.status == 401,
+            "on the callers' address nobody reads it without a signature",
+            unsigned.status,
+        )
         for name in self._fleet.vms:
             for number, what in ((400, "a bundle in force"), (601, "a request sent")):
                 found = any(line.split()[1:3] == [name, str(number)] for line in lines)
--- a/hawthornlead/tests/deployments.py
+++ b/hawthornlead/tests/deployments.py
@@ -133,6 +133,12 @@
         await self._checked("roll", OPERATORS[0], vm, digest)
         return digest
 
+    async def ask(self, vm: str, query: str, *more: str) -> tuple[int, str]:
+        """Ask a VM a query that needs a signature, at its callers' address."""
+        name = OPERATORS[0]
+        proof = ("--operator", name, "--key", str(self._key(name)), "--vm", vm)
+        return await run_cli(query, *proof, *more)
+
     async def _checked(self, command: str, operator: str, vm: str, *more: str) -> str:
         code, output = await self._run(command, operator, vm, *more)
         if code:
--- a/hawthornlead/tests/fleets.py
+++ b/hawthornlead/tests/fleets.py
@@ -64,6 +64,19 @@
     peer_address: str
     process: asyncio.subprocess.Process
     log: Path
+    metrics_address: str = ""
+
+
+class _Addresses(NamedTuple):
+    """The addresses set aside for one VM."""
+
+    callers: str
+    peers: str
+    metrics: str
+
+
+# Answered without a signature on a VM's metrics address only.
+INSIDE_PATHS = ("/metrics", "/status", "/timeline")
 
 
 class Fleet:
@@ -73,7 +86,7 @@
         self._deployment = deployment
         self._command = command or [sys.executable, "-m", "hawthornlead"]
         self._folder = Path(tempfile.mkdtemp(prefix="fleet-"))
-        self._ports: dict[str, tuple[str, str]] = {}
+        self._ports: dict[str, _Addresses] = {}
         self._standins: asyncio.subprocess.Process | None = None
         self._client = AsyncHTTPClient(force_instance=True, max_clients=5000)
         self.addresses: dict[str, str] = {}
@@ -96,10 +109,11 @@
         text = self._deployment.standins
         for number, spec in enumerate(self._deployment.vms, start=1):
             host = _loopback_host(number)
-            self._ports[spec.name] = (_free_address(host), _free_address(host))
+            addresses = _Addresses(*(_free_address(host) for _ in range(3)))
+            self._ports[spec.name] = addresses
             text += (
                 f"\n[vm {spec.name}]\nrole = entry\n"
-                f"address = {self._ports[spec.name][0]}\n"
+                f"address = {addresses.callers}\n"
                 f"data_centre = {spec.data_centre}\n"
             )
         path = self._folder / "standins.ini"
@@ -125,15 +139,17 @@
 
     async def start_vm(self, spec: VmSpec) -> RunningVm:
         """Start one VM's process, at the addresses that were set aside for it."""
-        caller_address, peer_address = self._ports[spec.name]
+        addresses = self._ports[spec.name]
         path = self._folder / f"{spec.name}.ini"
-        path.write_text(self._ini(spec, caller_address, peer_address))
+        path.write_text(self._ini(spec, addresses))
         log = self._folder / f"{spec.name}.log"
         with open(log, "ab") as output:
             process = await asyncio.create_subprocess_exec(
                 *self._command, "serve", "-c", str(path), stdout=output, stderr=output
             )
-        running = RunningVm(spec, caller_address, peer_address, process, log)
+        running = RunningVm(
+            spec, addresses.callers, addresses.peers, process, log, addresses.metrics
+        )
         self.vms[spec.name] = running
         return running
 
@@ -188,7 +204,14 @@
         return (await self.get(self.addresses[name], "/standin/record")).json
 
     async def get(self, address: str, path: str, **headers: str) -> Reply:
-        """GET a path from any process of the fleet."""
+        """GET a path from any process of the fleet.
+
+        A VM's own state is asked at its metrics address.
+        """
+        if path.startswith(INSIDE_PATHS):
+            for vm in self.vms.values():
+                if vm.caller_address == address:
+                    address = vm.metrics_address
         return await self.fetch("GET", address, path, None, headers)
 
     async def post(
@@ -234,13 +257,14 @@
             await self._standins.wait()
         self._client.close()
 
-    def _ini(self, spec: VmSpec, caller_address: str, peer_address: str) -> str:
+    def _ini(self, spec: VmSpec, addresses: _Addresses) -> str:
         sections: dict[str, dict[str, Any]] = {
             "vm": {
                 "vm_name": spec.name,
                 "data_centre": spec.data_centre,
-                "caller_address": caller_address,
-                "peer_address": peer_address,
+                "caller_address": addresses.callers,
+                "peer_address": addresses.peers,
+                "metrics_address": addresses.metrics,
             },
             "platform": {
                 "store_address": self.addresses["store"],
