--- a/hawthornlead/target_owners.py
+++ b/hawthornlead/target_owners.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 from result import Err
 
@@ -46,6 +47,13 @@
         self.serial = 0
 
 
+class _Newcomer(NamedTuple):
+    """A VM's start, as the mesh tells VMs apart."""
+
+    vm: str
+    incarnation: str
+
+
 class TargetOwners:
     """Keeps a ``TargetOwner`` for each target that this VM owns."""
 
@@ -82,9 +90,9 @@
         self._targets: dict[str, TargetOwner] = {}
         self._told: dict[str, _Told] = {}
         self._wanted: set[str] = set()
-        self._met: set[tuple[str, str]] = set()
         # Until when evictions of targets that were given up may take effect.
         self._evicts_end_at: dict[str, float] = {}
+        self._met: frozenset[_Newcomer] = frozenset()
         self._timer = None
 
     @property
@@ -219,7 +227,6 @@
         return max(0, copies)
 
     def _tell_all(self) -> None:
-        self._tell_joined()
         count = len(self._vm_list.engines())
         retell_s = max(RETELL_S, count / STATES_PER_S)
         now = self._timers.now()
@@ -233,18 +240,21 @@
             told.state = state._replace(serial=told.serial)
             self._views.take(told.state)
             self._mesh.broadcast(told.state)
+        self._tell_newcomers()
 
-    def _tell_joined(self) -> None:
-        """Tell every state to VMs that a connection has just opened to.
+    def _tell_newcomers(self) -> None:
+        """Tell VMs that connected since the last turn what was told before.
 
-        Without this a VM that joins knows of no usable target, and refuses its
-        first requests, until the owners tell their states again by themselves.
+        Guards against a VM that has just started and knows no target: it would
+        refuse every request with no-target until the next retelling, seconds later.
         """
-        met = {(peer.vm, peer.incarnation) for peer in self._mesh.live}
-        for vm, _incarnation in met - self._met:
+        met = frozenset(
+            _Newcomer(peer.vm, peer.incarnation) for peer in self._mesh.live
+        )
+        for newcomer in met - self._met:
             for told in self._told.values():
                 if told.state is not None:
-                    send(self._mesh, vm, told.state)
+                    self._mesh.cast(newcomer.vm, told.state)
         self._met = met
 
     async def _on_acquire(self, sender, ask: AcquireGrant):
--- a/hawthornlead/tests/fakes_worlds.py
+++ b/hawthornlead/tests/fakes_worlds.py
@@ -61,7 +61,7 @@
     """The sender of a message."""
 
     vm: str
-    incarnation: str = ""
+    incarnation: str = "1"
 
 
 class FakeOwners:
@@ -121,8 +121,8 @@
 
     @property
     def live(self):
-        """All VMs, as peers."""
-        return tuple(FakePeer(vm) for vm in self._world.vms)
+        """The VMs that this one is connected to."""
+        return self._world.connected(self.vm)
 
     def on(self, message_type, handler):
         """Enter a handler."""
@@ -253,6 +253,14 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def connected(self, vm):
+        """Return the VMs that ``vm`` has a connection to."""
+        return tuple(
+            FakePeer(name)
+            for name, other in self.vms.items()
+            if name != vm and not other.dead and frozenset((name, vm)) not in self.cuts
+        )
+
     async def carry(self, sender, vm, message, timeout_s):
         """Carry a message there and its reply back."""
         away = Err(Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm} is away"))
