Set values that no step reads again to zero in the model of bundles

The run with two rollers reached its memory bound after 8.5 million states. Most of these differed only in what a read had brought, what a decided doubt had been, or in the writes of a roll that was answered. Such values are now set to zero, which joins states that no later step can tell apart, so that no interleaving is lost.

--- a/spec/bundles.pml
+++ b/spec/bundles.pml
@@ -86,7 +86,7 @@
      if :: reply[i] = 1 :: reply[i] = 0 fi
   :: else -> reply[i] = 2
   fi;
-  write[i] = NONE
+  write[i] = NONE; expects[i] = 0
 }
 
 active proctype Store() {
@@ -141,6 +141,10 @@
 #define NEWER(v, number) (number > seq[v])
 #endif
 
+/* Values that no later step reads are set back to zero. That joins states which
+   differ in nothing that can matter, so no interleaving is lost. */
+inline decided(v) { acked[v] = 0; ack_seq[v] = 0; doubt[v] = 0 }
+
 inline adopt(v, number) {
   if
   :: NEWER(v, number) ->
@@ -148,7 +152,7 @@
      seq[v] = number; behind[v] = false;
      /* What this VM acknowledged is decided once the number that it would have
         had is in force. */
-     if :: seq[v] >= ack_seq[v] -> acked[v] = 0 :: else fi
+     if :: seq[v] >= ack_seq[v] -> decided(v) :: else fi
   :: else
   fi
 }
@@ -214,7 +218,7 @@
 #else
   acked[v] = stage[i]; ack_seq[v] = stage_seq[i]; doubt[v] = DOUBT;
 #endif
-  acks[i] = acks[i] | (1 << v)
+  if :: !deciding[i] -> acks[i] = acks[i] | (1 << v) :: else fi
 }
 
 proctype Vm(byte v) {
@@ -235,7 +239,7 @@
        adopt(v, read_accepted[v]);
        if
        :: acked[v] > 0 && read_staged[v] == acked[v] -> doubt[v] = PROVES(v)
-       :: acked[v] > 0 && read_staged[v] < acked[v] && DECIDES(v) -> acked[v] = 0
+       :: acked[v] > 0 && read_staged[v] < acked[v] && DECIDES(v) -> decided(v)
        /* BUN-13: a VM that reads of a stage that it did not acknowledge is in
           doubt of it too: it may have registered after the roller's list. */
 #ifndef NEWCOMER_NOT_IN_DOUBT
@@ -244,7 +248,8 @@
 #endif
        :: else
        fi;
-       has[v] = true; reading[v] = 0 }
+       has[v] = true; reading[v] = 0;
+       read_accepted[v] = 0; read_staged[v] = 0; read_last[v] = 0 }
 
   /* Admit a request. */
   :: atomic { MAY_SERVE(v) ->
@@ -285,6 +290,11 @@
 #define MAY_LIST(i) known[i]
 #endif
 
+inline tell(i, what) {
+  told[i] = what; known[i] = false; listed[i] = false; deciding[i] = false;
+  need[i] = 0; acks[i] = 0; stage_version[i] = 0; reply[i] = 0
+}
+
 proctype Roller(byte i) {
 end:
   do
@@ -297,7 +307,7 @@
   :: atomic { has[i] && !gone[i] && staged != 0 && staged != stage[i] ->
        staged = 0; version++ }
 #endif
-  :: atomic { stage[i] == 0 && reply[i] == 2 -> reply[i] = 0; told[i] = 2 }
+  :: atomic { stage[i] == 0 && reply[i] == 2 -> tell(i, 2) }
   /* The stage is known by its reply, or by reading back one's own write. */
   :: atomic { stage[i] > 0 && !known[i] && (reply[i] == 1 || staged == stage[i]) ->
        reply[i] = 0; known[i] = true }
@@ -308,21 +318,22 @@
      stage is undecided. */
   :: atomic { known[i] && listed[i] && !deciding[i] && write[i] == NONE &&
        ALL_ACKED(i) -> deciding[i] = true; write[i] = ACCEPT;
-       expects[i] = stage_version[i] }
-  :: atomic { deciding[i] && reply[i] == 1 -> reply[i] = 0; told[i] = 1;
+       expects[i] = stage_version[i]; stage_version[i] = 0;
+       need[i] = 0; acks[i] = 0 }
+  :: atomic { deciding[i] && reply[i] == 1 -> tell(i, 1);
        assert(accepted_by[stage_seq[i]] == stage[i]); adopt(i, stage_seq[i]) }
-  :: atomic { deciding[i] && reply[i] == 2 -> reply[i] = 0; told[i] = 2 }
+  :: atomic { deciding[i] && reply[i] == 2 -> tell(i, 2) }
   /* BUN-12: no reply. Read back; if the stage still stands, a further
      conditional write clears it, so that the first can't take effect later. */
   :: atomic { deciding[i] && reply[i] == 0 && !gone[i] ->
        if
-       :: accepted_by[stage_seq[i]] == stage[i] -> told[i] = 1;
+       :: accepted_by[stage_seq[i]] == stage[i] -> tell(i, 1);
           adopt(i, stage_seq[i])
        :: else ->
 #ifndef NO_SETTLE
           if :: staged == stage[i] -> staged = 0; version++ :: else fi;
 #endif
-          told[i] = 2
+          tell(i, 2)
        fi }
   od
 }
