Number bundles in the model as the code does

A stage's number is the bundle's sequence number, never used again; a VM merges what it hears and reads, hands on proofs with their age, and is in doubt of any stage it knows of; the asking names the bundle in force. That is how the code does it. BUN-10 has a mutation now (behind-serves), and BUN-15 (a proof handed on keeps its age) is new.

--- a/spec/bundles.pml
+++ b/spec/bundles.pml
@@ -4,7 +4,9 @@
  * way. Every step of a VM is optional: one that does not read, hear or answer is
  * cut from the store, from its peers, or frozen. Writes are conditional on the
  * pointer's version, may be delayed without bound, and their replies may be lost.
- * One unit of time is a tick.
+ * A stage's number is never used again and becomes the bundle's sequence number.
+ * One unit of time is a tick. A value that no later step reads is set back to
+ * zero: that joins states which differ in nothing that can matter.
  */
 #ifndef VMS
 #define VMS 2
@@ -19,16 +21,16 @@
 #define NONE 0
 #define STAGE 1
 #define ACCEPT 2
-#define CLEAR 3
 
 #define COUNT(x) if :: x > 0 -> x-- :: else fi
+#define RAISE(x, y) if :: y > x -> x = y :: else fi
 
-/* The pointer. Stage numbers are never used again. */
-byte accepted;           /* sequence number in force */
-byte staged;             /* stage number, 0 none */
+/* The pointer. */
+byte accepted;           /* number in force */
+byte staged;             /* staged number, 0 none */
 byte last_stage;
 byte version;
-byte accepted_by[4];     /* stage number accepted under each sequence number */
+byte won;                /* bit per number that was accepted */
 byte since;              /* ticks since the last acceptance, up to BOUND + 1 */
 
 /* Registrations, in their own object. */
@@ -36,21 +38,22 @@
 bool gone[VMS];          /* the process has ended, which can be proved */
 
 /* Each VM. */
-byte seq[VMS];           /* bundle in force on it */
+byte seq[VMS];           /* number in force on it */
+byte heard[VMS];         /* highest number that it knows to be accepted */
+byte decided[VMS];       /* all stages up to this number are known decided */
 bool has[VMS];           /* it has read the pointer since it registered */
-byte acked[VMS];         /* stage number acknowledged and not known decided */
-byte doubt[VMS];         /* ticks left on its last proof that it is undecided */
-bool behind[VMS];        /* it has heard of a higher sequence number */
+byte doubted[VMS];       /* stage that it knows of and not its decision, 0 none */
+byte proof[VMS];         /* ticks left on its last proof that it is undecided */
 byte reading[VMS];       /* a read is under way: ticks left on what it proves */
 bool read_done[VMS];
 byte read_accepted[VMS];
 byte read_staged[VMS];
 byte read_last[VMS];
-byte ack_seq[VMS];       /* the number that the acknowledged stage would have */
 
 /* Each roller. */
 byte write[ROLLERS];
 byte expects[ROLLERS];
+byte base[ROLLERS];      /* the number in force that its order replaces */
 byte reply[ROLLERS];     /* 1 it took effect, 2 conflict */
 byte stage_version[ROLLERS];
 bool known[ROLLERS];     /* it knows that its stage took effect */
@@ -58,7 +61,6 @@
 byte acks[ROLLERS];
 bool listed[ROLLERS];    /* it has read the registrations */
 byte stage[ROLLERS];     /* its stage number, 0 none */
-byte stage_seq[ROLLERS];
 bool deciding[ROLLERS];  /* an accept write may be under way */
 byte told[ROLLERS];      /* 1 accepted, 2 not accepted */
 
@@ -75,17 +77,18 @@
      version++;
      if
      :: write[i] == STAGE -> last_stage++; staged = last_stage;
-        stage[i] = staged; stage_seq[i] = accepted + 1; stage_version[i] = version
-     :: write[i] == ACCEPT -> accepted = stage_seq[i]; staged = 0; since = 0;
-        /* Property 3: one roll wins each sequence number, and a roll that was
-           told 'not accepted' is not accepted later. */
-        assert(accepted_by[accepted] == 0 && told[i] != 2);
-        accepted_by[accepted] = stage[i]
-     :: write[i] == CLEAR -> staged = 0
+        stage[i] = staged; stage_version[i] = version
+     :: write[i] == ACCEPT ->
+        /* Property 3: of two rolls that would replace the same bundle one wins,
+           and a roll that was told 'not accepted' is not accepted later. */
+        assert(accepted == base[i] && told[i] != 2);
+        accepted = stage[i]; staged = 0; since = 0;
+        won = won | (1 << stage[i])
      fi;
      if :: reply[i] = 1 :: reply[i] = 0 fi
   :: else -> reply[i] = 2
   fi;
+  if :: told[i] != 0 -> reply[i] = 0 :: else fi;
   write[i] = NONE; expects[i] = 0
 }
 
@@ -99,19 +102,24 @@
   od
 }
 
-inline count_vm(v) { COUNT(doubt[v]); COUNT(reading[v]) }
+inline count_vm(v) { COUNT(proof[v]); COUNT(reading[v]) }
 
-/* BUN-9: a VM that acknowledged and heard no decision serves only while it has a
-   fresh proof that there is none. BUN-10: behind a peer it refuses. */
+/* BUN-9: a VM that knows of a stage and not of its decision serves only while it
+   has a fresh proof that there is none. BUN-10: behind what it heard it refuses. */
 #ifdef NO_DOUBT_RULE
 #define IN_DOUBT(v) false
 #else
-#define IN_DOUBT(v) (acked[v] > 0 && doubt[v] == 0)
+#define IN_DOUBT(v) (doubted[v] > 0 && proof[v] == 0)
+#endif
+#ifdef BEHIND_SERVES
+#define IS_BEHIND(v) false
+#else
+#define IS_BEHIND(v) (seq[v] < heard[v])
 #endif
 #ifdef STORE_ALWAYS
-#define MAY_SERVE(v) (has[v] && !gone[v] && doubt[v] > 0)
+#define MAY_SERVE(v) (has[v] && !gone[v] && proof[v] > 0)
 #else
-#define MAY_SERVE(v) (has[v] && !gone[v] && !IN_DOUBT(v) && !behind[v])
+#define MAY_SERVE(v) (has[v] && !gone[v] && !IN_DOUBT(v) && !IS_BEHIND(v))
 #endif
 
 active proctype Clock() {
@@ -134,25 +142,32 @@
   od
 }
 
-/* BUN-3: a bundle is adopted only when its number is higher. */
+/* What a VM knows only grows. */
+inline decide(v, number) {
+  RAISE(decided[v], number);
+  if
+  :: doubted[v] <= decided[v] -> doubted[v] = 0; proof[v] = 0
+  :: else
+  fi
+}
+
+/* BUN-3: a bundle counts only when its number is higher. */
+inline adopt(v, number) {
 #ifdef ADOPT_ANY
-#define NEWER(v, number) (number != seq[v])
+  heard[v] = number;
 #else
-#define NEWER(v, number) (number > seq[v])
+  RAISE(heard[v], number);
 #endif
+  decide(v, number)
+}
 
-/* Values that no later step reads are set back to zero. That joins states which
-   differ in nothing that can matter, so no interleaving is lost. */
-inline decided(v) { acked[v] = 0; ack_seq[v] = 0; doubt[v] = 0 }
-
-inline adopt(v, number) {
+/* A VM learns of a stage, from anybody: it is in doubt of it until it knows the
+   decision. A stage begins only when all before it are decided. */
+inline learn(v, number, ticks) {
   if
-  :: NEWER(v, number) ->
-     assert(number > seq[v]);           /* property 1: never goes down */
-     seq[v] = number; behind[v] = false;
-     /* What this VM acknowledged is decided once the number that it would have
-        had is in force. */
-     if :: seq[v] >= ack_seq[v] -> decided(v) :: else fi
+  :: number > decided[v] && number > doubted[v] ->
+     decide(v, number - 1); doubted[v] = number; proof[v] = ticks
+  :: number > 0 && number == doubted[v] -> RAISE(proof[v], ticks)
   :: else
   fi
 }
@@ -164,17 +179,26 @@
 #else
 #define UNDECIDED(o) (told[o] == 0 && !deciding[o])
 #endif
+/* BUN-15: anybody else only hands on a proof, which keeps its age. */
+#ifdef RELAY_IS_FRESH
+#define HANDED_ON(o) DOUBT
+#else
+#define HANDED_ON(o) proof[o]
+#endif
+#define OWN_STAGE(o) (o < ROLLERS && known[o] && stage[o] == doubted[o] && UNDECIDED(o))
 
 inline hear(v, o) {
+  adopt(v, heard[o]);
+  decide(v, decided[o]);
   if
-  :: seq[o] > seq[v] ->
-     if :: behind[v] = true :: adopt(v, seq[o]) fi
-  :: else ->
-     if
-     :: o < ROLLERS && acked[v] > 0 && stage[o] == acked[v] && UNDECIDED(o) ->
-        doubt[v] = DOUBT
-     :: else
-     fi
+  :: doubted[o] > 0 && OWN_STAGE(o) -> learn(v, doubted[o], DOUBT)
+  :: doubted[o] > 0 && !OWN_STAGE(o) -> learn(v, doubted[o], HANDED_ON(o))
+  :: else
+  fi;
+  if
+  :: o < ROLLERS && told[o] == 2 && stage[o] > 0 && stage[o] == doubted[v] ->
+     decide(v, stage[o])
+  :: else
   fi
 }
 
@@ -193,32 +217,38 @@
 #endif
 /* BUN-6: a read from before the stage was written decides nothing about it. */
 #ifdef STALE_READ_DECIDES
-#define DECIDES(v) true
+#define READ_DECIDES(v) doubted[v]
 #else
-#define DECIDES(v) (read_last[v] >= acked[v])
+#define READ_DECIDES(v) read_last[v]
 #endif
 #ifdef OUTAGE
 #define STORE_ANSWERS false
 #else
 #define STORE_ANSWERS true
 #endif
-
-/* BUN-14: a VM acknowledges only a stage that follows the bundle it has in force.
-   Else the doubt of the new stage would take the place of the doubt of the one
-   before, which may have been accepted meanwhile. */
-#ifdef ACK_WHEN_BEHIND
-#define FOLLOWS(v, i) (stage_seq[i] > seq[v])
+/* BUN-13: a VM that reads of a stage that it did not acknowledge is in doubt of
+   it too: it may have registered after the roller's list. */
+#ifdef NEWCOMER_NOT_IN_DOUBT
+#define READ_STAGE(v) (read_staged[v] > 0 && read_staged[v] == doubted[v])
 #else
-#define FOLLOWS(v, i) (stage_seq[i] == seq[v] + 1)
+#define READ_STAGE(v) (read_staged[v] > 0)
 #endif
-#define CAN_ACK(v, i) (has[v] && !gone[v] && registered[v] && known[i] && !gone[i] && stage[i] > acked[v] && FOLLOWS(v, i) && UNDECIDED(i))
+
+/* BUN-2: acknowledge a stage (its content verified), and be in doubt of it from
+   then on. The first asking is a first proof: without this VM's word, which is
+   not given yet, the stage is not accepted. */
+#define CAN_ACK(v, i) (has[v] && !gone[v] && registered[v] && known[i] && !gone[i] && (acks[i] & (1 << v)) == 0 && stage[i] > decided[v] && stage[i] >= doubted[v] && UNDECIDED(i))
 inline acknowledge(v, i) {
-#ifdef ACK_WITHOUT_DOUBT
-  skip;
-#else
-  acked[v] = stage[i]; ack_seq[v] = stage_seq[i]; doubt[v] = DOUBT;
+  /* BUN-14: the message names the bundle in force when it was staged. Without it
+     the doubt of this stage would hide that of the one before, which may have
+     been accepted meanwhile. */
+#ifndef ACK_HIDES
+  adopt(v, base[i]);
 #endif
-  if :: !deciding[i] -> acks[i] = acks[i] | (1 << v) :: else fi
+#ifndef ACK_WITHOUT_DOUBT
+  learn(v, stage[i], DOUBT);
+#endif
+  acks[i] = acks[i] | (1 << v)
 }
 
 proctype Vm(byte v) {
@@ -238,36 +268,35 @@
   :: atomic { read_done[v] -> read_done[v] = false;
        adopt(v, read_accepted[v]);
        if
-       :: acked[v] > 0 && read_staged[v] == acked[v] -> doubt[v] = PROVES(v)
-       :: acked[v] > 0 && read_staged[v] < acked[v] && DECIDES(v) -> decided(v)
-       /* BUN-13: a VM that reads of a stage that it did not acknowledge is in
-          doubt of it too: it may have registered after the roller's list. */
-#ifndef NEWCOMER_NOT_IN_DOUBT
-       :: read_staged[v] > acked[v] -> acked[v] = read_staged[v];
-          ack_seq[v] = read_accepted[v] + 1; doubt[v] = PROVES(v)
-#endif
+       :: read_staged[v] == 0 -> decide(v, READ_DECIDES(v))
+       :: READ_STAGE(v) -> learn(v, read_staged[v], PROVES(v))
        :: else
        fi;
        has[v] = true; reading[v] = 0;
        read_accepted[v] = 0; read_staged[v] = 0; read_last[v] = 0 }
 
+  /* Put in force what is known to be accepted, once it is here and verified. */
+  :: atomic { heard[v] != seq[v] && !gone[v] ->
+       assert(heard[v] > seq[v]);       /* property 1: never goes down */
+       seq[v] = heard[v] }
+
   /* Admit a request. */
   :: atomic { MAY_SERVE(v) ->
-       /* Property 2: the bound on serving an older bundle. */
-       assert(seq[v] >= accepted || since <= BOUND) }
+       /* Property 2: the bound on serving an older bundle, and none once a newer
+          one was heard of. */
+       assert(seq[v] >= accepted || since <= BOUND);
+       assert(seq[v] >= heard[v]) }
 
 #if ROLLERS > 0
-  /* BUN-2: acknowledge a stage (its content verified), and be in doubt of it
-     from then on. The roller's message is a first proof. */
   :: atomic { CAN_ACK(v, 0) -> acknowledge(v, 0) }
 #endif
 #if ROLLERS > 1
   :: atomic { CAN_ACK(v, 1) -> acknowledge(v, 1) }
 #endif
 
-  /* Hear a peer. */
-  :: atomic { !gone[v] && has[v] && v != 0 && !gone[0] && has[0] -> hear(v, 0) }
-  :: atomic { !gone[v] && has[v] && v != 1 && !gone[1] && has[1] -> hear(v, 1) }
+  /* Hear a peer, or itself as the roller. */
+  :: atomic { !gone[v] && has[v] && !gone[0] && has[0] -> hear(v, 0) }
+  :: atomic { !gone[v] && has[v] && !gone[1] && has[1] -> hear(v, 1) }
   od
 }
 
@@ -300,9 +329,9 @@
   do
   :: gone[i] || told[i] != 0 -> break
   /* Stage. A roller that finds another stage may clear it (its roller is gone,
-     or its operator withdrew it); the version makes that safe. */
+     or has not ended it for long); the version makes that safe. */
   :: atomic { has[i] && !gone[i] && stage[i] == 0 && write[i] == NONE && staged == 0 ->
-       write[i] = STAGE; expects[i] = version }
+       write[i] = STAGE; expects[i] = version; base[i] = accepted }
 #if ROLLERS > 1
   :: atomic { has[i] && !gone[i] && staged != 0 && staged != stage[i] ->
        staged = 0; version++ }
@@ -310,7 +339,8 @@
   :: atomic { stage[i] == 0 && reply[i] == 2 -> tell(i, 2) }
   /* The stage is known by its reply, or by reading back one's own write. */
   :: atomic { stage[i] > 0 && !known[i] && (reply[i] == 1 || staged == stage[i]) ->
-       reply[i] = 0; known[i] = true }
+       reply[i] = 0; known[i] = true;
+       adopt(i, base[i]); learn(i, stage[i], DOUBT) }
   /* BUN-11: the registrations are read after the stage took effect. */
   :: atomic { !listed[i] && MAY_LIST(i) -> listed[i] = true;
        need[i] = REGISTERED_MASK }
@@ -318,17 +348,14 @@
      stage is undecided. */
   :: atomic { known[i] && listed[i] && !deciding[i] && write[i] == NONE &&
        ALL_ACKED(i) -> deciding[i] = true; write[i] = ACCEPT;
-       expects[i] = stage_version[i]; stage_version[i] = 0;
-       need[i] = 0; acks[i] = 0 }
-  :: atomic { deciding[i] && reply[i] == 1 -> tell(i, 1);
-       assert(accepted_by[stage_seq[i]] == stage[i]); adopt(i, stage_seq[i]) }
+       expects[i] = stage_version[i]; stage_version[i] = 0; need[i] = 0 }
+  :: atomic { deciding[i] && reply[i] == 1 -> tell(i, 1); adopt(i, stage[i]) }
   :: atomic { deciding[i] && reply[i] == 2 -> tell(i, 2) }
   /* BUN-12: no reply. Read back; if the stage still stands, a further
-     conditional write clears it, so that the first can't take effect later. */
+     conditional write ends it, so that the first can't take effect later. */
   :: atomic { deciding[i] && reply[i] == 0 && !gone[i] ->
        if
-       :: accepted_by[stage_seq[i]] == stage[i] -> tell(i, 1);
-          adopt(i, stage_seq[i])
+       :: won & (1 << stage[i]) -> tell(i, 1); adopt(i, stage[i])
        :: else ->
 #ifndef NO_SETTLE
           if :: staged == stage[i] -> staged = 0; version++ :: else fi;
