Tell the weight store's allowance how many requests wait for a load

AcquireLoad carries the number, 0 for a load that nobody waits for. Such a load asks for leave for half a second only: a request that joins it meanwhile asks anew with its own weight instead of standing last.

An asker may now say how long it waits where no slot can be freed (room_s), and that it only loads ahead; askings are shared only between those that are answered alike.

--- a/hawthornlead/allowances.py
+++ b/hawthornlead/allowances.py
@@ -121,7 +121,12 @@
             return self._refusal("the weight store's loads are spoken for", expected_s)
         waiter = _Waiter(
             LoadRequest(
-                ask.adapter, ask.version, ask.priority, deadline_at, asked_at, 1
+                ask.adapter,
+                ask.version,
+                ask.priority,
+                deadline_at,
+                asked_at,
+                ask.waiting,
             )
         )
         self._waiters.append(waiter)
@@ -305,8 +310,12 @@
         key: AdapterVersion,
         priority: int,
         wait_s: float,
+        waiting: int = 1,
     ) -> Result[Permit, Failure]:
-        """Ask the allowance's holder for leave to start one load."""
+        """Ask the allowance's holder for leave to start one load.
+
+        ``waiting`` counts the requests that wait for it, 0 for a load ahead.
+        """
         owner = self._owners.owner_of(allowance_resource(weight_store))
         if owner is None:
             detail = f"nobody hands out loads of {weight_store}"
@@ -314,7 +323,7 @@
         # The permit's time counts from here, before the holder can have begun it.
         sent_at = self._timers.now()
         ask = AcquireLoad(
-            weight_store, target, key.adapter, key.version, priority, wait_s
+            weight_store, target, key.adapter, key.version, priority, wait_s, waiting
         )
         reply = await self._mesh.call(
             owner.vm, ask, timeout_s=wait_s + self._settings["PEER_CALL_S"]
--- a/hawthornlead/grants.py
+++ b/hawthornlead/grants.py
@@ -53,6 +53,15 @@
     key: AdapterVersion
 
 
+class _AskingKey(NamedTuple):
+    """What requests must have in common to share an asking."""
+
+    key: GrantKey
+    load: bool
+    ahead: bool
+    room_s: float
+
+
 class _Held:
     """One grant of an owner, shared by up to ``count`` requests."""
 
@@ -164,7 +173,7 @@
         self._owners = owners
         self._held: dict[str, _Held] = {}
         self._by_key: dict[GrantKey, list[_Held]] = {}
-        self._asking: dict[tuple[GrantKey, bool], asyncio.Task] = {}
+        self._asking: dict[_AskingKey, asyncio.Task] = {}
         self._revoked_early: dict[str, float] = {}
         self._timer = None
 
@@ -190,10 +199,13 @@
         wait_s: float,
         load: bool = True,
         priority: int = 0,
+        ahead: bool = False,
+        room_s: float = 3600.0,
     ) -> Result[Grant, Failure]:
         """Get a place under a grant, from those held or from the target's owner.
 
-        Requests that ask for the same at once share one asking.
+        Requests that ask for the same at once share one asking. ``ahead`` and
+        ``room_s`` (seconds) are those of ``AcquireGrant``.
         """
         key = GrantKey(target, AdapterVersion(assignment.adapter, assignment.version))
         until = self._timers.now() + wait_s
@@ -205,7 +217,19 @@
             left = until - self._timers.now()
             if left < 0:
                 return Err(_no_grant("no grant came in time"))
-            asking = self._ask(key, assignment.base_model, left, load, priority)
+            ask = AcquireGrant(
+                target,
+                assignment.adapter,
+                assignment.version,
+                assignment.base_model,
+                self._settings["GRANT_SIZE"],
+                priority,
+                left,
+                load,
+                ahead,
+                room_s,
+            )
+            asking = self._ask(key, ask)
             if not await wait_done(self._timers, asking, left):
                 return Err(_no_grant("no grant came in time"))
             outcome = asking.result()
@@ -290,28 +314,19 @@
                 best = held
         return best
 
-    def _ask(
-        self, key: GrantKey, base_model: str, wait_s: float, load: bool, priority: int
-    ) -> asyncio.Task:
-        asking = self._asking.get((key, load))
+    def _ask(self, key: GrantKey, ask: AcquireGrant) -> asyncio.Task:
+        # Only askings that are answered alike are shared: a request must not get
+        # the refusal of one that looked further sooner, or of a load ahead.
+        kind = _AskingKey(key, ask.load, ask.ahead, ask.room_s)
+        asking = self._asking.get(kind)
         if asking is not None and not asking.done():
             return asking
-        ask = AcquireGrant(
-            key.target,
-            key.key.adapter,
-            key.key.version,
-            base_model,
-            self._settings["GRANT_SIZE"],
-            priority,
-            wait_s,
-            load,
-        )
         asking = asyncio.get_running_loop().create_task(self._call(key, ask))
-        self._asking[key, load] = asking
+        self._asking[kind] = asking
 
         def forget(task):
-            if self._asking.get((key, load)) is task:
-                del self._asking[key, load]
+            if self._asking.get(kind) is task:
+                del self._asking[kind]
 
         asking.add_done_callback(forget)
         return asking
--- a/hawthornlead/load_queues.py
+++ b/hawthornlead/load_queues.py
@@ -26,6 +26,8 @@
         self.due_at = math.inf
         self.deadline_at = asked_at
         self.waiting = 0
+        # How many of those who wait only load ahead: no request stands behind them.
+        self.ahead = 0
         # The slot that it was loaded into, once it was.
         self.slot: Slot | None = None
         self.task: asyncio.Task | None = None
@@ -33,6 +35,11 @@
             asyncio.get_running_loop().create_future()
         )
 
+    @property
+    def requests(self) -> int:
+        """How many requests wait for it, leaving out those who load ahead."""
+        return self.waiting - self.ahead
+
     def request(self) -> LoadRequest:
         """Return what a load order sorts."""
         return LoadRequest(
@@ -41,7 +48,7 @@
             self.priority,
             self.due_at,
             self.asked_at,
-            self.waiting,
+            self.requests,
         )
 
     def end(self, outcome: Result[None, Failure]) -> None:
@@ -69,22 +76,30 @@
         priority: int,
         deadline_at: float,
         now: float,
+        ahead: bool = False,
     ) -> Load:
         """Return the load of an adapter version, wanted from now on if it was not."""
         load = self._loads.get(key)
         if load is None:
             load = self._loads[key] = Load(key, base_model, now)
         load.waiting += 1
+        load.ahead += ahead
         load.priority = max(load.priority, priority)
-        load.due_at = min(load.due_at, deadline_at)
+        if not ahead:
+            load.due_at = min(load.due_at, deadline_at)
         load.deadline_at = max(load.deadline_at, deadline_at)
         return load
 
-    def leave(self, load: Load) -> bool:
+    def leave(self, load: Load, ahead: bool = False) -> bool:
         """One request less waits; return whether the load is wanted by none."""
         load.waiting -= 1
+        load.ahead -= ahead
         return load.waiting == 0
 
+    def wants(self, key: AdapterVersion) -> bool:
+        """Whether a load of the adapter version is wanted."""
+        return key in self._loads
+
     def remove(self, load: Load) -> None:
         """Take a load that is over out of the queue."""
         if self._loads.get(load.key) is load:
--- a/hawthornlead/loaders.py
+++ b/hawthornlead/loaders.py
@@ -31,6 +31,9 @@
 ROOM_TRIES = 3
 # How long nothing is loaded after the target said that it has no free slot.
 FULL_PAUSE_S = 0.5
+# How long a load that no request waits for asks for leave. Short, so that a request
+# that joins it meanwhile soon asks with its own weight.
+AHEAD_ASK_S = 0.5
 # Weight of the newest load in the running mean of how long loads take.
 MEAN_WEIGHT = 0.2
 
@@ -91,6 +94,20 @@
         turns = self._queue.ahead_of(key) // self._settings["LOADS_AT_ONCE"] + 1
         return turns * self._mean_s
 
+    def can_load(self, key: AdapterVersion, ahead: int = 0) -> bool:
+        """Whether a load of ``key`` has a slot, or could soon have one.
+
+        ``ahead`` loads need one each before it. A slot that runs nothing counts,
+        also under grants, which can be asked back.
+        """
+        if self._residency.get(key) is not None:
+            return True
+        room = self._residency.free
+        for slot in self._residency.slots():
+            if slot.state is SlotState.RESIDENT and not slot.wanted:
+                room += slot.running == 0 or self._ledger.idle(slot.key)
+        return room > ahead
+
     def start_loads(self) -> None:
         """Start wanted loads in their order, as many at once as may be."""
         if self._stopped:
@@ -141,11 +158,10 @@
             if isinstance(seen, Err) or seen.ok_value:
                 return seen if isinstance(seen, Err) else Ok(None)
             self._expecting.add(load)
-            left = load.deadline_at - self._timers.now()
-            leave = await self._allowances.acquire(
-                self._weight_store, self._target, load.key, load.priority, left
-            )
+            leave = await self._ask_leave(load)
             self._expecting.discard(load)
+            if leave is None:
+                continue
             if isinstance(leave, Err):
                 return leave
             permit = leave.ok_value
@@ -154,6 +170,22 @@
             self._allowances.release(permit, loaded=False)
         return self._no_slot("no slot became free")
 
+    async def _ask_leave(self, load: Load) -> Result[Permit, Failure] | None:
+        """Ask for leave to load; None when requests came to a load ahead meanwhile."""
+        left = load.deadline_at - self._timers.now()
+        ahead = load.requests == 0
+        leave = await self._allowances.acquire(
+            self._weight_store,
+            self._target,
+            load.key,
+            load.priority,
+            min(left, AHEAD_ASK_S) if ahead else left,
+            load.requests,
+        )
+        if isinstance(leave, Err) and ahead and load.requests > 0:
+            return None
+        return leave
+
     async def _wait_for_room(self, load: Load) -> Result[bool, Failure]:
         """Wait until there is room; Ok(True) when the adapter is resident already."""
         while True:
@@ -168,6 +200,8 @@
             if slot is None and self._orders.ready:
                 if self._has_room():
                     return Ok(False)
+                if load.requests == 0:
+                    return self._no_slot("no slot is free for a load ahead")
                 self._drain_one()
             await self._changed.wait(self._timers, left)
 
--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -127,7 +127,9 @@
     """Ask a target's owner for the right to run an adapter version there.
 
     The owner loads it first where it must and can before ``wait_s`` is over.
-    ``load`` False asks only for what is already resident.
+    ``load`` False asks only for what is already resident. ``ahead`` says that no
+    request waits: the adapter is loaded if that costs nobody anything. The owner
+    refuses after ``room_s`` in which no slot could be freed.
     """
 
     target: str
@@ -138,6 +140,8 @@
     priority: int
     wait_s: float
     load: bool = True
+    ahead: bool = False
+    room_s: float = 3600.0
 
 
 @message("grant")
@@ -202,7 +206,10 @@
 
 @message("acquire-load")
 class AcquireLoad(NamedTuple):
-    """Ask the holder of a load allowance for leave to start one load."""
+    """Ask the holder of a load allowance for leave to start one load.
+
+    ``waiting`` counts the requests that wait for it, 0 for a load ahead.
+    """
 
     weight_store: str
     target: str
@@ -210,6 +217,7 @@
     version: str
     priority: int
     wait_s: float
+    waiting: int = 1
 
 
 @message("load-permit")
--- a/hawthornlead/slots.py
+++ b/hawthornlead/slots.py
@@ -26,6 +26,7 @@
     ReleaseGrant,
     RenewedGrants,
     RenewGrants,
+    Resident,
     RevokeGrant,
     TargetState,
 )
@@ -39,6 +40,9 @@
 from .timers import TimerService
 from .waits import Signal, wait_done
 
+# How long a load without a slot is waited for before it is looked at again.
+LOOK_S = 0.5
+
 
 class TargetOwner:
     """Decides for one target."""
@@ -196,14 +200,15 @@
             running=self._reader.running,
             queued=self._reader.queued,
             leaving=self._leaving,
-            residents=() if silent else self._residency.residents(),
+            residents=() if silent else self._told_residents(),
         )
 
     async def acquire(self, vm: str, ask: AcquireGrant) -> Result[GrantReply, Failure]:
         """Give ``vm`` a grant, after a load where one is needed and in time."""
         key = AdapterVersion(ask.adapter, ask.version)
         asking = _Asking(vm, key, ask, self._now(), self._now() + ask.wait_s)
-        self._popularity.observe(ask.adapter, self._now())
+        if not ask.ahead:
+            self._popularity.observe(ask.adapter, self._now())
         while True:
             refusal = self._refusal()
             if refusal is not None:
@@ -269,6 +274,15 @@
         self._changed.fire()
         self._metrics.grants_out.labels(self._target.name).set(self._ledger.out)
 
+    def _told_residents(self) -> tuple[Resident, ...]:
+        """Return the residents and the loads that wait, so that others join them."""
+        waiting = [
+            Resident(load.key.adapter, load.key.version, 0, True)
+            for load in self._queue.loads()
+            if self._residency.get(load.key) is None and load.requests > 0
+        ]
+        return (*self._residency.residents(), *waiting)
+
     def _now(self) -> float:
         return self._timers.now()
 
@@ -311,7 +325,7 @@
             return joined
         load = joined.ok_value
         try:
-            outcome = await self._wait_for(load, asking.until)
+            outcome = await self._wait_for(load, asking)
             if isinstance(outcome, Err):
                 return outcome
             if load.slot.grantable and self._orders.right() is OrderRight.FULL:
@@ -321,7 +335,7 @@
             # The slot was held against eviction until here, for this request.
             if load.slot is not None:
                 load.slot.wanted -= 1
-            elif self._queue.leave(load):
+            elif self._queue.leave(load, asking.ask.ahead):
                 self._changed.fire()
 
     def _join(self, asking: "_Asking") -> Result[Load, Failure]:
@@ -338,16 +352,34 @@
         if now + estimate > until:
             detail = "a load can't be made in time"
             return Err(Failure(ErrorKind.NO_SLOT, detail, retry_after_s=estimate))
-        load = self._queue.join(key, ask.base_model, ask.priority, until, now)
+        if ask.room_s <= 0 and not self._can_load(key):
+            return _no_room(self._target.name)
+        load = self._queue.join(
+            key, ask.base_model, ask.priority, until, now, ask.ahead
+        )
         self._loader.start_loads()
         return Ok(load)
 
-    async def _wait_for(self, load: Load, until: float) -> Result[None, Failure]:
-        left = until - self._now()
-        if not await wait_done(self._timers, load.ended, left):
-            detail = "the load was not made in time"
-            return Err(Failure(ErrorKind.NO_SLOT, detail, retry_after_s=1.0))
-        return load.ended.result()
+    def _can_load(self, key: AdapterVersion) -> bool:
+        if self._queue.wants(key):
+            return True
+        return self._loader.can_load(key, len(self._queue))
+
+    async def _wait_for(self, load: Load, asking: "_Asking") -> Result[None, Failure]:
+        """Wait for a load, while it has a slot or for ``room_s`` without one."""
+        room_until = self._now() + max(LOOK_S, asking.ask.room_s)
+        while True:
+            pause = min(asking.until - self._now(), LOOK_S)
+            if await wait_done(self._timers, load.ended, pause):
+                return load.ended.result()
+            now = self._now()
+            if now >= asking.until:
+                detail = "the load was not made in time"
+                return Err(Failure(ErrorKind.NO_SLOT, detail, retry_after_s=1.0))
+            if self._loader.can_load(load.key):
+                room_until = max(room_until, now + LOOK_S)
+            elif now >= room_until:
+                return _no_room(self._target.name)
 
     def _grant(self, asking: "_Asking", loaded_s: float) -> GrantReply:
         """Give a grant; called with nothing awaited since the right was read."""
@@ -392,5 +424,10 @@
     until: float
 
 
+def _no_room(target: str) -> Err[Failure]:
+    detail = f"all slots of {target} are in use"
+    return Err(Failure(ErrorKind.NO_SLOT, detail, retry_after_s=LOOK_S))
+
+
 def _no_grant(detail: str) -> Failure:
     return Failure(ErrorKind.NO_GRANT, detail, retry_after_s=1.0)
