Look for another target where all slots are in use

The owner now refuses at once (room_s 0) or after room_s, and the rounds over the targets stand in a module of their own: all once, then half a second at the best, until the deadline. A refusal that promises a slot only after the deadline is final at once. Weighed: asking all targets by what their states tell; states lag by up to three seconds where only counts changed, so the owner is asked.

What a load is expected to take now counts the last wait for leave as well.

--- a/hawthornlead/loaders.py
+++ b/hawthornlead/loaders.py
@@ -34,6 +34,8 @@
 # How long a load that no request waits for asks for leave. Short, so that a request
 # that joins it meanwhile soon asks with its own weight.
 AHEAD_ASK_S = 0.5
+# For how long the wait for leave counts in what a new load is expected to take.
+LEAVE_KEEP_S = 2.0
 # Weight of the newest load in the running mean of how long loads take.
 MEAN_WEIGHT = 0.2
 
@@ -88,11 +90,15 @@
         self._full_until = float("-inf")
         self._stopped = False
         self._mean_s = settings["LOADS_AT_ONCE"] / settings["LOADS_PER_S"]
+        # How long the newest leave was waited for, and when it came.
+        self._leave_s = 0.0
+        self._leave_at = float("-inf")
 
     def estimate_s(self, key: AdapterVersion) -> float:
         """Return how long a request for ``key`` would wait for its load."""
         turns = self._queue.ahead_of(key) // self._settings["LOADS_AT_ONCE"] + 1
-        return turns * self._mean_s
+        recent = self._timers.now() - self._leave_at < LEAVE_KEEP_S
+        return turns * self._mean_s + (self._leave_s if recent else 0.0)
 
     def can_load(self, key: AdapterVersion, ahead: int = 0) -> bool:
         """Whether a load of ``key`` has a slot, or could soon have one.
@@ -172,7 +178,8 @@
 
     async def _ask_leave(self, load: Load) -> Result[Permit, Failure] | None:
         """Ask for leave to load; None when requests came to a load ahead meanwhile."""
-        left = load.deadline_at - self._timers.now()
+        asked_at = self._timers.now()
+        left = load.deadline_at - asked_at
         ahead = load.requests == 0
         leave = await self._allowances.acquire(
             self._weight_store,
@@ -184,6 +191,9 @@
         )
         if isinstance(leave, Err) and ahead and load.requests > 0:
             return None
+        if isinstance(leave, Ok) and not ahead:
+            self._leave_at = self._timers.now()
+            self._leave_s = self._leave_at - asked_at
         return leave
 
     async def _wait_for_room(self, load: Load) -> Result[bool, Failure]:
--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -14,6 +14,7 @@
 from .claims import Claims
 from .errors import ErrorKind, Failure, Ran
 from .events import EventKind, EventRing
+from .grant_rounds import Granted, GrantRounds, Try
 from .grants import Grant, Grants
 from .invariants import Invariants
 from .limits import Admissions
@@ -27,14 +28,13 @@
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
 from .timers import TimerService
-from .views import TargetView, TargetViews
+from .views import TargetViews
 
 # Errors after which a repeatable request may be tried again although it may have
 # run: its attempt is over, and what was handed on is counted.
 RESUMABLE = frozenset(
     {ErrorKind.TARGET_LOST, ErrorKind.ANSWER_CUT, ErrorKind.WRONG_ANSWER}
 )
-MIN_WAIT_S = 0.05
 
 
 class CallerRequest(NamedTuple):
@@ -86,13 +86,6 @@
     claimed: Claimed
 
 
-class _Try(NamedTuple):
-    """Which target the next attempt goes to, and whether the adapter is there."""
-
-    view: TargetView
-    resident: bool
-
-
 class RequestPath:
     """Serves requests for adapters; one call of ``serve`` is one request."""
 
@@ -125,7 +118,7 @@
         self._keeper = keeper
         self._admissions = admissions
         self._views = views
-        self._grants = grants
+        self._rounds = GrantRounds(timers=timers, metrics=metrics, grants=grants)
         self._claims = claims
         self._retries = retries
         self._suspects = suspects
@@ -258,7 +251,7 @@
         return True
 
     async def _attempt(
-        self, request, assignment, one_try: _Try, grant: Grant, offset, number, sink
+        self, request, assignment, one_try: Try, grant: Grant, offset, number, sink
     ) -> AttemptEnd:
         view = one_try.view
         attempt_id = f"{request.request_id}.{number}"
@@ -298,36 +291,16 @@
 
     async def _grant(
         self, request: CallerRequest, assignment: Assignment, tried: set[str]
-    ) -> Result[tuple[_Try, Grant], Failure]:
+    ) -> Result[Granted, Failure]:
         """Get a grant on the best target that gives one before the deadline."""
-        failure = Failure(
-            ErrorKind.NO_TARGET, f"no target serves {assignment.base_model}", 1.0
+        return await self._rounds.acquire(
+            assignment,
+            request.priority,
+            request.deadline_at,
+            lambda: self._tries(assignment, tried),
         )
-        for one_try in self._tries(assignment, tried):
-            wait_s = request.deadline_at - self._timers.now()
-            if wait_s < MIN_WAIT_S:
-                return Err(
-                    Failure(ErrorKind.TOO_LATE_TO_START, "no time is left to run")
-                )
-            started = self._timers.now()
-            granted = await self._grants.acquire(
-                one_try.view.target,
-                assignment,
-                wait_s=wait_s,
-                load=not one_try.resident,
-                priority=request.priority,
-            )
-            stalled_s = self._timers.now() - started
-            if isinstance(granted, Ok):
-                if granted.ok_value.loaded_s > 0:
-                    self._metrics.load_stall.observe(stalled_s)
-                return Ok((one_try, granted.ok_value))
-            failure = granted.err_value
-            if not failure.answer.retry:
-                return Err(failure)
-        return Err(failure)
 
-    def _tries(self, assignment: Assignment, tried: set[str]) -> list[_Try]:
+    def _tries(self, assignment: Assignment, tried: set[str]) -> list[Try]:
         """Order the targets: where the adapter is first, then where to load it."""
         now = self._timers.now()
         views = self._views.views()
@@ -336,12 +309,12 @@
         tries = []
         for candidate in self._router.choose(assignment, usable, self._popularity, now):
             view = by_name[candidate.target]
-            tries.append(_Try(view, candidate.resident))
+            tries.append(Try(view, candidate.resident))
         placed = self._placement.choose(assignment, usable, self._popularity, now)
         named = {one_try.view.target for one_try in tries}
         for target in placed:
             if target not in named:
-                tries.append(_Try(by_name[target], resident=False))
+                tries.append(Try(by_name[target], resident=False))
         fresh = [one_try for one_try in tries if one_try.view.target not in tried]
         return fresh or tries
 
--- /dev/null
+++ b/hawthornlead/tests/test_grant_rounds.py
@@ -0,0 +1,77 @@
+"""Tests of getting a grant: on the best target, else on the next that can."""
+
+from result import Err, Ok
+
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.grant_rounds import GrantRounds, Try
+from hawthornlead.metrics import Metrics
+from hawthornlead.timers import ManualTimerService
+
+from .fakes_views import make_view
+from .fakes_worlds import Assigned
+
+
+class _Grant:
+    loaded_s = 0.0
+
+
+class _Grants:
+    """Owners that refuse as told; ``asked`` notes the target and its ``room_s``."""
+
+    def __init__(self, timers, refusals):
+        self.timers = timers
+        self.refusals = refusals
+        self.asked = []
+
+    async def acquire(self, target, assignment, *, wait_s, room_s, **_options):
+        self.asked.append((target, room_s))
+        self.timers._now += room_s
+        refusals = self.refusals.get(target, [])
+        return Err(refusals.pop(0)) if refusals else Ok(_Grant())
+
+
+def no_slot(retry_after_s=0.5):
+    return Failure(ErrorKind.NO_SLOT, "in use", retry_after_s)
+
+
+async def acquire(refusals, deadline_s=60.0):
+    timers = ManualTimerService()
+    grants = _Grants(timers, refusals)
+    rounds = GrantRounds(timers=timers, metrics=Metrics(), grants=grants)
+    tries = [Try(make_view(name), False) for name in ("one", "two")]
+    deadline_at = timers.now() + deadline_s
+    outcome = await rounds.acquire(Assigned("tide"), 0, deadline_at, lambda: tries)
+    return outcome, grants.asked, deadline_at - timers.now()
+
+
+async def test_next_target_at_once_when_all_slots_are_in_use():
+    outcome, asked, _ = await acquire({"one": [no_slot()]})
+    assert outcome.unwrap().one_try.view.target == "two"
+    assert asked == [("one", 0.0), ("two", 0.0)]
+
+
+async def test_waits_at_the_best_when_no_target_has_a_slot():
+    """All slots stream. Giving up would refuse a request that has a minute left."""
+    outcome, asked, _ = await acquire({"one": [no_slot()] * 2, "two": [no_slot()]})
+    assert outcome.is_ok()
+    assert asked == [("one", 0.0), ("two", 0.0), ("one", 0.5), ("one", 0.0)]
+
+
+async def test_refuses_at_once_what_no_target_makes_in_time():
+    late = {"one": [no_slot(9.0)], "two": [no_slot(8.0)]}
+    outcome, asked, left_s = await acquire(late, deadline_s=5.0)
+    assert outcome.unwrap_err().retry_after_s == 8.0
+    assert len(asked) == 2 and left_s == 5.0
+
+
+async def test_ends_at_the_deadline():
+    full = {"one": [no_slot()] * 99, "two": [no_slot()] * 99}
+    outcome, _, left_s = await acquire(full, deadline_s=3.0)
+    assert outcome.unwrap_err().kind is ErrorKind.NO_SLOT
+    assert 0 <= left_s <= 0.5
+
+
+async def test_no_waiting_where_coming_back_does_not_help():
+    overloaded = Failure(ErrorKind.OVERLOADED, "spoken for", 1.0)
+    outcome, asked, _ = await acquire({"one": [overloaded]})
+    assert outcome.unwrap_err() == overloaded and len(asked) == 1
--- /dev/null
+++ b/hawthornlead/tests/test_load_waits.py
@@ -0,0 +1,92 @@
+"""Tests of how long an owner lets a request wait for a slot, and of loads ahead."""
+
+from hawthornlead.errors import ErrorKind
+from hawthornlead.messages import AcquireLoad
+
+from .fakes_worlds import ALLOWANCE, Assigned, World
+
+
+async def _world(**settings):
+    world = World("ab", **settings)
+    world.give("a", ALLOWANCE)
+    world.give("a")
+    await world.advance(1.0)
+    return world
+
+
+def _acquire(world, vm, adapter, **options):
+    grants = world.vms[vm].grants
+    return world.spawn(grants.acquire("engine", Assigned(adapter), 60.0, **options))
+
+
+async def _streaming(world):
+    grant = (await world.acquired("b", "tide")).unwrap()
+    assert world.send("b", grant, "tide", "r1")
+    await world.advance(1.0)
+    return grant
+
+
+async def test_refused_at_once_or_soon_while_all_slots_stream():
+    """The one slot streams for a minute while other targets have room.
+
+    An owner that let the request wait till its deadline would keep it from them.
+    """
+    world = await _world()
+    await _streaming(world)
+    at_once = _acquire(world, "a", "lap", room_s=0.0)
+    soon = _acquire(world, "a", "buoy", room_s=0.5)
+    await world.advance(0.1)
+    assert at_once.result().unwrap_err().kind is ErrorKind.NO_SLOT
+    assert not soon.done()
+    await world.advance(1.5)
+    assert soon.result().unwrap_err().kind is ErrorKind.NO_SLOT
+
+
+async def test_a_quiet_slot_under_a_grant_counts_as_room():
+    world = await _world()
+    grant = await _streaming(world)
+    world.engine.end("r1")
+    grant.finish("r1", ended=True)
+    await world.advance(1.0)
+    asked = _acquire(world, "a", "lap", room_s=0.0)
+    await world.advance(2.0)
+    assert asked.result().is_ok()
+
+
+async def test_a_load_ahead_asks_no_grant_back():
+    """A second copy is wanted while the only slot serves.
+
+    Nobody waits for the copy, so no request may lose its grant for it.
+    """
+    world = await _world()
+    await _streaming(world)
+    ahead = _acquire(world, "a", "lap", ahead=True)
+    await world.advance(1.0)
+    assert ahead.result().unwrap_err().kind is ErrorKind.NO_SLOT
+    assert (await world.acquired("b", "tide", wait_s=1.0)).is_ok()
+
+
+async def test_a_request_that_joins_a_load_ahead_does_not_stand_last():
+    """A load ahead waits for leave, a request joins it, and others keep coming.
+
+    Were the load still sorted as one that nobody waits for, all later ones would
+    go before it. It asks anew, with the number of its requests.
+    """
+    world = await _world(LOADS_PER_S=0.4, LOADS_AT_ONCE=1)
+    world.engine.slots = 2
+    told = []
+    allowances = world.vms["a"].allowances
+
+    async def note(sender, ask: AcquireLoad):
+        told.append((ask.adapter, ask.waiting))
+        return await allowances._on_acquire(sender, ask)
+
+    world.vms["a"].mesh.on(AcquireLoad, note)
+    (await world.acquired("b", "tide")).unwrap()
+    await world.advance(0.6)
+    ahead = _acquire(world, "a", "lap", ahead=True)
+    await world.advance(0.1)
+    joined = _acquire(world, "b", "lap")
+    await world.advance(3.0)
+    assert joined.result().is_ok() and ahead.done()
+    assert told == [("tide", 1), ("lap", 0), ("lap", 1)]
