Tell the other VMs which adapters were asked for

Aggregating per data centre was weighed: it sends less but a member's own counts come back to it in the sum and count twice.

Eviction reads the higher of an owner's own count of grants and the told counts: told counts alone come seconds late, and an adapter that was just loaded would look worthless meanwhile. The bench gets the same counts as policy 'chosen', its policies and counts move to modules of their own.

--- a/hawthornlead/bench_runs.py
+++ b/hawthornlead/bench_runs.py
@@ -10,14 +10,15 @@
 from typing import NamedTuple
 
 from hawthornlead.bench_bounds import Future, TrueRates, clairvoyant_strategies
+from hawthornlead.bench_counts import make_counts
 from hawthornlead.bench_engines import EventQueue, FakeEngine, FakeService, Job
 from hawthornlead.bench_figures import Figures, RunFigures
 from hawthornlead.bench_loads import Arrival, Deployment, draw
 from hawthornlead.bench_owners import BenchTarget, LoadQueue, Slot
+from hawthornlead.bench_policies import POLICIES, Policy
 from hawthornlead.evictions import EVICTIONS
 from hawthornlead.load_orders import LOAD_ORDERS
 from hawthornlead.placements import PLACEMENTS
-from hawthornlead.popularities import POPULARITIES
 from hawthornlead.routers import ROUTERS
 from hawthornlead.settings import default_settings
 from hawthornlead.views import TargetView
@@ -27,63 +28,6 @@
 NO_SLOT_WAIT_S = 0.5
 
 
-class Policy(NamedTuple):
-    """The strategies of one run, by their names in the registries.
-
-    ``counts`` tells who shares popularity counts: ``apart`` (a VM keeps one for
-    requests that it admits and one for grants that it hands out), ``vm`` (one count
-    of both, as in the daemon) or ``fleet`` (all VMs count into one).
-    """
-
-    name: str
-    router: str
-    placement: str
-    eviction: str
-    load_order: str
-    popularity: str = "decayed"
-    spare: bool = False
-    counts: str = "vm"
-
-
-POLICIES = {
-    policy.name: policy
-    for policy in (
-        Policy("least-loaded+lru", "least-loaded", "least-loaded", "lru", "arrival"),
-        Policy("hashing+lru", "hashing", "hashing", "lru", "arrival"),
-        Policy("chosen", "affinity", "spread", "popularity", "deadline", spare=True),
-        Policy(
-            "chosen-apart",
-            "affinity",
-            "spread",
-            "popularity",
-            "deadline",
-            spare=True,
-            counts="apart",
-        ),
-        Policy(
-            "chosen-shared",
-            "affinity",
-            "spread",
-            "popularity",
-            "deadline",
-            spare=True,
-            counts="fleet",
-        ),
-        Policy("true-rates", "affinity", "spread", "popularity", "deadline", "true"),
-        Policy(
-            "chosen-sketch",
-            "affinity",
-            "spread",
-            "popularity",
-            "deadline",
-            "sketch",
-            spare=True,
-        ),
-        Policy("clairvoyant", "affinity", "clairvoyant", "clairvoyant", "deadline"),
-    )
-}
-
-
 class BenchAssignment(NamedTuple):
     """What the strategies read of an assignment."""
 
@@ -138,20 +82,10 @@
         self._router = ROUTERS[policy.router](settings=settings, placement=placement)
         order = LOAD_ORDERS[policy.load_order](settings=settings)
         self._loads = LoadQueue(self._deployment, self._queue, order, self._load)
-        count = self._deployment.vms
-        if policy.popularity == "true":
-            rates = TrueRates(self._deployment, self._epochs)
-            self._admitted = self._granted = [rates] * count
-            return
-        kind = POPULARITIES[policy.popularity]
-        self._admitted = [kind(settings=settings) for _ in range(count)]
-        self._granted = [kind(settings=settings) for _ in range(count)]
-        for popularity in self._admitted:
-            popularity.share = 1 / count
-        if policy.counts == "fleet":
-            self._admitted = [kind(settings=settings)] * count
-        if policy.counts != "apart":
-            self._granted = self._admitted
+        rates = TrueRates(self._deployment, self._epochs)
+        self._counts = make_counts(
+            policy, self._deployment, settings, self._queue, rates
+        )
 
     def _make_targets(self) -> None:
         deployment = self._deployment
@@ -179,8 +113,8 @@
             self._finish(job, service.take(self._queue.now))
             return
         adapter = f"adapter-{arrival.adapter}"
-        popularity = self._admitted[arrival.vm]
-        popularity.observe(adapter, self._queue.now)
+        self._counts.admit(arrival.vm, adapter)
+        popularity = self._counts.admitted[arrival.vm]
         self._route(job, adapter)
         if not self._policy.spare:
             return
@@ -195,7 +129,7 @@
         now = self._queue.now
         arrival = job.arrival
         assignment = BenchAssignment(adapter, "1", "base", arrival.priority)
-        popularity = self._admitted[arrival.vm]
+        popularity = self._counts.admitted[arrival.vm]
         candidates = self._router.choose(assignment, self._views, popularity, now)
         targets = [self._by_name[candidate.target] for candidate in candidates]
         job.asked_at = now
@@ -215,8 +149,7 @@
         if index < len(targets) and not target.can_hold(adapter):
             self._ask(job, targets, index + 1)
             return
-        if self._policy.counts != "fleet":
-            self._granted[target.owner_vm].observe(adapter, self._queue.now)
+        self._counts.grant(target.owner_vm, adapter)
         slot = target.resident.get(adapter)
         if slot is None:
             self._want(target, adapter).jobs.append(job)
@@ -281,7 +214,7 @@
                 copies[name] = copies.get(name, 0) + 1
         victim = self._eviction.choose(
             target.evictable(),
-            self._granted[target.owner_vm],
+            self._counts.granted[target.owner_vm],
             self._queue.now,
             lambda resident: copies.get(resident.adapter, 0),
         )
--- a/hawthornlead/benches.py
+++ b/hawthornlead/benches.py
@@ -15,7 +15,8 @@
 from hawthornlead import bench_popularities, bench_reports
 from hawthornlead.bench_figures import RunFigures
 from hawthornlead.bench_loads import read_deployment
-from hawthornlead.bench_runs import POLICIES, run_policy
+from hawthornlead.bench_policies import POLICIES
+from hawthornlead.bench_runs import run_policy
 
 RESULTS = Path("bench/results")
 
--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -237,6 +237,27 @@
     loaded: bool
 
 
+# Popularity of adapters
+
+
+class AdapterCount(NamedTuple):
+    """How many requests for an adapter a VM has admitted since it last told."""
+
+    adapter: str
+    count: int
+
+
+@message("popularity-counts")
+class PopularityCounts(NamedTuple):
+    """What a VM has counted since it last told; ``serial`` counts its messages.
+
+    Adapters that don't fit are told later. A receiver takes each serial once.
+    """
+
+    serial: int
+    counts: tuple[AdapterCount, ...]
+
+
 # Claims: non-idempotent requests run at most once
 
 
--- a/hawthornlead/popularities.py
+++ b/hawthornlead/popularities.py
@@ -60,6 +60,32 @@
         return -math.inf
 
 
+class HighestPopularity(Popularity):
+    """The higher of two rates: what this VM counts itself, and what it was told.
+
+    An owner counts the grants on its targets at once but knows nothing of an
+    adapter's requests elsewhere; what VMs tell of their requests covers all and comes
+    seconds late. Only the first counts what is observed here.
+    """
+
+    def __init__(self, own: Popularity, told: Popularity):
+        super().__init__(settings={})
+        self._own = own
+        self._told = told
+
+    def observe(self, adapter: str, now: float, count: int = 1) -> None:
+        """Count ``count`` requests for ``adapter`` at ``now`` (seconds)."""
+        self._own.observe(adapter, now, count)
+
+    def rate(self, adapter: str, now: float) -> float:
+        """Return the requests a second for ``adapter``, older ones counting less."""
+        return max(self._own.rate(adapter, now), self._told.rate(adapter, now))
+
+    def seen_at(self, adapter: str) -> float:
+        """Return when ``adapter`` was last observed, ``-inf`` when never."""
+        return max(self._own.seen_at(adapter), self._told.seen_at(adapter))
+
+
 class _Counter:
     """The decayed counts of one adapter at the moment of its last request."""
 
