Load spare copies of hot adapters, and share counts in the daemon

A copy is asked for as a grant with a load that takes no grant from anyone, at most once a second for an adapter, and is dropped unused.

--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -42,7 +42,8 @@
 from .peers import PeerMesh
 from .placements import PLACEMENTS
 from .platforms import VmList
-from .popularities import POPULARITIES
+from .popularities import POPULARITIES, HighestPopularity
+from .popularity_shares import PopularityShares
 from .query_handlers import QueryParts, metrics_routes, query_routes
 from .requests import RequestPath
 from .retries import Retries
@@ -51,6 +52,7 @@
 from .service_calls import ServicePath
 from .settings import Settings
 from .slots import Policies
+from .spares import SpareCopies
 from .statuses import StatusParts, status_routes
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
@@ -115,6 +117,7 @@
         self._grants.start()
         self._allowances.start()
         self._target_owners.start()
+        self._shares.start()
         self._claims.start()
         self._keeper.start()
         self._timers.every(self._settings["HEARTBEAT_S"], self._meet, "peers")
@@ -134,6 +137,7 @@
         """Stop all parts, in the order in which others depend on them."""
         for server in self._servers:
             server.stop()
+        await self._shares.stop()
         await self._grants.stop()
         await self._target_owners.stop()
         await self._allowances.stop()
@@ -200,9 +204,18 @@
     def _build_targets(self) -> None:
         settings, base, rng = self._settings, self._base, self._rng
         self._popularity = POPULARITIES[settings["POPULARITY"]](settings=settings)
+        self._shares = PopularityShares(
+            settings=settings,
+            timers=self._timers,
+            rng=rng,
+            mesh=self._mesh,
+            members=self._members,
+            popularity=self._popularity,
+        )
         # Owners count what all VMs begin on their targets, by their renewals; sharing
         # the counters of this VM's own requests would count those twice.
-        owners_popularity = POPULARITIES[settings["POPULARITY"]](settings=settings)
+        granted = POPULARITIES[settings["POPULARITY"]](settings=settings)
+        owners_popularity = HighestPopularity(granted, self._popularity)
         self._placement = PLACEMENTS[settings["PLACEMENT"]](settings=settings)
         router = ROUTERS[settings["ROUTER"]]
         self._router = router(settings=settings, placement=self._placement)
@@ -264,6 +277,13 @@
             connections=self._connections,
             clients=self._clients,
         )
+        spares = SpareCopies(
+            timers=timers,
+            views=self._views,
+            grants=self._grants,
+            placement=self._placement,
+            popularity=self._popularity,
+        )
         self._requests = RequestPath(
             **base,
             invariants=self._invariants,
@@ -278,6 +298,8 @@
             router=self._router,
             placement=self._placement,
             popularity=self._popularity,
+            shares=self._shares,
+            spares=spares,
             attempts=attempts,
         )
         self._services = ServicePath(
--- a/hawthornlead/popularities.py
+++ b/hawthornlead/popularities.py
@@ -82,8 +82,8 @@
         return max(self._own.rate(adapter, now), self._told.rate(adapter, now))
 
     def seen_at(self, adapter: str) -> float:
-        """Return when ``adapter`` was last observed, ``-inf`` when never."""
-        return max(self._own.seen_at(adapter), self._told.seen_at(adapter))
+        """Return when ``adapter`` was last observed here, ``-inf`` when never."""
+        return self._own.seen_at(adapter)
 
 
 class _Counter:
--- a/hawthornlead/popularity_shares.py
+++ b/hawthornlead/popularity_shares.py
@@ -24,7 +24,6 @@
 from typing import NamedTuple
 
 from .messages import AdapterCount, PopularityCounts
-from .metrics import Metrics
 from .popularities import Popularity
 from .timers import TimerService
 
@@ -109,7 +108,6 @@
         *,
         settings: dict,
         timers: TimerService,
-        metrics: Metrics,
         rng: random.Random,
         mesh,
         members,
@@ -117,7 +115,6 @@
     ):
         self._settings = settings
         self._timers = timers
-        self._metrics = metrics
         self._rng = rng
         self._mesh = mesh
         self._members = members
--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -21,10 +21,12 @@
 from .messages import Claimed
 from .metrics import Metrics
 from .popularities import Popularity
+from .popularity_shares import PopularityShares
 from .retries import Retries
 from .rolls import BundleKeeper, InForce
 from .routers import Router
 from .settings import Settings
+from .spares import SpareCopies
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
 from .timers import TimerService
@@ -108,6 +110,8 @@
         router: Router,
         placement,
         popularity: Popularity,
+        shares: PopularityShares,
+        spares: SpareCopies,
         attempts: AttemptRunner,
     ):
         self._settings = settings
@@ -126,6 +130,8 @@
         self._router = router
         self._placement = placement
         self._popularity = popularity
+        self._shares = shares
+        self._spares = spares
         self._attempts = attempts
 
     async def serve(
@@ -153,7 +159,8 @@
         if isinstance(allowed, Err):
             return self._refused(request, allowed.err_value)
         assignment = assigned.ok_value
-        self._popularity.observe(assignment.adapter, self._timers.now())
+        self._shares.observe(assignment.adapter)
+        self._spares.consider(assignment)
         self._events.emit(
             EventKind.REQUEST_ADMITTED,
             request.request_id,
--- a/hawthornlead/tests/test_popularity_shares.py
+++ b/hawthornlead/tests/test_popularity_shares.py
@@ -7,7 +7,6 @@
 from hawthornlead.clocks import HybridTime
 from hawthornlead.codecs import Frame, encode
 from hawthornlead.messages import PopularityCounts
-from hawthornlead.metrics import Metrics
 from hawthornlead.popularities import POPULARITIES
 from hawthornlead.popularity_shares import (
     MAX_WAITING,
@@ -42,7 +41,6 @@
         self.shares = PopularityShares(
             settings=settings,
             timers=timers,
-            metrics=Metrics(),
             rng=random.Random(1),
             mesh=self.mesh,
             members=_Members(self.mesh),
--- /dev/null
+++ b/hawthornlead/tests/test_spares.py
@@ -0,0 +1,54 @@
+"""Tests of spare copies of hot adapters."""
+
+from result import Err
+
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.placements import PLACEMENTS
+from hawthornlead.popularities import POPULARITIES
+from hawthornlead.settings import default_settings
+from hawthornlead.spares import PAUSE_S, SpareCopies
+from hawthornlead.timers import ManualTimerService
+
+from .fakes_views import FakeAssignment, make_view
+
+
+class _Views:
+    def views(self):
+        return (make_view("one", "tide"), make_view("two"))
+
+
+class _Grants:
+    def __init__(self):
+        self.asked = []
+
+    async def acquire(self, target, assignment, **options):
+        self.asked.append((target, assignment.adapter, options["ahead"]))
+        return Err(Failure(ErrorKind.NO_SLOT, "in use"))
+
+
+async def _asked(requests_per_s, seconds=20):
+    timers, grants = ManualTimerService(), _Grants()
+    settings = default_settings(COPY_RATE=4.0)
+    popularity = POPULARITIES["decayed"](settings=settings)
+    spares = SpareCopies(
+        timers=timers,
+        views=_Views(),
+        grants=grants,
+        placement=PLACEMENTS["spread"](settings=settings),
+        popularity=popularity,
+    )
+    for _ in range(seconds * requests_per_s):
+        popularity.observe("tide", timers.now())
+        spares.consider(FakeAssignment("tide"))
+        await timers.advance(1 / requests_per_s)
+    return grants.asked
+
+
+async def test_a_hot_adapter_gets_one_more_copy_ahead():
+    asked = await _asked(requests_per_s=40)
+    assert asked and set(asked) == {("two", "tide", True)}
+    assert len(asked) <= 20 / PAUSE_S + 1
+
+
+async def test_a_cold_adapter_gets_none():
+    assert await _asked(requests_per_s=1) == []
