--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -11,6 +11,7 @@
 import asyncio
 import secrets
 import signal
+import socket
 import ssl
 from random import Random
 
@@ -21,6 +22,7 @@
 
 from .allowances import Allowances
 from .attempts import AttemptRunner
+from .caller_servers import CallerServer
 from .claims import Claims
 from .clocks import HybridClock
 from .command_handlers import CallerParts, UnknownHandler, caller_routes
@@ -42,15 +44,19 @@
 from .peers import PeerMesh
 from .placements import PLACEMENTS
 from .platforms import VmList
-from .popularities import POPULARITIES
+from .popularities import POPULARITIES, HighestPopularity
+from .popularity_shares import PopularityShares
 from .query_handlers import QueryParts, metrics_routes, query_routes
+from .request_guards import RequestGuard
 from .requests import RequestPath
 from .retries import Retries
 from .rolls import BundleKeeper
 from .routers import ROUTERS
 from .service_calls import ServicePath
 from .settings import Settings
+from .signatures import OperatorKeys
 from .slots import Policies
+from .spares import SpareCopies
 from .statuses import StatusParts, status_routes
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
@@ -60,14 +66,13 @@
 from .timers import TimerService
 from .views import TargetViews
 
-IDLE_CALLER_S = 120.0
-
 
 class Daemon:
     """All parts of one VM's process."""
 
     def __init__(self, settings: Settings, store=None, seed: int | None = None):
-        self._settings = settings
+        # A copy: a port that the system chose is entered in it at the start.
+        self._settings = settings = dict(settings)
         self._rng = Random(secrets.randbits(64) if seed is None else seed)
         self._timers = TimerService()
         self._metrics = Metrics()
@@ -85,12 +90,11 @@
         self._build_targets()
         self._build_requests()
         self._servers: list[HTTPServer] = []
-        self._caller_address = settings["CALLER_ADDRESS"]
 
     @property
     def caller_address(self) -> str:
         """The IP:PORT on which callers connect, once started."""
-        return self._caller_address
+        return self._settings["CALLER_ADDRESS"]
 
     @property
     def peer_address(self) -> str:
@@ -104,6 +108,12 @@
 
     async def start(self) -> None:
         """Start all parts, then answer callers."""
+        # Bound before anything is told to other VMs, so that what they are told is
+        # the address on which callers will be answered.
+        sockets = _bind(self._settings["CALLER_ADDRESS"])
+        self._settings["CALLER_ADDRESS"] = _address_of(
+            sockets, self._settings["CALLER_ADDRESS"]
+        )
         self._vm_list.start()
         self._store.start()
         await self._mesh.listen()
@@ -115,14 +125,15 @@
         self._grants.start()
         self._allowances.start()
         self._target_owners.start()
+        self._shares.start()
         self._claims.start()
         self._keeper.start()
         self._timers.every(self._settings["HEARTBEAT_S"], self._meet, "peers")
-        self._listen()
+        self._listen(sockets)
         self._events.emit(
             EventKind.PROCESS_STARTED,
             self._settings["VM_NAME"],
-            callers=self._caller_address,
+            callers=self.caller_address,
             peers=self._mesh.address,
         )
 
@@ -134,6 +145,7 @@
         """Stop all parts, in the order in which others depend on them."""
         for server in self._servers:
             server.stop()
+        await self._shares.stop()
         await self._grants.stop()
         await self._target_owners.stop()
         await self._allowances.stop()
@@ -205,9 +217,18 @@
     def _build_targets(self) -> None:
         settings, base, rng = self._settings, self._base, self._rng
         self._popularity = POPULARITIES[settings["POPULARITY"]](settings=settings)
+        self._shares = PopularityShares(
+            settings=settings,
+            timers=self._timers,
+            rng=rng,
+            mesh=self._mesh,
+            members=self._members,
+            popularity=self._popularity,
+        )
         # Owners count what all VMs begin on their targets, by their renewals; sharing
         # the counters of this VM's own requests would count those twice.
-        owners_popularity = POPULARITIES[settings["POPULARITY"]](settings=settings)
+        granted = POPULARITIES[settings["POPULARITY"]](settings=settings)
+        owners_popularity = HighestPopularity(granted, self._popularity)
         self._placement = PLACEMENTS[settings["PLACEMENT"]](settings=settings)
         router = ROUTERS[settings["ROUTER"]]
         self._router = router(settings=settings, placement=self._placement)
@@ -269,6 +290,13 @@
             connections=self._connections,
             clients=self._clients,
         )
+        spares = SpareCopies(
+            timers=timers,
+            views=self._views,
+            grants=self._grants,
+            placement=self._placement,
+            popularity=self._popularity,
+        )
         self._requests = RequestPath(
             **base,
             invariants=self._invariants,
@@ -283,6 +311,8 @@
             router=self._router,
             placement=self._placement,
             popularity=self._popularity,
+            shares=self._shares,
+            spares=spares,
             attempts=attempts,
         )
         self._services = ServicePath(
@@ -296,7 +326,7 @@
         )
         self._mesh.heartbeat_source = self._heartbeat
 
-    def _listen(self) -> None:
+    def _listen(self, sockets: list[socket.socket]) -> None:
         callers = CallerParts(
             self._settings,
             self._timers,
@@ -307,41 +337,41 @@
         )
         queries = QueryParts(self._members, self._keeper, self._metrics, self._reason)
         routes = caller_routes(callers) + query_routes(queries)
-        routes += operator_routes(
-            settings=self._settings,
-            timers=self._timers,
-            events=self._events,
-            keeper=self._keeper,
-            mesh=self._mesh,
-        )
-        inside = metrics_routes(queries) + self._state_routes()
+        keys = OperatorKeys(self._settings["OPERATORS"])
+        guard = RequestGuard(keys, self._timers, self._events)
+        routes += operator_routes(guard=guard, keeper=self._keeper, mesh=self._mesh)
+        timeline, status = self._timeline(), self._status_parts()
+        routes += timeline_routes(timeline, guard) + status_routes(status, guard)
         metrics_address = self._settings["METRICS_ADDRESS"]
         if metrics_address:
-            self._serve(Application(inside), metrics_address)
+            inside = timeline_routes(timeline) + status_routes(status)
+            inside += metrics_routes(queries)
+            server = HTTPServer(Application(inside))
+            server.add_sockets(_bind(metrics_address))
+            self._servers.append(server)
         else:
-            routes += inside
+            routes += metrics_routes(queries)
         application = Application(
             routes,
             default_handler_class=UnknownHandler,
             log_function=lambda handler: None,
         )
-        self._caller_address = self._serve(
-            application, self._settings["CALLER_ADDRESS"], self._tls()
+        server = CallerServer(
+            application, settings=self._settings, ssl_options=self._tls()
         )
+        server.add_sockets(sockets)
+        self._servers.append(server)
 
-    def _state_routes(self) -> list:
-        """Return the routes of the time line and the status.
-
-        They name requests and adapters, so that operators who give the metrics an
-        address of their own keep callers from them.
-        """
-        timeline = Timeline(
+    def _timeline(self) -> Timeline:
+        return Timeline(
             settings=self._settings,
             events=self._events,
             mesh=self._mesh,
             members=self._members,
         )
-        status = StatusParts(
+
+    def _status_parts(self) -> StatusParts:
+        return StatusParts(
             self._settings,
             self._timers,
             self._store,
@@ -354,20 +384,6 @@
             self._admissions,
             self._invariants,
         )
-        return timeline_routes(timeline) + status_routes(status)
-
-    def _serve(self, application, address: str, tls=None) -> str:
-        host, _, port = address.rpartition(":")
-        sockets = bind_sockets(int(port), host.strip("[]"))
-        server = HTTPServer(
-            application,
-            ssl_options=tls,
-            max_body_size=self._settings["MAX_BODY_BYTES"],
-            idle_connection_timeout=IDLE_CALLER_S,
-        )
-        server.add_sockets(sockets)
-        self._servers.append(server)
-        return f"{host}:{sockets[0].getsockname()[1]}"
 
     def _tls(self) -> ssl.SSLContext | None:
         if not self._settings["TLS_CERTIFICATE"]:
@@ -406,6 +422,17 @@
         return "" if serving.is_ok() else serving.err_value.detail
 
 
+def _bind(address: str) -> list[socket.socket]:
+    host, _, port = address.rpartition(":")
+    return bind_sockets(int(port), host.strip("[]"))
+
+
+def _address_of(sockets: list[socket.socket], asked: str) -> str:
+    """Return the address asked for, its port the real one."""
+    host, _, _ = asked.rpartition(":")
+    return f"{host}:{sockets[0].getsockname()[1]}"
+
+
 def run_daemon(settings: Settings) -> None:
     """Run the daemon until it is asked to stop, then drain and stop it."""
     AsyncHTTPClient.configure(
--- a/hawthornlead/target_owners.py
+++ b/hawthornlead/target_owners.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 from result import Err
 
@@ -46,6 +47,13 @@
         self.serial = 0
 
 
+class _Newcomer(NamedTuple):
+    """A VM's start, as the mesh tells VMs apart."""
+
+    vm: str
+    incarnation: str
+
+
 class TargetOwners:
     """Keeps a ``TargetOwner`` for each target that this VM owns."""
 
@@ -84,6 +92,7 @@
         self._wanted: set[str] = set()
         # Until when evictions of targets that were given up may take effect.
         self._evicts_end_at: dict[str, float] = {}
+        self._met: frozenset[_Newcomer] = frozenset()
         self._timer = None
 
     @property
@@ -231,6 +240,22 @@
             told.state = state._replace(serial=told.serial)
             self._views.take(told.state)
             self._mesh.broadcast(told.state)
+        self._tell_newcomers()
+
+    def _tell_newcomers(self) -> None:
+        """Tell VMs that connected since the last turn what was told before.
+
+        Guards against a VM that has just started and knows no target: it would
+        refuse every request with no-target until the next retelling, seconds later.
+        """
+        met = frozenset(
+            _Newcomer(peer.vm, peer.incarnation) for peer in self._mesh.live
+        )
+        for newcomer in met - self._met:
+            for told in self._told.values():
+                if told.state is not None:
+                    self._mesh.cast(newcomer.vm, told.state)
+        self._met = met
 
     async def _on_acquire(self, sender, ask: AcquireGrant):
         owner = self._targets.get(ask.target)
