--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -98,7 +98,14 @@
     "CLOCK_RATE_ERROR": Setting(
         "lease", "number", 0.01, "largest error of a clock's rate, a share", 0, 0.2
     ),
-    "ORDER_S": Setting("lease", "number", 8.0, "longest order to a target", 0.1, 120),
+    "ORDER_S": Setting(
+        "lease",
+        "number",
+        8.0,
+        "longest fence or evict order; successors wait it",
+        0.1,
+        120,
+    ),
     # peers
     "HEARTBEAT_S": Setting("peers", "number", 1.0, "between heartbeats", 0.02, 30),
     "PEER_SILENT_S": Setting(
@@ -361,6 +368,9 @@
 
 
 # lesser, greater, factor: lesser * factor <= greater must hold.
+# ORDER_S and LEASE_S need no row, nor LOAD_S: an order begins under a lease and may
+# outlast it, since a successor waits out ORDER_S after the lease; a load that lands
+# later still takes nothing from any request.
 FITS = (
     ("LEASE_RENEW_S", "LEASE_S", 3),
     ("HEARTBEAT_S", "PEER_SILENT_S", 2),
--- a/hawthornlead/tests/test_daemon_stops.py
+++ b/hawthornlead/tests/test_daemons.py
@@ -1,4 +1,4 @@
-"""Tests of the order in which a daemon stops its parts."""
+"""Tests of how a daemon builds its parts and in which order it stops them."""
 
 from random import Random
 
@@ -8,13 +8,8 @@
 from hawthornlead.timers import TimerService
 
 
-async def test_peer_port_is_closed_after_everything_else(monkeypatch):
-    """A VM shuts down while others look for proof that it is gone.
-
-    A peer port that refuses is such proof. Closed before the connections to targets
-    and callers, it would let a successor act while this process still does.
-    """
-    settings = default_settings(
+def _settings():
+    return default_settings(
         VM_NAME="vm-1",
         DATA_CENTRE="gijon",
         CALLER_ADDRESS="127.0.0.1:0",
@@ -22,6 +17,26 @@
         STORE_ADDRESS="127.0.0.1:1",
         VM_LIST_ADDRESS="127.0.0.1:1",
     )
+
+
+async def test_own_requests_and_those_to_own_targets_are_counted_apart():
+    """A VM sends a request to a target that it owns.
+
+    In one shared count it would stand twice, and its adapter look twice as popular
+    as one that is asked for elsewhere.
+    """
+    daemon = Daemon(_settings(), seed=1)
+    owners_count = daemon._target_owners._policies.popularity
+    assert daemon._requests._popularity is not owners_count
+
+
+async def test_peer_port_is_closed_after_everything_else(monkeypatch):
+    """A VM shuts down while others look for proof that it is gone.
+
+    A peer port that refuses is such proof. Closed before the connections to targets
+    and callers, it would let a successor act while this process still does.
+    """
+    settings = _settings()
     timers = TimerService()
     parts = {"settings": settings, "timers": timers, "rng": Random(1)}
     objects = MemoryObjects()
