--- a/hawthornlead/owners.py
+++ b/hawthornlead/owners.py
@@ -15,11 +15,10 @@
 
 from .errors import Failure
 from .events import EventKind
-from .lease_objects import process_of
+from .former_owners import FormerOwners
 from .leases import longest_by_any_clock
 from .owner_records import (
     KIND,
-    FormerOwner,
     OwnerRecord,
     by_shard,
     freed_record,
@@ -62,6 +61,7 @@
         self._metrics = metrics
         self._invariants = invariants
         self._vm = settings["VM_NAME"]
+        self._former = FormerOwners(leases=leases, members=members)
         self._order = TakingOrder(settings=settings, timers=timers, members=members)
         self._wanted: dict[str, str] = {}
         self._records: dict[str, OwnerRecord] = {}
@@ -110,7 +110,7 @@
             owned.fence,
             owned.taken_at,
             owned.predecessor,
-            all(self._has_stopped(former) for former in owned.unproved),
+            all(self._former.has_stopped(former) for former in owned.unproved),
             owned.orders_end_at,
         )
 
@@ -254,27 +254,15 @@
         owners: dict[str, str] = {}
         for resource, data_centre in self._wanted.items():
             record = self._records.get(resource)
-            if not self._may_take(record):
+            if not self._former.may_take(record):
                 owners[resource] = record.vm
             elif resource not in self._releasing:
                 free.append(FreeResource(resource, data_centre))
         return self._order.due(free, self._wanted, owners)
 
-    def _may_take(self, record: OwnerRecord | None) -> bool:
-        """Whether a record names no owner, or one whose incarnation is ended.
-
-        One that is not registered as far as is known counts as free here; before
-        it is taken, ``_ended_among`` asks the store.
-        """
-        if record is None or record.free:
-            return True
-        if record.incarnation == self._leases.incarnation:
-            return False
-        known = self._leases.registration_of(record.incarnation)
-        return known is None or known.state == "ended"
-
     async def _take_over(self, shard: str, names: list[str]) -> None:
-        ended = await self._ended_among(names)
+        recorded = [self._records[name] for name in names if name in self._records]
+        ended = await self._former.ended_among(recorded)
         if ended.is_err():
             return
         incarnation = self._leases.incarnation
@@ -288,29 +276,6 @@
             return
         logger.debug("ownership not taken: {}", written.err_value.detail)
 
-    async def _ended_among(self, names: list[str]) -> Result[set[str], Failure]:
-        """Return the recorded owners' incarnations that are ended for certain.
-
-        An incarnation that this VM's view does not hold was ended and pruned, or
-        registered a moment ago. The store tells: it registered before it owned
-        anything, so that a list read after the record was holds it if it lives.
-        """
-        recorded = {self._records[n].incarnation for n in names if n in self._records}
-        recorded.discard("")
-        ended, unknown = set(), set()
-        for incarnation in recorded:
-            known = self._leases.registration_of(incarnation)
-            if known is None:
-                unknown.add(incarnation)
-            elif known.state == "ended":
-                ended.add(incarnation)
-        if not unknown:
-            return Ok(ended)
-        present = await self._leases.live_in_store()
-        if present.is_err():
-            return present
-        return Ok(ended | (unknown - present.ok_value))
-
     def _with_taken(self, value, names, ended: set[str], incarnation: str):
         if incarnation != self._leases.incarnation or not self._leases.held():
             return None
@@ -321,23 +286,13 @@
             free = record is None or record.free or record.incarnation in ended
             if not free or name not in self._wanted:
                 continue
-            stopped = record is None or record.free or self._has_stopped(record)
+            stopped = record is None or record.free or self._former.has_stopped(record)
             if record is not None:
-                left = [f for f in record.unproved if not self._has_stopped(f)]
+                left = [f for f in record.unproved if not self._former.has_stopped(f)]
                 record = record._replace(unproved=tuple(left))
             taken[name] = taken_record(record, self._vm, incarnation, stopped)
         return with_records(value, taken) if taken else None
 
-    def _has_stopped(self, former: FormerOwner | OwnerRecord) -> bool:
-        known = self._leases.registration_of(former.incarnation)
-        if known is not None and known.stopped:
-            return True
-        if not former.vm:
-            return False
-        process = process_of(former.incarnation)
-        proof = self._members.proof_gone(former.vm, process)
-        return proof is not None
-
     def _is_mine(self, record: OwnerRecord) -> bool:
         return record.incarnation == self._leases.incarnation
 
--- a/hawthornlead/tests/test_owners.py
+++ b/hawthornlead/tests/test_owners.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hawthornlead.former_owners import FormerOwners
 from hawthornlead.owner_records import (
     FORGOTTEN,
     MOST_UNPROVED,
@@ -367,7 +368,8 @@
     assert world.owner_of(ENGINE) is owner
     del late.leases._table._seen[owner.leases.incarnation]
     late.owners.want(ENGINE, "dc1")
-    ended = await late.owners._ended_among([ENGINE])
+    former = FormerOwners(leases=late.leases, members=late.members)
+    ended = await former.ended_among(records(world))
     assert ended.ok_value == set()
     await world.run(5)
     assert world.owner_of(ENGINE) is owner
