--- a/hawthornlead/members.py
+++ b/hawthornlead/members.py
@@ -206,6 +206,8 @@
         # The list lags: just after a VM was replaced under its name, the list may
         # have dropped the old one and not yet taken up the new. Such a gap is short,
         # and the new one is connected meanwhile; a lasting absence is no such gap.
+        # OWN-4: nor has a VM that just started been taken up yet. Cut off before, it
+        # would look gone while it lives, so absence counts only after presence.
         if not met.listed or met.absent_since is None:
             return False
         absent_s = self._timers.now() - met.absent_since
--- a/hawthornlead/tests/test_members.py
+++ b/hawthornlead/tests/test_members.py
@@ -136,6 +136,20 @@
     assert fleet.members.proof_gone("b", "b-1") == "absent"
 
 
+async def test_absence_of_a_vm_that_was_never_listed_proves_nothing(fleet):
+    """A VM has just started, and the lagging list does not name it yet.
+
+    Cut off at that moment it is missing from every fresh list, and lives. Taken as
+    proof, its targets would be evicted under its requests.
+    """
+    fleet.meshes["e"] = fleet.network.join("e", "gijon")
+    await fleet.run(5)
+    assert "e" in fleet.members.live_vms()
+    fleet.network.cut("a", "e")
+    await fleet.run(60)
+    assert fleet.members.proof_gone("e", "e-1") is None
+
+
 async def test_absence_from_a_stale_list_or_of_a_connected_vm_proves_nothing(fleet):
     fleet.network.cut("a", "b")
     del fleet.listed["b"]
