Cut and silence the network of the long run; judge rolls, runs and cuts

Every VM reaches the store and each other VM over a forwarder of its own, which can be cut or go silent.

--- a/hawthornlead/tests/fleets.py
+++ b/hawthornlead/tests/fleets.py
@@ -67,7 +67,10 @@
 
 
 class Fleet:
-    """Stand-ins and VMs as processes, with the means to hurt them."""
+    """Stand-ins and VMs as processes, with the means to hurt them.
+
+    A VM named in ``store_addresses`` is given that address in place of the store's.
+    """
 
     def __init__(self, deployment: Deployment, command: list[str] | None = None):
         self._deployment = deployment
@@ -77,6 +80,7 @@
         self._standins: asyncio.subprocess.Process | None = None
         self._client = AsyncHTTPClient(force_instance=True, max_clients=5000)
         self.addresses: dict[str, str] = {}
+        self.store_addresses: dict[str, str] = {}
         self.vms: dict[str, RunningVm] = {}
 
     @property
@@ -84,6 +88,11 @@
         """Where settings and logs of the run are."""
         return self._folder
 
+    @property
+    def peer_addresses(self) -> dict[str, str]:
+        """The address at which each VM hears the others."""
+        return {name: peer for name, (_, peer) in self._ports.items()}
+
     async def __aenter__(self) -> "Fleet":
         await self.start_standins()
         return self
@@ -243,7 +252,9 @@
                 "peer_address": peer_address,
             },
             "platform": {
-                "store_address": self.addresses["store"],
+                "store_address": self.store_addresses.get(
+                    spec.name, self.addresses["store"]
+                ),
                 "vm_list_address": self.addresses["vms"],
             },
             "operators": self._deployment.operators,
--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -17,7 +17,7 @@
 
 import click
 
-from . import soak_faults
+from . import soak_cuts, soak_faults
 from .deployments import (
     FAST_SETTINGS,
     Operators,
@@ -31,12 +31,14 @@
 from .soak_judges import JUDGES
 from .soak_records import Records, SeenStatus, Told
 
+__all__ = ["Soak", "soak_cuts"]
+
 CALLERS = 10
 ALIASES = [f"adapter-{number}" for number in range(14)]
 THINK_S = 0.15
 STATUS_S = 0.25
-FAULT_S = 1.0
-FAULTS_AT_ONCE = 3
+FAULT_S = 0.8
+FAULTS_AT_ONCE = 4
 CALM_S = 6.0
 SHOWN = 10
 
@@ -64,21 +66,25 @@
             self._fleet = fleet
             rng = Random(f"{self._seed} faults")
             self._world = World(fleet, operators, rng, time.monotonic, _document)
-            await self._begin()
-            unready = await self._load()
-            records = await self._records(unready)
-            held = self._report(records)
-            if not held:
-                await self._show_timeline(folder)
+            try:
+                await self._begin()
+                unready = await self._load()
+                records = await self._records(unready)
+                held = self._report(records)
+                if not held:
+                    await self._show_timeline(folder)
+            finally:
+                self._world.network.stop()
         return held
 
     async def _begin(self) -> None:
         """Start all VMs, put a first bundle in force and make the callers."""
         fleet, world = self._fleet, self._world
+        await world.network.start()
         await fleet.start_vms()
         await world.learn_normal()
         first = next(iter(fleet.vms.values())).caller_address
-        digest = await world.made(first)
+        digest = await world.made()
         await world.rolled(first, digest, 0, 0)
         for name in fleet.vms:
             await fleet.wait_ready(name)
@@ -98,7 +104,7 @@
             for caller in self._world.callers
         ]
         await self._hurt(ends)
-        await asyncio.gather(*asking)
+        await asyncio.gather(*asking, *self._world.streams)
         unready = []
         for name in self._fleet.vms:
             try:
--- a/hawthornlead/tests/soak_callers.py
+++ b/hawthornlead/tests/soak_callers.py
@@ -14,6 +14,7 @@
 from .soak_records import Told
 
 TRIES = 4
+LONG_TOKENS = 300
 RETRY_S = 0.1
 KEPT_FACTORS = (1.0, 1.0, 3.0)
 
@@ -67,6 +68,11 @@
             )
         )
 
+    async def long_stream(self, address: str) -> None:
+        """Ask one VM for a stream of some seconds."""
+        told = self._fresh()._replace(max_tokens=LONG_TOKENS)
+        await self._complete(address, told, "stream", deadline_s=20)
+
     async def resend(self, prompt: str, tries: int) -> None:
         """Send the same request through one VM after the other, as if it mattered."""
         told = self._fresh()._replace(prompt=prompt)
@@ -153,11 +159,13 @@
         form: str,
         leave_after: int | None = None,
         priority: int | None = None,
+        deadline_s: int | None = None,
     ) -> Told:
         """Ask for one completion and write down what came."""
         fields = {"model": told.alias, "prompt": told.prompt}
         fields |= {"max_tokens": told.max_tokens, "stream": form == "stream"}
-        headers = {"Hawthornlead-Deadline-Ms": str(self._rng.choice((2000, 8000)))}
+        deadline_s = deadline_s or self._rng.choice((2, 8))
+        headers = {"Hawthornlead-Deadline-Ms": str(1000 * deadline_s)}
         if priority is not None:
             headers["Hawthornlead-Priority"] = str(priority)
         read = _read_whole
--- a/hawthornlead/tests/soak_faults.py
+++ b/hawthornlead/tests/soak_faults.py
@@ -15,9 +15,12 @@
 from .deployments import Operators
 from .fleets import Fleet
 from .soak_callers import Caller
+from .soak_links import Network
 from .soak_records import Drained, Hurt, RollTold
 
 CRASH_MARKER = "POISON"
+ORDER_TRIES = 8
+HELD_STREAMS = 5
 
 
 class World:
@@ -32,12 +35,14 @@
         document: Callable[[int, Random], dict],
     ):
         self.fleet = fleet
+        self.network = Network(fleet)
         self.operators = operators
         self.rng = rng
         self.now = now
         self._document = document
         self._generation = 0
         self._in_use: set[str] = set()
+        self.streams: set[asyncio.Task] = set()
         self._normal: dict[str, dict] = {}
         self.injected: Counter = Counter()
         self.drained: list[Drained] = []
@@ -63,6 +68,15 @@
         finally:
             self._in_use.discard(vm)
 
+    async def hold_streams(self, vm: str) -> None:
+        """Have long streams run on a VM that is about to be hurt."""
+        address = self.fleet.vms[vm].caller_address
+        for caller in self.rng.sample(self.callers, HELD_STREAMS):
+            task = asyncio.create_task(caller.long_stream(address))
+            self.streams.add(task)
+            task.add_done_callback(self.streams.discard)
+        await asyncio.sleep(0.5)
+
     def free_address(self) -> str:
         """Return the address of a VM that no fault works on."""
         free = sorted(set(self.fleet.vms) - self._in_use)
@@ -96,18 +110,31 @@
         self._generation += 1
         return self._document(self._generation, self.rng)
 
-    async def made(self, address: str) -> str:
-        """Prepare and approve a further bundle; return its digest."""
+    async def made(self) -> str:
+        """Prepare and approve a further bundle; return its digest.
+
+        Faults defeat single orders, which are then given again over another VM.
+        """
         document = self.new_document()
-        digest = await self.operators.prepare(address, document)
+        digest = await self._ordered(
+            lambda vm: self.operators.prepare(vm, document), ORDER_TRIES
+        )
         self.assigned[digest] = {
             (caller["name"], alias): (target["adapter"], target["version"])
             for caller in document["callers"]
             for alias, target in caller["aliases"].items()
         }
-        await self.operators.approve(address, digest)
+        await self._ordered(lambda vm: self.operators.approve(vm, digest), ORDER_TRIES)
         return digest
 
+    async def _ordered(self, order, tries: int):
+        for _ in range(tries - 1):
+            try:
+                return await order(self.free_address())
+            except RuntimeError:
+                await asyncio.sleep(0.5)
+        return await order(self.free_address())
+
     async def rolled(self, address: str, digest: str, operator: int, expected: int):
         """Roll a bundle as one of the operators and write down what was told."""
         code, output = await self.operators.roll(
@@ -206,6 +233,7 @@
         if vm is None:
             return
         world.injected["vm-killed"] += 1
+        await world.hold_streams(vm)
         spec, process = world.fleet.vms[vm].spec, world.fleet.vms[vm].process
         at = world.now()
         await world.fleet.kill_vm(vm)
@@ -222,6 +250,7 @@
         if vm is None:
             return
         world.injected["vm-frozen"] += 1
+        await world.hold_streams(vm)
         at, process_id = world.now(), world.fleet.vms[vm].process.pid
         world.fleet.freeze_vm(vm)
         await asyncio.sleep(world.rng.choice((0.3, 1.5, 5.0)))
@@ -237,6 +266,7 @@
         if vm is None:
             return
         world.injected["vm-replaced"] += 1
+        await world.hold_streams(vm)
         running = world.fleet.vms[vm]
         asked_at = world.now()
         code = await world.fleet.terminate_vm(vm)
@@ -248,16 +278,15 @@
 @fault("roll")
 async def roll(world: World) -> None:
     """An operator rolls a further bundle."""
-    address = world.free_address()
-    digest = await world.made(address)
+    digest = await world.made()
     world.injected["roll"] += 1
-    await world.rolled(address, digest, 0, await world.seq_in_force())
+    await world.rolled(world.free_address(), digest, 0, await world.seq_in_force())
 
 
 @fault("rolls-conflict")
 async def rolls_conflict(world: World) -> None:
     """Two operators roll different bundles from two VMs at the same time."""
-    digests = [await world.made(world.free_address()) for _ in range(2)]
+    digests = [await world.made() for _ in range(2)]
     expected = await world.seq_in_force()
     world.injected["rolls-conflict"] += 1
     await asyncio.gather(
--- a/hawthornlead/tests/soak_judges.py
+++ b/hawthornlead/tests/soak_judges.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
+from hawthornlead.errors import ANSWERS, Ran
+
 from .soak_records import Records, Told
 from .standins.engine_runs import prompt_hash, whole_text
 
@@ -18,6 +20,10 @@
 # and a busy machine. It only widens bounds in time, no other judge uses it.
 SLACK_S = 0.5
 CRASHES_AT_MOST = 3
+# What an operator may take for certain: the bundle was not put in force.
+REFUSED_FOR_CERTAIN = tuple(
+    kind.value for kind, answer in ANSWERS.items() if answer.ran is Ran.NOT_RUN
+)
 
 
 class Verdict(NamedTuple):
@@ -204,6 +210,25 @@
     return Verdict(sum(1 for each in orders.values() if each > 1), tuple(broken))
 
 
+@judge("rolls-as-told")
+def rolls_as_told(records: Records) -> Verdict:
+    """A bundle whose roll was refused for certain is in force nowhere."""
+    in_force = {status.digest for status in records.statuses}
+    accepted = {roll.digest for roll in records.rolls if roll.seq}
+    exercised, broken = 0, []
+    for roll in records.rolls:
+        if roll.seq:
+            exercised += 1
+            if roll.digest not in in_force:
+                broken.append(f"accepted as {roll.seq}, seen nowhere")
+            continue
+        certain = any(f"{kind}:" in roll.output for kind in REFUSED_FOR_CERTAIN)
+        exercised += certain
+        if certain and roll.digest in in_force - accepted:
+            broken.append(f"in force, but its operator was told: {roll.output}")
+    return Verdict(exercised, tuple(broken))
+
+
 @judge("never-reverts")
 def never_reverts(records: Records) -> Verdict:
     """Once a VM answered under a bundle, later requests there see no older one."""
@@ -273,14 +298,26 @@
     return Verdict(exercised, tuple(broken))
 
 
+@judge("runs-end")
+def runs_end(records: Records) -> Verdict:
+    """No run goes on that nobody waits for, as after its caller has left."""
+    left = sum(1 for told in records.told if told.outcome == "left")
+    broken = [
+        f"{name}: {run['id']} still runs"
+        for name, run in _runs(records)
+        if not run["outcome"]
+    ]
+    return Verdict(left, tuple(broken))
+
+
 @judge("cut-only-with-cause")
 def cut_only_with_cause(records: Records) -> Verdict:
     """An answer ends without a word only where its VM was killed or frozen."""
     exercised, broken = 0, []
     for told in records.told:
+        exercised += bool(told.head_at)
         if told.outcome not in ("broken", "malformed"):
             continue
-        exercised += 1
         if told.outcome == "broken" and _was_hurt(told, records):
             continue
         broken.append(f"{told.vm}: {told.request_id} {told.outcome}: {told.detail}")
