--- a/hawthornlead/tests/fleets.py
+++ b/hawthornlead/tests/fleets.py
@@ -104,7 +104,7 @@
     @property
     def peer_addresses(self) -> dict[str, str]:
         """The address at which each VM hears the others."""
-        return {name: peer for name, (_, peer) in self._ports.items()}
+        return {name: each.peers for name, each in self._ports.items()}
 
     async def __aenter__(self) -> "Fleet":
         await self.start_standins()
--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -63,6 +63,7 @@
         marker = soak_faults.CRASH_MARKER
         deployment = three_data_centres(keys, crash_marker=marker, crash_after_tokens=1)
         async with Fleet(deployment) as fleet:
+            click.echo(f"logs: {fleet.folder}", err=True)
             self._fleet = fleet
             rng = Random(f"{self._seed} faults")
             self._world = World(fleet, operators, rng, time.monotonic, _document)
@@ -145,7 +146,7 @@
         while True:
             for name, vm in list(self._fleet.vms.items()):
                 asking = self._fleet.fetch(
-                    "GET", vm.caller_address, "/status", None, {}, 0.5
+                    "GET", vm.metrics_address, "/status", None, {}, 0.5
                 )
                 self._spawn_status(name, vm.process.pid, asking)
             await asyncio.sleep(STATUS_S)
@@ -217,7 +218,7 @@
     async def _show_timeline(self, folder: Path) -> None:
         """Keep the time line of all VMs, and what callers were told, for reading."""
         for vm in self._fleet.vms.values():
-            reply = await self._fleet.get(vm.caller_address, "/timeline?limit=1000")
+            reply = await self._fleet.get(vm.metrics_address, "/timeline?limit=1000")
             if reply.status != 200:
                 continue
             (folder / "timeline.json").write_bytes(reply.body)
--- a/hawthornlead/tests/soak_faults.py
+++ b/hawthornlead/tests/soak_faults.py
@@ -152,7 +152,7 @@
         highest = 0
         for name in sorted(set(self.fleet.vms) - self._in_use):
             vm = self.fleet.vms.get(name)
-            reply = await self.fleet.get(vm.caller_address, "/status")
+            reply = await self.fleet.get(vm.metrics_address, "/status")
             if reply.status == 200:
                 highest = max(highest, reply.json["bundle"]["seq"])
         return highest
