--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -44,15 +44,19 @@
 from .peers import PeerMesh
 from .placements import PLACEMENTS
 from .platforms import VmList
-from .popularities import POPULARITIES
+from .popularities import POPULARITIES, HighestPopularity
+from .popularity_shares import PopularityShares
 from .query_handlers import QueryParts, metrics_routes, query_routes
+from .request_guards import RequestGuard
 from .requests import RequestPath
 from .retries import Retries
 from .rolls import BundleKeeper
 from .routers import ROUTERS
 from .service_calls import ServicePath
 from .settings import Settings
+from .signatures import OperatorKeys
 from .slots import Policies
+from .spares import SpareCopies
 from .statuses import StatusParts, status_routes
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
@@ -121,6 +125,7 @@
         self._grants.start()
         self._allowances.start()
         self._target_owners.start()
+        self._shares.start()
         self._claims.start()
         self._keeper.start()
         self._timers.every(self._settings["HEARTBEAT_S"], self._meet, "peers")
@@ -140,6 +145,7 @@
         """Stop all parts, in the order in which others depend on them."""
         for server in self._servers:
             server.stop()
+        await self._shares.stop()
         await self._grants.stop()
         await self._target_owners.stop()
         await self._allowances.stop()
@@ -149,14 +155,19 @@
         await self._leases.release()
         await self._owners.stop()
         await self._leases.stop()
-        await self._members.stop()
-        await self._mesh.stop(goodbye=True)
         await self._views.stop()
         await self._vm_list.stop()
-        await self._store.stop()
         self._connections.close()
         for server in self._servers:
             await server.close_all_connections()
+        # OWN-4: a goodbye and a refused peer port are taken as proof that this process
+        # does nothing any more. While a request or a write of it is under way they
+        # prove too much: others act as if it were gone and meet what it still does.
+        # So the port is closed after everything else; the store is kept until then
+        # for what peers still ask.
+        await self._members.stop()
+        await self._mesh.stop(goodbye=True)
+        await self._store.stop()
         self._timers.stop()
         self._events.emit(EventKind.PROCESS_STOPPED, self._settings["VM_NAME"])
 
@@ -206,9 +217,18 @@
     def _build_targets(self) -> None:
         settings, base, rng = self._settings, self._base, self._rng
         self._popularity = POPULARITIES[settings["POPULARITY"]](settings=settings)
+        self._shares = PopularityShares(
+            settings=settings,
+            timers=self._timers,
+            rng=rng,
+            mesh=self._mesh,
+            members=self._members,
+            popularity=self._popularity,
+        )
         # Owners count what all VMs begin on their targets, by their renewals; sharing
         # the counters of this VM's own requests would count those twice.
-        owners_popularity = POPULARITIES[settings["POPULARITY"]](settings=settings)
+        granted = POPULARITIES[settings["POPULARITY"]](settings=settings)
+        owners_popularity = HighestPopularity(granted, self._popularity)
         self._placement = PLACEMENTS[settings["PLACEMENT"]](settings=settings)
         router = ROUTERS[settings["ROUTER"]]
         self._router = router(settings=settings, placement=self._placement)
@@ -270,6 +290,13 @@
             connections=self._connections,
             clients=self._clients,
         )
+        spares = SpareCopies(
+            timers=timers,
+            views=self._views,
+            grants=self._grants,
+            placement=self._placement,
+            popularity=self._popularity,
+        )
         self._requests = RequestPath(
             **base,
             invariants=self._invariants,
@@ -284,6 +311,8 @@
             router=self._router,
             placement=self._placement,
             popularity=self._popularity,
+            shares=self._shares,
+            spares=spares,
             attempts=attempts,
         )
         self._services = ServicePath(
@@ -308,21 +337,20 @@
         )
         queries = QueryParts(self._members, self._keeper, self._metrics, self._reason)
         routes = caller_routes(callers) + query_routes(queries)
-        routes += operator_routes(
-            settings=self._settings,
-            timers=self._timers,
-            events=self._events,
-            keeper=self._keeper,
-            mesh=self._mesh,
-        )
-        inside = metrics_routes(queries) + self._state_routes()
+        keys = OperatorKeys(self._settings["OPERATORS"])
+        guard = RequestGuard(keys, self._timers, self._events)
+        routes += operator_routes(guard=guard, keeper=self._keeper, mesh=self._mesh)
+        timeline, status = self._timeline(), self._status_parts()
+        routes += timeline_routes(timeline, guard) + status_routes(status, guard)
         metrics_address = self._settings["METRICS_ADDRESS"]
         if metrics_address:
+            inside = timeline_routes(timeline) + status_routes(status)
+            inside += metrics_routes(queries)
             server = HTTPServer(Application(inside))
             server.add_sockets(_bind(metrics_address))
             self._servers.append(server)
         else:
-            routes += inside
+            routes += metrics_routes(queries)
         application = Application(
             routes,
             default_handler_class=UnknownHandler,
@@ -334,19 +362,16 @@
         server.add_sockets(sockets)
         self._servers.append(server)
 
-    def _state_routes(self) -> list:
-        """Return the routes of the time line and the status.
-
-        They name requests and adapters, so that operators who give the metrics an
-        address of their own keep callers from them.
-        """
-        timeline = Timeline(
+    def _timeline(self) -> Timeline:
+        return Timeline(
             settings=self._settings,
             events=self._events,
             mesh=self._mesh,
             members=self._members,
         )
-        status = StatusParts(
+
+    def _status_parts(self) -> StatusParts:
+        return StatusParts(
             self._settings,
             self._timers,
             self._store,
@@ -359,7 +384,6 @@
             self._admissions,
             self._invariants,
         )
-        return timeline_routes(timeline) + status_routes(status)
 
     def _tls(self) -> ssl.SSLContext | None:
         if not self._settings["TLS_CERTIFICATE"]:
--- a/hawthornlead/tests/fakes_worlds.py
+++ b/hawthornlead/tests/fakes_worlds.py
@@ -54,12 +54,14 @@
     taken_at: float
     predecessor: str
     predecessor_stopped: bool
+    orders_end_at: float = float("-inf")
 
 
 class FakePeer(NamedTuple):
     """The sender of a message."""
 
     vm: str
+    incarnation: str = "1"
 
 
 class FakeOwners:
@@ -82,6 +84,9 @@
         """Call back with ownerships."""
         self.taken.append(callback)
 
+    def tell_open_orders(self, has_open_order):
+        """Give nothing back by itself."""
+
     def on_lost(self, callback):
         """Call back with resources."""
         self.lost.append(callback)
@@ -114,6 +119,11 @@
         """This VM as a sender."""
         return FakePeer(self.vm)
 
+    @property
+    def live(self):
+        """The VMs that this one is connected to."""
+        return self._world.connected(self.vm)
+
     def on(self, message_type, handler):
         """Enter a handler."""
         self.handlers[message_type] = handler
@@ -232,6 +242,10 @@
         for name in vms:
             self.vms[name] = Vm(self, name)
 
+    def join(self, name):
+        """Add a VM later than the others."""
+        self.vms[name] = Vm(self, name)
+
     def spawn(self, coroutine):
         """Run a task."""
         task = asyncio.get_running_loop().create_task(coroutine)
@@ -239,6 +253,14 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def connected(self, vm):
+        """Return the VMs that ``vm`` has a connection to."""
+        return tuple(
+            FakePeer(name)
+            for name, other in self.vms.items()
+            if name != vm and not other.dead and frozenset((name, vm)) not in self.cuts
+        )
+
     async def carry(self, sender, vm, message, timeout_s):
         """Carry a message there and its reply back."""
         away = Err(Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm} is away"))
@@ -287,8 +309,11 @@
                 old.rights[resource] = old_right
         self.records[resource] = FakeOwnerRecord(vm, vm, fence)
         taker = self.vms[vm]
+        now = taker.timers.now()
+        # As real owners do, it waits out the orders of its predecessor.
+        ends_at = now + self.settings["ORDER_S"] * 1.03 if before else now
         ownership = FakeOwnership(
-            resource, fence, taker.timers.now(), before, stopped or not before
+            resource, fence, now, before, stopped or not before, ends_at
         )
         taker.owners.ownerships[resource] = ownership
         taker.owners.rights[resource] = OrderRight.FULL
--- a/hawthornlead/tests/test_standins.py
+++ b/hawthornlead/tests/test_standins.py
@@ -126,6 +126,29 @@
         await watching
 
 
+async def test_object_api_bookmarks_come_while_other_kinds_are_written(store):
+    # Renewals of one kind are written all the time. A watch of another kind must
+    # still hear bookmarks, or its reader takes the connection for a silent one.
+    store.set_faults(bookmark_s=0.05)
+    seen = []
+    watching = asyncio.ensure_future(
+        AsyncHTTPClient(force_instance=True).fetch(
+            f"http://{store.address}/objects/quiet?watch=1&since=0",
+            streaming_callback=seen.append,
+            raise_error=False,
+        )
+    )
+    for number in range(500):
+        if b"bookmark" in b"".join(seen):
+            break
+        path = f"/objects/busy/{number}"
+        await call(store.address, path, {}, "PUT", If_None_Match="*")
+    assert b"bookmark" in b"".join(seen)
+    store.set_faults(outage=True)
+    with pytest.raises((OSError, HTTPClientError)):
+        await watching
+
+
 async def test_vm_list_lags():
     vms = VmListStandIn(entries=[])
     await vms.start()
