--- a/hawthornlead/tests/whole_fleets.py
+++ b/hawthornlead/tests/whole_fleets.py
@@ -10,7 +10,10 @@
 """
 
 import asyncio
+import contextvars
 import json
+import weakref
+from collections import defaultdict
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 from typing import Any, NamedTuple
@@ -53,6 +56,10 @@
 ALIASES = {f"brief-{n}": (f"tides-{n}", "v1") for n in range(1, 7)}
 
 
+# The daemon that a task belongs to; tasks and readers inherit it.
+_VM: contextvars.ContextVar[str] = contextvars.ContextVar("vm", default="")
+
+
 class Reply(NamedTuple):
     """An HTTP answer; ``status`` is 599 where none came whole."""
 
@@ -93,6 +100,8 @@
         self._keys = {"ana": generate_key(), "bryn": generate_key()}
         self._orders = 0
         self._listed: dict[str, dict] = {}
+        self._tasks: dict[str, weakref.WeakSet] = defaultdict(weakref.WeakSet)
+        asyncio.get_running_loop().set_task_factory(self._make_task)
         self.daemons: dict[str, Daemon] = {}
 
     def standin(self, name: str) -> Any:
@@ -131,8 +140,11 @@
             }
         )
         seed = seed or sum(name.encode())
+        context = contextvars.copy_context()
+        context.run(_VM.set, name)
         daemon = self.daemons[name] = Daemon(settings, seed=seed)
-        await daemon.start()
+        loop = asyncio.get_running_loop()
+        await loop.create_task(daemon.start(), context=context)
         self.list_vm(name, daemon.caller_address, data_centre)
         return daemon
 
@@ -163,6 +175,28 @@
         """Stop a daemon without draining it."""
         await self.daemons.pop(name).stop()
 
+    async def kill_vm(self, name: str) -> None:
+        """End a daemon as a power cut would: no goodbye, every connection gone."""
+        daemon = self.daemons.pop(name)
+        daemon._timers.stop()
+        daemon._mesh._server.close()
+        for connection in tuple(daemon._mesh._connections):
+            connection.abort("killed")
+        for server in daemon._servers:
+            server.stop()
+            for connection in tuple(server._connections):
+                connection.stream.close()
+        tasks = [task for task in self._tasks.pop(name) if not task.done()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        daemon._connections.close()
+
+    def _make_task(self, loop, coroutine, **options) -> asyncio.Task:
+        task = asyncio.Task(coroutine, loop=loop, **options)
+        self._tasks[_task_vm(options.get("context"))].add(task)
+        return task
+
     async def stop(self) -> None:
         """Stop everything."""
         for name in list(self.daemons):
@@ -266,6 +300,10 @@
         return Reply(response.code, dict(response.headers), response.body or b"")
 
 
+def _task_vm(context: contextvars.Context | None) -> str:
+    return _VM.get() if context is None else context.get(_VM, "")
+
+
 def headers_of(caller: str, more: dict[str, str]) -> dict[str, str]:
     """Return a caller's headers; underscores in names stand for hyphens."""
     headers = {"Authorization": f"Bearer {caller}-token"}
