Serve through a store outage and silent connections, as whole daemons

Three seconds without the object API, twice a lease: residents are answered by all VMs, free slots are loaded, nothing is evicted, and the weight store's record shows no load over its allowance when the store is back. Connections to targets, object API and VM list that go silent for good are replaced in time.

--- /dev/null
+++ b/hawthornlead/tests/test_whole_outages.py
@@ -0,0 +1,127 @@
+"""The platform goes away, or a connection to it or to a target goes silent."""
+
+import asyncio
+
+import pytest
+
+from .standins.engine_runs import whole_text
+from .whole_fleets import until, whole_fleet
+
+VMS = {"entry-1": "santander", "entry-2": "santander", "entry-3": "bilbao"}
+ENGINES = {
+    "engine-1": {"slots": 2, "fencing": True},
+    "engine-2": {"slots": 2, "fencing": False, "data_centre": "bilbao"},
+}
+OUTAGE_S = 3.0
+
+
+@pytest.fixture
+async def fleet():
+    async with whole_fleet(
+        engines=ENGINES, vms=VMS, LOADS_PER_S=6.0, LOADS_AT_ONCE=2
+    ) as running:
+        yield running
+
+
+def orders(fleet, op: str) -> list[dict]:
+    """Return the orders of one kind that engines carried out."""
+    return [
+        order
+        for engine in ENGINES
+        for order in fleet.standin(engine).record()["orders"]
+        if order["op"] == op and order["status"] == 200
+    ]
+
+
+def expected(alias: str) -> str:
+    """Return the text that an alias must answer to the fleet's default prompt."""
+    return whole_text("tide?", "tides-" + alias.split("-")[1], "v1", 8)
+
+
+async def test_a_store_outage_under_load(fleet):
+    """The object API is gone for longer than any lease lasts, under load.
+
+    Owners can't renew, and nobody can take over: were every right to end with the
+    lease, a whole system would stand still for a store that no request needs. What
+    is resident is served by all VMs, free slots are loaded, nothing is evicted.
+    Afterwards everything is served again, and the waiting loads come no faster than
+    the weight store allows.
+    """
+    for alias in ("brief-1", "brief-2"):
+        assert (await fleet.complete("entry-1", alias)).status == 200
+    fleet.standin("store").set_faults(outage=True)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while loop.time() < began + OUTAGE_S:
+        for vm in VMS:
+            for alias in ("brief-1", "brief-2"):
+                reply = await fleet.complete(vm, alias)
+                assert reply.status == 200, (vm, alias, reply.body)
+                assert reply.json["text"] == expected(alias)
+        await asyncio.sleep(0.05)
+    assert all(not d._leases.held() for d in fleet.daemons.values())
+    for alias in ("brief-3", "brief-4"):
+        reply = await fleet.complete("entry-2", alias)
+        assert reply.status == 200, (alias, reply.body)
+    deadline = {"Hawthornlead-Deadline-Ms": "600"}
+    refused = await fleet.complete("entry-3", "brief-5", headers=deadline)
+    assert refused.status in (503, 504) and refused.json["ran"] == "not run"
+    assert orders(fleet, "evict") == []
+    fleet.standin("store").set_faults(outage=False)
+    aliases = [f"brief-{number}" for number in range(1, 7)]
+    asked = [
+        fleet.complete(vm, alias, timeout_s=15) for vm in VMS for alias in aliases * 2
+    ]
+    for reply, alias in zip(
+        await asyncio.gather(*asked), [*aliases * 2] * len(VMS), strict=True
+    ):
+        assert reply.status == 200, (alias, reply.body)
+        assert reply.json["text"] == expected(alias)
+    weights = fleet.standin("weights").record()
+    assert (weights["over_rate"], weights["over_concurrency"]) == (0, 0)
+    assert all(fleet.standin(engine).violations == [] for engine in ENGINES)
+
+
+async def test_silent_connections_to_the_targets(fleet):
+    """Every open connection to the engines goes silent for good; new ones work.
+
+    Something between the ends lost track of them. A VM that went on reusing them
+    would fail every request until it is restarted.
+    """
+    for alias in ("brief-1", "brief-2"):
+        assert (await fleet.complete("entry-1", alias)).status == 200
+    for engine in ENGINES:
+        fleet.standin(engine).set_faults(silent=True)
+    for vm in VMS:
+        for alias in ("brief-1", "brief-2"):
+            reply = await fleet.complete(vm, alias)
+            assert (reply.status, reply.json["text"]) == (200, expected(alias))
+    assert (await fleet.complete("entry-2", "brief-3")).status == 200
+
+
+async def test_silent_connections_to_the_platform(fleet):
+    """The connections to object API and VM list go silent for good; new ones work.
+
+    The watches hear nothing any more and no call on an old connection is answered.
+    Leases must be kept, a roll must go through, a new target must be seen.
+    """
+    assert (await fleet.complete("entry-1")).status == 200
+    fleet.standin("store").set_faults(silent=True)
+    fleet.standin("vms").set_faults(silent=True)
+    lapsed = []
+
+    async def watch_leases():
+        while True:
+            lapsed.extend(v for v, d in fleet.daemons.items() if not d._leases.held())
+            await asyncio.sleep(0.02)
+
+    watching = asyncio.ensure_future(watch_leases())
+    await asyncio.sleep(2.0)
+    watching.cancel()
+    assert lapsed == []
+    fleet.set_listed("engine-2", state="leaving")
+    for daemon in fleet.daemons.values():
+        views = daemon._views
+        await until(lambda views=views: views.view("engine-2").leaving, 5.0)
+    for vm in VMS:
+        assert (await fleet.complete(vm)).status == 200
--- a/hawthornlead/tests/whole_fleets.py
+++ b/hawthornlead/tests/whole_fleets.py
@@ -321,10 +321,16 @@
         await asyncio.sleep(POLL_S)
 
 
-def description(engines: dict[str, dict], services: tuple[str, ...]) -> str:
-    """Return the stand-ins' description; engines by name with their faults."""
+def description(engines: dict[str, dict], services: tuple[str, ...], settings) -> str:
+    """Return the stand-ins' description; engines by name with their faults.
+
+    The weight store allows what the settings say that it allows.
+    """
+    allowed = FAST | settings
     text = "[object_api store]\nbookmark_s = 0.2\n[vm_list vms]\n"
-    text += "[weight_store weights]\nload_s = 0.02\nloads_per_s = 100\nat_once = 4\n"
+    text += "[weight_store weights]\nload_s = 0.02\n"
+    text += f"loads_per_s = {allowed['LOADS_PER_S']}\n"
+    text += f"at_once = {allowed['LOADS_AT_ONCE']}\n"
     for name, faults in engines.items():
         keys = {"data_centre": "santander", "slots": 4, "fencing": True} | faults
         keys.setdefault("weight_store", "weights")
@@ -359,7 +365,7 @@
     **settings: Any,
 ):
     """Run a fleet with a bundle in force and all its targets owned."""
-    standins = StandInSet.read(description(engines, services))
+    standins = StandInSet.read(description(engines, services, settings))
     fleet = WholeFleet(standins, settings)
     try:
         await fleet.start(vms or {"entry-1": "santander"})
