--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -77,10 +77,10 @@
     REQUEST_ADMITTED = (600, "DEBUG", "a request was admitted and assigned")
     REQUEST_SENT = (601, "DEBUG", "an attempt was sent to a target")
     REQUEST_ANSWERED = (602, "DEBUG", "a request was answered whole")
-    REQUEST_REFUSED = (603, "INFO", "a request was refused")
-    REQUEST_RETRIED = (604, "INFO", "a request is tried on another target")
+    REQUEST_REFUSED = (603, "DEBUG", "a request was refused")
+    REQUEST_RETRIED = (604, "DEBUG", "a request is tried on another target")
     ANSWER_DROPPED = (605, "WARNING", "an answer that matched no attempt was dropped")
-    CALLER_LEFT = (606, "INFO", "a caller went away before its answer was whole")
+    CALLER_LEFT = (606, "DEBUG", "a caller went away before its answer was whole")
 
     # 700: claims
     CLAIMS_SEALED = (700, "DEBUG", "the claims of a range were sealed in a segment")
@@ -126,9 +126,10 @@
         """Log one event and keep it.
 
         ``subject`` names the request, target, adapter, bundle or VM it is about;
-        ``fields`` are further details, printed in the order given.
+        ``fields`` are further details, printed in the order given; a ``NamedTuple``
+        is printed as its own fields in place of its name.
         """
-        text = " ".join(f"{name}={value}" for name, value in fields.items())
+        text = " ".join(_field_text(name, value) for name, value in fields.items())
         at = self._clock.tick()
         self._records.append(
             EventRecord(at.wall_ms, at.logical, self._vm, kind.number, subject, text)
@@ -147,3 +148,9 @@
             if subject in record.subject or subject in record.text
         ]
         return tuple(matching[-limit:])
+
+
+def _field_text(name: str, value) -> str:
+    if not isinstance(value, tuple) or not hasattr(value, "_asdict"):
+        return f"{name}={value}"
+    return " ".join(_field_text(*field) for field in value._asdict().items())
