--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -14,27 +14,29 @@
 from .claims import Claims
 from .errors import ErrorKind, Failure, Ran
 from .events import EventKind, EventRing
+from .grant_rounds import Granted, GrantRounds, Try
 from .grants import Grant, Grants
 from .invariants import Invariants
 from .limits import Admissions
 from .messages import Claimed
 from .metrics import Metrics
 from .popularities import Popularity
+from .popularity_shares import PopularityShares
 from .retries import Retries
 from .rolls import BundleKeeper, InForce
 from .routers import Router
 from .settings import Settings
+from .spares import SpareCopies
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
 from .timers import TimerService
-from .views import TargetView, TargetViews
+from .views import TargetViews
 
 # Errors after which a repeatable request may be tried again although it may have
 # run: its attempt is over, and what was handed on is counted.
 RESUMABLE = frozenset(
     {ErrorKind.TARGET_LOST, ErrorKind.ANSWER_CUT, ErrorKind.WRONG_ANSWER}
 )
-MIN_WAIT_S = 0.05
 
 
 class CallerRequest(NamedTuple):
@@ -75,6 +77,7 @@
     """A sink that also takes the head of the answer."""
 
     started: bool
+    count: int
 
     def begin(self, head: AnswerHead) -> None:
         """Note what will give the answer; a later call replaces an earlier one."""
@@ -86,13 +89,6 @@
     claimed: Claimed
 
 
-class _Try(NamedTuple):
-    """Which target the next attempt goes to, and whether the adapter is there."""
-
-    view: TargetView
-    resident: bool
-
-
 class RequestPath:
     """Serves requests for adapters; one call of ``serve`` is one request."""
 
@@ -115,6 +111,8 @@
         router: Router,
         placement,
         popularity: Popularity,
+        shares: PopularityShares,
+        spares: SpareCopies,
         attempts: AttemptRunner,
     ):
         self._settings = settings
@@ -125,7 +123,7 @@
         self._keeper = keeper
         self._admissions = admissions
         self._views = views
-        self._grants = grants
+        self._rounds = GrantRounds(timers=timers, metrics=metrics, grants=grants)
         self._claims = claims
         self._retries = retries
         self._suspects = suspects
@@ -133,6 +131,8 @@
         self._router = router
         self._placement = placement
         self._popularity = popularity
+        self._shares = shares
+        self._spares = spares
         self._attempts = attempts
 
     async def serve(
@@ -160,7 +160,8 @@
         if isinstance(allowed, Err):
             return self._refused(request, allowed.err_value)
         assignment = assigned.ok_value
-        self._popularity.observe(assignment.adapter, self._timers.now())
+        self._shares.observe(assignment.adapter)
+        self._spares.consider(assignment)
         self._events.emit(
             EventKind.REQUEST_ADMITTED,
             request.request_id,
@@ -233,7 +234,7 @@
                 )
                 failure = end.failure
             if failure is None:
-                return None
+                return self._counted(request, end, sink)
             offset = end.next_index
             ran = ran or failure.answer.ran is not Ran.NOT_RUN
             if not await self._may_retry(request, failure, number):
@@ -243,6 +244,18 @@
             )
         return _truthful(failure, ran)
 
+    def _counted(self, request, end: AttemptEnd, sink) -> Failure | None:
+        """Check that all tokens which the target counted went to the caller.
+
+        Guards against an answer over several attempts that lacks tokens: each end
+        marker was right, but an attempt began behind what had been handed on.
+        """
+        detail = f"{request.request_id}: {sink.count} of {end.next_index}"
+        whole = sink.count == end.next_index
+        if self._invariants.check("whole-answer-counted", whole, detail):
+            return None
+        return Failure(ErrorKind.WRONG_ANSWER, f"tokens are missing: {detail}")
+
     async def _may_retry(self, request, failure: Failure, number: int) -> bool:
         """Wait out the backoff and say whether another attempt may start."""
         repeatable = not request.key
@@ -258,7 +271,7 @@
         return True
 
     async def _attempt(
-        self, request, assignment, one_try: _Try, grant: Grant, offset, number, sink
+        self, request, assignment, one_try: Try, grant: Grant, offset, number, sink
     ) -> AttemptEnd:
         view = one_try.view
         attempt_id = f"{request.request_id}.{number}"
@@ -298,36 +311,16 @@
 
     async def _grant(
         self, request: CallerRequest, assignment: Assignment, tried: set[str]
-    ) -> Result[tuple[_Try, Grant], Failure]:
+    ) -> Result[Granted, Failure]:
         """Get a grant on the best target that gives one before the deadline."""
-        failure = Failure(
-            ErrorKind.NO_TARGET, f"no target serves {assignment.base_model}", 1.0
+        return await self._rounds.acquire(
+            assignment,
+            request.priority,
+            request.deadline_at,
+            lambda: self._tries(assignment, tried),
         )
-        for one_try in self._tries(assignment, tried):
-            wait_s = request.deadline_at - self._timers.now()
-            if wait_s < MIN_WAIT_S:
-                return Err(
-                    Failure(ErrorKind.TOO_LATE_TO_START, "no time is left to run")
-                )
-            started = self._timers.now()
-            granted = await self._grants.acquire(
-                one_try.view.target,
-                assignment,
-                wait_s=wait_s,
-                load=not one_try.resident,
-                priority=request.priority,
-            )
-            stalled_s = self._timers.now() - started
-            if isinstance(granted, Ok):
-                if granted.ok_value.loaded_s > 0:
-                    self._metrics.load_stall.observe(stalled_s)
-                return Ok((one_try, granted.ok_value))
-            failure = granted.err_value
-            if not failure.answer.retry:
-                return Err(failure)
-        return Err(failure)
 
-    def _tries(self, assignment: Assignment, tried: set[str]) -> list[_Try]:
+    def _tries(self, assignment: Assignment, tried: set[str]) -> list[Try]:
         """Order the targets: where the adapter is first, then where to load it."""
         now = self._timers.now()
         views = self._views.views()
@@ -336,12 +329,12 @@
         tries = []
         for candidate in self._router.choose(assignment, usable, self._popularity, now):
             view = by_name[candidate.target]
-            tries.append(_Try(view, candidate.resident))
+            tries.append(Try(view, candidate.resident))
         placed = self._placement.choose(assignment, usable, self._popularity, now)
         named = {one_try.view.target for one_try in tries}
         for target in placed:
             if target not in named:
-                tries.append(_Try(by_name[target], resident=False))
+                tries.append(Try(by_name[target], resident=False))
         fresh = [one_try for one_try in tries if one_try.view.target not in tried]
         return fresh or tries
 
