--- a/hawthornlead/loaders.py
+++ b/hawthornlead/loaders.py
@@ -31,6 +31,11 @@
 ROOM_TRIES = 3
 # How long nothing is loaded after the target said that it has no free slot.
 FULL_PAUSE_S = 0.5
+# How long a load that no request waits for asks for leave. Short, so that a request
+# that joins it meanwhile soon asks with its own weight.
+AHEAD_ASK_S = 0.5
+# For how long the wait for leave counts in what a new load is expected to take.
+LEAVE_KEEP_S = 2.0
 # Weight of the newest load in the running mean of how long loads take.
 MEAN_WEIGHT = 0.2
 
@@ -85,11 +90,29 @@
         self._full_until = float("-inf")
         self._stopped = False
         self._mean_s = settings["LOADS_AT_ONCE"] / settings["LOADS_PER_S"]
+        # How long the newest leave was waited for, and when it came.
+        self._leave_s = 0.0
+        self._leave_at = float("-inf")
 
     def estimate_s(self, key: AdapterVersion) -> float:
         """Return how long a request for ``key`` would wait for its load."""
         turns = self._queue.ahead_of(key) // self._settings["LOADS_AT_ONCE"] + 1
-        return turns * self._mean_s
+        recent = self._timers.now() - self._leave_at < LEAVE_KEEP_S
+        return turns * self._mean_s + (self._leave_s if recent else 0.0)
+
+    def can_load(self, key: AdapterVersion, ahead: int = 0) -> bool:
+        """Whether a load of ``key`` has a slot, or could soon have one.
+
+        ``ahead`` loads need one each before it. A slot that runs nothing counts,
+        also under grants, which can be asked back.
+        """
+        if self._residency.get(key) is not None:
+            return True
+        room = self._residency.free
+        for slot in self._residency.slots():
+            if slot.state is SlotState.RESIDENT and not slot.wanted:
+                room += slot.running == 0 or self._ledger.idle(slot.key)
+        return room > ahead
 
     def start_loads(self) -> None:
         """Start wanted loads in their order, as many at once as may be."""
@@ -141,11 +164,10 @@
             if isinstance(seen, Err) or seen.ok_value:
                 return seen if isinstance(seen, Err) else Ok(None)
             self._expecting.add(load)
-            left = load.deadline_at - self._timers.now()
-            leave = await self._allowances.acquire(
-                self._weight_store, self._target, load.key, load.priority, left
-            )
+            leave = await self._ask_leave(load)
             self._expecting.discard(load)
+            if leave is None:
+                continue
             if isinstance(leave, Err):
                 return leave
             permit = leave.ok_value
@@ -154,6 +176,26 @@
             self._allowances.release(permit, loaded=False)
         return self._no_slot("no slot became free")
 
+    async def _ask_leave(self, load: Load) -> Result[Permit, Failure] | None:
+        """Ask for leave to load; None when requests came to a load ahead meanwhile."""
+        asked_at = self._timers.now()
+        left = load.deadline_at - asked_at
+        ahead = load.requests == 0
+        leave = await self._allowances.acquire(
+            self._weight_store,
+            self._target,
+            load.key,
+            load.priority,
+            min(left, AHEAD_ASK_S) if ahead else left,
+            load.requests,
+        )
+        if isinstance(leave, Err) and ahead and load.requests > 0:
+            return None
+        if isinstance(leave, Ok) and not ahead:
+            self._leave_at = self._timers.now()
+            self._leave_s = self._leave_at - asked_at
+        return leave
+
     async def _wait_for_room(self, load: Load) -> Result[bool, Failure]:
         """Wait until there is room; Ok(True) when the adapter is resident already."""
         while True:
@@ -168,6 +210,8 @@
             if slot is None and self._orders.ready:
                 if self._has_room():
                     return Ok(False)
+                if load.requests == 0:
+                    return self._no_slot("no slot is free for a load ahead")
                 self._drain_one()
             await self._changed.wait(self._timers, left)
 
@@ -287,8 +331,9 @@
 
     async def _evict(self, victim: Slot) -> bool:
         """Evict; return whether the slot is free. No grant is given meanwhile."""
+        # GRA-7: nothing is granted on it from here until its outcome is known.
         victim.state = SlotState.EVICTING
-        sent_at = self._timers.now()
+        victim.evict_open = True
         reply = await self._orders.evict(
             victim.key, lambda: self._ledger.idle(victim.key) and victim.wanted == 0
         )
@@ -300,7 +345,8 @@
                 self._ledger.idle(victim.key),
                 f"{self._target} {victim.key.adapter}",
             )
-            self._residency.gone(victim, reply.ok_value.now)
+            same_start = reply.ok_value.boot_id == self._residency.boot_id
+            self._residency.gone(victim, reply.ok_value.now if same_start else None)
             self._metrics.evictions.inc()
             self._events.emit(
                 EventKind.ADAPTER_EVICTED, self._target, adapter=victim.key
@@ -311,9 +357,13 @@
             self._residency.gone(victim)
             return True
         if kind is ErrorKind.TARGET_LOST:
-            self._residency.lost(victim, sent_at + self._settings["ORDER_S"])
+            # GRA-8: it may still take effect, also under this same owner. Granted
+            # meanwhile, its requests would lose their adapter. The bytes may have
+            # left just before the timeout, so the time counts from here.
+            self._residency.lost(victim, self._timers.now() + self._orders.longest_s)
             return False
         victim.state = SlotState.RESIDENT
+        victim.evict_open = False
         return False
 
     def _idle_slots(self) -> list[Slot]:
