Ask again while a target's owner is being replaced

Cause: a call to a dead owner failed with peer-unavailable and the request was refused at once, though another VM takes its targets over in about a second (seen in the demo after a VM is killed). Now a request asks again for up to owner_wait_s (4 s), never past its deadline. Holding the request back without asking was ruled out: it must get its answer as soon as it is given up.

--- a/hawthornlead/grant_rounds.py
+++ b/hawthornlead/grant_rounds.py
@@ -4,6 +4,9 @@
 have refused, the request waits at the best one for a moment, then looks again, until
 its deadline. What can't be made in time is refused at once, so that the caller can
 turn elsewhere while there is time.
+
+While targets have no owner, because the VM that owned them has just died, a request
+asks again for a few seconds: another VM takes them over in about that time.
 """
 
 from collections.abc import Callable, Sequence
@@ -15,12 +18,16 @@
 from .errors import ErrorKind, Failure
 from .grants import Grant, Grants
 from .metrics import Metrics
+from .settings import Settings
 from .timers import TimerService
 from .views import TargetView
 
 LEAST_WAIT_S = 0.05
 # How long a request waits at a target that has no slot before it looks elsewhere.
 ROOM_S = 0.5
+# How often a request asks again while the targets have no owner.
+OWNER_PAUSE_S = 0.1
+OWNERLESS = frozenset({ErrorKind.NO_GRANT, ErrorKind.PEER_UNAVAILABLE})
 
 
 class Try(NamedTuple):
@@ -40,7 +47,15 @@
 class GrantRounds:
     """Asks the owners of targets in turn."""
 
-    def __init__(self, *, timers: TimerService, metrics: Metrics, grants: Grants):
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        timers: TimerService,
+        metrics: Metrics,
+        grants: Grants,
+    ):
+        self._owner_wait_s = settings["OWNER_WAIT_S"]
         self._timers = timers
         self._metrics = metrics
         self._grants = grants
@@ -70,8 +85,11 @@
                     stalled_s = self._timers.now() - started
                     self._metrics.load_stall.observe(stalled_s)
                 return outcome
-            if not self._may_wait(asking, outcome.err_value):
+            if self._may_wait(asking, outcome.err_value):
+                continue
+            if not self._owner_may_come(asking, started, outcome.err_value):
                 return outcome
+            await self._timers.sleep(OWNER_PAUSE_S)
 
     async def _round(
         self, asking: "_Asking", tries: Sequence[Try]
@@ -112,6 +130,19 @@
         )
         return outcome.map(lambda grant: Granted(one_try, grant))
 
+    def _owner_may_come(
+        self, asking: "_Asking", started: float, failure: Failure
+    ) -> bool:
+        """Whether to ask again because a target's owner is just being replaced.
+
+        Without this a VM's death refuses every request for its targets until they
+        are taken over, although their callers have time.
+        """
+        if failure.kind not in OWNERLESS:
+            return False
+        until = min(started + self._owner_wait_s, asking.deadline_at)
+        return self._timers.now() + OWNER_PAUSE_S < until
+
     def _may_wait(self, asking: "_Asking", failure: Failure) -> bool:
         if failure.kind is not ErrorKind.NO_SLOT:
             return False
--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -123,7 +123,9 @@
         self._keeper = keeper
         self._admissions = admissions
         self._views = views
-        self._rounds = GrantRounds(timers=timers, metrics=metrics, grants=grants)
+        self._rounds = GrantRounds(
+            settings=settings, timers=timers, metrics=metrics, grants=grants
+        )
         self._claims = claims
         self._retries = retries
         self._suspects = suspects
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -219,6 +219,9 @@
     "RETRY_SHARE": Setting(
         "requests", "number", 0.1, "retries per first attempt, at most", 0, 1
     ),
+    "OWNER_WAIT_S": Setting(
+        "requests", "number", 4.0, "longest wait for a target's new owner", 0, 60
+    ),
     "MAX_ATTEMPTS": Setting("requests", "integer", 3, "attempts per request", 1, 10),
     # claims
     "CLAIM_RANGES": Setting("claims", "integer", 16, "ranges of claim keys", 1, 1024),
--- a/hawthornlead/tests/test_grant_rounds.py
+++ b/hawthornlead/tests/test_grant_rounds.py
@@ -15,6 +15,13 @@
     loaded_s = 0.0
 
 
+class _SteppingTimers(ManualTimerService):
+    """Time that moves on by what is slept."""
+
+    async def sleep(self, delay):
+        self._now += delay
+
+
 class _Grants:
     """Owners that refuse as told; ``asked`` notes the target and its ``room_s``."""
 
@@ -34,10 +41,13 @@
     return Failure(ErrorKind.NO_SLOT, "in use", retry_after_s)
 
 
-async def acquire(refusals, deadline_s=60.0):
-    timers = ManualTimerService()
+async def acquire(refusals, deadline_s=60.0, owner_wait_s=4.0):
+    timers = _SteppingTimers()
     grants = _Grants(timers, refusals)
-    rounds = GrantRounds(timers=timers, metrics=Metrics(), grants=grants)
+    settings = {"OWNER_WAIT_S": owner_wait_s}
+    rounds = GrantRounds(
+        settings=settings, timers=timers, metrics=Metrics(), grants=grants
+    )
     tries = [Try(make_view(name), False) for name in ("one", "two")]
     deadline_at = timers.now() + deadline_s
     outcome = await rounds.acquire(Assigned("tide"), 0, deadline_at, lambda: tries)
@@ -75,3 +85,23 @@
     overloaded = Failure(ErrorKind.OVERLOADED, "spoken for", 1.0)
     outcome, asked, _ = await acquire({"one": [overloaded]})
     assert outcome.unwrap_err() == overloaded and len(asked) == 1
+
+
+async def test_asks_again_while_the_owner_is_replaced():
+    """A VM is killed, and callers of all its targets are refused at once.
+
+    The VM owned both targets; a call to it fails until another VM, about a second
+    later, has taken them over. The callers had a minute left.
+    """
+    dead = Failure(ErrorKind.PEER_UNAVAILABLE, "not connected", 1.0)
+    outcome, asked, left_s = await acquire({"one": [dead] * 10, "two": [dead] * 11})
+    assert outcome.unwrap().one_try.view.target == "one"
+    assert 58 < left_s < 60
+
+
+async def test_gives_up_when_no_owner_comes():
+    dead = Failure(ErrorKind.PEER_UNAVAILABLE, "not connected", 1.0)
+    gone = {"one": [dead] * 999, "two": [dead] * 999}
+    outcome, _, left_s = await acquire(gone)
+    assert outcome.unwrap_err() == dead
+    assert 55.8 <= left_s < 56.3
