--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -5,6 +5,7 @@
 was found and what is allowed. An unknown section or key is an error.
 """
 
+import base64
 import configparser
 import ipaddress
 from collections.abc import Callable
@@ -13,6 +14,7 @@
 from result import Err, Ok, Result
 
 Settings = dict[str, Any]
+PUBLIC_KEY_BYTES = 32
 
 
 class SettingError(NamedTuple):
@@ -73,7 +75,11 @@
     ),
     "PEER_ADDRESS": Setting("vm", "address", None, "IP:PORT for the other VMs"),
     "METRICS_ADDRESS": Setting(
-        "vm", "optional_address", "", "IP:PORT of /metrics; empty: on caller_address"
+        "vm",
+        "optional_address",
+        "",
+        "IP:PORT of /metrics, and of /status and /timeline without a signature; "
+        "empty: /metrics on caller_address",
     ),
     # platform
     "STORE_ADDRESS": Setting("platform", "address", None, "IP:PORT of the object API"),
@@ -220,6 +226,9 @@
     "RETRY_SHARE": Setting(
         "requests", "number", 0.1, "retries per first attempt, at most", 0, 1
     ),
+    "OWNER_WAIT_S": Setting(
+        "requests", "number", 4.0, "longest wait for a target's new owner", 0, 60
+    ),
     "MAX_ATTEMPTS": Setting("requests", "integer", 3, "attempts per request", 1, 10),
     # claims
     "CLAIM_RANGES": Setting("claims", "integer", 16, "ranges of claim keys", 1, 1024),
@@ -351,6 +360,7 @@
         return Err([fault])
     settings = default_settings()
     errors = _read_sections(parser, settings)
+    errors += _bad_operators(settings["OPERATORS"])
     told = {(error.section, error.key) for error in errors}
     errors += _missing(settings, told)
     errors += _misfits(settings, told)
@@ -425,6 +435,24 @@
     return []
 
 
+def _bad_operators(operators: dict[str, str]) -> list[SettingError]:
+    """Return the operators whose public key can't be one.
+
+    Checked here, so that a mistyped key is told with all other errors and does not
+    end the daemon while it starts.
+    """
+    errors = []
+    for name, text in operators.items():
+        try:
+            length = len(base64.b64decode(text, validate=True))
+        except ValueError:
+            length = 0
+        if length != PUBLIC_KEY_BYTES:
+            allowed = "a public key, as `hawthornlead keys show FILE` prints it"
+            errors.append(SettingError("operators", name, text, allowed))
+    return errors
+
+
 def _missing(settings: Settings, told: set) -> list[SettingError]:
     errors = []
     for name, row in SETTINGS.items():
--- a/hawthornlead/tests/test_settings.py
+++ b/hawthornlead/tests/test_settings.py
@@ -12,6 +12,7 @@
     default_settings,
     read_settings,
 )
+from hawthornlead.signatures import generate_key, public_text
 
 VALID = """
 [vm]
@@ -49,8 +50,16 @@
 
 
 def test_free_section_holds_any_key(read):
-    values = read(VALID + "[operators]\nana = abc\nben = def\n").unwrap()
-    assert values["OPERATORS"] == {"ana": "abc", "ben": "def"}
+    ana, ben = public_text(generate_key()), public_text(generate_key())
+    values = read(VALID + f"[operators]\nana = {ana}\nben = {ben}\n").unwrap()
+    assert values["OPERATORS"] == {"ana": ana, "ben": ben}
+
+
+def test_public_key_is_checked_before_the_start(read):
+    key = public_text(generate_key())
+    for bad in ("abc", "!", key[:-4], ""):
+        found = read(VALID + f"[operators]\nana = {key}\nben = {bad}\n")
+        assert places(found) == [("operators", "ben")]
 
 
 def test_missing_file_is_one_error(tmp_path):
