Fail open calls to a VM that left the local mesh

As the real mesh does when a connection closes. Without it the joined test of the allowance asked anew only after all loads had ended, and passed without the guard that it is about; now it fails without it.

--- a/hawthornlead/evict_guards.py
+++ b/hawthornlead/evict_guards.py
@@ -41,6 +41,8 @@
         # Nobody owned the target before, so nobody's grants or orders are about.
         self._first = not ownership.predecessor and ownership.fence <= 1
         self._right_since: float | None = None
+        # GRA-9: a predecessor's grants are unknown here. Taken for none, its requests
+        # would lose their adapters; so all count as out until they must have ended.
         if self._first:
             self._stopped = True
         elif self._stopped:
--- a/hawthornlead/tests/fakes_mesh.py
+++ b/hawthornlead/tests/fakes_mesh.py
@@ -10,7 +10,7 @@
 """
 
 import asyncio
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import Any
 
 from result import Err, Result
@@ -39,6 +39,8 @@
         self._drops: Counter[tuple[str, str, type]] = Counter()
         self._delays: dict[tuple[str, str], float] = {}
         self._tasks: set[asyncio.Task] = set()
+        # Open calls to each VM, and how to fail them.
+        self.open_calls: dict[str, set] = defaultdict(set)
         self.sent: Counter[str] = Counter()
 
     def join(self, vm: str, data_centre: str = "dc", incarnation: str = "", **settings):
@@ -62,6 +64,9 @@
     def leave(self, vm: str) -> None:
         """Stop a VM's process without a word, as a kill does."""
         self._meshes.pop(vm, None)
+        # As by a closed connection, those who wait for an answer learn of it.
+        for fail in self.open_calls.pop(vm, ()):
+            fail()
 
     def cut(self, a: str, b: str) -> None:
         """Cut two VMs apart."""
@@ -236,11 +241,13 @@
 
         wait_s = timeout_s or self._settings["PEER_CALL_S"]
         timeout = self._timers.after(wait_s, time_out, name="call")
+        self._network.open_calls[vm].add(time_out)
         self._network.spawn(self._ask(vm, message, outcome))
         try:
             return await outcome
         finally:
             timeout.cancel()
+            self._network.open_calls[vm].discard(time_out)
 
     def cast(self, vm: str, message: Any) -> bool:
         """Send a message that has no reply; False when the VM is not connected."""
