Open all ports before any part starts; tell what the machine refuses in a line

A VM started twice ended in a traceback, and by then had begun to talk to the store under the name of the first. Ports and the certificate are opened first now, and what can't be opened is one line that names the setting, with exit code 1. The command line was tried with wrong input throughout: an address of something else than a VM, an unsigned query, an expectation with nothing in force and documents without differences are told plainly as well.

--- a/hawthornlead/commands.py
+++ b/hawthornlead/commands.py
@@ -64,10 +64,10 @@
             response = await AsyncHTTPClient().fetch(request, raise_error=False)
         except (OSError, HTTPError) as error:
             raise click.ClickException(f"{self.url}: {error}") from None
-        return _answer(response)
+        return _answer(self.url + path, response)
 
 
-def _answer(response) -> dict[str, Any]:
+def _answer(url: str, response) -> dict[str, Any]:
     try:
         fields = json.loads(response.body or b"")
     except ValueError:
@@ -75,7 +75,8 @@
     if response.code == 200 and isinstance(fields, dict):
         return fields
     if not isinstance(fields, dict) or "error" not in fields:
-        raise click.ClickException(f"answer {response.code}: {response.reason}")
+        told = f"{url}: answer {response.code}: {response.reason}"
+        raise click.ClickException(f"{told}; is this the caller address of a VM?")
     raise click.ClickException(f"{fields['error']}: {fields.get('detail', '')}")
 
 
@@ -179,8 +180,11 @@
         if read.is_err():
             raise click.ClickException(f"{path}:\n{read.unwrap_err().detail}")
         bundles.append(read.unwrap())
-    for change in diff(*bundles):
+    changes = diff(*bundles)
+    for change in changes:
         click.echo(str(change))
+    if not changes:
+        click.echo("nothing changes")
 
 
 @bundle_group.command("approve")
@@ -195,7 +199,9 @@
 
 @bundle_group.command("roll")
 @click.argument("digest")
-@click.option("--expect", type=int, help="Sequence number in force, as you saw it.")
+@click.option(
+    "--expect", type=click.IntRange(0), help="Sequence number in force, as you saw it."
+)
 @click.option("--waive", multiple=True, metavar="VM|DATA_CENTRE")
 @click.option("--order-id", help="Repeat an order whose answer was lost.")
 @operator_options
--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -11,13 +11,11 @@
 import asyncio
 import secrets
 import signal
-import socket
-import ssl
 from random import Random
 
+from result import Err, Ok, Result
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
 from tornado.web import Application
 
 from .allowances import Allowances
@@ -27,6 +25,7 @@
 from .clocks import HybridClock
 from .command_handlers import CallerParts, UnknownHandler, caller_routes
 from .drains import Drain
+from .errors import Failure
 from .events import EventKind, EventRing
 from .evictions import EVICTIONS
 from .exchanges import TargetConnections
@@ -35,6 +34,7 @@
 from .invariants import Invariants
 from .leases import LeaseKeeper
 from .limits import Admissions
+from .listeners import Listeners, address_of, open_listeners, refused
 from .load_orders import LOAD_ORDERS
 from .members import Members
 from .messages import Heartbeat
@@ -90,6 +90,7 @@
         self._build_targets()
         self._build_requests()
         self._servers: list[HTTPServer] = []
+        self._listeners: Listeners | None = None
 
     @property
     def caller_address(self) -> str:
@@ -106,17 +107,33 @@
         """The invariants of this process."""
         return self._invariants
 
-    async def start(self) -> None:
-        """Start all parts, then answer callers."""
-        # Bound before anything is told to other VMs, so that what they are told is
-        # the address on which callers will be answered.
-        sockets = _bind(self._settings["CALLER_ADDRESS"])
-        self._settings["CALLER_ADDRESS"] = _address_of(
-            sockets, self._settings["CALLER_ADDRESS"]
+    async def open(self) -> Result[None, Failure]:
+        """Open all ports; nothing is answered or told to other VMs yet.
+
+        Fails with ``BAD_SETTINGS`` when the machine does not allow what is set.
+        """
+        opened = open_listeners(self._settings)
+        if isinstance(opened, Err):
+            return opened
+        self._listeners = opened.ok_value
+        try:
+            await self._mesh.listen()
+        except OSError as error:
+            self._listeners.close()
+            return refused("peer_address", self._settings["PEER_ADDRESS"], error)
+        # Set before other VMs are told of it: the address at which callers will be
+        # answered.
+        self._settings["CALLER_ADDRESS"] = address_of(
+            self._listeners.callers, self._settings["CALLER_ADDRESS"]
         )
+        return Ok(None)
+
+    async def start(self) -> None:
+        """Start all parts, then answer callers; opens the ports if need be."""
+        if self._listeners is None:
+            (await self.open()).unwrap()
         self._vm_list.start()
         self._store.start()
-        await self._mesh.listen()
         self._mesh.start()
         self._members.start()
         self._leases.start()
@@ -129,7 +146,7 @@
         self._claims.start()
         self._keeper.start()
         self._timers.every(self._settings["HEARTBEAT_S"], self._meet, "peers")
-        self._listen(sockets)
+        self._listen(self._listeners)
         self._events.emit(
             EventKind.PROCESS_STARTED,
             self._settings["VM_NAME"],
@@ -326,7 +343,7 @@
         )
         self._mesh.heartbeat_source = self._heartbeat
 
-    def _listen(self, sockets: list[socket.socket]) -> None:
+    def _listen(self, listeners: Listeners) -> None:
         callers = CallerParts(
             self._settings,
             self._timers,
@@ -342,12 +359,11 @@
         routes += operator_routes(guard=guard, keeper=self._keeper, mesh=self._mesh)
         timeline, status = self._timeline(), self._status_parts()
         routes += timeline_routes(timeline, guard) + status_routes(status, guard)
-        metrics_address = self._settings["METRICS_ADDRESS"]
-        if metrics_address:
+        if listeners.metrics:
             inside = timeline_routes(timeline) + status_routes(status)
             inside += metrics_routes(queries)
             server = HTTPServer(Application(inside))
-            server.add_sockets(_bind(metrics_address))
+            server.add_sockets(listeners.metrics)
             self._servers.append(server)
         else:
             routes += metrics_routes(queries)
@@ -357,9 +373,9 @@
             log_function=lambda handler: None,
         )
         server = CallerServer(
-            application, settings=self._settings, ssl_options=self._tls()
+            application, settings=self._settings, ssl_options=listeners.tls
         )
-        server.add_sockets(sockets)
+        server.add_sockets(listeners.callers)
         self._servers.append(server)
 
     def _timeline(self) -> Timeline:
@@ -385,16 +401,6 @@
             self._invariants,
         )
 
-    def _tls(self) -> ssl.SSLContext | None:
-        if not self._settings["TLS_CERTIFICATE"]:
-            return None
-        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
-        context.minimum_version = ssl.TLSVersion.TLSv1_2
-        context.load_cert_chain(
-            self._settings["TLS_CERTIFICATE"], self._settings["TLS_KEY"]
-        )
-        return context
-
     def _meet(self) -> None:
         """Tell the mesh which VMs to keep connections with."""
         peers = {}
@@ -422,32 +428,28 @@
         return "" if serving.is_ok() else serving.err_value.detail
 
 
-def _bind(address: str) -> list[socket.socket]:
-    host, _, port = address.rpartition(":")
-    return bind_sockets(int(port), host.strip("[]"))
-
-
-def _address_of(sockets: list[socket.socket], asked: str) -> str:
-    """Return the address asked for, its port the real one."""
-    host, _, _ = asked.rpartition(":")
-    return f"{host}:{sockets[0].getsockname()[1]}"
-
+def run_daemon(settings: Settings) -> Result[None, Failure]:
+    """Run the daemon until it is asked to stop, then drain and stop it.
 
-def run_daemon(settings: Settings) -> None:
-    """Run the daemon until it is asked to stop, then drain and stop it."""
+    Fails at once with ``BAD_SETTINGS`` when a port can't be opened.
+    """
     AsyncHTTPClient.configure(
         "tornado.simple_httpclient.SimpleAsyncHTTPClient", max_clients=1000
     )
-    asyncio.run(_run(settings))
+    return asyncio.run(_run(settings))
 
 
-async def _run(settings: Settings) -> None:
+async def _run(settings: Settings) -> Result[None, Failure]:
     daemon = Daemon(settings)
     asked = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, asked.set)
+    opened = await daemon.open()
+    if isinstance(opened, Err):
+        return opened
     await daemon.start()
     await asked.wait()
     await daemon.drain()
     await daemon.stop()
+    return Ok(None)
--- a/hawthornlead/main.py
+++ b/hawthornlead/main.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 import click
+from result import Err
 
 from . import __version__
 from .commands import bundle_group, keys_group
@@ -28,7 +29,9 @@
     # Imported here so that queries do not pay for loading the whole daemon.
     from .daemons import run_daemon
 
-    run_daemon(settings)
+    ended = run_daemon(settings)
+    if isinstance(ended, Err):
+        raise click.ClickException(ended.err_value.detail)
 
 
 cli.add_command(bundle_group, "bundle")
--- a/hawthornlead/queries.py
+++ b/hawthornlead/queries.py
@@ -125,14 +125,20 @@
     answer = _answer_or_exit(ask_vm(vm, "/entry", asked, ca))
     if as_json:
         return click.echo(json.dumps(answer))
-    rows = [(address, str(answer["keep_s"])) for address in answer["addresses"]]
+    rows = [(address, f"{answer['keep_s']:.1f}") for address in answer["addresses"]]
     return click.echo(as_table(("address", "keep_s"), rows))
 
 
 @query
 @click.command()
 @click.option("--subject", default="", help="Request, target, adapter, bundle or VM.")
-@click.option("--limit", default=1000, show_default=True, help="Most events per VM.")
+@click.option(
+    "--limit",
+    type=click.IntRange(1),
+    default=1000,
+    show_default=True,
+    help="Most events per VM.",
+)
 @asks_vm
 @may_sign
 def timeline(
@@ -266,11 +272,13 @@
     body = error.response.body if error.response is not None else b""
     try:
         fields = json.loads(body or b"")
-        return Failure(ErrorKind(fields["error"]), f"{vm}: {fields['detail']}")
+        kind, detail = ErrorKind(fields["error"]), fields["detail"]
     except (ValueError, KeyError, TypeError):
-        text = (body or b"").decode("utf-8", "replace")
-        told = " ".join(f"{error} {text}".split())
-        return Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm}: {told}")
+        hint = "; is this the address of a VM?" if error.response is not None else ""
+        return Failure(ErrorKind.PEER_UNAVAILABLE, f"{vm}: {error}{hint}")
+    if kind is ErrorKind.UNAUTHENTICATED:
+        detail = "give --operator and --key, or ask the VM's metrics address"
+    return Failure(kind, f"{vm}: {detail}")
 
 
 def _answer_or_exit(outcome: Result[Any, Failure]) -> Any:
--- a/hawthornlead/roll_orders.py
+++ b/hawthornlead/roll_orders.py
@@ -263,7 +263,7 @@
             winner = pointer.digest
             told = f"is in force as {pointer.seq}, rolled by {_roller_of(pointer)}"
         lines = [
-            f"bundle {winner[:12]} {told}",
+            f"bundle {winner[:12]} {told}" if winner else "no bundle was rolled yet",
             *await self._differences(winner, wanted),
         ]
         return Err(Failure(ErrorKind.ROLL_CONFLICT, "\n".join(lines)))
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -345,7 +345,7 @@
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
-        told = " ".join(str(error).split())
+        told = getattr(error, "strerror", None) or " ".join(str(error).split())
         fault = SettingError("", "", f"{path}: {told}", "a readable INI file")
         return Err([fault])
     settings = default_settings()
--- a/hawthornlead/tests/test_main.py
+++ b/hawthornlead/tests/test_main.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import json
+import socket
 import threading
 
 import pytest
 from click.testing import CliRunner
+from loguru import logger
 from tornado.httpserver import HTTPServer
 from tornado.testing import bind_unused_port
 from tornado.web import Application, RequestHandler
@@ -14,7 +16,7 @@
 from hawthornlead.main import cli
 from hawthornlead.queries import settings_as_ini, timeline_rows
 from hawthornlead.settings import read_settings
-from hawthornlead.signatures import generate_key, public_text
+from hawthornlead.signatures import generate_key, private_text, public_text
 from hawthornlead.tests.test_settings import VALID
 
 RECORDS = [
@@ -148,3 +150,30 @@
     outcome = run("status", "--vm", f"127.0.0.1:{port}")
     assert outcome.exit_code == 1
     assert outcome.stderr.startswith("peer-unavailable")
+
+
+def test_serve_with_a_taken_port_is_one_line(run, tmp_path):
+    # An operator starts a VM that already runs: no traceback, but which port it is.
+    path = tmp_path / "a.ini"
+    with socket.socket() as other:
+        other.bind(("127.0.0.1", 0))
+        other.listen()
+        taken = f"127.0.0.1:{other.getsockname()[1]}"
+        path.write_text(VALID.replace("127.0.0.1:8080", taken))
+        outcome = run("serve", "-c", str(path))
+    logger.remove()
+    assert outcome.exit_code == 1
+    (line,) = outcome.stderr.splitlines()
+    assert line.startswith(f"Error: caller_address = {taken}: ")
+
+
+def test_query_is_signed_with_both_options_or_none(run, vm, tmp_path):
+    path = tmp_path / "ana.key"
+    path.write_text(private_text(generate_key()))
+    signed = run("status", "--vm", vm, "--operator", "ana", "--key", str(path))
+    assert signed.exit_code == 0
+    assert run("status", "--vm", vm, "--operator", "ana").exit_code == 2
+    path.write_text("rubbish")
+    refused = run("status", "--vm", vm, "--operator", "ana", "--key", str(path))
+    assert refused.exit_code == 1
+    assert "private key is not" in refused.output
--- /dev/null
+++ b/hawthornlead/tests/test_request_guards.py
@@ -0,0 +1,87 @@
+"""Tests of signed queries: who may read the status and the time line."""
+
+import json
+from types import SimpleNamespace
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.testing import bind_unused_port
+from tornado.web import Application
+
+from hawthornlead.clocks import HybridClock
+from hawthornlead.events import EventKind, EventRing
+from hawthornlead.request_guards import RequestGuard, signed_headers
+from hawthornlead.signatures import OperatorKeys, generate_key, public_text
+from hawthornlead.timelines import Timeline, timeline_routes
+from hawthornlead.timers import TimerService
+
+KEY = generate_key()
+
+
+class Site:
+    """A VM that answers its time line, signed only."""
+
+    def __init__(self):
+        timers = TimerService()
+        self.events = EventRing("a", HybridClock(timers))
+        keys = OperatorKeys({"ana": public_text(KEY)})
+        guard = RequestGuard(keys, timers, self.events)
+        timeline = Timeline(
+            settings={"VM_NAME": "a"},
+            events=self.events,
+            mesh=SimpleNamespace(on=lambda *_: None),
+            members=SimpleNamespace(live_vms=lambda: ()),
+        )
+        socket, port = bind_unused_port()
+        self.server = HTTPServer(Application(timeline_routes(timeline, guard)))
+        self.server.add_socket(socket)
+        self.address = f"http://127.0.0.1:{port}"
+        self.client = AsyncHTTPClient(force_instance=True)
+
+    async def ask(self, path, **headers):
+        """Ask and return the status and what was refused."""
+        url = self.address + path
+        answer = await self.client.fetch(url, headers=headers, raise_error=False)
+        return answer.code, json.loads(answer.body).get("error")
+
+
+@pytest.fixture
+async def site():
+    made = Site()
+    yield made
+    made.client.close()
+    made.server.stop()
+    await made.server.close_all_connections()
+
+
+async def test_only_an_operator_reads_the_time_line(site):
+    path = "/timeline?subject=tide"
+    assert await site.ask(path) == (401, "unauthenticated")
+    token = {"Authorization": "Bearer a-callers-token"}
+    assert await site.ask(path, **token) == (401, "unauthenticated")
+    stranger = signed_headers(generate_key(), "ana", "GET", path, b"")
+    assert await site.ask(path, **stranger) == (403, "bad-signature")
+    assert await site.ask(path, **signed_headers(KEY, "ana", "GET", path, b"")) == (
+        200,
+        None,
+    )
+
+
+async def test_signature_covers_the_query_and_is_good_once(site):
+    headers = signed_headers(KEY, "ana", "GET", "/timeline?subject=tide", b"")
+    other = await site.ask("/timeline?subject=heats", **headers)
+    assert other == (403, "bad-signature")
+    assert (await site.ask("/timeline?subject=tide", **headers))[0] == 200
+    assert await site.ask("/timeline?subject=tide", **headers) == (403, "forbidden")
+
+
+async def test_a_stream_of_unsigned_requests_leaves_the_ring_alone(site):
+    """Someone sends unsigned requests in a row while operators look for a fault.
+
+    Each made an event, and the ring forgot all that operators looked for.
+    """
+    for _ in range(50):
+        await site.ask("/timeline")
+    kinds = [record.number for record in site.events.newest()]
+    assert 0 < kinds.count(EventKind.OPERATOR_REFUSED.number) < 50
