Keep closed watch connections out of the log

tornado logs a traceback at ERROR for each request that is cancelled while it reads: three when a VM stops, one for each watch opened anew. A connection that a cancelled request closed is left out; anything else still comes through. An event without details ends with its subject.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -135,7 +135,8 @@
             EventRecord(at.wall_ms, at.logical, self._vm, kind.number, subject, text)
         )
         bound = logger.bind(event=kind.number, subject=subject, vm=self._vm)
-        bound.log(kind.level, "{} {} {}: {}", kind.number, kind.name, subject, text)
+        line = f"{kind.number} {kind.name} {subject}" + (f": {text}" if text else "")
+        bound.log(kind.level, "{}", line)
 
     def newest(self, subject: str = "", limit: int = 1000) -> tuple[EventRecord, ...]:
         """Return the newest events, oldest first, that mention ``subject``.
--- a/hawthornlead/logs.py
+++ b/hawthornlead/logs.py
@@ -15,12 +15,15 @@
 from typing import Any, NamedTuple, TextIO
 
 from loguru import logger
+from tornado.iostream import StreamClosedError
+from tornado.simple_httpclient import HTTPStreamClosedError
 
 from .timers import TimerService
 
 REPEAT_LINES = 5
 REPEAT_WINDOW_S = 10.0
 REPEAT_KEYS = 1024
+AFTER_CANCEL = "Exception after Future was cancelled"
 
 TEXT_FORMAT = (
     "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <8} {name}: {message}{extra[left_out]}"
@@ -106,6 +109,8 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Log one line of a library under the library's own place and level."""
+        if record.msg == AFTER_CANCEL and _is_closed_connection(record):
+            return
         try:
             level: str | int = logger.level(record.levelname).name
         except ValueError:
@@ -165,6 +170,18 @@
     return json.dumps(line) + "\n"
 
 
+def _is_closed_connection(record: logging.LogRecord) -> bool:
+    """Whether a record tells of a connection that ended.
+
+    Tornado logs the end of a request that was cancelled as an error with its
+    traceback. Watches are cancelled whenever they go silent and when the process
+    stops; that a cancelled request's connection is closed then is no fault.
+    """
+    return bool(record.exc_info) and isinstance(
+        record.exc_info[1], HTTPStreamClosedError | StreamClosedError
+    )
+
+
 def _depth_of_caller() -> int:
     """Count the frames between ``LibraryHandler.emit`` and the library's own line."""
     frame, depth = inspect.currentframe().f_back, 0
--- a/hawthornlead/tests/test_logs.py
+++ b/hawthornlead/tests/test_logs.py
@@ -6,10 +6,11 @@
 
 import pytest
 from loguru import logger
+from tornado.simple_httpclient import HTTPStreamClosedError
 
 from hawthornlead.clocks import HybridClock
 from hawthornlead.events import EventKind, EventRing
-from hawthornlead.logs import REPEAT_KEYS, configure_logs
+from hawthornlead.logs import AFTER_CANCEL, REPEAT_KEYS, configure_logs
 from hawthornlead.settings import default_settings
 from hawthornlead.timers import ManualTimerService
 
@@ -107,3 +108,21 @@
         ring.emit(EventKind.PEER_LOST, f"vm-{number}")
     ring.emit(EventKind.PEER_LOST, "vm-first")
     assert stream.getvalue().count("\n") == 5 + REPEAT_KEYS + 1
+
+
+def test_end_of_a_cancelled_request_is_no_error(timers, stream):
+    # Each watch that goes silent is cancelled and opened anew; tornado logged the
+    # closed connection with a traceback each time, as if something had failed.
+    configure_logs(default_settings(), timers, stream)
+    library = logging.getLogger("tornado.application")
+    for error in (HTTPStreamClosedError("Connection closed"), ValueError("a fault")):
+        library.error(AFTER_CANCEL, exc_info=(type(error), error, None))
+    assert "Connection closed" not in stream.getvalue()
+    assert "a fault" in stream.getvalue()
+
+
+def test_event_without_details_ends_with_its_subject(timers, stream):
+    configure_logs(default_settings(), timers, stream)
+    ring = EventRing("vm-1", HybridClock(timers))
+    ring.emit(EventKind.PROCESS_STOPPED, "vm-1")
+    assert stream.getvalue().endswith("102 PROCESS_STOPPED vm-1\n")
