Make refusals of keyed requests true of the key, and keep suspects apart

A request with an idempotency key that was refused before its claim was read is told 'other_tries: unknown': its 'ran' speaks of this try alone (CLM-6). Deadlines are held against the clock right before the send, for attempts and service calls, so that a process frozen while it connects sends nothing late (CLM-9). A caller may say when it issued a key; one older than claims are kept is refused (CLM-8), after the claim is written (CLM-2). Claiming stood twice and is one module now.

Suspects.may_join was asked by nobody: a suspect now goes where no other runs, or waits. Deaths are named by the boot id that owners tell, held per attempt: held against the newest, a target that came back before the test looked well. Answers of services are capped. Operators' keys are checked with the other settings; the two tests that used unreadable keys as fillers use readable ones now.

--- a/hawthornlead/attempts.py
+++ b/hawthornlead/attempts.py
@@ -94,8 +94,15 @@
         if isinstance(opened, Err):
             return self._ended(call, opened.err_value, call.offset)
         exchange = opened.ok_value
-        # The process may have been frozen while it connected: the grant reads the
-        # clock again, here, with nothing awaited between this and the send.
+        # The process may have been frozen while it connected. Deadline and grant are
+        # held against the clock again, here, with nothing awaited between this and
+        # the send. Without it a request runs after its caller was answered, when a
+        # later try may hold its key (CLM-9), or after its grant ran out (GRA-2).
+        # Claims are kept for twice the longest deadline.
+        if self._timers.now() >= call.deadline_at:
+            exchange.close()
+            failure = Failure(ErrorKind.TOO_LATE_TO_START, "no time is left to run")
+            return self._ended(call, failure, call.offset)
         begun = grant.begin(call.attempt_id)
         if isinstance(begun, Err):
             exchange.close()
--- a/hawthornlead/claim_rows.py
+++ b/hawthornlead/claim_rows.py
@@ -143,6 +143,9 @@
         if row is None:
             row = ClaimRow(RUNNING, fingerprint, outcome.attempt_id, "", "")
         if row.attempt_id != outcome.attempt_id:
+            # Guards against an older try that is refused and frees the key under a
+            # later one, which would run a third time (CLM-9): "not run" is recorded
+            # only on the claim of the try that says so.
             detail = "another attempt holds the claim"
             return Err(Failure(ErrorKind.VERSION_CONFLICT, detail))
         if row.state not in (RUNNING, UNKNOWN):
--- a/hawthornlead/claims.py
+++ b/hawthornlead/claims.py
@@ -30,6 +30,7 @@
 from .errors import ErrorKind, Failure
 from .events import EventKind
 from .hashes import rendezvous
+from .lease_objects import process_of
 from .messages import Claim, Claimed, Done, Failed, RecordOutcome
 
 COMMIT_CALL_S = 0.5
@@ -201,7 +202,7 @@
     def _is_gone(self, vm: str, incarnation: str) -> bool:
         """Whether the run of a VM that claimed can record no outcome any more."""
         if vm == self._settings["VM_NAME"]:
-            return incarnation != self._mesh.incarnation
+            return process_of(incarnation) != process_of(self._mesh.incarnation)
         return self._members.proof_gone(vm, incarnation) is not None
 
     def _owe(self, outcome: RecordOutcome) -> None:
--- a/hawthornlead/command_handlers.py
+++ b/hawthornlead/command_handlers.py
@@ -21,8 +21,10 @@
 PRIORITY_HEADER = "Hawthornlead-Priority"
 REQUEST_ID_HEADER = "Hawthornlead-Request-Id"
 KEY_HEADER = "Idempotency-Key"
+KEY_ISSUED_HEADER = "Hawthornlead-Key-Issued-At"
 MAX_KEY_LENGTH = 200
 MAX_TOKENS = 65536
+MAX_EPOCH_MS = 1 << 53
 
 
 class CallerParts(NamedTuple):
@@ -63,7 +65,12 @@
             seconds = max(1, round(failure.retry_after_s + 0.5))
             self.set_header("Retry-After", str(seconds))
         self.set_header("Content-Type", "application/json")
-        self.finish(json.dumps(failure_fields(failure, self._request_id)))
+        fields = failure_fields(failure, self._request_id)
+        if KEY_HEADER in self.request.headers and not failure.claim_read:
+            # Guards against "not run" being read as said of the key (CLM-6): the
+            # claim was not read, and an earlier try may be running.
+            fields["other_tries"] = "unknown"
+        self.finish(json.dumps(fields))
 
     def caller(self) -> Result[tuple[CallerTerms, InForce], Failure]:
         """Return who asks by its token, under the bundle in force."""
@@ -111,6 +118,16 @@
             return Err(_bad(f"{KEY_HEADER}: at most {MAX_KEY_LENGTH} characters"))
         return Ok(key)
 
+    def key_issued_at(self) -> Result[float | None, Failure]:
+        """Return when the caller made the key, in seconds since the epoch."""
+        text = self.request.headers.get(KEY_ISSUED_HEADER)
+        if text is None:
+            return Ok(None)
+        number = _whole_number(text, 0, MAX_EPOCH_MS)
+        if number is None:
+            return Err(_bad(f"{KEY_ISSUED_HEADER}: milliseconds since the epoch"))
+        return Ok(number / 1000)
+
 
 class CompletionBody(NamedTuple):
     """The checked body of a request for a completion."""
@@ -142,11 +159,17 @@
             return asked
         caller, in_force = asked.ok_value
         body = read_completion(self.request.body)
-        checks = (body, self.deadline_at(), self.priority(caller), self.key())
+        checks = (
+            body,
+            self.deadline_at(),
+            self.priority(caller),
+            self.key(),
+            self.key_issued_at(),
+        )
         for check in checks:
             if isinstance(check, Err):
                 return check
-        read, deadline_at, priority, key = (check.ok_value for check in checks)
+        read, deadline_at, priority, key, issued_at = (c.ok_value for c in checks)
         request = CallerRequest(
             self._request_id,
             caller,
@@ -157,6 +180,7 @@
             deadline_at,
             key,
             in_force,
+            issued_at,
         )
         return Ok((request, read))
 
@@ -247,11 +271,17 @@
         caller, in_force = asked.ok_value
         method = self.request.method
         terms = in_force.bundle.service_call(caller, service, method, path)
-        checks = (terms, self.deadline_at(), self.priority(caller), self.key())
+        checks = (
+            terms,
+            self.deadline_at(),
+            self.priority(caller),
+            self.key(),
+            self.key_issued_at(),
+        )
         for check in checks:
             if isinstance(check, Err):
                 return check
-        service_terms, deadline_at, priority, key = (c.ok_value for c in checks)
+        service_terms, deadline_at, priority, key, issued = (c.ok_value for c in checks)
         if not service_terms.repeatable and not key:
             return Err(_bad(f"{KEY_HEADER} is needed: this call may not be repeated"))
         target_path = path
@@ -270,6 +300,7 @@
                 priority,
                 deadline_at,
                 key,
+                issued,
             )
         )
 
--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -44,6 +44,7 @@
 from .platforms import VmList
 from .popularities import POPULARITIES
 from .query_handlers import QueryParts, metrics_routes, query_routes
+from .request_claims import RequestClaims
 from .requests import RequestPath
 from .retries import Retries
 from .rolls import BundleKeeper
@@ -264,6 +265,7 @@
             connections=self._connections,
             clients=self._clients,
         )
+        claims = RequestClaims(settings=settings, timers=timers, claims=self._claims)
         self._requests = RequestPath(
             **base,
             invariants=self._invariants,
@@ -271,7 +273,7 @@
             admissions=self._admissions,
             views=self._views,
             grants=self._grants,
-            claims=self._claims,
+            claims=claims,
             retries=self._retries,
             suspects=self._suspects,
             deaths=deaths,
@@ -285,7 +287,7 @@
             rng=self._rng,
             vm_list=self._vm_list,
             admissions=self._admissions,
-            claims=self._claims,
+            claims=claims,
             retries=self._retries,
             connections=self._connections,
         )
--- a/hawthornlead/errors.py
+++ b/hawthornlead/errors.py
@@ -70,7 +70,7 @@
 class Answer(NamedTuple):
     """How one kind of error is answered.
 
-    ``status`` is the HTTP status, ``ran`` what is known of the request's run and
+    ``status`` is the HTTP status, ``ran`` what is known of the run of this try and
     ``retry`` whether the layer itself may try another target within its budget.
     """
 
@@ -133,13 +133,16 @@
     """One failure: its kind, a sentence for a person, and when to come back.
 
     ``retry_after_s`` is in seconds, or None where coming back does not help.
-    ``addresses`` names other entry addresses that may be tried.
+    ``addresses`` names other entry addresses that may be tried. ``claim_read`` tells
+    whether the claim on the request's idempotency key was read before this answer:
+    what it says of the run is of this try, and only then of the key's others too.
     """
 
     kind: ErrorKind
     detail: str
     retry_after_s: float | None = None
     addresses: tuple[str, ...] = ()
+    claim_read: bool = False
 
     @property
     def answer(self) -> Answer:
--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -11,7 +11,7 @@
 
 from .attempts import AttemptCall, AttemptEnd, AttemptRunner, Sink
 from .bundles import Assignment, CallerTerms
-from .claims import Claims
+from .claim_rows import DONE
 from .errors import ErrorKind, Failure, Ran
 from .events import EventKind, EventRing
 from .grants import Grant, Grants
@@ -20,6 +20,7 @@
 from .messages import Claimed
 from .metrics import Metrics
 from .popularities import Popularity
+from .request_claims import Keyed, Outcome, RequestClaims
 from .retries import Retries
 from .rolls import BundleKeeper, InForce
 from .routers import Router
@@ -35,13 +36,19 @@
     {ErrorKind.TARGET_LOST, ErrorKind.ANSWER_CUT, ErrorKind.WRONG_ANSWER}
 )
 MIN_WAIT_S = 0.05
+# A suspect asks again after this, while others run wherever it might.
+JOIN_AGAIN_S = 0.1
+SUSPECTS_RUN = Failure(
+    ErrorKind.NO_TARGET, "it may run only where no other suspect does", 1.0
+)
 
 
 class CallerRequest(NamedTuple):
     """A request as its caller sent it, with its limits worked out.
 
     ``deadline_at`` is on the timer service's clock. ``key`` is the idempotency key,
-    empty for a request that may be repeated.
+    empty for a request that may be repeated; ``key_issued_at`` is in seconds since
+    the epoch by the caller's clock, None where it was not told.
     """
 
     request_id: str
@@ -53,6 +60,7 @@
     deadline_at: float
     key: str
     in_force: InForce
+    key_issued_at: float | None = None
 
     @property
     def fingerprint(self) -> bytes:
@@ -108,7 +116,7 @@
         admissions: Admissions,
         views: TargetViews,
         grants: Grants,
-        claims: Claims,
+        claims: RequestClaims,
         retries: Retries,
         suspects: Suspects,
         deaths: TargetDeaths,
@@ -176,41 +184,26 @@
 
     async def _serve_once(self, request, assignment, sink):
         """Serve a request that runs at most once, under a claim on its key."""
-        claimed = await self._claims.claim(
-            request.caller.name, request.key, request.fingerprint, request.request_id
+        keyed = Keyed(
+            request.caller.name,
+            request.key,
+            request.fingerprint,
+            request.request_id,
+            request.key_issued_at,
         )
+        claimed = await self._claims.claim(keyed)
         if isinstance(claimed, Err):
             return self._refused(request, claimed.err_value)
-        claim = claimed.ok_value
-        if claim.state == "done" and claim.body:
-            return Ok(RecordedAnswer(claim))
-        if claim.state != "new":
-            return self._refused(request, CLAIM_FAILURES[claim.state])
-        outcome = await self._try_targets(request, assignment, sink)
-        await self._record(request, outcome, sink)
-        return self._answered(request, outcome)
-
-    async def _record(self, request, failure: Failure | None, sink) -> None:
-        """Record how a claimed request ended.
-
-        Where the record itself fails the claim stays without an outcome, which
-        later tries are told as 'may have run': never as 'not run'.
-        """
+        if claimed.ok_value.state == DONE:
+            return Ok(RecordedAnswer(claimed.ok_value))
+        failure = await self._try_targets(request, assignment, sink)
         if failure is None:
-            state, body = "done", sink.recorded()
-        elif failure.answer.ran is Ran.NOT_RUN:
-            state, body = "not_run", b""
+            outcome = Outcome(DONE, 200, "application/json", sink.recorded())
         else:
-            state, body = "unknown", b""
-        await self._claims.record(
-            request.caller.name,
-            request.key,
-            request.request_id,
-            state,
-            200 if failure is None else failure.answer.status,
-            "application/json",
-            body,
-        )
+            failure = failure._replace(claim_read=True)
+            outcome = Outcome.failed(failure)
+        await self._claims.record(keyed, outcome)
+        return self._answered(request, failure)
 
     async def _try_targets(
         self, request: CallerRequest, assignment: Assignment, sink: RequestSink
@@ -249,12 +242,10 @@
         allowed = failure.answer.retry or (repeatable and failure.kind in RESUMABLE)
         if not allowed or number == self._settings["MAX_ATTEMPTS"]:
             return False
-        backoff_s = self._retries.backoff(number)
-        if self._timers.now() + backoff_s >= request.deadline_at:
+        wait_s = self._retries.next_wait(number, request.deadline_at)
+        if wait_s is None:
             return False
-        if not self._retries.take():
-            return False
-        await self._timers.sleep(backoff_s)
+        await self._timers.sleep(wait_s)
         return True
 
     async def _attempt(
@@ -283,7 +274,7 @@
             request.deadline_at,
             fresh=bool(request.key) or number > 1,
         )
-        self._deaths.started(view.target, attempt_id, request.fingerprint)
+        running = self._deaths.started(view, attempt_id, request.fingerprint)
         try:
             end = await self._attempts.run(call, grant, sink)
         finally:
@@ -291,7 +282,7 @@
         if end.failure is None:
             self._suspects.completed(request.fingerprint)
         elif end.failure.kind in (ErrorKind.TARGET_LOST, ErrorKind.TARGET_UNREACHABLE):
-            await self._deaths.suspect(view, request.fingerprint, end.failure)
+            await self._deaths.suspect(view, running, end.failure)
         elif end.failure.kind is ErrorKind.CALLER_GONE:
             self._events.emit(EventKind.CALLER_LEFT, attempt_id, target=view.target)
         return end
@@ -300,10 +291,25 @@
         self, request: CallerRequest, assignment: Assignment, tried: set[str]
     ) -> Result[tuple[_Try, Grant], Failure]:
         """Get a grant on the best target that gives one before the deadline."""
+        while True:
+            granted = await self._grant_now(request, assignment, tried)
+            if isinstance(granted, Ok) or granted.err_value is not SUSPECTS_RUN:
+                return granted
+            if request.deadline_at - self._timers.now() < MIN_WAIT_S + JOIN_AGAIN_S:
+                return granted
+            await self._timers.sleep(JOIN_AGAIN_S)
+
+    async def _grant_now(
+        self, request: CallerRequest, assignment: Assignment, tried: set[str]
+    ) -> Result[tuple[_Try, Grant], Failure]:
+        """Ask each target once, but for those where other suspects run."""
         failure = Failure(
             ErrorKind.NO_TARGET, f"no target serves {assignment.base_model}", 1.0
         )
         for one_try in self._tries(assignment, tried):
+            if not self._may_join(request, one_try.view.target):
+                failure = SUSPECTS_RUN
+                continue
             wait_s = request.deadline_at - self._timers.now()
             if wait_s < MIN_WAIT_S:
                 return Err(
@@ -318,6 +324,13 @@
                 priority=request.priority,
             )
             stalled_s = self._timers.now() - started
+            if isinstance(granted, Ok) and not self._may_join(
+                request, one_try.view.target
+            ):
+                # Another suspect began there while this one waited for its grant,
+                # which goes back unused.
+                failure = SUSPECTS_RUN
+                continue
             if isinstance(granted, Ok):
                 if granted.ok_value.loaded_s > 0:
                     self._metrics.load_stall.observe(stalled_s)
@@ -327,6 +340,15 @@
                 return Err(failure)
         return Err(failure)
 
+    def _may_join(self, request: CallerRequest, target: str) -> bool:
+        """Whether a request may run on a target beside what this VM runs there.
+
+        Guards against two suspects on a target that dies, which would tell nothing
+        of which one did it: an innocent request is refused for long.
+        """
+        running = self._deaths.running(target)
+        return self._suspects.may_join(request.fingerprint, running)
+
     def _tries(self, assignment: Assignment, tried: set[str]) -> list[_Try]:
         """Order the targets: where the adapter is first, then where to load it."""
         now = self._timers.now()
@@ -364,20 +386,6 @@
         return Err(failure)
 
 
-CLAIM_FAILURES: dict[str, Failure] = {
-    "running": Failure(
-        ErrorKind.DUPLICATE_RUNNING, "the first try with this key still runs", 1.0
-    ),
-    "done": Failure(
-        ErrorKind.DUPLICATE_DONE, "it ran; its answer was too large to be kept"
-    ),
-    "unknown": Failure(
-        ErrorKind.DUPLICATE_UNKNOWN, "the first try with this key may have run"
-    ),
-    "reused": Failure(ErrorKind.KEY_REUSED, "this key stands for a different request"),
-}
-
-
 def _truthful(failure: Failure, ran: bool) -> Failure:
     """Return the failure to answer, never 'not run' when an earlier attempt ran.
 
--- a/hawthornlead/service_calls.py
+++ b/hawthornlead/service_calls.py
@@ -13,14 +13,14 @@
 from tornado import httputil
 
 from .bundles import CallerTerms
-from .claims import Claims
+from .claim_rows import DONE
 from .errors import ErrorKind, Failure, Ran
 from .events import EventKind, EventRing
 from .exchanges import TargetConnections
 from .limits import Admissions
 from .metrics import Metrics
 from .platforms import VmEntry, VmList
-from .requests import CLAIM_FAILURES
+from .request_claims import Keyed, Outcome, RequestClaims
 from .retries import Retries
 from .settings import Settings
 from .timers import TimerService
@@ -43,6 +43,7 @@
     priority: int
     deadline_at: float
     key: str
+    key_issued_at: float | None = None
 
     @property
     def fingerprint(self) -> bytes:
@@ -61,6 +62,28 @@
     replayed: bool = False
 
 
+class _Body:
+    """Gathers an answer's body; one that is too large is broken off, not kept."""
+
+    def __init__(self, exchange):
+        self._exchange = exchange
+        self._content = bytearray()
+        self.too_large = False
+
+    @property
+    def content(self) -> bytes:
+        """The bytes gathered."""
+        return bytes(self._content)
+
+    def take(self, data: bytes) -> None:
+        """Take bytes of the body, from the exchange."""
+        if len(self._content) + len(data) > MAX_SERVICE_ANSWER:
+            self.too_large = True
+            self._exchange.close()
+            return
+        self._content += data
+
+
 class ServicePath:
     """Serves calls to plain services."""
 
@@ -74,7 +97,7 @@
         rng: Random,
         vm_list: VmList,
         admissions: Admissions,
-        claims: Claims,
+        claims: RequestClaims,
         retries: Retries,
         connections: TargetConnections,
     ):
@@ -108,38 +131,30 @@
     async def _serve_admitted(self, call):
         if not call.key:
             return await self._try_targets(call)
-        claimed = await self._claims.claim(
-            call.caller.name, call.key, call.fingerprint, call.request_id
+        keyed = Keyed(
+            call.caller.name,
+            call.key,
+            call.fingerprint,
+            call.request_id,
+            call.key_issued_at,
         )
+        claimed = await self._claims.claim(keyed)
         if isinstance(claimed, Err):
             return claimed
         claim = claimed.ok_value
-        if claim.state == "done" and claim.content_type:
+        if claim.state == DONE:
             return Ok(
                 ServiceAnswer(claim.status, claim.content_type, claim.body, "", True)
             )
-        if claim.state != "new":
-            return Err(CLAIM_FAILURES[claim.state])
-        outcome = await self._try_targets(call)
-        await self._record(call, outcome)
-        return outcome
-
-    async def _record(self, call, outcome) -> None:
-        state, status, content_type, body = "unknown", 0, "", b""
-        if isinstance(outcome, Ok):
-            state = "done"
-            status, content_type, body, _, _ = outcome.ok_value
-        elif outcome.err_value.answer.ran is Ran.NOT_RUN:
-            state = "not_run"
-        await self._claims.record(
-            call.caller.name,
-            call.key,
-            call.request_id,
-            state,
-            status,
-            content_type,
-            body,
-        )
+        answer = await self._try_targets(call)
+        if isinstance(answer, Err):
+            answer = Err(answer.err_value._replace(claim_read=True))
+            outcome = Outcome.failed(answer.err_value)
+        else:
+            status, content_type, body, _, _ = answer.ok_value
+            outcome = Outcome(DONE, status, content_type, body)
+        await self._claims.record(keyed, outcome)
+        return answer
 
     async def _try_targets(self, call) -> Result[ServiceAnswer, Failure]:
         self._retries.first_attempt()
@@ -163,12 +178,10 @@
         )
         if not allowed or number == self._settings["MAX_ATTEMPTS"]:
             return False
-        backoff_s = self._retries.backoff(number)
-        if self._timers.now() + backoff_s >= call.deadline_at:
+        wait_s = self._retries.next_wait(number, call.deadline_at)
+        if wait_s is None:
             return False
-        if not self._retries.take():
-            return False
-        await self._timers.sleep(backoff_s)
+        await self._timers.sleep(wait_s)
         return True
 
     async def _attempt(self, call, number: int, tried: set[str]):
@@ -203,16 +216,25 @@
             headers["Content-Type"] = call.content_type
         if call.key:
             headers["Idempotency-Key"] = call.key
-        self._events.emit(EventKind.REQUEST_SENT, attempt_id, target=entry.name)
-        body = bytearray()
+        # Guards against a process that was frozen while it connected and sends after
+        # its caller was answered, when a later try may hold the key (CLM-9): it
+        # shows as a doubled call. Nothing is awaited between this and the send, and
+        # claims are kept for twice the longest deadline.
         left = call.deadline_at - self._timers.now()
+        if left <= 0:
+            return Err(Failure(ErrorKind.TOO_LATE_TO_START, "no time is left to run"))
+        self._events.emit(EventKind.REQUEST_SENT, attempt_id, target=entry.name)
+        body = _Body(exchange)
         silent_s = max(0.001, min(left, self._settings["STREAM_SILENT_S"]))
         sent = await exchange.send(
-            call.method, call.path, headers, call.body, body.extend, silent_s
+            call.method, call.path, headers, call.body, body.take, silent_s
         )
-        if isinstance(sent, Err):
-            return sent
-        ended = await exchange.read_to_end(silent_s)
+        ended = sent
+        if isinstance(sent, Ok):
+            ended = await exchange.read_to_end(silent_s)
+        if body.too_large:
+            detail = f"{entry.name} answered more than {MAX_SERVICE_ANSWER} bytes"
+            return Err(Failure(ErrorKind.ANSWER_CUT, detail))
         if isinstance(ended, Err):
             return ended
         head = sent.ok_value
@@ -228,7 +250,7 @@
             self._events.emit(EventKind.ANSWER_DROPPED, attempt_id, named=named)
             return Err(Failure(ErrorKind.WRONG_ANSWER, "the answer was crossed"))
         content_type = head.headers.get("Content-Type", "application/octet-stream")
-        return Ok(ServiceAnswer(head.status, content_type, bytes(body), entry.name))
+        return Ok(ServiceAnswer(head.status, content_type, body.content, entry.name))
 
     def _choose(self, service: str, tried: set[str]) -> VmEntry | None:
         """Return the target with the fewest open calls among two at random."""
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -12,6 +12,8 @@
 
 from result import Err, Ok, Result
 
+from .signatures import check_operators
+
 Settings = dict[str, Any]
 
 
@@ -381,6 +383,10 @@
         errors.append(SettingError(row.section, lesser.lower(), found, allowed))
     if bool(settings["TLS_CERTIFICATE"]) != bool(settings["TLS_KEY"]):
         errors.append(SettingError("tls", "tls_key", "one", "both files or neither"))
+    for name, text in settings["OPERATORS"].items():
+        if check_operators({name: text}):
+            allowed = "an Ed25519 public key, 32 bytes in base64"
+            errors.append(SettingError("operators", name, text, allowed))
     return errors
 
 
--- a/hawthornlead/slots.py
+++ b/hawthornlead/slots.py
@@ -197,6 +197,7 @@
             queued=self._reader.queued,
             leaving=self._leaving,
             residents=() if silent else self._residency.residents(),
+            boot_id=self._residency.boot_id or "",
         )
 
     async def acquire(self, vm: str, ask: AcquireGrant) -> Result[GrantReply, Failure]:
--- a/hawthornlead/target_deaths.py
+++ b/hawthornlead/target_deaths.py
@@ -6,6 +6,7 @@
 """
 
 from collections import defaultdict
+from typing import NamedTuple
 
 from result import Err
 
@@ -18,6 +19,13 @@
 from .views import TargetView, TargetViews
 
 
+class RunningAttempt(NamedTuple):
+    """An attempt on a target: its request, and the target's start if known."""
+
+    fingerprint: bytes
+    boot_id: str
+
+
 class TargetDeaths:
     """The requests on each target, and the test of whether a target died."""
 
@@ -35,35 +43,50 @@
         self._suspects = suspects
         self._views = views
         self._clients = clients
-        self._running: dict[str, dict[str, bytes]] = defaultdict(dict)
+        self._running: dict[str, dict[str, RunningAttempt]] = defaultdict(dict)
         self._boot_ids: dict[str, str] = {}
 
-    def started(self, target: str, attempt_id: str, fingerprint: bytes) -> None:
-        """Note that an attempt goes to a target."""
-        self._running[target][attempt_id] = fingerprint
+    def started(
+        self, view: TargetView, attempt_id: str, fingerprint: bytes
+    ) -> RunningAttempt:
+        """Note that an attempt goes to a target, at the start that is known of it."""
+        if view.state is not None and view.state.boot_id:
+            self.learn(view.target, view.state.boot_id)
+        boot_id = self._boot_ids.get(view.target, "")
+        attempt = RunningAttempt(fingerprint, boot_id)
+        self._running[view.target][attempt_id] = attempt
+        return attempt
 
     def ended(self, target: str, attempt_id: str) -> None:
         """Note that an attempt has ended."""
         self._running[target].pop(attempt_id, None)
 
+    def running(self, target: str) -> tuple[bytes, ...]:
+        """Return the fingerprints of what this VM runs on a target."""
+        return tuple(one.fingerprint for one in self._running[target].values())
+
     async def suspect(
-        self, view: TargetView, fingerprint: bytes, failure: Failure
+        self, view: TargetView, attempt: RunningAttempt, failure: Failure
     ) -> None:
-        """Test a target that failed an attempt, and share the suspects if it died."""
-        fingerprints = tuple({*self._running[view.target].values(), fingerprint})
+        """Test a target that failed an attempt, and share the suspects if it died.
+
+        Held against the boot id that was known when the attempt began: by now
+        another attempt may have met the target's next start.
+        """
+        there = (attempt, *self._running[view.target].values())
+        fingerprints = {
+            one.fingerprint for one in there if one.boot_id == attempt.boot_id
+        }
         health = await self._clients.client(view.address).health()
-        boot_id = ""
         if isinstance(health, Err):
             if health.err_value.kind is not ErrorKind.TARGET_UNREACHABLE:
                 return
-            boot_id = self._boot_ids.get(view.target, "")
         else:
-            known = self._boot_ids.get(view.target, "")
-            self._boot_ids[view.target] = health.ok_value.boot_id
-            if known in ("", health.ok_value.boot_id):
+            now = health.ok_value.boot_id
+            self.learn(view.target, now)
+            if attempt.boot_id in ("", now):
                 return
-            boot_id = known
-        self._tell(view, boot_id, fingerprints, failure)
+        self._tell(view, attempt.boot_id, tuple(sorted(fingerprints)), failure)
 
     def learn(self, target: str, boot_id: str) -> None:
         """Note a target's boot id, as seen while it was well."""
--- a/hawthornlead/target_owners.py
+++ b/hawthornlead/target_owners.py
@@ -254,6 +254,8 @@
     """Whether what routing depends on has changed; counts wait for their turn."""
     if told is None or (told.slots, told.leaving) != (state.slots, state.leaving):
         return True
+    if told.boot_id != state.boot_id:
+        return True
     before = [(r.adapter, r.version, r.loading) for r in told.residents]
     after = [(r.adapter, r.version, r.loading) for r in state.residents]
     return before != after
--- /dev/null
+++ b/hawthornlead/tests/fakes_exchanges.py
@@ -0,0 +1,55 @@
+"""Connections to targets that answer what a test says, for the paths of requests."""
+
+from result import Err, Ok
+from tornado.httputil import HTTPHeaders
+
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.exchanges import Head
+
+
+class FakeExchange:
+    """One exchange: notes what was sent and hands on an answer in chunks."""
+
+    def __init__(self, connections):
+        self._connections = connections
+        self.head = None
+        self.closed = False
+
+    async def send(self, method, path, headers, body, on_data, head_s):
+        """Note the request and hand on the answer."""
+        self._connections.sent.append(path)
+        status, chunks = self._connections.answer
+        self.head = Head(status, HTTPHeaders({"Content-Type": "text/plain"}))
+        for chunk in chunks:
+            if not self.closed:
+                on_data(chunk)
+        return Ok(self.head)
+
+    async def read_to_end(self, silent_s):
+        """End the answer."""
+        if self.closed:
+            return Err(Failure(ErrorKind.TARGET_LOST, "closed within its answer"))
+        return Ok(None)
+
+    def release(self):
+        """Give the connection back."""
+
+    def close(self):
+        """Close the connection."""
+        self.closed = True
+
+
+class FakeConnections:
+    """Opens exchanges, each after ``open_s`` seconds."""
+
+    def __init__(self, timers, status=200, chunks=(b"filed",)):
+        self._timers = timers
+        self.answer = (status, chunks)
+        self.sent = []
+        self.open_s = 0.0
+
+    async def open(self, address, fresh=False):
+        """Open an exchange."""
+        if self.open_s:
+            await self._timers.sleep(self.open_s)
+        return Ok(FakeExchange(self))
--- /dev/null
+++ b/hawthornlead/tests/test_attempts.py
@@ -0,0 +1,61 @@
+"""Tests of single attempts at targets."""
+
+import asyncio
+
+from result import Ok
+
+from hawthornlead.attempts import AttemptCall, AttemptRunner
+from hawthornlead.bundles import Assignment
+from hawthornlead.clocks import HybridClock
+from hawthornlead.errors import ErrorKind
+from hawthornlead.events import EventRing
+from hawthornlead.invariants import Invariants
+from hawthornlead.metrics import Metrics
+from hawthornlead.settings import default_settings
+from hawthornlead.tests.fakes_exchanges import FakeConnections
+from hawthornlead.timers import ManualTimerService
+
+
+class FakeGrant:
+    """A grant that never runs out."""
+
+    def __init__(self):
+        self.begun = []
+
+    def begin(self, attempt_id):
+        """Note the attempt."""
+        self.begun.append(attempt_id)
+        return Ok(None)
+
+
+async def test_an_attempt_frozen_while_it_connects_is_not_sent():
+    """The VM is stopped between connecting and sending, past the deadline.
+
+    The caller has given up and tried again elsewhere, maybe with success: sent now,
+    the request runs twice. Its grant may be good still, being renewed on waking.
+    """
+    timers = ManualTimerService()
+    events = EventRing("vm-1", HybridClock(timers))
+    connections = FakeConnections(timers)
+    connections.open_s = 6.0
+    runner = AttemptRunner(
+        settings=default_settings(),
+        timers=timers,
+        events=events,
+        metrics=Metrics(),
+        invariants=Invariants(events),
+        connections=connections,
+        clients=None,
+    )
+    assignment = Assignment("tides", "v1", "base", 5)
+    deadline_at = timers.now() + 5
+    call = AttemptCall(
+        "r1.1", "t1", "a:1", assignment, "?", 8, 3, 5, deadline_at, fresh=True
+    )
+    grant = FakeGrant()
+    running = asyncio.create_task(runner.run(call, grant, sink=None))
+    await asyncio.sleep(0)
+    await timers.advance(7)
+    end = await running
+    assert end.failure.kind is ErrorKind.TOO_LATE_TO_START
+    assert (end.next_index, grant.begun, connections.sent) == (3, [], [])
--- a/hawthornlead/tests/test_main.py
+++ b/hawthornlead/tests/test_main.py
@@ -14,7 +14,7 @@
 from hawthornlead.main import cli
 from hawthornlead.queries import settings_as_ini, timeline_rows
 from hawthornlead.settings import read_settings
-from hawthornlead.tests.test_settings import VALID
+from hawthornlead.tests.test_settings import KEY, VALID
 
 RECORDS = [
     {"wall_ms": 2000, "logical": 0, "vm": "b", "number": 201, "subject": "a"}
@@ -76,7 +76,7 @@
 
 def test_check_settings_prints_what_reads_back_equal(run, tmp_path):
     path = tmp_path / "a.ini"
-    path.write_text(VALID + "[operators]\nana = key\n[grants]\ngrant_size = 3\n")
+    path.write_text(VALID + f"[operators]\nana = {KEY}\n[grants]\ngrant_size = 3\n")
     outcome = run("check-settings", str(path))
     assert outcome.exit_code == 0
     again = tmp_path / "b.ini"
--- /dev/null
+++ b/hawthornlead/tests/test_requests.py
@@ -0,0 +1,148 @@
+"""Tests of how the path of a request chooses among targets."""
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from result import Err, Ok
+
+from hawthornlead.bundles import Assignment
+from hawthornlead.clocks import HybridClock
+from hawthornlead.errors import ErrorKind
+from hawthornlead.events import EventRing
+from hawthornlead.metrics import Metrics
+from hawthornlead.requests import CallerRequest, RequestPath
+from hawthornlead.routers import Candidate
+from hawthornlead.settings import default_settings
+from hawthornlead.suspects import Suspects
+from hawthornlead.target_deaths import TargetDeaths
+from hawthornlead.timers import ManualTimerService
+from hawthornlead.views import TargetView
+
+ASSIGNMENT = Assignment("tides", "v1", "base", 5)
+CALLER = SimpleNamespace(name="gijon")
+
+
+class Site:
+    """A request path with two targets, each of which grants all that is asked."""
+
+    def __init__(self):
+        self.timers = ManualTimerService()
+        self.on_acquire = lambda target: None
+        events = EventRing("vm-1", HybridClock(self.timers))
+        base = {
+            "settings": default_settings(),
+            "timers": self.timers,
+            "events": events,
+        }
+        self.suspects = Suspects(**base)
+        self.deaths = TargetDeaths(
+            events=events, mesh=None, suspects=self.suspects, views=None, clients=None
+        )
+        parts = (
+            "invariants keeper admissions claims retries placement popularity attempts"
+        )
+        self.path = RequestPath(
+            **base,
+            **dict.fromkeys(parts.split()),
+            metrics=Metrics(),
+            suspects=self.suspects,
+            deaths=self.deaths,
+            views=self,
+            grants=self,
+            router=self,
+        )
+        self.path._placement = SimpleNamespace(choose=lambda *_: [])
+
+    def views(self):
+        """Return the views of both targets."""
+        return [
+            TargetView(name, f"{name}:1", "gijon", ("base",), "vm-2", None, 0.0, False)
+            for name in ("t1", "t2")
+        ]
+
+    def choose(self, assignment, views, popularity, now):
+        """Prefer the first target."""
+        return [Candidate(view.target, resident=True) for view in views]
+
+    async def acquire(self, target, assignment, **terms):
+        """Grant at once."""
+        self.on_acquire(target)
+        return Ok(SimpleNamespace(loaded_s=0.0))
+
+    def run_on(self, target, prompt):
+        """Let a request that is a suspect run on a target."""
+        view = next(view for view in self.views() if view.target == target)
+        fingerprint = self.request(prompt).fingerprint
+        self.suspects.died("t0", "boot-1", [fingerprint])
+        self.deaths.started(view, f"{prompt}.1", fingerprint)
+
+    def request(self, prompt, left_s=5.0):
+        """Return a request with some seconds to its deadline."""
+        until = self.timers.now() + left_s
+        return CallerRequest("r", CALLER, "brief", prompt, 8, 5, until, "", None)
+
+    def grant(self, prompt):
+        """Ask for a grant for a request."""
+        asked = self.path._grant(self.request(prompt), ASSIGNMENT, set())
+        return asyncio.create_task(asked)
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+async def test_a_suspect_goes_where_no_other_suspect_runs(site):
+    """Two suspects run on one target, which dies: both are refused for long.
+
+    One of them is innocent. Kept apart, the next death names the one that did it.
+    """
+    site.run_on("t1", "bad")
+    site.suspects.died("t0", "boot-1", [site.request("suspect").fingerprint])
+    one_try, _ = (await site.grant("suspect")).ok_value
+    assert one_try.view.target == "t2"
+    innocent, _ = (await site.grant("innocent")).ok_value
+    assert innocent.view.target == "t1"
+
+
+async def test_a_suspect_waits_where_suspects_run_everywhere(site):
+    for target in ("t1", "t2"):
+        site.run_on(target, f"bad-{target}")
+    site.suspects.died("t0", "boot-1", [site.request("suspect").fingerprint])
+    waiting, refused = site.grant("suspect"), site.grant("suspect")
+    await site.timers.advance(1)
+    assert not waiting.done()
+    site.deaths.ended("t2", "bad-t2.1")
+    await site.timers.advance(1)
+    one_try, _ = (await waiting).ok_value
+    assert one_try.view.target == "t2"
+    assert (await refused).is_ok()
+
+
+async def test_a_suspect_that_waits_to_its_deadline_did_not_run(site):
+    for target in ("t1", "t2"):
+        site.run_on(target, f"bad-{target}")
+    site.suspects.died("t0", "boot-1", [site.request("suspect").fingerprint])
+    waiting = site.grant("suspect")
+    await site.timers.advance(6)
+    refused = await waiting
+    assert isinstance(refused, Err)
+    assert refused.err_value.kind is ErrorKind.NO_TARGET
+
+
+async def test_a_suspect_that_began_during_the_wait_for_a_grant_is_seen(site):
+    """Two suspects wait for grants on one target, which is free of suspects.
+
+    Both were let through before either ran; so the target is looked at again when
+    the grant has come, right before the attempt begins.
+    """
+
+    def other_begins(target):
+        if target == "t1":
+            site.run_on("t1", "bad")
+
+    site.on_acquire = other_begins
+    site.suspects.died("t0", "boot-1", [site.request("suspect").fingerprint])
+    one_try, _ = (await site.grant("suspect")).ok_value
+    assert one_try.view.target == "t2"
--- a/hawthornlead/tests/test_settings.py
+++ b/hawthornlead/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Tests of the settings table and of reading INI files."""
 
+import base64
+
 import pytest
 from hypothesis import given, settings, strategies
 
@@ -13,6 +15,7 @@
     read_settings,
 )
 
+KEY = base64.b64encode(bytes(32)).decode()
 VALID = """
 [vm]
 vm_name = vm-1
@@ -49,8 +52,20 @@
 
 
 def test_free_section_holds_any_key(read):
-    values = read(VALID + "[operators]\nana = abc\nben = def\n").unwrap()
-    assert values["OPERATORS"] == {"ana": "abc", "ben": "def"}
+    values = read(VALID + f"[operators]\nana = {KEY}\nben = {KEY}\n").unwrap()
+    assert values["OPERATORS"] == {"ana": KEY, "ben": KEY}
+
+
+def test_every_unreadable_operator_key_is_told(read):
+    """A key is mistyped in the settings of a VM.
+
+    Unchecked, the VM would fail at its start with a traceback that names no key.
+    """
+    text = f"[operators]\nana = abc\nben = {KEY}\ncai = {KEY[4:]}\n"
+    outcome = read(VALID + text + "[grants]\ngrant_size = x\n")
+    wanted = [("grants", "grant_size"), ("operators", "ana"), ("operators", "cai")]
+    assert places(outcome) == wanted
+    assert configure_settings(default_settings(OPERATORS={"ana": "x"})).is_err()
 
 
 def test_missing_file_is_one_error(tmp_path):
--- /dev/null
+++ b/hawthornlead/tests/test_target_deaths.py
@@ -0,0 +1,96 @@
+"""Tests of who is suspected when a target dies."""
+
+import pytest
+from result import Err, Ok
+
+from hawthornlead.clocks import HybridClock
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.events import EventRing
+from hawthornlead.messages import CrashSuspects, TargetState
+from hawthornlead.settings import default_settings
+from hawthornlead.suspects import Suspects
+from hawthornlead.target_deaths import TargetDeaths
+from hawthornlead.targets import Health
+from hawthornlead.timers import ManualTimerService
+from hawthornlead.views import TargetView
+
+LOST = Failure(ErrorKind.TARGET_LOST, "closed")
+REFUSED = Failure(ErrorKind.TARGET_UNREACHABLE, "refused")
+
+
+def view(boot_id):
+    """Return the view of a target whose owner told its boot id."""
+    state = TargetState("t1", 1, 1, 2, 0, 0, False, (), boot_id)
+    return TargetView("t1", "t1:1", "gijon", ("b",), "vm-2", state, 0.0, False)
+
+
+class Site:
+    """The deaths of one VM, with a target whose health a test sets."""
+
+    def __init__(self):
+        self.timers = ManualTimerService()
+        self.told = []
+        self.health_answer = Err(REFUSED)
+        events = EventRing("vm-1", HybridClock(self.timers))
+        self.suspects = Suspects(
+            settings=default_settings(), timers=self.timers, events=events
+        )
+        self.deaths = TargetDeaths(
+            events=events, mesh=self, suspects=self.suspects, views=None, clients=self
+        )
+
+    def broadcast(self, message):
+        """Note what all VMs are told."""
+        self.told.append(message)
+
+    def cast(self, vm, message):
+        """Tell the target's owner."""
+
+    def client(self, address):
+        """Return the target's client."""
+        return self
+
+    async def health(self):
+        """Answer as the test says."""
+        return self.health_answer
+
+
+@pytest.fixture
+def site():
+    return Site()
+
+
+async def test_a_target_that_came_back_before_the_test_has_died(site):
+    """A request crashes its target, which is back before this VM looks.
+
+    Another attempt has met the new start already. Held against the newest boot id
+    the target looks well, and the request goes on to crash the next one.
+    """
+    bad = site.deaths.started(view("boot-1"), "r1.1", b"bad")
+    site.deaths.started(view("boot-1"), "r2.1", b"beside")
+    site.deaths.started(view("boot-2"), "r3.1", b"later")
+    site.deaths.ended("t1", "r1.1")
+    site.health_answer = Ok(Health("boot-2", 0.0))
+    await site.deaths.suspect(view("boot-2"), bad, LOST)
+    assert site.told == [CrashSuspects("t1", "boot-1", (b"bad", b"beside"))]
+    assert not site.suspects.is_suspect(b"later")
+
+
+async def test_a_death_has_one_name_on_all_vms(site):
+    """Two VMs lose requests on one target; a crash counted twice convicts at once.
+
+    The boot id that the owner tells names the death alike on both.
+    """
+    bad = site.deaths.started(view("boot-1"), "r1.1", b"bad")
+    site.suspects.died("t1", "boot-1", [b"bad"])
+    await site.deaths.suspect(view("boot-1"), bad, LOST)
+    assert site.told[0].boot_id == "boot-1"
+    assert site.suspects.check(b"bad").is_ok()
+
+
+async def test_a_broken_stream_of_a_living_target_accuses_nobody(site):
+    alive = site.deaths.started(view("boot-1"), "r1.1", b"a")
+    site.health_answer = Ok(Health("boot-1", 0.0))
+    await site.deaths.suspect(view("boot-1"), alive, LOST)
+    assert site.told == []
+    assert site.deaths.running("t1") == (b"a",)
