--- a/hawthornlead/calls.py
+++ b/hawthornlead/calls.py
@@ -10,6 +10,10 @@
 from .errors import ErrorKind, Failure
 from .meshes import outcome_of
 
+# When a caller may come back whose request needed a VM that doesn't answer: by then
+# the VM has been reconnected, or its roles are being taken over.
+PEER_RETRY_S = 1.0
+
 
 class _Call(NamedTuple):
     vm: str
@@ -63,7 +67,7 @@
 
 def unavailable(detail: str) -> Err[Failure]:
     """Return the outcome of a call that a VM did not answer."""
-    return Err(Failure(ErrorKind.PEER_UNAVAILABLE, detail))
+    return Err(Failure(ErrorKind.PEER_UNAVAILABLE, detail, PEER_RETRY_S))
 
 
 def _settle(call: _Call, outcome: Any) -> None:
--- a/hawthornlead/service_calls.py
+++ b/hawthornlead/service_calls.py
@@ -236,7 +236,7 @@
             detail = f"{entry.name} answered more than {MAX_SERVICE_ANSWER} bytes"
             return Err(Failure(ErrorKind.ANSWER_CUT, detail))
         if isinstance(ended, Err):
-            return ended
+            return Err(self._timed_out(call, ended.err_value))
         head = sent.ok_value
         if head.status == 503 and head.headers.get("Ran", "").lower() == "no":
             detail = f"{entry.name} refused the call"
@@ -252,6 +252,11 @@
         content_type = head.headers.get("Content-Type", "application/octet-stream")
         return Ok(ServiceAnswer(head.status, content_type, body.content, entry.name))
 
+    def _timed_out(self, call, failure: Failure) -> Failure:
+        if self._timers.now() < call.deadline_at:
+            return failure
+        return Failure(ErrorKind.DEADLINE_PASSED, failure.detail)
+
     def _choose(self, service: str, tried: set[str]) -> VmEntry | None:
         """Return the target with the fewest open calls among two at random."""
         live = [entry for entry in self._vm_list.services(service)]
--- a/hawthornlead/tests/test_requests.py
+++ b/hawthornlead/tests/test_requests.py
@@ -41,6 +41,7 @@
         )
         parts = (
             "invariants keeper admissions claims retries placement popularity attempts"
+            " shares spares"
         )
         self.path = RequestPath(
             **base,
@@ -100,7 +101,10 @@
     """
     site.run_on("t1", "bad")
     site.suspects.died("t0", "boot-1", [site.request("suspect").fingerprint])
-    one_try, _ = (await site.grant("suspect")).ok_value
+    waiting = site.grant("suspect")
+    await asyncio.sleep(0)
+    await site.timers.advance(1)
+    one_try, _ = (await waiting).ok_value
     assert one_try.view.target == "t2"
     innocent, _ = (await site.grant("innocent")).ok_value
     assert innocent.view.target == "t1"
@@ -111,9 +115,11 @@
         site.run_on(target, f"bad-{target}")
     site.suspects.died("t0", "boot-1", [site.request("suspect").fingerprint])
     waiting, refused = site.grant("suspect"), site.grant("suspect")
+    await asyncio.sleep(0)
     await site.timers.advance(1)
     assert not waiting.done()
     site.deaths.ended("t2", "bad-t2.1")
+    await asyncio.sleep(0)
     await site.timers.advance(1)
     one_try, _ = (await waiting).ok_value
     assert one_try.view.target == "t2"
@@ -125,6 +131,7 @@
         site.run_on(target, f"bad-{target}")
     site.suspects.died("t0", "boot-1", [site.request("suspect").fingerprint])
     waiting = site.grant("suspect")
+    await asyncio.sleep(0)
     await site.timers.advance(6)
     refused = await waiting
     assert isinstance(refused, Err)
@@ -144,5 +151,8 @@
 
     site.on_acquire = other_begins
     site.suspects.died("t0", "boot-1", [site.request("suspect").fingerprint])
-    one_try, _ = (await site.grant("suspect")).ok_value
+    waiting = site.grant("suspect")
+    await asyncio.sleep(0)
+    await site.timers.advance(1)
+    one_try, _ = (await waiting).ok_value
     assert one_try.view.target == "t2"
