--- a/hawthornlead/tests/test_slots.py
+++ b/hawthornlead/tests/test_slots.py
@@ -47,6 +47,12 @@
     return [order for order in world.engine.orders if order[0] is Order.EVICT]
 
 
+async def test_an_owner_tells_the_boot_id():
+    world = await _world()
+    told = world.vms["b"].views.view("engine").state
+    assert told.boot_id == world.engine.boot_id != ""
+
+
 async def test_loads_once_for_many_requests():
     world = await _world()
     asked = [world.acquire(vm, "tide") for vm in "abab"]
