--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -75,7 +75,11 @@
     ),
     "PEER_ADDRESS": Setting("vm", "address", None, "IP:PORT for the other VMs"),
     "METRICS_ADDRESS": Setting(
-        "vm", "optional_address", "", "IP:PORT of /metrics; empty: on caller_address"
+        "vm",
+        "optional_address",
+        "",
+        "IP:PORT of /metrics, and of /status and /timeline without a signature; "
+        "empty: /metrics on caller_address",
     ),
     # platform
     "STORE_ADDRESS": Setting("platform", "address", None, "IP:PORT of the object API"),
@@ -100,7 +104,14 @@
     "CLOCK_RATE_ERROR": Setting(
         "lease", "number", 0.01, "largest error of a clock's rate, a share", 0, 0.2
     ),
-    "ORDER_S": Setting("lease", "number", 8.0, "longest order to a target", 0.1, 120),
+    "ORDER_S": Setting(
+        "lease",
+        "number",
+        8.0,
+        "longest fence or evict order; successors wait it",
+        0.1,
+        120,
+    ),
     # peers
     "HEARTBEAT_S": Setting("peers", "number", 1.0, "between heartbeats", 0.02, 30),
     "PEER_SILENT_S": Setting(
@@ -215,6 +226,9 @@
     "RETRY_SHARE": Setting(
         "requests", "number", 0.1, "retries per first attempt, at most", 0, 1
     ),
+    "OWNER_WAIT_S": Setting(
+        "requests", "number", 4.0, "longest wait for a target's new owner", 0, 60
+    ),
     "MAX_ATTEMPTS": Setting("requests", "integer", 3, "attempts per request", 1, 10),
     # claims
     "CLAIM_RANGES": Setting("claims", "integer", 16, "ranges of claim keys", 1, 1024),
@@ -341,11 +355,12 @@
         with open(path, encoding="utf-8") as file:
             parser.read_file(file)
     except (OSError, UnicodeDecodeError, configparser.Error) as error:
-        told = " ".join(str(error).split())
+        told = getattr(error, "strerror", None) or " ".join(str(error).split())
         fault = SettingError("", "", f"{path}: {told}", "a readable INI file")
         return Err([fault])
     settings = default_settings()
     errors = _read_sections(parser, settings)
+    errors += _bad_operators(settings["OPERATORS"])
     told = {(error.section, error.key) for error in errors}
     errors += _missing(settings, told)
     errors += _misfits(settings, told)
@@ -356,13 +371,17 @@
 
 def configure_settings(settings: Settings) -> Result[Settings, list[SettingError]]:
     """Check what no single key shows: how the settings fit together."""
-    errors = _misfits(settings, told=set())
+    errors = _bad_operators(settings["OPERATORS"])
+    errors += _misfits(settings, told=set())
     if errors:
         return Err(errors)
     return Ok(settings)
 
 
 # lesser, greater, factor: lesser * factor <= greater must hold.
+# ORDER_S and LEASE_S need no row, nor LOAD_S: an order begins under a lease and may
+# outlast it, since a successor waits out ORDER_S after the lease; a load that lands
+# later still takes nothing from any request.
 FITS = (
     ("LEASE_RENEW_S", "LEASE_S", 3),
     ("HEARTBEAT_S", "PEER_SILENT_S", 2),
@@ -386,10 +405,6 @@
         errors.append(SettingError(row.section, lesser.lower(), found, allowed))
     if bool(settings["TLS_CERTIFICATE"]) != bool(settings["TLS_KEY"]):
         errors.append(SettingError("tls", "tls_key", "one", "both files or neither"))
-    for name, text in settings["OPERATORS"].items():
-        if check_operators({name: text}):
-            allowed = "an Ed25519 public key, 32 bytes in base64"
-            errors.append(SettingError("operators", name, text, allowed))
     return errors
 
 
@@ -421,6 +436,20 @@
     return []
 
 
+def _bad_operators(operators: dict[str, str]) -> list[SettingError]:
+    """Return the operators whose public key can't be one.
+
+    Checked here, so that a mistyped key is told with all other errors and does not
+    end the daemon while it starts.
+    """
+    errors = []
+    for name, text in operators.items():
+        if check_operators({name: text}):
+            allowed = "a public key, as `hawthornlead keys show FILE` prints it"
+            errors.append(SettingError("operators", name, text, allowed))
+    return errors
+
+
 def _missing(settings: Settings, told: set) -> list[SettingError]:
     errors = []
     for name, row in SETTINGS.items():
