--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -47,6 +47,7 @@
 from .popularities import POPULARITIES, HighestPopularity
 from .popularity_shares import PopularityShares
 from .query_handlers import QueryParts, metrics_routes, query_routes
+from .request_claims import RequestClaims
 from .request_guards import RequestGuard
 from .requests import RequestPath
 from .retries import Retries
@@ -307,6 +308,7 @@
             connections=self._connections,
             clients=self._clients,
         )
+        claims = RequestClaims(settings=settings, timers=timers, claims=self._claims)
         spares = SpareCopies(
             timers=timers,
             views=self._views,
@@ -321,7 +323,7 @@
             admissions=self._admissions,
             views=self._views,
             grants=self._grants,
-            claims=self._claims,
+            claims=claims,
             retries=self._retries,
             suspects=self._suspects,
             deaths=deaths,
@@ -337,7 +339,7 @@
             rng=self._rng,
             vm_list=self._vm_list,
             admissions=self._admissions,
-            claims=self._claims,
+            claims=claims,
             retries=self._retries,
             connections=self._connections,
         )
--- a/hawthornlead/tests/test_attempts.py
+++ b/hawthornlead/tests/test_attempts.py
@@ -67,15 +67,17 @@
     async def cancel(request_id):
         return cancelled
 
+    parts = make_parts()
     client = SimpleNamespace(cancel=cancel)
     runner = AttemptRunner(
         settings=default_settings(VM_NAME="vm-1"),
         connections=SimpleNamespace(open=open_connection),
         clients=SimpleNamespace(client=lambda address: client),
-        **make_parts()._asdict(),
+        **parts._asdict(),
     )
+    until = parts.timers.now() + 100
     call = AttemptCall(
-        "r1", "engine", "", Assigned("tide"), "tide?", 5, 0, 0, 100.0, False
+        "r1", "engine", "", Assigned("tide"), "tide?", 5, 0, 0, until, False
     )
     grant = _Grant()
     sink = SimpleNamespace(gone=False, write=lambda events: None)
