--- a/hawthornlead/tests/whole_fleets.py
+++ b/hawthornlead/tests/whole_fleets.py
@@ -46,6 +46,8 @@
     "LOAD_S": 3.0,
     "DEFAULT_DEADLINE_S": 6.0,
     "STREAM_SILENT_S": 1.0,
+    "DOUBT_S": 0.6,
+    "ISOLATION_S": 2.0,
     "ENTRY_KEEP_S": 0.3,
     "DRAIN_S": 10.0,
     "LOG_LEVEL": "ERROR",
