Close the idle connections to a target that went silent

When something between two ends forgets its connections, all that lie idle are silent. Reused one by one, each cost a request the whole time of silence and one retry of the budget; now the first that goes silent closes the others.

--- a/hawthornlead/exchanges.py
+++ b/hawthornlead/exchanges.py
@@ -135,8 +135,7 @@
         try:
             head = await asyncio.wait_for(asyncio.shield(self._response.head), head_s)
         except TimeoutError:
-            self.close()
-            return Err(_lost(self._address, f"no answer within {head_s:.1f} s"))
+            return self._silent(f"no answer within {head_s:.1f} s")
         if head is None:
             return Err(_lost(self._address, "closed before its answer"))
         return Ok(head)
@@ -146,8 +145,7 @@
         while not self._reading.done():
             left = self._active_at + silent_s - self._pool.timers.now()
             if left <= 0:
-                self.close()
-                return Err(_lost(self._address, f"silent for {silent_s:.1f} s"))
+                return self._silent(f"silent for {silent_s:.1f} s")
             await asyncio.wait([self._reading], timeout=left)
         if not self._response.finished:
             self.close()
@@ -168,6 +166,14 @@
         if self._reading is not None:
             self._reading.add_done_callback(_consume)
 
+    def _silent(self, detail: str) -> Err[Failure]:
+        # Whatever made this connection silent, something on the way that forgot it,
+        # say, may have done so to all that are open. Reused one by one, each would
+        # cost a request the whole time of silence and one retry of the budget.
+        self.close()
+        self._pool.forget(self._address)
+        return Err(_lost(self._address, detail))
+
     def _note_activity(self) -> None:
         self._active_at = self._pool.timers.now()
 
@@ -225,6 +231,11 @@
         stream.set_close_callback(lambda: None)
         idle.append(_Idle(self._timers.now(), stream))
 
+    def forget(self, address: str) -> None:
+        """Close the idle connections to one target."""
+        for kept in self._idle.pop(address, ()):
+            kept.stream.close()
+
     def close(self) -> None:
         """Close all idle connections."""
         for idle in self._idle.values():
--- a/hawthornlead/tests/test_broken_streams.py
+++ b/hawthornlead/tests/test_broken_streams.py
@@ -190,3 +190,33 @@
     assert replies[-2].error == (422, "quarantined", "not run")
     for vm in ("entry-1", "entry-2"):
         assert (await fleet.complete(vm, "brief-1")).status == 200
+
+
+async def test_innocents_beside_a_crashing_request_are_served(fleet):
+    """A request kills its engines through one VM, others run there through another.
+
+    All that were on two dying engines are suspected twice. Convicted with the one
+    that did it, the others would be refused for ten minutes.
+    """
+    for engine in ENGINES:
+        fleet.standin(engine).set_faults(
+            crash_marker="poison", crash_after_tokens=2, restart_s=0.1, token_s=0.01
+        )
+    innocents = [
+        asyncio.ensure_future(
+            fleet.complete("entry-2", f"brief-{n}", prompt=f"p{n}", max_tokens=30)
+        )
+        for n in (1, 2)
+    ]
+    await until(lambda: running_on(fleet))
+    for vm in ("entry-1", "entry-2") * 2:
+        await fleet.complete(vm, "brief-1", prompt="poison")
+        await asyncio.sleep(0.2)
+    answers = await asyncio.gather(*innocents)
+    for n, answer in zip((1, 2), answers, strict=True):
+        if answer.status != 200:
+            answer = await fleet.complete(
+                "entry-2", f"brief-{n}", prompt=f"p{n}", max_tokens=30
+            )
+        assert answer.status == 200, answer.body
+        assert answer.json["text"] == whole_text(f"p{n}", f"tides-{n}", "v1", 30)
--- a/hawthornlead/tests/test_whole_drains.py
+++ b/hawthornlead/tests/test_whole_drains.py
@@ -67,10 +67,10 @@
     assert int(refused.headers["Retry-After"]) >= 1
     call = await fleet.call("entry-1", "GET", "/search")
     assert call.error == (503, "draining", "not run")
-    for answer in await asyncio.gather(*streams):
-        assert (answer.status, answer.text) == (200, LONG)
     await draining
     await fleet.stop_vm("entry-1")
+    for answer in await asyncio.gather(*streams):
+        assert (answer.status, answer.text) == (200, LONG)
     for engine in ENGINES:
         fleet.standin(engine).set_faults(token_s=0.001)
     for number in range(1, 7):
