--- a/hawthornlead/references.py
+++ b/hawthornlead/references.py
@@ -8,6 +8,7 @@
     text = PAGES["events.md"]()
 """
 
+import ast
 import re
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -25,6 +26,7 @@
 GENERATED = "<!-- Made by scripts/docs from hawthornlead/{}.py. -->"
 
 MESSAGES_MARK = "<!-- messages -->"
+MODULES_MARK = "<!-- modules -->"
 END_MARK = "<!-- end -->"
 
 
@@ -132,10 +134,24 @@
     for name, cls in MESSAGES.items():
         meaning = (cls.__doc__ or "").split("\n")[0]
         rows.append((f"`{name}`", ", ".join(cls._fields), meaning))
-    table = "\n".join(_table(("name", "fields", "meaning"), rows))
-    head, _, rest = text.partition(MESSAGES_MARK)
+    return _between(text, MESSAGES_MARK, _table(("name", "fields", "meaning"), rows))
+
+
+def with_modules(text: str) -> str:
+    """Return a page with the table of all modules and their jobs between its marks."""
+    rows = []
+    for path in sorted(Path(__file__).parent.glob("*.py")):
+        if path.stem.startswith("__"):
+            continue
+        docstring = ast.get_docstring(ast.parse(path.read_text(encoding="utf-8")))
+        rows.append((f"`{path.stem}`", (docstring or "").split("\n")[0]))
+    return _between(text, MODULES_MARK, _table(("module", "job"), rows))
+
+
+def _between(text: str, mark: str, lines: list[str]) -> str:
+    head, _, rest = text.partition(mark)
     _, _, tail = rest.partition(END_MARK)
-    return f"{head}{MESSAGES_MARK}\n{table}\n{END_MARK}{tail}"
+    return "\n".join([head + mark, *lines, END_MARK + tail])
 
 
 def _marked(module: str) -> str:
--- a/hawthornlead/tests/test_references.py
+++ b/hawthornlead/tests/test_references.py
@@ -7,7 +7,12 @@
 
 from hawthornlead.errors import ANSWERS, ErrorKind
 from hawthornlead.events import EventKind
-from hawthornlead.references import PAGES, with_messages, with_planned_marks
+from hawthornlead.references import (
+    PAGES,
+    with_messages,
+    with_modules,
+    with_planned_marks,
+)
 from hawthornlead.settings import SETTINGS
 
 DOCS = Path(__file__).parents[2] / "docs"
@@ -58,3 +63,10 @@
     text = page.read_text(encoding="utf-8")
     for link in re.findall(r"\]\(([^)#:]+)\)", text):
         assert (page.parent / link).exists(), link
+
+
+def test_every_module_and_its_job_is_in_the_architecture():
+    # If this fails, run scripts/docs and commit what it wrote.
+    text = (DOCS / "design" / "architecture.md").read_text(encoding="utf-8")
+    assert text == with_modules(text)
+    assert "| `daemons` | " in text
