--- a/hawthornlead/bench_reports.py
+++ b/hawthornlead/bench_reports.py
@@ -1,7 +1,10 @@
 """Table, JSON and plot of a comparison."""
 
 import json
+import os
+import platform
 from collections.abc import Sequence
+from datetime import UTC, datetime
 from pathlib import Path
 from statistics import mean
 from typing import NamedTuple
@@ -75,6 +78,7 @@
     settings: dict,
     seeds: Sequence[int],
     results: dict[str, list[RunFigures]],
+    command: str,
 ) -> None:
     """Write everything that was measured."""
     document = {
@@ -85,7 +89,22 @@
             name: [run._asdict() for run in runs] for name, runs in results.items()
         },
     }
-    path.write_text(json.dumps(document, indent=1) + "\n", encoding="utf-8")
+    write_document(path, command, document)
+
+
+def write_document(path: Path, command: str, document: dict) -> None:
+    """Write figures with the command that made them, when, and on what."""
+    head = {
+        "command": command,
+        "date": datetime.now(UTC).strftime("%Y-%m-%d %H:%M UTC"),
+        "machine": {
+            "processors": os.cpu_count(),
+            "load_1_min": round(os.getloadavg()[0], 1),
+            "python": platform.python_version(),
+        },
+    }
+    text = json.dumps({**head, **document}, indent=1)
+    path.write_text(text + "\n", encoding="utf-8")
 
 
 def plot(path: Path, name: str, results: dict[str, list[RunFigures]]) -> None:
--- a/hawthornlead/benches.py
+++ b/hawthornlead/benches.py
@@ -4,7 +4,7 @@
 and writes tables, JSON and plots to ``bench/results``.
 """
 
-import json
+import sys
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import NamedTuple
@@ -42,6 +42,10 @@
         return list(pool.map(_run, orders))
 
 
+def _command() -> str:
+    return " ".join(["scripts/bench", *sys.argv[1:]])
+
+
 @click.group()
 def main():
     """Measure the decisions under load, without a cluster."""
@@ -80,7 +84,7 @@
         click.echo(bench_reports.goals(results))
     stem = RESULTS / f"{label}-{name}"
     bench_reports.write_json(
-        stem.with_suffix(".json"), deployment, settings, seeds, results
+        stem.with_suffix(".json"), deployment, settings, seeds, results, _command()
     )
     bench_reports.plot(stem.with_suffix(".png"), name, results)
 
@@ -103,7 +107,7 @@
     RESULTS.mkdir(parents=True, exist_ok=True)
     document = {"rate": rate, "duration_s": duration, "seed": seed, "strategies": rows}
     path = RESULTS / "popularities.json"
-    path.write_text(json.dumps(document, indent=1) + "\n", encoding="utf-8")
+    bench_reports.write_document(path, _command(), document)
 
 
 if __name__ == "__main__":
