--- a/hawthornlead/tests/test_events.py
+++ b/hawthornlead/tests/test_events.py
@@ -7,6 +7,7 @@
 
 from hawthornlead.clocks import HybridClock, HybridTime
 from hawthornlead.events import EventKind, EventRing
+from hawthornlead.grant_ledgers import AdapterVersion
 from hawthornlead.invariants import InvariantBroken, Invariants
 from hawthornlead.timers import ManualTimerService
 
@@ -48,6 +49,21 @@
     assert events.newest()[0].text == "kind=no-slot subject=x"
 
 
+def test_typed_field_reads_plainly():
+    # An operator filters the time line by "adapter=tide", not by a class's repr.
+    events = ring()
+    loaded = AdapterVersion("tide", "1")
+    events.emit(EventKind.LOAD_ENDED, "engine-1", adapter=loaded, seconds=0.2)
+    assert events.newest()[0].text == "adapter=tide version=1 seconds=0.2"
+
+
+def test_what_happens_per_request_is_not_logged_at_info():
+    # A fleet answers thousands of requests a second; the ring keeps their events.
+    per_request = [kind for kind in EventKind if 600 <= kind.number < 605]
+    per_request.append(EventKind.CALLER_LEFT)
+    assert {kind.level for kind in per_request} == {"DEBUG"}
+
+
 def test_ring_keeps_the_newest():
     events = ring(size=3)
     for number in range(5):
