--- a/hawthornlead/popularities.py
+++ b/hawthornlead/popularities.py
@@ -13,7 +13,6 @@
 """
 
 import math
-from collections import deque
 
 POPULARITIES: dict[str, type["Popularity"]] = {}
 
@@ -21,8 +20,6 @@
 FORGOTTEN_RATE = 1e-5
 # Counters are looked through for forgotten ones after this many observations.
 FORGET_EVERY = 4096
-# So many adapters at most are remembered by their newest requests.
-MOST_RECENT = 32768
 
 
 def popularity(name: str):
@@ -159,46 +156,3 @@
         for adapter, counter in list(self._counters.items()):
             if self._rate(counter, now) < FORGOTTEN_RATE:
                 del self._counters[adapter]
-
-
-@popularity("recent")
-class RecentRequests(Popularity):
-    """The time that the newest requests for an adapter took to come.
-
-    With ``RECENT_REQUESTS`` of them within the last t seconds the rate is their
-    number over t and ``RECENT_PRIOR_S``. So a hot adapter is judged by seconds and a
-    cold one by minutes, where a half-life suits only one of them: too short, it
-    forgets the cold ones, too long, it keeps what a shift has left behind.
-    """
-
-    def __init__(self, *, settings: dict):
-        super().__init__(settings=settings)
-        self._times: dict[str, deque[float]] = {}
-
-    def __len__(self) -> int:
-        return len(self._times)
-
-    def observe(self, adapter: str, now: float, count: int = 1) -> None:
-        """Count ``count`` requests for ``adapter`` at ``now`` (seconds)."""
-        most = self._settings["RECENT_REQUESTS"]
-        times = self._times.pop(adapter, None)
-        if times is None:
-            times = deque(maxlen=most)
-        times.extend([now] * min(count, most))
-        # Entered anew, so that the adapters stand in the order of their last request.
-        self._times[adapter] = times
-        if len(self._times) > MOST_RECENT:
-            del self._times[next(iter(self._times))]
-
-    def rate(self, adapter: str, now: float) -> float:
-        """Return the requests a second for ``adapter``, older ones counting less."""
-        times = self._times.get(adapter)
-        if times is None:
-            return 0.0
-        took = max(0.0, now - times[0]) + self._settings["RECENT_PRIOR_S"]
-        return len(times) / took / self._share
-
-    def seen_at(self, adapter: str) -> float:
-        """Return when ``adapter`` was last observed, ``-inf`` when never."""
-        times = self._times.get(adapter)
-        return -math.inf if times is None else times[-1]
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -163,12 +163,6 @@
     "FAST_WEIGHT": Setting(
         "policy", "number", 0.2, "weight of the fast count beside the slow one", 0, 1
     ),
-    "RECENT_REQUESTS": Setting(
-        "policy", "integer", 6, "newest requests that tell a rate", 1, 64
-    ),
-    "RECENT_PRIOR_S": Setting(
-        "policy", "number", 60.0, "time that a rate is spread over at least", 1, 3600
-    ),
     "CHOICES": Setting("policy", "integer", 6, "targets weighed for a load", 1, 1024),
     "TARGET_FULL": Setting(
         "policy", "integer", 16, "requests that fill a step, if not told", 1, 4096
--- a/hawthornlead/tests/test_popularities.py
+++ b/hawthornlead/tests/test_popularities.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from hawthornlead.popularities import FORGET_EVERY, MOST_RECENT, POPULARITIES
+from hawthornlead.popularities import FORGET_EVERY, POPULARITIES
 from hawthornlead.settings import default_settings
 
 
@@ -68,40 +68,3 @@
         counters.observe("busy", 10.0 * number)
     assert len(counters) < FORGET_EVERY
     assert counters.rate("busy", 30.0 * FORGET_EVERY) > 0
-
-
-def make_recent(**overrides):
-    return POPULARITIES["recent"](settings=default_settings(**overrides))
-
-
-def test_recent_requests_tell_a_steady_rate():
-    recent = make_recent(RECENT_REQUESTS=6, RECENT_PRIOR_S=1.0)
-    for second in range(0, 100, 2):
-        recent.observe("tides", float(second))
-    assert recent.rate("tides", 99.0) == pytest.approx(0.5, rel=0.2)
-    assert recent.seen_at("tides") == 98.0 and recent.seen_at("lap") == -math.inf
-
-
-def test_recent_requests_forget_a_hot_adapter_in_seconds():
-    """A race ends: its adapter, asked for every second, is asked for no more.
-
-    A count that decays over minutes would keep its slot from adapters in use.
-    """
-    recent, decayed = make_recent(), make_counters()
-    for second in range(200):
-        for counts in (recent, decayed):
-            counts.observe("race", float(second))
-            if second % 20 == 0:
-                counts.observe("tides", float(second))
-    for second in range(200, 400, 20):
-        for counts in (recent, decayed):
-            counts.observe("tides", float(second))
-    assert recent.rate("race", 330.0) < recent.rate("tides", 330.0)
-    assert decayed.rate("race", 330.0) > decayed.rate("tides", 330.0)
-
-
-def test_recent_requests_are_bounded_in_memory():
-    recent = make_recent()
-    for number in range(MOST_RECENT + 10):
-        recent.observe(f"one-off-{number}", float(number), count=1000)
-    assert len(recent) == MOST_RECENT and recent.rate("one-off-0", 1e6) == 0.0
