--- a/hawthornlead/bench_owners.py
+++ b/hawthornlead/bench_owners.py
@@ -106,12 +106,6 @@
         self.most_at_once = 0
         self.started: list[float] = []
 
-    @property
-    def idle(self) -> bool:
-        """Whether nothing runs or waits and a load could start at once."""
-        quiet = not self._running and not self._waiting
-        return quiet and self._opens_at() <= self._queue.now
-
     def add(self, target: BenchTarget, slot: Slot) -> None:
         """Let a load wait for its share."""
         self._waiting.append((target, slot))
--- a/hawthornlead/bench_policies.py
+++ b/hawthornlead/bench_policies.py
@@ -20,7 +20,6 @@
     popularity: str = "decayed"
     spare: bool = False
     counts: str = "vm"
-    ahead: float = 0.0
 
 
 POLICIES = {
--- a/hawthornlead/bench_runs.py
+++ b/hawthornlead/bench_runs.py
@@ -9,7 +9,6 @@
 import random
 from typing import NamedTuple
 
-from hawthornlead.bench_ahead import AheadLoads
 from hawthornlead.bench_bounds import Future, TrueRates, clairvoyant_strategies
 from hawthornlead.bench_counts import make_counts
 from hawthornlead.bench_engines import EventQueue, FakeEngine, FakeService, Job
@@ -106,7 +105,6 @@
             FakeService(deployment.service_s) for _ in range(deployment.services)
         ]
         self._views = [self._view(target) for target in self._targets]
-        self._ahead = AheadLoads(self._targets, self._policy.ahead)
 
     def _arrive(self, job: Job) -> None:
         arrival = job.arrival
@@ -221,7 +219,6 @@
             lambda resident: copies.get(resident.adapter, 0),
         )
         del target.resident[victim.adapter]
-        self._ahead.evicted(victim.adapter)
 
     def _refuse_late(self, slot: Slot) -> None:
         now = self._queue.now
@@ -310,10 +307,6 @@
     def _tell_all(self) -> None:
         for target in self._targets:
             self._tell(target)
-        if self._loads.idle:
-            ahead = self._ahead.next(self._counts.admitted[0], self._queue.now)
-            if ahead is not None:
-                self._want(ahead.target, ahead.adapter)
         if self._queue.now < self._deployment.duration_s:
             self._queue.at(self._queue.now + self._deployment.tell_s, self._tell_all)
 
