--- a/hawthornlead/tests/test_standins.py
+++ b/hawthornlead/tests/test_standins.py
@@ -126,6 +126,31 @@
         await watching
 
 
+async def test_object_api_bookmarks_come_while_other_kinds_are_written(store):
+    # In fleets of 12 and 24 VMs the watches of quiet kinds were reopened every few
+    # seconds: writes of other kinds came faster than bookmarks were due, each one
+    # woke the watch and began the wait anew, and its reader took it for dead.
+    store.set_faults(bookmark_s=0.05)
+    seen = []
+    watching = asyncio.ensure_future(
+        AsyncHTTPClient(force_instance=True).fetch(
+            f"http://{store.address}/objects/quiet?watch=1&since=0",
+            streaming_callback=seen.append,
+            raise_error=False,
+        )
+    )
+
+    def told():
+        store.store("busy", "a", {})
+        return b"bookmark" in b"".join(seen)
+
+    async with asyncio.timeout(20):
+        await until(told)
+    store.set_faults(outage=True)
+    with pytest.raises((OSError, HTTPClientError)):
+        await watching
+
+
 async def test_vm_list_lags():
     vms = VmListStandIn(entries=[])
     await vms.start()
