--- a/hawthornlead/tests/measure.py
+++ b/hawthornlead/tests/measure.py
@@ -8,7 +8,7 @@
 
 import click
 
-from . import measure_fleets, measure_parts
+from . import measure_fleets, measure_parts, measure_paths
 
 
 @click.group()
@@ -58,5 +58,14 @@
     measure_parts.measure("base", "base_row", ("libraries", "code"))
 
 
+@main.command()
+@click.option("--profile", default="", help="write a profile there, measure nothing")
+@click.option("--name", default="path", help="name of the result")
+def path(profile: str, name: str) -> None:
+    """What a VM adds to an answer, and what relaying costs."""
+    work = measure_paths.profile(profile) if profile else measure_paths.measure(name)
+    asyncio.run(work)
+
+
 if __name__ == "__main__":
     main()
