Stream sink: wait for a slow caller on the connection, not on its flush

Tornado keeps one write future for a connection. When a flush came while another still waited, the first one's future never ended; its waiter took the caller for gone after SLOW_CALLER_S although it had read everything. The new test breaks off so without the change. What waits now is an empty write, which ends when all before it have.

The same change removes a task, a timer and two loop turns from each write: nearly always the system takes a write whole and nothing is waited for. A caller that has not read the last write holds back the target at once rather than after 64 KiB.

--- a/hawthornlead/sinks.py
+++ b/hawthornlead/sinks.py
@@ -11,8 +11,6 @@
 from .relays import token_texts
 from .requests import AnswerHead
 
-MAX_PENDING_BYTES = 65536
-
 
 def event(fields: dict) -> bytes:
     """Return one server-sent event with ``fields`` as JSON."""
@@ -90,10 +88,10 @@
 
     def __init__(self, handler: RequestHandler, gather_s: float, slow_s: float):
         self._handler = handler
+        self._stream = handler.request.connection.stream
         self._gather_s = gather_s
         self._slow_s = slow_s
         self._pending: list[bytes] = []
-        self._pending_bytes = 0
         self._timer: asyncio.TimerHandle | None = None
         self._started = False
         self._gone = False
@@ -123,8 +121,8 @@
             self._pending.append(events)
             return self._flush()
         self._pending.append(events)
-        self._pending_bytes += len(events)
-        if self._pending_bytes > MAX_PENDING_BYTES:
+        if self._stream.writing():
+            # The caller has not read what was sent before: hold back the target.
             return self._flush()
         if self._timer is None:
             loop = asyncio.get_running_loop()
@@ -144,14 +142,14 @@
         if not self._started:
             self._start()
         self._pending.append(event({"done": True, "count": self._count}))
-        await self._flush()
+        await self._flushed()
 
     async def fail(self, failure: Failure, request_id: str) -> None:
         """End a stream that has started with an error in place of the end marker."""
         self._pending.append(
             b"event: error\n" + event(failure_fields(failure, request_id))
         )
-        await self._flush()
+        await self._flushed()
 
     def _start(self) -> None:
         self._started = True
@@ -160,22 +158,44 @@
         self._pending.append(event(head_fields(self._head) | {"offset": 0}))
 
     def _flush_quietly(self) -> None:
+        # Nobody waits here: the next write finds what is still unread.
         self._timer = None
-        task = asyncio.ensure_future(self._flush())
-        task.add_done_callback(_consume)
+        drained = self._flush()
+        if drained is not None:
+            asyncio.ensure_future(drained).add_done_callback(_consume)
+
+    async def _flushed(self) -> None:
+        drained = self._flush()
+        if drained is not None:
+            await drained
 
-    async def _flush(self) -> None:
+    def _flush(self) -> Awaitable[None] | None:
+        """Write what is pending; return what to wait for if the caller is slow.
+
+        Nearly always the system takes a write whole, and there is nothing to wait
+        for.
+        """
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         chunk = b"".join(self._pending)
         self._pending.clear()
-        self._pending_bytes = 0
         if not chunk or self._gone:
-            return
+            return None
         self._handler.write(chunk)
+        self._handler.flush()
+        if self._stream.closed():
+            self._gone = True
+            return None
+        return self._drain() if self._stream.writing() else None
+
+    async def _drain(self) -> None:
+        # An empty write ends when all before it have. The future of the handler's
+        # own flush can't be waited for: tornado keeps one for a connection, and a
+        # flush that comes while another waits leaves the first without an end, so
+        # that its waiter would take a caller that reads for gone.
         try:
-            await asyncio.wait_for(self._handler.flush(), self._slow_s)
+            await asyncio.wait_for(self._stream.write(b""), self._slow_s)
         except (StreamClosedError, TimeoutError):
             self._gone = True
 
--- a/hawthornlead/tests/measure_engines.py
+++ b/hawthornlead/tests/measure_engines.py
@@ -39,6 +39,7 @@
     async def _stream_answer(self, run, sink):
         self.set_header("Content-Type", "text/event-stream")
         await self.flush()
+        self.request.connection.stream.set_nodelay(True)
         ended = asyncio.get_running_loop().create_future()
         direct = _DirectSink(self.request.connection.stream, ended)
         while not sink.empty():
--- /dev/null
+++ b/hawthornlead/tests/test_sinks.py
@@ -0,0 +1,111 @@
+"""Tests of the sinks, over real connections."""
+
+import asyncio
+
+import pytest
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from hawthornlead.requests import AnswerHead
+from hawthornlead.sinks import StreamSink
+
+HEAD = AnswerHead("r1", "tides", "v1", "engine-1", 1)
+# More than the system buffers of a connection on loopback.
+LARGE = b"data: " + b"x" * (8 << 20) + b"\n\n"
+
+
+class Streaming(RequestHandler):
+    """Hands its sink to the test and lets the test write."""
+
+    def initialize(self, sinks: asyncio.Queue, slow_s: float):
+        self._sinks = sinks
+        self._slow_s = slow_s
+
+    async def get(self):
+        sink = StreamSink(self, 0.001, self._slow_s)
+        sink.begin(HEAD)
+        ended = asyncio.get_running_loop().create_future()
+        self._sinks.put_nowait((sink, ended))
+        await ended
+
+
+async def stream_to(slow_s: float):
+    """Start a server and a caller that has asked and not read yet."""
+    sinks: asyncio.Queue = asyncio.Queue()
+    routes = [("/", Streaming, {"sinks": sinks, "slow_s": slow_s})]
+    server = HTTPServer(Application(routes, log_function=lambda handler: None))
+    sockets = bind_sockets(0, "127.0.0.1")
+    server.add_sockets(sockets)
+    port = sockets[0].getsockname()[1]
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+    sink, ended = await sinks.get()
+    return server, sink, ended, reader, writer
+
+
+@pytest.fixture
+async def streams():
+    running = []
+
+    async def start(slow_s: float):
+        made = await stream_to(slow_s)
+        running.append(made)
+        return made
+
+    yield start
+    for server, _sink, ended, _reader, writer in running:
+        writer.close()
+        if not ended.done():
+            ended.set_result(None)
+        server.stop()
+        await server.close_all_connections()
+
+
+async def test_writes_that_overlap_do_not_make_a_reading_caller_gone(streams):
+    # A caller paused, more tokens came, and 20 s later its answer broke off although
+    # it had gone on reading: two flushes waited at a time, tornado forgot the first
+    # one's future, and its waiter took the caller for gone.
+    _server, sink, ended, reader, _writer = await streams(slow_s=2.0)
+    first = asyncio.ensure_future(sink.write(LARGE))
+    await asyncio.sleep(0)
+    second = asyncio.ensure_future(sink.write(LARGE))
+    await asyncio.sleep(0)
+    read = 0
+    while read < 2 * len(LARGE):
+        read += len(await reader.read(1 << 20))
+    await asyncio.gather(first, second)
+    assert not sink.gone
+    await sink.finish()
+    ended.set_result(None)
+
+
+async def test_a_caller_that_does_not_read_holds_back_and_then_is_gone(streams):
+    _server, sink, _ended, _reader, _writer = await streams(slow_s=0.05)
+    held = sink.write(LARGE)
+    assert held is not None
+    await held
+    assert sink.gone
+
+
+async def test_a_caller_that_reads_holds_back_nothing(streams):
+    _server, sink, _ended, reader, _writer = await streams(slow_s=2.0)
+    assert sink.write(b'data: {"i": 0, "t": "a"}\n\n') is None
+    assert sink.write(b'data: {"i": 1, "t": "b"}\n\n') is None
+    await sink.finish()
+    seen = b""
+    while b'"count": 2' not in seen:
+        seen += await reader.read(65536)
+    assert seen.index(b'"adapter": "tides"') < seen.index(b'"i": 0')
+    assert seen.index(b'"i": 0') < seen.index(b'"i": 1')
+
+
+async def test_a_write_after_the_caller_left_is_dropped(streams):
+    _server, sink, _ended, _reader, writer = await streams(slow_s=2.0)
+    writer.transport.abort()
+    for number in range(200):
+        sink.write(b'data: {"i": %d, "t": "a"}\n\n' % number)
+        await asyncio.sleep(0.005)
+        if sink.gone:
+            break
+    assert sink.gone
