Assert what was sent, admitted, handed on and cut off

Attempts whose bytes left are now noted beside what is concluded from errors, and each refusal is held against that (not-run-never-sent, keyed-sent-once); an answer's bytes are held against the attempt, adapter and version they name (answer-names-its-assignment) and counted (tokens-counted) as they go to the caller; a request is admitted under the newest bundle (admitted-under-newest); a drain ends with nothing open (drain-cuts-nothing).

The new check leaving-target-no-new-work met a fault at once: a request that had waited for a load since before its target began to leave was granted when the load ended. It is looked at again now. Weighed: a log line; nobody reads those in a test.

--- a/hawthornlead/attempts.py
+++ b/hawthornlead/attempts.py
@@ -21,7 +21,8 @@
 from .grants import Grant
 from .invariants import Invariants
 from .metrics import Metrics
-from .relays import AnswerCheck, Expected
+from .relays import AnswerCheck, Expected, token_count
+from .sent_attempts import SentAttempts
 from .settings import Settings
 from .targets import TargetClients
 from .timers import TimerService
@@ -54,6 +55,8 @@
     priority: int
     deadline_at: float
     fresh: bool
+    request_id: str
+    once: bool
 
 
 class AttemptEnd(NamedTuple):
@@ -79,6 +82,7 @@
         invariants: Invariants,
         connections: TargetConnections,
         clients: TargetClients,
+        sent: SentAttempts,
     ):
         self._settings = settings
         self._timers = timers
@@ -87,6 +91,7 @@
         self._invariants = invariants
         self._connections = connections
         self._clients = clients
+        self._sent = sent
 
     async def run(self, call: AttemptCall, grant: Grant, sink: Sink) -> AttemptEnd:
         """Run one attempt to its end, whatever that is."""
@@ -100,6 +105,7 @@
         if isinstance(begun, Err):
             exchange.close()
             return self._ended(call, begun.err_value, call.offset)
+        self._sent.leaving(call.request_id, call.once)
         ended = False
         try:
             end = await self._exchange(call, exchange, sink)
@@ -124,6 +130,7 @@
         knows no such request, runs it later, and the owner evicts under it.
         """
         if failure.kind is ErrorKind.TARGET_REFUSED:
+            self._sent.promised(call.request_id)
             return True
         cancelled = await self._clients.client(call.address).cancel(call.attempt_id)
         return isinstance(cancelled, Ok) and exchange.head is not None
@@ -137,7 +144,7 @@
                 call.attempt_id, assignment.adapter, assignment.version, call.offset
             )
         )
-        receiver = _Receiver(check, sink, exchange, self._metrics)
+        receiver = _Receiver(check, sink, exchange, self._metrics, self._invariants)
         self._events.emit(
             EventKind.REQUEST_SENT,
             call.attempt_id,
@@ -204,12 +211,18 @@
     """Takes the bytes of one answer and hands on what passed the check."""
 
     def __init__(
-        self, check: AnswerCheck, sink: Sink, exchange: Exchange, metrics: Metrics
+        self,
+        check: AnswerCheck,
+        sink: Sink,
+        exchange: Exchange,
+        metrics: Metrics,
+        invariants: Invariants,
     ):
         self._check = check
         self._sink = sink
         self._exchange = exchange
         self._relayed = metrics.relayed
+        self._invariants = invariants
         self._refusal = b""
         self.failure: Failure | None = None
 
@@ -234,8 +247,21 @@
         self._relayed.inc(self._check.next_index - before)
         if not checked.ok_value:
             return None
+        self._assert_own(checked.ok_value, self._check.next_index - before)
         return self._sink.write(checked.ok_value)
 
+    def _assert_own(self, events: bytes, counted: int) -> None:
+        """Assert that what goes to the caller is of its own answer, and counted."""
+        expected = self._check.expected
+        self._invariants.check(
+            "answer-names-its-assignment",
+            self._check.named == expected.named,
+            f"{expected.attempt_id}: {self._check.named}",
+        )
+        self._invariants.check(
+            "tokens-counted", token_count(events) == counted, expected.attempt_id
+        )
+
     def judge(self, ended: Failure | None) -> Failure | None:
         """Return what became of the attempt, None if its answer came whole."""
         if self.failure is not None:
--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -52,6 +52,7 @@
 from .retries import Retries
 from .rolls import BundleKeeper
 from .routers import ROUTERS
+from .sent_attempts import SentAttempts
 from .service_calls import ServicePath
 from .settings import Settings
 from .signatures import OperatorKeys
@@ -276,7 +277,7 @@
         self._suspects = Suspects(
             settings=settings, timers=timers, events=self._events, mesh=self._mesh
         )
-        self._drain = Drain(**base, members=self._members)
+        self._drain = Drain(**base, members=self._members, invariants=self._invariants)
         deaths = TargetDeaths(
             events=self._events,
             mesh=self._mesh,
@@ -284,11 +285,13 @@
             views=self._views,
             clients=self._clients,
         )
+        sent = SentAttempts(invariants=self._invariants)
         attempts = AttemptRunner(
             **base,
             invariants=self._invariants,
             connections=self._connections,
             clients=self._clients,
+            sent=sent,
         )
         spares = SpareCopies(
             timers=timers,
@@ -314,6 +317,7 @@
             shares=self._shares,
             spares=spares,
             attempts=attempts,
+            sent=sent,
         )
         self._services = ServicePath(
             **base,
@@ -323,6 +327,7 @@
             claims=self._claims,
             retries=self._retries,
             connections=self._connections,
+            sent=sent,
         )
         self._mesh.heartbeat_source = self._heartbeat
 
--- a/hawthornlead/drains.py
+++ b/hawthornlead/drains.py
@@ -7,6 +7,7 @@
 
 from .errors import ErrorKind, Failure
 from .events import EventKind, EventRing
+from .invariants import Invariants
 from .limits import Admissions
 from .members import Members
 from .settings import Settings
@@ -27,11 +28,13 @@
         events: EventRing,
         metrics,
         members: Members,
+        invariants: Invariants,
     ):
         self._settings = settings
         self._timers = timers
         self._events = events
         self._members = members
+        self._invariants = invariants
         self._refusing = False
 
     def refusal(self) -> Failure | None:
@@ -55,3 +58,5 @@
         until = self._timers.now() + self._settings["DRAIN_S"]
         while admissions.open and self._timers.now() < until:
             await self._timers.sleep(POLL_S)
+        detail = f"{admissions.open} requests open"
+        self._invariants.check("drain-cuts-nothing", admissions.open == 0, detail)
--- a/hawthornlead/relays.py
+++ b/hawthornlead/relays.py
@@ -30,6 +30,11 @@
         self.version = version
         self.offset = offset
 
+    @property
+    def named(self) -> tuple[str, str, str, int]:
+        """What the first event of the answer has to name."""
+        return self.attempt_id, self.adapter, self.version, self.offset
+
 
 class AnswerCheck:
     """Checks the event stream of one attempt as it comes, in order.
@@ -41,10 +46,20 @@
     def __init__(self, expected: Expected):
         self._expected = expected
         self._rest = b""
-        self._identified = False
+        self._named: tuple[str, str, str, int] | None = None
         self._next_index = expected.offset
         self._done = False
 
+    @property
+    def expected(self) -> Expected:
+        """What the answer has to name."""
+        return self._expected
+
+    @property
+    def named(self) -> tuple[str, str, str, int] | None:
+        """What the answer names itself, None before its first event."""
+        return self._named
+
     @property
     def next_index(self) -> int:
         """The index of the next token: where a resumed attempt has to begin."""
@@ -66,7 +81,7 @@
             return Ok(b"")
         events = data[: end + len(EVENT_END)]
         self._rest = data[end + len(EVENT_END) :]
-        if not self._identified:
+        if self._named is None:
             identified = self._identify(events)
             if isinstance(identified, Err):
                 return identified
@@ -81,16 +96,10 @@
             found = (first["id"], first["adapter"], first["version"], first["offset"])
         except (ValueError, KeyError, TypeError):
             return Err(_wrong("the first event names no attempt"))
-        expected = self._expected
-        wanted = (
-            expected.attempt_id,
-            expected.adapter,
-            expected.version,
-            expected.offset,
-        )
+        wanted = self._expected.named
         if found != wanted:
             return Err(_wrong(f"the answer is of {found}, not of {wanted}"))
-        self._identified = True
+        self._named = found
         return Ok(events[end + len(EVENT_END) :])
 
     def _count(self, events: bytes) -> Result[bytes, Failure]:
@@ -148,6 +157,11 @@
         return None
 
 
+def token_count(events: bytes) -> int:
+    """Return how many whole token events there are."""
+    return events.count(EVENT_END)
+
+
 def token_texts(events: bytes) -> list[str]:
     """Return the texts of whole token events, for an answer that is not streamed."""
     texts = []
--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -25,6 +25,7 @@
 from .retries import Retries
 from .rolls import BundleKeeper, InForce
 from .routers import Router
+from .sent_attempts import SentAttempts
 from .settings import Settings
 from .spares import SpareCopies
 from .suspects import Suspects
@@ -114,6 +115,7 @@
         shares: PopularityShares,
         spares: SpareCopies,
         attempts: AttemptRunner,
+        sent: SentAttempts,
     ):
         self._settings = settings
         self._timers = timers
@@ -134,6 +136,7 @@
         self._shares = shares
         self._spares = spares
         self._attempts = attempts
+        self._sent = sent
 
     async def serve(
         self, request: CallerRequest, sink: RequestSink
@@ -150,6 +153,7 @@
             return await self._serve_admitted(request, sink)
         finally:
             self._metrics.open_requests.dec()
+            self._sent.forget(request.request_id)
             admitted.ok_value.release()
 
     async def _serve_admitted(self, request, sink):
@@ -160,6 +164,8 @@
         if isinstance(allowed, Err):
             return self._refused(request, allowed.err_value)
         assignment = assigned.ok_value
+        newest = request.in_force.seq >= self._keeper.seq_in_force
+        self._invariants.check("admitted-under-newest", newest, request.request_id)
         self._shares.observe(assignment.adapter)
         self._spares.consider(assignment)
         self._events.emit(
@@ -295,6 +301,8 @@
             request.priority,
             request.deadline_at,
             fresh=bool(request.key) or number > 1,
+            request_id=request.request_id,
+            once=bool(request.key),
         )
         self._deaths.started(view.target, attempt_id, request.fingerprint)
         try:
@@ -346,6 +354,7 @@
         return Ok(None)
 
     def _refused(self, request, failure: Failure) -> Err[Failure]:
+        self._sent.refusing(request.request_id, failure)
         self._metrics.requests.labels(failure.kind.value).inc()
         self._events.emit(
             EventKind.REQUEST_REFUSED,
--- a/hawthornlead/service_calls.py
+++ b/hawthornlead/service_calls.py
@@ -22,6 +22,7 @@
 from .platforms import VmEntry, VmList
 from .requests import CLAIM_FAILURES
 from .retries import Retries
+from .sent_attempts import SentAttempts
 from .settings import Settings
 from .timers import TimerService
 
@@ -77,6 +78,7 @@
         claims: Claims,
         retries: Retries,
         connections: TargetConnections,
+        sent: SentAttempts,
     ):
         self._settings = settings
         self._timers = timers
@@ -88,6 +90,7 @@
         self._claims = claims
         self._retries = retries
         self._connections = connections
+        self._sent = sent
         self._open: dict[str, int] = {}
 
     async def serve(self, call: ServiceCall) -> Result[ServiceAnswer, Failure]:
@@ -101,6 +104,7 @@
             admitted.ok_value.release()
         if isinstance(outcome, Err):
             return self._refused(call, outcome.err_value)
+        self._sent.forget(call.request_id)
         self._metrics.requests.labels("whole").inc()
         self._events.emit(EventKind.REQUEST_ANSWERED, call.request_id)
         return outcome
@@ -207,6 +211,7 @@
         body = bytearray()
         left = call.deadline_at - self._timers.now()
         silent_s = max(0.001, min(left, self._settings["STREAM_SILENT_S"]))
+        self._sent.leaving(call.request_id, once=not call.repeatable)
         sent = await exchange.send(
             call.method, call.path, headers, call.body, body.extend, silent_s
         )
@@ -217,6 +222,7 @@
             return Err(self._timed_out(call, ended.err_value))
         head = sent.ok_value
         if head.status == 503 and head.headers.get("Ran", "").lower() == "no":
+            self._sent.promised(call.request_id)
             detail = f"{entry.name} refused the call"
             return Err(Failure(ErrorKind.TARGET_REFUSED, detail, 1.0))
         if head.status >= 500:
@@ -246,6 +252,8 @@
         return min(picked, key=lambda entry: self._open.get(entry.name, 0))
 
     def _refused(self, call, failure: Failure) -> Err[Failure]:
+        self._sent.refusing(call.request_id, failure)
+        self._sent.forget(call.request_id)
         self._metrics.requests.labels(failure.kind.value).inc()
         self._events.emit(
             EventKind.REQUEST_REFUSED,
--- a/hawthornlead/slots.py
+++ b/hawthornlead/slots.py
@@ -333,7 +333,13 @@
             outcome = await self._wait_for(load, asking)
             if isinstance(outcome, Err):
                 return outcome
-            if load.slot.grantable and self._orders.right() is OrderRight.FULL:
+            # The target may have begun to leave while its load was waited for: it
+            # is looked at again, or it would get new work long after.
+            if (
+                load.slot.grantable
+                and not self._leaving
+                and self._orders.right() is OrderRight.FULL
+            ):
                 return Ok(self._grant(asking, self._now() - began_at))
             return Ok(None)
         finally:
@@ -390,6 +396,9 @@
         """Give a grant; called with nothing awaited since the right was read."""
         count = max(1, min(asking.ask.count, self._settings["GRANT_SIZE"]))
         grant = self._ledger.issue(asking.vm, asking.key, count)
+        self._invariants.check(
+            "leaving-target-no-new-work", not self._leaving, self._target.name
+        )
         self._invariants.check(
             "order-under-lease",
             self._orders.right() is not OrderRight.NONE,
--- a/hawthornlead/tests/test_slots.py
+++ b/hawthornlead/tests/test_slots.py
@@ -351,6 +351,25 @@
     assert refused.unwrap_err().kind is ErrorKind.TARGET_REFUSED
 
 
+async def test_target_that_begins_to_leave_during_a_load_gets_no_new_work():
+    """A target is about to be replaced, and a request still begins on it.
+
+    The request had waited for a load since before the target left. Its load ended
+    later, and the grant was given without a look at the target's state.
+    """
+    world = await _world()
+    world.engine.load_s = 5.0
+    waiting = world.acquire("b", "tide", wait_s=60)
+    await world.advance(2)
+    world.vm_list.entries = [
+        entry._replace(state="leaving") for entry in world.vm_list.entries
+    ]
+    world.vm_list.changed()
+    await world.advance(8)
+    assert len(world.engine.loads) == 1
+    assert waiting.result().unwrap_err().kind is ErrorKind.TARGET_REFUSED
+
+
 async def test_silent_target_is_told_and_refused():
     world = await _world()
     await world.acquired("b", "tide")
--- a/hawthornlead/tests/test_whole_path.py
+++ b/hawthornlead/tests/test_whole_path.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from hawthornlead.invariants import InvariantBroken
+from hawthornlead.requests import CallerRequest
+
 from .standins.engine_runs import whole_text
 from .whole_fleets import headers_of, whole_fleet
 
@@ -103,3 +106,22 @@
     assert theirs.error == (403, "forbidden", "not run")
     assert fleet.runs("engine-1") == [] and fleet.standin("bulletins-1").calls == []
     assert (await fleet.complete("entry-1")).status == 200
+
+
+async def test_a_request_admitted_under_an_older_bundle_breaks_an_invariant(fleet):
+    """A request is served by the adapter of the bundle before the one in force.
+
+    A part kept the bundle that it was given once, and went on admitting under it
+    after a roll. Nothing else would tell: the answer is whole and names its adapter.
+    """
+    daemon = fleet.daemons["entry-1"]
+    in_force = daemon._keeper.may_serve().unwrap()
+    caller = in_force.bundle.caller_of("office-token")
+    older = in_force._replace(seq=in_force.seq - 1)
+    deadline_at = daemon._timers.now() + 5
+    request = CallerRequest(
+        "r-1", caller, "brief-1", "tide?", 4, 5, deadline_at, "", older
+    )
+    with pytest.raises(InvariantBroken, match="admitted-under-newest"):
+        await daemon._requests.serve(request, None)
+    assert daemon._admissions.open == 0
