--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -53,6 +53,7 @@
 from .retries import Retries
 from .rolls import BundleKeeper
 from .routers import ROUTERS
+from .sent_attempts import SentAttempts
 from .service_calls import ServicePath
 from .settings import Settings
 from .signatures import OperatorKeys
@@ -294,7 +295,7 @@
         self._suspects = Suspects(
             settings=settings, timers=timers, events=self._events, mesh=self._mesh
         )
-        self._drain = Drain(**base, members=self._members)
+        self._drain = Drain(**base, members=self._members, invariants=self._invariants)
         deaths = TargetDeaths(
             events=self._events,
             mesh=self._mesh,
@@ -302,11 +303,13 @@
             views=self._views,
             clients=self._clients,
         )
+        sent = SentAttempts(invariants=self._invariants)
         attempts = AttemptRunner(
             **base,
             invariants=self._invariants,
             connections=self._connections,
             clients=self._clients,
+            sent=sent,
         )
         claims = RequestClaims(settings=settings, timers=timers, claims=self._claims)
         spares = SpareCopies(
@@ -333,6 +336,7 @@
             shares=self._shares,
             spares=spares,
             attempts=attempts,
+            sent=sent,
         )
         self._services = ServicePath(
             **base,
@@ -342,6 +346,7 @@
             claims=claims,
             retries=self._retries,
             connections=self._connections,
+            sent=sent,
         )
         self._mesh.heartbeat_source = self._heartbeat
 
