Give out one place for a suspect on each target, at its owner

Cause: a VM kept suspects apart only among its own requests, so that an innocent of one VM was beside the guilty one of another at both deaths and was refused for QUARANTINE_S (the known-red test). Sharing every running fingerprint over all VMs was ruled out: it costs a message per request. Now a suspect, and only a suspect, asks its target's owner for the single place; one more round trip for it, none for others.

--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -60,6 +60,7 @@
 from .slots import Policies
 from .spares import SpareCopies
 from .statuses import StatusParts, status_routes
+from .suspect_places import SuspectPlaces
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
 from .target_owners import TargetOwners
@@ -330,6 +331,7 @@
             retries=self._retries,
             suspects=self._suspects,
             deaths=deaths,
+            places=SuspectPlaces(timers=timers, mesh=self._mesh),
             router=self._router,
             placement=self._placement,
             popularity=self._popularity,
--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -412,6 +412,23 @@
     fingerprints: tuple[bytes, ...]
 
 
+@message("take-suspect-place")
+class TakeSuspectPlace(NamedTuple):
+    """Ask a target's owner for its only place for a suspect request."""
+
+    target: str
+    request_id: str
+    hold_s: float
+
+
+@message("give-suspect-place")
+class GiveSuspectPlace(NamedTuple):
+    """Give the place back: the suspect's attempt has ended."""
+
+    target: str
+    request_id: str
+
+
 # The time line
 
 
--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -29,10 +29,11 @@
 from .sent_attempts import SentAttempts
 from .settings import Settings
 from .spares import SpareCopies
+from .suspect_places import SuspectPlaces
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
 from .timers import TimerService
-from .views import TargetViews
+from .views import TargetView, TargetViews
 
 # Errors after which a repeatable request may be tried again although it may have
 # run: its attempt is over, and what was handed on is counted.
@@ -117,6 +118,7 @@
         retries: Retries,
         suspects: Suspects,
         deaths: TargetDeaths,
+        places: SuspectPlaces,
         router: Router,
         placement,
         popularity: Popularity,
@@ -140,6 +142,7 @@
         self._retries = retries
         self._suspects = suspects
         self._deaths = deaths
+        self._places = places
         self._router = router
         self._placement = placement
         self._popularity = popularity
@@ -308,6 +311,8 @@
             await self._deaths.suspect(view, running, end.failure)
         elif end.failure.kind is ErrorKind.CALLER_GONE:
             self._events.emit(EventKind.CALLER_LEFT, attempt_id, target=view.target)
+        # Only now: another suspect is kept away until a death has been told.
+        self._places.give(view, request.request_id)
         return end
 
     async def _grant(
@@ -327,7 +332,7 @@
             if isinstance(granted, Ok):
                 # Another suspect may have begun there during the wait.
                 joins = self._joinable(request, [granted.ok_value.one_try])
-                if joins:
+                if joins and await self._placed(request, joins[0].view):
                     return granted
             tries = self._tries(assignment, tried)
             if isinstance(granted, Err) and (
@@ -340,6 +345,14 @@
             del granted
             await self._timers.sleep(JOIN_AGAIN_S)
 
+    async def _placed(self, request: CallerRequest, view: TargetView) -> bool:
+        """Whether the request may begin there beside what other VMs run there."""
+        if not self._suspects.is_suspect(request.fingerprint):
+            return True
+        hold_s = request.deadline_at - self._timers.now()
+        taken = await self._places.take(view, request.request_id, hold_s)
+        return isinstance(taken, Ok)
+
     def _joinable(self, request: CallerRequest, tries: list[Try]) -> list[Try]:
         """Return the targets on which a request may run beside what runs there.
 
--- /dev/null
+++ b/hawthornlead/suspect_places.py
@@ -0,0 +1,88 @@
+"""The place for one suspect on each target, kept by the target's owner.
+
+A suspect is a request that was on a target when it died. Two of them on one target,
+from different VMs, would both be there at its next death, and an innocent one would
+be convicted with the one that did it. So a suspect asks the target's owner for the
+only place that it gives out, and gives it back when its attempt has ended::
+
+    taken = await places.take(view, request_id, hold_s=20.0)
+    if taken.is_ok():
+        ...                                     # run the attempt
+        places.give(view, request_id)
+
+The place is no lock that safety rests on: an owner that changes, or forgets, lets
+two suspects meet, which costs an innocent request some minutes at worst.
+"""
+
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .casts import send
+from .errors import ErrorKind, Failure
+from .meshes import failed
+from .messages import Done, GiveSuspectPlace, TakeSuspectPlace
+from .timers import TimerService
+from .views import TargetView
+
+RETRY_AFTER_S = 0.2
+
+
+class _Place(NamedTuple):
+    """Who holds a target's place, and until when if it is not given back."""
+
+    request_id: str
+    ends_at: float
+
+
+class SuspectPlaces:
+    """Asks owners for places, and gives out those of this VM's own targets."""
+
+    def __init__(self, *, timers: TimerService, mesh):
+        self._timers = timers
+        self._mesh = mesh
+        self._held: dict[str, _Place] = {}
+        self._taken: dict[str, str] = {}
+        mesh.on(TakeSuspectPlace, self._on_take)
+        mesh.on(GiveSuspectPlace, self._on_give)
+
+    async def take(
+        self, view: TargetView, request_id: str, hold_s: float
+    ) -> Result[None, Failure]:
+        """Take the place on a target for at most ``hold_s`` seconds.
+
+        Fails with ``NO_GRANT`` while another suspect holds it or the target has no
+        owner, and with ``PEER_UNAVAILABLE`` when the owner does not answer.
+        """
+        if not view.owner_vm:
+            return Err(_taken(view.target, "has no owner"))
+        asked = TakeSuspectPlace(view.target, request_id, hold_s)
+        reply = await self._mesh.call(view.owner_vm, asked)
+        if isinstance(reply, Ok):
+            self._taken[request_id] = view.owner_vm
+        return reply.map(lambda _: None)
+
+    def give(self, view: TargetView, request_id: str) -> None:
+        """Give a place back, if one was taken; lost, it runs out by itself."""
+        owner_vm = self._taken.pop(request_id, None)
+        if owner_vm is not None:
+            send(self._mesh, owner_vm, GiveSuspectPlace(view.target, request_id))
+
+    async def _on_take(self, sender, message: TakeSuspectPlace):
+        now = self._timers.now()
+        place = self._held.get(message.target)
+        held = place is not None and place.ends_at > now
+        if held and place.request_id != message.request_id:
+            return failed(_taken(message.target, "runs another suspect"))
+        self._held[message.target] = _Place(message.request_id, now + message.hold_s)
+        return Done()
+
+    async def _on_give(self, sender, message: GiveSuspectPlace):
+        place = self._held.get(message.target)
+        if place is not None and place.request_id == message.request_id:
+            del self._held[message.target]
+        return Done()
+
+
+def _taken(target: str, why: str) -> Failure:
+    return Failure(ErrorKind.NO_GRANT, f"{target} {why}", RETRY_AFTER_S)
--- a/hawthornlead/tests/test_requests.py
+++ b/hawthornlead/tests/test_requests.py
@@ -41,7 +41,7 @@
         )
         parts = (
             "invariants keeper admissions claims retries placement popularity attempts"
-            " shares spares"
+            " shares spares sent"
         )
         self.path = RequestPath(
             **base,
@@ -52,9 +52,14 @@
             views=self,
             grants=self,
             router=self,
+            places=self,
         )
         self.path._placement = SimpleNamespace(choose=lambda *_: [])
 
+    async def take(self, view, request_id, hold_s):
+        """Give out the place for a suspect, as an owner that gives out no other."""
+        return Ok(None)
+
     def views(self):
         """Return the views of both targets."""
         return [
--- /dev/null
+++ b/hawthornlead/tests/test_suspect_places.py
@@ -0,0 +1,59 @@
+"""Tests of the place for one suspect on each target."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from hawthornlead.errors import ErrorKind
+from hawthornlead.suspect_places import SuspectPlaces
+from hawthornlead.tests.fakes_mesh import LocalNetwork
+from hawthornlead.timers import ManualTimerService
+
+VIEW = SimpleNamespace(target="engine-1", owner_vm="vm-1")
+OWNERLESS = SimpleNamespace(target="engine-2", owner_vm="")
+
+
+@pytest.fixture
+async def world():
+    timers = ManualTimerService()
+    network = LocalNetwork(timers)
+    places = {}
+    for vm in ("vm-1", "vm-2", "vm-3"):
+        places[vm] = SuspectPlaces(timers=timers, mesh=network.join(vm, "dc1", vm))
+    return SimpleNamespace(timers=timers, network=network, places=places)
+
+
+async def test_two_suspects_of_two_vms_never_meet_on_a_target(world):
+    """An innocent request is refused for ten minutes.
+
+    It was beside the guilty one at a target's death, and both are sent again at
+    once through two VMs, which know only of their own, to the same next target.
+    """
+    assert (await world.places["vm-2"].take(VIEW, "guilty", 60)).is_ok()
+    refused = await world.places["vm-3"].take(VIEW, "innocent", 60)
+    assert refused.unwrap_err().kind is ErrorKind.NO_GRANT
+    world.places["vm-2"].give(VIEW, "guilty")
+    await world.timers.advance(0)
+    assert (await world.places["vm-3"].take(VIEW, "innocent", 60)).is_ok()
+
+
+async def test_a_place_of_a_vm_that_died_runs_out(world):
+    assert (await world.places["vm-2"].take(VIEW, "guilty", 5)).is_ok()
+    await world.timers.advance(4)
+    assert (await world.places["vm-3"].take(VIEW, "innocent", 5)).is_err()
+    await world.timers.advance(1.1)
+    assert (await world.places["vm-3"].take(VIEW, "innocent", 5)).is_ok()
+
+
+async def test_a_late_return_does_not_free_the_next_ones_place(world):
+    assert (await world.places["vm-2"].take(VIEW, "guilty", 5)).is_ok()
+    await world.timers.advance(6)
+    assert (await world.places["vm-3"].take(VIEW, "innocent", 60)).is_ok()
+    world.places["vm-2"].give(VIEW, "guilty")
+    await world.timers.advance(0)
+    assert (await world.places["vm-1"].take(VIEW, "third", 60)).is_err()
+
+
+async def test_no_place_without_an_owner(world):
+    refused = await world.places["vm-2"].take(OWNERLESS, "guilty", 5)
+    assert refused.unwrap_err().kind is ErrorKind.NO_GRANT
