--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -27,7 +27,7 @@
 )
 from .fleets import Fleet
 from .soak_callers import Caller, Street
-from .soak_faults import FAULTS, World, inject
+from .soak_faults import FAULTS, REPEATED, World, inject, often
 from .soak_judges import JUDGES
 from .soak_records import Records, SeenStatus, Told
 
@@ -84,9 +84,8 @@
         await world.network.start()
         await fleet.start_vms()
         await world.learn_normal()
-        first = next(iter(fleet.vms.values())).caller_address
         digest = await world.made()
-        await world.rolled(first, digest, 0, 0)
+        await world.rolled(digest, 0, 0)
         for name in fleet.vms:
             await fleet.wait_ready(name)
         addresses = [vm.caller_address for vm in fleet.vms.values()]
@@ -122,7 +121,7 @@
         running: set[asyncio.Task] = set()
         while time.monotonic() < ends:
             if not deck:
-                deck = sorted(FAULTS)
+                deck = [name for name in sorted(FAULTS) for _ in range(often(name))]
                 rng.shuffle(deck)
             running = {task for task in running if not task.done()}
             if len(running) < FAULTS_AT_ONCE:
@@ -199,6 +198,7 @@
         for outcome, count in sorted(outcomes.items()):
             click.echo(f"  {count:6} {outcome}")
         click.echo(f"faults injected: {sum(self._world.injected.values())}")
+        click.echo(f"  {self._world.injected[REPEATED]:6} {REPEATED}")
         for name in sorted(FAULTS):
             count = self._world.injected[name]
             held = held and count > 0
--- a/hawthornlead/tests/soak_cuts.py
+++ b/hawthornlead/tests/soak_cuts.py
@@ -11,7 +11,7 @@
     for link in links:
         link.cut()
     try:
-        await asyncio.sleep(world.rng.choice((0.8, 2.0, 5.0)))
+        await asyncio.sleep(world.rng.choice((0.8, 2.0, 5.0, 8.0)))
     finally:
         for link in links:
             link.mend()
--- a/hawthornlead/tests/soak_faults.py
+++ b/hawthornlead/tests/soak_faults.py
@@ -16,10 +16,11 @@
 from .fleets import Fleet
 from .soak_callers import Caller
 from .soak_links import Network
-from .soak_records import Drained, Hurt, RollTold
+from .soak_records import Drained, Hurt, RollTold, refused_for_certain
 
 CRASH_MARKER = "POISON"
 ORDER_TRIES = 8
+REPEATED = "order-repeated"
 HELD_STREAMS = 5
 
 
@@ -82,6 +83,13 @@
         free = sorted(set(self.fleet.vms) - self._in_use)
         return self.fleet.vms[self.rng.choice(free)].caller_address
 
+    def any_address(self) -> str:
+        """Return the address of any VM, at times of one that a fault works on."""
+        if self.rng.random() < 0.7 or not self.fleet.vms:
+            return self.free_address()
+        vm = self.rng.choice(sorted(self.fleet.vms))
+        return self.fleet.vms[vm].caller_address
+
     def an_engine(self) -> str:
         """Choose an engine."""
         return self.rng.choice(self.engines)
@@ -135,16 +143,25 @@
                 await asyncio.sleep(0.5)
         return await order(self.free_address())
 
-    async def rolled(self, address: str, digest: str, operator: int, expected: int):
-        """Roll a bundle as one of the operators and write down what was told."""
-        code, output = await self.operators.roll(
-            address, digest, "--expect", str(expected), operator=operator
-        )
-        seq = (
-            int(output.partition("in force as ")[2].partition(":")[0])
-            if not code
-            else 0
-        )
+    async def rolled(self, digest: str, operator: int, expected: int) -> None:
+        """Roll a bundle as one of the operators and write down what was told.
+
+        An order whose answer was lost is given again under its own id, over another
+        VM, as the operator's page says.
+        """
+        order_id = f"{self.rng.getrandbits(128):032x}"
+        more = ("--expect", str(expected), "--order-id", order_id)
+        for _ in range(ORDER_TRIES):
+            code, output = await self.operators.roll(
+                self.any_address(), digest, *more, operator=operator
+            )
+            if not code or refused_for_certain(output):
+                break
+            self.injected[REPEATED] += 1
+            await asyncio.sleep(0.5)
+        seq = 0
+        if not code:
+            seq = int(output.partition("in force as ")[2].partition(":")[0])
         self.rolls.append(RollTold(self.now(), digest, expected, seq, output))
 
     async def seq_in_force(self) -> int:
@@ -160,6 +177,8 @@
 
 Fault = Callable[[World], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
+# How often a fault comes for once that the others do, where that isn't once.
+OFTEN = {"roll": 3, "rolls-conflict": 3, "vm-killed": 2, "vm-frozen": 2}
 
 
 def fault(name: str) -> Callable[[Fault], Fault]:
@@ -172,6 +191,11 @@
     return enter
 
 
+def often(name: str) -> int:
+    """Return how many times a fault comes before any comes again."""
+    return OFTEN.get(name, 1)
+
+
 async def inject(world: World, name: str) -> None:
     """Inject one fault, hold and heal it."""
     await FAULTS[name](world)
@@ -280,7 +304,7 @@
     """An operator rolls a further bundle."""
     digest = await world.made()
     world.injected["roll"] += 1
-    await world.rolled(world.free_address(), digest, 0, await world.seq_in_force())
+    await world.rolled(digest, 0, await world.seq_in_force())
 
 
 @fault("rolls-conflict")
@@ -291,7 +315,7 @@
     world.injected["rolls-conflict"] += 1
     await asyncio.gather(
         *(
-            world.rolled(world.free_address(), digest, operator, expected)
+            world.rolled(digest, operator, expected)
             for operator, digest in enumerate(digests)
         )
     )
--- a/hawthornlead/tests/soak_judges.py
+++ b/hawthornlead/tests/soak_judges.py
@@ -11,19 +11,13 @@
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
-from hawthornlead.errors import ANSWERS, Ran
-
-from .soak_records import Records, Told
+from .soak_records import Records, Told, refused_for_certain
 from .standins.engine_runs import prompt_hash, whole_text
 
 # What the run itself may be late by when it compares moments: polls of the status
 # and a busy machine. It only widens bounds in time, no other judge uses it.
 SLACK_S = 0.5
 CRASHES_AT_MOST = 3
-# What an operator may take for certain: the bundle was not put in force.
-REFUSED_FOR_CERTAIN = tuple(
-    kind.value for kind, answer in ANSWERS.items() if answer.ran is Ran.NOT_RUN
-)
 
 
 class Verdict(NamedTuple):
@@ -222,7 +216,7 @@
             if roll.digest not in in_force:
                 broken.append(f"accepted as {roll.seq}, seen nowhere")
             continue
-        certain = any(f"{kind}:" in roll.output for kind in REFUSED_FOR_CERTAIN)
+        certain = refused_for_certain(roll.output)
         exercised += certain
         if certain and roll.digest in in_force - accepted:
             broken.append(f"in force, but its operator was told: {roll.output}")
--- a/hawthornlead/tests/soak_records.py
+++ b/hawthornlead/tests/soak_records.py
@@ -6,6 +6,13 @@
 
 from typing import Any, NamedTuple
 
+from hawthornlead.errors import ANSWERS, Ran
+
+# What an operator may take for certain: the bundle was not put in force.
+_CERTAIN = tuple(
+    kind.value for kind, answer in ANSWERS.items() if answer.ran is Ran.NOT_RUN
+)
+
 
 class Told(NamedTuple):
     """One request as its caller saw it.
@@ -106,3 +113,8 @@
     doubt_s: float
     crash_prompts: list[str]
     unready: list[str]
+
+
+def refused_for_certain(output: str) -> bool:
+    """Whether an operator was told that an order was certainly not carried out."""
+    return any(f"Error: {kind}:" in output for kind in _CERTAIN)
