--- a/hawthornlead/tests/measure.py
+++ b/hawthornlead/tests/measure.py
@@ -8,7 +8,7 @@
 
 import click
 
-from . import measure_fleets, measure_parts
+from . import measure_fleets, measure_parts, measure_paths
 
 
 @click.group()
@@ -58,5 +58,18 @@
     measure_parts.measure("base", "base_row", ("libraries", "code"))
 
 
+@main.command()
+@click.option("--profile", default="", help="write a profile there, measure nothing")
+@click.option("--tokens", default=16, help="tokens of an answer in the profile")
+@click.option("--width", default=16, help="answers at a time in the profile")
+@click.option("--name", default="path", help="name of the result")
+def path(profile: str, tokens: int, width: int, name: str) -> None:
+    """What a VM adds to an answer, and what relaying costs."""
+    if profile:
+        asyncio.run(measure_paths.profile(profile, tokens, width))
+    else:
+        asyncio.run(measure_paths.measure(name))
+
+
 if __name__ == "__main__":
     main()
--- a/hawthornlead/tests/test_settings.py
+++ b/hawthornlead/tests/test_settings.py
@@ -1,5 +1,7 @@
 """Tests of the settings table and of reading INI files."""
 
+import base64
+
 import pytest
 from hypothesis import given, settings, strategies
 
@@ -14,6 +16,7 @@
 )
 from hawthornlead.signatures import generate_key, public_text
 
+KEY = base64.b64encode(bytes(32)).decode()
 VALID = """
 [vm]
 vm_name = vm-1
@@ -62,6 +65,18 @@
         assert places(found) == [("operators", "ben")]
 
 
+def test_every_unreadable_operator_key_is_told(read):
+    """A key is mistyped in the settings of a VM.
+
+    Unchecked, the VM would fail at its start with a traceback that names no key.
+    """
+    text = f"[operators]\nana = abc\nben = {KEY}\ncai = {KEY[4:]}\n"
+    outcome = read(VALID + text + "[grants]\ngrant_size = x\n")
+    wanted = [("grants", "grant_size"), ("operators", "ana"), ("operators", "cai")]
+    assert places(outcome) == wanted
+    assert configure_settings(default_settings(OPERATORS={"ana": "x"})).is_err()
+
+
 def test_missing_file_is_one_error(tmp_path):
     (error,) = read_settings(str(tmp_path / "none.ini")).unwrap_err()
     assert "none.ini" in error.found
