Test that idle connections beside a silent one are not reused

The count of lost attempts could not show it: the newest connection is reused first, so that requests one after another never met the old ones. Also a new VM's registration now has to be heard by the others while all their watches are silent.

--- a/hawthornlead/tests/test_whole_outages.py
+++ b/hawthornlead/tests/test_whole_outages.py
@@ -3,7 +3,12 @@
 import asyncio
 
 import pytest
+from tornado.httputil import HTTPHeaders
 
+from hawthornlead.exchanges import TargetConnections
+from hawthornlead.timers import TimerService
+
+from .standins.engine import EngineStandIn
 from .standins.engine_runs import whole_text
 from .whole_fleets import until, whole_fleet
 
@@ -86,8 +91,7 @@
     """Every open connection to the engines goes silent for good; new ones work.
 
     Something between the ends lost track of them. Reused one by one they would cost
-    one request after another its time and its retries; the first that goes silent
-    tells of all that lie idle, and the retry is on a new one.
+    one request after another its time and its retries.
     """
     busy = [fleet.complete("entry-1", f"brief-{n % 2 + 1}") for n in range(24)]
     assert {reply.status for reply in await asyncio.gather(*busy)} == {200}
@@ -98,9 +102,36 @@
             reply = await fleet.complete(vm, alias)
             assert (reply.status, reply.json["text"]) == (200, expected(alias))
     assert (await fleet.complete("entry-2", "brief-3")).status == 200
-    # Two aliases on their targets: each target was waited for once.
-    lost = fleet.daemons["entry-1"]._metrics.attempts.labels("target-lost")
-    assert lost._value.get() <= len(ENGINES)
+
+
+async def test_idle_connections_beside_a_silent_one_are_not_reused():
+    """Several connections to a target lie idle, and all go silent.
+
+    Reused one by one, each would cost a request the whole time of silence and one
+    retry of the budget. The first that goes silent closes the others.
+    """
+    engine = EngineStandIn(name="engine-1")
+    address = await engine.start()
+    connections = TargetConnections(timers=TimerService())
+
+    async def ask(exchange):
+        sent = await exchange.send(
+            "GET", "/health", HTTPHeaders(), b"", lambda data: None, 0.2
+        )
+        if sent.is_ok():
+            await exchange.read_to_end(0.2)
+        exchange.release()
+        return sent.is_ok()
+
+    opened = [(await connections.open(address)).unwrap() for _ in range(5)]
+    assert all([await ask(exchange) for exchange in opened])
+    engine.set_faults(silent=True)
+    first = (await connections.open(address)).unwrap()
+    assert first.reused and not await ask(first)
+    following = (await connections.open(address)).unwrap()
+    assert not following.reused and await ask(following)
+    connections.close()
+    await engine.stop()
 
 
 async def test_silent_connections_to_the_platform(fleet):
@@ -127,5 +158,14 @@
     for daemon in fleet.daemons.values():
         views = daemon._views
         await until(lambda views=views: views.view("engine-2").leaving, 5.0)
-    for vm in VMS:
+    await fleet.start_vm("entry-4", "bilbao")
+
+    def heard_of_it(daemon) -> bool:
+        return "entry-4" in {one.vm for one in daemon._leases.registered()}
+
+    # The others learn of it by their watches.
+    await until(lambda: all(map(heard_of_it, fleet.daemons.values())), 8.0)
+    for vm in (*VMS, "entry-4"):
+        keeper = fleet.daemons[vm]._keeper
+        await until(lambda keeper=keeper: keeper.may_serve().is_ok())
         assert (await fleet.complete(vm)).status == 200
--- a/hawthornlead/tests/whole_fleets.py
+++ b/hawthornlead/tests/whole_fleets.py
@@ -209,7 +209,7 @@
     async def roll(self, document: dict) -> int:
         """Prepare, approve and roll a bundle at the first VM; return its number."""
         keeper = next(iter(self.daemons.values()))._keeper
-        await until(lambda: self._met())
+        await until(self.met)
         made = prepare(document).unwrap()
         for chunk in made.chunks:
             (await keeper.library.put_chunk(chunk)).unwrap()
@@ -226,7 +226,7 @@
         await until(lambda: self._serves(outcome.seq))
         return outcome.seq
 
-    def _met(self) -> bool:
+    def met(self) -> bool:
         """Whether every daemon is registered and connected to all the others."""
         count = len(self.daemons)
         return all(
