--- a/spec/bundles.pml
+++ b/spec/bundles.pml
@@ -5,7 +5,9 @@
  * cut from the store, from its peers, or frozen. Writes are conditional on the
  * pointer's version, may be delayed without bound, and their replies may be lost.
  * A stage's number is never used again and becomes the bundle's sequence number.
- * One unit of time is a tick. A value that no later step reads is set back to
+ * One unit of time is a tick. ROLLS_ONLY: any number of VMs that acknowledge
+ * whenever they like, so that a roller may go on to accept at any moment; whatever
+ * the pointer and the rollers do with real VMs they can do here too. A value that no later step reads is set back to
  * zero: that joins states which differ in nothing that can matter.
  */
 #ifndef VMS
@@ -98,6 +100,9 @@
   :: atomic { write[0] != NONE -> apply(0) }
 #if ROLLERS > 1
   :: atomic { write[1] != NONE -> apply(1) }
+#endif
+#if ROLLERS > 2
+  :: atomic { write[2] != NONE -> apply(2) }
 #endif
   od
 }
@@ -122,6 +127,7 @@
 #define MAY_SERVE(v) (has[v] && !gone[v] && !IN_DOUBT(v) && !IS_BEHIND(v))
 #endif
 
+#ifndef ROLLS_ONLY
 active proctype Clock() {
 end:
   do
@@ -142,6 +148,8 @@
   od
 }
 
+#endif
+
 /* What a VM knows only grows. */
 inline decide(v, number) {
   RAISE(decided[v], number);
@@ -306,7 +314,7 @@
 #else
 #define REGISTERED_MASK (registered[0] + 2 * registered[1])
 #endif
-#ifdef WAIVER
+#if defined(WAIVER) || defined(ROLLS_ONLY)
 #define ALL_ACKED(i) true
 #elif defined(MAJORITY)
 #define ALL_ACKED(i) ((acks[i] & (1 << i)) != 0)
@@ -330,13 +338,15 @@
   :: gone[i] || told[i] != 0 -> break
   /* Stage. A roller that finds another stage may clear it (its roller is gone,
      or has not ended it for long); the version makes that safe. */
-  :: atomic { has[i] && !gone[i] && stage[i] == 0 && write[i] == NONE && staged == 0 ->
+  :: atomic { told[i] == 0 && has[i] && !gone[i] && stage[i] == 0 &&
+       write[i] == NONE && reply[i] == 0 && staged == 0 ->
        write[i] = STAGE; expects[i] = version; base[i] = accepted }
 #if ROLLERS > 1
   :: atomic { has[i] && !gone[i] && staged != 0 && staged != stage[i] ->
        staged = 0; version++ }
 #endif
-  :: atomic { stage[i] == 0 && reply[i] == 2 -> tell(i, 2) }
+  :: atomic { stage[i] == 0 && reply[i] == 2 ->
+       if :: tell(i, 2) :: reply[i] = 0 fi }
   /* The stage is known by its reply, or by reading back one's own write. */
   :: atomic { stage[i] > 0 && !known[i] && (reply[i] == 1 || staged == stage[i]) ->
        reply[i] = 0; known[i] = true;
@@ -371,8 +381,13 @@
 #ifdef OUTAGE
     has[0] = true; has[1] = true;
 #endif
+#ifdef ROLLS_ONLY
+    has[0] = true; has[1] = true; has[2] = true;
+    run Roller(2);
+#else
     run Vm(0); run Vm(1);
-#if VMS > 2
+#endif
+#if VMS > 2 && !defined(ROLLS_ONLY)
     run Vm(2);
 #endif
 #if ROLLERS > 0 && !defined(OUTAGE)
