--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -5,7 +5,6 @@
 was found and what is allowed. An unknown section or key is an error.
 """
 
-import base64
 import configparser
 import ipaddress
 from collections.abc import Callable
@@ -13,8 +12,9 @@
 
 from result import Err, Ok, Result
 
+from .signatures import check_operators
+
 Settings = dict[str, Any]
-PUBLIC_KEY_BYTES = 32
 
 
 class SettingError(NamedTuple):
@@ -371,7 +371,8 @@
 
 def configure_settings(settings: Settings) -> Result[Settings, list[SettingError]]:
     """Check what no single key shows: how the settings fit together."""
-    errors = _misfits(settings, told=set())
+    errors = _bad_operators(settings["OPERATORS"])
+    errors += _misfits(settings, told=set())
     if errors:
         return Err(errors)
     return Ok(settings)
@@ -443,11 +444,7 @@
     """
     errors = []
     for name, text in operators.items():
-        try:
-            length = len(base64.b64decode(text, validate=True))
-        except ValueError:
-            length = 0
-        if length != PUBLIC_KEY_BYTES:
+        if check_operators({name: text}):
             allowed = "a public key, as `hawthornlead keys show FILE` prints it"
             errors.append(SettingError("operators", name, text, allowed))
     return errors
--- a/hawthornlead/tests/test_attempts.py
+++ b/hawthornlead/tests/test_attempts.py
@@ -77,6 +77,7 @@
         sent=SentAttempts(invariants=parts.invariants),
         **parts._asdict(),
     )
+    until = parts.timers.now() + 100
     call = AttemptCall(
         "r1.1",
         "engine",
@@ -86,7 +87,7 @@
         5,
         0,
         0,
-        100.0,
+        until,
         False,
         "r1",
         True,
