Resolve IP numbers without a thread

A profile of an idle VM showed 12% of its processor time in handing addresses to the resolver's thread: it makes 11 HTTP calls a second, each on a connection of its own, and tornado resolves even IP numbers in a thread. New connections to targets no longer take two changes of thread either. Names still go to the loop's resolver.

The page of capacity gains the tables of the path.

--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -45,6 +45,7 @@
 from .popularities import POPULARITIES
 from .query_handlers import QueryParts, metrics_routes, query_routes
 from .requests import RequestPath
+from .resolvers import NumberResolver
 from .retries import Retries
 from .rolls import BundleKeeper
 from .routers import ROUTERS
@@ -404,7 +405,9 @@
 def run_daemon(settings: Settings) -> None:
     """Run the daemon until it is asked to stop, then drain and stop it."""
     AsyncHTTPClient.configure(
-        "tornado.simple_httpclient.SimpleAsyncHTTPClient", max_clients=1000
+        "tornado.simple_httpclient.SimpleAsyncHTTPClient",
+        max_clients=1000,
+        resolver=NumberResolver(),
     )
     asyncio.run(_run(settings))
 
--- a/hawthornlead/exchanges.py
+++ b/hawthornlead/exchanges.py
@@ -19,6 +19,7 @@
 from tornado.tcpclient import TCPClient
 
 from .errors import ErrorKind, Failure
+from .resolvers import NumberResolver
 from .timers import TimerService
 
 # A target may close an idle connection at any time, and a request that crosses
@@ -174,7 +175,7 @@
 
     def __init__(self, *, timers: TimerService):
         self._timers = timers
-        self._client = TCPClient()
+        self._client = TCPClient(resolver=NumberResolver())
         self._idle: dict[str, deque[_Idle]] = {}
 
     @property
--- a/hawthornlead/tests/capacity_tables.py
+++ b/hawthornlead/tests/capacity_tables.py
@@ -188,6 +188,7 @@
 def runs() -> str:
     """Name all runs."""
     names = ("base", "vms", "peers", "targets", "views", "adapters", "changes")
+    names += ("path-before", "path")
     body = []
     for name in names:
         result = read_result(name)
@@ -517,6 +518,61 @@
     return f"{reads:.2f} reads/s, {writes:.2f} writes/s"
 
 
+# The path of a request
+
+
+@table("path-cost")
+def path_cost() -> str:
+    """Make the table of what one VM process carries."""
+    body = []
+    for name in ("path-before", "path"):
+        found = {row["what"]: row for row in rows(name)}
+        most, short = found["most chunks"], found["most requests of 16 tokens"]
+        body.append(
+            (
+                f"`{name}`",
+                number(most["chunks_per_core_s"]),
+                number(most["chunks_per_s"]),
+                number(short["requests_per_core_s"]),
+                number(short["requests_per_s"]),
+                number(found["open streams"]["bytes_per_stream"]),
+            )
+        )
+    header = (
+        "run",
+        "chunks a core and second",
+        "chunks/s in this run",
+        "requests of 16 tokens a core and second",
+        "requests/s in this run",
+        "bytes an open stream",
+    )
+    return lines(header, body)
+
+
+@table("path-added")
+def path_added() -> str:
+    """Make the table of the time that a VM adds, against direct calls of one run."""
+    body = []
+    for name in ("path-before", "path"):
+        for row in rows(name):
+            if "direct" in row.get("routes", {}):
+                body += _added_rows(name, row)
+    header = ("run", "load", "measure", "p50", "p95", "p99")
+    return lines(header, body)
+
+
+def _added_rows(name: str, row: dict[str, Any]) -> list[tuple]:
+    made = []
+    load = f"{row['what']}, {row['requests_per_s']:.0f} requests/s by the VM"
+    for what in ("first_token_us", "between_tokens_us"):
+        through, direct = row["routes"]["vm"][what], row["routes"]["direct"][what]
+        label = what.removesuffix("_us").replace("_", " ")
+        for each, values in (("by the VM", through), ("direct", direct)):
+            cells = [f"{values[p] / 1000:.1f} ms" for p in ("p50", "p95", "p99")]
+            made.append((f"`{name}`", load, f"{label}, {each}", *cells))
+    return made
+
+
 # What breaks first
 
 
--- /dev/null
+++ b/hawthornlead/tests/test_resolvers.py
@@ -0,0 +1,29 @@
+"""Tests of the resolver for IP numbers."""
+
+import asyncio
+import socket
+
+from hawthornlead.resolvers import NumberResolver
+
+
+async def test_numbers_are_resolved_without_a_thread(monkeypatch):
+    async def asked(*args, **options):
+        raise AssertionError("asked the loop, which asks a thread")
+
+    monkeypatch.setattr(asyncio.get_running_loop(), "getaddrinfo", asked)
+    resolver = NumberResolver()
+    assert await resolver.resolve("127.0.0.1", 80) == [
+        (socket.AF_INET, ("127.0.0.1", 80))
+    ]
+    found = await resolver.resolve("::1", 81)
+    assert found[0][0] == socket.AF_INET6
+    assert found[0][1][:2] == ("::1", 81)
+
+
+async def test_names_go_to_the_loop(monkeypatch):
+    async def asked(host, port, **options):
+        return [(socket.AF_INET, socket.SOCK_STREAM, 6, "", ("10.0.0.9", port))]
+
+    monkeypatch.setattr(asyncio.get_running_loop(), "getaddrinfo", asked)
+    found = await NumberResolver().resolve("engine-1.example", 80)
+    assert found == [(socket.AF_INET, ("10.0.0.9", 80))]
