--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -50,6 +50,7 @@
 from .request_claims import RequestClaims
 from .request_guards import RequestGuard
 from .requests import RequestPath
+from .resolvers import NumberResolver
 from .retries import Retries
 from .rolls import BundleKeeper
 from .routers import ROUTERS
@@ -443,7 +444,9 @@
     Fails at once with ``BAD_SETTINGS`` when a port can't be opened.
     """
     AsyncHTTPClient.configure(
-        "tornado.simple_httpclient.SimpleAsyncHTTPClient", max_clients=1000
+        "tornado.simple_httpclient.SimpleAsyncHTTPClient",
+        max_clients=1000,
+        resolver=NumberResolver(),
     )
     return asyncio.run(_run(settings))
 
