--- a/hawthornlead/load_queues.py
+++ b/hawthornlead/load_queues.py
@@ -8,6 +8,7 @@
 from .errors import Failure
 from .grant_ledgers import AdapterVersion
 from .load_orders import LoadOrder, LoadRequest
+from .messages import Resident
 from .residencies import Slot
 
 BACKOFF_S = 1.0
@@ -100,6 +101,14 @@
         """Whether a load of the adapter version is wanted."""
         return key in self._loads
 
+    def residents(self) -> tuple[Resident, ...]:
+        """Return the loads that requests wait for, as owners tell them."""
+        return tuple(
+            Resident(load.key.adapter, load.key.version, 0, True)
+            for load in self.loads()
+            if load.requests > 0
+        )
+
     def remove(self, load: Load) -> None:
         """Take a load that is over out of the queue."""
         if self._loads.get(load.key) is load:
--- /dev/null
+++ b/hawthornlead/load_waits.py
@@ -0,0 +1,41 @@
+"""How long a request waits for a load at a target whose slots are all in use."""
+
+from result import Err, Result
+
+from .errors import ErrorKind, Failure
+from .load_queues import Load
+from .loaders import Loader
+from .timers import TimerService
+from .waits import wait_done
+
+# How long a load without a slot is waited for before it is looked at again.
+LOOK_S = 0.5
+
+
+def no_room() -> Err[Failure]:
+    """Refuse for want of a slot, which another target may have."""
+    failure = Failure(ErrorKind.NO_SLOT, "all slots are in use", retry_after_s=LOOK_S)
+    return Err(failure)
+
+
+async def wait_for_load(
+    timers: TimerService, loader: Loader, load: Load, until: float, room_s: float
+) -> Result[None, Failure]:
+    """Wait for a load until ``until``, but ``room_s`` at most without a slot.
+
+    A slot may come and go while the load waits for its leave, so that the time
+    without one counts anew from each look that finds one.
+    """
+    room_until = timers.now() + max(LOOK_S, room_s)
+    while True:
+        pause = min(until - timers.now(), LOOK_S)
+        if await wait_done(timers, load.ended, pause):
+            return load.ended.result()
+        now = timers.now()
+        if now >= until:
+            detail = "the load was not made in time"
+            return Err(Failure(ErrorKind.NO_SLOT, detail, retry_after_s=1.0))
+        if loader.can_load(load.key):
+            room_until = max(room_until, now + LOOK_S)
+        elif now >= room_until:
+            return no_room()
--- a/hawthornlead/loaders.py
+++ b/hawthornlead/loaders.py
@@ -17,6 +17,7 @@
 from .events import EventKind, EventRing
 from .grant_ledgers import AdapterVersion, GrantLedger, HeldGrant
 from .invariants import Invariants
+from .load_leaves import LoadLeaves
 from .load_queues import Load, LoadQueue
 from .messages import Resident
 from .metrics import Metrics
@@ -31,11 +32,6 @@
 ROOM_TRIES = 3
 # How long nothing is loaded after the target said that it has no free slot.
 FULL_PAUSE_S = 0.5
-# How long a load that no request waits for asks for leave. Short, so that a request
-# that joins it meanwhile soon asks with its own weight.
-AHEAD_ASK_S = 0.5
-# For how long the wait for leave counts in what a new load is expected to take.
-LEAVE_KEEP_S = 2.0
 # Weight of the newest load in the running mean of how long loads take.
 MEAN_WEIGHT = 0.2
 
@@ -70,12 +66,17 @@
         self._metrics = metrics
         self._invariants = invariants
         self._target = target
-        self._weight_store = weight_store
         self._orders = orders
         self._ledger = ledger
         self._residency = residency
         self._queue = queue
         self._allowances = allowances
+        self._leaves = LoadLeaves(
+            timers=timers,
+            allowances=allowances,
+            weight_store=weight_store,
+            target=target,
+        )
         self._eviction = eviction
         self._popularity = popularity
         self._changed = changed
@@ -90,15 +91,11 @@
         self._full_until = float("-inf")
         self._stopped = False
         self._mean_s = settings["LOADS_AT_ONCE"] / settings["LOADS_PER_S"]
-        # How long the newest leave was waited for, and when it came.
-        self._leave_s = 0.0
-        self._leave_at = float("-inf")
 
     def estimate_s(self, key: AdapterVersion) -> float:
         """Return how long a request for ``key`` would wait for its load."""
         turns = self._queue.ahead_of(key) // self._settings["LOADS_AT_ONCE"] + 1
-        recent = self._timers.now() - self._leave_at < LEAVE_KEEP_S
-        return turns * self._mean_s + (self._leave_s if recent else 0.0)
+        return turns * self._mean_s + self._leaves.expected_s
 
     def can_load(self, key: AdapterVersion, ahead: int = 0) -> bool:
         """Whether a load of ``key`` has a slot, or could soon have one.
@@ -114,6 +111,10 @@
                 room += slot.running == 0 or self._ledger.idle(slot.key)
         return room > ahead
 
+    def takes(self, key: AdapterVersion) -> bool:
+        """Whether a load of ``key`` is wanted, or has a slot beside those that are."""
+        return self._queue.wants(key) or self.can_load(key, len(self._queue))
+
     def start_loads(self) -> None:
         """Start wanted loads in their order, as many at once as may be."""
         if self._stopped:
@@ -164,7 +165,7 @@
             if isinstance(seen, Err) or seen.ok_value:
                 return seen if isinstance(seen, Err) else Ok(None)
             self._expecting.add(load)
-            leave = await self._ask_leave(load)
+            leave = await self._leaves.ask(load)
             self._expecting.discard(load)
             if leave is None:
                 continue
@@ -176,26 +177,6 @@
             self._allowances.release(permit, loaded=False)
         return self._no_slot("no slot became free")
 
-    async def _ask_leave(self, load: Load) -> Result[Permit, Failure] | None:
-        """Ask for leave to load; None when requests came to a load ahead meanwhile."""
-        asked_at = self._timers.now()
-        left = load.deadline_at - asked_at
-        ahead = load.requests == 0
-        leave = await self._allowances.acquire(
-            self._weight_store,
-            self._target,
-            load.key,
-            load.priority,
-            min(left, AHEAD_ASK_S) if ahead else left,
-            load.requests,
-        )
-        if isinstance(leave, Err) and ahead and load.requests > 0:
-            return None
-        if isinstance(leave, Ok) and not ahead:
-            self._leave_at = self._timers.now()
-            self._leave_s = self._leave_at - asked_at
-        return leave
-
     async def _wait_for_room(self, load: Load) -> Result[bool, Failure]:
         """Wait until there is room; Ok(True) when the adapter is resident already."""
         while True:
--- a/hawthornlead/slots.py
+++ b/hawthornlead/slots.py
@@ -19,6 +19,7 @@
 from .grant_ledgers import AdapterVersion, GrantLedger, HeldGrant
 from .invariants import Invariants
 from .load_queues import Load, LoadQueue
+from .load_waits import no_room, wait_for_load
 from .loaders import Loader
 from .messages import (
     AcquireGrant,
@@ -38,10 +39,7 @@
 from .target_readers import TargetReader
 from .targets import TargetClient
 from .timers import TimerService
-from .waits import Signal, wait_done
-
-# How long a load without a slot is waited for before it is looked at again.
-LOOK_S = 0.5
+from .waits import Signal
 
 
 class TargetOwner:
@@ -281,12 +279,10 @@
 
     def _told_residents(self) -> tuple[Resident, ...]:
         """Return the residents and the loads that wait, so that others join them."""
-        waiting = [
-            Resident(load.key.adapter, load.key.version, 0, True)
-            for load in self._queue.loads()
-            if self._residency.get(load.key) is None and load.requests > 0
-        ]
-        return (*self._residency.residents(), *waiting)
+        residents = self._residency.residents()
+        known = {resident[:2] for resident in residents}
+        waiting = (r for r in self._queue.residents() if r[:2] not in known)
+        return (*residents, *waiting)
 
     def _now(self) -> float:
         return self._timers.now()
@@ -330,7 +326,9 @@
             return joined
         load = joined.ok_value
         try:
-            outcome = await self._wait_for(load, asking)
+            outcome = await wait_for_load(
+                self._timers, self._loader, load, asking.until, asking.ask.room_s
+            )
             if isinstance(outcome, Err):
                 return outcome
             if load.slot.grantable and self._orders.right() is OrderRight.FULL:
@@ -357,35 +355,14 @@
         if now + estimate > until:
             detail = "a load can't be made in time"
             return Err(Failure(ErrorKind.NO_SLOT, detail, retry_after_s=estimate))
-        if ask.room_s <= 0 and not self._can_load(key):
-            return _no_room(self._target.name)
+        if ask.room_s <= 0 and not self._loader.takes(key):
+            return no_room()
         load = self._queue.join(
             key, ask.base_model, ask.priority, until, now, ask.ahead
         )
         self._loader.start_loads()
         return Ok(load)
 
-    def _can_load(self, key: AdapterVersion) -> bool:
-        if self._queue.wants(key):
-            return True
-        return self._loader.can_load(key, len(self._queue))
-
-    async def _wait_for(self, load: Load, asking: "_Asking") -> Result[None, Failure]:
-        """Wait for a load, while it has a slot or for ``room_s`` without one."""
-        room_until = self._now() + max(LOOK_S, asking.ask.room_s)
-        while True:
-            pause = min(asking.until - self._now(), LOOK_S)
-            if await wait_done(self._timers, load.ended, pause):
-                return load.ended.result()
-            now = self._now()
-            if now >= asking.until:
-                detail = "the load was not made in time"
-                return Err(Failure(ErrorKind.NO_SLOT, detail, retry_after_s=1.0))
-            if self._loader.can_load(load.key):
-                room_until = max(room_until, now + LOOK_S)
-            elif now >= room_until:
-                return _no_room(self._target.name)
-
     def _grant(self, asking: "_Asking", loaded_s: float) -> GrantReply:
         """Give a grant; called with nothing awaited since the right was read."""
         count = max(1, min(asking.ask.count, self._settings["GRANT_SIZE"]))
@@ -429,10 +406,5 @@
     until: float
 
 
-def _no_room(target: str) -> Err[Failure]:
-    detail = f"all slots of {target} are in use"
-    return Err(Failure(ErrorKind.NO_SLOT, detail, retry_after_s=LOOK_S))
-
-
 def _no_grant(detail: str) -> Failure:
     return Failure(ErrorKind.NO_GRANT, detail, retry_after_s=1.0)
--- a/hawthornlead/tests/test_load_waits.py
+++ b/hawthornlead/tests/test_load_waits.py
@@ -90,3 +90,18 @@
     await world.advance(3.0)
     assert joined.result().is_ok() and ahead.done()
     assert told == [("tide", 1), ("lap", 0), ("lap", 1)]
+
+
+async def test_states_tell_loads_that_wait_for_leave():
+    """Two VMs miss the same adapter while the weight store is busy.
+
+    Were the first load told only once it runs, the second VM would place another.
+    """
+    world = await _world(LOADS_PER_S=0.4, LOADS_AT_ONCE=1)
+    world.engine.slots = 2
+    (await world.acquired("b", "tide")).unwrap()
+    await world.advance(0.6)
+    _acquire(world, "b", "lap")
+    await world.advance(0.2)
+    told = world.vms["a"].targets.targets["engine"].state(0).residents
+    assert ("lap", "1", 0, True) in told and len(told) == 2
