Ask only for a newer VM list

A list that did not change is now answered 304 where the platform gives entity tags, and counts as fresh. Where it gives none nothing changes. A shorter interval or relaying the list over the mesh were put off: the one makes a leaving target known late, the other is more to build.

--- a/hawthornlead/platforms.py
+++ b/hawthornlead/platforms.py
@@ -10,6 +10,8 @@
 
 from .errors import ErrorKind, Failure
 
+NOT_MODIFIED = 304
+
 
 class VmEntry(NamedTuple):
     """One VM of the list; ``role`` is "entry", "engine" or "service"."""
@@ -35,6 +37,7 @@
         self._client = None
         self._entries: tuple[VmEntry, ...] = ()
         self._read_at = float("-inf")
+        self._tag = ""
         self._subscribers: list[Callable[[], None]] = []
         self._subscription = None
 
@@ -94,17 +97,30 @@
             callback()
 
     async def read(self) -> Result[None, Failure]:
-        """Read the list once."""
+        """Read the list once; one that did not change costs a few bytes.
+
+        The list of a large fleet is a hundred kilobytes and changes a few times an
+        hour, so a platform that gives entity tags is asked only for a newer one.
+        """
         sent_at = self._timers.now()
         request = HTTPRequest(
-            self._url, connect_timeout=self._timeout_s, request_timeout=self._timeout_s
+            self._url,
+            headers={"If-None-Match": self._tag} if self._tag else None,
+            connect_timeout=self._timeout_s,
+            request_timeout=self._timeout_s,
         )
         try:
-            response = await self._client.fetch(request)
+            response = await self._client.fetch(request, raise_error=False)
+            if response.code == NOT_MODIFIED and self._tag:
+                self.take(self._entries, sent_at)
+                return Ok(None)
+            response.rethrow()
             entries = tuple(_entry(vm) for vm in json.loads(response.body)["vms"])
         except (HTTPClientError, OSError, ValueError, KeyError, TypeError) as error:
             logger.debug("VM list not read: {!r}", error)
             return Err(Failure(ErrorKind.STORE_UNAVAILABLE, f"VM list: {error}", 1.0))
+        if sent_at >= self._read_at:
+            self._tag = response.headers.get("Etag", "")
         self.take(entries, sent_at)
         return Ok(None)
 
--- a/hawthornlead/tests/test_platforms.py
+++ b/hawthornlead/tests/test_platforms.py
@@ -16,12 +16,19 @@
 
 
 class ListHandler(tornado.web.RequestHandler):
-    """Answers with three VMs."""
+    """Answers with three VMs, and with an entity tag as tornado makes it."""
+
+    def initialize(self, entries=(ENGINE, TIMING, ENTRY), answered=None):
+        self.entries = entries
+        self.answered = [] if answered is None else answered
 
     def get(self):
-        vms = [entry._asdict() for entry in (ENGINE, TIMING, ENTRY)]
+        vms = [entry._asdict() for entry in self.entries]
         self.write(json.dumps({"vms": vms}))
 
+    def on_finish(self):
+        self.answered.append(self.get_status())
+
 
 async def test_reads_list_and_keeps_newest():
     server = tornado.httpserver.HTTPServer(
@@ -50,3 +57,29 @@
     vm_list.take((), timers.now() - 1)
     assert vm_list.entries
     await vm_list.stop()
+
+
+async def test_an_unchanged_list_is_fresh_and_is_not_sent_again():
+    entries, answered = [ENGINE], []
+    parts = {"entries": entries, "answered": answered}
+    server = tornado.httpserver.HTTPServer(
+        tornado.web.Application([("/vms", ListHandler, parts)])
+    )
+    socket, port = tornado.testing.bind_unused_port()
+    server.add_socket(socket)
+    timers = ManualTimerService()
+    settings = default_settings(VM_LIST_ADDRESS=f"127.0.0.1:{port}")
+    vm_list = VmList(settings=settings, timers=timers)
+    vm_list.start()
+    assert (await vm_list.read()).is_ok()
+    timers._now += 10
+    assert (await vm_list.read()).is_ok()
+    assert answered == [200, 304]
+    assert vm_list.age_s == 0 and vm_list.entries == (ENGINE,)
+    entries.append(ENTRY)
+    assert (await vm_list.read()).is_ok()
+    assert answered == [200, 304, 200]
+    assert vm_list.entries == (ENGINE, ENTRY)
+    server.stop()
+    await server.close_all_connections()
+    await vm_list.stop()
