Answer a streamed request's second try as run, not with an empty answer

A streamed answer is not kept. Its record named a content type all the same, so that a second try got an empty answer in place of 'duplicate-done'; the test of completions that run once showed it. The gathering of words has its own module.

--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -201,7 +201,9 @@
             return Ok(RecordedAnswer(claimed.ok_value))
         failure = await self._try_targets(request, assignment, sink)
         if failure is None:
-            outcome = Outcome(DONE, 200, "application/json", sink.recorded())
+            # A streamed answer is not kept: a later try is told only that it ran.
+            body = sink.recorded()
+            outcome = Outcome(DONE, 200, "application/json" if body else "", body)
         else:
             failure = failure._replace(claim_read=True)
             outcome = Outcome.failed(failure)
--- a/hawthornlead/roll_orders.py
+++ b/hawthornlead/roll_orders.py
@@ -6,8 +6,6 @@
 abandoned by another can't come into force any more.
 """
 
-import asyncio
-from collections import defaultdict
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -25,15 +23,11 @@
 )
 from .errors import ErrorKind, Failure
 from .events import EventKind
-from .lease_objects import Registration, process_of
-from .messages import BundleDecided, StageBundle, StagedBundle
-from .registered_vms import list_registered
+from .messages import BundleDecided
+from .roll_words import WordGatherer, Words
 from .signatures import Purpose, SignedStatement, Statement
 
 CHANGES_TOLD = 20
-# A VM that has not acknowledged is asked again after this share of the longest
-# wait.
-ASK_AGAIN_SHARE = 0.08
 
 
 class RollOutcome(NamedTuple):
@@ -50,13 +44,6 @@
     waived: tuple[str, ...] = ()
 
 
-class _Words(NamedTuple):
-    acknowledged: tuple[str, ...]
-    gone: tuple[str, ...]
-    waived: tuple[str, ...]
-    silent: dict[str, str]
-
-
 async def abandon_stage(store, seq: int) -> Result[Pointer, Failure]:
     """Abandon a stage if it is still the one staged; return the pointer."""
 
@@ -87,14 +74,14 @@
         keeper,
     ):
         self._vm = settings["VM_NAME"]
-        self._acknowledge_s = settings["ACKNOWLEDGE_S"]
-        self._again_s = ASK_AGAIN_SHARE * settings["ACKNOWLEDGE_S"]
         self._timers = timers
         self._events = events
         self._metrics = metrics
         self._store = store
         self._mesh = mesh
-        self._members = members
+        self._words = WordGatherer(
+            settings=settings, timers=timers, store=store, mesh=mesh, members=members
+        )
         self._library = library
         self._keeper = keeper
         self._running: set[str] = set()
@@ -170,7 +157,7 @@
         if stage is None or stage.order_id != statement.order_id:
             return self._told_before(pointer.ended(statement.order_id))
         started_at = self._timers.now()
-        words = await self._gather_words(pointer, statement)
+        words = await self._words.gather(pointer, statement.waived)
         if words.is_err():
             return await self._abandon(pointer.staged, words.unwrap_err())
         if words.unwrap().silent:
@@ -282,83 +269,9 @@
             lines.append(f"and {len(changes) - CHANGES_TOLD} more")
         return lines
 
-    # Words of all VMs
-
-    async def _gather_words(
-        self, pointer: Pointer, statement: Statement
-    ) -> Result[_Words, Failure]:
-        # Guards against a VM that nobody waits for and that serves the old bundle
-        # on after the acceptance (BUN-11, BUN-13). The list is read after the stage
-        # was written: a VM that is not in it read the pointer after it registered,
-        # and so after the stage, and is in doubt by having read of it.
-        listed = await list_registered(self._store)
-        if listed.is_err():
-            return listed
-        entries: dict[str, list[Registration]] = defaultdict(list)
-        for entry in listed.unwrap():
-            entries[entry.vm].append(entry)
-        waived, gone, wanted = [], [], []
-        for vm in sorted(entries):
-            if all(self._is_gone(entry) for entry in entries[vm]):
-                gone.append(vm)
-            else:
-                wanted.append(vm)
-        words = await asyncio.gather(
-            *(self._word(vm, entries[vm], pointer) for vm in wanted)
-        )
-        acknowledged, silent = [], {}
-        for vm, word in zip(wanted, words, strict=True):
-            names = {vm, *(entry.data_centre for entry in entries[vm])}
-            if word.is_ok():
-                (acknowledged if word.unwrap() else gone).append(vm)
-            elif names & set(statement.waived):
-                waived.append(vm)
-            else:
-                data_centre = entries[vm][0].data_centre
-                silent[vm] = f"{vm} ({data_centre}): {word.unwrap_err().detail}"
-        return Ok(_Words(tuple(acknowledged), tuple(gone), tuple(waived), silent))
-
-    def _is_gone(self, entry: Registration) -> bool:
-        # A process that registered anew after its lease lapsed has two names. Proof
-        # is of the process: that one of its registrations was ended must not count
-        # as proof, or a roll is accepted without a VM that serves behind a cut.
-        process = process_of(entry.incarnation)
-        return self._members.proof_gone(entry.vm, process) is not None
-
-    async def _word(
-        self, vm: str, entries: list[Registration], pointer: Pointer
-    ) -> Result[bool, Failure]:
-        """Return True for a VM's word, False when it is proved gone meanwhile."""
-        stage = pointer.staged
-        message = StageBundle(
-            stage.seq,
-            stage.digest,
-            pointer.seq,
-            pointer.digest,
-            stage.vm,
-            stage.incarnation,
-        )
-        until = self._timers.now() + self._acknowledge_s
-        while True:
-            left = until - self._timers.now()
-            wait_s = min(left, self._acknowledge_s / 3)
-            reply = await self._mesh.call(vm, message, timeout_s=wait_s)
-            if reply.is_ok() and _is_word(reply.unwrap(), vm, stage):
-                return Ok(True)
-            if all(self._is_gone(entry) for entry in entries):
-                return Ok(False)
-            if self._timers.now() + self._again_s >= until:
-                break
-            await self._timers.sleep(self._again_s)
-        if reply.is_ok():
-            return Err(Failure(ErrorKind.BAD_MESSAGE, "not a word on this stage"))
-        return reply
-
     # Deciding
 
-    async def _accept(
-        self, stage: Stage, words: _Words
-    ) -> Result[RollOutcome, Failure]:
+    async def _accept(self, stage: Stage, words: Words) -> Result[RollOutcome, Failure]:
         def change(value):
             pointer = read_pointer(value)
             if pointer.staged is None or pointer.staged.seq != stage.seq:
@@ -412,12 +325,6 @@
     return "nobody"
 
 
-def _is_word(reply, vm: str, stage: Stage) -> bool:
-    if not isinstance(reply, StagedBundle):
-        return False
-    return (reply.vm, reply.seq, reply.digest) == (vm, stage.seq, stage.digest)
-
-
 def _under_way(vm: str) -> Failure:
     detail = f"this order is being carried out at {vm}: ask again with it"
     return Failure(ErrorKind.ROLL_UNKNOWN, detail, 1.0)
--- /dev/null
+++ b/hawthornlead/roll_words.py
@@ -0,0 +1,122 @@
+"""Gathering the words of all VMs on a stage, before it may be accepted."""
+
+import asyncio
+from collections import defaultdict
+from collections.abc import Collection
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from .bundle_pointers import Pointer, Stage
+from .errors import ErrorKind, Failure
+from .lease_objects import Registration, process_of
+from .messages import StageBundle, StagedBundle
+from .registered_vms import list_registered
+
+# A VM that has not acknowledged is asked again after this share of the longest
+# wait.
+ASK_AGAIN_SHARE = 0.08
+
+
+class Words(NamedTuple):
+    """Who acknowledged a stage, is proved gone, is waived; who else is silent.
+
+    ``silent`` maps the name of a VM to a sentence on why there is no word.
+    """
+
+    acknowledged: tuple[str, ...]
+    gone: tuple[str, ...]
+    waived: tuple[str, ...]
+    silent: dict[str, str]
+
+
+class WordGatherer:
+    """Asks the VMs for their words on a stage."""
+
+    def __init__(self, *, settings, timers, store, mesh, members):
+        self._acknowledge_s = settings["ACKNOWLEDGE_S"]
+        self._again_s = ASK_AGAIN_SHARE * settings["ACKNOWLEDGE_S"]
+        self._timers = timers
+        self._store = store
+        self._mesh = mesh
+        self._members = members
+
+    async def gather(
+        self, pointer: Pointer, waivable: Collection[str]
+    ) -> Result[Words, Failure]:
+        """Ask every registered VM that is not proved gone.
+
+        ``waivable`` names VMs and data centres without whose word it goes.
+        """
+        # Guards against a VM that nobody waits for and that serves the old bundle
+        # on after the acceptance (BUN-11, BUN-13). The list is read after the stage
+        # was written: a VM that is not in it read the pointer after it registered,
+        # and so after the stage, and is in doubt by having read of it.
+        listed = await list_registered(self._store)
+        if listed.is_err():
+            return listed
+        entries: dict[str, list[Registration]] = defaultdict(list)
+        for entry in listed.unwrap():
+            entries[entry.vm].append(entry)
+        waived, gone, wanted = [], [], []
+        for vm in sorted(entries):
+            if all(self._is_gone(entry) for entry in entries[vm]):
+                gone.append(vm)
+            else:
+                wanted.append(vm)
+        words = await asyncio.gather(
+            *(self._word(vm, entries[vm], pointer) for vm in wanted)
+        )
+        acknowledged, silent = [], {}
+        for vm, word in zip(wanted, words, strict=True):
+            names = {vm, *(entry.data_centre for entry in entries[vm])}
+            if word.is_ok():
+                (acknowledged if word.unwrap() else gone).append(vm)
+            elif names & set(waivable):
+                waived.append(vm)
+            else:
+                data_centre = entries[vm][0].data_centre
+                silent[vm] = f"{vm} ({data_centre}): {word.unwrap_err().detail}"
+        return Ok(Words(tuple(acknowledged), tuple(gone), tuple(waived), silent))
+
+    def _is_gone(self, entry: Registration) -> bool:
+        # A process that registered anew after its lease lapsed has two names. Proof
+        # is of the process: that one of its registrations was ended must not count
+        # as proof, or a roll is accepted without a VM that serves behind a cut.
+        process = process_of(entry.incarnation)
+        return self._members.proof_gone(entry.vm, process) is not None
+
+    async def _word(
+        self, vm: str, entries: list[Registration], pointer: Pointer
+    ) -> Result[bool, Failure]:
+        """Return True for a VM's word, False when it is proved gone meanwhile."""
+        stage = pointer.staged
+        message = StageBundle(
+            stage.seq,
+            stage.digest,
+            pointer.seq,
+            pointer.digest,
+            stage.vm,
+            stage.incarnation,
+        )
+        until = self._timers.now() + self._acknowledge_s
+        while True:
+            left = until - self._timers.now()
+            wait_s = min(left, self._acknowledge_s / 3)
+            reply = await self._mesh.call(vm, message, timeout_s=wait_s)
+            if reply.is_ok() and _is_word(reply.unwrap(), vm, stage):
+                return Ok(True)
+            if all(self._is_gone(entry) for entry in entries):
+                return Ok(False)
+            if self._timers.now() + self._again_s >= until:
+                break
+            await self._timers.sleep(self._again_s)
+        if reply.is_ok():
+            return Err(Failure(ErrorKind.BAD_MESSAGE, "not a word on this stage"))
+        return reply
+
+
+def _is_word(reply, vm: str, stage: Stage) -> bool:
+    if not isinstance(reply, StagedBundle):
+        return False
+    return (reply.vm, reply.seq, reply.digest) == (vm, stage.seq, stage.digest)
