--- a/hawthornlead/command_handlers.py
+++ b/hawthornlead/command_handlers.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from result import Err, Ok, Result
+from tornado.iostream import StreamClosedError
 from tornado.web import RequestHandler
 
 from .bundles import CallerTerms
@@ -72,6 +73,11 @@
             fields["other_tries"] = "unknown"
         self.finish(json.dumps(fields))
 
+    def log_exception(self, kind, value, traceback) -> None:
+        """Leave out a caller's going away, which is no error of this VM."""
+        if not isinstance(value, StreamClosedError):
+            super().log_exception(kind, value, traceback)
+
     def write_error(self, status_code: int, **kwargs) -> None:
         """Answer what tornado or a bug refuses in the form of all refusals."""
         kind = ErrorKind.BAD_REQUEST if status_code < 500 else ErrorKind.INTERNAL
--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -50,15 +50,18 @@
 from .request_claims import RequestClaims
 from .request_guards import RequestGuard
 from .requests import RequestPath
+from .resolvers import NumberResolver
 from .retries import Retries
 from .rolls import BundleKeeper
 from .routers import ROUTERS
+from .sent_attempts import SentAttempts
 from .service_calls import ServicePath
 from .settings import Settings
 from .signatures import OperatorKeys
 from .slots import Policies
 from .spares import SpareCopies
 from .statuses import StatusParts, status_routes
+from .suspect_places import SuspectPlaces
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
 from .target_owners import TargetOwners
@@ -294,7 +297,7 @@
         self._suspects = Suspects(
             settings=settings, timers=timers, events=self._events, mesh=self._mesh
         )
-        self._drain = Drain(**base, members=self._members)
+        self._drain = Drain(**base, members=self._members, invariants=self._invariants)
         deaths = TargetDeaths(
             events=self._events,
             mesh=self._mesh,
@@ -302,11 +305,13 @@
             views=self._views,
             clients=self._clients,
         )
+        sent = SentAttempts(invariants=self._invariants)
         attempts = AttemptRunner(
             **base,
             invariants=self._invariants,
             connections=self._connections,
             clients=self._clients,
+            sent=sent,
         )
         claims = RequestClaims(settings=settings, timers=timers, claims=self._claims)
         spares = SpareCopies(
@@ -327,12 +332,14 @@
             retries=self._retries,
             suspects=self._suspects,
             deaths=deaths,
+            places=SuspectPlaces(timers=timers, mesh=self._mesh),
             router=self._router,
             placement=self._placement,
             popularity=self._popularity,
             shares=self._shares,
             spares=spares,
             attempts=attempts,
+            sent=sent,
         )
         self._services = ServicePath(
             **base,
@@ -342,6 +349,7 @@
             claims=claims,
             retries=self._retries,
             connections=self._connections,
+            sent=sent,
         )
         self._mesh.heartbeat_source = self._heartbeat
 
@@ -436,7 +444,9 @@
     Fails at once with ``BAD_SETTINGS`` when a port can't be opened.
     """
     AsyncHTTPClient.configure(
-        "tornado.simple_httpclient.SimpleAsyncHTTPClient", max_clients=1000
+        "tornado.simple_httpclient.SimpleAsyncHTTPClient",
+        max_clients=1000,
+        resolver=NumberResolver(),
     )
     return asyncio.run(_run(settings))
 
--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -26,12 +26,14 @@
 from .retries import Retries
 from .rolls import BundleKeeper, InForce
 from .routers import Router
+from .sent_attempts import SentAttempts
 from .settings import Settings
 from .spares import SpareCopies
+from .suspect_places import SuspectPlaces
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
 from .timers import TimerService
-from .views import TargetViews
+from .views import TargetView, TargetViews
 
 # Errors after which a repeatable request may be tried again although it may have
 # run: its attempt is over, and what was handed on is counted.
@@ -116,12 +118,14 @@
         retries: Retries,
         suspects: Suspects,
         deaths: TargetDeaths,
+        places: SuspectPlaces,
         router: Router,
         placement,
         popularity: Popularity,
         shares: PopularityShares,
         spares: SpareCopies,
         attempts: AttemptRunner,
+        sent: SentAttempts,
     ):
         self._settings = settings
         self._timers = timers
@@ -138,12 +142,14 @@
         self._retries = retries
         self._suspects = suspects
         self._deaths = deaths
+        self._places = places
         self._router = router
         self._placement = placement
         self._popularity = popularity
         self._shares = shares
         self._spares = spares
         self._attempts = attempts
+        self._sent = sent
 
     async def serve(
         self, request: CallerRequest, sink: RequestSink
@@ -160,6 +166,7 @@
             return await self._serve_admitted(request, sink)
         finally:
             self._metrics.open_requests.dec()
+            self._sent.forget(request.request_id)
             admitted.ok_value.release()
 
     async def _serve_admitted(self, request, sink):
@@ -170,6 +177,8 @@
         if isinstance(allowed, Err):
             return self._refused(request, allowed.err_value)
         assignment = assigned.ok_value
+        newest = request.in_force.seq >= self._keeper.seq_in_force
+        self._invariants.check("admitted-under-newest", newest, request.request_id)
         self._shares.observe(assignment.adapter)
         self._spares.consider(assignment)
         self._events.emit(
@@ -290,6 +299,8 @@
             request.priority,
             request.deadline_at,
             fresh=bool(request.key) or number > 1,
+            request_id=request.request_id,
+            once=bool(request.key),
         )
         running = self._deaths.started(view, attempt_id, request.fingerprint)
         try:
@@ -302,6 +313,8 @@
             await self._deaths.suspect(view, running, end.failure)
         elif end.failure.kind is ErrorKind.CALLER_GONE:
             self._events.emit(EventKind.CALLER_LEFT, attempt_id, target=view.target)
+        # Only now: another suspect is kept away until a death has been told.
+        self._places.give(view, request.request_id)
         return end
 
     async def _grant(
@@ -321,7 +334,7 @@
             if isinstance(granted, Ok):
                 # Another suspect may have begun there during the wait.
                 joins = self._joinable(request, [granted.ok_value.one_try])
-                if joins:
+                if joins and await self._placed(request, joins[0].view):
                     return granted
             tries = self._tries(assignment, tried)
             if isinstance(granted, Err) and (
@@ -334,6 +347,14 @@
             del granted
             await self._timers.sleep(JOIN_AGAIN_S)
 
+    async def _placed(self, request: CallerRequest, view: TargetView) -> bool:
+        """Whether the request may begin there beside what other VMs run there."""
+        if not self._suspects.is_suspect(request.fingerprint):
+            return True
+        hold_s = request.deadline_at - self._timers.now()
+        taken = await self._places.take(view, request.request_id, hold_s)
+        return isinstance(taken, Ok)
+
     def _joinable(self, request: CallerRequest, tries: list[Try]) -> list[Try]:
         """Return the targets on which a request may run beside what runs there.
 
@@ -373,6 +394,7 @@
         return Ok(None)
 
     def _refused(self, request, failure: Failure) -> Err[Failure]:
+        self._sent.refusing(request.request_id, failure)
         self._metrics.requests.labels(failure.kind.value).inc()
         self._events.emit(
             EventKind.REQUEST_REFUSED,
--- a/hawthornlead/tests/test_attempts.py
+++ b/hawthornlead/tests/test_attempts.py
@@ -7,6 +7,7 @@
 
 from hawthornlead.attempts import AttemptCall, AttemptRunner
 from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.sent_attempts import SentAttempts
 from hawthornlead.settings import default_settings
 
 from .fakes_targets import make_parts
@@ -67,17 +68,29 @@
     async def cancel(request_id):
         return cancelled
 
-    parts = make_parts()
     client = SimpleNamespace(cancel=cancel)
+    parts = make_parts()
     runner = AttemptRunner(
         settings=default_settings(VM_NAME="vm-1"),
         connections=SimpleNamespace(open=open_connection),
         clients=SimpleNamespace(client=lambda address: client),
+        sent=SentAttempts(invariants=parts.invariants),
         **parts._asdict(),
     )
     until = parts.timers.now() + 100
     call = AttemptCall(
-        "r1", "engine", "", Assigned("tide"), "tide?", 5, 0, 0, until, False
+        "r1.1",
+        "engine",
+        "",
+        Assigned("tide"),
+        "tide?",
+        5,
+        0,
+        0,
+        until,
+        False,
+        "r1",
+        True,
     )
     grant = _Grant()
     sink = SimpleNamespace(gone=False, write=lambda events: None)
--- a/hawthornlead/tests/test_whole_outages.py
+++ b/hawthornlead/tests/test_whole_outages.py
@@ -3,7 +3,12 @@
 import asyncio
 
 import pytest
+from tornado.httputil import HTTPHeaders
 
+from hawthornlead.exchanges import TargetConnections
+from hawthornlead.timers import TimerService
+
+from .standins.engine import EngineStandIn
 from .standins.engine_runs import whole_text
 from .whole_fleets import until, whole_fleet
 
@@ -85,11 +90,11 @@
 async def test_silent_connections_to_the_targets(fleet):
     """Every open connection to the engines goes silent for good; new ones work.
 
-    Something between the ends lost track of them. A VM that went on reusing them
-    would fail every request until it is restarted.
+    Something between the ends lost track of them. Reused one by one they would cost
+    one request after another its time and its retries.
     """
-    for alias in ("brief-1", "brief-2"):
-        assert (await fleet.complete("entry-1", alias)).status == 200
+    busy = [fleet.complete("entry-1", f"brief-{n % 2 + 1}") for n in range(24)]
+    assert {reply.status for reply in await asyncio.gather(*busy)} == {200}
     for engine in ENGINES:
         fleet.standin(engine).set_faults(silent=True)
     for vm in VMS:
@@ -99,6 +104,36 @@
     assert (await fleet.complete("entry-2", "brief-3")).status == 200
 
 
+async def test_idle_connections_beside_a_silent_one_are_not_reused():
+    """Several connections to a target lie idle, and all go silent.
+
+    Reused one by one, each would cost a request the whole time of silence and one
+    retry of the budget. The first that goes silent closes the others.
+    """
+    engine = EngineStandIn(name="engine-1")
+    address = await engine.start()
+    connections = TargetConnections(timers=TimerService())
+
+    async def ask(exchange):
+        sent = await exchange.send(
+            "GET", "/health", HTTPHeaders(), b"", lambda data: None, 0.2
+        )
+        if sent.is_ok():
+            await exchange.read_to_end(0.2)
+        exchange.release()
+        return sent.is_ok()
+
+    opened = [(await connections.open(address)).unwrap() for _ in range(5)]
+    assert all([await ask(exchange) for exchange in opened])
+    engine.set_faults(silent=True)
+    first = (await connections.open(address)).unwrap()
+    assert first.reused and not await ask(first)
+    following = (await connections.open(address)).unwrap()
+    assert not following.reused and await ask(following)
+    connections.close()
+    await engine.stop()
+
+
 async def test_silent_connections_to_the_platform(fleet):
     """The connections to object API and VM list go silent for good; new ones work.
 
@@ -123,5 +158,14 @@
     for daemon in fleet.daemons.values():
         views = daemon._views
         await until(lambda views=views: views.view("engine-2").leaving, 5.0)
-    for vm in VMS:
+    await fleet.start_vm("entry-4", "bilbao")
+
+    def heard_of_it(daemon) -> bool:
+        return "entry-4" in {one.vm for one in daemon._leases.registered()}
+
+    # The others learn of it by their watches.
+    await until(lambda: all(map(heard_of_it, fleet.daemons.values())), 8.0)
+    for vm in (*VMS, "entry-4"):
+        keeper = fleet.daemons[vm]._keeper
+        await until(lambda keeper=keeper: keeper.may_serve().is_ok())
         assert (await fleet.complete(vm)).status == 200
