Tell a failed TLS connection of a command in one line

tornado's own line was printed besides it, and certificates that are not there were told without their name. Tried with a fleet that has TLS towards callers and a secret between VMs: prepare, approve, roll, timeline and entry over https, with and without --ca.

--- a/hawthornlead/commands.py
+++ b/hawthornlead/commands.py
@@ -89,7 +89,12 @@
         return function(operator=Operator(operator, _read_key(key), url, ca), **options)
 
     for option in (
-        click.option("--ca", metavar="FILE", help="Certificates to trust (PEM)."),
+        click.option(
+            "--ca",
+            metavar="FILE",
+            type=click.Path(exists=True, dir_okay=False),
+            help="Certificates to trust (PEM).",
+        ),
         click.option(
             "--vm",
             required=True,
--- a/hawthornlead/logs.py
+++ b/hawthornlead/logs.py
@@ -150,6 +150,15 @@
     )
 
 
+def quiet_libraries() -> None:
+    """Keep libraries' lines from the terminal of a command.
+
+    The command tells its failure itself; without a handler the standard library
+    prints the line of tornado besides it.
+    """
+    logging.basicConfig(handlers=[logging.NullHandler()], force=True)
+
+
 def json_line(record: dict[str, Any]) -> str:
     """Return one log record as a line of JSON, newline included.
 
--- a/hawthornlead/main.py
+++ b/hawthornlead/main.py
@@ -7,7 +7,7 @@
 
 from . import __version__
 from .commands import bundle_group, keys_group
-from .logs import configure_logs
+from .logs import configure_logs, quiet_libraries
 from .queries import QUERIES, effective_settings
 from .timers import TimerService
 
@@ -16,6 +16,7 @@
 @click.version_option(__version__, prog_name="hawthornlead")
 def cli():
     """Serve answers from base models dressed in very many LoRA adapters."""
+    quiet_libraries()
 
 
 @cli.command()
--- a/hawthornlead/queries.py
+++ b/hawthornlead/queries.py
@@ -47,7 +47,12 @@
     """Add the options of a query that asks a running VM."""
     for option in (
         click.option("--json", "as_json", is_flag=True, help="Print JSON."),
-        click.option("--ca", metavar="FILE", help="Certificates to trust (PEM)."),
+        click.option(
+            "--ca",
+            metavar="FILE",
+            type=click.Path(exists=True, dir_okay=False),
+            help="Certificates to trust (PEM).",
+        ),
         click.option(
             "--vm",
             required=True,
--- a/hawthornlead/tests/test_main.py
+++ b/hawthornlead/tests/test_main.py
@@ -177,3 +177,9 @@
     refused = run("status", "--vm", vm, "--operator", "ana", "--key", str(path))
     assert refused.exit_code == 1
     assert "private key is not" in refused.output
+
+
+def test_certificates_to_trust_that_are_not_there(run, vm):
+    outcome = run("entry", "--vm", f"https://{vm}", "--ca", "/none.pem")
+    assert outcome.exit_code == 2
+    assert "'/none.pem' does not exist" in outcome.stderr
