--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -47,11 +47,13 @@
 from .popularities import POPULARITIES, HighestPopularity
 from .popularity_shares import PopularityShares
 from .query_handlers import QueryParts, metrics_routes, query_routes
+from .request_claims import RequestClaims
 from .request_guards import RequestGuard
 from .requests import RequestPath
 from .retries import Retries
 from .rolls import BundleKeeper
 from .routers import ROUTERS
+from .sent_attempts import SentAttempts
 from .service_calls import ServicePath
 from .settings import Settings
 from .signatures import OperatorKeys
@@ -293,7 +295,7 @@
         self._suspects = Suspects(
             settings=settings, timers=timers, events=self._events, mesh=self._mesh
         )
-        self._drain = Drain(**base, members=self._members)
+        self._drain = Drain(**base, members=self._members, invariants=self._invariants)
         deaths = TargetDeaths(
             events=self._events,
             mesh=self._mesh,
@@ -301,12 +303,15 @@
             views=self._views,
             clients=self._clients,
         )
+        sent = SentAttempts(invariants=self._invariants)
         attempts = AttemptRunner(
             **base,
             invariants=self._invariants,
             connections=self._connections,
             clients=self._clients,
+            sent=sent,
         )
+        claims = RequestClaims(settings=settings, timers=timers, claims=self._claims)
         spares = SpareCopies(
             timers=timers,
             views=self._views,
@@ -321,7 +326,7 @@
             admissions=self._admissions,
             views=self._views,
             grants=self._grants,
-            claims=self._claims,
+            claims=claims,
             retries=self._retries,
             suspects=self._suspects,
             deaths=deaths,
@@ -331,15 +336,17 @@
             shares=self._shares,
             spares=spares,
             attempts=attempts,
+            sent=sent,
         )
         self._services = ServicePath(
             **base,
             rng=self._rng,
             vm_list=self._vm_list,
             admissions=self._admissions,
-            claims=self._claims,
+            claims=claims,
             retries=self._retries,
             connections=self._connections,
+            sent=sent,
         )
         self._mesh.heartbeat_source = self._heartbeat
 
--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -11,7 +11,7 @@
 
 from .attempts import AttemptCall, AttemptEnd, AttemptRunner, Sink
 from .bundles import Assignment, CallerTerms
-from .claims import Claims
+from .claim_rows import DONE
 from .errors import ErrorKind, Failure, Ran
 from .events import EventKind, EventRing
 from .grant_rounds import Granted, GrantRounds, Try
@@ -22,9 +22,11 @@
 from .metrics import Metrics
 from .popularities import Popularity
 from .popularity_shares import PopularityShares
+from .request_claims import Keyed, Outcome, RequestClaims
 from .retries import Retries
 from .rolls import BundleKeeper, InForce
 from .routers import Router
+from .sent_attempts import SentAttempts
 from .settings import Settings
 from .spares import SpareCopies
 from .suspects import Suspects
@@ -37,13 +39,19 @@
 RESUMABLE = frozenset(
     {ErrorKind.TARGET_LOST, ErrorKind.ANSWER_CUT, ErrorKind.WRONG_ANSWER}
 )
+# A suspect asks again after this, while others run wherever it might.
+JOIN_AGAIN_S = 0.1
+SUSPECTS_RUN = Failure(
+    ErrorKind.NO_TARGET, "it may run only where no other suspect does", 1.0
+)
 
 
 class CallerRequest(NamedTuple):
     """A request as its caller sent it, with its limits worked out.
 
     ``deadline_at`` is on the timer service's clock. ``key`` is the idempotency key,
-    empty for a request that may be repeated.
+    empty for a request that may be repeated; ``key_issued_at`` is in seconds since
+    the epoch by the caller's clock, None where it was not told.
     """
 
     request_id: str
@@ -55,6 +63,7 @@
     deadline_at: float
     key: str
     in_force: InForce
+    key_issued_at: float | None = None
 
     @property
     def fingerprint(self) -> bytes:
@@ -104,7 +113,7 @@
         admissions: Admissions,
         views: TargetViews,
         grants: Grants,
-        claims: Claims,
+        claims: RequestClaims,
         retries: Retries,
         suspects: Suspects,
         deaths: TargetDeaths,
@@ -114,6 +123,7 @@
         shares: PopularityShares,
         spares: SpareCopies,
         attempts: AttemptRunner,
+        sent: SentAttempts,
     ):
         self._settings = settings
         self._timers = timers
@@ -136,6 +146,7 @@
         self._shares = shares
         self._spares = spares
         self._attempts = attempts
+        self._sent = sent
 
     async def serve(
         self, request: CallerRequest, sink: RequestSink
@@ -152,6 +163,7 @@
             return await self._serve_admitted(request, sink)
         finally:
             self._metrics.open_requests.dec()
+            self._sent.forget(request.request_id)
             admitted.ok_value.release()
 
     async def _serve_admitted(self, request, sink):
@@ -162,6 +174,8 @@
         if isinstance(allowed, Err):
             return self._refused(request, allowed.err_value)
         assignment = assigned.ok_value
+        newest = request.in_force.seq >= self._keeper.seq_in_force
+        self._invariants.check("admitted-under-newest", newest, request.request_id)
         self._shares.observe(assignment.adapter)
         self._spares.consider(assignment)
         self._events.emit(
@@ -179,41 +193,26 @@
 
     async def _serve_once(self, request, assignment, sink):
         """Serve a request that runs at most once, under a claim on its key."""
-        claimed = await self._claims.claim(
-            request.caller.name, request.key, request.fingerprint, request.request_id
+        keyed = Keyed(
+            request.caller.name,
+            request.key,
+            request.fingerprint,
+            request.request_id,
+            request.key_issued_at,
         )
+        claimed = await self._claims.claim(keyed)
         if isinstance(claimed, Err):
             return self._refused(request, claimed.err_value)
-        claim = claimed.ok_value
-        if claim.state == "done" and claim.body:
-            return Ok(RecordedAnswer(claim))
-        if claim.state != "new":
-            return self._refused(request, CLAIM_FAILURES[claim.state])
-        outcome = await self._try_targets(request, assignment, sink)
-        await self._record(request, outcome, sink)
-        return self._answered(request, outcome)
-
-    async def _record(self, request, failure: Failure | None, sink) -> None:
-        """Record how a claimed request ended.
-
-        Where the record itself fails the claim stays without an outcome, which
-        later tries are told as 'may have run': never as 'not run'.
-        """
+        if claimed.ok_value.state == DONE:
+            return Ok(RecordedAnswer(claimed.ok_value))
+        failure = await self._try_targets(request, assignment, sink)
         if failure is None:
-            state, body = "done", sink.recorded()
-        elif failure.answer.ran is Ran.NOT_RUN:
-            state, body = "not_run", b""
+            outcome = Outcome(DONE, 200, "application/json", sink.recorded())
         else:
-            state, body = "unknown", b""
-        await self._claims.record(
-            request.caller.name,
-            request.key,
-            request.request_id,
-            state,
-            200 if failure is None else failure.answer.status,
-            "application/json",
-            body,
-        )
+            failure = failure._replace(claim_read=True)
+            outcome = Outcome.failed(failure)
+        await self._claims.record(keyed, outcome)
+        return self._answered(request, failure)
 
     async def _try_targets(
         self, request: CallerRequest, assignment: Assignment, sink: RequestSink
@@ -264,12 +263,10 @@
         allowed = failure.answer.retry or (repeatable and failure.kind in RESUMABLE)
         if not allowed or number == self._settings["MAX_ATTEMPTS"]:
             return False
-        backoff_s = self._retries.backoff(number)
-        if self._timers.now() + backoff_s >= request.deadline_at:
-            return False
-        if not self._retries.take():
+        wait_s = self._retries.next_wait(number, request.deadline_at)
+        if wait_s is None:
             return False
-        await self._timers.sleep(backoff_s)
+        await self._timers.sleep(wait_s)
         return True
 
     async def _attempt(
@@ -297,8 +294,10 @@
             request.priority,
             request.deadline_at,
             fresh=bool(request.key) or number > 1,
+            request_id=request.request_id,
+            once=bool(request.key),
         )
-        self._deaths.started(view.target, attempt_id, request.fingerprint)
+        running = self._deaths.started(view, attempt_id, request.fingerprint)
         try:
             end = await self._attempts.run(call, grant, sink)
         finally:
@@ -306,7 +305,7 @@
         if end.failure is None:
             self._suspects.completed(request.fingerprint)
         elif end.failure.kind in (ErrorKind.TARGET_LOST, ErrorKind.TARGET_UNREACHABLE):
-            await self._deaths.suspect(view, request.fingerprint, end.failure)
+            await self._deaths.suspect(view, running, end.failure)
         elif end.failure.kind is ErrorKind.CALLER_GONE:
             self._events.emit(EventKind.CALLER_LEFT, attempt_id, target=view.target)
         return end
@@ -314,13 +313,45 @@
     async def _grant(
         self, request: CallerRequest, assignment: Assignment, tried: set[str]
     ) -> Result[Granted, Failure]:
-        """Get a grant on the best target that gives one before the deadline."""
-        return await self._rounds.acquire(
-            assignment,
-            request.priority,
-            request.deadline_at,
-            lambda: self._tries(assignment, tried),
-        )
+        """Get a grant on the best target that gives one before the deadline.
+
+        A suspect waits while other suspects run wherever it might.
+        """
+        while True:
+            granted = await self._rounds.acquire(
+                assignment,
+                request.priority,
+                request.deadline_at,
+                lambda: self._joinable(request, self._tries(assignment, tried)),
+            )
+            if isinstance(granted, Ok):
+                # Another suspect may have begun there during the wait.
+                joins = self._joinable(request, [granted.ok_value.one_try])
+                if joins:
+                    return granted
+            tries = self._tries(assignment, tried)
+            if isinstance(granted, Err) and (
+                not tries or self._joinable(request, tries)
+            ):
+                return granted
+            if request.deadline_at - self._timers.now() < JOIN_AGAIN_S:
+                return Err(SUSPECTS_RUN)
+            # The grant goes back unused while this waits.
+            del granted
+            await self._timers.sleep(JOIN_AGAIN_S)
+
+    def _joinable(self, request: CallerRequest, tries: list[Try]) -> list[Try]:
+        """Return the targets on which a request may run beside what runs there.
+
+        Guards against two suspects on a target that dies, which would tell nothing
+        of which one did it: an innocent request is refused for long.
+        """
+        found = []
+        for one_try in tries:
+            running = self._deaths.running(one_try.view.target)
+            if self._suspects.may_join(request.fingerprint, running):
+                found.append(one_try)
+        return found
 
     def _tries(self, assignment: Assignment, tried: set[str]) -> list[Try]:
         """Order the targets: where the adapter is first, then where to load it."""
@@ -348,6 +379,7 @@
         return Ok(None)
 
     def _refused(self, request, failure: Failure) -> Err[Failure]:
+        self._sent.refusing(request.request_id, failure)
         self._metrics.requests.labels(failure.kind.value).inc()
         self._events.emit(
             EventKind.REQUEST_REFUSED,
@@ -359,20 +391,6 @@
         return Err(failure)
 
 
-CLAIM_FAILURES: dict[str, Failure] = {
-    "running": Failure(
-        ErrorKind.DUPLICATE_RUNNING, "the first try with this key still runs", 1.0
-    ),
-    "done": Failure(
-        ErrorKind.DUPLICATE_DONE, "it ran; its answer was too large to be kept"
-    ),
-    "unknown": Failure(
-        ErrorKind.DUPLICATE_UNKNOWN, "the first try with this key may have run"
-    ),
-    "reused": Failure(ErrorKind.KEY_REUSED, "this key stands for a different request"),
-}
-
-
 def _truthful(failure: Failure, ran: bool) -> Failure:
     """Return the failure to answer, never 'not run' when an earlier attempt ran.
 
