--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -50,6 +50,7 @@
 from .request_claims import RequestClaims
 from .request_guards import RequestGuard
 from .requests import RequestPath
+from .resolvers import NumberResolver
 from .retries import Retries
 from .rolls import BundleKeeper
 from .routers import ROUTERS
@@ -60,6 +61,7 @@
 from .slots import Policies
 from .spares import SpareCopies
 from .statuses import StatusParts, status_routes
+from .suspect_places import SuspectPlaces
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
 from .target_owners import TargetOwners
@@ -330,6 +332,7 @@
             retries=self._retries,
             suspects=self._suspects,
             deaths=deaths,
+            places=SuspectPlaces(timers=timers, mesh=self._mesh),
             router=self._router,
             placement=self._placement,
             popularity=self._popularity,
@@ -441,7 +444,9 @@
     Fails at once with ``BAD_SETTINGS`` when a port can't be opened.
     """
     AsyncHTTPClient.configure(
-        "tornado.simple_httpclient.SimpleAsyncHTTPClient", max_clients=1000
+        "tornado.simple_httpclient.SimpleAsyncHTTPClient",
+        max_clients=1000,
+        resolver=NumberResolver(),
     )
     return asyncio.run(_run(settings))
 
