--- a/hawthornlead/tests/test_service_calls.py
+++ b/hawthornlead/tests/test_service_calls.py
@@ -9,11 +9,13 @@
 from hawthornlead.clocks import HybridClock
 from hawthornlead.errors import ErrorKind, Ran
 from hawthornlead.events import EventRing
+from hawthornlead.invariants import Invariants
 from hawthornlead.limits import Admissions
 from hawthornlead.metrics import Metrics
 from hawthornlead.platforms import VmEntry
 from hawthornlead.request_claims import RequestClaims
 from hawthornlead.retries import Retries
+from hawthornlead.sent_attempts import SentAttempts
 from hawthornlead.service_calls import ServiceCall, ServicePath
 from hawthornlead.settings import default_settings
 from hawthornlead.tests.fakes_claims import ClaimFleet
@@ -41,11 +43,12 @@
         self.timers = self.fleet.timers
         self.connections = FakeConnections(self.timers, **answer)
         settings, rng = default_settings(), random.Random(1)
+        events, metrics = EventRing("vm-1", HybridClock(self.timers)), Metrics()
         self.path = ServicePath(
             settings=settings,
             timers=self.timers,
-            events=EventRing("vm-1", HybridClock(self.timers)),
-            metrics=Metrics(),
+            events=events,
+            metrics=metrics,
             rng=rng,
             vm_list=FakeVmList(),
             admissions=Admissions(settings=settings, timers=self.timers, rng=rng),
@@ -56,6 +59,7 @@
             ),
             retries=Retries(settings=settings, timers=self.timers, rng=rng),
             connections=self.connections,
+            sent=SentAttempts(invariants=Invariants(events, metrics)),
         )
 
     async def call(self, request_id, key="lap-81", repeatable=False):
