Leave the start's objects out of garbage collections

Most of what it looked through were modules and parts that live as long as the process. A bundle of 18,000 adapters comes later and is not frozen.

--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import gc
 import secrets
 import signal
 from random import Random
@@ -449,6 +450,16 @@
     return asyncio.run(_run(settings))
 
 
+def _freeze_start() -> None:
+    """Leave what the start has made out of all later garbage collections.
+
+    Modules and parts live as long as the process. Each full collection looked
+    through all of them, which held up every stream for as long as a token may take.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 async def _run(settings: Settings) -> Result[None, Failure]:
     daemon = Daemon(settings)
     asked = asyncio.Event()
@@ -459,6 +470,7 @@
     if isinstance(opened, Err):
         return opened
     await daemon.start()
+    _freeze_start()
     await asked.wait()
     await daemon.drain()
     await daemon.stop()
