--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -62,6 +62,7 @@
 from .slots import Policies
 from .spares import SpareCopies
 from .statuses import StatusParts, status_routes
+from .suspect_places import SuspectPlaces
 from .suspects import Suspects
 from .target_deaths import TargetDeaths
 from .target_owners import TargetOwners
@@ -332,6 +333,7 @@
             retries=self._retries,
             suspects=self._suspects,
             deaths=deaths,
+            places=SuspectPlaces(timers=timers, mesh=self._mesh),
             router=self._router,
             placement=self._placement,
             popularity=self._popularity,
