--- a/hawthornlead/views.py
+++ b/hawthornlead/views.py
@@ -8,7 +8,6 @@
 
 from .events import EventKind, EventRing
 from .messages import TargetState
-from .platforms import VmEntry
 from .timers import TimerService
 
 # Owners change without a call to this module, so the views are rebuilt this often
@@ -57,7 +56,7 @@
         self._owners = owners
         self._states: dict[str, TargetState] = {}
         self._heard_at: dict[str, float] = {}
-        self._entries: dict[str, VmEntry] = {}
+        self._entries: dict = {}
         self._views: dict[str, TargetView] = {}
         self._all: tuple[TargetView, ...] | None = None
         self._built_at: float | None = None
@@ -94,9 +93,10 @@
             return False
         self._states[state.target] = state
         self._heard_at[state.target] = self._timers.now()
+        # Only this target's view is built anew: with hundreds of targets states come
+        # faster than all views could be.
         entry = self._entries.get(state.target)
         if entry is not None:
-            # Owners tell many states a second: only this one view is made anew.
             self._views[state.target] = self._build(entry)
             self._all = None
         return True
