--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -270,7 +270,9 @@
         if wait_s is None:
             return False
         await self._timers.sleep(wait_s)
-        return True
+        # Guards against a request that kills every target it is retried on: it was
+        # admitted before its first crash, and is quarantined by its own attempts.
+        return self._suspects.check(request.fingerprint).is_ok()
 
     async def _attempt(
         self, request, assignment, one_try: Try, grant: Grant, offset, number, sink
