Give all registries one class

The decorators keep their names, so that strategies are entered as before.

The queries' registry stays as it is: click names its commands already.

--- a/hawthornlead/evictions.py
+++ b/hawthornlead/evictions.py
@@ -9,18 +9,10 @@
 
 from hawthornlead.messages import Resident
 from hawthornlead.popularities import Popularity
+from hawthornlead.registries import Registry
 
-EVICTIONS: dict[str, type["Eviction"]] = {}
-
-
-def eviction(name: str):
-    """Enter an eviction strategy in ``EVICTIONS`` under ``name``."""
-
-    def enter(cls):
-        EVICTIONS[name] = cls
-        return cls
-
-    return enter
+EVICTIONS: Registry[type["Eviction"]] = Registry("eviction")
+eviction = EVICTIONS.register
 
 
 class Eviction:
--- a/hawthornlead/load_orders.py
+++ b/hawthornlead/load_orders.py
@@ -10,7 +10,10 @@
 import math
 from typing import NamedTuple
 
-LOAD_ORDERS: dict[str, type["LoadOrder"]] = {}
+from .registries import Registry
+
+LOAD_ORDERS: Registry[type["LoadOrder"]] = Registry("load order")
+load_order = LOAD_ORDERS.register
 
 
 class LoadRequest(NamedTuple):
@@ -30,16 +33,6 @@
     waiting: int
 
 
-def load_order(name: str):
-    """Enter a load order in ``LOAD_ORDERS`` under ``name``."""
-
-    def enter(cls):
-        LOAD_ORDERS[name] = cls
-        return cls
-
-    return enter
-
-
 class LoadOrder:
     """Base class of the load orders."""
 
--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -8,26 +8,14 @@
 Times are relative (``..._s``, seconds): clocks of different VMs are never compared.
 """
 
-from collections.abc import Callable
-from typing import NamedTuple, TypeVar
+from typing import NamedTuple
 
-PROTOCOL_VERSION = 1
-
-MESSAGES: dict[str, type] = {}
-
-_Message = TypeVar("_Message", bound=type)
+from .registries import Registry
 
+PROTOCOL_VERSION = 1
 
-def message(name: str) -> Callable[[_Message], _Message]:
-    """Enter a message type in ``MESSAGES`` under its name on the wire."""
-
-    def enter(cls: _Message) -> _Message:
-        if name in MESSAGES:
-            raise ValueError(f"two messages are named {name!r}")
-        MESSAGES[name] = cls
-        return cls
-
-    return enter
+MESSAGES: Registry[type] = Registry("message")
+message = MESSAGES.register
 
 
 # Session and membership
--- a/hawthornlead/placements.py
+++ b/hawthornlead/placements.py
@@ -11,6 +11,7 @@
 
 from hawthornlead.hashes import rendezvous
 from hawthornlead.popularities import Popularity
+from hawthornlead.registries import Registry
 from hawthornlead.views import TargetView
 
 if TYPE_CHECKING:
@@ -19,17 +20,8 @@
 # Above any rate, so that a target without a slot to give comes after all others.
 NO_SLOT_PRICE = 1e6
 
-PLACEMENTS: dict[str, type["Placement"]] = {}
-
-
-def placement(name: str):
-    """Enter a placement strategy in ``PLACEMENTS`` under ``name``."""
-
-    def enter(cls):
-        PLACEMENTS[name] = cls
-        return cls
-
-    return enter
+PLACEMENTS: Registry[type["Placement"]] = Registry("placement")
+placement = PLACEMENTS.register
 
 
 def usable_views(
--- a/hawthornlead/popularities.py
+++ b/hawthornlead/popularities.py
@@ -14,7 +14,10 @@
 
 import math
 
-POPULARITIES: dict[str, type["Popularity"]] = {}
+from .registries import Registry
+
+POPULARITIES: Registry[type["Popularity"]] = Registry("popularity")
+popularity = POPULARITIES.register
 
 # A rate below this (requests a second) is as good as none: about one request a day.
 FORGOTTEN_RATE = 1e-5
@@ -22,16 +25,6 @@
 FORGET_EVERY = 4096
 
 
-def popularity(name: str):
-    """Enter a popularity strategy in ``POPULARITIES`` under ``name``."""
-
-    def enter(cls):
-        POPULARITIES[name] = cls
-        return cls
-
-    return enter
-
-
 class Popularity:
     """Base class of the popularity strategies; counts nothing."""
 
--- a/hawthornlead/references.py
+++ b/hawthornlead/references.py
@@ -19,9 +19,11 @@
 from .events import EventKind
 from .messages import MESSAGES
 from .metrics import Metrics
+from .registries import Registry
 from .settings import FITS, FREE_SECTIONS, SETTINGS, Setting
 
-PAGES: dict[str, Callable[[], str]] = {}
+PAGES: Registry[Callable[[], str]] = Registry("reference page")
+page = PAGES.register
 
 GENERATED = "<!-- Made by scripts/docs from hawthornlead/{}.py. -->"
 
@@ -30,16 +32,6 @@
 END_MARK = "<!-- end -->"
 
 
-def page(name: str):
-    """Enter a function in ``PAGES`` under the file name of its page."""
-
-    def enter(function):
-        PAGES[name] = function
-        return function
-
-    return enter
-
-
 @page("settings.md")
 def settings_page() -> str:
     """Return the page of all settings, by section, and of how they must fit."""
--- a/hawthornlead/routers.py
+++ b/hawthornlead/routers.py
@@ -13,12 +13,14 @@
 
 from hawthornlead.placements import Placement, holds, usable_views, work
 from hawthornlead.popularities import Popularity
+from hawthornlead.registries import Registry
 from hawthornlead.views import TargetView
 
 if TYPE_CHECKING:
     from hawthornlead.bundles import Assignment
 
-ROUTERS: dict[str, type["Router"]] = {}
+ROUTERS: Registry[type["Router"]] = Registry("router")
+router = ROUTERS.register
 
 
 class Candidate(NamedTuple):
@@ -31,16 +33,6 @@
     resident: bool
 
 
-def router(name: str):
-    """Enter a routing strategy in ``ROUTERS`` under ``name``."""
-
-    def enter(cls):
-        ROUTERS[name] = cls
-        return cls
-
-    return enter
-
-
 class Router:
     """Base class of the routing strategies."""
 
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -12,6 +12,7 @@
 
 from result import Err, Ok, Result
 
+from .registries import Registry
 from .signatures import check_operators
 
 Settings = dict[str, Any]
@@ -48,17 +49,9 @@
     choices: tuple[str, ...] = ()
 
 
-READERS: dict[str, Callable[[str, Setting], Any]] = {}
-
-
-def reader(kind: str):
-    """Enter a function in ``READERS``; it raises ``ValueError`` on bad text."""
-
-    def enter(function):
-        READERS[kind] = function
-        return function
-
-    return enter
+READERS: Registry[Callable[[str, Setting], Any]] = Registry("reader of settings")
+# A reader raises ``ValueError``, its text what is allowed, on text that is not.
+reader = READERS.register
 
 
 # The INI key is the name in lower case, in the section that the row names.
