Give up a request that the network holds back for SEND_S

Cause: the wait before an eviction counts SEND_S (1 s) for a request's way, and nothing bounded that way: retransmissions can deliver bytes much later. TCP_USER_TIMEOUT on connections to targets closes them once sent bytes stay unacknowledged for SEND_S. It leaves open a target that reads late what its system took (docs/design/slots.md). The test looks at the option, which the system enforces; no run with a lossy network was made.

--- a/hawthornlead/exchanges.py
+++ b/hawthornlead/exchanges.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -19,6 +20,7 @@
 from tornado.tcpclient import TCPClient
 
 from .errors import ErrorKind, Failure
+from .grant_ledgers import SEND_S
 from .resolvers import NumberResolver
 from .timers import TimerService
 
@@ -219,6 +221,7 @@
             detail = f"no connection to {address}: {error or 'timeout'}"
             return Err(Failure(ErrorKind.TARGET_UNREACHABLE, detail))
         stream.set_nodelay(True)
+        _bound_sending(stream)
         return Ok(Exchange(self, address, stream, reused=False))
 
     def keep(self, address: str, stream: iostream.IOStream) -> None:
@@ -258,6 +261,18 @@
         return None
 
 
+def _bound_sending(stream: iostream.IOStream) -> None:
+    """Let the system give up a request that the target did not take in ``SEND_S``.
+
+    GRA-5: a request sent in its grant's last instant must not arrive, after many
+    retransmissions, when a report has shown the adapter idle and it was evicted.
+    The system closes a connection whose bytes stay unacknowledged for so long.
+    """
+    stream.socket.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(SEND_S * 1000)
+    )
+
+
 def _lost(address: str, detail: str) -> Failure:
     return Failure(ErrorKind.TARGET_LOST, f"{address}: {detail}")
 
--- a/hawthornlead/tests/test_exchanges.py
+++ b/hawthornlead/tests/test_exchanges.py
@@ -1,6 +1,7 @@
 """Tests of the exchanges with targets."""
 
 import asyncio
+import socket
 
 import pytest
 from result import Err
@@ -8,6 +9,7 @@
 
 from hawthornlead.errors import ErrorKind
 from hawthornlead.exchanges import TargetConnections
+from hawthornlead.grant_ledgers import SEND_S
 from hawthornlead.timers import TimerService
 
 
@@ -36,3 +38,21 @@
     assert isinstance(sent, Err)
     assert sent.err_value.kind is ErrorKind.TARGET_LOST
     assert "closed before its answer" in sent.err_value.detail
+
+
+async def test_a_request_that_the_network_holds_back_is_given_up():
+    """An adapter is evicted under a run that nobody had seen coming.
+
+    The request was sent in its grant's last instant and a lossy network delivered
+    it seconds later, behind the report that showed the adapter idle.
+    """
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = "127.0.0.1:%d" % listener.getsockname()[1]
+    connections = TargetConnections(timers=TimerService())
+    exchange = (await connections.open(address)).ok_value
+    held_ms = exchange._stream.socket.getsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+    )
+    assert held_ms == SEND_S * 1000
+    exchange.close()
+    listener.close()
