--- a/hawthornlead/tests/test_exchanges.py
+++ b/hawthornlead/tests/test_exchanges.py
@@ -47,7 +47,7 @@
     it seconds later, behind the report that showed the adapter idle.
     """
     listener = socket.create_server(("127.0.0.1", 0))
-    address = "127.0.0.1:%d" % listener.getsockname()[1]
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
     connections = TargetConnections(timers=TimerService())
     exchange = (await connections.open(address)).ok_value
     held_ms = exchange._stream.socket.getsockopt(
