--- a/hawthornlead/references.py
+++ b/hawthornlead/references.py
@@ -35,7 +35,7 @@
 @page("settings.md")
 def settings_page() -> str:
     """Return the page of all settings, by section, and of how they must fit."""
-    lines = _head("Settings", "settings")
+    lines = _head("Settings", "setting_rows")
     lines += [
         "A settings file is INI. `hawthornlead check-settings FILE` prints the values",
         "in effect, or all errors at once. A key without a default must be given. An",
