Build the daemon's parts in a module of their own

daemons.py both built some forty parts and knew in which order they start and stop. daemon_parts.py builds them in three groups, whose signatures show what depends on what; daemon_servers.py says which routes answer on which port. The order of building is kept, so that the same seed gives the same random numbers.

listeners.py was weighed as a home for the servers; it opens sockets before any part exists and would have had to know all handlers.

--- /dev/null
+++ b/hawthornlead/daemon_servers.py
@@ -0,0 +1,68 @@
+"""The HTTP servers of one VM: which routes answer on which of its ports.
+
+Callers and operators connect to one port. Metrics, and status and time line without
+a signature, are on a port of their own where ``METRICS_ADDRESS`` is set::
+
+    servers = start_servers(listeners, server_parts)
+"""
+
+from typing import NamedTuple
+
+from tornado.httpserver import HTTPServer
+from tornado.web import Application
+
+from .caller_servers import CallerServer
+from .command_handlers import CallerParts, UnknownHandler, caller_routes
+from .listeners import Listeners
+from .operator_handlers import operator_routes
+from .query_handlers import QueryParts, metrics_routes, query_routes
+from .request_guards import RequestGuard
+from .settings import Settings
+from .statuses import StatusParts, status_routes
+from .timelines import Timeline, timeline_routes
+
+
+class ServerParts(NamedTuple):
+    """What the handlers of all ports work with."""
+
+    settings: Settings
+    callers: CallerParts
+    queries: QueryParts
+    status: StatusParts
+    timeline: Timeline
+    guard: RequestGuard
+
+
+def start_servers(listeners: Listeners, parts: ServerParts) -> list[HTTPServer]:
+    """Begin to answer on all ports; returns what is to be stopped later."""
+    servers = []
+    routes = _caller_routes(parts)
+    if listeners.metrics:
+        inside = timeline_routes(parts.timeline) + status_routes(parts.status)
+        inside += metrics_routes(parts.queries)
+        server = HTTPServer(Application(inside))
+        server.add_sockets(listeners.metrics)
+        servers.append(server)
+    else:
+        routes += metrics_routes(parts.queries)
+    application = Application(
+        routes,
+        default_handler_class=UnknownHandler,
+        log_function=lambda handler: None,
+    )
+    server = CallerServer(
+        application, settings=parts.settings, ssl_options=listeners.tls
+    )
+    server.add_sockets(listeners.callers)
+    servers.append(server)
+    return servers
+
+
+def _caller_routes(parts: ServerParts) -> list:
+    """Return the routes of callers and operators, the latter's behind signatures."""
+    status, guard = parts.status, parts.guard
+    routes = caller_routes(parts.callers) + query_routes(parts.queries)
+    routes += operator_routes(guard=guard, keeper=status.keeper, mesh=status.mesh)
+    routes += timeline_routes(parts.timeline, guard)
+    routes += status_routes(status, guard)
+    return routes
--- a/hawthornlead/daemons.py
+++ b/hawthornlead/daemons.py
@@ -1,7 +1,7 @@
-"""The daemon of one VM: builds all parts from the settings and runs them.
+"""The daemon of one VM: starts all parts, answers on its ports, drains, stops.
 
 Parts know only the collaborators that they are handed; this is the one place that
-knows all of them. Embedders build the parts that they want in the same way::
+knows the order in which they start and stop. ``daemon_parts`` builds them::
 
     daemon = Daemon(settings)
     await daemon.start()
@@ -17,83 +17,64 @@
 from result import Err, Ok, Result
 from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
-from tornado.web import Application
 
-from .allowances import Allowances
-from .attempts import AttemptRunner
-from .caller_servers import CallerServer
-from .claims import Claims
-from .clocks import HybridClock
-from .command_handlers import CallerParts, UnknownHandler, caller_routes
-from .drains import Drain
+from .command_handlers import CallerParts
+from .daemon_parts import build_coordination, build_core, build_requests, build_targets
+from .daemon_servers import ServerParts, start_servers
 from .errors import Failure
-from .events import EventKind, EventRing
-from .evictions import EVICTIONS
-from .exchanges import TargetConnections
-from .grants import Grants
-from .http_stores import HttpObjectStore
+from .events import EventKind
 from .invariants import Invariants
-from .leases import LeaseKeeper
-from .limits import Admissions
 from .listeners import Listeners, address_of, open_listeners, refused
-from .load_orders import LOAD_ORDERS
-from .members import Members
 from .messages import Heartbeat
-from .metrics import Metrics
-from .operator_handlers import operator_routes
-from .owners import Owners
-from .peers import PeerMesh
-from .placements import PLACEMENTS
-from .platforms import VmList
-from .popularities import POPULARITIES, HighestPopularity
-from .popularity_shares import PopularityShares
-from .query_handlers import QueryParts, metrics_routes, query_routes
-from .request_claims import RequestClaims
+from .query_handlers import QueryParts
 from .request_guards import RequestGuard
-from .requests import RequestPath
 from .resolvers import NumberResolver
-from .retries import Retries
-from .rolls import BundleKeeper
-from .routers import ROUTERS
-from .sent_attempts import SentAttempts
-from .service_calls import ServicePath
 from .settings import Settings
 from .signatures import OperatorKeys
-from .slots import Policies
-from .spares import SpareCopies
-from .statuses import StatusParts, status_routes
-from .suspect_places import SuspectPlaces
-from .suspects import Suspects
-from .target_deaths import TargetDeaths
-from .target_owners import TargetOwners
-from .targets import TargetClients
-from .timelines import Timeline, timeline_routes
-from .timers import TimerService
-from .views import TargetViews
+from .statuses import StatusParts
+from .stores import ObjectStore
+from .timelines import Timeline
 
 
 class Daemon:
     """All parts of one VM's process."""
 
-    def __init__(self, settings: Settings, store=None, seed: int | None = None):
+    def __init__(
+        self,
+        settings: Settings,
+        store: ObjectStore | None = None,
+        seed: int | None = None,
+    ):
         # A copy: a port that the system chose is entered in it at the start.
-        self._settings = settings = dict(settings)
-        self._rng = Random(secrets.randbits(64) if seed is None else seed)
-        self._timers = TimerService()
-        self._metrics = Metrics()
-        clock = HybridClock(self._timers)
-        ring_size = int(settings["EVENT_RING"])
-        self._events = EventRing(settings["VM_NAME"], clock, ring_size)
-        self._invariants = Invariants(self._events, self._metrics)
-        self._base = {
-            "settings": settings,
-            "timers": self._timers,
-            "events": self._events,
-            "metrics": self._metrics,
-        }
-        self._build_coordination(clock, store)
-        self._build_targets()
-        self._build_requests()
+        self._settings = dict(settings)
+        rng = Random(secrets.randbits(64) if seed is None else seed)
+        core = build_core(self._settings, rng)
+        coordination = build_coordination(core, store)
+        targets = build_targets(core, coordination)
+        requests = build_requests(core, coordination, targets)
+        self._timers = core.timers
+        self._metrics = core.metrics
+        self._events = core.events
+        self._invariants = core.invariants
+        self._store = coordination.store
+        self._vm_list = coordination.vm_list
+        self._mesh = coordination.mesh
+        self._members = coordination.members
+        self._leases = coordination.leases
+        self._owners = coordination.owners
+        self._keeper = coordination.keeper
+        self._claims = coordination.claims
+        self._shares = targets.shares
+        self._views = targets.views
+        self._allowances = targets.allowances
+        self._target_owners = targets.target_owners
+        self._grants = targets.grants
+        self._connections = requests.connections
+        self._admissions = requests.admissions
+        self._drain = requests.drain
+        self._requests = requests.requests
+        self._services = requests.services
+        self._mesh.heartbeat_source = self._heartbeat
         self._servers: list[HTTPServer] = []
         self._listeners: Listeners | None = None
 
@@ -151,7 +132,7 @@
         self._claims.start()
         self._keeper.start()
         self._timers.every(self._settings["HEARTBEAT_S"], self._meet, "peers")
-        self._listen(self._listeners)
+        self._servers = start_servers(self._listeners, self._server_parts())
         self._events.emit(
             EventKind.PROCESS_STARTED,
             self._settings["VM_NAME"],
@@ -193,168 +174,7 @@
         self._timers.stop()
         self._events.emit(EventKind.PROCESS_STOPPED, self._settings["VM_NAME"])
 
-    def _build_coordination(self, clock: HybridClock, store) -> None:
-        base, rng = self._base, self._rng
-        incarnation = f"{self._settings['VM_NAME']}.{rng.getrandbits(64):016x}"
-        self._store = store or HttpObjectStore(**base, rng=rng)
-        self._vm_list = VmList(
-            settings=self._settings, timers=self._timers, events=self._events
-        )
-        self._mesh = PeerMesh(**base, rng=rng, clock=clock, incarnation=incarnation)
-        self._members = Members(**base, mesh=self._mesh, vm_list=self._vm_list, rng=rng)
-        self._leases = LeaseKeeper(
-            **base,
-            rng=rng,
-            store=self._store,
-            mesh=self._mesh,
-            members=self._members,
-            invariants=self._invariants,
-            incarnation=incarnation,
-        )
-        self._owners = Owners(
-            **base,
-            rng=rng,
-            store=self._store,
-            leases=self._leases,
-            members=self._members,
-            invariants=self._invariants,
-        )
-        self._keeper = BundleKeeper(
-            **base,
-            invariants=self._invariants,
-            rng=rng,
-            store=self._store,
-            mesh=self._mesh,
-            members=self._members,
-            leases=self._leases,
-        )
-        self._claims = Claims(
-            **base,
-            invariants=self._invariants,
-            store=self._store,
-            mesh=self._mesh,
-            members=self._members,
-        )
-
-    def _build_targets(self) -> None:
-        settings, base, rng = self._settings, self._base, self._rng
-        self._popularity = POPULARITIES[settings["POPULARITY"]](settings=settings)
-        self._shares = PopularityShares(
-            settings=settings,
-            timers=self._timers,
-            rng=rng,
-            mesh=self._mesh,
-            members=self._members,
-            popularity=self._popularity,
-        )
-        # Owners count what all VMs begin on their targets, by their renewals; sharing
-        # the counters of this VM's own requests would count those twice.
-        granted = POPULARITIES[settings["POPULARITY"]](settings=settings)
-        owners_popularity = HighestPopularity(granted, self._popularity)
-        self._placement = PLACEMENTS[settings["PLACEMENT"]](settings=settings)
-        router = ROUTERS[settings["ROUTER"]]
-        self._router = router(settings=settings, placement=self._placement)
-        order = LOAD_ORDERS[settings["LOAD_ORDER"]](settings=settings)
-        eviction = EVICTIONS[settings["EVICTION"]](settings=settings)
-        self._clients = TargetClients(rng=rng)
-        self._views = TargetViews(
-            timers=self._timers,
-            events=self._events,
-            vm_list=self._vm_list,
-            owners=self._owners,
-        )
-        self._allowances = Allowances(
-            **base,
-            invariants=self._invariants,
-            rng=rng,
-            mesh=self._mesh,
-            owners=self._owners,
-            order=order,
-        )
-        self._target_owners = TargetOwners(
-            **base,
-            invariants=self._invariants,
-            rng=rng,
-            mesh=self._mesh,
-            owners=self._owners,
-            vm_list=self._vm_list,
-            views=self._views,
-            allowances=self._allowances,
-            policies=Policies(eviction, order, owners_popularity),
-            make_client=self._clients.client,
-        )
-        self._grants = Grants(
-            **base,
-            invariants=self._invariants,
-            mesh=self._mesh,
-            owners=self._owners,
-        )
-
-    def _build_requests(self) -> None:
-        settings, base, timers = self._settings, self._base, self._timers
-        self._connections = TargetConnections(timers=timers)
-        self._admissions = Admissions(settings=settings, timers=timers, rng=self._rng)
-        self._retries = Retries(settings=settings, timers=timers, rng=self._rng)
-        self._suspects = Suspects(
-            settings=settings, timers=timers, events=self._events, mesh=self._mesh
-        )
-        self._drain = Drain(**base, members=self._members, invariants=self._invariants)
-        deaths = TargetDeaths(
-            events=self._events,
-            mesh=self._mesh,
-            suspects=self._suspects,
-            views=self._views,
-            clients=self._clients,
-        )
-        sent = SentAttempts(invariants=self._invariants)
-        attempts = AttemptRunner(
-            **base,
-            invariants=self._invariants,
-            connections=self._connections,
-            clients=self._clients,
-            sent=sent,
-        )
-        claims = RequestClaims(settings=settings, timers=timers, claims=self._claims)
-        spares = SpareCopies(
-            timers=timers,
-            views=self._views,
-            grants=self._grants,
-            placement=self._placement,
-            popularity=self._popularity,
-        )
-        self._requests = RequestPath(
-            **base,
-            invariants=self._invariants,
-            keeper=self._keeper,
-            admissions=self._admissions,
-            views=self._views,
-            grants=self._grants,
-            claims=claims,
-            retries=self._retries,
-            suspects=self._suspects,
-            deaths=deaths,
-            places=SuspectPlaces(timers=timers, mesh=self._mesh),
-            router=self._router,
-            placement=self._placement,
-            popularity=self._popularity,
-            shares=self._shares,
-            spares=spares,
-            attempts=attempts,
-            sent=sent,
-        )
-        self._services = ServicePath(
-            **base,
-            rng=self._rng,
-            vm_list=self._vm_list,
-            admissions=self._admissions,
-            claims=claims,
-            retries=self._retries,
-            connections=self._connections,
-            sent=sent,
-        )
-        self._mesh.heartbeat_source = self._heartbeat
-
-    def _listen(self, listeners: Listeners) -> None:
+    def _server_parts(self) -> ServerParts:
         callers = CallerParts(
             self._settings,
             self._timers,
@@ -364,38 +184,16 @@
             self._drain,
         )
         queries = QueryParts(self._members, self._keeper, self._metrics, self._reason)
-        routes = caller_routes(callers) + query_routes(queries)
         keys = OperatorKeys(self._settings["OPERATORS"])
         guard = RequestGuard(keys, self._timers, self._events)
-        routes += operator_routes(guard=guard, keeper=self._keeper, mesh=self._mesh)
-        timeline, status = self._timeline(), self._status_parts()
-        routes += timeline_routes(timeline, guard) + status_routes(status, guard)
-        if listeners.metrics:
-            inside = timeline_routes(timeline) + status_routes(status)
-            inside += metrics_routes(queries)
-            server = HTTPServer(Application(inside))
-            server.add_sockets(listeners.metrics)
-            self._servers.append(server)
-        else:
-            routes += metrics_routes(queries)
-        application = Application(
-            routes,
-            default_handler_class=UnknownHandler,
-            log_function=lambda handler: None,
-        )
-        server = CallerServer(
-            application, settings=self._settings, ssl_options=listeners.tls
-        )
-        server.add_sockets(listeners.callers)
-        self._servers.append(server)
-
-    def _timeline(self) -> Timeline:
-        return Timeline(
+        timeline = Timeline(
             settings=self._settings,
             events=self._events,
             mesh=self._mesh,
             members=self._members,
         )
+        status = self._status_parts()
+        return ServerParts(self._settings, callers, queries, status, timeline, guard)
 
     def _status_parts(self) -> StatusParts:
         return StatusParts(
