Move the rule of freshness out of the bundle keeper

Whether a VM may still serve its bundle is the heart of the protocol, and stood among the messages and tasks of rolls.py. BundleFreshness holds the moments it rests on and the guards BUN-8 to BUN-10 and BUN-13; the keeper hands it what it hears. One test reset a private field of the keeper and now says the same to the new class.

--- a/hawthornlead/rolls.py
+++ b/hawthornlead/rolls.py
@@ -15,6 +15,7 @@
 
 from result import Err, Ok, Result
 
+from .bundle_freshness import BundleFreshness
 from .bundle_knowledge import (
     NEVER,
     BundleKnowledge,
@@ -43,8 +44,6 @@
 PEERS_ASKED = 2
 # So many VMs of a data centre read the pointer for all of it.
 READERS_PER_DATA_CENTRE = 2
-# A VM whose word is older than this share of a bound reads the store itself.
-OWN_READ_SHARE = 0.4
 # A stage older than so many ACKNOWLEDGE_S is not being worked on any more.
 STALE_STAGE = 3
 
@@ -57,13 +56,6 @@
     bundle: Bundle
 
 
-class Acknowledged(NamedTuple):
-    """The stage that this VM acknowledged last, and when it was asked to."""
-
-    seq: int
-    at: float
-
-
 class BundleKeeper:
     """Keeps the bundle in force on one VM, and runs rolls for operators."""
 
@@ -83,10 +75,9 @@
     ):
         self._vm = settings["VM_NAME"]
         self._data_centre = settings["DATA_CENTRE"]
-        self._doubt_s = settings["DOUBT_S"]
-        self._isolation_s = settings["ISOLATION_S"]
         self._stale_s = STALE_STAGE * settings["ACKNOWLEDGE_S"]
-        self._ask_s = min(self._doubt_s, self._isolation_s) / ASKS_PER_BOUND
+        shorter_s = min(settings["DOUBT_S"], settings["ISOLATION_S"])
+        self._ask_s = shorter_s / ASKS_PER_BOUND
         self._timers = timers
         self._events = events
         self._metrics = metrics
@@ -111,13 +102,15 @@
             keeper=self,
         )
         self._knowledge = BundleKnowledge()
+        self._freshness = BundleFreshness(
+            settings=settings,
+            knowledge=self._knowledge,
+            leases=leases,
+            incarnation=mesh.incarnation,
+        )
         self._in_force: InForce | None = None
         self._permit: Ok[InForce] | None = None
         self._held_told = (0, 0)
-        self._accepting_seq = 0
-        self._acknowledged = Acknowledged(0, NEVER)
-        self._joined_as = ""
-        self._contact_at = NEVER
         self._source = ""
         self._loaded: dict[str, Bundle] = {}
         self._busy: set[str] = set()
@@ -165,11 +158,10 @@
     def may_serve(self) -> Result[InForce, Failure]:
         """Return the bundle to serve, or why no request may be served now.
 
-        Every comparison is with the clock at this call. All moments it compares
-        are when a question was sent that was answered later: an answer that
-        waited in a socket while this process was frozen makes nothing fresh.
+        Every comparison is with the clock at this call, so that a process that was
+        frozen refuses before it has heard anybody.
         """
-        refusal = self._refusal(self._timers.now())
+        refusal = self._freshness.refusal(self._timers.now(), self.seq_in_force)
         if refusal is not None:
             return Err(refusal)
         return self._permit
@@ -197,8 +189,8 @@
         stored = got.unwrap()
         pointer = read_pointer(stored.value if stored else None)
         if registered:
-            self._joined_as = incarnation
-        self._contact_at = max(self._contact_at, read_at)
+            self._freshness.join(incarnation)
+        self._freshness.contact(read_at)
         self.take(told_by_pointer(pointer, read_at))
         return Ok(pointer)
 
@@ -216,67 +208,14 @@
         self._loaded[bundle.digest] = bundle
 
     def begin_accepting(self, seq: int) -> None:
-        """Note that the write which accepts a stage is about to be sent.
-
-        From here on this VM no longer vouches that the stage is not accepted:
-        the write may take effect and its reply be lost.
-        """
-        self._knowledge.confirm(seq, self._timers.now())
-        self._accepting_seq = max(self._accepting_seq, seq)
+        """Note that the write which accepts a stage is about to be sent."""
+        self._freshness.begin_accepting(seq, self._timers.now())
 
     def take_abandoned(self, seq: int) -> None:
         """Take in that a stage was abandoned."""
         self._knowledge.abandoned(seq)
         self._tell_change()
 
-    # Serving
-
-    def _refusal(self, now: float) -> Failure | None:
-        if self._joined_as == "" or self._leases.incarnation != self._joined_as:
-            return Failure(ErrorKind.NOT_READY, "this VM is not registered yet", 1.0)
-        if self._leases.state in ("new", "ended"):
-            return Failure(ErrorKind.NOT_READY, "this VM is not registered", 1.0)
-        knowledge = self._knowledge
-        if knowledge.seq == 0:
-            return Failure(ErrorKind.NO_BUNDLE, "no bundle was rolled yet", 5.0)
-        if self._in_force is None or self._in_force.seq < knowledge.seq:
-            detail = f"bundle {knowledge.seq} is in force and not here yet"
-            return Failure(ErrorKind.BUNDLE_BEHIND, detail, 1.0)
-        # Guards against a VM that missed an acceptance and serves the old bundle on
-        # (BUN-2, BUN-9, BUN-13). Whoever knows of a stage is in doubt of it, however
-        # it came to know, by the roll's asking or by reading as a newcomer does:
-        # without fresh proof that it is not accepted the VM refuses.
-        staged = knowledge.staged
-        if staged is not None and now - self._trusted(now) > self._doubt_s:
-            detail = f"bundle {staged.seq} may be in force: no word for a while"
-            return Failure(ErrorKind.BUNDLE_UNDECIDED, detail, 1.0)
-        if now - self._contact_at > self._isolation_s:
-            detail = "this VM hears neither the store nor another VM"
-            return Failure(ErrorKind.ISOLATED, detail, 1.0)
-        return None
-
-    def _trusted(self, now: float) -> float:
-        confirmed_at = self._confirmed(now)
-        if self._acknowledged.seq == self.staged_seq:
-            return max(confirmed_at, self._acknowledged.at)
-        return confirmed_at
-
-    def _confirmed(self, now: float) -> float:
-        """Return when the staged bundle was surely not accepted yet.
-
-        Only the process that staged it can accept it, so that this process itself
-        knows that its own stage is not accepted until it sends the write. No other
-        process is sure by itself, not one restarted under the VM's name either
-        (BUN-8): it can only hand on, with its age, what this one or the store said.
-        """
-        staged = self._knowledge.staged
-        if staged is None:
-            return now
-        own = staged.vm == self._vm and staged.incarnation == self._mesh.incarnation
-        if own and staged.seq > self._accepting_seq:
-            return now
-        return self._knowledge.confirmed_at
-
     # Coming into force
 
     def _follow(self) -> None:
@@ -340,14 +279,13 @@
     # Asking
 
     def _ask(self) -> None:
-        now = self._timers.now()
         for peer in self._mesh.live:
             told = peer.heartbeat.in_force_seq if peer.heartbeat else 0
             if told > self._knowledge.seq:
                 self._spawn(f"ask {peer.vm}", self._ask_peer(peer.vm))
         for vm in self._asked():
             self._spawn(f"ask {vm}", self._ask_peer(vm))
-        if self._reads_store(now):
+        if self._reads_store():
             self._spawn("store", self._read_store())
         if self.seq_in_force < self._knowledge.seq:
             self._spawn("catch-up", self._catch_up())
@@ -369,21 +307,16 @@
                 names.add(peer.vm)
         return sorted(names)[:READERS_PER_DATA_CENTRE]
 
-    def _reads_store(self, now: float) -> bool:
-        if self._vm in self._readers():
-            return True
-        if self._leases.incarnation != self._joined_as:
-            return True
-        if now - self._contact_at > OWN_READ_SHARE * self._isolation_s:
-            return True
-        return now - self._trusted(now) > OWN_READ_SHARE * self._doubt_s
+    def _reads_store(self) -> bool:
+        is_reader = self._vm in self._readers()
+        return is_reader or self._freshness.wants_read(self._timers.now())
 
     async def _ask_peer(self, vm: str) -> None:
         asked_at = self._timers.now()
         reply = await self._mesh.call(vm, FetchBundlePointer())
         if reply.is_err() or not isinstance(reply.unwrap(), BundlePointer):
             return
-        self._contact_at = max(self._contact_at, asked_at)
+        self._freshness.contact(asked_at)
         self.take(told_by_peer(reply.unwrap(), asked_at), vm)
 
     async def _read_store(self) -> None:
@@ -407,7 +340,7 @@
         now = self._timers.now()
         knowledge = self._knowledge
         staged = knowledge.staged or Stage(0, "", "", "")
-        confirmed_at = self._confirmed(now)
+        vouched_at = self._freshness.vouched_at(now)
         return BundlePointer(
             knowledge.seq,
             knowledge.digest,
@@ -416,7 +349,7 @@
             knowledge.decided_seq,
             staged.vm,
             staged.incarnation,
-            now - confirmed_at if confirmed_at != NEVER else -1.0,
+            now - vouched_at if vouched_at != NEVER else -1.0,
         )
 
     async def _answer_stage(self, sender, message: StageBundle):
@@ -435,10 +368,7 @@
         base = (message.base_seq, message.base_digest)
         self.take(Told(*base, message.seq - 1, staged), message.vm)
         if first:
-            # It can't be accepted without this VM's first acknowledgement, which
-            # is not sent yet. Under a waiver that is not true, so that this VM
-            # uses it for itself only and vouches for nothing to others.
-            self._acknowledged = Acknowledged(message.seq, received_at)
+            self._freshness.acknowledge(message.seq, received_at)
         if self.staged_seq != message.seq:
             detail = f"stage {message.seq} is decided"
             return failed(Failure(ErrorKind.ROLL_CONFLICT, detail))
--- a/hawthornlead/tests/test_rolls.py
+++ b/hawthornlead/tests/test_rolls.py
@@ -266,7 +266,7 @@
         vm.store.out = True
     new = await fleet.add("d")
     new.store.out, new.leases.state = True, "new"
-    new.keeper._joined_as = ""
+    new.keeper._freshness.join("")
     await fleet.run(10)
     assert fleet.refusal("d") is ErrorKind.NOT_READY
     new.store.out, new.leases.state = False, "held"
