Give the dialling of VMs and sets of tasks modules of their own

peers.py held two jobs: dialling each VM again and again, and what goes over a connection. Dialler does the first. Five parts kept their running tasks in a set by the same lines, one of them by name; TaskSet does this for all. The tests of dialling patch the new module, their assertions are as before.

--- a/hawthornlead/aggregators.py
+++ b/hawthornlead/aggregators.py
@@ -12,6 +12,7 @@
 from .errors import ErrorKind, Failure
 from .messages import Failed, LeaseRenewed, RenewLease
 from .renewal_objects import CounterTable, counters_of, with_renewed
+from .tasks import TaskSet
 
 
 class RenewalFolder:
@@ -24,12 +25,11 @@
         self._counters = counters
         self._gather_s = gather_s
         self._waiting: dict[str, dict[str, tuple[int, asyncio.Future]]] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
 
     def stop(self) -> None:
         """Drop what is being gathered; the askers write by themselves."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     async def handle(self, sender, message: RenewLease) -> LeaseRenewed | Failed:
         """Answer a renewal once it is in the store."""
@@ -46,9 +46,7 @@
             return Err(Failure(ErrorKind.NOT_FOUND, f"{incarnation} is not known here"))
         if seen.shard not in self._waiting:
             self._waiting[seen.shard] = {}
-            task = asyncio.get_running_loop().create_task(self._fold(seen.shard))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks.spawn(self._fold(seen.shard))
         future = asyncio.get_running_loop().create_future()
         replaced = self._waiting[seen.shard].get(incarnation)
         if replaced is not None:
--- a/hawthornlead/casts.py
+++ b/hawthornlead/casts.py
@@ -4,9 +4,9 @@
 holds its grant.
 """
 
-import asyncio
+from .tasks import TaskSet
 
-_UNDER_WAY: set[asyncio.Task] = set()
+_UNDER_WAY = TaskSet()
 
 
 def send(mesh, vm: str, message) -> None:
@@ -17,8 +17,4 @@
     if vm != mesh.vm:
         mesh.cast(vm, message)
         return
-    loop = asyncio.get_running_loop()
-    task = loop.create_task(mesh.answer(mesh.myself, message))
-    # The event loop keeps only a weak reference to its tasks.
-    _UNDER_WAY.add(task)
-    task.add_done_callback(_UNDER_WAY.discard)
+    _UNDER_WAY.spawn(mesh.answer(mesh.myself, message))
--- /dev/null
+++ b/hawthornlead/diallers.py
@@ -0,0 +1,95 @@
+"""Dialling the other VMs, one task for each: again and again, while not connected.
+
+The task of a VM rests while any connection with it stands, whoever dialled it.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from .settings import Settings
+from .tasks import TaskSet
+from .timers import TimerService
+
+
+class _Dialled(NamedTuple):
+    address: str
+    task: asyncio.Task
+
+
+class Dialler:
+    """Keeps this VM connected with those named to ``set_peers``.
+
+    ``run`` serves one connection to its end, given the socket and the VM's name;
+    ``options`` are those of the websockets library.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        timers: TimerService,
+        rng: random.Random,
+        run: Callable[[Any, str], Awaitable[None]],
+        options: dict[str, Any],
+    ):
+        self._vm = settings["VM_NAME"]
+        self._beat_s = settings["HEARTBEAT_S"]
+        self._timers = timers
+        self._rng = rng
+        self._run = run
+        self._options = options
+        self._dialled: dict[str, _Dialled] = {}
+        self._vacant: dict[str, asyncio.Event] = {}
+        self._tasks = TaskSet()
+
+    def set_peers(self, peers: dict[str, str]) -> None:
+        """Dial these VMs, by name and address (IP:PORT), and no others."""
+        for vm, dialled in tuple(self._dialled.items()):
+            if peers.get(vm) != dialled.address:
+                dialled.task.cancel()
+                del self._dialled[vm]
+        for vm, address in peers.items():
+            if vm == self._vm or vm in self._dialled:
+                continue
+            task = self._tasks.spawn(self._keep_dialled(vm, address))
+            self._dialled[vm] = _Dialled(address, task)
+
+    def stop(self) -> None:
+        """Dial nobody any more; connections that were dialled end with it."""
+        self._tasks.cancel()
+        self._dialled.clear()
+
+    def connected(self, vm: str) -> None:
+        """Note that a connection with a VM stands: it is not dialled."""
+        self._vacancy(vm).clear()
+
+    def lost(self, vm: str) -> None:
+        """Note that no connection with a VM stands any more."""
+        self._vacancy(vm).set()
+
+    async def _keep_dialled(self, vm: str, address: str) -> None:
+        # The lesser name dials first, so that most pairs never have two.
+        pause_s = 0.0 if self._vm < vm else self._beat_s
+        while True:
+            await self._timers.sleep(pause_s * self._rng.uniform(0.5, 1.5))
+            await self._vacancy(vm).wait()
+            try:
+                ws = await connect(f"ws://{address}/", proxy=None, **self._options)
+            except (OSError, EOFError, ValueError, WebSocketException):
+                # ValueError: the address is none. It comes from outside and may be
+                # mended there, so that the dialling must go on.
+                pause_s = min(max(2 * pause_s, self._beat_s / 4), 4 * self._beat_s)
+                continue
+            await self._run(ws, vm)
+            pause_s = self._beat_s / 4
+
+    def _vacancy(self, vm: str) -> asyncio.Event:
+        if vm not in self._vacant:
+            self._vacant[vm] = asyncio.Event()
+            self._vacant[vm].set()
+        return self._vacant[vm]
--- a/hawthornlead/peers.py
+++ b/hawthornlead/peers.py
@@ -8,18 +8,17 @@
 connections work. A malformed frame closes its connection and nothing else.
 """
 
-import asyncio
 import random
 from typing import Any
 
 from result import Err, Ok, Result
-from websockets.asyncio.client import connect
 from websockets.asyncio.server import serve
-from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.exceptions import ConnectionClosed
 
 from .calls import PendingCalls, unavailable
 from .codecs import Frame, encode
 from .connections import Connection, QuietLogger
+from .diallers import Dialler
 from .errors import ErrorKind, Failure
 from .events import EventKind
 from .meshes import Mesh, PeerInfo, failed, outcome_of
@@ -33,6 +32,7 @@
 )
 from .peer_sessions import PeerSession
 from .probes import probe
+from .tasks import TaskSet
 
 CALL_SWEEP_S = 0.05
 MAX_OPEN_HANDLERS = 1024
@@ -71,16 +71,20 @@
             incarnation=incarnation,
         )
         self._metrics = metrics
-        self._rng = rng or random.Random()
         self._limit = settings["MAX_MESSAGE_BYTES"]
         self._address = settings["PEER_ADDRESS"]
         self._server = None
         self._subscriptions = []
         self._connections: set[Connection] = set()
         self._peers: dict[str, PeerSession] = {}
-        self._vacant: dict[str, asyncio.Event] = {}
-        self._diallers: dict[str, tuple[str, asyncio.Task]] = {}
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
+        self._dialler = Dialler(
+            settings=settings,
+            timers=timers,
+            rng=rng or random.Random(),
+            run=self._run,
+            options=self._options(),
+        )
         # Incarnations that were replaced or said goodbye; the value tells which.
         self._ended: dict[tuple[str, str], str] = {}
         self._calls = PendingCalls(timers)
@@ -127,9 +131,7 @@
         """
         for subscription in self._subscriptions:
             subscription.cancel()
-        for _, task in self._diallers.values():
-            task.cancel()
-        self._diallers.clear()
+        self._dialler.stop()
         if goodbye:
             self.broadcast(Goodbye(self.vm, self._incarnation))
             await self._flush()
@@ -138,20 +140,11 @@
         if self._server is not None:
             self._server.close()
             await self._server.wait_closed()
-        for task in tuple(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
 
     def set_peers(self, peers: dict[str, str]) -> None:
-        """Dial these VMs, by name and address, and no others."""
-        for vm, (address, task) in tuple(self._diallers.items()):
-            if peers.get(vm) != address:
-                task.cancel()
-                del self._diallers[vm]
-        for vm, address in peers.items():
-            if vm == self.vm or vm in self._diallers:
-                continue
-            task = self._spawn(self._keep_dialled(vm, address))
-            self._diallers[vm] = (address, task)
+        """Dial these VMs, by name and address (IP:PORT), and no others."""
+        self._dialler.set_peers(peers)
 
     def gone(self, vm: str, incarnation: str) -> bool:
         """Whether this incarnation of a VM said goodbye."""
@@ -192,7 +185,7 @@
     def cast(self, vm: str, message: Any) -> bool:
         """Send a message that has no reply; False when it can't be sent."""
         if vm == self.vm:
-            self._spawn(self.answer(self.myself, message))
+            self._tasks.spawn(self.answer(self.myself, message))
             return True
         encoded = self._encode(message)
         return encoded.is_ok() and self._send(vm, encoded.unwrap(), message)
@@ -215,23 +208,6 @@
             "logger": QuietLogger(),
         }
 
-    async def _keep_dialled(self, vm: str, address: str) -> None:
-        beat_s = self._settings["HEARTBEAT_S"]
-        # The lesser name dials first, so that most pairs never have two.
-        pause_s = 0.0 if self.vm < vm else beat_s
-        while True:
-            await self._timers.sleep(pause_s * self._rng.uniform(0.5, 1.5))
-            await self._vacancy(vm).wait()
-            try:
-                ws = await connect(f"ws://{address}/", proxy=None, **self._options())
-            except (OSError, EOFError, ValueError, WebSocketException):
-                # ValueError: the address is none. It comes from outside and may be
-                # mended there, so that the dialling must go on.
-                pause_s = min(max(2 * pause_s, beat_s / 4), 4 * beat_s)
-                continue
-            await self._run(ws, vm)
-            pause_s = beat_s / 4
-
     async def _run(self, ws, expected: str) -> None:
         """Serve one connection to its end; ``expected`` is empty if accepted."""
         connection = Connection(
@@ -247,7 +223,7 @@
             peer = await self._greet(connection, expected)
             if peer is None:
                 return
-            writer = self._spawn(connection.write())
+            writer = self._tasks.spawn(connection.write())
             await self._read(connection, peer)
         except ConnectionClosed as error:
             if error.sent is not None and error.sent.code == TOO_BIG_CODE:
@@ -294,14 +270,14 @@
         connection.hello = hello
         connection.heard_at = self._timers.now()
         peer.add(connection)
-        self._vacancy(hello.vm).clear()
+        self._dialler.connected(hello.vm)
         self._metrics.peers_live.set(len(self._peers))
         self._events.emit(
             EventKind.PEER_CONNECTED, hello.vm, incarnation=hello.incarnation
         )
         heartbeat = self.heartbeat_source()
         connection.send(self._encode(heartbeat).unwrap(), heartbeat)
-        self._spawn(self.notice(peer.info, hello))
+        self._tasks.spawn(self.notice(peer.info, hello))
         return peer
 
     def _dismiss(self, connection: Connection) -> None:
@@ -330,16 +306,10 @@
         if self._peers.get(vm) is not peer:
             return
         del self._peers[vm]
-        self._vacancy(vm).set()
+        self._dialler.lost(vm)
         self._metrics.peers_live.set(len(self._peers))
         self._calls.lose(vm)
 
-    def _vacancy(self, vm: str) -> asyncio.Event:
-        if vm not in self._vacant:
-            self._vacant[vm] = asyncio.Event()
-            self._vacant[vm].set()
-        return self._vacant[vm]
-
     def _refuse(self, connection: Connection, detail: str) -> None:
         vm = connection.hello.vm if connection.hello else "unknown"
         self._events.emit(EventKind.PEER_FRAME_REFUSED, vm, detail=detail)
@@ -382,13 +352,13 @@
             return
         if isinstance(message, Heartbeat):
             peer.heartbeat = message
-            self._spawn(self.notice(peer.info, message))
+            self._tasks.spawn(self.notice(peer.info, message))
             return
         if isinstance(message, Goodbye):
-            self._spawn(self.notice(peer.info, message))
+            self._tasks.spawn(self.notice(peer.info, message))
             self._end(peer, "goodbye")
             return
-        self._spawn(self._handle(peer, frame))
+        self._tasks.spawn(self._handle(peer, frame))
 
     async def _handle(self, peer: PeerSession, frame: Frame) -> None:
         if peer.open_handlers >= MAX_OPEN_HANDLERS:
@@ -426,7 +396,7 @@
                 connection.abort("silent")
         for peer in tuple(self._peers.values()):
             for connection in peer.spare(self.vm, now - 2 * beat_s):
-                self._spawn(connection.close())
+                self._tasks.spawn(connection.close())
 
     async def _flush(self) -> None:
         end = self._timers.now() + self._settings["HEARTBEAT_S"]
@@ -434,9 +404,3 @@
             if not any(each.queued_bytes for each in self._connections):
                 return
             await self._timers.sleep(0.01)
-
-    def _spawn(self, coroutine) -> asyncio.Task:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
--- a/hawthornlead/rolls.py
+++ b/hawthornlead/rolls.py
@@ -10,7 +10,7 @@
     bundle = permitted.unwrap().bundle
 """
 
-import asyncio
+from functools import partial
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -38,6 +38,7 @@
 )
 from .roll_orders import RollOrders, RollOutcome, abandon_stage
 from .signatures import OperatorKeys, SignedStatement
+from .tasks import TaskSet
 
 # How often a VM asks others, as a share of the shorter of its two bounds.
 ASKS_PER_BOUND = 5
@@ -113,8 +114,7 @@
         self._held_told = (0, 0)
         self._source = ""
         self._loaded: dict[str, Bundle] = {}
-        self._busy: set[str] = set()
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
         self._subscription = None
         mesh.on(StageBundle, self._answer_stage)
         mesh.on(BundleDecided, self._take_decision)
@@ -144,16 +144,13 @@
     def start(self) -> None:
         """Begin to ask for the pointer, at once and then often."""
         self._subscription = self._timers.every(self._ask_s, self._ask, "bundles")
-        self._spawn("store", self._read_store())
+        self._tasks.spawn_once("store", self._read_store)
 
     async def stop(self) -> None:
         """Ask no more. What is in force stays readable."""
         if self._subscription is not None:
             self._subscription.cancel()
-        tasks = list(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.stop()
 
     def may_serve(self) -> Result[InForce, Failure]:
         """Return the bundle to serve, or why no request may be served now.
@@ -227,7 +224,7 @@
             self._put_in_force(knowledge.seq, bundle)
             return
         self._events.emit(EventKind.BUNDLE_BEHIND, knowledge.digest, seq=knowledge.seq)
-        self._spawn("catch-up", self._catch_up())
+        self._tasks.spawn_once("catch-up", self._catch_up)
 
     def _put_in_force(self, seq: int, bundle: Bundle) -> None:
         old = self._in_force
@@ -282,13 +279,15 @@
         for peer in self._mesh.live:
             told = peer.heartbeat.in_force_seq if peer.heartbeat else 0
             if told > self._knowledge.seq:
-                self._spawn(f"ask {peer.vm}", self._ask_peer(peer.vm))
+                self._tasks.spawn_once(
+                    f"ask {peer.vm}", partial(self._ask_peer, peer.vm)
+                )
         for vm in self._asked():
-            self._spawn(f"ask {vm}", self._ask_peer(vm))
+            self._tasks.spawn_once(f"ask {vm}", partial(self._ask_peer, vm))
         if self._reads_store():
-            self._spawn("store", self._read_store())
+            self._tasks.spawn_once("store", self._read_store)
         if self.seq_in_force < self._knowledge.seq:
-            self._spawn("catch-up", self._catch_up())
+            self._tasks.spawn_once("catch-up", self._catch_up)
 
     def _asked(self) -> set[str]:
         live = {peer.vm for peer in self._mesh.live} - {self._vm}
@@ -388,18 +387,3 @@
             self.take_abandoned(message.seq)
             return
         self.take(Told(message.seq, message.digest, message.seq, None), sender.vm)
-
-    def _spawn(self, name: str, coroutine) -> None:
-        """Run one thing beside the others, unless it is under way already."""
-        if name in self._busy:
-            coroutine.close()
-            return
-        self._busy.add(name)
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-
-        def done(_):
-            self._tasks.discard(task)
-            self._busy.discard(name)
-
-        task.add_done_callback(done)
--- /dev/null
+++ b/hawthornlead/tasks.py
@@ -0,0 +1,50 @@
+"""Tasks that run beside what started them, and end with it.
+
+The event loop keeps only weak references to its tasks, so that one that nothing else
+refers to may vanish before it is done. ``TaskSet`` refers to them until then::
+
+    tasks = TaskSet()
+    tasks.spawn(connection.write())
+    tasks.spawn_once("store", self._read_store)
+    await tasks.stop()
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+
+class TaskSet:
+    """The running tasks of one part."""
+
+    def __init__(self):
+        self._tasks: set[asyncio.Task] = set()
+        self._names: set[str] = set()
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task:
+        """Run a coroutine in a task of its own."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def spawn_once(
+        self, name: str, function: Callable[[], Coroutine[Any, Any, Any]]
+    ) -> None:
+        """Run ``function`` in a task, unless one of this name is under way."""
+        if name in self._names:
+            return
+        self._names.add(name)
+        task = self.spawn(function())
+        task.add_done_callback(lambda _: self._names.discard(name))
+
+    def cancel(self) -> None:
+        """Ask all tasks to end; they do so when the event loop runs again."""
+        for task in tuple(self._tasks):
+            task.cancel()
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait until they have ended."""
+        tasks = tuple(self._tasks)
+        self.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/hawthornlead/tests/test_peers.py
+++ b/hawthornlead/tests/test_peers.py
@@ -7,7 +7,7 @@
 import pytest
 from websockets.asyncio.client import connect
 
-from hawthornlead import peers
+from hawthornlead import diallers
 from hawthornlead.clocks import HybridClock, HybridTime
 from hawthornlead.codecs import Frame, encode
 from hawthornlead.errors import ErrorKind
@@ -188,7 +188,7 @@
         tried.append(uri)
         return connect(uri, **options)
 
-    monkeypatch.setattr(peers, "connect", count)
+    monkeypatch.setattr(diallers, "connect", count)
     async with running("a") as (a,):
         a.set_peers({"c": address})
         await until(lambda: len(tried) >= 3)
--- a/hawthornlead/timers.py
+++ b/hawthornlead/timers.py
@@ -19,6 +19,8 @@
 
 from loguru import logger
 
+from .tasks import TaskSet
+
 Callback = Callable[[], Awaitable[None] | None]
 
 
@@ -76,7 +78,7 @@
     """The clock and timers of one process, on the running event loop."""
 
     def __init__(self):
-        self._tasks: set[asyncio.Task] = set()
+        self._tasks = TaskSet()
 
     def now(self) -> float:
         """Seconds on a monotonic clock; only differences mean anything."""
@@ -93,24 +95,18 @@
     def every(self, interval: float, callback: Callback, name: str) -> Subscription:
         """Call ``callback`` every ``interval`` seconds, never two at once."""
         subscription = Subscription(name, callback)
-        self._spawn(self._repeat(interval, subscription))
+        self._tasks.spawn(self._repeat(interval, subscription))
         return subscription
 
     def after(self, delay: float, callback: Callback, name: str) -> Subscription:
         """Call ``callback`` once, ``delay`` seconds from now."""
         subscription = Subscription(name, callback)
-        self._spawn(self._once(delay, subscription))
+        self._tasks.spawn(self._once(delay, subscription))
         return subscription
 
     def stop(self) -> None:
         """End all timers."""
-        for task in self._tasks:
-            task.cancel()
-
-    def _spawn(self, coroutine) -> None:
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.cancel()
 
     async def _repeat(self, interval: float, subscription: Subscription) -> None:
         while not subscription.cancelled:
