Keep free slots for requests in a store outage

A slow machine was ruled out as the cause: with both slots taken no time helps. An owner without its full right now refuses loads ahead; the new test fails without that.

--- a/hawthornlead/slots.py
+++ b/hawthornlead/slots.py
@@ -217,6 +217,11 @@
             refusal = self._refusal()
             if refusal is not None:
                 return Err(refusal)
+            if ask.ahead and self._orders.right() is not OrderRight.FULL:
+                # Nothing is evicted in a store outage, so the free slots are all
+                # there is: spare copies of hot adapters would use them up, and
+                # requests for cold ones be refused till the outage ends.
+                return Err(_no_spare())
             if not self._guard.ready:
                 if not await self._changed.wait(
                     self._timers, asking.until - self._now()
@@ -416,5 +421,10 @@
     until: float
 
 
+def _no_spare() -> Failure:
+    detail = "free slots are kept for requests while nothing can be evicted"
+    return Failure(ErrorKind.NO_SLOT, detail, retry_after_s=1.0)
+
+
 def _no_grant(detail: str) -> Failure:
     return Failure(ErrorKind.NO_GRANT, detail, retry_after_s=1.0)
--- a/hawthornlead/tests/test_load_waits.py
+++ b/hawthornlead/tests/test_load_waits.py
@@ -66,6 +66,24 @@
     assert (await world.acquired("b", "tide", wait_s=1.0)).is_ok()
 
 
+async def test_no_load_ahead_takes_a_free_slot_in_a_store_outage():
+    """In a store outage requests for cold adapters are refused, though slots were free.
+
+    A hot adapter was given spare copies during the outage. They filled the free
+    slots, and an owner whose lease ran out evicts nothing.
+    """
+    world = await _world(slots=2)
+    await _streaming(world)
+    world.degrade("a", ALLOWANCE)
+    world.degrade("a")
+    ahead = _acquire(world, "a", "buoy", ahead=True)
+    await world.advance(1.0)
+    assert ahead.result().unwrap_err().kind is ErrorKind.NO_SLOT
+    wanted = _acquire(world, "a", "lap")
+    await world.advance(3.0)
+    assert wanted.result().is_ok()
+
+
 async def test_a_request_that_joins_a_load_ahead_does_not_stand_last():
     """A load ahead waits for leave, a request joins it, and others keep coming.
 
