--- a/hawthornlead/tests/test_late_attempts.py
+++ b/hawthornlead/tests/test_late_attempts.py
@@ -11,6 +11,7 @@
 from hawthornlead.events import EventRing
 from hawthornlead.invariants import Invariants
 from hawthornlead.metrics import Metrics
+from hawthornlead.sent_attempts import SentAttempts
 from hawthornlead.settings import default_settings
 from hawthornlead.tests.fakes_exchanges import FakeConnections
 from hawthornlead.timers import ManualTimerService
@@ -46,11 +47,12 @@
         invariants=Invariants(events),
         connections=connections,
         clients=None,
+        sent=SentAttempts(invariants=Invariants(events)),
     )
     assignment = Assignment("tides", "v1", "base", 5)
     deadline_at = timers.now() + 5
     call = AttemptCall(
-        "r1.1", "t1", "a:1", assignment, "?", 8, 3, 5, deadline_at, fresh=True
+        "r1.1", "t1", "a:1", assignment, "?", 8, 3, 5, deadline_at, True, "r1", True
     )
     grant = FakeGrant()
     running = asyncio.create_task(runner.run(call, grant, sink=None))
--- a/hawthornlead/tests/test_service_calls.py
+++ b/hawthornlead/tests/test_service_calls.py
@@ -9,11 +9,13 @@
 from hawthornlead.clocks import HybridClock
 from hawthornlead.errors import ErrorKind, Ran
 from hawthornlead.events import EventRing
+from hawthornlead.invariants import Invariants
 from hawthornlead.limits import Admissions
 from hawthornlead.metrics import Metrics
 from hawthornlead.platforms import VmEntry
 from hawthornlead.request_claims import RequestClaims
 from hawthornlead.retries import Retries
+from hawthornlead.sent_attempts import SentAttempts
 from hawthornlead.service_calls import ServiceCall, ServicePath
 from hawthornlead.settings import default_settings
 from hawthornlead.tests.fakes_claims import ClaimFleet
@@ -41,10 +43,12 @@
         self.timers = self.fleet.timers
         self.connections = FakeConnections(self.timers, **answer)
         settings, rng = default_settings(), random.Random(1)
+        events = EventRing("vm-1", HybridClock(self.timers))
         self.path = ServicePath(
             settings=settings,
             timers=self.timers,
-            events=EventRing("vm-1", HybridClock(self.timers)),
+            events=events,
+            sent=SentAttempts(invariants=Invariants(events)),
             metrics=Metrics(),
             rng=rng,
             vm_list=FakeVmList(),
