--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -210,7 +210,9 @@
             return Ok(RecordedAnswer(claimed.ok_value))
         failure = await self._try_targets(request, assignment, sink)
         if failure is None:
-            outcome = Outcome(DONE, 200, "application/json", sink.recorded())
+            # A streamed answer is not kept: a later try is told only that it ran.
+            body = sink.recorded()
+            outcome = Outcome(DONE, 200, "application/json" if body else "", body)
         else:
             failure = failure._replace(claim_read=True)
             outcome = Outcome.failed(failure)
@@ -270,7 +272,9 @@
         if wait_s is None:
             return False
         await self._timers.sleep(wait_s)
-        return True
+        # Guards against a request that kills every target it is retried on: it was
+        # admitted before its first crash, and is quarantined by its own attempts.
+        return self._suspects.check(request.fingerprint).is_ok()
 
     async def _attempt(
         self, request, assignment, one_try: Try, grant: Grant, offset, number, sink
