--- a/hawthornlead/tests/measure_loads.py
+++ b/hawthornlead/tests/measure_loads.py
@@ -8,12 +8,13 @@
 some; loads and answers keep their length, in steps ``COARSE`` times as long. No
 latency is added between data centres; gate closures and plain services are left out.
 
-The same seed is run with the chosen strategies and with the two baselines. All other
-settings are the deployment's.
+The same seed is run with the chosen strategies and with the two baselines, at the same
+time. All other settings are the deployment's.
 """
 
 import asyncio
 import json
+import statistics
 import time
 from collections.abc import Sequence
 from pathlib import Path
@@ -289,6 +290,15 @@
         return {
             "loads": len(counted),
             "loads_in_all": record["total"],
+            # Longer than the deployment's when the machine is busy.
+            "load_mean_s": round(
+                statistics.mean(
+                    each["ended"] - each["started"]
+                    for each in counted
+                    if each["ended"] is not None
+                ),
+                3,
+            ),
             "over_rate": record["over_rate"],
             "over_concurrency": record["over_concurrency"],
             "most_at_once": record["most_at_once"],
@@ -347,22 +357,33 @@
     return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 3)
 
 
+async def _together(name: str, policies, seed: int, watched_s: float) -> list[dict]:
+    runs = [measure(name, policy, seed, watched_s) for policy in policies]
+    return await asyncio.gather(*runs)
+
+
 @click.command()
 @click.option("--deployment", "names", multiple=True, default=("mareas", "cwmtaf"))
 @click.option("--policy", "policies", multiple=True, default=tuple(POLICIES))
-@click.option("--seed", default=11)
+@click.option("--seed", "seeds", multiple=True, default=(11,))
 @click.option("--seconds", default=60.0, help="measured, after the warm-up")
-def main(names, policies, seed, seconds):
-    """Measure the strategies with the real daemon; one fleet at a time."""
+def main(names, policies, seeds, seconds):
+    """Measure the strategies with the real daemon, all at the same time.
+
+    So that other work of the machine, which makes loads and answers longer, meets
+    each of them alike.
+    """
     for name in names:
         rows = []
-        for policy in policies:
-            rows.append(asyncio.run(measure(name, policy, seed, seconds)))
-            click.echo(json.dumps(rows[-1] | {"in_time_of_callers": "..."}))
+        for seed in seeds:
+            rows += asyncio.run(_together(name, policies, seed, seconds))
+        for row in rows:
+            click.echo(json.dumps(row | {"in_time_of_callers": "..."}))
         write_document(
             RESULTS / f"daemon-{name}.json",
             f"python -m hawthornlead.tests.measure_loads --deployment {name}"
-            f" --seed {seed} --seconds {seconds:g}",
+            + "".join(f" --seed {seed}" for seed in seeds)
+            + f" --seconds {seconds:g}",
             {"haste": HASTE, "warm_up_s": WARM_UP_S, "rows": rows},
         )
 
