Split bundles.py into chunks, parts and the bundle

Chunks (content by digest) know nothing of adapters, and parts nothing of manifests; signatures needed the canonical JSON only and imported all of it. What a bundle says of a service's calls is a ServiceRule now, so that ServiceCall means one thing.

--- a/hawthornlead/bundle_diffs.py
+++ b/hawthornlead/bundle_diffs.py
@@ -3,7 +3,8 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from .bundles import AliasTarget, Bundle, CallerEntry
+from .bundle_parts import AliasTarget, CallerEntry
+from .bundles import Bundle
 
 
 class Change(NamedTuple):
--- a/hawthornlead/bundle_libraries.py
+++ b/hawthornlead/bundle_libraries.py
@@ -15,7 +15,8 @@
 from result import Err, Ok, Result
 
 from .bundle_checks import check_document
-from .bundles import Bundle, BundleChunk, read_manifest, unpack
+from .bundle_chunks import BundleChunk, read_manifest, unpack
+from .bundles import Bundle
 from .errors import ErrorKind, Failure
 from .meshes import failed
 from .messages import Chunk, FetchChunk
--- a/hawthornlead/bundles.py
+++ b/hawthornlead/bundles.py
@@ -1,10 +1,8 @@
-"""Bundles: which adapter version answers which caller, and their chunks.
+"""Bundles: which adapter version answers which caller.
 
-An operator's document is checked, put into canonical JSON and split into chunks
-that are named by the SHA-256 of their content. The manifest names the chunks, is a
-chunk itself, and its digest is the bundle's. Adapters and callers are spread over
-a fixed number of chunks by a hash of their name, so that a change of one of them
-alters one chunk and the manifest, and all others are shared with older bundles::
+An operator's document is checked, put into canonical JSON and split into parts
+(``bundle_parts``), each a chunk (``bundle_chunks``). The manifest names the chunks, is
+a chunk itself, and its digest is the bundle's::
 
     bundle = Bundle.read(document).unwrap()
     caller = bundle.caller_of("the caller's token")
@@ -12,23 +10,33 @@
 """
 
 import hashlib
-import json
-import zlib
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any, NamedTuple
 
 from result import Err, Ok, Result
 
 from .bundle_checks import BundleDocument, check_document, is_plain_path
+from .bundle_chunks import (
+    FORMAT,
+    MAX_PACKED_BYTES,
+    BundleChunk,
+    bad_bundle,
+    canonical,
+    pack,
+    read_manifest,
+)
+from .bundle_parts import (
+    AdapterRow,
+    AliasTarget,
+    CallerEntry,
+    CallerTerms,
+    Part,
+    ServiceRule,
+    read_part,
+    split_document,
+)
 from .errors import ErrorKind, Failure
 
-FORMAT = 1
-BUCKETS = 64
-# A chunk that unpacks to more is refused, so that a small malicious chunk can't
-# fill the memory of every VM.
-MAX_CHUNK_BYTES = 4 << 20
-# What the platform stores is base64 in JSON: this much stays below a megabyte.
-MAX_PACKED_BYTES = 700_000
 MAX_FAULTS_TOLD = 50
 
 
@@ -41,21 +49,6 @@
     priority: int
 
 
-class CallerTerms(NamedTuple):
-    """A caller and its limits.
-
-    ``rate`` is in requests a second, ``burst`` in requests at once after a pause,
-    ``concurrency`` in requests open at a time. ``priority`` goes from 0 to 9; 9 is
-    served first.
-    """
-
-    name: str
-    priority: int
-    rate: float
-    burst: int
-    concurrency: int
-
-
 class ServiceTerms(NamedTuple):
     """What a bundle says of one call of a plain service."""
 
@@ -63,115 +56,17 @@
     repeatable: bool
 
 
-class AdapterRow(NamedTuple):
-    """One adapter version of a bundle and the base model it dresses."""
-
-    adapter: str
-    version: str
-    base_model: str
-
-
-class AliasTarget(NamedTuple):
-    """The adapter version that an alias of a caller stands for."""
-
-    adapter: str
-    version: str
-
-
-class CallerEntry(NamedTuple):
-    """All that a bundle says of one caller."""
-
-    terms: CallerTerms
-    token_sha256: tuple[str, ...]
-    aliases: dict[str, AliasTarget]
-    services: frozenset[str]
-
-
-class ServiceCall(NamedTuple):
-    """The calls of one method below one path."""
-
-    method: str
-    path: str
-    repeatable: bool
-
-
-class BundleChunk(NamedTuple):
-    """A chunk: the SHA-256 of its unpacked content, and its packed content."""
-
-    digest: str
-    content: bytes
-
-
-class _Part(NamedTuple):
-    digest: str
-    adapters: dict[AliasTarget, str]
-    callers: dict[str, CallerEntry]
-    services: dict[str, tuple[ServiceCall, ...]]
-
-
-class Manifest(NamedTuple):
-    """The names of a bundle's chunks, by the section and bucket that they hold."""
-
-    name: str
-    note: str
-    parts: dict[str, str]
-
-
-def canonical(value: Any) -> bytes:
-    """Return the one JSON text of a value: sorted keys, no spaces, UTF-8."""
-    text = json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False)
-    return text.encode()
-
-
-def pack(raw: bytes) -> BundleChunk:
-    """Pack content into a chunk.
-
-    The digest is of the content before packing, so that it does not depend on the
-    version of the compressor.
-    """
-    return BundleChunk(hashlib.sha256(raw).hexdigest(), zlib.compress(raw, 6))
-
-
-def unpack(chunk: BundleChunk) -> Result[bytes, Failure]:
-    """Return the content of a chunk, checked against its digest."""
-    unpacker = zlib.decompressobj()
-    try:
-        raw = unpacker.decompress(chunk.content, MAX_CHUNK_BYTES)
-    except zlib.error as error:
-        return _bad(f"chunk {chunk.digest[:12]} can't be unpacked: {error}")
-    if not unpacker.eof:
-        return _bad(f"chunk {chunk.digest[:12]} is cut or too large")
-    if hashlib.sha256(raw).hexdigest() != chunk.digest:
-        return _bad(f"chunk {chunk.digest[:12]} has other content than its name says")
-    return Ok(raw)
-
-
-def read_manifest(chunk: BundleChunk) -> Result[Manifest, Failure]:
-    """Read the manifest of a bundle from the chunk that has the bundle's digest."""
-    unpacked = unpack(chunk)
-    if unpacked.is_err():
-        return unpacked
-    try:
-        value = json.loads(unpacked.unwrap())
-        if value["format"] != FORMAT:
-            return _bad(f"bundle format {value['format']}, this VM reads {FORMAT}")
-        parts = {str(key): str(digest) for key, digest in value["parts"].items()}
-        return Ok(Manifest(str(value["name"]), str(value["note"]), parts))
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return _bad(f"manifest {chunk.digest[:12]} is malformed: {error!r}")
-
-
 class Bundle:
     """One bundle, ready to answer who is assigned what."""
 
-    def __init__(self, manifest: BundleChunk, name: str, note: str, parts: list[_Part]):
+    def __init__(self, manifest: BundleChunk, name: str, note: str, parts: list[Part]):
         self._manifest = manifest
         self._name = name
         self._note = note
         self._parts = {part.digest: part for part in parts}
         self._adapters: dict[AliasTarget, str] = {}
         self._callers: dict[str, CallerEntry] = {}
-        self._services: dict[str, tuple[ServiceCall, ...]] = {}
+        self._services: dict[str, tuple[ServiceRule, ...]] = {}
         self._tokens: dict[str, CallerTerms] = {}
         for part in parts:
             self._adapters.update(part.adapters)
@@ -202,7 +97,7 @@
         return self._callers
 
     @property
-    def services(self) -> Mapping[str, tuple[ServiceCall, ...]]:
+    def services(self) -> Mapping[str, tuple[ServiceRule, ...]]:
         """The calls of each plain service by name."""
         return self._services
 
@@ -229,7 +124,7 @@
         read = read_manifest(manifest)
         if read.is_err():
             return read
-        known: dict[str, _Part] = {}
+        known: dict[str, Part] = {}
         for bundle in earlier:
             known.update(bundle._parts)
         parts = []
@@ -237,8 +132,8 @@
             part = known.get(digest)
             if part is None:
                 if digest not in chunks:
-                    return _bad(f"chunk {digest[:12]} is missing")
-                parsed = _parse(BundleChunk(digest, chunks[digest].content))
+                    return bad_bundle(f"chunk {digest[:12]} is missing")
+                parsed = read_part(BundleChunk(digest, chunks[digest].content))
                 if parsed.is_err():
                     return parsed
                 part = parsed.unwrap()
@@ -310,7 +205,7 @@
             detail = f"the bundle does not let {caller.name} call {service}"
             return Err(Failure(ErrorKind.FORBIDDEN, detail))
         plain = path.partition("?")[0]
-        best: ServiceCall | None = None
+        best: ServiceRule | None = None
         for call in self._services[service]:
             if call.method != method.upper() or not _below(plain, call.path):
                 continue
@@ -340,8 +235,8 @@
         more = len(faults) - MAX_FAULTS_TOLD
         if more > 0:
             told += f"\nand {more} more"
-        return _bad(told)
-    sections = _split(document)
+        return bad_bundle(told)
+    sections = split_document(document)
     packed = {key: pack(canonical(rows)) for key, rows in sections.items()}
     manifest = pack(
         canonical(
@@ -369,69 +264,5 @@
     return hashlib.sha256(token.encode(errors="surrogateescape")).hexdigest()
 
 
-def _split(document: BundleDocument) -> dict[str, list]:
-    sections: dict[str, list] = {}
-    for row in document.get("adapters", []):
-        sections.setdefault(_bucket("adapters", row["adapter"]), []).append(row)
-    for row in document.get("callers", []):
-        sections.setdefault(_bucket("callers", row["name"]), []).append(_full(row))
-    for row in document.get("services", []):
-        calls = sorted(row.get("calls", []), key=lambda c: (c["method"], c["path"]))
-        sections.setdefault("services", []).append(
-            {"name": row["name"], "calls": calls}
-        )
-    for rows in sections.values():
-        rows.sort(key=canonical)
-    return sections
-
-
-def _full(row: dict) -> dict:
-    full = {"aliases": {}, "services": [], **row}
-    full["services"] = sorted(set(full["services"]))
-    full["token_sha256"] = sorted(full["token_sha256"])
-    return full
-
-
-def _bucket(section: str, name: str) -> str:
-    number = hashlib.sha256(name.encode()).digest()[0] % BUCKETS
-    return f"{section}/{number:02d}"
-
-
-def _parse(chunk: BundleChunk) -> Result[_Part, Failure]:
-    unpacked = unpack(chunk)
-    if unpacked.is_err():
-        return unpacked
-    part = _Part(chunk.digest, {}, {}, {})
-    try:
-        for row in json.loads(unpacked.unwrap()):
-            _parse_row(row, part)
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        return _bad(f"chunk {chunk.digest[:12]} is malformed: {error!r}")
-    return Ok(part)
-
-
-def _parse_row(row: dict, part: _Part) -> None:
-    if "adapter" in row:
-        target = AliasTarget(row["adapter"], row["version"])
-        part.adapters[target] = row["base_model"]
-        return
-    if "calls" in row:
-        calls = [ServiceCall(**call) for call in row["calls"]]
-        part.services[row["name"]] = tuple(calls)
-        return
-    terms = CallerTerms(*(row[field] for field in CallerTerms._fields))
-    aliases = {
-        alias: AliasTarget(target["adapter"], target["version"])
-        for alias, target in row["aliases"].items()
-    }
-    part.callers[terms.name] = CallerEntry(
-        terms, tuple(row["token_sha256"]), aliases, frozenset(row["services"])
-    )
-
-
 def _below(path: str, prefix: str) -> bool:
     return path == prefix or path.startswith(prefix.rstrip("/") + "/")
-
-
-def _bad(detail: str) -> Err[Failure]:
-    return Err(Failure(ErrorKind.BAD_BUNDLE, detail))
--- a/hawthornlead/operator_handlers.py
+++ b/hawthornlead/operator_handlers.py
@@ -8,7 +8,7 @@
 import base64
 import binascii
 
-from .bundles import BundleChunk
+from .bundle_chunks import BundleChunk
 from .errors import ErrorKind, Failure
 from .request_guards import RequestGuard, SignedHandler
 from .rolls import BundleKeeper
--- a/hawthornlead/signatures.py
+++ b/hawthornlead/signatures.py
@@ -24,7 +24,7 @@
 )
 from result import Err, Ok, Result
 
-from .bundles import canonical
+from .bundle_chunks import canonical
 from .errors import ErrorKind, Failure
 
 # Signed before each statement, so that a signature made for another program with
--- a/hawthornlead/tests/test_bundles.py
+++ b/hawthornlead/tests/test_bundles.py
@@ -4,18 +4,10 @@
 
 import pytest
 
+from hawthornlead.bundle_chunks import MAX_CHUNK_BYTES, BundleChunk, pack, unpack
 from hawthornlead.bundle_diffs import diff
-from hawthornlead.bundles import (
-    MAX_CHUNK_BYTES,
-    AdapterRow,
-    Assignment,
-    Bundle,
-    BundleChunk,
-    pack,
-    prepare,
-    token_hash,
-    unpack,
-)
+from hawthornlead.bundle_parts import AdapterRow
+from hawthornlead.bundles import Assignment, Bundle, prepare, token_hash
 from hawthornlead.errors import ErrorKind
 
 DOCUMENT = {
