Note how requests end in one place

Requests for adapters and calls to services refused, counted and recorded in the same lines, and each had its own form of the rule that a request is never told "not run" after an attempt that may have run. outcomes.py has both now, and Retries waits out the backoff itself. Two details of service calls change by it: that refusal says of them, too, that an earlier attempt may have run, and keeps its time to try again.

--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -12,7 +12,7 @@
 from .attempts import AttemptCall, AttemptEnd, AttemptRunner, Sink
 from .bundles import Assignment, CallerTerms
 from .claim_rows import DONE
-from .errors import ErrorKind, Failure, Ran
+from .errors import ErrorKind, Failure
 from .events import EventKind, EventRing
 from .grant_rounds import Granted, GrantRounds, Try
 from .grants import Grant, Grants
@@ -20,6 +20,7 @@
 from .limits import Admissions
 from .messages import Claimed
 from .metrics import Metrics
+from .outcomes import OutcomeRecorder, may_have_run, truthful
 from .popularities import Popularity
 from .popularity_shares import PopularityShares
 from .request_claims import Keyed, Outcome, RequestClaims
@@ -150,6 +151,7 @@
         self._spares = spares
         self._attempts = attempts
         self._sent = sent
+        self._outcomes = OutcomeRecorder(events=events, metrics=metrics, sent=sent)
 
     async def serve(
         self, request: CallerRequest, sink: RequestSink
@@ -160,7 +162,7 @@
         """
         admitted = self._admissions.admit(request.caller, request.priority)
         if isinstance(admitted, Err):
-            return self._refused(request, admitted.err_value)
+            return self._outcomes.refused(request.request_id, admitted.err_value)
         self._metrics.open_requests.inc()
         try:
             return await self._serve_admitted(request, sink)
@@ -172,10 +174,10 @@
     async def _serve_admitted(self, request, sink):
         assigned = request.in_force.bundle.assign(request.caller, request.alias)
         if isinstance(assigned, Err):
-            return self._refused(request, assigned.err_value)
+            return self._outcomes.refused(request.request_id, assigned.err_value)
         allowed = self._suspects.check(request.fingerprint)
         if isinstance(allowed, Err):
-            return self._refused(request, allowed.err_value)
+            return self._outcomes.refused(request.request_id, allowed.err_value)
         assignment = assigned.ok_value
         newest = request.in_force.seq >= self._keeper.seq_in_force
         self._invariants.check("admitted-under-newest", newest, request.request_id)
@@ -205,7 +207,7 @@
         )
         claimed = await self._claims.claim(keyed)
         if isinstance(claimed, Err):
-            return self._refused(request, claimed.err_value)
+            return self._outcomes.refused(request.request_id, claimed.err_value)
         if claimed.ok_value.state == DONE:
             return Ok(RecordedAnswer(claimed.ok_value))
         failure = await self._try_targets(request, assignment, sink)
@@ -242,13 +244,13 @@
             if failure is None:
                 return self._counted(request, end, sink)
             offset = end.next_index
-            ran = ran or failure.answer.ran is not Ran.NOT_RUN
+            ran = ran or may_have_run(failure)
             if not await self._may_retry(request, failure, number):
                 break
             self._events.emit(
                 EventKind.REQUEST_RETRIED, request.request_id, after=failure.kind.value
             )
-        return _truthful(failure, ran)
+        return truthful(failure, ran)
 
     def _counted(self, request, end: AttemptEnd, sink) -> Failure | None:
         """Check that all tokens which the target counted went to the caller.
@@ -266,12 +268,8 @@
         """Wait out the backoff and say whether another attempt may start."""
         repeatable = not request.key
         allowed = failure.answer.retry or (repeatable and failure.kind in RESUMABLE)
-        if not allowed or number == self._settings["MAX_ATTEMPTS"]:
+        if not allowed or not await self._retries.wait(number, request.deadline_at):
             return False
-        wait_s = self._retries.next_wait(number, request.deadline_at)
-        if wait_s is None:
-            return False
-        await self._timers.sleep(wait_s)
         # Guards against a request that kills every target it is retried on: it was
         # admitted before its first crash, and is quarantined by its own attempts.
         return self._suspects.check(request.fingerprint).is_ok()
@@ -390,31 +388,6 @@
 
     def _answered(self, request, failure: Failure | None):
         if failure is not None:
-            return self._refused(request, failure)
-        self._metrics.requests.labels("whole").inc()
-        self._events.emit(EventKind.REQUEST_ANSWERED, request.request_id)
+            return self._outcomes.refused(request.request_id, failure)
+        self._outcomes.answered(request.request_id)
         return Ok(None)
-
-    def _refused(self, request, failure: Failure) -> Err[Failure]:
-        self._sent.refusing(request.request_id, failure)
-        self._metrics.requests.labels(failure.kind.value).inc()
-        self._events.emit(
-            EventKind.REQUEST_REFUSED,
-            request.request_id,
-            kind=failure.kind.value,
-            ran=failure.answer.ran.value,
-            detail=failure.detail,
-        )
-        return Err(failure)
-
-
-def _truthful(failure: Failure, ran: bool) -> Failure:
-    """Return the failure to answer, never 'not run' when an earlier attempt ran.
-
-    Guards against a retry that ends in a refusal: the last attempt did not run, but
-    the one before it may have.
-    """
-    if not ran or failure.answer.ran is not Ran.NOT_RUN:
-        return failure
-    detail = f"an earlier attempt may have run; then: {failure.detail}"
-    return Failure(ErrorKind.TARGET_LOST, detail, failure.retry_after_s)
--- a/hawthornlead/retries.py
+++ b/hawthornlead/retries.py
@@ -5,10 +5,8 @@
 load, the budget is soon spent and the final answer goes out at once. One call does
 it all::
 
-    wait_s = retries.next_wait(number, deadline_at)
-    if wait_s is None:
+    if not await retries.wait(number, deadline_at):
         return failure
-    await timers.sleep(wait_s)
 """
 
 from collections import deque
@@ -77,6 +75,20 @@
             return None
         return wait_s
 
+    async def wait(self, number: int, deadline_at: float) -> bool:
+        """Wait out the backoff after attempt ``number`` (from 1).
+
+        False at once when there is to be no further attempt: after ``MAX_ATTEMPTS``,
+        or for the reasons of ``next_wait``.
+        """
+        if number >= self._settings["MAX_ATTEMPTS"]:
+            return False
+        wait_s = self.next_wait(number, deadline_at)
+        if wait_s is None:
+            return False
+        await self._timers.sleep(wait_s)
+        return True
+
     def _current(self) -> _Slice:
         now = self._timers.now()
         while self._slices and self._slices[0].began_at <= now - WINDOW_S:
--- a/hawthornlead/service_calls.py
+++ b/hawthornlead/service_calls.py
@@ -15,11 +15,12 @@
 
 from .bundles import CallerTerms
 from .claim_rows import DONE
-from .errors import ErrorKind, Failure, Ran
+from .errors import ErrorKind, Failure
 from .events import EventKind, EventRing
 from .exchanges import TargetConnections
 from .limits import Admissions
 from .metrics import Metrics
+from .outcomes import OutcomeRecorder, may_have_run, truthful
 from .platforms import VmEntry, VmList
 from .request_claims import Keyed, Outcome, RequestClaims
 from .retries import Retries
@@ -115,22 +116,23 @@
         self._retries = retries
         self._connections = connections
         self._sent = sent
+        self._outcomes = OutcomeRecorder(events=events, metrics=metrics, sent=sent)
         self._open: dict[str, int] = {}
 
     async def serve(self, call: ServiceCall) -> Result[ServiceAnswer, Failure]:
         """Serve one call; every error tells the truth about the run by its kind."""
         admitted = self._admissions.admit(call.caller, call.priority)
         if isinstance(admitted, Err):
-            return self._refused(call, admitted.err_value)
+            return self._outcomes.refused(call.request_id, admitted.err_value)
         try:
             outcome = await self._serve_admitted(call)
         finally:
             admitted.ok_value.release()
         if isinstance(outcome, Err):
-            return self._refused(call, outcome.err_value)
+            outcome = self._outcomes.refused(call.request_id, outcome.err_value)
+        else:
+            self._outcomes.answered(call.request_id)
         self._sent.forget(call.request_id)
-        self._metrics.requests.labels("whole").inc()
-        self._events.emit(EventKind.REQUEST_ANSWERED, call.request_id)
         return outcome
 
     async def _serve_admitted(self, call):
@@ -170,24 +172,16 @@
             if isinstance(outcome, Ok):
                 return outcome
             failure = outcome.err_value
-            ran = ran or failure.answer.ran is not Ran.NOT_RUN
+            ran = ran or may_have_run(failure)
             if not await self._may_retry(call, failure, number):
                 break
-        if ran and failure.answer.ran is Ran.NOT_RUN:
-            failure = Failure(ErrorKind.TARGET_LOST, failure.detail)
-        return Err(failure)
+        return Err(truthful(failure, ran))
 
     async def _may_retry(self, call, failure: Failure, number: int) -> bool:
         allowed = failure.answer.retry or (
             call.repeatable and failure.kind is ErrorKind.TARGET_LOST
         )
-        if not allowed or number == self._settings["MAX_ATTEMPTS"]:
-            return False
-        wait_s = self._retries.next_wait(number, call.deadline_at)
-        if wait_s is None:
-            return False
-        await self._timers.sleep(wait_s)
-        return True
+        return allowed and await self._retries.wait(number, call.deadline_at)
 
     async def _attempt(self, call, number: int, tried: set[str]):
         entry = self._choose(call.service, tried)
@@ -286,16 +280,3 @@
             return None
         picked = self._rng.sample(fresh, min(2, len(fresh)))
         return min(picked, key=lambda entry: self._open.get(entry.name, 0))
-
-    def _refused(self, call, failure: Failure) -> Err[Failure]:
-        self._sent.refusing(call.request_id, failure)
-        self._sent.forget(call.request_id)
-        self._metrics.requests.labels(failure.kind.value).inc()
-        self._events.emit(
-            EventKind.REQUEST_REFUSED,
-            call.request_id,
-            kind=failure.kind.value,
-            ran=failure.answer.ran.value,
-            detail=failure.detail,
-        )
-        return Err(failure)
--- a/hawthornlead/tests/test_retries.py
+++ b/hawthornlead/tests/test_retries.py
@@ -1,5 +1,6 @@
 """Retry budget and backoff."""
 
+import asyncio
 import random
 
 import pytest
@@ -56,3 +57,14 @@
     assert retries.left == FLOOR
     assert retries.next_wait(1, timers.now() + 1) <= 0.025
     assert retries.left == FLOOR - 1
+
+
+async def test_no_retry_follows_the_last_attempt(retries, timers):
+    most = default_settings()["MAX_ATTEMPTS"]
+    assert not await retries.wait(most, timers.now() + 10)
+    assert retries.left == FLOOR
+    waiting = asyncio.ensure_future(retries.wait(most - 1, timers.now() + 10))
+    await asyncio.sleep(0)
+    await timers.advance(LONGEST_S)
+    assert await waiting
+    assert retries.left == FLOOR - 1
