Read the terms of a request from its headers once

The handlers for completions and for services took the same five checks apart in the same order, and handed bare tuples on. Asker and HeaderTerms name what they are, and requests are made by keyword. Commands and queries share the options that say how a VM is reached.

--- a/hawthornlead/command_handlers.py
+++ b/hawthornlead/command_handlers.py
@@ -39,6 +39,26 @@
     drain: Drain
 
 
+class Asker(NamedTuple):
+    """Who asks, and the bundle in force that says so."""
+
+    caller: CallerTerms
+    in_force: InForce
+
+
+class HeaderTerms(NamedTuple):
+    """What the headers of a request say of how it is to run.
+
+    ``deadline_at`` is on the timer service's clock, ``key_issued_at`` in seconds
+    since the epoch by the caller's; ``key`` is empty where the request has none.
+    """
+
+    deadline_at: float
+    priority: int
+    key: str
+    key_issued_at: float | None
+
+
 class CallerHandler(RequestHandler):
     """What all handlers for callers share: who asks, until when, how errors look."""
 
@@ -83,7 +103,7 @@
         kind = ErrorKind.BAD_REQUEST if status_code < 500 else ErrorKind.INTERNAL
         self.refuse(Failure(kind, f"{self.request.method}: {self._reason}"))
 
-    def caller(self) -> Result[tuple[CallerTerms, InForce], Failure]:
+    def asker(self) -> Result[Asker, Failure]:
         """Return who asks by its token, under the bundle in force."""
         drains = self._parts.drain.refusal()
         if drains is not None:
@@ -97,7 +117,20 @@
         caller = serving.ok_value.bundle.caller_of(token.strip())
         if caller is None:
             return Err(Failure(ErrorKind.UNAUTHENTICATED, "no caller has this token"))
-        return Ok((caller, serving.ok_value))
+        return Ok(Asker(caller, serving.ok_value))
+
+    def header_terms(self, caller: CallerTerms) -> Result[HeaderTerms, Failure]:
+        """Return what the headers ask for, or what is wrong with the first of them."""
+        checks = (
+            self.deadline_at(),
+            self.priority(caller),
+            self.key(),
+            self.key_issued_at(),
+        )
+        for check in checks:
+            if isinstance(check, Err):
+                return check
+        return Ok(HeaderTerms(*(check.ok_value for check in checks)))
 
     def deadline_at(self) -> Result[float, Failure]:
         """Return the request's deadline on the timer service's clock."""
@@ -165,33 +198,28 @@
             await self._collect(request)
 
     def _make_request(self) -> Result[tuple[CallerRequest, CompletionBody], Failure]:
-        asked = self.caller()
+        asked = self.asker()
         if isinstance(asked, Err):
             return asked
         caller, in_force = asked.ok_value
         body = read_completion(self.request.body)
-        checks = (
-            body,
-            self.deadline_at(),
-            self.priority(caller),
-            self.key(),
-            self.key_issued_at(),
-        )
-        for check in checks:
-            if isinstance(check, Err):
-                return check
-        read, deadline_at, priority, key, issued_at = (c.ok_value for c in checks)
+        if isinstance(body, Err):
+            return body
+        headers = self.header_terms(caller)
+        if isinstance(headers, Err):
+            return headers
+        read, terms = body.ok_value, headers.ok_value
         request = CallerRequest(
-            self._request_id,
-            caller,
-            read.alias,
-            read.prompt,
-            read.max_tokens,
-            priority,
-            deadline_at,
-            key,
-            in_force,
-            issued_at,
+            request_id=self._request_id,
+            caller=caller,
+            alias=read.alias,
+            prompt=read.prompt,
+            max_tokens=read.max_tokens,
+            priority=terms.priority,
+            deadline_at=terms.deadline_at,
+            key=terms.key,
+            in_force=in_force,
+            key_issued_at=terms.key_issued_at,
         )
         return Ok((request, read))
 
@@ -276,44 +304,38 @@
         self.finish(answer.body)
 
     def _make_call(self, service: str, path: str) -> Result[ServiceCall, Failure]:
-        asked = self.caller()
+        asked = self.asker()
         if isinstance(asked, Err):
             return asked
         caller, in_force = asked.ok_value
         method = self.request.method
-        terms = in_force.bundle.service_call(caller, service, method, path)
-        checks = (
-            terms,
-            self.deadline_at(),
-            self.priority(caller),
-            self.key(),
-            self.key_issued_at(),
-        )
-        for check in checks:
-            if isinstance(check, Err):
-                return check
-        service_terms, deadline_at, priority, key, issued = (c.ok_value for c in checks)
-        if not service_terms.repeatable and not key:
+        assigned = in_force.bundle.service_call(caller, service, method, path)
+        if isinstance(assigned, Err):
+            return assigned
+        headers = self.header_terms(caller)
+        if isinstance(headers, Err):
+            return headers
+        repeatable, terms = assigned.ok_value.repeatable, headers.ok_value
+        if not repeatable and not terms.key:
             return Err(_bad(f"{KEY_HEADER} is needed: this call may not be repeated"))
         target_path = path
         if self.request.query:
             target_path += "?" + self.request.query
-        return Ok(
-            ServiceCall(
-                self._request_id,
-                caller,
-                service,
-                method,
-                target_path,
-                self.request.headers.get("Content-Type", ""),
-                self.request.body,
-                service_terms.repeatable,
-                priority,
-                deadline_at,
-                key,
-                issued,
-            )
+        call = ServiceCall(
+            request_id=self._request_id,
+            caller=caller,
+            service=service,
+            method=method,
+            path=target_path,
+            content_type=self.request.headers.get("Content-Type", ""),
+            body=self.request.body,
+            repeatable=repeatable,
+            priority=terms.priority,
+            deadline_at=terms.deadline_at,
+            key=terms.key,
+            key_issued_at=terms.key_issued_at,
         )
+        return Ok(call)
 
 
 class UnknownHandler(RequestHandler):
--- a/hawthornlead/commands.py
+++ b/hawthornlead/commands.py
@@ -28,6 +28,7 @@
     read_private_file,
     sign,
 )
+from .vm_options import CA_OPTION, VM_OPTION
 
 REQUEST_TIMEOUT_S = 60.0
 
@@ -89,18 +90,8 @@
         return function(operator=Operator(operator, _read_key(key), url, ca), **options)
 
     for option in (
-        click.option(
-            "--ca",
-            metavar="FILE",
-            type=click.Path(exists=True, dir_okay=False),
-            help="Certificates to trust (PEM).",
-        ),
-        click.option(
-            "--vm",
-            required=True,
-            metavar="IP:PORT",
-            help="Caller address of any VM, or https://IP:PORT.",
-        ),
+        CA_OPTION,
+        VM_OPTION,
         click.option("--key", required=True, metavar="FILE", help="Your private key."),
         click.option(
             "--operator", required=True, metavar="NAME", help="As in [operators]."
--- a/hawthornlead/queries.py
+++ b/hawthornlead/queries.py
@@ -23,6 +23,7 @@
 from .request_guards import signed_headers
 from .settings import FREE_SECTIONS, SETTINGS, Settings, read_settings
 from .signatures import read_private_file
+from .vm_options import CA_OPTION, VM_OPTION
 
 ASK_TIMEOUT_S = 10.0
 SECRETS = frozenset({"PEER_SECRET"})
@@ -47,18 +48,8 @@
     """Add the options of a query that asks a running VM."""
     for option in (
         click.option("--json", "as_json", is_flag=True, help="Print JSON."),
-        click.option(
-            "--ca",
-            metavar="FILE",
-            type=click.Path(exists=True, dir_okay=False),
-            help="Certificates to trust (PEM).",
-        ),
-        click.option(
-            "--vm",
-            required=True,
-            metavar="IP:PORT",
-            help="Caller address of any VM, or https://IP:PORT.",
-        ),
+        CA_OPTION,
+        VM_OPTION,
     ):
         function = option(function)
     return function
