--- a/hawthornlead/tests/soak_callers.py
+++ b/hawthornlead/tests/soak_callers.py
@@ -15,6 +15,7 @@
 
 TRIES = 4
 LONG_TOKENS = 300
+ASK_S = 0.3
 RETRY_S = 0.1
 KEPT_FACTORS = (1.0, 1.0, 3.0)
 
@@ -39,6 +40,7 @@
         self._street = street
         self._rng = rng
         self._number = 0
+        self._asked: set[asyncio.Task] = set()
         self._kept: list[str] = []
         self._kept_until = 0.0
         self._keep_factor = rng.choice(KEPT_FACTORS)
@@ -57,6 +59,7 @@
         while time.monotonic() < until:
             await self._rng.choices(forms, weights)[0]()
             await asyncio.sleep(self._rng.expovariate(1 / think_s))
+        await asyncio.gather(*self._asked)
 
     async def burst(self, count: int) -> None:
         """Send many requests of the lowest priority at once."""
@@ -73,6 +76,16 @@
         told = self._fresh()._replace(max_tokens=LONG_TOKENS)
         await self._complete(address, told, "stream", deadline_s=20)
 
+    async def keep_asking(self, address: str) -> None:
+        """Ask one VM for short answers, several at a time, without end."""
+        while True:
+            task = asyncio.create_task(
+                self._complete(address, self._fresh()._replace(max_tokens=1), "whole")
+            )
+            self._asked.add(task)
+            task.add_done_callback(self._asked.discard)
+            await asyncio.sleep(ASK_S)
+
     async def resend(self, prompt: str, tries: int) -> None:
         """Send the same request through one VM after the other, as if it mattered."""
         told = self._fresh()._replace(prompt=prompt)
--- a/hawthornlead/tests/soak_cuts.py
+++ b/hawthornlead/tests/soak_cuts.py
@@ -5,6 +5,10 @@
 from .soak_faults import World, fault
 from .soak_links import Link
 
+# Longer than DOUBT_S, ISOLATION_S and a lease after the roll has ended.
+MISSED_S = 5.0
+SLOW_S = 3.0
+
 
 async def cut(world: World, links: list[Link]) -> None:
     """Cut links for a while that is shorter or longer than a lease."""
@@ -47,6 +51,60 @@
         await cut(world, [world.network.stores[vm], *world.network.around(vm)])
 
 
+@fault("cut-vm-misses-roll")
+async def cut_vm_misses_roll(world: World) -> None:
+    """A VM is cut off in the middle of a roll, and callers go on to ask it."""
+    with world.own_vm() as vm:
+        if vm is None:
+            return
+        links = [world.network.stores[vm], *world.network.around(vm)]
+        rolling, asking = await _rolled_slowly(world, vm)
+        world.injected["cut-vm-misses-roll"] += 1
+        for link in links:
+            link.cut()
+        try:
+            await rolling
+            await asyncio.sleep(MISSED_S)
+        finally:
+            for link in links:
+                link.mend()
+            asking.cancel()
+
+
+@fault("frozen-vm-misses-roll")
+async def frozen_vm_misses_roll(world: World) -> None:
+    """A VM is frozen in the middle of a roll; requests wait for it as it wakes."""
+    with world.own_vm() as vm:
+        if vm is None:
+            return
+        rolling, asking = await _rolled_slowly(world, vm)
+        world.injected["frozen-vm-misses-roll"] += 1
+        with world.frozen(vm):
+            await rolling
+            await asyncio.sleep(MISSED_S)
+        await asyncio.sleep(1.0)
+        asking.cancel()
+
+
+async def _rolled_slowly(world: World, vm: str) -> tuple[asyncio.Task, asyncio.Task]:
+    """Begin a roll and return within it, at best between its word and its decision.
+
+    The store is slow meanwhile, so that the decision takes its time.
+    """
+    digest = await world.made()
+    expected = await world.seq_in_force()
+    asking = world.keep_asking(vm)
+
+    async def roll() -> None:
+        slow = asyncio.create_task(world.held("store", SLOW_S, slow_s=0.3))
+        await world.rolled(digest, 0, expected)
+        await slow
+
+    rolling = asyncio.create_task(roll())
+    await asyncio.sleep(world.rng.uniform(0.8, 2.0))
+    return rolling, asking
+
+
 @fault("two-vms-cut")
 async def two_vms_cut(world: World) -> None:
     """Two VMs don't hear one another, all others hear both."""
--- a/hawthornlead/tests/soak_faults.py
+++ b/hawthornlead/tests/soak_faults.py
@@ -83,6 +83,23 @@
         free = sorted(set(self.fleet.vms) - self._in_use)
         return self.fleet.vms[self.rng.choice(free)].caller_address
 
+    def keep_asking(self, vm: str) -> asyncio.Task:
+        """Have a caller ask one VM again and again, until the task is cancelled."""
+        caller = self.rng.choice(self.callers)
+        address = self.fleet.vms[vm].caller_address
+        return asyncio.create_task(caller.keep_asking(address))
+
+    @contextmanager
+    def frozen(self, vm: str):
+        """Freeze a VM for a while."""
+        at, process_id = self.now(), self.fleet.vms[vm].process.pid
+        self.fleet.freeze_vm(vm)
+        try:
+            yield
+        finally:
+            self.fleet.thaw_vm(vm)
+            self.hurt.append(Hurt(process_id, at, self.now()))
+
     def any_address(self) -> str:
         """Return the address of any VM, at times of one that a fault works on."""
         if self.rng.random() < 0.7 or not self.fleet.vms:
@@ -275,11 +292,8 @@
             return
         world.injected["vm-frozen"] += 1
         await world.hold_streams(vm)
-        at, process_id = world.now(), world.fleet.vms[vm].process.pid
-        world.fleet.freeze_vm(vm)
-        await asyncio.sleep(world.rng.choice((0.3, 1.5, 5.0)))
-        world.fleet.thaw_vm(vm)
-        world.hurt.append(Hurt(process_id, at, world.now()))
+        with world.frozen(vm):
+            await asyncio.sleep(world.rng.choice((0.3, 1.5, 5.0)))
         await asyncio.sleep(1.0)
 
 
