--- a/hawthornlead/messages.py
+++ b/hawthornlead/messages.py
@@ -8,26 +8,14 @@
 Times are relative (``..._s``, seconds): clocks of different VMs are never compared.
 """
 
-from collections.abc import Callable
-from typing import NamedTuple, TypeVar
-
-PROTOCOL_VERSION = 1
-
-MESSAGES: dict[str, type] = {}
-
-_Message = TypeVar("_Message", bound=type)
+from typing import NamedTuple
 
+from .registries import Registry
 
-def message(name: str) -> Callable[[_Message], _Message]:
-    """Enter a message type in ``MESSAGES`` under its name on the wire."""
-
-    def enter(cls: _Message) -> _Message:
-        if name in MESSAGES:
-            raise ValueError(f"two messages are named {name!r}")
-        MESSAGES[name] = cls
-        return cls
+PROTOCOL_VERSION = 1
 
-    return enter
+MESSAGES: Registry[type] = Registry("message")
+message = MESSAGES.register
 
 
 # Session and membership
@@ -412,6 +400,23 @@
     fingerprints: tuple[bytes, ...]
 
 
+@message("take-suspect-place")
+class TakeSuspectPlace(NamedTuple):
+    """Ask a target's owner for its only place for a suspect request."""
+
+    target: str
+    request_id: str
+    hold_s: float
+
+
+@message("give-suspect-place")
+class GiveSuspectPlace(NamedTuple):
+    """Give the place back: the suspect's attempt has ended."""
+
+    target: str
+    request_id: str
+
+
 # The time line
 
 
