--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -10,6 +10,7 @@
 import asyncio
 import json
 import sys
+import tempfile
 import time
 from collections import Counter
 from pathlib import Path
@@ -254,10 +255,10 @@
 @click.command()
 @click.option("--seed", default=1, help="Seed of the schedule and the requests.")
 @click.option("--minutes", default=2.0, help="Time under faults.")
-@click.option("--keep", default="soak-run", help="Folder for keys and records.")
-def main(seed: int, minutes: float, keep: str) -> None:
+@click.option("--keep", help="Folder for keys and records; else a temporary one.")
+def main(seed: int, minutes: float, keep: str | None) -> None:
     """Run the fleet under faults; exit code 0 when every line held."""
-    folder = Path(keep)
+    folder = Path(keep or tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     for old in folder.glob("*.key"):
         old.unlink()
