--- a/hawthornlead/references.py
+++ b/hawthornlead/references.py
@@ -19,9 +19,11 @@
 from .events import EventKind
 from .messages import MESSAGES
 from .metrics import Metrics
+from .registries import Registry
 from .settings import FITS, FREE_SECTIONS, SETTINGS, Setting
 
-PAGES: dict[str, Callable[[], str]] = {}
+PAGES: Registry[Callable[[], str]] = Registry("reference page")
+page = PAGES.register
 
 GENERATED = "<!-- Made by scripts/docs from hawthornlead/{}.py. -->"
 
@@ -30,20 +32,10 @@
 END_MARK = "<!-- end -->"
 
 
-def page(name: str):
-    """Enter a function in ``PAGES`` under the file name of its page."""
-
-    def enter(function):
-        PAGES[name] = function
-        return function
-
-    return enter
-
-
 @page("settings.md")
 def settings_page() -> str:
     """Return the page of all settings, by section, and of how they must fit."""
-    lines = _head("Settings", "settings")
+    lines = _head("Settings", "setting_rows")
     lines += [
         "A settings file is INI. `hawthornlead check-settings FILE` prints the values",
         "in effect, or all errors at once. A key without a default must be given. An",
