--- a/hawthornlead/bundles.py
+++ b/hawthornlead/bundles.py
@@ -101,6 +101,11 @@
         """The calls of each plain service by name."""
         return self._services
 
+    @property
+    def parts(self) -> Iterable[str]:
+        """The digests of the chunks besides the manifest."""
+        return self._parts.keys()
+
     @classmethod
     def read(cls, document: Any) -> Result["Bundle", Failure]:
         """Check an operator's document and make the bundle of it.
@@ -140,11 +145,6 @@
             parts.append(part)
         return Ok(cls(manifest, read.unwrap().name, read.unwrap().note, parts))
 
-    @property
-    def parts(self) -> Iterable[str]:
-        """The digests of the chunks besides the manifest."""
-        return self._parts.keys()
-
     def document(self) -> BundleDocument:
         """Return the document that this bundle would be made of."""
         callers = []
--- a/hawthornlead/grants.py
+++ b/hawthornlead/grants.py
@@ -85,14 +85,14 @@
     def busy(self) -> bool:
         return bool(self.running) or len(self.reserved) > 0
 
-    def take_begun(self) -> int:
-        begun, self.begun = max(0, self.begun), min(0, self.begun)
-        return begun
-
     @property
     def room(self) -> int:
         return self.reply.count - len(self.running) - len(self.reserved)
 
+    def take_begun(self) -> int:
+        begun, self.begun = max(0, self.begun), min(0, self.begun)
+        return begun
+
 
 class Grant:
     """One request's place under a grant, for one attempt."""
--- a/hawthornlead/peers.py
+++ b/hawthornlead/peers.py
@@ -22,14 +22,7 @@
 from .errors import ErrorKind, Failure
 from .events import EventKind
 from .meshes import Mesh, PeerInfo, failed, outcome_of
-from .messages import (
-    Challenge,
-    Failed,
-    Goodbye,
-    Heartbeat,
-    Hello,
-    Proof,
-)
+from .messages import Challenge, Failed, Goodbye, Heartbeat, Hello, Proof
 from .peer_sessions import PeerSession
 from .probes import probe
 from .tasks import TaskSet
--- a/hawthornlead/popularity_shares.py
+++ b/hawthornlead/popularity_shares.py
@@ -125,6 +125,10 @@
         self._due_at = 0.0
         self._timer = None
 
+    @property
+    def _vm(self) -> str:
+        return self._settings["VM_NAME"]
+
     def start(self) -> None:
         """Tell and listen from now on."""
         self._mesh.on(PopularityCounts, self._on_counts)
@@ -157,10 +161,6 @@
         counts = self._waiting.take(current.message_bytes)
         self._mesh.broadcast(PopularityCounts(self._serial, counts))
 
-    @property
-    def _vm(self) -> str:
-        return self._settings["VM_NAME"]
-
     def _note_share(self, others: list[str], now: float, current: Pace) -> None:
         """Scale rates up by the VMs whose counts don't come.
 
--- a/hawthornlead/queries.py
+++ b/hawthornlead/queries.py
@@ -19,7 +19,7 @@
 from tornado.httpclient import HTTPClient, HTTPError
 
 from .errors import ErrorKind, Failure
-from .references import event_rows
+from .references import EventRow, event_rows
 from .request_guards import signed_headers
 from .settings import FREE_SECTIONS, SETTINGS, Settings, read_settings
 from .signatures import read_private_file
@@ -96,7 +96,7 @@
 @click.command()
 def events() -> None:
     """Print the catalogue of numbered events."""
-    click.echo(as_table(("number", "name", "level", "meaning"), event_rows()))
+    click.echo(as_table(EventRow._fields, event_rows()))
 
 
 @query
--- a/hawthornlead/references.py
+++ b/hawthornlead/references.py
@@ -12,6 +12,7 @@
 import re
 from collections.abc import Callable, Iterable
 from pathlib import Path
+from typing import NamedTuple
 
 from prometheus_client import Metric
 
@@ -151,10 +152,22 @@
     return f"`{module}`" if exists else f"`{module}` (planned)"
 
 
-def event_rows() -> list[tuple[str, str, str, str]]:
-    """Return number, name, level and meaning of every event, by number."""
+class EventRow(NamedTuple):
+    """One event of the catalogue, as it is printed."""
+
+    number: str
+    name: str
+    level: str
+    meaning: str
+
+
+def event_rows() -> list[EventRow]:
+    """Return every event, by number."""
     kinds = sorted(EventKind, key=lambda kind: kind.number)
-    return [(str(kind.number), kind.name, kind.level, kind.meaning) for kind in kinds]
+    return [
+        EventRow(str(kind.number), kind.name, kind.level, kind.meaning)
+        for kind in kinds
+    ]
 
 
 def _metric_name(family: Metric) -> str:
--- a/hawthornlead/request_claims.py
+++ b/hawthornlead/request_claims.py
@@ -78,6 +78,11 @@
         self._timers = timers
         self._claims = claims
 
+    @property
+    def _clock_s(self) -> float:
+        """How far a caller's clock may be off, in seconds."""
+        return CLOCK_SHARE * self._keep_s
+
     async def claim(self, keyed: Keyed) -> Result[Claimed, Failure]:
         """Claim a key: ``new`` (run it) or ``done`` with the recorded outcome."""
         if keyed.issued_at is not None and self._age_s(keyed) < -self._clock_s:
@@ -121,9 +126,5 @@
             return False
         return self._age_s(keyed) > self._keep_s - self._clock_s
 
-    @property
-    def _clock_s(self) -> float:
-        return CLOCK_SHARE * self._keep_s
-
     def _age_s(self, keyed: Keyed) -> float:
         return self._timers.wall() - keyed.issued_at
