--- a/hawthornlead/tests/capacity_fits.py
+++ b/hawthornlead/tests/capacity_fits.py
@@ -16,6 +16,8 @@
 DATA_CENTRES = 8
 WEIGHT_STORES = 3
 CHANGES_PER_S = 3_500 / 86_400
+# 7 VMs fail and 69 are restarted or replaced a day; each leaves the list and comes.
+VM_LIST_CHANGES_PER_S = 2 * (7 + 69) / 86_400
 WAKING_PER_S = 0.58 * ADAPTERS / 3600
 VMS_PER_DC = VMS / DATA_CENTRES
 # What the code sends, from its constants: states told a second by all owners
