--- a/hawthornlead/evictions.py
+++ b/hawthornlead/evictions.py
@@ -7,9 +7,9 @@
 
 from collections.abc import Callable, Sequence
 
-from hawthornlead.messages import Resident
-from hawthornlead.popularities import Popularity
-from hawthornlead.registries import Registry
+from .messages import Resident
+from .popularities import Popularity
+from .registries import Registry
 
 EVICTIONS: Registry[type["Eviction"]] = Registry("eviction")
 eviction = EVICTIONS.register
