Evict a one-off that has just ended before an adapter in use

An owner weighed only slots under no grant, and a grant is kept for seconds after its last request: a one-off that had just ended outlived a hot adapter that nobody had asked for in the last seconds, whose next requests then waited for a load. The owner now weighs all quiet slots, asks the best one's grants back before it asks for leave, and waits for them for a tenth of a second at most; what is evicted is still only what no grant covers.

--- a/hawthornlead/loaders.py
+++ b/hawthornlead/loaders.py
@@ -32,6 +32,8 @@
 ROOM_TRIES = 3
 # How long nothing is loaded after the target said that it has no free slot.
 FULL_PAUSE_S = 0.5
+# How long a load waits at most for grants that it has asked back.
+DRAIN_S = 0.1
 # Weight of the newest load in the running mean of how long loads take.
 MEAN_WEIGHT = 0.2
 
@@ -165,6 +167,8 @@
             if isinstance(seen, Err) or seen.ok_value:
                 return seen if isinstance(seen, Err) else Ok(None)
             self._expecting.add(load)
+            if load.requests > 0:
+                await self._drain_best()
             leave = await self._leaves.ask(load)
             self._expecting.discard(load)
             if leave is None:
@@ -379,6 +383,30 @@
         slot.draining = True
         self._revoke(self._ledger.revoke(slot.key))
 
+    async def _drain_best(self) -> None:
+        """Ask the grants on the best to evict back, if it is quiet but under some.
+
+        A grant is kept for seconds after its last request. Were only slots without
+        grants weighed, a one-off that has just ended would outlive an adapter that is
+        asked for every ten seconds.
+        """
+        if self._residency.free > 0 or not self._orders.may_evict():
+            return
+        idle = self._idle_slots()
+        quiet = [
+            slot
+            for slot in self._residency.slots()
+            if slot.grantable and not slot.wanted and not slot.running
+        ]
+        best = self._choose(idle + [slot for slot in quiet if slot not in idle])
+        if best is None or best in idle:
+            return
+        best.draining = True
+        self._revoke(self._ledger.revoke(best.key))
+        until = self._timers.now() + DRAIN_S
+        while not self._ledger.idle(best.key) and self._timers.now() < until:
+            await self._changed.wait(self._timers, until - self._timers.now())
+
     def _end_drains(self) -> None:
         if self._running:
             return
--- a/hawthornlead/tests/test_load_waits.py
+++ b/hawthornlead/tests/test_load_waits.py
@@ -123,3 +123,27 @@
     await world.advance(0.2)
     told = world.vms["a"].targets.targets["engine"].state(0).residents
     assert ("lap", "1", 0, True) in told and len(told) == 2
+
+
+async def test_a_one_off_under_an_idle_grant_goes_before_a_hot_adapter():
+    """A one-off has just ended; its grant is kept for some seconds more.
+
+    Were only slots without grants weighed, the hot adapter would be evicted, which
+    nobody has asked for in the last seconds, and its next requests wait for a load.
+    """
+    world = await _world()
+    world.engine.slots = 2
+    for number in range(8):
+        grant = (await world.acquired("b", "hot")).unwrap()
+        assert world.send("b", grant, "hot", f"r{number}")
+        world.engine.end(f"r{number}")
+        grant.finish(f"r{number}", ended=True)
+        await world.advance(8.0)
+    once = (await world.acquired("b", "once")).unwrap()
+    assert world.send("b", once, "once", "r-once")
+    world.engine.end("r-once")
+    once.finish("r-once", ended=True)
+    await world.advance(1.0)
+    assert (await world.acquired("b", "lap")).is_ok()
+    residents = {key.adapter for key in world.engine.residents}
+    assert residents == {"hot", "lap"} and world.engine.violations == []
