--- a/hawthornlead/daemon_parts.py
+++ b/hawthornlead/daemon_parts.py
@@ -317,7 +317,6 @@
         deaths=deaths,
         places=SuspectPlaces(timers=timers, mesh=mesh),
         router=targets.router,
-        placement=targets.placement,
         popularity=targets.popularity,
         shares=targets.shares,
         spares=spares,
--- a/hawthornlead/requests.py
+++ b/hawthornlead/requests.py
@@ -121,7 +121,6 @@
         deaths: TargetDeaths,
         places: SuspectPlaces,
         router: Router,
-        placement,
         popularity: Popularity,
         shares: PopularityShares,
         spares: SpareCopies,
@@ -145,7 +144,6 @@
         self._deaths = deaths
         self._places = places
         self._router = router
-        self._placement = placement
         self._popularity = popularity
         self._shares = shares
         self._spares = spares
--- a/hawthornlead/routers.py
+++ b/hawthornlead/routers.py
@@ -47,7 +47,7 @@
         popularity: Popularity,
         now: float,
     ) -> list[Candidate]:
-        """Return the targets to try, best first; empty when none may take it."""
+        """Return all targets that may take it, best first; empty when none may."""
         raise NotImplementedError
 
 
--- a/hawthornlead/tests/test_requests.py
+++ b/hawthornlead/tests/test_requests.py
@@ -40,7 +40,7 @@
             events=events, mesh=None, suspects=self.suspects, views=None, clients=None
         )
         parts = (
-            "invariants keeper admissions claims retries placement popularity attempts"
+            "invariants keeper admissions claims retries popularity attempts"
             " shares spares sent"
         )
         self.path = RequestPath(
@@ -54,7 +54,6 @@
             router=self,
             places=self,
         )
-        self.path._placement = SimpleNamespace(choose=lambda *_: [])
 
     async def take(self, view, request_id, hold_s):
         """Give out the place for a suspect, as an owner that gives out no other."""
