--- a/hawthornlead/tests/test_whole_overloads.py
+++ b/hawthornlead/tests/test_whole_overloads.py
@@ -11,11 +11,11 @@
 FLOOR = 3
 
 
-def attempts(fleet) -> int:
+def attempts(fleet, engines=ENGINES) -> int:
     """Return how many attempts all engines saw, those that they refused included."""
     return sum(
         len(fleet.runs(engine)) + fleet.standin(engine).counts["refused"]
-        for engine in ENGINES
+        for engine in engines
     )
 
 
@@ -72,6 +72,36 @@
         assert len(done) == sum(reply.status == 200 for reply in replies)
 
 
+async def test_a_third_of_the_targets_failing_multiplies_nothing():
+    """One of three engines loses every answer midway, under load.
+
+    About a third of the requests meet it first. Retried without a budget, each of
+    them would be sent again, up to three times.
+    """
+    # Six slots for six adapters: no engine is left out.
+    engines = dict.fromkeys(("engine-1", "engine-2", "engine-3"), {"slots": 2})
+    async with whole_fleet(engines=engines) as fleet:
+        fleet.standin("engine-1").set_faults(truncate=-1)
+        count = 300
+        replies = await in_turns(
+            fleet.complete("entry-1", f"brief-{n % 6 + 1}", max_tokens=2)
+            for n in range(count)
+        )
+        seen = attempts(fleet, engines)
+        assert count <= seen <= count * 1.1 + FLOOR + 1, seen
+        whole = [reply for reply in replies if reply.status == 200]
+        done = [
+            run
+            for engine in ("engine-2", "engine-3")
+            for run in fleet.runs(engine)
+            if run["outcome"] == "done"
+        ]
+        assert len(done) == len(whole) >= count // 2
+        met = len(fleet.runs("engine-1"))
+        assert met >= count // 10, met
+        print(f"amplification {seen / count:.3f}, {met} of {count} met the failing one")
+
+
 async def test_a_failing_service_is_retried_within_the_budget():
     services = ("bulletins-1", "bulletins-2")
     async with whole_fleet(engines=ENGINES, services=services) as fleet:
