Refuse soon what no slot can serve in a store outage

Refusing at once was tried and ruled out: the outage test then refused requests in the second before the leases were renewed. Now the wait ends after owner_wait_s (4 s), with when to come back; the new test fails without it.

--- a/hawthornlead/loaders.py
+++ b/hawthornlead/loaders.py
@@ -37,6 +37,11 @@
 # Weight of the newest load in the running mean of how long loads take.
 MEAN_WEIGHT = 0.2
 
+# How often a load that waits looks whether its owner still has its full right.
+LOOK_AGAIN_S = 1.0
+# When to come back for a slot in a store outage: one lasts longer than a moment.
+NO_EVICTION_S = 15.0
+
 
 class Loader:
     """Runs the loads of one target."""
@@ -183,6 +188,7 @@
 
     async def _wait_for_room(self, load: Load) -> Result[bool, Failure]:
         """Wait until there is room; Ok(True) when the adapter is resident already."""
+        began = self._timers.now()
         while True:
             left = load.deadline_at - self._timers.now()
             if load.waiting <= 0 or left <= 0:
@@ -197,8 +203,17 @@
                     return Ok(False)
                 if load.requests == 0:
                     return self._no_slot("no slot is free for a load ahead")
+                waited_s = self._timers.now() - began
+                degraded = self._orders.right() is OrderRight.DEGRADED
+                if degraded and waited_s >= self._settings["OWNER_WAIT_S"]:
+                    # No slot becomes free while nothing may be evicted. An outage
+                    # that does not end soon would only hold the answer back until
+                    # the deadline.
+                    detail = "nothing is evicted while the store does not answer"
+                    failure = Failure(ErrorKind.NO_SLOT, detail, NO_EVICTION_S)
+                    return Err(failure)
                 self._drain_one()
-            await self._changed.wait(self._timers, left)
+            await self._changed.wait(self._timers, min(left, LOOK_AGAIN_S))
 
     def _keep(self, slot: Slot, load: Load) -> bool:
         """Whether the adapter's own slot serves; it stays if no load goes before."""
--- a/hawthornlead/tests/test_load_waits.py
+++ b/hawthornlead/tests/test_load_waits.py
@@ -84,6 +84,25 @@
     assert wanted.result().is_ok()
 
 
+async def test_a_full_target_refuses_soon_in_a_store_outage():
+    """A caller is told only at its deadline that its cold adapter has no slot.
+
+    All slots are taken when the store goes out. Its owner evicts nothing from then
+    on, so that no wait could have helped, and let the request wait all the same.
+    """
+    world = await _world()
+    await _streaming(world)
+    world.degrade("a", ALLOWANCE)
+    world.degrade("a")
+    wanted = _acquire(world, "a", "lap")
+    await world.advance(3.0)
+    assert not wanted.done()
+    await world.advance(3.0)
+    refused = wanted.result().unwrap_err()
+    assert refused.kind is ErrorKind.NO_SLOT
+    assert refused.retry_after_s >= 10
+
+
 async def test_a_request_that_joins_a_load_ahead_does_not_stand_last():
     """A load ahead waits for leave, a request joins it, and others keep coming.
 
