Use one reply and one fetch for both test fleets; drop unused code

Dropped, as nothing called them: LeaseKeeper.on_registered, Exchange.active_at and model_arrivals. The whole suite was not run again.

--- a/hawthornlead/bench_runs.py
+++ b/hawthornlead/bench_runs.py
@@ -13,7 +13,7 @@
 from hawthornlead.bench_counts import make_counts
 from hawthornlead.bench_engines import EventQueue, FakeEngine, FakeService, Job
 from hawthornlead.bench_figures import Figures, RunFigures
-from hawthornlead.bench_loads import Arrival, Deployment, draw
+from hawthornlead.bench_loads import Deployment, draw
 from hawthornlead.bench_owners import BenchTarget, LoadQueue, Slot
 from hawthornlead.bench_policies import POLICIES, Policy
 from hawthornlead.evictions import EVICTIONS
@@ -316,8 +316,3 @@
 ) -> RunFigures:
     """Run one policy by its name."""
     return BenchRun(deployment, POLICIES[name], settings, seed).run()
-
-
-def model_arrivals(arrivals: list[Arrival]) -> list[Arrival]:
-    """Return the arrivals that need an adapter."""
-    return [arrival for arrival in arrivals if arrival.adapter >= 0]
--- a/hawthornlead/exchanges.py
+++ b/hawthornlead/exchanges.py
@@ -99,11 +99,6 @@
             return None
         return self._response.head.result()
 
-    @property
-    def active_at(self) -> float:
-        """When the last byte of the response came, on the timer service's clock."""
-        return self._active_at
-
     async def send(
         self,
         method: str,
--- a/hawthornlead/leases.py
+++ b/hawthornlead/leases.py
@@ -99,7 +99,6 @@
             counters=self._counters,
         )
         self._on_ended: list[Callable[[], None]] = []
-        self._on_registered: list[Callable[[str], None]] = []
         self._watches = []
         self._task: asyncio.Task | None = None
 
@@ -157,10 +156,6 @@
         """
         self._on_ended.append(callback)
 
-    def on_registered(self, callback: Callable[[str], None]) -> None:
-        """Call ``callback`` with the incarnation at each registration."""
-        self._on_registered.append(callback)
-
     def start(self) -> None:
         """Begin to register, renew, and watch the others."""
         self._mesh.on(RenewLease, self._folder.handle)
@@ -208,8 +203,6 @@
             return Err(Failure(ErrorKind.STALE_FENCE, "the incarnation was ended"))
         self._extend(incarnation, sent_at)
         self._events.emit(EventKind.VM_REGISTERED, self._vm, incarnation=incarnation)
-        for callback in self._on_registered:
-            callback(incarnation)
         return Ok(None)
 
     async def release(self) -> Result[None, Failure]:
--- a/hawthornlead/tests/fleets.py
+++ b/hawthornlead/tests/fleets.py
@@ -17,7 +17,9 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient
+
+from .replies import Reply, fetch_reply
 
 READY_S = 30.0
 POLL_S = 0.05
@@ -43,19 +45,6 @@
     operators: dict[str, str]
 
 
-class Reply(NamedTuple):
-    """An HTTP answer; ``status`` is 599 where none came."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def json(self) -> Any:
-        """The body, read as JSON."""
-        return json.loads(self.body)
-
-
 class RunningVm(NamedTuple):
     """A VM's process and the addresses it was given."""
 
@@ -240,20 +229,9 @@
         timeout_s: float = 30,
     ) -> Reply:
         """Send one HTTP request and return whatever came of it."""
-        request = HTTPRequest(
-            f"http://{address}{path}",
-            method=method,
-            body=body,
-            headers=headers,
-            connect_timeout=3,
-            request_timeout=timeout_s,
-            allow_nonstandard_methods=True,
+        return await fetch_reply(
+            self._client, method, address, path, body, headers, timeout_s
         )
-        try:
-            response = await self._client.fetch(request, raise_error=False)
-        except (HTTPClientError, OSError) as error:
-            return Reply(599, {}, str(error).encode())
-        return Reply(response.code, dict(response.headers), response.body or b"")
 
     async def stop(self) -> None:
         """End every process of the fleet, by its id."""
--- a/hawthornlead/tests/whole_fleets.py
+++ b/hawthornlead/tests/whole_fleets.py
@@ -16,9 +16,9 @@
 from collections import defaultdict
 from collections.abc import Callable
 from contextlib import asynccontextmanager
-from typing import Any, NamedTuple
+from typing import Any
 
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient
 
 from hawthornlead.bundles import prepare
 from hawthornlead.daemons import Daemon
@@ -26,6 +26,7 @@
 from hawthornlead.signatures import Statement, generate_key, public_text, sign
 
 from .deployments import bundle_document, caller_document
+from .replies import Reply, fetch_reply
 from .standins.launcher import StandInSet
 
 FAST = {
@@ -62,36 +63,6 @@
 _VM: contextvars.ContextVar[str] = contextvars.ContextVar("vm", default="")
 
 
-class Reply(NamedTuple):
-    """An HTTP answer; ``status`` is 599 where none came whole."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def json(self) -> Any:
-        """The body, read as JSON."""
-        return json.loads(self.body)
-
-    @property
-    def error(self) -> tuple[int, str, str]:
-        """Status, kind of error and what is told of the run."""
-        return self.status, self.json["error"], self.json["ran"]
-
-    @property
-    def events(self) -> list[dict]:
-        """The events of a streamed answer."""
-        lines = self.body.decode().splitlines()
-        found = [line for line in lines if line.startswith("data: ")]
-        return [json.loads(line.removeprefix("data: ")) for line in found]
-
-    @property
-    def text(self) -> str:
-        """The text of a streamed answer's tokens, in the order they came."""
-        return "".join(event.get("t", "") for event in self.events)
-
-
 class WholeFleet:
     """Daemons, stand-ins and callers of one test."""
 
@@ -286,20 +257,9 @@
         timeout_s: float = 20,
     ) -> Reply:
         """Send one HTTP request and return whatever came of it."""
-        request = HTTPRequest(
-            f"http://{address}{path}",
-            method=method,
-            body=body,
-            headers=headers,
-            connect_timeout=3,
-            request_timeout=timeout_s,
-            allow_nonstandard_methods=True,
+        return await fetch_reply(
+            self._client, method, address, path, body, headers, timeout_s
         )
-        try:
-            response = await self._client.fetch(request, raise_error=False)
-        except (HTTPClientError, OSError) as error:
-            return Reply(599, {}, str(error).encode())
-        return Reply(response.code, dict(response.headers), response.body or b"")
 
 
 def _task_vm(context: contextvars.Context | None) -> str:
