--- a/hawthornlead/gateway/known_targets.py
+++ b/hawthornlead/gateway/known_targets.py
@@ -1,5 +1,7 @@
 """What one VM knows of the targets: who they are, what they hold, who orders them."""
 
+from collections.abc import Callable
+
 from ..events import EventKind, EventRing
 from ..messages.gateways import TargetHoldings
 from ..platform.configurations import read_adapter_version
@@ -8,7 +10,14 @@
 from .engine_slots import AdapterKey
 from .memberships import Memberships
 from .recent_adapters import RecentAdapters
-from .records import ServiceSpec, StoredRecord, TargetEntry, held_version
+from .records import (
+    Incarnation,
+    Loss,
+    ServiceSpec,
+    StoredRecord,
+    TargetEntry,
+    held_version,
+)
 from .target_choices import Holding
 from .watchers import KindWatcher
 
@@ -50,6 +59,7 @@
         self._held: dict[str, dict[AdapterKey, tuple[int, bool]]] = {}
         self._owners: dict[str, str] = {}
         self._recent: dict[str, RecentAdapters] = {}
+        self._on_lost: list[Callable[[Incarnation, Loss], None]] = []
         self.watcher: KindWatcher | None = None
 
     @property
@@ -104,6 +114,10 @@
             return Holding.OLD_VERSION
         return Holding.READY if ready else Holding.ARRIVING
 
+    def subscribe(self, on_lost: Callable[[Incarnation, Loss], None]) -> None:
+        """Call ``on_lost`` when an incarnation of a target is over, and by what."""
+        self._on_lost.append(on_lost)
+
     # What the store tells
 
     def take_entry(self, record: StoredRecord) -> None:
@@ -214,6 +228,11 @@
         self._owners.pop(target, None)
         self._recent.pop(target, None)
         self._turn_at.pop(target, None)
+        self._tell_lost(entry.incarnation, Loss.ENTRY_GONE)
+
+    def _tell_lost(self, incarnation: Incarnation, loss: Loss) -> None:
+        for on_lost in self._on_lost:
+            on_lost(incarnation, loss)
 
 
 def _listed(entry: TargetEntry, key: AdapterKey) -> tuple[int, bool] | None:
--- a/hawthornlead/gateway/records.py
+++ b/hawthornlead/gateway/records.py
@@ -138,8 +138,34 @@
     return None
 
 
+class Incarnation(NamedTuple):
+    """One start of a target: its id, and the Unix millisecond at which it started.
+
+    ``started_ms`` is None where the target doesn't tell it.
+    """
+
+    target: str
+    started_ms: int | None
+
+
+class Loss(Enum):
+    """By what an incarnation of a target is known, or thought, to be over.
+
+    The first two prove that what ran there runs no more; an entry that went and calls
+    that aren't answered leave it open.
+    """
+
+    RESTARTED = "restarted"
+    REFUSED = "refuses connections"
+    UNANSWERED = "answers no calls"
+    ENTRY_GONE = "entry gone"
+
+
 class TargetEntry(NamedTuple):
-    """A target as it registers itself; ``target`` is its incarnation's id."""
+    """A target as it registers itself; it keeps its id when it starts again.
+
+    ``started_ms`` is the Unix millisecond of its start, None where it doesn't tell.
+    """
 
     target: str
     service: str
@@ -149,6 +175,12 @@
     draining: bool
     leaves_in_s: float | None
     models: tuple[HeldModel, ...]
+    started_ms: int | None = None
+
+    @property
+    def incarnation(self) -> Incarnation:
+        """Which start of the target this entry speaks of."""
+        return Incarnation(self.target, self.started_ms)
 
 
 class EngineReport(NamedTuple):
@@ -156,6 +188,7 @@
 
     ``order_count`` is the number of orders accepted since the engine's start.
     ``arriving`` are adapters that are being fetched; they use slots too.
+    ``started_ms`` is the Unix millisecond of its start, None where it doesn't tell.
     """
 
     order_count: int
@@ -166,6 +199,7 @@
     kv_total: int
     models: tuple[HeldModel, ...]
     arriving: tuple[AdapterVersion, ...]
+    started_ms: int | None = None
 
 
 class OrderKind(Enum):
--- a/hawthornlead/platform/targets.py
+++ b/hawthornlead/platform/targets.py
@@ -33,6 +33,7 @@
             draining=body.get("state") != "ready",
             leaves_in_s=None if leaves_ms is None else float(leaves_ms) / 1000,
             models=_models(body.get("models")),
+            started_ms=_started(body),
         )
     except (KeyError, TypeError) as error:
         raise ValueError(f"no target: {error!r}") from error
@@ -52,6 +53,7 @@
             kv_total=int(body.get("kvTotal", 0)),
             models=_models(body.get("models")),
             arriving=tuple([_arriving(text) for text in body.get("pending") or ()]),
+            started_ms=_started(body),
         )
     except (KeyError, TypeError) as error:
         raise ValueError(f"no report: {error!r}") from error
@@ -84,6 +86,14 @@
     return OrderOutcome.REFUSED
 
 
+def _started(body: dict) -> int | None:
+    """Return the start of what tells of itself; platforms of before don't tell it."""
+    started_ms = body.get("born")
+    if started_ms is not None and type(started_ms) is not int:
+        raise ValueError(f"a start that is no whole number: {started_ms!r}")
+    return started_ms
+
+
 def _models(items: Any) -> tuple[HeldModel, ...]:
     models = []
     for item in items or ():
