--- /dev/null
+++ b/hawthornlead/tests/fakes_leases.py
@@ -0,0 +1,126 @@
+"""Leases and ownerships of a few VMs over one store in memory, with time by hand.
+
+::
+
+    fleet = Fleet()
+    await fleet.a.lease._renew()
+    assert await fleet.a.ownerships.claim("e1")
+"""
+
+from random import Random
+
+from result import Err, Ok
+
+from hawthornlead.clocks import HybridClock
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.events import EventRing
+from hawthornlead.gateway.memberships import Memberships
+from hawthornlead.gateway.ownerships import Ownerships
+from hawthornlead.gateway.records import StoreChanges, StoredRecord, VmRecord
+from hawthornlead.gateway.vm_leases import VmLease
+from hawthornlead.messages import Heartbeat
+from hawthornlead.timers import ManualTimerService
+
+from .fakes_mesh import LocalNetwork
+
+AWAY = Err(Failure(ErrorKind.STORE_UNAVAILABLE, "the store is away"))
+
+
+class FakeStore:
+    """Objects in memory; ``away`` refuses calls, ``answer_s`` is how long they take.
+
+    ``after_read`` runs between the reading of an object and the answer.
+    """
+
+    def __init__(self, timers):
+        self._timers = timers
+        self._revision = 0
+        self.objects = {}
+        self.away = False
+        self.answer_s = 0.0
+        self.after_read = None
+
+    async def get(self, kind, name):
+        """Return one object, None if there is none."""
+        if self.away:
+            return AWAY
+        found = self.objects.get((kind, name))
+        if self.after_read is not None:
+            await self.after_read(kind)
+        return Ok(found)
+
+    async def list_all(self, kind):
+        """Return all objects of a kind."""
+        if self.away:
+            return AWAY
+        records = [each for (of, _), each in self.objects.items() if of == kind]
+        return Ok(StoreChanges(tuple(records), self._revision))
+
+    def overwrite(self, kind, name, spec):
+        """Write as another writer does, who knows nothing of conditions."""
+        return self._write(kind, name, spec)
+
+    async def create(self, kind, name, spec):
+        """Create an object."""
+        if self.away:
+            return AWAY
+        if (kind, name) in self.objects:
+            return Err(Failure(ErrorKind.VERSION_CONFLICT, "it exists"))
+        return Ok(self._write(kind, name, spec))
+
+    async def replace(self, kind, name, spec, revision):
+        """Replace an object that is at a revision."""
+        if self.away:
+            return AWAY
+        known = self.objects.get((kind, name))
+        if known is None or known.revision != revision:
+            return Err(Failure(ErrorKind.VERSION_CONFLICT, "it changed"))
+        self._timers._now += self.answer_s
+        return Ok(self._write(kind, name, spec))
+
+    async def delete(self, kind, name):
+        """Remove an object."""
+        self.objects.pop((kind, name), None)
+        return Ok(None)
+
+    def _write(self, kind, name, spec):
+        self._revision += 1
+        record = StoredRecord(name, self._revision, spec, None)
+        self.objects[kind, name] = record
+        return record
+
+
+class Vm:
+    """The lease and ownerships of one VM over a shared store."""
+
+    def __init__(self, network, store, timers, name, incarnation="1"):
+        mesh = network.join(name, incarnation=incarnation)
+        mesh.heartbeat_source = lambda: Heartbeat(0, 0, False, 0, 1, 0.0)
+        events = EventRing(name, HybridClock(timers))
+        record = VmRecord(name, incarnation, "gijon", f"{name}:1", f"{name}:2", False)
+        common = {"client": store, "timers": timers, "rng": Random(1), "events": events}
+        memberships = Memberships(record=record, mesh=mesh, **common)
+        self.lease = VmLease(vm=name, incarnation=incarnation, **common)
+        self.lease.want(True)
+        self.ownerships = Ownerships(
+            memberships=memberships, lease=self.lease, client=store, events=events
+        )
+
+
+class Fleet:
+    """Two VMs that share a store, and time moved by hand."""
+
+    def __init__(self):
+        self.timers = ManualTimerService()
+        self.store = FakeStore(self.timers)
+        self.network = LocalNetwork(self.timers)
+        self.a = self.start("a")
+        self.b = self.start("b")
+
+    def start(self, name, incarnation="1"):
+        """Start the process of a VM."""
+        return Vm(self.network, self.store, self.timers, name, incarnation)
+
+    def pass_time(self, seconds):
+        """Move the clock, as a suspension of all would."""
+        self.timers._now += seconds
