Derive fences from the store's revision, and let no unreadable object free an engine

Cause: a fence was one more than a number kept in the owner object. Mended at the root: a fence is one more than the revision at which its claim met the object, which the store counts up for all objects together.

- an owner object that can't be read: every VM with a lease must yield the engine, asked over the mesh, or its lease must have run out
- a lease that is gone or can't be read proves no restart of its VM
- the age of a lease ends when it was asked for: a reader suspended for 6 s between the answer and its clock took over from an owner that had renewed meanwhile
- A, B, A within 3 s: a former owner waits, unless another VM claims first
- no order in the last second of a lease: a packet sent again must not meet a successor's order

Ruled out: reading the fence from words of owners on the mesh (a VM that is cut off knows none). Price: one more write for an engine's first claim.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -47,6 +47,7 @@
     OWNERSHIP_TAKEN = (306, "INFO", "this VM became owner of a resource")
     OWNERSHIP_LOST = (307, "WARNING", "this VM is no longer owner of a resource")
     OWNERSHIP_RELEASED = (308, "INFO", "this VM gave a resource back")
+    OWNERSHIP_YIELDED = (314, "WARNING", "this VM gave a resource up, asked to")
     WATCH_LOST = (309, "WARNING", "a watch of the store failed")
     WATCH_BACK = (310, "INFO", "a watch of the store answers again")
     LEASE_BEGUN = (311, "INFO", "this VM began a lease; what it owned before is gone")
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -137,7 +137,7 @@
         events=events,
     )
     ownerships = Ownerships(
-        memberships=memberships, lease=lease, client=client, events=events
+        memberships=memberships, lease=lease, client=client, mesh=mesh, events=events
     )
     relays = WatchRelays(memberships=memberships, mesh=mesh, timers=timers)
     return Coordination(client, mesh, memberships, lease, ownerships, relays)
--- a/hawthornlead/gateway/ownerships.py
+++ b/hawthornlead/gateway/ownerships.py
@@ -1,30 +1,54 @@
 """Who alone may give orders to an engine: one VM, under a fencing number.
 
-Each engine has an object in the store that names its owner. It changes only by
-conditional update, its fencing number grows with each change, and a successor takes
-it only when the owner released it, has restarted or its lease ran out.
+Each engine has an object in the store that names its owner (``owner_objects``). It
+changes only by conditional update, its fencing number grows with each change, and a
+successor takes it only when the owner released it, has restarted or its lease ran out.
 """
 
 from typing import NamedTuple
 
+from result import Err, Ok, Result
+
+from ..errors import Failure
 from ..events import EventKind, EventRing
+from ..mesh.peers import PeerMesh
+from ..messages.gateways import YieldTarget
+from ..messages.sessions import Done
 from .memberships import Memberships
+from .owner_objects import OWNERS_KIND, VACANT, OwnerObject, owner_spec, read_owner
 from .records import StoredRecord
 from .store_clients import StoreClient
 from .vm_leases import VmLease
 
-OWNERS_KIND = "hawthornlead-owners"
 # How long the VMs further down in an engine's order wait for the one before them.
 RANK_WAIT_S = 1.5
+# Orders of two VMs by turns within this time count as orders of two owners at once; the
+# platform bounds it to 3 s.
+TURN_S = 3.0
+# An order is sent this long before the lease runs out, at the latest. A packet that is
+# lost on the way is sent again within a second, and must not meet a successor's order.
+ORDER_MARGIN_S = 1.0
 
 
 class Ownership(NamedTuple):
-    """The right to order one engine; ``term`` is that of the lease it stands on."""
+    """The right to order one engine; ``term`` is that of the lease it stands on.
+
+    ``since`` is when it was taken, in seconds of the ``TimerService``.
+    """
 
     target: str
     fence: int
     revision: int
     term: int
+    since: float
+    owner: OwnerObject
+
+
+class _Unclaimed(NamedTuple):
+    """An owner object at one revision, and since when it was seen so."""
+
+    revision: int
+    since: float
 
 
 class Ownerships:
@@ -32,7 +56,7 @@
 
     ::
 
-        await ownerships.claim("i-7f3a", orphaned_s=2.0)
+        await ownerships.claim("i-7f3a")
         ownership = ownerships.current("i-7f3a")
     """
 
@@ -42,13 +66,17 @@
         memberships: Memberships,
         lease: VmLease,
         client: StoreClient,
+        mesh: PeerMesh,
         events: EventRing,
     ):
         self._events = events
         self._memberships = memberships
         self._lease = lease
         self._client = client
+        self._mesh = mesh
         self._owned: dict[str, Ownership] = {}
+        self._unclaimed: dict[str, _Unclaimed] = {}
+        mesh.on(YieldTarget, self._on_yield)
 
     @property
     def owned(self) -> tuple[str, ...]:
@@ -62,7 +90,7 @@
         this process was suspended.
         """
         ownership = self._owned.get(target)
-        if ownership is None or not self._lease.holds():
+        if ownership is None or not self._lease.holds_for(ORDER_MARGIN_S):
             return None
         if ownership.term != self._lease.term:
             return None
@@ -80,7 +108,7 @@
         if orphaned_s < rank * RANK_WAIT_S:
             return False
         self._lease.want(True)
-        return self._lease.holds()
+        return self._lease.holds_for(ORDER_MARGIN_S)
 
     def note_idle(self) -> None:
         """Let the lease go while nothing is owned."""
@@ -90,61 +118,123 @@
     async def claim(self, target: str) -> bool:
         """Try to become the owner of an engine; False if another VM still may be."""
         term = self._lease.term
-        found = await self._client.get(OWNERS_KIND, target)
+        found = await self._find(target)
         if found.is_err():
             return False
         record = found.ok_value
-        if record is not None and not await self._is_free(record):
-            return False
-        if not self._lease.holds() or self._lease.term != term:
+        owner = read_owner(record)
+        if owner is None:
+            free = await self._prove_unowned(target)
+            owner = VACANT
+        else:
+            free = await self._is_free(target, record, owner)
+        if not free or not self._lease.holds() or self._lease.term != term:
             return False
-        return await self._write_claim(target, record, term)
+        return await self._write_claim(target, record, owner, term)
 
     async def release(self, target: str) -> None:
         """Give an engine back, so that a successor need not wait.
 
-        The object stays, also when the engine is gone: one that comes back under its
-        id must meet a higher fence. Were the object removed, fences would begin anew,
-        and two VMs order the engine under the same one.
+        The object stays, also when the engine is gone: it tells the next owner who
+        ordered the engine before, for one that comes back under its id.
         """
         ownership = self._owned.pop(target, None)
         if ownership is None:
             return
         fence = ownership.fence
         self._events.emit(EventKind.OWNERSHIP_RELEASED, target, fence=fence)
-        spec = {"vm": "", "incarnation": "", "fence": fence}
+        settled = self._lease.now() - ownership.since >= TURN_S
+        spec = owner_spec(ownership.owner.released(settled))
         await self._client.replace(OWNERS_KIND, target, spec, ownership.revision)
 
-    async def _is_free(self, record: StoredRecord) -> bool:
-        spec = record.spec or {}
-        holder, incarnation = spec.get("vm", ""), spec.get("incarnation", "")
-        if not holder:
-            return True
-        if holder == self._memberships.vm:
+    async def _find(self, target: str) -> Result[StoredRecord, Failure]:
+        """Return an engine's owner object; one that isn't there is created vacant.
+
+        Only an object that is there has a revision, from which the fence follows.
+        """
+        found = await self._client.get(OWNERS_KIND, target)
+        if found.is_err():
+            return found
+        if found.ok_value is not None:
+            return Ok(found.ok_value)
+        return await self._client.create(OWNERS_KIND, target, owner_spec(VACANT))
+
+    async def _is_free(
+        self, target: str, record: StoredRecord, owner: OwnerObject
+    ) -> bool:
+        if owner.vm == self._memberships.vm:
             # An earlier process of this VM, or a claim whose answer was lost.
             return True
-        return await self._lease.has_run_out(holder, incarnation)
+        if owner.vm:
+            return await self._lease.has_run_out(owner.vm, owner.incarnation)
+        return not self._takes_turns(target, record, owner)
 
-    async def _write_claim(
-        self, target: str, record: StoredRecord | None, term: int
+    def _takes_turns(
+        self, target: str, record: StoredRecord, owner: OwnerObject
     ) -> bool:
-        fence = 1 if record is None else int((record.spec or {}).get("fence", 0)) + 1
-        spec = {
-            "vm": self._memberships.vm,
-            "incarnation": self._memberships.incarnation,
-            "fence": fence,
-        }
-        if record is None:
-            written = await self._client.create(OWNERS_KIND, target, spec)
-        else:
-            written = await self._client.replace(
-                OWNERS_KIND, target, spec, record.revision
+        """Whether this VM ordered the engine a moment ago and another one since.
+
+        Claimed now, the engine would be ordered by two VMs in turn, which counts as
+        two owners at once. After ``TURN_S`` of watching, or once another VM has
+        claimed the engine, that is over.
+        """
+        if self._memberships.vm not in owner.former[1:]:
+            return False
+        now = self._lease.now()
+        seen = self._unclaimed.get(target)
+        if seen is None or seen.revision != record.revision:
+            seen = self._unclaimed[target] = _Unclaimed(record.revision, now)
+        return now - seen.since < TURN_S
+
+    async def _prove_unowned(self, target: str) -> bool:
+        """Whether no other VM owns an engine whose owner object can't be read.
+
+        Another writer's bytes hide who owns it, while that VM, which doesn't look at
+        the object again, goes on. So each VM with a lease must have said that it
+        orders the engine no more, or its lease must have run out.
+        """
+        listed = await self._lease.others()
+        if listed.is_err():
+            return False
+        unowned = True
+        for vm in listed.ok_value:
+            if not await self._has_yielded(vm, target):
+                unowned = unowned and await self._lease.has_run_out(vm, "")
+        return unowned
+
+    async def _has_yielded(self, vm: str, target: str) -> bool:
+        if not self._memberships.reaches(vm):
+            return False
+        reply = await self._mesh.call(vm, YieldTarget(target))
+        return reply.is_ok()
+
+    async def _on_yield(self, sender, message: YieldTarget) -> Done:
+        ownership = self._owned.pop(message.target, None)
+        if ownership is not None:
+            self._events.emit(
+                EventKind.OWNERSHIP_YIELDED,
+                message.target,
+                fence=ownership.fence,
+                asked_by=sender.vm,
             )
-        if written.is_err():
+        return Done()
+
+    async def _write_claim(
+        self, target: str, record: StoredRecord, owner: OwnerObject, term: int
+    ) -> bool:
+        vm, incarnation = self._memberships.vm, self._memberships.incarnation
+        claimed = owner.claimed(vm, incarnation, record.revision)
+        written = await self._client.replace(
+            OWNERS_KIND, target, owner_spec(claimed), record.revision
+        )
+        if isinstance(written, Err):
             detail = written.err_value.detail
             self._events.emit(EventKind.CLAIM_FAILED, target, detail=detail)
             return False
-        revision = written.ok_value.revision
-        self._owned[target] = Ownership(target, fence, revision, term)
+        self._unclaimed.pop(target, None)
+        revision, fence = written.ok_value.revision, claimed.fence
+        self._owned[target] = Ownership(
+            target, fence, revision, term, self._lease.now(), claimed
+        )
         self._events.emit(EventKind.OWNERSHIP_TAKEN, target, fence=fence, term=term)
         return True
--- a/hawthornlead/gateway/vm_leases.py
+++ b/hawthornlead/gateway/vm_leases.py
@@ -10,13 +10,14 @@
 from random import Random
 from typing import NamedTuple
 
-from result import Err
+from result import Err, Ok, Result
 
-from ..errors import ErrorKind
+from ..errors import ErrorKind, Failure
 from ..events import EventKind, EventRing
 from ..tasks import TaskSet
 from ..timers import TimerService
 from .memberships import put
+from .records import StoredRecord
 from .store_clients import StoreClient
 
 LEASES_KIND = "hawthornlead-leases"
@@ -78,9 +79,17 @@
         """A number that changes whenever the lease was lost: what was owned is gone."""
         return self._term
 
+    def now(self) -> float:
+        """Return the time by which the lease counts, suspensions included."""
+        return self._timers.now()
+
     def holds(self) -> bool:
-        """Whether this VM may use what it owns, at this moment."""
-        return self._timers.now() < self._until
+        """Whether this VM's lease holds at this moment."""
+        return self.holds_for(0.0)
+
+    def holds_for(self, seconds: float) -> bool:
+        """Whether the lease holds now and for so long, also if it isn't renewed."""
+        return self._timers.now() + seconds < self._until
 
     def want(self, wanted: bool) -> None:
         """Say whether this VM owns something or is about to; else it doesn't renew."""
@@ -98,22 +107,41 @@
         """Ask the store whether an incarnation of a VM can't hold its lease any more.
 
         True if the VM has restarted since, or if its lease wasn't renewed for as long
-        as this VM has watched it. A store that doesn't answer proves nothing.
+        as this VM has watched it; with an empty ``incarnation`` only the latter
+        counts. A store that doesn't answer proves nothing, and neither does a lease
+        that is gone or can't be read: nobody removes one, and its VM may live.
         """
+        asked_at = self._timers.now()
         found = await self._client.get(LEASES_KIND, vm)
         if found.is_err():
             return False
         record = found.ok_value
-        if record is None:
-            return True
-        if (record.spec or {}).get("incarnation") != incarnation:
+        renewed_by = _incarnation(record)
+        if incarnation and renewed_by and renewed_by != incarnation:
             return True
-        now = self._timers.now()
+        revision = 0 if record is None else record.revision
+        return self._is_unchanged(vm, revision, asked_at)
+
+    async def others(self) -> Result[tuple[str, ...], Failure]:
+        """Ask the store for the other VMs that ever had a lease."""
+        listed = await self._client.list_all(LEASES_KIND)
+        if listed.is_err():
+            return listed
+        names = [record.name for record in listed.ok_value.events]
+        return Ok(tuple([name for name in names if name != self._vm]))
+
+    def _is_unchanged(self, vm: str, revision: int, asked_at: float) -> bool:
+        """Whether a lease stood at a revision for a lease and a margin.
+
+        What an answer tells was so when it was asked for, at the earliest. By the time
+        it is looked at, this process may have been suspended for seconds, in which the
+        lease was renewed: so the wait ends at ``asked_at``, but begins at the answer.
+        """
         seen = self._seen.get(vm)
-        if seen is None or seen.revision != record.revision:
-            self._seen[vm] = _Seen(record.revision, now)
+        if seen is None or seen.revision != revision:
+            self._seen[vm] = _Seen(revision, self._timers.now())
             return False
-        return now - seen.at > LEASE_S + CLOCK_MARGIN_S
+        return asked_at - seen.at > LEASE_S + CLOCK_MARGIN_S
 
     async def _renew_on(self) -> None:
         while True:
@@ -162,3 +190,11 @@
             return False
         self._revision = outcome.ok_value.revision
         return True
+
+
+def _incarnation(record: StoredRecord | None) -> str:
+    """Return the incarnation that renewed a lease last, empty if that can't be read."""
+    if record is None or not isinstance(record.spec, dict):
+        return ""
+    incarnation = record.spec.get("incarnation")
+    return incarnation if isinstance(incarnation, str) else ""
--- a/hawthornlead/messages/__init__.py
+++ b/hawthornlead/messages/__init__.py
@@ -43,6 +43,7 @@
     TargetLoad,
     VmLoads,
     VmWord,
+    YieldTarget,
 )
 from .leases import LeaseRenewed, RenewLease
 from .loads import AcquireLoad, LoadPermit, ReleaseLoad
@@ -121,5 +122,6 @@
     "TargetSuspect",
     "VmLoads",
     "VmWord",
+    "YieldTarget",
     "message",
 ]
--- a/hawthornlead/messages/gateways.py
+++ b/hawthornlead/messages/gateways.py
@@ -97,6 +97,13 @@
     reserved: bool
 
 
+@message("yield-target")
+class YieldTarget(NamedTuple):
+    """Ask a VM to order a target no more; its reply says that it doesn't."""
+
+    target: str
+
+
 @message("adapter-missing")
 class AdapterMissing(NamedTuple):
     """Tell a target's owner that the target refused a request for this adapter."""
--- a/hawthornlead/tests/test_owner_objects.py
+++ b/hawthornlead/tests/test_owner_objects.py
@@ -1,7 +1,7 @@
 """Tests of owning engines when the objects that tell owners can't be trusted."""
 
 from hawthornlead.gateway.ownerships import OWNERS_KIND
-from hawthornlead.gateway.vm_leases import LEASE_S, LEASES_KIND
+from hawthornlead.gateway.vm_leases import CLOCK_MARGIN_S, LEASE_S, LEASES_KIND
 
 from .fakes_leases import Fleet
 
@@ -52,6 +52,20 @@
         assert fleet.b.ownerships.current("e1").fence > last
 
 
+async def test_a_fence_is_never_below_one_of_an_object_that_went():
+    """The same with an object that was removed and written anew by another writer."""
+    for spec in SCRAMBLED:
+        fleet = await two_with_leases()
+        assert await fleet.a.ownerships.claim("e1")
+        last = fleet.a.ownerships.current("e1").fence
+        await fleet.a.ownerships.release("e1")
+        await fleet.store.delete(OWNERS_KIND, "e1")
+        if spec is not None:
+            fleet.store.overwrite(OWNERS_KIND, "e1", spec)
+        assert await fleet.b.ownerships.claim("e1")
+        assert fleet.b.ownerships.current("e1").fence > last
+
+
 async def test_an_unreadable_owner_object_does_not_free_an_owned_engine():
     """Two VMs order one engine by turns.
 
@@ -70,6 +84,25 @@
             assert None in owners
 
 
+async def test_an_engine_whose_owner_object_is_unreadable_gets_an_owner():
+    """An engine gets no orders for good, since nobody can tell who owns it.
+
+    Its owner object turned unreadable. The owner lives and is reached, or its VM is
+    gone and its lease runs out; either way a successor must come to own the engine.
+    """
+    fleet = await two_with_leases()
+    assert await fleet.a.ownerships.claim("e1")
+    fleet.store.overwrite(OWNERS_KIND, "e1", "scrambled")
+    assert await fleet.b.ownerships.claim("e1")
+    assert fleet.a.ownerships.current("e1") is None
+    assert fleet.b.ownerships.current("e1") is not None
+    fleet.store.overwrite(OWNERS_KIND, "e1", "scrambled")
+    fleet.network.leave("b")
+    assert not await fleet.a.ownerships.claim("e1")
+    await renew_for(fleet, (fleet.a,), LEASE_S + CLOCK_MARGIN_S + 2)
+    assert await fleet.a.ownerships.claim("e1")
+
+
 async def test_a_vm_suspended_while_it_reads_a_lease_takes_nothing_over():
     """Two VMs order one engine under leases that both hold.
 
@@ -91,3 +124,69 @@
     await fleet.b.ownerships.claim("e1")
     assert fleet.a.ownerships.current("e1") is not None
     assert fleet.b.ownerships.current("e1") is None
+
+
+async def test_an_unreadable_lease_proves_no_restart():
+    """Two VMs order one engine under leases that both hold.
+
+    The owner's lease object turned unreadable; a successor took that for a restart of
+    the owner's process and for a lease that is free.
+    """
+    for spec in (None, "scrambled", {}, {"incarnation": 7}):
+        fleet = await two_with_leases()
+        assert await fleet.a.ownerships.claim("e1")
+        fleet.store.overwrite(LEASES_KIND, "a", spec)
+        assert not await fleet.b.ownerships.claim("e1")
+        assert fleet.a.ownerships.current("e1") is not None
+
+
+async def test_a_lease_that_went_proves_nothing_yet():
+    """As before, with a lease object that another writer removed."""
+    fleet = await two_with_leases()
+    assert await fleet.a.ownerships.claim("e1")
+    await fleet.store.delete(LEASES_KIND, "a")
+    assert not await fleet.b.ownerships.claim("e1")
+    fleet.pass_time(LEASE_S + CLOCK_MARGIN_S + 1)
+    await fleet.b.lease._renew()
+    assert await fleet.b.ownerships.claim("e1")
+    assert fleet.a.ownerships.current("e1") is None
+
+
+async def test_owners_do_not_take_turns():
+    """An engine is ordered by two VMs in turn within seconds, as by two at once.
+
+    VMs leave and come back one after the other: an engine's owner gave it back, its
+    successor left too within a second, and the first one, back by then, claimed again.
+    """
+    fleet = await two_with_leases()
+    assert await fleet.a.ownerships.claim("e1")
+    await fleet.a.ownerships.release("e1")
+    assert await fleet.b.ownerships.claim("e1")
+    fleet.pass_time(1.0)
+    await fleet.b.ownerships.release("e1")
+    assert not await fleet.a.ownerships.claim("e1")
+    fleet.pass_time(3.1)
+    assert await fleet.a.ownerships.claim("e1")
+
+
+async def test_a_former_owner_need_not_wait_once_its_orders_are_old():
+    fleet = await two_with_leases()
+    assert await fleet.a.ownerships.claim("e1")
+    await fleet.a.ownerships.release("e1")
+    assert await fleet.b.ownerships.claim("e1")
+    fleet.pass_time(4.0)
+    await fleet.b.ownerships.release("e1")
+    assert await fleet.a.ownerships.claim("e1")
+
+
+async def test_the_last_order_is_sent_well_before_the_lease_ends():
+    """Two orders of two VMs cross, the older owner's arriving last.
+
+    An owner that was cut from the store sent an order in the last moment of its lease.
+    A packet was lost and sent again a second later, after its successor's first order.
+    """
+    fleet = await two_with_leases()
+    assert await fleet.a.ownerships.claim("e1")
+    fleet.pass_time(LEASE_S - 0.9)
+    assert fleet.a.lease.holds()
+    assert fleet.a.ownerships.current("e1") is None
