Keep log lines whole when their reader stops, and tell how many were dropped

A pipe that is nearly full takes a part of a line; its rest was lost and the next line stood in the middle of it. Nothing told of dropped lines. The new test failed on the code before (an unreadable line at byte 4098).

--- a/hawthornlead/logs.py
+++ b/hawthornlead/logs.py
@@ -185,19 +185,47 @@
     def __init__(self, descriptor: int):
         self._descriptor = descriptor
         self._dropped = 0
+        self._untold = 0
+        self._rest = b""
         os.set_blocking(descriptor, False)
 
     @property
     def dropped(self) -> int:
-        """How many lines were dropped."""
+        """How many lines were dropped since the start."""
         return self._dropped
 
     def write(self, line: str) -> None:
-        """Write one line, or drop it."""
+        """Write one line, or drop it; the next one that is written tells how many."""
+        if not self._write_rest():
+            self._drop()
+            return
+        if self._untold:
+            told = (
+                f'{{"level": "WARNING", "message": "{self._untold} lines dropped"}}\n'
+            )
+            self._rest = told.encode()
+            self._untold = 0
+        self._rest += line.encode(errors="backslashreplace")
+        self._write_rest()
+
+    def _drop(self) -> None:
+        self._dropped += 1
+        self._untold += 1
+
+    def _write_rest(self) -> bool:
+        """Write what the descriptor did not take before; False if some is left.
+
+        A pipe that is nearly full takes a part of a line. Were its rest dropped, the
+        next line would go on in the middle of this one and neither could be read.
+        """
+        if not self._rest:
+            return True
         try:
-            os.write(self._descriptor, line.encode())
+            written = os.write(self._descriptor, self._rest)
         except BlockingIOError:
-            self._dropped += 1
+            return False
+        self._rest = self._rest[written:]
+        return not self._rest
 
 
 def configure_logs(
--- a/hawthornlead/tests/test_logs.py
+++ b/hawthornlead/tests/test_logs.py
@@ -179,3 +179,35 @@
     assert stream.dropped > 0
     os.close(reading)
     os.close(writing)
+
+
+def read_all(descriptor: int) -> bytes:
+    """Return what a pipe holds now."""
+    os.set_blocking(descriptor, False)
+    read = b""
+    while True:
+        try:
+            read += os.read(descriptor, 1 << 16)
+        except BlockingIOError:
+            return read
+
+
+def test_a_reader_that_reads_again_finds_whole_lines_and_what_was_dropped():
+    """After a pause of their reader the logs can't be read, and nobody knows why.
+
+    The pipe took a part of a line before it was full. The next line that it took stood
+    in the middle of that one, and no line said that others were missing.
+    """
+    reading, writing = os.pipe()
+    stream = UnblockedStream(writing)
+    for number in range(5000):
+        stream.write(json.dumps({"number": number, "text": "x" * 5000}) + "\n")
+    read = read_all(reading)
+    for number in range(3):
+        stream.write(json.dumps({"after": number}) + "\n")
+    read += read_all(reading)
+    lines = [json.loads(line) for line in read.splitlines()]
+    assert lines[-4]["message"] == f"{stream.dropped} lines dropped"
+    assert [line["after"] for line in lines[-3:]] == [0, 1, 2]
+    os.close(reading)
+    os.close(writing)
