--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -96,6 +96,12 @@
         self._look()
         return self._large
 
+    @property
+    def known(self) -> tuple[str, ...]:
+        """The VMs that registered themselves, and those that the mesh reaches."""
+        reached = [peer.vm for peer in self._mesh.live]
+        return tuple({*self._vms, *reached})
+
     def start(self) -> None:
         """Begin to register."""
         self._tasks.spawn(self._register())
--- a/hawthornlead/gateway/ownerships.py
+++ b/hawthornlead/gateway/ownerships.py
@@ -44,13 +44,6 @@
     owner: OwnerObject
 
 
-class _Unclaimed(NamedTuple):
-    """An owner object at one revision, and since when it was seen so."""
-
-    revision: int
-    since: float
-
-
 class Ownerships:
     """The engines that this VM owns.
 
@@ -75,7 +68,11 @@
         self._client = client
         self._mesh = mesh
         self._owned: dict[str, Ownership] = {}
-        self._unclaimed: dict[str, _Unclaimed] = {}
+        self._started_at = lease.now()
+        # When this process gave the last order to an engine, owned or not by now.
+        self._ordered_at: dict[str, float] = {}
+        # How often this VM was asked to order an engine no more.
+        self._yields: dict[str, int] = {}
         mesh.on(YieldTarget, self._on_yield)
 
     @property
@@ -115,9 +112,13 @@
         if not self._owned:
             self._lease.want(False)
 
+    def note_order(self, target: str) -> None:
+        """Note that an order is being given to an engine."""
+        self._ordered_at[target] = self._lease.now()
+
     async def claim(self, target: str) -> bool:
         """Try to become the owner of an engine; False if another VM still may be."""
-        term = self._lease.term
+        term, yields = self._lease.term, self._yields.get(target, 0)
         found = await self._find(target)
         if found.is_err():
             return False
@@ -127,10 +128,16 @@
             free = await self._prove_unowned(target)
             owner = VACANT
         else:
-            free = await self._is_free(target, record, owner)
+            free = await self._is_free(target, owner)
         if not free or not self._lease.holds() or self._lease.term != term:
             return False
-        return await self._write_claim(target, record, owner, term)
+        ownership = await self._write_claim(target, record, owner, term)
+        if ownership is None or self._yields.get(target, 0) != yields:
+            # Asked meanwhile, this VM said that it doesn't order the engine; who asked
+            # may have claimed it since. The next claim finds out.
+            return False
+        self._owned[target] = ownership
+        return True
 
     async def release(self, target: str) -> None:
         """Give an engine back, so that a successor need not wait.
@@ -159,32 +166,30 @@
             return Ok(found.ok_value)
         return await self._client.create(OWNERS_KIND, target, owner_spec(VACANT))
 
-    async def _is_free(
-        self, target: str, record: StoredRecord, owner: OwnerObject
-    ) -> bool:
+    async def _is_free(self, target: str, owner: OwnerObject) -> bool:
         if owner.vm == self._memberships.vm:
             # An earlier process of this VM, or a claim whose answer was lost.
             return True
-        if owner.vm:
-            return await self._lease.has_run_out(owner.vm, owner.incarnation)
-        return not self._takes_turns(target, record, owner)
+        if self._takes_turns(target, owner):
+            return False
+        return not owner.vm or await self._lease.has_run_out(
+            owner.vm, owner.incarnation
+        )
 
-    def _takes_turns(
-        self, target: str, record: StoredRecord, owner: OwnerObject
-    ) -> bool:
+    def _takes_turns(self, target: str, owner: OwnerObject) -> bool:
         """Whether this VM ordered the engine a moment ago and another one since.
 
         Claimed now, the engine would be ordered by two VMs in turn, which counts as
-        two owners at once. After ``TURN_S`` of watching, or once another VM has
-        claimed the engine, that is over.
+        two owners at once. It happens where VMs are restarted or killed one after the
+        other. An earlier process of this VM may have ordered until this one started.
         """
-        if self._memberships.vm not in owner.former[1:]:
+        vm = self._memberships.vm
+        if not owner.vm and owner.former[:1] in ((), (vm,)):
             return False
-        now = self._lease.now()
-        seen = self._unclaimed.get(target)
-        if seen is None or seen.revision != record.revision:
-            seen = self._unclaimed[target] = _Unclaimed(record.revision, now)
-        return now - seen.since < TURN_S
+        ordered_at = self._ordered_at.get(target)
+        if ordered_at is None and vm in owner.former:
+            ordered_at = self._started_at
+        return ordered_at is not None and self._lease.now() - ordered_at < TURN_S
 
     async def _prove_unowned(self, target: str) -> bool:
         """Whether no other VM owns an engine whose owner object can't be read.
@@ -196,11 +201,13 @@
         listed = await self._lease.others()
         if listed.is_err():
             return False
-        unowned = True
-        for vm in listed.ok_value:
-            if not await self._has_yielded(vm, target):
-                unowned = unowned and await self._lease.has_run_out(vm, "")
-        return unowned
+        others = {*listed.ok_value, *self._memberships.known} - {self._memberships.vm}
+        # Each is looked at in each round: their leases run out side by side.
+        unowned = [
+            await self._has_yielded(vm, target) or await self._lease.has_run_out(vm, "")
+            for vm in sorted(others)
+        ]
+        return all(unowned)
 
     async def _has_yielded(self, vm: str, target: str) -> bool:
         if not self._memberships.reaches(vm):
@@ -209,6 +216,7 @@
         return reply.is_ok()
 
     async def _on_yield(self, sender, message: YieldTarget) -> Done:
+        self._yields[message.target] = self._yields.get(message.target, 0) + 1
         ownership = self._owned.pop(message.target, None)
         if ownership is not None:
             self._events.emit(
@@ -221,7 +229,7 @@
 
     async def _write_claim(
         self, target: str, record: StoredRecord, owner: OwnerObject, term: int
-    ) -> bool:
+    ) -> Ownership | None:
         vm, incarnation = self._memberships.vm, self._memberships.incarnation
         claimed = owner.claimed(vm, incarnation, record.revision)
         written = await self._client.replace(
@@ -230,11 +238,7 @@
         if isinstance(written, Err):
             detail = written.err_value.detail
             self._events.emit(EventKind.CLAIM_FAILED, target, detail=detail)
-            return False
-        self._unclaimed.pop(target, None)
-        revision, fence = written.ok_value.revision, claimed.fence
-        self._owned[target] = Ownership(
-            target, fence, revision, term, self._lease.now(), claimed
-        )
+            return None
+        fence, revision = claimed.fence, written.ok_value.revision
         self._events.emit(EventKind.OWNERSHIP_TAKEN, target, fence=fence, term=term)
-        return True
+        return Ownership(target, fence, revision, term, self._lease.now(), claimed)
--- a/hawthornlead/tests/test_owner_objects.py
+++ b/hawthornlead/tests/test_owner_objects.py
@@ -1,5 +1,7 @@
 """Tests of owning engines when the objects that tell owners can't be trusted."""
 
+import asyncio
+
 from hawthornlead.gateway.ownerships import OWNERS_KIND
 from hawthornlead.gateway.vm_leases import CLOCK_MARGIN_S, LEASE_S, LEASES_KIND
 
@@ -160,18 +162,62 @@
     """
     fleet = await two_with_leases()
     assert await fleet.a.ownerships.claim("e1")
+    fleet.a.ownerships.note_order("e1")
     await fleet.a.ownerships.release("e1")
     assert await fleet.b.ownerships.claim("e1")
     fleet.pass_time(1.0)
     await fleet.b.ownerships.release("e1")
     assert not await fleet.a.ownerships.claim("e1")
+    fleet.pass_time(2.1)
+    assert await fleet.a.ownerships.claim("e1")
+
+
+async def test_owners_do_not_take_turns_over_a_restart():
+    """The same, where the successor is killed: its next process gives nothing back."""
+    fleet = await two_with_leases()
+    assert await fleet.a.ownerships.claim("e1")
+    fleet.a.ownerships.note_order("e1")
+    await fleet.a.ownerships.release("e1")
+    fleet.pass_time(0.1)
+    assert await fleet.b.ownerships.claim("e1")
+    fleet.pass_time(0.9)
+    again = fleet.start("b", incarnation="2")
+    await again.lease._renew()
+    assert not await fleet.a.ownerships.claim("e1")
+    fleet.pass_time(2.1)
+    assert await fleet.a.ownerships.claim("e1")
+
+
+async def test_a_process_that_starts_knows_that_its_vm_ordered_a_moment_ago():
+    """The same, where the first owner is killed: its next process remembers nothing."""
+    fleet = await two_with_leases()
+    assert await fleet.a.ownerships.claim("e1")
+    await fleet.a.ownerships.release("e1")
+    assert await fleet.b.ownerships.claim("e1")
+    await fleet.b.ownerships.release("e1")
+    again = fleet.start("a", incarnation="2")
+    await again.lease._renew()
+    assert not await again.ownerships.claim("e1")
     fleet.pass_time(3.1)
+    assert await again.ownerships.claim("e1")
+
+
+async def test_a_former_owner_waits_also_after_an_unreadable_object():
+    """The same, where what the object told of former owners was lost in between."""
+    fleet = await two_with_leases()
     assert await fleet.a.ownerships.claim("e1")
+    fleet.a.ownerships.note_order("e1")
+    fleet.store.overwrite(OWNERS_KIND, "e1", "scrambled")
+    assert await fleet.b.ownerships.claim("e1")
+    fleet.pass_time(1.0)
+    await fleet.b.ownerships.release("e1")
+    assert not await fleet.a.ownerships.claim("e1")
 
 
 async def test_a_former_owner_need_not_wait_once_its_orders_are_old():
     fleet = await two_with_leases()
     assert await fleet.a.ownerships.claim("e1")
+    fleet.a.ownerships.note_order("e1")
     await fleet.a.ownerships.release("e1")
     assert await fleet.b.ownerships.claim("e1")
     fleet.pass_time(4.0)
@@ -179,6 +225,58 @@
     assert await fleet.a.ownerships.claim("e1")
 
 
+async def test_a_claim_in_flight_does_not_outlive_a_yield():
+    """Two VMs order one engine, each by a claim of its own.
+
+    A claim had reached the store and its answer was slow; then another writer made the
+    object unreadable. Asked whether it orders the engine, the claimant said no, since
+    it had no answer yet, and went on as its owner when the answer came.
+    """
+    fleet = await two_with_leases()
+    replace = fleet.store.replace
+    landed, go_on = asyncio.Event(), asyncio.Event()
+
+    async def slow(kind, name, spec, revision):
+        done = await replace(kind, name, spec, revision)
+        if kind == OWNERS_KIND and spec["vm"] == "a":
+            landed.set()
+            await go_on.wait()
+        return done
+
+    fleet.store.replace = slow
+    claim = asyncio.ensure_future(fleet.a.ownerships.claim("e1"))
+    await landed.wait()
+    fleet.store.overwrite(OWNERS_KIND, "e1", "scrambled")
+    assert await fleet.b.ownerships.claim("e1")
+    go_on.set()
+    assert not await claim
+    assert fleet.a.ownerships.current("e1") is None
+
+
+async def test_a_vm_whose_lease_object_went_is_asked_too():
+    """Two VMs order one engine: both its owner's lease and its object were spoilt."""
+    fleet = await two_with_leases()
+    assert await fleet.a.ownerships.claim("e1")
+    await fleet.store.delete(LEASES_KIND, "a")
+    fleet.store.overwrite(OWNERS_KIND, "e1", "scrambled")
+    assert await fleet.b.ownerships.claim("e1")
+    assert fleet.a.ownerships.current("e1") is None
+
+
+async def test_vms_that_are_gone_are_waited_for_at_once():
+    """An engine gets no orders for a minute, a lease for each VM that is gone."""
+    fleet = await two_with_leases()
+    third = fleet.start("c")
+    await third.lease._renew()
+    assert await fleet.a.ownerships.claim("e1")
+    fleet.store.overwrite(OWNERS_KIND, "e1", "scrambled")
+    fleet.network.leave("a")
+    fleet.network.leave("c")
+    assert not await fleet.b.ownerships.claim("e1")
+    await renew_for(fleet, (fleet.b,), LEASE_S + CLOCK_MARGIN_S + 2)
+    assert await fleet.b.ownerships.claim("e1")
+
+
 async def test_the_last_order_is_sent_well_before_the_lease_ends():
     """Two orders of two VMs cross, the older owner's arriving last.
 
