Let the stand-in engine start again under its id; failing tests of what gateways believe then

All seven fail on the code of before: no VM notices the start (the known start stays the former one), adapters of the former start stay READY or become RECENT, failures and requests counted at it stay, a late order with a count that is right again makes the restarted engine break down (a9 does not fit beside three).

--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -17,6 +17,7 @@
 EVENTS = 4
 EVENT_S = 0.01
 LOAD_S = 0.05
+BORN_MS = 1_790_000_000_000
 
 
 class PlatformEngine:
@@ -25,6 +26,10 @@
     Faults, one for each next request: "stray" answers another request first, "cut"
     breaks off after two events, "reset" breaks off before the answer, "fail" answers
     500, "refuse" answers 503 unrun, "mute" never answers.
+
+    ``restart`` begins another incarnation under the same id; ``born`` is the start
+    that it tells, None for a platform that tells none. ``late_orders`` of the next
+    orders are kept unanswered in ``kept_orders``, for ``carry_out_kept``.
     """
 
     def __init__(self, target: str, service: str, model: str = "", slots: int = 3):
@@ -47,7 +52,12 @@
         self.connections = 0
         self.faults: deque[str] = deque()
         self.mute_orders = 0
+        self.late_orders = 0
+        self.kept_orders: list[dict] = []
         self.event_s = EVENT_S
+        self.load_s = LOAD_S
+        self.born: int | None = BORN_MS
+        self.starts = 1
 
     def start(self, port: int = 0) -> None:
         """Listen on a port, or on one that the system chooses."""
@@ -60,22 +70,45 @@
         self._server.stop()
         await self._server.close_all_connections()
 
+    async def restart(self, *, moved: bool = False) -> None:
+        """Start again under the same id, empty, at the same or another address."""
+        await self.stop()
+        port = 0 if moved else int(self.address.rpartition(":")[2])
+        self.starts += 1
+        if self.born is not None:
+            self.born += 1500
+        self.adapters.clear()
+        self.arriving.clear()
+        self.order_count = 0
+        self._server = HTTPServer(CallerEntry(self._handle, lambda: 0.0))
+        self.start(port)
+
+    def carry_out_kept(self) -> list[int]:
+        """Carry out the orders that were kept, if their count holds."""
+        kept, self.kept_orders = self.kept_orders, []
+        return [self._take_order(order) for order in kept]
+
     def entry(self, state: str = "ready") -> dict:
         """Return the engine's entry in the store."""
         models = []
         if self._model:
             models = [{"name": self._model, "version": 1, "adapters": self._listed()}]
-        return {
-            "service": self.service,
-            "address": self.address,
-            "zone": "gijon",
-            "version": "v1",
-            "slots": 4,
-            "state": state,
-            "coldRemainingMs": 0,
-            "models": models,
-            "seq": 1,
-        }
+        return self._with_start(
+            {
+                "service": self.service,
+                "address": self.address,
+                "zone": "gijon",
+                "version": "v1",
+                "slots": 4,
+                "state": state,
+                "coldRemainingMs": 0,
+                "models": models,
+                "seq": 1,
+            }
+        )
+
+    def _with_start(self, told: dict) -> dict:
+        return told if self.born is None else {**told, "born": self.born}
 
     def _listed(self) -> list[str]:
         return [f"{name}@{version}" for name, version in self.adapters.items()]
@@ -93,31 +126,39 @@
 
     def _report(self) -> dict:
         pending = [f"{self._model}/{a}@{v}" for a, v in self.arriving.items()]
-        return {
-            "stage": "both",
-            "models": self.entry()["models"],
-            "busy": False,
-            "seq": self.order_count,
-            "queued": 0,
-            "inFlight": 0,
-            "kvUsed": 0,
-            "kvTotal": 1000,
-            "pending": pending,
-        }
+        return self._with_start(
+            {
+                "stage": "both",
+                "models": self.entry()["models"],
+                "busy": False,
+                "seq": self.order_count,
+                "queued": 0,
+                "inFlight": 0,
+                "kvUsed": 0,
+                "kvTotal": 1000,
+                "pending": pending,
+            }
+        )
 
     async def _order(self, call: CallerCall) -> None:
         order = json.loads(call.body)
         self.orders.append(order)
-        if order["precondition"] != self.order_count:
-            _answer(call, 409, b"{}", {})
-            return
-        self.order_count += 1
-        status = self._carry_out(order)
-        if self.mute_orders:
+        if self.late_orders:
+            self.late_orders -= 1
+            self.kept_orders.append(order)
+            await asyncio.sleep(3600)
+        status = self._take_order(order)
+        if status != 409 and self.mute_orders:
             self.mute_orders -= 1
             await asyncio.sleep(3600)
         _answer(call, status, b"{}", {})
 
+    def _take_order(self, order: dict) -> int:
+        if order["precondition"] != self.order_count:
+            return 409
+        self.order_count += 1
+        return self._carry_out(order)
+
     def _carry_out(self, order: dict) -> int:
         adapter = order["adapter"]
         if order["op"] == "unload":
@@ -127,11 +168,13 @@
         if len(self.adapters.keys() | self.arriving.keys() | {adapter}) > self._slots:
             self.crashed = f"{adapter} does not fit beside {self._listed()}"
         self.arriving[adapter] = version
-        asyncio.get_running_loop().call_later(LOAD_S, self._arrive, adapter)
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.load_s, self._arrive, adapter, self.starts)
         return 202
 
-    def _arrive(self, adapter: str) -> None:
-        self.adapters[adapter] = self.arriving.pop(adapter)
+    def _arrive(self, adapter: str, start: int) -> None:
+        if start == self.starts and adapter in self.arriving:
+            self.adapters[adapter] = self.arriving.pop(adapter)
 
     async def _run(self, call: CallerCall) -> None:
         request_id = call.headers["Request-Id"]
--- /dev/null
+++ b/hawthornlead/tests/test_gateway_restarts.py
@@ -0,0 +1,249 @@
+"""Tests of whole gateways whose engines start again under the id that they had."""
+
+import asyncio
+
+from hawthornlead.events import EventKind
+from hawthornlead.gateway.engine_slots import AdapterKey
+from hawthornlead.gateway.target_choices import Holding
+
+from .gateways import MODEL, Deployment
+
+KEY = AdapterKey(MODEL, "a1")
+PATH = "/stream/x"
+
+
+def holding(gateway, engine, key=KEY):
+    """Return what a VM believes that an engine holds."""
+    entry = gateway._targets.entries[engine.target]
+    service = gateway._parts.configuration.service("llm")
+    return gateway._targets.holding(entry, service, key)
+
+
+def believed(gateway, engine):
+    """Return the start that a VM knows of an engine."""
+    return gateway._targets.entries[engine.target].started_ms
+
+
+def restarts_seen(gateway, engine):
+    """Return the starts, former and new, that a VM's log tells."""
+    seen = [
+        (event.fields["former_started_ms"], event.fields["started_ms"])
+        for event in gateway._events.newest(engine.target)
+        if event.kind is EventKind.TARGET_RESTARTED
+    ]
+    return sorted(seen)
+
+
+async def loaded(deployment, adapter="a1"):
+    """Have an adapter loaded; return its engine once all VMs know it."""
+    answer = await deployment.ask(PATH, Model=f"{MODEL}/{adapter}")
+    assert answer.status == 200
+    engine = next(e for e in deployment.engines if adapter in e.adapters)
+    key = AdapterKey(MODEL, adapter)
+    await deployment.until(
+        lambda: all(
+            holding(gateway, engine, key) is Holding.READY
+            for gateway in deployment.gateways
+        )
+    )
+    return engine
+
+
+async def served(deployment, adapter="a1", vm=0):
+    """Ask until a request for an adapter is served, as its caller would."""
+    for _ in range(40):
+        answer = await deployment.ask(PATH, vm=vm, Model=f"{MODEL}/{adapter}")
+        if answer.status == 200:
+            return
+        await asyncio.sleep(float(answer.headers.get("Retry-After", "0.2")))
+    raise AssertionError("never served")
+
+
+async def all_know(deployment, engine):
+    """Wait until all VMs know an engine's newest start."""
+    for gateway in deployment.gateways:
+        await deployment.until(lambda g=gateway: believed(g, engine) == engine.born)
+
+
+async def test_a_restart_drops_at_once_what_all_vms_believed():
+    """Requests are sent, one after the other, to an engine that lost their adapter.
+
+    An engine started again under its id. Its entry was taken for the one of before,
+    and every VM went on believing what its owner had told of the former start.
+    """
+    async with Deployment() as deployment:
+        engine = await loaded(deployment)
+        before = engine.born
+        await engine.restart()
+        deployment.register(engine)
+        await all_know(deployment, engine)
+        for gateway in deployment.gateways:
+            assert holding(gateway, engine) is Holding.ABSENT
+            assert restarts_seen(gateway, engine) == [(before, engine.born)]
+        for vm in range(2):
+            await served(deployment, vm=vm)
+        fence = deployment.store.spec("hawthornlead-owners", engine.target)["fence"]
+        assert fence == 1
+        assert not engine.crashed
+
+
+async def test_what_failed_at_the_former_start_does_not_count_against_the_new():
+    """An engine that came back sound is left for four seconds.
+
+    The failures of its former start, and the requests that other VMs had told of
+    there, were counted against the new one.
+    """
+    async with Deployment() as deployment:
+        engine = await loaded(deployment)
+        for gateway in deployment.gateways:
+            for _ in range(5):
+                gateway._parts.healths.failed(engine.target, gone=True)
+            gateway._parts.loads.began(engine.target, KEY)
+            gateway._parts.placer._full_until[engine.target] = 1e9
+        told = deployment.gateways[0]._parts.loads
+        await deployment.until(lambda: told.running(engine.target) == 2)
+        await engine.restart()
+        deployment.register(engine)
+        await all_know(deployment, engine)
+        for gateway in deployment.gateways:
+            parts = gateway._parts
+            assert not parts.healths.suspect(engine.target)
+            assert parts.healths.cost_ms(engine.target) == 0
+            assert parts.loads.running(engine.target) == 0
+            assert engine.target not in parts.placer._full_until
+            parts.loads.ended(engine.target, KEY)
+            assert parts.loads.running(engine.target) == 0
+            assert parts.loads.own_total == 0
+
+
+async def test_a_restart_at_another_address_is_found_there():
+    """Connections to an address where nobody listens any more are tried first.
+
+    An engine started again elsewhere under its id; connections that were kept to the
+    former address stayed.
+    """
+    async with Deployment() as deployment:
+        engine = await loaded(deployment)
+        former = engine.address
+        await engine.restart(moved=True)
+        deployment.register(engine)
+        await all_know(deployment, engine)
+        for gateway in deployment.gateways:
+            assert holding(gateway, engine) is Holding.ABSENT
+            assert former not in gateway._connections._pool._kept
+        await served(deployment)
+        deployment.engines = [engine]
+        engine.ran.clear()
+        await served(deployment)
+
+
+async def test_a_report_tells_of_a_restart_that_the_watch_missed():
+    """Loads go on for an engine as if it still held what it held before.
+
+    Its entry of the new start doesn't reach any VM. The first that shows the restart
+    is the report that its owner reads after a conflict; the other VMs must hear it.
+    """
+    async with Deployment() as deployment:
+        engine = await loaded(deployment)
+        await engine.restart()
+        deployment.engines[:] = [engine, *[e for e in deployment.engines if e != engine]]
+        for number in range(2, 9):
+            await served(deployment, f"a{number}")
+            if engine.adapters:
+                break
+        await all_know(deployment, engine)
+        await deployment.until(
+            lambda: all(
+                holding(gateway, engine) is not Holding.READY
+                for gateway in deployment.gateways
+            )
+        )
+        for gateway in deployment.gateways:
+            assert len(restarts_seen(gateway, engine)) == 1
+        # The entry that comes at last tells nothing new.
+        deployment.register(engine)
+        await asyncio.sleep(0.5)
+        for gateway in deployment.gateways:
+            assert len(restarts_seen(gateway, engine)) == 1
+
+
+async def test_a_fetch_under_way_does_not_end_at_the_new_start():
+    """A request is sent for an adapter whose fetch its engine has forgotten.
+
+    The engine started again while it fetched; the end of the fetch was foreseen from
+    learned times and taken as come.
+    """
+    async with Deployment() as deployment:
+        for number in range(10, 13):
+            await served(deployment, f"a{number}")
+        for engine in deployment.engines:
+            engine.load_s = 0.5
+        asking = asyncio.create_task(served(deployment))
+        await deployment.until(lambda: any("a1" in e.arriving for e in deployment.engines))
+        engine = next(e for e in deployment.engines if "a1" in e.arriving)
+        await engine.restart()
+        deployment.register(engine)
+        await all_know(deployment, engine)
+        wrong = 0
+        end = asyncio.get_running_loop().time() + 0.6
+        while asyncio.get_running_loop().time() < end:
+            for gateway in deployment.gateways:
+                ready = holding(gateway, engine) is Holding.READY
+                wrong += ready and "a1" not in engine.adapters
+            await asyncio.sleep(0.01)
+        assert not wrong
+        await asking
+        assert not any(each.crashed for each in deployment.engines)
+
+
+async def test_three_restarts_in_a_row_leave_one_owner_and_no_old_belief():
+    async with Deployment() as deployment:
+        engine = await loaded(deployment)
+        for number in range(3):
+            await engine.restart(moved=number == 1)
+            deployment.register(engine)
+            await asyncio.sleep(0.05 * number)
+        await all_know(deployment, engine)
+        for gateway in deployment.gateways:
+            assert holding(gateway, engine) is Holding.ABSENT
+        owners = [g for g in deployment.gateways if engine.target in g._room.owned]
+        assert len(owners) == 1
+        owner = owners[0]._room._owners[engine.target]
+        assert owner.incarnation.started_ms == engine.born
+        await served(deployment)
+        assert {order["fence"] for order in engine.orders} == {1}
+        assert not engine.crashed
+
+
+async def test_a_restart_after_an_order_without_an_answer_crashes_no_engine():
+    """An engine breaks down of one adapter too many, seconds after it started again.
+
+    An order that its former start never answered named a count that was right once
+    more, when its slots were full.
+    """
+    async with Deployment(vms=1) as deployment:
+        engine = await loaded(deployment)
+        (other,) = [each for each in deployment.engines if each is not engine]
+        deployment.register(other, state="draining")
+        targets = deployment.gateways[0]._targets
+        await deployment.until(lambda: not targets.usable(other.target))
+        for adapter in ("a2", "a3"):
+            await served(deployment, adapter)
+        await asyncio.sleep(0.5)
+        # An order that names count 3: the first eviction of the former start.
+        engine.late_orders = 1
+        asking = asyncio.create_task(served(deployment, "a4"))
+        await deployment.until(lambda: engine.kept_orders)
+        engine.kept_orders = [
+            {**engine.kept_orders[0], "op": "load", "adapter": "a9", "version": 1}
+        ]
+        await engine.restart()
+        deployment.register(engine)
+        await asking
+        for adapter in ("a5", "a6"):
+            await served(deployment, adapter)
+        engine.kept_orders[0]["precondition"] = engine.order_count
+        engine.carry_out_kept()
+        for adapter in ("a7", "a8"):
+            await served(deployment, adapter)
+        assert not engine.crashed
