Keep what is believed of a target by incarnation, and drop it whole at a restart

Cause: id and address stood for the engine, so that a second start under the same id went unnoticed: its adapters, failures, counts, prompts' turns and kept connections were those of the former start, and an order without an answer could be carried out by the new one.

KnownTargets alone sees a restart: by an entry, a report, a word of another VM or, where starts aren't told, a count gone back. The owner module is split (load checks, reports, late orders).

--- a/hawthornlead/gateway/engine_orders.py
+++ b/hawthornlead/gateway/engine_orders.py
@@ -12,6 +12,7 @@
 from .engine_calls import EngineCalls
 from .engine_slots import AdapterKey
 from .gateway_metrics import GatewayMetrics
+from .late_orders import LateOrders
 from .ownerships import Ownerships
 from .records import EngineOrder, OrderKind, OrderOutcome, TargetEntry
 
@@ -28,6 +29,7 @@
         holder: str,
         events: EventRing,
         metrics: GatewayMetrics,
+        late: LateOrders,
     ):
         self._ownerships = ownerships
         self._calls = calls
@@ -35,7 +37,9 @@
         self._holder = holder
         self._events = events
         self._metrics = metrics
+        self._late = late
         self._accepted: int | None = None
+        self._surely_accepted = 0
         self._given_at = 0.0
 
     @property
@@ -43,6 +47,11 @@
         """How many orders the engine has accepted; None until a report tells."""
         return self._accepted
 
+    @property
+    def surely_accepted(self) -> int:
+        """How many orders the engine's answers show to be accepted, at least."""
+        return self._surely_accepted
+
     @property
     def given_at(self) -> float:
         """When the last order was sent, in seconds of the ``TimerService``."""
@@ -51,6 +60,9 @@
     def take_accepted(self, accepted: int | None) -> None:
         """Take the count that a report tells; None asks for one."""
         self._accepted = accepted
+        if accepted is not None:
+            # A report that was heeded counts more than what answers seemed to show.
+            self._surely_accepted = min(self._surely_accepted, accepted)
 
     async def give(
         self, entry: TargetEntry, kind: OrderKind, key: AdapterKey, version: int
@@ -70,7 +82,10 @@
             ownership.fence,
         )
         self._given_at = self._timers.now()
+        self._late.sent()
         outcome = await self._calls.order(entry.address, entry.target, order)
+        if outcome is not OrderOutcome.UNKNOWN:
+            self._late.answered()
         took_s = self._timers.now() - self._given_at
         self._events.emit(
             EventKind.ORDER_GIVEN,
@@ -98,6 +113,7 @@
             # Only a report tells how many orders the engine has accepted.
             self._accepted = None
             return
+        self._surely_accepted = order.order_count + 1
         if self._accepted is not None:
             # None when the count was found to be off while the order was under way.
             self._accepted = order.order_count + 1
--- a/hawthornlead/gateway/engine_owners.py
+++ b/hawthornlead/gateway/engine_owners.py
@@ -2,7 +2,8 @@
 
 Requests of all VMs ask here for adapters and for their prompts' turns. How an order is
 given stands in ``engine_orders``, how an adapter's way is followed in
-``fetch_followers``.
+``fetch_followers``, and what may still come of orders to a former start of the engine
+in ``late_orders``.
 """
 
 import asyncio
@@ -20,39 +21,40 @@
 from .arrival_times import ArrivalTimes
 from .engine_calls import EngineCalls
 from .engine_orders import EngineOrders
+from .engine_reports import REPORT_LAG_S, EngineReports
 from .engine_slots import AdapterKey, AdaptersInUse, EngineSlots, SlotState
 from .fetch_followers import FIRST_LOOK_S, FetchFollower
 from .gateway_metrics import GatewayMetrics
+from .late_orders import LateOrders
+from .load_checks import MAX_ARRIVING, LoadChecks
 from .ownerships import Ownerships
 from .prompt_paces import PromptPace
 from .records import (
     EngineReport,
     EngineSpec,
+    Incarnation,
     OrderKind,
     OrderOutcome,
     TargetEntry,
 )
 
-# Adapters that an engine fetches at once; it refuses more.
-MAX_ARRIVING = 4
 # A fetch takes 0.25 to 0.3 s, so that with four at once one ends every 65 ms or so.
 FETCH_TURN_S = 0.065
 # Between tries of a report that can't be had.
 REPORT_RETRY_S = 0.2
-# A report this long after an order shows it: reports lag some hundred milliseconds.
-REPORT_LAG_S = 0.25
 MAX_ORDER_TRIES = 6
 # When to come back for an adapter that finds no slot to spare: runs take 1 to 2 s.
 NO_SLOT_RETRY_S = 0.5
 
 
 class EngineOwner:
-    """The one that orders one engine.
+    """The one that orders one incarnation of an engine.
 
-    ::
+    ``on_restarted`` takes what ``EngineReports`` hands it::
 
         owner = EngineOwner(entry, spec, ownerships=ownerships, calls=calls,
-                            timers=timers, holder="edge-1", on_changed=publish)
+                            timers=timers, holder="edge-1", late=late,
+                            on_changed=publish, on_restarted=replace)
         owner.start()
         loaded = await owner.load(AdapterKey("m", "a3"), version=2, wait_s=1.0)
     """
@@ -70,17 +72,25 @@
         arrivals: dict[bool, ArrivalTimes],
         events: EventRing,
         metrics: GatewayMetrics,
+        late: LateOrders,
         on_changed: Callable[["EngineOwner"], None],
+        on_restarted: Callable[[int | None], None],
     ):
         self._entry = entry
         self._spec = spec
         self._ownerships = ownerships
-        self._calls = calls
+        self._late = late
         self._timers = timers
-        self._in_use = in_use
         self._events = events
         self._on_changed = on_changed
         self._slots = EngineSlots(spec)
+        self._checks = LoadChecks(
+            target=entry.target,
+            slots=self._slots,
+            in_use=in_use,
+            late=late,
+            timers=timers,
+        )
         self._pace = PromptPace()
         self._orders = EngineOrders(
             ownerships=ownerships,
@@ -89,6 +99,16 @@
             holder=holder,
             events=events,
             metrics=metrics,
+            late=late,
+        )
+        self._reports = EngineReports(
+            entry.incarnation,
+            calls=calls,
+            orders=self._orders,
+            late=late,
+            timers=timers,
+            events=events,
+            on_restarted=on_restarted,
         )
         self._fetches = FetchFollower(
             slots=self._slots,
@@ -98,6 +118,7 @@
             on_ready=self._note_ready,
             on_missing=self._note_not_ready,
         )
+        self._stopped = False
         self._number = 0
         self._lock = asyncio.Lock()
         self._ordering: dict[tuple[AdapterKey, int], asyncio.Task] = {}
@@ -110,6 +131,16 @@
         """The engine's id."""
         return self._entry.target
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The start of the engine that is ordered here."""
+        return self._entry.incarnation
+
+    @property
+    def unanswered_until(self) -> float:
+        """Until when an order without an answer may reach the engine."""
+        return self._late.unanswered_until
+
     @property
     def slots(self) -> EngineSlots:
         """What the engine holds."""
@@ -131,6 +162,7 @@
             self._slots.models,
             self._slots.held,
             self._pace.expected_wait(self._timers.now()),
+            self.incarnation.started_ms,
         )
 
     def start(self) -> None:
@@ -138,8 +170,10 @@
         self._tasks.spawn(self._look_after())
 
     def stop(self) -> None:
-        """Give no further order."""
+        """Give no further order; who waits for a load is told so at once."""
+        self._stopped = True
         self._tasks.cancel()
+        self._changed.fire()
 
     def take_entry(self, entry: TargetEntry) -> None:
         """Take a newer entry of the same engine."""
@@ -182,10 +216,12 @@
         self, key: AdapterKey, version: int, give_up_at: float
     ) -> Result[int, Failure]:
         while not self._slots.ready(key, version):
+            if self._stopped:
+                return Err(Failure(ErrorKind.NO_GRANT, "not ordered here now", 0.1))
             left_s = give_up_at - self._timers.now()
             if left_s <= 0:
                 return Err(Failure(ErrorKind.LOAD_FAILED, f"{key} is not ready", 0.3))
-            if self._is_coming(key, version):
+            if self._checks.is_coming(key, version):
                 await self._changed.wait(self._timers, left_s)
                 continue
             if self._slots.arriving >= MAX_ARRIVING:
@@ -197,6 +233,8 @@
                 continue
             ordering = self._join_ordering(key, version)
             await asyncio.wait([ordering], timeout=left_s)
+            if ordering.cancelled():
+                continue
             if ordering.done() and ordering.result().is_err():
                 return ordering.result()
         slot = self._slots.slots.get(key)
@@ -231,12 +269,15 @@
             for _ in range(MAX_ORDER_TRIES):
                 if self._orders.accepted is None and not await self._resync():
                     return Err(Failure(ErrorKind.TARGET_LOST, "no report", 0.5))
-                if not self._makes_sense(key, version):
+                if not self._checks.makes_sense(key, version):
                     return Ok(None)
-                refusal = self._refusal(key, version)
+                if key not in self._waiting:
+                    # A load for nobody would only take a slot from one in use.
+                    return Err(Failure(ErrorKind.LOAD_FAILED, "nobody waits", 0.3))
+                refusal = self._checks.refusal(self._entry, key, version)
                 if refusal is not None:
                     return Err(refusal)
-                if key not in self._slots.slots and not self._slots.has_room(key):
+                if not self._checks.has_room(key):
                     if not await self._evict_one():
                         return Err(
                             Failure(
@@ -249,41 +290,8 @@
                     return Ok(None)
             return Err(Failure(ErrorKind.LOAD_FAILED, f"{key} can't be ordered", 0.3))
 
-    def _is_coming(self, key: AdapterKey, version: int) -> bool:
-        """Whether an adapter is on its way, at this version or a newer one."""
-        slot = self._slots.slots.get(key)
-        if slot is None or slot.state is not SlotState.ARRIVING:
-            return False
-        return not version or slot.version >= version
-
-    def _makes_sense(self, key: AdapterKey, version: int) -> bool:
-        """Whether an order is needed now, perhaps after others that came first."""
-        if self._slots.ready(key, version) or self._is_coming(key, version):
-            return False
-        return self._slots.arriving < MAX_ARRIVING
-
-    def _refusal(self, key: AdapterKey, version: int) -> Failure | None:
-        """Return why this adapter can't be ordered now."""
-        if key not in self._waiting:
-            # A load for nobody would only take a slot from an adapter in use.
-            return Failure(ErrorKind.LOAD_FAILED, "nobody waits any more", 0.3)
-        if key.model not in self._slots.models:
-            return Failure(ErrorKind.NO_SLOT, f"{key.model} isn't there", 2.0)
-        if self._entry.draining:
-            return Failure(ErrorKind.NO_TARGET, "the engine is leaving", 0.1)
-        if self._slots.leaving:
-            return Failure(ErrorKind.NO_SLOT, "an adapter in use is leaving", 0.5)
-        slot = self._slots.slots.get(key)
-        self._slots.note_running(self._in_use.running(self.target))
-        if slot is not None and slot.version < version and self._slots.running(key):
-            # The engine replaces a version only when its runs have ended, and
-            # meanwhile runs nothing that is new: another engine is sooner.
-            return Failure(ErrorKind.NO_SLOT, "the old version runs", 0.3)
-        return None
-
     async def _evict_one(self) -> bool:
-        self._slots.note_running(self._in_use.running(self.target))
-        victim = self._slots.victim(self._timers.now(), self._in_use.told_every_s())
+        victim = self._checks.victim()
         if victim is None:
             return False
         version = self._slots.slots[victim].version
@@ -315,20 +323,14 @@
     # Reports
 
     async def _read_report(self) -> Result[EngineReport, Failure]:
-        return await self._calls.report(self._entry.address, self.target)
+        return await self._reports.read(self._entry.address)
 
     async def _resync(self) -> bool:
         """Read the engine's report once it can show the last order."""
-        early_s = self._orders.given_at + REPORT_LAG_S - self._timers.now()
-        if early_s > 0:
-            await self._timers.sleep(early_s)
-        read = await self._read_report()
-        if read.is_err():
-            detail = read.err_value.detail
-            self._events.emit(EventKind.REPORT_MISSING, self.target, detail=detail)
-            return False
-        self._take_report(read.ok_value)
-        return True
+        read = await self._reports.read_settled(self._entry.address)
+        if read.is_ok():
+            self._take_report(read.ok_value)
+        return read.is_ok()
 
     def _take_report(self, report: EngineReport) -> None:
         self._orders.take_accepted(report.order_count)
@@ -374,6 +376,8 @@
                     await self._resync()
                 if self._orders.accepted is not None:
                     await self._mend()
+            if await self._reports.show_late_order(self._entry.address):
+                self._orders.take_accepted(None)
             await self._timers.sleep(REPORT_RETRY_S)
 
     async def _mend(self) -> None:
--- a/hawthornlead/gateway/engine_rooms.py
+++ b/hawthornlead/gateway/engine_rooms.py
@@ -25,10 +25,17 @@
 from .engine_slots import AdapterKey
 from .gateway_metrics import GatewayMetrics
 from .known_targets import KnownTargets
+from .late_orders import LATE_ORDER_S, LateOrders
 from .load_words import LoadWords
 from .memberships import Memberships
 from .ownerships import Ownerships
-from .records import Configuration, EngineSpec, TargetEntry
+from .records import (
+    Configuration,
+    EngineSpec,
+    Incarnation,
+    RestartSeen,
+    TargetEntry,
+)
 from .target_loads import TargetLoads
 
 CLAIM_EVERY_S = 0.25
@@ -84,6 +91,7 @@
         )
         self._tasks = TaskSet()
         self._subscriptions = []
+        targets.subscribe_restarts(self._on_restarted)
         mesh.on(LoadAdapter, self._on_load)
         mesh.on(ReservePrompt, self._on_reserve)
         mesh.on(AdapterMissing, self._on_missing)
@@ -146,7 +154,11 @@
                 continue
             owner = self._owners.get(entry.target)
             if owner is not None:
-                owner.take_entry(entry)
+                if owner.incarnation.matches(entry.incarnation):
+                    owner.take_entry(entry)
+                else:
+                    # It went and came back between two looks, as another start.
+                    self._replace(owner, entry, spec)
                 continue
             if not self._is_orphan(entry):
                 self._orphaned_at.pop(entry.target, None)
@@ -186,6 +198,40 @@
     async def _claim(self, entry: TargetEntry, spec: EngineSpec) -> None:
         if not await self._ownerships.claim(entry.target):
             return
+        ownership = self._ownerships.current(entry.target)
+        unanswered_until = self._timers.now() + LATE_ORDER_S
+        if ownership is not None and ownership.fence == 1:
+            # Nobody has ever ordered this engine.
+            unanswered_until = 0.0
+        newest = self._targets.entries.get(entry.target, entry)
+        self._own(newest, spec, unanswered_until)
+
+    def _on_restarted(self, former: TargetEntry, entry: TargetEntry) -> None:
+        owner = self._owners.get(entry.target)
+        spec = self._spec(entry) if owner is not None else None
+        if spec is not None:
+            self._replace(owner, entry, spec)
+
+    def _replace(
+        self, former: EngineOwner, entry: TargetEntry, spec: EngineSpec
+    ) -> None:
+        """Order another start of an engine, under the same ownership and fence.
+
+        Orders of the former start that got no answer may reach the new one.
+        """
+        former.stop()
+        self._own(entry, spec, former.unanswered_until)
+
+    def _own(
+        self, entry: TargetEntry, spec: EngineSpec, unanswered_until: float
+    ) -> None:
+        """Begin to order one incarnation of an engine."""
+        target = entry.target
+        late = LateOrders(
+            timers=self._timers,
+            since=self._targets.known_since(target),
+            unanswered_until=unanswered_until,
+        )
         owner = EngineOwner(
             entry,
             spec,
@@ -197,11 +243,20 @@
             arrivals=self._arrivals,
             events=self._events,
             metrics=self._metrics,
+            late=late,
             on_changed=self._publish,
+            on_restarted=lambda started_ms: self._heard_restart(target, started_ms),
         )
-        self._owners[entry.target] = owner
+        self._owners[target] = owner
         owner.start()
 
+    def _heard_restart(self, target: str, started_ms: int | None) -> None:
+        """Take what a report of an engine showed; ``_on_restarted`` follows."""
+        if started_ms is None:
+            self._targets.note_count_back(target)
+            return
+        self._targets.hear(Incarnation(target, started_ms), RestartSeen.REPORT)
+
     def _spec(self, entry: TargetEntry) -> EngineSpec | None:
         service = self._configuration.service(entry.service)
         return service.engine if service else None
@@ -223,7 +278,7 @@
         """Count the starts that a VM tells of for the engines owned here."""
         now = self._timers.now()
         for load in word.loads:
-            owner = self._owners.get(load.target)
+            owner = self._owner_of(load.target, load.started_ms)
             for use in load.uses if owner is not None else ():
                 if use.started or use.running:
                     key = AdapterKey(use.model, use.adapter)
@@ -231,8 +286,18 @@
 
     # What is asked
 
+    def _owner_of(self, target: str, started_ms: int | None) -> EngineOwner | None:
+        """Return who orders an engine here, if it does so at the start of a message.
+
+        A message of a later start than the known one tells of a restart.
+        """
+        told = Incarnation(target, started_ms)
+        if not self._targets.hear(told, RestartSeen.WORD):
+            return None
+        return self._owners.get(target)
+
     async def _on_load(self, sender, message: LoadAdapter):
-        owner = self._owners.get(message.target)
+        owner = self._owner_of(message.target, message.started_ms)
         if owner is None:
             detail = f"{self._memberships.vm} does not order {message.target}"
             return failed(Failure(ErrorKind.NO_GRANT, detail, 0.2))
@@ -250,14 +315,17 @@
         return AdapterLoaded(loaded.ok_value)
 
     async def _on_reserve(self, sender, message: ReservePrompt):
-        owner = self._owners.get(message.target)
+        owner = self._owner_of(message.target, message.started_ms)
         if owner is None:
-            return PromptReserved(0.0, True, True)
+            # An engine that isn't ordered here holds nobody up. One that is has
+            # started again since, without the adapter.
+            elsewhere = message.target not in self._owners
+            return PromptReserved(0.0, elsewhere, elsewhere)
         key = AdapterKey(message.model, message.adapter)
         return owner.reserve(key, message.tokens, message.most_s)
 
     async def _on_missing(self, sender, message: AdapterMissing) -> None:
-        owner = self._owners.get(message.target)
+        owner = self._owner_of(message.target, message.started_ms)
         if owner is not None:
             owner.missing(AdapterKey(message.model, message.adapter))
 
--- a/hawthornlead/gateway/engine_slots.py
+++ b/hawthornlead/gateway/engine_slots.py
@@ -107,14 +107,18 @@
             return False
         return not version or slot.version >= version
 
-    def has_room(self, key: AdapterKey) -> bool:
-        """Whether one more adapter fits, by slots and by memory."""
-        if len(self._slots) >= self._spec.adapter_slots:
+    def has_room(self, key: AdapterKey, spare: int = 0) -> bool:
+        """Whether one more adapter fits, by slots and by memory.
+
+        ``spare`` slots stay free beside it, as long as one slot can be used at all.
+        """
+        spare = min(spare, self._spec.adapter_slots - 1)
+        if len(self._slots) + spare >= self._spec.adapter_slots:
             return False
         model = self._spec.model(key.model)
         if model is None:
             return False
-        return self._free_mb() >= model.adapter_mb
+        return self._free_mb() >= (1 + spare) * model.adapter_mb
 
     def note_use(self, key: AdapterKey, count: int, now: float) -> None:
         """Count requests for an adapter that began."""
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -22,7 +22,7 @@
 from .memberships import Memberships
 from .ownerships import Ownerships
 from .placers import Placer
-from .records import Configuration, VmRecord
+from .records import Configuration, TargetEntry, VmRecord
 from .routes import RouteTable
 from .store_clients import StoreClient
 from .target_connections import TargetConnections
@@ -150,7 +150,7 @@
     timers, memberships = core.timers, coordination.memberships
     targets = KnownTargets(memberships=memberships, timers=timers, events=core.events)
     connections = TargetConnections(timers=timers)
-    loads = TargetLoads(timers=timers)
+    loads = TargetLoads(timers=timers, incarnation=targets.incarnation)
     room = EngineRoom(
         data_centre=core.settings["DATA_CENTRE"],
         memberships=memberships,
@@ -193,6 +193,17 @@
         timers=timers,
         metrics=metrics,
     )
+
+    def drop_former(former: TargetEntry, entry: TargetEntry) -> None:
+        """Drop what was noted of a target's start that is over."""
+        known.connections.forget(former.address)
+        known.healths.forget(former.target)
+        known.loads.restarted(former.target)
+        placer.forget(former.target)
+        deaths.restarted(former)
+
+    known.targets.subscribe_restarts(drop_former)
+    known.targets.subscribe(lambda lost, _: placer.forget(lost.target))
     return GatewayParts(
         core=core,
         metrics=metrics,
--- a/hawthornlead/gateway/known_targets.py
+++ b/hawthornlead/gateway/known_targets.py
@@ -9,15 +9,15 @@
 from ..timers import TimerService
 from .engine_slots import AdapterKey
 from .memberships import Memberships
-from .recent_adapters import RecentAdapters
 from .records import (
     Incarnation,
     Loss,
+    RestartSeen,
     ServiceSpec,
     StoredRecord,
     TargetEntry,
-    held_version,
 )
+from .target_beliefs import TargetBeliefs
 from .target_choices import Holding
 from .watchers import KindWatcher
 
@@ -54,11 +54,9 @@
         self._by_service: dict[str, dict[str, TargetEntry]] = {}
         self._missing: dict[str, float] = {}
         self._versions: dict[AdapterKey, int] = {}
-        self._holdings: dict[str, TargetHoldings] = {}
-        self._turn_at: dict[str, float] = {}
-        self._held: dict[str, dict[AdapterKey, tuple[int, bool]]] = {}
-        self._owners: dict[str, str] = {}
-        self._recent: dict[str, RecentAdapters] = {}
+        self._beliefs: dict[str, TargetBeliefs] = {}
+        self._stored_starts: dict[str, int | None] = {}
+        self._on_restarted: list[Callable[[TargetEntry, TargetEntry], None]] = []
         self._on_lost: list[Callable[[Incarnation, Loss], None]] = []
         self.watcher: KindWatcher | None = None
 
@@ -77,13 +75,30 @@
         entry = self._entries.get(target)
         return entry is not None and not entry.draining
 
+    def is_current(self, entry: TargetEntry) -> bool:
+        """Whether a target takes new work, at the start that an entry speaks of."""
+        known = self._entries.get(entry.target)
+        if known is None or known.draining:
+            return False
+        return known.incarnation.matches(entry.incarnation)
+
+    def incarnation(self, target: str) -> Incarnation:
+        """Return the newest start of a target that this VM knows of."""
+        beliefs = self._beliefs.get(target)
+        return Incarnation(target, beliefs.started_ms if beliefs else None)
+
+    def known_since(self, target: str) -> float:
+        """Return when this VM first heard of the current start of a target."""
+        return self._beliefs_of(target).since
+
     def version(self, key: AdapterKey) -> int:
         """Return the version of an adapter in force, 0 if none was named."""
         return self._versions.get(key, 0)
 
     def owner(self, target: str) -> str:
         """Return the VM that orders an engine, empty if unknown."""
-        return self._owners.get(target, "")
+        beliefs = self._beliefs.get(target)
+        return beliefs.owner if beliefs else ""
 
     def orderable(self, target: str) -> bool:
         """Whether the VM that orders an engine can be asked now."""
@@ -96,18 +111,14 @@
         """Return how a target holds a model's adapter; an empty one is the model."""
         if service.engine is None or not key.model:
             return Holding.READY
-        told = self._holdings.get(entry.target)
-        models = told.models if told else [model.name for model in entry.models]
-        if key.model not in models:
+        beliefs = self._beliefs_of(entry.target)
+        if not beliefs.holds_model(entry, key.model):
             return Holding.UNKNOWN
         if not key.adapter:
             return Holding.READY
-        held = self._held.get(entry.target, {}).get(key)
-        if told is None:
-            held = _listed(entry, key)
+        held = beliefs.held(entry, key)
         if held is None:
-            recent = key in self._recent.get(entry.target, ())
-            return Holding.RECENT if recent else Holding.ABSENT
+            return Holding.RECENT if beliefs.held_lately(key) else Holding.ABSENT
         version, ready = held
         wanted = self.version(key)
         if wanted and ready and version < wanted:
@@ -118,12 +129,41 @@
         """Call ``on_lost`` when an incarnation of a target is over, and by what."""
         self._on_lost.append(on_lost)
 
+    def subscribe_restarts(
+        self, on_restarted: Callable[[TargetEntry, TargetEntry], None]
+    ) -> None:
+        """Call ``on_restarted`` with the entries of the former and of the new start.
+
+        It is called before ``on_lost``: requests of the former start that are placed
+        again at once find nothing of it.
+        """
+        self._on_restarted.append(on_restarted)
+
     # What the store tells
 
     def take_entry(self, record: StoredRecord) -> None:
-        """Note a target's entry."""
+        """Note a target's entry.
+
+        Raises ``ValueError`` if it lacks the start that the target told before: it is
+        another writer's.
+        """
         entry = read_target(record)
         known = self._entries.get(entry.target)
+        stored_ms = self._stored_starts.get(entry.target)
+        if stored_ms is not None and entry.started_ms is None:
+            raise ValueError("the start is missing that was told before")
+        self._stored_starts[entry.target] = entry.started_ms
+        current = self.incarnation(entry.target)
+        if entry.started_ms is None:
+            # Where starts aren't told, what was made up when one was seen stays.
+            entry = entry._replace(started_ms=current.started_ms)
+            if known is not None and known.address != entry.address:
+                entry = entry._replace(started_ms=_next_start(current))
+        elif stored_ms != current.started_ms and entry.incarnation.precedes(current):
+            # A report or another VM told of a later start, whose entry is to come.
+            return
+        if entry.incarnation != current:
+            self._begin_incarnation(entry, RestartSeen.ENTRY)
         if known is None or known.draining != entry.draining:
             self._events.emit(
                 EventKind.TARGET_CAME,
@@ -137,8 +177,7 @@
         if known is not None and known.service != entry.service:
             self._by_service[known.service].pop(entry.target, None)
         self._missing.pop(entry.target, None)
-        self._entries[entry.target] = entry
-        self._by_service.setdefault(entry.service, {})[entry.target] = entry
+        self._enter(entry)
 
     def drop_entry(self, target: str) -> None:
         """Note that a target's entry was removed.
@@ -181,41 +220,106 @@
 
     def take_holdings(self, vm: str, told: TargetHoldings) -> None:
         """Take an owner's word on its engine; an older owner's counts no more."""
-        known = self._holdings.get(told.target)
-        if known is not None and (told.fence, told.number) < (
-            known.fence,
-            known.number,
-        ):
-            return
-        self._holdings[told.target] = told
-        self._turn_at[told.target] = self._timers.now() + told.turn_s
-        self._owners[told.target] = vm
-        before = self._held.get(told.target, {})
-        now_held = {
-            AdapterKey(held.model, held.adapter): (held.version, held.ready)
-            for held in told.adapters
-        }
-        self._held[told.target] = now_held
-        recent = self._recent.setdefault(told.target, RecentAdapters())
-        for key in before.keys() - now_held.keys():
-            recent.note(key)
+        incarnation = Incarnation(told.target, told.started_ms)
+        if self.hear(incarnation, RestartSeen.WORD):
+            self._beliefs_of(told.target).take(vm, told, self._timers.now())
 
     def turn_at(self, target: str) -> float:
         """Return when a prompt would have its turn at an engine, as last told."""
-        return self._turn_at.get(target, 0.0)
+        beliefs = self._beliefs.get(target)
+        return beliefs.turn_at if beliefs else 0.0
 
     def note_turn(self, target: str, wait_s: float) -> None:
         """Note how long a prompt would wait at an engine, as its owner answered."""
-        self._turn_at[target] = self._timers.now() + wait_s
+        self._beliefs_of(target).turn_at = self._timers.now() + wait_s
 
     def arriving(self, target: str) -> int:
         """Return how many adapters are on their way to an engine, as told."""
-        held = self._held.get(target, {}).values()
-        return sum(not ready for _, ready in held)
+        beliefs = self._beliefs.get(target)
+        return beliefs.arriving if beliefs else 0
 
     def note_absent(self, target: str, key: AdapterKey) -> None:
         """Note that a target refused a request for lack of its adapter."""
-        self._held.get(target, {}).pop(key, None)
+        self._beliefs_of(target).note_absent(key)
+
+    # Incarnations
+
+    def hear(self, told: Incarnation, seen: RestartSeen) -> bool:
+        """Compare the start that a word speaks of; False if it is a former one.
+
+        A word of a later start than the known one ends all belief in the known one.
+        """
+        current = self.incarnation(told.target)
+        if told.precedes(current):
+            return False
+        if not current.precedes(told):
+            if current.started_ms is None and told.started_ms is not None:
+                self._adopt_start(told)
+            return True
+        known = self._entries.get(told.target)
+        if known is None:
+            self._renew_beliefs(told)
+            return True
+        # What the new start holds, its own entry or its owner will tell.
+        entry = known._replace(started_ms=told.started_ms, models=())
+        self._begin_incarnation(entry, seen)
+        return True
+
+    def note_count_back(self, target: str) -> None:
+        """Note that an engine that tells no start counts its orders anew.
+
+        Its new incarnation gets a start that is made up, for all VMs to tell it apart.
+        """
+        current = self.incarnation(target)
+        told = current._replace(started_ms=_next_start(current))
+        known = self._entries.get(target)
+        if known is not None:
+            entry = known._replace(started_ms=told.started_ms, models=())
+            self._begin_incarnation(entry, RestartSeen.COUNT)
+
+    def _begin_incarnation(self, entry: TargetEntry, seen: RestartSeen) -> None:
+        """Put an entry of another start in the place of the former one's."""
+        former = self._entries.get(entry.target)
+        self._renew_beliefs(entry.incarnation)
+        if former is None:
+            return
+        self._enter(entry)
+        self._events.emit(
+            EventKind.TARGET_RESTARTED,
+            entry.target,
+            former_started_ms=former.started_ms,
+            started_ms=entry.started_ms,
+            former_address=former.address,
+            address=entry.address,
+            seen=seen.value,
+        )
+        for on_restarted in self._on_restarted:
+            on_restarted(former, entry)
+        self._tell_lost(former.incarnation, Loss.RESTARTED)
+
+    def _renew_beliefs(self, incarnation: Incarnation) -> None:
+        former = self._beliefs_of(incarnation.target)
+        self._beliefs[incarnation.target] = TargetBeliefs(
+            incarnation.started_ms, self._timers.now(), former.owner, former.fence
+        )
+
+    def _adopt_start(self, told: Incarnation) -> None:
+        """Take the start that an incarnation tells which told none so far."""
+        self._beliefs_of(told.target).started_ms = told.started_ms
+        known = self._entries.get(told.target)
+        if known is not None:
+            self._enter(known._replace(started_ms=told.started_ms))
+
+    def _beliefs_of(self, target: str) -> TargetBeliefs:
+        beliefs = self._beliefs.get(target)
+        if beliefs is None:
+            beliefs = TargetBeliefs(None, self._timers.now())
+            self._beliefs[target] = beliefs
+        return beliefs
+
+    def _enter(self, entry: TargetEntry) -> None:
+        self._entries[entry.target] = entry
+        self._by_service.setdefault(entry.service, {})[entry.target] = entry
 
     def _forget(self, target: str) -> None:
         entry = self._entries.pop(target, None)
@@ -223,11 +327,8 @@
             return
         self._events.emit(EventKind.TARGET_GONE, target, service=entry.service)
         self._by_service[entry.service].pop(target, None)
-        self._holdings.pop(target, None)
-        self._held.pop(target, None)
-        self._owners.pop(target, None)
-        self._recent.pop(target, None)
-        self._turn_at.pop(target, None)
+        self._beliefs.pop(target, None)
+        self._stored_starts.pop(target, None)
         self._tell_lost(entry.incarnation, Loss.ENTRY_GONE)
 
     def _tell_lost(self, incarnation: Incarnation, loss: Loss) -> None:
@@ -235,11 +336,6 @@
             on_lost(incarnation, loss)
 
 
-def _listed(entry: TargetEntry, key: AdapterKey) -> tuple[int, bool] | None:
-    """Return what a target itself listed of an adapter, until its owner tells more.
-
-    After a restart of all VMs the engines still hold what they held, while nobody has
-    claimed them yet. The list may be old; then the target refuses unrun.
-    """
-    version = held_version(entry.models, *key)
-    return None if version is None else (version, True)
+def _next_start(current: Incarnation) -> int:
+    """Return a made-up start after the current one, for targets that tell none."""
+    return (current.started_ms or 0) + 1
--- /dev/null
+++ b/hawthornlead/gateway/late_orders.py
@@ -0,0 +1,79 @@
+"""Orders without an answer that an engine may still carry out, after it started again.
+
+An order that gets no answer may be carried out up to twelve seconds later. Within one
+incarnation of the engine it does no harm, whoever gave it: each order names how many
+were accepted before, what an engine holds changes by orders only, and so the order is
+refused, or finds the slots as they were when it was decided. Fences exclude none of
+this, since engines here don't check them, and neither does the engine's id, which it
+keeps.
+
+After a restart the count begins anew. Then an order to the former start can name a
+count that is right once more, while the slots hold something else: a load beyond the
+slots breaks the engine down, one of an older version puts it in the place of a newer
+one, an unload takes an adapter that is in use. For as long as one may come
+
+- a slot is kept free beyond what the owner uses, so that one late load always fits;
+- the engine's report is read every half second: a count above the owner's own shows
+  that another order was taken, and the owner then reads anew what the engine holds.
+
+What remains: two late orders that name counts following one another, both within that
+half second and both loads, find one free slot; and requests may run for as long with an
+older version that came late. Each takes two lost answers within one tenth of a second
+of an engine's last twelve, and a restart in between.
+"""
+
+from ..timers import TimerService
+
+# The longest time after which workers carry out an order that got no answer, by the
+# deployments' sheets.
+LATE_ORDER_S = 12.0
+# Between looks at the count while a late order may come.
+LOOK_S = 0.5
+SPARE_SLOTS = 1
+
+
+class LateOrders:
+    """The orders of any VM that may still reach one incarnation of an engine.
+
+    ``unanswered_until`` is until when orders of before may come, 0 if all of them were
+    answered; ``since`` is when this VM first heard of the incarnation. Orders can only
+    be of a former start while this one is younger than they are::
+
+        late = LateOrders(timers=timers, since=now, unanswered_until=before)
+        late.sent()
+        late.answered()
+    """
+
+    def __init__(
+        self, *, timers: TimerService, since: float = 0.0, unanswered_until: float = 0.0
+    ):
+        self._timers = timers
+        self._unanswered_until = unanswered_until
+        self._guard_until = min(unanswered_until, since + LATE_ORDER_S)
+        self._sent_at: float | None = None
+
+    @property
+    def expected(self) -> bool:
+        """Whether an order that was given to a former start may still come."""
+        return self._timers.now() < self._guard_until
+
+    @property
+    def spare_slots(self) -> int:
+        """How many slots to keep free beyond those that are used."""
+        return SPARE_SLOTS if self.expected else 0
+
+    @property
+    def unanswered_until(self) -> float:
+        """Until when an order without an answer may be carried out."""
+        if self._sent_at is None:
+            return self._unanswered_until
+        return max(self._unanswered_until, self._sent_at + LATE_ORDER_S)
+
+    def sent(self) -> None:
+        """Note that an order is being sent; it counts as unanswered until it is."""
+        self._unanswered_until = self.unanswered_until
+        self._sent_at = self._timers.now()
+
+    def answered(self) -> None:
+        """Note that the engine answered the order that was sent last."""
+        self._sent_at = None
--- /dev/null
+++ b/hawthornlead/gateway/load_checks.py
@@ -0,0 +1,85 @@
+"""Whether an adapter may be ordered onto an engine now, by what its owner knows.
+
+A load that is turned down here is turned down at once, so that its request can go to
+another engine.
+"""
+
+from ..errors import ErrorKind, Failure
+from ..timers import TimerService
+from .engine_slots import AdapterKey, AdaptersInUse, EngineSlots, SlotState
+from .late_orders import LateOrders
+from .records import TargetEntry
+
+# Adapters that an engine fetches at once; it refuses more.
+MAX_ARRIVING = 4
+
+
+class LoadChecks:
+    """The checks before an order to one engine.
+
+    ::
+
+        refusal = checks.refusal(entry, key, version)
+        if refusal is None and not checks.has_room(key):
+            victim = checks.victim()
+    """
+
+    def __init__(
+        self,
+        *,
+        target: str,
+        slots: EngineSlots,
+        in_use: AdaptersInUse,
+        late: LateOrders,
+        timers: TimerService,
+    ):
+        self._target = target
+        self._slots = slots
+        self._in_use = in_use
+        self._late = late
+        self._timers = timers
+
+    def is_coming(self, key: AdapterKey, version: int) -> bool:
+        """Whether an adapter is on its way, at this version or a newer one."""
+        slot = self._slots.slots.get(key)
+        if slot is None or slot.state is not SlotState.ARRIVING:
+            return False
+        return not version or slot.version >= version
+
+    def makes_sense(self, key: AdapterKey, version: int) -> bool:
+        """Whether an order is needed now, perhaps after others that came first."""
+        if self._slots.ready(key, version) or self.is_coming(key, version):
+            return False
+        return self._slots.arriving < MAX_ARRIVING
+
+    def refusal(
+        self, entry: TargetEntry, key: AdapterKey, version: int
+    ) -> Failure | None:
+        """Return why this adapter can't be ordered now."""
+        if key.model not in self._slots.models:
+            return Failure(ErrorKind.NO_SLOT, f"{key.model} isn't there", 2.0)
+        if entry.draining:
+            return Failure(ErrorKind.NO_TARGET, "the engine is leaving", 0.1)
+        if self._slots.leaving:
+            return Failure(ErrorKind.NO_SLOT, "an adapter in use is leaving", 0.5)
+        slot = self._slots.slots.get(key)
+        self._note_running()
+        if slot is not None and slot.version < version and self._slots.running(key):
+            # The engine replaces a version only when its runs have ended, and
+            # meanwhile runs nothing that is new: another engine is sooner.
+            return Failure(ErrorKind.NO_SLOT, "the old version runs", 0.3)
+        return None
+
+    def has_room(self, key: AdapterKey) -> bool:
+        """Whether an adapter has its slot, or one is free beside what is spared."""
+        if key in self._slots.slots:
+            return True
+        return self._slots.has_room(key, self._late.spare_slots)
+
+    def victim(self) -> AdapterKey | None:
+        """Return the adapter to evict, None if all are in use."""
+        self._note_running()
+        return self._slots.victim(self._timers.now(), self._in_use.told_every_s())
+
+    def _note_running(self) -> None:
+        self._slots.note_running(self._in_use.running(self._target))
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -145,6 +145,8 @@
             asked_at = self._timers.now()
             loaded = await self._load(entry, placed.key, wait_s)
             self._metrics.load_wait.observe(self._timers.now() - asked_at)
+            if not self._targets.is_current(entry):
+                return Err(_gone())
             if loaded.is_err():
                 self._note_full(entry.target, loaded.err_value)
                 return loaded
@@ -152,15 +154,20 @@
             turn = await self._await_turn(wanted, placed)
             if turn.is_err():
                 return turn
-        if not self._targets.usable(entry.target):
-            return Err(Failure(ErrorKind.NO_TARGET, "the target is leaving", 0.1))
+        if not self._targets.is_current(entry):
+            return Err(_gone())
         return Ok(None)
 
+    def forget(self, target: str) -> None:
+        """Drop what was noted of a target that is gone, or started again."""
+        self._full_until.pop(target, None)
+
     def note_missing(self, target: str, key: AdapterKey) -> None:
         """Tell a target's owner that it refused a request for want of an adapter."""
         owner = self._targets.owner(target)
         if owner:
-            send(self._mesh, owner, AdapterMissing(target, *key))
+            started_ms = self._targets.incarnation(target).started_ms
+            send(self._mesh, owner, AdapterMissing(target, *key, started_ms))
 
     def _scored(
         self, spec: ServiceSpec, key: AdapterKey, excluded: frozenset[str]
@@ -200,16 +207,24 @@
         another engine may be sooner: then its wait is known and weighed. An owner that
         doesn't answer holds nobody up: then requests go at once.
         """
-        target = placed.entry.target
+        entry = placed.entry
+        target = entry.target
         request = wanted.request
         if not self._targets.orderable(target):
             return Ok(None)
         last = placed.tries >= MAX_LOAD_TRIES
         most_s = ANY_TURN_S if last else LONG_TURN_S
         message = ReservePrompt(
-            target, request.model, request.adapter, request.prompt_tokens, most_s
+            target,
+            request.model,
+            request.adapter,
+            request.prompt_tokens,
+            most_s,
+            entry.started_ms,
         )
         reply = await self._mesh.call(self._targets.owner(target), message, RESERVE_S)
+        if not self._targets.is_current(entry):
+            return Err(_gone())
         if reply.is_err():
             return Ok(None)
         if not reply.ok_value.held:
@@ -235,7 +250,7 @@
     ) -> Result[AdapterLoaded, Failure]:
         owner = self._targets.owner(entry.target)
         version = self._targets.version(key)
-        message = LoadAdapter(entry.target, *key, version, wait_s)
+        message = LoadAdapter(entry.target, *key, version, wait_s, entry.started_ms)
         return await self._mesh.call(owner, message, wait_s + 0.1)
 
     def _refusal(self, wanted: Wanted, best: Scored) -> Failure | None:
@@ -247,3 +262,8 @@
         retry_s = wait_s - wanted.route.objective_ms / 1000
         retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, retry_s))
         return Failure(ErrorKind.OVERLOADED, "all targets are busy", retry_s)
+
+
+def _gone() -> Failure:
+    """Return why a target isn't used that was chosen a moment ago."""
+    return Failure(ErrorKind.NO_TARGET, "the target is leaving, or started again", 0.1)
--- a/hawthornlead/gateway/records.py
+++ b/hawthornlead/gateway/records.py
@@ -147,6 +147,27 @@
     target: str
     started_ms: int | None
 
+    def precedes(self, other: "Incarnation") -> bool:
+        """Whether the other is a later start, where both tell theirs."""
+        if self.started_ms is None or other.started_ms is None:
+            return False
+        return self.started_ms < other.started_ms
+
+    def matches(self, other: "Incarnation") -> bool:
+        """Whether both may be the same start: one that isn't told matches any."""
+        if self.started_ms is None or other.started_ms is None:
+            return True
+        return self.started_ms == other.started_ms
+
+
+class RestartSeen(Enum):
+    """By what a VM sees that a target has started again."""
+
+    ENTRY = "entry"
+    REPORT = "report"
+    WORD = "word of another VM"
+    COUNT = "count of orders gone back"
+
 
 class Loss(Enum):
     """By what an incarnation of a target is known, or thought, to be over.
--- a/hawthornlead/gateway/target_healths.py
+++ b/hawthornlead/gateway/target_healths.py
@@ -79,6 +79,10 @@
         slow_ms = max(0.0, health.wait_ms - SLOW_FLOOR_MS)
         return FAILURE_MS * health.failing + slow_ms
 
+    def forget(self, target: str) -> None:
+        """Drop what is known of a target that started again: it may be well."""
+        self._healths.pop(target, None)
+
     def keep(self, targets: Container[str]) -> None:
         """Drop what is known of all targets but these: the others are gone."""
         for target in tuple(self._healths):
--- a/hawthornlead/gateway/target_loads.py
+++ b/hawthornlead/gateway/target_loads.py
@@ -1,10 +1,12 @@
 """How many requests run where: this VM's own at once, the other VMs' as they tell."""
 
-from collections import defaultdict
+from collections import Counter, defaultdict
+from collections.abc import Callable
 
 from ..messages.gateways import AdapterUse, TargetLoad, VmLoads
 from ..timers import TimerService
 from .engine_slots import AdapterKey
+from .records import Incarnation
 
 # A VM that told nothing for so long is frozen, cut off or gone; its requests are ended
 # or can't be known.
@@ -17,22 +19,34 @@
         self.loads = loads
 
 
+def _untold(target: str) -> Incarnation:
+    return Incarnation(target, None)
+
+
 class TargetLoads:
-    """The requests under way on each target.
+    """The requests under way on the current incarnation of each target.
 
-    ::
+    ``incarnation`` tells it, as this VM knows it::
 
         loads.began("i-7f3a", AdapterKey("m", "a3"))
         loads.running("i-7f3a")
         loads.ended("i-7f3a", AdapterKey("m", "a3"))
     """
 
-    def __init__(self, *, timers: TimerService):
+    def __init__(
+        self,
+        *,
+        timers: TimerService,
+        incarnation: Callable[[str], Incarnation] = _untold,
+    ):
         self._timers = timers
+        self._incarnation = incarnation
         self._own: dict[str, int] = defaultdict(int)
         self._own_uses: dict[str, dict[AdapterKey, int]] = {}
         self._started: dict[str, dict[AdapterKey, int]] = {}
         self._told: dict[str, _Told] = {}
+        # Requests of this VM that began at a former start and haven't ended yet.
+        self._outlived: Counter[tuple[str, AdapterKey | None]] = Counter()
 
     @property
     def own_total(self) -> int:
@@ -50,7 +64,16 @@
         started[key] += 1
 
     def ended(self, target: str, key: AdapterKey | None) -> None:
-        """Count a request that has ended."""
+        """Count a request that has ended.
+
+        Those that began at a former start are taken to end first, since nothing runs
+        there any more. If one ends later after all, the count is one too high until
+        then, and right again after.
+        """
+        if self._outlived[target, key]:
+            self._outlived[target, key] -= 1
+            return
+        del self._outlived[target, key]
         self._own[target] -= 1
         if self._own[target] <= 0:
             del self._own[target]
@@ -63,21 +86,27 @@
         if not uses:
             del self._own_uses[target]
 
+    def restarted(self, target: str) -> None:
+        """Count no more what this VM's requests use at a target's former start."""
+        running = self._own.pop(target, 0)
+        uses = self._own_uses.pop(target, {})
+        self._started.pop(target, None)
+        for key, count in uses.items():
+            self._outlived[target, key] += count
+        self._outlived[target, None] += running - sum(uses.values())
+
     def running(self, target: str) -> int:
         """Return the requests on a target, of all VMs."""
         total = self._own.get(target, 0)
-        for told in self._fresh():
-            load = told.loads.get(target)
-            if load is not None:
-                total += load.running
+        for load in self._told_of(target):
+            total += load.running
         return total
 
     def adapters_running(self, target: str) -> dict[AdapterKey, int]:
         """Return how many requests use each adapter of a target, of all VMs."""
         running: dict[AdapterKey, int] = dict(self._own_uses.get(target, {}))
-        for told in self._fresh():
-            load = told.loads.get(target)
-            for use in load.uses if load is not None else ():
+        for load in self._told_of(target):
+            for use in load.uses:
                 key = AdapterKey(use.model, use.adapter)
                 running[key] = running.get(key, 0) + use.running
         return running
@@ -98,9 +127,23 @@
                 AdapterUse(*key, running.get(key, 0), begun.get(key, 0))
                 for key in set(running) | set(begun)
             ]
-            loads.append(TargetLoad(target, self._own.get(target, 0), tuple(uses)))
+            count = self._own.get(target, 0)
+            started_ms = self._incarnation(target).started_ms
+            loads.append(TargetLoad(target, count, tuple(uses), started_ms))
         return VmLoads(tuple(loads))
 
-    def _fresh(self) -> list[_Told]:
+    def _told_of(self, target: str) -> list[TargetLoad]:
+        """Return what other VMs told lately of the current start of a target.
+
+        One that hasn't heard of a restart yet still counts what runs there no more.
+        """
         told_after = self._timers.now() - TOLD_KEPT_S
-        return [told for told in self._told.values() if told.at >= told_after]
+        current = self._incarnation(target)
+        loads = []
+        for told in self._told.values():
+            load = told.loads.get(target)
+            if load is None or told.at < told_after:
+                continue
+            if Incarnation(target, load.started_ms).matches(current):
+                loads.append(load)
+        return loads
--- a/hawthornlead/messages/gateways.py
+++ b/hawthornlead/messages/gateways.py
@@ -18,11 +18,15 @@
 
 
 class TargetLoad(NamedTuple):
-    """One VM's requests on one target, and which adapters they use there."""
+    """One VM's requests on one target, and which adapters they use there.
+
+    ``started_ms`` tells the start of the target that they run at, None if unknown.
+    """
 
     target: str
     running: int
     uses: tuple[AdapterUse, ...]
+    started_ms: int | None = None
 
 
 @message("vm-loads")
@@ -60,7 +64,8 @@
     """What a target holds, by the VM that alone gives it orders.
 
     A higher ``fence`` is a later owner; ``number`` counts one owner's words. A prompt
-    would wait ``turn_s`` for its turn there.
+    would wait ``turn_s`` for its turn there. All is said of the start of the target
+    that ``started_ms`` tells, None if unknown.
     """
 
     target: str
@@ -69,13 +74,15 @@
     models: tuple[str, ...]
     adapters: tuple[HeldAdapter, ...]
     turn_s: float = 0.0
+    started_ms: int | None = None
 
 
 @message("reserve-prompt")
 class ReservePrompt(NamedTuple):
     """Ask a target's owner when the target may read a prompt of ``tokens``.
 
-    Nothing is reserved if that is later than in ``most_s``.
+    Nothing is reserved if that is later than in ``most_s``, nor at another start of the
+    target than ``started_ms`` tells.
     """
 
     target: str
@@ -83,6 +90,7 @@
     adapter: str
     tokens: int
     most_s: float
+    started_ms: int | None = None
 
 
 @message("prompt-reserved")
@@ -99,18 +107,23 @@
 
 @message("adapter-missing")
 class AdapterMissing(NamedTuple):
-    """Tell a target's owner that the target refused a request for this adapter."""
+    """Tell a target's owner that the target refused a request for this adapter.
+
+    ``started_ms`` tells the start of the target that refused, None if unknown.
+    """
 
     target: str
     model: str
     adapter: str
+    started_ms: int | None = None
 
 
 @message("load-adapter")
 class LoadAdapter(NamedTuple):
     """Ask a target's owner to load an adapter; version 0 is any that is there.
 
-    The reply is ``AdapterLoaded``, or ``Failed`` when it can't be loaded soon.
+    The reply is ``AdapterLoaded``, or ``Failed`` when it can't be loaded soon, or when
+    ``started_ms`` tells another start of the target than the owner orders.
     """
 
     target: str
@@ -118,6 +131,7 @@
     adapter: str
     version: int
     wait_s: float
+    started_ms: int | None = None
 
 
 @message("adapter-loaded")
--- a/hawthornlead/tests/test_engine_owners.py
+++ b/hawthornlead/tests/test_engine_owners.py
@@ -9,11 +9,13 @@
 from hawthornlead.clocks import HybridClock
 from hawthornlead.errors import ErrorKind
 from hawthornlead.events import EventRing
-from hawthornlead.gateway import engine_owners, fetch_followers
+from hawthornlead.gateway import engine_owners, engine_reports, fetch_followers
 from hawthornlead.gateway.arrival_times import ArrivalTimes
-from hawthornlead.gateway.engine_owners import MAX_ARRIVING, EngineOwner
+from hawthornlead.gateway.engine_owners import EngineOwner
 from hawthornlead.gateway.engine_slots import AdapterKey, SlotState
 from hawthornlead.gateway.gateway_metrics import GatewayMetrics
+from hawthornlead.gateway.late_orders import LateOrders
+from hawthornlead.gateway.load_checks import MAX_ARRIVING
 from hawthornlead.gateway.ownerships import Ownership
 from hawthornlead.gateway.records import (
     AdapterVersion,
@@ -132,6 +134,7 @@
         self.in_use = InUse()
         self.timers = TimerService()
         self.told = []
+        self.restarts = []
         entry = TargetEntry("e1", "llm", "10.0.0.1:80", "gijon", 8, False, None, ())
         self.owner = EngineOwner(
             entry,
@@ -144,7 +147,9 @@
             arrivals={False: ArrivalTimes(), True: ArrivalTimes()},
             events=EventRing("vm-1", HybridClock(self.timers)),
             metrics=GatewayMetrics(CollectorRegistry()),
+            late=LateOrders(timers=self.timers),
             on_changed=lambda owner: self.told.append(owner.holdings),
+            on_restarted=self.restarts.append,
         )
 
     async def load(self, name, version=0, wait_s=2.0):
@@ -155,6 +160,7 @@
 async def bed(monkeypatch):
     """An owner that has read its engine's report; waits are shortened."""
     monkeypatch.setattr(engine_owners, "REPORT_LAG_S", 0.02)
+    monkeypatch.setattr(engine_reports, "REPORT_LAG_S", 0.02)
     monkeypatch.setattr(engine_owners, "FIRST_LOOK_S", 0.03)
     monkeypatch.setattr(fetch_followers, "FIRST_LOOK_S", 0.03)
     monkeypatch.setattr(fetch_followers, "LOOK_S", 0.01)
