--- a/hawthornlead/gateway/fetch_followers.py
+++ b/hawthornlead/gateway/fetch_followers.py
@@ -78,7 +78,7 @@
         """Look at reports until one shows an adapter, or it is given up."""
         while self._timers.now() - slot.since < LOAD_GIVEN_UP_S:
             read = await self._read_report()
-            shown = held_version(read.ok_value.models, *key) if read.is_ok() else None
+            shown = _arrived_version(read.ok_value, key) if read.is_ok() else None
             version = 0 if shown is None else max(1, shown)
             if version and version >= slot.version:
                 (times or self._arrivals[False]).observe(
@@ -96,3 +96,15 @@
         """Note that the engine refused a request for the adapter of a ready slot."""
         if self._timers.now() - slot.since < JUST_READY_S:
             self._arrivals[key in self._recent].too_early()
+
+
+def _arrived_version(report: EngineReport, key: AdapterKey) -> int | None:
+    """Return the version of an adapter that has come, None while one is on its way.
+
+    While one version replaces another, a report shows both. Were the held one taken
+    for the one that comes, an older version that a late order brings would be believed
+    to be the newer one for good.
+    """
+    if any((coming.model, coming.adapter) == key for coming in report.arriving):
+        return None
+    return held_version(report.models, *key)
--- /dev/null
+++ b/hawthornlead/tests/fakes_owned_engines.py
@@ -0,0 +1,229 @@
+"""An engine without a network, and an owner that orders it, for tests."""
+
+import asyncio
+
+from prometheus_client import CollectorRegistry
+from result import Ok
+
+from hawthornlead.clocks import HybridClock
+from hawthornlead.events import EventRing
+from hawthornlead.gateway import engine_owners, engine_reports, fetch_followers
+from hawthornlead.gateway.arrival_times import ArrivalTimes
+from hawthornlead.gateway.engine_owners import EngineOwner
+from hawthornlead.gateway.engine_slots import AdapterKey
+from hawthornlead.gateway.gateway_metrics import GatewayMetrics
+from hawthornlead.gateway.late_orders import LateOrders
+from hawthornlead.gateway.ownerships import Ownership
+from hawthornlead.gateway.records import (
+    AdapterVersion,
+    EngineReport,
+    EngineSpec,
+    HeldModel,
+    ModelSpec,
+    OrderKind,
+    OrderOutcome,
+    TargetEntry,
+)
+from hawthornlead.timers import TimerService
+
+SLOTS = 8
+LOAD_S = 0.05
+MODEL = ModelSpec("tide", 100.0, 0.05, 99, 1.0)
+SPEC = EngineSpec(8, 1000, 200.0, SLOTS, 6.0, (MODEL,))
+
+
+class FakeEngine:
+    """Takes orders as an engine does; ``held`` and ``arriving`` are its slots.
+
+    ``restart`` begins another incarnation. ``mute`` orders are carried out without an
+    answer, ``late`` ones are kept in ``kept`` and carried out by ``carry_out_kept``,
+    if their count still holds.
+    """
+
+    def __init__(self):
+        self.count = 0
+        self.held = {}
+        self.arriving = {}
+        self.models = ["tide"]
+        self.running = set()
+        self.orders = []
+        self.kept = []
+        self.mute = 0
+        self.late = 0
+        self.most = 0
+        self.started_ms = None
+        self.starts = 1
+
+    async def report(self, address, target):
+        """Report as an engine does, without a lag."""
+        held = [AdapterVersion("tide", name, v) for name, v in self.held.items()]
+        coming = [AdapterVersion("tide", name, v) for name, v in self.arriving.items()]
+        models = [HeldModel(name, 1, tuple(held)) for name in self.models]
+        report = EngineReport(
+            self.count,
+            False,
+            0,
+            0,
+            0,
+            0,
+            tuple(models),
+            tuple(coming),
+            self.started_ms,
+        )
+        return Ok(report)
+
+    async def order(self, address, target, order):
+        """Take an order, and answer it or not."""
+        self.orders.append(order)
+        if self.late:
+            self.late -= 1
+            self.kept.append(order)
+            return OrderOutcome.UNKNOWN
+        outcome = self.carry_out(order)
+        if self.mute:
+            self.mute -= 1
+            return OrderOutcome.UNKNOWN
+        return outcome
+
+    def carry_out_kept(self):
+        """Carry out what was kept, if the count holds."""
+        return [self.carry_out(order) for order in self.kept]
+
+    def carry_out_now(self, order):
+        """Carry out an order whose count happens to be right just now."""
+        return self.carry_out(order._replace(order_count=self.count))
+
+    def restart(self):
+        """Begin another incarnation, without adapters."""
+        self.starts += 1
+        self.count = 0
+        self.held.clear()
+        self.arriving.clear()
+        if self.started_ms is not None:
+            self.started_ms += 1500
+
+    def carry_out(self, order):
+        """Carry out an order if its count holds."""
+        if order.order_count != self.count:
+            return OrderOutcome.CONFLICT
+        self.count += 1
+        if order.kind is OrderKind.UNLOAD:
+            if order.adapter in self.running:
+                return OrderOutcome.STARTED
+            self.held.pop(order.adapter, None)
+            return OrderOutcome.HOLDS_ALREADY
+        if not order.adapter:
+            asyncio.get_running_loop().call_later(
+                LOAD_S, self.models.append, order.model
+            )
+            return OrderOutcome.STARTED
+        self.arriving[order.adapter] = order.version or 1
+        used = len(self.held.keys() | self.arriving.keys())
+        self.most = max(self.most, used)
+        asyncio.get_running_loop().call_later(
+            LOAD_S, self._arrive, order.adapter, self.starts
+        )
+        return OrderOutcome.STARTED
+
+    def _arrive(self, adapter, start):
+        if start == self.starts and adapter in self.arriving:
+            self.held[adapter] = self.arriving.pop(adapter)
+
+
+class Owned:
+    """Ownership that a test gives and takes."""
+
+    def __init__(self):
+        self.fence = 4
+
+    def current(self, target):
+        """Return the ownership, if any."""
+        return Ownership(target, self.fence, 1, 1) if self.fence else None
+
+
+class InUse:
+    """Requests under way, as the test says."""
+
+    def __init__(self):
+        self.adapters = {}
+
+    def running(self, target):
+        """Return the requests under way."""
+        return self.adapters
+
+    def told_every_s(self):
+        """Return how often VMs tell of theirs."""
+        return 0.02
+
+
+class Bed:
+    """An owner before a fake engine."""
+
+    def __init__(self):
+        self.engine = FakeEngine()
+        self.owned = Owned()
+        self.in_use = InUse()
+        self.timers = TimerService()
+        self.told = []
+        self.restarts = []
+        self.owner = self.own(LateOrders(timers=self.timers))
+
+    def own(self, late):
+        """Return an owner of the engine's current start."""
+        entry = TargetEntry("e1", "llm", "10.0.0.1:80", "gijon", 8, False, None, ())
+        return EngineOwner(
+            entry._replace(started_ms=self.engine.started_ms),
+            SPEC,
+            ownerships=self.owned,
+            calls=self.engine,
+            timers=self.timers,
+            holder="vm-1",
+            in_use=self.in_use,
+            arrivals={False: ArrivalTimes(), True: ArrivalTimes()},
+            events=EventRing("vm-1", HybridClock(self.timers)),
+            metrics=GatewayMetrics(CollectorRegistry()),
+            late=late,
+            on_changed=lambda owner: self.told.append(owner.holdings),
+            on_restarted=self.restarts.append,
+        )
+
+    async def restart(self):
+        """Start the engine again and order its new start, as ``EngineRoom`` does."""
+        former = self.owner
+        former.stop()
+        self.engine.restart()
+        late = LateOrders(
+            timers=self.timers,
+            since=self.timers.now(),
+            unanswered_until=former.unanswered_until,
+        )
+        self.owner = self.own(late)
+        await self.start()
+
+    async def start(self):
+        """Start the owner and wait until it has read a report."""
+        self.owner.start()
+        while not self.owner.known:
+            await asyncio.sleep(0.005)
+
+    async def load(self, name, version=0, wait_s=2.0):
+        """Have the owner load an adapter."""
+        return await self.owner.load(AdapterKey("tide", name), version, wait_s)
+
+    async def until(self, condition, wait_s=3.0):
+        """Wait for a condition, which must come about."""
+        end = self.timers.now() + wait_s
+        while not condition():
+            assert self.timers.now() < end, "it did not come about"
+            await asyncio.sleep(0.005)
+
+
+def shorten_waits(monkeypatch):
+    """Shorten the waits for reports, which this engine gives without a lag."""
+    monkeypatch.setattr(engine_owners, "REPORT_LAG_S", 0.02)
+    monkeypatch.setattr(engine_reports, "REPORT_LAG_S", 0.02)
+    monkeypatch.setattr(engine_reports, "LOOK_S", 0.05)
+    monkeypatch.setattr(engine_owners, "FIRST_LOOK_S", 0.03)
+    monkeypatch.setattr(fetch_followers, "FIRST_LOOK_S", 0.03)
+    monkeypatch.setattr(fetch_followers, "LOOK_S", 0.01)
+    monkeypatch.setattr(engine_owners, "REPORT_RETRY_S", 0.02)
--- a/hawthornlead/tests/test_engine_owners.py
+++ b/hawthornlead/tests/test_engine_owners.py
@@ -3,172 +3,22 @@
 import asyncio
 
 import pytest
-from prometheus_client import CollectorRegistry
-from result import Err, Ok
+from result import Err
 
-from hawthornlead.clocks import HybridClock
 from hawthornlead.errors import ErrorKind
-from hawthornlead.events import EventRing
-from hawthornlead.gateway import engine_owners, engine_reports, fetch_followers
-from hawthornlead.gateway.arrival_times import ArrivalTimes
-from hawthornlead.gateway.engine_owners import EngineOwner
 from hawthornlead.gateway.engine_slots import AdapterKey, SlotState
-from hawthornlead.gateway.gateway_metrics import GatewayMetrics
-from hawthornlead.gateway.late_orders import LateOrders
 from hawthornlead.gateway.load_checks import MAX_ARRIVING
-from hawthornlead.gateway.ownerships import Ownership
-from hawthornlead.gateway.records import (
-    AdapterVersion,
-    EngineReport,
-    EngineSpec,
-    HeldModel,
-    ModelSpec,
-    OrderKind,
-    OrderOutcome,
-    TargetEntry,
-)
-from hawthornlead.timers import TimerService
-
-SLOTS = 8
-LOAD_S = 0.05
-MODEL = ModelSpec("tide", 100.0, 0.05, 99, 1.0)
-SPEC = EngineSpec(8, 1000, 200.0, SLOTS, 6.0, (MODEL,))
-
-
-class FakeEngine:
-    """Takes orders as an engine does; ``held`` and ``arriving`` are its slots.
-
-    ``mute`` orders are carried out without an answer, ``late`` ones are kept in
-    ``kept`` and carried out by ``carry_out_kept``, if their count still holds.
-    """
+from hawthornlead.gateway.records import OrderKind, OrderOutcome
 
-    def __init__(self):
-        self.count = 0
-        self.held = {}
-        self.arriving = {}
-        self.models = ["tide"]
-        self.running = set()
-        self.orders = []
-        self.kept = []
-        self.mute = 0
-        self.late = 0
-        self.most = 0
-
-    async def report(self, address, target):
-        held = [AdapterVersion("tide", name, v) for name, v in self.held.items()]
-        coming = [AdapterVersion("tide", name, v) for name, v in self.arriving.items()]
-        models = [HeldModel(name, 1, tuple(held)) for name in self.models]
-        report = EngineReport(
-            self.count, False, 0, 0, 0, 0, tuple(models), tuple(coming)
-        )
-        return Ok(report)
-
-    async def order(self, address, target, order):
-        self.orders.append(order)
-        if self.late:
-            self.late -= 1
-            self.kept.append(order)
-            return OrderOutcome.UNKNOWN
-        outcome = self.carry_out(order)
-        if self.mute:
-            self.mute -= 1
-            return OrderOutcome.UNKNOWN
-        return outcome
-
-    def carry_out_kept(self):
-        return [self.carry_out(order) for order in self.kept]
-
-    def carry_out(self, order):
-        if order.order_count != self.count:
-            return OrderOutcome.CONFLICT
-        self.count += 1
-        if order.kind is OrderKind.UNLOAD:
-            if order.adapter in self.running:
-                return OrderOutcome.STARTED
-            self.held.pop(order.adapter, None)
-            return OrderOutcome.HOLDS_ALREADY
-        if not order.adapter:
-            asyncio.get_running_loop().call_later(
-                LOAD_S, self.models.append, order.model
-            )
-            return OrderOutcome.STARTED
-        self.arriving[order.adapter] = order.version or 1
-        used = len(self.held.keys() | self.arriving.keys())
-        self.most = max(self.most, used)
-        asyncio.get_running_loop().call_later(LOAD_S, self._arrive, order.adapter)
-        return OrderOutcome.STARTED
-
-    def _arrive(self, adapter):
-        self.held[adapter] = self.arriving.pop(adapter)
-
-
-class Owned:
-    """Ownership that a test gives and takes."""
-
-    def __init__(self):
-        self.fence = 4
-
-    def current(self, target):
-        return Ownership(target, self.fence, 1, 1) if self.fence else None
-
-
-class InUse:
-    """Requests under way, as the test says."""
-
-    def __init__(self):
-        self.adapters = {}
-
-    def running(self, target):
-        return self.adapters
-
-    def told_every_s(self):
-        return 0.02
-
-
-class Bed:
-    """An owner before a fake engine."""
-
-    def __init__(self):
-        self.engine = FakeEngine()
-        self.owned = Owned()
-        self.in_use = InUse()
-        self.timers = TimerService()
-        self.told = []
-        self.restarts = []
-        entry = TargetEntry("e1", "llm", "10.0.0.1:80", "gijon", 8, False, None, ())
-        self.owner = EngineOwner(
-            entry,
-            SPEC,
-            ownerships=self.owned,
-            calls=self.engine,
-            timers=self.timers,
-            holder="vm-1",
-            in_use=self.in_use,
-            arrivals={False: ArrivalTimes(), True: ArrivalTimes()},
-            events=EventRing("vm-1", HybridClock(self.timers)),
-            metrics=GatewayMetrics(CollectorRegistry()),
-            late=LateOrders(timers=self.timers),
-            on_changed=lambda owner: self.told.append(owner.holdings),
-            on_restarted=self.restarts.append,
-        )
-
-    async def load(self, name, version=0, wait_s=2.0):
-        return await self.owner.load(AdapterKey("tide", name), version, wait_s)
+from .fakes_owned_engines import SLOTS, Bed, shorten_waits
 
 
 @pytest.fixture
 async def bed(monkeypatch):
     """An owner that has read its engine's report; waits are shortened."""
-    monkeypatch.setattr(engine_owners, "REPORT_LAG_S", 0.02)
-    monkeypatch.setattr(engine_reports, "REPORT_LAG_S", 0.02)
-    monkeypatch.setattr(engine_owners, "FIRST_LOOK_S", 0.03)
-    monkeypatch.setattr(fetch_followers, "FIRST_LOOK_S", 0.03)
-    monkeypatch.setattr(fetch_followers, "LOOK_S", 0.01)
-    monkeypatch.setattr(engine_owners, "REPORT_RETRY_S", 0.02)
+    shorten_waits(monkeypatch)
     made = Bed()
-    made.owner.start()
-    while not made.owner.known:
-        await asyncio.sleep(0.005)
+    await made.start()
     yield made
     made.owner.stop()
 
