Test incarnations on each VM: stale and late words, lapses, deaths, counts of requests

On the code of before the VM whose watch missed the restart never heard of it, messages had no start to compare, and the owner after a lapse kept the former start's slots.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -93,7 +93,11 @@
     ADAPTER_NOT_READY = (524, "WARNING", "an ordered adapter did not arrive in time")
     REPORT_MISSING = (525, "INFO", "an engine's report could not be had")
     LOAD_TURNED_DOWN = (526, "INFO", "the owner of an engine can't load an adapter")
-    ORDER_UNEXPECTED = (527, "WARNING", "an engine took an order of a former start")
+    ORDER_UNEXPECTED = (
+        527,
+        "WARNING",
+        "an engine took an order that its owner did not count",
+    )
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
--- a/hawthornlead/gateway/engine_rooms.py
+++ b/hawthornlead/gateway/engine_rooms.py
@@ -154,7 +154,7 @@
                 continue
             owner = self._owners.get(entry.target)
             if owner is not None:
-                if owner.incarnation.matches(entry.incarnation):
+                if owner.incarnation == entry.incarnation:
                     owner.take_entry(entry)
                 else:
                     # It went and came back between two looks, as another start.
--- a/hawthornlead/gateway/known_targets.py
+++ b/hawthornlead/gateway/known_targets.py
@@ -328,7 +328,8 @@
         self._events.emit(EventKind.TARGET_GONE, target, service=entry.service)
         self._by_service[entry.service].pop(target, None)
         self._beliefs.pop(target, None)
-        self._stored_starts.pop(target, None)
+        if self._stored_starts.get(target) is None:
+            self._stored_starts.pop(target, None)
         self._tell_lost(entry.incarnation, Loss.ENTRY_GONE)
 
     def _tell_lost(self, incarnation: Incarnation, loss: Loss) -> None:
--- a/hawthornlead/gateway/target_loads.py
+++ b/hawthornlead/gateway/target_loads.py
@@ -138,12 +138,12 @@
         One that hasn't heard of a restart yet still counts what runs there no more.
         """
         told_after = self._timers.now() - TOLD_KEPT_S
-        current = self._incarnation(target)
+        current_ms = self._incarnation(target).started_ms
         loads = []
         for told in self._told.values():
             load = told.loads.get(target)
             if load is None or told.at < told_after:
                 continue
-            if Incarnation(target, load.started_ms).matches(current):
+            if current_ms is None or load.started_ms in (None, current_ms):
                 loads.append(load)
         return loads
--- a/hawthornlead/tests/test_gateway_restarts.py
+++ b/hawthornlead/tests/test_gateway_restarts.py
@@ -5,6 +5,14 @@
 from hawthornlead.events import EventKind
 from hawthornlead.gateway.engine_slots import AdapterKey
 from hawthornlead.gateway.target_choices import Holding
+from hawthornlead.messages import Failed
+from hawthornlead.messages.gateways import (
+    AdapterLoaded,
+    AdapterMissing,
+    LoadAdapter,
+    ReservePrompt,
+)
+from hawthornlead.platform.objects import TARGETS_KIND
 
 from .gateways import MODEL, Deployment
 
@@ -257,3 +265,96 @@
         for adapter in ("a7", "a8"):
             await served(deployment, adapter)
         assert not engine.crashed
+
+
+async def test_a_vm_whose_watch_missed_a_restart_hears_of_it_from_the_others():
+    """One VM sends its requests, one after the other, to what an engine lost.
+
+    The others saw the engine start again; this one's watch told it nothing.
+    """
+    async with Deployment() as deployment:
+        engine = await loaded(deployment)
+        (deaf,) = [
+            gateway
+            for gateway in deployment.gateways
+            if engine.target not in gateway._room.owned
+        ]
+        deaf._watchers[TARGETS_KIND]._on_changed = lambda record: None
+        await engine.restart()
+        deployment.register(engine)
+        await deployment.until(lambda: believed(deaf, engine) == engine.born)
+        assert holding(deaf, engine) is not Holding.READY
+        assert restarts_seen(deaf, engine) == [(engine.born - 1500, engine.born)]
+        await served(deployment, vm=deployment.gateways.index(deaf))
+
+
+async def test_what_is_asked_about_a_former_start_is_not_done_at_the_new_one():
+    """An engine that has just started again is filled with what nobody wants there.
+
+    A load that another VM had asked for at the former start came after the restart.
+    """
+    async with Deployment() as deployment:
+        engine = await loaded(deployment)
+        before = engine.born
+        await engine.restart()
+        deployment.register(engine)
+        await all_know(deployment, engine)
+        given = len(engine.orders)
+        (room,) = [
+            gateway._room
+            for gateway in deployment.gateways
+            if engine.target in gateway._room.owned
+        ]
+        owner = room._owners[engine.target]
+        sender = deployment.gateways[0]._mesh.live[0]
+        refused = await room._on_load(
+            sender, LoadAdapter(engine.target, *KEY, 0, 1.0, before)
+        )
+        assert isinstance(refused, Failed)
+        reserved = await room._on_reserve(
+            sender, ReservePrompt(engine.target, *KEY, 500, 1.0, before)
+        )
+        assert not reserved.held
+        assert not reserved.reserved
+        await room._on_missing(sender, AdapterMissing(engine.target, *KEY, before))
+        assert len(engine.orders) == given
+        assert room._owners[engine.target] is owner
+        # A message of a later start tells its hearer of it.
+        await engine.restart()
+        load = LoadAdapter(engine.target, *KEY, 0, 2.0, engine.born)
+        assert isinstance(await room._on_load(sender, load), AdapterLoaded)
+        assert "a1" in engine.adapters
+        await all_know(deployment, engine)
+
+
+async def test_an_entry_that_lapsed_and_is_back_may_be_of_another_start():
+    """An engine is ordered by what it held before it was away.
+
+    Its entry went and came back, within a quarter of a second, as another start's;
+    its owner looked only whether it was there.
+    """
+    async with Deployment() as deployment:
+        engine = await loaded(deployment)
+        deployment.store.remove(TARGETS_KIND, engine.target)
+        targets = [gateway._targets for gateway in deployment.gateways]
+        await deployment.until(
+            lambda: not any(engine.target in each.entries for each in targets)
+        )
+        await engine.restart()
+        deployment.register(engine)
+
+        def owners():
+            rooms = [gateway._room for gateway in deployment.gateways]
+            found = [room._owners.get(engine.target) for room in rooms]
+            return [owner for owner in found if owner is not None]
+
+        await deployment.until(
+            lambda: (
+                [owner.incarnation.started_ms for owner in owners()] == [engine.born]
+            )
+        )
+        await all_know(deployment, engine)
+        await served(deployment)
+        assert not engine.crashed
+        fences = [order["fence"] for order in engine.orders]
+        assert fences == sorted(fences)
