--- a/hawthornlead/gateway/engine_calls.py
+++ b/hawthornlead/gateway/engine_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 
 from result import Err, Ok, Result
 
@@ -15,7 +16,7 @@
     read_report,
 )
 from .records import EngineOrder, EngineReport, OrderOutcome
-from .target_connections import TargetConnections, WholeAnswer
+from .target_connections import Exchange, TargetConnections, WholeAnswer
 
 # An engine answers these in a few milliseconds. An order without an answer by then may
 # still be carried out; all orders to its engine wait for so long. Giving it once more
@@ -32,7 +33,12 @@
 
     async def report(self, address: str, target: str) -> Result[EngineReport, Failure]:
         """Return an engine's report, as of some hundred milliseconds ago."""
-        answer = await self._call("GET", address, target, REPORT_PATH, b"", REPORT_S)
+        opened = await self._connections.open(address)
+        if opened.is_err():
+            return opened
+        answer = await self._exchange(
+            opened.ok_value, "GET", address, target, REPORT_PATH, b"", REPORT_S
+        )
         if answer.is_err():
             return answer
         status, body = answer.ok_value
@@ -44,19 +50,34 @@
             return Err(Failure(ErrorKind.WRONG_ANSWER, f"report: {error}"))
 
     async def order(
-        self, address: str, target: str, order: EngineOrder
+        self,
+        address: str,
+        target: str,
+        order: EngineOrder,
+        allowed: Callable[[], bool],
     ) -> OrderOutcome:
-        """Give an order; ``UNKNOWN`` if it may have been taken without an answer."""
+        """Give an order; ``UNKNOWN`` if it may have been taken without an answer.
+
+        ``allowed`` is asked once there is a connection, right before the bytes leave:
+        while it was opened the right to give the order may have gone.
+        """
+        opened = await self._connections.open(address)
+        if opened.is_err():
+            return OrderOutcome.REFUSED
+        if not allowed():
+            opened.ok_value.close()
+            return OrderOutcome.REFUSED
         body = json.dumps(order_body(order)).encode()
-        answer = await self._call("POST", address, target, ORDER_PATH, body, ORDER_S)
+        answer = await self._exchange(
+            opened.ok_value, "POST", address, target, ORDER_PATH, body, ORDER_S
+        )
         if answer.is_ok():
             return read_order_outcome(answer.ok_value[0])
-        if answer.err_value.kind is ErrorKind.TARGET_UNREACHABLE:
-            return OrderOutcome.REFUSED
         return OrderOutcome.UNKNOWN
 
-    async def _call(
+    async def _exchange(
         self,
+        exchange: Exchange,
         method: str,
         address: str,
         target: str,
@@ -64,10 +85,6 @@
         body: bytes,
         timeout_s: float,
     ) -> Result[tuple[int, bytes], Failure]:
-        opened = await self._connections.open(address)
-        if opened.is_err():
-            return opened
-        exchange = opened.ok_value
         answer = WholeAnswer()
         headers = control_headers(target)
         headers["Host"] = address
--- a/hawthornlead/gateway/owner_objects.py
+++ b/hawthornlead/gateway/owner_objects.py
@@ -48,7 +48,10 @@
         return OwnerObject("", "", self.fence, former)
 
 
-VACANT = OwnerObject("", "", 0)
+# What an engine's object holds before its first claim.
+UNOWNED = OwnerObject("", "", 0)
+# What stands for an object that can't be read, once its engine was proved unowned.
+UNKNOWN = OwnerObject("", "", -1)
 
 
 def read_owner(record: StoredRecord) -> OwnerObject | None:
--- a/hawthornlead/gateway/ownerships.py
+++ b/hawthornlead/gateway/ownerships.py
@@ -15,7 +15,14 @@
 from ..messages.gateways import YieldTarget
 from ..messages.sessions import Done
 from .memberships import Memberships
-from .owner_objects import OWNERS_KIND, VACANT, OwnerObject, owner_spec, read_owner
+from .owner_objects import (
+    OWNERS_KIND,
+    UNKNOWN,
+    UNOWNED,
+    OwnerObject,
+    owner_spec,
+    read_owner,
+)
 from .records import StoredRecord
 from .store_clients import StoreClient
 from .vm_leases import VmLease
@@ -33,7 +40,8 @@
 class Ownership(NamedTuple):
     """The right to order one engine; ``term`` is that of the lease it stands on.
 
-    ``since`` is when it was taken, in seconds of the ``TimerService``.
+    ``since`` is when it was taken, in seconds of the ``TimerService``. ``first`` tells
+    that nobody has owned the engine before.
     """
 
     target: str
@@ -42,6 +50,7 @@
     term: int
     since: float
     owner: OwnerObject
+    first: bool = False
 
 
 class Ownerships:
@@ -126,7 +135,7 @@
         owner = read_owner(record)
         if owner is None:
             free = await self._prove_unowned(target)
-            owner = VACANT
+            owner = UNKNOWN
         else:
             free = await self._is_free(target, owner)
         if not free or not self._lease.holds() or self._lease.term != term:
@@ -136,7 +145,11 @@
             # Asked meanwhile, this VM said that it doesn't order the engine; who asked
             # may have claimed it since. The next claim finds out.
             return False
-        self._owned[target] = ownership
+        self._owned[target] = ownership._replace(first=owner == UNOWNED)
+        if self._memberships.leaving:
+            # Its answer came while this VM gives back what it owns.
+            await self.release(target)
+            return False
         return True
 
     async def release(self, target: str) -> None:
@@ -164,7 +177,7 @@
             return found
         if found.ok_value is not None:
             return Ok(found.ok_value)
-        return await self._client.create(OWNERS_KIND, target, owner_spec(VACANT))
+        return await self._client.create(OWNERS_KIND, target, owner_spec(UNOWNED))
 
     async def _is_free(self, target: str, owner: OwnerObject) -> bool:
         if owner.vm == self._memberships.vm:
--- a/hawthornlead/tasks.py
+++ b/hawthornlead/tasks.py
@@ -43,6 +43,11 @@
         for task in tuple(self._tasks):
             task.cancel()
 
+    async def settle(self, most_s: float) -> None:
+        """Wait until all tasks have ended by themselves, ``most_s`` seconds at most."""
+        if self._tasks:
+            await asyncio.wait(tuple(self._tasks), timeout=most_s)
+
     async def stop(self) -> None:
         """Cancel all tasks and wait until they have ended."""
         tasks = tuple(self._tasks)
--- /dev/null
+++ b/hawthornlead/tests/test_engine_orders.py
@@ -0,0 +1,124 @@
+"""Tests of the right to order an engine, from the look at it to the bytes."""
+
+import asyncio
+
+from prometheus_client import CollectorRegistry
+from result import Ok
+
+from hawthornlead.clocks import HybridClock
+from hawthornlead.events import EventRing
+from hawthornlead.gateway.engine_calls import EngineCalls
+from hawthornlead.gateway.engine_orders import EngineOrders
+from hawthornlead.gateway.engine_slots import AdapterKey
+from hawthornlead.gateway.gateway_metrics import GatewayMetrics
+from hawthornlead.gateway.late_orders import LateOrders
+from hawthornlead.gateway.owner_objects import OWNERS_KIND
+from hawthornlead.gateway.records import OrderKind, OrderOutcome, TargetEntry
+from hawthornlead.gateway.vm_leases import CLOCK_MARGIN_S, LEASE_S
+
+from .fakes_leases import Fleet
+
+ENTRY = TargetEntry("e1", "llm", "10.0.0.1:80", "gijon", 8, False, None, ())
+
+
+class SlowConnections:
+    """Connections that are open when the test says; ``sent`` are the bodies."""
+
+    whole = False
+
+    def __init__(self):
+        self.opening = asyncio.Event()
+        self.go_on = asyncio.Event()
+        self.sent = []
+        self.ended = None
+
+    async def open(self, address):
+        """Open a connection once the test says so."""
+        self.opening.set()
+        await self.go_on.wait()
+        return Ok(self)
+
+    def forget(self, address):
+        """Keep nothing."""
+
+    def close(self):
+        """Keep nothing."""
+
+    def send(self, method, path, headers, body, *, request_id, sink):
+        """Take the order and never answer it."""
+        self.sent.append(body)
+        self.ended = asyncio.ensure_future(asyncio.sleep(0))
+
+
+async def give_while(fleet, happen):
+    """Have ``a`` order an engine; ``happen`` comes about while it connects."""
+    connections = SlowConnections()
+    orders = EngineOrders(
+        ownerships=fleet.a.ownerships,
+        calls=EngineCalls(connections=connections),
+        timers=fleet.timers,
+        holder="a",
+        events=EventRing("a", HybridClock(fleet.timers)),
+        metrics=GatewayMetrics(CollectorRegistry()),
+        late=LateOrders(timers=fleet.timers),
+    )
+    orders.take_accepted(0)
+    key = AdapterKey("m", "a1")
+    giving = asyncio.ensure_future(orders.give(ENTRY, OrderKind.LOAD, key, 1))
+    await connections.opening.wait()
+    await happen()
+    connections.go_on.set()
+    return await giving, connections.sent
+
+
+async def owned_by_a():
+    """Return two VMs with leases of which the first owns an engine."""
+    fleet = Fleet()
+    await fleet.a.lease._renew()
+    await fleet.b.lease._renew()
+    assert await fleet.a.ownerships.claim("e1")
+    return fleet
+
+
+async def test_an_order_is_sent_while_its_owner_may_give_it():
+    fleet = await owned_by_a()
+
+    async def happen():
+        fleet.pass_time(0.1)
+
+    outcome, sent = await give_while(fleet, happen)
+    assert outcome is OrderOutcome.UNKNOWN
+    assert len(sent) == 1
+
+
+async def test_no_order_leaves_after_a_yield():
+    """Two VMs order one engine, the older owner's order arriving last.
+
+    An owner had looked at its right to order and was opening a connection. Meanwhile
+    it said, asked by another VM, that it orders the engine no more; that VM claimed it.
+    """
+    fleet = await owned_by_a()
+    fleet.store.overwrite(OWNERS_KIND, "e1", "scrambled")
+
+    async def happen():
+        assert await fleet.b.ownerships.claim("e1")
+
+    outcome, sent = await give_while(fleet, happen)
+    assert outcome is OrderOutcome.REFUSED
+    assert not sent
+
+
+async def test_no_order_leaves_when_the_lease_ends_while_connecting():
+    """The same, with an owner that was suspended while its connection was opened."""
+    fleet = await owned_by_a()
+
+    async def happen():
+        for _ in range(int(LEASE_S + CLOCK_MARGIN_S + 3)):
+            fleet.pass_time(1.0)
+            await fleet.b.lease._renew()
+            await fleet.b.ownerships.claim("e1")
+        assert fleet.b.ownerships.current("e1") is not None
+
+    outcome, sent = await give_while(fleet, happen)
+    assert outcome is OrderOutcome.REFUSED
+    assert not sent
--- a/hawthornlead/tests/test_owner_objects.py
+++ b/hawthornlead/tests/test_owner_objects.py
@@ -253,6 +253,27 @@
     assert fleet.a.ownerships.current("e1") is None
 
 
+async def test_a_claim_answered_while_its_vm_leaves_is_given_back():
+    """An engine gets no orders for 15 s after a VM has left in good order.
+
+    The VM gave back what it owned as it left. The answer to a claim of its came after
+    that, and the engine stayed claimed until the lease of the VM ran out.
+    """
+    fleet = await two_with_leases()
+    replace = fleet.store.replace
+
+    async def leaving(kind, name, spec, revision):
+        done = await replace(kind, name, spec, revision)
+        memberships = fleet.a.ownerships._memberships
+        memberships._record = memberships._record._replace(leaving=True)
+        return done
+
+    fleet.store.replace = leaving
+    assert not await fleet.a.ownerships.claim("e1")
+    fleet.store.replace = replace
+    assert await fleet.b.ownerships.claim("e1")
+
+
 async def test_a_vm_whose_lease_object_went_is_asked_too():
     """Two VMs order one engine: both its owner's lease and its object were spoilt."""
     fleet = await two_with_leases()
