--- a/hawthornlead/gateway/known_targets.py
+++ b/hawthornlead/gateway/known_targets.py
@@ -147,22 +147,11 @@
         Raises ``ValueError`` if it lacks the start that the target told before: it is
         another writer's.
         """
-        entry = read_target(record)
-        known = self._entries.get(entry.target)
-        stored_ms = self._stored_starts.get(entry.target)
-        if stored_ms is not None and entry.started_ms is None:
-            raise ValueError("the start is missing that was told before")
-        self._stored_starts[entry.target] = entry.started_ms
-        current = self.incarnation(entry.target)
-        if entry.started_ms is None:
-            # Where starts aren't told, what was made up when one was seen stays.
-            entry = entry._replace(started_ms=current.started_ms)
-            if known is not None and known.address != entry.address:
-                entry = entry._replace(started_ms=_next_start(current))
-        elif stored_ms != current.started_ms and entry.incarnation.precedes(current):
-            # A report or another VM told of a later start, whose entry is to come.
+        entry = self._with_settled_start(read_target(record))
+        if entry is None:
             return
-        if entry.incarnation != current:
+        known = self._entries.get(entry.target)
+        if entry.incarnation != self.incarnation(entry.target):
             self._begin_incarnation(entry, RestartSeen.ENTRY)
         if known is None or known.draining != entry.draining:
             self._events.emit(
@@ -277,6 +266,29 @@
             entry = known._replace(started_ms=told.started_ms, models=())
             self._begin_incarnation(entry, RestartSeen.COUNT)
 
+    def _with_settled_start(self, entry: TargetEntry) -> TargetEntry | None:
+        """Return an entry with the start that it is of, None if that one is over.
+
+        What the store tells goes by the order of its revisions, so that another start
+        there is a later one whatever its clock says. Only one that a report or another
+        VM told of first, and whose entry is to come, makes an entry an old one.
+        """
+        target = entry.target
+        stored_ms = self._stored_starts.get(target)
+        if stored_ms is not None and entry.started_ms is None:
+            raise ValueError("the start is missing that was told before")
+        self._stored_starts[target] = entry.started_ms
+        current = self.incarnation(target)
+        if entry.started_ms is not None:
+            told_first = stored_ms != current.started_ms
+            old = told_first and entry.incarnation.precedes(current)
+            return None if old else entry
+        # Where starts aren't told, what was made up when one was seen stays.
+        known = self._entries.get(target)
+        if known is not None and known.address != entry.address:
+            return entry._replace(started_ms=_next_start(current))
+        return entry._replace(started_ms=current.started_ms)
+
     def _begin_incarnation(self, entry: TargetEntry, seen: RestartSeen) -> None:
         """Put an entry of another start in the place of the former one's."""
         former = self._entries.get(entry.target)
