--- a/hawthornlead/tests/test_late_orders.py
+++ b/hawthornlead/tests/test_late_orders.py
@@ -100,7 +100,7 @@
     """The order that was being sent as the restart was seen is forgotten."""
     reached = asyncio.Event()
 
-    async def never(address, target, order):
+    async def never(address, target, order, allowed):
         reached.set()
         await asyncio.sleep(3600)
 
