Tests of objects of the platform's store that another writer spoilt

Of the fields of entries, versions, configurations and VMs, nearly all take some value of another type (a text for a number, true for 1, an unknown state), or leave AttributeError, KeyError, TypeError or OverflowError instead of ValueError; one object without a name costs its whole page.

test_watchers.py, test_a_change_between_two_pages_of_a_listing_is_told: a watch begins where the last page of the listing was read, so that a change to an earlier page in between is never told. Found by the random test of unreadable records.

test_unreadable_records.py and test_platform_fields.py need arguments and a module that aren't there yet.

test_platform_wire.py: the entry of test_a_target_with_notice_is_draining lacked zone, version, slots and seq, which an entry must have. It is a whole one now; that an entry of one field is refused is checked as before, and field by field in test_bad_entries.py.

--- a/hawthornlead/tests/standins/platform_store.py
+++ b/hawthornlead/tests/standins/platform_store.py
@@ -10,6 +10,8 @@
 
 import asyncio
 import json
+import re
+from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from tornado import httputil
@@ -29,6 +31,8 @@
     def __init__(self):
         self._objects: dict[str, dict[str, dict]] = {}
         self._log: list[tuple[int, str, dict, bool]] = []
+        # What objects look like in answers, by the text that stands for their bytes.
+        self._raw: dict[str, bytes] = {}
         self._revision = 1
         self._changed = asyncio.Event()
         self._oldest = 0
@@ -62,20 +66,34 @@
         """Return the names of a kind's objects."""
         return sorted(self._objects.get(kind, {}))
 
-    def write(self, kind: str, name: str, spec: dict) -> int:
-        """Write as the operator or a target does; returns the revision."""
+    def write(self, kind: str, name: str, spec: Any, status: Any = None) -> int:
+        """Write as the operator or a target does; returns the revision.
+
+        Another writer's ``spec`` may be any JSON.
+        """
         known = self._objects.setdefault(kind, {}).get(name)
-        if known is not None and known["spec"] == spec:
+        if known is not None and _is_same(known, spec, status):
             return self._revision
+        self._put(kind, name, {"spec": spec, "status": status})
+        return self._revision
+
+    def write_raw(self, kind: str, name: str, raw: bytes) -> int:
+        """Write an object whose bytes in each answer are these.
+
+        ``REVISION`` in them stands for the object's revision::
+
+            store.write_raw("servers", "e1", b'{"metadata": {"revision": REVISION}}')
+        """
+        mark = f"raw-{self._revision + 1}"
+        self._raw[mark] = raw.replace(b"REVISION", str(self._revision + 1).encode())
+        self._put(kind, name, {"spec": None, "status": None, "raw": mark})
+        return self._revision
+
+    def _put(self, kind: str, name: str, content: dict) -> None:
         self._revision += 1
-        body = {
-            "metadata": {"name": name, "revision": self._revision},
-            "spec": spec,
-            "status": None,
-        }
-        self._objects[kind][name] = body
+        body = {"metadata": {"name": name, "revision": self._revision}, **content}
+        self._objects.setdefault(kind, {})[name] = body
         self._tell(kind, body, False)
-        return self._revision
 
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
@@ -109,7 +127,7 @@
         kind, name = parts[0], parts[1] if len(parts) > 1 else ""
         self.calls.append((call.method, kind))
         if self.fault == "busy":
-            _answer(call, 503, {})
+            self._answer(call, 503, {})
             return
         if self.fault == "silent":
             await asyncio.sleep(3600)
@@ -121,15 +139,15 @@
             status, body = self._write(call, kind, name)
         if self.fault in ("silent", "lost"):
             await asyncio.sleep(3600)
-        _answer(call, status, body)
+        self._answer(call, status, body)
 
     def _read(self, kind: str, name: str, query: dict) -> tuple[int, dict]:
         objects = self._objects.get(kind, {})
         if name:
             found = objects.get(name)
-            return (200, found) if found else (404, {})
+            return (200, _told(found)) if found else (404, {})
         names = [each for each in sorted(objects) if each > query.get("after", "")]
-        items = [objects[each] for each in names[:2]]
+        items = [_told(objects[each]) for each in names[:2]]
         return 200, {"items": items, "hasMore": len(names) > 2, "asOf": self._revision}
 
     async def _watch(self, kind: str, query: dict) -> tuple[int, dict]:
@@ -139,7 +157,7 @@
             if since < self._oldest:
                 return 410, {}
             events = [
-                {"object": body, "deleted": deleted}
+                {"object": _told(body), "deleted": deleted}
                 for revision, of_kind, body, deleted in self._log
                 if revision > since and of_kind == kind
             ]
@@ -169,7 +187,20 @@
         self.write(kind, name, body["spec"])
         return 200, self._objects[kind][name]
 
+    def _answer(self, call: CallerCall, status: int, body: Any) -> None:
+        headers = httputil.HTTPHeaders({"Content-Type": "application/json"})
+        data = json.dumps(body).encode()
+        if self._raw:
+            data = re.sub(rb'"(raw-\d+)"', lambda m: self._raw[m[1].decode()], data)
+        call.answer(status, "OK", headers, data)
+
+
+def _told(body: dict) -> Any:
+    """Return an object as answers show it; a raw one's bytes are put in later."""
+    return body.get("raw", body)
+
 
-def _answer(call: CallerCall, status: int, body: dict) -> None:
-    headers = httputil.HTTPHeaders({"Content-Type": "application/json"})
-    call.answer(status, "OK", headers, json.dumps(body).encode())
+def _is_same(known: dict, spec: Any, status: Any) -> bool:
+    # Compared as texts: true equals 1 in Python, and NaN not even itself.
+    before = json.dumps([known["spec"], known["status"], "raw" in known])
+    return before == json.dumps([spec, status, False])
--- /dev/null
+++ b/hawthornlead/tests/test_platform_fields.py
@@ -0,0 +1,129 @@
+"""Tests of reading JSON of which parts can't be read."""
+
+import json
+import math
+
+import pytest
+
+from hawthornlead.platform.fields import CUT_DEPTH, decode, is_readable
+from hawthornlead.platform.objects import (
+    content_body,
+    read_content,
+    read_page,
+    read_record,
+)
+from hawthornlead.platform.targets import read_target
+
+from .bad_entries import DEEP, good_spec, target_spec, with_value, wrong_values
+from .test_bad_entries import DECODERS, KINDS
+
+
+def page(*items: bytes) -> bytes:
+    """Return the bytes of a listing of these objects."""
+    return b'{"items": [' + b",".join(items) + b'], "asOf": 9}'
+
+
+def item(name: str, spec: bytes) -> bytes:
+    """Return the bytes of an object."""
+    metadata = json.dumps({"name": name, "revision": 3}).encode()
+    return b'{"metadata": ' + metadata + b', "spec": ' + spec + b"}"
+
+
+GOOD = json.dumps(target_spec()).encode()
+UNREADABLE = {
+    "not UTF-8": GOOD.replace(b"gijon", b"gij\xf3n"),
+    "not UTF-8, in a field that isn't used": GOOD.replace(b'{"s', b'{"\xff": 1, "s', 1),
+    "half a surrogate pair": GOOD.replace(b"gijon", b"\\ud83d"),
+    "an integer of 9,000 digits": GOOD.replace(
+        b'"slots": 4', b'"slots": ' + b"4" * 9000
+    ),
+    "NaN": GOOD.replace(b'"slots": 4', b'"slots": NaN'),
+    "infinite": GOOD.replace(b'Ms": 0', b'Ms": -Infinity'),
+    "5,000 levels": GOOD.replace(
+        b'{"s', b'{"x": ' + b"[" * 5000 + b"]" * 5000 + b', "s', 1
+    ),
+    "5,000 levels of objects": b'{"a":' * 5000 + b'"]{"' + b"}" * 5000,
+    "text": b'"spec"',
+}
+
+
+@pytest.mark.parametrize("what", UNREADABLE)
+def test_bytes_that_cannot_be_read_cost_no_other_object(what):
+    """No VM knows any target, for as long as one entry has a byte that isn't UTF-8.
+
+    The listing's body was decoded as a whole, and one entry's bytes made it fail; each
+    VM listed again and again and learned nothing.
+    """
+    body = page(item("a", GOOD), item("bad", UNREADABLE[what]), item("c", GOOD))
+    records = read_page(decode(body)).records
+    assert [record.name for record in records] == ["a", "bad", "c"]
+    assert read_target(records[0])._replace(target="c") == read_target(records[2])
+    with pytest.raises(ValueError, match="no target"):
+        read_target(records[1])
+    # What a relay tells of it is refused as well.
+    told = read_content("bad", 3, content_body(records[1]))
+    with pytest.raises(ValueError, match="no target"):
+        read_target(told)
+
+
+def test_a_pair_of_surrogates_is_a_character():
+    assert read_target(
+        read_record(decode(item("a", GOOD.replace(b"gijon", b"\\ud83d\\ude00"))))
+    ).data_centre.isprintable()
+
+
+def test_levels_are_cut_only_where_they_are_too_many():
+    nested = "[" * CUT_DEPTH + '"]"' + "]" * CUT_DEPTH
+    assert json.dumps(decode(nested)) == nested
+    deep = decode('[1, "[{", ' + "[" * 3000 + "]" * 3000 + ', {"a": "]"}]')
+    assert deep[:2] == [1, "[{"]
+    assert deep[3] == {"a": "]"}
+    assert not is_readable(deep)
+    for broken in (b"[" * 3000, b'"' + b"\\" * 3001, b"]" * 3000, b"", b"{" * 3000):
+        with pytest.raises(ValueError, match="."):
+            decode(broken)
+
+
+def test_numbers_that_are_none():
+    assert decode(b"[NaN, Infinity, -Infinity, " + b"7" * 5000 + b"]") == [math.inf] * 4
+    assert decode(b"[9223372036854775807, -1]") == [2**63 - 1, -1]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_wrong_value_is_wrong_also_after_the_wire(kind):
+    """The tables hold for decoded values; bytes must not turn wrong into right."""
+    for path, value in wrong_values(kind):
+        spec = with_value(good_spec(kind, "main", 7), path, value)
+        whole = {"metadata": {"name": "main", "revision": 3}, "spec": spec}
+        record = read_record(decode(json.dumps(whole).encode()))
+        told = read_content("main", 3, content_body(record))
+        for read in (record, told):
+            with pytest.raises(ValueError, match="no "):
+                DECODERS[kind](read)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        "null",
+        "7",
+        '"ab"',
+        "[1, 2]",
+        "[]",
+        "[{}]",
+        "{",
+        "",
+        "[[], null]",
+        '{"a":1,"b":2}',
+    ],
+)
+def test_what_a_relay_tells_is_an_object_or_unreadable(body):
+    told = read_content("i-1", 3, body)
+    assert (told.name, told.revision, told.unreadable) == ("i-1", 3, True)
+
+
+def test_what_a_relay_tells_is_what_it_read():
+    record = read_record(decode(item("i-1", GOOD)))
+    assert read_content("i-1", 3, content_body(record)) == record
+    assert not read_content("i-1", 3, "[null, null]").unreadable
+    assert read_content("i-1", 3, json.dumps([{"x": DEEP}, None])).unreadable
--- a/hawthornlead/tests/test_platform_wire.py
+++ b/hawthornlead/tests/test_platform_wire.py
@@ -33,6 +33,7 @@
     read_target,
 )
 
+from .bad_entries import target_spec
 from .gateways import HOST, configuration, route
 
 PACKAGE = Path(__file__).parents[1]
@@ -110,8 +111,8 @@
 
 
 def test_a_target_with_notice_is_draining():
-    spec = {"service": "llm", "address": "10.0.0.1:80", "state": "draining"}
-    entry = read_target(stored(spec | {"remainingMs": 1500}, "i-1"))
+    spec = target_spec(state="draining", remainingMs=1500)
+    entry = read_target(stored(spec, "i-1"))
     assert (entry.target, entry.draining, entry.leaves_in_s) == ("i-1", True, 1.5)
     with pytest.raises(ValueError, match="no target"):
         read_target(stored({"service": "llm"}))
--- a/hawthornlead/tests/test_watchers.py
+++ b/hawthornlead/tests/test_watchers.py
@@ -204,3 +204,29 @@
     await until(lambda: new.seen["t1"] == 11 and old.seen["t1"] == 11)
     old.stop()
     new.stop()
+
+
+async def test_a_change_between_two_pages_of_a_listing_is_told(store):
+    """A VM never hears of a version that was named while it listed the versions.
+
+    The change was to an object of the first page, after that page was read; the watch
+    began where the last page was read.
+    """
+    timers = TimerService()
+    for number in range(5):
+        store.write("things", f"t{number}", {"n": number})
+    read = store._read
+
+    def read_and_change(kind, name, query):
+        answer = read(kind, name, query)
+        if query.get("after") == "t1":
+            store.write("things", "t0", {"n": 10})
+            store.remove("things", "t1")
+            store.write("things", "t4", {"n": 14})
+        return answer
+
+    store._read = read_and_change
+    follower = Follower(LocalNetwork(timers), timers, store, "a")
+    follower.start()
+    await until(lambda: follower.seen == {"t0": 10, "t2": 2, "t3": 3, "t4": 14})
+    follower.stop()
