Let an object of the store that can't be read name nothing and cost no other

Cause: decoders took values of any type that int() or float() takes, and let other errors than ValueError through; a watcher decoded an object outside its try, so that such an error ended the task that watches the kind; one object without a name, or one byte that isn't UTF-8, cost the whole page of a listing; what an unreadable entry had named before stayed in use.

- platform.fields reads fields by type and raises nothing but ValueError; all decoders stand on it.
It decodes a body of which parts can't be read; JSON that is too deep is cut there, because Python's parser would refuse the whole page.
- StoredRecord.unreadable: the object exists at its revision, but what it holds can't be read.
Pages and watches skip only what has no name or revision.
- KindWatcher tells the first of a series of unreadable states (event 313, a counter by kind), calls on_unreadable and goes on.
A target's entry then ends at once, without the time that a lapsed one is given.
Versions, the configuration and VMs that were known stay; a VM writes its own object anew.
- Relays pass unreadable objects on.
An object too large for a message between VMs ended the relay's watch by the error of its encoding; now the others list it for themselves.

Also mended, found by the random test: a watch began where the last page of its listing was read, so that a change to an earlier page in between was never told. It begins where the first page was read; what is told twice is dropped by its revision.

--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -42,6 +42,11 @@
             "Calls of the store by outcome",
             ["outcome"],
         )
+        self.unreadable = self._counter(
+            "hawthornlead_gateway_unreadable_records_total",
+            "Objects of the store that turned unreadable",
+            ["kind"],
+        )
         self.first_event = self._histogram(
             "hawthornlead_gateway_first_event_seconds",
             "From a request's arrival to its first event",
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -84,7 +84,7 @@
             keep_answer_s=KEEP_ANSWER_S,
             open_requests=lambda: self._callers.open,
         )
-        self._watchers = self._make_watchers(core.rng)
+        self._watchers = self._make_watchers(core.rng, metrics)
         self._targets.watcher = self._watchers[TARGETS_KIND]
         self._server = HTTPServer(
             self._callers,
@@ -216,7 +216,9 @@
     def _target_ids(self) -> tuple[str, ...]:
         return tuple(self._targets.entries)
 
-    def _make_watchers(self, rng: Random) -> dict[str, KindWatcher]:
+    def _make_watchers(
+        self, rng: Random, metrics: GatewayMetrics
+    ) -> dict[str, KindWatcher]:
         memberships, targets = self._memberships, self._targets
         common = {
             "client": self._client,
@@ -224,7 +226,10 @@
             "rng": rng,
             "events": self._events,
             "relays": self._relays,
+            "metrics": metrics,
         }
+        # Of an unreadable configuration or version, what was known before stays in
+        # force; none goes back.
         return {
             CONFIGURATION_KIND: KindWatcher(
                 CONFIGURATION_KIND,
@@ -237,6 +242,7 @@
                 **common,
                 on_changed=targets.take_entry,
                 on_deleted=targets.drop_entry,
+                on_unreadable=targets.drop_unreadable,
                 essence=essence_of_entry,
                 pause_s=TARGETS_PAUSE_S,
             ),
@@ -251,6 +257,7 @@
                 **common,
                 on_changed=memberships.take,
                 on_deleted=memberships.drop,
+                on_unreadable=memberships.keep_unreadable,
                 pause_s=VMS_PAUSE_S,
             ),
         }
--- a/hawthornlead/gateway/known_targets.py
+++ b/hawthornlead/gateway/known_targets.py
@@ -153,6 +153,15 @@
             return
         self._forget(target)
 
+    def drop_unreadable(self, target: str) -> None:
+        """Note that a target's entry can't be read: it names no target any more.
+
+        Unlike one that lapsed, such an entry is there: another writer may have put it
+        in the place of a target that is gone. So the target isn't kept for a while.
+        """
+        self._missing.pop(target, None)
+        self._forget(target)
+
     def sweep(self) -> None:
         """Take targets as gone that didn't come back after an outage."""
         now = self._timers.now()
--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -123,6 +123,18 @@
         self._vms[vm.vm] = vm
         self._meet()
 
+    def keep_unreadable(self, name: str) -> None:
+        """Note that a VM's object can't be read: what was known of the VM stays.
+
+        Whether it lives is seen on the mesh and not in its object, and callers are
+        sent to a VM only while it is heard under the incarnation that its last readable
+        object named. So the VM isn't kept longer than it lives, and a writer that
+        spoils all objects of this kind can't part the VMs from one another. The VM
+        itself mends its object, or those that start later would never know it.
+        """
+        if name == self.vm:
+            self._tasks.spawn_once("mend", self._register)
+
     def drop(self, name: str) -> None:
         """Note that a VM's object was removed."""
         self._vms.pop(name, None)
--- a/hawthornlead/gateway/records.py
+++ b/hawthornlead/gateway/records.py
@@ -254,20 +254,29 @@
 
 
 class StoredRecord(NamedTuple):
-    """One object of the platform's store, at the revision of its last change."""
+    """One object of the platform's store, at the revision of its last change.
+
+    ``unreadable`` tells that the object exists but that what it holds can't be read;
+    ``spec`` and ``status`` are None where they can't. No decoder accepts it.
+    """
 
     name: str
     revision: int
     spec: dict | None
     status: dict | None
+    unreadable: bool = False
 
 
 class StorePage(NamedTuple):
-    """A page of a listing; ``revision`` is the store's at that moment."""
+    """A page of a listing; ``revision`` is the store's at that moment.
+
+    ``skipped`` objects have no name or no revision that can be read.
+    """
 
     records: tuple[StoredRecord, ...]
     more: bool
     revision: int
+    skipped: int = 0
 
 
 class StoreEvent(NamedTuple):
@@ -278,10 +287,14 @@
 
 
 class StoreChanges(NamedTuple):
-    """The changes that a watch tells at once, and where to continue."""
+    """The changes that a watch tells at once, and where to continue.
+
+    ``skipped`` objects have no name or no revision that can be read.
+    """
 
     events: tuple[StoreEvent, ...]
     revision: int
+    skipped: int = 0
 
 
 class VmRecord(NamedTuple):
--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -13,6 +13,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from ..errors import ErrorKind, Failure
+from ..platform.fields import decode
 from ..platform.objects import (
     list_path,
     object_body,
@@ -93,8 +94,14 @@
         return answer.and_then(lambda got: _parsed(*got, read_record))
 
     async def list_all(self, kind: str) -> Result[StoreChanges, Failure]:
-        """Return all objects of a kind as changes, and where to watch from."""
-        events = []
+        """Return all objects of a kind as changes, and where to watch from.
+
+        That is where the first page was read: what changes on a page while the later
+        ones are read would otherwise never be told.
+        """
+        records = []
+        skipped = 0
+        revision: int | None = None
         after = ""
         while True:
             answer = await self._call("GET", list_path(kind, after))
@@ -102,9 +109,15 @@
             if page.is_err():
                 return page
             found = page.ok_value
-            events += found.records
-            if not found.more or not found.records:
-                return Ok(StoreChanges(tuple(events), found.revision))
+            records += found.records
+            skipped += found.skipped
+            if revision is None:
+                revision = found.revision
+            if not found.more:
+                return Ok(StoreChanges(tuple(records), revision, skipped))
+            if not found.records:
+                # Taken as whole, the listing would remove all objects after these.
+                return Err(_unavailable("a page has no name to go on from"))
             after = found.records[-1].name
 
     async def watch(
@@ -156,8 +169,8 @@
     if status not in (200, 201):
         return Err(_unavailable(f"answered {status}"))
     try:
-        return Ok(parse(json.loads(body)))
-    except (ValueError, KeyError, TypeError) as error:
+        return Ok(parse(decode(body)))
+    except ValueError as error:
         return Err(_unavailable(f"its answer is not valid: {error!r}"))
 
 
--- a/hawthornlead/gateway/watch_relays.py
+++ b/hawthornlead/gateway/watch_relays.py
@@ -6,7 +6,6 @@
 only while no relay vouches for the kind.
 """
 
-import json
 from collections import defaultdict
 from collections.abc import Callable
 
@@ -19,6 +18,7 @@
     RelayedRecords,
     RelayWord,
 )
+from ..platform.objects import content_body, read_content
 from ..timers import TimerService
 from .memberships import Memberships
 from .records import StoredRecord
@@ -30,6 +30,9 @@
 # well within the 2 s in which a configuration or a leaving target must be heeded.
 WORD_KEPT_S = 1.1
 RELAY_NAME = "store-relay"
+# An object of the store may be as large as the largest message between VMs, by default
+# 1 MiB, and larger once it is escaped. Half of it leaves room for what goes with it.
+MOST_RELAYED_BYTES = 500_000
 # Records are fetched from other VMs in messages of about this size.
 FETCHED_BYTES = 200_000
 
@@ -116,6 +119,10 @@
         relayed = _relayed(name, record, revision)
         serial = self._serials[kind]
         self._serials[kind] += 1
+        if len(relayed.body) > MOST_RELAYED_BYTES:
+            # The mesh can't carry it, and raises an error that would end the watch.
+            # The others see by the count that they miss a change, and list the kind.
+            return
         self._mesh.broadcast(RelayedRecords(kind, serial, (relayed,)))
 
     async def fetch(self, kind: str) -> bool:
@@ -151,6 +158,9 @@
             if records and size > FETCHED_BYTES:
                 return FetchedRecords(True, tuple(records), True)
             relayed = _relayed(name, known[name], known[name].revision)
+            if len(relayed.body) > MOST_RELAYED_BYTES:
+                # It is listed once the store is back; the others must not wait for it.
+                continue
             size += len(relayed.body)
             records.append(relayed)
         return FetchedRecords(True, tuple(records), False)
@@ -186,13 +196,12 @@
         for relayed in records if take is not None else ():
             record = None
             if relayed.body:
-                spec, status = json.loads(relayed.body)
-                record = StoredRecord(relayed.name, relayed.revision, spec, status)
+                # An object that the relay couldn't read is told as such, so that all
+                # VMs stop using what it named at the same time.
+                record = read_content(relayed.name, relayed.revision, relayed.body)
             take(record, relayed.name, relayed.revision)
 
 
 def _relayed(name: str, record: StoredRecord | None, revision: int) -> RelayedRecord:
-    body = ""
-    if record is not None:
-        body = json.dumps([record.spec, record.status])
+    body = "" if record is None else content_body(record)
     return RelayedRecord(name, revision, body)
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -1,9 +1,9 @@
 """Following one kind of the store's objects: list it, watch it, never go back.
 
-Whoever follows a kind hands in three callbacks::
+Whoever follows a kind hands in callbacks::
 
     watcher = KindWatcher("config", client=client, timers=timers, on_changed=take,
-                          on_deleted=drop)
+                          on_deleted=drop, on_unreadable=warn)
     watcher.start()
 """
 
@@ -14,6 +14,7 @@
 from ..events import EventKind, EventRing
 from ..tasks import TaskSet
 from ..timers import TimerService
+from .gateway_metrics import GatewayMetrics
 from .records import StoredRecord
 from .store_clients import WATCH_SLACK_S, StoreClient
 from .watch_relays import WatchRelays
@@ -28,6 +29,7 @@
 # How often a VM that is told looks whether it still is.
 TOLD_LOOK_S = 0.2
 _NOTHING = object()
+_UNREADABLE = object()
 
 
 class KindWatcher:
@@ -40,6 +42,10 @@
     Guards against an old answer overtaking a newer one, which would bring back a
     configuration that was replaced: an object at a revision that isn't newer than the
     one known is dropped, and a listing older than the last known revision too.
+
+    What another writer put into the store may be unreadable: ``essence`` or
+    ``on_changed`` raise ``ValueError``, and ``on_unreadable`` is called instead, once
+    until the object can be read again. The watch goes on, and the other objects hold.
     """
 
     def __init__(
@@ -53,6 +59,8 @@
         relays: WatchRelays,
         on_changed: Callable[[StoredRecord], None],
         on_deleted: Callable[[str], None],
+        on_unreadable: Callable[[str], None] = lambda name: None,
+        metrics: GatewayMetrics | None = None,
         essence: Callable[[StoredRecord], Any] = lambda record: record,
         pause_s: float = 0.0,
     ):
@@ -63,6 +71,8 @@
         self._events = events
         self._on_changed = on_changed
         self._on_deleted = on_deleted
+        self._on_unreadable = on_unreadable
+        self._metrics = metrics
         self._relays = relays
         self._essence = essence
         self._essences: dict[str, Any] = {}
@@ -71,6 +81,7 @@
         self._pause_s = pause_s
         self._current = False
         self._answered_at = 0.0
+        self._skipped = False
         self._revisions: dict[str, int] = {}
         self._revision = 0
         self._listed = False
@@ -152,6 +163,7 @@
         changes = listed.ok_value
         if changes.revision < self._revision:
             return False
+        self._note_skipped(changes.skipped)
         names = set()
         for record in changes.events:
             names.add(record.name)
@@ -175,6 +187,8 @@
         changes = outcome.ok_value
         if changes is None:
             return False
+        if changes.skipped:
+            self._note_skipped(changes.skipped)
         for event in changes.events:
             if event.deleted:
                 self._drop(event.record.name, event.record.revision)
@@ -208,19 +222,45 @@
             return False
         self._revisions[record.name] = record.revision
         self._records[record.name] = record
-        essence = self._essence(record)
-        if essence == self._essences.get(record.name, _NOTHING):
-            return False
-        self._essences[record.name] = essence
         try:
+            essence = self._read_essence(record)
+            if essence == self._essences.get(record.name, _NOTHING):
+                return False
             self._on_changed(record)
-        except (ValueError, KeyError, TypeError) as error:
-            # What others write into the store may be malformed; what was known of
-            # the object before stays in force, and the watch goes on.
-            name = f"{self._kind}/{record.name}"
-            self._events.emit(EventKind.RECORD_UNUSABLE, name, error=repr(error))
+        except ValueError as error:
+            return self._take_unreadable(record, error)
+        self._essences[record.name] = essence
         return True
 
+    def _read_essence(self, record: StoredRecord) -> Any:
+        if record.unreadable:
+            raise ValueError("it is no object, or has bytes that can't be read")
+        return self._essence(record)
+
+    def _take_unreadable(self, record: StoredRecord, error: ValueError) -> bool:
+        """Note an unreadable object; False if it was unreadable before too.
+
+        A writer may go on writing such objects several times a second: only the first
+        of a series is told.
+        """
+        if self._essences.get(record.name) is _UNREADABLE:
+            return False
+        self._essences[record.name] = _UNREADABLE
+        self._tell_unusable(f"{self._kind}/{record.name}", str(error))
+        self._on_unreadable(record.name)
+        return True
+
+    def _note_skipped(self, skipped: int) -> None:
+        """Note objects without a readable name; told once until a listing has none."""
+        if skipped and not self._skipped:
+            self._tell_unusable(self._kind, "no name or revision that can be read")
+        self._skipped = skipped > 0
+
+    def _tell_unusable(self, subject: str, detail: str) -> None:
+        self._events.emit(EventKind.RECORD_UNUSABLE, subject, error=detail)
+        if self._metrics is not None:
+            self._metrics.unreadable.labels(self._kind).inc()
+
     def _forget(self, name: str, revision: int) -> bool:
         known = self._revisions.get(name)
         if known is None or revision < known:
--- a/hawthornlead/platform/objects.py
+++ b/hawthornlead/platform/objects.py
@@ -1,5 +1,6 @@
 """Calls of the platform's store: paths, and objects of a kind."""
 
+import json
 from typing import Any
 from urllib.parse import quote
 
@@ -10,6 +11,16 @@
     StorePage,
     VmRecord,
 )
+from .fields import (
+    address,
+    boolean,
+    decode,
+    is_readable,
+    items,
+    mapping,
+    text,
+    whole_number,
+)
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -41,33 +52,66 @@
     return {"metadata": metadata, "spec": spec}
 
 
-def read_record(body: dict) -> StoredRecord:
-    """Return one object of the store."""
-    metadata = body["metadata"]
+def read_record(body: Any) -> StoredRecord:
+    """Return one object of the store; ``ValueError`` if it has no name or revision."""
+    body = mapping(body, "the object")
+    metadata = mapping(body.get("metadata"), "metadata")
+    name = text(metadata, "name")
+    if not name:
+        raise ValueError("name is empty")
+    spec, status = body.get("spec"), body.get("status")
     return StoredRecord(
-        name=metadata["name"],
-        revision=int(metadata["revision"]),
-        spec=body.get("spec"),
-        status=body.get("status"),
+        name=name,
+        revision=whole_number(metadata, "revision"),
+        spec=_content(spec),
+        status=_content(status),
+        unreadable=_is_unreadable(spec) or (not spec and _is_unreadable(status)),
     )
 
 
-def read_page(body: dict) -> StorePage:
-    """Return one page of a listing."""
-    return StorePage(
-        records=tuple([read_record(item) for item in body["items"]]),
-        more=bool(body.get("hasMore")),
-        revision=int(body["asOf"]),
-    )
+def read_page(body: Any) -> StorePage:
+    """Return one page of a listing, without the objects that have no name."""
+    body = mapping(body, "the page")
+    records = []
+    skipped = 0
+    for item in items(body, "items"):
+        try:
+            records.append(read_record(item))
+        except ValueError:
+            skipped += 1
+    more = boolean(body, "hasMore", False)
+    return StorePage(tuple(records), more, whole_number(body, "asOf"), skipped)
 
 
-def read_changes(body: dict) -> StoreChanges:
-    """Return what a watch told."""
+def read_changes(body: Any) -> StoreChanges:
+    """Return what a watch told, without the objects that have no name."""
+    body = mapping(body, "the watch's answer")
     events = []
-    for event in body.get("events") or ():
-        record = read_record(event["object"])
-        events.append(StoreEvent(record, bool(event.get("deleted"))))
-    return StoreChanges(tuple(events), int(body["asOf"]))
+    skipped = 0
+    for item in items(body, "events", []):
+        try:
+            events.append(_event(item))
+        except ValueError:
+            skipped += 1
+    return StoreChanges(tuple(events), whole_number(body, "asOf"), skipped)
+
+
+def content_body(record: StoredRecord) -> str:
+    """Return what an object holds, for another VM; ``read_content`` reads it."""
+    if record.unreadable:
+        return json.dumps(None)
+    return json.dumps([record.spec, record.status])
+
+
+def read_content(name: str, revision: int, body: str) -> StoredRecord:
+    """Return the object of which another VM told; it is unreadable if the body is."""
+    try:
+        spec, status = decode(body)
+        told = {"metadata": {"name": name, "revision": revision}}
+        return read_record({**told, "spec": spec, "status": status})
+    except (TypeError, ValueError):
+        # Not a pair: the other VM couldn't read it either.
+        return StoredRecord(name, revision, None, None, unreadable=True)
 
 
 def vm_spec(record: VmRecord) -> dict:
@@ -76,6 +120,32 @@
 
 
 def read_vm(record: StoredRecord) -> VmRecord:
-    """Return the VM that registered itself in an object."""
-    spec = record.spec or {}
-    return VmRecord(**{field: spec[field] for field in VmRecord._fields})
+    """Return the VM that registered itself in an object; ``ValueError`` if none did."""
+    try:
+        body = mapping(record.spec, "the entry")
+        vm = VmRecord(
+            vm=text(body, "vm"),
+            incarnation=text(body, "incarnation"),
+            data_centre=text(body, "data_centre"),
+            peer_address=address(body, "peer_address"),
+            caller_address=address(body, "caller_address"),
+            leaving=boolean(body, "leaving"),
+        )
+    except ValueError as error:
+        raise ValueError(f"no VM: {error}") from error
+    if vm.vm != record.name:
+        raise ValueError("no VM: the object has another VM's name")
+    return vm
+
+
+def _event(body: Any) -> StoreEvent:
+    body = mapping(body, "the event")
+    return StoreEvent(read_record(body.get("object")), bool(body.get("deleted")))
+
+
+def _content(value: Any) -> dict | None:
+    return value if isinstance(value, dict) and is_readable(value) else None
+
+
+def _is_unreadable(value: Any) -> bool:
+    return value is not None and _content(value) is None
--- a/hawthornlead/platform/targets.py
+++ b/hawthornlead/platform/targets.py
@@ -11,52 +11,41 @@
     StoredRecord,
     TargetEntry,
 )
+from .fields import (
+    as_text,
+    boolean,
+    ip_address,
+    items,
+    mapping,
+    number,
+    text,
+    versioned_name,
+    whole_number,
+)
 
 REPORT_PATH = "/v1/report"
 ORDER_PATH = "/v1/order"
+READY = "ready"
+DRAINING = "draining"
 
 
 def read_target(record: StoredRecord) -> TargetEntry:
     """Return the target that registered itself in an object.
 
-    Raises ``ValueError`` if the object is no such entry.
+    Raises ``ValueError`` if the object is no such entry: then it names no target.
     """
-    body = record.spec or record.status or {}
     try:
-        leaves_ms = body.get("remainingMs")
-        return TargetEntry(
-            target=record.name,
-            service=body["service"],
-            address=body["address"],
-            data_centre=body.get("zone", ""),
-            slots=int(body.get("slots", 1)),
-            draining=body.get("state") != "ready",
-            leaves_in_s=None if leaves_ms is None else float(leaves_ms) / 1000,
-            models=_models(body.get("models")),
-            started_ms=_started(body),
-        )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"no target: {error!r}") from error
-
-
-def read_report(body: dict) -> EngineReport:
+        return _entry(record)
+    except ValueError as error:
+        raise ValueError(f"no target: {error}") from error
+
+
+def read_report(body: Any) -> EngineReport:
     """Return an engine's report; raises ``ValueError`` if it is none."""
     try:
-        return EngineReport(
-            # On this interface the name means orders; in an entry of the store it
-            # counts heartbeats.
-            order_count=int(body["seq"]),
-            busy=bool(body.get("busy")),
-            running=int(body.get("inFlight", 0)),
-            waiting=int(body.get("queued", 0)),
-            kv_used=int(body.get("kvUsed", 0)),
-            kv_total=int(body.get("kvTotal", 0)),
-            models=_models(body.get("models")),
-            arriving=tuple([_arriving(text) for text in body.get("pending") or ()]),
-            started_ms=_started(body),
-        )
-    except (KeyError, TypeError) as error:
-        raise ValueError(f"no report: {error!r}") from error
+        return _report(mapping(body, "the report"))
+    except ValueError as error:
+        raise ValueError(f"no report: {error}") from error
 
 
 def order_body(order: EngineOrder) -> dict[str, Any]:
@@ -86,28 +75,71 @@
     return OrderOutcome.REFUSED
 
 
+def _entry(record: StoredRecord) -> TargetEntry:
+    body = mapping(record.spec or record.status, "the entry")
+    # Not used, but an entry that lacks them is another writer's.
+    text(body, "version")
+    whole_number(body, "seq")
+    number(body, "coldRemainingMs")
+    leaves_ms = None
+    if body.get("remainingMs") is not None:
+        leaves_ms = number(body, "remainingMs")
+    return TargetEntry(
+        target=record.name,
+        service=text(body, "service"),
+        address=ip_address(body, "address"),
+        data_centre=text(body, "zone"),
+        slots=whole_number(body, "slots", least=1),
+        draining=_draining(body),
+        leaves_in_s=None if leaves_ms is None else leaves_ms / 1000,
+        models=_models(body),
+        started_ms=_started(body),
+    )
+
+
+def _report(body: dict) -> EngineReport:
+    return EngineReport(
+        # On this interface the name means orders; in an entry of the store it counts
+        # heartbeats.
+        order_count=whole_number(body, "seq"),
+        busy=boolean(body, "busy", False),
+        running=whole_number(body, "inFlight", 0),
+        waiting=whole_number(body, "queued", 0),
+        kv_used=whole_number(body, "kvUsed", 0),
+        kv_total=whole_number(body, "kvTotal", 0),
+        models=_models(body),
+        arriving=tuple([_arriving(each) for each in items(body, "pending", [])]),
+        started_ms=_started(body),
+    )
+
+
+def _draining(body: dict) -> bool:
+    state = text(body, "state")
+    if state not in (READY, DRAINING):
+        raise ValueError("state is none that is known")
+    return state == DRAINING
+
+
 def _started(body: dict) -> int | None:
     """Return the start of what tells of itself; platforms of before don't tell it."""
-    started_ms = body.get("born")
-    if started_ms is not None and type(started_ms) is not int:
-        raise ValueError(f"a start that is no whole number: {started_ms!r}")
-    return started_ms
+    return whole_number(body, "born") if "born" in body else None
 
 
-def _models(items: Any) -> tuple[HeldModel, ...]:
+def _models(body: dict) -> tuple[HeldModel, ...]:
     models = []
-    for item in items or ():
-        name = item["name"]
-        adapters = [_adapter(name, text) for text in item.get("adapters") or ()]
-        models.append(HeldModel(name, int(item.get("version", 0)), tuple(adapters)))
+    for item in items(body, "models", []):
+        model = mapping(item, "a model")
+        name = text(model, "name")
+        adapters = [_adapter(name, each) for each in items(model, "adapters")]
+        version = whole_number(model, "version")
+        models.append(HeldModel(name, version, tuple(adapters)))
     return tuple(models)
 
 
-def _adapter(model: str, text: str) -> AdapterVersion:
-    adapter, _, version = text.partition("@")
-    return AdapterVersion(model, adapter, int(version or 0))
+def _adapter(model: str, value: Any) -> AdapterVersion:
+    return AdapterVersion(model, *versioned_name(value, "an adapter"))
 
 
-def _arriving(text: str) -> AdapterVersion:
-    model, _, rest = text.partition("/")
-    return _adapter(model, rest)
+def _arriving(value: Any) -> AdapterVersion:
+    model, _, adapter = as_text(value, "an adapter on its way").partition("/")
+    return _adapter(model, adapter)
