--- a/hawthornlead/tests/test_gateway_restarts.py
+++ b/hawthornlead/tests/test_gateway_restarts.py
@@ -4,6 +4,7 @@
 
 from hawthornlead.events import EventKind
 from hawthornlead.gateway.engine_slots import AdapterKey
+from hawthornlead.gateway.owner_objects import OWNERS_KIND
 from hawthornlead.gateway.target_choices import Holding
 from hawthornlead.messages import Failed
 from hawthornlead.messages.gateways import (
@@ -60,6 +61,11 @@
     return engine
 
 
+def owner_fence(deployment, engine) -> int:
+    """Return the fence under which an engine was claimed last."""
+    return deployment.store.spec(OWNERS_KIND, engine.target)["fence"]
+
+
 async def served(deployment, adapter="a1", vm=0):
     """Ask until a request for an adapter is served, as its caller would."""
     for _ in range(40):
@@ -85,6 +91,7 @@
     async with Deployment() as deployment:
         engine = await loaded(deployment)
         before = engine.born
+        fence = owner_fence(deployment, engine)
         await engine.restart()
         deployment.register(engine)
         await all_know(deployment, engine)
@@ -93,8 +100,7 @@
             assert restarts_seen(gateway, engine) == [(before, engine.born)]
         for vm in range(2):
             await served(deployment, vm=vm)
-        fence = deployment.store.spec("hawthornlead-owners", engine.target)["fence"]
-        assert fence == 1
+        assert owner_fence(deployment, engine) == fence
         assert not engine.crashed
 
 
@@ -217,6 +223,7 @@
 async def test_three_restarts_in_a_row_leave_one_owner_and_no_old_belief():
     async with Deployment() as deployment:
         engine = await loaded(deployment)
+        fence = owner_fence(deployment, engine)
         for number in range(3):
             await engine.restart(moved=number == 1)
             deployment.register(engine)
@@ -229,7 +236,7 @@
         owner = owners[0]._room._owners[engine.target]
         assert owner.incarnation.started_ms == engine.born
         await served(deployment)
-        assert {order["fence"] for order in engine.orders} == {1}
+        assert {order["fence"] for order in engine.orders} == {fence}
         assert not engine.crashed
 
 
--- /dev/null
+++ b/hawthornlead/tests/test_unreadable_records.py
@@ -0,0 +1,231 @@
+"""Tests of objects that turn unreadable, watched in the store and told by relays."""
+
+import asyncio
+
+import pytest
+
+from hawthornlead.gateway.memberships import VMS_KIND
+from hawthornlead.messages.gateways import RelayedRecord, RelayedRecords
+from hawthornlead.platform.objects import (
+    CONFIGURATION_KIND,
+    TARGETS_KIND,
+    VERSIONS_KIND,
+)
+
+from .bad_entries import target_spec
+from .following_vms import BAD_BYTES, KINDS, Site
+from .gateways import MODEL
+
+
+@pytest.fixture
+async def site():
+    """A site without VMs yet."""
+    running = Site()
+    yield running
+    await running.stop()
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("bad", ["a text", ["a list"], {"service": 5}, {"x": "\ud800"}])
+async def test_the_watch_goes_on_after_an_unreadable_object(site, kind, bad):
+    """A VM hears of no change any more: of no target, no version, no configuration.
+
+    One object of the kind was written by another writer and could not be decoded; the
+    error ended the task that watches the kind, and nothing was logged.
+    """
+    vm = site.add("a")
+    site.write_good(kind, "n1")
+    await site.agree()
+    site.write_bad(kind, "n1", bad)
+    site.write_good(kind, "n2")
+    await site.agree()
+    site.write_good(kind, "n1")
+    await site.agree()
+    assert len(vm.unusable(kind)) == vm.counted(kind) == 1
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("raw", BAD_BYTES, ids=lambda raw: repr(raw[:20]))
+async def test_a_listing_holds_beside_an_unreadable_object(site, kind, raw):
+    """A VM that starts learns nothing of a kind, for as long as one object is spoilt.
+
+    The page of the listing that held the object was refused as a whole.
+    """
+    site.write_raw(kind, "n1", raw)
+    if kind != CONFIGURATION_KIND:
+        site.write_bad(kind, "n2", {"service": 5})
+        site.write_good(kind, "n3")
+    vm = site.add("a")
+    await site.until(lambda: vm.watchers[kind].listed)
+    await site.agree()
+    site.write_good(kind, "n1")
+    await site.agree()
+
+
+async def test_an_entry_that_turns_unreadable_names_no_engine_at_once(site):
+    """Requests are sent to an engine whose entry another writer has overwritten.
+
+    What was known of the entry before stayed in force. Nor is it kept as one that
+    lapsed while the store was away, for some seconds after the store is back.
+    """
+    vm = site.add("a")
+    site.write_good(TARGETS_KIND, "n1")
+    site.write_good(TARGETS_KIND, "n2")
+    await site.agree()
+    watcher = vm.watchers[TARGETS_KIND]
+    site.store.fault = "busy"
+    site.store.forget_history()
+    await site.until(lambda: not watcher.answering)
+    site.store.fault = ""
+    site.write_bad(TARGETS_KIND, "n1", target_spec(state="gone"))
+    await site.until(lambda: watcher.answering and watcher._current)
+    assert vm.known() == site.expected
+    assert [incarnation.target for incarnation in vm.gone] == ["n1"]
+
+
+async def test_an_unreadable_entry_that_lapsed_does_not_come_back(site):
+    vm = site.add("a")
+    site.write_good(TARGETS_KIND, "n1")
+    await site.agree()
+    vm.targets._missing["n1"] = site.timers.now() + 60
+    site.write_bad(TARGETS_KIND, "n1", "x")
+    await site.agree()
+    assert not vm.targets._missing
+
+
+async def test_a_writer_that_goes_on_is_told_once(site):
+    """An operator's disk fills with lines of one entry that changes all the time."""
+    vm = site.add("a")
+    site.write_good(TARGETS_KIND, "n1")
+    await site.agree()
+    for number in range(30):
+        site.write_bad(TARGETS_KIND, "n1", target_spec(seq=number, state="odd"))
+        site.write_bad(TARGETS_KIND, "n2", {"seq": number})
+        await asyncio.sleep(0.002)
+    site.write_good(TARGETS_KIND, "n3")
+    await site.agree()
+    assert sorted(vm.unusable(TARGETS_KIND)) == ["servers/n1", "servers/n2"]
+    assert vm.counted(TARGETS_KIND) == 2
+    site.write_good(TARGETS_KIND, "n1")
+    await site.agree()
+    site.write_bad(TARGETS_KIND, "n1", "x")
+    await site.agree()
+    assert vm.counted(TARGETS_KIND) == 3
+
+
+async def test_an_older_readable_entry_never_wins(site):
+    vm = site.add("a")
+    site.write_good(TARGETS_KIND, "n1")
+    await site.agree()
+    watcher = vm.watchers[TARGETS_KIND]
+    good = watcher._records["n1"]
+    site.write_bad(TARGETS_KIND, "n1", 7)
+    await site.agree()
+    watcher._take(good)
+    watcher._take_told(good, "n1", good.revision)
+    assert not vm.targets.entries
+
+
+async def test_an_object_without_a_name_is_told_once(site):
+    vm = site.add("a")
+    for number in range(3):
+        raw = b'{"metadata": {"name": "\xff%d", "revision": REVISION}}' % number
+        site.store.write_raw(TARGETS_KIND, "n1", raw)
+        site.write_good(TARGETS_KIND, "n2")
+        await site.agree()
+    site.store.forget_history()
+    site.write_good(TARGETS_KIND, "n3")
+    await site.agree()
+    assert vm.unusable(TARGETS_KIND) == [TARGETS_KIND]
+    assert vm.counted(TARGETS_KIND) == 1
+
+
+async def test_a_page_without_a_name_to_go_on_from_removes_nobody(site):
+    """All engines after a page of spoilt names were taken as gone.
+
+    The page was taken for the last one, and the listing for whole.
+    """
+    vm = site.add("a")
+    for name in ("n1", "n2", "n3"):
+        site.write_good(TARGETS_KIND, name)
+    await site.agree()
+    for name in ("n1", "n2"):
+        site.store.write_raw(TARGETS_KIND, name, b'{"metadata": 7}')
+    site.store.forget_history()
+    listed = await vm.client.list_all(TARGETS_KIND)
+    assert listed.is_err()
+    await asyncio.sleep(0.5)
+    assert "n3" in vm.targets.entries
+
+
+async def test_vms_that_are_told_see_the_same(site):
+    """Some VMs go on sending to an engine that the others left at once.
+
+    They don't watch the store themselves but are told by relays; what a relay could
+    not read it passed on to nobody, or it ended the task of who heard it.
+    """
+    site.write_good(TARGETS_KIND, "n1")
+    for name in "abcd":
+        site.add(name)
+    await site.agree()
+    told = [vm for vm in site.vms if not vm.relays.is_relay]
+    assert len(told) == 2
+    for kind in KINDS:
+        await site.until(lambda k=kind: all(vm.relays.vouched(k) for vm in told))
+        await site.until(lambda k=kind: not any(vm.watchers[k]._current for vm in told))
+    calls = len(site.store.calls)
+    for bad in ("x", {"service": 5}, target_spec(state="odd")):
+        site.write_bad(TARGETS_KIND, "n1", bad)
+        site.write_good(VERSIONS_KIND, "n1")
+        site.write_bad(VERSIONS_KIND, "n1", bad)
+        await site.agree()
+        site.write_good(TARGETS_KIND, "n1")
+        site.write_good(VERSIONS_KIND, "n1")
+        await site.agree()
+    for vm in site.vms:
+        assert vm.counted(TARGETS_KIND) == vm.counted(VERSIONS_KIND) == 3
+    # The told ones learned it from relays and not by calls of their own: two relays
+    # watch two kinds, and each answer ends one call.
+    assert len(site.store.calls) - calls <= 2 * 2 * 12
+
+
+async def test_what_a_relay_tells_and_nobody_can_read(site):
+    """A VM's handler fails, and the changes told beside the bad one are lost."""
+    a, b = site.add("a"), site.add("b")
+    await site.agree()
+    sender = b.mesh.myself
+    for body in ("{", "7", "null", '"ab"', "[1, 2, 3]", '{"a": 1}', "[" * 5000):
+        records = (
+            RelayedRecord("n1", 50, body),
+            RelayedRecord("n2", 51, '[{"x": 1}, null]'),
+            RelayedRecord("", 52, "[null, null]"),
+            RelayedRecord("n3", 53, f'[{{"model": "{MODEL}"}}, 5]'),
+        )
+        await a.relays._on_records(sender, RelayedRecords(TARGETS_KIND, 0, records))
+    assert not a.targets.entries
+    assert a.counted(TARGETS_KIND) == 4
+
+
+async def test_an_unreadable_vm_is_known_while_it_is_heard_and_mends_its_object(site):
+    """The VMs part from one another, and callers are sent to one VM only.
+
+    Another writer spoilt their objects; what each VM knew of the others was dropped.
+    A VM that started later never learned of those whose objects stayed spoilt.
+    """
+    a, b = site.add("a"), site.add("b")
+    for vm in (a, b):
+        vm.memberships.note_serving(True)
+        vm.memberships.start()
+        vm.memberships._mesh.heartbeat_changed()
+    await site.until(lambda: a.memberships.record_of("b") is not None)
+    good = site.store.spec(VMS_KIND, "b")
+    site.store.write(VMS_KIND, "b", "spoilt")
+    await site.until(lambda: a.counted(VMS_KIND) == 1)
+    assert a.memberships.record_of("b").vm == "b"
+    await site.until(lambda: site.store.spec(VMS_KIND, "b") == good)
+    c = site.add("c")
+    await site.until(lambda: c.memberships.record_of("b") is not None)
+    # An object of one VM that names another one puts no other in its place.
+    site.store.write(VMS_KIND, "z", good | {"caller_address": "10.9.9.9:1"})
+    await site.until(lambda: a.counted(VMS_KIND) == 2)
+    assert a.memberships.record_of("b").caller_address == good["caller_address"]
