End requests in a target that is lost, by proofs of two strengths

A request in an engine that died unseen waited until its caller's deadline: nothing closed its connection and nothing asked. Each attempt now follows the incarnation it was sent to. After 0.35 s of silence one probe for all asks on a fresh connection; a refusal or another start there ends what runs, two unanswered probes end only what may be repeated, and with the entry gone the rest too. Nothing is sent to a silent target before it showed that it is there, since what goes into a kept connection may have run.

--- a/hawthornlead/connection_pools.py
+++ b/hawthornlead/connection_pools.py
@@ -8,7 +8,7 @@
     pool.keep("10.128.0.9:8080", opened.ok_value.stream, 4.0)
 """
 
-import asyncio
+import errno
 import socket
 from collections import deque
 from typing import NamedTuple
@@ -16,6 +16,7 @@
 from result import Err, Ok, Result
 from tornado import iostream
 from tornado.tcpclient import TCPClient
+from tornado.util import TimeoutError as GaveUp
 
 from .errors import ErrorKind, Failure
 from .resolvers import NumberResolver
@@ -64,25 +65,30 @@
         return self._opened
 
     async def open(
-        self, address: str, fresh: bool = False
+        self, address: str, fresh: bool = False, within_s: float | None = None
     ) -> Result[OpenStream, Failure]:
         """Return an idle connection or a new one.
 
         Nothing has been sent when this fails, so its error is
-        ``TARGET_UNREACHABLE``. ``fresh`` True never reuses: a connection gone silent
-        says nothing of the process at its end, a new one does.
+        ``TARGET_UNREACHABLE``; it is ``refused`` if nobody listens. ``fresh`` True
+        never reuses: a connection gone silent says nothing of the process at its end, a
+        new one does. ``within_s`` is less than the pool's own time for it, if given.
         """
         stream = None if fresh else self._take(address)
         if stream is not None:
             return Ok(OpenStream(stream, True))
         host, _, port = address.rpartition(":")
         try:
-            stream = await asyncio.wait_for(
-                self._client.connect(host.strip("[]"), int(port)), self._connect_s
+            # The client closes what it tried when its time is out. Ended from outside,
+            # it would leave a socket open for each attempt at an address in the dark,
+            # for the minutes after which the system gives up.
+            stream = await self._client.connect(
+                host.strip("[]"), int(port), timeout=within_s or self._connect_s
             )
-        except (OSError, iostream.StreamClosedError, TimeoutError) as error:
+        except (OSError, iostream.StreamClosedError, GaveUp) as error:
             detail = f"no connection to {address}: {error or 'timeout'}"
-            return Err(Failure(ErrorKind.TARGET_UNREACHABLE, detail))
+            refused = _is_refused(error)
+            return Err(Failure(ErrorKind.TARGET_UNREACHABLE, detail, refused=refused))
         self._opened += 1
         stream.set_nodelay(True)
         stream.socket.setsockopt(
@@ -132,3 +138,10 @@
             stream.set_close_callback(None)
             return stream
         return None
+
+
+def _is_refused(error: Exception) -> bool:
+    cause = getattr(error, "real_error", None) or error
+    return isinstance(cause, ConnectionRefusedError) or (
+        getattr(cause, "errno", None) == errno.ECONNREFUSED
+    )
--- a/hawthornlead/errors.py
+++ b/hawthornlead/errors.py
@@ -136,6 +136,7 @@
     ``addresses`` names other entry addresses that may be tried. ``claim_read`` tells
     whether the claim on the request's idempotency key was read before this answer:
     what it says of the run is of this try, and only then of the key's others too.
+    ``refused`` tells that a connection was refused: nobody listens at that address.
     """
 
     kind: ErrorKind
@@ -143,6 +144,7 @@
     retry_after_s: float | None = None
     addresses: tuple[str, ...] = ()
     claim_read: bool = False
+    refused: bool = False
 
     @property
     def answer(self) -> Answer:
--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -93,6 +93,8 @@
     ADAPTER_NOT_READY = (524, "WARNING", "an ordered adapter did not arrive in time")
     REPORT_MISSING = (525, "INFO", "an engine's report could not be had")
     LOAD_TURNED_DOWN = (526, "INFO", "the owner of an engine can't load an adapter")
+    TARGET_LOST = (530, "WARNING", "a target counts as lost, by a proof")
+    TARGET_NOT_LOST = (531, "WARNING", "a target that counted as lost answers")
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
--- a/hawthornlead/gateway/forwards.py
+++ b/hawthornlead/gateway/forwards.py
@@ -112,7 +112,9 @@
         if ending is Ending.LEFT:
             self._report.caller_gone(target)
             return False
-        self._report.attempt_failed(target, ending.value, self._attempts.left_s)
+        self._report.attempt_failed(
+            target, ending.value, self._attempts.left_s, self._attempts.loss
+        )
         if ending is Ending.TOO_EARLY and not self._waited:
             # The adapter is a few milliseconds late, or the target is full. One more
             # try where it is about to be costs less than a load elsewhere.
@@ -160,12 +162,13 @@
     def _end_failed(self) -> None:
         """Answer a request that has run, or may have, without a whole answer."""
         if self._stream.begun:
-            self._report.cut("the target failed")
+            lost = self._attempts.loss is not None
+            self._report.cut("the target is lost" if lost else "the target failed")
             return
         if self._attempts.failed_answer is not None:
             self._report.answer(self._attempts.failed_answer)
             return
-        self._report.refuse(Failure(ErrorKind.TARGET_LOST, "the target failed"))
+        self._report.refuse(self._parts.losses.failure(self._attempts.loss))
 
     def _end_late(self) -> None:
         """Answer a request whose deadline has passed while a target had it."""
--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -42,6 +42,21 @@
             "Calls of the store by outcome",
             ["outcome"],
         )
+        self.losses = self._counter(
+            "hawthornlead_gateway_target_losses_total",
+            "Proofs that a target is lost, by proof",
+            ["proof"],
+        )
+        self.wrong_losses = self._counter(
+            "hawthornlead_gateway_wrong_losses_total",
+            "Proofs after which the same start of the target answered",
+            ["proof"],
+        )
+        self.probes = self._counter(
+            "hawthornlead_gateway_target_probes_total",
+            "Questions to silent targets by what they found",
+            ["found"],
+        )
         self.first_event = self._histogram(
             "hawthornlead_gateway_first_event_seconds",
             "From a request's arrival to its first event",
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -28,6 +28,8 @@
 from .target_connections import TargetConnections
 from .target_healths import TargetHealths
 from .target_loads import TargetLoads
+from .target_losses import TargetLosses
+from .target_probes import TargetProbes
 from .vm_leases import VmLease
 from .watch_relays import WatchRelays
 
@@ -68,6 +70,7 @@
         healths: TargetHealths,
         suspects: Suspects,
         deaths: CrashWatch,
+        losses: TargetLosses,
     ):
         self._settings = core.settings
         self._budgets: dict[str, Retries] = {}
@@ -82,6 +85,7 @@
         self.healths = healths
         self.suspects = suspects
         self.deaths = deaths
+        self.losses = losses
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
 
@@ -184,6 +188,17 @@
         timers=timers,
         events=core.events,
     )
+    losses = TargetLosses(
+        targets=known.targets,
+        probes=TargetProbes(
+            connections=known.connections, timers=timers, metrics=metrics
+        ),
+        connections=known.connections,
+        healths=known.healths,
+        timers=timers,
+        events=core.events,
+        metrics=metrics,
+    )
     placer = Placer(
         data_centre=core.settings["DATA_CENTRE"],
         targets=known.targets,
@@ -203,4 +218,5 @@
         healths=known.healths,
         suspects=suspects,
         deaths=deaths,
+        losses=losses,
     )
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -132,6 +132,7 @@
         self._lease.stop()
         self._memberships.stop()
         self._parts.deaths.stop()
+        self._parts.losses.stop()
         self._timers.stop()
         self._connections.close()
         self._client.close()
--- a/hawthornlead/gateway/request_reports.py
+++ b/hawthornlead/gateway/request_reports.py
@@ -6,7 +6,7 @@
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
 from .placers import Placed
-from .records import CallerRequest, TargetEntry
+from .records import CallerRequest, Loss, TargetEntry
 from .stream_relays import CallerStream, StreamRelay
 from .target_connections import WholeAnswer
 
@@ -54,13 +54,19 @@
         self._count("caller gone", "")
         self._emit(EventKind.CALLER_GONE, target=target, after_ms=after_ms)
 
-    def attempt_failed(self, target: str, ending: str, left_s: float) -> None:
-        """Note how an attempt failed; ``left_s`` is left of the deadline."""
+    def attempt_failed(
+        self, target: str, ending: str, left_s: float, loss: Loss | None
+    ) -> None:
+        """Note how an attempt failed, and by what its target is lost, if it is.
+
+        ``left_s`` is left of the deadline.
+        """
         self._parts.metrics.attempts.labels(ending).inc()
         self._emit(
             EventKind.ATTEMPT_FAILED,
             target=target,
             ending=ending,
+            proof=loss.value if loss is not None else None,
             sent=self.sent,
             ran=self.ran,
             left_ms=round(1000 * left_s),
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -8,10 +8,11 @@
 from .engine_slots import AdapterKey
 from .gateway_parts import GatewayParts
 from .placers import Placed
-from .records import CallerRequest, Route, RouteKind, TargetEntry
+from .records import CallerRequest, Loss, Route, RouteKind, TargetEntry
 from .request_reports import RequestReport
 from .stream_relays import CallerStream, StreamRelay
 from .target_connections import Exchange, WholeAnswer
+from .target_losses import Follower
 
 # What is left of a deadline must allow this much, else nothing is begun.
 LEAST_LEFT_S = 0.02
@@ -36,7 +37,8 @@
 class Attempts:
     """The attempts of one request, each at the target that it is handed.
 
-    ``failed_answer`` is the last whole answer that told of a failure and was kept back.
+    ``failed_answer`` is the last whole answer that told of a failure and was kept back,
+    ``loss`` the proof by which the last attempt's target was lost, if it was.
     """
 
     def __init__(
@@ -57,6 +59,7 @@
         self._deadline_at = deadline_at
         self._fingerprint = fingerprint
         self.failed_answer: WholeAnswer | None = None
+        self.loss: Loss | None = None
         self.last_event = ""
 
     @property
@@ -67,6 +70,11 @@
     async def make(self, route: Route, placed: Placed) -> Ending:
         """Send the request to a target and pass its answer on."""
         entry = placed.entry
+        losses = self._parts.losses
+        self.loss = None
+        reports = placed.key is not None
+        if not await losses.sound(entry, reports):
+            return Ending.UNREACHED
         opened = await self._parts.connections.open(entry.address)
         if opened.is_err():
             self._parts.healths.failed(entry.target, gone=True)
@@ -80,11 +88,13 @@
             return Ending.UNREACHED
         self._parts.loads.began(entry.target, placed.key)
         self._report.sent += 1
+        follower = losses.follow(entry, route.repeatable or route.resumable, reports)
         try:
             if route.kind is RouteKind.STREAMING:
-                return await self._stream_from(route, entry, exchange)
-            return await self._fetch_from(route, entry, exchange)
+                return await self._stream_from(route, entry, exchange, follower)
+            return await self._fetch_from(route, entry, exchange, follower)
         finally:
+            losses.unfollow(follower)
             self._parts.loads.ended(entry.target, placed.key)
 
     def _send(self, route: Route, entry: TargetEntry, exchange: Exchange, sink) -> None:
@@ -105,12 +115,12 @@
         )
 
     async def _fetch_from(
-        self, route: Route, entry: TargetEntry, exchange: Exchange
+        self, route: Route, entry: TargetEntry, exchange: Exchange, follower: Follower
     ) -> Ending:
         answer = WholeAnswer()
         sent_at = self._parts.timers.now()
-        self._send(route, entry, exchange, answer)
-        waiting = {exchange.ended, self._call.gone}
+        self._send(route, entry, exchange, follower.listen(answer))
+        waiting = {exchange.ended, self._call.gone, follower.lost}
         await asyncio.wait(
             waiting, timeout=self.left_s, return_when=asyncio.FIRST_COMPLETED
         )
@@ -118,6 +128,9 @@
             exchange.close()
             if self._call.left:
                 return Ending.LEFT
+            if follower.lost.done():
+                self.loss = follower.lost.result()
+                return Ending.LOST
             self._parts.healths.failed(entry.target)
             return Ending.LATE
         if answer.head is None or not exchange.whole:
@@ -145,14 +158,14 @@
         return Ending.DONE
 
     async def _stream_from(
-        self, route: Route, entry: TargetEntry, exchange: Exchange
+        self, route: Route, entry: TargetEntry, exchange: Exchange, follower: Follower
     ) -> Ending:
         relay = StreamRelay(self._stream, self._parts.timers.now)
         sent_at = self._parts.timers.now()
-        self._send(route, entry, exchange, relay)
-        waiting = {exchange.ended, self._call.gone}
+        self._send(route, entry, exchange, follower.listen(relay))
+        waiting = {exchange.ended, self._call.gone, follower.lost}
         silent = False
-        while not exchange.ended.done() and not self._call.left:
+        while not any(each.done() for each in waiting):
             left_s = self.left_s
             if left_s <= 0:
                 break
@@ -167,14 +180,24 @@
         if relay.first_at is not None:
             wait_ms = (relay.first_at - sent_at) * 1000
             self._parts.healths.answered(entry.target, wait_ms)
-        return self._end_stream(entry, exchange, relay)
+        return self._end_stream(entry, exchange, relay, follower)
 
     def _end_stream(
-        self, entry: TargetEntry, exchange: Exchange, relay: StreamRelay
+        self,
+        entry: TargetEntry,
+        exchange: Exchange,
+        relay: StreamRelay,
+        follower: Follower,
     ) -> Ending:
         if not exchange.ended.done():
+            # Closed before anything follows: a target that yet lives drops the run.
             exchange.close()
-            return Ending.LEFT if self._call.left else Ending.LATE
+            if self._call.left:
+                return Ending.LEFT
+            if follower.lost.done():
+                self.loss = follower.lost.result()
+                return Ending.BROKEN if relay.accepted else Ending.LOST
+            return Ending.LATE
         if relay.head is None:
             exchange.close()
             return self._note_lost(entry, exchange)
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -227,14 +227,15 @@
         return self._pool.opened
 
     async def open(
-        self, address: str, fresh: bool = False
+        self, address: str, fresh: bool = False, within_s: float | None = None
     ) -> Result[Exchange, Failure]:
         """Return an exchange on an idle connection, or on a new one.
 
         Nothing has been sent when this fails, so its error is
-        ``TARGET_UNREACHABLE``. ``fresh`` True never reuses.
+        ``TARGET_UNREACHABLE``. ``fresh`` True never reuses; ``within_s`` bounds the
+        time for a new one.
         """
-        opened = await self._pool.open(address, fresh)
+        opened = await self._pool.open(address, fresh, within_s)
         return opened.map(lambda stood: Exchange(self._pool, address, *stood))
 
     def forget(self, address: str) -> None:
--- /dev/null
+++ b/hawthornlead/gateway/target_probes.py
@@ -0,0 +1,102 @@
+"""Asking a silent target whether it is there: one question on a fresh connection.
+
+A kept connection that says nothing tells nothing of the process at its end; a new one
+does: a process that is gone refuses it, one that started again answers for another
+start, and behind a cut path, or in the dark, nothing comes back::
+
+    found = await probes.ask(entry)
+"""
+
+import asyncio
+import json
+from enum import Enum
+
+from ..platform.headers import control_headers
+from ..platform.targets import REPORT_PATH, read_report
+from ..timers import TimerService
+from .gateway_metrics import GatewayMetrics
+from .records import TargetEntry
+from .target_connections import Exchange, TargetConnections, WholeAnswer
+
+# A target takes a connection and tells its report within a few milliseconds; loss of
+# one packet costs a probe, which is why two in a row must go unanswered.
+PROBE_S = 0.25
+# A time-out that ends so much too late was held up by this VM itself, frozen or slow;
+# it tells nothing of the target.
+LAG_S = 0.1
+# A target that is not the one named answers so.
+ANOTHER_START = 421
+
+
+class Found(Enum):
+    """What one question has shown."""
+
+    ALIVE = "alive"
+    RESTARTED = "another start answers"
+    REFUSED = "connection refused"
+    NOTHING = "no answer"
+    UNKNOWN = "held up here"
+
+
+class TargetProbes:
+    """Asks targets whether they are there."""
+
+    def __init__(
+        self,
+        *,
+        connections: TargetConnections,
+        timers: TimerService,
+        metrics: GatewayMetrics,
+    ):
+        self._connections = connections
+        self._timers = timers
+        self._metrics = metrics
+
+    async def ask(self, entry: TargetEntry, reports: bool) -> Found:
+        """Ask once; a target without ``reports`` only by a connection.
+
+        A plain service has nothing to ask that needs no slot: that it takes a
+        connection shows that some process listens there, and no more.
+        """
+        began_at = self._timers.now()
+        found = await self._ask(entry, reports)
+        took_s = self._timers.now() - began_at
+        if found is Found.NOTHING and took_s > 2 * PROBE_S + LAG_S:
+            found = Found.UNKNOWN
+        self._metrics.probes.labels(found.value).inc()
+        return found
+
+    async def _ask(self, entry: TargetEntry, reports: bool) -> Found:
+        opened = await self._connections.open(entry.address, True, PROBE_S)
+        if opened.is_err():
+            return Found.REFUSED if opened.err_value.refused else Found.NOTHING
+        exchange = opened.ok_value
+        if not reports:
+            exchange.close()
+            return Found.ALIVE
+        return await self._read(entry, exchange)
+
+    async def _read(self, entry: TargetEntry, exchange: Exchange) -> Found:
+        answer = WholeAnswer()
+        headers = control_headers(entry.target)
+        headers["Host"] = entry.address
+        exchange.send("GET", REPORT_PATH, headers, b"", request_id="", sink=answer)
+        await asyncio.wait([exchange.ended], timeout=PROBE_S)
+        if answer.head is None or not exchange.whole:
+            exchange.close()
+            return Found.NOTHING
+        exchange.release()
+        if answer.head.status == ANOTHER_START:
+            return Found.RESTARTED
+        return _read_start(entry, answer.body)
+
+
+def _read_start(entry: TargetEntry, body: bytes) -> Found:
+    try:
+        started_ms = read_report(json.loads(body)).started_ms
+    except ValueError:
+        # What can't be read was still sent by a process under the id that was named.
+        return Found.ALIVE
+    if None in (started_ms, entry.started_ms) or started_ms <= entry.started_ms:
+        return Found.ALIVE
+    return Found.RESTARTED
--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -24,7 +24,8 @@
 
     Faults, one for each next request: "stray" answers another request first, "cut"
     breaks off after two events, "reset" breaks off before the answer, "fail" answers
-    500, "refuse" answers 503 unrun, "mute" never answers.
+    500, "refuse" answers 503 unrun, "mute" never answers. While ``silent`` it takes
+    connections and answers nothing on any of them, nor in a stream that it began.
     """
 
     def __init__(self, target: str, service: str, model: str = "", slots: int = 3):
@@ -48,6 +49,7 @@
         self.faults: deque[str] = deque()
         self.mute_orders = 0
         self.event_s = EVENT_S
+        self.silent = False
 
     def start(self, port: int = 0) -> None:
         """Listen on a port, or on one that the system chooses."""
@@ -80,7 +82,14 @@
     def _listed(self) -> list[str]:
         return [f"{name}@{version}" for name, version in self.adapters.items()]
 
+    def vanish(self) -> None:
+        """Refuse new connections from now on, and leave the open ones as they are."""
+        self._server.stop()
+
     async def _handle(self, call: CallerCall) -> None:
+        await self._wake(call)
+        if call.left:
+            return
         expected = call.headers.get("Expect-Instance", self.target)
         if expected != self.target:
             _answer(call, 421, b"", {"Instance-Id": self.target})
@@ -91,6 +100,11 @@
         else:
             await self._run(call)
 
+    async def _wake(self, call: CallerCall) -> None:
+        """Wait while the engine is silent, or until the caller left."""
+        while self.silent and not call.left:
+            await asyncio.sleep(0.01)
+
     def _report(self) -> dict:
         pending = [f"{self._model}/{a}@{v}" for a, v in self.arriving.items()]
         return {
@@ -168,6 +182,7 @@
         headers["Content-Type"] = "text/event-stream"
         for number in range(first + 1, EVENTS + 1):
             await asyncio.sleep(self.event_s)
+            await self._wake(call)
             if call.left:
                 self.cancelled.append(request_id)
                 return
