--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -11,8 +11,8 @@
 from .records import CallerRequest, Loss, Route, RouteKind, TargetEntry
 from .request_reports import RequestReport
 from .stream_relays import CallerStream, StreamRelay
+from .target_beliefs import Follower
 from .target_connections import Exchange, WholeAnswer
-from .target_losses import Follower
 
 # What is left of a deadline must allow this much, else nothing is begun.
 LEAST_LEFT_S = 0.02
@@ -72,8 +72,7 @@
         entry = placed.entry
         losses = self._parts.losses
         self.loss = None
-        reports = placed.key is not None
-        if not await losses.sound(entry, reports):
+        if not await losses.sound(entry):
             return Ending.UNREACHED
         opened = await self._parts.connections.open(entry.address)
         if opened.is_err():
@@ -88,7 +87,8 @@
             return Ending.UNREACHED
         self._parts.loads.began(entry.target, placed.key)
         self._report.sent += 1
-        follower = losses.follow(entry, route.repeatable or route.resumable, reports)
+        spec = self._parts.configuration.service(entry.service)
+        follower = losses.follow(entry, spec, route.repeatable or route.resumable)
         try:
             if route.kind is RouteKind.STREAMING:
                 return await self._stream_from(route, entry, exchange, follower)
--- a/hawthornlead/gateway/target_probes.py
+++ b/hawthornlead/gateway/target_probes.py
@@ -15,7 +15,7 @@
 from ..platform.targets import REPORT_PATH, read_report
 from ..timers import TimerService
 from .gateway_metrics import GatewayMetrics
-from .records import TargetEntry
+from .records import ServiceSpec, TargetEntry
 from .target_connections import Exchange, TargetConnections, WholeAnswer
 
 # A target takes a connection and tells its report within a few milliseconds; loss of
@@ -25,7 +25,7 @@
 # it tells nothing of the target.
 LAG_S = 0.1
 # A target that is not the one named answers so.
-ANOTHER_START = 421
+ANOTHER_ID = 421
 
 
 class Found(Enum):
@@ -52,43 +52,65 @@
         self._timers = timers
         self._metrics = metrics
 
-    async def ask(self, entry: TargetEntry, reports: bool) -> Found:
-        """Ask once; a target without ``reports`` only by a connection.
+    async def ask(self, entry: TargetEntry, spec: ServiceSpec) -> Found:
+        """Ask once; a target that isn't an engine only by a connection.
 
         A plain service has nothing to ask that needs no slot: that it takes a
         connection shows that some process listens there, and no more.
         """
         began_at = self._timers.now()
-        found = await self._ask(entry, reports)
+        found = await self._ask(entry, spec)
         took_s = self._timers.now() - began_at
         if found is Found.NOTHING and took_s > 2 * PROBE_S + LAG_S:
             found = Found.UNKNOWN
         self._metrics.probes.labels(found.value).inc()
         return found
 
-    async def _ask(self, entry: TargetEntry, reports: bool) -> Found:
+    async def identify(self, entry: TargetEntry, spec: ServiceSpec) -> Found:
+        """Ask a target that answers again whether it is still the one that it was.
+
+        Reports go out under any id. The health answer, which may have to wait for a
+        slot, is given under the id that is asked for only; a target that started just
+        now has slots to spare. Without an answer it counts as the same.
+        """
+        opened = await self._connections.open(entry.address, within_s=PROBE_S)
+        if opened.is_err():
+            return Found.ALIVE
+        answer = await self._get(entry, opened.ok_value, spec.health_path)
+        if answer is None or answer.head.status != ANOTHER_ID:
+            return Found.ALIVE
+        self._metrics.probes.labels(Found.RESTARTED.value).inc()
+        return Found.RESTARTED
+
+    async def _ask(self, entry: TargetEntry, spec: ServiceSpec) -> Found:
         opened = await self._connections.open(entry.address, True, PROBE_S)
         if opened.is_err():
             return Found.REFUSED if opened.err_value.refused else Found.NOTHING
         exchange = opened.ok_value
-        if not reports:
+        if spec.engine is None:
             exchange.close()
             return Found.ALIVE
-        return await self._read(entry, exchange)
+        answer = await self._get(entry, exchange, REPORT_PATH)
+        if answer is None:
+            return Found.NOTHING
+        if answer.head.status == ANOTHER_ID:
+            return Found.RESTARTED
+        return _read_start(entry, answer.body)
 
-    async def _read(self, entry: TargetEntry, exchange: Exchange) -> Found:
+    async def _get(
+        self, entry: TargetEntry, exchange: Exchange, path: str
+    ) -> WholeAnswer | None:
+        """Return the answer of a target on its own interface, None if none came."""
         answer = WholeAnswer()
         headers = control_headers(entry.target)
         headers["Host"] = entry.address
-        exchange.send("GET", REPORT_PATH, headers, b"", request_id="", sink=answer)
+        exchange.send("GET", path, headers, b"", request_id="", sink=answer)
         await asyncio.wait([exchange.ended], timeout=PROBE_S)
         if answer.head is None or not exchange.whole:
             exchange.close()
-            return Found.NOTHING
+            return None
         exchange.release()
-        if answer.head.status == ANOTHER_START:
-            return Found.RESTARTED
-        return _read_start(entry, answer.body)
+        return answer
 
 
 def _read_start(entry: TargetEntry, body: bytes) -> Found:
--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -25,7 +25,8 @@
     Faults, one for each next request: "stray" answers another request first, "cut"
     breaks off after two events, "reset" breaks off before the answer, "fail" answers
     500, "refuse" answers 503 unrun, "mute" never answers. While ``silent`` it takes
-    connections and answers nothing on any of them, nor in a stream that it began.
+    connections and answers nothing on any of them, nor in a stream that it began. With
+    ``report_to_any`` it tells its report also to who asks for another id.
     """
 
     def __init__(self, target: str, service: str, model: str = "", slots: int = 3):
@@ -50,6 +51,7 @@
         self.mute_orders = 0
         self.event_s = EVENT_S
         self.silent = False
+        self.report_to_any = False
 
     def start(self, port: int = 0) -> None:
         """Listen on a port, or on one that the system chooses."""
@@ -91,10 +93,14 @@
         if call.left:
             return
         expected = call.headers.get("Expect-Instance", self.target)
+        if self.report_to_any and call.path == "/v1/report":
+            expected = self.target
         if expected != self.target:
             _answer(call, 421, b"", {"Instance-Id": self.target})
         elif call.path == "/v1/report":
             _answer(call, 200, json.dumps(self._report()).encode(), {})
+        elif call.path == "/health":
+            _answer(call, 200, b"", {"Instance-Id": self.target})
         elif call.path == "/v1/order":
             await self._order(call)
         else:
--- a/hawthornlead/tests/test_target_losses.py
+++ b/hawthornlead/tests/test_target_losses.py
@@ -113,7 +113,7 @@
 
 
 async def test_a_request_that_may_not_be_repeated_waits_for_an_engine_that_may_live():
-    """An engine freezes for two seconds; its answers come after all.
+    """A VM is cut off from all engines for two seconds; their answers come after all.
 
     A request that may run only once would gain nothing by an early end, and would lose
     the answer that its engine yet gives. The wrong proof is counted.
@@ -133,6 +133,51 @@
         await deployment.until(lambda: wrong(deployment, "answers no calls") == 1)
 
 
+async def test_silence_for_long_ends_a_request_while_other_targets_are_heard():
+    """A caller waits 3 s for an engine in the dark though all others are heard.
+
+    Its request may have run, so that nothing else can follow; it is told so at once.
+    """
+    async with Deployment(vms=1) as deployment:
+        for engine in deployment.engines:
+            engine.faults.append("mute")
+        asking = asyncio.create_task(asked_in(deployment, "/stream/x", Model=MODEL))
+        dark = await begun(deployment)
+        dark.silent = True
+        while not asking.done():
+            assert (await deployment.ask("/safe/x", method="GET")).status == 200
+            await asyncio.sleep(0.1)
+        answer, took_s = await asking
+        assert answer.status == 502
+        assert "Retry-After" in answer.headers
+        assert took_s < SOON_S
+        assert sum(len(engine.ran) for engine in deployment.engines) == 1
+
+
+async def test_an_engine_that_answers_again_under_another_id_is_known_as_lost():
+    """An engine is dark for a second and back under another id, at its address.
+
+    Its report goes out whoever is asked for; the request of before waited on, as if the
+    engine that answers were the one that runs it.
+    """
+    async with Deployment(vms=1) as deployment:
+        for engine in deployment.engines:
+            engine.faults.append("mute")
+            engine.report_to_any = True
+        asking = asyncio.create_task(asked_in(deployment, "/stream/x", Model=MODEL))
+        dark = await begun(deployment)
+        dark.silent = True
+        await asyncio.sleep(1.0)
+        assert not asking.done()
+        dark.target = "another-start"
+        dark.silent = False
+        back_at = time.monotonic()
+        answer, _ = await asking
+        assert answer.status == 502
+        assert time.monotonic() - back_at < 1.0
+        assert wrong(deployment, "answers no calls") == 0
+
+
 async def test_both_weak_proofs_together_end_what_may_not_be_repeated():
     async with Deployment(vms=1) as deployment:
         for engine in deployment.engines:
