--- a/hawthornlead/gateway/target_losses.py
+++ b/hawthornlead/gateway/target_losses.py
@@ -77,12 +77,13 @@
         run for all that is known, and can't go elsewhere; one that waits for the
         answer to a probe that all share has surely not left.
         """
-        self._note_address(entry)
         belief = self._beliefs.get(entry.incarnation)
-        if belief is None or not belief.doubtful:
-            return True
-        found = await self._ask(belief)
-        return found in (Found.ALIVE, Found.UNKNOWN)
+        if belief is not None and belief.doubtful:
+            found = await self._ask(belief)
+            if found not in (Found.ALIVE, Found.UNKNOWN):
+                return False
+        self._note_address(entry)
+        return True
 
     def follow(
         self, entry: TargetEntry, spec: ServiceSpec, may_repeat: bool
@@ -181,6 +182,8 @@
     def _take_alive(self, belief: Belief) -> None:
         wrong = belief.proof
         if wrong is not None:
+            # It counts as suspect for its silence only, which is over.
+            self._healths.answered(belief.entry.target, 0.0)
             self._metrics.wrong_losses.labels(wrong.value).inc()
             self._events.emit(
                 EventKind.TARGET_NOT_LOST,
--- a/hawthornlead/gateway/target_probes.py
+++ b/hawthornlead/gateway/target_probes.py
@@ -35,7 +35,7 @@
     RESTARTED = "another start answers"
     REFUSED = "connection refused"
     NOTHING = "no answer"
-    UNKNOWN = "held up here"
+    UNKNOWN = "not known"
 
 
 class TargetProbes:
@@ -70,17 +70,16 @@
         """Ask a target that answers again whether it is still the one that it was.
 
         Reports go out under any id. The health answer, which may have to wait for a
-        slot, is given under the id that is asked for only; a target that started just
-        now has slots to spare. Without an answer it counts as the same.
+        slot, is given under its own id only. Without one it stays unknown which start
+        it is; a request may be sent to it, since another start refuses it unrun.
         """
         opened = await self._connections.open(entry.address, within_s=PROBE_S)
-        if opened.is_err():
-            return Found.ALIVE
-        answer = await self._get(entry, opened.ok_value, spec.health_path)
-        if answer is None or answer.head.status != ANOTHER_ID:
-            return Found.ALIVE
-        self._metrics.probes.labels(Found.RESTARTED.value).inc()
-        return Found.RESTARTED
+        found = Found.UNKNOWN
+        if opened.is_ok():
+            answer = await self._get(entry, opened.ok_value, spec.health_path)
+            found = _read_id(entry, answer)
+        self._metrics.probes.labels(found.value).inc()
+        return found
 
     async def _ask(self, entry: TargetEntry, spec: ServiceSpec) -> Found:
         opened = await self._connections.open(entry.address, True, PROBE_S)
@@ -113,6 +112,15 @@
         return answer
 
 
+def _read_id(entry: TargetEntry, answer: WholeAnswer | None) -> Found:
+    if answer is None:
+        return Found.UNKNOWN
+    said = answer.head.signs.target
+    if answer.head.status == ANOTHER_ID or said not in ("", entry.target):
+        return Found.RESTARTED
+    return Found.ALIVE if said else Found.UNKNOWN
+
+
 def _read_start(entry: TargetEntry, body: bytes) -> Found:
     try:
         started_ms = read_report(json.loads(body)).started_ms
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -57,7 +57,8 @@
 class AnswerSigns(NamedTuple):
     """What the headers of a target's answer say beside its content.
 
-    ``idle_s`` is how long the target keeps the connection open, None if unsaid.
+    ``idle_s`` is how long the target keeps the connection open, None if unsaid;
+    ``target`` is the id that it gives itself, empty if it gives none.
     """
 
     request_id: str
@@ -65,6 +66,7 @@
     not_run: bool
     closes: bool
     idle_s: float | None
+    target: str
 
 
 def read_caller_request(headers: HTTPHeaders) -> CallerRequest:
@@ -144,6 +146,7 @@
         not_run=NOT_RUN in headers or status == 421,
         closes=headers.get("Connection", "").lower() == "close",
         idle_s=_keep_alive(headers.get("Keep-Alive", "")),
+        target=headers.get(TARGET_ID, ""),
     )
 
 
