Hold no request up at a target that was asked in vain just now

Each request that was placed at a target in the dark waited 0.25 s for a probe of its own time. An answer of the last 0.4 s does for all. A start that is over by the watch is forgotten with its requests; guards for a thawing VM have their tests.

--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -72,7 +72,8 @@
         entry = placed.entry
         losses = self._parts.losses
         self.loss = None
-        if not await losses.sound(entry):
+        spec = self._parts.configuration.service(entry.service)
+        if spec is None or not await losses.sound(entry):
             return Ending.UNREACHED
         opened = await self._parts.connections.open(entry.address)
         if opened.is_err():
@@ -87,7 +88,6 @@
             return Ending.UNREACHED
         self._parts.loads.began(entry.target, placed.key)
         self._report.sent += 1
-        spec = self._parts.configuration.service(entry.service)
         follower = losses.follow(entry, spec, route.repeatable or route.resumable)
         try:
             if route.kind is RouteKind.STREAMING:
--- a/hawthornlead/gateway/target_beliefs.py
+++ b/hawthornlead/gateway/target_beliefs.py
@@ -27,6 +27,7 @@
 class Belief:
     """What this VM has seen of one incarnation that it sends requests to.
 
+    ``ask_at`` is when it may be asked next and ``found_at`` when it was last;
     ``missed`` counts the probes in a row that went unanswered, ``path_whole`` tells
     whether other targets were heard since the first of them.
     """
@@ -38,6 +39,7 @@
         self.followers: set[Follower] = set()
         self.waits_since = self.heard_at = now()
         self.ask_at = 0.0
+        self.found_at = 0.0
         self.missed = 0
         self.missed_at = 0.0
         self.path_whole = False
--- a/hawthornlead/gateway/target_losses.py
+++ b/hawthornlead/gateway/target_losses.py
@@ -79,6 +79,8 @@
         """
         belief = self._beliefs.get(entry.incarnation)
         if belief is not None and belief.doubtful:
+            if belief.proof and self._timers.now() - belief.found_at < AGAIN_S:
+                return False
             found = await self._ask(belief)
             if found not in (Found.ALIVE, Found.UNKNOWN):
                 return False
@@ -159,7 +161,7 @@
     # What is believed
 
     def _take(self, belief: Belief, found: Found, asked_at: float) -> None:
-        now = self._timers.now()
+        now = belief.found_at = self._timers.now()
         belief.ask_at = now + AGAIN_S
         if found is Found.ALIVE:
             self._take_alive(belief)
@@ -204,13 +206,13 @@
         belief = self._beliefs.get(incarnation)
         if belief is None:
             return
-        if loss is not Loss.ENTRY_GONE:
-            self._prove(belief, loss)
-            return
         belief.entry_gone = True
         if not belief.followers:
             self._drop(belief)
             return
+        if loss is not Loss.ENTRY_GONE:
+            self._prove(belief, loss)
+            return
         # Some engines leave without a word and serve on, so this alone ends nothing.
         self._lose(belief, loss)
         self._tasks.spawn(self._ask(belief))
--- a/hawthornlead/tests/test_target_losses.py
+++ b/hawthornlead/tests/test_target_losses.py
@@ -2,8 +2,17 @@
 
 import asyncio
 import time
+from unittest.mock import Mock
 
+from prometheus_client import CollectorRegistry
+
+from hawthornlead.gateway.gateway_metrics import GatewayMetrics
+from hawthornlead.gateway.records import Loss, ServiceSpec, TargetEntry
+from hawthornlead.gateway.target_healths import TargetHealths
+from hawthornlead.gateway.target_losses import TargetLosses
+from hawthornlead.gateway.target_probes import Found
 from hawthornlead.platform.objects import TARGETS_KIND
+from hawthornlead.timers import ManualTimerService
 
 from .gateways import MODEL, Deployment
 
@@ -260,3 +269,85 @@
         answer, took_s = await asking
         assert answer.status == 200
         assert took_s < SOON_S
+
+
+ENTRY = TargetEntry("e1", "llm", "127.0.0.1:9", "gijon", 4, False, None, (), 1)
+SPEC = ServiceSpec("llm", "/health", 9, None)
+
+
+class Probes:
+    """Answers probes from a list, and counts them."""
+
+    def __init__(self, *found):
+        self._found = list(found)
+        self.asked = 0
+
+    async def ask(self, entry, spec):
+        """Give the next answer; the last one stands."""
+        self.asked += 1
+        return self._found.pop(0) if len(self._found) > 1 else self._found[0]
+
+
+class Watched:
+    """Losses on time moved by hand; targets, connections and events do nothing."""
+
+    def __init__(self, *found):
+        self.timers = ManualTimerService()
+        self.probes = Probes(*found)
+        self.losses = TargetLosses(
+            targets=Mock(),
+            probes=self.probes,
+            connections=Mock(),
+            healths=TargetHealths(timers=self.timers),
+            timers=self.timers,
+            events=Mock(),
+            metrics=GatewayMetrics(CollectorRegistry()),
+        )
+
+    def follow(self, may_repeat, entry=ENTRY):
+        """Follow a target with one request."""
+        return self.losses.follow(entry, SPEC, may_repeat)
+
+
+async def test_a_vm_that_thaws_does_not_take_its_targets_for_silent():
+    """After a freeze of 3 s a VM ends all requests that it may repeat.
+
+    No byte came while it stood still, and none was read yet when its timers went on.
+    """
+    watched = Watched(Found.NOTHING)
+    follower = watched.follow(may_repeat=True)
+    await asyncio.sleep(0)
+    watched.timers._now += 3.0
+    await watched.timers.advance(0.0)
+    assert watched.probes.asked == 0
+    assert not follower.lost.done()
+    await watched.timers.advance(2.0)
+    assert follower.lost.result() is Loss.UNANSWERED
+
+
+async def test_one_unanswered_probe_ends_nothing():
+    watched = Watched(Found.NOTHING, Found.ALIVE)
+    follower = watched.follow(may_repeat=True)
+    await asyncio.sleep(0)
+    await watched.timers.advance(1.5)
+    assert watched.probes.asked == 2
+    assert not follower.lost.done()
+
+
+async def test_a_target_that_was_asked_in_vain_just_now_holds_no_request_up():
+    watched = Watched(Found.NOTHING)
+    watched.follow(may_repeat=True)
+    await asyncio.sleep(0)
+    await watched.timers.advance(1.0)
+    asked = watched.probes.asked
+    assert not await watched.losses.sound(ENTRY)
+    assert watched.probes.asked == asked
+
+
+async def test_a_start_that_is_over_by_the_watch_ends_all_requests_there():
+    watched = Watched(Found.ALIVE)
+    follower = watched.follow(may_repeat=False)
+    watched.losses._on_lost(ENTRY.incarnation, Loss.RESTARTED)
+    assert follower.lost.result() is Loss.RESTARTED
+    watched.losses.unfollow(follower)
+    assert not watched.losses._beliefs
