Merge requests in lost engines; trust no relay that the store turns away

Cause, from the logs: a relay's open watch looked fresh for 3.8 s after the store was out of its reach, its word was kept for 1.1 s more, and only then the others listed for themselves; the bound is 2 s. Ruled out: the mesh (words came all the while) and the watch of the others (their listing took milliseconds).

A relay vouches only while the store has served it within 0.8 s, asks it when nothing came for 0.45 s, and a word without a kind takes back what was vouched for. An answer that turns the VM away counts as none. Besides: an object that was removed isn't brought back by an older change told late.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -99,6 +99,8 @@
         "WARNING",
         "an engine took an order that its owner did not count",
     )
+    TARGET_LOST = (530, "WARNING", "a target counts as lost, by a proof")
+    TARGET_NOT_LOST = (531, "WARNING", "a target that counted as lost answers")
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
--- a/hawthornlead/gateway/engine_calls.py
+++ b/hawthornlead/gateway/engine_calls.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Failure
+from ..platform.fields import decode
 from ..platform.headers import control_headers
 from ..platform.targets import (
     ORDER_PATH,
@@ -45,7 +46,7 @@
         if status != 200:
             return Err(Failure(ErrorKind.TARGET_REFUSED, f"report answered {status}"))
         try:
-            return Ok(read_report(json.loads(body)))
+            return Ok(read_report(decode(body)))
         except ValueError as error:
             return Err(Failure(ErrorKind.WRONG_ANSWER, f"report: {error}"))
 
--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -15,12 +15,14 @@
 from ..errors import ErrorKind, Failure
 from ..platform.fields import decode
 from ..platform.objects import (
+    CONFIGURATION_KIND,
     list_path,
     object_body,
     object_path,
     read_changes,
     read_page,
     read_record,
+    stale_object_path,
     watch_path,
 )
 from ..resolvers import NumberResolver
@@ -34,6 +36,11 @@
 # How much longer than its wait a watch may take before its connection counts as dead.
 WATCH_SLACK_S = 0.8
 MAX_CALLS = 64
+# Answers of a store that is there and serves nothing, or not this VM.
+TURNED_AWAY = frozenset((429, 503))
+# The cheapest object to ask for: the operator keeps one configuration, and an answer
+# that it isn't there is an answer too.
+ASKED_FOR = (CONFIGURATION_KIND, "asked-for")
 MAX_LIST_BYTES = 1 << 26
 
 
@@ -60,7 +67,7 @@
 
     @property
     def answered_at(self) -> float:
-        """When a call was last answered, in seconds of the ``TimerService``."""
+        """When a call was last served, in seconds of the ``TimerService``."""
         return self._answered_at
 
     def close(self) -> None:
@@ -77,6 +84,10 @@
             return Ok(None)
         return _parsed(status, body, read_record)
 
+    async def ask(self) -> None:
+        """Ask for an object that need not be there; ``answered_at`` tells if it was."""
+        await self._call("GET", stale_object_path(*ASKED_FOR))
+
     async def create(
         self, kind: str, name: str, spec: dict
     ) -> Result[StoredRecord, Failure]:
@@ -152,10 +163,12 @@
         except (HTTPClientError, OSError) as error:
             self._count("unanswered")
             return Err(_unavailable(str(error) or type(error).__name__))
-        self._answered_at = self._timers.now()
+        answered_at = self._timers.now()
+        if response.code not in TURNED_AWAY:
+            self._answered_at = answered_at
         self._count(str(response.code))
         if self._metrics is not None and "watch=" not in path:
-            self._metrics.store_time.observe(self._answered_at - sent_at)
+            self._metrics.store_time.observe(answered_at - sent_at)
         return Ok((response.code, response.body))
 
     def _count(self, outcome: str) -> None:
--- a/hawthornlead/gateway/watch_relays.py
+++ b/hawthornlead/gateway/watch_relays.py
@@ -19,10 +19,20 @@
     RelayWord,
 )
 from ..platform.objects import content_body, read_content
+from ..tasks import TaskSet
 from ..timers import TimerService
 from .memberships import Memberships
 from .records import StoredRecord
-
+from .store_clients import StoreClient
+
+# A relay whose store answered none of its calls for so long vouches for nothing. Its
+# watches may wait WAIT_S for an answer and look well meanwhile, while the store is out
+# of its reach: with the next word and a listing the others know of a change within
+# 1.5 s, of the 2 s in which a leaving target must be heeded; else it took up to 5 s.
+STORE_HEARD_S = 0.8
+# After so long without an answer the store is asked; most often targets' heartbeats
+# have brought one before.
+ASK_STORE_S = 0.45
 # Two, so that one may freeze, leave or lose the store without a gap.
 RELAYS = 2
 WORD_S = 0.4
@@ -37,6 +47,9 @@
 FETCHED_BYTES = 200_000
 
 
+NEVER = float("-inf")
+
+
 class _Heard:
     """What was heard of one relay and kind."""
 
@@ -57,8 +70,15 @@
     """
 
     def __init__(
-        self, *, memberships: Memberships, mesh: PeerMesh, timers: TimerService
+        self,
+        *,
+        memberships: Memberships,
+        mesh: PeerMesh,
+        timers: TimerService,
+        client: StoreClient,
     ):
+        self._client = client
+        self._tasks = TaskSet()
         self._memberships = memberships
         self._mesh = mesh
         self._timers = timers
@@ -168,13 +188,20 @@
     def _tell_word(self) -> None:
         if not self.is_relay:
             return
+        unanswered_s = self._timers.now() - self._client.answered_at
+        if unanswered_s > ASK_STORE_S:
+            self._tasks.spawn_once("ask", self._client.ask)
         kinds = []
         for kind, fresh in self._fresh.items():
-            if fresh():
+            if unanswered_s <= STORE_HEARD_S and fresh():
                 kinds.append(RelayedKind(kind, self._serials[kind]))
         self._mesh.broadcast(RelayWord(tuple(kinds)))
 
     async def _on_word(self, sender, message: RelayWord) -> None:
+        vouched_for = {kind for kind, _ in message.kinds}
+        for kind, heard_of in self._heard.items():
+            if kind not in vouched_for and sender.incarnation in heard_of:
+                heard_of[sender.incarnation].at = NEVER
         for kind, serial in message.kinds:
             heard = self._heard[kind].setdefault(sender.incarnation, _Heard())
             heard.at = self._timers.now()
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -28,6 +28,8 @@
 LATER_RETRY_S = 0.9
 # How often a VM that is told looks whether it still is.
 TOLD_LOOK_S = 0.2
+# A change that was passed on comes within a second; so many objects don't go in one.
+REMOVED_KEPT = 1000
 _NOTHING = object()
 _UNREADABLE = object()
 
@@ -83,6 +85,9 @@
         self._answered_at = 0.0
         self._skipped = False
         self._revisions: dict[str, int] = {}
+        # The revisions at which objects went: an older change, told late by another
+        # relay, must not bring them back.
+        self._removed: dict[str, int] = {}
         self._revision = 0
         self._listed = False
         self._answering = True
@@ -220,6 +225,8 @@
         """Put a change in force; False if it is old, or changes nothing of note."""
         if record.revision <= self._revisions.get(record.name, -1):
             return False
+        if record.revision <= self._removed.get(record.name, -1):
+            return False
         self._revisions[record.name] = record.revision
         self._records[record.name] = record
         try:
@@ -266,6 +273,9 @@
         if known is None or revision < known:
             return False
         del self._revisions[name]
+        self._removed[name] = revision
+        if len(self._removed) > REMOVED_KEPT:
+            del self._removed[next(iter(self._removed))]
         self._essences.pop(name, None)
         self._records.pop(name, None)
         self._on_deleted(name)
--- a/hawthornlead/platform/objects.py
+++ b/hawthornlead/platform/objects.py
@@ -44,6 +44,11 @@
     return f"{list_path(kind)}/{quote(name, safe='')}"
 
 
+def stale_object_path(kind: str, name: str) -> str:
+    """Return the path of one object as it was seconds ago, at a tenth of the price."""
+    return f"{object_path(kind, name)}?allowStale=1"
+
+
 def object_body(name: str, spec: dict, revision: int | None) -> dict[str, Any]:
     """Return the body that creates an object, or replaces it at a revision."""
     metadata: dict[str, Any] = {"name": name}
--- a/hawthornlead/tests/following_vms.py
+++ b/hawthornlead/tests/following_vms.py
@@ -68,7 +68,10 @@
             events=self.events,
         )
         self.relays = WatchRelays(
-            memberships=self.memberships, mesh=self.mesh, timers=timers
+            memberships=self.memberships,
+            mesh=self.mesh,
+            timers=timers,
+            client=self.client,
         )
         self.targets = KnownTargets(
             memberships=self.memberships, timers=timers, events=self.events
--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -25,7 +25,9 @@
 
     Faults, one for each next request: "stray" answers another request first, "cut"
     breaks off after two events, "reset" breaks off before the answer, "fail" answers
-    500, "refuse" answers 503 unrun, "mute" never answers.
+    500, "refuse" answers 503 unrun, "mute" never answers. While ``silent`` it takes
+    connections and answers nothing on any of them, nor in a stream that it began. With
+    ``report_to_any`` it tells its report also to who asks for another id.
 
     ``restart`` begins another incarnation under the same id; ``born`` is the start
     that it tells, None for a platform that tells none. ``late_orders`` of the next
@@ -58,6 +60,8 @@
         self.load_s = LOAD_S
         self.born: int | None = BORN_MS
         self.starts = 1
+        self.silent = False
+        self.report_to_any = False
 
     def start(self, port: int = 0) -> None:
         """Listen on a port, or on one that the system chooses."""
@@ -113,17 +117,33 @@
     def _listed(self) -> list[str]:
         return [f"{name}@{version}" for name, version in self.adapters.items()]
 
+    def vanish(self) -> None:
+        """Refuse new connections from now on, and leave the open ones as they are."""
+        self._server.stop()
+
     async def _handle(self, call: CallerCall) -> None:
+        await self._wake(call)
+        if call.left:
+            return
         expected = call.headers.get("Expect-Instance", self.target)
+        if self.report_to_any and call.path == "/v1/report":
+            expected = self.target
         if expected != self.target:
             _answer(call, 421, b"", {"Instance-Id": self.target})
         elif call.path == "/v1/report":
             _answer(call, 200, json.dumps(self._report()).encode(), {})
+        elif call.path == "/health":
+            _answer(call, 200, b"", {"Instance-Id": self.target})
         elif call.path == "/v1/order":
             await self._order(call)
         else:
             await self._run(call)
 
+    async def _wake(self, call: CallerCall) -> None:
+        """Wait while the engine is silent, or until the caller left."""
+        while self.silent and not call.left:
+            await asyncio.sleep(0.01)
+
     def _report(self) -> dict:
         pending = [f"{self._model}/{a}@{v}" for a, v in self.arriving.items()]
         return self._with_start(
@@ -211,6 +231,7 @@
         headers["Content-Type"] = "text/event-stream"
         for number in range(first + 1, EVENTS + 1):
             await asyncio.sleep(self.event_s)
+            await self._wake(call)
             if call.left:
                 self.cancelled.append(request_id)
                 return
--- a/hawthornlead/tests/test_watchers.py
+++ b/hawthornlead/tests/test_watchers.py
@@ -1,5 +1,6 @@
 """Tests of following the store's objects, alone and through relays."""
 
+import asyncio
 from random import Random
 
 import pytest
@@ -38,7 +39,10 @@
             events=events,
         )
         self.relays = WatchRelays(
-            memberships=memberships, mesh=self.mesh, timers=timers
+            memberships=memberships,
+            mesh=self.mesh,
+            timers=timers,
+            client=self.client,
         )
         self.seen = {}
         self.changes = []
@@ -230,3 +234,83 @@
     follower.start()
     await until(lambda: follower.seen == {"t0": 10, "t2": 2, "t3": 3, "t4": 14})
     follower.stop()
+
+
+async def test_a_relay_that_is_turned_away_is_not_trusted(store):
+    """Requests go to an engine for 5 s after it said that it leaves.
+
+    The store stopped answering the two VMs that watch for all others, silently. Their
+    open watches looked well until their own time was over, and until then the two
+    vouched that nothing had changed.
+    """
+    timers = TimerService()
+    network = LocalNetwork(timers)
+    store.write("things", "t", {"n": 1})
+    followers = [Follower(network, timers, store, name) for name in "abcd"]
+    for follower in followers:
+        follower.start()
+    told = [f for f in followers if not f.relays.is_relay]
+    await until(lambda: all(f.relays.vouched("things") for f in told))
+
+    async def unanswered(*args, **kwargs):
+        await asyncio.sleep(3600)
+
+    relays = [f for f in followers if f.relays.is_relay]
+    for relay in relays:
+        relay.client._client.fetch = unanswered
+    await until(lambda: not any(f.relays.vouched("things") for f in told))
+    assert all(relay.watcher._is_fresh() for relay in relays)
+    store.write("things", "t", {"n": 2})
+    await until(lambda: all(f.seen == {"t": 2} for f in told))
+    for follower in followers:
+        follower.stop()
+
+
+async def test_a_word_without_a_kind_takes_back_what_was_vouched_for(store):
+    timers = TimerService()
+    network = LocalNetwork(timers)
+    a = Follower(network, timers, store, "a")
+    b = Follower(network, timers, store, "b")
+    sender = b.mesh.myself
+    await a.relays._on_word(sender, RelayWord((("things", 4),)))
+    a.relays.caught_up("things", timers.now())
+    assert a.relays.vouched("things")
+    await a.relays._on_word(sender, RelayWord(()))
+    assert not a.relays.vouched("things")
+    await a.relays._on_word(sender, RelayWord((("things", 4),)))
+    assert a.relays.vouched("things")
+    a.stop()
+    b.stop()
+
+
+async def test_a_store_that_turns_this_vm_away_has_not_answered_it(store):
+    timers = TimerService()
+    follower = Follower(LocalNetwork(timers), timers, store, "a")
+    await follower.client.ask()
+    answered_at = follower.client.answered_at
+    store.fault = "busy"
+    await follower.client.ask()
+    assert follower.client.answered_at == answered_at
+    store.fault = ""
+    await follower.client.ask()
+    assert follower.client.answered_at > answered_at
+    follower.stop()
+
+
+async def test_an_older_change_does_not_bring_back_what_was_removed(store):
+    """A VM goes on sending requests to an engine that is gone.
+
+    Two VMs pass on what they see. One told of the engine's removal; a change of
+    before that, told late by the other, brought the entry back until the next listing.
+    """
+    timers = TimerService()
+    follower = Follower(LocalNetwork(timers), timers, store, "a")
+    take = follower.watcher._take_told
+    take(StoredRecord("t", 5, {"n": 5}, None), "t", 5)
+    take(None, "t", 9)
+    assert follower.seen == {}
+    take(StoredRecord("t", 7, {"n": 7}, None), "t", 7)
+    assert follower.seen == {}
+    take(StoredRecord("t", 11, {"n": 11}, None), "t", 11)
+    assert follower.seen == {"t": 11}
+    follower.stop()
