--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -38,6 +38,7 @@
 MAX_CALLS = 64
 # Answers of a store that is there and serves nothing, or not this VM.
 TURNED_AWAY = frozenset((429, 503))
+GONE_STATUS = 404
 # The cheapest object to ask for: the operator keeps one configuration, and an answer
 # that it isn't there is an answer too.
 ASKED_FOR = (CONFIGURATION_KIND, "asked-for")
@@ -80,7 +81,7 @@
         if answer.is_err():
             return answer
         status, body = answer.ok_value
-        if status == 404:
+        if status == GONE_STATUS:
             return Ok(None)
         return _parsed(status, body, read_record)
 
@@ -99,9 +100,15 @@
     async def replace(
         self, kind: str, name: str, spec: dict, revision: int
     ) -> Result[StoredRecord, Failure]:
-        """Replace an object; ``VERSION_CONFLICT`` if it is not at ``revision``."""
+        """Replace an object; ``VERSION_CONFLICT`` if it is not at ``revision``.
+
+        An object that is gone isn't either. Taken for a store that is away, it was
+        never created again: a VM whose lease object went had no lease for good.
+        """
         body = object_body(name, spec, revision)
         answer = await self._call("PUT", object_path(kind, name), body)
+        if answer.is_ok() and answer.ok_value[0] == GONE_STATUS:
+            return Err(Failure(ErrorKind.VERSION_CONFLICT, "the object is gone"))
         return answer.and_then(lambda got: _parsed(*got, read_record))
 
     async def list_all(self, kind: str) -> Result[StoreChanges, Failure]:
--- a/hawthornlead/tests/test_watchers.py
+++ b/hawthornlead/tests/test_watchers.py
@@ -10,6 +10,7 @@
 from hawthornlead.gateway.memberships import Memberships
 from hawthornlead.gateway.records import StoredRecord, VmRecord
 from hawthornlead.gateway.store_clients import StoreClient
+from hawthornlead.gateway.vm_leases import LEASES_KIND, VmLease
 from hawthornlead.gateway.watch_relays import WatchRelays
 from hawthornlead.gateway.watchers import KindWatcher
 from hawthornlead.messages import Heartbeat
@@ -314,3 +315,26 @@
     take(StoredRecord("t", 11, {"n": 11}, None), "t", 11)
     assert follower.seen == {"t": 11}
     follower.stop()
+
+
+async def test_a_vm_whose_lease_object_went_gets_its_lease_back(store):
+    """A VM orders no engine any more until it is restarted.
+
+    Its lease object was removed by another writer. The store answered each renewal
+    that there is no such object, and the VM took that for a store that is away.
+    """
+    timers = TimerService()
+    follower = Follower(LocalNetwork(timers), timers, store, "a")
+    lease = VmLease(
+        vm="a",
+        incarnation="a-1",
+        client=follower.client,
+        timers=timers,
+        rng=Random(1),
+        events=EventRing("a", HybridClock(timers)),
+    )
+    assert await lease._renew()
+    store.remove(LEASES_KIND, "a")
+    assert [await lease._renew() for _ in range(2)] == [False, True]
+    assert lease.holds()
+    follower.stop()
