--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -77,13 +77,13 @@
             return Ending.UNREACHED
         opened = await self._parts.connections.open(entry.address)
         if opened.is_err():
-            self._parts.healths.failed(entry.target, gone=True)
+            self._blame(entry, gone=True)
             return Ending.UNREACHED
         exchange = opened.ok_value
         if self._call.left:
             exchange.release()
             return Ending.LEFT
-        if not self._parts.targets.usable(entry.target):
+        if not self._parts.targets.is_current(entry):
             exchange.close()
             return Ending.UNREACHED
         self._parts.loads.began(entry.target, placed.key)
@@ -131,7 +131,7 @@
             if follower.lost.done():
                 self.loss = follower.lost.result()
                 return Ending.LOST
-            self._parts.healths.failed(entry.target)
+            self._blame(entry)
             return Ending.LATE
         if answer.head is None or not exchange.whole:
             exchange.close()
@@ -171,7 +171,7 @@
                 break
             if not silent and self._parts.timers.now() - relay.active_at > SILENT_S:
                 silent = True
-                self._parts.healths.failed(entry.target)
+                self._blame(entry)
             await asyncio.wait(
                 waiting,
                 timeout=min(left_s, SILENT_S),
@@ -227,7 +227,7 @@
         exchange.release()
         if head.signs.not_run:
             return self._note_refused(entry, head.status, self._key())
-        self._parts.healths.failed(entry.target)
+        self._blame(entry)
         if self._stream.begun or not head.signs.sealed:
             return Ending.FAILED
         answer = WholeAnswer()
@@ -241,8 +241,17 @@
 
     # What is learned of the target
 
+    def _blame(self, entry: TargetEntry, gone: bool = False) -> None:
+        """Count a failure against a target, if it is that of the start known now.
+
+        Requests of a former start fail for some seconds after a restart. Counted
+        against the next one, it would be left aside though it is well.
+        """
+        if self._parts.targets.is_current(entry):
+            self._parts.healths.failed(entry.target, gone)
+
     def _note_lost(self, entry: TargetEntry, exchange: Exchange) -> Ending:
-        self._parts.healths.failed(entry.target)
+        self._blame(entry)
         self._parts.deaths.broke(entry, self._fingerprint)
         return Ending.LOST
 
@@ -250,7 +259,9 @@
         self, entry: TargetEntry, status: int, key: AdapterKey | None
     ) -> Ending:
         if key is None or not key.adapter:
-            self._parts.healths.failed(entry.target)
+            self._blame(entry)
+            return Ending.REFUSED
+        if not self._parts.targets.is_current(entry):
             return Ending.REFUSED
         self._parts.placer.note_missing(entry.target, key)
         if status == 421:
@@ -260,7 +271,7 @@
 
     def _note_wait(self, entry: TargetEntry, sent_at: float, status: int) -> None:
         if status >= 500:
-            self._parts.healths.failed(entry.target)
+            self._blame(entry)
             return
         wait_ms = (self._parts.timers.now() - sent_at) * 1000
         self._parts.healths.answered(entry.target, wait_ms)
--- a/hawthornlead/tests/test_gateway_restarts.py
+++ b/hawthornlead/tests/test_gateway_restarts.py
@@ -5,6 +5,7 @@
 from hawthornlead.events import EventKind
 from hawthornlead.gateway.engine_slots import AdapterKey
 from hawthornlead.gateway.owner_objects import OWNERS_KIND
+from hawthornlead.gateway.target_attempts import Attempts
 from hawthornlead.gateway.target_choices import Holding
 from hawthornlead.messages import Failed
 from hawthornlead.messages.gateways import (
@@ -365,3 +366,27 @@
         assert not engine.crashed
         fences = [order["fence"] for order in engine.orders]
         assert fences == sorted(fences)
+
+
+async def test_a_former_start_is_not_blamed_on_the_next_one():
+    """An engine that has just started again is left aside for seconds, though well.
+
+    Requests that were in its former start went on failing after the restart was seen,
+    and each counted as a failure of the engine.
+    """
+    async with Deployment(vms=1) as deployment:
+        engine = await loaded(deployment)
+        gateway = deployment.gateways[0]
+        former = gateway._targets.entries[engine.target]
+        await engine.restart()
+        deployment.register(engine)
+        await all_know(deployment, engine)
+        attempts = Attempts(gateway._parts, None, None, None, None, 0.0, b"")
+        for _ in range(4):
+            attempts._blame(former)
+            attempts._note_refused(former, 421, AdapterKey(MODEL, "a1"))
+        healths = gateway._parts.healths
+        assert not healths.suspect(engine.target)
+        assert healths.cost_ms(engine.target) == 0.0
+        attempts._blame(gateway._targets.entries[engine.target])
+        assert healths.cost_ms(engine.target) > 0.0
