--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -28,7 +28,8 @@
 )
 from .fleets import Fleet
 from .soak_callers import Caller, Street
-from .soak_faults import FAULTS, REPEATED, World, inject, often
+from .soak_faults import DECK, FAULTS, REPEATED, World
+from .soak_gateway import GatewaySoak
 from .soak_judges import JUDGES
 from .soak_records import Records, SeenStatus, Told
 
@@ -47,6 +48,8 @@
     80211: "a caller left before its own deadline and blamed a VM that shut down",
     80212: "the same, found again by the head that queued streams waited for",
 }
+# The same over the gateway.
+GATEWAY_SEEDS: dict[int, str] = {}
 
 
 class Soak:
@@ -109,7 +112,7 @@
             asyncio.create_task(caller.run(ends + CALM_S, THINK_S))
             for caller in self._world.callers
         ]
-        await self._hurt(ends)
+        await DECK.play(self._world, ends, FAULTS_AT_ONCE, FAULT_S)
         await asyncio.gather(*asking, *self._world.streams)
         unready = []
         for name in self._fleet.vms:
@@ -120,32 +123,6 @@
         watching.cancel()
         return unready
 
-    async def _hurt(self, ends: float) -> None:
-        """Inject faults in a random order, all kinds before any comes again."""
-        rng = self._world.rng
-        deck: list[str] = []
-        running: set[asyncio.Task] = set()
-        while time.monotonic() < ends:
-            if not deck:
-                deck = [name for name in sorted(FAULTS) for _ in range(often(name))]
-                rng.shuffle(deck)
-            running = {task for task in running if not task.done()}
-            if len(running) < FAULTS_AT_ONCE:
-                running.add(asyncio.create_task(self._injected(deck.pop())))
-            await asyncio.sleep(rng.uniform(0.5, 1.5) * FAULT_S)
-        if running:
-            await asyncio.wait(running)
-
-    async def _injected(self, name: str) -> None:
-        at = time.monotonic()
-        try:
-            await inject(self._world, name)
-        except RuntimeError as error:
-            # An operator's order that a fault defeats is a refusal, not an error of
-            # the run; whatever else went wrong shows as a fault never injected.
-            click.echo(f"  {name}: {str(error)[-300:]}", err=True)
-        click.echo(f"  {name} {at:.1f} to {time.monotonic():.1f}", err=True)
-
     async def _watch(self) -> None:
         """Write down, again and again, what every VM says of itself."""
         while True:
@@ -262,20 +239,27 @@
 @click.option("--minutes", default=2.0, help="Time under faults.")
 @click.option("--keep", help="Folder for keys and records; else a temporary one.")
 @click.option("--again", is_flag=True, help="Play the seeds that failed once instead.")
-def main(seed: int, minutes: float, keep: str | None, again: bool) -> None:
+@click.option("--gateway", is_flag=True, help="Over the gateway, not `serve`.")
+@click.option("--vms", default=6, help="VMs over the gateway.")
+def main(
+    seed: int, minutes: float, keep: str | None, again: bool, gateway: bool, vms: int
+) -> None:
     """Run the fleet under faults; exit code 0 when every line held."""
-    held = [
-        _run_seed(each, minutes, keep) for each in (FAILED_SEEDS if again else [seed])
-    ]
+    failed = GATEWAY_SEEDS if gateway else FAILED_SEEDS
+    held = []
+    for each in failed if again else [seed]:
+        folder = _folder(keep)
+        soak = GatewaySoak(each, minutes, vms) if gateway else Soak(each, minutes)
+        held.append(asyncio.run(soak.run(folder)))
     sys.exit(0 if all(held) else 1)
 
 
-def _run_seed(seed: int, minutes: float, keep: str | None) -> bool:
+def _folder(keep: str | None) -> Path:
     folder = Path(keep or tempfile.mkdtemp(prefix="soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     for old in folder.glob("*.key"):
         old.unlink()
-    return asyncio.run(Soak(seed, minutes).run(folder))
+    return folder
 
 
 if __name__ == "__main__":
--- a/hawthornlead/tests/soak_faults.py
+++ b/hawthornlead/tests/soak_faults.py
@@ -8,13 +8,14 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from contextlib import contextmanager
 from random import Random
 
 from .deployments import Operators
 from .fleets import Fleet
 from .soak_callers import Caller
+from .soak_decks import Deck
 from .soak_links import Network
 from .soak_records import Drained, Hurt, RollTold, refused_for_certain
 
@@ -192,43 +193,21 @@
         return highest
 
 
-Fault = Callable[[World], Awaitable[None]]
-FAULTS: dict[str, Fault] = {}
-# How often a fault comes for once that the others do, where that isn't once.
-OFTEN = {"roll": 3, "rolls-conflict": 3, "vm-killed": 2, "vm-frozen": 2}
-
-
-def fault(name: str) -> Callable[[Fault], Fault]:
-    """Enter a fault under its name."""
-
-    def enter(function: Fault) -> Fault:
-        FAULTS[name] = function
-        return function
-
-    return enter
-
-
-def often(name: str) -> int:
-    """Return how many times a fault comes before any comes again."""
-    return OFTEN.get(name, 1)
-
-
-async def inject(world: World, name: str) -> None:
-    """Inject one fault, hold and heal it."""
-    await FAULTS[name](world)
+DECK = Deck()
+FAULTS = DECK.faults
+fault = DECK.fault
 
 
 def stand_in_fault(name: str, kind: str, hold_s: float, **changes) -> None:
     """Enter a fault that is a stand-in's own; lists are drawn from at random."""
 
+    @fault(name)
     async def run(world: World) -> None:
         names = {"engine": world.engines, "service": world.services}
         chosen = world.rng.choice(names.get(kind, [kind]))
         world.injected[name] += 1
         await world.held(chosen, hold_s, **changes)
 
-    FAULTS[name] = run
-
 
 stand_in_fault("store-outage", "store", 3.0, outage=True)
 stand_in_fault("store-slow", "store", 2.0, slow_s=0.3)
@@ -267,7 +246,7 @@
     await world.fleet.faults(world.an_engine(), crash=True)
 
 
-@fault("vm-killed")
+@fault("vm-killed", often=2)
 async def vm_killed(world: World) -> None:
     """A VM is gone at once; a new process takes its name later."""
     with world.own_vm() as vm:
@@ -284,7 +263,7 @@
         await world.fleet.wait_alive(vm)
 
 
-@fault("vm-frozen")
+@fault("vm-frozen", often=2)
 async def vm_frozen(world: World) -> None:
     """A VM stands still for less, or for more, than its lease."""
     with world.own_vm() as vm:
@@ -313,7 +292,7 @@
         await world.fleet.wait_alive(vm)
 
 
-@fault("roll")
+@fault("roll", often=3)
 async def roll(world: World) -> None:
     """An operator rolls a further bundle."""
     digest = await world.made()
@@ -321,7 +300,7 @@
     await world.rolled(digest, 0, await world.seq_in_force())
 
 
-@fault("rolls-conflict")
+@fault("rolls-conflict", often=3)
 async def rolls_conflict(world: World) -> None:
     """Two operators roll different bundles from two VMs at the same time."""
     digests = [await world.made() for _ in range(2)]
--- /dev/null
+++ b/hawthornlead/tests/soak_gateway.py
@@ -0,0 +1,232 @@
+"""The soak over the gateway: real processes, a hurt platform, the rules of its pages.
+
+``scripts/soak --gateway --seed 1 --minutes 1`` starts gateways as processes, the store,
+targets, callers and the operator in this one, injects faults by a schedule drawn from
+the seed, has calm stretches between, and judges by the platform's rules what all ends
+saw. It ends with exit code 0 only if every rule held and each fault and each rule was
+put to the test.
+"""
+
+import asyncio
+import json
+import time
+from collections import Counter
+from pathlib import Path
+from random import Random
+
+import click
+
+from . import soak_gateway_bounds, soak_gateway_paths
+from .gateways import ask
+from .soak_gateway_callers import WEIGHTS, Fleet, GatewayCaller
+from .soak_gateway_faults import GATEWAY_DECK, terminated
+from .soak_gateway_fleet import GatewayFleet
+from .soak_gateway_judges import GATEWAY_JUDGES, Case
+from .soak_gateway_records import STORE, Journal, Probe, Trouble
+from .soak_gateway_targets import DRAIN_S, drained, spoilt
+from .soak_gateway_world import GatewayWorld
+
+__all__ = ["GatewaySoak", "soak_gateway_bounds", "soak_gateway_paths"]
+
+ENGINES_A_VM = 0.7
+PLAINS = 4
+CALLERS_A_VM = 3
+THINK_S = 0.25
+FAULT_S = 0.25
+FAULTS_AT_ONCE = 10
+READY_S = 60.0
+# Between stretches of calm.
+FAULTS_FOR_S = 25.0
+CONTACT_S = 3.2
+VERSION_S = 5.5
+RECOVERY_S = 12.0
+# Longer than a target that leaves may be sent to.
+SPOILT_S = 4.5
+PROBE_S = 3.0
+# Longer than that, this process itself has held the platform up.
+STALL_S = 0.2
+LOOK_S = 0.05
+SHOWN = 8
+
+
+class GatewaySoak:
+    """One run over ``vms`` gateways."""
+
+    def __init__(self, seed: int, minutes: float, vms: int):
+        self._seed = seed
+        self._minutes = minutes
+        self._vms = vms
+        self._journal = Journal()
+        self._fleet: GatewayFleet | None = None
+        self._world: GatewayWorld | None = None
+
+    async def run(self, folder: Path) -> bool:
+        """Run, judge and print; True when all held."""
+        click.echo(f"seed {self._seed}, logs: {folder}", err=True)
+        rng = Random(f"{self._seed} platform")
+        self._fleet = GatewayFleet(folder, self._journal, rng, self._vms)
+        rng = Random(f"{self._seed} faults")
+        self._world = GatewayWorld(self._fleet, self._journal, rng)
+        stalls = asyncio.create_task(self._note_stalls())
+        try:
+            await self._begin()
+            await self._load()
+        finally:
+            stalls.cancel()
+            await self._fleet.stop()
+            for target in self._world.targets.values():
+                await target.stop()
+        self._journal.close()
+        self._journal.errors, self._journal.log_lines = self._fleet.read_errors()
+        held = self._report()
+        if not held:
+            self._keep(folder)
+        return held
+
+    async def _begin(self) -> None:
+        """Start everything and wait until all VMs are ready."""
+        await self._fleet.start()
+        engines = max(4, round(ENGINES_A_VM * self._vms))
+        await self._world.start_targets(engines, max(PLAINS, self._vms // 2))
+        for vm in self._fleet.vms.values():
+            await self._wait_ready(vm)
+        directories = [vm.directory for vm in self._fleet.vms.values()]
+        street = Fleet(directories, self._fleet.vm_at, self._journal.sent.append)
+        for number in range(CALLERS_A_VM * self._vms):
+            rng = Random(f"{self._seed} caller {number}")
+            self._world.callers.append(GatewayCaller(f"c{number}", street, rng))
+
+    async def _wait_ready(self, vm) -> None:
+        end = time.monotonic() + READY_S
+        while time.monotonic() < end:
+            try:
+                answer = await ask(
+                    vm.ready, "GET", "/v1/ready", {"Host": "x", "Connection": "close"}
+                )
+            except OSError:
+                answer = None
+            if answer is not None and answer.status == 200:
+                return
+            await asyncio.sleep(0.1)
+        raise RuntimeError(f"{vm.name} never became ready")
+
+    async def _load(self) -> None:
+        """Load and hurt the system by turns, until each fault was injected."""
+        world, stopped = self._world, asyncio.Event()
+        begun = time.monotonic()
+        ends = begun + self._minutes * 60
+        asking = [
+            asyncio.create_task(caller.run(stopped, THINK_S))
+            for caller in world.callers
+        ]
+        try:
+            while True:
+                until = min(time.monotonic() + FAULTS_FOR_S, max(ends, 0))
+                until = max(until, time.monotonic() + FAULTS_FOR_S / 2)
+                await GATEWAY_DECK.play(world, until, FAULTS_AT_ONCE, FAULT_S)
+                hurt_until = time.monotonic()
+                await self._calm()
+                if time.monotonic() > ends:
+                    break
+            await asyncio.sleep(max(0, hurt_until + RECOVERY_S - time.monotonic()))
+            await self._probe()
+        finally:
+            stopped.set()
+            await asyncio.gather(*asking)
+
+    async def _calm(self) -> None:
+        """Do planned work only, each piece while all else is well."""
+        world = self._world
+        await asyncio.sleep(CONTACT_S)
+        for adapter in ("a1", "a2", "a3"):
+            world.bump(adapter)
+        world.configure()
+        with world.own_vm() as vm, world.own_target() as one, world.own_target() as two:
+            # The target is gone 2 s after it said so; until then no path is hurt.
+            await asyncio.sleep(VERSION_S - DRAIN_S)
+            leaving = asyncio.create_task(drained(world, one))
+            spoiling = asyncio.create_task(spoilt(world, two, SPOILT_S))
+            await asyncio.sleep(DRAIN_S)
+            await asyncio.gather(terminated(world, vm), leaving, spoiling)
+
+    async def _probe(self) -> None:
+        """Ask each VM for each kind of request, as its callers would."""
+        rng = Random(f"{self._seed} probe")
+        street = Fleet([], self._fleet.vm_at, self._journal.sent.append)
+        caller = GatewayCaller("probe", street, rng)
+
+        async def probe(vm, kind: str) -> None:
+            until = time.monotonic() + PROBE_S
+            sent = await caller.ask(kind, vm.callers)
+            while sent.outcome != "whole" and time.monotonic() < until:
+                await asyncio.sleep(0.1)
+                sent = await caller.ask(kind, vm.callers)
+            served = sent.outcome == "whole"
+            detail = f"{sent.outcome} {sent.status} {sent.detail}"
+            self._journal.probes.append(Probe(vm.name, kind, served, detail))
+
+        kinds = [kind for kind in WEIGHTS if kind != "added"]
+        vms = self._fleet.vms.values()
+        await asyncio.gather(*(probe(vm, kind) for vm in vms for kind in kinds))
+
+    async def _note_stalls(self) -> None:
+        """Note when this process stood still: the platform did so with it."""
+        before = time.monotonic()
+        while True:
+            await asyncio.sleep(LOOK_S)
+            now = time.monotonic()
+            if now - before > LOOK_S + STALL_S:
+                self._journal.stalls.append(now - before)
+                trouble = Trouble("soak-stalled", STORE, before, now)
+                self._journal.troubles.append(trouble)
+            before = now
+
+    def _report(self) -> bool:
+        """Print what was put to the test and what did not hold."""
+        journal, world = self._journal, self._world
+        click.echo(f"seed {self._seed}, {self._minutes} minutes, {self._vms} VMs")
+        outcomes = Counter(
+            f"{sent.kind} {sent.outcome} {sent.status or ''}" for sent in journal.sent
+        )
+        click.echo(f"requests: {len(journal.sent)}, runs: {len(journal.runs)}")
+        for outcome, count in sorted(outcomes.items()):
+            click.echo(f"  {count:6} {outcome}")
+        longest_s = max(journal.stalls, default=0.0)
+        click.echo(
+            f"stood still itself: {len(journal.stalls)}, {longest_s:.2f} s at most"
+        )
+        held = True
+        click.echo(f"faults injected: {sum(world.injected.values())}")
+        for name in sorted(GATEWAY_DECK.faults):
+            count = world.injected[name]
+            held = held and count > 0
+            click.echo(f"  {count:6} {name}{'' if count else '  NEVER'}")
+        click.echo("rules put to the test:")
+        case = Case(journal)
+        for name, judge in GATEWAY_JUDGES.items():
+            verdict = judge(case)
+            held = held and verdict.exercised > 0 and not verdict.broken
+            state = f"BROKEN {len(verdict.broken)}" if verdict.broken else "held"
+            state = state if verdict.exercised else "NEVER PUT TO THE TEST"
+            click.echo(f"  {verdict.exercised:6} {name}: {state}")
+            for line in verdict.broken[:SHOWN]:
+                click.echo(f"         {line}")
+        click.echo("held" if held else f"FAILED with seed {self._seed}")
+        return held
+
+    def _keep(self, folder: Path) -> None:
+        """Keep all records, for reading."""
+        journal = self._journal
+        kept = {
+            "sent": [sent._asdict() for sent in journal.sent],
+            "runs": [run.as_dict() for run in journal.runs],
+            "orders": [order._asdict() for order in journal.orders],
+            "troubles": [trouble._asdict() for trouble in journal.troubles],
+            "stopped": [stopped._asdict() for stopped in journal.stopped],
+            "written": [written._asdict() for written in journal.written],
+            "away": [away._asdict() for away in journal.away],
+        }
+        for name, rows in kept.items():
+            text = "\n".join(json.dumps(row, default=str) for row in rows)
+            (folder / f"{name}.jsonl").write_text(text)
+        click.echo(f"records and logs: {folder}")
--- /dev/null
+++ b/hawthornlead/tests/soak_gateway_fleet.py
@@ -0,0 +1,256 @@
+"""Gateway processes of the soak, each at a loopback address of its own, and its links.
+
+Every connection that a VM opens passes a link: to the store, to a target, to another
+VM. Callers connect to a VM itself. Each process is ended by its id::
+
+    fleet = GatewayFleet(folder, journal, rng, vms=6)
+    await fleet.start()
+"""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+from random import Random
+
+from .soak_gateway_records import Journal, Stopped
+from .soak_links import Link
+from .soak_links import Path as LinkPath
+from .standins.troubled_store import TroubledStore
+
+GRACE_S = 8.0
+# How long after its grace a process that was asked to stop is killed.
+GRACE_SLACK_S = 1.0
+DATA_CENTRES = ("gijon", "bilbao", "santander")
+# VMs are at .N.1, their links at .N.2, and what they open comes from .N.3.
+FIRST_TARGET_NET = 250
+STORE_NET = 249
+MOST_VMS = 240
+
+
+class GatewayVm:
+    """One VM: its addresses, its settings file, its process of the moment."""
+
+    def __init__(self, name: str, number: int, net: str):
+        self.name = name
+        self.number = number
+        self.host = f"{net}.{number}.1"
+        self.link_host = f"{net}.{number}.2"
+        self.source = f"{net}.{number}.3"
+        self.callers, self.peers, self.metrics, self.ready, self.directory = (
+            _free_address(self.host) for _ in range(5)
+        )
+        self.mesh: Link | None = None
+        self.process: asyncio.subprocess.Process | None = None
+        # Set while the soak itself ends the process.
+        self.ending = False
+
+
+class GatewayFleet:
+    """All VMs, with the means to hurt them."""
+
+    def __init__(self, folder: Path, journal: Journal, rng: Random, vms: int):
+        if vms > MOST_VMS:
+            raise ValueError(f"at most {MOST_VMS} VMs have addresses")
+        self._folder = folder
+        self._journal = journal
+        self._net = f"127.{10 + os.getpid() % 200}"
+        self._watching: set[asyncio.Task] = set()
+        self._lines_per_s = 120
+        self.vms = {
+            f"vm-{number}": GatewayVm(f"vm-{number}", number, self._net)
+            for number in range(1, vms + 1)
+        }
+        self.names = {vm.source: vm.name for vm in self.vms.values()}
+        self.store = TroubledStore(self.names, rng)
+        self.store_link = Link("", by_source=True)
+        self.target_links: list[Link] = []
+
+    async def start(self) -> None:
+        """Start the store, all links and all VMs."""
+        self.store.start()
+        self.store_link.upstream = self.store.address
+        await self.store_link.start(f"{self._net}.{STORE_NET}.1:0")
+        for vm in self.vms.values():
+            vm.mesh = Link(vm.peers, by_source=True)
+            await vm.mesh.start(f"{vm.link_host}:0")
+            self.store.spellings[vm.peers] = vm.mesh.address
+        for name in self.vms:
+            await self.start_vm(name)
+
+    async def new_target_link(self) -> Link:
+        """Return a link at a fresh address, whose upstream is to be set."""
+        link = Link("", by_source=True)
+        number = len(self.target_links)
+        host = f"{self._net}.{FIRST_TARGET_NET + number // 250}.{1 + number % 250}"
+        await link.start(f"{host}:0")
+        self.target_links.append(link)
+        return link
+
+    # Processes
+
+    async def start_vm(self, name: str) -> None:
+        """Start a VM's process, unless it runs."""
+        vm = self.vms[name]
+        if vm.process is not None and vm.process.returncode is None:
+            return
+        vm.ending = False
+        path = self.write_settings(name)
+        command = ("hawthornlead.tests.soak_vm", vm.source, "gateway", "-c", str(path))
+        with open(self._folder / f"{name}.log", "ab") as log:
+            vm.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", *command, stdout=log, stderr=log
+            )
+        task = asyncio.create_task(self._watch(vm, vm.process))
+        self._watching.add(task)
+        task.add_done_callback(self._watching.discard)
+
+    async def _watch(self, vm: GatewayVm, process) -> None:
+        code = await process.wait()
+        if not vm.ending:
+            self._journal.own_ends.append(
+                f"{vm.name} (process {process.pid}) ended by itself with {code}"
+            )
+
+    async def kill_vm(self, name: str) -> None:
+        """End a VM's process at once."""
+        vm = self.vms[name]
+        vm.ending = True
+        if vm.process.returncode is None:
+            vm.process.kill()
+        await vm.process.wait()
+
+    async def terminate_vm(self, name: str) -> None:
+        """Ask a VM's process to stop, and kill it when its grace is over."""
+        vm = self.vms[name]
+        vm.ending = True
+        asked_at = time.monotonic()
+        if vm.process.returncode is None:
+            vm.process.terminate()
+        try:
+            await asyncio.wait_for(vm.process.wait(), GRACE_S + GRACE_SLACK_S)
+        except TimeoutError:
+            vm.process.kill()
+            await vm.process.wait()
+        self._journal.stopped.append(
+            Stopped(
+                name,
+                vm.process.pid,
+                asked_at,
+                time.monotonic(),
+                vm.process.returncode,
+            )
+        )
+
+    def signal_vm(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to a VM's process, if it runs."""
+        process = self.vms[name].process
+        if process.returncode is None:
+            process.send_signal(number)
+
+    def write_settings(self, name: str) -> Path:
+        """Write a VM's settings file; each time a little different."""
+        vm = self.vms[name]
+        self._lines_per_s += 1
+        store = self.store_link.address
+        sections = {
+            "vm": {
+                "vm_name": name,
+                "data_centre": DATA_CENTRES[vm.number % 3],
+                "caller_address": vm.callers,
+                "peer_address": vm.peers,
+                "metrics_address": vm.metrics,
+                "ready_address": vm.ready,
+                "directory_address": vm.directory,
+            },
+            "platform": {
+                "store_address": store,
+                "vm_list_address": store,
+                "grace_s": GRACE_S,
+            },
+            # As deploy/vm.ini.template has them.
+            "peers": {"heartbeat_s": 0.9, "peer_silent_s": 2.0, "peer_call_s": 1.0},
+            "requests": {"retry_share": 0.15},
+            "logs": {"log_format": "json", "log_lines_per_s": self._lines_per_s},
+        }
+        lines = []
+        for section, keys in sections.items():
+            lines.append(f"[{section}]")
+            lines += [f"{key} = {value}" for key, value in keys.items()]
+        path = self._folder / f"{name}.ini"
+        path.write_text("\n".join(lines) + "\n")
+        return path
+
+    def vm_at(self, address: str) -> tuple[str, int]:
+        """Return name and process id of the VM that callers reach at an address."""
+        for vm in self.vms.values():
+            if vm.callers == address:
+                return vm.name, vm.process.pid
+        return "", 0
+
+    # Paths
+
+    def store_path(self, vm: str) -> LinkPath:
+        """Return a VM's path to the store."""
+        return self.store_link.path(self.vms[vm].source)
+
+    def target_path(self, vm: str, link: Link) -> LinkPath:
+        """Return a VM's path to a target."""
+        return link.path(self.vms[vm].source)
+
+    def mesh_paths(self, vm: str, other: str) -> list[LinkPath]:
+        """Return both paths between two VMs."""
+        one, two = self.vms[vm], self.vms[other]
+        return [one.mesh.path(two.source), two.mesh.path(one.source)]
+
+    def paths_of(self, vm: str) -> list[LinkPath]:
+        """Return all paths that a VM's connections take."""
+        paths = [self.store_path(vm)]
+        paths += [self.target_path(vm, link) for link in self.target_links]
+        for other in self.vms:
+            if other != vm:
+                paths += self.mesh_paths(vm, other)
+        return paths
+
+    def read_errors(self) -> tuple[list[str], int]:
+        """Return the errors that the VMs' logs tell, and how many lines they have."""
+        errors, lines = [], 0
+        for name in self.vms:
+            log = self._folder / f"{name}.log"
+            for line in log.read_text(errors="replace").splitlines():
+                lines += 1
+                if not line.startswith("{"):
+                    errors.append(f"{name}: {line[:300]}")
+                    continue
+                try:
+                    told = json.loads(line)
+                except ValueError:
+                    # Its process was killed within the line.
+                    continue
+                if told["level"] in ("ERROR", "CRITICAL"):
+                    message = told["message"].partition("\n")[0]
+                    errors.append(f"{name}: {message}: {told.get('exception')}")
+        return errors, lines
+
+    async def stop(self) -> None:
+        """End every process by its id, then links and store."""
+        for name, vm in self.vms.items():
+            if vm.process is not None:
+                self.signal_vm(name, signal.SIGCONT)
+                await self.kill_vm(name)
+        for vm in self.vms.values():
+            if vm.mesh is not None:
+                vm.mesh.stop()
+        for link in (self.store_link, *self.target_links):
+            link.stop()
+        await self.store.stop()
+
+
+def _free_address(host: str) -> str:
+    with socket.socket() as probe:
+        probe.bind((host, 0))
+        return f"{host}:{probe.getsockname()[1]}"
--- /dev/null
+++ b/hawthornlead/tests/soak_gateway_targets.py
@@ -0,0 +1,220 @@
+"""Faults of targets, of their entries and orders, and what the operator does."""
+
+import asyncio
+from collections.abc import Callable
+
+from .soak_gateway_faults import fault, target_fault
+from .soak_gateway_world import GatewayWorld
+from .standins.restarting_engine import RestartingTarget
+
+DRAIN_S = 2.0
+ADDRESS_REUSE_S = 2.0
+# Entries that name no target to use, as another writer may leave them.
+SPOILT: tuple[Callable[[dict], object], ...] = (
+    lambda entry: {"service": entry["service"]},
+    lambda entry: {**entry, "address": None},
+    lambda entry: {**entry, "state": "resting"},
+    lambda entry: {**entry, "service": ["llm"]},
+    lambda entry: {**entry, "models": "none"},
+    lambda entry: {**entry, "born": "yesterday"},
+    lambda entry: {**entry, "slots": {"of": 4}},
+    lambda entry: "no object at all",
+)
+
+
+async def _restart(target: RestartingTarget, rest_s: float) -> None:
+    """Crash a target and start it again under its id."""
+    target.crash()
+    await asyncio.sleep(rest_s)
+    await target.begin()
+
+
+@target_fault("target-restarts", often=2)
+async def target_restarts(world: GatewayWorld, target: RestartingTarget) -> None:
+    """A target starts again under its id, soon enough to keep its entry or not."""
+    await _restart(target, world.rng.choice((0.0, 0.5, 2.0, 6.0)))
+
+
+@target_fault("engine-restarts-in-series", model=True)
+async def engine_restarts_in_series(world: GatewayWorld, target) -> None:
+    """An engine restarts several times, also before anybody saw the last start."""
+    for _ in range(3):
+        await _restart(target, 0.05)
+        await asyncio.sleep(world.rng.uniform(0.05, 1.5))
+
+
+@fault("engine-restarts-after-order")
+async def engine_restarts_after_order(world: GatewayWorld) -> None:
+    """An engine takes an order, doesn't answer it, and starts again at once.
+
+    The order itself is carried out seconds later, by the engine's next start.
+    """
+    name = "engine-restarts-after-order"
+    with world.own_target(model=True) as target:
+        if target is None:
+            return
+        target.ordered.clear()
+        target.late_orders += 1
+        try:
+            await asyncio.wait_for(target.ordered.wait(), 3.0)
+        except TimeoutError:
+            target.late_orders = 0
+            return
+        world.injected[name] += 1
+        with world.journal.trouble(name, target.target):
+            await _restart(target, 0.1)
+
+
+@target_fault("target-dark")
+async def target_dark(world: GatewayWorld, target: RestartingTarget) -> None:
+    """A target is reached by nobody for some seconds, and lives on."""
+    target.silent = True
+    target.link.cut()
+    await asyncio.sleep(world.rng.choice((1.0, 3.0, 5.0)))
+    target.link.mend()
+    target.silent = False
+
+
+@target_fault("target-hangs")
+async def target_hangs(world: GatewayWorld, target: RestartingTarget) -> None:
+    """A target's process stands still and goes on."""
+    own = target.now
+    own.awake.clear()
+    await asyncio.sleep(world.rng.choice((0.5, 2.0, 5.0)))
+    own.awake.set()
+
+
+@target_fault("target-drains", hurts=False)
+async def target_drains(world: GatewayWorld, target: RestartingTarget) -> None:
+    """A target says that it leaves, goes, and comes back under its id."""
+    await drained(world, target)
+
+
+async def drained(world: GatewayWorld, target: RestartingTarget) -> None:
+    """Drain a target as planned work does, and bring it back later."""
+    target.drain()
+    await _gone(world, target)
+
+
+async def _gone(world: GatewayWorld, target: RestartingTarget) -> None:
+    """Let a target that leaves serve on for a while, end, and come back."""
+    await asyncio.sleep(DRAIN_S + world.rng.uniform(0.3, 3.0))
+    with world.journal.trouble("target-gone", target.target):
+        target.leave()
+        await asyncio.sleep(1.0)
+        await target.begin()
+
+
+@target_fault("target-leaves-unsaid", hurts=False)
+async def target_leaves_unsaid(world: GatewayWorld, target: RestartingTarget) -> None:
+    """A target's entry is removed, it serves on for a while, and is gone."""
+    target.unlist()
+    await _gone(world, target)
+
+
+@target_fault("entry-lapses", hurts=False)
+async def entry_lapses(world: GatewayWorld, target: RestartingTarget) -> None:
+    """A target's entry goes and comes back, several times; the target lives on."""
+    for _ in range(world.rng.randint(1, 3)):
+        target.unlist()
+        await asyncio.sleep(world.rng.choice((0.1, 1.0, 4.0)))
+        target.relist()
+        await asyncio.sleep(0.5)
+
+
+@target_fault("entry-unreadable", often=2, hurts=False)
+async def entry_unreadable(world: GatewayWorld, target: RestartingTarget) -> None:
+    """Another writer spoils a target's entry for a while."""
+    await spoilt(world, target, world.rng.choice((1.0, 4.0, 6.0)))
+
+
+async def spoilt(world: GatewayWorld, target: RestartingTarget, hold_s: float) -> None:
+    """Leave an entry that names no target to use, and put it right again."""
+    target.spoil(world.rng.choice(SPOILT)(target.entry()))
+    await asyncio.sleep(hold_s)
+    target.spoil(None)
+
+
+@target_fault("address-reused", model=True)
+async def address_reused(world: GatewayWorld, target: RestartingTarget) -> None:
+    """A target goes; later one of another service has its address."""
+    target.leave()
+    await asyncio.sleep(ADDRESS_REUSE_S)
+    newcomer = await world.add_target("other", link=target.link)
+    await asyncio.sleep(world.rng.uniform(2.0, 5.0))
+    newcomer.leave()
+    del world.targets[newcomer.target]
+    await newcomer.stop()
+    await asyncio.sleep(ADDRESS_REUSE_S)
+    await target.begin()
+
+
+# Answers and orders
+
+
+@fault("orders-late", often=2)
+async def orders_late(world: GatewayWorld) -> None:
+    """Engines leave orders unanswered and carry them out 2 to 12 s later."""
+    target = world.any_target(model=True)
+    target.late_orders += world.rng.randint(1, 4)
+    world.injected["orders-late"] += 1
+    await asyncio.sleep(3.0)
+    target.late_orders = 0
+
+
+@fault("orders-unanswered")
+async def orders_unanswered(world: GatewayWorld) -> None:
+    """An engine carries orders out and their answers are lost."""
+    target = world.any_target(model=True)
+    target.mute_orders += 2
+    world.injected["orders-unanswered"] += 1
+    await asyncio.sleep(2.0)
+    target.mute_orders = 0
+
+
+def _next_requests(
+    name: str, key: str, model: bool | None, count: int, often: int = 1
+) -> None:
+    """Enter a fault by which the next requests at a target fare badly."""
+
+    @target_fault(name, often, model)
+    async def run(world: GatewayWorld, target: RestartingTarget) -> None:
+        target.next_faults[key] += count
+        await asyncio.sleep(2.5)
+        target.next_faults[key] = 0
+
+
+_next_requests("answers-lost", "lost", None, 3)
+_next_requests("answers-fail", "fail", False, 4)
+_next_requests("answers-stray", "stray", False, 4)
+_next_requests("answers-garbled", "garble", False, 3)
+_next_requests("streams-cut", "cut", True, 8, often=3)
+_next_requests("requests-refused", "refuse", None, 8)
+
+
+# The operator
+
+
+@fault("configuration-changes", often=2)
+async def configuration_changes(world: GatewayWorld) -> None:
+    """The operator writes a configuration."""
+    world.configure()
+    world.injected["configuration-changes"] += 1
+
+
+@fault("configurations-in-series")
+async def configurations_in_series(world: GatewayWorld) -> None:
+    """Configurations come in quick succession."""
+    world.injected["configurations-in-series"] += 1
+    for _ in range(6):
+        world.configure()
+        await asyncio.sleep(world.rng.uniform(0.02, 0.4))
+
+
+@fault("versions-named", often=2)
+async def versions_named(world: GatewayWorld) -> None:
+    """The operator names new versions, the next before the last is everywhere."""
+    world.injected["versions-named"] += 1
+    for adapter in ("a1", "a1", "a2", ""):
+        world.bump(adapter)
+        await asyncio.sleep(world.rng.uniform(0.05, 0.8))
--- a/hawthornlead/tests/soak_http.py
+++ b/hawthornlead/tests/soak_http.py
@@ -39,7 +39,10 @@
     async def read_head(self) -> None:
         """Read status and headers."""
         lines = (await self._read(self._reader.readuntil(b"\r\n\r\n"))).split(b"\r\n")
-        self.status = int(lines[0].split()[1])
+        start = lines[0].split()
+        if len(start) < 2 or start[0] != b"HTTP/1.1" or not start[1].isdigit():
+            raise Malformed(f"no status line: {lines[0][:80]!r}")
+        self.status = int(start[1])
         for line in lines[1:]:
             name, _, value = line.decode("latin-1").partition(":")
             self.headers[name.strip().lower()] = value.strip()
@@ -69,6 +72,45 @@
             raise Broken(str(error) or type(error).__name__) from None
 
 
+class Line:
+    """One connection, for one request after the other."""
+
+    def __init__(self, reader, writer, address: str):
+        self._reader = reader
+        self._writer = writer
+        self.address = address
+
+    @classmethod
+    async def open(cls, address: str) -> "Line":
+        """Connect; raises ``Unconnected``."""
+        host, _, port = address.rpartition(":")
+        try:
+            opening = asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.wait_for(opening, CONNECT_S)
+        except (OSError, TimeoutError) as error:
+            raise Unconnected(str(error)) from None
+        return cls(reader, writer, address)
+
+    @property
+    def usable(self) -> bool:
+        """Whether the other end hasn't closed and nothing came unasked."""
+        return not self._reader.at_eof() and not self._writer.is_closing()
+
+    def send(
+        self, method: str, path: str, headers: dict[str, str], body: bytes, silent_s
+    ) -> Exchange:
+        """Send a request; its answer is read from what is returned."""
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        lines += [f"Content-Length: {len(body)}", "", ""]
+        self._writer.write("\r\n".join(lines).encode() + body)
+        return Exchange(self._reader, silent_s)
+
+    def close(self) -> None:
+        """Leave."""
+        self._writer.close()
+
+
 @asynccontextmanager
 async def exchange(
     address: str,
@@ -79,19 +121,11 @@
     silent_s: float = 15.0,
 ) -> AsyncIterator[Exchange]:
     """Send a request; the connection closes when the context is left."""
-    host, _, port = address.rpartition(":")
-    try:
-        opening = asyncio.open_connection(host, int(port))
-        reader, writer = await asyncio.wait_for(opening, CONNECT_S)
-    except (OSError, TimeoutError) as error:
-        raise Unconnected(str(error)) from None
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {address}", "Connection: close"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    lines += [f"Content-Length: {len(body)}", "", ""]
+    line = await Line.open(address)
+    common = {"Host": address, "Connection": "close"}
     try:
-        writer.write("\r\n".join(lines).encode() + body)
-        got = Exchange(reader, silent_s)
+        got = line.send(method, path, common | headers, body, silent_s)
         await got.read_head()
         yield got
     finally:
-        writer.close()
+        line.close()
--- /dev/null
+++ b/hawthornlead/tests/soak_vm.py
@@ -0,0 +1,35 @@
+"""Runs the program as on a VM of its own: what it sends comes from its own address.
+
+On loopback the kernel gives all outgoing connections the same address, so that the
+soak's links and stand-ins couldn't tell which VM speaks. The first argument is the
+address, the others are the program's::
+
+    python -m hawthornlead.tests.soak_vm 127.30.1.1 gateway -c vm-1.ini
+"""
+
+import socket
+import sys
+
+from hawthornlead.main import main
+
+_BIND_ADDRESS_NO_PORT = 24
+
+
+def connect_from(host: str) -> None:
+    """Let every connection that this process opens come from ``host``."""
+    connect = socket.socket.connect
+
+    def connect_bound(self, address):
+        if self.family == socket.AF_INET and self.getsockname()[1] == 0:
+            # The port is chosen at the connect, so that as many may be open as there
+            # are pairs of ends.
+            self.setsockopt(socket.SOL_IP, _BIND_ADDRESS_NO_PORT, 1)
+            self.bind((host, 0))
+        return connect(self, address)
+
+    socket.socket.connect = connect_bound
+
+
+if __name__ == "__main__":
+    connect_from(sys.argv[1])
+    main(sys.argv[2:])
--- /dev/null
+++ b/hawthornlead/tests/standins/target_runs.py
@@ -0,0 +1,215 @@
+"""How a stand-in target runs requests, and how its answers go astray."""
+
+import asyncio
+import time
+from collections import Counter
+from random import Random
+
+from tornado import httputil
+
+from hawthornlead.gateway.caller_calls import CallerCall
+
+from ..soak_gateway_records import Journal, Run
+from .incarnations import Incarnation
+
+EVENT_S = 0.03
+PLAIN_S = (0.005, 0.06)
+QUEUED_MOST = 8
+LOST_ANSWER_S = 20.0
+
+
+def event_text(content: str, number: int) -> str:
+    """Return what an event of the stream for ``content`` holds, at any engine."""
+    return f"{content}#{number}"
+
+
+class Runs:
+    """Runs the requests of one target.
+
+    ``next_faults`` counts how many next requests fare how: "lost" runs and is never
+    answered, "cut" breaks off within an event, "fail" answers 500, "refuse" answers
+    503 unrun, "stray" sends another's answer first, "garble" bytes that are none.
+    """
+
+    def __init__(
+        self,
+        target: str,
+        service: str,
+        journal: Journal,
+        names: dict[str, str],
+        rng: Random,
+    ):
+        self._target = target
+        self._service = service
+        self._journal = journal
+        self._names = names
+        self._rng = rng
+        self._number = 0
+        self.next_faults: Counter = Counter()
+
+    def _takes(self, fault: str) -> bool:
+        if self.next_faults[fault] <= 0:
+            return False
+        self.next_faults[fault] -= 1
+        return True
+
+    async def request(self, call: CallerCall, own: Incarnation) -> None:
+        """Run a request, or say that it isn't run."""
+        arrived_at = time.monotonic()
+        request_id = call.headers.get("Request-Id", "")
+        model, _, adapter = call.headers.get("Model", "").partition("/")
+        unrun = {"Request-Id": request_id, "Not-Executed": "1"}
+        if call.path == "/health":
+            answer(call, 200, b"", {"Instance-Id": self._target})
+            return
+        status = own.unable(model, adapter)
+        if status == 421:
+            answer(call, 421, b"", {"Request-Id": request_id})
+            return
+        if status or own.waiting >= QUEUED_MOST or self._takes("refuse"):
+            answer(call, 503, b"", unrun)
+            return
+        own.waiting += 1
+        try:
+            await own.slots.acquire()
+        finally:
+            own.waiting -= 1
+        try:
+            if own.over or call.left:
+                return
+            status = own.unable(model, adapter)
+            deadline_s = float(call.headers.get("Deadline-Ms", 0)) / 1000
+            if status or time.monotonic() - arrived_at > deadline_s:
+                answer(call, status or 503, b"", unrun)
+                return
+            await self._run(call, own, adapter, arrived_at, arrived_at + deadline_s)
+        finally:
+            own.slots.release()
+
+    async def _run(self, call, own, adapter, arrived_at, until) -> None:
+        self._number += 1
+        run = Run(
+            target=self._target,
+            service=self._service,
+            started_ms=own.started_ms,
+            vm=self._names.get(call._connection.context.remote_ip, "?"),
+            request_id=call.headers.get("Request-Id", ""),
+            asked=_asked(call),
+            adapter=adapter,
+            version=own.adapters.get(adapter, 0),
+            last_event=int(call.headers.get("Last-Event-Id", 0)),
+            arrived_at=arrived_at,
+            begun_at=time.monotonic(),
+            seal=f"{self._target}.{own.started_ms}.{self._number}",
+        )
+        self._journal.runs.append(run)
+        own.running += 1
+        own.used[adapter] += 1
+        try:
+            if own.model:
+                await self._stream(call, own, run, until)
+            else:
+                await self._answer_plain(call, own, run, until)
+        finally:
+            run.end("crashed" if own.over else "cancelled")
+            own.running -= 1
+            own.used[adapter] -= 1
+            if adapter in own.leaving and not own.used[adapter]:
+                own.unload_now(adapter)
+
+    async def _answer_plain(self, call, own, run, until) -> None:
+        await asyncio.sleep(self._rng.uniform(*PLAIN_S))
+        await own.awake.wait()
+        if own.over:
+            return
+        sealed = {"Request-Id": run.request_id, "Server-Seal": run.seal}
+        if self._takes("lost"):
+            run.end("lost")
+            await asyncio.sleep(LOST_ANSWER_S)
+            call.abort()
+            return
+        if self._takes("garble"):
+            run.end("garbled")
+            call._connection.stream.write(b"\x00\x01no answer\r\n\r\n")
+            call.abort()
+            return
+        if self._takes("stray"):
+            _stray(call)
+        run.status = 500 if self._takes("fail") else 200
+        run.body = f"{run.seal} {call.method} {call.path} ".encode() + call.body
+        if call.left:
+            return
+        run.end("done")
+        answer(call, run.status, run.body, sealed)
+
+    async def _stream(self, call, own, run, until) -> None:
+        tokens = int(call.headers.get("Token-Usage", "0,8").partition(",")[2])
+        content = call.body.decode("latin1")
+        headers = httputil.HTTPHeaders(
+            {
+                "Request-Id": run.request_id,
+                "Server-Seal": run.seal,
+                "Content-Type": "text/event-stream",
+                "Weight-Versions": str(run.version),
+            }
+        )
+        run.status = 200
+        cut_at = self._rng.randrange(1, max(2, tokens)) if self._takes("cut") else -1
+        lost = self._takes("lost")
+        for number in range(run.last_event + 1, tokens + 1):
+            await asyncio.sleep(EVENT_S * self._rng.uniform(0.5, 1.5))
+            await own.awake.wait()
+            if own.over or call.left:
+                return
+            if time.monotonic() > until:
+                run.end("deadline")
+                call.abort()
+                return
+            event = f"id: {number}\ndata: {event_text(content, number)}\n\n".encode()
+            if lost:
+                continue
+            if number > cut_at > 0 and call.answered:
+                call.write(event[:5])
+                run.end("cut")
+                await asyncio.sleep(0)
+                call.abort()
+                return
+            if call.answered:
+                call.write(event)
+            else:
+                call.begin(200, "OK", headers, event)
+        if lost:
+            run.end("lost")
+            await asyncio.sleep(LOST_ANSWER_S)
+            call.abort()
+            return
+        run.end("done")
+        if not call.answered:
+            call.begin(200, "OK", headers, b"")
+        call.finish()
+
+
+def _asked(call: CallerCall) -> tuple:
+    """Return what must be as its caller sent it."""
+    return (
+        call.method,
+        call.path,
+        call.headers.get("Model", ""),
+        call.headers.get("Token-Usage", ""),
+        call.body.decode("latin1"),
+    )
+
+
+def answer(call: CallerCall, status: int, body: bytes, headers: dict) -> None:
+    """Give a whole answer, unless its caller has left."""
+    if not call.left:
+        call.answer(status, "OK", httputil.HTTPHeaders(headers), body)
+
+
+def _stray(call: CallerCall) -> None:
+    body = b"another's answer"
+    head = (
+        "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Seal: of-another\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    call._connection.stream.write(head.encode() + body)
--- /dev/null
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -0,0 +1,369 @@
+"""Tests of the soak over the gateway: its judges on wrong records, and a short run."""
+
+import asyncio
+from functools import partial
+
+import pytest
+
+from hawthornlead.tests import soak_gateway
+from hawthornlead.tests.soak_decks import Deck
+from hawthornlead.tests.soak_gateway_faults import GATEWAY_DECK
+from hawthornlead.tests.soak_gateway_judges import GATEWAY_JUDGES, Case
+from hawthornlead.tests.soak_gateway_records import (
+    STORE,
+    Away,
+    Journal,
+    OrderSeen,
+    Probe,
+    Run,
+    Sent,
+    Stopped,
+    Trouble,
+    Written,
+)
+from hawthornlead.tests.soak_links import Link
+
+MODEL = "tide/a1"
+# One that breaks a rule with some patience, once more than it allows.
+TOO_OFTEN = 11
+
+
+def sent(kind="unsafe", name="r1", **changes):
+    """Return a whole answer as its caller saw it, sent at 100 s."""
+    stream = kind in ("stream", "resume")
+    fields = {"kind": kind, "request_id": name, "method": "POST", "path": f"/{kind}/x"}
+    fields |= {"model": MODEL if stream else "", "tokens": "9,3" if stream else ""}
+    fields |= {"content": "c", "vm": "vm-1", "process_id": 7, "sent_at": 100.0}
+    fields |= {"deadline_s": 6.0, "head_at": 100.1, "ended_at": 100.2, "status": 200}
+    fields |= {"outcome": "whole", "seal": f"s-{name}", "answered_id": name}
+    fields |= {"events": (1, 2, 3)} if stream else {"body": b"all of it"}
+    return Sent(**(fields | changes))
+
+
+def run(of, **changes):
+    """Return the run that answered a request."""
+    service = {"stream": "llm", "resume": "llm"}.get(of.kind, "plain")
+    fields = {"target": "i-1", "service": service, "started_ms": 1, "vm": "vm-1"}
+    fields |= {"request_id": of.request_id, "seal": f"s-{of.request_id}"}
+    fields |= {"asked": (of.method, of.path, of.model, of.tokens, of.content)}
+    fields |= {"adapter": of.model.partition("/")[2], "version": 2}
+    fields |= {"arrived_at": 100.0, "begun_at": 100.05}
+    made = Run(**(fields | {k: v for k, v in changes.items() if k in fields}))
+    made.ended_at, made.outcome, made.status = 100.15, "done", 200
+    made.body = b"all of it"
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def order(at=50.0, vm="vm-1", fence=1, **changes):
+    fields = {"started_ms": 1, "holder": vm, "order": "load a1", "named_count": 0}
+    fields |= {"found_count": 0, "status": 202, "late": False, "target": "i-1"}
+    return OrderSeen(at=at, vm=vm, fence=fence, **(fields | changes))
+
+
+def refused(name="r9", status=503, **changes):
+    fields = {"outcome": "refused", "status": status, "seal": "", "body": b""}
+    return sent(name=name, **(fields | changes))
+
+
+def left(name="r8", **changes):
+    return sent("safe", name, outcome="left", status=0, seal="", **changes)
+
+
+def written(name="config", version=1, at=1.0, **routes):
+    return Written(name, version, at, routes)
+
+
+def cut(name="r1", kind="unsafe", **changes):
+    fields = {"outcome": "broken", "status": 0, "seal": "", "events": ()}
+    return sent(kind, name, **(fields | changes))
+
+
+def journal(**changes):
+    """Return the journal of a run in which every rule was kept and tested."""
+    resumed = sent("resume", "r3")
+    moved = sent("moved", "r4")
+    asked = [sent(), sent("stream", "r2"), resumed, moved, refused(), left()]
+    made = Journal()
+    made.sent = asked
+    made.runs = [run(each) for each in (*asked[:2], moved, asked[5])]
+    first = run(resumed, seal="s-0", outcome="cut", ended_at=100.06)
+    made.runs += [first, run(resumed, target="i-2", begun_at=100.1)]
+    made.orders = [order(), order(70.0, "vm-2", 2)]
+    made.loads, made.log_lines = 3, 9
+    made.written = [written(moved="other"), written(version=3, at=9.0, moved="plain")]
+    made.written.append(written("a1", 2, 20.0))
+    made.away = [Away("i-3", 99.0, 105.0)]
+    made.stopped = [Stopped("vm-1", 7, 100.1, 104.0, 0)]
+    made.probes = [Probe("vm-1", "safe", True, "")]
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def more_sent(*added, runs=()):
+    """Return a journal with further requests and their runs."""
+    made = journal()
+    made.sent += added
+    made.runs += runs
+    return made
+
+
+def troubled(made, *troubles):
+    made.troubles = [Trouble(*each) for each in troubles]
+    return made
+
+
+def turns(*orders):
+    return journal(orders=list(orders))
+
+
+def away_run(**changes):
+    """Return a run by a target 3 s after its entry said that it leaves."""
+    of = sent("safe", "r7", sent_at=102.0, ended_at=102.3)
+    arrived = {"arrived_at": 102.1, "begun_at": 102.1, "ended_at": 102.2}
+    return more_sent(of, runs=[run(of, target="i-3", **(arrived | changes))])
+
+
+def cuts(count):
+    """Return requests that were cut at a sound target, with their runs."""
+    asked = [cut(f"k{n}", process_id=8) for n in range(count)]
+    return more_sent(*asked, runs=[run(each, ended_at=None) for each in asked])
+
+
+def working_on(count):
+    asked = [left(f"w{n}") for n in range(count)]
+    return more_sent(*asked, runs=[run(each, ended_at=104.0) for each in asked])
+
+
+def denied(count):
+    return more_sent(*(refused(f"d{n}", 404, kind="safe") for n in range(count)))
+
+
+def of_kind(kind="unsafe", run_changes=None, **changes):
+    """Return a journal with one more request of a kind, and its run."""
+    asked = sent(kind, "r7", **changes)
+    return more_sent(asked, runs=[run(asked, **(run_changes or {}))])
+
+
+# For each judge, journals that differ in one thing from the one that it passes.
+WRONG = [
+    ("one-owner", turns(order(50, "vm-1", 2), order(60, "vm-2", 1))),
+    ("one-owner", turns(order(50, "vm-1", 2), order(60, "vm-1", 1))),
+    ("one-owner", turns(order(50, "vm-1", 2), order(60, "vm-2", 2))),
+    ("one-owner", turns(order(50), order(51, "vm-2", 2), order(52, "vm-1", 3))),
+    (
+        "one-owner",
+        turns(order(50, fence=2), order(60, fence=1, started_ms=2)),
+    ),
+    ("fits", journal(overloaded=["a1 does not fit"])),
+    ("at-most-once", of_kind("unsafe", {"request_id": "r1"})),
+    ("at-most-once", of_kind("stream", {"request_id": "r2", "started_ms": 2})),
+    (
+        "one-engine-at-a-time",
+        more_sent(runs=[run(sent("resume", "r3"), target="i-3", ended_at=101.0)]),
+    ),
+    ("refused-never-runs", more_sent(runs=[run(refused())])),
+    ("refused-never-runs", more_sent(runs=[run(refused(), begun_at=130.0)])),
+    ("own-answers", of_kind(body=b"a part")),
+    ("own-answers", of_kind(seal="")),
+    ("own-answers", of_kind(seal="s-r1")),
+    ("own-answers", of_kind(seal="none")),
+    ("own-answers", of_kind(answered_id="r1")),
+    ("own-answers", of_kind(outcome="malformed")),
+    ("own-answers", of_kind(run_changes={"status": 500})),
+    ("own-answers", of_kind(outcome="refused", status=500)),
+    ("streams-in-order", of_kind("stream", events=(1, 3))),
+    ("streams-in-order", of_kind("stream", events=(1, 2, 2))),
+    ("streams-in-order", of_kind("stream", events=(1, 2))),
+    ("streams-in-order", of_kind("stream", body=b"id: 4")),
+    ("streams-in-order", of_kind("stream", foreign_events=1)),
+    ("streams-in-order", of_kind("resume", last_event=1, events=(1, 2, 3))),
+    ("asked-for", of_kind(run_changes={"request_id": "of nobody"})),
+    ("asked-for", of_kind(run_changes={"asked": ("POST", "/other", "", "", "c")})),
+    ("own-service", of_kind(run_changes={"service": "other"})),
+    ("not-denied", denied(TOO_OFTEN)),
+    ("processes-live", journal(own_ends=["vm-1 ended by itself"])),
+    ("no-errors-of-its-own", journal(errors=["vm-1: a request failed"])),
+    ("every-request-answered", more_sent(cut("r7", process_id=8))),
+    ("recovers", journal(probes=[Probe("vm-1", "safe", False, "refused 503")])),
+    ("configuration-in-force", of_kind("moved", {"service": "other"})),
+    (
+        "configuration-in-force",
+        of_kind("moved", outcome="refused", status=404, seal=""),
+    ),
+    ("newest-version", of_kind("stream", {"version": 1})),
+    ("leaving-targets-left", away_run()),
+    ("stops-cut-nothing", of_kind(outcome="broken", status=0, ended_at=101.0)),
+    ("stops-cut-nothing", more_sent(cut("r7", sent_at=100.2, ended_at=100.9))),
+    ("stops-cut-nothing", journal(stopped=[Stopped("vm-1", 7, 100.1, 104.0, 1)])),
+    ("stops-cut-nothing", journal(stopped=[Stopped("vm-1", 7, 100.1, 109.0, 0)])),
+    ("kept-to-the-end", cuts(4)),
+    ("left-is-left", working_on(1)),
+]
+
+# What the pages allow, though it looks like one of the above.
+ALLOWED = [
+    (
+        "one-owner",
+        troubled(
+            turns(order(50, "vm-1", 2), order(60, "vm-2", 1)),
+            ("vm-frozen", "vm-2", 55.0, 59.9),
+        ),
+    ),
+    ("refused-never-runs", of_kind("safe", outcome="refused", status=503)),
+    ("not-denied", denied(10)),
+    ("configuration-in-force", of_kind("moved", {"service": "other"}, sent_at=10.0)),
+    (
+        "newest-version",
+        troubled(of_kind("stream", {"version": 1}), ("down", STORE, 97.0, 98.0)),
+    ),
+    (
+        "leaving-targets-left",
+        troubled(away_run(), ("store-down", STORE, 98.0, 99.5)),
+    ),
+    (
+        "stops-cut-nothing",
+        of_kind(
+            "unsafe", {"outcome": "cut"}, outcome="broken", status=0, ended_at=101.0
+        ),
+    ),
+    (
+        "stops-cut-nothing",
+        more_sent(cut("r7", sent_at=100.2, ended_at=100.3)),
+    ),
+    ("kept-to-the-end", cuts(3)),
+]
+
+
+@pytest.mark.parametrize("name", GATEWAY_JUDGES)
+def test_right_records_pass_and_test_every_rule(name):
+    verdict = GATEWAY_JUDGES[name](Case(journal()))
+    assert verdict.exercised > 0
+    assert verdict.broken == ()
+
+
+@pytest.mark.parametrize("name, made", WRONG)
+def test_wrong_records_are_found(name, made):
+    assert GATEWAY_JUDGES[name](Case(made)).broken
+
+
+@pytest.mark.parametrize("name, made", ALLOWED)
+def test_what_the_pages_allow_is_no_fault(name, made):
+    assert GATEWAY_JUDGES[name](Case(made)).broken == ()
+
+
+def test_every_judge_can_fail():
+    assert {name for name, _ in WRONG} == set(GATEWAY_JUDGES)
+
+
+def test_a_rule_that_nothing_put_to_the_test_is_told():
+    empty = Case(Journal())
+    assert all(judge(empty).exercised == 0 for judge in GATEWAY_JUDGES.values())
+
+
+def test_the_faults_that_the_users_list_are_in_the_schedule():
+    wanted = {"vm-killed", "vm-frozen", "vm-terminated", "vms-reload", "vm-cut-off"}
+    wanted |= {"vm-cut-from-store-one-way", "connections-silent", "paths-delayed"}
+    wanted |= {"connections-reset", "store-down", "store-slow", "store-silent"}
+    wanted |= {"store-loses-answers", "store-writes-late", "store-forgets"}
+    wanted |= {"engine-restarts-after-order", "target-dark", "target-hangs"}
+    wanted |= {"answers-lost", "orders-late", "target-drains", "entry-lapses"}
+    wanted |= {"entry-unreadable", "address-reused", "versions-named"}
+    assert wanted <= set(GATEWAY_DECK.faults)
+
+
+class Hurt:
+    """The least that a deck deals faults to."""
+
+    def __init__(self):
+        from collections import Counter
+        from random import Random
+
+        self.rng = Random(1)
+        self.injected = Counter()
+
+
+async def test_a_fault_that_found_nothing_to_hurt_comes_again():
+    deck, hurt, tries = Deck(), Hurt(), []
+
+    @deck.fault("shy")
+    async def shy(world):
+        tries.append(1)
+        world.injected["shy"] += len(tries) > 2
+
+    loop = asyncio.get_running_loop()
+    await deck.play(hurt, loop.time() + 0.2, at_once=1, pause_s=0.01)
+    assert hurt.injected["shy"] > 0
+
+
+async def _echo(reader, writer):
+    while data := await reader.read(100):
+        writer.write(data)
+    writer.close()
+
+
+async def _linked():
+    server = await asyncio.start_server(_echo, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    link = Link(f"127.0.0.1:{port}", by_source=True)
+    await link.start()
+    host, _, port = link.address.rpartition(":")
+    open_from = partial(asyncio.open_connection, host, int(port))
+    return server, link, open_from
+
+
+async def _said(connection, data: bytes) -> bytes:
+    reader, writer = connection
+    writer.write(data)
+    try:
+        return await asyncio.wait_for(reader.read(100), 0.3)
+    except TimeoutError:
+        return b"(nothing)"
+
+
+async def test_a_link_cuts_one_source_and_one_way():
+    server, link, open_from = await _linked()
+    one = await open_from(local_addr=("127.77.1.1", 0))
+    two = await open_from(local_addr=("127.77.2.1", 0))
+    link.path("127.77.1.1").cut(out=False)
+    assert await _said(one, b"a") == b"(nothing)"
+    assert await _said(two, b"b") == b"b"
+    link.path("127.77.1.1").mend()
+    assert await one[0].read(100) == b"a"
+    link.stop()
+    server.close()
+
+
+async def test_a_hushed_link_is_silent_for_good_and_new_connections_work():
+    server, link, open_from = await _linked()
+    one = await open_from()
+    assert await _said(one, b"a") == b"a"
+    link.hush()
+    assert await _said(one, b"b") == b"(nothing)"
+    assert await _said(await open_from(), b"c") == b"c"
+    link.stop()
+    server.close()
+
+
+async def test_a_link_that_refuses_is_no_open_port():
+    server, link, open_from = await _linked()
+    one = await open_from()
+    assert await _said(one, b"a") == b"a"
+    link.refuse()
+    link.reset()
+    with pytest.raises(ConnectionResetError):
+        await one[0].read(100)
+    with pytest.raises(ConnectionRefusedError):
+        await open_from()
+    await link.restart()
+    assert await _said(await open_from(), b"c") == b"c"
+    link.stop()
+    server.close()
+
+
+async def test_a_short_run_over_real_processes_keeps_all_rules(tmp_path):
+    """Six gateways under every fault for some twenty seconds, by a fixed seed."""
+    soak = soak_gateway.GatewaySoak(seed=11, minutes=0.2, vms=6)
+    assert await soak.run(tmp_path)
