--- a/hawthornlead/tests/test_soak_parts.py
+++ b/hawthornlead/tests/test_soak_parts.py
@@ -1,4 +1,4 @@
-"""Tests of the soak's parts: its deck, its links, its engines, the logs that it reads."""
+"""Tests of the soak's parts: deck, links, engines, and the logs that it reads."""
 
 import asyncio
 from collections import Counter
