--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -29,7 +29,7 @@
 __all__ = ["GatewaySoak", "soak_gateway_bounds", "soak_gateway_paths"]
 
 ENGINES_A_VM = 0.7
-PLAINS = 4
+PLAINS = 5
 CALLERS_A_VM = 3
 # What this one process can play well, in a fleet of any size.
 MOST_ENGINES = 24
@@ -136,7 +136,7 @@
             await self._probe()
         finally:
             stopped.set()
-            await asyncio.gather(*asking)
+            await asyncio.gather(*asking, *world.insisting)
 
     async def _calm(self) -> None:
         """Do planned work only, each piece while all else is well."""
--- a/hawthornlead/tests/soak_gateway_callers.py
+++ b/hawthornlead/tests/soak_gateway_callers.py
@@ -27,7 +27,8 @@
 ANSWER_S = 1.0
 WEIGHTS = {"safe": 4, "unsafe": 5, "stream": 5, "resume": 5, "moved": 4, "added": 2}
 STREAMS = ("stream", "resume")
-LEAVES = 0.04
+LEAVES = 0.12
+INSIST_S = 0.4
 
 
 class Fleet(NamedTuple):
@@ -61,6 +62,14 @@
         for line, _ in self._lines:
             line.close()
 
+    async def insist(self, kind: str, address: str, stopped: asyncio.Event) -> None:
+        """Ask one VM until it is stopped, whether it answers or not."""
+        asked = set()
+        while not stopped.is_set():
+            asked.add(asyncio.create_task(self.ask(kind, address)))
+            await asyncio.sleep(INSIST_S)
+        await asyncio.gather(*asked)
+
     async def ask(self, kind: str, address: str = "") -> Sent:
         """Ask once, retrying as callers do; ``address`` names one VM for all tries."""
         sent = self._fresh(kind)
--- a/hawthornlead/tests/soak_gateway_faults.py
+++ b/hawthornlead/tests/soak_gateway_faults.py
@@ -138,14 +138,35 @@
     await _freeze(world, vm, world.rng.choice((0.3, 1.5, 5.0)))
 
 
-@vm_fault(
-    "owner-frozen-past-its-lease",
-    first=True,
-    choose=lambda world: world.fleet.store.last_renewer,
-)
+def _last_renewer(world: GatewayWorld) -> str:
+    return world.fleet.store.last_renewer
+
+
+@vm_fault("owner-frozen-past-its-lease", first=True, choose=_last_renewer)
 async def owner_frozen_past_its_lease(world: GatewayWorld, vm: str) -> None:
-    """The VM that last renewed a lease freezes until the lease has run out."""
-    await _freeze(world, vm, LEASE_S + 2.0)
+    """The VM that last renewed a lease freezes until the lease has run out.
+
+    Callers go on to ask it, so that it has something to order as it thaws.
+    """
+    with world.asked(vm):
+        await _freeze(world, vm, LEASE_S + 2.0)
+        await asyncio.sleep(1.0)
+
+
+@vm_fault("owner-cut-off-past-its-lease", first=True, choose=_last_renewer, linked=True)
+async def owner_cut_off_past_its_lease(world: GatewayWorld, vm: str) -> None:
+    """The VM that last renewed a lease hears neither store nor VMs until it ran out.
+
+    It reaches its engines, and callers go on to ask it: it must stop ordering before
+    another VM begins to.
+    """
+    paths = world.fleet.paths_between(vm)
+    with world.asked(vm):
+        for path in paths:
+            path.cut()
+        await asyncio.sleep(LEASE_S + 4.0)
+        for path in paths:
+            path.mend()
 
 
 @fault("vm-terminated", often=2)
--- a/hawthornlead/tests/soak_gateway_fleet.py
+++ b/hawthornlead/tests/soak_gateway_fleet.py
@@ -217,8 +217,13 @@
 
     def paths_of(self, vm: str) -> list[LinkPath]:
         """Return all paths that a VM's connections take."""
+        return self.paths_between(vm) + [
+            self.target_path(vm, link) for link in self.target_links
+        ]
+
+    def paths_between(self, vm: str) -> list[LinkPath]:
+        """Return a VM's paths to the store and to other VMs, not those to targets."""
         paths = [self.store_path(vm)]
-        paths += [self.target_path(vm, link) for link in self.target_links]
         for other in self.linked:
             if other != vm:
                 paths += self.mesh_paths(vm, other)
--- a/hawthornlead/tests/soak_gateway_targets.py
+++ b/hawthornlead/tests/soak_gateway_targets.py
@@ -1,14 +1,22 @@
 """Faults of targets, of their entries and orders, and what the operator does."""
 
 import asyncio
+import time
 from collections.abc import Callable
 
+from hawthornlead.gateway.memberships import VMS_KIND
+from hawthornlead.gateway.ownerships import OWNERS_KIND
+from hawthornlead.gateway.vm_leases import LEASES_KIND
+from hawthornlead.platform.objects import VERSIONS_KIND
+
 from .soak_gateway_faults import fault, target_fault
 from .soak_gateway_world import GatewayWorld
 from .standins.restarting_engine import RestartingTarget
 
 DRAIN_S = 2.0
 ADDRESS_REUSE_S = 2.0
+# An engine whose adapters fit its requests gets no orders for seconds.
+ORDER_COMES_S = 6.0
 # Entries that name no target to use, as another writer may leave them.
 SPOILT: tuple[Callable[[dict], object], ...] = (
     lambda entry: {"service": entry["service"]},
@@ -135,6 +143,21 @@
     target.spoil(None)
 
 
+@fault("records-unreadable", often=3)
+async def records_unreadable(world: GatewayWorld) -> None:
+    """Another writer spoils an object of another kind that VMs read, for good."""
+    store = world.fleet.store
+    kind = world.rng.choice((OWNERS_KIND, LEASES_KIND, VMS_KIND, VERSIONS_KIND))
+    names = store.names(kind)
+    if not names:
+        return
+    known = store.spec(kind, name := world.rng.choice(names))
+    spoilt_specs = ({}, "no object", {key: [None] for key in known or ()})
+    store.write(kind, name, world.rng.choice(spoilt_specs))
+    world.injected["records-unreadable"] += 1
+    await asyncio.sleep(1.0)
+
+
 @target_fault("address-reused", model=True)
 async def address_reused(world: GatewayWorld, target: RestartingTarget) -> None:
     """A target goes; later one of another service has its address."""
@@ -156,18 +179,27 @@
 async def orders_late(world: GatewayWorld, target: RestartingTarget) -> bool:
     """An engine leaves orders unanswered and carries them out 2 to 12 s later."""
     count = target.late_orders = world.rng.randint(1, 4)
-    await asyncio.sleep(3.0)
-    left, target.late_orders = target.late_orders, 0
-    return left < count
+    met = await _until(lambda: target.late_orders < count)
+    target.late_orders = 0
+    return met
 
 
 @target_fault("orders-unanswered", model=True, hurts=False)
 async def orders_unanswered(world: GatewayWorld, target: RestartingTarget) -> bool:
     """An engine carries orders out and their answers are lost."""
     target.mute_orders = 2
-    await asyncio.sleep(2.0)
-    left, target.mute_orders = target.mute_orders, 0
-    return left < 2
+    met = await _until(lambda: target.mute_orders < 2)
+    target.mute_orders = 0
+    return met
+
+
+async def _until(met: Callable[[], bool]) -> bool:
+    """Wait for an order, and for some more; return whether one came."""
+    end = time.monotonic() + ORDER_COMES_S
+    while not met() and time.monotonic() < end:
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(1.5)
+    return met()
 
 
 def _next_requests(
@@ -183,10 +215,10 @@
         return left < count
 
 
-_next_requests("answers-lost", "lost", None, 3)
-_next_requests("answers-fail", "fail", False, 4)
-_next_requests("answers-stray", "stray", False, 4)
-_next_requests("answers-garbled", "garble", False, 3)
+_next_requests("answers-lost", "lost", None, 4)
+_next_requests("answers-fail", "fail", False, 6)
+_next_requests("answers-stray", "stray", False, 8, often=2)
+_next_requests("answers-garbled", "garble", False, 8, often=2)
 _next_requests("streams-cut", "cut", True, 8, often=3)
 _next_requests("requests-refused", "refuse", None, 8)
 
--- a/hawthornlead/tests/soak_gateway_world.py
+++ b/hawthornlead/tests/soak_gateway_world.py
@@ -17,6 +17,7 @@
 PLAIN_SERVICES = ("plain", "other")
 # At most so many VMs are hurt one by one at a time; all of them may be at once.
 HURT_SHARE = 0.5
+INSISTENT = 3
 
 
 class GatewayWorld:
@@ -32,6 +33,7 @@
         self.injected: Counter = Counter()
         self.targets: dict[str, RestartingTarget] = {}
         self.callers: list[GatewayCaller] = []
+        self.insisting: list[asyncio.Task] = []
         self.newest: dict[str, int] = {}
         self.around = Surroundings(fleet.store, journal, fleet.names, rng, self.newest)
 
@@ -73,6 +75,9 @@
             routes["added"] = "other"
         spec = configuration(self._version, *extra)
         spec["services"].append({"name": "other", "healthPath": "/h", "maxConns": 50})
+        for each in spec["routes"]:
+            # More than an unsafe request may use.
+            each["attempts"] = 3
         llm = spec["services"][0]["engine"]
         llm["weightsMb"] = WEIGHTS_MB
         self.fleet.store.write("config", "main", spec)
@@ -161,6 +166,20 @@
 
     # Means
 
+    @contextmanager
+    def asked(self, vm: str):
+        """Have callers ask one VM for streams of many adapters, whatever it does."""
+        address = self.fleet.vms[vm].callers
+        stopped = asyncio.Event()
+        for caller in self.rng.sample(self.callers, INSISTENT):
+            self.insisting.append(
+                asyncio.create_task(caller.insist("stream", address, stopped))
+            )
+        try:
+            yield
+        finally:
+            stopped.set()
+
     async def store_fares(self, name: str, fare: Fare, hold_s: float, share=1.0):
         """Let the store's calls fare badly for a while; one fare at a time."""
         store = self.fleet.store
--- a/hawthornlead/tests/standins/target_runs.py
+++ b/hawthornlead/tests/standins/target_runs.py
@@ -13,7 +13,7 @@
 from .incarnations import Incarnation
 
 EVENT_S = 0.03
-PLAIN_S = (0.005, 0.06)
+PLAIN_S = (0.005, 0.2)
 QUEUED_MOST = 8
 LOST_ANSWER_S = 20.0
 
