--- a/hawthornlead/tests/soak_gateway_fleet.py
+++ b/hawthornlead/tests/soak_gateway_fleet.py
@@ -23,6 +23,7 @@
 from .standins.troubled_store import TroubledStore
 
 GRACE_S = 8.0
+RESTART_S = 0.5
 # Tornado's word for a call of the store that timed out after its task was cancelled, as
 # the tasks of a process that is asked to stop are. Nobody waits for it any more.
 HARMLESS = "Exception after Future was cancelled"
@@ -119,10 +120,16 @@
 
     async def _watch(self, vm: GatewayVm, process) -> None:
         code = await process.wait()
-        if not vm.ending:
-            self._journal.own_ends.append(
-                f"{vm.name} (process {process.pid}) ended by itself with {code}"
-            )
+        if vm.ending:
+            return
+        at = f"{time.monotonic():.1f}"
+        self._journal.own_ends.append(
+            f"{vm.name} (process {process.pid}) ended by itself with {code} at {at}"
+        )
+        with self._journal.trouble("ended-by-itself", vm.name):
+            # As the platform does.
+            await asyncio.sleep(RESTART_S)
+            await self.start_vm(vm.name)
 
     async def kill_vm(self, name: str) -> None:
         """End a VM's process at once."""
@@ -259,6 +266,8 @@
 
     async def stop(self) -> None:
         """End every process by its id, then links and store."""
+        for vm in self.vms.values():
+            vm.ending = True
         for name, vm in self.vms.items():
             if vm.process is not None:
                 self.signal_vm(name, signal.SIGCONT)
