--- a/hawthornlead/tests/soak_gateway_records.py
+++ b/hawthornlead/tests/soak_gateway_records.py
@@ -16,6 +16,8 @@
 CONTACT_S = 3.0
 # Unplanned trouble of the store, seen by every VM.
 STORE = "store"
+# The process that plays and judges all else.
+SOAK = "soak"
 
 
 class Sent(NamedTuple):
