--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -47,6 +47,7 @@
 # Longer than a target that leaves may be sent to.
 SPOILT_S = 4.5
 PROBE_S = 3.0
+CUT_STREAMS = 6
 # Longer than that, this process itself has held the platform up.
 STALL_S = 0.2
 LOOK_S = 0.05
@@ -151,6 +152,9 @@
             leaving = asyncio.create_task(drained(world, one))
             spoiling = asyncio.create_task(spoilt(world, two, SPOILT_S))
             await asyncio.sleep(DRAIN_S)
+            # Streams that go on at another engine, where the budget allows.
+            for target in world.targets.values():
+                target.next_faults["cut"] = CUT_STREAMS
             await asyncio.gather(terminated(world, vm), leaving, spoiling)
 
     async def _probe(self) -> None:
