--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -19,7 +19,7 @@
 from . import soak_gateway_bounds, soak_gateway_paths
 from .gateways import ask
 from .soak_gateway_callers import WEIGHTS, Fleet, GatewayCaller
-from .soak_gateway_faults import GATEWAY_DECK, terminated
+from .soak_gateway_faults import GATEWAY_DECK, an_owner, terminated
 from .soak_gateway_fleet import GatewayFleet
 from .soak_gateway_judges import GATEWAY_JUDGES, Case
 from .soak_gateway_records import SOAK, Journal, Probe, Trouble
@@ -143,10 +143,13 @@
         """Do planned work only, each piece while all else is well."""
         world = self._world
         await asyncio.sleep(CONTACT_S)
-        for adapter in ("a1", "a2", "a3"):
-            world.bump(adapter)
+        self._bump()
         world.configure()
-        with world.own_vm() as vm, world.own_target() as one, world.own_target() as two:
+        with (
+            world.own_vm(an_owner(world) or "") as vm,
+            world.own_target() as one,
+            world.own_target() as two,
+        ):
             # The target is gone 2 s after it said so; until then no path is hurt.
             await asyncio.sleep(VERSION_S - DRAIN_S)
             leaving = asyncio.create_task(drained(world, one))
@@ -156,6 +159,13 @@
             for target in world.targets.values():
                 target.next_faults["cut"] = CUT_STREAMS
             await asyncio.gather(terminated(world, vm), leaving, spoiling)
+        # Engines that have another owner now get orders from it.
+        self._bump()
+        await asyncio.sleep(1.0)
+
+    def _bump(self) -> None:
+        for adapter in ("a1", "a2", "a3"):
+            self._world.bump(adapter)
 
     async def _probe(self) -> None:
         """Ask each VM for each kind of request, as its callers would."""
--- a/hawthornlead/tests/soak_gateway_callers.py
+++ b/hawthornlead/tests/soak_gateway_callers.py
@@ -25,7 +25,7 @@
 # after its deadline.
 GAP_S = 3.2
 ANSWER_S = 1.0
-WEIGHTS = {"safe": 4, "unsafe": 5, "stream": 5, "resume": 5, "moved": 4, "added": 2}
+WEIGHTS = {"safe": 4, "unsafe": 5, "stream": 4, "resume": 8, "moved": 4, "added": 2}
 STREAMS = ("stream", "resume")
 LEAVES = 0.12
 INSIST_S = 0.4
--- a/hawthornlead/tests/soak_gateway_faults.py
+++ b/hawthornlead/tests/soak_gateway_faults.py
@@ -28,7 +28,6 @@
 # Another VM may order what an owner ordered when it has seen its lease unrenewed for
 # 15.5 s, and looks for the first time some seconds after the owner is gone.
 PAST_LEASE_S = 22.0
-NO_VM = "none"
 ASKED_S = 0.8
 
 
@@ -36,7 +35,7 @@
     name: str,
     often: int = 1,
     first: bool = False,
-    choose: Callable[[GatewayWorld], str] = lambda world: "",
+    choose: Callable[[GatewayWorld], str | None] = lambda world: "",
     linked: bool = False,
 ):
     """Enter a fault of one VM, which no other fault of a VM works on meanwhile."""
@@ -44,7 +43,10 @@
     def enter(function: VmFault):
         @fault(name, often, first)
         async def run(world: GatewayWorld) -> None:
-            with world.own_vm(choose(world), linked) as vm:
+            wanted = choose(world)
+            if wanted is None:
+                return
+            with world.own_vm(wanted, linked) as vm:
                 if vm is None:
                     return
                 with world.journal.trouble(name, vm):
@@ -146,16 +148,16 @@
     await _freeze(world, vm, world.rng.choice((0.3, 1.5, 5.0)))
 
 
-def _owner(world: GatewayWorld) -> str:
-    """Choose a VM that may order some engine."""
+def an_owner(world: GatewayWorld) -> str | None:
+    """Choose a VM that may order some engine, None if none is free."""
     store = world.fleet.store
     records = [store.spec(OWNERS_KIND, name) for name in store.names(OWNERS_KIND)]
     owners = {str(spec.get("vm")) for spec in records if isinstance(spec, dict)}
     free = sorted(vm for vm in owners & set(world.fleet.linked) if not world.taken(vm))
-    return world.rng.choice(free) if free else NO_VM
+    return world.rng.choice(free) if free else None
 
 
-@vm_fault("owner-frozen-past-its-lease", first=True, choose=_owner)
+@vm_fault("owner-frozen-past-its-lease", first=True, choose=an_owner)
 async def owner_frozen_past_its_lease(world: GatewayWorld, vm: str) -> None:
     """A VM that orders engines freezes until the lease has run out.
 
@@ -166,7 +168,7 @@
         await asyncio.sleep(1.0)
 
 
-@vm_fault("owner-cut-off-past-its-lease", first=True, choose=_owner, linked=True)
+@vm_fault("owner-cut-off-past-its-lease", first=True, choose=an_owner, linked=True)
 async def owner_cut_off_past_its_lease(world: GatewayWorld, vm: str) -> None:
     """A VM that orders engines hears neither store nor VMs until its lease ran out.
 
