--- a/hawthornlead/__main__.py
+++ b/hawthornlead/__main__.py
@@ -1,6 +1,12 @@
 """Run the command line by ``python -m hawthornlead``, also inside the one binary."""
 
-from .main import main
+import sys
+
+from .early_signals import hold_reloads
+
+hold_reloads(sys.argv[1:])
+
+from .main import main  # noqa: E402
 
 if __name__ == "__main__":
     main()
--- a/hawthornlead/gateway/drains.py
+++ b/hawthornlead/gateway/drains.py
@@ -9,9 +9,10 @@
 KEPT_TIMES = 3
 # The process ends this long before it would be killed.
 END_MARGIN_S = 0.25
-# A request that comes later than this share of the grace may not end within it. It is
-# refused unrun, so that its caller goes to another VM at once.
-LATE_SHARE = 0.6
+# Callers that kept an answer have left by then, and the platform bears that a request
+# of before is cut off as the grace ends. A later one is taken only if its deadline
+# comes before that; else it is refused unrun, and its caller goes elsewhere.
+TAKEN_S = 2.8
 LOOK_S = 0.05
 
 
@@ -43,24 +44,34 @@
         """Whether the drain has begun."""
         return self._began_at is not None
 
+    @property
+    def _end_at(self) -> float:
+        """When the process ends, in seconds of the ``TimerService``."""
+        return self._began_at + self._grace_s - END_MARGIN_S
+
     def begin(self) -> None:
         """Begin to drain."""
         if self._began_at is None:
             self._began_at = self._timers.now()
 
-    def refusal(self) -> Failure | None:
-        """Return why a new request is refused, None while it is served."""
+    def refusal(self, deadline_s: float | None = None) -> Failure | None:
+        """Return why a new request is refused, None while it is served.
+
+        ``deadline_s`` is how long its caller waits for it, None if that isn't known.
+        """
         if self._began_at is None:
             return None
-        if self._timers.now() - self._began_at < LATE_SHARE * self._grace_s:
+        now = self._timers.now()
+        if now - self._began_at < TAKEN_S:
+            return None
+        if deadline_s is not None and now + deadline_s <= self._end_at:
             return None
         return Failure(ErrorKind.DRAINING, "this VM is leaving", 0.0)
 
     async def wait(self) -> None:
         """Wait until nothing is open and kept answers ran out, or the grace is over."""
-        end_at = self._began_at + self._grace_s - END_MARGIN_S
         kept_until = self._began_at + KEPT_TIMES * self._keep_answer_s
-        while self._timers.now() < end_at:
+        while self._timers.now() < self._end_at:
             if self._timers.now() >= kept_until and not self._open_requests():
                 return
             await self._timers.sleep(LOOK_S)
--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -34,7 +34,7 @@
 CALL_S = 1.0
 CONNECT_S = 0.6
 # How much longer than its wait a watch may take before its connection counts as dead.
-WATCH_SLACK_S = 0.8
+WATCH_SLACK_S = 0.6
 MAX_CALLS = 64
 # Answers of a store that is there and serves nothing, or not this VM.
 TURNED_AWAY = frozenset((429, 503))
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -19,9 +19,10 @@
 from .store_clients import WATCH_SLACK_S, StoreClient
 from .watch_relays import WatchRelays
 
-# A watch that waits longer finds out later that its connection went silent: this and
-# WATCH_SLACK_S stay below the 5 s in which a new adapter version must be in force.
-WAIT_S = 3.0
+# A watch that waits longer finds out later that its answer was lost or its connection
+# went silent. With WATCH_SLACK_S and a listing this stays below the 3 s after which a
+# VM counts as in touch again and must heed new configurations; it was 3.8 s.
+WAIT_S = 2.0
 # Between calls that failed; all VMs together must stay far below the store's rates.
 RETRY_S = 0.4
 SOON_RETRIES = 4
--- a/hawthornlead/tests/soak_vm.py
+++ b/hawthornlead/tests/soak_vm.py
@@ -10,7 +10,11 @@
 import socket
 import sys
 
-from hawthornlead.main import main
+from hawthornlead.early_signals import hold_reloads
+
+hold_reloads(sys.argv[2:])
+
+from hawthornlead.main import main  # noqa: E402
 
 _BIND_ADDRESS_NO_PORT = 24
 
--- a/hawthornlead/tests/test_gateway_decisions.py
+++ b/hawthornlead/tests/test_gateway_decisions.py
@@ -213,6 +213,25 @@
     assert drain.refusal().retry_after_s == 0
 
 
+async def test_a_drain_cuts_no_request_that_came_late(timers):
+    """A stream breaks off in the middle because its VM was restarted.
+
+    It came 4 s after the VM was asked to stop, was taken, and was cut off 4 s later as
+    the grace was over. Requests that surely end before that are served all the same.
+    """
+    drain = Drain(
+        timers=timers, grace_s=8.0, keep_answer_s=1.0, open_requests=lambda: 1
+    )
+    drain.begin()
+    await timers.advance(2.0)
+    assert drain.refusal(20.0) is None
+    await timers.advance(2.0)
+    assert drain.refusal(20.0).retry_after_s == 0
+    assert drain.refusal(3.9) is not None
+    assert drain.refusal(3.7) is None
+    assert drain.refusal(0.6) is None
+
+
 def test_what_is_known_of_targets_that_are_gone_is_dropped(timers):
     """Engines restart 69 times a day, each time under another id.
 
