--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -94,26 +94,27 @@
         engines = min(MOST_ENGINES, max(4, round(ENGINES_A_VM * self._vms)))
         await self._world.start_targets(engines, max(PLAINS, engines // 2))
         for vm in self._fleet.vms.values():
-            await self._wait_ready(vm)
+            if not await self._ready_within(vm, READY_S):
+                raise RuntimeError(f"{vm.name} never became ready")
         directories = [vm.directory for vm in self._fleet.vms.values()]
         street = Fleet(directories, self._fleet.vm_at, self._journal.sent.append)
         for number in range(min(MOST_CALLERS, CALLERS_A_VM * self._vms)):
             rng = Random(f"{self._seed} caller {number}")
             self._world.callers.append(GatewayCaller(f"c{number}", street, rng))
 
-    async def _wait_ready(self, vm) -> None:
-        end = time.monotonic() + READY_S
+    async def _ready_within(self, vm, wait_s: float) -> bool:
+        """Wait until a VM is ready; False if it isn't in time."""
+        end = time.monotonic() + wait_s
+        headers = {"Host": vm.ready, "Connection": "close"}
         while time.monotonic() < end:
             try:
-                answer = await ask(
-                    vm.ready, "GET", "/v1/ready", {"Host": "x", "Connection": "close"}
-                )
+                answer = await ask(vm.ready, "GET", "/v1/ready", headers)
             except OSError:
                 answer = None
             if answer is not None and answer.status == 200:
-                return
+                return True
             await asyncio.sleep(0.1)
-        raise RuntimeError(f"{vm.name} never became ready")
+        return False
 
     async def _load(self) -> None:
         """Load and hurt the system by turns, until each fault was injected."""
@@ -130,10 +131,16 @@
                 until = max(until, time.monotonic() + FAULTS_FOR_S / 2)
                 await GATEWAY_DECK.play(world, until, FAULTS_AT_ONCE, FAULT_S)
                 hurt_until = time.monotonic()
+                stalls = len(self._journal.stalls)
                 await self._calm()
+                if len(self._journal.stalls) > stalls:
+                    # This process has disturbed the calm itself.
+                    await self._calm()
                 if time.monotonic() > ends:
                     break
             await asyncio.sleep(max(0, hurt_until + RECOVERY_S - time.monotonic()))
+            vms = self._fleet.vms.values()
+            await asyncio.gather(*(self._ready_within(vm, RECOVERY_S) for vm in vms))
             await self._probe()
         finally:
             stopped.set()
@@ -159,6 +166,8 @@
             for target in world.targets.values():
                 target.next_faults["cut"] = CUT_STREAMS
             await asyncio.gather(terminated(world, vm), leaving, spoiling)
+            for target in world.targets.values():
+                target.next_faults["cut"] = 0
         # Engines that have another owner now get orders from it.
         self._bump()
         await asyncio.sleep(1.0)
@@ -171,8 +180,7 @@
         """Ask each VM for each kind of request, as its callers would."""
         rng = Random(f"{self._seed} probe")
         street = Fleet([], self._fleet.vm_at, self._journal.sent.append)
-        caller = GatewayCaller("probe", street, rng)
-
+        caller = GatewayCaller("probe", street, rng, leaves=0.0)
         at_once = asyncio.Semaphore(PROBES_AT_ONCE)
 
         async def probe(vm, kind: str) -> None:
--- a/hawthornlead/tests/soak_gateway_callers.py
+++ b/hawthornlead/tests/soak_gateway_callers.py
@@ -40,12 +40,16 @@
 
 
 class GatewayCaller:
-    """One caller, which asks again and again until it is told to stop."""
+    """One caller, which asks again and again until it is told to stop.
 
-    def __init__(self, name: str, fleet: Fleet, rng: Random):
+    It leaves a share of its streams, ``leaves``, before their end.
+    """
+
+    def __init__(self, name: str, fleet: Fleet, rng: Random, leaves: float = LEAVES):
         self._name = name
         self._fleet = fleet
         self._rng = rng
+        self._leaves = leaves
         self._number = 0
         self._addresses: list[str] = []
         self._kept_until = 0.0
@@ -74,10 +78,10 @@
         """Ask once, retrying as callers do; ``address`` names one VM for all tries."""
         sent = self._fresh(kind)
         until = time.monotonic() + sent.deadline_s
-        for _ in range(1 + RETRIES):
+        for retries_left in range(RETRIES, -1, -1):
             sent = await self._attempt(sent, until - time.monotonic(), address)
             left_s = until - time.monotonic()
-            if not _may_retry(sent) or left_s < 0.1:
+            if not _may_retry(sent) or left_s < 0.1 or not retries_left:
                 break
             after_s = float(sent.detail or 0) if sent.outcome == "refused" else 0.05
             await asyncio.sleep(min(max(after_s, 0.02), left_s / 3))
@@ -223,7 +227,9 @@
 
     async def _read_events(self, got: Exchange, seen: list[Sent]) -> bool:
         """Read a stream to its end; False if the caller leaves on purpose."""
-        leaves_at = self._rng.randrange(1, 30) if self._rng.random() < LEAVES else 0
+        leaves_at = (
+            self._rng.randrange(1, 30) if self._rng.random() < self._leaves else 0
+        )
         rest = b""
         async for piece in got.pieces():
             *events, rest = (rest + piece).split(b"\n\n")
--- a/hawthornlead/tests/soak_gateway_fleet.py
+++ b/hawthornlead/tests/soak_gateway_fleet.py
@@ -266,11 +266,12 @@
 
     async def stop(self) -> None:
         """End every process by its id, then links and store."""
-        for vm in self.vms.values():
+        for name, vm in self.vms.items():
             vm.ending = True
+            if vm.process is not None:
+                self.signal_vm(name, signal.SIGKILL)
         for name, vm in self.vms.items():
             if vm.process is not None:
-                self.signal_vm(name, signal.SIGCONT)
                 await self.kill_vm(name)
         for vm in self.vms.values():
             if vm.mesh is not None:
--- a/hawthornlead/tests/soak_vm.py
+++ b/hawthornlead/tests/soak_vm.py
@@ -7,12 +7,20 @@
     python -m hawthornlead.tests.soak_vm 127.30.1.1 gateway -c vm-1.ini
 """
 
+import ctypes
+import signal
 import socket
 import sys
 
 from hawthornlead.main import main
 
 _BIND_ADDRESS_NO_PORT = 24
+_SET_DEATH_SIGNAL = 1
+
+
+def die_with_parent() -> None:
+    """Have the kernel end this process when the soak's own ends, however it does."""
+    ctypes.CDLL(None).prctl(_SET_DEATH_SIGNAL, signal.SIGKILL)
 
 
 def connect_from(host: str) -> None:
@@ -31,5 +39,6 @@
 
 
 if __name__ == "__main__":
+    die_with_parent()
     connect_from(sys.argv[1])
     main(sys.argv[2:])
