--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -52,11 +52,13 @@
 # The same over the gateway.
 GATEWAY_SEEDS = {
     3: "an entry that another writer spoilt ended a VM's watch of targets for good",
-    4: "the same: a VM without a watch sent to a target that had said it leaves",
-    11: "the same; and an entry without an address ended requests and an owner's task",
+    4: "as 3: a VM without a watch sent to a target that had said it leaves",
+    11: "as 3; and an entry without an address ended requests and an owner's task",
     53: "a VM that got SIGHUP while it started, before it heeds it, ended",
     61: "a lease object that another writer spoilt let a second VM order an engine",
     83: "a watch whose answer was lost went on for 3.8 s: configuration too late",
+    91: "a VM that was to stop took a stream after 3.6 s that its grace cut after 7.8 s",
+    102: "as 91, two streams",
 }
 
 
