--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -57,7 +57,7 @@
     53: "a VM that got SIGHUP while it started, before it heeds it, ended",
     61: "a lease object that another writer spoilt let a second VM order an engine",
     83: "a watch whose answer was lost went on for 3.8 s: configuration too late",
-    91: "a VM that was to stop took a stream after 3.6 s that its grace cut after 7.8 s",
+    91: "a VM that was to stop took a stream 3.6 s later, which its grace cut at 7.8 s",
     102: "as 91, two streams",
 }
 
