--- a/hawthornlead/tests/soak_decks.py
+++ b/hawthornlead/tests/soak_decks.py
@@ -68,7 +68,10 @@
         """
         running: dict[asyncio.Task, str] = {}
         while time.monotonic() < until + PATIENCE_S:
-            running = {task: name for task, name in running.items() if not task.done()}
+            for task in [task for task in running if task.done()]:
+                # A fault that raises is an error of the run.
+                task.result()
+                del running[task]
             if time.monotonic() > until and not self._missing(world):
                 break
             if len(running) < at_once:
@@ -77,8 +80,7 @@
                     task = asyncio.create_task(self._inject(world, name))
                     running[task] = name
             await asyncio.sleep(world.rng.uniform(0.5, 1.5) * pause_s)
-        if running:
-            await asyncio.wait(running)
+        await asyncio.gather(*running)
 
     def _missing(self, world: Injectable) -> list[str]:
         return [name for name in self.faults if not world.injected[name]]
--- a/hawthornlead/tests/soak_gateway_fleet.py
+++ b/hawthornlead/tests/soak_gateway_fleet.py
@@ -14,6 +14,7 @@
 import socket
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 from random import Random
 
@@ -135,8 +136,7 @@
         """End a VM's process at once."""
         vm = self.vms[name]
         vm.ending = True
-        if vm.process.returncode is None:
-            vm.process.kill()
+        self.signal_vm(name, signal.SIGKILL)
         await vm.process.wait()
 
     async def terminate_vm(self, name: str) -> None:
@@ -144,13 +144,11 @@
         vm = self.vms[name]
         vm.ending = True
         asked_at = time.monotonic()
-        if vm.process.returncode is None:
-            vm.process.terminate()
+        self.signal_vm(name, signal.SIGTERM)
         try:
             await asyncio.wait_for(vm.process.wait(), GRACE_S + GRACE_SLACK_S)
         except TimeoutError:
-            vm.process.kill()
-            await vm.process.wait()
+            await self.kill_vm(name)
         self._journal.stopped.append(
             Stopped(
                 name,
@@ -163,9 +161,9 @@
 
     def signal_vm(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a VM's process, if it runs."""
-        process = self.vms[name].process
-        if process.returncode is None:
-            process.send_signal(number)
+        # It may have ended a moment ago, which isn't known here yet.
+        with suppress(ProcessLookupError):
+            self.vms[name].process.send_signal(number)
 
     def write_settings(self, name: str) -> Path:
         """Write a VM's settings file; each time a little different."""
--- a/hawthornlead/tests/test_soak_parts.py
+++ b/hawthornlead/tests/test_soak_parts.py
@@ -35,6 +35,19 @@
     assert hurt.injected["shy"] > 0
 
 
+async def test_a_fault_that_raises_ends_the_run():
+    """A fault raised within a run, its VM stayed down, and the run blamed the VM."""
+    deck = Deck()
+
+    @deck.fault("faulty")
+    async def faulty(world):
+        raise LookupError
+
+    until = asyncio.get_running_loop().time() + 0.2
+    with pytest.raises(LookupError):
+        await deck.play(Hurt(), until, at_once=1, pause_s=0.01)
+
+
 async def _echo(reader, writer):
     while data := await reader.read(100):
         writer.write(data)
