--- a/hawthornlead/gateway/engine_orders.py
+++ b/hawthornlead/gateway/engine_orders.py
@@ -16,6 +16,11 @@
 from .ownerships import Ownerships
 from .records import EngineOrder, OrderKind, OrderOutcome, TargetEntry
 
+# Unanswered orders in a row after which a report is read. Where every answer comes too
+# late, the first one was carried out and all others are refused: an owner that went on
+# with its count gave the same order for 12 s.
+MOST_UNANSWERED = 3
+
 
 class EngineOrders:
     """Gives the orders to one engine; ``holder`` names this VM to it."""
@@ -41,6 +46,7 @@
         self._accepted: int | None = None
         self._surely_accepted = 0
         self._given_at = 0.0
+        self._unanswered = 0
 
     @property
     def accepted(self) -> int | None:
@@ -114,7 +120,12 @@
             # Carried out or not, or later: the next order names the same count. The
             # engine takes only one of the two and refuses the other, so that there is
             # no need to wait for a report that shows which.
+            self._unanswered += 1
+            if self._unanswered >= MOST_UNANSWERED:
+                self._accepted = None
+                self._unanswered = 0
             return
+        self._unanswered = 0
         if not accepted_for_sure(order, outcome):
             # Only a report tells how many orders the engine has accepted.
             self._accepted = None
--- a/hawthornlead/tests/standins/troubled_store.py
+++ b/hawthornlead/tests/standins/troubled_store.py
@@ -139,7 +139,9 @@
 
     def write(self, kind: str, name: str, spec: dict) -> int:
         """Write as the operator or a target does; returns the revision."""
-        if isinstance(spec, dict) and spec.get("peer_address") in self.spellings:
+        # What another writer spoilt may hold anything there.
+        address = spec.get("peer_address") if isinstance(spec, dict) else None
+        if isinstance(address, str) and address in self.spellings:
             spec = {**spec, "peer_address": self.spellings[spec["peer_address"]]}
         return super().write(kind, name, spec)
 
--- a/hawthornlead/tests/test_engine_orders.py
+++ b/hawthornlead/tests/test_engine_orders.py
@@ -8,7 +8,7 @@
 from hawthornlead.clocks import HybridClock
 from hawthornlead.events import EventRing
 from hawthornlead.gateway.engine_calls import EngineCalls
-from hawthornlead.gateway.engine_orders import EngineOrders
+from hawthornlead.gateway.engine_orders import MOST_UNANSWERED, EngineOrders
 from hawthornlead.gateway.engine_slots import AdapterKey
 from hawthornlead.gateway.gateway_metrics import GatewayMetrics
 from hawthornlead.gateway.late_orders import LateOrders
@@ -50,9 +50,8 @@
         self.ended = asyncio.ensure_future(asyncio.sleep(0))
 
 
-async def give_while(fleet, happen):
-    """Have ``a`` order an engine; ``happen`` comes about while it connects."""
-    connections = SlowConnections()
+def orders_of(fleet, connections):
+    """Return the orders of ``a`` to an engine that has accepted none."""
     orders = EngineOrders(
         ownerships=fleet.a.ownerships,
         calls=EngineCalls(connections=connections),
@@ -63,6 +62,13 @@
         late=LateOrders(timers=fleet.timers),
     )
     orders.take_accepted(0)
+    return orders
+
+
+async def give_while(fleet, happen):
+    """Have ``a`` order an engine; ``happen`` comes about while it connects."""
+    connections = SlowConnections()
+    orders = orders_of(fleet, connections)
     key = AdapterKey("m", "a1")
     giving = asyncio.ensure_future(orders.give(ENTRY, OrderKind.LOAD, key, 1))
     await connections.opening.wait()
@@ -122,3 +128,21 @@
     outcome, sent = await give_while(fleet, happen)
     assert outcome is OrderOutcome.REFUSED
     assert not sent
+
+
+async def test_orders_whose_answers_all_come_late_have_a_report_read():
+    """An engine loads nothing for as long as its answers take over a tenth of a second.
+
+    The first order was carried out, and its answer came too late. Each further one
+    named the same count and was refused, and that answer came too late as well.
+    """
+    fleet = await owned_by_a()
+    connections = SlowConnections()
+    connections.go_on.set()
+    orders = orders_of(fleet, connections)
+    key = AdapterKey("m", "a1")
+    for _ in range(MOST_UNANSWERED):
+        assert orders.accepted == 0
+        outcome = await orders.give(ENTRY, OrderKind.LOAD, key, 1)
+        assert outcome is OrderOutcome.UNKNOWN
+    assert orders.accepted is None
