--- a/spec/engine_leases.pml
+++ b/spec/engine_leases.pml
@@ -6,9 +6,9 @@
  * margin, or restarted. A VM that does nothing while time goes on is suspended; its
  * counters run all the same, as the clock that it reads counts suspensions.
  *
- * Another writer may make the owner object unreadable, or remove it. A fence is one more
- * than the revision at which its claim met the object, which only rises; who owned the
- * engine is then found out by having the other VM yield it, or by its lease.
+ * Another writer may make the owner object unreadable. A fence is one more than the
+ * revision at which its claim met the object, which only rises; who owned the engine is
+ * then found out by having the other VM yield it, or by its lease.
  *
  * The property: no order bears a lower fence than one before it, and no two VMs order
  * under one fence.
