--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -32,6 +32,7 @@
 from .soak_gateway import GatewaySoak
 from .soak_judges import JUDGES
 from .soak_records import Records, SeenStatus, Told
+from .soak_reports import report_faults, report_verdicts
 
 __all__ = ["Soak", "soak_cuts"]
 
@@ -42,7 +43,6 @@
 FAULT_S = 0.8
 FAULTS_AT_ONCE = 4
 CALM_S = 6.0
-SHOWN = 10
 # Seeds that failed once, and why; each is played again by ``--again``.
 FAILED_SEEDS = {
     80211: "a caller left before its own deadline and blamed a VM that shut down; "
@@ -184,27 +184,15 @@
 
     def _report(self, records: Records) -> bool:
         """Print what was put to the test and what did not hold."""
-        held = True
         outcomes = Counter(f"{told.form} {told.outcome}" for told in records.told)
         click.echo(f"seed {self._seed}, {self._minutes} minutes")
         click.echo(f"requests: {len(records.told)}")
         for outcome, count in sorted(outcomes.items()):
             click.echo(f"  {count:6} {outcome}")
-        click.echo(f"faults injected: {sum(self._world.injected.values())}")
+        held = report_faults(self._world.injected, FAULTS)
         click.echo(f"  {self._world.injected[REPEATED]:6} {REPEATED}")
-        for name in sorted(FAULTS):
-            count = self._world.injected[name]
-            held = held and count > 0
-            click.echo(f"  {count:6} {name}{'' if count else '  NEVER'}")
         click.echo("lines put to the test:")
-        for name, judge in JUDGES.items():
-            verdict = judge(records)
-            held = held and verdict.exercised > 0 and not verdict.broken
-            state = f"BROKEN {len(verdict.broken)}" if verdict.broken else "held"
-            state = state if verdict.exercised else "NEVER PUT TO THE TEST"
-            click.echo(f"  {verdict.exercised:6} {name}: {state}")
-            for line in verdict.broken[:SHOWN]:
-                click.echo(f"         {line}")
+        held = report_verdicts(JUDGES, records) and held
         click.echo("held" if held else f"FAILED with seed {self._seed}")
         return held
 
--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -25,6 +25,7 @@
 from .soak_gateway_records import SOAK, Journal, Probe, Trouble
 from .soak_gateway_targets import DRAIN_S, drained, spoilt
 from .soak_gateway_world import GatewayWorld
+from .soak_reports import report_faults, report_verdicts
 
 __all__ = ["GatewaySoak", "soak_gateway_bounds", "soak_gateway_paths"]
 
@@ -51,7 +52,6 @@
 # Longer than that, this process itself has held the platform up.
 STALL_S = 0.2
 LOOK_S = 0.05
-SHOWN = 8
 
 
 class GatewaySoak:
@@ -227,22 +227,9 @@
         click.echo(
             f"stood still itself: {len(journal.stalls)}, {longest_s:.2f} s at most"
         )
-        held = True
-        click.echo(f"faults injected: {sum(world.injected.values())}")
-        for name in sorted(GATEWAY_DECK.faults):
-            count = world.injected[name]
-            held = held and count > 0
-            click.echo(f"  {count:6} {name}{'' if count else '  NEVER'}")
+        held = report_faults(world.injected, GATEWAY_DECK.faults)
         click.echo("rules put to the test:")
-        case = Case(journal)
-        for name, judge in GATEWAY_JUDGES.items():
-            verdict = judge(case)
-            held = held and verdict.exercised > 0 and not verdict.broken
-            state = f"BROKEN {len(verdict.broken)}" if verdict.broken else "held"
-            state = state if verdict.exercised else "NEVER PUT TO THE TEST"
-            click.echo(f"  {verdict.exercised:6} {name}: {state}")
-            for line in verdict.broken[:SHOWN]:
-                click.echo(f"         {line}")
+        held = report_verdicts(GATEWAY_JUDGES, Case(journal)) and held
         click.echo("held" if held else f"FAILED with seed {self._seed}")
         return held
 
