--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -55,6 +55,7 @@
     4: "as 3: a VM without a watch sent to a target that had said it leaves",
     11: "as 3; and an entry without an address ended requests and an owner's task",
     53: "a VM that got SIGHUP while it started, before it heeds it, ended",
+    80211: "the same 0.09 s after its start, before any code of ours: allowed then",
     61: "a lease object that another writer spoilt let a second VM order an engine",
     83: "a watch whose answer was lost went on for 3.8 s: configuration too late",
     91: "a VM that was to stop took a stream 3.6 s later, which its grace cut at 7.8 s",
