Test of early signals: set the signal's default, which a parent may have ignored

It failed once, in a whole run started under nohup: its control process inherited the ignored signal and lived. With the default set it passes with the signal ignored by its parent too.

--- a/hawthornlead/tests/test_early_signals.py
+++ b/hawthornlead/tests/test_early_signals.py
@@ -6,9 +6,11 @@
 import pytest
 
 # Runs the program's own entry, which is asked to read its settings again as soon as it
-# begins to load its command line.
+# begins to load its command line. The signal's default is set first: whoever starts the
+# tests may have had it ignored, which a process inherits.
 PROGRAM = """
 import builtins, os, runpy, signal, sys
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
 load = builtins.__import__
 def signalled(name, scope=None, *rest, **named):
     if name == "main" and scope and scope.get("__package__") == "hawthornlead":
