Answer the requests that are on their way as a VM stops listening

The VM had waited until nothing was open and ended in that moment. It now stops listening first and waits 0.15 s, and for what came.

--- a/hawthornlead/gateway/drains.py
+++ b/hawthornlead/gateway/drains.py
@@ -14,6 +14,9 @@
 # comes before that; else it is refused unrun, and its caller goes elsewhere.
 TAKEN_S = 2.8
 LOOK_S = 0.05
+# How long requests may be on their way to a VM that takes no further connection: the
+# time of a round trip, and what the event loop may be behind.
+SETTLE_S = 0.15
 
 
 class Drain:
@@ -75,3 +78,15 @@
             if self._timers.now() >= kept_until and not self._open_requests():
                 return
             await self._timers.sleep(LOOK_S)
+
+    async def settle(self) -> None:
+        """Wait for the requests that were on their way as the VM stopped listening.
+
+        Without this a caller that connected as the last request ended was cut off
+        without an answer, though its request was read.
+        """
+        settled_at = self._timers.now() + SETTLE_S
+        while self._timers.now() < self._end_at:
+            if self._timers.now() >= settled_at and not self._open_requests():
+                return
+            await self._timers.sleep(LOOK_S)
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -121,6 +121,8 @@
         self._memberships.leave()
         await self._room.stop()
         await self._drain.wait()
+        self._server.stop()
+        await self._drain.settle()
 
     def stop(self) -> None:
         """End everything; what is still open is cut off."""
--- a/hawthornlead/tests/test_gateways.py
+++ b/hawthornlead/tests/test_gateways.py
@@ -194,6 +194,33 @@
         await draining
 
 
+async def test_a_request_on_its_way_as_a_vm_ends_is_answered():
+    """A caller's stream is cut off without a word as a VM is restarted in good order.
+
+    The VM had waited until nothing was open. In that moment the caller connected; its
+    request was read, and the process ended.
+    """
+    async with Deployment() as deployment:
+        leaving = deployment.gateways[1]
+        leaving._drain._grace_s = 8.0
+        wait = leaving._drain.wait
+        asked = []
+
+        async def wait_and_ask():
+            await wait()
+            asking = deployment.ask("/stream/x", vm=1, Model=MODEL, Deadline_Ms="2000")
+            asked.append(asyncio.create_task(asking))
+            await deployment.until(lambda: leaving._callers.open)
+
+        leaving._drain.wait = wait_and_ask
+        await leaving.drain()
+        leaving.stop()
+        await leaving._server.close_all_connections()
+        answer = await asked[0]
+        assert answer.status == 200
+        assert answer.whole
+
+
 def owner_fence(deployment, target: str) -> int:
     """Return the fence under which an engine was claimed last."""
     return deployment.store.spec(OWNERS_KIND, target)["fence"]
