Read reports in probes by the shared decoder, as engine calls do

The probe parsed a report by itself, beside the piece that bears what another process may send: too deep a nesting would have ended the probe's task. A constant's comment says what it bounds.

--- a/hawthornlead/gateway/owner_objects.py
+++ b/hawthornlead/gateway/owner_objects.py
@@ -14,7 +14,8 @@
 from .records import StoredRecord
 
 OWNERS_KIND = "hawthornlead-owners"
-# Owners change seldom; that more than these change within seconds isn't planned for.
+# So many former owners are remembered, so that the object stays small: more would take
+# as many VMs that each leave within a second.
 FORMER_KEPT = 4
 
 
--- a/hawthornlead/gateway/target_probes.py
+++ b/hawthornlead/gateway/target_probes.py
@@ -8,9 +8,9 @@
 """
 
 import asyncio
-import json
 from enum import Enum
 
+from ..platform.fields import decode
 from ..platform.headers import control_headers
 from ..platform.targets import REPORT_PATH, read_report
 from ..timers import TimerService
@@ -123,7 +123,7 @@
 
 def _read_start(entry: TargetEntry, body: bytes) -> Found:
     try:
-        started_ms = read_report(json.loads(body)).started_ms
+        started_ms = read_report(decode(body)).started_ms
     except ValueError:
         # What can't be read was still sent by a process under the id that was named.
         return Found.ALIVE
