Wait for an engine's next free slot, in an order; relay what engines hold in large fleets

Cause: a request that met only full engines was refused at once, 18 ms after it came, though slots come free every 0.1 s to 0.2 s and its objective left 0.4 s. It now waits at the engine that expects the next free slot, in time first, then by rank, if the wait expected there leaves it time; else it is refused at once with that wait.

--- /dev/null
+++ b/hawthornlead/gateway/adapter_requests.py
@@ -0,0 +1,152 @@
+"""The requests that wait for an adapter of one engine.
+
+Each waits for a slot, for the order that loads its adapter, and for the adapter. Those
+for one adapter share all three::
+
+    loaded = await requests.load(wanted, version=2, wait_s=1.0)
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from result import Err, Ok, Result
+
+from ..errors import ErrorKind, Failure
+from ..tasks import TaskSet
+from ..timers import TimerService
+from ..waits import Signal
+from .engine_slots import AdapterKey, EngineSlots
+from .fetch_followers import FIRST_LOOK_S
+from .load_checks import MAX_ARRIVING, LoadChecks
+from .slot_queues import SlotWanted
+from .slot_waits import SlotWaits
+
+# A fetch takes 0.25 to 0.3 s, so that with four at once one ends every 65 ms or so.
+FETCH_TURN_S = 0.065
+
+
+class AdapterRequests:
+    """What callers' requests want of one engine; ``order`` orders one load."""
+
+    def __init__(
+        self,
+        *,
+        slots: EngineSlots,
+        checks: LoadChecks,
+        slot_waits: SlotWaits,
+        timers: TimerService,
+        tasks: TaskSet,
+        order: Callable[[AdapterKey, int], Awaitable[Result[None, Failure]]],
+    ):
+        self._slots = slots
+        self._checks = checks
+        self._slot_waits = slot_waits
+        self._timers = timers
+        self._tasks = tasks
+        self._order = order
+        self._stopped = False
+        self._ordering: dict[tuple[AdapterKey, int], asyncio.Task] = {}
+        self._waiting: dict[AdapterKey, int] = {}
+        self._changed = Signal()
+
+    def waits(self, key: AdapterKey) -> bool:
+        """Whether a request waits for an adapter."""
+        return key in self._waiting
+
+    def note_changed(self) -> None:
+        """Look again at what the engine holds."""
+        self._changed.fire()
+
+    def stop(self) -> None:
+        """Tell all who wait at once that the engine isn't ordered here any more."""
+        self._stopped = True
+        self._changed.fire()
+        self._slot_waits.stop()
+
+    async def load(
+        self, wanted: SlotWanted, version: int, wait_s: float
+    ) -> Result[int, Failure]:
+        """Make an adapter ready and return its version.
+
+        Waits for a slot until ``wanted.until``, and for the adapter ``wait_s``. Fails
+        with ``NO_SLOT`` if no slot comes free in time, ``NO_GRANT`` if this VM may not
+        order the engine, ``LOAD_FAILED`` if the adapter isn't ready in time.
+        """
+        key = wanted.key
+        self._slots.note_use(key, 1, self._timers.now())
+        give_up_at = self._timers.now() + wait_s
+        self._waiting[key] = self._waiting.get(key, 0) + 1
+        try:
+            return await self._load_until(wanted, version, give_up_at)
+        finally:
+            self._waiting[key] -= 1
+            if not self._waiting[key]:
+                del self._waiting[key]
+
+    async def _load_until(
+        self, wanted: SlotWanted, version: int, give_up_at: float
+    ) -> Result[int, Failure]:
+        key = wanted.key
+        while not self._slots.ready(key, version):
+            if self._stopped:
+                return Err(Failure(ErrorKind.NO_GRANT, "not ordered here now", 0.1))
+            left_s = give_up_at - self._timers.now()
+            if left_s <= 0:
+                return Err(Failure(ErrorKind.LOAD_FAILED, f"{key} is not ready", 0.3))
+            if self._checks.is_coming(key, version):
+                await self._changed.wait(self._timers, left_s)
+                continue
+            if self._slots.arriving >= MAX_ARRIVING:
+                turn_s = FETCH_TURN_S * self._fetches_ahead(key)
+                if turn_s > left_s - FIRST_LOOK_S:
+                    detail = "too many loads at once"
+                    return Err(Failure(ErrorKind.NO_SLOT, detail, turn_s))
+                await self._changed.wait(self._timers, left_s)
+                continue
+            ordered = await self._have_ordered(wanted, version, left_s)
+            if ordered.is_err():
+                return ordered
+        slot = self._slots.slots.get(key)
+        return Ok(slot.version if slot else version)
+
+    async def _have_ordered(
+        self, wanted: SlotWanted, version: int, left_s: float
+    ) -> Result[None, Failure]:
+        """Have a load ordered once there is a slot for it."""
+        waited = await self._slot_waits.wait(wanted)
+        if waited.is_err():
+            return waited
+        ordering = self._join_ordering(wanted.key, version)
+        await asyncio.wait([ordering], timeout=left_s)
+        if ordering.cancelled() or not ordering.done():
+            return Ok(None)
+        ordered = ordering.result()
+        if ordered.is_ok():
+            return ordered
+        taken = ordered.err_value.kind is ErrorKind.NO_SLOT
+        if taken and self._timers.now() < wanted.until:
+            # Another took the slot meanwhile; this one waits for the next.
+            return Ok(None)
+        return ordered
+
+    def _fetches_ahead(self, key: AdapterKey) -> int:
+        """Count the fetches that are under way or were asked for before this one."""
+        ahead = 0
+        for other in self._waiting:
+            if other == key:
+                break
+            ahead += 1
+        return max(ahead, self._slots.arriving)
+
+    def _join_ordering(self, key: AdapterKey, version: int) -> asyncio.Task:
+        """Return the task that orders this load, one for all who ask for it.
+
+        It goes on when they stop waiting: an order that was sent must be heard out.
+        """
+        name = (key, version)
+        task = self._ordering.get(name)
+        if task is None or task.done():
+            task = self._tasks.spawn(self._order(key, version))
+            self._ordering[name] = task
+            task.add_done_callback(lambda _: self._ordering.pop(name, None))
+        return task
--- a/hawthornlead/gateway/engine_owners.py
+++ b/hawthornlead/gateway/engine_owners.py
@@ -17,16 +17,16 @@
 from ..messages.gateways import PromptReserved, TargetHoldings
 from ..tasks import TaskSet
 from ..timers import TimerService
-from ..waits import Signal
+from .adapter_requests import AdapterRequests
 from .arrival_times import ArrivalTimes
 from .engine_calls import EngineCalls
 from .engine_orders import EngineOrders
 from .engine_reports import REPORT_LAG_S, EngineReports
 from .engine_slots import AdapterKey, AdaptersInUse, EngineSlots, Slot, SlotState
-from .fetch_followers import FIRST_LOOK_S, FetchFollower, shows_adapter
+from .fetch_followers import FetchFollower, shows_adapter
 from .gateway_metrics import GatewayMetrics
 from .late_orders import LateOrders
-from .load_checks import MAX_ARRIVING, LoadChecks
+from .load_checks import LoadChecks
 from .ownerships import Ownerships
 from .prompt_paces import PromptPace
 from .recent_adapters import recently_kept
@@ -38,9 +38,9 @@
     OrderOutcome,
     TargetEntry,
 )
+from .slot_queues import SlotWanted
+from .slot_waits import SlotWaits
 
-# A fetch takes 0.25 to 0.3 s, so that with four at once one ends every 65 ms or so.
-FETCH_TURN_S = 0.065
 # Between tries of a report that can't be had.
 REPORT_RETRY_S = 0.2
 MAX_ORDER_TRIES = 6
@@ -57,7 +57,8 @@
                             timers=timers, holder="edge-1", late=late,
                             on_changed=publish, on_restarted=replace)
         owner.start()
-        loaded = await owner.load(AdapterKey("m", "a3"), version=2, wait_s=1.0)
+        wanted = SlotWanted(AdapterKey("m", "a3"), rank=0, due_at=now, until=now)
+        loaded = await owner.load(wanted, version=2, wait_s=1.0)
     """
 
     def __init__(
@@ -119,13 +120,18 @@
             on_ready=self._note_ready,
             on_missing=self._note_not_ready,
         )
-        self._stopped = False
         self._number = 0
         self._lock = asyncio.Lock()
-        self._ordering: dict[tuple[AdapterKey, int], asyncio.Task] = {}
-        self._waiting: dict[AdapterKey, int] = {}
-        self._changed = Signal()
         self._tasks = TaskSet()
+        self._slot_waits = SlotWaits(self._slots, timers, self._can_take_slot)
+        self._requests = AdapterRequests(
+            slots=self._slots,
+            checks=self._checks,
+            slot_waits=self._slot_waits,
+            timers=timers,
+            tasks=self._tasks,
+            order=self._order_load,
+        )
 
     @property
     def target(self) -> str:
@@ -173,9 +179,8 @@
 
     def stop(self) -> None:
         """Give no further order; who waits for a load is told so at once."""
-        self._stopped = True
         self._tasks.cancel()
-        self._changed.fire()
+        self._requests.stop()
 
     def take_entry(self, entry: TargetEntry) -> None:
         """Take a newer entry of the same engine."""
@@ -199,73 +204,23 @@
             self._slots.note_turn(key, vm, now + wait_s)
         return PromptReserved(wait_s, True, True)
 
+    def end_turn(self, key: AdapterKey, vm: str) -> None:
+        """Note that a VM's request that had its turn has ended."""
+        self._slots.end_turn(key, vm)
+        self._slot_waits.note_freed()
+
     async def load(
-        self, key: AdapterKey, version: int, wait_s: float
+        self, wanted: SlotWanted, version: int, wait_s: float
     ) -> Result[int, Failure]:
-        """Make an adapter ready and return its version.
-
-        Fails with ``NO_SLOT`` if no slot can be freed now, ``NO_GRANT`` if this VM
-        may not order the engine, ``LOAD_FAILED`` if it isn't ready in time.
-        """
-        self._slots.note_use(key, 1, self._timers.now())
-        give_up_at = self._timers.now() + wait_s
-        self._waiting[key] = self._waiting.get(key, 0) + 1
-        try:
-            return await self._load_until(key, version, give_up_at)
-        finally:
-            self._waiting[key] -= 1
-            if not self._waiting[key]:
-                del self._waiting[key]
-
-    async def _load_until(
-        self, key: AdapterKey, version: int, give_up_at: float
-    ) -> Result[int, Failure]:
-        while not self._slots.ready(key, version):
-            if self._stopped:
-                return Err(Failure(ErrorKind.NO_GRANT, "not ordered here now", 0.1))
-            left_s = give_up_at - self._timers.now()
-            if left_s <= 0:
-                return Err(Failure(ErrorKind.LOAD_FAILED, f"{key} is not ready", 0.3))
-            if self._checks.is_coming(key, version):
-                await self._changed.wait(self._timers, left_s)
-                continue
-            if self._slots.arriving >= MAX_ARRIVING:
-                turn_s = FETCH_TURN_S * self._fetches_ahead(key)
-                if turn_s > left_s - FIRST_LOOK_S:
-                    detail = "too many loads at once"
-                    return Err(Failure(ErrorKind.NO_SLOT, detail, turn_s))
-                await self._changed.wait(self._timers, left_s)
-                continue
-            ordering = self._join_ordering(key, version)
-            await asyncio.wait([ordering], timeout=left_s)
-            if ordering.cancelled():
-                continue
-            if ordering.done() and ordering.result().is_err():
-                return ordering.result()
-        slot = self._slots.slots.get(key)
-        return Ok(slot.version if slot else version)
-
-    def _fetches_ahead(self, key: AdapterKey) -> int:
-        """Count the fetches that are under way or were asked for before this one."""
-        ahead = 0
-        for other in self._waiting:
-            if other == key:
-                break
-            ahead += 1
-        return max(ahead, self._slots.arriving)
-
-    def _join_ordering(self, key: AdapterKey, version: int) -> asyncio.Task:
-        """Return the task that orders this load, one for all who ask for it.
-
-        It goes on when they stop waiting: an order that was sent must be heard out.
-        """
-        name = (key, version)
-        task = self._ordering.get(name)
-        if task is None or task.done():
-            task = self._tasks.spawn(self._order_load(key, version))
-            self._ordering[name] = task
-            task.add_done_callback(lambda _: self._ordering.pop(name, None))
-        return task
+        """Make an adapter ready and return its version; see ``AdapterRequests``."""
+        return await self._requests.load(wanted, version, wait_s)
+
+    def _can_take_slot(self, key: AdapterKey) -> bool:
+        """Whether an adapter has a slot, or one is free or can be freed now."""
+        if self._orders.accepted is None:
+            # What is held shows when the order is given.
+            return True
+        return self._checks.has_room(key) or self._checks.victim() is not None
 
     # Orders
 
@@ -276,7 +231,7 @@
                     return Err(Failure(ErrorKind.TARGET_LOST, "no report", 0.5))
                 if not self._checks.makes_sense(key, version):
                     return Ok(None)
-                if key not in self._waiting:
+                if not self._requests.waits(key):
                     # A load for nobody would only take a slot from one in use.
                     return Err(Failure(ErrorKind.LOAD_FAILED, "nobody waits", 0.3))
                 refusal = self._checks.refusal(self._entry, key, version)
@@ -284,11 +239,8 @@
                     return Err(refusal)
                 if not self._checks.has_room(key):
                     if not await self._evict_one():
-                        return Err(
-                            Failure(
-                                ErrorKind.NO_SLOT, "no slot to spare", NO_SLOT_RETRY_S
-                            )
-                        )
+                        detail = "no slot to spare"
+                        return Err(Failure(ErrorKind.NO_SLOT, detail, NO_SLOT_RETRY_S))
                     continue
                 outcome = await self._load_one(key, version)
                 if outcome in (OrderOutcome.STARTED, OrderOutcome.HOLDS_ALREADY):
@@ -320,6 +272,7 @@
         if outcome is not OrderOutcome.STARTED:
             return outcome
         if key.adapter:
+            self._slot_waits.note_taken()
             self._slots.set(key, version, SlotState.ARRIVING, self._timers.now())
             self._tasks.spawn(self._fetches.follow(key, self._slots.slots[key]))
         self._tell()
@@ -417,5 +370,5 @@
 
     def _tell(self) -> None:
         self._number += 1
-        self._changed.fire()
+        self._requests.note_changed()
         self._on_changed(self)
--- a/hawthornlead/gateway/engine_rooms.py
+++ b/hawthornlead/gateway/engine_rooms.py
@@ -25,6 +25,7 @@
 from .engine_owners import EngineOwner
 from .engine_slots import AdapterKey
 from .gateway_metrics import GatewayMetrics
+from .holding_words import HoldingWords
 from .known_targets import KnownTargets
 from .late_orders import LATE_ORDER_S, LateOrders
 from .load_words import LoadWords
@@ -37,6 +38,7 @@
     RestartSeen,
     TargetEntry,
 )
+from .slot_queues import SlotWanted
 from .target_loads import TargetLoads
 
 CLAIM_EVERY_S = 0.25
@@ -89,6 +91,14 @@
             timers=timers,
             on_word=self._note_uses,
         )
+        self._holding_words = HoldingWords(
+            data_centre=data_centre,
+            memberships=memberships,
+            mesh=mesh,
+            timers=timers,
+            own=self._all_holdings,
+            on_told=targets.take_holdings,
+        )
         self._tasks = TaskSet()
         # Claims and releases under way.
         self._changes = TaskSet()
@@ -99,7 +109,6 @@
         mesh.on(ReservePrompt, self._on_reserve)
         mesh.on(AdapterMissing, self._on_missing)
         mesh.on(RequestEnded, self._on_ended)
-        mesh.on(TargetHoldings, self._on_holdings)
 
     @property
     def owned(self) -> tuple[str, ...]:
@@ -113,6 +122,7 @@
             self._timers.every(FORGET_EVERY_S, self._forget_uses, name="old uses"),
         ]
         self._words.start()
+        self._holding_words.start()
 
     async def stop(self) -> None:
         """Give no further order and give all engines back."""
@@ -127,6 +137,7 @@
         # for this VM's lease to run out.
         await self._changes.settle(CHANGES_S)
         self._words.stop()
+        self._holding_words.stop()
         self._changes.cancel()
         self._tasks.cancel()
 
@@ -144,9 +155,12 @@
 
     def tell_all(self, vm: str) -> None:
         """Tell a VM that has just been connected about all owned engines."""
-        for owner in self._owners.values():
-            if owner.known:
-                self._mesh.cast(vm, owner.holdings)
+        for holdings in self._all_holdings():
+            self._mesh.cast(vm, holdings)
+
+    def _all_holdings(self) -> tuple[TargetHoldings, ...]:
+        owners = self._owners.values()
+        return tuple([owner.holdings for owner in owners if owner.known])
 
     # Claims
 
@@ -282,7 +296,7 @@
         peers = len(self._memberships.live())
         await self._timers.sleep(GATHER_S + GATHER_EACH_S * peers)
         if self._owners.get(owner.target) is owner:
-            self._mesh.broadcast(owner.holdings)
+            self._holding_words.tell(owner.holdings)
 
     def _note_uses(self, word: VmLoads) -> None:
         """Count the starts that a VM tells of for the engines owned here."""
@@ -312,7 +326,11 @@
             detail = f"{self._memberships.vm} does not order {message.target}"
             return failed(Failure(ErrorKind.NO_GRANT, detail, 0.2))
         key = AdapterKey(message.model, message.adapter)
-        loaded: Result = await owner.load(key, message.version, message.wait_s)
+        now = self._timers.now()
+        wanted = SlotWanted(
+            key, message.rank, now + message.due_s, now + message.slot_wait_s
+        )
+        loaded: Result = await owner.load(wanted, message.version, message.wait_s)
         if loaded.is_err():
             self._events.emit(
                 EventKind.LOAD_TURNED_DOWN,
@@ -339,13 +357,10 @@
         if owner is None:
             return
         key = AdapterKey(message.model, message.adapter)
-        owner.slots.end_turn(key, sender.vm)
         self._loads.take_ended(sender.vm, message.target, key, message.running)
+        owner.end_turn(key, sender.vm)
 
     async def _on_missing(self, sender, message: AdapterMissing) -> None:
         owner = self._owner_of(message.target, message.started_ms)
         if owner is not None:
             owner.missing(AdapterKey(message.model, message.adapter))
-
-    async def _on_holdings(self, sender, message: TargetHoldings) -> None:
-        self._targets.take_holdings(sender.vm, message)
--- a/hawthornlead/gateway/load_words.py
+++ b/hawthornlead/gateway/load_words.py
@@ -16,6 +16,7 @@
 from ..timers import TimerService
 from .memberships import Memberships
 from .target_loads import TargetLoads
+from .word_relays import WordRelays
 
 TELL_S = 0.2
 # The more VMs, the seldomer each tells.
@@ -25,7 +26,6 @@
 GATHER_S = 0.4
 # A word waits at its VM, at the relay there and at the relay here.
 GATHERED_STEPS = 3
-RELAY_NAME = "load-relay"
 
 
 class LoadWords:
@@ -44,7 +44,7 @@
         timers: TimerService,
         on_word: Callable[[VmLoads], None],
     ):
-        self._data_centre = data_centre
+        self._relays = WordRelays(data_centre, memberships, mesh)
         self._memberships = memberships
         self._loads = loads
         self._mesh = mesh
@@ -86,23 +86,12 @@
         if not self._memberships.large:
             self._mesh.broadcast(word)
             return
-        relays = self._relays()
-        relay = relays.get(self._data_centre, self._mesh.vm)
+        relay = self._relays.own
         if relay != self._mesh.vm:
             self._mesh.cast(relay, word)
             return
         self._own_words[self._mesh.vm] = word
-        self._pass_on([vm for vm in relays.values() if vm != relay])
-
-    def _relays(self) -> dict[str, str]:
-        """Return the relay of each data centre, on which all VMs agree."""
-        peers = {peer.vm: peer.data_centre for peer in self._mesh.live}
-        peers[self._mesh.vm] = self._data_centre
-        relays: dict[str, str] = {}
-        for vm in self._memberships.order_for(RELAY_NAME):
-            if vm in peers:
-                relays.setdefault(peers[vm], vm)
-        return relays
+        self._pass_on(self._relays.others)
 
     def _pass_on(self, other_relays: list[str]) -> None:
         own, self._own_words = self._own_words, {}
@@ -110,17 +99,11 @@
         gathered = _gathered(own)
         for vm in other_relays:
             self._mesh.cast(vm, gathered)
-        self._mesh.cast_to(
-            [peer.vm for peer in self._mesh.live if self._is_near(peer)],
-            _gathered({**others, **own}),
-        )
-
-    def _is_near(self, peer) -> bool:
-        return peer.data_centre == self._data_centre
+        self._mesh.cast_to(self._relays.near, _gathered({**others, **own}))
 
     async def _take_word(self, sender, message: VmLoads) -> None:
         self._take(sender.vm, message)
-        if self._memberships.large and self._is_near(sender):
+        if self._memberships.large and self._relays.is_near(sender):
             self._own_words[sender.vm] = message
 
     async def _take_gathered(self, sender, message: GatheredLoads) -> None:
@@ -129,7 +112,7 @@
                 continue
             self._memberships.note_relayed(word.vm)
             loads = VmLoads(word.loads)
-            if not self._is_near(sender):
+            if not self._relays.is_near(sender):
                 self._other_words[word.vm] = loads
             self._take(word.vm, loads)
 
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -39,16 +39,23 @@
 LONG_TURN_S = 0.15
 # Where no other engine is left to try, any wait is reserved: longer than any deadline.
 ANY_TURN_S = 600.0
-# Runs end every 50 to 100 ms at a busy engine; after this a slot may be free again.
+# For so long what an owner said of its full slots is believed. Slots come free every
+# 0.1 s to 0.2 s at a busy engine.
 FULL_S = 0.25
 # A prompt waits for its turn until this share of its objective has passed: what is left
 # must do for the reading of the longest prompts, 0.2 s.
 TURN_SHARE = 0.65
 PLACE_S = 1.6
+# From the order of an adapter to the first token: 0.28 s until it is there and some
+# 0.1 s for the prompt, 0.2 s where prompts wait.
+START_S = 0.45
 # Callers give a stream up that hasn't begun after 2 s or more. A request whose first
 # token is expected later is refused at once, so that it can come back in time.
 LATEST_START_MS = 2200.0
 LEAST_RETRY_S = 0.2
+# So a VM answers at once that doesn't order an engine, or not any more. Where two VMs
+# ordered six of the engines, two of three tries could be spent on them.
+OWNERLESS = frozenset({ErrorKind.NO_GRANT, ErrorKind.PEER_UNAVAILABLE})
 MOST_RETRY_S = 2.0
 
 
@@ -105,6 +112,7 @@
         self._mesh = mesh
         self._configuration: Configuration | None = None
         self._full_until: dict[str, float] = {}
+        self._slot_waits: dict[str, float] = {}
 
     def take(self, configuration: Configuration) -> None:
         """Take a newer configuration."""
@@ -120,30 +128,42 @@
         excluded = wanted.excluded
         failure = Failure(ErrorKind.NO_TARGET, "no target can serve it now", 0.5)
         place_until = min(self._timers.now() + PLACE_S, wanted.deadline_at)
-        tries, full_tries = 1, 0
-        while tries <= MAX_LOAD_TRIES and full_tries <= MAX_FULL_TRIES:
+        tries = 1
+        full: dict[str, float] = {}
+        while tries <= MAX_LOAD_TRIES and len(full) <= MAX_FULL_TRIES:
             scored = self._scored(spec, key, excluded)
             if not scored:
                 return Err(failure)
-            refusal = self._refusal(wanted, scored[0])
+            slack_s = self._slot_due_at(wanted) - self._timers.now()
+            best = _first_in_time(scored, full, slack_s)
+            if best is None:
+                return Err(failure._replace(retry_after_s=min(full.values())))
+            refusal = self._refusal(wanted, best)
             if refusal is not None:
                 return Err(refusal)
-            entry = self._targets.entries[scored[0].candidate.target]
-            placed = Placed(entry, key if spec.engine else None, *scored[0], tries)
-            ready = await self._prepare(wanted, spec, placed, place_until)
+            entry = self._targets.entries[best.candidate.target]
+            placed = Placed(entry, key if spec.engine else None, *best, tries)
+            slot_wait_s = slack_s if entry.target in full else 0.0
+            ready = await self._prepare(wanted, spec, placed, place_until, slot_wait_s)
             if ready.is_ok():
                 return Ok(placed)
             failure = ready.err_value
-            if failure.kind is ErrorKind.NO_SLOT:
-                full_tries += 1
-            else:
+            if failure.kind is ErrorKind.NO_SLOT and entry.target not in full:
+                full[entry.target] = failure.retry_after_s
+                continue
+            if failure.kind not in OWNERLESS:
                 tries += 1
             if failure.kind is not ErrorKind.TOO_LATE_TO_START:
                 excluded = excluded | {entry.target}
         return Err(failure)
 
     async def _prepare(
-        self, wanted: Wanted, spec: ServiceSpec, placed: Placed, place_until: float
+        self,
+        wanted: Wanted,
+        spec: ServiceSpec,
+        placed: Placed,
+        place_until: float,
+        slot_wait_s: float,
     ) -> Result[None, Failure]:
         """Have the adapter loaded if it isn't there, and wait for the prompt's turn."""
         entry = placed.entry
@@ -152,7 +172,7 @@
             if wait_s <= 0:
                 return Err(Failure(ErrorKind.LOAD_FAILED, "no time to load", 0.3))
             asked_at = self._timers.now()
-            loaded = await self._load(entry, placed.key, wait_s)
+            loaded = await self._load(wanted, placed, wait_s, slot_wait_s)
             self._metrics.load_wait.observe(self._timers.now() - asked_at)
             if not self._targets.is_current(entry):
                 return Err(_gone())
@@ -219,9 +239,15 @@
             near=entry.data_centre == self._data_centre,
             prompts_ms=1000 * max(0.0, self._targets.turn_at(target) - now),
             arriving=self._targets.arriving(target),
-            full=self._full_until.get(target, 0.0) > now,
+            slot_wait_ms=self._slot_wait_ms(target, now),
         )
 
+    def _slot_wait_ms(self, target: str, now: float) -> float:
+        """Return how long a slot was to be waited for a moment ago."""
+        if self._full_until.get(target, 0.0) <= now:
+            return 0.0
+        return 1000 * self._slot_waits[target]
+
     async def _await_turn(
         self, wanted: Wanted, placed: Placed
     ) -> Result[None, Failure]:
@@ -268,13 +294,29 @@
     def _note_full(self, target: str, failure: Failure) -> None:
         if failure.kind is ErrorKind.NO_SLOT:
             self._full_until[target] = self._timers.now() + FULL_S
+            self._slot_waits[target] = failure.retry_after_s
+
+    def _slot_due_at(self, wanted: Wanted) -> float:
+        """Return when an adapter must be ordered for an answer within its objective."""
+        return wanted.arrived_at + wanted.route.objective_ms / 1000 - START_S
 
     async def _load(
-        self, entry: TargetEntry, key: AdapterKey, wait_s: float
+        self, wanted: Wanted, placed: Placed, wait_s: float, slot_wait_s: float
     ) -> Result[AdapterLoaded, Failure]:
+        entry, key = placed.entry, placed.key
         owner = self._targets.owner(entry.target)
         version = self._targets.version(key)
-        message = LoadAdapter(entry.target, *key, version, wait_s, entry.started_ms)
+        wait_s += slot_wait_s
+        message = LoadAdapter(
+            entry.target,
+            *key,
+            version,
+            wait_s,
+            entry.started_ms,
+            wanted.route.priority,
+            self._slot_due_at(wanted) - self._timers.now(),
+            slot_wait_s,
+        )
         return await self._mesh.call(owner, message, wait_s + 0.1)
 
     def _refusal(self, wanted: Wanted, best: Scored) -> Failure | None:
@@ -288,6 +330,16 @@
         return Failure(ErrorKind.OVERLOADED, "all targets are busy", retry_s)
 
 
+def _first_in_time(
+    scored: list[Scored], full: dict[str, float], slack_s: float
+) -> Scored | None:
+    """Return the best target but those whose next free slot comes too late."""
+    for each in scored:
+        if full.get(each.candidate.target, 0.0) <= max(0.0, slack_s):
+            return each
+    return None
+
+
 def _gone() -> Failure:
     """Return why a target isn't used that was chosen a moment ago."""
     return Failure(ErrorKind.NO_TARGET, "the target is leaving, or started again", 0.1)
--- a/hawthornlead/gateway/target_choices.py
+++ b/hawthornlead/gateway/target_choices.py
@@ -32,8 +32,8 @@
 
     ``running`` counts the requests of all VMs. ``orderable`` tells whether its owner
     can be asked for a load. ``slow_ms`` is how much later than others it was lately,
-    ``prompts_ms`` how long a prompt waits for its turn, and ``full`` tells that no
-    slot could be freed a moment ago. ``arriving`` adapters are being fetched there.
+    ``prompts_ms`` how long a prompt waits for its turn, and ``slot_wait_ms`` how long
+    a load waits for a slot. ``arriving`` adapters are being fetched there.
     """
 
     target: str
@@ -46,7 +46,7 @@
     near: bool
     prompts_ms: float = 0.0
     arriving: int = 0
-    full: bool = False
+    slot_wait_ms: float = 0.0
 
 
 class Demand(NamedTuple):
@@ -76,9 +76,6 @@
 RECENT_MS = 170.0
 ARRIVING_MS = 200.0
 OLD_VERSION_MS = 450.0
-# All slots of a target had running requests a moment ago; one comes free when the last
-# run of an adapter ends.
-FULL_MS = 400.0
 # An engine fetches four adapters at once, 250 ms each; what comes beyond waits for one
 # of them. A third already makes it likely that another VM asks for the fourth.
 FREE_FETCHES = 2
@@ -144,8 +141,7 @@
 
 def _cost_of_load(cost: float, candidate: Candidate, home_ms: float) -> float | None:
     """Return the cost with that of a load to be ordered, None if that can't be."""
-    if candidate.full:
-        cost += FULL_MS
+    cost += candidate.slot_wait_ms
     cost += FETCH_TURN_MS * max(0, candidate.arriving - FREE_FETCHES)
     if candidate.holding is Holding.OLD_VERSION:
         return cost + OLD_VERSION_MS
--- a/hawthornlead/messages/gateways.py
+++ b/hawthornlead/messages/gateways.py
@@ -79,6 +79,20 @@
     recently_kept: int = 0
 
 
+class VmHoldings(NamedTuple):
+    """What a target holds, as the VM that orders it told a relay."""
+
+    vm: str
+    holdings: TargetHoldings
+
+
+@message("gathered-holdings")
+class GatheredHoldings(NamedTuple):
+    """The newest words on several targets; each stands alone, as its owner told it."""
+
+    words: tuple[VmHoldings, ...]
+
+
 @message("reserve-prompt")
 class ReservePrompt(NamedTuple):
     """Ask a target's owner when the target may read a prompt of ``tokens``.
@@ -145,7 +159,9 @@
 class LoadAdapter(NamedTuple):
     """Ask a target's owner to load an adapter; version 0 is any that is there.
 
-    The reply is ``AdapterLoaded``, or ``Failed`` when it can't be loaded soon, or when
+    Where no slot is free the owner waits ``slot_wait_s`` for one. Who waits is served
+    by ``rank``, and in time if its slot comes within ``due_s``. The reply is
+    ``AdapterLoaded``, or ``Failed`` when it can't be loaded soon, or when
     ``started_ms`` tells another start of the target than the owner orders.
     """
 
@@ -155,6 +171,9 @@
     version: int
     wait_s: float
     started_ms: int | None = None
+    rank: int = 0
+    due_s: float = 0.0
+    slot_wait_s: float = 0.0
 
 
 @message("adapter-loaded")
--- a/hawthornlead/tests/fakes_owned_engines.py
+++ b/hawthornlead/tests/fakes_owned_engines.py
@@ -7,7 +7,12 @@
 
 from hawthornlead.clocks import HybridClock
 from hawthornlead.events import EventRing
-from hawthornlead.gateway import engine_owners, engine_reports, fetch_followers
+from hawthornlead.gateway import (
+    adapter_requests,
+    engine_owners,
+    engine_reports,
+    fetch_followers,
+)
 from hawthornlead.gateway.arrival_times import ArrivalTimes
 from hawthornlead.gateway.engine_owners import EngineOwner
 from hawthornlead.gateway.engine_slots import AdapterKey
@@ -25,6 +30,7 @@
     OrderOutcome,
     TargetEntry,
 )
+from hawthornlead.gateway.slot_queues import SlotWanted
 from hawthornlead.timers import TimerService
 
 SLOTS = 8
@@ -214,7 +220,9 @@
 
     async def load(self, name, version=0, wait_s=2.0):
         """Have the owner load an adapter."""
-        return await self.owner.load(AdapterKey("tide", name), version, wait_s)
+        now = self.timers.now()
+        wanted = SlotWanted(AdapterKey("tide", name), 0, now, now)
+        return await self.owner.load(wanted, version, wait_s)
 
     async def until(self, condition, wait_s=3.0):
         """Wait for a condition, which must come about."""
@@ -229,7 +237,7 @@
     monkeypatch.setattr(engine_owners, "REPORT_LAG_S", 0.02)
     monkeypatch.setattr(engine_reports, "REPORT_LAG_S", 0.02)
     monkeypatch.setattr(engine_reports, "LOOK_S", 0.05)
-    monkeypatch.setattr(engine_owners, "FIRST_LOOK_S", 0.03)
+    monkeypatch.setattr(adapter_requests, "FIRST_LOOK_S", 0.03)
     monkeypatch.setattr(fetch_followers, "FIRST_LOOK_S", 0.03)
     monkeypatch.setattr(fetch_followers, "LOOK_S", 0.01)
     monkeypatch.setattr(engine_owners, "REPORT_RETRY_S", 0.02)
--- a/hawthornlead/tests/test_load_words.py
+++ b/hawthornlead/tests/test_load_words.py
@@ -93,7 +93,7 @@
     @property
     def relays(self):
         """The relays of the data centres."""
-        return set(self.vms["gijon-0"].words._relays().values())
+        return set(self.vms["gijon-0"].words._relays.by_data_centre.values())
 
 
 @pytest.fixture
--- /dev/null
+++ b/hawthornlead/tests/test_slot_queues.py
@@ -0,0 +1,77 @@
+"""Tests of who gets the next slot of an engine."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hawthornlead.gateway.engine_slots import AdapterKey
+from hawthornlead.gateway.slot_queues import START_EVERY_S, SlotQueue, SlotWanted
+
+
+def wanted(name, rank=1, due_at=10.0, until=10.0):
+    return SlotWanted(AdapterKey("tide", name), rank, due_at, until)
+
+
+def served(queue, now):
+    """Return the adapters in the order in which they get slots."""
+    names = []
+    waiting = list(queue._waiting)
+    while waiting:
+        first = next(each for each in waiting if queue.is_next(each.key, now))
+        names.append(first.key.adapter)
+        for each in [each for each in waiting if each.key == first.key]:
+            queue.leave(each)
+            waiting.remove(each)
+    return names
+
+
+def test_the_more_urgent_route_is_served_first():
+    """The most urgent callers are refused most often.
+
+    Their prompts were placed like any other, so that the few slots that came free went
+    to whoever asked at the right moment.
+    """
+    queue = SlotQueue()
+    queue.enter(wanted("note", rank=1, due_at=5.0))
+    queue.enter(wanted("guide", rank=0, due_at=6.0))
+    queue.enter(wanted("early-note", rank=1, due_at=4.0))
+    assert served(queue, now=1.0) == ["guide", "early-note", "note"]
+
+
+def test_who_is_late_anyway_lets_those_in_time_go_first():
+    """Everybody is late, though there are slots for most.
+
+    Served in the order of arrival, those whose objective has passed took the slots of
+    those that came after them, which were then late as well.
+    """
+    queue = SlotQueue()
+    queue.enter(wanted("late", rank=0, due_at=1.0))
+    queue.enter(wanted("in-time", rank=1, due_at=3.0))
+    assert served(queue, now=2.0) == ["in-time", "late"]
+
+
+def test_requests_for_one_adapter_count_once():
+    queue = SlotQueue()
+    for _ in range(3):
+        queue.enter(wanted("a1", due_at=4.0))
+    assert queue.expected_wait(wanted("a2"), now=1.0) == 2 * START_EVERY_S
+    assert queue.expected_wait(wanted("a1"), now=1.0) == START_EVERY_S
+
+
+def test_the_expected_wait_follows_the_pace_at_which_slots_come_free():
+    queue = SlotQueue()
+    for taken in range(20):
+        queue.note_taken(taken / 10)
+    assert queue.expected_wait(wanted("a1"), now=1.95) == 0.1
+    slow = SlotQueue()
+    slow.note_taken(0.0)
+    assert slow.expected_wait(wanted("a1"), now=1.0) > START_EVERY_S
+
+
+@given(st.lists(st.tuples(st.integers(0, 2), st.floats(0, 9)), max_size=12))
+def test_an_empty_queue_is_left_and_each_request_is_next_once(requests):
+    queue = SlotQueue()
+    for number, (rank, due_at) in enumerate(requests):
+        queue.enter(wanted(f"a{number}", rank, due_at))
+    names = served(queue, now=5.0)
+    assert len(names) == len(requests) == len(set(names))
+    assert len(queue) == 0
