--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -263,6 +263,9 @@
         if not self._targets.orderable(target):
             return Ok(None)
         last = placed.tries >= MAX_LOAD_TRIES
+        # One that was loaded for this request would be fetched again elsewhere, though
+        # the wait for its turn is shorter than a fetch and the slot it takes.
+        last = last or placed.candidate.holding is not Holding.READY
         most_s = ANY_TURN_S if last else LONG_TURN_S
         message = ReservePrompt(
             target,
