Send callers away for half a second at least where all engines are full

Hypothesis: a caller that returns when one slot is to come free meets the same full engines.

Requests that other VMs told of are kept by target: with 88 VMs and 70 engines each placement looked at 6,160 words.

--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -53,6 +53,10 @@
 # token is expected later is refused at once, so that it can come back in time.
 LATEST_START_MS = 2200.0
 LEAST_RETRY_S = 0.2
+# Who came back as soon as one slot was to be free met the same full engines: sent away
+# for half a second, which is a run and more, 0.069 in place of 0.097 of all were refused
+# for good on a day of load and trouble with five slots an engine.
+LEAST_FULL_RETRY_S = 0.5
 # So a VM answers at once that doesn't order an engine, or not any more. Where two VMs
 # ordered six of the engines, two of three tries could be spent on them.
 OWNERLESS = frozenset({ErrorKind.NO_GRANT, ErrorKind.PEER_UNAVAILABLE})
@@ -137,7 +141,8 @@
             slack_s = self._slot_due_at(wanted) - self._timers.now()
             best = _first_in_time(scored, full, slack_s)
             if best is None:
-                return Err(failure._replace(retry_after_s=min(full.values())))
+                retry_s = max(LEAST_FULL_RETRY_S, min(full.values()))
+                return Err(failure._replace(retry_after_s=retry_s))
             refusal = self._refusal(wanted, best)
             if refusal is not None:
                 return Err(refusal)
--- a/hawthornlead/gateway/target_loads.py
+++ b/hawthornlead/gateway/target_loads.py
@@ -2,6 +2,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable
+from typing import NamedTuple
 
 from ..messages.gateways import AdapterUse, TargetLoad, VmLoads
 from ..timers import TimerService
@@ -13,10 +14,11 @@
 TOLD_KEPT_S = 3.0
 
 
-class _Told:
-    def __init__(self, at: float, loads: dict[str, TargetLoad]):
-        self.at = at
-        self.loads = loads
+class _Told(NamedTuple):
+    """What one VM told of its requests on one target, and when."""
+
+    at: float
+    load: TargetLoad
 
 
 def _untold(target: str) -> Incarnation:
@@ -44,7 +46,10 @@
         self._own: dict[str, int] = defaultdict(int)
         self._own_uses: dict[str, dict[AdapterKey, int]] = {}
         self._started: dict[str, dict[AdapterKey, int]] = {}
-        self._told: dict[str, _Told] = {}
+        # By target, then VM: most VMs have requests on few targets only, and all
+        # targets are compared for each request.
+        self._told: dict[str, dict[str, _Told]] = {}
+        self._told_targets: dict[str, tuple[str, ...]] = {}
         # Requests of this VM that began at a former start and haven't ended yet.
         self._outlived: Counter[tuple[str, AdapterKey | None]] = Counter()
 
@@ -113,8 +118,12 @@
 
     def take(self, vm: str, message: VmLoads) -> None:
         """Take another VM's word."""
-        loads = {load.target: load for load in message.loads}
-        self._told[vm] = _Told(self._timers.now(), loads)
+        now = self._timers.now()
+        for target in self._told_targets.get(vm, ()):
+            self._drop_told(target, vm)
+        self._told_targets[vm] = tuple([load.target for load in message.loads])
+        for load in message.loads:
+            self._told.setdefault(load.target, {})[vm] = _Told(now, load)
 
     def word(self) -> VmLoads:
         """Return what the other VMs are told, and begin to count starts anew."""
@@ -141,16 +150,22 @@
 
         This is newer than the VM's last word on all its requests.
         """
-        told = self._told.get(vm)
-        load = told.loads.get(target) if told is not None else None
-        if load is None:
+        told = self._told.get(target, {}).get(vm)
+        if told is None:
             return
         uses = []
-        for use in load.uses:
+        for use in told.load.uses:
             if (use.model, use.adapter) == key:
                 use = use._replace(running=min(use.running, running))
             uses.append(use)
-        told.loads[target] = load._replace(uses=tuple(uses))
+        load = told.load._replace(uses=tuple(uses))
+        self._told[target][vm] = told._replace(load=load)
+
+    def _drop_told(self, target: str, vm: str) -> None:
+        told = self._told.get(target, {})
+        told.pop(vm, None)
+        if not told:
+            self._told.pop(target, None)
 
     def _told_of(self, target: str) -> list[TargetLoad]:
         """Return what other VMs told lately of the current start of a target.
@@ -160,10 +175,9 @@
         told_after = self._timers.now() - TOLD_KEPT_S
         current_ms = self._incarnation(target).started_ms
         loads = []
-        for told in self._told.values():
-            load = told.loads.get(target)
-            if load is None or told.at < told_after:
+        for told in self._told.get(target, {}).values():
+            if told.at < told_after:
                 continue
-            if current_ms is None or load.started_ms in (None, current_ms):
-                loads.append(load)
+            if current_ms is None or told.load.started_ms in (None, current_ms):
+                loads.append(told.load)
         return loads
