--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -54,8 +54,8 @@
 LATEST_START_MS = 2200.0
 LEAST_RETRY_S = 0.2
 # Who came back as soon as one slot was to be free met the same full engines: sent away
-# for half a second, which is a run and more, 0.069 in place of 0.097 of all were refused
-# for good on a day of load and trouble with five slots an engine.
+# for half a second, which is a run and more, 0.069 in place of 0.097 of all were
+# refused for good on a day of load and trouble with five slots an engine.
 LEAST_FULL_RETRY_S = 0.5
 # So a VM answers at once that doesn't order an engine, or not any more. Where two VMs
 # ordered six of the engines, two of three tries could be spent on them.
