--- /dev/null
+++ b/hawthornlead/tests/slot_loads.py
@@ -0,0 +1,162 @@
+"""A model of one engine with few slots under load, in steps of 10 ms, without a network.
+
+It plays seeded requests against the real ``EngineSlots`` and ``SlotQueue`` and counts
+what callers get. Runs, loads and demand are those of a busy day: half a second a run,
+0.28 s a fetch, and demand by a power law over many adapters.
+"""
+
+import random
+from typing import NamedTuple
+
+from hawthornlead.gateway.engine_slots import AdapterKey, EngineSlots, SlotState
+from hawthornlead.gateway.records import EngineSpec, ModelSpec
+from hawthornlead.gateway.slot_queues import SlotQueue, SlotWanted
+
+STEP_S = 0.01
+LOAD_S = 0.28
+RUN_S = 0.5
+FIRST_S = 0.1
+OBJECTIVE_S = 1.0
+TOLD_EVERY_S = 0.24
+MODEL = ModelSpec("tide", 100.0, 2.0, 400, 1.0)
+SPEC = EngineSpec(64, 100_000, 200.0, 5, 6.0, (MODEL,))
+
+
+class Policy(NamedTuple):
+    """What is switched on: how late ends of requests are known, and the queue."""
+
+    end_known_after_s: float
+    waits: bool
+
+
+class Outcome(NamedTuple):
+    """What callers got, by the rank of their route, and how much was fetched."""
+
+    asked: dict[int, int]
+    in_time: dict[int, int]
+    refused: dict[int, int]
+    fetched: int
+
+    @property
+    def share_in_time(self) -> float:
+        """The share of all requests that began within their objective."""
+        return sum(self.in_time.values()) / sum(self.asked.values())
+
+    @property
+    def share_refused(self) -> float:
+        """The share of all requests that were refused."""
+        return sum(self.refused.values()) / sum(self.asked.values())
+
+
+class _Waiting(NamedTuple):
+    arrived_at: float
+    rank: int
+    wanted: SlotWanted
+
+
+class SlotLoad:
+    """One engine that is asked ``per_s`` requests a second for a minute."""
+
+    def __init__(self, policy: Policy, seed: int, per_s: float):
+        self._policy = policy
+        self._rng = random.Random(seed)
+        self._per_s = per_s
+        self._now = 0.0
+        self._slots = EngineSlots(SPEC)
+        self._queue = SlotQueue()
+        self._running: dict[AdapterKey, int] = {}
+        self._run_ends: list[tuple[float, AdapterKey]] = []
+        self._words: list[tuple[float, AdapterKey]] = []
+        self._arrivals: list[tuple[float, AdapterKey]] = []
+        self._joined: dict[AdapterKey, list[_Waiting]] = {}
+        self._waiting: list[_Waiting] = []
+        self._weights = [number**-1.2 for number in range(1, 401)]
+        self._outcome = Outcome({0: 0, 1: 0}, {0: 0, 1: 0}, {0: 0, 1: 0}, 0)
+
+    def play(self, length_s: float = 60.0) -> Outcome:
+        """Play the load and return what callers got."""
+        while self._now < length_s:
+            self._now += STEP_S
+            self._end_runs()
+            self._end_loads()
+            self._serve_queue()
+            if self._rng.random() < self._per_s * STEP_S:
+                self._ask()
+        return self._outcome
+
+    def _ask(self) -> None:
+        number = self._rng.choices(range(400), self._weights)[0]
+        rank = 0 if self._rng.random() < 0.2 else 1
+        key = AdapterKey("tide", f"a{number}")
+        due_at = self._now + OBJECTIVE_S - LOAD_S - FIRST_S
+        waiting = _Waiting(self._now, rank, SlotWanted(key, rank, due_at, due_at))
+        self._outcome.asked[rank] += 1
+        self._slots.note_use(key, 1, self._now)
+        if self._try(waiting):
+            return
+        expected_s = self._queue.expected_wait(waiting.wanted, self._now)
+        if self._policy.waits and self._now + expected_s <= due_at:
+            self._queue.enter(waiting.wanted)
+            self._waiting.append(waiting)
+            return
+        self._outcome.refused[rank] += 1
+
+    def _try(self, waiting: _Waiting) -> bool:
+        key = waiting.wanted.key
+        slot = self._slots.slots.get(key)
+        if slot is not None and slot.state is SlotState.READY:
+            self._begin(waiting)
+            return True
+        if slot is not None:
+            self._joined[key].append(waiting)
+            return True
+        if not self._queue.is_next(key, self._now):
+            return False
+        if not self._slots.has_room(key):
+            self._slots.note_running(self._running)
+            victim = self._slots.victim(self._now, TOLD_EVERY_S)
+            if victim is None:
+                return False
+            self._slots.remove(victim)
+        self._slots.set(key, 1, SlotState.ARRIVING, self._now)
+        self._queue.note_taken(self._now)
+        self._joined[key] = [waiting]
+        self._arrivals.append((self._now + LOAD_S, key))
+        self._outcome = self._outcome._replace(fetched=self._outcome.fetched + 1)
+        return True
+
+    def _begin(self, waiting: _Waiting) -> None:
+        key = waiting.wanted.key
+        if self._now + FIRST_S - waiting.arrived_at <= OBJECTIVE_S:
+            self._outcome.in_time[waiting.rank] += 1
+        self._slots.note_turn(key, "vm-1", self._now)
+        self._running[key] = self._running.get(key, 0) + 1
+        ends_at = self._now + self._rng.expovariate(1 / RUN_S)
+        self._run_ends.append((ends_at, key))
+
+    def _end_runs(self) -> None:
+        for ends_at, key in [each for each in self._run_ends if each[0] <= self._now]:
+            self._run_ends.remove((ends_at, key))
+            self._words.append((ends_at + self._policy.end_known_after_s, key))
+        for known_at, key in [each for each in self._words if each[0] <= self._now]:
+            self._words.remove((known_at, key))
+            self._running[key] -= 1
+            if not self._running[key]:
+                del self._running[key]
+            self._slots.end_turn(key, "vm-1")
+
+    def _end_loads(self) -> None:
+        for ready_at, key in [each for each in self._arrivals if each[0] <= self._now]:
+            self._arrivals.remove((ready_at, key))
+            self._slots.set(key, 1, SlotState.READY, self._now)
+            for waiting in self._joined.pop(key):
+                self._begin(waiting)
+
+    def _serve_queue(self) -> None:
+        for waiting in tuple(self._waiting):
+            if self._now > waiting.wanted.until:
+                self._outcome.refused[waiting.rank] += 1
+            elif not self._try(waiting):
+                continue
+            self._waiting.remove(waiting)
+            self._queue.leave(waiting.wanted)
