--- a/hawthornlead/tests/slot_loads.py
+++ b/hawthornlead/tests/slot_loads.py
@@ -1,4 +1,4 @@
-"""A model of one engine with few slots under load, in steps of 10 ms, without a network.
+"""A model of one engine with few slots under load, in steps of 10 ms; no network.
 
 It plays seeded requests against the real ``EngineSlots`` and ``SlotQueue`` and counts
 what callers get. Runs, loads and demand are those of a busy day: half a second a run,
--- a/hawthornlead/tests/test_gateways.py
+++ b/hawthornlead/tests/test_gateways.py
@@ -54,6 +54,24 @@
         assert "another" not in answer.headers["Server-Seal"]
 
 
+async def test_unsafe_requests_are_never_refused_for_the_sake_of_streams():
+    """A door doesn't open, because volunteers ask for summaries.
+
+    Streams that wait for slots and streams that are refused must not cost requests to
+    plain services anything.
+    """
+    async with Deployment(vms=1) as deployment:
+        streams = [
+            deployment.ask("/stream/x", Model=f"{MODEL}/a{number}")
+            for number in range(40)
+        ]
+        doors = [deployment.ask("/unsafe/x", body=b" open") for _ in range(20)]
+        answers = await asyncio.gather(*streams, *doors)
+        assert {answer.status for answer in answers[40:]} == {200}
+        ran = [request for plain in deployment.plains for request in plain.ran]
+        assert len(ran) == len(set(ran)) == 20
+
+
 async def test_a_failed_safe_request_goes_to_another_target_and_an_unsafe_does_not():
     async with Deployment(vms=1) as deployment:
         for plain in deployment.plains:
