--- a/hawthornlead/gateway/engine_slots.py
+++ b/hawthornlead/gateway/engine_slots.py
@@ -16,6 +16,9 @@
 # has ended. Where that word is lost, the turn counts for so long, beside the time in
 # which each VM tells of its requests; after that their word alone counts.
 JUST_USED_S = 0.15
+# Turns whose end was never told are dropped after this, also of adapters that left: the
+# longest runs take 20 s.
+TURNS_KEPT_S = 30.0
 # Who waited for an adapter asks for its turn within some milliseconds of its arrival.
 JUST_READY_S = 0.1
 # The half-life of an adapter's count of requests, by which adapters are evicted. Demand
@@ -217,7 +220,9 @@
         self._slots = slots
 
     def forget_old_uses(self, now: float) -> None:
-        """Drop the counts of adapters that nobody asked for lately."""
+        """Drop what was counted of adapters that nobody asked for lately."""
+        for key in tuple(self._turns):
+            self._has_turns(key, now - TURNS_KEPT_S)
         for key, use in tuple(self._uses.items()):
             if self._score(use, now) < 0.01 and key not in self._slots:
                 del self._uses[key]
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -306,7 +306,8 @@
 
     def _slot_due_at(self, wanted: Wanted) -> float:
         """Return when an adapter must be ordered for an answer within its objective."""
-        return wanted.arrived_at + wanted.route.objective_ms / 1000 - START_S
+        begun_by = wanted.arrived_at + wanted.route.objective_ms / 1000
+        return min(begun_by, wanted.deadline_at) - START_S
 
     async def _load(
         self, wanted: Wanted, placed: Placed, wait_s: float, slot_wait_s: float
--- a/hawthornlead/tests/test_gateway_decisions.py
+++ b/hawthornlead/tests/test_gateway_decisions.py
@@ -9,6 +9,7 @@
 from hawthornlead.gateway.engine_slots import (
     JUST_READY_S,
     JUST_USED_S,
+    TURNS_KEPT_S,
     AdapterKey,
     EngineSlots,
     SlotState,
@@ -146,6 +147,21 @@
     assert slots.victim(now=10.1, told_every_s=0.24) == key("a1")
 
 
+def test_a_turn_whose_end_is_never_told_is_dropped():
+    """A VM's memory grows for as long as it lives.
+
+    VMs that are killed never tell the ends of their requests, and an adapter that has
+    left is not looked at again.
+    """
+    slots = EngineSlots(SPEC)
+    for number in range(50):
+        slots.note_turn(key(f"a{number}"), "vm-1", at=10.0)
+    slots.forget_old_uses(now=10.0 + TURNS_KEPT_S / 2)
+    assert len(slots._turns) == 50
+    slots.forget_old_uses(now=10.1 + TURNS_KEPT_S)
+    assert not slots._turns
+
+
 def test_an_end_that_is_told_twice_frees_no_other_request():
     slots = EngineSlots(SPEC)
     slots.take_report(report(ready=("a1",)), now=0.0)
