Wait for a slot also where more than twelve engines are full

Found on reading the diff: with 70 engines a request that met twelve full ones was refused without waiting at any. No effect where there are fewer engines. Its test, and tests of placing before full engines.

--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -26,7 +26,8 @@
 # How many targets are asked, one after the other, to load an adapter or for a turn.
 MAX_LOAD_TRIES = 3
 # An owner without a slot to spare says so within milliseconds, so that many are asked:
-# where engines have few slots, most are in use while one somewhere is free.
+# where engines have few slots, most are in use while one somewhere is free. Beyond
+# these the request waits at the one of them that expects the next free slot.
 MAX_FULL_TRIES = 12
 # A load takes 0.25 to 0.3 s and more while many run. One that is not there after this
 # is tried at another target, and what has no place after PLACE_S is refused: a caller
@@ -134,11 +135,11 @@
         place_until = min(self._timers.now() + PLACE_S, wanted.deadline_at)
         tries = 1
         full: dict[str, float] = {}
-        while tries <= MAX_LOAD_TRIES and len(full) <= MAX_FULL_TRIES:
+        while tries <= MAX_LOAD_TRIES:
+            slack_s = self._slot_due_at(wanted) - self._timers.now()
             scored = self._scored(spec, key, excluded)
             if not scored:
                 return Err(failure)
-            slack_s = self._slot_due_at(wanted) - self._timers.now()
             best = _first_in_time(scored, full, slack_s)
             if best is None:
                 retry_s = max(LEAST_FULL_RETRY_S, min(full.values()))
@@ -342,9 +343,16 @@
 def _first_in_time(
     scored: list[Scored], full: dict[str, float], slack_s: float
 ) -> Scored | None:
-    """Return the best target but those whose next free slot comes too late."""
+    """Return the best target but those whose next free slot comes too late.
+
+    ``full`` are the targets that were asked, and when they expect one. Once many were,
+    no further one is asked.
+    """
     for each in scored:
-        if full.get(each.candidate.target, 0.0) <= max(0.0, slack_s):
+        target = each.candidate.target
+        if len(full) >= MAX_FULL_TRIES and target not in full:
+            continue
+        if full.get(target, 0.0) <= max(0.0, slack_s):
             return each
     return None
 
--- /dev/null
+++ b/hawthornlead/tests/test_placers.py
@@ -0,0 +1,182 @@
+"""Tests of placing requests where engines are full."""
+
+import pytest
+from prometheus_client import CollectorRegistry
+from result import Err, Ok
+
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.gateway.gateway_metrics import GatewayMetrics
+from hawthornlead.gateway.placers import (
+    LEAST_FULL_RETRY_S,
+    MAX_FULL_TRIES,
+    Placer,
+    Wanted,
+)
+from hawthornlead.gateway.records import (
+    CallerRequest,
+    Configuration,
+    EngineSpec,
+    ModelSpec,
+    Route,
+    RouteKind,
+    ServiceShare,
+    ServiceSpec,
+    TargetEntry,
+)
+from hawthornlead.gateway.target_choices import Holding
+from hawthornlead.messages.gateways import AdapterLoaded, LoadAdapter, PromptReserved
+from hawthornlead.timers import ManualTimerService
+
+SPEC = EngineSpec(64, 100_000, 200.0, 5, 6.0, (ModelSpec("tide", 100.0, 2.0, 9, 1.0),))
+SERVICE = ServiceSpec("llm", "/health", 100, SPEC)
+ROUTE = Route(
+    "notes",
+    "a.example",
+    "/notes/",
+    RouteKind.STREAMING,
+    4000.0,
+    1000.0,
+    1,
+    (ServiceShare("llm", 1.0),),
+    1,
+    False,
+    400.0,
+)
+REQUEST = CallerRequest("r1", 4000.0, "tide", "a1", 500, 50, 50, "")
+
+
+class FakeTargets:
+    """Engines that hold nothing, and whose owners can be asked."""
+
+    def __init__(self, count):
+        self.entries = {}
+        for number in range(count):
+            target = f"e{number}"
+            self.entries[target] = TargetEntry(
+                target, "llm", f"10.0.0.{number}:80", "gijon", 64, False, None, ()
+            )
+
+    def of_service(self, service):
+        return tuple(self.entries.values())
+
+    def holding(self, entry, service, key):
+        return Holding.ABSENT
+
+    def orderable(self, target):
+        return True
+
+    def owner(self, target):
+        return f"owner-of-{target}"
+
+    def is_current(self, entry):
+        return True
+
+    def turn_at(self, target):
+        return 0.0
+
+    def note_turn(self, target, wait_s):
+        """Take what an owner said of prompts."""
+
+    def arriving(self, target):
+        return 0
+
+    def version(self, key):
+        return 0
+
+
+class Quiet:
+    """Targets without requests and without failures."""
+
+    def running(self, target):
+        return 0
+
+    def suspect(self, target):
+        return False
+
+    def cost_ms(self, target):
+        return 0.0
+
+
+class FakeMesh:
+    """Owners that say how long a slot is to be waited for."""
+
+    vm = "vm-1"
+
+    def __init__(self, waits):
+        self.waits = waits
+        self.asked = []
+
+    async def call(self, vm, message, timeout=None):
+        if not isinstance(message, LoadAdapter):
+            return Ok(PromptReserved(0.0, True, True))
+        self.asked.append(message)
+        wait_s = self.waits[message.target]
+        if wait_s <= message.slot_wait_s:
+            return Ok(AdapterLoaded(1))
+        return Err(Failure(ErrorKind.NO_SLOT, "no slot to spare", wait_s))
+
+
+class Site:
+    """A placer before engines whose slots come free after ``waits``."""
+
+    def __init__(self, waits):
+        self.mesh = FakeMesh({f"e{number}": wait for number, wait in enumerate(waits)})
+        self.timers = ManualTimerService()
+        self.placer = Placer(
+            data_centre="gijon",
+            targets=FakeTargets(len(waits)),
+            loads=Quiet(),
+            healths=Quiet(),
+            mesh=self.mesh,
+            timers=self.timers,
+            metrics=GatewayMetrics(CollectorRegistry()),
+        )
+        self.placer.take(Configuration(1, (ROUTE,), (SERVICE,), None))
+
+    async def place(self):
+        now = self.timers.now()
+        wanted = Wanted(ROUTE, "llm", REQUEST, now, now + 4.0, frozenset())
+        return await self.placer.place(wanted)
+
+
+async def test_one_free_slot_among_many_full_engines_is_found():
+    """A caller is refused though an engine has a free slot.
+
+    Three engines were asked, all were full, and the other six were not.
+    """
+    site = Site([0.9] * 8 + [0.0])
+    placed = await site.place()
+    assert placed.unwrap().entry.target == "e8"
+
+
+async def test_where_all_are_full_the_request_waits_for_the_next_slot():
+    site = Site([0.9, 0.2, 0.9])
+    placed = await site.place()
+    assert placed.unwrap().entry.target == "e1"
+    assert site.mesh.asked[-1].slot_wait_s > 0.2
+
+
+async def test_who_cannot_begin_in_time_is_told_so_without_a_wait():
+    site = Site([2.0, 0.9, 3.0])
+    refused = (await site.place()).unwrap_err()
+    assert refused.kind is ErrorKind.NO_SLOT
+    assert refused.retry_after_s == 0.9
+    assert {message.slot_wait_s for message in site.mesh.asked} == {0.0}
+
+
+async def test_a_caller_is_not_called_back_to_the_same_full_engines():
+    site = Site([0.6, 0.6])
+    refused = (await site.place()).unwrap_err()
+    assert refused.retry_after_s >= LEAST_FULL_RETRY_S
+
+
+@pytest.mark.parametrize("count", [MAX_FULL_TRIES, 70])
+async def test_in_a_large_fleet_not_all_are_asked_and_the_request_still_waits(count):
+    """With 70 engines a request is refused that could have waited 0.5 s.
+
+    It gave up after a dozen full engines, before it asked to wait at any.
+    """
+    site = Site([0.5] * count)
+    placed = await site.place()
+    assert placed.is_ok()
+    assert len(site.mesh.asked) == MAX_FULL_TRIES + 1
