A VM that leaves tells of its requests until they have ended

Three orders to unload met adapters in use, and the engine took no other order until their runs had ended. Cause: a VM gives its engines back as its drain begins, and stopped telling of its requests with that; the owners took its adapters for unused. The test fails without the change.

--- a/hawthornlead/gateway/engine_rooms.py
+++ b/hawthornlead/gateway/engine_rooms.py
@@ -125,7 +125,12 @@
         self._holding_words.start()
 
     async def stop(self) -> None:
-        """Give no further order and give all engines back."""
+        """Give no further order and give all engines back.
+
+        The other VMs are still told of this VM's requests, until ``close``. Untold, an
+        adapter that they use for seconds yet would seem unused, and once it was ordered
+        out, the engine took no other order until they had ended.
+        """
         self._stopped = True
         for subscription in self._subscriptions:
             subscription.cancel()
@@ -136,11 +141,14 @@
         # A claim that is cut off may have reached the store; the engine then waited
         # for this VM's lease to run out.
         await self._changes.settle(CHANGES_S)
-        self._words.stop()
-        self._holding_words.stop()
         self._changes.cancel()
         self._tasks.cancel()
 
+    def close(self) -> None:
+        """Tell the other VMs nothing more."""
+        self._words.stop()
+        self._holding_words.stop()
+
     def running(self, target: str) -> dict[AdapterKey, int]:
         """Return how many requests use each adapter of an engine, over all VMs."""
         return self._loads.adapters_running(target)
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -132,6 +132,7 @@
             server.stop()
         for watcher in self._watchers.values():
             watcher.stop()
+        self._room.close()
         self._lease.stop()
         self._memberships.stop()
         self._parts.deaths.stop()
--- a/hawthornlead/tests/test_gateways.py
+++ b/hawthornlead/tests/test_gateways.py
@@ -7,6 +7,7 @@
 from hawthornlead.gateway.owner_objects import OWNERS_KIND
 from hawthornlead.gateway.records import StoredRecord
 from hawthornlead.gateway.target_choices import Holding
+from hawthornlead.gateway.target_loads import TOLD_KEPT_S
 from hawthornlead.platform.objects import TARGETS_KIND
 from hawthornlead.platform.targets import read_target
 
@@ -283,6 +284,33 @@
         assert owner_fence(deployment, "e1") > before
 
 
+async def test_a_vm_that_leaves_tells_of_its_requests_to_their_end():
+    """Requests are refused for seconds after a VM was stopped, at engines with slots.
+
+    The VM told no more of the streams that it still served. After 3 s the owner of
+    their engine took their adapters for unused and ordered one out; the engine then
+    refused all orders until its runs had ended.
+    """
+    async with Deployment() as deployment:
+        for engine in deployment.engines:
+            engine.event_s = 1.1
+        key = AdapterKey(MODEL, "a1")
+        asking = asyncio.create_task(
+            deployment.ask("/stream/x", Model=f"{MODEL}/{key.adapter}")
+        )
+        await deployment.until(lambda: any(e.ran for e in deployment.engines))
+        target = next(e.target for e in deployment.engines if e.ran)
+        leaving, staying = deployment.gateways
+        draining = asyncio.create_task(leaving.drain())
+        told = staying._room
+        await deployment.until(lambda: told.running(target).get(key) == 1)
+        await asyncio.sleep(TOLD_KEPT_S + 0.5)
+        assert not asking.done()
+        assert told.running(target).get(key) == 1
+        assert (await asking).status == 200
+        await draining
+
+
 async def test_all_is_served_while_the_store_is_away():
     async with Deployment() as deployment:
         assert (await deployment.ask("/stream/x", Model=f"{MODEL}/a1")).status == 200
