Placer: one record of an engine's full slots; a name that stood for two times

Read once more: how long a slot is waited for stood in two maps, and only one of them was emptied when its target went or started again. Now one record a target, and the test of restarts sets it by the placer's own call and asserts that it is gone. A relay's check that a word isn't its own could never be false. JUST_READY_S stood for 0.1 s here and for 0.3 s in fetch_followers. Formatter, linter and the tests of placing, owners, restarts, gateways, relays, layout and reference pages were run, the whole suite not.

--- a/hawthornlead/gateway/engine_slots.py
+++ b/hawthornlead/gateway/engine_slots.py
@@ -20,7 +20,7 @@
 # longest runs take 20 s.
 TURNS_KEPT_S = 30.0
 # Who waited for an adapter asks for its turn within some milliseconds of its arrival.
-JUST_READY_S = 0.1
+TURN_ASKED_WITHIN_S = 0.1
 # The half-life of an adapter's count of requests, by which adapters are evicted. Demand
 # moves within seconds; with a longer memory the adapters of before keep their slots.
 USE_HALF_LIFE_S = 10.0
@@ -189,7 +189,7 @@
         for key, slot in self._slots.items():
             if slot.state is not SlotState.READY or self.running(key):
                 continue
-            if now - slot.since < JUST_READY_S:
+            if now - slot.since < TURN_ASKED_WITHIN_S:
                 continue
             if self._has_turns(key, now - JUST_USED_S - told_every_s):
                 continue
--- a/hawthornlead/gateway/holding_words.py
+++ b/hawthornlead/gateway/holding_words.py
@@ -105,7 +105,7 @@
 
     async def _take_gathered(self, sender, message: GatheredHoldings) -> None:
         from_near = self._relays.is_near(sender)
-        passes_on = sender.vm != self._mesh.vm and self._relays.own == self._mesh.vm
+        passes_on = self._relays.own == self._mesh.vm
         for word in message.words:
             if word.vm == self._mesh.vm:
                 continue
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -89,6 +89,13 @@
     excluded: frozenset[str]
 
 
+class _SlotWait(NamedTuple):
+    """How long a target's owner expects a slot to take, and until when that counts."""
+
+    until: float
+    wait_ms: float
+
+
 class Placer:
     """Chooses where requests go, by what this VM knows.
 
@@ -116,8 +123,7 @@
         self._healths = healths
         self._mesh = mesh
         self._configuration: Configuration | None = None
-        self._full_until: dict[str, float] = {}
-        self._slot_waits: dict[str, float] = {}
+        self._slot_waits: dict[str, _SlotWait] = {}
 
     def take(self, configuration: Configuration) -> None:
         """Take a newer configuration."""
@@ -210,7 +216,7 @@
 
     def forget(self, target: str) -> None:
         """Drop what was noted of a target that is gone, or started again."""
-        self._full_until.pop(target, None)
+        self._slot_waits.pop(target, None)
 
     def note_missing(self, target: str, key: AdapterKey) -> None:
         """Tell a target's owner that it refused a request for want of an adapter."""
@@ -250,9 +256,8 @@
 
     def _slot_wait_ms(self, target: str, now: float) -> float:
         """Return how long a slot was to be waited for a moment ago."""
-        if self._full_until.get(target, 0.0) <= now:
-            return 0.0
-        return 1000 * self._slot_waits[target]
+        told = self._slot_waits.get(target)
+        return told.wait_ms if told is not None and told.until > now else 0.0
 
     async def _await_turn(
         self, wanted: Wanted, placed: Placed
@@ -302,8 +307,9 @@
 
     def _note_full(self, target: str, failure: Failure) -> None:
         if failure.kind is ErrorKind.NO_SLOT:
-            self._full_until[target] = self._timers.now() + FULL_S
-            self._slot_waits[target] = failure.retry_after_s
+            believed_until = self._timers.now() + FULL_S
+            wait_ms = 1000 * failure.retry_after_s
+            self._slot_waits[target] = _SlotWait(believed_until, wait_ms)
 
     def _slot_due_at(self, wanted: Wanted) -> float:
         """Return when an adapter must be ordered for an answer within its objective."""
--- a/hawthornlead/tests/test_gateway_decisions.py
+++ b/hawthornlead/tests/test_gateway_decisions.py
@@ -7,8 +7,8 @@
 from hawthornlead.gateway.arrival_times import ArrivalTimes
 from hawthornlead.gateway.drains import Drain
 from hawthornlead.gateway.engine_slots import (
-    JUST_READY_S,
     JUST_USED_S,
+    TURN_ASKED_WITHIN_S,
     TURNS_KEPT_S,
     AdapterKey,
     EngineSlots,
@@ -173,8 +173,8 @@
 def test_an_adapter_that_has_just_come_waits_for_who_asked_for_it():
     slots = EngineSlots(SPEC)
     slots.set(key("a1"), 1, SlotState.READY, now=10.0)
-    assert slots.victim(now=10.0 + JUST_READY_S / 2) is None
-    assert slots.victim(now=10.0 + 2 * JUST_READY_S) == key("a1")
+    assert slots.victim(now=10.0 + TURN_ASKED_WITHIN_S / 2) is None
+    assert slots.victim(now=10.0 + 2 * TURN_ASKED_WITHIN_S) == key("a1")
 
 
 def test_the_least_asked_for_adapter_is_evicted_first():
--- a/hawthornlead/tests/test_gateway_restarts.py
+++ b/hawthornlead/tests/test_gateway_restarts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from hawthornlead.errors import ErrorKind, Failure
 from hawthornlead.events import EventKind
 from hawthornlead.gateway.engine_slots import AdapterKey
 from hawthornlead.gateway.owner_objects import OWNERS_KIND
@@ -124,7 +125,9 @@
             for _ in range(5):
                 gateway._parts.healths.failed(engine.target, gone=True)
             gateway._parts.loads.began(engine.target, KEY)
-            gateway._parts.placer._full_until[engine.target] = 1e9
+            full = Failure(ErrorKind.NO_SLOT, "no slot to spare", 0.2)
+            gateway._parts.placer._note_full(engine.target, full)
+            assert engine.target in gateway._parts.placer._slot_waits
         told = deployment.gateways[0]._parts.loads
         await deployment.until(lambda: told.running(engine.target) == 2)
         await engine.restart()
@@ -135,7 +138,7 @@
             assert not parts.healths.suspect(engine.target)
             assert parts.healths.cost_ms(engine.target) == 0
             assert parts.loads.running(engine.target) == 0
-            assert engine.target not in parts.placer._full_until
+            assert engine.target not in parts.placer._slot_waits
             parts.loads.ended(engine.target, KEY)
             assert parts.loads.running(engine.target) == 0
             assert parts.loads.own_total == 0
