A VM that stops leaves no errors in its log

Watches that were waiting were cancelled with the process, and as their connections closed, tornado logged 'Exception after Future was cancelled' for each. The call is now left to end by itself and its error is taken. The test fails before (one record) and passes; scripts/demo-platform printed it eleven times and prints it no more.

--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -7,6 +7,7 @@
     found = await client.get("owners", "engine-3")
 """
 
+import asyncio
 import json
 
 from result import Err, Ok, Result
@@ -166,7 +167,7 @@
         )
         sent_at = self._timers.now()
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await asyncio.shield(self._fetch(request))
         except (HTTPClientError, OSError) as error:
             self._count("unanswered")
             return Err(_unavailable(str(error) or type(error).__name__))
@@ -178,11 +179,26 @@
             self._metrics.store_time.observe(answered_at - sent_at)
         return Ok((response.code, response.body))
 
+    def _fetch(self, request: HTTPRequest) -> asyncio.Future:
+        """Begin a call that ends by itself, also if nobody waits for it any more.
+
+        A watch that is cancelled as its VM stops would leave a call whose error nobody
+        takes; each was logged as an error of the program.
+        """
+        fetching = self._client.fetch(request, raise_error=False)
+        fetching.add_done_callback(_take_error)
+        return fetching
+
     def _count(self, outcome: str) -> None:
         if self._metrics is not None:
             self._metrics.store_calls.labels(outcome).inc()
 
 
+def _take_error(fetching: asyncio.Future) -> None:
+    if not fetching.cancelled():
+        fetching.exception()
+
+
 def _parsed(status: int, body: bytes, parse) -> Result:
     if status == 409:
         return Err(Failure(ErrorKind.VERSION_CONFLICT, "another write came first"))
--- a/hawthornlead/tests/test_watchers.py
+++ b/hawthornlead/tests/test_watchers.py
@@ -1,6 +1,7 @@
 """Tests of following the store's objects, alone and through relays."""
 
 import asyncio
+import gc
 from random import Random
 
 import pytest
@@ -102,6 +103,27 @@
     follower.stop()
 
 
+async def test_a_vm_that_stops_leaves_no_error_in_its_log(caplog):
+    """An operator finds errors of the program in the log of each VM that stopped well.
+
+    The watches that were waiting were cancelled, and the end of their calls was then
+    taken for a failure that nobody had seen to.
+    """
+    timers = TimerService()
+    store = PlatformStore()
+    store.start()
+    store.write("things", "t1", {"n": 1})
+    follower = Follower(LocalNetwork(timers), timers, store, "a")
+    follower.start()
+    await until(lambda: ("GET", "things") in store.calls[1:])
+    follower.stop()
+    await asyncio.sleep(0.05)
+    await store.stop()
+    await asyncio.sleep(0.05)
+    gc.collect()
+    assert caplog.records == []
+
+
 async def test_an_old_change_never_wins(store):
     timers = TimerService()
     follower = Follower(LocalNetwork(timers), timers, store, "a")
