--- a/hawthornlead/bench/bench_reports.py
+++ b/hawthornlead/bench/bench_reports.py
@@ -11,6 +11,7 @@
 
 from hawthornlead.bench.bench_figures import BUCKET_S, RunFigures
 from hawthornlead.bench.bench_loads import Deployment
+from hawthornlead.bench.bench_slots import SlotFigures
 
 COLUMNS = (
     ("stall total s", "stall_total_s", "{:.0f}"),
@@ -35,7 +36,7 @@
     high: float
 
 
-def spread(runs: Sequence[RunFigures], field: str) -> Spread:
+def spread(runs: Sequence[NamedTuple], field: str) -> Spread:
     """Return the mean and the extremes of a field."""
     values = [getattr(run, field) for run in runs]
     return Spread(mean(values), min(values), max(values))
@@ -137,5 +138,45 @@
     pyplot.close(figure)
 
 
+SLOT_FIELDS = ("refused", "loads", "fetches")
+
+
+def slot_table(results: dict[str, list[SlotFigures]]) -> str:
+    """Return a Markdown table of rules for slots, ``mean (low to high)``."""
+    lines = ["| rule | requests | " + " | ".join(SLOT_FIELDS) + " |"]
+    lines.append("| --- " * (len(SLOT_FIELDS) + 2) + "|")
+    for rule, runs in results.items():
+        cells = [rule, f"{spread(runs, 'requests').mean:.0f}"]
+        for field in SLOT_FIELDS:
+            cells.append("{:.0f} ({:.0f} to {:.0f})".format(*spread(runs, field)))
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def plot_slots(path: Path, slots: int, results: dict[str, list[SlotFigures]]) -> None:
+    """Draw loads and, of these, fetches of each rule, with the spread over seeds."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(figsize=(8, 5))
+    for number, (field, color) in enumerate((("loads", "C0"), ("fetches", "C1"))):
+        spreads = [spread(runs, field) for runs in results.values()]
+        means = [each.mean for each in spreads]
+        lows = [each.mean - each.low for each in spreads]
+        highs = [each.high - each.mean for each in spreads]
+        places = [place + 0.4 * number for place in range(len(spreads))]
+        axes.bar(
+            places, means, 0.4, yerr=[lows, highs], capsize=4, color=color, label=field
+        )
+    axes.set_xticks([place + 0.2 for place in range(len(results))], list(results))
+    axes.set_title(f"one engine with {slots} slots: loads, and fetches among them")
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=80)
+    pyplot.close(figure)
+
+
 def _all(runs: Sequence[RunFigures], field: str) -> list:
     return [getattr(run, field) for run in runs]
--- a/hawthornlead/bench/benches.py
+++ b/hawthornlead/bench/benches.py
@@ -1,7 +1,8 @@
-"""The bench's command line: compare policies, compare popularity strategies.
+"""The bench's command line: compare policies, popularities, rules for slots.
 
 ``scripts/bench compare`` runs every policy on every deployment with the same seeds
-and writes tables, JSON and plots to ``bench/results``.
+and writes tables, JSON and plots to ``bench/results``; ``scripts/bench evictions`` does
+so with the rules by which adapters leave the slots of one engine.
 """
 
 import sys
@@ -12,7 +13,7 @@
 import click
 
 import hawthornlead.bench.bench_sketches  # noqa: F401  enters its strategies
-from hawthornlead.bench import bench_popularities, bench_reports
+from hawthornlead.bench import bench_popularities, bench_reports, bench_slots
 from hawthornlead.bench.bench_figures import RunFigures
 from hawthornlead.bench.bench_loads import read_deployment
 from hawthornlead.bench.bench_policies import POLICIES
@@ -110,5 +111,28 @@
     bench_reports.write_document(path, _command(), document)
 
 
+@main.command()
+@click.option("--rule", "rules", multiple=True, help="default: all")
+@click.option("--slots", default=5, help="slots of the engine")
+@click.option("--rate", default=6.0, help="requests a second for the engine")
+@click.option("--remembered", default=6, help="remembered adapters for each slot")
+@click.option("--seeds", default=5, help="how many seeds")
+@click.option("--first-seed", default=11, help="the first of them")
+def evictions(rules, slots, rate, remembered, seeds, first_seed):
+    """Compare the rules by which adapters leave one engine's slots."""
+    demand = bench_slots.SlotDemand(slots, rate, remembered_each_slot=remembered)
+    numbers = range(first_seed, first_seed + seeds)
+    results = {}
+    for rule in rules or tuple(bench_slots.EVICTION_RULES):
+        results[rule] = [bench_slots.play_slots(rule, demand, seed) for seed in numbers]
+    click.echo(bench_reports.slot_table(results))
+    RESULTS.mkdir(parents=True, exist_ok=True)
+    stem = RESULTS / f"evictions-{slots}"
+    runs = {name: [run._asdict() for run in each] for name, each in results.items()}
+    document = {"demand": demand._asdict(), "seeds": list(numbers), "runs": runs}
+    bench_reports.write_document(stem.with_suffix(".json"), _command(), document)
+    bench_reports.plot_slots(stem.with_suffix(".png"), slots, results)
+
+
 if __name__ == "__main__":
     main()
