--- a/hawthornlead/tests/test_gateway_drains.py
+++ b/hawthornlead/tests/test_gateway_drains.py
@@ -3,6 +3,8 @@
 import asyncio
 
 from hawthornlead.gateway.engine_slots import AdapterKey
+from hawthornlead.gateway.owner_objects import OWNERS_KIND
+from hawthornlead.gateway.slot_queues import SlotWanted
 from hawthornlead.gateway.target_loads import TOLD_KEPT_S
 
 from .gateways import MODEL, Deployment, ask
@@ -154,3 +156,30 @@
         await deployment.until(lambda: set(staying._room.owned) == both)
         assert not draining.done()
         await draining
+
+
+async def test_an_engine_is_given_back_once_no_order_can_be_on_its_way():
+    """Two VMs order one engine at the same time as one of them is restarted.
+
+    The last order of the VM that left got no answer. Its packet was lost and came
+    again within a second, when another VM had claimed the engine and ordered it.
+    """
+    async with Deployment() as deployment:
+        leaving = next(g for g in deployment.gateways if g._room.owned)
+        target = leaving._room.owned[0]
+        engine = next(e for e in deployment.engines if e.target == target)
+        for each in deployment.engines:
+            each.mute_orders = 100
+        owner = leaving._room._owners[target]
+        wanted = SlotWanted(AdapterKey(MODEL, "a5"), 0, 0.0, 0.0)
+        loading = asyncio.create_task(owner.load(wanted, 0, 5.0))
+        await deployment.until(lambda: engine.orders)
+        draining = asyncio.create_task(leaving.drain())
+        vm = leaving._memberships.vm
+        await deployment.until(
+            lambda: deployment.store.spec(OWNERS_KIND, target)["vm"] != vm
+        )
+        assert owner._late.on_its_way_s == 0.0
+        assert owner._late.unanswered_until > 0.0
+        assert (await loading).is_err()
+        await draining
