--- a/hawthornlead/tests/following_vms.py
+++ b/hawthornlead/tests/following_vms.py
@@ -247,3 +247,14 @@
                 known = [vm.known() for vm in self.vms]
                 pytest.fail(f"expected {self.expected}, known {known}")
             await asyncio.sleep(0.005)
+
+
+async def relayed_site() -> Site:
+    """Return a site of four VMs, of which two are told everything by the others."""
+    site = Site()
+    for name in "abcd":
+        site.add(name)
+    told = [vm for vm in site.vms if not vm.relays.is_relay]
+    for kind in KINDS:
+        await site.until(lambda k=kind: all(vm.relays.vouched(k) for vm in told))
+    return site
--- a/hawthornlead/tests/test_lost_histories.py
+++ b/hawthornlead/tests/test_lost_histories.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from .following_vms import KINDS, NAMES, Site
+from .following_vms import KINDS, NAMES, relayed_site
 
 # Long enough that a VM that is told nothing would have listed each kind by itself: the
 # word of a relay counts for 1.1 s.
@@ -13,12 +13,7 @@
 
 @pytest.fixture
 async def site():
-    site = Site()
-    for name in "abcd":
-        site.add(name)
-    told = [vm for vm in site.vms if not vm.relays.is_relay]
-    for kind in KINDS:
-        await site.until(lambda k=kind: all(vm.relays.vouched(k) for vm in told))
+    site = await relayed_site()
     yield site
     await site.stop()
 
--- a/hawthornlead/tests/test_unreadable_series.py
+++ b/hawthornlead/tests/test_unreadable_series.py
@@ -11,7 +11,7 @@
 )
 
 from .bad_entries import bad_specs, target_spec
-from .following_vms import BAD_BYTES, KINDS, NAMES, Site
+from .following_vms import BAD_BYTES, KINDS, NAMES, relayed_site
 
 STEPS = st.one_of(
     st.tuples(st.just("good"), st.sampled_from(KINDS), st.sampled_from(NAMES)),
@@ -38,21 +38,11 @@
 def running_site():
     """A site of four VMs, two of which are told by relays, and its event loop."""
     with asyncio.Runner() as runner:
-        site = runner.run(_start_site())
+        site = runner.run(relayed_site())
         yield runner, site
         runner.run(site.stop())
 
 
-async def _start_site():
-    site = Site()
-    for name in "abcd":
-        site.add(name)
-    told = [vm for vm in site.vms if not vm.relays.is_relay]
-    for kind in KINDS:
-        await site.until(lambda k=kind: all(vm.relays.vouched(k) for vm in told))
-    return site
-
-
 async def _play(site, steps):
     for kind in KINDS:
         for name in NAMES:
