--- a/scripts/check_build.py
+++ b/scripts/check_build.py
@@ -18,7 +18,11 @@
 
 ROOT = Path(__file__).parent.parent
 SAMPLE_S = 0.005
+# How long the daemon serves before it is asked to stop, and may take to listen. Beside
+# 20 busy processes it began to listen after more than 3 s, and was ended by a signal
+# that it didn't heed yet.
 SERVE_S = 3.0
+START_S = 60.0
 STOP_S = 10.0
 
 SETTINGS = """[vm]
@@ -74,7 +78,8 @@
     with tempfile.TemporaryDirectory() as name:
         base = Path(name)
         path = base / "settings.ini"
-        path.write_text(SETTINGS.format(*free_ports(4)), encoding="utf-8")
+        ports = free_ports(4)
+        path.write_text(SETTINGS.format(*ports), encoding="utf-8")
         python = Path(sys.base_prefix, "bin", "python{}.{}".format(*sys.version_info))
         probe = [str(python), "-B", "-I", "-c", PROBE, str(binary)]
         faults += report("compiled parts", run(probe, base), {0})
@@ -83,7 +88,7 @@
         missing = missing_parts()
         if not missing:
             command = [str(binary), "serve", "-c", str(path)]
-            seen = run(command, base, stop_after=SERVE_S)
+            seen = run(command, base, stop_after=SERVE_S, port=ports[0])
             faults += report("serve", seen, {0})
         else:
             print(f"serve: not run, missing parts: {', '.join(missing)}")
@@ -113,8 +118,13 @@
         return [each.getsockname()[1] for each in sockets]
 
 
-def run(command: list[str], base: Path, stop_after: float | None = None) -> Seen:
-    """Run ``command`` in empty folders and watch it until it ends."""
+def run(
+    command: list[str], base: Path, stop_after: float | None = None, port: int = 0
+) -> Seen:
+    """Run ``command`` in empty folders and watch it until it ends.
+
+    Stop it ``stop_after`` seconds after it began to listen on ``port``.
+    """
     folders = [base / "cwd", base / "tmp", base / "home"]
     for folder in folders:
         folder.mkdir(exist_ok=True)
@@ -126,7 +136,8 @@
         process = subprocess.Popen(
             command, cwd=folders[0], env=environment, stdout=output, stderr=output
         )
-        children, written, resident = watch(process, stop_after, base / "output")
+        output_path = base / "output"
+        children, written, resident = watch(process, stop_after, port, output_path)
         output.seek(0)
         text = output.read()
     seconds = time.monotonic() - started
@@ -134,15 +145,19 @@
     return Seen(process.returncode, text, children, written, changed, resident, seconds)
 
 
-def watch(process, stop_after: float | None, output: Path):
-    """Sample a process until it ends; stop it after ``stop_after`` seconds."""
+def watch(process, stop_after: float | None, port: int, output: Path):
+    """Sample a process until it ends; stop it some time after it listens."""
     children, written, resident = set(), set(), 0
-    stop_at = None if stop_after is None else time.monotonic() + stop_after
-    kill_at = time.monotonic() + (stop_after or 0) + STOP_S
+    waits = stop_after is not None
+    stop_at = None
+    kill_at = time.monotonic() + (stop_after or 0) + START_S + STOP_S
     while process.poll() is None:
         children |= children_of(process.pid)
         written |= open_for_writing(process.pid) - {str(output)}
         resident = max(resident, resident_kb(process.pid))
+        if waits and listens(port):
+            waits = False
+            stop_at = time.monotonic() + stop_after
         if stop_at is not None and time.monotonic() > stop_at:
             process.terminate()
             stop_at = None
@@ -152,6 +167,12 @@
     return children, written, resident
 
 
+def listens(port: int) -> bool:
+    """Whether a process listens on a port of loopback."""
+    with socket.socket() as caller:
+        return caller.connect_ex(("127.0.0.1", port)) == 0
+
+
 def children_of(pid: int) -> set[int]:
     """Return the process numbers of a process's children."""
     found = set()
