--- a/hawthornlead/gateway/engine_releases.py
+++ b/hawthornlead/gateway/engine_releases.py
@@ -4,8 +4,9 @@
 after it released its engines. Until then they took it for the owner, and the engines
 got no orders. So whoever gives an engine back tells the others, and the next in its
 order claims it. With nine VMs restarted in turn an engine was without orders for 3.1 s
-to 5.0 s each time; worth rose from 0.656 to 0.670 there, and on two further days with
-such restarts from 0.573 to 0.589 and from 0.497 to 0.571 (three seeds each).
+to 5.0 s each time, and is for 0.1 s to 0.4 s; worth rose from 0.656 to 0.670 there, and
+on two further days with such restarts from 0.573 to 0.589 and from 0.497 to 0.571
+(three seeds each).
 """
 
 import asyncio
