One constant for how long an order may be on its way

The margin before a lease's end and the wait before an engine is given back guard against the same failure, a lost packet that is sent again; the value stays 1 s. Tests of leases, owners, late orders, drains, layout and references pass; nothing else was run after it.

--- a/hawthornlead/gateway/ownerships.py
+++ b/hawthornlead/gateway/ownerships.py
@@ -14,6 +14,7 @@
 from ..mesh.peers import PeerMesh
 from ..messages.gateways import YieldTarget
 from ..messages.sessions import Done
+from .late_orders import ON_ITS_WAY_S
 from .memberships import Memberships
 from .owner_objects import (
     OWNERS_KIND,
@@ -32,9 +33,9 @@
 # Orders of two VMs by turns within this time count as orders of two owners at once; the
 # platform bounds it to 3 s.
 TURN_S = 3.0
-# An order is sent this long before the lease runs out, at the latest. A packet that is
-# lost on the way is sent again within a second, and must not meet a successor's order.
-ORDER_MARGIN_S = 1.0
+# An order is sent this long before the lease runs out, at the latest: one whose packet
+# is lost and sent again must not meet a successor's order.
+ORDER_MARGIN_S = ON_ITS_WAY_S
 
 
 class Ownership(NamedTuple):
