A further relay counts after 4 s in place of 2.5 s

A relay vouches for up to 2.6 s after its watch went silent, and its next word may be 0.4 s later. With 2.5 s a VM could have taken a second relay for complete by the word of a first one that lagged by more.

--- a/hawthornlead/gateway/watch_relays.py
+++ b/hawthornlead/gateway/watch_relays.py
@@ -51,8 +51,9 @@
 
 
 UNHEARD = -1
-# What one relay passed on so long ago another one that vouches has passed on too.
-SETTLED_S = 2.5
+# What one relay passed on so long ago another one that vouches has passed on too: it
+# takes less until a relay whose watch went silent vouches no more.
+SETTLED_S = 4.0
 
 
 class _Told(NamedTuple):
