Begin with a relay's first word in one place

A relay's first word and its first records each opened what is heard of it with the same three lines. Both now call one method of that record. Cause: the second was written as a copy of the first. Ruled out: any change of behaviour; the condition and both assignments are the same and the order of the assignments around them is kept.

--- a/hawthornlead/gateway/watch_relays.py
+++ b/hawthornlead/gateway/watch_relays.py
@@ -80,6 +80,12 @@
         self.behind = True
         self.behind_since = 0.0
 
+    def begin_at(self, serial: int, now: float) -> None:
+        """Begin with a relay's first word, if nothing was passed on before it."""
+        if self.serial == UNHEARD and serial == 0:
+            self.serial = 0
+            self.behind_since = now
+
 
 class WatchRelays:
     """What this VM passes on as a relay, and what it hears from relays.
@@ -323,9 +329,7 @@
         for kind, serial in message.kinds:
             heard = self._heard[kind].setdefault(sender.incarnation, _Heard())
             heard.at = heard.heard_at = now
-            if heard.serial == UNHEARD and serial == 0:
-                heard.serial = 0
-                heard.behind_since = now
+            heard.begin_at(serial, now)
             if heard.serial != serial:
                 heard.changed_at = now
                 # Something that this relay passed on did not come here, as after a
@@ -355,9 +359,7 @@
 
     async def _on_records(self, sender, message: RelayedRecords) -> None:
         heard = self._heard[message.kind].setdefault(sender.incarnation, _Heard())
-        if heard.serial == UNHEARD and message.serial == 0:
-            heard.serial = 0
-            heard.behind_since = self._timers.now()
+        heard.begin_at(message.serial, self._timers.now())
         if heard.serial == message.serial:
             heard.serial = message.serial + len(message.records)
             heard.changed_at = self._timers.now()
