Callers' keys, their workspaces and priorities

Cause: a deployment whose configuration names tenants was served as if it named none.

Change: platform/keys.py reads a key and turns it into a digest at once; the configuration keeps digests only. A request on a route that isn't public is served for the workspace that holds its key, at that workspace's priority if it has one; targets see the workspace's name and never the key. An unknown key gets 401, unless this VM can't know that its configuration is the newest: then 503 with a time to come back, which holds for unknown routes too. A configuration with two holders of one key, two tenants of one name, a bad limit or an unknown unit is refused with the field's name and without the key; the version in force stays.

Ruled out: comparing keys themselves (they would stay in memory); one digest with a salt of the process (no gain, keys are random).

--- a/hawthornlead/gateway/forwards.py
+++ b/hawthornlead/gateway/forwards.py
@@ -17,11 +17,14 @@
 from .routes import choose_service
 from .stream_relays import CallerStream
 from .target_attempts import LEAST_LEFT_S, Attempts, Ending
+from .workspaces import ranked
 
 # A request is offered to so many targets at most that refuse it unrun.
 MAX_OFFERS = 4
 # How long to wait for an adapter that was expected to be there.
 TOO_EARLY_S = 0.05
+# A VM that was cut off hears of newer configurations about so long after its return.
+STALE_RETRY_S = 0.3
 # These tell a caller that its request has not run and never will.
 UNRUN_STATUSES = frozenset((404, 429, 503))
 
@@ -50,8 +53,15 @@
             return
         route = parts.routes.match(self._call.headers.get("Host", ""), self._call.path)
         if route is None:
-            self._report.refuse(Failure(ErrorKind.NOT_FOUND, "no route"))
+            self._refuse_unknown(Failure(ErrorKind.NOT_FOUND, "no route"))
             return
+        workspace = None
+        if parts.workspaces.needs_key(route):
+            workspace = parts.workspaces.holder(self._request.key_digest)
+            if workspace is None:
+                self._refuse_unknown(Failure(ErrorKind.UNAUTHENTICATED, "no known key"))
+                return
+        route = ranked(route, workspace)
         wait_ms = route.timeout_ms
         if self._request.deadline_ms is not None:
             wait_ms = min(wait_ms, self._request.deadline_ms)
@@ -64,6 +74,7 @@
             self._report,
             self._deadline_at,
             self._fingerprint(),
+            workspace,
         )
         service = choose_service(route, parts.rng)
         parts.budget(service).first_attempt()
@@ -73,6 +84,17 @@
         """Answer with a failure, unless an answer was begun or the caller left."""
         self._report.refuse(failure)
 
+    def _refuse_unknown(self, failure: Failure) -> None:
+        """Refuse what the configuration in force doesn't know.
+
+        A newer one may know it, if this VM was cut off from the store and the others.
+        Its caller can come back then, or go to another VM.
+        """
+        if not self._parts.configuration_is_current():
+            detail = f"{failure.detail}, by a configuration that may be old"
+            failure = Failure(ErrorKind.NOT_READY, detail, STALE_RETRY_S)
+        self._report.refuse(failure)
+
     async def _serve(self, route: Route, service: str) -> None:
         convicted = self._parts.suspects.check(self._fingerprint())
         if convicted.is_err():
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -8,6 +8,7 @@
     parts = build_requests(core, coordination, targets, metrics)
 """
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..core_parts import CoreParts
@@ -34,6 +35,7 @@
 from .target_probes import TargetProbes
 from .vm_leases import VmLease
 from .watch_relays import WatchRelays
+from .workspaces import WorkspaceTable
 
 
 class Coordination(NamedTuple):
@@ -90,6 +92,9 @@
         self.losses = losses
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
+        self.workspaces = WorkspaceTable(None)
+        # Whether no newer configuration can be in force without this VM knowing.
+        self.configuration_is_current: Callable[[], bool] = lambda: True
 
     def budget(self, service: str) -> Retries:
         """Return this VM's retry budget towards a service."""
@@ -104,6 +109,7 @@
         """Put a configuration in force."""
         self.configuration = configuration
         self.routes = RouteTable(configuration.routes)
+        self.workspaces = WorkspaceTable(configuration.workspaces)
         self.placer.take(configuration)
 
 
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -104,6 +104,8 @@
         )
         self._watchers = self._make_watchers(core.rng, metrics)
         self._targets.watcher = self._watchers[TARGETS_KIND]
+        configurations = self._watchers[CONFIGURATION_KIND]
+        self._parts.configuration_is_current = lambda: configurations.current
         self._server = HTTPServer(
             self._callers,
             idle_connection_timeout=IDLE_S,
--- a/hawthornlead/gateway/records.py
+++ b/hawthornlead/gateway/records.py
@@ -28,7 +28,8 @@
 
     ``attempts`` bounds the targets that one request may be sent to. ``objective_ms``
     is the time to a good answer, or to the first event of a stream, and
-    ``event_gap_ms`` the longest pause between events that still is good.
+    ``event_gap_ms`` the longest pause between events that still is good. A request on
+    a ``public`` route needs no key.
     """
 
     name: str
@@ -42,6 +43,7 @@
     attempts: int
     resumable: bool
     event_gap_ms: float
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
@@ -97,13 +99,57 @@
     idle_s: float
 
 
+class QuotaUnit(Enum):
+    """What a quota counts."""
+
+    REQUESTS = "requests"
+    TOKENS = "tokens"
+
+
+class Quota(NamedTuple):
+    """What a workspace may ask for, over all VMs together.
+
+    ``rate`` is per second and ``burst`` comes on top of it, both in ``unit``. Where
+    tokens are counted, a request that doesn't tell its tokens counts ``plain_tokens``.
+    """
+
+    rate: float
+    burst: float
+    unit: QuotaUnit = QuotaUnit.REQUESTS
+    plain_tokens: int = 0
+
+    def cost(self, request: "CallerRequest") -> float:
+        """Return what a request takes of the quota."""
+        if self.unit is QuotaUnit.REQUESTS:
+            return 1.0
+        if not request.tells_tokens:
+            return float(self.plain_tokens)
+        return float(request.prompt_tokens + request.max_tokens)
+
+
+class Workspace(NamedTuple):
+    """A workspace, known by its keys; only digests of these are kept.
+
+    ``priority`` None leaves the route's, ``quota`` None sets no limit.
+    """
+
+    name: str
+    key_digests: frozenset[bytes]
+    priority: int | None = None
+    quota: Quota | None = None
+
+
 class Configuration(NamedTuple):
-    """One version of the configuration, as the operator wrote it."""
+    """One version of the configuration, as the operator wrote it.
+
+    ``workspaces`` is None where callers need no keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: tuple[ServiceSpec, ...]
     limits: CallerLimits
+    workspaces: tuple[Workspace, ...] | None = None
 
     def service(self, name: str) -> ServiceSpec | None:
         """Return the service of this name, None if there is none."""
@@ -261,7 +307,8 @@
 
     ``deadline_ms`` is how long the caller waits, None where it does not say;
     ``adapter`` is empty for a request to the base model. ``last_event`` is the last
-    event that the caller already has of an earlier, broken stream.
+    event that the caller already has of an earlier, broken stream. ``key_digest`` is
+    empty where the caller sent no key, or none that can be read.
     """
 
     request_id: str
@@ -272,6 +319,8 @@
     max_tokens: int
     likely_tokens: int
     last_event: str
+    key_digest: bytes = b""
+    tells_tokens: bool = False
 
 
 class StoredRecord(NamedTuple):
--- a/hawthornlead/gateway/request_reports.py
+++ b/hawthornlead/gateway/request_reports.py
@@ -10,7 +10,13 @@
 from .stream_relays import CallerStream, StreamRelay
 from .target_connections import WholeAnswer
 
-REASONS = {404: "Not Found", 502: "Bad Gateway", 503: "Service Unavailable"}
+REASONS = {
+    401: "Unauthorized",
+    404: "Not Found",
+    429: "Too Many Requests",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+}
 
 
 class RequestReport:
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -8,7 +8,7 @@
 from .gateway_parts import GatewayParts
 from .loss_beliefs import Follower
 from .placers import Placed
-from .records import CallerRequest, Loss, Route, RouteKind, TargetEntry
+from .records import CallerRequest, Loss, Route, RouteKind, TargetEntry, Workspace
 from .request_reports import RequestReport
 from .stream_relays import CallerStream, StreamRelay
 from .target_choices import Holding
@@ -50,7 +50,9 @@
         report: RequestReport,
         deadline_at: float,
         fingerprint: bytes,
+        workspace: Workspace | None = None,
     ):
+        self._workspace = workspace.name if workspace is not None else ""
         self._parts = parts
         self._call = call
         self._request = request
@@ -104,6 +106,8 @@
             target=entry.target,
             priority=min(9, max(0, route.priority)),
             last_event=self.last_event,
+            keyed=self._parts.workspaces.keyed,
+            workspace=self._workspace,
         )
         exchange.send(
             self._call.method,
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -120,6 +120,13 @@
         """Whether the kind was listed at least once."""
         return self._listed
 
+    @property
+    def current(self) -> bool:
+        """Whether this VM knows all changes, by its own calls or through a relay."""
+        if not self._listed:
+            return False
+        return self._relays.vouched(self._kind) or self._is_fresh()
+
     @property
     def answering(self) -> bool:
         """Whether the last call of the store was answered."""
--- a/hawthornlead/platform/configurations.py
+++ b/hawthornlead/platform/configurations.py
@@ -8,13 +8,17 @@
     Configuration,
     EngineSpec,
     ModelSpec,
+    Quota,
+    QuotaUnit,
     Route,
     RouteKind,
     ServiceShare,
     ServiceSpec,
     StoredRecord,
+    Workspace,
 )
-from .fields import boolean, items, mapping, number, text, whole_number
+from .fields import as_text, boolean, items, mapping, number, text, whole_number
+from .keys import is_key, key_digest
 
 # What holds where the operator's configuration leaves a limit out.
 DEFAULT_HEADER_BYTES = 16384
@@ -31,6 +35,7 @@
             routes=tuple([_route(route) for route in items(body, "routes")]),
             services=tuple([_service(each) for each in items(body, "services")]),
             limits=_limits(_given(body.get("limits", {}), "limits")),
+            workspaces=_workspaces(body),
         )
     except ValueError as error:
         raise ValueError(f"no configuration: {error}") from error
@@ -67,6 +72,7 @@
         attempts=whole_number(body, "attempts", 1),
         resumable=boolean(body, "resumable", False),
         event_gap_ms=number(body, "gapTargetMs", 0),
+        public=boolean(body, "public", False),
     )
 
 
@@ -122,3 +128,51 @@
         body_bytes=whole_number(body, "maxBodyBytes", DEFAULT_BODY_BYTES),
         idle_s=number(body, "idleTimeoutMs", DEFAULT_IDLE_MS) / 1000,
     )
+
+
+def _workspaces(body: dict) -> tuple[Workspace, ...] | None:
+    """Return the workspaces, None where the configuration speaks of none."""
+    if "tenants" not in body:
+        return None
+    workspaces = tuple([_workspace(value) for value in items(body, "tenants")])
+    names: set[str] = set()
+    holders: dict[bytes, str] = {}
+    for workspace in workspaces:
+        if workspace.name in names:
+            raise ValueError(f"two tenants are named {workspace.name}")
+        names.add(workspace.name)
+        for digest in workspace.key_digests:
+            other = holders.setdefault(digest, workspace.name)
+            if other != workspace.name:
+                raise ValueError(f"{other} and {workspace.name} share a key")
+    return workspaces
+
+
+def _workspace(value: Any) -> Workspace:
+    body = _given(value, "a tenant")
+    name = text(body, "name")
+    # The name goes out in a header.
+    if not is_key(name):
+        raise ValueError("a tenant's name is no word")
+    digests = set()
+    for key in items(body, "apiKeys", []):
+        if not is_key(as_text(key, f"a key of {name}")):
+            raise ValueError(f"a key of {name} has characters that no key has")
+        digests.add(key_digest(key))
+    priority = whole_number(body, "priority") if "priority" in body else None
+    return Workspace(name, frozenset(digests), priority, _quota(body, name))
+
+
+def _quota(body: dict, name: str) -> Quota | None:
+    """Return a tenant's quota, None where it has no limit."""
+    rate = number(body, "ratePerS", 0)
+    burst = number(body, "burst", 0)
+    if rate < 0 or burst < 0:
+        raise ValueError(f"a limit of {name} is below 0")
+    if not rate:
+        return None
+    try:
+        unit = QuotaUnit(text(body, "unit", QuotaUnit.REQUESTS.value))
+    except ValueError as error:
+        raise ValueError(f"the unit of {name} is unknown") from error
+    return Quota(rate, burst, unit, whole_number(body, "plainTokens", 0))
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -5,6 +5,7 @@
 from tornado.httputil import HTTPHeaders
 
 from ..gateway.records import CallerRequest
+from .keys import AUTHORIZATION, read_key_digest
 
 REQUEST_ID = "Request-Id"
 DEADLINE_MS = "Deadline-Ms"
@@ -19,6 +20,7 @@
 MODEL = "Model"
 TOKENS = "Token-Usage"
 LENGTH_HINT = "Length-Hint"
+WORKSPACE = "Tenant-Id"
 
 # Headers that concern one connection only, and those that frame a body anew.
 HOP_BY_HOP = frozenset(
@@ -50,8 +52,11 @@
         EXPECT_TARGET,
         EXPECT_VERSION,
         PRIORITY,
+        WORKSPACE,
     )
 )
+KEY = AUTHORIZATION.lower()
+MOST_DIGITS = 9
 
 
 class AnswerSigns(NamedTuple):
@@ -72,7 +77,8 @@
 def read_caller_request(headers: HTTPHeaders) -> CallerRequest:
     """Return what the headers say; values that make no sense count as absent."""
     model, _, adapter = headers.get(MODEL, "").partition("/")
-    prompt, _, most = headers.get(TOKENS, "").partition(",")
+    tokens = headers.get(TOKENS, "")
+    prompt, _, most = tokens.partition(",")
     prompt_tokens, max_tokens = _integer(prompt), _integer(most)
     return CallerRequest(
         request_id=headers.get(REQUEST_ID, ""),
@@ -83,6 +89,8 @@
         max_tokens=max_tokens,
         likely_tokens=_integer(headers.get(LENGTH_HINT, "")) or max_tokens,
         last_event=headers.get(LAST_EVENT, ""),
+        key_digest=read_key_digest(headers),
+        tells_tokens=_is_whole(prompt) and _is_whole(most),
     )
 
 
@@ -93,17 +101,24 @@
     target: str,
     priority: int,
     last_event: str,
+    keyed: bool = False,
+    workspace: str = "",
 ) -> HTTPHeaders:
     """Return the headers for a target: the caller's, and those the system sets.
 
-    An empty ``last_event`` leaves the caller's.
+    An empty ``last_event`` leaves the caller's. Where callers are ``keyed`` no target
+    is shown a key; it is told the ``workspace`` in its place, if there is one.
     """
     headers = HTTPHeaders()
     for name, value in given.get_all():
         lowered = name.lower()
         if lowered in HOP_BY_HOP or lowered in SYSTEM_ONLY:
             continue
+        if keyed and lowered == KEY:
+            continue
         headers.add(name, value)
+    if workspace:
+        headers[WORKSPACE] = workspace
     headers[DEADLINE_MS] = str(max(1, int(deadline_ms)))
     headers[EXPECT_TARGET] = target
     headers[PRIORITY] = str(priority)
@@ -159,8 +174,13 @@
 
 
 def _integer(text: str) -> int:
+    return int(text) if _is_whole(text) else 0
+
+
+def _is_whole(text: str) -> bool:
+    """Whether a text is a whole number, of no more digits than any count has."""
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() else 0
+    return text.isascii() and text.isdigit() and len(text) <= MOST_DIGITS
 
 
 def _number(text: str | None) -> float | None:
