Quotas of workspaces over all VMs, by what each VM tells of its use

Cause: limits of workspaces weren't kept at all. A workspace's requests come to all VMs, to most of them less than one a second, so no VM can keep a limit by itself.

Change: decisions/quotas.py keeps a ledger a VM. VMs tell what they were asked for and let through inside the words on requests that they send anyway; heads count all of it and tell credit and demand back, sooner where a workspace has just passed its limit. Each VM lets through the part of the requests that brings the workspace back to its credit within a second. A VM that hears nobody has half of its even share, VMs that are parted have their part of each rate, and a VM that starts has no burst to spend. Credit of a request that was let through and never ran is given back. Over the limit: 429 with the time until there is credit; where a VM can't tell: 503.

Ruled out: leases of credit. At less than a request a second, VM and workspace, what would lie at 89 VMs is several times a small workspace's burst.

--- a/hawthornlead/gateway/engine_rooms.py
+++ b/hawthornlead/gateway/engine_rooms.py
@@ -2,6 +2,7 @@
 
 from result import Result
 
+from ..decisions.quotas import QuotaLedger
 from ..errors import ErrorKind, Failure
 from ..events import EventKind, EventRing
 from ..fleet.fleet_meshes import FleetMesh
@@ -66,6 +67,7 @@
         timers: TimerService,
         events: EventRing,
         metrics: GatewayMetrics,
+        quotas: QuotaLedger,
     ):
         self._metrics = metrics
         self._events = events
@@ -88,6 +90,7 @@
             timers=timers,
             on_word=self._note_uses,
             owned=lambda: self.owned,
+            quotas=quotas,
         )
         self._holding_words = HoldingWords(
             mesh=mesh,
--- a/hawthornlead/gateway/forwards.py
+++ b/hawthornlead/gateway/forwards.py
@@ -7,12 +7,14 @@
 
 from hashlib import blake2b
 
+from result import Ok, Result
+
 from ..errors import ErrorKind, Failure
 from ..platform.headers import read_caller_request
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
 from .placers import Placed, Wanted
-from .records import CallerRequest, Route
+from .records import CallerRequest, Route, Workspace
 from .request_reports import RequestReport
 from .routes import choose_service
 from .stream_relays import CallerStream
@@ -27,6 +29,7 @@
 STALE_RETRY_S = 0.3
 # These tell a caller that its request has not run and never will.
 UNRUN_STATUSES = frozenset((404, 429, 503))
+UNRUN_ENDINGS = frozenset((Ending.UNREACHED, Ending.REFUSED, Ending.TOO_EARLY))
 
 
 class Forward:
@@ -42,6 +45,7 @@
         self._excluded: set[str] = set()
         self._attempts: Attempts | None = None
         self._waited = False
+        self._may_have_run = False
 
     async def run(self) -> None:
         """Serve the request to its end."""
@@ -61,6 +65,10 @@
             if workspace is None:
                 self._refuse_unknown(Failure(ErrorKind.UNAUTHENTICATED, "no known key"))
                 return
+        charged = self._charge(workspace)
+        if charged.is_err():
+            self._report.refuse(charged.err_value)
+            return
         route = ranked(route, workspace)
         wait_ms = route.timeout_ms
         if self._request.deadline_ms is not None:
@@ -78,7 +86,21 @@
         )
         service = choose_service(route, parts.rng)
         parts.budget(service).first_attempt()
-        await self._serve(route, service)
+        try:
+            await self._serve(route, service)
+        finally:
+            if not self._may_have_run:
+                parts.quotas.give_back(*charged.ok_value)
+
+    def _charge(
+        self, workspace: Workspace | None
+    ) -> Result[tuple[str, float], Failure]:
+        """Charge the request to its workspace's quota; return what was charged."""
+        if workspace is None or workspace.quota is None:
+            return Ok(("", 0.0))
+        cost = workspace.quota.cost(self._request)
+        admitted = self._parts.quotas.admit(workspace.name, cost)
+        return admitted.map(lambda _: (workspace.name, cost))
 
     def refuse(self, failure: Failure) -> None:
         """Answer with a failure, unless an answer was begun or the caller left."""
@@ -140,6 +162,7 @@
     async def _goes_on(self, route: Route, placed: Placed, ending: Ending) -> bool:
         """Whether another attempt follows; if not, the caller has its answer."""
         target = placed.entry.target
+        self._may_have_run = self._may_have_run or ending not in UNRUN_ENDINGS
         if ending is Ending.DONE:
             return False
         if ending is Ending.LEFT:
@@ -158,7 +181,7 @@
         if ending is Ending.LATE:
             self._end_late()
             return False
-        if ending in (Ending.UNREACHED, Ending.REFUSED, Ending.TOO_EARLY):
+        if ending in UNRUN_ENDINGS:
             if len(self._excluded) < MAX_OFFERS and self._in_time():
                 return True
             self._end_unplaced(Failure(ErrorKind.OVERLOADED, "no target took it", 0.4))
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from ..core_parts import CoreParts
+from ..decisions.quotas import Limit, QuotaLedger
 from ..decisions.retries import Retries
 from ..decisions.suspects import Suspects
 from ..fleet.fleet_meshes import FleetMesh
@@ -37,6 +38,10 @@
 from .watch_relays import WatchRelays
 from .workspaces import WorkspaceTable
 
+# A VM that doesn't know how many there are takes so many for granted: too many, so that
+# all of them together stay below a quota.
+UNKNOWN_VMS = 400
+
 
 class Coordination(NamedTuple):
     """What VMs agree by: the store, the mesh, who lives, who may order engines."""
@@ -47,6 +52,7 @@
     lease: VmLease
     ownerships: Ownerships
     relays: WatchRelays
+    quotas: QuotaLedger
 
 
 class TargetParts(NamedTuple):
@@ -75,6 +81,7 @@
         suspects: Suspects,
         deaths: CrashWatch,
         losses: TargetLosses,
+        quotas: QuotaLedger,
     ):
         self._settings = core.settings
         self._budgets: dict[str, Retries] = {}
@@ -90,6 +97,7 @@
         self.suspects = suspects
         self.deaths = deaths
         self.losses = losses
+        self.quotas = quotas
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
         self.workspaces = WorkspaceTable(None)
@@ -111,6 +119,12 @@
         self.routes = RouteTable(configuration.routes)
         self.workspaces = WorkspaceTable(configuration.workspaces)
         self.placer.take(configuration)
+        limits = {}
+        for workspace in configuration.workspaces or ():
+            quota = workspace.quota
+            if quota is not None:
+                limits[workspace.name] = Limit(quota.rate, quota.burst)
+        self.quotas.take(limits)
 
 
 def build_coordination(core: CoreParts, metrics: GatewayMetrics) -> Coordination:
@@ -169,7 +183,13 @@
     relays = WatchRelays(
         memberships=memberships, mesh=mesh, timers=timers, client=client
     )
-    return Coordination(client, mesh, memberships, lease, ownerships, relays)
+    quotas = QuotaLedger(
+        now=timers.now,
+        rng=rng,
+        share=lambda: memberships.heard_share,
+        vms=lambda: roster.count or UNKNOWN_VMS,
+    )
+    return Coordination(client, mesh, memberships, lease, ownerships, relays, quotas)
 
 
 def build_targets(
@@ -190,6 +210,7 @@
         timers=timers,
         events=core.events,
         metrics=metrics,
+        quotas=coordination.quotas,
     )
     return TargetParts(targets, connections, loads, TargetHealths(timers=timers), room)
 
@@ -254,4 +275,5 @@
         suspects=suspects,
         deaths=deaths,
         losses=losses,
+        quotas=coordination.quotas,
     )
--- a/hawthornlead/gateway/load_words.py
+++ b/hawthornlead/gateway/load_words.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Callable
 
+from ..decisions.quotas import QuotaLedger
 from ..fleet.attachments import NOTHING_TOLD, Attachment
 from ..fleet.fleet_meshes import FleetMesh
 from ..messages.fleets import (
@@ -55,7 +56,9 @@
         timers: TimerService,
         on_word: Callable[[VmLoads], None],
         owned: Callable[[], tuple[str, ...]],
+        quotas: QuotaLedger,
     ):
+        self._quotas = quotas
         self._memberships = memberships
         self._loads = loads
         self._mesh = mesh
@@ -66,6 +69,8 @@
         self._near_words: dict[str, MemberLoads] = {}
         self._words: dict[str, MemberLoads] = {}
         self._told_serial = 0
+        # Whether a workspace was over its limit when that was passed on last.
+        self._surge_told = False
         self._passed_at = 0.0
         self._tasks = TaskSet()
         mesh.on(VmLoads, self._take_word)
@@ -100,25 +105,33 @@
         word = self._loads.word()
         self._on_word(word)
         if not self._mesh.large:
-            self._mesh.broadcast(word)
+            self._count_quotas()
+            self._mesh.broadcast(word._replace(quotas=self._quotas.told_uses()))
             return
         state = self._memberships.own_state()
         if not self._mesh.is_head:
             self._tell_heads(state, word)
             return
         self._mesh.table.note(state)
-        told = MemberLoads(state, word.loads)
-        self._near_words[state.vm] = self._words[state.vm] = told
+        self._count_quotas()
+        told = MemberLoads(state, word.loads, self._quotas.told_uses())
+        self._note_near(told)
         self._note_silent()
         self._pass_on()
 
+    def _count_quotas(self) -> None:
+        """Count the quotas by what all VMs tell, where this VM knows who they are."""
+        if self._memberships.roster.count:
+            self._quotas.note_counting()
+
     def _tell_heads(self, state: MemberState, word: VmLoads) -> None:
         """Tell the heads of this data centre, one of which feeds this VM."""
         feed, serial = self._mesh.feed, self._mesh.fed_serial
         owned = self._owned()
         for head in self._mesh.links.near:
             if head == feed:
-                message = MemberWord(state, True, serial, owned, word.loads)
+                uses = self._quotas.told_uses()
+                message = MemberWord(state, True, serial, owned, word.loads, uses)
             else:
                 message = MemberWord(state, False, NOTHING_TOLD, (), ())
             self._mesh.cast_to((head,), message)
@@ -135,10 +148,24 @@
                 continue
             state = table.states[vm]._replace(silent=True)
             if table.note(state):
-                self._near_words[vm] = MemberLoads(state, ())
+                self._note_near(MemberLoads(state, ()))
+
+    def _note_near(self, told: MemberLoads) -> None:
+        """Keep the word of a VM that is fed here, until it is passed on.
+
+        It replaces the one before, but for the use of quotas, which adds up.
+        """
+        vm = told.state.vm
+        earlier = self._near_words.get(vm)
+        if earlier is not None:
+            told = told._replace(quotas=earlier.quotas + told.quotas)
+        self._near_words[vm] = told
+        if not told.state.silent:
+            self._words[vm] = told
 
     def _pass_on(self) -> None:
         self._passed_at = self._timers.now()
+        self._surge_told = self._quotas.surging()
         near, self._near_words = self._near_words, {}
         words, self._words = self._words, {}
         self._mesh.cast_to(self._mesh.other_heads, GroupWord(tuple(near.values())))
@@ -164,10 +191,13 @@
                 continue
             (up_to_date if attachment.serial == since else behind).append(vm)
             attachment.serial = serial
-        changes = FleetWord(since, serial, table.since(since), running)
+        states, share = self._quotas.states(), self._memberships.heard_share
+        quotas = (states, share) if states else ()
+        changes = FleetWord(since, serial, table.since(since), running, *quotas)
         self._mesh.cast_to(up_to_date, changes)
         if behind:
-            whole = FleetWord(NOTHING_TOLD, serial, table.living(), running)
+            living = table.living()
+            whole = FleetWord(NOTHING_TOLD, serial, living, running, *quotas)
             self._mesh.cast_to(behind, whole)
 
     def _tell_uses(
@@ -194,14 +224,18 @@
         changed = self._mesh.table.note(message.state)
         if not message.fed:
             return
-        told = MemberLoads(message.state, message.loads)
-        self._near_words[vm] = self._words[vm] = told
+        self._note_near(MemberLoads(message.state, message.loads, message.quotas))
+        self._quotas.take_uses(message.quotas)
         self._take(vm, VmLoads(message.loads))
         if begins:
             self._mesh.on_fed(vm)
-        if changed or begins:
+        if changed or begins or self._surges():
             self._hurry()
 
+    def _surges(self) -> bool:
+        """Whether the others don't know yet that a workspace is over its limit."""
+        return not self._surge_told and self._quotas.surging()
+
     async def _take_group(self, sender, message: GroupWord) -> None:
         """Take another head's words on the VMs that it feeds."""
         self._mesh.attachments.note_head(sender.vm)
@@ -214,10 +248,11 @@
             if vm == self._mesh.vm:
                 continue
             changed |= self._mesh.table.note(member.state)
+            self._quotas.take_uses(member.quotas)
             if not member.state.silent:
                 self._words[vm] = member
                 self._take(vm, VmLoads(member.loads))
-        if changed:
+        if changed or self._surges():
             self._hurry()
 
     def _hurry(self) -> None:
@@ -237,6 +272,7 @@
         if sender.vm != self._mesh.feed:
             return
         self._loads.take_totals(message.running)
+        self._quotas.take_states(message.quotas, message.quota_share)
         table = self._mesh.table
         if message.since == NOTHING_TOLD:
             table.replace(message.members)
@@ -251,6 +287,7 @@
         self._mesh.fed_serial = message.serial
 
     async def _take_word(self, sender, message: VmLoads) -> None:
+        self._quotas.take_uses(message.quotas)
         self._take(sender.vm, message)
 
     async def _take_gathered(self, sender, message: GatheredLoads) -> None:
--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -121,6 +121,13 @@
         self._look()
         return 2 * len(self._live) >= len(self._heard) + 1
 
+    @property
+    def heard_share(self) -> float:
+        """Which part of all VMs that stay is heard, this one included."""
+        self._look()
+        heard = len(self._heard) + 1
+        return heard / max(heard, self._roster.count)
+
     @property
     def known(self) -> tuple[str, ...]:
         """The VMs that registered themselves, and those that the mesh reaches."""
--- a/hawthornlead/messages/fleets.py
+++ b/hawthornlead/messages/fleets.py
@@ -4,6 +4,7 @@
 
 from .base import message
 from .gateways import TargetLoad
+from .quotas import QuotaState, QuotaUse
 
 
 class MemberState(NamedTuple):
@@ -22,6 +23,7 @@
 
     ``fed`` asks the receiver to tell it of the fleet; ``serial`` is that of the last
     change of members that it heard from there. It orders the targets ``owned``.
+    ``quotas`` is what it let through of workspaces with a quota since its last word.
     """
 
     state: MemberState
@@ -29,13 +31,15 @@
     serial: int
     owned: tuple[str, ...]
     loads: tuple[TargetLoad, ...]
+    quotas: tuple[QuotaUse, ...] = ()
 
 
 class MemberLoads(NamedTuple):
-    """A VM and the requests that it has on targets, as it told its head."""
+    """A VM, its requests on targets and its use of quotas, as it told its head."""
 
     state: MemberState
     loads: tuple[TargetLoad, ...]
+    quotas: tuple[QuotaUse, ...] = ()
 
 
 @message("group-word")
@@ -58,13 +62,16 @@
     """What a head tells those that it feeds: changes of members, and all targets' load.
 
     The changes are those after ``since``, up to ``serial``. With ``since`` below 0
-    ``members`` are all that live.
+    ``members`` are all that live. The head counts ``quotas`` with ``quota_share`` of
+    each rate, the share of all VMs that it hears.
     """
 
     since: int
     serial: int
     members: tuple[MemberState, ...]
     running: tuple[TargetRunning, ...]
+    quotas: tuple[QuotaState, ...] = ()
+    quota_share: float = 1.0
 
 
 @message("passed-on")
--- a/hawthornlead/messages/gateways.py
+++ b/hawthornlead/messages/gateways.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from .base import message
+from .quotas import QuotaUse
 
 
 class AdapterUse(NamedTuple):
@@ -32,9 +33,13 @@
 
 @message("vm-loads")
 class VmLoads(NamedTuple):
-    """The requests that the sender has on targets; a target not named has none."""
+    """The requests that the sender has on targets; a target not named has none.
+
+    ``quotas`` is what it let through of workspaces with a quota since its last word.
+    """
 
     loads: tuple[TargetLoad, ...]
+    quotas: tuple[QuotaUse, ...] = ()
 
 
 class VmWord(NamedTuple):
--- a/hawthornlead/tests/fakes_fleets.py
+++ b/hawthornlead/tests/fakes_fleets.py
@@ -11,7 +11,9 @@
 
 import asyncio
 from collections import Counter
+from random import Random
 
+from hawthornlead.decisions.quotas import QuotaLedger
 from hawthornlead.fleet.fleet_meshes import FleetMesh
 from hawthornlead.fleet.rosters import Roster
 from hawthornlead.gateway.load_words import LoadWords
@@ -172,6 +174,12 @@
         self.loads = TargetLoads(timers=fleet.timers)
         self.started = Counter()
         self.heard = Counter()
+        self.quotas = QuotaLedger(
+            now=fleet.timers.now,
+            rng=Random(name),
+            share=lambda: self.heard_share,
+            vms=lambda: self.roster.count or 1,
+        )
         self.words = LoadWords(
             memberships=self,
             loads=self.loads,
@@ -179,6 +187,7 @@
             timers=fleet.timers,
             on_word=self._note_word,
             owned=lambda: self.owned,
+            quotas=self.quotas,
         )
         self._count_messages()
 
@@ -188,6 +197,12 @@
             self.mesh.vm, self.mesh.incarnation, self.serving, self.leaving
         )
 
+    @property
+    def heard_share(self) -> float:
+        """Return which part of all VMs this one hears, itself included."""
+        heard = len(self.live())
+        return heard / max(heard, self.roster.count)
+
     def live(self) -> tuple[str, ...]:
         """Name this VM and those that it takes for living."""
         return (self.mesh.vm, *[peer.vm for peer in self.mesh.live])
