--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -16,6 +16,7 @@
 from tornado.netutil import bind_sockets
 
 from ..core_parts import build_core
+from ..event_loops import new_runner
 from ..events import EventKind
 from ..messages import Heartbeat, Hello
 from ..platform.configurations import read_configuration
@@ -334,7 +335,8 @@
 
 def run_gateway(settings: Settings, path: str) -> None:
     """Run the gateway until it is asked to stop, then drain and stop it."""
-    asyncio.run(_run(settings, path))
+    with new_runner() as runner:
+        runner.run(_run(settings, path))
 
 
 async def _run(settings: Settings, path: str) -> None:
--- a/hawthornlead/tests/test_gateways.py
+++ b/hawthornlead/tests/test_gateways.py
@@ -1,8 +1,12 @@
 """Tests of whole gateways before stand-ins that speak the platform's dialect."""
 
 import asyncio
+import os
 from collections import deque
+from contextlib import suppress
+from pathlib import Path
 
+from hawthornlead.event_loops import new_runner
 from hawthornlead.gateway.engine_slots import AdapterKey
 from hawthornlead.gateway.records import StoredRecord
 from hawthornlead.gateway.target_choices import Holding
@@ -292,3 +296,21 @@
         assert answer.status == 503
         assert "Retry-After" in answer.headers
         assert not any(engine.ran for engine in deployment.engines)
+
+
+def test_the_event_loop_opens_no_io_uring():
+    """A process that may not use io_uring is ended by its platform at the start."""
+
+    async def links() -> list[str]:
+        folder = Path("/proc/self/fd")
+        found = []
+        for path in folder.iterdir():
+            with suppress(FileNotFoundError):
+                found.append(os.readlink(path))
+        return found
+
+    with new_runner() as runner:
+        found = runner.run(links())
+        assert runner.get_loop().__class__.__module__.startswith("uvloop")
+    assert any("eventpoll" in link for link in found)
+    assert not any("io_uring" in link for link in found)
