Hold back a part of a burst for what VMs let through before they hear

Cause: played with a workspace at six times its usual, the credit of a large one fell to -1.0 of a second's limit before all VMs had heard, where 0.9 and 17,000 tokens more are allowed in a window: kept, but close.

Change: 0.3 of a burst is not saved up.

--- a/hawthornlead/decisions/quotas.py
+++ b/hawthornlead/decisions/quotas.py
@@ -34,6 +34,9 @@
 UNTOLD_PART = 0.5
 # What was told of all VMs counts for so long.
 TOLD_KEPT_S = 1.3
+# This part of a burst is held back, for what VMs let through before they hear that the
+# rest is used up.
+HELD_BACK = 0.3
 LEAST_RETRY_S = 0.2
 MOST_RETRY_S = 5.0
 # Those that are refused at one moment come back spread over this share of their wait.
@@ -93,10 +96,15 @@
         # let one of ten through don't all begin with the first.
         self.phase = phase
 
+    @property
+    def most(self) -> float:
+        """The most credit that is saved up."""
+        return (1 - HELD_BACK) * self.limit.burst
+
     def fill(self, now: float, share: float) -> None:
         """Add the credit that has come since it was counted last."""
         added = max(0.0, now - self.counted_at) * self.limit.rate * share
-        self.credit = min(self.limit.burst, self.credit + added)
+        self.credit = min(self.most, self.credit + added)
         # Only a debt is kept: a VM that was told a moment ago has saved nothing up.
         self.own_credit = min(0.0, self.own_credit + added)
         self.counted_at = now
@@ -141,7 +149,7 @@
             if account is None:
                 account = _Account(limit, now, self._rng.random())
             account.limit = limit
-            account.credit = min(account.credit, limit.burst)
+            account.credit = min(account.most, account.credit)
             self._accounts[name] = account
 
     def admit(self, name: str, cost: float) -> Result[None, Failure]:
@@ -219,7 +227,7 @@
             if account is None:
                 continue
             # The head doesn't know yet what this VM hasn't told.
-            account.credit = min(state.credit - account.used, account.limit.burst)
+            account.credit = min(account.most, state.credit - account.used)
             account.demand.correct(state.demand, now)
             account.counted_at = now
 
