--- a/hawthornlead/decisions/quotas.py
+++ b/hawthornlead/decisions/quotas.py
@@ -136,9 +136,9 @@
         self._told_share: float | None = None
 
     @property
-    def limited(self) -> bool:
-        """Whether any workspace has a quota."""
-        return bool(self._accounts)
+    def limits(self) -> dict[str, Limit]:
+        """The limits in force, by workspace."""
+        return {name: account.limit for name, account in self._accounts.items()}
 
     def take(self, limits: dict[str, Limit]) -> None:
         """Put limits in force; what is known of a workspace's credit stays."""
--- a/hawthornlead/gateway/fleet_views.py
+++ b/hawthornlead/gateway/fleet_views.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from typing import TypedDict
 
+from ..decisions.quotas import QuotaLedger
 from ..fleet.fleet_meshes import FleetMesh
 from ..messages import Heartbeat
 from ..timers import TimerService
@@ -50,6 +51,15 @@
     changes: str
 
 
+class QuotaRow(TypedDict):
+    """One workspace with a quota, over all VMs: its limit, credit and demand."""
+
+    workspace: str
+    limit_per_s: float
+    credit: float
+    asked_per_s: float
+
+
 class FleetBody(TypedDict):
     """All that is shown."""
 
@@ -65,6 +75,7 @@
     kinds: list[KindRow]
     members: list[MemberRow]
     engines: list[EngineRow]
+    quotas: list[QuotaRow]
 
 
 class FleetView:
@@ -83,6 +94,7 @@
         client: StoreClient,
         lease: VmLease,
         timers: TimerService,
+        quotas: QuotaLedger,
         configuration: Callable[[], int],
     ):
         self._memberships = memberships
@@ -92,6 +104,7 @@
         self._client = client
         self._lease = lease
         self._timers = timers
+        self._quotas = quotas
         self._configuration = configuration
 
     def body(self) -> bytes:
@@ -114,8 +127,23 @@
             "kinds": self._kinds(),
             "members": self._members(now),
             "engines": self._engines(),
+            "quotas": self._quota_rows(),
         }
 
+    def _quota_rows(self) -> list[QuotaRow]:
+        limits = self._quotas.limits
+        rows: list[QuotaRow] = []
+        for state in self._quotas.states():
+            rows.append(
+                {
+                    "workspace": state.workspace,
+                    "limit_per_s": limits[state.workspace].rate,
+                    "credit": round(state.credit),
+                    "asked_per_s": round(state.demand),
+                }
+            )
+        return rows
+
     def _kinds(self) -> list[KindRow]:
         rows: list[KindRow] = []
         for kind, how in self._relays.ways().items():
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -102,6 +102,7 @@
             client=self._client,
             lease=self._lease,
             timers=core.timers,
+            quotas=coordination.quotas,
             configuration=self._configuration_version,
         )
         self._watchers = self._make_watchers(core.rng, metrics)
--- a/hawthornlead/operators/queries.py
+++ b/hawthornlead/operators/queries.py
@@ -138,8 +138,9 @@
     own = {name: told for name, told in answer.items() if not isinstance(told, list)}
     own["relays"] = " ".join(answer["relays"])
     click.echo(as_table(("what", "value"), flat_rows(own)))
-    for part in ("kinds", "members", "engines"):
-        click.echo("\n" + rows_as_table(answer[part]))
+    for part in ("kinds", "members", "engines", "quotas"):
+        if answer[part]:
+            click.echo("\n" + rows_as_table(answer[part]))
     return None
 
 
--- a/hawthornlead/tests/test_quotas.py
+++ b/hawthornlead/tests/test_quotas.py
@@ -115,7 +115,7 @@
     one.ledger.take({"zimi": Limit(10.0, 20.0)})
     assert one.ledger.states()[0].credit <= 20.0
     one.ledger.take({})
-    assert not one.ledger.limited
+    assert one.ledger.limits == {}
     assert one.admitted(50) == 50
 
 
