How long requests of a service run is learned

Cause: beyond a target's places each request counted as 1.8 s of waiting, as long as a stream.

Change: gateway/run_times.py learns the time of a run by service, with the wait for a place taken out by how many were ahead; queue_ms counts with it, and a plain request's own run counts too before it is refused. The refusal is code of its own (refusals.py).

Ruled out: a constant a kind of service (other deployments have other runs); learning from requests without a wait only (an overloaded target has none, and stays unlearned).

--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -28,6 +28,7 @@
 from .placers import Placer
 from .records import Configuration, TargetEntry, VmRecord
 from .routes import RouteTable
+from .run_times import RunTimes
 from .store_clients import StoreClient
 from .target_connections import TargetConnections
 from .target_healths import TargetHealths
@@ -81,6 +82,7 @@
         suspects: Suspects,
         deaths: CrashWatch,
         losses: TargetLosses,
+        run_times: RunTimes,
         quotas: QuotaLedger,
     ):
         self._settings = core.settings
@@ -97,6 +99,7 @@
         self.suspects = suspects
         self.deaths = deaths
         self.losses = losses
+        self.run_times = run_times
         self.quotas = quotas
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
@@ -244,6 +247,7 @@
         events=core.events,
         metrics=metrics,
     )
+    run_times = RunTimes()
     placer = Placer(
         data_centre=core.settings["DATA_CENTRE"],
         targets=known.targets,
@@ -252,6 +256,7 @@
         mesh=mesh,
         timers=timers,
         metrics=metrics,
+        run_times=run_times,
     )
 
     def drop_former(former: TargetEntry, entry: TargetEntry) -> None:
@@ -275,5 +280,6 @@
         suspects=suspects,
         deaths=deaths,
         losses=losses,
+        run_times=run_times,
         quotas=coordination.quotas,
     )
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -20,8 +20,17 @@
 from .gateway_metrics import GatewayMetrics
 from .known_targets import KnownTargets
 from .prompt_paces import EVENT_MS, read_ms
-from .records import CallerRequest, Configuration, Route, ServiceSpec, TargetEntry
+from .records import (
+    CallerRequest,
+    Configuration,
+    Route,
+    ServiceSpec,
+    TargetEntry,
+)
+from .refusals import overload
+from .run_times import RunTimes
 from .target_choices import (
+    FULL_BATCH_MS,
     Candidate,
     Demand,
     Holding,
@@ -54,11 +63,6 @@
 # From the order of an adapter to the first token: 0.28 s until it is there and some
 # 0.1 s for the prompt, 0.2 s where prompts wait.
 START_S = 0.45
-# Callers give a stream up that hasn't begun after 2 s or more. A request whose first
-# token is expected later is refused at once, so that it can come back in time.
-LATEST_START_MS = 2200.0
-LEAST_RETRY_S = 0.2
-MOST_RETRY_S = 2.0
 
 
 class Placed(NamedTuple):
@@ -113,7 +117,9 @@
         mesh: FleetMesh,
         timers: TimerService,
         metrics: GatewayMetrics,
+        run_times: RunTimes,
     ):
+        self._run_times = run_times
         self._metrics = metrics
         self._timers = timers
         self._data_centre = data_centre
@@ -151,7 +157,9 @@
             best = tries.best(slack_s)
             if best is None:
                 return Err(failure._replace(retry_after_s=tries.full_retry_s))
-            refusal = self._refusal(wanted, best)
+            refusal = overload(
+                best, wanted.route, wanted.deadline_at - self._timers.now()
+            )
             if refusal is not None:
                 return Err(refusal)
             target = best.candidate.target
@@ -263,6 +271,7 @@
         self, entry: TargetEntry, spec: ServiceSpec, holding: Holding
     ) -> Candidate:
         slots = spec.engine.batch if spec.engine else entry.slots
+        run_ms = self._run_times.run_ms(spec)
         target = entry.target
         now = self._timers.now()
         return Candidate(
@@ -277,6 +286,9 @@
             prompts_ms=1000 * max(0.0, self._targets.turn_at(target) - now),
             arriving=self._targets.arriving(target),
             slot_wait_ms=self._slot_wait_ms(target, now),
+            run_ms=run_ms,
+            # Requests of a plain service don't hold one another up for long.
+            batch_ms=FULL_BATCH_MS if spec.engine else run_ms,
         )
 
     def _slot_wait_ms(self, target: str, now: float) -> float:
@@ -361,16 +373,6 @@
         )
         return await self._mesh.call(owner, message, wait_s + 0.1)
 
-    def _refusal(self, wanted: Wanted, best: Scored) -> Failure | None:
-        """Return why a request isn't begun at all, None if it is."""
-        wait_s = best.cost_ms / 1000
-        left_s = wanted.deadline_at - self._timers.now()
-        if best.candidate.suspect or wait_s < min(LATEST_START_MS / 1000, left_s):
-            return None
-        retry_s = wait_s - wanted.route.objective_ms / 1000
-        retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, retry_s))
-        return Failure(ErrorKind.OVERLOADED, "all targets are busy", retry_s)
-
 
 def _reading(wanted: Wanted) -> float:
     """Return which share of a pause that its route bears a prompt takes to read."""
--- /dev/null
+++ b/hawthornlead/gateway/refusals.py
@@ -0,0 +1,35 @@
+"""Which requests aren't begun at all, since their answer would come too late.
+
+Answers an overload: who can't be served in time is told so at once, with when to come
+back, and takes no place from those that can::
+
+    failure = overload(best, route, left_s=0.9)
+"""
+
+from ..errors import ErrorKind, Failure
+from .records import Route, RouteKind
+from .target_choices import Scored
+
+# Callers give a stream up that hasn't begun after 2 s or more. A request whose first
+# token is expected later is refused at once, so that it can come back in time.
+LATEST_START_S = 2.2
+LEAST_RETRY_S = 0.2
+MOST_RETRY_S = 2.0
+
+
+def overload(best: Scored, route: Route, left_s: float) -> Failure | None:
+    """Return why a request isn't begun at its best target, None if it is.
+
+    ``left_s`` is what is left of its deadline. A target that was failing may be well
+    again, so that it is tried.
+    """
+    wait_ms = best.cost_ms
+    if route.kind is not RouteKind.STREAMING:
+        # Its answer comes at the end of its run, not with a first event.
+        wait_ms += best.candidate.run_ms
+    wait_s = wait_ms / 1000
+    if best.candidate.suspect or wait_s < min(LATEST_START_S, left_s):
+        return None
+    retry_s = wait_s - route.objective_ms / 1000
+    retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, retry_s))
+    return Failure(ErrorKind.OVERLOADED, "all targets are busy", retry_s)
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -60,6 +60,8 @@
         self._report = report
         self._deadline_at = deadline_at
         self._fingerprint = fingerprint
+        # The target's places, and its requests when the attempt began.
+        self._slots = self._running = 0
         self.failed_answer: WholeAnswer | None = None
         self.loss: Loss | None = None
         self.last_event = ""
@@ -89,6 +91,9 @@
             exchange.close()
             return Ending.UNREACHED
         self._parts.loads.began(entry.target, placed.key)
+        slots = spec.engine.batch if spec.engine else entry.slots
+        self._slots = slots
+        self._running = self._parts.loads.running(entry.target)
         self._report.sent += 1
         follower = losses.follow(entry, spec, route.repeatable or route.resumable)
         try:
@@ -185,7 +190,7 @@
         if relay.first_at is not None:
             wait_ms = (relay.first_at - sent_at) * 1000
             self._parts.healths.answered(entry.target, wait_ms)
-        return self._end_stream(placed, exchange, relay, follower)
+        return self._end_stream(placed, exchange, relay, follower, sent_at)
 
     def _end_stream(
         self,
@@ -193,6 +198,7 @@
         exchange: Exchange,
         relay: StreamRelay,
         follower: Follower,
+        sent_at: float,
     ) -> Ending:
         entry = placed.entry
         if not exchange.ended.done():
@@ -220,6 +226,7 @@
         if not self._stream.begun:
             self._stream.send(relay.head, b"")
         self._call.finish()
+        self._note_run(entry, sent_at)
         self._report.served(entry, relay.head.status, relay)
         return Ending.DONE
 
@@ -285,3 +292,11 @@
             return
         wait_ms = (self._parts.timers.now() - sent_at) * 1000
         self._parts.healths.answered(entry.target, wait_ms)
+        self._note_run(entry, sent_at)
+
+    def _note_run(self, entry: TargetEntry, sent_at: float) -> None:
+        """Learn how long requests of a service run."""
+        spec = self._parts.configuration.service(entry.service)
+        if spec is not None:
+            took_s = self._parts.timers.now() - sent_at
+            self._parts.run_times.note(spec, took_s, self._running, self._slots)
--- a/hawthornlead/gateway/target_choices.py
+++ b/hawthornlead/gateway/target_choices.py
@@ -40,7 +40,8 @@
     ``running`` counts the requests of all VMs. ``orderable`` tells whether its owner
     can be asked for a load. ``slow_ms`` is how much later than others it was lately,
     ``prompts_ms`` how long a prompt waits for its turn, and ``slot_wait_ms`` how long
-    a load waits for a slot. ``arriving`` adapters are being fetched there.
+    a load waits for a slot. ``arriving`` adapters are being fetched there. A request
+    runs ``run_ms`` there, and is held up for ``batch_ms`` beside a full batch.
     """
 
     target: str
@@ -54,6 +55,8 @@
     prompts_ms: float = 0.0
     arriving: int = 0
     slot_wait_ms: float = 0.0
+    run_ms: float = 1800.0
+    batch_ms: float = 500.0
 
 
 class Demand(NamedTuple):
@@ -79,9 +82,6 @@
 # What a fuller batch costs: a step grows little with each request beside it, but
 # prompts are read between the tokens of others. At a full batch, about this much.
 FULL_BATCH_MS = 500.0
-# Beyond a full batch a request waits for another to end. One lasts about 1.8 s, so that
-# in a batch of 32 places one comes free every 56 ms.
-RUN_MS = 1800.0
 # A cold load takes 250 ms and is seen 100 ms later. The rest is what it takes from
 # others: a place among the few fetches that run at full speed.
 ABSENT_MS = 500.0
@@ -152,20 +152,23 @@
     return changed
 
 
-def queue_ms(running: int, slots: int) -> float:
-    """Return the estimated wait at a target beside ``running`` requests."""
-    slots = max(1, slots)
-    filled = min(1.0, running / slots)
-    cost = FULL_BATCH_MS * filled * filled
-    beyond = running + 1 - slots
+def queue_ms(candidate: Candidate) -> float:
+    """Return the estimated wait at a target beside the requests that it has.
+
+    Beyond a full batch a request waits for another to end.
+    """
+    slots = max(1, candidate.slots)
+    filled = min(1.0, candidate.running / slots)
+    cost = candidate.batch_ms * filled * filled
+    beyond = candidate.running + 1 - slots
     if beyond > 0:
-        cost += RUN_MS * beyond / slots
+        cost += candidate.run_ms * beyond / slots
     return cost
 
 
 def _cost(candidate: Candidate, demand: Demand, home_ms: float) -> float | None:
     """Return a candidate's cost, None if it can't serve the request."""
-    cost = queue_ms(candidate.running, candidate.slots) + candidate.slow_ms
+    cost = queue_ms(candidate) + candidate.slow_ms
     if candidate.suspect:
         cost += SUSPECT_MS
     if not candidate.near:
--- a/hawthornlead/tests/test_placers.py
+++ b/hawthornlead/tests/test_placers.py
@@ -18,6 +18,7 @@
     ServiceSpec,
     TargetEntry,
 )
+from hawthornlead.gateway.run_times import RunTimes
 from hawthornlead.gateway.target_choices import Holding
 from hawthornlead.gateway.target_tries import LEAST_FULL_RETRY_S, MAX_FULL_TRIES
 from hawthornlead.messages.gateways import AdapterLoaded, LoadAdapter, PromptReserved
@@ -126,6 +127,7 @@
             mesh=self.mesh,
             timers=self.timers,
             metrics=GatewayMetrics(CollectorRegistry()),
+            run_times=RunTimes(),
         )
         self.placer.take(Configuration(1, (ROUTE,), (SERVICE,), None))
 
--- a/hawthornlead/tests/test_target_choices.py
+++ b/hawthornlead/tests/test_target_choices.py
@@ -81,7 +81,8 @@
 
 
 def test_waiting_grows_with_load_and_fast_beyond_the_batch():
-    waits = [queue_ms(running, 32) for running in (0, 8, 16, 31, 40, 64)]
+    loads = (0, 8, 16, 31, 40, 64)
+    waits = [queue_ms(candidate("a", running)) for running in loads]
     assert waits == sorted(waits)
     assert waits[0] == 0
     assert waits[-1] - waits[-2] > waits[1] - waits[0]
