A request that costs nothing has no demand; a request's way in steps

A caller that declares no tokens at all, as the first of its workspace, made the ledger divide by a demand of 0, and its request ended without an answer.

Change: without demand all goes through; states count with the share in force; finding the workspace, charging it and serving are steps of their own.

Ruled out: refusing requests without tokens (the platform counts them as 0).

A test of the first fails without the change.

--- a/hawthornlead/decisions/quotas.py
+++ b/hawthornlead/decisions/quotas.py
@@ -7,9 +7,8 @@
 within ``SETTLE_S``. A burst that begins within that delay is met by the credit that is
 left; a debt is paid back before more is let through::
 
-    ledger.take({"zimi": Quota(42000, 42000, QuotaUnit.TOKENS, 200)})
-    if ledger.admit("zimi", 1115).is_err():
-        ...
+    ledger.take({"zimi": Limit(rate=42000, burst=42000)})
+    admitted = ledger.admit("zimi", cost=1115)
 """
 
 import math
@@ -92,8 +91,9 @@
         # Told to nobody yet.
         self.asked = 0.0
         self.used = 0.0
-        # The part of a request that may go through; begins anywhere, so that VMs which
-        # let one of ten through don't all begin with the first.
+        # Parts of requests add up here, and a whole one goes through. It begins
+        # anywhere, so that VMs which let one of ten through don't all begin with their
+        # first.
         self.phase = phase
 
     @property
@@ -114,8 +114,8 @@
     """Credit of all workspaces with a quota, as one VM knows it.
 
     ``share`` returns which part of all VMs this one hears of, itself included: VMs that
-    are parted from one another have only their part of each rate. ``told`` returns
-    whether it hears what the others let through at all.
+    are parted from one another have only their part of each rate. ``vms`` returns how
+    many there are.
     """
 
     def __init__(
@@ -208,9 +208,9 @@
             account.credit -= use.used
 
     def states(self) -> tuple[QuotaState, ...]:
-        """Return what is known of all workspaces that asked for something lately."""
+        """Return what is known of all workspaces with a quota."""
         now = self._now()
-        share = self._share()
+        share = self._rate_share(self._is_told(now))
         states = []
         for name, account in self._accounts.items():
             account.fill(now, share)
@@ -263,6 +263,9 @@
         else:
             allowed = rate + account.own_credit / SETTLE_S
             demand = account.own_demand.at(now)
+        if demand <= 0:
+            # A request may cost nothing, and be the only one.
+            return 1.0
         return min(1.0, max(0.0, allowed / demand))
 
     def _use(self, account: _Account, amount: float) -> None:
--- a/hawthornlead/gateway/forwards.py
+++ b/hawthornlead/gateway/forwards.py
@@ -7,7 +7,7 @@
 
 from hashlib import blake2b
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Failure
 from ..platform.headers import read_caller_request
@@ -59,17 +59,23 @@
         if route is None:
             self._refuse_unknown(Failure(ErrorKind.NOT_FOUND, "no route"))
             return
-        workspace = None
-        if parts.workspaces.needs_key(route):
-            workspace = parts.workspaces.holder(self._request.key_digest)
-            if workspace is None:
-                self._refuse_unknown(Failure(ErrorKind.UNAUTHENTICATED, "no known key"))
-                return
+        found = self._find_workspace(route)
+        if found.is_err():
+            self._refuse_unknown(found.err_value)
+            return
+        workspace = found.ok_value
         charged = self._charge(workspace)
         if charged.is_err():
             self._report.refuse(charged.err_value)
             return
-        route = ranked(route, workspace)
+        try:
+            await self._serve_for(workspace, ranked(route, workspace))
+        finally:
+            if not self._may_have_run:
+                parts.quotas.give_back(*charged.ok_value)
+
+    async def _serve_for(self, workspace: Workspace | None, route: Route) -> None:
+        """Serve the request at its route, in the name of a workspace if it has one."""
         wait_ms = route.timeout_ms
         if self._request.deadline_ms is not None:
             wait_ms = min(wait_ms, self._request.deadline_ms)
@@ -84,13 +90,19 @@
             self._fingerprint(),
             workspace,
         )
-        service = choose_service(route, parts.rng)
-        parts.budget(service).first_attempt()
-        try:
-            await self._serve(route, service)
-        finally:
-            if not self._may_have_run:
-                parts.quotas.give_back(*charged.ok_value)
+        service = choose_service(route, self._parts.rng)
+        self._parts.budget(service).first_attempt()
+        await self._serve(route, service)
+
+    def _find_workspace(self, route: Route) -> Result[Workspace | None, Failure]:
+        """Return whose key the request carries, None where it needs none."""
+        workspaces = self._parts.workspaces
+        if not workspaces.needs_key(route):
+            return Ok(None)
+        workspace = workspaces.holder(self._request.key_digest)
+        if workspace is None:
+            return Err(Failure(ErrorKind.UNAUTHENTICATED, "no known key"))
+        return Ok(workspace)
 
     def _charge(
         self, workspace: Workspace | None
--- a/hawthornlead/tests/test_quotas.py
+++ b/hawthornlead/tests/test_quotas.py
@@ -77,6 +77,12 @@
     assert OneLedger().admitted(1000, name="dati") == 1000
 
 
+def test_a_request_that_costs_nothing_is_let_through():
+    """A request that declares no tokens at all ends without an answer."""
+    one = OneLedger()
+    assert one.admitted(3, cost=0.0) == 3
+
+
 def test_burst_is_let_through_and_what_follows_waits_for_its_credit():
     one = OneLedger()
     one.idle(5.0)
