A caller's headers are read once a request

Cause: seen in the last read: the gateway read all headers of a request for its deadline, and Forward read them again; with keys each reading takes a digest too.

Change: the gateway asks Forward for the deadline.

Ruled out: nothing else considered. Behaviour is the same; not measured by itself.

--- a/hawthornlead/gateway/forwards.py
+++ b/hawthornlead/gateway/forwards.py
@@ -47,6 +47,12 @@
         self._waited = False
         self._may_have_run = False
 
+    @property
+    def deadline_s(self) -> float | None:
+        """How long the caller waits, None where it doesn't say."""
+        deadline_ms = self._request.deadline_ms
+        return None if deadline_ms is None else deadline_ms / 1000
+
     async def run(self) -> None:
         """Serve the request to its end."""
         parts = self._parts
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -22,7 +22,6 @@
 from ..messages import Heartbeat, Hello
 from ..platform.configurations import read_configuration
 from ..platform.entries import READY_PATH, RESOLVE_PATH, addresses_body
-from ..platform.headers import read_caller_request
 from ..platform.objects import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -182,10 +181,8 @@
 
     async def _serve(self, call: CallerCall) -> None:
         call.closing = self._drain.draining
-        deadline_ms = read_caller_request(call.headers).deadline_ms
-        deadline_s = None if deadline_ms is None else deadline_ms / 1000
-        refusal = self._drain.refusal(deadline_s)
         forward = Forward(self._parts, call)
+        refusal = self._drain.refusal(forward.deadline_s)
         if refusal is not None:
             forward.refuse(refusal)
             return
--- a/hawthornlead/tests/test_platform_wire.py
+++ b/hawthornlead/tests/test_platform_wire.py
@@ -45,7 +45,7 @@
     r"|pathPrefix|timeoutMs|targetLatencyMs|gapTargetMs|weightsMb|loadTimeS"
     r"|adapterSlots|adapterMb|loadsPerS|kvTokens|kvUsed|inFlight|remainingMs"
     r"|coldRemainingMs|hasMore|asOf|allowStale|waitMs|ttlS|/v1/objects|/v1/order"
-    r"|/v1/report|/v1/resolve|/v1/ready"
+    r"|/v1/report|/v1/resolve|/v1/ready|Tenant-Id|apiKeys|ratePerS|plainTokens"
 )
 
 
