Log the limit that a target names in its answers

The logs couldn't tell whether a VM knew of a limit, so that 'nobody reads it' and 'who reads it tells nobody' looked alike. The header is decoded once, in the adapter, where negative, endless and unreadable numbers count as no limit; events 532 and 533 and the gauge limited_targets show what a VM was told. No request goes another way than before.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -103,6 +103,8 @@
     )
     TARGET_LOST = (530, "WARNING", "a target counts as lost, by a proof")
     TARGET_NOT_LOST = (531, "WARNING", "a target that counted as lost answers")
+    TARGET_LIMIT_NAMED = (532, "INFO", "a target named a limit of requests a second")
+    TARGET_LIMIT_ENDED = (533, "INFO", "a target names no limit any more")
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -32,6 +32,7 @@
 from .store_clients import StoreClient
 from .target_connections import TargetConnections
 from .target_healths import TargetHealths
+from .target_limits import TargetLimits
 from .target_loads import TargetLoads
 from .target_losses import TargetLosses
 from .target_probes import TargetProbes
@@ -82,6 +83,7 @@
         suspects: Suspects,
         deaths: CrashWatch,
         losses: TargetLosses,
+        limits: TargetLimits,
         run_times: RunTimes,
         quotas: QuotaLedger,
     ):
@@ -99,6 +101,7 @@
         self.suspects = suspects
         self.deaths = deaths
         self.losses = losses
+        self.limits = limits
         self.run_times = run_times
         self.quotas = quotas
         self.configuration: Configuration | None = None
@@ -247,6 +250,12 @@
         events=core.events,
         metrics=metrics,
     )
+    limits = TargetLimits(events=core.events)
+    metrics.watch(
+        "limited_targets",
+        "Targets that name a limit of requests a second",
+        lambda: len(limits.named),
+    )
     run_times = RunTimes()
     placer = Placer(
         data_centre=core.settings["DATA_CENTRE"],
@@ -269,6 +278,7 @@
 
     known.targets.subscribe_restarts(drop_former)
     known.targets.subscribe(lambda lost, _: placer.forget(lost.target))
+    known.targets.subscribe(lambda lost, _: limits.forget(lost.target))
     return GatewayParts(
         core=core,
         metrics=metrics,
@@ -280,6 +290,7 @@
         suspects=suspects,
         deaths=deaths,
         losses=losses,
+        limits=limits,
         run_times=run_times,
         quotas=coordination.quotas,
     )
--- a/hawthornlead/gateway/loss_beliefs.py
+++ b/hawthornlead/gateway/loss_beliefs.py
@@ -123,9 +123,12 @@
         """Whether what is believed is proof enough for an attempt that goes on yet."""
         return not self.lost.done() and self._proof() is not None
 
-    def listen(self, sink: AnswerSink) -> "HeardSink":
-        """Return a sink that also notes that the target sends."""
-        return HeardSink(sink, self._belief)
+    def listen(self, sink: AnswerSink, on_head: Callable[[Head], None]) -> "HeardSink":
+        """Return a sink that also notes that the target sends.
+
+        ``on_head`` is called with the beginning of the answer.
+        """
+        return HeardSink(sink, self._belief, on_head)
 
     def settle(self) -> bool:
         """End if what is believed is proof enough; return whether it ended now."""
@@ -141,13 +144,17 @@
 class HeardSink:
     """Passes an answer on, and notes that its target sent something."""
 
-    def __init__(self, sink: AnswerSink, belief: Belief):
+    def __init__(
+        self, sink: AnswerSink, belief: Belief, on_head: Callable[[Head], None]
+    ):
         self._sink = sink
         self._belief = belief
+        self._on_head = on_head
 
     def take_head(self, head: Head) -> None:
         """Pass the beginning on."""
         self._belief.hear()
+        self._on_head(head)
         self._sink.take_head(head)
 
     def take_data(self, chunk: bytes) -> None:
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -12,12 +12,14 @@
 from .request_reports import RequestReport
 from .stream_relays import CallerStream, StreamRelay
 from .target_choices import Holding
-from .target_connections import Exchange, WholeAnswer
+from .target_connections import AnswerSink, Exchange, Head, WholeAnswer
 
 # What is left of a deadline must allow this much, else nothing is begun.
 LEAST_LEFT_S = 0.02
 # A target that says nothing for this long while others answer is slow, or dark.
 SILENT_S = 1.2
+# A target that isn't the one named answers so.
+OTHER_TARGET = 421
 
 
 class Ending(Enum):
@@ -104,7 +106,14 @@
             losses.unfollow(follower)
             self._parts.loads.ended(entry.target, placed.key)
 
-    def _send(self, route: Route, entry: TargetEntry, exchange: Exchange, sink) -> None:
+    def _send(
+        self,
+        route: Route,
+        entry: TargetEntry,
+        exchange: Exchange,
+        follower: Follower,
+        sink: AnswerSink,
+    ) -> None:
         headers = request_headers(
             self._call.headers,
             deadline_ms=self.left_s * 1000,
@@ -120,7 +129,7 @@
             headers,
             self._call.body,
             request_id=self._request.request_id,
-            sink=sink,
+            sink=follower.listen(sink, lambda head: self._note_head(entry, head)),
         )
 
     async def _fetch_from(
@@ -128,7 +137,7 @@
     ) -> Ending:
         answer = WholeAnswer()
         sent_at = self._parts.timers.now()
-        self._send(route, entry, exchange, follower.listen(answer))
+        self._send(route, entry, exchange, follower, answer)
         waiting = {exchange.ended, self._call.gone, follower.lost}
         await asyncio.wait(
             waiting, timeout=self.left_s, return_when=asyncio.FIRST_COMPLETED
@@ -172,7 +181,7 @@
         entry = placed.entry
         relay = StreamRelay(self._stream, self._parts.timers.now)
         sent_at = self._parts.timers.now()
-        self._send(route, entry, exchange, follower.listen(relay))
+        self._send(route, entry, exchange, follower, relay)
         waiting = {exchange.ended, self._call.gone, follower.lost}
         silent = False
         while not any(each.done() for each in waiting):
@@ -254,6 +263,14 @@
 
     # What is learned of the target
 
+    def _note_head(self, entry: TargetEntry, head: Head) -> None:
+        """Take what a target says of itself with each answer.
+
+        One that doesn't answer under the id it was asked for is another target.
+        """
+        if head.status != OTHER_TARGET:
+            self._parts.limits.note_answer(entry.incarnation, head.signs.limit_per_s)
+
     def _blame(self, entry: TargetEntry, gone: bool = False) -> None:
         """Count a failure against a target, if it is that of the start known now.
 
@@ -278,7 +295,7 @@
         if not self._parts.targets.is_current(entry):
             return Ending.REFUSED
         self._parts.placer.note_missing(entry.target, key)
-        if status == 421 and placed.candidate.holding is Holding.READY:
+        if status == OTHER_TARGET and placed.candidate.holding is Holding.READY:
             # One that was loaded for this request is said to be there by foresight and
             # may be late. Given up, it would be fetched again at the next engine, and
             # the more is fetched the later each fetch is.
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -1,5 +1,6 @@
 """Headers of requests and answers, as the platform spells them."""
 
+import math
 from typing import NamedTuple
 
 from tornado.httputil import HTTPHeaders
@@ -17,6 +18,7 @@
 LAST_EVENT = "Last-Event-Id"
 PRIORITY = "Request-Priority"
 RETRY_AFTER = "Retry-After"
+LIMIT = "Server-Limit"
 MODEL = "Model"
 TOKENS = "Token-Usage"
 LENGTH_HINT = "Length-Hint"
@@ -63,7 +65,8 @@
     """What the headers of a target's answer say beside its content.
 
     ``idle_s`` is how long the target keeps the connection open, None if unsaid;
-    ``target`` is the id that it gives itself, empty if it gives none.
+    ``target`` is the id that it gives itself, empty if it gives none. ``limit_per_s``
+    is how many requests a second it takes from all VMs together, None if unlimited.
     """
 
     request_id: str
@@ -72,6 +75,7 @@
     closes: bool
     idle_s: float | None
     target: str
+    limit_per_s: float | None = None
 
 
 def read_caller_request(headers: HTTPHeaders) -> CallerRequest:
@@ -162,6 +166,7 @@
         closes=headers.get("Connection", "").lower() == "close",
         idle_s=_keep_alive(headers.get("Keep-Alive", "")),
         target=headers.get(TARGET_ID, ""),
+        limit_per_s=_amount(headers.get(LIMIT)),
     )
 
 
@@ -173,6 +178,14 @@
     return None
 
 
+def _amount(text: str | None) -> float | None:
+    """Return a number that counts something: neither negative nor without end."""
+    number = _number(text)
+    if number is None or not math.isfinite(number) or number < 0:
+        return None
+    return number
+
+
 def _integer(text: str) -> int:
     return int(text) if _is_whole(text) else 0
 
--- a/hawthornlead/tests/test_platform_wire.py
+++ b/hawthornlead/tests/test_platform_wire.py
@@ -45,7 +45,7 @@
     r"|pathPrefix|timeoutMs|targetLatencyMs|gapTargetMs|weightsMb|loadTimeS"
     r"|adapterSlots|adapterMb|loadsPerS|kvTokens|kvUsed|inFlight|remainingMs"
     r"|coldRemainingMs|hasMore|asOf|allowStale|waitMs|ttlS|/v1/objects|/v1/order"
-    r"|/v1/report|/v1/resolve|/v1/ready|Tenant-Id|apiKeys|ratePerS|plainTokens"
+    r"|/v1/report|/v1/resolve|/v1/ready|Tenant-Id|Server-Limit|apiKeys|ratePerS|plainTokens"
 )
 
 
@@ -187,6 +187,16 @@
     assert list(kept) == ["X"]
 
 
+@pytest.mark.parametrize(
+    ("text", "limit"),
+    [("3.3", 3.3), ("0", 0.0), ("-1", None), ("nan", None), ("inf", None), ("x", None)],
+)
+def test_the_limit_of_a_target_is_a_number_of_requests(text, limit):
+    headers = HTTPHeaders({"Server-Limit": text})
+    assert read_answer_signs(200, headers).limit_per_s == limit
+    assert read_answer_signs(200, HTTPHeaders()).limit_per_s is None
+
+
 def test_versions_and_addresses():
     read = read_adapter_version(stored({"model": "m", "adapter": "a1", "version": 4}))
     assert read == ("m", "a1", 4)
