Keep a limit that a target names over all VMs together

What callers and engines saw: an engine in need named 3.3 requests a second and got 42 from all VMs in 4 s, where 25 are allowed; another 32 for 18.

Class: what a target says of itself in answers was not listened to.

Change: the VM that is told a limit tells the others, and each sends its even share. A request counts from when it is placed, so that others aren't placed beside it while its adapter is loaded; one placed before the limit was known counts as it is sent. A target without credit is left for another one, and where none is left the request is refused at once.

--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -250,7 +250,14 @@
         events=core.events,
         metrics=metrics,
     )
-    limits = TargetLimits(events=core.events)
+    limits = TargetLimits(
+        timers=timers,
+        rng=core.rng,
+        events=core.events,
+        mesh=mesh,
+        vms=lambda: coordination.memberships.roster.count or UNKNOWN_VMS,
+        incarnation=known.targets.incarnation,
+    )
     metrics.watch(
         "limited_targets",
         "Targets that name a limit of requests a second",
@@ -262,6 +269,7 @@
         targets=known.targets,
         loads=known.loads,
         healths=known.healths,
+        limits=limits,
         mesh=mesh,
         timers=timers,
         metrics=metrics,
@@ -274,6 +282,7 @@
         known.healths.forget(former.target)
         known.loads.restarted(former.target)
         placer.forget(former.target)
+        limits.forget(former.target)
         deaths.restarted(former)
 
     known.targets.subscribe_restarts(drop_former)
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -15,11 +15,9 @@
     ReservePrompt,
 )
 from ..timers import TimerService
-from .adapter_homes import AdapterHomes
 from .engine_slots import AdapterKey
 from .gateway_metrics import GatewayMetrics
 from .known_targets import KnownTargets
-from .prompt_paces import EVENT_MS, read_ms
 from .records import (
     CallerRequest,
     Configuration,
@@ -27,19 +25,13 @@
     ServiceSpec,
     TargetEntry,
 )
-from .refusals import overload
+from .refusals import LEAST_RETRY_S, MOST_RETRY_S, overload
 from .run_times import RunTimes
-from .target_choices import (
-    FULL_BATCH_MS,
-    Candidate,
-    Demand,
-    Holding,
-    Scored,
-    order_candidates,
-    shortlist,
-)
+from .target_choices import Candidate, Holding
 from .target_healths import TargetHealths
+from .target_limits import TargetLimits
 from .target_loads import TargetLoads
+from .target_surveys import TargetSurvey, reading_share
 from .target_tries import MAX_LOAD_TRIES, TargetTries
 
 # A load takes 0.25 to 0.3 s and more while many run. One that is not there after this
@@ -53,9 +45,6 @@
 LONG_TURN_S = 0.15
 # Where no other engine is left to try, any wait is reserved: longer than any deadline.
 ANY_TURN_S = 600.0
-# For so long what an owner said of its full slots is believed. Slots come free every
-# 0.1 s to 0.2 s at a busy engine.
-FULL_S = 0.25
 # A prompt waits for its turn until this share of its objective has passed: what is left
 # must do for the reading of the longest prompts, 0.2 s.
 TURN_SHARE = 0.65
@@ -70,7 +59,8 @@
 
     ``key`` is None where no adapter is involved. ``tries`` counts the targets that
     were asked to load the adapter, this one too. ``turn_s`` is how long the prompt
-    waited for its turn, None where the target's owner didn't give it one.
+    waited for its turn, None where the target's owner didn't give it one. ``counted``
+    requests count within the target's limit already.
     """
 
     entry: TargetEntry
@@ -79,6 +69,7 @@
     candidate: Candidate
     tries: int
     turn_s: float | None = None
+    counted: bool = False
 
 
 class Wanted(NamedTuple):
@@ -92,13 +83,6 @@
     excluded: frozenset[str]
 
 
-class _SlotWait(NamedTuple):
-    """How long a target's owner expects a slot to take, and until when that counts."""
-
-    until: float
-    wait_ms: float
-
-
 class Placer:
     """Chooses where requests go, by what this VM knows.
 
@@ -114,22 +98,28 @@
         targets: KnownTargets,
         loads: TargetLoads,
         healths: TargetHealths,
+        limits: TargetLimits,
         mesh: FleetMesh,
         timers: TimerService,
         metrics: GatewayMetrics,
         run_times: RunTimes,
     ):
-        self._run_times = run_times
         self._metrics = metrics
         self._timers = timers
-        self._data_centre = data_centre
         self._targets = targets
         self._loads = loads
-        self._healths = healths
+        self._limits = limits
         self._mesh = mesh
         self._configuration: Configuration | None = None
-        self._slot_waits: dict[str, _SlotWait] = {}
-        self._homes: dict[str, AdapterHomes] = {}
+        self._survey = TargetSurvey(
+            data_centre=data_centre,
+            targets=targets,
+            loads=loads,
+            healths=healths,
+            limits=limits,
+            timers=timers,
+            run_times=run_times,
+        )
 
     def take(self, configuration: Configuration) -> None:
         """Take a newer configuration."""
@@ -144,16 +134,16 @@
         key = AdapterKey(request.model, request.adapter)
         failure = Failure(ErrorKind.NO_TARGET, "no target can serve it now", 0.5)
         place_until = min(self._timers.now() + PLACE_S, wanted.deadline_at)
-        reading = _reading(wanted)
+        reading = reading_share(wanted.route, request)
         tries = TargetTries(
             excluded=wanted.excluded,
-            score=lambda excluded: self._scored(spec, key, excluded, reading),
+            score=lambda excluded: self._survey.scored(spec, key, excluded, reading),
             timers=self._timers,
         )
         while tries.left:
             slack_s = self._slot_due_at(wanted) - self._timers.now()
             if not tries.candidates:
-                return Err(failure)
+                return Err(self._at_limits(spec) or failure)
             best = tries.best(slack_s)
             if best is None:
                 return Err(failure._replace(retry_after_s=tries.full_retry_s))
@@ -167,15 +157,43 @@
             if entry is None:
                 tries.note_failed(target, _gone())
                 continue
-            placed = Placed(entry, key if spec.engine else None, *best, tries.count)
+            placed = Placed(
+                entry,
+                key if spec.engine else None,
+                *best,
+                tries.count,
+                counted=self._limits.limited(target),
+            )
             slot_wait_s = slack_s if tries.is_full(target) else 0.0
-            ready = await self._prepare(wanted, spec, placed, place_until, slot_wait_s)
+            ready = await self._prepare_within_limit(
+                wanted, spec, placed, place_until, slot_wait_s
+            )
             if ready.is_ok():
                 return Ok(placed._replace(turn_s=ready.ok_value))
             failure = ready.err_value
             tries.note_failed(target, failure)
         return Err(failure)
 
+    async def _prepare_within_limit(
+        self,
+        wanted: Wanted,
+        spec: ServiceSpec,
+        placed: Placed,
+        place_until: float,
+        slot_wait_s: float,
+    ) -> Result[float | None, Failure]:
+        """Prepare a target for a request that counts within its limit, if it has one.
+
+        It counts from here on: while its adapter is loaded others are placed.
+        """
+        target = placed.entry.target
+        if not self._limits.take(target):
+            return Err(_at_limit(self._limits.wait_s(target)))
+        ready = await self._prepare(wanted, spec, placed, place_until, slot_wait_s)
+        if ready.is_err() and placed.counted:
+            self._limits.give_back(target)
+        return ready
+
     async def _prepare(
         self,
         wanted: Wanted,
@@ -200,7 +218,7 @@
             if not self._targets.is_current(entry):
                 return Err(_gone())
             if loaded.is_err():
-                self._note_full(entry.target, loaded.err_value)
+                self._survey.note_full(entry.target, loaded.err_value)
                 return loaded
         if spec.engine is not None:
             turn = await self._await_turn(wanted, placed)
@@ -228,7 +246,7 @@
 
     def forget(self, target: str) -> None:
         """Drop what was noted of a target that is gone, or started again."""
-        self._slot_waits.pop(target, None)
+        self._survey.forget(target)
 
     def note_missing(self, target: str, key: AdapterKey) -> None:
         """Tell a target's owner that it refused a request for want of an adapter."""
@@ -237,64 +255,14 @@
             started_ms = self._targets.incarnation(target).started_ms
             send(self._mesh, owner, AdapterMissing(target, *key, started_ms))
 
-    def _scored(
-        self,
-        spec: ServiceSpec,
-        key: AdapterKey,
-        excluded: frozenset[str],
-        reading: float,
-    ) -> list[Scored]:
-        entries = self._targets.of_service(spec.name)
-        holdings = {
-            entry.target: self._targets.holding(entry, spec, key) for entry in entries
-        }
-        homes = self._homes_of(spec, key, tuple(holdings))
-        listed = shortlist(holdings, homes, excluded)
-        candidates = []
-        for entry in entries:
-            if entry.target not in listed:
-                continue
-            holding = holdings[entry.target]
-            candidates.append(self._candidate(entry, spec, holding))
-        return order_candidates(candidates, Demand(homes, bool(key.adapter), reading))
-
-    def _homes_of(
-        self, spec: ServiceSpec, key: AdapterKey, targets: tuple[str, ...]
-    ) -> tuple[str, ...]:
-        """Return the homes of an adapter among a service's targets."""
-        if not key.adapter:
-            return ()
-        homes = self._homes.setdefault(spec.name, AdapterHomes())
-        return homes.of(f"{key.model}/{key.adapter}", targets)
-
-    def _candidate(
-        self, entry: TargetEntry, spec: ServiceSpec, holding: Holding
-    ) -> Candidate:
-        slots = spec.engine.batch if spec.engine else entry.slots
-        run_ms = self._run_times.run_ms(spec)
-        target = entry.target
-        now = self._timers.now()
-        return Candidate(
-            target=target,
-            slots=slots,
-            running=self._loads.running(target),
-            holding=holding,
-            orderable=self._targets.orderable(target),
-            suspect=self._healths.suspect(target),
-            slow_ms=self._healths.cost_ms(target),
-            near=entry.data_centre == self._data_centre,
-            prompts_ms=1000 * max(0.0, self._targets.turn_at(target) - now),
-            arriving=self._targets.arriving(target),
-            slot_wait_ms=self._slot_wait_ms(target, now),
-            run_ms=run_ms,
-            # Requests of a plain service don't hold one another up for long.
-            batch_ms=FULL_BATCH_MS if spec.engine else run_ms,
-        )
-
-    def _slot_wait_ms(self, target: str, now: float) -> float:
-        """Return how long a slot was to be waited for a moment ago."""
-        told = self._slot_waits.get(target)
-        return told.wait_ms if told is not None and told.until > now else 0.0
+    def _at_limits(self, spec: ServiceSpec) -> Failure | None:
+        """Return the refusal of a request for which only limited targets are left."""
+        waits = [
+            self._limits.wait_s(entry.target)
+            for entry in self._targets.of_service(spec.name)
+            if self._limits.limited(entry.target)
+        ]
+        return _at_limit(min(waits)) if waits else None
 
     async def _await_turn(
         self, wanted: Wanted, placed: Placed
@@ -343,12 +311,6 @@
             await self._timers.sleep(wait_s)
         return Ok(max(0.0, wait_s))
 
-    def _note_full(self, target: str, failure: Failure) -> None:
-        if failure.kind is ErrorKind.NO_SLOT:
-            believed_until = self._timers.now() + FULL_S
-            wait_ms = 1000 * failure.retry_after_s
-            self._slot_waits[target] = _SlotWait(believed_until, wait_ms)
-
     def _slot_due_at(self, wanted: Wanted) -> float:
         """Return when an adapter must be ordered for an answer within its objective."""
         begun_by = wanted.arrived_at + wanted.route.objective_ms / 1000
@@ -374,12 +336,14 @@
         return await self._mesh.call(owner, message, wait_s + 0.1)
 
 
-def _reading(wanted: Wanted) -> float:
-    """Return which share of a pause that its route bears a prompt takes to read."""
-    gap_ms = wanted.route.event_gap_ms - EVENT_MS
-    if gap_ms <= 0:
-        return 0.0
-    return min(1.0, read_ms(wanted.request.prompt_tokens) / gap_ms)
+def _at_limit(wait_s: float) -> Failure:
+    """Return why a request isn't sent to targets that name a limit.
+
+    Other VMs have shares of the limit too, so that it may be sent before this VM has
+    credit again.
+    """
+    retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, wait_s))
+    return Failure(ErrorKind.OVERLOADED, "the targets are at their limits", retry_s)
 
 
 def _gone() -> Failure:
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -81,6 +81,9 @@
         spec = self._parts.configuration.service(entry.service)
         if spec is None or not await losses.sound(entry):
             return Ending.UNREACHED
+        if not placed.counted and not self._parts.limits.take(entry.target):
+            # Its limit was named after the request had been placed.
+            return Ending.UNREACHED
         opened = await self._parts.connections.open(entry.address)
         if opened.is_err():
             self._blame(entry, gone=True)
@@ -114,6 +117,7 @@
         follower: Follower,
         sink: AnswerSink,
     ) -> None:
+        sent_at = self._parts.timers.now()
         headers = request_headers(
             self._call.headers,
             deadline_ms=self.left_s * 1000,
@@ -129,7 +133,9 @@
             headers,
             self._call.body,
             request_id=self._request.request_id,
-            sink=follower.listen(sink, lambda head: self._note_head(entry, head)),
+            sink=follower.listen(
+                sink, lambda head: self._note_head(entry, head, sent_at)
+            ),
         )
 
     async def _fetch_from(
@@ -263,13 +269,15 @@
 
     # What is learned of the target
 
-    def _note_head(self, entry: TargetEntry, head: Head) -> None:
+    def _note_head(self, entry: TargetEntry, head: Head, sent_at: float) -> None:
         """Take what a target says of itself with each answer.
 
         One that doesn't answer under the id it was asked for is another target.
         """
-        if head.status != OTHER_TARGET:
-            self._parts.limits.note_answer(entry.incarnation, head.signs.limit_per_s)
+        if head.status == OTHER_TARGET or not self._parts.targets.is_current(entry):
+            return
+        limit_per_s = head.signs.limit_per_s
+        self._parts.limits.note_answer(entry.incarnation, limit_per_s, sent_at)
 
     def _blame(self, entry: TargetEntry, gone: bool = False) -> None:
         """Count a failure against a target, if it is that of the start known now.
--- a/hawthornlead/messages/gateways.py
+++ b/hawthornlead/messages/gateways.py
@@ -282,6 +282,18 @@
     serial: int
 
 
+@message("target-limit")
+class TargetLimit(NamedTuple):
+    """How many requests a second a target takes from all VMs together.
+
+    ``per_s`` None says that it names no limit any more.
+    """
+
+    target: str
+    per_s: float | None
+    started_ms: int | None = None
+
+
 @message("relay-word")
 class RelayWord(NamedTuple):
     """The kinds whose watches a relay vouches for: what it saw, it has passed on.
--- a/hawthornlead/tests/test_placers.py
+++ b/hawthornlead/tests/test_placers.py
@@ -94,6 +94,19 @@
         return 0.0
 
 
+class Unlimited:
+    """Targets that name no limit."""
+
+    def limited(self, target):
+        return False
+
+    def wait_s(self, target):
+        return 0.0
+
+    def take(self, target):
+        return True
+
+
 class FakeMesh:
     """Owners that say how long a slot is to be waited for."""
 
@@ -113,10 +126,31 @@
         return Err(Failure(ErrorKind.NO_SLOT, "no slot to spare", wait_s))
 
 
+class FakeLimits(Unlimited):
+    """Targets of which some are at their limits; ``taken`` are requests for them."""
+
+    def __init__(self, waits):
+        self.waits = waits
+        self.taken = []
+
+    def limited(self, target):
+        return target in self.waits
+
+    def wait_s(self, target):
+        return self.waits.get(target, 0.0)
+
+    def take(self, target):
+        self.taken.append(target)
+        return not self.wait_s(target)
+
+    def give_back(self, target):
+        self.taken.remove(target)
+
+
 class Site:
     """A placer before engines whose slots come free after ``waits``."""
 
-    def __init__(self, waits):
+    def __init__(self, waits, limits=None):
         self.mesh = FakeMesh({f"e{number}": wait for number, wait in enumerate(waits)})
         self.timers = ManualTimerService()
         self.placer = Placer(
@@ -124,6 +158,7 @@
             targets=FakeTargets(len(waits)),
             loads=Quiet(),
             healths=Quiet(),
+            limits=limits or Unlimited(),
             mesh=self.mesh,
             timers=self.timers,
             metrics=GatewayMetrics(CollectorRegistry()),
@@ -178,3 +213,25 @@
     placed = await site.place()
     assert placed.is_ok()
     assert len(site.mesh.asked) == MAX_FULL_TRIES + 1
+
+
+async def test_an_engine_at_its_limit_is_left_for_another():
+    limits = FakeLimits({"e0": 2.0, "e1": 0.0})
+    placed = (await Site([0.0, 0.0], limits).place()).unwrap()
+    assert placed.entry.target == "e1"
+    assert placed.counted
+    assert limits.taken == ["e1"]
+
+
+async def test_where_all_are_at_their_limits_the_request_is_refused_at_once():
+    site = Site([0.0, 0.0], FakeLimits({"e0": 9.0, "e1": 1.5}))
+    failure = (await site.place()).err_value
+    assert failure.kind is ErrorKind.OVERLOADED
+    assert failure.retry_after_s == 1.5
+    assert site.mesh.asked == []
+
+
+async def test_a_request_that_finds_no_slot_leaves_its_part_of_the_limit():
+    limits = FakeLimits({"e0": 0.0})
+    assert (await Site([9.0], limits).place()).is_err()
+    assert limits.taken == []
--- a/hawthornlead/tests/test_run_times.py
+++ b/hawthornlead/tests/test_run_times.py
@@ -22,7 +22,7 @@
 from hawthornlead.timers import ManualTimerService
 
 from .test_placers import SERVICE as ENGINES
-from .test_placers import FakeTargets, Quiet
+from .test_placers import FakeTargets, Quiet, Unlimited
 
 PLAIN = ServiceSpec("bulletins", "/health", 100, None)
 SLOTS = 6
@@ -91,6 +91,7 @@
             targets=self._targets,
             loads=self._load,
             healths=Quiet(),
+            limits=Unlimited(),
             mesh=None,
             timers=self.timers,
             metrics=GatewayMetrics(CollectorRegistry()),
