--- a/hawthornlead/gateway/known_targets.py
+++ b/hawthornlead/gateway/known_targets.py
@@ -56,6 +56,7 @@
         self._versions: dict[AdapterKey, int] = {}
         self._beliefs: dict[str, TargetBeliefs] = {}
         self._stored_starts: dict[str, int | None] = {}
+        self._leaving: set[Incarnation] = set()
         self._on_restarted: list[Callable[[TargetEntry, TargetEntry], None]] = []
         self._on_lost: list[Callable[[Incarnation, Loss], None]] = []
         self.watcher: KindWatcher | None = None
@@ -214,7 +215,13 @@
     def drop_version(self, name: str) -> None:
         """Keep a version whose object was removed: none goes back to an older one."""
 
-    # What owners tell
+    # What targets and owners tell
+
+    def note_leaving(self, incarnation: Incarnation) -> None:
+        """Note that a target said in an answer that it leaves."""
+        if incarnation not in self._leaving:
+            self._leaving.add(incarnation)
+            self._events.emit(EventKind.TARGET_LEAVES, incarnation.target)
 
     def take_holdings(self, vm: str, told: TargetHoldings) -> None:
         """Take an owner's word on its engine; an older owner's counts no more."""
@@ -360,6 +367,7 @@
         self._tell_lost(entry.incarnation, Loss.ENTRY_GONE)
 
     def _tell_lost(self, incarnation: Incarnation, loss: Loss) -> None:
+        self._leaving.discard(incarnation)
         for on_lost in self._on_lost:
             on_lost(incarnation, loss)
 
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -19,6 +19,7 @@
 PRIORITY = "Request-Priority"
 RETRY_AFTER = "Retry-After"
 LIMIT = "Server-Limit"
+LEAVING = "Server-Leaving"
 MODEL = "Model"
 TOKENS = "Token-Usage"
 LENGTH_HINT = "Length-Hint"
@@ -67,6 +68,7 @@
     ``idle_s`` is how long the target keeps the connection open, None if unsaid;
     ``target`` is the id that it gives itself, empty if it gives none. ``limit_per_s``
     is how many requests a second it takes from all VMs together, None if unlimited.
+    One that is ``leaving`` takes no new work.
     """
 
     request_id: str
@@ -76,6 +78,7 @@
     idle_s: float | None
     target: str
     limit_per_s: float | None = None
+    leaving: bool = False
 
 
 def read_caller_request(headers: HTTPHeaders) -> CallerRequest:
@@ -167,6 +170,7 @@
         idle_s=_keep_alive(headers.get("Keep-Alive", "")),
         target=headers.get(TARGET_ID, ""),
         limit_per_s=_amount(headers.get(LIMIT)),
+        leaving=headers.get(LEAVING, "").strip() == "1",
     )
 
 
--- a/hawthornlead/tests/test_platform_wire.py
+++ b/hawthornlead/tests/test_platform_wire.py
@@ -45,7 +45,7 @@
     r"|pathPrefix|timeoutMs|targetLatencyMs|gapTargetMs|weightsMb|loadTimeS"
     r"|adapterSlots|adapterMb|loadsPerS|kvTokens|kvUsed|inFlight|remainingMs"
     r"|coldRemainingMs|hasMore|asOf|allowStale|waitMs|ttlS|/v1/objects|/v1/order"
-    r"|/v1/report|/v1/resolve|/v1/ready|Tenant-Id|Server-Limit|apiKeys|ratePerS|plainTokens"
+    r"|/v1/report|/v1/resolve|/v1/ready|Tenant-Id|Server-Limit|Server-Leaving|apiKeys|ratePerS|plainTokens"
 )
 
 
@@ -197,6 +197,13 @@
     assert read_answer_signs(200, HTTPHeaders()).limit_per_s is None
 
 
+@pytest.mark.parametrize(("text", "leaving"), [("1", True), ("0", False), ("", False)])
+def test_a_target_that_leaves_says_so(text, leaving):
+    headers = HTTPHeaders({"Server-Leaving": text})
+    assert read_answer_signs(200, headers).leaving is leaving
+    assert not read_answer_signs(200, HTTPHeaders()).leaving
+
+
 def test_versions_and_addresses():
     read = read_adapter_version(stored({"model": "m", "adapter": "a1", "version": 4}))
     assert read == ("m", "a1", 4)
