Log that a target turned a request away and asked for rest

The time is decoded in the adapter, of answers 503 only; event 535 names the first refusal of a rest. No request goes another way than before.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -106,6 +106,7 @@
     TARGET_LIMIT_NAMED = (532, "INFO", "a target named a limit of requests a second")
     TARGET_LIMIT_ENDED = (533, "INFO", "a target names no limit any more")
     TARGET_LEAVES = (534, "INFO", "a target said that it leaves, in an answer")
+    TARGET_RESTS = (535, "INFO", "a target turned a request away and asked for rest")
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -37,6 +37,7 @@
 from .target_loads import TargetLoads
 from .target_losses import TargetLosses
 from .target_probes import TargetProbes
+from .target_rests import TargetRests
 from .vm_leases import VmLease
 from .watch_relays import WatchRelays
 from .workspaces import WorkspaceTable
@@ -85,6 +86,7 @@
         deaths: CrashWatch,
         losses: TargetLosses,
         limits: TargetLimits,
+        rests: TargetRests,
         leaving_words: LeavingWords,
         run_times: RunTimes,
         quotas: QuotaLedger,
@@ -104,6 +106,7 @@
         self.deaths = deaths
         self.losses = losses
         self.limits = limits
+        self.rests = rests
         self.leaving_words = leaving_words
         self.run_times = run_times
         self.quotas = quotas
@@ -266,6 +269,7 @@
         "Targets that name a limit of requests a second",
         lambda: len(limits.named),
     )
+    rests = TargetRests(timers=timers, events=core.events)
     run_times = RunTimes()
     placer = Placer(
         data_centre=core.settings["DATA_CENTRE"],
@@ -286,11 +290,13 @@
         known.loads.restarted(former.target)
         placer.forget(former.target)
         limits.forget(former.target)
+        rests.forget(former.target)
         deaths.restarted(former)
 
     known.targets.subscribe_restarts(drop_former)
     known.targets.subscribe(lambda lost, _: placer.forget(lost.target))
     known.targets.subscribe(lambda lost, _: limits.forget(lost.target))
+    known.targets.subscribe(lambda lost, _: rests.forget(lost.target))
     return GatewayParts(
         core=core,
         metrics=metrics,
@@ -303,6 +309,7 @@
         deaths=deaths,
         losses=losses,
         limits=limits,
+        rests=rests,
         leaving_words=LeavingWords(targets=known.targets, mesh=mesh),
         run_times=run_times,
         quotas=coordination.quotas,
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -276,6 +276,8 @@
         """
         if head.status == OTHER_TARGET or not self._parts.targets.is_current(entry):
             return
+        if head.signs.rest_s:
+            self._parts.rests.note(entry.target, head.signs.rest_s)
         if head.signs.leaving:
             self._parts.leaving_words.note(entry.incarnation)
         limit_per_s = head.signs.limit_per_s
--- /dev/null
+++ b/hawthornlead/gateway/target_rests.py
@@ -0,0 +1,41 @@
+"""The targets that turned this VM away and asked it for rest."""
+
+from ..events import EventKind, EventRing
+from ..timers import TimerService
+
+
+class TargetRests:
+    """Until when each target wants no request from this VM.
+
+    ::
+
+        rests.note("i-7f3a", rest_s=3.0)
+        rests.wait_s("i-7f3a")
+    """
+
+    def __init__(self, *, timers: TimerService, events: EventRing):
+        self._timers = timers
+        self._events = events
+        self._until: dict[str, float] = {}
+
+    def note(self, target: str, rest_s: float) -> None:
+        """Note that a target wants no request for so long from now on."""
+        if not self.wait_s(target):
+            self._events.emit(EventKind.TARGET_RESTS, target, rest_s=rest_s)
+        until = self._timers.now() + rest_s
+        self._until[target] = max(until, self._until.get(target, until))
+
+    def wait_s(self, target: str) -> float:
+        """Return for how long a target wants no request yet, in seconds."""
+        until = self._until.get(target)
+        if until is None:
+            return 0.0
+        left_s = until - self._timers.now()
+        if left_s <= 0:
+            del self._until[target]
+            return 0.0
+        return left_s
+
+    def forget(self, target: str) -> None:
+        """Drop the rest of a target whose start is over."""
+        self._until.pop(target, None)
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -68,7 +68,8 @@
     ``idle_s`` is how long the target keeps the connection open, None if unsaid;
     ``target`` is the id that it gives itself, empty if it gives none. ``limit_per_s``
     is how many requests a second it takes from all VMs together, None if unlimited.
-    One that is ``leaving`` takes no new work.
+    One that is ``leaving`` takes no new work. ``rest_s`` is how long one that turns a
+    request away wants nothing more from this VM, 0 if it doesn't say.
     """
 
     request_id: str
@@ -79,6 +80,7 @@
     target: str
     limit_per_s: float | None = None
     leaving: bool = False
+    rest_s: float = 0.0
 
 
 def read_caller_request(headers: HTTPHeaders) -> CallerRequest:
@@ -171,9 +173,16 @@
         target=headers.get(TARGET_ID, ""),
         limit_per_s=_amount(headers.get(LIMIT)),
         leaving=headers.get(LEAVING, "").strip() == "1",
+        rest_s=_rest(status, headers),
     )
 
 
+def _rest(status: int, headers: HTTPHeaders) -> float:
+    if status != 503:
+        return 0.0
+    return _amount(headers.get(RETRY_AFTER)) or 0.0
+
+
 def _keep_alive(text: str) -> float | None:
     for part in text.split(","):
         name, _, value = part.strip().partition("=")
--- a/hawthornlead/tests/test_platform_wire.py
+++ b/hawthornlead/tests/test_platform_wire.py
@@ -204,6 +204,17 @@
     assert not read_answer_signs(200, HTTPHeaders()).leaving
 
 
+@pytest.mark.parametrize(
+    ("status", "text", "rest_s"),
+    [(503, "3", 3.0), (503, "0.5", 0.5), (503, "-3", 0.0), (503, "soon", 0.0)]
+    + [(503, "inf", 0.0), (429, "3", 0.0), (200, "3", 0.0)],
+)
+def test_a_target_that_turns_a_request_away_may_ask_for_rest(status, text, rest_s):
+    headers = HTTPHeaders({"Retry-After": text})
+    assert read_answer_signs(status, headers).rest_s == rest_s
+    assert read_answer_signs(status, HTTPHeaders()).rest_s == 0
+
+
 def test_versions_and_addresses():
     read = read_adapter_version(stored({"model": "m", "adapter": "a1", "version": 4}))
     assert read == ("m", "a1", 4)
