A target that asks for rest gets no request from that VM until then

What callers and engines saw: two engines turned all requests away and asked for 3 s of rest each time; a VM sent one of them three and more requests in that time (two are allowed), each of them one more refusal for its caller and a part of the retry budget.

Ruled out: callers that come again too soon, the requests had other ids. Class: what a target says of itself in answers was not listened to, as with the limit and leaving.

Change: the target is left aside for that time, in the choice and once more right before a request is sent. Where all of a service want none, the refusal comes at once with the least of the times.

--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -277,6 +277,7 @@
         loads=known.loads,
         healths=known.healths,
         limits=limits,
+        rests=rests,
         mesh=mesh,
         timers=timers,
         metrics=metrics,
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -31,6 +31,7 @@
 from .target_healths import TargetHealths
 from .target_limits import TargetLimits
 from .target_loads import TargetLoads
+from .target_rests import TargetRests
 from .target_surveys import TargetSurvey, reading_share
 from .target_tries import MAX_LOAD_TRIES, TargetTries
 
@@ -99,6 +100,7 @@
         loads: TargetLoads,
         healths: TargetHealths,
         limits: TargetLimits,
+        rests: TargetRests,
         mesh: FleetMesh,
         timers: TimerService,
         metrics: GatewayMetrics,
@@ -109,6 +111,7 @@
         self._targets = targets
         self._loads = loads
         self._limits = limits
+        self._rests = rests
         self._mesh = mesh
         self._configuration: Configuration | None = None
         self._survey = TargetSurvey(
@@ -117,6 +120,7 @@
             loads=loads,
             healths=healths,
             limits=limits,
+            rests=rests,
             timers=timers,
             run_times=run_times,
         )
@@ -143,7 +147,7 @@
         while tries.left:
             slack_s = self._slot_due_at(wanted) - self._timers.now()
             if not tries.candidates:
-                return Err(self._at_limits(spec) or failure)
+                return Err(self._held_back(spec) or failure)
             best = tries.best(slack_s)
             if best is None:
                 return Err(failure._replace(retry_after_s=tries.full_retry_s))
@@ -188,7 +192,7 @@
         """
         target = placed.entry.target
         if not self._limits.take(target):
-            return Err(_at_limit(self._limits.wait_s(target)))
+            return Err(_held_back(self._limits.wait_s(target)))
         ready = await self._prepare(wanted, spec, placed, place_until, slot_wait_s)
         if ready.is_err() and placed.counted:
             self._limits.give_back(target)
@@ -255,14 +259,15 @@
             started_ms = self._targets.incarnation(target).started_ms
             send(self._mesh, owner, AdapterMissing(target, *key, started_ms))
 
-    def _at_limits(self, spec: ServiceSpec) -> Failure | None:
-        """Return the refusal of a request for which only limited targets are left."""
-        waits = [
-            self._limits.wait_s(entry.target)
-            for entry in self._targets.of_service(spec.name)
-            if self._limits.limited(entry.target)
-        ]
-        return _at_limit(min(waits)) if waits else None
+    def _held_back(self, spec: ServiceSpec) -> Failure | None:
+        """Return the refusal of a request if targets want none from this VM now."""
+        waits = []
+        for entry in self._targets.of_service(spec.name):
+            target = entry.target
+            rest_s = self._rests.wait_s(target)
+            if rest_s or self._limits.limited(target):
+                waits.append(max(rest_s, self._limits.wait_s(target)))
+        return _held_back(min(waits)) if waits else None
 
     async def _await_turn(
         self, wanted: Wanted, placed: Placed
@@ -336,14 +341,14 @@
         return await self._mesh.call(owner, message, wait_s + 0.1)
 
 
-def _at_limit(wait_s: float) -> Failure:
-    """Return why a request isn't sent to targets that name a limit.
+def _held_back(wait_s: float) -> Failure:
+    """Return why a request isn't sent to targets that want none from this VM now.
 
-    Other VMs have shares of the limit too, so that it may be sent before this VM has
-    credit again.
+    The other VMs have shares of a limit too, and may not have been asked for rest, so
+    that the request may be sent before this VM could.
     """
     retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, wait_s))
-    return Failure(ErrorKind.OVERLOADED, "the targets are at their limits", retry_s)
+    return Failure(ErrorKind.OVERLOADED, "the targets want no request now", retry_s)
 
 
 def _gone() -> Failure:
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -81,8 +81,7 @@
         spec = self._parts.configuration.service(entry.service)
         if spec is None or not await losses.sound(entry):
             return Ending.UNREACHED
-        if not placed.counted and not self._parts.limits.take(entry.target):
-            # Its limit was named after the request had been placed.
+        if not self._may_send(placed):
             return Ending.UNREACHED
         opened = await self._parts.connections.open(entry.address)
         if opened.is_err():
@@ -109,6 +108,16 @@
             losses.unfollow(follower)
             self._parts.loads.ended(entry.target, placed.key)
 
+    def _may_send(self, placed: Placed) -> bool:
+        """Whether the target wants the request yet.
+
+        It may have asked for rest, or named a limit, after the request was placed.
+        """
+        target = placed.entry.target
+        if self._parts.rests.wait_s(target):
+            return False
+        return placed.counted or self._parts.limits.take(target)
+
     def _send(
         self,
         route: Route,
@@ -300,6 +309,9 @@
     def _note_refused(
         self, entry: TargetEntry, status: int, placed: Placed | None
     ) -> Ending:
+        if self._parts.rests.wait_s(entry.target):
+            # It sheds load, which says nothing of its health or of the adapter.
+            return Ending.REFUSED
         key = placed.key if placed is not None else None
         if key is None or not key.adapter:
             self._blame(entry)
--- a/hawthornlead/gateway/target_surveys.py
+++ b/hawthornlead/gateway/target_surveys.py
@@ -27,6 +27,7 @@
 from .target_healths import TargetHealths
 from .target_limits import TargetLimits
 from .target_loads import TargetLoads
+from .target_rests import TargetRests
 
 # For so long what an owner said of its full slots is believed. Slots come free every
 # 0.1 s to 0.2 s at a busy engine.
@@ -51,6 +52,7 @@
         loads: TargetLoads,
         healths: TargetHealths,
         limits: TargetLimits,
+        rests: TargetRests,
         timers: TimerService,
         run_times: RunTimes,
     ):
@@ -59,6 +61,7 @@
         self._loads = loads
         self._healths = healths
         self._limits = limits
+        self._rests = rests
         self._timers = timers
         self._run_times = run_times
         self._slot_waits: dict[str, _SlotWait] = {}
@@ -83,12 +86,16 @@
         listed = shortlist(holdings, homes, excluded)
         candidates = []
         for entry in entries:
-            if entry.target not in listed or self._limits.wait_s(entry.target) > 0:
+            if entry.target not in listed or not self._wants_more(entry.target):
                 continue
             holding = holdings[entry.target]
             candidates.append(self._candidate(entry, spec, holding))
         return order_candidates(candidates, Demand(homes, bool(key.adapter), reading))
 
+    def _wants_more(self, target: str) -> bool:
+        """Whether this VM may send a request to a target now, as far as it says."""
+        return not self._rests.wait_s(target) and not self._limits.wait_s(target)
+
     def note_full(self, target: str, failure: Failure) -> None:
         """Note that a target's owner has no slot to spare, if that is what failed."""
         if failure.kind is ErrorKind.NO_SLOT:
--- a/hawthornlead/tests/test_placers.py
+++ b/hawthornlead/tests/test_placers.py
@@ -95,7 +95,7 @@
 
 
 class Unlimited:
-    """Targets that name no limit."""
+    """Targets that name no limit, and ask for no rest."""
 
     def limited(self, target):
         return False
@@ -159,6 +159,7 @@
             loads=Quiet(),
             healths=Quiet(),
             limits=limits or Unlimited(),
+            rests=Unlimited(),
             mesh=self.mesh,
             timers=self.timers,
             metrics=GatewayMetrics(CollectorRegistry()),
--- a/hawthornlead/tests/test_run_times.py
+++ b/hawthornlead/tests/test_run_times.py
@@ -92,6 +92,7 @@
             loads=self._load,
             healths=Quiet(),
             limits=Unlimited(),
+            rests=Unlimited(),
             mesh=None,
             timers=self.timers,
             metrics=GatewayMetrics(CollectorRegistry()),
