Soak: targets that name a limit, leave by their answers, or ask for rest

In the stretch of calm a target names a limit, since in short runs every VM is in trouble now and then.

--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -16,7 +16,7 @@
 
 import click
 
-from . import soak_gateway_bounds, soak_gateway_paths
+from . import soak_gateway_bounds, soak_gateway_notices, soak_gateway_paths
 from .gateways import ask
 from .soak_gateway_callers import WEIGHTS, Fleet, GatewayCaller
 from .soak_gateway_faults import GATEWAY_DECK, an_owner, terminated
@@ -27,7 +27,12 @@
 from .soak_gateway_world import GatewayWorld
 from .soak_reports import report_faults, report_verdicts
 
-__all__ = ["GatewaySoak", "soak_gateway_bounds", "soak_gateway_paths"]
+__all__ = [
+    "GatewaySoak",
+    "soak_gateway_bounds",
+    "soak_gateway_notices",
+    "soak_gateway_paths",
+]
 
 ENGINES_A_VM = 0.7
 PLAINS = 5
@@ -48,6 +53,8 @@
 # Longer than a target that leaves may be sent to.
 SPOILT_S = 4.5
 PROBE_S = 3.0
+# Requests a second that a target takes while all else is well.
+CALM_LIMIT = 4.0
 CUT_STREAMS = 6
 # Longer than that, this process itself has held the platform up.
 STALL_S = 0.2
@@ -156,7 +163,9 @@
             world.own_vm(an_owner(world) or "") as vm,
             world.own_target() as one,
             world.own_target() as two,
+            world.own_target() as three,
         ):
+            three.say("limit", CALM_LIMIT)
             # The target is gone 2 s after it said so; until then no path is hurt.
             await asyncio.sleep(VERSION_S - DRAIN_S)
             leaving = asyncio.create_task(drained(world, one))
@@ -168,6 +177,7 @@
             await asyncio.gather(terminated(world, vm), leaving, spoiling)
             for target in world.targets.values():
                 target.next_faults["cut"] = 0
+            three.say_nothing()
         # Engines that have another owner now get orders from it.
         self._bump()
         await asyncio.sleep(1.0)
@@ -244,6 +254,8 @@
             "stopped": [stopped._asdict() for stopped in journal.stopped],
             "written": [written._asdict() for written in journal.written],
             "away": [away._asdict() for away in journal.away],
+            "arrivals": [arrival._asdict() for arrival in journal.arrivals],
+            "told": [told._asdict() for told in journal.told],
         }
         for name, rows in kept.items():
             text = "\n".join(json.dumps(row, default=str) for row in rows)
--- a/hawthornlead/tests/soak_gateway_records.py
+++ b/hawthornlead/tests/soak_gateway_records.py
@@ -167,6 +167,30 @@
     ended_at: float
 
 
+class Arrival(NamedTuple):
+    """A request as it reached a target, run or not."""
+
+    target: str
+    vm: str
+    request_id: str
+    at: float
+
+
+class Told(NamedTuple):
+    """An answer by which a target said something of itself to a VM.
+
+    ``notice`` is "limit", "leaving" or "rest"; ``amount`` is in requests a second, or
+    in seconds. ``since`` is when the target began to say it.
+    """
+
+    target: str
+    vm: str
+    notice: str
+    amount: float
+    since: float
+    at: float
+
+
 class Probe(NamedTuple):
     """What a VM gave a caller of one kind at the end, after all faults."""
 
@@ -192,6 +216,8 @@
         self.log_lines = 0
         self.written: list[Written] = []
         self.away: list[Away] = []
+        self.arrivals: list[Arrival] = []
+        self.told: list[Told] = []
         self.overloaded: list[str] = []
         self.loads = 0
         self.probes: list[Probe] = []
--- a/hawthornlead/tests/soak_gateway_targets.py
+++ b/hawthornlead/tests/soak_gateway_targets.py
@@ -17,6 +17,9 @@
 ADDRESS_REUSE_S = 2.0
 ORDER_COMES_S = 4.0
 MORE_ORDERS_S = 1.5
+# For how long a target names a limit, and refuses requests.
+LIMIT_S = 8.0
+REFUSES_S = 4.0
 # Entries that name no target to use, as another writer may leave them.
 SPOILT: tuple[Callable[[dict], object], ...] = (
     lambda entry: {"service": entry["service"]},
@@ -110,6 +113,42 @@
         await target.begin()
 
 
+@target_fault("target-says-it-leaves", hurts=False)
+async def target_says_it_leaves(world: GatewayWorld, target: RestartingTarget) -> bool:
+    """A target says in its answers that it leaves; its entry says so never."""
+    since = time.monotonic()
+    target.say("leaving", 1)
+    await asyncio.sleep(DRAIN_S)
+    await _gone(world, target)
+    return _told(world, target, since)
+
+
+@target_fault("target-names-limit", often=2, hurts=False)
+async def target_names_limit(world: GatewayWorld, target: RestartingTarget) -> bool:
+    """A target in need takes few requests for some seconds."""
+    return await _says(world, target, "limit", world.rng.choice((2.0, 4.0)), LIMIT_S)
+
+
+@target_fault("target-asks-for-rest", often=2, hurts=False)
+async def target_asks_for_rest(world: GatewayWorld, target: RestartingTarget) -> bool:
+    """A target turns all requests away for some seconds, and asks for rest."""
+    return await _says(world, target, "rest", world.rng.choice((1.5, 3.0)), REFUSES_S)
+
+
+async def _says(world, target, notice: str, amount: float, for_s: float) -> bool:
+    """Have a target say something of itself; return whether a VM was told."""
+    since = time.monotonic()
+    target.say(notice, amount)
+    await asyncio.sleep(for_s)
+    target.say_nothing()
+    return _told(world, target, since)
+
+
+def _told(world: GatewayWorld, target: RestartingTarget, since: float) -> bool:
+    told = world.journal.told
+    return any(each.target == target.target and each.since >= since for each in told)
+
+
 @target_fault("target-leaves-unsaid", hurts=False)
 async def target_leaves_unsaid(world: GatewayWorld, target: RestartingTarget) -> None:
     """A target's entry is removed, it serves on for a while, and is gone."""
--- a/hawthornlead/tests/standins/restarting_engine.py
+++ b/hawthornlead/tests/standins/restarting_engine.py
@@ -23,7 +23,7 @@
 from ..soak_gateway_records import Journal, OrderSeen
 from ..soak_links import Link
 from .incarnations import Incarnation
-from .target_runs import LOST_ANSWER_S, Runs, answer
+from .target_runs import LOST_ANSWER_S, Notice, Runs, answer
 from .troubled_store import Fare, TroubledStore
 
 HEARTBEAT_S = 1.2
@@ -81,6 +81,14 @@
         """How the next requests fare; see ``Runs``."""
         return self._runs.next_faults
 
+    def say(self, notice: str, amount: float) -> None:
+        """Say something of itself in all answers from now on; see ``Told``."""
+        self._runs.notice = Notice(notice, amount, time.monotonic())
+
+    def say_nothing(self) -> None:
+        """Say nothing of itself any more."""
+        self._runs.notice = None
+
     # Its life
 
     async def begin(self) -> None:
@@ -96,6 +104,7 @@
             self._around.rng,
         )
         self.state, self._listed, self._spoilt = "ready", True, None
+        self.say_nothing()
         self._server = HTTPServer(
             CallerEntry(lambda call: self._handle(call, own), lambda: 0.0)
         )
--- a/hawthornlead/tests/standins/target_runs.py
+++ b/hawthornlead/tests/standins/target_runs.py
@@ -4,18 +4,32 @@
 import time
 from collections import Counter
 from random import Random
+from typing import NamedTuple
 
 from tornado import httputil
 
 from hawthornlead.gateway.caller_calls import CallerCall
 
-from ..soak_gateway_records import Journal, Run
+from ..soak_gateway_records import Arrival, Journal, Run, Told
 from .incarnations import Incarnation
 
 EVENT_S = 0.03
 PLAIN_S = (0.005, 0.2)
 QUEUED_MOST = 8
 LOST_ANSWER_S = 20.0
+NOTICE_HEADERS = {
+    "limit": "Server-Limit",
+    "leaving": "Server-Leaving",
+    "rest": "Retry-After",
+}
+
+
+class Notice(NamedTuple):
+    """What a target says of itself in all its answers; see ``Told``."""
+
+    kind: str
+    amount: float
+    since: float
 
 
 def event_text(content: str, number: int) -> str:
@@ -29,6 +43,7 @@
     ``next_faults`` counts how many next requests fare how: "lost" runs and is never
     answered, "cut" breaks off within an event, "fail" answers 500, "refuse" answers
     503 unrun, "stray" sends another's answer first, "garble" bytes that are none.
+    With a ``notice`` all answers say so; who asks for rest refuses all requests.
     """
 
     def __init__(
@@ -46,6 +61,7 @@
         self._rng = rng
         self._number = 0
         self.next_faults: Counter = Counter()
+        self.notice: Notice | None = None
 
     def _takes(self, fault: str) -> bool:
         if self.next_faults[fault] <= 0:
@@ -53,6 +69,21 @@
         self.next_faults[fault] -= 1
         return True
 
+    def _vm(self, call: CallerCall) -> str:
+        return self._names.get(call._connection.context.remote_ip, "?")
+
+    def _noticed(self, call: CallerCall, headers: dict) -> dict:
+        """Return the headers of an answer with what the target says of itself."""
+        notice = self.notice
+        if notice is None:
+            return headers
+        told = Told(self._target, self._vm(call), *notice, time.monotonic())
+        self._journal.told.append(told)
+        return {**headers, NOTICE_HEADERS[notice.kind]: f"{notice.amount:g}"}
+
+    def _resting(self) -> bool:
+        return self.notice is not None and self.notice.kind == "rest"
+
     async def request(self, call: CallerCall, own: Incarnation) -> None:
         """Run a request, or say that it isn't run."""
         arrived_at = time.monotonic()
@@ -62,12 +93,17 @@
         if call.path == "/health":
             answer(call, 200, b"", {"Instance-Id": self._target})
             return
+        arrival = Arrival(self._target, self._vm(call), request_id, arrived_at)
+        self._journal.arrivals.append(arrival)
+        if self._resting():
+            answer(call, 503, b"", self._noticed(call, unrun))
+            return
         status = own.unable(model, adapter)
         if status == 421:
             answer(call, 421, b"", {"Request-Id": request_id})
             return
         if status or own.waiting >= QUEUED_MOST or self._takes("refuse"):
-            answer(call, 503, b"", unrun)
+            answer(call, 503, b"", self._noticed(call, unrun))
             return
         own.waiting += 1
         try:
@@ -80,7 +116,7 @@
             status = own.unable(model, adapter)
             deadline_s = float(call.headers.get("Deadline-Ms", 0)) / 1000
             if status or time.monotonic() - arrived_at > deadline_s:
-                answer(call, status or 503, b"", unrun)
+                answer(call, status or 503, b"", self._noticed(call, unrun))
                 return
             await self._run(call, own, adapter, arrived_at, arrived_at + deadline_s)
         finally:
@@ -92,7 +128,7 @@
             target=self._target,
             service=self._service,
             started_ms=own.started_ms,
-            vm=self._names.get(call._connection.context.remote_ip, "?"),
+            vm=self._vm(call),
             request_id=call.headers.get("Request-Id", ""),
             asked=_asked(call),
             adapter=adapter,
@@ -140,19 +176,17 @@
         if call.left:
             return
         run.end("done")
-        answer(call, run.status, run.body, sealed)
+        answer(call, run.status, run.body, self._noticed(call, sealed))
 
     async def _stream(self, call, own, run, until) -> None:
         tokens = int(call.headers.get("Token-Usage", "0,8").partition(",")[2])
         content = call.body.decode("latin1")
-        headers = httputil.HTTPHeaders(
-            {
-                "Request-Id": run.request_id,
-                "Server-Seal": run.seal,
-                "Content-Type": "text/event-stream",
-                "Weight-Versions": str(run.version),
-            }
-        )
+        headers = {
+            "Request-Id": run.request_id,
+            "Server-Seal": run.seal,
+            "Content-Type": "text/event-stream",
+            "Weight-Versions": str(run.version),
+        }
         run.status = 200
         cut_at = self._rng.randrange(1, max(2, tokens)) if self._takes("cut") else -1
         lost = self._takes("lost")
@@ -179,7 +213,7 @@
             if call.answered:
                 call.write(event)
             else:
-                call.begin(200, "OK", headers, event)
+                self._begin(call, headers, event)
         if lost:
             run.end("lost")
             await asyncio.sleep(LOST_ANSWER_S)
@@ -187,9 +221,13 @@
             return
         run.end("done")
         if not call.answered:
-            call.begin(200, "OK", headers, b"")
+            self._begin(call, headers, b"")
         call.finish()
 
+    def _begin(self, call: CallerCall, headers: dict, event: bytes) -> None:
+        noticed = httputil.HTTPHeaders(self._noticed(call, headers))
+        call.begin(200, "OK", noticed, event)
+
 
 def _event(content: str, number: int) -> bytes:
     return f"id: {number}\ndata: {event_text(content, number)}\n\n".encode()
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -8,6 +8,7 @@
 from hawthornlead.tests.soak_gateway_records import (
     ENDED_BY_ITSELF,
     STORE,
+    Arrival,
     Away,
     Journal,
     OrderSeen,
@@ -16,6 +17,7 @@
     Run,
     Sent,
     Stopped,
+    Told,
     Trouble,
     Written,
 )
@@ -78,6 +80,22 @@
     return sent(kind, name, **(fields | changes))
 
 
+def told(notice, amount=1.0, vm="vm-1"):
+    """Return a target's word to a VM, of which it says each from 100 s on."""
+    return Told(f"i-{notice}", vm, notice, amount, 100.0, 100.1)
+
+
+def arrival(at, notice, vm="vm-1", name="r7"):
+    return Arrival(f"i-{notice}", vm, name, at)
+
+
+def arrived(*arrivals):
+    """Return a journal in which a request of 103 s reached these targets."""
+    made = more_sent(sent("safe", "r7", sent_at=103.0, ended_at=104.0))
+    made.arrivals += arrivals
+    return made
+
+
 def journal(**changes):
     """Return the journal of a run in which every rule was kept and tested."""
     resumed = sent("resume", "r3")
@@ -93,6 +111,9 @@
     made.written = [written(moved="other"), written(version=3, at=9.0, moved="plain")]
     made.written.append(written("a1", 2, 20.0))
     made.away = [Away("i-3", 99.0, 105.0)]
+    made.told = [told("limit", 2.0), told("leaving"), told("rest", 3.0)]
+    made.told.append(Told("i-limit", "vm-1", "limit", 2.0, 100.0, 105.0))
+    made.arrivals = [arrival(103.5, "limit")]
     made.stopped = [Stopped("vm-1", 7, 100.1, 104.0, 0)]
     made.probes = [Probe("vm-1", "safe", True, "")]
     for name, value in changes.items():
@@ -211,6 +232,9 @@
     ("stops-cut-nothing", journal(stopped=[Stopped("vm-1", 7, 100.1, 109.0, 0)])),
     ("kept-to-the-end", cuts(4)),
     ("left-is-left", working_on(1)),
+    ("limits-kept", arrived(*[arrival(104.0, "limit")] * 18)),
+    ("leaving-answers-heeded", arrived(arrival(103.1, "leaving"))),
+    ("rest-given", arrived(*[arrival(101.0, "rest")] * 3)),
 ]
 
 # What the pages allow, though it looks like one of the above.
@@ -248,6 +272,12 @@
         more_sent(cut("r7", sent_at=100.2, ended_at=100.3)),
     ),
     ("kept-to-the-end", cuts(3)),
+    ("limits-kept", arrived(*[arrival(104.0, "limit", "vm-2")] * 18)),
+    ("limits-kept", arrived(*[arrival(100.5, "limit")] * 18)),
+    ("leaving-answers-heeded", arrived(arrival(103.1, "leaving", "vm-2"))),
+    ("leaving-answers-heeded", arrived(arrival(103.1, "leaving", name="r1"))),
+    ("rest-given", arrived(*[arrival(101.0, "rest")] * 2)),
+    ("rest-given", arrived(*[arrival(100.5, "rest")] * 3)),
 ]
 
 
@@ -284,6 +314,7 @@
     wanted |= {"store-loses-answers", "store-writes-late", "store-forgets"}
     wanted |= {"engine-restarts-after-order", "target-dark", "target-hangs"}
     wanted |= {"answers-lost", "orders-late", "target-drains", "entry-lapses"}
+    wanted |= {"target-names-limit", "target-says-it-leaves", "target-asks-for-rest"}
     wanted |= {"entry-unreadable", "address-reused", "versions-named"}
     assert wanted <= set(GATEWAY_DECK.faults)
 
