Heads of other data centres step in for relays that the store turns away

Cause: in a large fleet only heads may watch the store for the others, two of each data centre, but they stood in line among the six VMs that registered first, of whichever data centre. Those that are no heads never stepped in and yet had their turn of 0.5 s; where the six were of one data centre nobody stepped in at all, and a VM that the store turned away itself heard of no change until it was served again.

Change: only heads stand in line. The new test has both relays turned away and the next eight VMs in their data centre: before, no other VM ever stepped in; now the heads of the other two do, each after its turn.

--- a/hawthornlead/gateway/fleet_views.py
+++ b/hawthornlead/gateway/fleet_views.py
@@ -120,7 +120,7 @@
             "serving": self._memberships.serving,
             "head": self._mesh.is_head,
             "fed_by": self._mesh.feed,
-            "relays": self._memberships.eldest(RELAYS),
+            "relays": self._memberships.relay_order(RELAYS),
             "store_heard_s": round(now - self._client.answered_at, 2),
             "lease_left_s": round(self._lease.left_s, 2),
             "configuration": self._configuration(),
--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -5,6 +5,7 @@
 in the store stays. In a large fleet the heads tell of it.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from random import Random
 from typing import NamedTuple
@@ -219,6 +220,24 @@
             self._eldest = sorted(order, key=self._roster.registered_at)
         return self._eldest[:count]
 
+    def relay_order(self, count: int) -> list[str]:
+        """Return the live VMs that may watch the store for all, the eldest first.
+
+        In a large fleet these are the heads alone: the first of each data centre.
+        """
+        self._look()
+        if not self._large:
+            return self.eldest(count)
+        heads = []
+        taken: Counter[str] = Counter()
+        for vm in self.eldest(len(self._live)):
+            record = self._roster.records.get(vm)
+            if record is None or taken[record.data_centre] >= HEADS_EACH:
+                continue
+            taken[record.data_centre] += 1
+            heads.append(vm)
+        return heads[:count]
+
     def owners_for(self, target: str) -> list[str]:
         """Return the live VMs in the order in which they should own a target.
 
--- a/hawthornlead/gateway/relay_roles.py
+++ b/hawthornlead/gateway/relay_roles.py
@@ -2,7 +2,8 @@
 
 The two that registered first do, and stay the same while others come and go. While the
 store turns these away, the next ones step in, one after the other; else all VMs would
-watch for themselves until it serves them again.
+watch for themselves until it serves them again. In a large fleet only heads do, so that
+the next one may be of another data centre.
 """
 
 from ..fleet.fleet_meshes import FleetMesh
@@ -43,16 +44,16 @@
 
     def should_relay(self) -> bool:
         """Whether this VM should watch for the others."""
-        eldest = self._memberships.eldest(MOST_RELAYS)
-        if not self._mesh.is_head or self._memberships.vm not in eldest:
+        order = self._memberships.relay_order(MOST_RELAYS)
+        if not self._mesh.is_head or self._memberships.vm not in order:
             # A VM that is no head may not have heard yet of those before it.
             return False
-        rank = eldest.index(self._memberships.vm)
+        rank = order.index(self._memberships.vm)
         if rank < RELAYS:
             return True
         now = self._timers.now()
         vouching = 0
-        for vm in eldest[:rank]:
+        for vm in order[:rank]:
             vouching += now - self._vouched_at.get(vm, NEVER) < WORD_KEPT_S
         if vouching >= RELAYS:
             self._lacking_since = None
--- a/hawthornlead/tests/test_memberships.py
+++ b/hawthornlead/tests/test_memberships.py
@@ -8,6 +8,7 @@
 from hawthornlead.fleet.rosters import Roster
 from hawthornlead.gateway.memberships import MOST_OWNERS, Memberships
 from hawthornlead.gateway.records import VmRecord
+from hawthornlead.gateway.relay_roles import STEP_IN_S, RelayRole
 from hawthornlead.messages import Heartbeat
 from hawthornlead.timers import ManualTimerService
 
@@ -40,13 +41,18 @@
             roster=self.roster,
         )
 
-    def register(self, name, revision):
+    def register(self, name, revision, place="gijon"):
         """Let all VMs hear that one registered."""
-        record = VmRecord(name, f"{name}-{revision}", "gijon", "x:1", "x:2", False)
+        record = VmRecord(name, f"{name}-{revision}", place, "x:1", "x:2", False)
         self.roster.take(record, revision)
         for memberships in self.memberships:
             memberships._forget_orders()
 
+    def look_again(self):
+        """Let all VMs hear all others anew."""
+        for memberships in self.memberships:
+            memberships._looked_at = None
+
 
 def first_owners(memberships, targets):
     return [memberships.owners_for(target)[0] for target in targets]
@@ -103,3 +109,37 @@
     assert first_owners(memberships, targets) == owners
     fleet.register("vm-0", 200)
     assert memberships.eldest(2) == ["vm-1", "vm-2"]
+
+
+class Head:
+    """The mesh of a VM that passes on what others tell."""
+
+    is_head = True
+
+
+async def test_a_head_of_another_data_centre_steps_in_for_relays_turned_away():
+    """A revoked key is served for seconds by VMs that the store turns away.
+
+    It turned both relays away. The VMs that registered next were of the same data
+    centre, where only the first two are heads, so that nobody took their place.
+    """
+    fleet = Fleet(vms=40)
+    for revision, name in enumerate(fleet.names):
+        place = "gijon" if revision < 10 else ("santander", "bilbao")[revision % 2]
+        fleet.register(name, revision, place)
+    roles = {
+        name: RelayRole(
+            memberships=fleet.memberships[fleet.names.index(name)],
+            mesh=Head(),
+            timers=fleet.timers,
+        )
+        for name in ("vm-0", "vm-1", "vm-10", "vm-11", "vm-12", "vm-13")
+    }
+    stepped_in = []
+    for _ in range(5):
+        stepped_in.append([name for name, role in roles.items() if role.should_relay()])
+        await fleet.timers.advance(STEP_IN_S)
+        fleet.look_again()
+    assert stepped_in[0] == ["vm-0", "vm-1"]
+    assert stepped_in[1] == ["vm-0", "vm-1", "vm-10"]
+    assert stepped_in[4] == list(roles)
--- a/hawthornlead/tests/test_relay_roles.py
+++ b/hawthornlead/tests/test_relay_roles.py
@@ -26,7 +26,7 @@
     def __init__(self, vm):
         self.vm = vm
 
-    def eldest(self, count):
+    def relay_order(self, count):
         return NAMES[:count]
 
 
