--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -53,8 +53,9 @@
 # Longer than a target that leaves may be sent to.
 SPOILT_S = 4.5
 PROBE_S = 3.0
-# Requests a second that a target takes while all else is well.
+# What targets ask for while all else is well: so many requests a second, and rest.
 CALM_LIMIT = 4.0
+CALM_REST_S = 1.5
 CUT_STREAMS = 6
 # Longer than that, this process itself has held the platform up.
 STALL_S = 0.2
@@ -164,10 +165,13 @@
             world.own_target() as one,
             world.own_target() as two,
             world.own_target() as three,
+            world.own_target() as four,
         ):
             three.say("limit", CALM_LIMIT)
+            four.say("rest", CALM_REST_S)
             # The target is gone 2 s after it said so; until then no path is hurt.
             await asyncio.sleep(VERSION_S - DRAIN_S)
+            four.say_nothing()
             leaving = asyncio.create_task(drained(world, one))
             spoiling = asyncio.create_task(spoilt(world, two, SPOILT_S))
             await asyncio.sleep(DRAIN_S)
