--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -192,7 +192,7 @@
         """
         target = placed.entry.target
         if not self._limits.take(target):
-            return Err(_held_back(self._limits.wait_s(target)))
+            return Err(_unwanted(self._limits.wait_s(target)))
         ready = await self._prepare(wanted, spec, placed, place_until, slot_wait_s)
         if ready.is_err() and placed.counted:
             self._limits.give_back(target)
@@ -267,7 +267,7 @@
             rest_s = self._rests.wait_s(target)
             if rest_s or self._limits.limited(target):
                 waits.append(max(rest_s, self._limits.wait_s(target)))
-        return _held_back(min(waits)) if waits else None
+        return _unwanted(min(waits)) if waits else None
 
     async def _await_turn(
         self, wanted: Wanted, placed: Placed
@@ -341,7 +341,7 @@
         return await self._mesh.call(owner, message, wait_s + 0.1)
 
 
-def _held_back(wait_s: float) -> Failure:
+def _unwanted(wait_s: float) -> Failure:
     """Return why a request isn't sent to targets that want none from this VM now.
 
     The other VMs have shares of a limit too, and may not have been asked for rest, so
