An attempt that a target doesn't want is told as such in logs and metrics

It was told as 'not reached', which would send an operator to look for a broken path. What follows is the same: the request hasn't run and goes elsewhere.

--- a/hawthornlead/decisions/limit_shares.py
+++ b/hawthornlead/decisions/limit_shares.py
@@ -1,9 +1,9 @@
 """One VM's even share of a limit that a target names for all VMs together.
 
-A target in need names its limit on short notice and for some seconds. At most targets
-that is less than one request a second for each VM, so that word of what the others
-sent comes too late to share it by use. Each VM keeps to its own part and tells nobody
-anything::
+A target in need names a limit from one moment to the next, for some seconds. Shared
+among many VMs it is often less than one request a second for each, and word of what the
+others sent comes too late to share it by use. So each VM keeps to its own part and
+tells nobody anything::
 
     share = LimitShare(rate=0.37, now=timers.now(), rng=rng)
     if share.take(timers.now()):
--- a/hawthornlead/gateway/forwards.py
+++ b/hawthornlead/gateway/forwards.py
@@ -29,7 +29,9 @@
 STALE_RETRY_S = 0.3
 # These tell a caller that its request has not run and never will.
 UNRUN_STATUSES = frozenset((404, 429, 503))
-UNRUN_ENDINGS = frozenset((Ending.UNREACHED, Ending.REFUSED, Ending.TOO_EARLY))
+UNRUN_ENDINGS = frozenset(
+    (Ending.UNREACHED, Ending.UNWANTED, Ending.REFUSED, Ending.TOO_EARLY)
+)
 
 
 class Forward:
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -28,6 +28,7 @@
     DONE = "done"
     LEFT = "the caller left"
     UNREACHED = "not reached"
+    UNWANTED = "not sent, the target wants no request"
     REFUSED = "refused, not run"
     TOO_EARLY = "refused, perhaps still loading"
     FAILED = "failed by its target"
@@ -82,7 +83,7 @@
         if spec is None or not await losses.sound(entry):
             return Ending.UNREACHED
         if not self._may_send(placed):
-            return Ending.UNREACHED
+            return Ending.UNWANTED
         opened = await self._parts.connections.open(entry.address)
         if opened.is_err():
             self._blame(entry, gone=True)
