--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -165,7 +165,7 @@
             world.own_target() as one,
             world.own_target() as two,
             world.own_target() as three,
-            world.own_target() as four,
+            world.own_target(model=False) as four,
         ):
             three.say("limit", CALM_LIMIT)
             four.say("rest", CALM_REST_S)
