--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -260,6 +260,9 @@
             "away": [away._asdict() for away in journal.away],
             "arrivals": [arrival._asdict() for arrival in journal.arrivals],
             "told": [told._asdict() for told in journal.told],
+            "probes": [probe._asdict() for probe in journal.probes],
+            "own_ends": [end._asdict() for end in journal.own_ends],
+            "injected": [dict(self._world.injected)],
         }
         for name, rows in kept.items():
             text = "\n".join(json.dumps(row, default=str) for row in rows)
