--- a/hawthornlead/tests/test_memberships.py
+++ b/hawthornlead/tests/test_memberships.py
@@ -118,11 +118,7 @@
 
 
 async def test_a_head_of_another_data_centre_steps_in_for_relays_turned_away():
-    """A revoked key is served for seconds by VMs that the store turns away.
-
-    It turned both relays away. The VMs that registered next were of the same data
-    centre, where only the first two are heads, so that nobody took their place.
-    """
+    """VMs that the store turns away serve a revoked key, as nobody watches for them."""
     fleet = Fleet(vms=40)
     for revision, name in enumerate(fleet.names):
         place = "gijon" if revision < 10 else ("santander", "bilbao")[revision % 2]
