A load of what is on its way is no proof that an engine counted the order

The engine answered 202 and didn't count the second order: what was on its way was that version. The owner counted on, its next order met a conflict at 5.688 s, and 1 s later the engine's count was taken for that of another start, which ended four streams.

Change: such an answer is no proof of the count, and a report is read before the next order. An adapter that was ordered out since is loaded anew for sure. The test failed before with a count of three for two.

--- a/hawthornlead/gateway/engine_orders.py
+++ b/hawthornlead/gateway/engine_orders.py
@@ -20,6 +20,9 @@
 # late, the first one was carried out and all others are refused, however often an owner
 # that goes on with its count gives them.
 MOST_UNANSWERED = 3
+# A load that was started so lately may be under way yet. Some take seconds, as many
+# adapters are fetched at once.
+LOAD_UNDER_WAY_S = 10.0
 
 
 class EngineOrders:
@@ -47,6 +50,7 @@
         self._surely_accepted = 0
         self._given_at = 0.0
         self._unanswered = 0
+        self._load_started_at: dict[AdapterKey, float] = {}
 
     @property
     def accepted(self) -> int | None:
@@ -126,7 +130,8 @@
                 self._unanswered = 0
             return
         self._unanswered = 0
-        if not accepted_for_sure(order, outcome):
+        loads_already = self._loads_already(order)
+        if loads_already or not accepted_for_sure(order, outcome):
             # Only a report tells how many orders the engine has accepted.
             self._accepted = None
             return
@@ -135,6 +140,23 @@
             # None when the count was found to be off while the order was under way.
             self._accepted = order.order_count + 1
 
+    def _loads_already(self, order: EngineOrder) -> bool:
+        """Whether a load that was started lately may already bring what is ordered.
+
+        The engine then says that it is under way, and may not have counted the order.
+        """
+        key = AdapterKey(order.model, order.adapter)
+        if order.kind is not OrderKind.LOAD:
+            self._load_started_at.pop(key, None)
+            return False
+        now = self._timers.now()
+        for other, started_at in tuple(self._load_started_at.items()):
+            if now - started_at >= LOAD_UNDER_WAY_S:
+                del self._load_started_at[other]
+        loads_already = key in self._load_started_at
+        self._load_started_at[key] = now
+        return loads_already
+
 
 def accepted_for_sure(order: EngineOrder, outcome: OrderOutcome) -> bool:
     """Whether an outcome shows that the engine has counted the order.
--- a/hawthornlead/tests/test_engine_orders.py
+++ b/hawthornlead/tests/test_engine_orders.py
@@ -8,7 +8,11 @@
 from hawthornlead.clocks import HybridClock
 from hawthornlead.events import EventRing
 from hawthornlead.gateway.engine_calls import EngineCalls
-from hawthornlead.gateway.engine_orders import MOST_UNANSWERED, EngineOrders
+from hawthornlead.gateway.engine_orders import (
+    LOAD_UNDER_WAY_S,
+    MOST_UNANSWERED,
+    EngineOrders,
+)
 from hawthornlead.gateway.engine_slots import AdapterKey
 from hawthornlead.gateway.gateway_metrics import GatewayMetrics
 from hawthornlead.gateway.late_orders import LateOrders
@@ -146,3 +150,33 @@
         outcome = await orders.give(ENTRY, OrderKind.LOAD, key, 1)
         assert outcome is OrderOutcome.UNKNOWN
     assert orders.accepted is None
+
+
+class AnsweringCalls:
+    """Calls to an engine that starts to carry out whatever it is ordered."""
+
+    async def order(self, address, target, order, allowed):
+        return OrderOutcome.STARTED
+
+
+async def test_a_load_of_what_is_on_its_way_is_no_proof_of_the_count():
+    """Streams of a sound engine are cut, which seems to count its orders anew."""
+    fleet = await owned_by_a()
+    orders = orders_of(fleet, SlowConnections())
+    orders._calls = AnsweringCalls()
+    first, second = AdapterKey("m", "a1"), AdapterKey("m", "a2")
+    await orders.give(ENTRY, OrderKind.LOAD, first, 0)
+    await orders.give(ENTRY, OrderKind.LOAD, second, 0)
+    assert (orders.accepted, orders.surely_accepted) == (2, 2)
+    # The load under way may bring this version already, and the order change nothing.
+    await orders.give(ENTRY, OrderKind.LOAD, first, 2)
+    assert (orders.accepted, orders.surely_accepted) == (None, 2)
+    orders.take_accepted(2)
+    await orders.give(ENTRY, OrderKind.UNLOAD, second, 0)
+    orders.take_accepted(3)
+    await orders.give(ENTRY, OrderKind.LOAD, second, 0)
+    assert (orders.accepted, orders.surely_accepted) == (4, 4)
+    fleet.pass_time(LOAD_UNDER_WAY_S + 0.1)
+    await fleet.a.lease._renew()
+    await orders.give(ENTRY, OrderKind.LOAD, first, 3)
+    assert (orders.accepted, orders.surely_accepted) == (5, 5)
