One constant for another target's answer, one bound for the time to come back

From the last read of the whole change: target_attempts.py named the status anew that target_probes.py has as ANOTHER_ID, and the placer bounded a refusal's time to come back with a copy of what refusals.py does. Both refusals stand there now; behaviour is the same.

--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -25,7 +25,7 @@
     ServiceSpec,
     TargetEntry,
 )
-from .refusals import LEAST_RETRY_S, MOST_RETRY_S, overload
+from .refusals import overload, unwanted
 from .run_times import RunTimes
 from .target_choices import Candidate, Holding
 from .target_healths import TargetHealths
@@ -192,7 +192,7 @@
         """
         target = placed.entry.target
         if not self._limits.take(target):
-            return Err(_unwanted(self._limits.wait_s(target)))
+            return Err(unwanted(self._limits.wait_s(target)))
         ready = await self._prepare(wanted, spec, placed, place_until, slot_wait_s)
         if ready.is_err() and placed.counted:
             self._limits.give_back(target)
@@ -267,7 +267,7 @@
             rest_s = self._rests.wait_s(target)
             if rest_s or self._limits.limited(target):
                 waits.append(max(rest_s, self._limits.wait_s(target)))
-        return _unwanted(min(waits)) if waits else None
+        return unwanted(min(waits)) if waits else None
 
     async def _await_turn(
         self, wanted: Wanted, placed: Placed
@@ -341,16 +341,6 @@
         return await self._mesh.call(owner, message, wait_s + 0.1)
 
 
-def _unwanted(wait_s: float) -> Failure:
-    """Return why a request isn't sent to targets that want none from this VM now.
-
-    The other VMs have shares of a limit too, and may not have been asked for rest, so
-    that the request may be sent before this VM could.
-    """
-    retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, wait_s))
-    return Failure(ErrorKind.OVERLOADED, "the targets want no request now", retry_s)
-
-
 def _gone() -> Failure:
     """Return why a target isn't used that was chosen a moment ago."""
     return Failure(ErrorKind.NO_TARGET, "the target is leaving, or started again", 0.1)
--- a/hawthornlead/gateway/refusals.py
+++ b/hawthornlead/gateway/refusals.py
@@ -30,6 +30,20 @@
     wait_s = wait_ms / 1000
     if best.candidate.suspect or wait_s < min(LATEST_START_S, left_s):
         return None
-    retry_s = wait_s - route.objective_ms / 1000
-    retry_s = min(MOST_RETRY_S, max(LEAST_RETRY_S, retry_s))
+    retry_s = _retry_s(wait_s - route.objective_ms / 1000)
     return Failure(ErrorKind.OVERLOADED, "all targets are busy", retry_s)
+
+
+def unwanted(wait_s: float) -> Failure:
+    """Return why a request isn't sent to targets that want none from this VM now.
+
+    The other VMs have shares of a limit too, and may not have been asked for rest, so
+    that the request may be sent before this VM could, after ``wait_s``.
+    """
+    detail = "the targets want no request now"
+    return Failure(ErrorKind.OVERLOADED, detail, _retry_s(wait_s))
+
+
+def _retry_s(wait_s: float) -> float:
+    """Return when to come back, where that is expected after ``wait_s``."""
+    return min(MOST_RETRY_S, max(LEAST_RETRY_S, wait_s))
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -13,13 +13,12 @@
 from .stream_relays import CallerStream, StreamRelay
 from .target_choices import Holding
 from .target_connections import AnswerSink, Exchange, Head, WholeAnswer
+from .target_probes import ANOTHER_ID
 
 # What is left of a deadline must allow this much, else nothing is begun.
 LEAST_LEFT_S = 0.02
 # A target that says nothing for this long while others answer is slow, or dark.
 SILENT_S = 1.2
-# A target that isn't the one named answers so.
-OTHER_TARGET = 421
 
 
 class Ending(Enum):
@@ -284,7 +283,7 @@
 
         One that doesn't answer under the id it was asked for is another target.
         """
-        if head.status == OTHER_TARGET or not self._parts.targets.is_current(entry):
+        if head.status == ANOTHER_ID or not self._parts.targets.is_current(entry):
             return
         if head.signs.rest_s:
             self._parts.rests.note(entry.target, head.signs.rest_s)
@@ -320,7 +319,7 @@
         if not self._parts.targets.is_current(entry):
             return Ending.REFUSED
         self._parts.placer.note_missing(entry.target, key)
-        if status == OTHER_TARGET and placed.candidate.holding is Holding.READY:
+        if status == ANOTHER_ID and placed.candidate.holding is Holding.READY:
             # One that was loaded for this request is said to be there by foresight and
             # may be late. Given up, it would be fetched again at the next engine, and
             # the more is fetched the later each fetch is.
