Log by what a VM learns of the store's changes, who relays, and what it lacks

The three hypotheses of the late configuration can't be told apart in a log: no line says when a VM turns to another head, that it lacks what a relay told, which VMs relay from when to when, or by what way a configuration came. Events 205, 315 to 318, and the way in 410. No logic changed: tests of watchers, relays, fleets, layout and gateways pass.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -38,6 +38,11 @@
     PEER_SILENT = (202, "WARNING", "a connection to another VM went silent")
     PEER_FRAME_REFUSED = (203, "WARNING", "a frame was malformed or too new")
     PEER_GOODBYE = (204, "INFO", "another VM said that it stopped for good")
+    FEED_CHANGED = (
+        205,
+        "INFO",
+        "this VM hears of the fleet from another head, or none",
+    )
 
     # 300: store, leases, ownership
     STORE_LOST = (300, "WARNING", "the object API stopped answering")
@@ -55,6 +60,10 @@
     LEASE_BEGUN = (311, "INFO", "this VM began a lease; what it owned before is gone")
     CLAIM_FAILED = (312, "INFO", "a claim of a resource did not succeed")
     RECORD_UNUSABLE = (313, "ERROR", "an object of the store can't be used")
+    CHANGES_MISSED = (315, "WARNING", "this VM lacks changes that a relay has told")
+    RELAY_BEGUN = (316, "INFO", "this VM watches the store for others")
+    RELAY_ENDED = (317, "INFO", "this VM watches the store for others no more")
+    WAY_CHANGED = (318, "INFO", "changes of a kind reach this VM in another way")
 
     # 400: bundles
     BUNDLE_IN_FORCE = (400, "INFO", "a bundle came into force on this VM")
--- a/hawthornlead/fleet/fleet_meshes.py
+++ b/hawthornlead/fleet/fleet_meshes.py
@@ -49,6 +49,7 @@
     """The mesh of one VM with the fleet; ``transport`` carries it.
 
     ``on_fed`` is called with each VM that begins to hear of the fleet from this one.
+    ``on_feed_changed`` is called with the head that feeds this one now, empty for none.
     """
 
     def __init__(
@@ -82,6 +83,7 @@
             told_living=self._told_living,
         )
         self.on_fed: Callable[[str], None] = lambda vm: None
+        self.on_feed_changed: Callable[[str], None] = lambda head: None
         transport.on(PassedOn, self._on_passed)
         transport.beat_only(self._beaten)
 
@@ -187,6 +189,7 @@
         if self.feed != feed:
             # Another head numbers its changes anew, and none has told those of between.
             self.fed_serial = NOTHING_TOLD
+            self.on_feed_changed(self.feed)
         if self.is_head:
             self.table.expire()
         unused = self._timers.now() - USED_KEPT_S
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -193,7 +193,11 @@
         memberships=memberships, lease=lease, client=client, mesh=mesh, events=events
     )
     relays = WatchRelays(
-        memberships=memberships, mesh=mesh, timers=timers, client=client
+        memberships=memberships,
+        mesh=mesh,
+        timers=timers,
+        client=client,
+        events=events,
     )
     quotas = QuotaLedger(
         now=timers.now,
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -117,6 +117,7 @@
         self._questions = self._make_questions()
         self._mesh.set_heartbeat(self._heartbeat)
         self._mesh.on(Hello, self._on_hello)
+        self._mesh.on_feed_changed = self._note_feed
 
     async def start(self) -> None:
         """Listen, and begin to learn from the store and the other VMs."""
@@ -312,6 +313,7 @@
             routes=len(configuration.routes),
             services=len(configuration.services),
             revision=record.revision,
+            way=self._relays.ways()[CONFIGURATION_KIND],
         )
         self._parts.take(configuration)
         self._room.take(configuration)
@@ -332,6 +334,9 @@
         leaving = self._memberships.leaving
         return Heartbeat(0, 0, leaving, self._callers.open, capacity, 0.0)
 
+    def _note_feed(self, head: str) -> None:
+        self._emit(EventKind.FEED_CHANGED, head=head)
+
     async def _on_hello(self, sender, message: Hello) -> None:
         self._room.tell_all(sender.vm)
 
--- a/hawthornlead/gateway/watch_relays.py
+++ b/hawthornlead/gateway/watch_relays.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from ..events import EventKind, EventRing
 from ..fleet.fleet_meshes import FleetMesh
 from ..messages.gateways import (
     FetchedRecords,
@@ -103,8 +104,10 @@
         mesh: FleetMesh,
         timers: TimerService,
         client: StoreClient,
+        events: EventRing,
     ):
         self._client = client
+        self._events = events
         self._tasks = TaskSet()
         self._memberships = memberships
         self._mesh = mesh
@@ -290,9 +293,13 @@
     def _look_at_role(self) -> None:
         """Become a relay, or stop being one, by who else vouches."""
         relaying = self._role.should_relay()
-        if relaying and not self._relaying:
+        if relaying == self._relaying:
+            return
+        if relaying:
             self._begin_to_relay()
         self._relaying = relaying
+        kind = EventKind.RELAY_BEGUN if relaying else EventKind.RELAY_ENDED
+        self._events.emit(kind, self._memberships.vm)
 
     def _begin_to_relay(self) -> None:
         """Note on what this VM's words stand, and tell again what was told lately."""
@@ -334,6 +341,8 @@
                 heard.changed_at = now
                 # Something that this relay passed on did not come here, as after a
                 # lost connection. Only a listing shows what it was.
+                if not heard.behind:
+                    self._note_missed(kind, sender.vm)
                 heard.serial = serial
                 heard.from_start = False
                 heard.behind = True
@@ -344,6 +353,9 @@
             if heard.behind and now - heard.changed_at >= SETTLED_S:
                 heard.behind = not self.vouched(kind)
 
+    def _note_missed(self, kind: str, relay: str) -> None:
+        self._events.emit(EventKind.CHANGES_MISSED, kind, relay=relay)
+
     def _knows_basis(self, kind: str, basis: tuple[RelayBasis, ...]) -> bool:
         """Whether this VM knows of a kind all that a relay knew as it began.
 
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -103,6 +103,7 @@
         self._listed_at = float("-inf")
         self._history_gone = False
         self._was_told = False
+        self._way = ""
         self._skipped = False
         self._revisions: dict[str, int] = {}
         # The revisions at which objects went: an older change, told late by another
@@ -183,6 +184,7 @@
         calls are spread.
         """
         large = self._relays.large
+        self._note_way()
         if self._is_told():
             self._was_told = True
             return LARGE_TOLD_LOOK_S if large else TOLD_LOOK_S
@@ -190,6 +192,12 @@
         self._was_told = False
         return SPREAD_S * self._rng.random() if spread else 0.0
 
+    def _note_way(self) -> None:
+        way = self._relays.ways()[self._kind]
+        if way != self._way:
+            self._way = way
+            self._events.emit(EventKind.WAY_CHANGED, self._kind, way=way)
+
     async def _fetch_at_start(self) -> None:
         """Take what there is from a head, where the fleet is large and one tells it."""
         await self._timers.sleep(ROSTER_S)
--- a/hawthornlead/tests/following_vms.py
+++ b/hawthornlead/tests/following_vms.py
@@ -72,6 +72,7 @@
             mesh=self.mesh,
             timers=timers,
             client=self.client,
+            events=self.events,
         )
         self.targets = KnownTargets(
             memberships=self.memberships, timers=timers, events=self.events
--- a/hawthornlead/tests/test_watchers.py
+++ b/hawthornlead/tests/test_watchers.py
@@ -45,6 +45,7 @@
             mesh=self.mesh,
             timers=timers,
             client=self.client,
+            events=events,
         )
         self.seen = {}
         self.changes = []
