A VM that starts waits for a relay's word before it watches the store by itself

Cause: a VM that had fetched all objects from its head took itself for done, and as no relay's word had reached it yet it watched each kind by itself: 89 VMs times three kinds at the start, and again at each restart (logs: 'own watch' at 6 VMs a kind at the start before, at 89 after). Before, it waited until a relay vouched.

--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -184,12 +184,16 @@
             self._events.emit(EventKind.WAY_CHANGED, self._kind, way=way)
 
     async def _fetch_at_start(self) -> None:
-        """Take what there is from a head, where the fleet is large and one tells it."""
+        """Take what there is from a head, where the fleet is large and one tells it.
+
+        Then a relay's word is waited for, which shows that nothing is missing.
+        """
         await self._timers.sleep(ROSTER_S)
         until = self._timers.now() + FETCHED_WITHIN_S
         while self._relays.has_source and self._timers.now() < until:
-            if await self._relays.fetch_at_start(self._kind):
-                self._listed = True
+            if not self._listed:
+                self._listed = await self._relays.fetch_at_start(self._kind)
+            if self._listed and self._relays.vouched(self._kind):
                 return
             await self._timers.sleep(FETCH_AGAIN_S)
 
