--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -313,7 +313,7 @@
             routes=len(configuration.routes),
             services=len(configuration.services),
             revision=record.revision,
-            way=self._relays.ways()[CONFIGURATION_KIND],
+            way=self._relays.way(CONFIGURATION_KIND),
         )
         self._parts.take(configuration)
         self._room.take(configuration)
--- a/hawthornlead/gateway/watch_relays.py
+++ b/hawthornlead/gateway/watch_relays.py
@@ -146,11 +146,13 @@
 
     def ways(self) -> dict[str, str]:
         """Return by what this VM learns of changes of each kind that it follows."""
-        ways = {}
-        for kind in self._followed:
-            told = "told by a relay" if self.vouched(kind) else "own watch"
-            ways[kind] = "watches for others" if self.is_relay else told
-        return ways
+        return {kind: self.way(kind) for kind in self._followed}
+
+    def way(self, kind: str) -> str:
+        """Return by what this VM learns of changes of one kind."""
+        if self.is_relay:
+            return "watches for others"
+        return "told by a relay" if self.vouched(kind) else "own watch"
 
     # What a relay passes on
 
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -178,7 +178,7 @@
         return SPREAD_S * self._rng.random() if spread else 0.0
 
     def _note_way(self) -> None:
-        way = self._relays.ways()[self._kind]
+        way = self._relays.way(self._kind)
         if way != self._way:
             self._way = way
             self._events.emit(EventKind.WAY_CHANGED, self._kind, way=way)
--- a/hawthornlead/tests/fakes_fleets.py
+++ b/hawthornlead/tests/fakes_fleets.py
@@ -49,12 +49,16 @@
         mesh = SparseMesh(
             network=self,
             settings=self._settings_of(vm, data_centre),
-            timers=self._timers,
+            timers=self._timers_of_vm(),
             incarnation=incarnation or f"{vm}-1",
         )
         self._meshes[vm] = mesh
         return mesh
 
+    def _timers_of_vm(self):
+        """Return the timers of a VM that joins."""
+        return self._timers
+
     def leave(self, vm: str) -> None:
         """End a VM's process, which closes its connections."""
         super().leave(vm)
--- a/hawthornlead/tests/fakes_spread.py
+++ b/hawthornlead/tests/fakes_spread.py
@@ -54,18 +54,9 @@
         self._opened: dict[frozenset[str], int] = {}
         self._silenced: set[frozenset[str]] = set()
 
-    def join(self, vm: str, data_centre: str = "dc", incarnation: str = ""):
-        """Start the mesh of a VM on the VM's own timers."""
-        self.leave(vm)
-        self._frozen.discard(vm)
-        mesh = SparseMesh(
-            network=self,
-            settings=self._settings_of(vm, data_centre),
-            timers=PlayedTimers(),
-            incarnation=incarnation,
-        )
-        self._meshes[vm] = mesh
-        return mesh
+    def _timers_of_vm(self) -> PlayedTimers:
+        """Return timers that stand still while the VM that joins is frozen."""
+        return PlayedTimers()
 
     def dial(self, a: str, b: str) -> None:
         """Connect two VMs if that can be done."""
