--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -195,8 +195,13 @@
         if outcome is AttemptOutcome.LEFT:
             self._reporter.caller_gone(target)
             return False
+        attempts = self._attempts
         self._reporter.attempt_failed(
-            target, outcome.value, self._attempts.remaining_s, self._attempts.loss
+            target,
+            outcome.value,
+            attempts.remaining_s,
+            proof=attempts.loss and attempts.loss.value,
+            unreached=attempts.unreached and attempts.unreached.value,
         )
         if outcome is AttemptOutcome.TOO_EARLY and not self._retried_early:
             # The adapter is a few milliseconds late, or the target is full. One more
--- a/hawthornlead/gateway/request_reporters.py
+++ b/hawthornlead/gateway/request_reporters.py
@@ -6,7 +6,7 @@
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
 from .placers import Placed
-from .records import CallerRequest, Loss, TargetEntry
+from .records import CallerRequest, TargetEntry
 from .stream_relays import CallerStream, StreamRelay
 from .target_connections import WholeAnswer
 
@@ -62,18 +62,26 @@
         self._emit(EventKind.CALLER_GONE, target=target, after_ms=after_ms)
 
     def attempt_failed(
-        self, target: str, attempt_outcome: str, remaining_s: float, loss: Loss | None
+        self,
+        target: str,
+        attempt_outcome: str,
+        remaining_s: float,
+        *,
+        proof: str | None = None,
+        unreached: str | None = None,
     ) -> None:
-        """Report how an attempt failed, and the proof if its target is lost.
+        """Report how an attempt failed.
 
-        ``remaining_s`` is the time left before the deadline.
+        ``remaining_s`` is the time left before the deadline, ``proof`` by what its
+        target counts as lost, and ``unreached`` why nothing was sent there.
         """
         self._parts.metrics.attempts.labels(attempt_outcome).inc()
         self._emit(
             EventKind.ATTEMPT_FAILED,
             target=target,
             ending=attempt_outcome,
-            proof=loss.value if loss is not None else None,
+            proof=proof,
+            unreached=unreached,
             sent=self.sent,
             ran=self.ran,
             left_ms=round(1000 * remaining_s),
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -37,11 +37,21 @@
     LATE = "the deadline passed"
 
 
+class Unreached(Enum):
+    """Why nothing was sent in an attempt whose target was not reached."""
+
+    REFUSED = "connection refused"
+    NO_CONNECTION = "no connection in time"
+    SILENT = "not tried, the target is silent"
+    GONE = "not tried, the target is gone"
+
+
 class Attempts:
     """The attempts of one request, each at a target that the placer chose.
 
     ``failed_answer`` is the last complete answer that was a failure and was held back.
-    ``loss`` is the proof by which the last attempt's target was lost, if it was.
+    ``loss`` is the proof by which the last attempt's target was lost, if it was, and
+    ``unreached`` why the last attempt didn't reach its target, if it didn't.
     """
 
     def __init__(
@@ -67,6 +77,7 @@
         self._slots = self._running = 0
         self.failed_answer: WholeAnswer | None = None
         self.loss: Loss | None = None
+        self.unreached: Unreached | None = None
         self.last_event = ""
 
     @property
@@ -78,23 +89,28 @@
         """Send the request to a target and forward its answer."""
         entry = placed.entry
         loss_detector = self._parts.loss_detector
-        self.loss = None
+        self.loss = self.unreached = None
         spec = self._parts.configuration.service(entry.service)
-        if spec is None or not await loss_detector.check_healthy(entry):
-            return AttemptOutcome.UNREACHED
+        if spec is None:
+            return self._on_unreached(Unreached.GONE)
+        if not await loss_detector.check_healthy(entry):
+            return self._on_unreached(Unreached.SILENT)
         if not self._may_send(placed):
             return AttemptOutcome.UNWANTED
         opened = await self._parts.connections.open(entry.address)
         if opened.is_err():
             self._count_failure(entry, gone=True)
-            return AttemptOutcome.UNREACHED
+            refused = opened.err_value.refused
+            return self._on_unreached(
+                Unreached.REFUSED if refused else Unreached.NO_CONNECTION
+            )
         exchange = opened.ok_value
         if self._call.left:
             exchange.release()
             return AttemptOutcome.LEFT
         if not self._parts.targets.is_current(entry):
             exchange.close()
-            return AttemptOutcome.UNREACHED
+            return self._on_unreached(Unreached.GONE)
         self._parts.loads.on_request_started(entry.target, placed.key)
         slots = spec.engine.batch if spec.engine else entry.slots
         self._slots = slots
@@ -111,6 +127,10 @@
             loss_detector.unsubscribe(subscriber)
             self._parts.loads.on_request_ended(entry.target, placed.key)
 
+    def _on_unreached(self, cause: Unreached) -> AttemptOutcome:
+        self.unreached = cause
+        return AttemptOutcome.UNREACHED
+
     def _may_send(self, placed: Placed) -> bool:
         """Whether the target still accepts the request.
 
