Release engines that their owner can't reach

Cause: ownership follows the lease at the store alone. Whether the owner reaches its engine was not asked.

A VM that reaches no target of a service for 0.5 s, while another live VM does, releases the service's engines as a leaving VM does, after its last order is answered or can't arrive any more. VMs without paths to targets take no rank in the order of claims, and claim nothing that they don't reach.

--- a/hawthornlead/gateway/engine_managers.py
+++ b/hawthornlead/gateway/engine_managers.py
@@ -1,5 +1,7 @@
 """Claims engines for this VM, and serves the requests to engines owned here."""
 
+from functools import partial
+
 from result import Result
 
 from ..decisions.quotas import QuotaLedger
@@ -38,6 +40,7 @@
 )
 from .slot_queues import SlotRequest
 from .target_loads import TargetLoads
+from .target_paths import TargetPaths
 from .target_tables import TargetTable
 from .unacknowledged_orders import MAX_ORDER_DELAY_S, UnacknowledgedOrders
 
@@ -61,6 +64,7 @@
         memberships: Memberships,
         ownerships: Ownerships,
         targets: TargetTable,
+        paths: TargetPaths,
         loads: TargetLoads,
         calls: EngineCalls,
         mesh: FleetMesh,
@@ -74,6 +78,7 @@
         self._memberships = memberships
         self._ownerships = ownerships
         self._targets = targets
+        self._paths = paths
         self._loads = loads
         self._calls = calls
         self._mesh = mesh
@@ -102,6 +107,7 @@
             memberships=memberships,
             ownerships=ownerships,
             targets=targets,
+            paths=paths,
             mesh=mesh,
             timers=timers,
         )
@@ -176,8 +182,7 @@
             self._mesh.cast(vm, holdings)
 
     def _all_holdings(self) -> tuple[TargetHoldings, ...]:
-        owners = self._owners.values()
-        return tuple([owner.holdings for owner in owners if owner.known])
+        return tuple([each.holdings for each in self._owners.values() if each.known])
 
     # Claims
 
@@ -186,6 +191,7 @@
         if self._configuration is None:
             return
         self._release_lost()
+        self._release_unreached()
         if not self._owners and not self._orphaned_at:
             self._ownerships.on_idle()
         seen = self._memberships.recently_seen()
@@ -204,6 +210,8 @@
             if self._targets.owner(entry.target) in seen:
                 self._orphaned_at.pop(entry.target, None)
                 continue
+            if self._paths.is_unreachable(entry.service):
+                continue
             now = self._timers.now()
             since = self._orphaned_at.setdefault(entry.target, now)
             if self._ownerships.should_claim(entry.target, now - since):
@@ -230,6 +238,12 @@
                 owner.stop()
                 del self._owners[target]
 
+    def _release_unreached(self) -> None:
+        for target in self._releases.unreached(tuple(self._owners)):
+            owner = self._owners.pop(target)
+            # Under the target's name, so that no claim begins meanwhile.
+            self._changes.spawn_once(target, partial(self._releases.release, owner))
+
     async def _claim(self, entry: TargetEntry, spec: EngineSpec) -> None:
         claimed = await self._ownerships.claim(entry.target)
         if not claimed or self._stopped:
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -239,6 +239,7 @@
         memberships=memberships,
         ownerships=coordination.ownerships,
         targets=targets,
+        paths=paths,
         loads=loads,
         calls=EngineCalls(connections=connections),
         mesh=coordination.mesh,
--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -232,6 +232,14 @@
                 vms.append(peer.vm)
         return tuple(reaching or others)
 
+    def unreaching(self) -> set[str]:
+        """Return the live VMs that reach no target of some service."""
+        unreaching = set() if self._reaches_targets else {self.vm}
+        for peer in self._mesh.live:
+            if peer.heartbeat is not None and not peer.heartbeat.reaches_targets:
+                unreaching.add(peer.vm)
+        return unreaching
+
     def order_for(self, key: str) -> list[str]:
         """Return the live VMs in the rendezvous order of a key, same on all VMs."""
         self._refresh()
--- a/hawthornlead/gateway/ownerships.py
+++ b/hawthornlead/gateway/ownerships.py
@@ -124,6 +124,10 @@
         if self._memberships.leaving:
             return False
         order = self._memberships.owners_for(target)
+        unreaching = self._memberships.unreaching()
+        order = [vm for vm in order if vm not in unreaching] or order
+        if self._memberships.vm not in order:
+            return False
         rank = order.index(self._memberships.vm)
         if orphaned_s < rank * RANK_WAIT_S or self._is_held(target):
             return False
