--- a/hawthornlead/tests/test_loss_detectors.py
+++ b/hawthornlead/tests/test_loss_detectors.py
@@ -302,6 +302,7 @@
             probes=self.probes,
             connections=Mock(),
             healths=TargetHealths(timers=self.timers),
+            paths=Mock(),
             timers=self.timers,
             events=Mock(),
             metrics=GatewayMetrics(CollectorRegistry()),
