Let sound targets pause for a second and a half

A new contract: a sound engine may be silent for a second or so.

Cause: two unanswered probes, 0.85 s of silence, ended streams that may be resumed, and four, 1.35 s, all others. Now five, 1.6 s, end both; only requests that may run twice at a time still end after two. It costs little: a stream that was silent for 0.85 s is late either way.

--- a/hawthornlead/gateway/loss_detectors.py
+++ b/hawthornlead/gateway/loss_detectors.py
@@ -3,7 +3,7 @@
 The connection to a target that died may stay open without an error. So each attempt
 subscribes to the liveness of the incarnation that it was sent to::
 
-    follower = losses.subscribe(entry, spec, may_repeat=True)
+    follower = losses.subscribe(entry, spec, Repeat.FREELY)
     exchange.send(..., sink=follower.watch_answer(sink))
     await asyncio.wait([exchange.ended, follower.lost], ...)
     losses.unsubscribe(follower)
@@ -26,6 +26,7 @@
     PROBE_AFTER_S,
     WEAK_PROOF_PROBES,
     LossSubscriber,
+    Repeat,
     TargetLiveness,
 )
 from .target_paths import TargetPaths
@@ -96,7 +97,7 @@
         return True
 
     def subscribe(
-        self, entry: TargetEntry, spec: ServiceSpec, may_repeat: bool
+        self, entry: TargetEntry, spec: ServiceSpec, repeat: Repeat
     ) -> LossSubscriber:
         """Track a target for an attempt that is about to be sent to it."""
         now = self._timers.now
@@ -106,7 +107,7 @@
             self._livenesses[entry.incarnation] = liveness
         if not liveness.subscribers:
             liveness.waiting_since = now()
-        subscriber = LossSubscriber(liveness, may_repeat)
+        subscriber = LossSubscriber(liveness, repeat)
         liveness.subscribers.add(subscriber)
         name = f"{entry.target} {entry.started_ms}"
         self._tasks.spawn_once(name, lambda: self._watch(liveness))
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -12,7 +12,7 @@
 from .stream_relays import CallerStream, StreamRelay
 from .target_choices import Holding
 from .target_connections import AnswerSink, Exchange, Head, WholeAnswer
-from .target_liveness import LossSubscriber
+from .target_liveness import LossSubscriber, Repeat
 from .target_probes import MISDIRECTED_STATUS
 
 # No attempt starts with less than this left of the deadline.
@@ -116,9 +116,7 @@
         self._slots = slots
         self._running = self._parts.loads.running(entry.target)
         self._reporter.sent += 1
-        subscriber = loss_detector.subscribe(
-            entry, spec, route.repeatable or route.resumable
-        )
+        subscriber = loss_detector.subscribe(entry, spec, _repeat(route))
         try:
             if route.kind is RouteKind.STREAMING:
                 return await self._relay_stream(route, placed, exchange, subscriber)
@@ -377,3 +375,10 @@
         if spec is not None:
             took_s = self._parts.timers.now() - sent_at
             self._parts.run_times.record(spec, took_s, self._running, self._slots)
+
+
+def _repeat(route: Route) -> Repeat:
+    """Return when a request on a route may be sent to another target."""
+    if route.repeatable:
+        return Repeat.FREELY
+    return Repeat.AFTER_END if route.resumable else Repeat.NEVER
--- a/hawthornlead/gateway/target_liveness.py
+++ b/hawthornlead/gateway/target_liveness.py
@@ -2,13 +2,13 @@
 
 *Strong* proof shows that the incarnation is gone: another one answers, or a fresh
 connection is refused. *Weak* proof leaves it open: probes go unanswered, or the entry
-was removed. A request that may be repeated ends on unanswered probes. Any other request
-ends on strong proof, on both weak proofs together, or when probes go unanswered for
-long while other targets send data, which shows that this VM's own network path works.
+was removed. A sound target may be silent for a second and then go on, so what ends on
+unanswered probes depends on what a wrong proof would do (``Repeat``).
 """
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 
 from .records import Loss, ServiceSpec, TargetEntry
 from .target_connections import AnswerSink, Head
@@ -18,9 +18,24 @@
 PROBE_AFTER_S = 0.35
 # Unanswered probes in a row that make a weak proof.
 WEAK_PROOF_PROBES = 2
-# Unanswered probes in a row, 1.35 s of silence, that also end requests which may not be
-# repeated. Their callers tolerate pauses of 0.3 s and abandon a request after 2 to 3 s.
-LONG_SILENCE_PROBES = 4
+# Unanswered probes in a row, 1.6 s of silence: a sound target pauses for less. Callers
+# abandon a request after 2 to 3 s.
+LONG_SILENCE_PROBES = 5
+
+
+class Repeat(Enum):
+    """When a request that was sent to one target may be sent to another.
+
+    ``FREELY`` is for requests that may run twice at a time: they end on a weak proof.
+    ``AFTER_END`` is for streams that may be resumed once the first run has ended: they
+    end after a long silence. ``NEVER`` is for all others. They also end after a long
+    silence, but only while other targets send data, which shows that this VM's own
+    network path works. Both end sooner if the target's entry was removed too.
+    """
+
+    FREELY = "freely"
+    AFTER_END = "after the end"
+    NEVER = "never"
 
 
 class TargetLiveness:
@@ -96,12 +111,17 @@
         self.strong_proof = None
         self.next_probe_at = next_probe_at
 
-    def proof_for(self, may_repeat: bool) -> Loss | None:
+    def proof_for(self, repeat: Repeat) -> Loss | None:
         """Return the proof that ends a request to the target, None if there is none."""
         if self.strong_proof is not None:
             return self.strong_proof
-        for_long = self.missed_probes >= LONG_SILENCE_PROBES and self.others_answer
-        if self.unanswered and (may_repeat or self.entry_gone or for_long):
+        if not self.unanswered:
+            return None
+        if repeat is Repeat.FREELY or self.entry_gone:
+            return Loss.UNANSWERED
+        if self.missed_probes < LONG_SILENCE_PROBES:
+            return None
+        if repeat is Repeat.AFTER_END or self.others_answer:
             return Loss.UNANSWERED
         return None
 
@@ -109,9 +129,9 @@
 class LossSubscriber:
     """One attempt at a target; ``lost`` is done when its target counts as lost."""
 
-    def __init__(self, liveness: TargetLiveness, may_repeat: bool):
+    def __init__(self, liveness: TargetLiveness, repeat: Repeat):
         self._liveness = liveness
-        self._may_repeat = may_repeat
+        self._repeat = repeat
         self.lost: asyncio.Future[Loss] = asyncio.get_running_loop().create_future()
 
     @property
@@ -141,7 +161,7 @@
         return True
 
     def _proof(self) -> Loss | None:
-        return self._liveness.proof_for(self._may_repeat)
+        return self._liveness.proof_for(self._repeat)
 
 
 class ActivitySink:
--- a/hawthornlead/tests/test_loss_detectors.py
+++ b/hawthornlead/tests/test_loss_detectors.py
@@ -10,6 +10,7 @@
 from hawthornlead.gateway.loss_detectors import LossDetector
 from hawthornlead.gateway.records import Loss, ServiceSpec, TargetEntry
 from hawthornlead.gateway.target_healths import TargetHealths
+from hawthornlead.gateway.target_liveness import Repeat
 from hawthornlead.gateway.target_probes import ProbeResult
 from hawthornlead.platform.objects import TARGETS_KIND
 from hawthornlead.timers import ManualTimerService
@@ -310,7 +311,8 @@
 
     def follow(self, may_repeat, entry=ENTRY):
         """Follow a target with one request."""
-        return self.losses.subscribe(entry, SPEC, may_repeat)
+        repeat = Repeat.FREELY if may_repeat else Repeat.NEVER
+        return self.losses.subscribe(entry, SPEC, repeat)
 
 
 async def test_a_vm_that_thaws_does_not_take_its_targets_for_silent():
