Take a refused probe for no proof where all targets of a service refuse

What callers saw in the test: a VM whose connections go on working while new ones are refused answered 502 after 0.35 s of silence, to a request that its target answered 0.65 s later.

A refused connection counts as proof that a process is gone; behind a cut of this VM's path all targets refuse. Before it counts, other targets of the service are connected to; if they refuse too, the probe counts as unanswered, and each as long as an unanswered one takes.

The test failed before and passes.

--- a/hawthornlead/gateway/loss_detectors.py
+++ b/hawthornlead/gateway/loss_detectors.py
@@ -30,7 +30,7 @@
     TargetLiveness,
 )
 from .target_paths import TargetPaths
-from .target_probes import MAX_LAG_S, ProbeResult, TargetProbes
+from .target_probes import MAX_LAG_S, PROBE_TIMEOUT_S, ProbeResult, TargetProbes
 from .target_tables import TargetTable
 
 # A target that proved to be alive is probed again after this much time if still silent.
@@ -165,6 +165,10 @@
             # The target answers requests, so it is only busy or refuses further
             # connections.
             found = ProbeResult.ALIVE
+        if found is ProbeResult.REFUSED and await self._paths.check(entry.service):
+            # All targets of the service refuse: this VM's path is at fault, and
+            # connections that are open may still work.
+            found = ProbeResult.NOTHING
         self._apply_result(liveness, found, started_at)
         return found
 
@@ -188,7 +192,8 @@
             return
         liveness.on_missed_probe(started_at)
         if liveness.missed_probes < LONG_SILENCE_PROBES:
-            liveness.next_probe_at = now
+            # A refusal comes at once, and yet the silence must last.
+            liveness.next_probe_at = max(now, started_at + PROBE_TIMEOUT_S)
         liveness.others_answer = self._others_answered(liveness)
         ends = any(subscriber.would_be_lost for subscriber in liveness.subscribers)
         if liveness.missed_probes == WEAK_PROOF_PROBES or ends:
--- a/hawthornlead/gateway/target_paths.py
+++ b/hawthornlead/gateway/target_paths.py
@@ -102,9 +102,14 @@
         if reachability is None:
             return False
         if reachability.is_doubtful and not reachability.unreachable:
-            await asyncio.shield(self._check(service))
+            await self.check(service)
         return reachability.unreachable
 
+    async def check(self, service: str) -> bool:
+        """Check a service by new connections; return whether it is unreachable."""
+        await asyncio.shield(self._check(service))
+        return self.is_unreachable(service)
+
     def suspect(self, service: str) -> None:
         """Check a service because one of its targets seems to be gone."""
         if not self.is_unreachable(service):
--- a/hawthornlead/tests/test_cut_paths.py
+++ b/hawthornlead/tests/test_cut_paths.py
@@ -7,6 +7,8 @@
 
 # The platform judges a cut VM from this long after the cut began.
 JUDGED_AFTER_S = 3.0
+# Longer than the silence after which a target is probed.
+PAUSE_S = 1.0
 # More requests at a time need more connections than were open before the cut.
 FEW, MANY = 2, 12
 
@@ -47,6 +49,25 @@
     assert set(await statuses_behind(Cut.RESET)) == {200}
 
 
+async def test_a_request_goes_on_where_its_connection_lives_and_new_ones_are_refused():
+    """Guards against the loss of a run because a probe of its target is refused."""
+    async with Deployment() as deployment:
+        await ask_all(deployment, FEW)
+        targets = deployment.engines + deployment.plains
+        for target in targets:
+            target.ran.clear()
+        async with cut_paths(deployment.gateways[0], targets, Cut.NO_NEW):
+            for target in targets:
+                target.silent = True
+            asking = asyncio.create_task(deployment.ask("/unsafe/x"))
+            await asyncio.sleep(PAUSE_S)
+            for target in targets:
+                target.silent = False
+            answer = await asking
+        assert (answer.status, answer.whole) == (200, True)
+        assert sum(len(target.ran) for target in targets) == 1
+
+
 async def test_callers_are_served_by_a_vm_that_can_open_no_target_connection():
     """Guards against a VM that serves only on the connections that it still has."""
     assert set(await statuses_behind(Cut.NO_NEW)) == {200}
--- a/hawthornlead/tests/test_loss_detectors.py
+++ b/hawthornlead/tests/test_loss_detectors.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from unittest.mock import Mock
+from unittest.mock import AsyncMock, Mock
 
 from prometheus_client import CollectorRegistry
 
@@ -303,7 +303,7 @@
             probes=self.probes,
             connections=Mock(),
             healths=TargetHealths(timers=self.timers),
-            paths=Mock(),
+            paths=Mock(check=AsyncMock(return_value=False)),
             timers=self.timers,
             events=Mock(),
             metrics=GatewayMetrics(CollectorRegistry()),
