Keep brittle targets from refusing more than they bear

A new contract: the engines of a service may be brittle and say how many refusals a second they bear, of all VMs together; one that must refuse more falls over. What callers saw in the test, three VMs with 80 requests a second for two targets that do 40: 37 falls in 4 s, 2 allowed.

Each refusal for want of room is told to all VMs at once. The rest goes to another target, or is refused at once with when to come back. Where no target is brittle nothing changes.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -134,6 +134,12 @@
         "INFO",
         "this VM can connect to targets of a service again",
     )
+    SERVICE_BRITTLE = (
+        538,
+        "WARNING",
+        "targets of a service say that they fall over if they must refuse more",
+    )
+    SERVICE_NOT_BRITTLE = (539, "INFO", "targets of a service are no longer brittle")
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -18,6 +18,7 @@
 from ..fleet.fleet_meshes import FleetMesh
 from ..fleet.registered_orders import RegisteredOrder
 from ..mesh.sparse_peers import SparsePeerMesh
+from .brittle_targets import BrittleTargets
 from .crash_watches import CrashWatch
 from .engine_calls import EngineCalls
 from .engine_managers import EngineManager
@@ -91,6 +92,7 @@
         loss_detector: LossDetector,
         limits: TargetLimits,
         backoffs: TargetBackoffs,
+        brittle: BrittleTargets,
         leaving_notices: LeavingNotices,
         run_times: RunTimes,
         quotas: QuotaLedger,
@@ -112,6 +114,7 @@
         self.loss_detector = loss_detector
         self.limits = limits
         self.backoffs = backoffs
+        self.brittle = brittle
         self.leaving_notices = leaving_notices
         self.run_times = run_times
         self.quotas = quotas
@@ -260,6 +263,11 @@
 ) -> GatewayParts:
     """Build the parts that serve the requests of callers."""
     timers, mesh = core.timers, coordination.mesh
+
+    def vms() -> int:
+        """Return how many VMs share what targets accept."""
+        return coordination.memberships.registered_order.count or ASSUMED_VMS
+
     suspects = Suspects(
         settings=core.settings, timers=timers, events=core.events, mesh=mesh
     )
@@ -287,7 +295,7 @@
         rng=core.rng,
         events=core.events,
         mesh=mesh,
-        vms=lambda: coordination.memberships.registered_order.count or ASSUMED_VMS,
+        vms=vms,
         incarnation=known.targets.incarnation,
     )
     metrics.add_gauge(
@@ -295,7 +303,18 @@
         "Targets that name a limit of requests a second",
         lambda: len(limits.named),
     )
-    backoffs = TargetBackoffs(timers=timers, events=core.events)
+    brittle = BrittleTargets(
+        targets=known.targets,
+        loads=known.loads,
+        timers=timers,
+        rng=core.rng,
+        events=core.events,
+        mesh=mesh,
+        vms=vms,
+    )
+    backoffs = TargetBackoffs(
+        timers=timers, events=core.events, wait_for_room_s=brittle.wait_s
+    )
     run_times = RunTimes()
     placer = Placer(
         data_centre=core.settings["DATA_CENTRE"],
@@ -318,12 +337,14 @@
         placer.discard(former.target)
         limits.discard(former.target)
         backoffs.discard(former.target)
+        brittle.discard(former.target)
         crash_watch.on_restarted(former)
 
     known.targets.subscribe_restarts(discard_former)
     known.targets.subscribe(lambda lost, _: placer.discard(lost.target))
     known.targets.subscribe(lambda lost, _: limits.discard(lost.target))
     known.targets.subscribe(lambda lost, _: backoffs.discard(lost.target))
+    known.targets.subscribe(lambda lost, _: brittle.discard(lost.target))
     return GatewayParts(
         core=core,
         metrics=metrics,
@@ -340,6 +361,7 @@
         loss_detector=loss_detector,
         limits=limits,
         backoffs=backoffs,
+        brittle=brittle,
         leaving_notices=LeavingNotices(targets=known.targets, mesh=mesh),
         run_times=run_times,
         quotas=coordination.quotas,
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -20,6 +20,8 @@
 # A target whose stream is silent for this long is slow or unreachable: it counts as a
 # failure of the target.
 SILENCE_TIMEOUT_S = 1.2
+# A target that has no room for a request answers with this status.
+UNAVAILABLE_STATUS = 503
 
 
 class AttemptOutcome(Enum):
@@ -325,6 +327,9 @@
             self._parts.leaving_notices.handle(entry.incarnation)
         limit_per_s = head.signs.limit_per_s
         self._parts.limits.record_answer(entry.incarnation, limit_per_s, sent_at)
+        self._parts.brittle.record_answer(entry, head.signs.refusals_per_s, sent_at)
+        if head.signs.not_run and head.status == UNAVAILABLE_STATUS:
+            self._parts.brittle.record_refusal(entry)
 
     def _count_failure(self, entry: TargetEntry, gone: bool = False) -> None:
         """Count a failure against a target, unless it was of a former incarnation.
--- a/hawthornlead/gateway/target_loads.py
+++ b/hawthornlead/gateway/target_loads.py
@@ -70,6 +70,10 @@
         """This VM's requests on all targets."""
         return sum(self._own.values())
 
+    def own_on(self, target: str) -> int:
+        """Return this VM's requests on a target."""
+        return self._own.get(target, 0)
+
     def on_request_started(self, target: str, key: AdapterKey | None) -> None:
         """Count a request that is sent to a target now."""
         self._own[target] += 1
--- a/hawthornlead/messages/gateways.py
+++ b/hawthornlead/messages/gateways.py
@@ -310,6 +310,20 @@
     started_ms: int | None = None
 
 
+@message("target-full")
+class TargetFull(NamedTuple):
+    """A brittle target refused a request of the sender for want of room.
+
+    It had about ``running`` other requests of all VMs, and bears ``allowed_per_s``
+    refusals a second, of all VMs together.
+    """
+
+    target: str
+    running: int
+    allowed_per_s: float
+    started_ms: int | None = None
+
+
 @message("relayed-until")
 class RelayHeartbeat(NamedTuple):
     """The kinds that a relay confirms up to date: it has forwarded all it saw."""
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -20,6 +20,7 @@
 RETRY_AFTER = "Retry-After"
 LIMIT = "Server-Limit"
 LEAVING = "Server-Leaving"
+BRITTLE = "Server-Brittle"
 MODEL = "Model"
 TOKENS = "Token-Usage"
 LENGTH_HINT = "Length-Hint"
@@ -73,7 +74,8 @@
     ``limit_per_s`` is how many requests a second the target accepts from all VMs
     together, None if unlimited. A ``leaving`` target accepts no new work.
     ``backoff_s`` is how long a target that refused a request asks this VM to send
-    nothing more, 0 if it doesn't say.
+    nothing more, 0 if it doesn't say. ``refusals_per_s`` is how many refusals for want
+    of room a brittle target bears in a second, None if it isn't brittle.
     """
 
     request_id: str
@@ -85,6 +87,7 @@
     limit_per_s: float | None = None
     leaving: bool = False
     backoff_s: float = 0.0
+    refusals_per_s: float | None = None
 
 
 def read_caller_request(headers: HTTPHeaders) -> CallerRequest:
@@ -189,6 +192,7 @@
         limit_per_s=_parse_amount(headers.get(LIMIT)),
         leaving=headers.get(LEAVING, "").strip() == "1",
         backoff_s=_backoff_s(status, headers),
+        refusals_per_s=_parse_amount(headers.get(BRITTLE)),
     )
 
 
--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -17,6 +17,7 @@
 EVENTS = 4
 EVENT_S = 0.01
 LOAD_S = 0.05
+NOT_RUN = "Not-Executed"
 BORN_MS = 1_790_000_000_000
 
 
@@ -33,7 +34,9 @@
     that it tells, None for a platform that tells none. ``late_orders`` of the next
     orders are kept unanswered in ``kept_orders``, for ``carry_out_kept``. All its
     answers carry the headers ``notices``; ``arrivals`` are the moments at which
-    requests reached it.
+    requests reached it. A plain target works ``work_s`` on each request and has no
+    ``room`` for more than so many; ``refusals`` are the moments at which it refused one
+    for that.
     """
 
     def __init__(self, target: str, service: str, model: str = "", slots: int = 3):
@@ -66,6 +69,10 @@
         self.report_to_any = False
         self.notices: dict[str, str] = {}
         self.arrivals: list[float] = []
+        self.work_s = 0.0
+        self.room: int | None = None
+        self.working = 0
+        self.refusals: list[float] = []
 
     def start(self, port: int = 0) -> None:
         """Listen on a port, or on one that the system chooses."""
@@ -207,11 +214,13 @@
         if adapter and adapter not in self.adapters:
             self._answer(call, 421, b"", {"Request-Id": request_id})
             return
+        if self.room is not None and self.working >= self.room:
+            self.refusals.append(asyncio.get_running_loop().time())
+            self._answer(call, 503, b"", {"Request-Id": request_id, NOT_RUN: "1"})
+            return
         fault = self.faults.popleft() if self.faults else ""
         if fault == "refuse":
-            self._answer(
-                call, 503, b"", {"Request-Id": request_id, "Not-Executed": "1"}
-            )
+            self._answer(call, 503, b"", {"Request-Id": request_id, NOT_RUN: "1"})
             return
         self.ran.append(request_id)
         self.headers.append(call.headers)
@@ -235,6 +244,9 @@
     async def _answer_request(self, call: CallerCall, request_id: str, fault: str):
         sealed = {"Request-Id": request_id, "Server-Seal": f"seal-{self.target}"}
         if not self._model:
+            self.working += 1
+            await asyncio.sleep(self.work_s)
+            self.working -= 1
             status = 500 if fault == "fail" else 200
             body = f"{self.target} {call.method} {call.path}".encode()
             self._answer(call, status, body + call.body, sealed)
