--- a/hawthornlead/tests/soak_gateway_bounds.py
+++ b/hawthornlead/tests/soak_gateway_bounds.py
@@ -3,7 +3,15 @@
 from collections import defaultdict
 
 from .soak_gateway_judges import BROKE_OFF, SLACK_S, Case, judge
-from .soak_gateway_records import CONTACT_S, STORE, Run, Sent, Stopped, Written
+from .soak_gateway_records import (
+    CONTACT_S,
+    CUT_FROM_TARGETS,
+    STORE,
+    Run,
+    Sent,
+    Stopped,
+    Written,
+)
 from .soak_judges import Verdict
 
 VERSION_S = 5.0
@@ -12,6 +20,11 @@
 LOSS_SLACK_S = 0.2
 LOST_AT_MOST = 3
 LEFT_S = 0.5
+# VMs without paths to targets serve this share of what the others serve, or fail no
+# more requests than these and this share of all.
+SERVED_SHARE = 2 / 3
+FAILED_AT_MOST, FAILED_SHARE = 10, 1 / 50
+SERVED_KINDS = frozenset(("safe", "unsafe", "stream", "resume"))
 
 
 @judge("configuration-in-force")
@@ -162,3 +175,42 @@
             if (run.ended_at or float("inf")) > end + LEFT_S + SLACK_S:
                 broken.append(f"{sent.vm}: {run.seal} works on for {sent.request_id}")
     return Verdict(exercised, tuple(broken) if 4 * len(broken) > exercised else ())
+
+
+@judge("served-behind-cuts")
+def served_behind_cuts(case: Case) -> Verdict:
+    """RECOVER: VMs that reach no target serve their callers as the others do."""
+    exercised, broken = 0, []
+    cuts = [each for each in case.journal.troubles if each.fault == CUT_FROM_TARGETS]
+    cut_vms = {each.subject.partition(">")[0] for each in cuts}
+    for cut in cuts:
+        vm, _, path = cut.subject.partition(">")
+        begin = cut.begun_at + CONTACT_S
+        if path != "targets" or case.troubled(vm, cut.begun_at, cut.ended_at):
+            continue
+        sent = [
+            each
+            for each in case.journal.sent
+            if each.kind in SERVED_KINDS
+            and each.outcome != "left"
+            and begin <= each.sent_at
+            and each.ended_at <= cut.ended_at
+        ]
+        behind = [each for each in sent if each.vm == vm]
+        if not behind:
+            continue
+        exercised += 1
+        others = [each for each in sent if each.vm not in cut_vms]
+        served = _served(behind)
+        fails = len(behind) - served > FAILED_AT_MOST + FAILED_SHARE * len(sent)
+        share = SERVED_SHARE * _served(others) / max(1, len(others))
+        if fails and served < share * len(behind):
+            broken.append(
+                f"{vm}: served {served} of {len(behind)} without paths to targets, "
+                f"the others {_served(others)} of {len(others)}"
+            )
+    return Verdict(exercised, tuple(broken))
+
+
+def _served(sent: list[Sent]) -> int:
+    return sum(each.outcome == "whole" and each.status == 200 for each in sent)
--- a/hawthornlead/tests/soak_gateway_fleet.py
+++ b/hawthornlead/tests/soak_gateway_fleet.py
@@ -52,6 +52,7 @@
         self.callers, self.peers, self.metrics, self.ready, self.directory = (
             _free_address(self.host) for _ in range(5)
         )
+        self.relays = _free_address(self.host)
         self.mesh: Link | None = None
         self.process: asyncio.subprocess.Process | None = None
         # Set while the soak itself ends the process.
@@ -174,6 +175,7 @@
                 "data_centre": DATA_CENTRES[vm.number % 3],
                 "caller_address": vm.callers,
                 "peer_address": vm.peers,
+                "relay_address": vm.relays,
                 "metrics_address": vm.metrics,
                 "ready_address": vm.ready,
                 "directory_address": vm.directory,
--- a/hawthornlead/tests/soak_gateway_paths.py
+++ b/hawthornlead/tests/soak_gateway_paths.py
@@ -3,13 +3,15 @@
 import asyncio
 
 from .soak_gateway_faults import fault, vm_fault
-from .soak_gateway_records import STORE
+from .soak_gateway_records import CUT_FROM_TARGETS, STORE
 from .soak_gateway_world import GatewayWorld
 from .soak_links import Path
 from .standins.troubled_store import Fare
 
 CUT_S = (0.8, 2.0, 5.0, 8.0)
 DELAY_S = 0.25
+# Twice as long as it takes until such a VM is judged.
+CUT_FROM_TARGETS_S = 6.0
 
 
 def _store_fares(name: str, fare: Fare, holds: tuple, share: float = 1.0) -> None:
@@ -113,6 +115,24 @@
         await _cut([path], world.rng.choice(CUT_S), not back, back)
 
 
+@fault(CUT_FROM_TARGETS, first=True)
+async def vms_cut_from_targets(world: GatewayWorld) -> None:
+    """Two VMs reach no target; store, VMs and callers reach them as before."""
+    vms = world.any_vms(2)
+    if not vms:
+        return
+    world.injected[CUT_FROM_TARGETS] += 1
+    links = tuple(world.fleet.target_links)
+    paths = [world.fleet.target_path(vm, link) for vm in vms for link in links]
+    subjects = [f"{vm}>targets" for vm in vms]
+    subjects += [f"{vm}>{target}" for vm in vms for target in world.targets]
+    with world.journal.trouble(CUT_FROM_TARGETS, *subjects), world.asked(vms[0]):
+        if world.rng.random() < 0.5:
+            for path in paths:
+                path.reset()
+        await _cut(paths, CUT_FROM_TARGETS_S)
+
+
 @vm_fault("connections-silent", linked=True)
 async def connections_silent(world: GatewayWorld, vm: str) -> bool:
     """The open connections of a VM go silent for good; new ones work."""
--- a/hawthornlead/tests/soak_gateway_records.py
+++ b/hawthornlead/tests/soak_gateway_records.py
@@ -124,6 +124,9 @@
     planned: bool = False
 
 
+# The fault by which VMs lose their paths to all targets, and what it names as hurt is
+# "VM>targets".
+CUT_FROM_TARGETS = "vms-cut-from-targets"
 # The trouble of a VM whose process ended by itself, until it runs again.
 ENDED_BY_ITSELF = "ended-by-itself"
 
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -6,6 +6,7 @@
 from hawthornlead.tests.soak_gateway_faults import GATEWAY_DECK
 from hawthornlead.tests.soak_gateway_judges import GATEWAY_JUDGES, Case
 from hawthornlead.tests.soak_gateway_records import (
+    CUT_FROM_TARGETS,
     ENDED_BY_ITSELF,
     STORE,
     Arrival,
@@ -96,6 +97,17 @@
     return made
 
 
+def behind_cut(name, vm, **changes):
+    """Return a request that was sent while vm-1 had no paths to targets."""
+    return sent("safe", name, vm=vm, sent_at=303.5, ended_at=303.6, **changes)
+
+
+def behind_cuts(count, **changes):
+    """Return requests to a VM without paths, beside one that another VM served."""
+    asked = [behind_cut(f"b{n}", "vm-1", **changes) for n in range(count)]
+    return more_sent(behind_cut("b-other", "vm-2"), *asked)
+
+
 def journal(**changes):
     """Return the journal of a run in which every rule was kept and tested."""
     resumed = sent("resume", "r3")
@@ -116,6 +128,9 @@
     made.arrivals = [arrival(103.5, "limit")]
     made.stopped = [Stopped("vm-1", 7, 100.1, 104.0, 0)]
     made.probes = [Probe("vm-1", "safe", True, "")]
+    made.troubles = [Trouble(CUT_FROM_TARGETS, "vm-1>targets", 300.0, 306.0)]
+    made.sent.append(behind_cut("r10", "vm-1"))
+    made.runs.append(run(made.sent[-1]))
     for name, value in changes.items():
         setattr(made, name, value)
     return made
@@ -235,6 +250,7 @@
     ("limits-kept", arrived(*[arrival(104.0, "limit")] * 18)),
     ("leaving-answers-heeded", arrived(arrival(103.1, "leaving"))),
     ("rest-given", arrived(*[arrival(101.0, "rest")] * 3)),
+    ("served-behind-cuts", behind_cuts(20, outcome="refused", status=503)),
 ]
 
 # What the pages allow, though it looks like one of the above.
@@ -278,6 +294,8 @@
     ("leaving-answers-heeded", arrived(arrival(103.1, "leaving", name="r1"))),
     ("rest-given", arrived(*[arrival(101.0, "rest")] * 2)),
     ("rest-given", arrived(*[arrival(100.5, "rest")] * 3)),
+    ("served-behind-cuts", behind_cuts(10, outcome="refused", status=503)),
+    ("served-behind-cuts", behind_cuts(20, outcome="left", status=0)),
 ]
 
 
@@ -315,6 +333,7 @@
     wanted |= {"engine-restarts-after-order", "target-dark", "target-hangs"}
     wanted |= {"answers-lost", "orders-late", "target-drains", "entry-lapses"}
     wanted |= {"target-names-limit", "target-says-it-leaves", "target-asks-for-rest"}
+    wanted |= {CUT_FROM_TARGETS}
     wanted |= {"entry-unreadable", "address-reused", "versions-named"}
     assert wanted <= set(GATEWAY_DECK.faults)
 
