--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -74,6 +74,7 @@
         self._rng = rng
         self._refreshed_at: float | None = None
         self._recently_seen: frozenset[str] = frozenset()
+        self._unreaching: frozenset[str] = frozenset()
         self._seen_after = 0.0
         self._large = False
         self._live: tuple[str, ...] = ()
@@ -232,13 +233,11 @@
                 vms.append(peer.vm)
         return tuple(reaching or others)
 
-    def unreaching(self) -> set[str]:
+    def unreaching(self) -> frozenset[str]:
         """Return the live VMs that reach no target of some service."""
-        unreaching = set() if self._reaches_targets else {self.vm}
-        for peer in self._mesh.live:
-            if peer.heartbeat is not None and not peer.heartbeat.reaches_targets:
-                unreaching.add(peer.vm)
-        return unreaching
+        self._refresh()
+        own = () if self._reaches_targets else (self.vm,)
+        return self._unreaching.union(own)
 
     def order_for(self, key: str) -> list[str]:
         """Return the live VMs in the rendezvous order of a key, same on all VMs."""
@@ -320,6 +319,13 @@
         self._recently_seen = frozenset(
             [peer.vm for peer in peers if peer.last_seen_at >= seen_after]
         )
+        self._unreaching = frozenset(
+            [
+                peer.vm
+                for peer in peers
+                if peer.heartbeat is not None and not peer.heartbeat.reaches_targets
+            ]
+        )
         names = [] if self._record.leaving else [self.vm]
         names += [peer.vm for peer in peers if self._is_live(peer)]
         if tuple(names) != self._live:
