--- a/hawthornlead/tests/soak_gateway_bounds.py
+++ b/hawthornlead/tests/soak_gateway_bounds.py
@@ -134,6 +134,9 @@
     for run in runs:
         if run.outcome in BROKE_OFF or case.troubled(run.target, begin, end):
             return False
+        if case.troubled(run.vm, begin, end, planned=False):
+            # It came there by another VM, which didn't live to pass the answer back.
+            return False
     in_last_sixth = end > stop.asked_at + GRACE_S * 5 / 6
     return not (runs and in_last_sixth and sent.sent_at < stop.asked_at + 3.0)
 
@@ -153,6 +156,7 @@
         sound = not any(
             run.outcome in BROKE_OFF
             or case.troubled(run.target, begin - CONTACT_S, end)
+            or case.troubled(run.vm, begin - CONTACT_S, end, planned=False)
             for run in runs
         )
         if sound:
--- a/hawthornlead/tests/soak_gateway_paths.py
+++ b/hawthornlead/tests/soak_gateway_paths.py
@@ -133,7 +133,8 @@
         if world.rng.random() < 0.5:
             for path in paths:
                 path.reset()
-        await _cut(paths, CUT_FROM_TARGETS_S)
+        with world.fleet.refused_by_targets(*vms):
+            await _cut(paths, CUT_FROM_TARGETS_S)
 
 
 @vm_fault("connections-silent", linked=True)
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -243,6 +243,13 @@
     ("leaving-targets-left", away_run()),
     ("stops-cut-nothing", of_kind(outcome="broken", status=0, ended_at=101.0)),
     ("stops-cut-nothing", more_sent(cut("r7", sent_at=100.2, ended_at=100.9))),
+    (
+        "stops-cut-nothing",
+        troubled(
+            of_kind("unsafe", {"vm": "vm-2"}, outcome="broken", status=0, ended_at=101),
+            ("vm-terminated", "vm-2", 100.5, 100.9, True),
+        ),
+    ),
     ("stops-cut-nothing", journal(stopped=[Stopped("vm-1", 7, 100.1, 104.0, 1)])),
     ("stops-cut-nothing", journal(stopped=[Stopped("vm-1", 7, 100.1, 109.0, 0)])),
     ("kept-to-the-end", cuts(4)),
@@ -287,6 +294,13 @@
         "stops-cut-nothing",
         more_sent(cut("r7", sent_at=100.2, ended_at=100.3)),
     ),
+    (
+        "stops-cut-nothing",
+        troubled(
+            of_kind("unsafe", {"vm": "vm-2"}, outcome="broken", status=0, ended_at=101),
+            ("all-vms-killed", "vm-2", 100.5, 100.9),
+        ),
+    ),
     ("kept-to-the-end", cuts(3)),
     ("limits-kept", arrived(*[arrival(104.0, "limit", "vm-2")] * 18)),
     ("limits-kept", arrived(*[arrival(100.5, "limit")] * 18)),
