--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -341,9 +341,19 @@
         self._owners = frozenset()
 
     def entry_addresses(self) -> tuple[str, ...]:
-        """Return the addresses for callers to connect to, in random order."""
-        addresses = [self._record.caller_address] if self.serving else []
-        addresses += [record.caller_address for _, record in self._entry_vms()]
+        """Return the addresses for callers to connect to, in random order.
+
+        VMs that reach no target relay requests to others, so they are left out unless
+        there are no others.
+        """
+        reaching, others = [], []
+        if self.serving:
+            addresses = reaching if self._reaches_targets else others
+            addresses.append(self._record.caller_address)
+        for peer, record in self._entry_vms():
+            addresses = reaching if peer.heartbeat.reaches_targets else others
+            addresses.append(record.caller_address)
+        addresses = reaching or others
         self._rng.shuffle(addresses)
         return tuple(addresses[:MAX_ADDRESSES])
 
--- a/hawthornlead/tests/test_request_relays.py
+++ b/hawthornlead/tests/test_request_relays.py
@@ -9,6 +9,7 @@
 from .gateways import MODEL, Deployment, ask, configuration, route
 
 KEY = "6msvcus9h44hg6vx2neb"
+RESOLVE = "/v1/resolve?name=office.example&zone=gijon"
 
 
 @asynccontextmanager
@@ -44,6 +45,13 @@
     return [headers for target in targets for headers in target.headers]
 
 
+async def named_by(deployment: Deployment, vm: int) -> str:
+    """Return the body of a VM's answer with the addresses for callers."""
+    address = deployment.settings[vm]["DIRECTORY_ADDRESS"]
+    headers = {"Host": "x", "Connection": "close"}
+    return (await ask(address, "GET", RESOLVE, headers)).body.decode()
+
+
 async def test_body_seal_and_events_of_a_relayed_answer_are_the_targets():
     async with Deployment() as deployment, unreaching(deployment):
         unsafe = await deployment.ask("/unsafe/x?y=1", body=b" a body")
@@ -122,6 +130,9 @@
         assert answer.status == 503
         assert "Retry-After" in answer.headers
         assert not runs(deployment)
+        addresses = await named_by(deployment, 0)
+        for settings in deployment.settings:
+            assert settings["CALLER_ADDRESS"] in addresses
 
 
 async def test_a_vm_that_finds_itself_cut_off_too_leaves_a_request_to_a_third():
@@ -206,3 +217,17 @@
         return admit(name, cost)
 
     gateway._parts.quotas.admit = noted
+
+
+async def test_the_directory_names_no_vm_without_paths_to_targets():
+    async with Deployment() as deployment:
+        mine = deployment.settings[0]["CALLER_ADDRESS"]
+        others = deployment.settings[1]["CALLER_ADDRESS"]
+        async with unreaching(deployment):
+            for vm in (0, 1):
+                while mine in await named_by(deployment, vm):
+                    await asyncio.sleep(0.02)
+                assert others in await named_by(deployment, vm)
+        for vm in (0, 1):
+            while mine not in await named_by(deployment, vm):
+                await asyncio.sleep(0.02)
