--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -1,4 +1,10 @@
-"""Relaying of one request to another VM, and of that VM's answer to the caller."""
+"""Relaying of one request to another VM, and of that VM's answer to the caller.
+
+::
+
+    relay = RequestRelay(parts, call, request, stream, reporter, deadline_at)
+    outcome = await relay.run(route, "bulletins")
+"""
 
 import asyncio
 
--- a/hawthornlead/gateway/vm_relays.py
+++ b/hawthornlead/gateway/vm_relays.py
@@ -1,10 +1,12 @@
-"""Relaying of a request to another VM, when this VM reaches no target of its service.
+"""The VMs to which a VM relays requests, and what passes between the two.
 
-The other VM serves the request as one of its own callers': it checks the key, charges
-the quota, places the request and sends it. It relays none further. If it can't take the
-request it says so, and another VM is asked. Any other answer of it is final::
+A VM that reaches no target of a service has another VM serve its requests. That one
+treats a request as one of its own callers': it checks the key, charges the quota,
+places the request and sends it. It relays none further. If it can't take the request it
+says so, and another VM is asked. Any other answer of it is final::
 
-    outcome = await relay.run(route)
+    vm = relay_vms.choose("bulletins", tried=set())
+    opened = await relay_vms.connections.open(relay_vms.address(vm))
 """
 
 from enum import Enum
