--- a/hawthornlead/gateway/loss_detectors.py
+++ b/hawthornlead/gateway/loss_detectors.py
@@ -192,7 +192,8 @@
             return
         liveness.on_missed_probe(started_at)
         if liveness.missed_probes < LONG_SILENCE_PROBES:
-            # A refusal comes at once, and yet the silence must last.
+            # A refused connection fails at once. Without the pause several of them
+            # would count as a long silence within milliseconds.
             liveness.next_probe_at = max(now, started_at + PROBE_TIMEOUT_S)
         liveness.others_answer = self._others_answered(liveness)
         ends = any(subscriber.would_be_lost for subscriber in liveness.subscribers)
--- a/hawthornlead/gateway/ownerships.py
+++ b/hawthornlead/gateway/ownerships.py
@@ -124,6 +124,7 @@
         if self._memberships.leaving:
             return False
         order = self._memberships.owners_for(target)
+        # VMs that reach no target couldn't order it. They count if there are no others.
         unreaching = self._memberships.unreaching()
         order = [vm for vm in order if vm not in unreaching] or order
         if self._memberships.vm not in order:
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -218,7 +218,7 @@
                 return
 
     def _relays(self, service: str) -> bool:
-        """Whether the request is to be relayed before it is sent from here."""
+        """Whether the request goes to another VM first, which happens once at most."""
         return self._may_relay and self._parts.paths.is_unreachable(service)
 
     async def _is_relayed(self, route: Route, service: str) -> bool:
--- a/hawthornlead/messages/sessions.py
+++ b/hawthornlead/messages/sessions.py
@@ -34,9 +34,8 @@
 class Heartbeat(NamedTuple):
     """Sent on every connection each second, and whenever its content changes.
 
-    ``staged_seq`` is 0 when no staged bundle is acknowledged and undecided. A VM that
-    can't connect to any target of some service says that it doesn't
-    reach targets.
+    ``staged_seq`` is 0 when no staged bundle is acknowledged and undecided.
+    ``reaches_targets`` is False while the VM can't connect to any target of a service.
     """
 
     in_force_seq: int
