--- a/hawthornlead/gateway/records.py
+++ b/hawthornlead/gateway/records.py
@@ -232,6 +232,7 @@
     """A target as it registers itself; it keeps its id when it restarts.
 
     ``started_ms`` is the Unix millisecond of its start, None if it doesn't state it.
+    ``software`` is the version of the software that it runs, empty if unknown.
     """
 
     target: str
@@ -243,6 +244,7 @@
     leaves_in_s: float | None
     models: tuple[HeldModel, ...]
     started_ms: int | None = None
+    software: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
@@ -307,8 +309,9 @@
 
     ``deadline_ms`` is how long the caller waits, None if not stated; ``adapter`` is
     empty for a request to the base model. ``last_event`` is the last event that the
-    caller already has of an earlier, broken stream. ``key_digest`` is empty if the
-    caller sent no key, or an unreadable one.
+    caller already has of an earlier, broken stream, and ``resumes`` the id of the
+    request that brought its first event. ``key_digest`` is empty if the caller sent no
+    key, or an unreadable one.
     """
 
     request_id: str
@@ -321,6 +324,7 @@
     last_event: str
     key_digest: bytes = b""
     tells_tokens: bool = False
+    resumes: str = ""
 
 
 class StoredRecord(NamedTuple):
--- a/hawthornlead/gateway/request_reporters.py
+++ b/hawthornlead/gateway/request_reporters.py
@@ -54,6 +54,9 @@
             tries=placed.tries,
             turn_ms=None if placed.turn_s is None else round(1000 * placed.turn_s),
             after_ms=self._since_ms(self._call.arrived_at),
+            software=placed.entry.software,
+            resumes=self._request.resumes or None,
+            last=self._stream.last_event or self._request.last_event or None,
         )
 
     def relayed(self, vm: str, service: str, outcome: RelayOutcome) -> None:
--- a/hawthornlead/gateway/target_tables.py
+++ b/hawthornlead/gateway/target_tables.py
@@ -168,6 +168,7 @@
                 draining=entry.draining,
                 leaves_in_s=entry.leaves_in_s,
                 revision=record.revision,
+                software=entry.software,
             )
         if known is not None and known.service != entry.service:
             self._by_service[known.service].pop(entry.target, None)
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -16,6 +16,7 @@
 SEAL = "Server-Seal"
 TARGET_ID = "Instance-Id"
 LAST_EVENT = "Last-Event-Id"
+RESUMES = "Resumes"
 PRIORITY = "Request-Priority"
 RETRY_AFTER = "Retry-After"
 LIMIT = "Server-Limit"
@@ -107,6 +108,7 @@
         last_event=headers.get(LAST_EVENT, ""),
         key_digest=read_key_digest(headers),
         tells_tokens=_is_whole_number(prompt) and _is_whole_number(limit),
+        resumes=headers.get(RESUMES, ""),
     )
 
 
--- a/hawthornlead/platform/targets.py
+++ b/hawthornlead/platform/targets.py
@@ -78,7 +78,6 @@
 def _entry(record: StoredRecord) -> TargetEntry:
     body = mapping(record.spec or record.status, "the entry")
     # These are not used, but an entry without them was not written by the target.
-    text(body, "version")
     whole_number(body, "seq")
     number(body, "coldRemainingMs")
     leaves_ms = None
@@ -94,6 +93,7 @@
         leaves_in_s=None if leaves_ms is None else leaves_ms / 1000,
         models=_models(body),
         started_ms=_started_ms(body),
+        software=text(body, "version"),
     )
 
 
