--- a/hawthornlead/tests/gateways.py
+++ b/hawthornlead/tests/gateways.py
@@ -76,6 +76,7 @@
             route("unsafe", "/unsafe/", "plain", "unsafe"),
             route("stream", "/stream/", "llm", "streaming"),
             route("resume", "/resume/", "llm", "streaming", attempts=2, resumable=True),
+            route("once", "/once/", "llm", "streaming", resumable=True),
             *extra,
         ],
         "services": [
@@ -87,13 +88,20 @@
 
 
 class Deployment:
-    """A store, two engines, two plain targets, and VMs."""
+    """A store, two engines, two plain targets, and VMs.
 
-    def __init__(self, vms: int = 2):
+    There is an engine for each of the ``software`` versions.
+    """
+
+    def __init__(self, vms: int = 2, software: tuple[str, ...] = ("v1", "v1")):
         self._vms = vms
         self._ids = itertools.count(1)
         self.store = PlatformStore()
-        self.engines = [PlatformEngine(f"e{n}", "llm", MODEL) for n in (1, 2)]
+        self.engines = []
+        for number, version in enumerate(software, 1):
+            engine = PlatformEngine(f"e{number}", "llm", MODEL)
+            engine.software = version
+            self.engines.append(engine)
         self.plains = [PlatformEngine(f"p{n}", "plain") for n in (1, 2)]
         self.gateways: list[gateways.Gateway] = []
         self.settings: list[dict] = []
@@ -150,7 +158,8 @@
         """Whether a VM serves and knows who orders each engine."""
         targets = gateway._targets
         owned = all(targets.is_orderable(engine.target) for engine in self.engines)
-        return gateway._memberships.serving and owned and len(targets.entries) >= 4
+        known = len(targets.entries) >= len(self.engines + self.plains)
+        return gateway._memberships.serving and owned and known
 
     def owner_fence(self, target: str) -> int:
         """Return the fence under which an engine was claimed last."""
--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -36,7 +36,7 @@
     answers carry the headers ``notices``; ``arrivals`` are the moments at which
     requests reached it. A plain target works ``work_s`` on each request and has no
     ``room`` for more than so many; ``refusals`` are the moments at which it refused one
-    for that.
+    for that. Its entry states the ``software`` version, which ``restart`` may change.
     """
 
     def __init__(self, target: str, service: str, model: str = "", slots: int = 3):
@@ -72,6 +72,7 @@
         self.work_s = 0.0
         self.room: int | None = None
         self.working = 0
+        self.software = "v1"
         self.refusals: list[float] = []
 
     def start(self, port: int = 0) -> None:
@@ -85,9 +86,10 @@
         self._server.stop()
         await self._server.close_all_connections()
 
-    async def restart(self, *, moved: bool = False) -> None:
+    async def restart(self, *, moved: bool = False, software: str = "") -> None:
         """Start again under the same id, empty, at the same or another address."""
         await self.stop()
+        self.software = software or self.software
         port = 0 if moved else int(self.address.rpartition(":")[2])
         self.starts += 1
         if self.born is not None:
@@ -113,7 +115,7 @@
                 "service": self.service,
                 "address": self.address,
                 "zone": "gijon",
-                "version": "v1",
+                "version": self.software,
                 "slots": 4,
                 "state": state,
                 "coldRemainingMs": 0,
