--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -37,8 +37,8 @@
 from .records import StoredRecord
 from .request_forwards import RequestForward
 from .request_servers import RequestServer
+from .target_entries import effective_entry
 from .target_loads import TargetLoads
-from .target_tables import effective_entry
 from .vm_relays import pop_origin, refuse_relayed
 from .watchers import KindWatcher
 
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -11,6 +11,7 @@
 
 from ..errors import ErrorKind, Failure
 from ..platform.headers import read_caller_request
+from .attempt_outcomes import UNRUN_OUTCOMES, AttemptOutcome
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
 from .placers import Placed, PlacementRequest
@@ -19,7 +20,7 @@
 from .request_reporters import RequestReporter
 from .routes import choose_service
 from .stream_relays import CallerStream
-from .target_attempts import MIN_REMAINING_S, AttemptOutcome, Attempts
+from .target_attempts import MIN_REMAINING_S, Attempts
 from .vm_relays import RelayOrigin, RelayOutcome, refuse_relayed
 from .workspaces import ranked
 
@@ -31,14 +32,6 @@
 STALE_RETRY_S = 0.3
 # Statuses that tell a caller that its request has not run and never will.
 UNRUN_STATUSES = frozenset((404, 429, 503))
-UNRUN_OUTCOMES = frozenset(
-    (
-        AttemptOutcome.UNREACHED,
-        AttemptOutcome.UNWANTED,
-        AttemptOutcome.REFUSED,
-        AttemptOutcome.TOO_EARLY,
-    )
-)
 
 
 class RequestForward:
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -1,9 +1,9 @@
 """Attempts: sending one request to one target, and the outcome for both of them."""
 
 import asyncio
-from enum import Enum
 
 from ..platform.headers import request_headers
+from .attempt_outcomes import AttemptOutcome, Unreached
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
 from .placers import Placed
@@ -24,30 +24,6 @@
 UNAVAILABLE_STATUS = 503
 
 
-class AttemptOutcome(Enum):
-    """The outcome of one attempt at one target."""
-
-    DONE = "done"
-    LEFT = "the caller left"
-    UNREACHED = "not reached"
-    UNWANTED = "not sent, the target wants no request"
-    REFUSED = "refused, not run"
-    TOO_EARLY = "refused, perhaps still loading"
-    FAILED = "failed by its target"
-    LOST = "may have run"
-    BROKEN = "broken off within the answer"
-    LATE = "the deadline passed"
-
-
-class Unreached(Enum):
-    """Why nothing was sent in an attempt whose target was not reached."""
-
-    REFUSED = "connection refused"
-    NO_CONNECTION = "no connection in time"
-    SILENT = "not tried, the target is silent"
-    GONE = "not tried, the target is gone"
-
-
 class Attempts:
     """The attempts of one request, each at a target that the placer chose.
 
--- a/hawthornlead/gateway/target_tables.py
+++ b/hawthornlead/gateway/target_tables.py
@@ -27,16 +27,6 @@
 LEAVING_TTL_S = 60.0
 
 
-def effective_entry(record: StoredRecord) -> tuple:
-    """Return an entry without its adapters and heartbeats, whose changes don't count.
-
-    The VM that orders an engine reports its adapters sooner than the entry does.
-    """
-    entry = read_target(record)
-    models = tuple([model.name for model in entry.models])
-    return entry._replace(models=models, leaves_in_s=entry.leaves_in_s is not None)
-
-
 class TargetTable:
     """Entries of targets, versions of adapters, and what the owners report.
 
--- a/hawthornlead/tests/following_vms.py
+++ b/hawthornlead/tests/following_vms.py
@@ -20,7 +20,8 @@
 from hawthornlead.gateway.memberships import VMS_KIND, Memberships
 from hawthornlead.gateway.records import VmRecord
 from hawthornlead.gateway.store_clients import StoreClient
-from hawthornlead.gateway.target_tables import TargetTable, effective_entry
+from hawthornlead.gateway.target_entries import effective_entry
+from hawthornlead.gateway.target_tables import TargetTable
 from hawthornlead.gateway.watch_relays import WatchRelays
 from hawthornlead.gateway.watchers import KindWatcher
 from hawthornlead.messages import Heartbeat
--- a/hawthornlead/tests/test_resumed_streams.py
+++ b/hawthornlead/tests/test_resumed_streams.py
@@ -74,7 +74,7 @@
 
 
 async def test_a_restarted_engine_is_not_known_by_its_former_software_version():
-    """Guards against a stream that is bound to the version of an engine's last start."""
+    """Guards against a stream bound to the version of an engine's former start."""
     async with Deployment(vms=2) as deployment:
         engine = deployment.engines[0]
         restarted_ms = engine.born + 1500
