Go on with a broken answer only at the software version that began it

What callers saw: one answer with events of two software versions, as an engine broke off and a VM went on at the engine with the least cost. Cause: nothing bound a stream to the version of its first events; only the targets that had been tried were excluded.

Now the first events that are forwarded bind the stream, and its further attempts are placed at targets of that version alone. The version is checked again before an attempt's first events are forwarded, since an engine may have restarted with other software under its id. Without a target of the version the answer is cut, at once.

Evidence: test_a_stream_goes_on_in_one_answer_at_the_version_that_began_it failed before, on the first stream.

--- a/hawthornlead/gateway/attempt_outcomes.py
+++ b/hawthornlead/gateway/attempt_outcomes.py
@@ -15,6 +15,7 @@
     FAILED = "failed by its target"
     LOST = "may have run"
     BROKEN = "broken off within the answer"
+    OTHER_SOFTWARE = "ran at another software version"
     LATE = "the deadline passed"
 
 
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -51,6 +51,8 @@
 # A request without a target after this time is refused: callers abandon a stream that
 # has not started after 2 to 3 s, and can retry elsewhere before then.
 PLACEMENT_TIMEOUT_S = 1.6
+# A target that crashed is replaced in some seconds, if at all.
+ABSENT_RETRY_S = 1.0
 # From the load order of an adapter to the first token: 0.28 s for the load and about
 # 0.1 s for the prompt, 0.2 s if prompts are waiting.
 START_S = 0.45
@@ -75,7 +77,10 @@
 
 
 class PlacementRequest(NamedTuple):
-    """A request that needs a target; ``excluded`` targets have been tried already."""
+    """A request that needs a target; ``excluded`` targets have been tried already.
+
+    Only targets that run the ``software`` version are used, of any version if None.
+    """
 
     route: Route
     service: str
@@ -83,6 +88,7 @@
     arrived_at: float
     deadline_at: float
     excluded: frozenset[str]
+    software: str | None = None
 
 
 class Placer:
@@ -137,7 +143,8 @@
             return Err(Failure(ErrorKind.NO_TARGET, "the service isn't known", 0.5))
         request = requested.request
         key = AdapterKey(request.model, request.adapter)
-        failure = Failure(ErrorKind.NO_TARGET, "no target can serve it now", 0.5)
+        software = requested.software
+        failure = self._no_target_failure(spec, software)
         place_until = min(
             self._timers.now() + PLACEMENT_TIMEOUT_S, requested.deadline_at
         )
@@ -145,14 +152,14 @@
         search = TargetSearch(
             excluded=requested.excluded,
             score=lambda excluded: self._scorer.score(
-                spec, key, excluded, prompt_share
+                spec, key, excluded | self._other_software(spec, software), prompt_share
             ),
             timers=self._timers,
         )
         while search.may_continue:
             slack_s = self._slot_due_at(requested) - self._timers.now()
             if not search.candidates:
-                return Err(self._backoff_refusal(spec) or failure)
+                return Err(self._backoff_refusal(spec, software) or failure)
             best = search.best(slack_s)
             if best is None:
                 return Err(failure._replace(retry_after_s=search.full_retry_s))
@@ -163,7 +170,7 @@
                 return Err(refusal)
             target = best.candidate.target
             entry = self._targets.entries.get(target)
-            if entry is None:
+            if entry is None or not entry.runs(software):
                 search.record_failure(target, _target_gone())
                 continue
             placed = Placed(
@@ -265,10 +272,29 @@
             started_ms = self._targets.incarnation(target).started_ms
             send(self._mesh, owner, AdapterMissing(target, *key, started_ms))
 
-    def _backoff_refusal(self, spec: ServiceSpec) -> Failure | None:
+    def _other_software(self, spec: ServiceSpec, software: str | None) -> set[str]:
+        """Return the targets of a service that don't run a software version."""
+        if software is None:
+            return set()
+        entries = self._targets.of_service(spec.name)
+        return {entry.target for entry in entries if not entry.runs(software)}
+
+    def _no_target_failure(self, spec: ServiceSpec, software: str | None) -> Failure:
+        """Return the refusal of a request that no usable target can serve."""
+        entries = self._targets.of_service(spec.name)
+        if software is None or any(entry.runs(software) for entry in entries):
+            return Failure(ErrorKind.NO_TARGET, "no target can serve it now", 0.5)
+        detail = f"no target runs software version {software or 'unknown'}"
+        return Failure(ErrorKind.NO_TARGET, detail, ABSENT_RETRY_S)
+
+    def _backoff_refusal(
+        self, spec: ServiceSpec, software: str | None
+    ) -> Failure | None:
         """Return a refusal if targets accept no requests from this VM now."""
         waits = []
         for entry in self._targets.of_service(spec.name):
+            if not entry.runs(software):
+                continue
             target = entry.target
             backoff_s = self._backoffs.wait_s(target)
             if backoff_s or self._limits.is_limited(target):
--- a/hawthornlead/gateway/records.py
+++ b/hawthornlead/gateway/records.py
@@ -251,6 +251,10 @@
         """The incarnation of the target that this entry describes."""
         return Incarnation(self.target, self.started_ms)
 
+    def runs(self, software: str | None) -> bool:
+        """Whether the target runs a software version; None stands for any."""
+        return software is None or (bool(software) and software == self.software)
+
 
 class EngineReport(NamedTuple):
     """The state that an engine reports; it lags some hundred milliseconds.
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -19,6 +19,7 @@
 from .request_relays import RequestRelay
 from .request_reporters import RequestReporter
 from .routes import choose_service
+from .stream_bindings import StreamBinding
 from .stream_relays import CallerStream
 from .target_attempts import MIN_REMAINING_S, Attempts
 from .vm_relays import RelayOrigin, RelayOutcome, refuse_relayed
@@ -47,6 +48,7 @@
         self._call = call
         self._request: CallerRequest = read_caller_request(call.headers)
         self._stream = CallerStream(call)
+        self._binding = StreamBinding(parts.targets)
         self._reporter = RequestReporter(parts, call, self._request, self._stream)
         self._deadline_at = 0.0
         self._excluded: set[str] = set()
@@ -118,6 +120,7 @@
             self._reporter,
             self._deadline_at,
             self._fingerprint(),
+            self._binding,
             workspace,
         )
         service = choose_service(route, self._parts.rng)
@@ -195,6 +198,7 @@
                 self._call.arrived_at,
                 self._deadline_at,
                 frozenset(self._excluded),
+                self._binding.software,
             )
             placed = await self._parts.placer.place(placement)
             if placed.is_err():
@@ -325,7 +329,7 @@
 
     def _resumes(self) -> bool:
         self._attempts.last_event = self._stream.last_event
-        return bool(self._attempts.last_event)
+        return bool(self._attempts.last_event) and self._binding.can_resume
 
     # Answers to the caller
 
--- a/hawthornlead/gateway/stream_relays.py
+++ b/hawthornlead/gateway/stream_relays.py
@@ -5,6 +5,9 @@
 the id of the last one.
 """
 
+import asyncio
+from collections.abc import Callable
+
 from ..platform.headers import answer_headers
 from .caller_calls import CallerCall
 from .target_connections import Head
@@ -51,11 +54,22 @@
 
 
 class StreamRelay:
-    """Relays one target's part of a stream; keeps an answer that isn't accepted."""
-
-    def __init__(self, stream: CallerStream, now):
+    """Relays one target's part of a stream; keeps an answer that isn't accepted.
+
+    ``may_begin`` is called once, before the first events are forwarded. If it returns
+    False, nothing is forwarded and ``refused`` is done.
+    """
+
+    def __init__(
+        self,
+        stream: CallerStream,
+        now: Callable[[], float],
+        may_begin: Callable[[], bool] = lambda: True,
+    ):
         self._stream = stream
         self._now = now
+        self._may_begin = may_begin
+        self.refused: asyncio.Future = asyncio.get_running_loop().create_future()
         self._buffer = bytearray()
         self.head: Head | None = None
         self.first_at: float | None = None
@@ -88,13 +102,16 @@
             self.longest_gap_s = max(self.longest_gap_s, now - self.active_at)
         self.active_at = now
         self._buffer += chunk
-        if not self.accepted:
+        if not self.accepted or self.refused.done():
             return
         end = self._buffer.rfind(EVENT_END)
         if end < 0 and len(self._buffer) < MAX_EVENT_BYTES:
             return
         cut = end + len(EVENT_END) if end >= 0 else len(self._buffer)
         if self.first_at is None:
+            if not self._may_begin():
+                self.refused.set_result(None)
+                return
             self.first_at = self.active_at
         self._stream.send(self.head, bytes(self._buffer[:cut]))
         del self._buffer[:cut]
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -9,6 +9,7 @@
 from .placers import Placed
 from .records import CallerRequest, Loss, Route, RouteKind, TargetEntry, Workspace
 from .request_reporters import RequestReporter
+from .stream_bindings import StreamBinding
 from .stream_relays import CallerStream, StreamRelay
 from .target_choices import Holding
 from .target_connections import AnswerSink, Exchange, Head, WholeAnswer
@@ -41,6 +42,7 @@
         reporter: RequestReporter,
         deadline_at: float,
         fingerprint: bytes,
+        binding: StreamBinding,
         workspace: Workspace | None = None,
     ):
         self._workspace = workspace.name if workspace is not None else ""
@@ -51,6 +53,7 @@
         self._reporter = reporter
         self._deadline_at = deadline_at
         self._fingerprint = fingerprint
+        self._binding = binding
         # The target's slots, and its requests when the attempt started.
         self._slots = self._running = 0
         self.failed_answer: WholeAnswer | None = None
@@ -201,10 +204,14 @@
         subscriber: LossSubscriber,
     ) -> AttemptOutcome:
         entry = placed.entry
-        relay = StreamRelay(self._stream, self._parts.timers.now)
+        relay = StreamRelay(
+            self._stream,
+            self._parts.timers.now,
+            lambda: self._binding.accept(entry),
+        )
         sent_at = self._parts.timers.now()
         self._send(route, entry, exchange, subscriber, relay)
-        waiting = {exchange.ended, self._call.gone, subscriber.lost}
+        waiting = {exchange.ended, self._call.gone, subscriber.lost, relay.refused}
         silent = False
         while not any(each.done() for each in waiting):
             remaining_s = self.remaining_s
@@ -235,6 +242,9 @@
         sent_at: float,
     ) -> AttemptOutcome:
         entry = placed.entry
+        if relay.refused.done():
+            exchange.close()
+            return AttemptOutcome.OTHER_SOFTWARE
         if not exchange.ended.done():
             # Close first, so that a target that is alive cancels the run.
             exchange.close()
--- a/hawthornlead/tests/test_former_starts.py
+++ b/hawthornlead/tests/test_former_starts.py
@@ -140,7 +140,7 @@
         await engine.restart()
         deployment.register(engine)
         await all_know(deployment, engine)
-        attempts = Attempts(gateway._parts, None, None, None, None, 0.0, b"")
+        attempts = Attempts(gateway._parts, None, None, None, None, 0.0, b"", None)
         for _ in range(4):
             attempts._count_failure(former)
             attempts._on_refused(former, 421, placed_at(former))
--- a/hawthornlead/tests/test_resumed_streams.py
+++ b/hawthornlead/tests/test_resumed_streams.py
@@ -64,6 +64,17 @@
             assert len(software_of(deployment, answer)) == 1
 
 
+async def test_a_stream_whose_version_has_no_other_engine_is_cut_off():
+    """Guards against an answer that goes on at any engine rather than break off."""
+    async with Deployment(vms=1, software=("v1", "v2")) as deployment:
+        for engine in deployment.engines:
+            engine.faults.append("cut")
+        answer = await deployment.ask("/resume/x", Model=MODEL)
+        assert (answer.status, answer.whole) == (200, False)
+        assert len(software_of(deployment, answer)) == 1
+        assert sum(len(engine.ran) for engine in deployment.engines) == 1
+
+
 async def test_a_stream_is_taken_up_at_another_vm_at_the_version_that_began_it():
     """Guards against a stream whose callers read two versions over two requests."""
     async with Deployment(vms=2, software=MIXED) as deployment:
