Tell the VM that a stream is relayed to at which version it goes on

What callers saw: the rest of a stream that another VM brings, because this one lost its paths to the engines, was written by any software version; since streams are bound it was refused, as that VM knew of no origin. Cause: a relayed request names the last event and not what the stream is bound to.

Evidence: the test of whole gateways failed before, with the refusal 'it isn't known at which software version the stream began'; it goes on now at an engine of the version, through the other VM.

--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -65,6 +65,7 @@
             self._reporter.sent = origin.sent
             self._reporter.ran = origin.ran
             self._first_counted = origin.sent > 0
+            self._binding.software = origin.software or None
 
     @property
     def deadline_s(self) -> float | None:
@@ -239,6 +240,7 @@
             self._reporter,
             self._deadline_at,
             self._attempts.last_event,
+            self._binding.software or "",
         )
         outcome = await relay.run(route, service)
         if outcome is RelayOutcome.NOT_TAKEN:
--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -16,7 +16,7 @@
 from .stream_relays import CallerStream, StreamRelay
 from .target_attempts import MIN_REMAINING_S
 from .target_connections import Exchange, Head, WholeAnswer
-from .vm_relays import CONFIGURATION, NOT_TAKEN, RAN, SENT, RelayOutcome
+from .vm_relays import CONFIGURATION, NOT_TAKEN, RAN, SENT, SOFTWARE, RelayOutcome
 
 # VMs that are asked, one after the other, to take a request.
 MAX_VMS = 3
@@ -38,6 +38,7 @@
         reporter: RequestReporter,
         deadline_at: float,
         last_event: str = "",
+        software: str = "",
     ):
         self._parts = parts
         self._call = call
@@ -46,6 +47,7 @@
         self._reporter = reporter
         self._deadline_at = deadline_at
         self._last_event = last_event
+        self._software = software
 
     @property
     def remaining_s(self) -> float:
@@ -102,6 +104,8 @@
         headers[CONFIGURATION] = str(self._parts.configuration.version)
         headers[SENT] = str(self._reporter.sent)
         headers[RAN] = str(self._reporter.ran)
+        if self._software:
+            headers[SOFTWARE] = self._software
         exchange.send(
             self._call.method,
             self._call.path,
--- a/hawthornlead/gateway/stream_bindings.py
+++ b/hawthornlead/gateway/stream_bindings.py
@@ -49,7 +49,8 @@
         """Bind the stream to the version that began it, if its caller resumes it."""
         request = self._request
         self._resumable = route.resumable
-        if not request.resumes and not request.last_event:
+        resumed = bool(request.resumes or request.last_event)
+        if not resumed or self.software is not None:
             return Ok(None)
         self._origin = await self._origins.find(request.resumes)
         if self._origin is None or not self._origin.software:
@@ -67,10 +68,11 @@
         software = self._software_of(entry)
         if self.software is None:
             self.software = software
-            self._origin = StreamOrigin(entry.service, software)
         elif software == UNKNOWN_SOFTWARE or software != self.software:
             return False
-        if self._resumable and self._origin is not None:
+        if self._origin is None:
+            self._origin = StreamOrigin(entry.service, software)
+        if self._resumable:
             # The id by which the caller will name the stream if it breaks off again.
             request = self._request.resumes or self._request.request_id
             self._origins.record(request, self._origin)
--- a/hawthornlead/gateway/vm_relays.py
+++ b/hawthornlead/gateway/vm_relays.py
@@ -21,11 +21,12 @@
 from .target_connections import TargetConnections
 
 # Headers between two VMs. The configuration that the sender has in force, how many
-# attempts it sent to targets and how many of them may have run, and that the receiver
-# didn't take the request.
+# attempts it sent to targets and how many of them may have run, the software version
+# that a stream is bound to, and that the receiver didn't take the request.
 CONFIGURATION = "Relay-Configuration"
 SENT = "Relay-Sent"
 RAN = "Relay-Ran"
+SOFTWARE = "Relay-Software"
 NOT_TAKEN = "Relay-Not-Taken"
 # For how long a VM that didn't take a request is asked for no other.
 NOT_TAKEN_TTL_S = 0.5
@@ -46,12 +47,14 @@
     """What the sending VM says of a relayed request.
 
     ``sent`` counts the attempts that it sent to targets, ``ran`` those that may have
-    run. ``configuration`` is the version in force there.
+    run. ``configuration`` is the version in force there. ``software`` is the version
+    that a stream is bound to, empty if it may begin at any.
     """
 
     configuration: int
     sent: int
     ran: int
+    software: str = ""
 
 
 def pop_origin(headers: httputil.HTTPHeaders) -> RelayOrigin:
@@ -62,7 +65,7 @@
         numbers.append(int(value) if value.isascii() and value.isdigit() else 0)
         if name in headers:
             del headers[name]
-    return RelayOrigin(*numbers)
+    return RelayOrigin(*numbers, headers.pop(SOFTWARE, ""))
 
 
 def refuse_relayed(call: CallerCall) -> None:
--- a/hawthornlead/tests/test_resumed_streams.py
+++ b/hawthornlead/tests/test_resumed_streams.py
@@ -1,11 +1,13 @@
 """Streams that go on at another target, in one answer or over a caller's requests."""
 
 import asyncio
+from collections import deque
 
 import pytest
 
 from hawthornlead.gateway.stream_origins import SEND_INTERVAL_S
 
+from .cut_paths import Cut, cut_paths
 from .gateways import MODEL, ClientAnswer, Deployment
 from .restarted_engines import all_know, loaded, served
 
@@ -163,6 +165,24 @@
         assert sum(len(engine.ran) for engine in deployment.engines) == 1
 
 
+async def test_a_stream_goes_on_through_another_vm_at_the_version_that_began_it():
+    """Guards against a relayed rest of a stream that its VM can't bring itself."""
+    async with Deployment(vms=2, software=MIXED) as deployment:
+        once = deque(["cut"])
+        for engine in deployment.engines:
+            engine.event_s = 0.2
+            engine.faults = once
+        asking = asyncio.create_task(deployment.ask("/resume/x", Model=MODEL))
+        await deployment.until(lambda: any(e.ran for e in deployment.engines))
+        await asyncio.sleep(0.3)
+        targets = deployment.engines + deployment.plains
+        async with cut_paths(deployment.gateways[0], targets, Cut.RESET):
+            answer = await asking
+        assert (answer.status, answer.whole) == (200, True)
+        assert len(software_of(deployment, answer)) == 1
+        assert sum(len(engine.ran) for engine in deployment.engines) == 2
+
+
 async def test_a_restarted_engine_is_not_known_by_its_former_software_version():
     """Guards against a stream bound to the version of an engine's former start."""
     async with Deployment(vms=2) as deployment:
