Go on with a stream at the service that began it where its route has several

What callers could see: on a route that is split between services, a stream that its caller takes up again, or that another VM brings, is sent to a service drawn anew by the weights, whose software is another one.

Now the service is that of the stream's origin while the route names it, also over a relay. If the configuration has moved the route, the stream goes on at the new service at the same version, or not at all.

--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -48,7 +48,12 @@
         self._call = call
         self._request: CallerRequest = read_caller_request(call.headers)
         self._stream = CallerStream(call)
-        self._binding = StreamBinding(parts.targets, parts.origins, self._request)
+        self._binding = StreamBinding(
+            parts.targets,
+            parts.origins,
+            self._request,
+            origin.stream if origin is not None else None,
+        )
         self._reporter = RequestReporter(parts, call, self._request, self._stream)
         self._deadline_at = 0.0
         self._excluded: set[str] = set()
@@ -65,7 +70,6 @@
             self._reporter.sent = origin.sent
             self._reporter.ran = origin.ran
             self._first_counted = origin.sent > 0
-            self._binding.software = origin.software or None
 
     @property
     def deadline_s(self) -> float | None:
@@ -129,7 +133,7 @@
             if found.is_err():
                 self._reporter.refuse(found.err_value)
                 return
-        service = choose_service(route, self._parts.rng)
+        service = self._choose_service(route)
         if await self._is_relayed(route, service) or not self._charge(workspace):
             return
         try:
@@ -138,6 +142,15 @@
             if not self._may_have_run:
                 self._refund()
 
+    def _choose_service(self, route: Route) -> str:
+        """Return the service at which a stream began, else one by their weights."""
+        began = self._binding.origin
+        if began is not None and any(
+            each.service == began.service for each in route.services
+        ):
+            return began.service
+        return choose_service(route, self._parts.rng)
+
     def _find_workspace(self, route: Route) -> Result[Workspace | None, Failure]:
         """Return the workspace of the request's key, None if the route needs no key."""
         workspaces = self._parts.workspaces
@@ -240,7 +253,7 @@
             self._reporter,
             self._deadline_at,
             self._attempts.last_event,
-            self._binding.software or "",
+            self._binding.origin,
         )
         outcome = await relay.run(route, service)
         if outcome is RelayOutcome.NOT_TAKEN:
--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -11,12 +11,21 @@
 from ..platform.headers import relay_headers
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
+from .origin_tables import StreamOrigin
 from .records import CallerRequest, Route, RouteKind
 from .request_reporters import RequestReporter
 from .stream_relays import CallerStream, StreamRelay
 from .target_attempts import MIN_REMAINING_S
 from .target_connections import Exchange, Head, WholeAnswer
-from .vm_relays import CONFIGURATION, NOT_TAKEN, RAN, SENT, SOFTWARE, RelayOutcome
+from .vm_relays import (
+    CONFIGURATION,
+    NOT_TAKEN,
+    RAN,
+    SENT,
+    SERVICE,
+    SOFTWARE,
+    RelayOutcome,
+)
 
 # VMs that are asked, one after the other, to take a request.
 MAX_VMS = 3
@@ -38,7 +47,7 @@
         reporter: RequestReporter,
         deadline_at: float,
         last_event: str = "",
-        software: str = "",
+        origin: StreamOrigin | None = None,
     ):
         self._parts = parts
         self._call = call
@@ -47,7 +56,7 @@
         self._reporter = reporter
         self._deadline_at = deadline_at
         self._last_event = last_event
-        self._software = software
+        self._origin = origin
 
     @property
     def remaining_s(self) -> float:
@@ -104,8 +113,8 @@
         headers[CONFIGURATION] = str(self._parts.configuration.version)
         headers[SENT] = str(self._reporter.sent)
         headers[RAN] = str(self._reporter.ran)
-        if self._software:
-            headers[SOFTWARE] = self._software
+        if self._origin is not None:
+            headers[SERVICE], headers[SOFTWARE] = self._origin
         exchange.send(
             self._call.method,
             self._call.path,
--- a/hawthornlead/gateway/stream_bindings.py
+++ b/hawthornlead/gateway/stream_bindings.py
@@ -27,18 +27,26 @@
 class StreamBinding:
     """The version of the target that wrote the first event of a request's stream.
 
-    ``software`` is None while any version may begin the stream.
+    ``origin`` is None while the stream may begin anywhere.
     """
 
     def __init__(
-        self, targets: TargetTable, origins: StreamOrigins, request: CallerRequest
+        self,
+        targets: TargetTable,
+        origins: StreamOrigins,
+        request: CallerRequest,
+        origin: StreamOrigin | None = None,
     ):
         self._targets = targets
         self._origins = origins
         self._request = request
-        self._origin: StreamOrigin | None = None
         self._resumable = False
-        self.software: str | None = None
+        self.origin = origin
+
+    @property
+    def software(self) -> str | None:
+        """The version that the stream is bound to, None if it may begin at any."""
+        return None if self.origin is None else self.origin.software
 
     @property
     def can_resume(self) -> bool:
@@ -50,13 +58,12 @@
         request = self._request
         self._resumable = route.resumable
         resumed = bool(request.resumes or request.last_event)
-        if not resumed or self.software is not None:
+        if not resumed or self.origin is not None:
             return Ok(None)
-        self._origin = await self._origins.find(request.resumes)
-        if self._origin is None or not self._origin.software:
+        self.origin = await self._origins.find(request.resumes)
+        if not self.can_resume:
             detail = "it isn't known at which software version the stream began"
             return Err(Failure(ErrorKind.NO_TARGET, detail, UNKNOWN_RETRY_S))
-        self.software = self._origin.software
         return Ok(None)
 
     def accept(self, entry: TargetEntry) -> bool:
@@ -66,16 +73,14 @@
         since, with other software.
         """
         software = self._software_of(entry)
-        if self.software is None:
-            self.software = software
+        if self.origin is None:
+            self.origin = StreamOrigin(entry.service, software)
         elif software == UNKNOWN_SOFTWARE or software != self.software:
             return False
-        if self._origin is None:
-            self._origin = StreamOrigin(entry.service, software)
         if self._resumable:
             # The id by which the caller will name the stream if it breaks off again.
             request = self._request.resumes or self._request.request_id
-            self._origins.record(request, self._origin)
+            self._origins.record(request, self.origin)
         return True
 
     def _software_of(self, entry: TargetEntry) -> str:
--- a/hawthornlead/gateway/vm_relays.py
+++ b/hawthornlead/gateway/vm_relays.py
@@ -18,14 +18,17 @@
 from ..timers import TimerService
 from .caller_calls import CallerCall
 from .memberships import Memberships
+from .origin_tables import StreamOrigin
 from .target_connections import TargetConnections
 
 # Headers between two VMs. The configuration that the sender has in force, how many
-# attempts it sent to targets and how many of them may have run, the software version
-# that a stream is bound to, and that the receiver didn't take the request.
+# attempts it sent to targets and how many of them may have run, the service and the
+# software version at which a stream began, and that the receiver didn't take the
+# request.
 CONFIGURATION = "Relay-Configuration"
 SENT = "Relay-Sent"
 RAN = "Relay-Ran"
+SERVICE = "Relay-Service"
 SOFTWARE = "Relay-Software"
 NOT_TAKEN = "Relay-Not-Taken"
 # For how long a VM that didn't take a request is asked for no other.
@@ -47,14 +50,14 @@
     """What the sending VM says of a relayed request.
 
     ``sent`` counts the attempts that it sent to targets, ``ran`` those that may have
-    run. ``configuration`` is the version in force there. ``software`` is the version
-    that a stream is bound to, empty if it may begin at any.
+    run. ``configuration`` is the version in force there. ``stream`` is where the
+    request's stream began, None if it may begin anywhere.
     """
 
     configuration: int
     sent: int
     ran: int
-    software: str = ""
+    stream: StreamOrigin | None = None
 
 
 def pop_origin(headers: httputil.HTTPHeaders) -> RelayOrigin:
@@ -65,7 +68,8 @@
         numbers.append(int(value) if value.isascii() and value.isdigit() else 0)
         if name in headers:
             del headers[name]
-    return RelayOrigin(*numbers, headers.pop(SOFTWARE, ""))
+    stream = StreamOrigin(headers.pop(SERVICE, ""), headers.pop(SOFTWARE, ""))
+    return RelayOrigin(*numbers, stream if stream.software else None)
 
 
 def refuse_relayed(call: CallerCall) -> None:
--- a/hawthornlead/tests/test_resumed_streams.py
+++ b/hawthornlead/tests/test_resumed_streams.py
@@ -8,7 +8,7 @@
 from hawthornlead.gateway.stream_origins import SEND_INTERVAL_S
 
 from .cut_paths import Cut, cut_paths
-from .gateways import MODEL, ClientAnswer, Deployment
+from .gateways import MODEL, ClientAnswer, Deployment, configuration, route
 from .restarted_engines import all_know, loaded, served
 
 # Engines of two software versions by turns, so that the next best engine after a
@@ -183,6 +183,34 @@
         assert sum(len(engine.ran) for engine in deployment.engines) == 2
 
 
+async def test_a_stream_goes_on_at_its_service_where_a_route_has_several():
+    """Guards against a stream whose rest another service of its route writes."""
+    split = route("split", "/split/", "llm", "streaming", resumable=True)
+    del split["service"]
+    split["split"] = [
+        {"service": "plain", "weight": 50},
+        {"service": "llm", "weight": 50},
+    ]
+    async with Deployment(vms=2, software=MIXED) as deployment:
+        deployment.store.write("config", "main", configuration(2, split))
+        for gateway in deployment.gateways:
+            parts = gateway._parts
+            await deployment.until(lambda known=parts: known.configuration.version == 2)
+        origin, broken = await begin(deployment)
+        plains = [request for plain in deployment.plains for request in plain.ran]
+        for number in range(STREAMS):
+            rest = await deployment.ask(
+                "/split/x",
+                vm=number % 2,
+                Model=MODEL,
+                Resumes=origin,
+                Last_Event_Id=last_event(broken),
+            )
+            assert (rest.status, rest.whole) == (200, True)
+            assert len(software_of(deployment, broken, rest)) == 1
+        assert plains == [request for each in deployment.plains for request in each.ran]
+
+
 async def test_a_restarted_engine_is_not_known_by_its_former_software_version():
     """Guards against a stream bound to the version of an engine's former start."""
     async with Deployment(vms=2) as deployment:
