Soak: give each address of a VM a port of its own

Each port was probed and released before the next was chosen, so that the system could choose it again; now all are held until the last is chosen.

--- a/hawthornlead/tests/soak_gateway_fleet.py
+++ b/hawthornlead/tests/soak_gateway_fleet.py
@@ -14,7 +14,7 @@
 import socket
 import sys
 import time
-from contextlib import contextmanager, suppress
+from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
 from random import Random
 
@@ -49,10 +49,9 @@
         self.host = f"{net}.{number}.1"
         self.link_host = f"{net}.{number}.2"
         self.source = f"{net}.{number}.3"
-        self.callers, self.peers, self.metrics, self.ready, self.directory = (
-            _free_address(self.host) for _ in range(5)
-        )
-        self.relays = _free_address(self.host)
+        addresses = _free_addresses(self.host, 6)
+        self.callers, self.peers, self.metrics, self.ready = addresses[:4]
+        self.directory, self.relays = addresses[4:]
         self.mesh: Link | None = None
         self.process: asyncio.subprocess.Process | None = None
         # Set while the soak itself ends the process.
@@ -291,7 +290,12 @@
         await self.store.stop()
 
 
-def _free_address(host: str) -> str:
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return f"{host}:{probe.getsockname()[1]}"
+def _free_addresses(host: str, count: int) -> list[str]:
+    """Return addresses with ports that the system chose, each another one."""
+    with ExitStack() as probes:
+        ports = []
+        for _ in range(count):
+            probe = probes.enter_context(socket.socket())
+            probe.bind((host, 0))
+            ports.append(probe.getsockname()[1])
+    return [f"{host}:{port}" for port in ports]
