--- a/hawthornlead/gateway/stream_origins.py
+++ b/hawthornlead/gateway/stream_origins.py
@@ -21,13 +21,13 @@
 from .memberships import Memberships
 from .origin_tables import OriginTable, StreamOrigin, group_streams
 
-# The copies of each origin, beside that of the VM where the stream began. With four, the
-# kill of five of nine VMs at once loses one in seventy origins of the killed VMs.
+# The copies of each origin, beside that of the VM where the stream began. With four,
+# the kill of five of nine VMs at once loses one in seventy of their origins.
 COPIES = 4
 # How long a choice of holders is used. One that is new gets all earlier origins too.
 HOLDERS_TTL_S = 0.5
-# Origins of the same moment are sent together. Those that a VM has not sent yet are lost
-# if it is killed.
+# Origins of the same moment are sent together. Those that a VM has not sent yet are
+# lost if it is killed.
 SEND_INTERVAL_S = 0.01
 # Searches of streams that broke at the same moment are sent together.
 SEARCH_INTERVAL_S = 0.01
