Take a connection that its peer resets at once for one that wasn't opened

What a caller saw: its connection closed without an answer. Cause: between the connect and the next step of the task the stream can close, and then it has no socket to set TCP_USER_TIMEOUT on. The request is now placed elsewhere as for any target that isn't reached.

--- a/hawthornlead/connection_pools.py
+++ b/hawthornlead/connection_pools.py
@@ -91,6 +91,10 @@
             refused = _is_refused(error)
             return Err(Failure(ErrorKind.TARGET_UNREACHABLE, detail, refused=refused))
         self._opened += 1
+        if stream.closed():
+            # The peer reset it before this task went on; it has no socket any more.
+            detail = f"no connection to {address}: reset at once"
+            return Err(Failure(ErrorKind.TARGET_UNREACHABLE, detail))
         stream.set_nodelay(True)
         stream.socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._unacknowledged_ms
--- a/hawthornlead/tests/test_user_timeouts.py
+++ b/hawthornlead/tests/test_user_timeouts.py
@@ -6,6 +6,7 @@
 import pytest
 
 from hawthornlead.connection_pools import ConnectionPool
+from hawthornlead.errors import ErrorKind
 from hawthornlead.gateway.target_connections import (
     UNACKNOWLEDGED_TIMEOUT_S,
     TargetConnections,
@@ -76,3 +77,22 @@
     stream.close()
     assert (await read == BODY_BYTES) == whole
     server.close()
+
+
+async def test_a_connection_that_its_peer_resets_at_once_counts_as_not_opened():
+    """Guards against an unanswered caller whose target's link resets a connection."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    pool = ConnectionPool(timers=TimerService(), connect_s=1.0, unacknowledged_s=1.0)
+    connect = pool._client.connect
+
+    async def connect_and_lose(*args, **options):
+        stream = await connect(*args, **options)
+        stream.close()
+        return stream
+
+    pool._client.connect = connect_and_lose
+    opened = await pool.open(address)
+    listener.close()
+    assert opened.err_value.kind is ErrorKind.TARGET_UNREACHABLE
+    assert not opened.err_value.refused
