--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -37,6 +37,11 @@
             "Requests passed on to another VM, by outcome",
             ["outcome"],
         )
+        self.origin_searches = self._counter(
+            "hawthornlead_gateway_origin_searches_total",
+            "Searches for the origins of resumed streams, by outcome",
+            ["outcome"],
+        )
         self.orders = self._counter(
             "hawthornlead_gateway_orders_total",
             "Orders to engines by outcome",
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -344,7 +344,10 @@
         crash_watch.on_restarted(former)
 
     origins = StreamOrigins(
-        memberships=coordination.memberships, mesh=mesh, timers=timers
+        memberships=coordination.memberships,
+        mesh=mesh,
+        timers=timers,
+        metrics=metrics,
     )
     metrics.add_gauge(
         "stream_origins",
--- a/hawthornlead/gateway/stream_origins.py
+++ b/hawthornlead/gateway/stream_origins.py
@@ -18,6 +18,7 @@
 from ..tasks import TaskSet
 from ..timers import TimerService
 from ..waits import wait_done
+from .gateway_metrics import GatewayMetrics
 from .memberships import Memberships
 from .origin_tables import OriginTable, StreamOrigin, group_streams
 
@@ -48,8 +49,14 @@
     """The origins of streams that began at this VM, and copies of those of others."""
 
     def __init__(
-        self, *, memberships: Memberships, mesh: FleetMesh, timers: TimerService
+        self,
+        *,
+        memberships: Memberships,
+        mesh: FleetMesh,
+        timers: TimerService,
+        metrics: GatewayMetrics,
     ):
+        self._searched = metrics.origin_searches
         self._memberships = memberships
         self._mesh = mesh
         self._timers = timers
@@ -89,6 +96,7 @@
             return None
         known = self._known(request)
         if known is not None:
+            self._searched.labels("known here").inc()
             return known
         search = self._searches.get(request)
         if search is None:
@@ -98,7 +106,9 @@
             await self._search(request, search)
         finally:
             self._searches.pop(request, None)
-        return self._known(request)
+        found = self._known(request)
+        self._searched.labels("not found" if found is None else "found").inc()
+        return found
 
     async def _search(self, request: str, search: asyncio.Future) -> None:
         for wait_s in (SEARCH_REPEAT_S, SEARCH_TIMEOUT_S - SEARCH_REPEAT_S):
--- a/hawthornlead/tests/fakes_origins.py
+++ b/hawthornlead/tests/fakes_origins.py
@@ -11,6 +11,9 @@
 import asyncio
 from collections.abc import Mapping
 
+from prometheus_client import CollectorRegistry
+
+from hawthornlead.gateway.gateway_metrics import GatewayMetrics
 from hawthornlead.gateway.stream_origins import SEARCH_TIMEOUT_S, StreamOrigins
 from hawthornlead.timers import ManualTimerService
 
@@ -55,7 +58,10 @@
         incarnation = f"{vm}-{self._starts}"
         mesh = self.network.join(vm, self._data_centres[vm], incarnation)
         self._origins[vm] = StreamOrigins(
-            memberships=ConnectedVms(mesh), mesh=mesh, timers=self.timers
+            memberships=ConnectedVms(mesh),
+            mesh=mesh,
+            timers=self.timers,
+            metrics=GatewayMetrics(CollectorRegistry()),
         )
 
     def kill(self, vm: str) -> None:
--- a/hawthornlead/tests/test_origin_spread.py
+++ b/hawthornlead/tests/test_origin_spread.py
@@ -3,7 +3,9 @@
 import asyncio
 
 import pytest
+from prometheus_client import CollectorRegistry
 
+from hawthornlead.gateway.gateway_metrics import GatewayMetrics
 from hawthornlead.gateway.origin_tables import StreamOrigin
 from hawthornlead.gateway.stream_origins import (
     COPIES,
@@ -23,7 +25,12 @@
     def __init__(self):
         self.fleet = FakeFleet(PLACES)
         self.origins = {
-            name: StreamOrigins(memberships=vm, mesh=vm.mesh, timers=self.fleet.timers)
+            name: StreamOrigins(
+                memberships=vm,
+                mesh=vm.mesh,
+                timers=self.fleet.timers,
+                metrics=GatewayMetrics(CollectorRegistry()),
+            )
             for name, vm in self.fleet.vms.items()
         }
 
