--- a/hawthornlead/tests/test_placers.py
+++ b/hawthornlead/tests/test_placers.py
@@ -153,9 +153,10 @@
     def __init__(self, waits, limits=None):
         self.mesh = FakeMesh({f"e{number}": wait for number, wait in enumerate(waits)})
         self.timers = ManualTimerService()
+        self.targets = FakeTargets(len(waits))
         self.placer = Placer(
             data_centre="gijon",
-            targets=FakeTargets(len(waits)),
+            targets=self.targets,
             loads=Quiet(),
             healths=Quiet(),
             limits=limits or Unlimited(),
@@ -167,11 +168,19 @@
         )
         self.placer.apply_configuration(Configuration(1, (ROUTE,), (SERVICE,), None))
 
-    async def place(self):
+    async def place(self, software=None):
         now = self.timers.now()
-        request = PlacementRequest(ROUTE, "llm", REQUEST, now, now + 4.0, frozenset())
+        request = PlacementRequest(
+            ROUTE, "llm", REQUEST, now, now + 4.0, frozenset(), software
+        )
         return await self.placer.place(request)
 
+    def run_software(self, *versions):
+        """Have the engines run these software versions, one each."""
+        for target, version in zip(self.targets.entries, versions, strict=True):
+            entry = self.targets.entries[target]
+            self.targets.entries[target] = entry._replace(software=version)
+
 
 async def test_one_free_slot_among_many_full_engines_is_found():
     """A caller is refused although an engine has a free slot.
@@ -236,3 +245,47 @@
     limits = FakeLimits({"e0": 0.0})
     assert (await Site([9.0], limits).place()).is_err()
     assert limits.taken == []
+
+
+async def test_a_bound_stream_is_placed_at_the_one_engine_of_its_version():
+    """Guards against a stream that is refused as other versions use up its tries."""
+    site = Site([0.0] * 8 + [0.3])
+    site.run_software(*["v2"] * 8, "v1")
+    placed = (await site.place("v1")).unwrap()
+    assert placed.entry.target == "e8"
+    assert {message.target for message in site.mesh.asked} == {"e8"}
+
+
+async def test_a_bound_stream_is_refused_at_once_where_no_engine_runs_its_version():
+    site = Site([0.0] * 3)
+    site.run_software("v2", "v2", "")
+    failure = (await site.place("v1")).err_value
+    assert failure.detail == "no target runs software version v1"
+    assert site.mesh.asked == []
+    assert (await site.place("")).is_err()
+
+
+@pytest.mark.parametrize("changed", [0, 1])
+async def test_an_engine_that_changed_its_version_during_the_search_is_left_out(
+    changed,
+):
+    """Guards against scores that are older than the entry of their target."""
+    site = Site([0.0] * 3)
+    site.run_software("v1", "v1", "v1")
+    call = site.mesh.call
+
+    async def fill_and_change(vm, message, timeout=None):
+        if not site.mesh.asked:
+            others = [each for each in site.mesh.waits if each != message.target]
+            entry = site.targets.entries[others[changed]]
+            site.targets.entries[entry.target] = entry._replace(software="v2")
+            site.mesh.waits[message.target] = 0.9
+        return await call(vm, message, timeout)
+
+    site.mesh.call = fill_and_change
+    placed = (await site.place("v1")).unwrap()
+    assert site.targets.entries[placed.entry.target].software == "v1"
+    assert all(
+        site.targets.entries[message.target].software == "v1"
+        for message in site.mesh.asked
+    )
--- a/hawthornlead/tests/test_stream_bindings.py
+++ b/hawthornlead/tests/test_stream_bindings.py
@@ -1,8 +1,29 @@
 """Tests of the software version that a stream is bound to."""
 
-from hawthornlead.gateway.records import CallerRequest, TargetEntry
+from hawthornlead.gateway.origin_tables import StreamOrigin
+from hawthornlead.gateway.records import (
+    CallerRequest,
+    Route,
+    RouteKind,
+    ServiceShare,
+    TargetEntry,
+)
 from hawthornlead.gateway.stream_bindings import StreamBinding
 
+ROUTE = Route(
+    "resume",
+    "office.example",
+    "/resume/",
+    RouteKind.STREAMING,
+    8000.0,
+    800.0,
+    1,
+    (ServiceShare("llm", 1.0),),
+    2,
+    True,
+    300.0,
+)
+
 
 class Targets:
     """The entries that a VM knows."""
@@ -62,3 +83,46 @@
     assert not binding.can_resume
     assert not entry(software="").runs("")
     assert entry(software="").runs(None)
+
+
+class Origins:
+    """The origins that a VM finds, and those that it records."""
+
+    def __init__(self, **known):
+        self.known = known
+        self.recorded = []
+
+    async def find(self, request):
+        return self.known.get(request)
+
+    def record(self, request, origin):
+        self.recorded.append((request, origin))
+
+
+async def test_a_stream_that_is_taken_up_is_recorded_under_the_id_that_names_it():
+    """Guards against an origin that expires while its stream goes on."""
+    origins = Origins(r1=StreamOrigin("llm", "v1"))
+    request = CallerRequest("r2", None, "", "", 0, 0, 0, "7", resumes="r1")
+    binding = StreamBinding(Targets(entry()), origins, request)
+    assert (await binding.find_origin(ROUTE)).is_ok()
+    assert not binding.accept(entry(software="v2", target="e2"))
+    assert origins.recorded == []
+    assert binding.accept(entry())
+    assert origins.recorded == [("r1", StreamOrigin("llm", "v1"))]
+
+
+async def test_a_stream_that_no_caller_may_resume_is_not_recorded():
+    origins = Origins()
+    request = CallerRequest("r1", None, "", "", 0, 0, 0, "")
+    binding = StreamBinding(Targets(entry()), origins, request)
+    assert (await binding.find_origin(ROUTE._replace(resumable=False))).is_ok()
+    assert binding.accept(entry())
+    assert origins.recorded == []
+
+
+async def test_a_stream_of_an_origin_without_a_version_is_refused():
+    origins = Origins(r1=StreamOrigin("llm", ""))
+    request = CallerRequest("r2", None, "", "", 0, 0, 0, "7", resumes="r1")
+    binding = StreamBinding(Targets(entry()), origins, request)
+    refused = await binding.find_origin(ROUTE)
+    assert refused.err_value.answer.status == 503
