Send origins and searches by the timer service

An origin recorded in the moment in which the task before it ended was not sent until the next one: a task counts as running until its callbacks have run. The flag is now cleared before anything is sent. Found by reading. The live VMs are looked up in a set, and a request without a bound stream no longer counts the targets of its version. Of the mutations one showed a check without effect, which placing makes already; it is gone.

--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -281,9 +281,12 @@
 
     def _no_target_failure(self, spec: ServiceSpec, software: str | None) -> Failure:
         """Return the refusal of a request that no usable target can serve."""
+        failure = Failure(ErrorKind.NO_TARGET, "no target can serve it now", 0.5)
+        if software is None:
+            return failure
         entries = self._targets.of_service(spec.name)
-        if software is None or any(entry.runs(software) for entry in entries):
-            return Failure(ErrorKind.NO_TARGET, "no target can serve it now", 0.5)
+        if any(entry.runs(software) for entry in entries):
+            return failure
         detail = f"no target runs software version {software or 'unknown'}"
         return Failure(ErrorKind.NO_TARGET, detail, ABSENT_RETRY_S)
 
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -349,7 +349,7 @@
 
     def _resumes(self) -> bool:
         self._attempts.last_event = self._stream.last_event
-        return bool(self._attempts.last_event) and self._binding.can_resume
+        return bool(self._attempts.last_event)
 
     # Answers to the caller
 
--- a/hawthornlead/gateway/stream_origins.py
+++ b/hawthornlead/gateway/stream_origins.py
@@ -15,8 +15,7 @@
 from ..decisions.copy_holders import choose_holders
 from ..fleet.fleet_meshes import FleetMesh
 from ..messages.streams import FindStreams, StreamsBegun
-from ..tasks import TaskSet
-from ..timers import TimerService
+from ..timers import Subscription, TimerService
 from ..waits import wait_done
 from .gateway_metrics import GatewayMetrics
 from .memberships import Memberships
@@ -69,7 +68,9 @@
         self._holders_until = -math.inf
         self._searches: dict[str, asyncio.Future] = {}
         self._unsent_searches: set[str] = set()
-        self._tasks = TaskSet()
+        # What sends both soon, None while there is nothing to send.
+        self._sending: Subscription | None = None
+        self._asking: Subscription | None = None
         mesh.on(StreamsBegun, self._on_begun)
         mesh.on(FindStreams, self._on_find)
 
@@ -80,7 +81,9 @@
 
     def stop(self) -> None:
         """Stop sending and searching."""
-        self._tasks.cancel()
+        for subscription in (self._sending, self._asking):
+            if subscription is not None:
+                subscription.cancel()
 
     def record(self, request: str, origin: StreamOrigin) -> None:
         """Record where a stream began, as its first events are forwarded."""
@@ -88,7 +91,10 @@
             return
         self._own.add(request, origin, self._timers.now())
         self._unsent[request] = origin
-        self._tasks.spawn_once("send", self._send_copies)
+        if self._sending is None:
+            self._sending = self._timers.after(
+                SEND_INTERVAL_S, self._send_copies, name="stream origins"
+            )
 
     async def find(self, request: str) -> StreamOrigin | None:
         """Return where a stream began, None if no VM that answers knows it."""
@@ -113,7 +119,10 @@
     async def _search(self, request: str, search: asyncio.Future) -> None:
         for wait_s in (SEARCH_REPEAT_S, SEARCH_TIMEOUT_S - SEARCH_REPEAT_S):
             self._unsent_searches.add(request)
-            self._tasks.spawn_once("search", self._send_searches)
+            if self._asking is None:
+                self._asking = self._timers.after(
+                    SEARCH_INTERVAL_S, self._send_searches, name="origin searches"
+                )
             if await wait_done(self._timers, search, wait_s):
                 return
 
@@ -127,8 +136,8 @@
 
     # Messages
 
-    async def _send_copies(self) -> None:
-        await self._timers.sleep(SEND_INTERVAL_S)
+    def _send_copies(self) -> None:
+        self._sending = None
         unsent, self._unsent = self._unsent, {}
         if self._timers.now() >= self._holders_until:
             self._choose_holders()
@@ -143,7 +152,7 @@
     def _choose_holders(self) -> None:
         """Choose the VMs that are to hold copies."""
         myself = self._mesh.myself
-        live = self._memberships.live()
+        live = set(self._memberships.live())
         peers = [peer for peer in self._mesh.live if peer.vm in live]
         data_centres = {peer.vm: peer.data_centre for peer in (myself, *peers)}
         chosen = choose_holders(myself.vm, data_centres, COPIES)
@@ -158,8 +167,8 @@
             sent, remaining = remaining[:MAX_SENT], remaining[MAX_SENT:]
             self._mesh.cast(vm, StreamsBegun(group_streams(sent)))
 
-    async def _send_searches(self) -> None:
-        await self._timers.sleep(SEARCH_INTERVAL_S)
+    def _send_searches(self) -> None:
+        self._asking = None
         requests, self._unsent_searches = self._unsent_searches, set()
         self._mesh.broadcast(FindStreams(tuple(requests)))
 
