Send nothing about begun streams to VMs of an older build

A frame with a name that a VM doesn't know closes its connection. Copies are sent with each stream, so that in a rolling upgrade the connections between old and new VMs would have closed several times a second. A VM now says in its heartbeat, and heads in what they report of members, that it stores origins. Found by reading; the test fails without the check.

--- a/hawthornlead/fleet/fleet_meshes.py
+++ b/hawthornlead/fleet/fleet_meshes.py
@@ -319,7 +319,14 @@
             return None
         capacity = 1 if state.serving else 0
         heartbeat = Heartbeat(
-            0, 0, state.leaving, 0, capacity, 0.0, state.reaches_targets
+            0,
+            0,
+            state.leaving,
+            0,
+            capacity,
+            0.0,
+            state.reaches_targets,
+            state.stores_origins,
         )
         return PeerInfo(
             state.vm,
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -349,7 +349,9 @@
         capacity = 1 if self._memberships.serving else 0
         leaving = self._memberships.leaving
         reaches = self._memberships.reaches_targets
-        return Heartbeat(0, 0, leaving, self._open_requests(), capacity, 0.0, reaches)
+        return Heartbeat(
+            0, 0, leaving, self._open_requests(), capacity, 0.0, reaches, True
+        )
 
     def _on_upstream_changed(self, head: str) -> None:
         self._emit(EventKind.FEED_CHANGED, head=head)
--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -178,6 +178,7 @@
             self.serving,
             self.leaving,
             reaches_targets=self._reaches_targets,
+            stores_origins=True,
         )
 
     def apply_record(self, record: StoredRecord) -> None:
--- a/hawthornlead/gateway/stream_origins.py
+++ b/hawthornlead/gateway/stream_origins.py
@@ -14,6 +14,7 @@
 
 from ..decisions.copy_holders import choose_holders
 from ..fleet.fleet_meshes import FleetMesh
+from ..mesh.meshes import PeerInfo
 from ..messages.streams import FindStreams, StreamsBegun
 from ..timers import Subscription, TimerService
 from ..waits import wait_done
@@ -153,7 +154,7 @@
         """Choose the VMs that are to hold copies."""
         myself = self._mesh.myself
         live = set(self._memberships.live())
-        peers = [peer for peer in self._mesh.live if peer.vm in live]
+        peers = [peer for peer in self._storing_peers() if peer.vm in live]
         data_centres = {peer.vm: peer.data_centre for peer in (myself, *peers)}
         chosen = choose_holders(myself.vm, data_centres, COPIES)
         incarnations = {peer.vm: peer.incarnation for peer in peers}
@@ -170,7 +171,20 @@
     def _send_searches(self) -> None:
         self._asking = None
         requests, self._unsent_searches = self._unsent_searches, set()
-        self._mesh.broadcast(FindStreams(tuple(requests)))
+        message = FindStreams(tuple(requests))
+        if self._mesh.large:
+            # Heads forward a message that they don't know, and drop it themselves.
+            self._mesh.broadcast(message)
+            return
+        self._mesh.cast_to([peer.vm for peer in self._storing_peers()], message)
+
+    def _storing_peers(self) -> list[PeerInfo]:
+        """Return the other live VMs that store origins; those of older builds don't."""
+        return [
+            peer
+            for peer in self._mesh.live
+            if peer.heartbeat is not None and peer.heartbeat.stores_origins
+        ]
 
     async def _on_begun(self, sender, message: StreamsBegun) -> None:
         now = self._timers.now()
--- a/hawthornlead/messages/fleets.py
+++ b/hawthornlead/messages/fleets.py
@@ -10,7 +10,7 @@
 class MemberState(NamedTuple):
     """The state of one VM: ``silent`` if its head hasn't seen it recently.
 
-    ``reaches_targets`` is as in its heartbeat.
+    ``reaches_targets`` and ``stores_origins`` are as in its heartbeat.
     """
 
     vm: str
@@ -19,6 +19,7 @@
     leaving: bool
     silent: bool = False
     reaches_targets: bool = True
+    stores_origins: bool = False
 
 
 @message("member-word")
--- a/hawthornlead/messages/sessions.py
+++ b/hawthornlead/messages/sessions.py
@@ -36,6 +36,8 @@
 
     ``staged_seq`` is 0 when no staged bundle is acknowledged and undecided.
     ``reaches_targets`` is False while the VM can't connect to any target of a service.
+    ``stores_origins`` is True if the VM knows the messages about begun streams: others
+    would close the connection at the first of them.
     """
 
     in_force_seq: int
@@ -45,6 +47,7 @@
     capacity: int
     store_age_s: float
     reaches_targets: bool = True
+    stores_origins: bool = False
 
 
 @message("goodbye")
--- a/hawthornlead/tests/fakes_fleets.py
+++ b/hawthornlead/tests/fakes_fleets.py
@@ -167,7 +167,9 @@
         self.owned = ()
         self.registered_order = RegisteredOrder()
         self.transport = fleet.network.join(name, place, incarnation)
-        self.transport.heartbeat_source = lambda: Heartbeat(0, 0, False, 0, 1, 0.0)
+        self.transport.heartbeat_source = lambda: Heartbeat(
+            0, 0, False, 0, 1, 0.0, stores_origins=True
+        )
         self.mesh = FleetMesh(
             transport=self.transport,
             data_centre=place,
@@ -198,7 +200,11 @@
     def own_state(self) -> MemberState:
         """Return the state that this VM announces."""
         return MemberState(
-            self.mesh.vm, self.mesh.incarnation, self.serving, self.leaving
+            self.mesh.vm,
+            self.mesh.incarnation,
+            self.serving,
+            self.leaving,
+            stores_origins=True,
         )
 
     @property
--- a/hawthornlead/tests/fakes_origins.py
+++ b/hawthornlead/tests/fakes_origins.py
@@ -15,10 +15,13 @@
 
 from hawthornlead.gateway.gateway_metrics import GatewayMetrics
 from hawthornlead.gateway.stream_origins import SEARCH_TIMEOUT_S, StreamOrigins
+from hawthornlead.mesh.meshes import NO_HEARTBEAT
 from hawthornlead.timers import ManualTimerService
 
 from .fakes_mesh import LocalMesh, LocalNetwork
 
+_NONE: frozenset[str] = frozenset()
+
 
 class ConnectedVms:
     """Memberships by which all connected VMs are live."""
@@ -32,9 +35,10 @@
 
 
 class OriginWorld:
-    """Some VMs, by name, in data centres."""
+    """Some VMs, by name, in data centres; the ``older`` ones store no origins."""
 
-    def __init__(self, data_centres: Mapping[str, str]):
+    def __init__(self, data_centres: Mapping[str, str], older: frozenset[str] = _NONE):
+        self._older = older
         self._data_centres = dict(data_centres)
         self._origins: dict[str, StreamOrigins] = {}
         self._starts = 0
@@ -57,6 +61,8 @@
         self._starts += 1
         incarnation = f"{vm}-{self._starts}"
         mesh = self.network.join(vm, self._data_centres[vm], incarnation)
+        stores = vm not in self._older
+        mesh.heartbeat_source = lambda: NO_HEARTBEAT._replace(stores_origins=stores)
         self._origins[vm] = StreamOrigins(
             memberships=ConnectedVms(mesh),
             mesh=mesh,
--- a/hawthornlead/tests/test_stream_origins.py
+++ b/hawthornlead/tests/test_stream_origins.py
@@ -67,6 +67,24 @@
     assert await world.find("bilbao-1", "r1") == FIRST
 
 
+async def test_vms_of_an_older_build_get_no_message_that_they_do_not_know():
+    """Guards against connections that close at each stream during an upgrade."""
+    older = frozenset(("gijon-2", "bilbao-1", "santander-3"))
+    world = OriginWorld(NINE, older)
+    received = []
+    for vm in older:
+        mesh = world.network.mesh_of(vm)
+        for message_type in (stream_origins.StreamsBegun, stream_origins.FindStreams):
+            mesh._handlers[message_type] = lambda *got: received.append(got)
+    for number in range(20):
+        world.origins("gijon-1").record(f"r{number}", FIRST)
+    await world.advance(1.0)
+    assert await world.find("bilbao-2", "r3") == FIRST
+    assert await world.find("bilbao-2", "unknown") is None
+    assert received == []
+    world.stop()
+
+
 async def test_a_stream_that_nobody_knows_is_not_found_after_a_bounded_time(world):
     """Guards against callers that wait for their deadline rather than a refusal."""
     started_at = world.timers.now()
