Keep the software version where entries state no start

Read in the diff before landing: where entries state no start, a second restart that an owner counts left the version unknown at the other VMs, and the entry that came next, though unchanged, looked like a further restart. That VM would then have taken all holdings of the engine for those of a former start, and used it no more. Only an entry that states a start has to come again after a restart; and an unknown version shows nothing. The test fails without this.

--- a/hawthornlead/gateway/target_tables.py
+++ b/hawthornlead/gateway/target_tables.py
@@ -280,9 +280,11 @@
         if known is None:
             self._reset_observed(seen)
             return True
-        # The new incarnation's own entry or its owner will report what it holds, and
-        # its entry which software it runs.
-        entry = known._replace(started_ms=seen.started_ms, models=(), software="")
+        # The new incarnation's own entry or its owner will report what it holds. Where
+        # entries state starts, only that entry can say which software it runs.
+        entry = known._replace(started_ms=seen.started_ms, models=())
+        if self._stored_starts.get(seen.target) is not None:
+            entry = entry._replace(software="")
         self._start_incarnation(entry, source)
         return True
 
@@ -387,7 +389,9 @@
 
 def _shows_restart(known: TargetEntry, entry: TargetEntry) -> bool:
     """Whether an entry without a start differs as only that of a later start can."""
-    return (known.address, known.software) != (entry.address, entry.software)
+    if known.address != entry.address:
+        return True
+    return bool(known.software) and known.software != entry.software
 
 
 def _next_start(current: Incarnation) -> int:
--- a/hawthornlead/tests/test_incarnations.py
+++ b/hawthornlead/tests/test_incarnations.py
@@ -362,3 +362,15 @@
     assert site.targets.entries["e1"].software == ""
     site.enter(SECOND, software="v2")
     assert site.targets.entries["e1"].software == "v2"
+
+
+def test_an_entry_without_a_start_that_comes_after_reported_restarts_is_the_same():
+    """Guards against an engine whose holdings count as those of a former start."""
+    site = Site()
+    site.enter(None)
+    site.tell(1)
+    site.tell(2, number=2)
+    assert site.targets.entries["e1"].software == "v1"
+    site.enter(None)
+    assert site.targets.entries["e1"].started_ms == 2
+    assert site.restarts == [(1, 2)]
