--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -350,7 +350,14 @@
         leaving = self._memberships.leaving
         reaches = self._memberships.reaches_targets
         return Heartbeat(
-            0, 0, leaving, self._open_requests(), capacity, 0.0, reaches, True
+            0,
+            0,
+            leaving,
+            self._open_requests(),
+            capacity,
+            0.0,
+            reaches,
+            stores_origins=True,
         )
 
     def _on_upstream_changed(self, head: str) -> None:
--- a/hawthornlead/messages/streams.py
+++ b/hawthornlead/messages/streams.py
@@ -1,4 +1,4 @@
-"""Messages about the streams that callers may take up again at another VM."""
+"""Messages about the streams that callers may resume at another VM."""
 
 from typing import NamedTuple
 
--- a/hawthornlead/tests/soak_gateway_cases.py
+++ b/hawthornlead/tests/soak_gateway_cases.py
@@ -101,17 +101,17 @@
     return made
 
 
-def taken_up(name, **changes):
+def resuming(name, **changes):
     """Return a request that resumes a stream."""
     fields = {"resumes": "r3", "last_event": 2, "events": (3,)}
     fields |= {"sent_at": 101.0, "ended_at": 101.2}
     return sent("resume", name, **(fields | changes))
 
 
-def taken_up_refused(count, **changes):
+def refused_resumes(count, **changes):
     """Return requests to resume streams that were refused."""
     fields = {"outcome": "refused", "status": 503, "seal": "", "events": ()}
-    asked = [taken_up(f"t{n}", **(fields | changes)) for n in range(count)]
+    asked = [resuming(f"t{n}", **(fields | changes)) for n in range(count)]
     return more_sent(*asked)
 
 
@@ -137,7 +137,7 @@
     first = run(resumed, seal="s-0", outcome="cut", ended_at=100.06)
     made.runs += [first, run(resumed, target="i-2", begun_at=100.1, last_event=1)]
     made.software = [SoftwareStart(f"i-{n}", "llm", "v1", 1.0) for n in (1, 2)]
-    made.sent.append(taken_up("r11"))
+    made.sent.append(resuming("r11"))
     made.runs.append(run(made.sent[-1], begun_at=101.05, last_event=2))
     made.orders = [order(), order(70.0, "vm-2", 2)]
     made.loads, made.log_lines = 3, 9
--- a/hawthornlead/tests/soak_gateway_streams.py
+++ b/hawthornlead/tests/soak_gateway_streams.py
@@ -1,4 +1,4 @@
-"""Judges of streams that callers take up again; see ``soak_gateway_judges``."""
+"""Judges of streams that callers resume; see ``soak_gateway_judges``."""
 
 from collections import defaultdict
 
@@ -54,7 +54,7 @@
 
 @judge("resumed-streams-go-on")
 def resumed_streams_go_on(case: Case) -> Verdict:
-    """LOST: streams taken up go on at least half as often as new ones begin."""
+    """LOST: resumed streams go on at least half as often as new ones begin."""
     resumed, new = [], []
     for sent in case.journal.sent:
         if sent.kind != "resume" or not sent.vm or sent.outcome == "left":
--- a/hawthornlead/tests/test_resumed_streams.py
+++ b/hawthornlead/tests/test_resumed_streams.py
@@ -46,10 +46,10 @@
     return answer.headers["Request-Id"], answer
 
 
-async def take_up(
+async def resume(
     deployment: Deployment, origin: str, broken: ClientAnswer, vm: int
 ) -> ClientAnswer:
-    """Take up a broken stream at a VM, as the caller's next request."""
+    """Resume a broken stream at a VM, as the caller's next request."""
     return await deployment.ask(
         "/once/x",
         vm=vm,
@@ -83,12 +83,12 @@
         assert sum(len(engine.ran) for engine in deployment.engines) == 1
 
 
-async def test_a_stream_is_taken_up_at_another_vm_at_the_version_that_began_it():
+async def test_a_stream_is_resumed_at_another_vm_at_the_version_that_began_it():
     """Guards against a stream whose callers read two versions over two requests."""
     async with Deployment(vms=2, software=MIXED) as deployment:
         for number in range(STREAMS):
             origin, broken = await begin(deployment, vm=number % 2)
-            rest = await take_up(deployment, origin, broken, vm=(number + 1) % 2)
+            rest = await resume(deployment, origin, broken, vm=(number + 1) % 2)
             assert (rest.status, rest.whole) == (200, True)
             assert len(software_of(deployment, broken, rest)) == 1
 
@@ -102,7 +102,7 @@
         killed.stop()
         await killed._mesh.stop()
         for vm in (1, 2):
-            rest = await take_up(deployment, origin, broken, vm)
+            rest = await resume(deployment, origin, broken, vm)
             assert (rest.status, rest.whole) == (200, True)
             assert len(software_of(deployment, broken, rest)) == 1
 
@@ -113,10 +113,10 @@
         for engine in deployment.engines:
             engine.event_s = 0.1
         origin, broken = await begin(deployment)
-        asking = asyncio.create_task(take_up(deployment, origin, broken, 1))
+        asking = asyncio.create_task(resume(deployment, origin, broken, 1))
         await deployment.until(lambda: sum(len(e.ran) for e in deployment.engines) > 1)
         asking.cancel()
-        rest = await take_up(deployment, origin, broken, 0)
+        rest = await resume(deployment, origin, broken, 0)
         assert (rest.status, rest.whole) == (200, True)
         assert len(software_of(deployment, broken, rest)) == 1
 
@@ -159,7 +159,7 @@
                     )
                 )
             )
-        rest = await take_up(deployment, origin, broken, vm=1)
+        rest = await resume(deployment, origin, broken, vm=1)
         assert rest.status == 503
         assert "Retry-After" in rest.headers
         assert sum(len(engine.ran) for engine in deployment.engines) == 1
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -18,10 +18,10 @@
     of_kind,
     order,
     refused,
+    refused_resumes,
+    resuming,
     run,
     sent,
-    taken_up,
-    taken_up_refused,
     troubled,
     turns,
     working_on,
@@ -117,8 +117,8 @@
     (
         "one-software-a-stream",
         more_sent(
-            taken_up("r7"),
-            runs=[run(taken_up("r7"), software="v2", last_event=2, begun_at=101.06)],
+            resuming("r7"),
+            runs=[run(resuming("r7"), software="v2", last_event=2, begun_at=101.06)],
         ),
     ),
     (
@@ -131,7 +131,7 @@
             ],
         ),
     ),
-    ("resumed-streams-go-on", taken_up_refused(20)),
+    ("resumed-streams-go-on", refused_resumes(20)),
 ]
 
 # What the pages allow, though it looks like one of the above.
@@ -194,11 +194,11 @@
             ],
         ),
     ),
-    ("resumed-streams-go-on", taken_up_refused(9)),
-    ("resumed-streams-go-on", taken_up_refused(20, resumes="unknown")),
+    ("resumed-streams-go-on", refused_resumes(9)),
+    ("resumed-streams-go-on", refused_resumes(20, resumes="unknown")),
     (
         "resumed-streams-go-on",
-        troubled(taken_up_refused(20), ("vm-killed", "vm-1", 99.0, 99.5)),
+        troubled(refused_resumes(20), ("vm-killed", "vm-1", 99.0, 99.5)),
     ),
 ]
 
--- a/hawthornlead/tests/test_stream_bindings.py
+++ b/hawthornlead/tests/test_stream_bindings.py
@@ -99,7 +99,7 @@
         self.recorded.append((request, origin))
 
 
-async def test_a_stream_that_is_taken_up_is_recorded_under_the_id_that_names_it():
+async def test_a_resumed_stream_is_recorded_under_the_id_that_names_it():
     """Guards against an origin that expires while its stream goes on."""
     origins = Origins(r1=StreamOrigin("llm", "v1"))
     request = CallerRequest("r2", None, "", "", 0, 0, 0, "7", resumes="r1")
--- a/hawthornlead/tests/test_stream_origins.py
+++ b/hawthornlead/tests/test_stream_origins.py
@@ -23,7 +23,7 @@
 FIRST, SECOND = StreamOrigin("llm", "v1"), StreamOrigin("llm", "v2")
 CENTRES = ("gijon", "bilbao", "santander")
 NINE = {f"{centre}-{n}": centre for centre in CENTRES for n in (1, 2, 3)}
-# What the platform asks to go on, of streams taken up against new ones that begin.
+# What the platform asks to go on, of resumed streams against new ones that begin.
 LEAST_SHARE = 0.5
 
 
@@ -129,7 +129,7 @@
 @pytest.mark.parametrize("killed", [1, 3, 5])
 async def test_enough_streams_go_on_after_many_vms_are_killed_at_once(killed):
     """Guards against refusing most streams whose VMs were killed together."""
-    found = taken_up = 0
+    found = resumed = 0
     for seed in range(6):
         world = OriginWorld(NINE)
         rng = Random(f"{killed}/{seed}")
@@ -143,12 +143,12 @@
         for request, vm in began.items():
             if vm not in dead:
                 continue
-            taken_up += 1
+            resumed += 1
             origin = await world.find(rng.choice(world.running), request)
             found += origin is not None
         world.stop()
-    assert taken_up >= 12
-    assert found >= LEAST_SHARE * taken_up
+    assert resumed >= 12
+    assert found >= LEAST_SHARE * resumed
 
 
 def test_copies_are_spread_over_data_centres():
@@ -239,7 +239,7 @@
 
     @rule(data=st.data())
     @precondition(lambda self: self.began and self.world.running)
-    def take_up(self, data):
+    def resume(self, data):
         vm = data.draw(st.sampled_from(self.world.running))
         request = data.draw(st.sampled_from(sorted(self.began)))
         found = self.run(self.world.find(vm, request))
