--- a/hawthornlead/tests/gateways.py
+++ b/hawthornlead/tests/gateways.py
@@ -76,8 +76,8 @@
             route("unsafe", "/unsafe/", "plain", "unsafe"),
             route("stream", "/stream/", "llm", "streaming"),
             route("resume", "/resume/", "llm", "streaming", attempts=2, resumable=True),
-            route("once", "/once/", "llm", "streaming", resumable=True),
             *extra,
+            route("once", "/once/", "llm", "streaming", resumable=True),
         ],
         "services": [
             {"name": "llm", "healthPath": "/health", "maxConns": 50, "engine": engine},
