--- a/hawthornlead/tests/gateways.py
+++ b/hawthornlead/tests/gateways.py
@@ -77,7 +77,6 @@
             route("stream", "/stream/", "llm", "streaming"),
             route("resume", "/resume/", "llm", "streaming", attempts=2, resumable=True),
             *extra,
-            route("once", "/once/", "llm", "streaming", resumable=True),
         ],
         "services": [
             {"name": "llm", "healthPath": "/health", "maxConns": 50, "engine": engine},
@@ -90,10 +89,16 @@
 class Deployment:
     """A store, two engines, two plain targets, and VMs.
 
-    There is an engine for each of the ``software`` versions.
+    There is an engine for each of the ``software`` versions; ``routes`` are added.
     """
 
-    def __init__(self, vms: int = 2, software: tuple[str, ...] = ("v1", "v1")):
+    def __init__(
+        self,
+        vms: int = 2,
+        software: tuple[str, ...] = ("v1", "v1"),
+        routes: tuple[dict, ...] = (),
+    ):
+        self._routes = routes
         self._vms = vms
         self._ids = itertools.count(1)
         self.store = PlatformStore()
@@ -109,7 +114,7 @@
     async def __aenter__(self) -> "Deployment":
         """Start all and wait until the VMs are ready and the engines owned."""
         self.store.start()
-        self.store.write("config", "main", configuration(1))
+        self.store.write("config", "main", configuration(1, *self._routes))
         for target in self.engines + self.plains:
             target.start()
             self.register(target)
--- a/hawthornlead/tests/test_resumed_streams.py
+++ b/hawthornlead/tests/test_resumed_streams.py
@@ -15,6 +15,8 @@
 # failure is one of the other version.
 MIXED = ("v1", "v2", "v1", "v2")
 STREAMS = 8
+# Its broken streams are left to the caller.
+ONCE = route("once", "/once/", "llm", "streaming", resumable=True)
 
 
 def software_of(deployment: Deployment, *answers: ClientAnswer) -> set[str]:
@@ -61,7 +63,7 @@
 
 async def test_a_stream_goes_on_in_one_answer_at_the_version_that_began_it():
     """Guards against one answer with events of two software versions."""
-    async with Deployment(vms=1, software=MIXED) as deployment:
+    async with Deployment(vms=1, software=MIXED, routes=(ONCE,)) as deployment:
         for _ in range(STREAMS):
             for engine in deployment.engines:
                 engine.faults.clear()
@@ -85,7 +87,7 @@
 
 async def test_a_stream_is_resumed_at_another_vm_at_the_version_that_began_it():
     """Guards against a stream whose callers read two versions over two requests."""
-    async with Deployment(vms=2, software=MIXED) as deployment:
+    async with Deployment(vms=2, software=MIXED, routes=(ONCE,)) as deployment:
         for number in range(STREAMS):
             origin, broken = await begin(deployment, vm=number % 2)
             rest = await resume(deployment, origin, broken, vm=(number + 1) % 2)
@@ -95,7 +97,7 @@
 
 async def test_a_stream_whose_vm_was_killed_goes_on_at_the_version_that_began_it():
     """Guards against an origin that is lost with the VM that its caller was sent to."""
-    async with Deployment(vms=3, software=MIXED) as deployment:
+    async with Deployment(vms=3, software=MIXED, routes=(ONCE,)) as deployment:
         origin, broken = await begin(deployment)
         await asyncio.sleep(2 * SEND_INTERVAL_S)
         killed = deployment.gateways.pop(0)
@@ -109,7 +111,7 @@
 
 async def test_a_stream_that_breaks_twice_is_named_by_its_first_request():
     """Guards against a version that is known for the first break only."""
-    async with Deployment(vms=2, software=MIXED) as deployment:
+    async with Deployment(vms=2, software=MIXED, routes=(ONCE,)) as deployment:
         for engine in deployment.engines:
             engine.event_s = 0.1
         origin, broken = await begin(deployment)
@@ -134,7 +136,7 @@
 )
 async def test_a_stream_of_unknown_origin_is_refused_unrun(named):
     """Guards against a guess at the version that began a stream."""
-    async with Deployment(vms=2, software=MIXED) as deployment:
+    async with Deployment(vms=2, software=MIXED, routes=(ONCE,)) as deployment:
         answer = await deployment.ask("/once/x", Model=MODEL, **named)
         assert answer.status == 503
         assert "Retry-After" in answer.headers
@@ -143,7 +145,7 @@
 
 async def test_a_stream_is_refused_at_once_when_no_target_of_its_version_is_left():
     """Guards against a stream that waits for, or goes on at, another version."""
-    async with Deployment(vms=2, software=("v1", "v2")) as deployment:
+    async with Deployment(vms=2, software=("v1", "v2"), routes=(ONCE,)) as deployment:
         origin, broken = await begin(deployment)
         (began,) = software_of(deployment, broken)
         for engine in deployment.engines:
@@ -167,7 +169,7 @@
 
 async def test_a_stream_goes_on_through_another_vm_at_the_version_that_began_it():
     """Guards against a relayed rest of a stream that its VM can't bring itself."""
-    async with Deployment(vms=2, software=MIXED) as deployment:
+    async with Deployment(vms=2, software=MIXED, routes=(ONCE,)) as deployment:
         once = deque(["cut"])
         for engine in deployment.engines:
             engine.event_s = 0.2
@@ -191,8 +193,8 @@
         {"service": "plain", "weight": 50},
         {"service": "llm", "weight": 50},
     ]
-    async with Deployment(vms=2, software=MIXED) as deployment:
-        deployment.store.write("config", "main", configuration(2, split))
+    async with Deployment(vms=2, software=MIXED, routes=(ONCE,)) as deployment:
+        deployment.store.write("config", "main", configuration(2, ONCE, split))
         for gateway in deployment.gateways:
             parts = gateway._parts
             await deployment.until(lambda known=parts: known.configuration.version == 2)
