Replace the engine of a lost request as it begins, not when a test sees it

The test waited until it saw that the engine ran the request and then replaced the engine.

Ruled out: a probe that fails under load, since it would have been followed after 0.4 s.

The stand-in now replaces itself as it takes the request; the bound stays. What the late replacement shows is a test of its own, with the age that an answer to a probe may have as its bound.

--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -26,7 +26,8 @@
 
     Faults, one for each next request: "stray" answers another request first, "cut"
     breaks off after two events, "reset" breaks off before the answer, "fail" answers
-    500, "refuse" answers 503 unrun, "mute" never answers. While ``silent`` it takes
+    500, "refuse" answers 503 unrun, "mute" never answers, "replaced" never answers
+    either and leaves its address to an engine of another id. While ``silent`` it takes
     connections and answers nothing on any of them, nor in a stream that it began. With
     ``report_to_any`` it tells its report also to who asks for another id.
 
@@ -226,7 +227,9 @@
             return
         self.ran.append(request_id)
         self.headers.append(call.headers)
-        if fault == "mute":
+        if fault == "replaced":
+            self.target = "another-start"
+        if fault in ("mute", "replaced"):
             await call.gone
             self.cancelled.append(request_id)
         elif fault == "reset":
--- a/hawthornlead/tests/test_loss_detectors.py
+++ b/hawthornlead/tests/test_loss_detectors.py
@@ -7,7 +7,7 @@
 from prometheus_client import CollectorRegistry
 
 from hawthornlead.gateway.gateway_metrics import GatewayMetrics
-from hawthornlead.gateway.loss_detectors import LossDetector
+from hawthornlead.gateway.loss_detectors import ALIVE_MAX_AGE_S, LossDetector
 from hawthornlead.gateway.records import Loss, ServiceSpec, TargetEntry
 from hawthornlead.gateway.target_healths import TargetHealths
 from hawthornlead.gateway.target_liveness import Repeat
@@ -72,16 +72,32 @@
     request may have run, so its caller must not be told that it didn't, nor may it run
     again; but it can be told at once that nothing more comes.
     """
+    async with Deployment(vms=1) as deployment:
+        for engine in deployment.engines:
+            engine.faults.append("replaced")
+        answer, took_s = await asked_in(deployment, "/stream/x", Model=MODEL)
+        assert answer.status == 502
+        assert "Retry-After" in answer.headers
+        assert took_s < SOON_S
+        assert sum(len(engine.ran) for engine in deployment.engines) == 1
+
+
+async def test_an_engine_that_is_replaced_after_a_probe_is_found_by_the_next():
+    """A probe finds the engine alive a moment before it is replaced.
+
+    Its caller waits until that answer is too old to be trusted, but no longer.
+    """
     async with Deployment(vms=1) as deployment:
         for engine in deployment.engines:
             engine.faults.append("mute")
+        alive = deployment.gateways[0]._parts.metrics.probes.labels("alive")
         asking = asyncio.create_task(asked_in(deployment, "/stream/x", Model=MODEL))
         dying = await begun(deployment)
+        await deployment.until(lambda: alive._value.get())
         dying.target = "another-start"
         answer, took_s = await asking
         assert answer.status == 502
-        assert "Retry-After" in answer.headers
-        assert took_s < SOON_S
+        assert took_s < ALIVE_MAX_AGE_S + SOON_S
         assert sum(len(engine.ran) for engine in deployment.engines) == 1
 
 
