Let the watchers of a VM take turns at a store that doesn't serve it

Each VM follows four kinds, and each kind's watcher called a store that was away at its own rate, 0.4 s and later 0.9 s apart. One of these calls shows all that the four do, so an outage cost four times the calls.

The first call that succeeds wakes all watchers of the VM.

--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -37,6 +37,7 @@
 from .records import StoredRecord
 from .request_forwards import RequestForward
 from .request_servers import RequestServer
+from .store_retries import StoreRetries
 from .target_entries import effective_entry
 from .target_loads import TargetLoads
 from .vm_relays import pop_origin, refuse_relayed
@@ -276,6 +277,7 @@
             "rng": rng,
             "events": self._events,
             "relays": self._relays,
+            "retries": StoreRetries(self._timers),
             "metrics": metrics,
         }
         # If a configuration or version becomes unreadable, the last one stays in force:
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -18,6 +18,7 @@
 from .kind_records import NO_REVISION, KindRecords
 from .records import StoredRecord, StoreEvent
 from .store_clients import WATCH_SLACK_S, StoreClient
+from .store_retries import StoreRetries
 from .watch_relays import WatchRelays
 
 # How long a watch waits for changes. A longer wait detects a lost answer or a silent
@@ -64,6 +65,7 @@
         rng: Random,
         events: EventRing,
         relays: WatchRelays,
+        retries: StoreRetries,
         on_changed: Callable[[StoredRecord], None],
         on_deleted: Callable[[str], None],
         on_unreadable: Callable[[str], None] = lambda name: None,
@@ -78,6 +80,7 @@
         self._rng = rng
         self._events = events
         self._relays = relays
+        self._retries = retries
         self._known = KindRecords(
             kind,
             events=events,
@@ -142,19 +145,23 @@
             if pause_s > 0:
                 await self._timers.sleep(pause_s)
                 continue
-            self._current = await self._call_store()
-            if self._current:
-                self._failures = 0
-                continue
-            if self._history_gone:
-                await self._await_next_listing()
-                continue
+            if self._retries.may_call(self._retry_s()):
+                self._current = await self._call_store()
+                if self._current:
+                    self._failures = 0
+                    continue
+                if self._history_gone:
+                    await self._await_next_listing()
+                    continue
             self._failures += 1
             if await self._relays.fetch(self._kind):
                 self._listed = True
-            soon = self._failures <= MAX_FAST_RETRIES or not self._listed
-            pause_s = RETRY_S if soon else SLOW_RETRY_S
-            await self._timers.sleep(pause_s * self._rng.uniform(0.5, 1.5))
+            await self._retries.wait(self._retry_s() * self._rng.uniform(0.5, 1.5))
+
+    def _retry_s(self) -> float:
+        """Return the mean pause after a call that failed or was left to others."""
+        soon = self._failures <= MAX_FAST_RETRIES or not self._listed
+        return RETRY_S if soon else SLOW_RETRY_S
 
     async def _call_store(self) -> bool:
         """Call the store once for missing changes; return whether that succeeded."""
@@ -273,12 +280,14 @@
         self._skipped = skipped > 0
 
     def _mark_lost(self, detail: str) -> None:
+        self._retries.record(served=False)
         if self._answering:
             self._lost_at = self._timers.now()
             self._events.emit(EventKind.WATCH_LOST, self._kind, detail=detail)
         self._answering = False
 
     def _mark_recovered(self) -> None:
+        self._retries.record(served=True)
         self._answered_at = self._timers.now()
         if not self._answering:
             self._recovered_at = self._timers.now()
--- a/hawthornlead/tests/fakes_spread.py
+++ b/hawthornlead/tests/fakes_spread.py
@@ -21,6 +21,7 @@
 from hawthornlead.gateway.load_announcements import LoadAnnouncements
 from hawthornlead.gateway.memberships import VMS_KIND, Memberships
 from hawthornlead.gateway.records import StoredRecord, VmRecord
+from hawthornlead.gateway.store_retries import StoreRetries
 from hawthornlead.gateway.target_loads import TargetLoads
 from hawthornlead.gateway.watch_relays import WatchRelays
 from hawthornlead.gateway.watchers import KindWatcher
@@ -208,6 +209,7 @@
             "rng": rng,
             "events": self.events,
             "relays": self.relays,
+            "retries": StoreRetries(self.timers),
         }
         return {
             CONFIGURATION_KIND: KindWatcher(
--- a/hawthornlead/tests/following_vms.py
+++ b/hawthornlead/tests/following_vms.py
@@ -20,6 +20,7 @@
 from hawthornlead.gateway.memberships import VMS_KIND, Memberships
 from hawthornlead.gateway.records import VmRecord
 from hawthornlead.gateway.store_clients import StoreClient
+from hawthornlead.gateway.store_retries import StoreRetries
 from hawthornlead.gateway.target_entries import effective_entry
 from hawthornlead.gateway.target_tables import TargetTable
 from hawthornlead.gateway.watch_relays import WatchRelays
@@ -87,6 +88,7 @@
             "rng": Random(1),
             "events": self.events,
             "relays": self.relays,
+            "retries": StoreRetries(timers),
             "metrics": self.metrics,
         }
         self.watchers = {
--- a/hawthornlead/tests/test_watchers.py
+++ b/hawthornlead/tests/test_watchers.py
@@ -11,6 +11,7 @@
 from hawthornlead.gateway.memberships import Memberships
 from hawthornlead.gateway.records import StoredRecord, StoreEvent, VmRecord
 from hawthornlead.gateway.store_clients import StoreClient
+from hawthornlead.gateway.store_retries import StoreRetries
 from hawthornlead.gateway.vm_leases import LEASES_KIND, VmLease
 from hawthornlead.gateway.watch_relays import WatchRelays
 from hawthornlead.gateway.watchers import KindWatcher
@@ -63,6 +64,7 @@
             rng=Random(1),
             events=events,
             relays=self.relays,
+            retries=StoreRetries(timers),
             on_changed=self._take,
             on_deleted=lambda name: self.seen.pop(name),
             effective_content=effective_content,
