Read the owners and leases of many engines in one listing each

After a power cut of all VMs, each VM finds each engine without an owner and checks whether it may claim it: one call for the engine's owner, one for that owner's lease.

Reads of one kind that are requested in the same turn of the event loop are one listing, from four objects on. What a listing lacks is read alone, since it skips what it can't read. A read joins none that was sent before, so that it is as fresh as a call of its own; a claim is a conditional write as before.

The test of two VMs and 70 engines made 140 reads before, 2 now.

--- a/hawthornlead/gateway/ownerships.py
+++ b/hawthornlead/gateway/ownerships.py
@@ -15,6 +15,7 @@
 from ..fleet.fleet_meshes import FleetMesh
 from ..messages.gateways import YieldTarget
 from ..messages.sessions import Done
+from .batched_reads import BatchedReads
 from .memberships import Memberships
 from .owner_objects import (
     OWNERS_KIND,
@@ -88,6 +89,7 @@
         self._memberships = memberships
         self._lease = lease
         self._client = client
+        self._reads = BatchedReads(client, OWNERS_KIND)
         self._mesh = mesh
         self._owned: dict[str, Ownership] = {}
         self._started_at = lease.now()
@@ -218,7 +220,7 @@
 
         Only an existing object has a revision, from which the fence is derived.
         """
-        found = await self._client.get(OWNERS_KIND, target)
+        found = await self._reads.get(target)
         if found.is_err():
             return found
         if found.ok_value is not None:
--- a/hawthornlead/gateway/vm_leases.py
+++ b/hawthornlead/gateway/vm_leases.py
@@ -16,6 +16,7 @@
 from ..events import EventKind, EventRing
 from ..tasks import TaskSet
 from ..timers import TimerService
+from .batched_reads import BatchedReads
 from .records import StoredRecord
 from .store_clients import StoreClient
 from .upserts import upsert
@@ -63,6 +64,7 @@
         self._vm = vm
         self._incarnation = incarnation
         self._client = client
+        self._reads = BatchedReads(client, LEASES_KIND)
         self._timers = timers
         self._rng = rng
         self._required = False
@@ -122,7 +124,7 @@
         that is missing or unreadable: nobody removes one, and its VM may be live.
         """
         requested_at = self._timers.now()
-        found = await self._client.get(LEASES_KIND, vm)
+        found = await self._reads.get(vm)
         if found.is_err():
             return False
         record = found.ok_value
