Give an order in a test time to be sent before its answer is late

One of two whole runs side by side failed in test_silence_after_the_bytes_proves_nothing: the order had 0.2 s in all, and ended before its bytes were sent ('Timeout while resolving 127.0.0.1'), which is truly TARGET_UNREACHABLE, nothing sent. The test is about silence after the bytes.

Evidence: the loop blocked for 0.3 s as the order begins: TARGET_UNREACHABLE and no body received with 0.2 s, TARGET_LOST and one body with 2 s; without the block TARGET_LOST with 0.2 s. The engine still answers after 5 s, so the order ends as late as before.

--- a/hawthornlead/tests/test_targets.py
+++ b/hawthornlead/tests/test_targets.py
@@ -77,7 +77,7 @@
     would go on granting an adapter that is no longer there.
     """
     client, server, bodies = await _engine((200, {}, 5))
-    assert (await _order(client, 0.2)).unwrap_err().kind is ErrorKind.TARGET_LOST
+    assert (await _order(client, 2.0)).unwrap_err().kind is ErrorKind.TARGET_LOST
     assert len(bodies) == 1
     server.stop()
 
