--- a/hawthornlead/tests/test_whole_outages.py
+++ b/hawthornlead/tests/test_whole_outages.py
@@ -46,8 +46,9 @@
     async def _count(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
-            self._turns.append(loop.time())
-            while self._turns[0] < loop.time() - self._span_s:
+            now = loop.time()
+            self._turns.append(now)
+            while self._turns[0] < now - self._span_s:
                 self._turns.popleft()
             await asyncio.sleep(TURN_S)
 
