Name the turns at the store as other limits are named; say what a stop drops

Names and comments only. may_call took the turn that it told of, so that it had to be read twice; budgets elsewhere are acquired.

--- a/hawthornlead/gateway/store_retries.py
+++ b/hawthornlead/gateway/store_retries.py
@@ -3,7 +3,7 @@
 One call shows whether the store serves this VM again. So the watchers retry in turn,
 and not each at its own rate; as soon as one call succeeds, the others call too::
 
-    if retries.may_call(0.2):
+    if retries.acquire_call(0.2):
         outcome = await client.watch(kind, since, wait_s)
         retries.record(outcome.is_ok())
 """
@@ -23,11 +23,10 @@
         self._tried_at = LONG_AGO
         self._recovered = Signal()
 
-    def may_call(self, spacing_s: float) -> bool:
-        """Whether a watcher may call now.
+    def acquire_call(self, spacing_s: float) -> bool:
+        """Acquire the right to call now; False if another watcher's call is enough.
 
-        After a failure of any watcher it may only if no other has called or failed for
-        ``spacing_s`` seconds. True counts as a call.
+        After a failure of any watcher, one call is allowed each ``spacing_s`` seconds.
         """
         if self._served:
             return True
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -145,7 +145,7 @@
             if pause_s > 0:
                 await self._timers.sleep(pause_s)
                 continue
-            if self._retries.may_call(self._retry_s()):
+            if self._retries.acquire_call(self._retry_s()):
                 self._current = await self._call_store()
                 if self._current:
                     self._failures = 0
--- a/hawthornlead/mesh/peers.py
+++ b/hawthornlead/mesh/peers.py
@@ -126,12 +126,12 @@
         for subscription in self._subscriptions:
             subscription.cancel()
         if self._server is not None:
-            # A peer that loses this VM dials it at once; it would list it as live.
+            # Peers dial a lost VM at once, and would list this one as live.
             self._server.close(close_connections=False)
         if goodbye:
             self.broadcast(Goodbye(self.vm, self._incarnation))
             await self._flush()
-        # This drops what the connections that this end dialled have queued.
+        # This also drops what is queued on the connections that this end dialled.
         self._dialler.stop()
         for connection in tuple(self._connections):
             connection.abort("stopped")
--- a/hawthornlead/tests/test_store_retries.py
+++ b/hawthornlead/tests/test_store_retries.py
@@ -26,10 +26,10 @@
     return StoreRetries(timers)
 
 
-def test_any_watcher_may_call_while_the_store_serves(retries):
-    assert all(retries.may_call(RETRY_S) for _ in range(KINDS))
+def test_every_watcher_may_call_while_the_store_serves(retries):
+    assert all(retries.acquire_call(RETRY_S) for _ in range(KINDS))
     retries.record(served=True)
-    assert all(retries.may_call(RETRY_S) for _ in range(KINDS))
+    assert all(retries.acquire_call(RETRY_S) for _ in range(KINDS))
 
 
 async def test_one_watcher_at_a_time_calls_after_a_failure(retries, timers):
@@ -40,7 +40,7 @@
     for _ in range(40):
         await timers.advance(0.1)
         for _ in range(KINDS):
-            if retries.may_call(RETRY_S):
+            if retries.acquire_call(RETRY_S):
                 calls += 1
                 retries.record(served=False)
     assert calls == 4
@@ -50,10 +50,10 @@
     """A call that hangs for its whole time-out must not hold up all others."""
     retries.record(served=False)
     await timers.advance(RETRY_S + 0.01)
-    assert retries.may_call(RETRY_S)
-    assert not retries.may_call(RETRY_S)
+    assert retries.acquire_call(RETRY_S)
+    assert not retries.acquire_call(RETRY_S)
     await timers.advance(RETRY_S + 0.01)
-    assert retries.may_call(RETRY_S)
+    assert retries.acquire_call(RETRY_S)
 
 
 async def test_the_first_call_that_succeeds_wakes_all_watchers(retries, timers):
@@ -64,7 +64,7 @@
     assert not any(task.done() for task in waiting)
     retries.record(served=True)
     await asyncio.wait_for(asyncio.gather(*waiting), 5)
-    assert all(retries.may_call(RETRY_S) for _ in range(KINDS))
+    assert all(retries.acquire_call(RETRY_S) for _ in range(KINDS))
 
 
 @pytest.mark.parametrize("refusal", Refusal)
