Log a request's digest and the shared parts of its prompt as it is placed

What the logs of the incident lack: whether requests that crash engines have a part of their prompts in common, and which digests were quarantined. No change of logic. The prompt's last part is the request's own and isn't kept. With long prompts the sixteen last shared parts are kept.

--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -54,7 +54,10 @@
             self._request,
             origin.stream if origin is not None else None,
         )
-        self._reporter = RequestReporter(parts, call, self._request, self._stream)
+        self._fingerprint = _fingerprint(call)
+        self._reporter = RequestReporter(
+            parts, call, self._request, self._stream, self._fingerprint
+        )
         self._deadline_at = 0.0
         self._excluded: set[str] = set()
         self._attempts: Attempts | None = None
@@ -124,7 +127,7 @@
             self._stream,
             self._reporter,
             self._deadline_at,
-            self._fingerprint(),
+            self._fingerprint,
             self._binding,
             workspace,
         )
@@ -196,7 +199,7 @@
     async def _serve(
         self, route: Route, workspace: Workspace | None, service: str
     ) -> None:
-        checked = self._parts.suspects.check(self._fingerprint())
+        checked = self._parts.suspects.check(self._fingerprint)
         if checked.is_err():
             failure = checked.err_value
             self._reporter.refuse(failure._replace(kind=ErrorKind.OVERLOADED))
@@ -382,10 +385,11 @@
             return
         self._reporter.refuse(Failure(ErrorKind.DEADLINE_PASSED, "the deadline passed"))
 
-    def _fingerprint(self) -> bytes:
-        """Return a digest that is the same if the caller sends the request again."""
-        digest = blake2b(digest_size=8)
-        digest.update(self._call.method.encode())
-        digest.update(self._call.path.encode())
-        digest.update(self._call.body)
-        return digest.digest()
+
+def _fingerprint(call: CallerCall) -> bytes:
+    """Return a digest that is the same if the caller sends the request again."""
+    digest = blake2b(digest_size=8)
+    digest.update(call.method.encode())
+    digest.update(call.path.encode())
+    digest.update(call.body)
+    return digest.digest()
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -25,6 +25,7 @@
 MODEL = "Model"
 TOKENS = "Token-Usage"
 LENGTH_HINT = "Length-Hint"
+PROMPT_PARTS = "Prompt-Prefix"
 WORKSPACE = "Tenant-Id"
 
 # Headers that apply to one connection only, or that describe how a body is framed.
@@ -62,6 +63,11 @@
 )
 # A longer number is no plausible count and is read as absent.
 MAX_DIGITS = 9
+# Longer ids are no engine's and would fill messages between VMs.
+MAX_PART_DIGITS = 32
+# Of a longer prompt the last ones are kept, which fewer prompts share.
+MAX_SHARED_PARTS = 16
+HEX_DIGITS = frozenset("0123456789abcdef")
 
 
 class AnswerMetadata(NamedTuple):
@@ -109,9 +115,27 @@
         key_digest=read_key_digest(headers),
         tells_tokens=_is_whole_number(prompt) and _is_whole_number(limit),
         resumes=headers.get(RESUMES, ""),
+        shared_parts=read_shared_parts(headers.get(PROMPT_PARTS, "")),
     )
 
 
+def read_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the ids of the prompt parts that requests share, in the prompt's order.
+
+    The last part is left out, because it belongs to the request or its session. A part
+    that can't be read is left out too, and one that is repeated is returned once. Upper
+    case and leading zeros don't matter::
+
+        read_shared_parts("5C1E:800, 091b:410,e440:250")  # ("5c1e", "91b")
+    """
+    parts: dict[str, None] = {}
+    for entry in text.split(",")[:-1]:
+        part = entry.partition(":")[0].strip().lower()
+        if part and len(part) <= MAX_PART_DIGITS and HEX_DIGITS.issuperset(part):
+            parts[part.lstrip("0") or "0"] = None
+    return tuple(parts)[-MAX_SHARED_PARTS:]
+
+
 def request_headers(
     caller_headers: HTTPHeaders,
     *,
