--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 from collections import deque
+from collections.abc import Callable
 
 from tornado import httputil
 from tornado.httpserver import HTTPServer
@@ -38,6 +39,12 @@
     requests reached it. A plain target works ``work_s`` on each request and has no
     ``room`` for more than so many; ``refusals`` are the moments at which it refused one
     for that. Its entry states the ``software`` version, which ``restart`` may change.
+
+    A request whose prompt has the part ``crash_part`` crashes it as it begins to write
+    the answer: all connections break, and ``down_s`` later it starts again.
+    ``crash_arrivals`` are the moments at which such requests reached it, ``crashes``
+    those at which it crashed. While ``unframed``, its streams have neither a length nor
+    chunks and end with their connection.
     """
 
     def __init__(self, target: str, service: str, model: str = "", slots: int = 3):
@@ -75,6 +82,13 @@
         self.working = 0
         self.software = "v1"
         self.refusals: list[float] = []
+        self.crash_part = ""
+        self.down_s = 0.5
+        self.crash_arrivals: list[float] = []
+        self.crashes: list[float] = []
+        self.unframed = False
+        self.on_restarted: Callable[[PlatformEngine], None] = lambda engine: None
+        self._restarting: asyncio.Task | None = None
 
     def start(self, port: int = 0) -> None:
         """Listen on a port, or on one that the system chooses."""
@@ -101,6 +115,14 @@
         self._server = HTTPServer(CallerDispatcher(self._handle, lambda: 0.0))
         self.start(port)
 
+    async def crash(self) -> None:
+        """Break all connections, and start again ``down_s`` later."""
+        self.crashes.append(asyncio.get_running_loop().time())
+        await self.stop()
+        await asyncio.sleep(self.down_s)
+        await self.restart()
+        self.on_restarted(self)
+
     def carry_out_kept(self) -> list[int]:
         """Carry out the orders that were kept, if their count holds."""
         kept, self.kept_orders = self.kept_orders, []
@@ -246,8 +268,42 @@
         headers = httputil.HTTPHeaders({**headers, **self.notices})
         call.answer(status, "OK", headers, body)
 
+    def _is_crashed_by(self, call: CallerCall) -> bool:
+        """Whether a request's prompt has the part that crashes the engine."""
+        prompt = call.headers.get("Prompt-Prefix", "")
+        parts = {entry.partition(":")[0] for entry in prompt.split(",")}
+        return bool(self.crash_part) and self.crash_part in parts
+
+    def _crash_under(self, call: CallerCall, head: dict) -> None:
+        """Begin an answer, and crash before its first event."""
+        self._begin(call, httputil.HTTPHeaders(head), b"")
+        if self._restarting is None or self._restarting.done():
+            self._restarting = asyncio.create_task(self.crash())
+
+    def _begin(self, call: CallerCall, headers, chunk: bytes) -> None:
+        if not self.unframed:
+            call.begin(200, "OK", headers, chunk)
+            return
+        call.closing = True
+        lines = ["HTTP/1.1 200 OK", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in headers.get_all()]
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        call._answered = True
+        call._connection.stream.write(head + chunk)
+
+    def _write(self, call: CallerCall, chunk: bytes) -> None:
+        if self.unframed:
+            call._connection.stream.write(chunk)
+            return
+        call.write(chunk)
+
     async def _answer_request(self, call: CallerCall, request_id: str, fault: str):
         sealed = {"Request-Id": request_id, "Server-Seal": f"seal-{self.target}"}
+        if self._is_crashed_by(call):
+            self.crash_arrivals.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(self.event_s)
+            self._crash_under(call, sealed)
+            return
         if not self._model:
             self.working += 1
             await asyncio.sleep(self.work_s)
@@ -272,9 +328,12 @@
                 call.abort()
                 return
             if not call.answered:
-                call.begin(200, "OK", headers, event)
+                self._begin(call, headers, event)
                 continue
-            call.write(event)
+            self._write(call, event)
+        if self.unframed:
+            call.abort()
+            return
         call.finish()
 
 
