Quarantine the part of prompts that crashes targets, on all VMs

Cause: what is quarantined is a whole request, by a digest of method, path and body. No two of these requests are alike, so that each crash was the first of its request. Ruled out as the cause: deaths that aren't noticed (a TARGET_DIED for each end in the logs, within 0.09 s), VMs that were restarted (11 ends before any).

Now each VM also reports the shared parts of the prompts that a target had not answered when it died. The last part that no target has answered is the suspect; it is refused everywhere once it was in two deaths with two different requests, and cleared by one answer at any VM. A request is checked when it is placed, at each further attempt and right before its bytes leave. A VM that starts or comes back is sent the evidence as it connects; while requests are refused it is repeated once a second by one of all VMs. The evidence is carried by the existing message in new fields, which older builds ignore. A request that may have crashed its target is repeated only when its parts turn out to have been answered elsewhere.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -176,6 +176,13 @@
         "a request is refused because of its crashes",
     )
     REQUEST_CLEARED = (802, "INFO", "a suspected request was answered completely")
+    PART_QUARANTINED = (
+        803,
+        "WARNING",
+        "prompts with a part are refused because of its crashes",
+    )
+    PART_CLEARED = (804, "INFO", "prompts with a quarantined part are served again")
+    PART_TRIED = (805, "INFO", "a request with a quarantined part is sent as a trial")
 
     @property
     def number(self) -> int:
--- a/hawthornlead/gateway/attempt_outcomes.py
+++ b/hawthornlead/gateway/attempt_outcomes.py
@@ -10,6 +10,7 @@
     LEFT = "the caller left"
     UNREACHED = "not reached"
     UNWANTED = "not sent, the target wants no request"
+    QUARANTINED = "not sent, its prompt crashes targets"
     REFUSED = "refused, not run"
     TOO_EARLY = "refused, perhaps still loading"
     FAILED = "failed by its target"
@@ -33,6 +34,7 @@
     (
         AttemptOutcome.UNREACHED,
         AttemptOutcome.UNWANTED,
+        AttemptOutcome.QUARANTINED,
         AttemptOutcome.REFUSED,
         AttemptOutcome.TOO_EARLY,
     )
--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -72,6 +72,11 @@
             "Probes of silent targets by result",
             ["found"],
         )
+        self.quarantine_refusals = Counter(
+            "hawthornlead_gateway_quarantine_refusals_total",
+            "Requests refused because of a prompt part that crashes targets",
+            registry=registry,
+        )
         self.first_event = self._histogram(
             "hawthornlead_gateway_first_event_seconds",
             "From a request's arrival to its first event",
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -28,6 +28,7 @@
 from .memberships import Memberships
 from .ownerships import Ownerships
 from .placers import Placer
+from .prompt_quarantines import PromptQuarantines
 from .records import Configuration, TargetEntry, VmRecord
 from .routes import RouteTable
 from .run_times import RunTimes
@@ -89,6 +90,7 @@
         loads: TargetLoads,
         healths: TargetHealths,
         suspects: Suspects,
+        quarantines: PromptQuarantines,
         crash_watch: CrashWatch,
         loss_detector: LossDetector,
         limits: TargetLimits,
@@ -112,6 +114,7 @@
         self.loads = loads
         self.healths = healths
         self.suspects = suspects
+        self.quarantines = quarantines
         self.crash_watch = crash_watch
         self.loss_detector = loss_detector
         self.limits = limits
@@ -271,13 +274,25 @@
         """Return how many VMs share what targets accept."""
         return coordination.memberships.registered_order.count or ASSUMED_VMS
 
-    suspects = Suspects(
-        settings=core.settings, timers=timers, events=core.events, mesh=mesh
+    suspects = Suspects(settings=core.settings, timers=timers, events=core.events)
+    quarantines = PromptQuarantines(
+        settings=core.settings,
+        suspects=suspects,
+        timers=timers,
+        rng=core.rng,
+        events=core.events,
+        metrics=metrics,
+        mesh=mesh,
+        vms=vms,
+    )
+    metrics.add_gauge(
+        "quarantined_parts",
+        "Prompt parts that are refused because they crash targets",
+        lambda: len(quarantines.quarantined),
     )
     crash_watch = CrashWatch(
-        suspects=suspects,
+        quarantines=quarantines,
         connections=known.connections,
-        mesh=mesh,
         timers=timers,
         events=core.events,
     )
@@ -371,6 +386,7 @@
         loads=known.loads,
         healths=known.healths,
         suspects=suspects,
+        quarantines=quarantines,
         crash_watch=crash_watch,
         loss_detector=loss_detector,
         limits=limits,
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -350,7 +350,6 @@
     def _heartbeat(self) -> Heartbeat:
         capacity = 1 if self._memberships.serving else 0
         leaving = self._memberships.leaving
-        reaches = self._memberships.reaches_targets
         return Heartbeat(
             0,
             0,
@@ -358,7 +357,7 @@
             self._open_requests(),
             capacity,
             0.0,
-            reaches,
+            self._memberships.reaches_targets,
             stores_origins=True,
         )
 
@@ -367,6 +366,7 @@
 
     async def _on_hello(self, sender, message: Hello) -> None:
         self._engine_manager.announce_all(sender.vm)
+        self._parts.quarantines.announce_all(sender.vm)
 
 
 def run_gateway(
--- a/hawthornlead/gateway/records.py
+++ b/hawthornlead/gateway/records.py
@@ -315,8 +315,9 @@
     empty for a request to the base model. ``last_event`` is the last event that the
     caller already has of an earlier, broken stream, and ``resumes`` the id of the
     request that brought its first event. ``key_digest`` is empty if the caller sent no
-    key, or an unreadable one. ``shared_parts`` are the ids of the parts of its prompt
-    that other prompts may have too, in their order.
+    key, or an unreadable one. ``prompt`` names the parts of its prompt, as the caller
+    wrote them, and ``shared_parts`` are the ids of those that other prompts may have
+    too, in their order.
     """
 
     request_id: str
@@ -330,6 +331,7 @@
     key_digest: bytes = b""
     tells_tokens: bool = False
     resumes: str = ""
+    prompt: str = ""
     shared_parts: tuple[str, ...] = ()
 
 
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -5,8 +5,6 @@
 may have run, and then only a repeatable request goes to another target.
 """
 
-from hashlib import blake2b
-
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Failure
@@ -18,6 +16,7 @@
 from .records import CallerRequest, Route, RouteKind, Workspace
 from .request_relays import RequestRelay
 from .request_reporters import RequestReporter
+from .request_signatures import read_signature
 from .routes import choose_service
 from .stream_bindings import StreamBinding
 from .stream_relays import CallerStream
@@ -54,9 +53,9 @@
             self._request,
             origin.stream if origin is not None else None,
         )
-        self._fingerprint = _fingerprint(call)
+        self._signature = read_signature(call, self._request)
         self._reporter = RequestReporter(
-            parts, call, self._request, self._stream, self._fingerprint
+            parts, call, self._request, self._stream, self._signature
         )
         self._deadline_at = 0.0
         self._excluded: set[str] = set()
@@ -127,7 +126,7 @@
             self._stream,
             self._reporter,
             self._deadline_at,
-            self._fingerprint,
+            self._signature,
             self._binding,
             workspace,
         )
@@ -199,12 +198,11 @@
     async def _serve(
         self, route: Route, workspace: Workspace | None, service: str
     ) -> None:
-        checked = self._parts.suspects.check(self._fingerprint)
-        if checked.is_err():
-            failure = checked.err_value
-            self._reporter.refuse(failure._replace(kind=ErrorKind.OVERLOADED))
-            return
         while True:
+            checked = self._check_crashes()
+            if checked.is_err():
+                self._refuse_unplaced(checked.err_value)
+                return
             if self._relays(service):
                 # The VM that serves it charges the quota.
                 self._refund()
@@ -236,6 +234,13 @@
             if not await self._continues(route, placed.ok_value, outcome):
                 return
 
+    def _check_crashes(self) -> Result[None, Failure]:
+        """Refuse a request that is known to crash targets."""
+        checked = self._parts.suspects.check(self._signature.fingerprint)
+        if checked.is_err():
+            return Err(checked.err_value._replace(kind=ErrorKind.OVERLOADED))
+        return self._parts.quarantines.check(self._signature.parts)
+
     def _relays(self, service: str) -> bool:
         """Whether the request goes to another VM first, which happens once at most."""
         return self._may_relay and self._parts.paths.is_unreachable(service)
@@ -323,7 +328,8 @@
         may_repeat = route.repeatable or (
             route.resumable and (not self._stream.begun or self._resumes())
         )
-        if may_repeat and self._reporter.ran < route.attempts and self._in_time():
+        may_repeat = may_repeat and self._reporter.ran < route.attempts
+        if may_repeat and self._in_time() and await self._attempts.crashes.may_repeat():
             return True
         self._answer_failed()
         return False
@@ -384,12 +390,3 @@
             self._reporter.cut("the deadline passed")
             return
         self._reporter.refuse(Failure(ErrorKind.DEADLINE_PASSED, "the deadline passed"))
-
-
-def _fingerprint(call: CallerCall) -> bytes:
-    """Return a digest that is the same if the caller sends the request again."""
-    digest = blake2b(digest_size=8)
-    digest.update(call.method.encode())
-    digest.update(call.path.encode())
-    digest.update(call.body)
-    return digest.digest()
--- a/hawthornlead/gateway/request_reporters.py
+++ b/hawthornlead/gateway/request_reporters.py
@@ -7,6 +7,7 @@
 from .gateway_parts import GatewayParts
 from .placers import Placed
 from .records import CallerRequest, TargetEntry
+from .request_signatures import RequestSignature
 from .stream_relays import CallerStream, StreamRelay
 from .target_connections import WholeAnswer
 from .vm_relays import RelayOutcome
@@ -24,7 +25,7 @@
     """Reports the progress and the end of one request.
 
     ``sent`` counts the attempts whose bytes were sent, ``ran`` those that may have run.
-    The ``fingerprint`` is by what the request is recognised when it is sent again.
+    The ``signature`` is by what the request is recognised when it is sent again.
     """
 
     def __init__(
@@ -33,9 +34,9 @@
         call: CallerCall,
         request: CallerRequest,
         stream: CallerStream,
-        fingerprint: bytes,
+        signature: RequestSignature,
     ):
-        self._fingerprint = fingerprint
+        self._signature = signature
         self._parts = parts
         self._call = call
         self._request = request
@@ -58,8 +59,8 @@
             turn_ms=None if placed.turn_s is None else round(1000 * placed.turn_s),
             after_ms=self._since_ms(self._call.arrived_at),
             software=placed.entry.software,
-            digest=self._fingerprint.hex(),
-            parts=" ".join(self._request.shared_parts) or None,
+            digest=self._signature.fingerprint.hex(),
+            parts=" ".join(self._signature.parts) or None,
             resumes=self._request.resumes or None,
             last=self._stream.last_event or self._request.last_event or None,
         )
--- a/hawthornlead/gateway/stream_relays.py
+++ b/hawthornlead/gateway/stream_relays.py
@@ -14,6 +14,9 @@
 
 EVENT_END = b"\n\n"
 ID_FIELD = b"id:"
+# A target that a request crashes does so as it begins to answer it. One that has gone
+# on for this long after the first event has survived it.
+SURVIVED_S = 0.25
 # Longer than any event of a served stream; longer data is relayed without event bounds.
 MAX_EVENT_BYTES = 1 << 20
 
@@ -57,7 +60,8 @@
     """Relays one target's part of a stream; keeps an answer that isn't accepted.
 
     ``may_begin`` is called once, before the first events are forwarded. If it returns
-    False, nothing is forwarded and ``refused`` is done.
+    False, nothing is forwarded and ``refused`` is done. ``on_answered`` is called once,
+    when the target has survived the request.
     """
 
     def __init__(
@@ -65,10 +69,13 @@
         stream: CallerStream,
         now: Callable[[], float],
         may_begin: Callable[[], bool] = lambda: True,
+        on_answered: Callable[[], None] = lambda: None,
     ):
         self._stream = stream
         self._now = now
         self._may_begin = may_begin
+        self._on_answered = on_answered
+        self._answered = False
         self.refused: asyncio.Future = asyncio.get_running_loop().create_future()
         self._buffer = bytearray()
         self.head: Head | None = None
@@ -85,6 +92,11 @@
             and self.head.signs.sealed
         )
 
+    @property
+    def answered(self) -> bool:
+        """Whether the target wrote events and lived on for a moment."""
+        return self._answered
+
     @property
     def unsent(self) -> bytes:
         """The data after the last complete event, or all of an answer not accepted."""
@@ -100,6 +112,9 @@
         now = self._now()
         if self.first_at is not None:
             self.longest_gap_s = max(self.longest_gap_s, now - self.active_at)
+            if not self._answered and now - self.first_at >= SURVIVED_S:
+                self._answered = True
+                self._on_answered()
         self.active_at = now
         self._buffer += chunk
         if not self.accepted or self.refused.done():
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -3,17 +3,20 @@
 import asyncio
 
 from ..platform.headers import request_headers
+from .attempt_crashes import AttemptCrashes
 from .attempt_outcomes import AttemptOutcome, Unreached
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
 from .placers import Placed
 from .records import CallerRequest, Loss, Route, RouteKind, TargetEntry, Workspace
 from .request_reporters import RequestReporter
+from .request_signatures import RequestSignature
 from .stream_bindings import StreamBinding
 from .stream_relays import CallerStream, StreamRelay
 from .target_choices import Holding
-from .target_connections import AnswerSink, Exchange, Head, WholeAnswer
+from .target_connections import AnswerSink, Exchange, WholeAnswer
 from .target_liveness import LossSubscriber, Repeat
+from .target_notices import apply_notices
 from .target_probes import MISDIRECTED_STATUS
 
 # No attempt starts with less than this left of the deadline.
@@ -21,8 +24,6 @@
 # A target whose stream is silent for this long is slow or unreachable: it counts as a
 # failure of the target.
 SILENCE_TIMEOUT_S = 1.2
-# A target that has no room for a request answers with this status.
-UNAVAILABLE_STATUS = 503
 
 
 class Attempts:
@@ -31,6 +32,7 @@
     ``failed_answer`` is the last complete answer that was a failure and was held back.
     ``loss`` is the proof by which the last attempt's target was lost, if it was, and
     ``unreached`` why the last attempt didn't reach its target, if it didn't.
+    ``crashes`` records what they show about crashes of targets.
     """
 
     def __init__(
@@ -41,7 +43,7 @@
         stream: CallerStream,
         reporter: RequestReporter,
         deadline_at: float,
-        fingerprint: bytes,
+        signature: RequestSignature,
         binding: StreamBinding,
         workspace: Workspace | None = None,
     ):
@@ -52,7 +54,7 @@
         self._stream = stream
         self._reporter = reporter
         self._deadline_at = deadline_at
-        self._fingerprint = fingerprint
+        self.crashes = AttemptCrashes(parts, signature)
         self._binding = binding
         # The target's slots, and its requests when the attempt started.
         self._slots = self._running = 0
@@ -92,6 +94,9 @@
         if not self._parts.targets.is_current(entry):
             exchange.close()
             return self._on_unreached(Unreached.GONE)
+        if not self.crashes.acquire():
+            exchange.release()
+            return AttemptOutcome.QUARANTINED
         self._parts.loads.on_request_started(entry.target, placed.key)
         slots = spec.engine.batch if spec.engine else entry.slots
         self._slots = slots
@@ -145,7 +150,7 @@
             self._call.body,
             request_id=self._request.request_id,
             sink=subscriber.watch_answer(
-                sink, lambda head: self._apply_notices(entry, head, sent_at)
+                sink, lambda head: apply_notices(self._parts, entry, head, sent_at)
             ),
         )
 
@@ -169,15 +174,18 @@
                 return AttemptOutcome.LEFT
             if subscriber.lost.done():
                 self.loss = subscriber.lost.result()
+                self.crashes.on_lost(entry, self.loss, answered=False)
                 return AttemptOutcome.LOST
             self._count_failure(entry)
             return AttemptOutcome.LATE
         if answer.head is None or not exchange.whole:
             exchange.close()
-            return self._on_answer_lost(entry, exchange)
+            return self._on_answer_lost(entry, answered=False)
         exchange.release()
         if answer.head.signs.not_run:
             return self._on_refused(entry, answer.head.status, None)
+        if 200 <= answer.head.status < 300 and answer.head.framed:
+            self.crashes.record_answered()
         self._record_wait(entry, sent_at, answer.head.status)
         return self._forward_whole(route, entry, answer)
 
@@ -208,6 +216,7 @@
             self._stream,
             self._parts.timers.now,
             lambda: self._binding.accept(entry),
+            self.crashes.record_answered,
         )
         sent_at = self._parts.timers.now()
         self._send(route, entry, exchange, subscriber, relay)
@@ -252,20 +261,23 @@
                 return AttemptOutcome.LEFT
             if subscriber.lost.done():
                 self.loss = subscriber.lost.result()
+                self.crashes.on_lost(entry, self.loss, relay.answered)
                 return AttemptOutcome.BROKEN if relay.accepted else AttemptOutcome.LOST
             return AttemptOutcome.LATE
         if relay.head is None:
             exchange.close()
-            return self._on_answer_lost(entry, exchange)
+            return self._on_answer_lost(entry, answered=False)
         if not relay.accepted:
             return self._end_refused_stream(placed, exchange, relay)
         # An answer without a length ends with its connection, and so does one of a
         # target that crashes. Then only complete events count.
         if not exchange.whole or (relay.unsent and not relay.head.framed):
             exchange.close()
-            self._on_answer_lost(entry, exchange)
+            self._on_answer_lost(entry, relay.answered)
             return AttemptOutcome.BROKEN
         exchange.release()
+        if relay.head.framed:
+            self.crashes.record_answered()
         relay.flush()
         if not self._stream.begun:
             self._stream.send(relay.head, b"")
@@ -280,7 +292,7 @@
         entry, head = placed.entry, relay.head
         if not exchange.whole:
             exchange.close()
-            return self._on_answer_lost(entry, exchange)
+            return self._on_answer_lost(entry, answered=False)
         exchange.release()
         if head.signs.not_run:
             return self._on_refused(entry, head.status, placed)
@@ -298,25 +310,6 @@
 
     # Records of the target
 
-    def _apply_notices(self, entry: TargetEntry, head: Head, sent_at: float) -> None:
-        """Apply the notices that a target sends with each answer.
-
-        A target that doesn't answer under the requested id is another one.
-        """
-        if head.status == MISDIRECTED_STATUS or not self._parts.targets.is_current(
-            entry
-        ):
-            return
-        if head.signs.backoff_s:
-            self._parts.backoffs.record(entry.target, head.signs.backoff_s)
-        if head.signs.leaving:
-            self._parts.leaving_notices.handle(entry.incarnation)
-        limit_per_s = head.signs.limit_per_s
-        self._parts.limits.record_answer(entry.incarnation, limit_per_s, sent_at)
-        self._parts.brittle.record_answer(entry, head.signs.refusals_per_s, sent_at)
-        if head.signs.not_run and head.status == UNAVAILABLE_STATUS:
-            self._parts.brittle.record_refusal(entry)
-
     def _count_failure(self, entry: TargetEntry, gone: bool = False) -> None:
         """Count a failure against a target, unless it was of a former incarnation.
 
@@ -326,9 +319,9 @@
         if self._parts.targets.is_current(entry):
             self._parts.healths.record_failure(entry.target, gone)
 
-    def _on_answer_lost(self, entry: TargetEntry, exchange: Exchange) -> AttemptOutcome:
+    def _on_answer_lost(self, entry: TargetEntry, answered: bool) -> AttemptOutcome:
         self._count_failure(entry)
-        self._parts.crash_watch.on_connection_broken(entry, self._fingerprint)
+        self.crashes.on_broken(entry, answered)
         return AttemptOutcome.LOST
 
     def _on_refused(
--- a/hawthornlead/messages/__init__.py
+++ b/hawthornlead/messages/__init__.py
@@ -23,7 +23,12 @@
     StagedBundle,
 )
 from .claims import Claim, Claimed, RecordOutcome
-from .crashes import CrashSuspects, ReleaseSuspectSlot, ReserveSuspectSlot
+from .crashes import (
+    CrashSuspects,
+    ReleaseSuspectSlot,
+    ReserveSuspectSlot,
+    UnansweredPrompt,
+)
 from .fleets import (
     FleetUpdate,
     ForwardedMessage,
@@ -137,6 +142,7 @@
     "TargetLoad",
     "TargetState",
     "TargetSuspect",
+    "UnansweredPrompt",
     "VmLoads",
     "YieldTarget",
     "message",
--- a/hawthornlead/messages/crashes.py
+++ b/hawthornlead/messages/crashes.py
@@ -5,13 +5,33 @@
 from .base import message
 
 
+class UnansweredPrompt(NamedTuple):
+    """A request that its target had not answered when it died.
+
+    ``digest`` tells requests apart; ``parts`` are the shared parts of its prompt that
+    the sender doesn't know to have been answered.
+    """
+
+    digest: bytes
+    parts: tuple[str, ...]
+
+
 @message("crash-suspects")
 class CrashSuspects(NamedTuple):
-    """Requests that ran on a target when it died, by fingerprint."""
+    """Requests that ran on a target when it died, by fingerprint.
+
+    ``prompts`` are those of requests that it had not answered, and the death was
+    ``age_s`` ago. Parts of prompts that were ``answered`` didn't crash any target. The
+    sender is about to try a request with each of the quarantined parts ``tried``.
+    """
 
     target: str
     boot_id: str
     fingerprints: tuple[bytes, ...]
+    prompts: tuple[UnansweredPrompt, ...] = ()
+    age_s: float = 0.0
+    answered: tuple[str, ...] = ()
+    tried: tuple[str, ...] = ()
 
 
 @message("take-suspect-place")
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -115,6 +115,7 @@
         key_digest=read_key_digest(headers),
         tells_tokens=_is_whole_number(prompt) and _is_whole_number(limit),
         resumes=headers.get(RESUMES, ""),
+        prompt=headers.get(PROMPT_PARTS, ""),
         shared_parts=read_shared_parts(headers.get(PROMPT_PARTS, "")),
     )
 
--- a/hawthornlead/tests/test_incarnations.py
+++ b/hawthornlead/tests/test_incarnations.py
@@ -8,7 +8,12 @@
 from hawthornlead.clocks import HybridClock
 from hawthornlead.errors import ErrorKind, Failure
 from hawthornlead.events import EventRing
-from hawthornlead.gateway.crash_watches import BREAK_BATCH_S, RESTART_SEEN_S, CrashWatch
+from hawthornlead.gateway.crash_watches import (
+    BREAK_BATCH_S,
+    RESTART_SEEN_S,
+    BrokenRequest,
+    CrashWatch,
+)
 from hawthornlead.gateway.engine_slots import AdapterKey
 from hawthornlead.gateway.records import (
     Incarnation,
@@ -17,6 +22,7 @@
     ServiceSpec,
     StoredRecord,
 )
+from hawthornlead.gateway.request_signatures import RequestSignature
 from hawthornlead.gateway.target_choices import Holding
 from hawthornlead.gateway.target_loads import TargetLoads
 from hawthornlead.gateway.target_tables import TargetTable
@@ -282,24 +288,25 @@
         self.told = []
         self.connections = Opening()
         self.watch = CrashWatch(
-            suspects=self,
+            quarantines=self,
             connections=self.connections,
-            mesh=self,
             timers=site.timers,
             events=site.events,
         )
 
     async def broke(self, entry, fingerprint):
         """Have a connection break, and let the watch look."""
-        self.watch.on_connection_broken(entry, fingerprint)
+        request = BrokenRequest(RequestSignature(fingerprint, fingerprint, ()), False)
+        self.watch.on_connection_broken(entry, request)
         await asyncio.sleep(0)
         await self._timers.advance(2 * BREAK_BATCH_S)
 
-    def record_death(self, target, boot_id, fingerprints):
-        self.told.append((boot_id, sorted(fingerprints)))
+    def report_death(self, target, incarnation, fingerprints, prompts):
+        self.told.append((incarnation, sorted(fingerprints)))
 
-    def broadcast(self, message):
-        """Tell the other VMs."""
+    def unanswered(self, parts):
+        """Return the parts that no target has answered."""
+        return parts
 
 
 async def test_each_start_of_a_target_dies_once(site):
--- a/hawthornlead/tests/test_prompt_crashes.py
+++ b/hawthornlead/tests/test_prompt_crashes.py
@@ -84,7 +84,7 @@
     async with Deployment(vms=vms, software=ENGINES) as deployment:
         fleet = CrashedFleet(deployment)
         loading = asyncio.create_task(fleet.load())
-        await asyncio.sleep(1.0)
+        await asyncio.sleep(1.5)
         try:
             yield fleet
         finally:
