Take an unframed stream without any event for broken off

A caller whose stream an engine began without a length or chunks, and then crashed, got an empty answer with status 200 that looked complete, and the crash counted as a served request. An answer that ends with its connection ends the same way when its engine crashes; without a complete event there is no answer.

The test failed before (200 in place of 502); it also shows that such crashes lead to the quarantine of the part that causes them.

--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -270,8 +270,10 @@
         if not relay.accepted:
             return self._end_refused_stream(placed, exchange, relay)
         # An answer without a length ends with its connection, and so does one of a
-        # target that crashes. Then only complete events count.
-        if not exchange.whole or (relay.unsent and not relay.head.framed):
+        # target that crashes. Then only complete events count, and without any the
+        # target didn't answer.
+        cut_off = relay.unsent or relay.first_at is None
+        if not exchange.whole or (cut_off and not relay.head.framed):
             exchange.close()
             self._on_answer_lost(entry, relay.answered)
             return AttemptOutcome.BROKEN
--- a/hawthornlead/tests/test_prompt_crashes.py
+++ b/hawthornlead/tests/test_prompt_crashes.py
@@ -110,6 +110,20 @@
         assert fleet.sound_share(last + CONTACT_S, loop.time()) >= calm / 2
 
 
+async def test_an_answer_without_framing_and_events_is_no_end():
+    """Guards against a crash that passes for a complete answer, with status 200."""
+    async with crashed_fleet() as fleet:
+        for engine in fleet.deployment.engines:
+            engine.unframed = True
+        for number in range(CRASHES_BORNE):
+            answer = await fleet.ask_crashing(number % 3)
+            assert answer.status in (502, 503)
+            await asyncio.sleep(PAUSE_S)
+        assert len(fleet.crashes) < CRASHES_BORNE
+        await asyncio.sleep(CONTACT_S)
+        assert (await fleet.ask(ROUTE_PART, "1c", vm=0)).whole
+
+
 async def test_a_vm_that_starts_after_the_crashes_sends_no_such_request():
     """Guards against a quarantine that only those VMs know which saw the crashes."""
     async with crashed_fleet(vms=2) as fleet:
