Tell a VM that connects which whole requests are quarantined

A request that had crashed two engines was refused by the VMs that had seen it, and reached an engine again through each VM that started or came back afterwards. Quarantined requests go with the evidence that a connecting VM is sent, and a request is checked once more right before its bytes leave.

The test failed before: 502 in place of 503 at the VM that starts.

--- a/hawthornlead/decisions/suspects.py
+++ b/hawthornlead/decisions/suspects.py
@@ -9,6 +9,7 @@
 running it when the report of the last death arrived.
 """
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -21,6 +22,8 @@
 
 MAX_SUSPECTS = 8192
 MAX_FINGERPRINTS = 4096
+# Of more quarantines than this, a VM that starts is told of the newest.
+MAX_REPORTS = 512
 # Reports of one death that lack the boot id arrive within this time.
 SAME_DEATH_WINDOW_S = 5.0
 
@@ -35,7 +38,7 @@
 
     def __init__(self):
         self.deaths: set[_Death] = set()
-        self.last_at = 0.0
+        self.last_at = -math.inf
         self.refused_until: float | None = None
 
 
@@ -92,25 +95,46 @@
         del self._suspects[fingerprint]
         self._events.emit(EventKind.REQUEST_CLEARED, fingerprint.hex())
 
+    def reports(self) -> list[CrashSuspects]:
+        """Return the deaths behind the quarantines, for a VM that may not know them.
+
+        The age of each is that of its request's last death, so that the quarantine ends
+        there when it ends here.
+        """
+        now = self._timers.now()
+        reports = []
+        for fingerprint, suspect in self._suspects.items():
+            if suspect.refused_until is None or suspect.refused_until <= now:
+                continue
+            age_s = now - suspect.last_at
+            for death in suspect.deaths:
+                reports.append(CrashSuspects(*death, (fingerprint,), age_s=age_s))
+        return reports[-MAX_REPORTS:]
+
     def record_death(
-        self, target: str, boot_id: str, fingerprints: Iterable[bytes]
+        self,
+        target: str,
+        boot_id: str,
+        fingerprints: Iterable[bytes],
+        age_s: float = 0.0,
     ) -> None:
         """Merge a report of the requests that were on a target as it died.
 
         Several VMs report one death; it counts once for each fingerprint.
         """
+        died_at = self._timers.now() - age_s
         death = self._death(target, boot_id)
         for fingerprint in list(fingerprints)[:MAX_FINGERPRINTS]:
             if (fingerprint, death) in self._cleared:
                 # The report is outdated: the request has completed since.
                 continue
-            self._accuse(fingerprint, death)
+            self._accuse(fingerprint, death, died_at)
 
     async def _on_crash_suspects(self, sender, message: CrashSuspects):
         self.record_death(message.target, message.boot_id, message.fingerprints)
         return Done()
 
-    def _accuse(self, fingerprint: bytes, death: _Death) -> None:
+    def _accuse(self, fingerprint: bytes, death: _Death, died_at: float) -> None:
         suspect = self._current(fingerprint)
         if suspect is None:
             suspect = self._suspects[fingerprint] = _Suspect()
@@ -118,7 +142,7 @@
         if death in suspect.deaths or suspect.refused_until is not None:
             return
         suspect.deaths.add(death)
-        suspect.last_at = self._timers.now()
+        suspect.last_at = max(suspect.last_at, died_at)
         self._suspects.move_to_end(fingerprint)
         name = fingerprint.hex()
         if len(suspect.deaths) < self._settings["CRASHES_TO_QUARANTINE"]:
--- a/hawthornlead/gateway/attempt_crashes.py
+++ b/hawthornlead/gateway/attempt_crashes.py
@@ -21,8 +21,10 @@
         self._suspect_at: Incarnation | None = None
 
     def acquire(self) -> bool:
-        """Whether the request may be sent now; its prompt may crash targets."""
+        """Whether the request may be sent now: it isn't known to crash targets."""
         self._suspect_at = None
+        if self._parts.suspects.check(self._signature.fingerprint).is_err():
+            return False
         return self._parts.quarantines.acquire(self._signature.parts).is_ok()
 
     def record_answered(self) -> None:
--- a/hawthornlead/gateway/attempt_outcomes.py
+++ b/hawthornlead/gateway/attempt_outcomes.py
@@ -10,7 +10,7 @@
     LEFT = "the caller left"
     UNREACHED = "not reached"
     UNWANTED = "not sent, the target wants no request"
-    QUARANTINED = "not sent, its prompt crashes targets"
+    QUARANTINED = "not sent, it crashes targets"
     REFUSED = "refused, not run"
     TOO_EARLY = "refused, perhaps still loading"
     FAILED = "failed by its target"
--- a/hawthornlead/gateway/prompt_quarantines.py
+++ b/hawthornlead/gateway/prompt_quarantines.py
@@ -158,7 +158,10 @@
 
     def announce_all(self, vm: str) -> None:
         """Send the evidence to a VM that has been connected."""
-        for evidence in self._messages(self._evidence.suspected):
+        for evidence in (
+            *self._suspects.reports(),
+            *self._messages(self._evidence.suspected),
+        ):
             self._mesh.cast(vm, evidence)
 
     async def _on_crash_suspects(self, sender, message: CrashSuspects) -> None:
@@ -168,7 +171,7 @@
         now = self._timers.now()
         if message.fingerprints:
             self._suspects.record_death(
-                message.target, message.boot_id, message.fingerprints
+                message.target, message.boot_id, message.fingerprints, message.age_s
             )
         if message.prompts:
             answered = self._evidence.record_death(
--- a/hawthornlead/tests/test_prompt_crashes.py
+++ b/hawthornlead/tests/test_prompt_crashes.py
@@ -138,3 +138,19 @@
             answer = await fleet.ask_crashing(vm=2)
             assert (answer.status, answer.headers.get("Server-Seal")) == (503, None)
         assert len(fleet.arrivals) == before
+
+
+async def test_a_vm_that_starts_later_knows_the_whole_requests_that_crash_engines():
+    """Guards against a quarantined request that any restarted VM lets through again."""
+    async with crashed_fleet(vms=2) as fleet:
+        deployment = fleet.deployment
+        ask = {"body": b"the same", "Model": MODEL, "Prompt_Prefix": f"{CRASH_PART}:9"}
+        for number in range(3):
+            answer = await deployment.ask("/stream/x", vm=number % 2, **ask)
+            assert answer.status == (502 if number < 2 else 503)
+            await asyncio.sleep(PAUSE_S)
+        started = await deployment.add_vm("vm-3")
+        await deployment.until(lambda: deployment.ready(started))
+        before = len(fleet.arrivals)
+        assert (await deployment.ask("/stream/x", vm=2, **ask)).status == 503
+        assert len(fleet.arrivals) == before
