--- a/hawthornlead/gateway/fleet_views.py
+++ b/hawthornlead/gateway/fleet_views.py
@@ -14,6 +14,7 @@
 from ..messages import Heartbeat
 from ..timers import TimerService
 from .memberships import Memberships
+from .prompt_quarantines import PromptQuarantines
 from .relay_elections import RELAYS
 from .store_clients import StoreClient
 from .target_paths import TargetPaths
@@ -61,6 +62,18 @@
     asked_per_s: float
 
 
+class QuarantineRow(TypedDict):
+    """One prompt part that crashes targets: its crashes, and for how long it is known.
+
+    ``trial_s`` is when a request with it may be tried, None if never.
+    """
+
+    part: str
+    crashes: int
+    since_s: float
+    trial_s: float | None
+
+
 class FleetBody(TypedDict):
     """The whole snapshot; ``unreached`` are services that this VM can't connect to."""
 
@@ -78,6 +91,7 @@
     engines: list[EngineRow]
     unreached: list[str]
     quotas: list[QuotaRow]
+    quarantines: list[QuarantineRow]
 
 
 class FleetView:
@@ -98,6 +112,7 @@
         lease: VmLease,
         timers: TimerService,
         quotas: QuotaLedger,
+        quarantines: PromptQuarantines,
         configuration: Callable[[], int],
     ):
         self._memberships = memberships
@@ -109,6 +124,7 @@
         self._lease = lease
         self._timers = timers
         self._quotas = quotas
+        self._quarantines = quarantines
         self._configuration = configuration
 
     def body(self) -> bytes:
@@ -133,8 +149,24 @@
             "engines": self._engines(),
             "unreached": list(self._paths.unreachable),
             "quotas": self._quota_rows(),
+            "quarantines": self._quarantine_rows(now),
         }
 
+    def _quarantine_rows(self, now: float) -> list[QuarantineRow]:
+        rows: list[QuarantineRow] = []
+        for each in self._quarantines.quarantined:
+            trial_s = None
+            if each.trial_at is not None:
+                trial_s = round(max(0.0, each.trial_at - now), 1)
+            row: QuarantineRow = {
+                "part": each.part,
+                "crashes": each.crashes,
+                "since_s": round(now - each.since, 1),
+                "trial_s": trial_s,
+            }
+            rows.append(row)
+        return rows
+
     def _quota_rows(self) -> list[QuotaRow]:
         limits = self._quotas.limits
         rows: list[QuotaRow] = []
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -103,6 +103,7 @@
             lease=self._lease,
             timers=core.timers,
             quotas=coordination.quotas,
+            quarantines=self._parts.quarantines,
             configuration=self._configuration_version,
         )
         self._watchers = self._make_watchers(core.rng, metrics)
@@ -349,11 +350,10 @@
 
     def _heartbeat(self) -> Heartbeat:
         capacity = 1 if self._memberships.serving else 0
-        leaving = self._memberships.leaving
         return Heartbeat(
             0,
             0,
-            leaving,
+            self._memberships.leaving,
             self._open_requests(),
             capacity,
             0.0,
--- a/hawthornlead/gateway/prompt_quarantines.py
+++ b/hawthornlead/gateway/prompt_quarantines.py
@@ -141,13 +141,8 @@
     ) -> None:
         """Report the requests of this VM that were at a target as it died."""
         report = CrashSuspects(target, incarnation, tuple(fingerprints), tuple(prompts))
-        known = self._known
         self._apply(report)
         self._mesh.broadcast(report)
-        if self._known - known:
-            # VMs that missed an earlier report need it for the same verdict.
-            for evidence in self._messages(self._known):
-                self._mesh.broadcast(evidence)
 
     def record_answered(self, parts: Iterable[str]) -> None:
         """Record that a target wrote an answer on the parts of a prompt, and lives."""
--- a/hawthornlead/operators/queries.py
+++ b/hawthornlead/operators/queries.py
@@ -138,8 +138,9 @@
     own = {name: field for name, field in answer.items() if not isinstance(field, list)}
     own["relays"] = " ".join(answer["relays"])
     click.echo(as_table(("what", "value"), flat_rows(own)))
-    for part in ("kinds", "members", "engines", "quotas"):
-        if answer[part]:
+    for part in ("kinds", "members", "engines", "quotas", "quarantines"):
+        # A VM of an older build doesn't send all of them.
+        if answer.get(part):
             click.echo("\n" + rows_as_table(answer[part]))
     return None
 
--- a/hawthornlead/tests/test_prompt_crashes.py
+++ b/hawthornlead/tests/test_prompt_crashes.py
@@ -133,6 +133,8 @@
         deployment = fleet.deployment
         started = await deployment.add_vm("vm-3")
         await deployment.until(lambda: deployment.ready(started))
+        (shown,) = started._fleet_view.snapshot()["quarantines"]
+        assert (shown["part"], shown["crashes"]) == (CRASH_PART, len(fleet.crashes))
         before = len(fleet.arrivals)
         for _ in range(3):
             answer = await fleet.ask_crashing(vm=2)
