Soak: prompts whose part crashes engines, and two judges

A fault has requests come at any VM whose prompts share a part that crashes engines; one judge bounds them after the fifth crash, the other finds sound prompts that are refused for parts that were answered. Callers' prompts now have a first part and a subject in common with others.

--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -20,6 +20,7 @@
     soak_gateway_bounds,
     soak_gateway_notices,
     soak_gateway_paths,
+    soak_gateway_prompts,
     soak_gateway_streams,
 )
 from .gateways import ask
@@ -37,6 +38,7 @@
     "soak_gateway_bounds",
     "soak_gateway_notices",
     "soak_gateway_paths",
+    "soak_gateway_prompts",
     "soak_gateway_streams",
 ]
 
--- a/hawthornlead/tests/soak_gateway_callers.py
+++ b/hawthornlead/tests/soak_gateway_callers.py
@@ -74,9 +74,12 @@
             await asyncio.sleep(INSIST_S)
         await asyncio.gather(*asked)
 
-    async def ask(self, kind: str, address: str = "") -> Sent:
-        """Ask once, retrying as callers do; ``address`` names one VM for all tries."""
-        sent = self._fresh(kind)
+    async def ask(self, kind: str, address: str = "", part: str = "") -> Sent:
+        """Ask once, retrying as callers do; ``address`` names one VM for all tries.
+
+        The prompt has a ``part`` that crashes engines, if one is given.
+        """
+        sent = self._fresh(kind)._replace(part=part)
         until = time.monotonic() + sent.deadline_s
         for retries_left in range(RETRIES, -1, -1):
             sent = await self._attempt(sent, until - time.monotonic(), address)
@@ -114,7 +117,7 @@
             last = sent.events[-1]
             origin = origin or sent.request_id
         empty = Sent(*sent[:11], last_event=last, resumes=origin)
-        return empty._replace(request_id=self._next_id())
+        return empty._replace(request_id=self._next_id(), part=sent.part)
 
     def _next_id(self) -> str:
         self._number += 1
@@ -197,7 +200,9 @@
         }
         if sent.model:
             headers |= {"Model": sent.model, "Token-Usage": sent.tokens}
-            headers["Prompt-Prefix"] = f"{crc32(sent.content.encode()):x}:40"
+            shared = sent.part or sent.subject
+            own = f"{crc32(sent.content.encode()):x}"
+            headers["Prompt-Prefix"] = f"f0:100,{shared}:20,{own}:40"
         if sent.last_event:
             headers["Last-Event-Id"] = str(sent.last_event)
             headers["Resumes"] = sent.resumes
--- a/hawthornlead/tests/soak_gateway_cases.py
+++ b/hawthornlead/tests/soak_gateway_cases.py
@@ -12,6 +12,7 @@
     OrderSeen,
     OwnEnd,
     Probe,
+    PromptCrash,
     Run,
     Sent,
     SoftwareStart,
@@ -126,6 +127,23 @@
     return more_sent(behind_cut("b-other", "vm-2"), *asked)
 
 
+def after_crashes(count, **changes):
+    """Return requests with a part that crashed five engines, from 3.5 s after that."""
+    fields = {"outcome": "broken", "part": "bad1", "sent_at": 124.5, "ended_at": 125}
+    asked = [sent("stream", f"p{n}", **(fields | changes)) for n in range(count)]
+    made = more_sent(*asked)
+    made.prompt_crashes = [PromptCrash("bad1", "i-9", 117.0 + n) for n in range(5)]
+    made.arrivals += [Arrival("i-9", "vm-1", each.request_id, 124.5) for each in asked]
+    return made
+
+
+def quarantined(**changes):
+    """Return a sound request that was refused for its prompt."""
+    body = b"the prompt part 5c was at 2 targets as they crashed"
+    fields = {"kind": "stream", "events": (), "sent_at": 104.0, "ended_at": 104.1}
+    return more_sent(refused("r7", body=body, **(fields | changes)))
+
+
 def journal(**changes):
     """Return the journal of a run in which every rule was kept and tested."""
     resumed = sent("resume", "r3")
@@ -149,6 +167,10 @@
     made.arrivals = [arrival(103.5, "limit")]
     made.stopped = [Stopped("vm-1", 7, 100.1, 104.0, 0)]
     made.sent.append(refused("r12", kind="resume"))
+    made.prompt_crashes = [PromptCrash("bad1", "i-9", 110.0)]
+    made.sent.append(refused("r13", kind="stream", part="bad1", sent_at=111.0))
+    made.sent.append(sent("stream", "r14", sent_at=104.0, ended_at=104.2))
+    made.runs.append(run(made.sent[-1]))
     made.probes = [Probe("vm-1", "safe", True, "")]
     made.troubles = [Trouble(CUT_FROM_TARGETS, "vm-1>targets", 300.0, 306.0)]
     made.sent.append(behind_cut("r10", "vm-1"))
--- a/hawthornlead/tests/soak_gateway_records.py
+++ b/hawthornlead/tests/soak_gateway_records.py
@@ -8,12 +8,15 @@
 import time
 from contextlib import contextmanager
 from typing import Any, NamedTuple
+from zlib import crc32
 
 # What must not run twice: everything but these.
 REPEATABLE = frozenset(("safe", "moved", "added", "resume"))
 # These statuses promise that the request hasn't run and never will.
 PROMISES = frozenset((408, 421, 429, 503))
 CONTACT_S = 3.0
+# The parts that sound prompts have in common with some others.
+SUBJECTS = 20
 # Unplanned trouble of the store, seen by every VM.
 STORE = "store"
 # The process that plays and judges all else.
@@ -25,7 +28,8 @@
 
     ``outcome`` is "whole", "refused" (a whole answer that is no success), "left",
     "unconnected", "broken" or "malformed". ``events`` are those that came whole.
-    ``resumes`` is the attempt that brought the first event of its stream.
+    ``resumes`` is the attempt that brought the first event of its stream. ``part`` is a
+    part of its prompt that crashes engines, empty for a sound request.
     """
 
     kind: str
@@ -52,6 +56,12 @@
     foreign_events: int = 0
     detail: str = ""
     resumes: str = ""
+    part: str = ""
+
+    @property
+    def subject(self) -> str:
+        """The part of its prompt that some other requests have too."""
+        return f"5{crc32(self.content.encode()) % SUBJECTS:x}"
 
     @property
     def repeatable(self) -> bool:
@@ -206,6 +216,14 @@
     at: float
 
 
+class PromptCrash(NamedTuple):
+    """An engine that crashed as it began to answer a prompt with a part."""
+
+    part: str
+    target: str
+    at: float
+
+
 class Probe(NamedTuple):
     """What a VM gave a caller of one kind at the end, after all faults."""
 
@@ -234,6 +252,7 @@
         self.software: list[SoftwareStart] = []
         self.arrivals: list[Arrival] = []
         self.told: list[Told] = []
+        self.prompt_crashes: list[PromptCrash] = []
         self.overloaded: list[str] = []
         self.loads = 0
         self.probes: list[Probe] = []
--- a/hawthornlead/tests/soak_gateway_world.py
+++ b/hawthornlead/tests/soak_gateway_world.py
@@ -32,6 +32,8 @@
         self.journal = journal
         self.rng = rng
         self.injected: Counter = Counter()
+        # How many parts that crash engines came so far.
+        self.parts = 0
         self.targets: dict[str, RestartingTarget] = {}
         self.callers: list[GatewayCaller] = []
         self.insisting: list[asyncio.Task] = []
--- a/hawthornlead/tests/standins/incarnations.py
+++ b/hawthornlead/tests/standins/incarnations.py
@@ -43,6 +43,7 @@
         self.model = model
         self.over = False
         self.overloaded = asyncio.Event()
+        self.crashing = asyncio.Event()
         self.awake = asyncio.Event()
         self.awake.set()
         self.models: dict[str, int] = {}
--- a/hawthornlead/tests/standins/restarting_engine.py
+++ b/hawthornlead/tests/standins/restarting_engine.py
@@ -32,6 +32,7 @@
 STALE_S = 6.0
 LATE_ORDER_S = (2.0, 12.0)
 OVERLOADED_S = 1.0
+CRASHED_S = 1.0
 
 
 class Surroundings(NamedTuple):
@@ -95,7 +96,9 @@
     # Its life
 
     async def begin(self) -> None:
-        """Start, empty, at the address of its link."""
+        """Start, empty, at the address of its link, unless it runs already."""
+        if self.now is not None and not self.now.over:
+            return
         earlier_ms = self.now.started_ms if self.now else 0
         started_ms = max(time.time_ns() // 1_000_000, earlier_ms + 1)
         own = self.now = Incarnation(
@@ -121,6 +124,7 @@
         await self.link.restart()
         self._publish()
         self._spawn(self._restart_if_overloaded(own))
+        self._spawn(self._restart_if_crashed(own))
         if self._beating is None:
             self._beating = self._spawn(self._beat())
 
@@ -167,6 +171,17 @@
         for task in tuple(self._tasks):
             task.cancel()
 
+    async def _restart_if_crashed(self, own: Incarnation) -> None:
+        """Crash under a prompt, and start again unless a fault ends it meanwhile."""
+        await own.crashing.wait()
+        if own.over:
+            return
+        with self._around.journal.trouble("prompt-crash", self.target):
+            self.crash()
+            await asyncio.sleep(CRASHED_S)
+            if own is self.now and self._listed:
+                await self.begin()
+
     async def _restart_if_overloaded(self, own: Incarnation) -> None:
         await own.overloaded.wait()
         if own is self.now:
--- a/hawthornlead/tests/standins/target_runs.py
+++ b/hawthornlead/tests/standins/target_runs.py
@@ -10,13 +10,15 @@
 
 from hawthornlead.gateway.caller_calls import CallerCall
 
-from ..soak_gateway_records import Arrival, Journal, Run, Told
+from ..soak_gateway_records import Arrival, Journal, PromptCrash, Run, Told
 from .incarnations import Incarnation
 
 EVENT_S = 0.03
 PLAIN_S = (0.005, 0.2)
 QUEUED_MOST = 8
 LOST_ANSWER_S = 20.0
+# Parts of a prompt whose ids begin so crash each engine that begins an answer.
+CRASHING = "bad"
 NOTICE_HEADERS = {
     "limit": "Server-Limit",
     "leaving": "Server-Leaving",
@@ -189,6 +191,13 @@
             "Weight-Versions": str(run.version),
         }
         run.status = 200
+        if part := _crashing_part(call):
+            crash = PromptCrash(part, self._target, time.monotonic())
+            self._journal.prompt_crashes.append(crash)
+            self._begin(call, headers, b"")
+            own.crashing.set()
+            await asyncio.sleep(EVENT_S)
+            return
         cut_at = self._rng.randrange(1, max(2, tokens)) if self._takes("cut") else -1
         lost = self._takes("lost")
         for number in range(run.last_event + 1, tokens + 1):
@@ -234,6 +243,14 @@
     return f"id: {number}\ndata: {event_text(content, number)}\n\n".encode()
 
 
+def _crashing_part(call: CallerCall) -> str:
+    """Return the part of a prompt that crashes engines, empty if it has none."""
+    for entry in call.headers.get("Prompt-Prefix", "").split(","):
+        if entry.startswith(CRASHING):
+            return entry.partition(":")[0]
+    return ""
+
+
 def _asked(call: CallerCall) -> tuple:
     """Return what must be as its caller sent it."""
     return (
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -6,6 +6,7 @@
 from hawthornlead.tests.soak_gateway_cases import (
     ENDED,
     TOO_OFTEN,
+    after_crashes,
     arrival,
     arrived,
     away_run,
@@ -17,6 +18,7 @@
     more_sent,
     of_kind,
     order,
+    quarantined,
     refused,
     refused_resumes,
     resuming,
@@ -132,6 +134,8 @@
         ),
     ),
     ("resumed-streams-go-on", refused_resumes(20)),
+    ("crashing-parts-stopped", after_crashes(4)),
+    ("sound-prompts-served", quarantined()),
 ]
 
 # What the pages allow, though it looks like one of the above.
@@ -194,6 +198,17 @@
             ],
         ),
     ),
+    ("crashing-parts-stopped", after_crashes(3)),
+    (
+        "crashing-parts-stopped",
+        troubled(after_crashes(9), ("vm-killed", "vm-1", 121.0, 122.0)),
+    ),
+    ("sound-prompts-served", quarantined(part="bad1")),
+    ("sound-prompts-served", quarantined(sent_at=102.0)),
+    (
+        "sound-prompts-served",
+        troubled(quarantined(), ("vm-killed", "vm-1", 101.0, 102.0)),
+    ),
     ("resumed-streams-go-on", refused_resumes(9)),
     ("resumed-streams-go-on", refused_resumes(20, resumes="unknown")),
     (
@@ -237,7 +252,7 @@
     wanted |= {"engine-restarts-after-order", "target-dark", "target-hangs"}
     wanted |= {"answers-lost", "orders-late", "target-drains", "entry-lapses"}
     wanted |= {"target-names-limit", "target-says-it-leaves", "target-asks-for-rest"}
-    wanted |= {CUT_FROM_TARGETS}
+    wanted |= {CUT_FROM_TARGETS, "prompts-crash-engines"}
     wanted |= {"entry-unreadable", "address-reused", "versions-named"}
     assert wanted <= set(GATEWAY_DECK.faults)
 
