--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -28,6 +28,7 @@
 from .soak_gateway_faults import GATEWAY_DECK, an_owner, terminated
 from .soak_gateway_fleet import GatewayFleet
 from .soak_gateway_judges import GATEWAY_JUDGES, Case
+from .soak_gateway_prompts import prompts_crash_engines
 from .soak_gateway_records import SOAK, Journal, Probe, Trouble
 from .soak_gateway_targets import DRAIN_S, drained, spoilt
 from .soak_gateway_world import GatewayWorld
@@ -193,6 +194,7 @@
         # Engines that have another owner now get orders from it.
         self._bump()
         await asyncio.sleep(1.0)
+        await prompts_crash_engines(world)
 
     def _bump(self) -> None:
         for adapter in ("a1", "a2", "a3"):
@@ -268,6 +270,7 @@
             "away": [away._asdict() for away in journal.away],
             "arrivals": [arrival._asdict() for arrival in journal.arrivals],
             "told": [told._asdict() for told in journal.told],
+            "prompt_crashes": [each._asdict() for each in journal.prompt_crashes],
             "probes": [probe._asdict() for probe in journal.probes],
             "own_ends": [end._asdict() for end in journal.own_ends],
             "injected": [dict(self._world.injected)],
