End quarantines of parts by their age without another death

The evidence is now looked through each second. The test of its bounds failed before at the new lines.

--- a/hawthornlead/decisions/crashing_parts.py
+++ b/hawthornlead/decisions/crashing_parts.py
@@ -9,6 +9,7 @@
 
     evidence = CrashingParts(crashes_to_quarantine=2)
     evidence.record_answered(("a0",), now=1.0)
+    parts = ("a0", "bad")
     first, second = UnansweredPrompt(b"1", parts), UnansweredPrompt(b"2", parts)
     evidence.record_death(Death("e1", "1"), [first], now=2.0)
     evidence.record_death(Death("e2", "1"), [second], now=3.0)
@@ -116,7 +117,9 @@
         Return the reported parts that were answered, which the reporting VM may not
         know. Reports of several VMs on one death add up.
         """
-        self._expire(now)
+        self.expire(now)
+        if len(self._deaths) >= MAX_DEATHS and death not in self._deaths:
+            self._deaths.popitem(last=False)
         evidence = self._deaths.get(death)
         if evidence is None:
             evidence = _Evidence(now - age_s, {})
@@ -153,6 +156,18 @@
             self._judge(now)
         return tuple(accused)
 
+    def expire(self, now: float) -> None:
+        """Discard deaths that are too old to be evidence."""
+        expired = [
+            death
+            for death, evidence in self._deaths.items()
+            if now >= evidence.at + EVIDENCE_TTL_S
+        ]
+        for death in expired:
+            del self._deaths[death]
+        if expired:
+            self._judge(now)
+
     def is_answered(self, part: str, now: float) -> bool:
         """Whether a target lately wrote an answer on a part."""
         answered_at = self._answered.get(part)
@@ -259,12 +274,3 @@
                 del evidence.prompts[digest]
             if not evidence.prompts:
                 del self._deaths[death]
-
-    def _expire(self, now: float) -> None:
-        """Bound the evidence by its age and its number of deaths."""
-        while self._deaths:
-            oldest = next(iter(self._deaths))
-            fresh = now < self._deaths[oldest].at + EVIDENCE_TTL_S
-            if fresh and len(self._deaths) < MAX_DEATHS:
-                break
-            del self._deaths[oldest]
--- a/hawthornlead/gateway/prompt_quarantines.py
+++ b/hawthornlead/gateway/prompt_quarantines.py
@@ -5,7 +5,7 @@
 says so. One that starts or comes back is sent the evidence as it connects, and while
 requests are refused the verdict is repeated for those that missed it::
 
-    quarantines.report_death(entry, "i-7f3a@812", fingerprints, prompts)
+    quarantines.report_death("i-7f3a", "i-7f3a@812", fingerprints, prompts)
     refused = quarantines.check(signature.parts)
 
 ``decisions.crashing_parts`` decides which part it is.
@@ -75,7 +75,7 @@
         self._unannounced: set[str] = set()
         self._announcing: Subscription | None = None
         mesh.on(CrashSuspects, self._on_crash_suspects)
-        timers.every(REPEAT_INTERVAL_S, self._repeat, name="prompt quarantines")
+        timers.every(REPEAT_INTERVAL_S, self._review, name="prompt quarantines")
 
     @property
     def quarantined(self) -> tuple[Quarantine, ...]:
@@ -84,7 +84,7 @@
 
     # Requests
 
-    def check(self, parts: Iterable[str]) -> Result[None, Failure]:
+    def check(self, parts: tuple[str, ...]) -> Result[None, Failure]:
         """Refuse a request whose prompt has a quarantined part, unless it may be tried.
 
         The failure says when the caller may send the request again.
@@ -94,7 +94,7 @@
             return Ok(None)
         return Err(self._refusal(quarantine))
 
-    def acquire(self, parts: Iterable[str]) -> Result[None, Failure]:
+    def acquire(self, parts: tuple[str, ...]) -> Result[None, Failure]:
         """Check a request as it is about to be sent, and count it if it is a trial."""
         checked = self.check(parts)
         quarantine = self._evidence.find_quarantine(parts)
@@ -191,6 +191,12 @@
             messages.append(CrashSuspects(*death, (), prompts, max(0.0, now - at)))
         return messages
 
+    def _review(self) -> None:
+        """End quarantines that are old; repeat the evidence for the others."""
+        self._evidence.expire(self._timers.now())
+        self._emit_changes()
+        self._repeat()
+
     def _repeat(self) -> None:
         """Repeat the evidence, at one VM of all on average."""
         if not self._known or self._timers.now() > self._refused_at + REFUSING_S:
--- a/hawthornlead/tests/test_crashing_parts.py
+++ b/hawthornlead/tests/test_crashing_parts.py
@@ -151,6 +151,11 @@
     evidence.now = EVIDENCE_TTL_S
     evidence.die(("bad",))
     assert evidence.quarantined == set()
+    evidence.die(("bad",))
+    assert evidence.quarantined == {"bad"}
+    evidence.now += EVIDENCE_TTL_S
+    evidence.parts.expire(evidence.now)
+    assert evidence.quarantined == set()
     for number in range(2 * MAX_DEATHS):
         evidence.die((f"s{number}",))
     assert not evidence.parts.is_suspect(("bad",))
