Count a death half for a request that its target had answered before

A target that answers a request for a while before it dies is likely not killed by it, though a long answer may exhaust it: such a request is quarantined after four deaths in place of two, which the rule of three crashes and three retries bears.

The test of whole gateways failed before: 503 in place of 200 for a stream that was broken off by two crashes and asked for again.

--- a/hawthornlead/decisions/suspects.py
+++ b/hawthornlead/decisions/suspects.py
@@ -5,6 +5,7 @@
 target when it dies become suspects, on every VM. A suspect may run only where no other
 suspect runs, so that a second death identifies one. After ``CRASHES_TO_QUARANTINE``
 deaths a request is refused for ``QUARANTINE_S``; a request that completes is cleared.
+A death counts half for a request that the target had answered for a while before.
 So one crashing request takes down that many targets, plus those that were already
 running it when the report of the last death arrived.
 """
@@ -24,6 +25,9 @@
 MAX_FINGERPRINTS = 4096
 # Of more quarantines than this, a VM that starts is told of the newest.
 MAX_REPORTS = 512
+# A request that its target had answered before it died is likely not the cause, but may
+# be: one with a long answer may exhaust the target.
+ANSWERED_WEIGHT = 0.5
 # Reports of one death that lack the boot id arrive within this time.
 SAME_DEATH_WINDOW_S = 5.0
 
@@ -34,10 +38,13 @@
 
 
 class _Suspect:
-    """The deaths of targets that ran a request, and until when it is refused."""
+    """The deaths of targets that ran a request, and until when it is refused.
+
+    ``deaths`` holds the weight of each.
+    """
 
     def __init__(self):
-        self.deaths: set[_Death] = set()
+        self.deaths: dict[_Death, float] = {}
         self.last_at = -math.inf
         self.refused_until: float | None = None
 
@@ -107,8 +114,12 @@
             if suspect.refused_until is None or suspect.refused_until <= now:
                 continue
             age_s = now - suspect.last_at
-            for death in suspect.deaths:
-                reports.append(CrashSuspects(*death, (fingerprint,), age_s=age_s))
+            accused = (fingerprint,)
+            for death, weight in suspect.deaths.items():
+                report = CrashSuspects(*death, accused, age_s=age_s)
+                if weight < 1.0:
+                    report = report._replace(fingerprints=(), survived=accused)
+                reports.append(report)
         return reports[-MAX_REPORTS:]
 
     def record_death(
@@ -117,35 +128,42 @@
         boot_id: str,
         fingerprints: Iterable[bytes],
         age_s: float = 0.0,
+        survived: Iterable[bytes] = (),
     ) -> None:
         """Merge a report of the requests that were on a target as it died.
 
-        Several VMs report one death; it counts once for each fingerprint.
+        The target had answered those in ``survived`` for a while before. Several VMs
+        report one death; it counts once for each fingerprint.
         """
         died_at = self._timers.now() - age_s
         death = self._death(target, boot_id)
-        for fingerprint in list(fingerprints)[:MAX_FINGERPRINTS]:
+        weights = dict.fromkeys(survived, ANSWERED_WEIGHT)
+        weights |= dict.fromkeys(fingerprints, 1.0)
+        for fingerprint, weight in list(weights.items())[:MAX_FINGERPRINTS]:
             if (fingerprint, death) in self._cleared:
                 # The report is outdated: the request has completed since.
                 continue
-            self._accuse(fingerprint, death, died_at)
+            self._accuse(fingerprint, death, died_at, weight)
 
     async def _on_crash_suspects(self, sender, message: CrashSuspects):
         self.record_death(message.target, message.boot_id, message.fingerprints)
         return Done()
 
-    def _accuse(self, fingerprint: bytes, death: _Death, died_at: float) -> None:
+    def _accuse(
+        self, fingerprint: bytes, death: _Death, died_at: float, weight: float
+    ) -> None:
         suspect = self._current(fingerprint)
         if suspect is None:
             suspect = self._suspects[fingerprint] = _Suspect()
             self._evict_oldest()
         if death in suspect.deaths or suspect.refused_until is not None:
             return
-        suspect.deaths.add(death)
+        suspect.deaths[death] = weight
         suspect.last_at = max(suspect.last_at, died_at)
         self._suspects.move_to_end(fingerprint)
         name = fingerprint.hex()
-        if len(suspect.deaths) < self._settings["CRASHES_TO_QUARANTINE"]:
+        weight = sum(suspect.deaths.values())
+        if weight < self._settings["CRASHES_TO_QUARANTINE"]:
             self._events.emit(EventKind.REQUEST_SUSPECTED, name, target=death.target)
             return
         suspect.refused_until = suspect.last_at + self._settings["QUARANTINE_S"]
--- a/hawthornlead/gateway/crash_watches.py
+++ b/hawthornlead/gateway/crash_watches.py
@@ -129,9 +129,12 @@
             requests=len(requests),
             unanswered=len(prompts),
         )
-        fingerprints = {request.signature.fingerprint for request in requests}
+        fingerprints, survived = [], []
+        for request in requests:
+            listed = survived if request.answered else fingerprints
+            listed.append(request.signature.fingerprint)
         self._quarantines.report_death(
-            entry.target, _name(entry), fingerprints, prompts
+            entry.target, _name(entry), fingerprints, prompts, survived
         )
 
     def _unanswered(
--- a/hawthornlead/gateway/prompt_quarantines.py
+++ b/hawthornlead/gateway/prompt_quarantines.py
@@ -138,9 +138,19 @@
         incarnation: str,
         fingerprints: Iterable[bytes],
         prompts: Iterable[UnansweredPrompt],
+        survived: Iterable[bytes] = (),
     ) -> None:
-        """Report the requests of this VM that were at a target as it died."""
-        report = CrashSuspects(target, incarnation, tuple(fingerprints), tuple(prompts))
+        """Report the requests of this VM that were at a target as it died.
+
+        The target had answered those in ``survived`` for a while before.
+        """
+        report = CrashSuspects(
+            target,
+            incarnation,
+            tuple(fingerprints),
+            tuple(prompts),
+            survived=tuple(survived),
+        )
         self._apply(report)
         self._mesh.broadcast(report)
 
@@ -164,9 +174,13 @@
 
     def _apply(self, message: CrashSuspects) -> None:
         now = self._timers.now()
-        if message.fingerprints:
+        if message.fingerprints or message.survived:
             self._suspects.record_death(
-                message.target, message.boot_id, message.fingerprints, message.age_s
+                message.target,
+                message.boot_id,
+                message.fingerprints,
+                message.age_s,
+                message.survived,
             )
         if message.prompts:
             answered = self._evidence.record_death(
--- a/hawthornlead/messages/crashes.py
+++ b/hawthornlead/messages/crashes.py
@@ -21,8 +21,9 @@
     """Requests that ran on a target when it died, by fingerprint.
 
     ``prompts`` are those of requests that it had not answered, and the death was
-    ``age_s`` ago. Parts of prompts that were ``answered`` didn't crash any target. The
-    sender is about to try a request with each of the quarantined parts ``tried``.
+    ``age_s`` ago. It had answered the requests in ``survived`` for a while. Parts of
+    prompts that were ``answered`` didn't crash any target. The sender is about to try
+    a request with each of the quarantined parts ``tried``.
     """
 
     target: str
@@ -32,6 +33,7 @@
     age_s: float = 0.0
     answered: tuple[str, ...] = ()
     tried: tuple[str, ...] = ()
+    survived: tuple[bytes, ...] = ()
 
 
 @message("take-suspect-place")
--- a/hawthornlead/tests/test_incarnations.py
+++ b/hawthornlead/tests/test_incarnations.py
@@ -301,7 +301,7 @@
         await asyncio.sleep(0)
         await self._timers.advance(2 * BREAK_BATCH_S)
 
-    def report_death(self, target, incarnation, fingerprints, prompts):
+    def report_death(self, target, incarnation, fingerprints, prompts, survived):
         self.told.append((incarnation, sorted(fingerprints)))
 
     def unanswered(self, parts):
--- a/hawthornlead/tests/test_prompt_crashes.py
+++ b/hawthornlead/tests/test_prompt_crashes.py
@@ -156,3 +156,31 @@
         before = len(fleet.arrivals)
         assert (await deployment.ask("/stream/x", vm=2, **ask)).status == 503
         assert len(fleet.arrivals) == before
+
+
+async def test_a_stream_that_two_engines_died_under_is_still_served():
+    """Guards against a sound stream that is refused since engines crashed under it."""
+    async with Deployment(vms=2, software=ENGINES) as deployment:
+        for engine in deployment.engines:
+            engine.event_s = 0.3
+            engine.on_restarted = deployment.register
+        ask = {"body": b"the same", "Model": MODEL}
+        for number in range(2):
+            asking = asyncio.create_task(
+                deployment.ask("/stream/x", vm=number % 2, **ask)
+            )
+            before = sum(len(engine.ran) for engine in deployment.engines)
+            await deployment.until(
+                lambda before=before: (
+                    sum(len(engine.ran) for engine in deployment.engines) > before
+                )
+            )
+            running = max(deployment.engines, key=lambda engine: len(engine.ran))
+            running.ran.clear()
+            # Two events and a third have come by then.
+            await asyncio.sleep(1.05)
+            crash = asyncio.create_task(running.crash())
+            assert not (await asking).whole
+            await crash
+            await asyncio.sleep(PAUSE_S)
+        assert (await deployment.ask("/stream/x", **ask)).status == 200
--- a/hawthornlead/tests/test_suspects.py
+++ b/hawthornlead/tests/test_suspects.py
@@ -120,3 +120,20 @@
         message = CrashSuspects("engine-1", boot_id, (BAD,))
         await handlers[CrashSuspects](None, message)
     assert suspects.check(BAD).is_err()
+
+
+async def test_a_death_counts_half_for_a_request_that_was_answered_before(suspects):
+    """A sound stream is read on four engines that crash under it one after the other.
+
+    It may be the cause all the same, as one with a long answer that exhausts each of
+    them, so that it is refused in the end; a request that never began, after two.
+    """
+    for number in range(3):
+        suspects.record_death(f"engine-{number}", "boot", [], survived=[GOOD])
+        assert suspects.check(GOOD).is_ok()
+    suspects.record_death("engine-3", "boot", [], survived=[GOOD])
+    assert suspects.check(GOOD).is_err()
+    assert [report.survived for report in suspects.reports()] == [(GOOD,)] * 4
+    suspects.record_death("engine-1", "boot", [BAD])
+    suspects.record_death("engine-2", "boot", [BAD])
+    assert suspects.check(BAD).is_err()
