Take a death that a quarantined part explains as no evidence against others

Deaths that a quarantined part explains don't count against others any more; the parts with the most deaths are found first, and a quarantine stands until an answer clears it.

The new test failed before by the rule as it was: the second death of s1 quarantined it.

--- a/hawthornlead/decisions/crashing_parts.py
+++ b/hawthornlead/decisions/crashing_parts.py
@@ -5,7 +5,8 @@
 moment when it died may have crashed it. Its suspect is the last shared part that no
 target has answered yet: earlier parts are shared by more prompts and so are answered
 sooner. A part that is the suspect of different requests in ``crashes_to_quarantine``
-deaths is quarantined; one answer on a part, at any VM, clears it::
+deaths is quarantined, unless another quarantined part explains these deaths; one answer
+on a part, at any VM, clears it::
 
     evidence = CrashingParts(crashes_to_quarantine=2)
     evidence.record_answered(("a0",), now=1.0)
@@ -22,7 +23,7 @@
 """
 
 from collections import OrderedDict, defaultdict
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from typing import NamedTuple
 
 from ..messages import UnansweredPrompt
@@ -65,6 +66,10 @@
     trial_at: float | None
 
 
+# The deaths of each suspect, and the digests of the requests that accuse it there.
+_Suspects = dict[str, dict[Death, set[bytes]]]
+
+
 class _Evidence(NamedTuple):
     """One death, and the requests that may have caused it, by digest."""
 
@@ -229,9 +234,9 @@
         waits_from = max(since, self._tried_at.get(part, since))
         return Quarantine(part, crashes, since, waits_from + wait_s)
 
-    def _suspects(self) -> dict[str, dict[Death, set[bytes]]]:
+    def _suspects(self) -> _Suspects:
         """Return the suspects with their deaths and the requests that accuse them."""
-        suspects: dict[str, dict[Death, set[bytes]]] = defaultdict(dict)
+        suspects: _Suspects = defaultdict(dict)
         for death, evidence in self._deaths.items():
             for digest, parts in evidence.prompts.items():
                 suspects[parts[-1]].setdefault(death, set()).add(digest)
@@ -247,11 +252,7 @@
             for parts in evidence.prompts.values()
             for part in parts
         )
-        guilty: dict[str, frozenset[Death]] = {}
-        for part, deaths in suspects.items():
-            requests = set().union(*deaths.values())
-            if min(len(deaths), len(requests)) >= self._crashes_to_quarantine:
-                guilty[part] = frozenset(deaths)
+        guilty = self._find_guilty(suspects)
         self._verdicts = {}
         for part, deaths in guilty.items():
             others = frozenset().union(
@@ -263,6 +264,43 @@
             del self._since[part]
             self._tried_at.pop(part, None)
 
+    def _find_guilty(self, suspects: _Suspects) -> dict[str, frozenset[Death]]:
+        """Return the parts to quarantine, with all their deaths.
+
+        A death that a quarantined part explains is no evidence against the others that
+        were there. Those with the most deaths are found first.
+        """
+        guilty: dict[str, frozenset[Death]] = {}
+        explained: set[Death] = set()
+        found = [part for part in self._verdicts if self._stands(suspects, part)]
+        found = found or self._most_accused(suspects, explained, guilty)
+        while found:
+            for part in found:
+                guilty[part] = frozenset(suspects[part])
+                explained |= guilty[part]
+            found = self._most_accused(suspects, explained, guilty)
+        return guilty
+
+    def _stands(self, suspects: _Suspects, part: str) -> bool:
+        """Whether there are still deaths enough for a quarantine."""
+        return len(suspects.get(part, ())) >= self._crashes_to_quarantine
+
+    def _most_accused(
+        self, suspects: _Suspects, explained: set[Death], guilty: Container[str]
+    ) -> list[str]:
+        """Return the parts with the most deaths that aren't explained, if enough."""
+        counts: dict[str, int] = {}
+        for part, deaths in suspects.items():
+            if part in guilty:
+                continue
+            left = deaths.keys() - explained
+            requests = set().union(*(deaths[death] for death in left))
+            counts[part] = min(len(left), len(requests))
+        most = max(counts.values(), default=0)
+        if most < self._crashes_to_quarantine:
+            return []
+        return [part for part, count in counts.items() if count == most]
+
     def _clear(self, cleared: frozenset[str]) -> None:
         """Remove answered parts from the evidence."""
         for death, evidence in tuple(self._deaths.items()):
--- a/hawthornlead/tests/test_crashing_parts.py
+++ b/hawthornlead/tests/test_crashing_parts.py
@@ -137,6 +137,17 @@
     assert evidence.parts.find_quarantine(("bad",)).trial_at == FIRST_TRIAL_S
 
 
+def test_a_death_that_a_quarantined_part_explains_accuses_nothing_else(evidence):
+    """Guards against refusing a sound part for a plain crash after others' deaths."""
+    evidence.die(("bad",), ("s1",), ("s2",))
+    evidence.die(("bad",))
+    assert evidence.quarantined == {"bad"}
+    evidence.die(("s1",))
+    assert evidence.quarantined == {"bad"}
+    evidence.die(("s1",))
+    assert evidence.quarantined == {"bad", "s1"}
+
+
 def test_what_another_vm_learns_from_the_evidence_is_the_same_verdict(evidence):
     evidence.die(("s1", "bad"), ("s2",))
     evidence.die(("bad",), ("s3",))
