--- a/hawthornlead/tests/soak.py
+++ b/hawthornlead/tests/soak.py
@@ -60,6 +60,8 @@
     83: "a watch whose answer was lost went on for 3.8 s: configuration too late",
     91: "a VM that was to stop took a stream 3.6 s later, which its grace cut at 7.8 s",
     102: "as 91, two streams",
+    610: "sound streams that two engines died under were refused as they were resumed",
+    614: "a sound part was refused for two deaths, one of which another part explained",
 }
 
 
