--- a/hawthornlead/gateway/crash_watches.py
+++ b/hawthornlead/gateway/crash_watches.py
@@ -28,9 +28,10 @@
 
 
 class BrokenRequest(NamedTuple):
-    """A request whose connection broke; ``answered`` if its target had answered it.
+    """A request whose connection broke.
 
-    What an answered request holds didn't crash the target.
+    ``answered`` means that its target had answered it for a while before, so that no
+    part of its prompt crashes targets.
     """
 
     signature: RequestSignature
--- a/hawthornlead/tests/test_crashing_parts.py
+++ b/hawthornlead/tests/test_crashing_parts.py
@@ -182,8 +182,9 @@
 
 @pytest.mark.parametrize("seed", range(20))
 def test_no_schedule_of_crashes_lets_more_than_five_through(seed):
-    """Plays prompts of a route with 240 subjects at six targets, one of them deadly.
+    """Guards against more than five crashes under one part, and many wrong refusals.
 
+    Six targets get prompts with 240 subjects, and one part that crashes each of them.
     In a second 48 sound and 2 crashing requests come, beside plain crashes. A target
     has some requests that it hasn't answered yet when it dies.
     """
--- a/hawthornlead/tests/test_quarantine_spread.py
+++ b/hawthornlead/tests/test_quarantine_spread.py
@@ -70,11 +70,16 @@
     def _in_touch(self, vm: str, now: float) -> bool:
         return now - self.world.disturbed_at[vm] >= CONTACT_S
 
+    @staticmethod
+    def _judged_from(crashes: list[float]) -> float:
+        """Return from when on no more than some requests may reach targets."""
+        return crashes[CRASHES_BORNE - 1] + CONTACT_S
+
     def _judge(self) -> None:
         world = self.world
         crashes = world.crashes[BAD]
         for at, vm, _ in world.arrivals[self._late :]:
-            if len(crashes) < CRASHES_BORNE or at < crashes[4] + CONTACT_S:
+            if len(crashes) < CRASHES_BORNE or at < self._judged_from(crashes):
                 continue
             self.in_touch_arrivals += self._in_touch(vm, at)
         self._late = len(world.arrivals)
