--- a/hawthornlead/operators/references.py
+++ b/hawthornlead/operators/references.py
@@ -198,12 +198,16 @@
 def _default(row: Setting) -> str:
     if row.default is None:
         return "must be given"
+    if isinstance(row.default, bool):
+        return "`yes`" if row.default else "`no`"
     return f"`{row.default}`" if row.default != "" else "empty"
 
 
 def _allowed(row: Setting) -> str:
     if row.choices:
         return ", ".join(row.choices)
+    if row.kind == "switch":
+        return "yes, no"
     if row.low is None:
         return row.kind.replace("_", " ")
     return f"{row.kind}, {row.low:g} to {row.high:g}"
--- a/hawthornlead/setting_rows.py
+++ b/hawthornlead/setting_rows.py
@@ -301,6 +301,37 @@
         0,
         3600,
     ),
+    # scheduling
+    "LEARNED_FETCHES": Setting(
+        "scheduling",
+        "switch",
+        False,
+        "predict when adapters are ready from learned fetch times and report lags",
+    ),
+    "MEASURED_ENGINES": Setting(
+        "scheduling",
+        "switch",
+        False,
+        "measure the speed of each engine and place requests by it",
+    ),
+    "ENGINE_PLACES": Setting(
+        "scheduling",
+        "switch",
+        False,
+        "the owner of an engine counts its places and memory over all VMs",
+    ),
+    "PLAIN_PLACES": Setting(
+        "scheduling",
+        "switch",
+        False,
+        "one VM counts the places of a plain target over all VMs",
+    ),
+    "FAIR_SHARES": Setting(
+        "scheduling",
+        "switch",
+        False,
+        "waiting requests of one rank are served in fair order over workspaces",
+    ),
     # logs
     "LOG_LEVEL": Setting(
         "logs",
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -44,6 +44,14 @@
     return text
 
 
+@reader("switch")
+def _read_switch(text: str, setting: Setting) -> bool:
+    states = configparser.ConfigParser.BOOLEAN_STATES
+    if text.lower() not in states:
+        raise ValueError("yes, no, true, false, on, off, 1 or 0")
+    return states[text.lower()]
+
+
 @reader("name")
 def _read_name(text: str, setting: Setting) -> str:
     if not text or not all(char.isalnum() or char in "-_." for char in text):
--- a/hawthornlead/tests/test_settings.py
+++ b/hawthornlead/tests/test_settings.py
@@ -106,6 +106,8 @@
         ("grants", "grant_size", "0"),
         ("grants", "grant_size", "2000"),
         ("logs", "log_level", "loud"),
+        ("scheduling", "fair_shares", "maybe"),
+        ("scheduling", "plain_places", ""),
     ],
 )
 def test_a_value_that_is_not_allowed(read, section, key, text):
@@ -168,6 +170,12 @@
         assert error.section == "tls"
 
 
+@pytest.mark.parametrize(("text", "on"), [("yes", True), ("Off", False), ("1", True)])
+def test_switches_read_the_usual_words(read, text, on):
+    body = VALID + f"[scheduling]\nfair_shares = {text}\n"
+    assert read(body).unwrap()["FAIR_SHARES"] is on
+
+
 def test_defaults_pass_their_own_readers():
     for name, row in SETTINGS.items():
         if row.default is None:
