Account for the parts of each load: queue, order and fetch

A late first event with an absent adapter couldn't be traced to its cause: the log showed when the adapter was ready, but not how long its first request waited until the order was sent, nor how long repeated orders took. ADAPTER_READY now reports `queued_ms`, `order_ms` and `fetch_ms`, and REQUEST_PLACED reports `load_ms`; each part has a histogram. The orders of one load move from engine_owners into engine_loads.

--- a/hawthornlead/gateway/adapter_requests.py
+++ b/hawthornlead/gateway/adapter_requests.py
@@ -17,6 +17,7 @@
 from ..waits import Signal
 from .engine_slots import AdapterKey, EngineSlots
 from .fetch_trackers import FIRST_POLL_S
+from .load_accounts import LoadAccounts
 from .load_checks import MAX_ARRIVING, LoadChecks
 from .slot_queues import SlotRequest
 from .slot_waits import SlotWaits
@@ -37,6 +38,7 @@
         timers: TimerService,
         tasks: TaskSet,
         order: Callable[[AdapterKey, int], Awaitable[Result[None, Failure]]],
+        accounts: LoadAccounts,
     ):
         self._slots = slots
         self._checks = checks
@@ -44,6 +46,7 @@
         self._timers = timers
         self._tasks = tasks
         self._order = order
+        self._accounts = accounts
         self._stopped = False
         self._ordering: dict[tuple[AdapterKey, int], asyncio.Task] = {}
         self._waiting: dict[AdapterKey, int] = {}
@@ -82,6 +85,7 @@
             self._waiting[key] -= 1
             if not self._waiting[key]:
                 del self._waiting[key]
+                self._accounts.on_abandoned(key)
 
     async def _load_until(
         self, request: SlotRequest, version: int, deadline_at: float
@@ -96,6 +100,7 @@
             if self._checks.is_arriving(key, version):
                 await self._changed.wait(self._timers, left_s)
                 continue
+            self._accounts.on_requested(key, self._timers.now())
             if self._slots.arriving >= MAX_ARRIVING:
                 expected_s = FETCH_INTERVAL_S * self._fetches_ahead(key)
                 if expected_s > left_s - FIRST_POLL_S:
--- a/hawthornlead/gateway/engine_owners.py
+++ b/hawthornlead/gateway/engine_owners.py
@@ -10,9 +10,9 @@
 import functools
 from collections.abc import Callable
 
-from result import Err, Ok, Result
+from result import Result
 
-from ..errors import ErrorKind, Failure
+from ..errors import Failure
 from ..events import EventKind, EventRing
 from ..messages.gateways import (
     HeldAdapters,
@@ -24,11 +24,13 @@
 from ..timers import TimerService
 from .adapter_requests import AdapterRequests
 from .engine_calls import ORDER_TIMEOUT_S, EngineCalls
+from .engine_loads import EngineLoads
 from .engine_orders import EngineOrders
 from .engine_reports import REPORT_LAG_S, EngineReports
 from .engine_slots import AdapterKey, AdaptersInUse, EngineSlots, SlotState
 from .fetch_tracker_builders import FetchTrackerBuilder
 from .gateway_metrics import GatewayMetrics
+from .load_accounts import LoadAccounts
 from .load_checks import LoadChecks
 from .ownerships import Ownerships
 from .prompt_pacers import PromptPacer
@@ -37,8 +39,6 @@
     EngineReport,
     EngineSpec,
     Incarnation,
-    OrderKind,
-    OrderOutcome,
     TargetEntry,
 )
 from .slot_queues import SlotRequest
@@ -47,10 +47,6 @@
 
 # Between attempts to read a report.
 REPORT_RETRY_S = 0.2
-MAX_ORDER_TRIES = 6
-# When to retry for an adapter whose slot was taken by another. At a busy engine the
-# next slot is free 0.1 s to 0.2 s later.
-NO_SLOT_RETRY_S = 0.15
 
 
 class EngineOwner:
@@ -101,6 +97,8 @@
             timers=timers,
         )
         self._pacer = PromptPacer()
+        self._metrics = metrics
+        self._accounts = LoadAccounts()
         self._orders = EngineOrders(
             ownerships=ownerships,
             calls=calls,
@@ -141,6 +139,20 @@
             timers=timers,
             tasks=self._tasks,
             order=self._order_load,
+            accounts=self._accounts,
+        )
+        self._loads = EngineLoads(
+            slots=self._slots,
+            checks=self._checks,
+            orders=self._orders,
+            accounts=self._accounts,
+            timers=timers,
+            entry=lambda: self._entry,
+            may_order=lambda: not self._finished,
+            is_waiting=self._requests.is_waiting,
+            resync=lambda: self._resync(),
+            on_started=self._on_load_started,
+            on_changed=self._announce,
         )
 
     @property
@@ -246,61 +258,13 @@
 
     async def _order_load(self, key: AdapterKey, version: int) -> Result[None, Failure]:
         async with self._lock:
-            for _ in range(MAX_ORDER_TRIES):
-                if self._finished:
-                    return Err(Failure(ErrorKind.NO_GRANT, "engine released", 0.1))
-                if self._orders.accepted is None and not await self._resync():
-                    return Err(Failure(ErrorKind.TARGET_LOST, "no report", 0.5))
-                if not self._checks.is_needed(key, version):
-                    return Ok(None)
-                if not self._requests.is_waiting(key):
-                    # A load that nobody waits for would only take away a slot.
-                    return Err(Failure(ErrorKind.LOAD_FAILED, "nobody waits", 0.3))
-                refusal = self._checks.refusal(self._entry, key, version)
-                if refusal is not None:
-                    return Err(refusal)
-                if not self._checks.has_capacity(key):
-                    if not await self._evict_one():
-                        detail = "no slot to spare"
-                        return Err(Failure(ErrorKind.NO_SLOT, detail, NO_SLOT_RETRY_S))
-                    continue
-                outcome = await self._load_one(key, version)
-                if outcome in (OrderOutcome.STARTED, OrderOutcome.HOLDS_ALREADY):
-                    return Ok(None)
-            return Err(Failure(ErrorKind.LOAD_FAILED, f"{key} can't be ordered", 0.3))
-
-    async def _evict_one(self) -> bool:
-        victim = self._checks.victim()
-        if victim is None:
-            return False
-        version = self._slots.slots[victim].version
-        outcome = await self._orders.give(self._entry, OrderKind.UNLOAD, victim, 0)
-        if outcome is OrderOutcome.HOLDS_ALREADY:
-            self._slots.remove(victim)
-            self._announce()
-            return True
-        if outcome is OrderOutcome.STARTED:
-            # A request runs on it after all. The adapter leaves when its runs end, up
-            # to 20 s later, and the engine refuses all orders until then.
-            now = self._timers.now()
-            self._slots.set(victim, version, SlotState.LEAVING, now)
-            self._announce()
-            return True
-        return outcome in (OrderOutcome.CONFLICT, OrderOutcome.UNKNOWN)
-
-    async def _load_one(self, key: AdapterKey, version: int) -> OrderOutcome:
-        """Order one model or adapter, and track an adapter until it is ready."""
-        accepted = self._orders.accepted or 0
-        outcome = await self._orders.give(self._entry, OrderKind.LOAD, key, version)
-        if outcome is not OrderOutcome.STARTED:
-            return outcome
-        if key.adapter:
-            self._slot_waits.record_taken()
-            self._slots.set(key, version, SlotState.ARRIVING, self._timers.now())
-            slot = self._slots.slots[key]
-            self._tasks.spawn(self._fetch_tracker.track(key, slot, accepted + 1))
-        self._announce()
-        return outcome
+            return await self._loads.order(key, version)
+
+    def _on_load_started(self, key: AdapterKey, order_count: int) -> None:
+        """Track an ordered adapter until it is ready."""
+        self._slot_waits.record_taken()
+        slot = self._slots.slots[key]
+        self._tasks.spawn(self._fetch_tracker.track(key, slot, order_count))
 
     # Reports
 
@@ -319,6 +283,7 @@
         self._slots.apply_report(report, self._timers.now())
         for key, slot in self._slots.slots.items():
             if slot.state is SlotState.ARRIVING:
+                self._accounts.on_ordered(key, self._timers.now())
                 check = functools.partial(self._fetch_tracker.follow, key, slot)
                 self._tasks.spawn_once(f"{key}", check)
         self._announce()
@@ -342,11 +307,14 @@
     def _on_not_ready(self, key: AdapterKey) -> None:
         self._events.emit(EventKind.ADAPTER_NOT_READY, self.target, adapter=key.adapter)
         self._orders.set_accepted(None)
+        self._accounts.close(key, self._timers.now())
         self._slots.remove(key)
 
     def _on_ready(self, key: AdapterKey, version: int, how: str) -> None:
         now = self._timers.now()
         slot = self._slots.slots[key]
+        account = self._accounts.close(key, now)
+        self._metrics.observe_load(account)
         self._events.emit(
             EventKind.ADAPTER_READY,
             self.target,
@@ -354,6 +322,7 @@
             version=version,
             after_ms=round(1000 * (now - slot.since)),
             how=how,
+            **account.milliseconds(),
         )
         self._slots.set(key, version, SlotState.READY, now)
         self._announce()
@@ -380,7 +349,7 @@
         # An engine restarts empty. Without its model it serves nothing.
         key = AdapterKey(self._spec.models[0].name, "")
         if now - self._orders.last_sent_at > self._spec.models[0].load_s + REPORT_LAG_S:
-            await self._load_one(key, 0)
+            await self._loads.load_one(key, 0)
             return
         await self._resync()
 
--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -9,6 +9,7 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from ..metrics import LATENCY_BUCKETS_S
+from .load_accounts import LoadAccount
 
 
 class GatewayMetrics:
@@ -89,6 +90,18 @@
             "hawthornlead_gateway_load_wait_seconds",
             "Wait of a request for its adapter",
         )
+        self.load_queued = self._histogram(
+            "hawthornlead_gateway_load_queued_seconds",
+            "Wait of an adapter's first request until its load is ordered",
+        )
+        self.load_order_time = self._histogram(
+            "hawthornlead_gateway_load_order_seconds",
+            "From the first order of a load until the engine accepts it",
+        )
+        self.fetch_time = self._histogram(
+            "hawthornlead_gateway_fetch_seconds",
+            "From an accepted order until its adapter counts as ready",
+        )
         self.turn_wait = self._histogram(
             "hawthornlead_gateway_turn_wait_seconds",
             "Wait of a prompt for its turn",
@@ -100,6 +113,15 @@
             "hawthornlead_gateway_order_seconds", "Time of an order"
         )
 
+    def observe_load(self, account: LoadAccount) -> None:
+        """Observe the known parts of one load."""
+        if account.queued_s is not None:
+            self.load_queued.observe(account.queued_s)
+        if account.order_s is not None:
+            self.load_order_time.observe(account.order_s)
+        if account.fetch_s is not None:
+            self.fetch_time.observe(account.fetch_s)
+
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Add a gauge whose value is read at each export."""
         gauge = Gauge(f"hawthornlead_gateway_{name}", text, registry=self._registry)
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -64,7 +64,8 @@
     ``key`` is None if no adapter is involved. ``tries`` counts the targets that were
     asked to load the adapter, including this one. ``turn_s`` is how long the prompt
     waited for its turn, None if the target's owner didn't assign one. ``counted`` is
-    set if the request already counts against the target's limit.
+    set if the request already counts against the target's limit. ``load_s`` is how long
+    it waited for its adapter, None if that was ready.
     """
 
     entry: TargetEntry
@@ -74,6 +75,14 @@
     tries: int
     turn_s: float | None = None
     counted: bool = False
+    load_s: float | None = None
+
+
+class _Prepared(NamedTuple):
+    """How long a request waited for its turn and its adapter, as in ``Placed``."""
+
+    turn_s: float | None
+    load_s: float | None
 
 
 class PlacementRequest(NamedTuple):
@@ -185,7 +194,7 @@
                 requested, spec, placed, place_until, slot_wait_s
             )
             if ready.is_ok():
-                return Ok(placed._replace(turn_s=ready.ok_value))
+                return Ok(placed._replace(**ready.ok_value._asdict()))
             failure = ready.err_value
             search.record_failure(target, failure)
         return Err(failure)
@@ -197,7 +206,7 @@
         placed: Placed,
         place_until: float,
         slot_wait_s: float,
-    ) -> Result[float | None, Failure]:
+    ) -> Result[_Prepared, Failure]:
         """Prepare a target, counting the request against the target's limit if any.
 
         The request counts from here on, because others are placed while its adapter
@@ -218,20 +227,18 @@
         placed: Placed,
         place_until: float,
         slot_wait_s: float,
-    ) -> Result[float | None, Failure]:
-        """Load the adapter if it is missing, and wait for the prompt's turn.
-
-        Return how long the wait was, None if no turn was assigned.
-        """
+    ) -> Result[_Prepared, Failure]:
+        """Load the adapter if it is missing, and wait for the prompt's turn."""
         entry = placed.entry
-        turn_s = None
+        turn_s = load_s = None
         if placed.candidate.holding is not Holding.READY:
             wait_s = min(LOAD_TIMEOUT_S, place_until - self._timers.now())
             if wait_s <= 0:
                 return Err(Failure(ErrorKind.LOAD_FAILED, "no time to load", 0.3))
             ordered_at = self._timers.now()
             loaded = await self._load(requested, placed, wait_s, slot_wait_s)
-            self._metrics.load_wait.observe(self._timers.now() - ordered_at)
+            load_s = self._timers.now() - ordered_at
+            self._metrics.load_wait.observe(load_s)
             if not self._targets.is_current(entry):
                 return Err(_target_gone())
             if loaded.is_err():
@@ -245,7 +252,7 @@
         if not self._targets.is_current(entry):
             self.notify_ended(placed)
             return Err(_target_gone())
-        return Ok(turn_s)
+        return Ok(_Prepared(turn_s, load_s))
 
     def notify_ended(self, placed: Placed) -> None:
         """Notify a target's owner that a request which had its turn has ended.
--- a/hawthornlead/gateway/request_reporters.py
+++ b/hawthornlead/gateway/request_reporters.py
@@ -56,6 +56,7 @@
             slots=candidate.slots,
             cost_ms=round(placed.cost_ms),
             tries=placed.tries,
+            load_ms=None if placed.load_s is None else round(1000 * placed.load_s),
             turn_ms=None if placed.turn_s is None else round(1000 * placed.turn_s),
             after_ms=self._since_ms(self._call.arrived_at),
             software=placed.entry.software,
--- a/hawthornlead/tests/fakes_lagging_engines.py
+++ b/hawthornlead/tests/fakes_lagging_engines.py
@@ -6,6 +6,7 @@
 from result import Err
 
 from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.events import EventKind
 from hawthornlead.gateway.engine_slots import AdapterKey
 from hawthornlead.gateway.records import OrderKind, OrderOutcome
 
@@ -117,6 +118,13 @@
         engine = LaggingEngine(lag_s, self.rng)
         super().__init__(engine, learned, PlayedTimers())
         self.loads = []
+        # The fields of the events that report ready adapters.
+        self.ready = []
+        self.events.emit = self._keep_event
+
+    def _keep_event(self, kind, subject, **fields):
+        if kind is EventKind.ADAPTER_READY:
+            self.ready.append(fields)
 
     async def play(self, seconds, per_s=2.5, adapters=400):
         """Send requests for random adapters, and return what they met."""
--- a/hawthornlead/tests/test_learned_fetches.py
+++ b/hawthornlead/tests/test_learned_fetches.py
@@ -5,6 +5,8 @@
 the objective is 507 ms, of which 0.1 s are for its prompt.
 """
 
+import asyncio
+
 import pytest
 
 from hawthornlead.fetches.fetch_estimates import INITIAL_FETCH_S, FetchEstimates
@@ -144,3 +146,20 @@
     estimates.times[False].observe(9.0, now=1.0)
     estimates.lag.observe(5.0)
     assert estimates.times[False].level_s == INITIAL_FETCH_S
+
+
+def test_the_account_of_a_load_tells_queue_order_and_fetch_apart():
+    """Nobody can tell whether a late adapter waited for its order or for its fetch."""
+
+    async def play(bed):
+        bed.engine.mute_share = 1.0
+        loading = asyncio.create_task(bed.load("a1"))
+        await asyncio.sleep(0.05)
+        bed.engine.mute_share = 0.0
+        await loading
+        return bed.ready[0]
+
+    ready = run(play)
+    assert ready["queued_ms"] < 5
+    assert ready["order_ms"] >= 100
+    assert ready["fetch_ms"] > 0
