Reserve the turn of a prompt while its adapter is arriving

The wait for an absent adapter and the wait for the prompt's turn added up, since the turn was asked for only once the adapter was ready. With `learned_fetches` the owner reserves it for the time at which the adapter is expected, and AdapterLoaded carries it; VMs of an older release and an owner without the setting ask as before. PromptPacer keeps such turns apart until the end of its queue reaches them, so that they delay no prompt that can be read before. A turn that passed because its adapter came late is reserved anew.

After a refusal, the VM marks the adapter as arriving, so that its retry waits for the owner's next prediction and isn't told that the adapter has left. Each refused request now counts in the share of too early ones, not each prediction.

--- a/hawthornlead/fetches/fetch_times.py
+++ b/hawthornlead/fetches/fetch_times.py
@@ -137,10 +137,10 @@
         self._shorter = True
         self._record_change(now)
 
-    def record_predicted(self) -> None:
-        """Record that a request is sent at the predicted time."""
+    def record_predicted(self, requests: int = 1) -> None:
+        """Record that requests are sent at the predicted time."""
         self._outcomes.append(False)
-        self._adjust(-EARLY_SHARE * MARGIN_STEP_S)
+        self._adjust(-EARLY_SHARE * MARGIN_STEP_S * requests)
 
     def record_early(self, now: float) -> None:
         """Record that the engine refused a request sent at the predicted time."""
@@ -152,6 +152,10 @@
         if not self.reliable:
             self._record_change(now)
 
+    def record_early_again(self) -> None:
+        """Record a further refusal after the same prediction."""
+        self._adjust(MARGIN_STEP_S)
+
     def _record_change(self, now: float) -> None:
         self._changed_until = now + CHANGED_S
         self._observe_at = min(self._observe_at, now + CHANGED_INTERVAL_S)
--- a/hawthornlead/gateway/adapter_requests.py
+++ b/hawthornlead/gateway/adapter_requests.py
@@ -56,6 +56,10 @@
         """Whether a request waits for an adapter."""
         return key in self._waiting
 
+    def waiting(self, key: AdapterKey) -> int:
+        """Return how many requests wait for an adapter."""
+        return self._waiting.get(key, 0)
+
     def on_changed(self) -> None:
         """Let waiting requests check again what the engine holds."""
         self._changed.fire()
@@ -67,10 +71,16 @@
         self._slot_waits.stop()
 
     async def load(
-        self, request: SlotRequest, version: int, wait_s: float
+        self,
+        request: SlotRequest,
+        version: int,
+        wait_s: float,
+        on_arriving: Callable[[], None] = lambda: None,
     ) -> Result[int, Failure]:
         """Make an adapter ready and return its version.
 
+        ``on_arriving`` is called when the adapter is found to be arriving.
+
         Waits for a slot until ``request.until``, and for the adapter ``wait_s``. Fails
         with ``NO_SLOT`` if no slot becomes free in time, ``NO_GRANT`` if this VM may
         not order the engine, ``LOAD_FAILED`` if the adapter isn't ready in time.
@@ -80,7 +90,7 @@
         deadline_at = self._timers.now() + wait_s
         self._waiting[key] = self._waiting.get(key, 0) + 1
         try:
-            return await self._load_until(request, version, deadline_at)
+            return await self._load_until(request, version, deadline_at, on_arriving)
         finally:
             self._waiting[key] -= 1
             if not self._waiting[key]:
@@ -88,7 +98,11 @@
                 self._accounts.on_abandoned(key)
 
     async def _load_until(
-        self, request: SlotRequest, version: int, deadline_at: float
+        self,
+        request: SlotRequest,
+        version: int,
+        deadline_at: float,
+        on_arriving: Callable[[], None],
     ) -> Result[int, Failure]:
         key = request.key
         while not self._slots.ready(key, version):
@@ -98,6 +112,7 @@
             if left_s <= 0:
                 return Err(Failure(ErrorKind.LOAD_FAILED, f"{key} is not ready", 0.3))
             if self._checks.is_arriving(key, version):
+                on_arriving()
                 await self._changed.wait(self._timers, left_s)
                 continue
             self._accounts.on_requested(key, self._timers.now())
--- a/hawthornlead/gateway/engine_managers.py
+++ b/hawthornlead/gateway/engine_managers.py
@@ -2,15 +2,12 @@
 
 from functools import partial
 
-from result import Result
-
 from ..decisions.quotas import QuotaLedger
 from ..errors import ErrorKind, Failure
 from ..events import EventKind, EventRing
 from ..fleet.fleet_meshes import FleetMesh
 from ..mesh.meshes import failed
 from ..messages.gateways import (
-    AdapterLoaded,
     AdapterMissing,
     LoadAdapter,
     PromptReserved,
@@ -29,6 +26,7 @@
 from .gateway_metrics import GatewayMetrics
 from .holding_announcements import HoldingAnnouncements
 from .load_announcements import LoadAnnouncements
+from .load_turns import Prompt
 from .memberships import Memberships
 from .ownerships import Ownerships
 from .records import (
@@ -364,7 +362,8 @@
         request = SlotRequest(
             key, message.rank, now + message.due_s, now + message.slot_wait_s
         )
-        loaded: Result = await owner.load(request, message.version, message.wait_s)
+        prompt = Prompt.of(sender.vm, message)
+        loaded = await owner.load(request, message.version, message.wait_s, prompt)
         if loaded.is_err():
             self._events.emit(
                 EventKind.LOAD_TURNED_DOWN,
@@ -374,7 +373,7 @@
                 detail=loaded.err_value.detail,
             )
             return failed(loaded.err_value)
-        return AdapterLoaded(loaded.ok_value)
+        return loaded.ok_value
 
     async def _on_reserve(self, sender, message: ReservePrompt):
         owner = self._owner_of(message.target, message.started_ms)
--- a/hawthornlead/gateway/engine_owners.py
+++ b/hawthornlead/gateway/engine_owners.py
@@ -15,6 +15,7 @@
 from ..errors import Failure
 from ..events import EventKind, EventRing
 from ..messages.gateways import (
+    AdapterLoaded,
     HeldAdapters,
     PromptReserved,
     ReservePrompt,
@@ -32,6 +33,7 @@
 from .gateway_metrics import GatewayMetrics
 from .load_accounts import LoadAccounts
 from .load_checks import LoadChecks
+from .load_turns import LoadTurns, Prompt
 from .ownerships import Ownerships
 from .prompt_pacers import PromptPacer
 from .recent_adapters import remembered_adapters
@@ -122,7 +124,7 @@
             slots=self._slots,
             timers=timers,
             read_report=self._read_report,
-            is_waiting=lambda key: self._requests.is_waiting(key),
+            waiting=lambda key: self._requests.waiting(key),
             on_ready=self._on_ready,
             on_missing=self._on_not_ready,
             on_absent=lambda: self._orders.set_accepted(None),
@@ -141,6 +143,14 @@
             order=self._order_load,
             accounts=self._accounts,
         )
+        self._load_turns = LoadTurns(
+            pacer=self._pacer,
+            slots=self._slots,
+            timers=timers,
+            load=self._requests.load,
+            expected_at=self._fetch_tracker.expected_at,
+            enabled=trackers.learned,
+        )
         self._loads = EngineLoads(
             slots=self._slots,
             checks=self._checks,
@@ -242,10 +252,14 @@
         self._slot_waits.on_freed()
 
     async def load(
-        self, request: SlotRequest, version: int, wait_s: float
-    ) -> Result[int, Failure]:
-        """Make an adapter ready and return its version; see ``AdapterRequests``."""
-        return await self._requests.load(request, version, wait_s)
+        self,
+        request: SlotRequest,
+        version: int,
+        wait_s: float,
+        prompt: Prompt | None = None,
+    ) -> Result[AdapterLoaded, Failure]:
+        """Make an adapter ready, as ``AdapterRequests`` does, and reserve a turn."""
+        return await self._load_turns.load(request, version, wait_s, prompt)
 
     def _can_acquire_slot(self, key: AdapterKey) -> bool:
         """Whether an adapter has a slot, or a slot is free or can be freed now."""
@@ -292,6 +306,7 @@
         """Handle the engine's refusal of a request for a missing adapter."""
         slot = self._slots.slots.get(key)
         if slot is None or slot.state is not SlotState.READY:
+            self._fetch_tracker.on_refused_again(key)
             return
         if self._fetch_tracker.on_refused(key, slot):
             # It was predicted too early. Reading the report under the lock would delay
--- a/hawthornlead/gateway/fetch_tracker_builders.py
+++ b/hawthornlead/gateway/fetch_tracker_builders.py
@@ -20,15 +20,18 @@
         # Times of first fetches (False) and of repeated ones (True).
         self._arrivals = {False: ArrivalTimes(), True: ArrivalTimes()}
 
+    @property
+    def learned(self) -> bool:
+        """Whether fetch times and report lags are learned."""
+        return self.estimates is not None
+
     @property
     def lag(self) -> ReportLag | None:
         """The learned lag of reports, None if it isn't learned."""
         return self.estimates.lag if self.estimates else None
 
-    def build(self, *, is_waiting, **parts) -> FetchTracker | LearnedFetchTracker:
+    def build(self, *, waiting, **parts) -> FetchTracker | LearnedFetchTracker:
         """Return a tracker with these parts; see the classes of trackers."""
         if self.estimates is None:
             return FetchTracker(arrivals=self._arrivals, **parts)
-        return LearnedFetchTracker(
-            estimates=self.estimates, is_waiting=is_waiting, **parts
-        )
+        return LearnedFetchTracker(estimates=self.estimates, waiting=waiting, **parts)
--- a/hawthornlead/gateway/fetch_trackers.py
+++ b/hawthornlead/gateway/fetch_trackers.py
@@ -119,6 +119,10 @@
             await self._timers.sleep(POLL_INTERVAL_S)
         self._on_missing(key)
 
+    def expected_at(self, key: AdapterKey) -> float | None:
+        """Return None: turns aren't reserved before an adapter is ready."""
+        return None
+
     def on_refused(self, key: AdapterKey, slot: Slot) -> bool:
         """Handle the engine's refusal of a request for the adapter of a ready slot.
 
@@ -129,6 +133,9 @@
             self._arrivals[key in self._recent].record_too_early()
         return early
 
+    def on_refused_again(self, key: AdapterKey) -> None:
+        """Ignore the refusal of a further request for an adapter expected too early."""
+
 
 def arrived_version(report: EngineReport, key: AdapterKey) -> int | None:
     """Return the version of an adapter that is held, None while one is arriving.
--- a/hawthornlead/gateway/learned_trackers.py
+++ b/hawthornlead/gateway/learned_trackers.py
@@ -38,14 +38,15 @@
         self.since = since
         self.repeated = repeated
         self.observed = observed
+        self.expected_at = 0.0
         self.predicted_at: float | None = None
 
 
 class LearnedFetchTracker:
     """Tracks the fetches of one engine, as ``FetchTracker`` does.
 
-    ``is_waiting`` returns whether a request waits for an adapter. It is then sent when
-    the adapter counts as ready, and shows whether that was too early.
+    ``waiting`` returns how many requests wait for an adapter. They are sent when the
+    adapter counts as ready, and show whether that was too early.
     """
 
     def __init__(
@@ -55,7 +56,7 @@
         estimates: FetchEstimates,
         timers: TimerService,
         read_report: Callable[[], Awaitable[Result[EngineReport, Failure]]],
-        is_waiting: Callable[[AdapterKey], bool],
+        waiting: Callable[[AdapterKey], int],
         on_ready: Callable[[AdapterKey, int, str], None],
         on_missing: Callable[[AdapterKey], None],
         on_absent: Callable[[], None],
@@ -64,7 +65,7 @@
         self._estimates = estimates
         self._timers = timers
         self._read_report = read_report
-        self._is_waiting = is_waiting
+        self._waiting = waiting
         self._on_ready = on_ready
         self._on_missing = on_missing
         self._on_absent = on_absent
@@ -80,6 +81,7 @@
         self._recent.add(key)
         observation = self._estimates.begin_observation(repeated, self._timers.now())
         fetch = _Fetch(slot.since, repeated, observation is not None)
+        fetch.expected_at = slot.since + self._estimates.times[repeated].expected_s
         self._discard_former()
         self._fetches[key] = fetch
         if observation is None:
@@ -98,6 +100,13 @@
             return
         await asyncio.gather(self._foresee(key, slot, fetch), self._poll(key, slot))
 
+    def expected_at(self, key: AdapterKey) -> float | None:
+        """Return when an arriving adapter is expected, None while that is unknown."""
+        fetch = self._fetches.get(key)
+        if fetch is None or fetch.expected_at <= self._timers.now():
+            return None
+        return fetch.expected_at
+
     def on_refused(self, key: AdapterKey, slot: Slot) -> bool:
         """Handle the engine's refusal of a request for the adapter of a ready slot.
 
@@ -112,6 +121,12 @@
         self._estimates.times[fetch.repeated].record_early(now)
         return True
 
+    def on_refused_again(self, key: AdapterKey) -> None:
+        """Handle the refusal of a further request for an adapter expected too early."""
+        fetch = self._fetches.get(key)
+        if fetch is not None and fetch.predicted_at is not None:
+            self._estimates.times[fetch.repeated].record_early_again()
+
     async def recheck(self, key: AdapterKey, slot: Slot) -> None:
         """Expect a refused adapter again, and await it by reports."""
         fetch = self._fetches.get(key)
@@ -147,11 +162,13 @@
                 left_s = max(left_s, OUTDATED_RETRY_S)
             if left_s < MIN_DELAY_S:
                 break
+            fetch.expected_at = self._timers.now() + left_s
             await self._timers.sleep(left_s)
         if self._slots.slots.get(key) is not slot:
             return
-        if self._is_waiting(key):
-            times.record_predicted()
+        requests = self._waiting(key)
+        if requests:
+            times.record_predicted(requests)
         fetch.predicted_at = self._timers.now()
         self._on_ready(key, max(1, slot.version), "foreseen")
 
@@ -159,7 +176,8 @@
         self, key: AdapterKey, slot: Slot, expected_s: float
     ) -> None:
         fetch = self._fetches[key]
-        left_s = fetch.since + expected_s - self._timers.now()
+        fetch.expected_at = fetch.since + expected_s
+        left_s = fetch.expected_at - self._timers.now()
         if left_s > 0:
             await self._timers.sleep(left_s)
         if self._slots.slots.get(key) is slot:
--- a/hawthornlead/gateway/observed_targets.py
+++ b/hawthornlead/gateway/observed_targets.py
@@ -91,6 +91,8 @@
         """Whether the target held an adapter recently and so loads it faster."""
         return key in self._recent
 
-    def mark_absent(self, key: AdapterKey) -> None:
-        """Mark an adapter as absent after the target refused a request for it."""
-        self._held.pop(key, None)
+    def mark_refused(self, key: AdapterKey, arriving: bool) -> None:
+        """Mark an adapter as absent, or as still arriving, after a refused request."""
+        version, _ = self._held.pop(key, (0, False))
+        if arriving and version:
+            self._held[key] = version, False
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -25,7 +25,7 @@
     ServiceSpec,
     TargetEntry,
 )
-from .refusals import backoff_failure, overload_failure
+from .refusals import backoff_failure, no_target_failure, overload_failure
 from .run_times import RunTimes
 from .target_backoffs import TargetBackoffs
 from .target_choices import Candidate, Holding
@@ -51,8 +51,6 @@
 # A request without a target after this time is refused: callers abandon a stream that
 # has not started after 2 to 3 s, and can retry elsewhere before then.
 PLACEMENT_TIMEOUT_S = 1.6
-# A target that crashed is replaced in some seconds, if at all.
-ABSENT_RETRY_S = 1.0
 # From the load order of an adapter to the first token: 0.28 s for the load and about
 # 0.1 s for the prompt, 0.2 s if prompts are waiting.
 START_S = 0.45
@@ -65,7 +63,8 @@
     asked to load the adapter, including this one. ``turn_s`` is how long the prompt
     waited for its turn, None if the target's owner didn't assign one. ``counted`` is
     set if the request already counts against the target's limit. ``load_s`` is how long
-    it waited for its adapter, None if that was ready.
+    it waited for its adapter, None if that was ready. ``foreseen`` is set if its turn
+    was reserved when the adapter was expected, which may have been too early.
     """
 
     entry: TargetEntry
@@ -76,13 +75,15 @@
     turn_s: float | None = None
     counted: bool = False
     load_s: float | None = None
+    foreseen: bool = False
 
 
 class _Prepared(NamedTuple):
-    """How long a request waited for its turn and its adapter, as in ``Placed``."""
+    """What is known of a request once its target is prepared, as in ``Placed``."""
 
     turn_s: float | None
     load_s: float | None
+    foreseen: bool
 
 
 class PlacementRequest(NamedTuple):
@@ -153,7 +154,7 @@
         request = requested.request
         key = AdapterKey(request.model, request.adapter)
         software = requested.software
-        failure = self._no_target_failure(spec, software)
+        failure = no_target_failure(self._targets.of_service(spec.name), software)
         place_until = min(
             self._timers.now() + PLACEMENT_TIMEOUT_S, requested.deadline_at
         )
@@ -230,7 +231,7 @@
     ) -> Result[_Prepared, Failure]:
         """Load the adapter if it is missing, and wait for the prompt's turn."""
         entry = placed.entry
-        turn_s = load_s = None
+        turn_s = load_s = given_s = None
         if placed.candidate.holding is not Holding.READY:
             wait_s = min(LOAD_TIMEOUT_S, place_until - self._timers.now())
             if wait_s <= 0:
@@ -244,7 +245,11 @@
             if loaded.is_err():
                 self._scorer.mark_full(entry.target, loaded.err_value)
                 return loaded
-        if spec.engine is not None:
+            given_s = loaded.ok_value.turn_s
+        if given_s is not None:
+            self._targets.record_turn(entry.target, given_s)
+            turn_s = await self._sleep_until_turn(requested, given_s)
+        elif spec.engine is not None:
             turn = await self._await_turn(requested, placed)
             if turn.is_err():
                 return turn
@@ -252,7 +257,7 @@
         if not self._targets.is_current(entry):
             self.notify_ended(placed)
             return Err(_target_gone())
-        return Ok(_Prepared(turn_s, load_s))
+        return Ok(_Prepared(turn_s, load_s, given_s is not None))
 
     def notify_ended(self, placed: Placed) -> None:
         """Notify a target's owner that a request which had its turn has ended.
@@ -286,17 +291,6 @@
         entries = self._targets.of_service(spec.name)
         return {entry.target for entry in entries if not entry.runs(software)}
 
-    def _no_target_failure(self, spec: ServiceSpec, software: str | None) -> Failure:
-        """Return the refusal of a request that no usable target can serve."""
-        failure = Failure(ErrorKind.NO_TARGET, "no target can serve it now", 0.5)
-        if software is None:
-            return failure
-        entries = self._targets.of_service(spec.name)
-        if any(entry.runs(software) for entry in entries):
-            return failure
-        detail = f"no target runs software version {software or 'unknown'}"
-        return Failure(ErrorKind.NO_TARGET, detail, ABSENT_RETRY_S)
-
     def _backoff_refusal(
         self, spec: ServiceSpec, software: str | None
     ) -> Failure | None:
@@ -347,20 +341,24 @@
         if reply.is_err():
             return Ok(None)
         if not reply.ok_value.held:
-            self._targets.mark_absent(target, placed.key)
+            self._targets.mark_refused(target, placed.key)
             return Err(Failure(ErrorKind.LOAD_FAILED, "the adapter has left", 0.2))
         self._targets.record_turn(target, reply.ok_value.wait_s)
         if not reply.ok_value.reserved:
             return Err(Failure(ErrorKind.TOO_LATE_TO_START, "prompts wait there", 0.3))
-        now = self._timers.now()
-        start_by = (
-            requested.arrived_at + TURN_SHARE * requested.route.objective_ms / 1000
-        )
-        wait_s = min(reply.ok_value.wait_s, start_by - now)
-        self._metrics.turn_wait.observe(max(0.0, wait_s))
+        return Ok(await self._sleep_until_turn(requested, reply.ok_value.wait_s))
+
+    async def _sleep_until_turn(
+        self, requested: PlacementRequest, turn_s: float
+    ) -> float:
+        """Wait for a turn as long as the objective allows; return how long it took."""
+        objective_s = requested.route.objective_ms / 1000
+        start_by = requested.arrived_at + TURN_SHARE * objective_s
+        wait_s = max(0.0, min(turn_s, start_by - self._timers.now()))
+        self._metrics.turn_wait.observe(wait_s)
         if wait_s > 0:
             await self._timers.sleep(wait_s)
-        return Ok(max(0.0, wait_s))
+        return wait_s
 
     def _slot_due_at(self, requested: PlacementRequest) -> float:
         """Return by when the adapter must be ordered to meet the route's objective."""
@@ -387,6 +385,8 @@
             requested.route.priority,
             self._slot_due_at(requested) - self._timers.now(),
             slot_wait_s,
+            requested.request.prompt_tokens,
+            requested.route.event_gap_ms,
         )
         return await self._mesh.call(owner, message, wait_s + 0.1)
 
--- a/hawthornlead/gateway/refusals.py
+++ b/hawthornlead/gateway/refusals.py
@@ -6,8 +6,10 @@
     failure = overload_failure(best, route, left_s=0.9)
 """
 
+from collections.abc import Iterable
+
 from ..errors import ErrorKind, Failure
-from .records import Route, RouteKind
+from .records import Route, RouteKind, TargetEntry
 from .target_choices import Scored
 
 # Callers abandon a stream that hasn't started after 2 s or more. A request whose first
@@ -15,6 +17,8 @@
 MAX_START_S = 2.2
 MIN_RETRY_S = 0.2
 MAX_RETRY_S = 2.0
+# A target that crashed is replaced in some seconds, if at all.
+ABSENT_RETRY_S = 1.0
 
 
 def overload_failure(best: Scored, route: Route, left_s: float) -> Failure | None:
@@ -34,6 +38,18 @@
     return Failure(ErrorKind.OVERLOADED, "all targets are busy", retry_s)
 
 
+def no_target_failure(entries: Iterable[TargetEntry], software: str | None) -> Failure:
+    """Return the refusal of a request that no usable target can serve.
+
+    ``entries`` are those of its service, of which it needs one that runs ``software``.
+    """
+    failure = Failure(ErrorKind.NO_TARGET, "no target can serve it now", 0.5)
+    if software is None or any(entry.runs(software) for entry in entries):
+        return failure
+    detail = f"no target runs software version {software or 'unknown'}"
+    return Failure(ErrorKind.NO_TARGET, detail, ABSENT_RETRY_S)
+
+
 def backoff_failure(wait_s: float) -> Failure:
     """Return the refusal of a request whose targets accept none from this VM now.
 
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -343,8 +343,12 @@
             # An adapter that is loaded for this request counts as ready at its expected
             # arrival and may be late, so it isn't marked absent. Else it would be
             # fetched again at the next engine, and more fetches slow down each of them.
-            self._parts.targets.mark_absent(entry.target, key)
+            self._parts.targets.mark_refused(entry.target, key)
             return AttemptOutcome.REFUSED
+        if placed.foreseen:
+            # Its owner expects it again. Asked for a turn before that is announced, the
+            # owner would answer that the adapter has left.
+            self._parts.targets.mark_refused(entry.target, key, arriving=True)
         return AttemptOutcome.TOO_EARLY
 
     def _record_wait(self, entry: TargetEntry, sent_at: float, status: int) -> None:
--- a/hawthornlead/gateway/target_tables.py
+++ b/hawthornlead/gateway/target_tables.py
@@ -258,9 +258,9 @@
         observed = self._observed.get(target)
         return observed.arriving if observed else 0
 
-    def mark_absent(self, target: str, key: AdapterKey) -> None:
-        """Mark an adapter as absent after its target refused a request for it."""
-        self._observed_target(target).mark_absent(key)
+    def mark_refused(self, target: str, key: AdapterKey, arriving=False) -> None:
+        """Mark a refused adapter as absent, or as still arriving."""
+        self._observed_target(target).mark_refused(key, arriving)
 
     # Incarnations
 
--- a/hawthornlead/messages/gateways.py
+++ b/hawthornlead/messages/gateways.py
@@ -197,7 +197,8 @@
     If no slot is free, the owner waits ``slot_wait_s`` for one. Waiting requests are
     served by ``rank``, and in time if a slot is free within ``due_s``. The reply is
     ``AdapterLoaded``, or ``Failed`` when it can't be loaded soon, or when
-    ``started_ms`` identifies another incarnation than the owner orders.
+    ``started_ms`` identifies another incarnation than the owner orders. A prompt of
+    ``tokens`` follows, None if unknown, beside streams that tolerate ``gap_ms``.
     """
 
     target: str
@@ -209,13 +210,19 @@
     rank: int = 0
     due_s: float = 0.0
     slot_wait_s: float = 0.0
+    tokens: int | None = None
+    gap_ms: float = 300.0
 
 
 @message("adapter-loaded")
 class AdapterLoaded(NamedTuple):
-    """The adapter is ready, at this version."""
+    """The adapter is ready, at this version.
+
+    The prompt's turn is in ``turn_s``; None if it has none and must ask for one.
+    """
 
     version: int
+    turn_s: float | None = None
 
 
 class RelayedRecord(NamedTuple):
--- a/hawthornlead/tests/fakes_owned_engines.py
+++ b/hawthornlead/tests/fakes_owned_engines.py
@@ -224,7 +224,8 @@
         """Have the owner load an adapter."""
         now = self.timers.now()
         request = SlotRequest(AdapterKey("tide", name), 0, now, now)
-        return await self.owner.load(request, version, wait_s)
+        loaded = await self.owner.load(request, version, wait_s)
+        return loaded.map(lambda ready: ready.version)
 
     async def until(self, condition, wait_s=3.0):
         """Wait for a condition, which must become true."""
--- a/hawthornlead/tests/test_learned_fetches.py
+++ b/hawthornlead/tests/test_learned_fetches.py
@@ -12,6 +12,11 @@
 from hawthornlead.fetches.fetch_estimates import INITIAL_FETCH_S, FetchEstimates
 from hawthornlead.fetches.fetch_observations import FetchObservation
 from hawthornlead.fetches.fetch_times import OUTCOMES
+from hawthornlead.gateway.engine_slots import AdapterKey
+from hawthornlead.gateway.load_turns import Prompt
+from hawthornlead.gateway.prompt_pacers import PromptPacer
+from hawthornlead.gateway.slot_queues import SlotRequest
+from hawthornlead.messages.gateways import ReservePrompt
 
 from .fakes_clocks import run_played
 from .fakes_lagging_engines import LaggingBed
@@ -163,3 +168,47 @@
     assert ready["queued_ms"] < 5
     assert ready["order_ms"] >= 100
     assert ready["fetch_ms"] > 0
+
+
+def test_prompts_for_one_arriving_adapter_get_consecutive_turns():
+    """Prompts ask for their turns one after the other once their adapter is ready.
+
+    Their waits for the adapter and for the turn then add up. A prompt that can be read
+    meanwhile isn't delayed by their turns.
+    """
+
+    async def play(bed):
+        await bed.play(10)
+        prompt = Prompt("vm-2", 826, 300.0)
+        before = ReservePrompt("e1", "tide", "", 826, 1.0)
+        now = bed.timers.now()
+        request = SlotRequest(AdapterKey("tide", "new"), 0, now, now)
+        loads = [bed.owner.load(request, 0, 2.0, prompt) for _ in range(3)]
+        loading = asyncio.gather(*loads)
+        await asyncio.sleep(0.1)
+        assert bed.owner.reserve(AdapterKey("tide", ""), "vm-2", before).wait_s == 0.0
+        loaded = [each.unwrap().turn_s for each in await loading]
+        idle = PromptPacer()
+        expected = [idle.reserve(826, 300.0, 0.0) for _ in range(3)]
+        assert expected[2] > 0.02
+        assert loaded == pytest.approx(expected, abs=0.005)
+
+    run(play)
+
+
+def test_turns_fill_the_time_before_a_reserved_one_and_follow_it():
+    pacer = PromptPacer()
+    turn = pacer.reserve_from(1800, 300.0, not_before=10.3)
+    assert pacer.reserve(1800, 300.0, 10.0) == 0.0
+    assert pacer.reserve(1800, 300.0, 10.25) == 0.0
+    # Of 94 ms that each of them takes, 60 ms may overlap with the next one.
+    assert pacer.reserve(1800, 300.0, 10.3) > 0.05
+    assert pacer.claim(turn, 10.3) < 0.05
+    missed = pacer.reserve_from(1800, 300.0, not_before=10.8)
+    assert pacer.reserve(1800, 300.0, 11.2) == 0.0
+    # Its adapter came 0.4 s later than expected, and others had read in its place.
+    assert pacer.claim(missed, 11.2) > 0.0
+    given_up = pacer.reserve_from(1800, 300.0, not_before=12.0)
+    pacer.cancel(given_up)
+    assert pacer.reserve(1800, 300.0, 12.0) == 0.0
+    assert pacer.reserve(1800, 300.0, 12.04) == 0.0
--- a/hawthornlead/tests/test_placers.py
+++ b/hawthornlead/tests/test_placers.py
@@ -115,14 +115,17 @@
     def __init__(self, waits):
         self.waits = waits
         self.asked = []
+        self.reserved = []
+        self.turn_s = None
 
     async def call(self, vm, message, timeout=None):
         if not isinstance(message, LoadAdapter):
+            self.reserved.append(message)
             return Ok(PromptReserved(0.0, True, True))
         self.asked.append(message)
         wait_s = self.waits[message.target]
         if wait_s <= message.slot_wait_s:
-            return Ok(AdapterLoaded(1))
+            return Ok(AdapterLoaded(1, self.turn_s))
         return Err(Failure(ErrorKind.NO_SLOT, "no slot to spare", wait_s))
 
 
@@ -289,3 +292,15 @@
         site.targets.entries[message.target].software == "v1"
         for message in site.mesh.asked
     )
+
+
+@pytest.mark.parametrize(("turn_s", "reserved"), [(None, 1), (0.0, 0)])
+async def test_a_turn_given_with_the_adapter_is_not_asked_for_again(turn_s, reserved):
+    """A prompt takes two turns of its engine, one of which nobody uses."""
+    site = Site([0.0])
+    site.mesh.turn_s = turn_s
+    placed = (await site.place()).unwrap()
+    assert len(site.mesh.reserved) == reserved
+    assert placed.turn_s == 0.0
+    assert placed.foreseen is (turn_s is not None)
+    assert site.mesh.asked[0].tokens == REQUEST.prompt_tokens
