--- a/hawthornlead/tests/soak_gateway_fleet.py
+++ b/hawthornlead/tests/soak_gateway_fleet.py
@@ -187,6 +187,7 @@
             # As deploy/vm.ini.template has them.
             "peers": {"heartbeat_s": 0.9, "peer_silent_s": 2.0, "peer_call_s": 1.0},
             "requests": {"retry_share": 0.15},
+            "scheduling": {"learned_fetches": "yes"},
             "logs": {"log_format": "json", "log_lines_per_s": self._lines_per_s},
         }
         lines = []
