Give no turn with an adapter that is being unloaded

While the unload of an adapter was under way, 3 ms and up to 100 ms without an answer, its slot still counted as ready. A request that asked for its turn then was refused by the engine, which costs an arrival and another engine's load. This holds without `learned_fetches` too.

--- a/hawthornlead/gateway/engine_loads.py
+++ b/hawthornlead/gateway/engine_loads.py
@@ -106,7 +106,13 @@
         if victim is None:
             return False
         version = self._slots.slots[victim].version
-        outcome = await self._orders.give(self._entry(), OrderKind.UNLOAD, victim, 0)
+        self._slots.evicting = victim
+        try:
+            outcome = await self._orders.give(
+                self._entry(), OrderKind.UNLOAD, victim, 0
+            )
+        finally:
+            self._slots.evicting = None
         if outcome is OrderOutcome.HOLDS_ALREADY:
             self._slots.remove(victim)
             self._on_changed()
--- a/hawthornlead/gateway/engine_slots.py
+++ b/hawthornlead/gateway/engine_slots.py
@@ -82,6 +82,9 @@
         self._running: dict[AdapterKey, int] = {}
         # The start times of the turns of each VM's requests.
         self._turns: dict[AdapterKey, dict[str, list[float]]] = {}
+        # The adapter that the engine is just ordered to unload. No request may be sent
+        # for it any more, though it may turn out that the engine still holds it.
+        self.evicting: AdapterKey | None = None
 
     @property
     def models(self) -> tuple[str, ...]:
@@ -118,7 +121,7 @@
     def ready(self, key: AdapterKey, version: int) -> bool:
         """Whether requests for an adapter at this version or a newer one can run."""
         slot = self._slots.get(key)
-        if slot is None or slot.state is not SlotState.READY:
+        if slot is None or slot.state is not SlotState.READY or key == self.evicting:
             return False
         return not version or slot.version >= version
 
--- a/hawthornlead/tests/test_learned_fetches.py
+++ b/hawthornlead/tests/test_learned_fetches.py
@@ -258,6 +258,23 @@
     run(play)
 
 
+def test_no_turn_is_given_with_an_adapter_that_is_just_evicted():
+    """A request gets its turn while its adapter's unload is sent, and is refused."""
+
+    async def play(bed):
+        await bed.play(10)
+        prompt = ReservePrompt("e1", "tide", "", 826, 1.0)
+        held = dict(bed.engine.held)
+        loading = asyncio.create_task(bed.load("new"))
+        await asyncio.sleep(0.002)
+        victim = (held.keys() - bed.engine.held.keys()).pop()
+        key = AdapterKey("tide", victim)
+        assert not bed.owner.reserve(key, "vm-2", prompt).held
+        await loading
+
+    run(play)
+
+
 def test_turns_fill_the_time_before_a_reserved_one_and_follow_it():
     pacer = PromptPacer()
     turn = pacer.reserve_from(1800, 300.0, not_before=10.3)
