--- a/hawthornlead/gateway/learned_trackers.py
+++ b/hawthornlead/gateway/learned_trackers.py
@@ -193,12 +193,14 @@
         order_count: int,
     ) -> None:
         """Poll reports until one shows the adapter, and learn from them."""
+        reported = False
         while observation.next_poll_s < LOAD_TIMEOUT_S:
             left_s = fetch.since + observation.next_poll_s - self._timers.now()
             if left_s > 0:
                 await self._timers.sleep(left_s)
             read = await self._read_report()
             at_s = self._timers.now() - fetch.since
+            reported = read.is_ok()
             if read.is_err():
                 observation.skip(at_s)
                 continue
@@ -212,9 +214,9 @@
                 self._estimates.end_observation(observation, fetch.repeated, now)
                 self._take_report(key, slot, report)
                 return
-            if key not in self._slots.slots:
+            if not self._is_current(key, fetch):
                 return
-        self._on_missing(key)
+        self._end_missing(key, reported)
 
     async def _await_report(
         self, key: AdapterKey, slot: Slot, fetch: _Fetch, after_s: float
@@ -228,9 +230,11 @@
         bound_s = max(REPORT_LAG_S, self._estimates.lag.bound_s)
         first_s = max(bound_s, after_s + lag_s - POLL_INTERVAL_S)
         await self._timers.sleep(max(0.0, fetch.since + first_s - self._timers.now()))
+        reported = False
         while self._timers.now() - fetch.since < LOAD_TIMEOUT_S:
             read = await self._read_report()
-            if read.is_ok():
+            reported = read.is_ok()
+            if reported:
                 if not shows_adapter(read.ok_value, key):
                     self._on_absent()
                     return
@@ -242,10 +246,23 @@
                     self._take_report(key, slot, read.ok_value)
                     return
                 after_s = max(after_s, shown_s)
-            if key not in self._slots.slots:
+            if not self._is_current(key, fetch):
                 return
             await self._timers.sleep(POLL_INTERVAL_S)
-        self._on_missing(key)
+        self._end_missing(key, reported)
+
+    def _end_missing(self, key: AdapterKey, reported: bool) -> None:
+        """Handle an adapter that wasn't shown in time, ``reported`` by a last report.
+
+        Without reports, one that counts as ready isn't missing.
+        """
+        slot = self._slots.slots.get(key)
+        if slot is not None and (reported or slot.state is SlotState.ARRIVING):
+            self._on_missing(key)
+
+    def _is_current(self, key: AdapterKey, fetch: _Fetch) -> bool:
+        """Whether the adapter of a fetch hasn't left or been fetched again since."""
+        return key in self._slots.slots and self._fetches.get(key) is fetch
 
     def _take_report(self, key: AdapterKey, slot: Slot, report: EngineReport) -> bool:
         """Take an adapter as ready if a report shows it; return whether it does."""
