--- a/hawthornlead/gateway/adapter_requests.py
+++ b/hawthornlead/gateway/adapter_requests.py
@@ -17,6 +17,7 @@
 from ..waits import Signal
 from .engine_slots import AdapterKey, EngineSlots
 from .fetch_trackers import FIRST_POLL_S
+from .load_accounts import LoadAccounts
 from .load_checks import MAX_ARRIVING, LoadChecks
 from .slot_queues import SlotRequest
 from .slot_waits import SlotWaits
@@ -37,6 +38,7 @@
         timers: TimerService,
         tasks: TaskSet,
         order: Callable[[AdapterKey, int], Awaitable[Result[None, Failure]]],
+        accounts: LoadAccounts,
     ):
         self._slots = slots
         self._checks = checks
@@ -44,6 +46,7 @@
         self._timers = timers
         self._tasks = tasks
         self._order = order
+        self._accounts = accounts
         self._stopped = False
         self._ordering: dict[tuple[AdapterKey, int], asyncio.Task] = {}
         self._waiting: dict[AdapterKey, int] = {}
@@ -53,6 +56,10 @@
         """Whether a request waits for an adapter."""
         return key in self._waiting
 
+    def waiting(self, key: AdapterKey) -> int:
+        """Return how many requests wait for an adapter."""
+        return self._waiting.get(key, 0)
+
     def on_changed(self) -> None:
         """Let waiting requests check again what the engine holds."""
         self._changed.fire()
@@ -64,10 +71,16 @@
         self._slot_waits.stop()
 
     async def load(
-        self, request: SlotRequest, version: int, wait_s: float
+        self,
+        request: SlotRequest,
+        version: int,
+        wait_s: float,
+        on_arriving: Callable[[], None] = lambda: None,
     ) -> Result[int, Failure]:
         """Make an adapter ready and return its version.
 
+        ``on_arriving`` is called when the adapter is found to be arriving.
+
         Waits for a slot until ``request.until``, and for the adapter ``wait_s``. Fails
         with ``NO_SLOT`` if no slot becomes free in time, ``NO_GRANT`` if this VM may
         not order the engine, ``LOAD_FAILED`` if the adapter isn't ready in time.
@@ -77,14 +90,19 @@
         deadline_at = self._timers.now() + wait_s
         self._waiting[key] = self._waiting.get(key, 0) + 1
         try:
-            return await self._load_until(request, version, deadline_at)
+            return await self._load_until(request, version, deadline_at, on_arriving)
         finally:
             self._waiting[key] -= 1
             if not self._waiting[key]:
                 del self._waiting[key]
+                self._accounts.on_abandoned(key)
 
     async def _load_until(
-        self, request: SlotRequest, version: int, deadline_at: float
+        self,
+        request: SlotRequest,
+        version: int,
+        deadline_at: float,
+        on_arriving: Callable[[], None],
     ) -> Result[int, Failure]:
         key = request.key
         while not self._slots.ready(key, version):
@@ -94,8 +112,10 @@
             if left_s <= 0:
                 return Err(Failure(ErrorKind.LOAD_FAILED, f"{key} is not ready", 0.3))
             if self._checks.is_arriving(key, version):
+                on_arriving()
                 await self._changed.wait(self._timers, left_s)
                 continue
+            self._accounts.on_requested(key, self._timers.now())
             if self._slots.arriving >= MAX_ARRIVING:
                 expected_s = FETCH_INTERVAL_S * self._fetches_ahead(key)
                 if expected_s > left_s - FIRST_POLL_S:
--- a/hawthornlead/gateway/learned_trackers.py
+++ b/hawthornlead/gateway/learned_trackers.py
@@ -38,14 +38,15 @@
         self.since = since
         self.repeated = repeated
         self.observed = observed
+        self.expected_at = 0.0
         self.predicted_at: float | None = None
 
 
 class LearnedFetchTracker:
     """Tracks the fetches of one engine, as ``FetchTracker`` does.
 
-    ``is_waiting`` returns whether a request waits for an adapter. It is then sent when
-    the adapter counts as ready, and shows whether that was too early.
+    ``waiting`` returns how many requests wait for an adapter. They are sent when the
+    adapter counts as ready, and show whether that was too early.
     """
 
     def __init__(
@@ -55,7 +56,7 @@
         estimates: FetchEstimates,
         timers: TimerService,
         read_report: Callable[[], Awaitable[Result[EngineReport, Failure]]],
-        is_waiting: Callable[[AdapterKey], bool],
+        waiting: Callable[[AdapterKey], int],
         on_ready: Callable[[AdapterKey, int, str], None],
         on_missing: Callable[[AdapterKey], None],
         on_absent: Callable[[], None],
@@ -64,7 +65,7 @@
         self._estimates = estimates
         self._timers = timers
         self._read_report = read_report
-        self._is_waiting = is_waiting
+        self._waiting = waiting
         self._on_ready = on_ready
         self._on_missing = on_missing
         self._on_absent = on_absent
@@ -80,6 +81,7 @@
         self._recent.add(key)
         observation = self._estimates.begin_observation(repeated, self._timers.now())
         fetch = _Fetch(slot.since, repeated, observation is not None)
+        fetch.expected_at = slot.since + self._estimates.times[repeated].expected_s
         self._discard_former()
         self._fetches[key] = fetch
         if observation is None:
@@ -98,6 +100,13 @@
             return
         await asyncio.gather(self._foresee(key, slot, fetch), self._poll(key, slot))
 
+    def expected_at(self, key: AdapterKey) -> float | None:
+        """Return when an arriving adapter is expected, None while that is unknown."""
+        fetch = self._fetches.get(key)
+        if fetch is None or fetch.expected_at <= self._timers.now():
+            return None
+        return fetch.expected_at
+
     def on_refused(self, key: AdapterKey, slot: Slot) -> bool:
         """Handle the engine's refusal of a request for the adapter of a ready slot.
 
@@ -112,6 +121,12 @@
         self._estimates.times[fetch.repeated].record_early(now)
         return True
 
+    def on_refused_again(self, key: AdapterKey) -> None:
+        """Handle the refusal of a further request for an adapter expected too early."""
+        fetch = self._fetches.get(key)
+        if fetch is not None and fetch.predicted_at is not None:
+            self._estimates.times[fetch.repeated].record_early_again()
+
     async def recheck(self, key: AdapterKey, slot: Slot) -> None:
         """Expect a refused adapter again, and await it by reports."""
         fetch = self._fetches.get(key)
@@ -147,11 +162,13 @@
                 left_s = max(left_s, OUTDATED_RETRY_S)
             if left_s < MIN_DELAY_S:
                 break
+            fetch.expected_at = self._timers.now() + left_s
             await self._timers.sleep(left_s)
         if self._slots.slots.get(key) is not slot:
             return
-        if self._is_waiting(key):
-            times.record_predicted()
+        requests = self._waiting(key)
+        if requests:
+            times.record_predicted(requests)
         fetch.predicted_at = self._timers.now()
         self._on_ready(key, max(1, slot.version), "foreseen")
 
@@ -159,7 +176,8 @@
         self, key: AdapterKey, slot: Slot, expected_s: float
     ) -> None:
         fetch = self._fetches[key]
-        left_s = fetch.since + expected_s - self._timers.now()
+        fetch.expected_at = fetch.since + expected_s
+        left_s = fetch.expected_at - self._timers.now()
         if left_s > 0:
             await self._timers.sleep(left_s)
         if self._slots.slots.get(key) is slot:
@@ -175,12 +193,14 @@
         order_count: int,
     ) -> None:
         """Poll reports until one shows the adapter, and learn from them."""
+        reported = False
         while observation.next_poll_s < LOAD_TIMEOUT_S:
             left_s = fetch.since + observation.next_poll_s - self._timers.now()
             if left_s > 0:
                 await self._timers.sleep(left_s)
             read = await self._read_report()
             at_s = self._timers.now() - fetch.since
+            reported = read.is_ok()
             if read.is_err():
                 observation.skip(at_s)
                 continue
@@ -194,9 +214,9 @@
                 self._estimates.end_observation(observation, fetch.repeated, now)
                 self._take_report(key, slot, report)
                 return
-            if key not in self._slots.slots:
+            if not self._is_current(key, fetch):
                 return
-        self._on_missing(key)
+        self._end_missing(key, reported)
 
     async def _await_report(
         self, key: AdapterKey, slot: Slot, fetch: _Fetch, after_s: float
@@ -210,9 +230,11 @@
         bound_s = max(REPORT_LAG_S, self._estimates.lag.bound_s)
         first_s = max(bound_s, after_s + lag_s - POLL_INTERVAL_S)
         await self._timers.sleep(max(0.0, fetch.since + first_s - self._timers.now()))
+        reported = False
         while self._timers.now() - fetch.since < LOAD_TIMEOUT_S:
             read = await self._read_report()
-            if read.is_ok():
+            reported = read.is_ok()
+            if reported:
                 if not shows_adapter(read.ok_value, key):
                     self._on_absent()
                     return
@@ -224,10 +246,23 @@
                     self._take_report(key, slot, read.ok_value)
                     return
                 after_s = max(after_s, shown_s)
-            if key not in self._slots.slots:
+            if not self._is_current(key, fetch):
                 return
             await self._timers.sleep(POLL_INTERVAL_S)
-        self._on_missing(key)
+        self._end_missing(key, reported)
+
+    def _end_missing(self, key: AdapterKey, reported: bool) -> None:
+        """Handle an adapter that wasn't shown in time, ``reported`` by a last report.
+
+        Without reports, one that counts as ready isn't missing.
+        """
+        slot = self._slots.slots.get(key)
+        if slot is not None and (reported or slot.state is SlotState.ARRIVING):
+            self._on_missing(key)
+
+    def _is_current(self, key: AdapterKey, fetch: _Fetch) -> bool:
+        """Whether the adapter of a fetch hasn't left or been fetched again since."""
+        return key in self._slots.slots and self._fetches.get(key) is fetch
 
     def _take_report(self, key: AdapterKey, slot: Slot, report: EngineReport) -> bool:
         """Take an adapter as ready if a report shows it; return whether it does."""
