Measure engines by the streams that VMs relay, and announce their speeds

Cause: an owner sees only the requests that its own VM relays, and the other VMs know nothing of an engine's speed.

Change: with the setting measured_engines, a VM adds the times of each relayed stream to RequestEnded. The owner estimates the speed of its engine's incarnation and states it in TargetHoldings, in whole numbers rounded to 5 in 100; a changed speed alone is not announced. A successor starts from the announced values. Both messages have new fields at the end, 0 if unknown. A gauge counts the engines of known speed, and an event tells, at most every 5 s per engine, that an engine counts as slow, overloaded or normal. Without the setting nothing is measured and the fields are 0.

No choice uses the speeds yet.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -140,6 +140,11 @@
         "targets of a service say that they fall over if they must refuse more",
     )
     SERVICE_NOT_BRITTLE = (539, "INFO", "targets of a service are no longer brittle")
+    ENGINE_SPEED_CHANGED = (
+        540,
+        "INFO",
+        "an engine counts as slow, as overloaded or as normal by its measured speed",
+    )
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
--- /dev/null
+++ b/hawthornlead/gateway/coordination_parts.py
@@ -0,0 +1,107 @@
+"""Construction of what VMs coordinate by: the first group of a gateway's parts.
+
+::
+
+    coordination = build_coordination(core, metrics)
+"""
+
+from typing import NamedTuple
+
+from ..core_parts import CoreParts
+from ..decisions.quotas import QuotaLedger
+from ..fleet.fleet_meshes import FleetMesh
+from ..fleet.registered_orders import RegisteredOrder
+from ..mesh.sparse_peers import SparsePeerMesh
+from .gateway_metrics import GatewayMetrics
+from .memberships import Memberships
+from .ownerships import Ownerships
+from .records import VmRecord
+from .store_clients import StoreClient
+from .vm_leases import VmLease
+from .watch_relays import WatchRelays
+
+# The number of VMs that a VM assumes until it knows them: too many, so that all of them
+# together stay below a quota.
+ASSUMED_VMS = 400
+
+
+class Coordination(NamedTuple):
+    """What VMs coordinate by: store, mesh, membership, and ownership of engines."""
+
+    client: StoreClient
+    mesh: FleetMesh
+    memberships: Memberships
+    lease: VmLease
+    ownerships: Ownerships
+    relays: WatchRelays
+    quotas: QuotaLedger
+
+
+def build_coordination(core: CoreParts, metrics: GatewayMetrics) -> Coordination:
+    """Build what VMs coordinate by."""
+    settings, timers, rng, events = core.settings, core.timers, core.rng, core.events
+    vm, incarnation = settings["VM_NAME"], f"{rng.getrandbits(64):016x}"
+    client = StoreClient(
+        address=settings["STORE_ADDRESS"], timers=timers, metrics=metrics
+    )
+    transport = SparsePeerMesh(
+        settings=settings,
+        timers=timers,
+        events=events,
+        metrics=core.metrics,
+        clock=core.clock,
+        incarnation=incarnation,
+        rng=rng,
+    )
+    registered_order = RegisteredOrder()
+    mesh = FleetMesh(
+        transport=transport,
+        data_centre=settings["DATA_CENTRE"],
+        registered_order=registered_order,
+        timers=timers,
+        message_bytes=settings["MAX_MESSAGE_BYTES"],
+    )
+    record = VmRecord(
+        vm,
+        incarnation,
+        settings["DATA_CENTRE"],
+        settings["PEER_ADDRESS"],
+        settings["CALLER_ADDRESS"],
+        False,
+        settings["RELAY_ADDRESS"],
+    )
+    memberships = Memberships(
+        record=record,
+        client=client,
+        mesh=mesh,
+        timers=timers,
+        rng=rng,
+        events=events,
+        registered_order=registered_order,
+    )
+    lease = VmLease(
+        vm=vm,
+        incarnation=incarnation,
+        client=client,
+        timers=timers,
+        rng=rng,
+        events=events,
+    )
+    memberships.on_registered = lease.start
+    ownerships = Ownerships(
+        memberships=memberships, lease=lease, client=client, mesh=mesh, events=events
+    )
+    relays = WatchRelays(
+        memberships=memberships,
+        mesh=mesh,
+        timers=timers,
+        client=client,
+        events=events,
+    )
+    quotas = QuotaLedger(
+        now=timers.now,
+        rng=rng,
+        share=lambda: memberships.seen_share,
+        vms=lambda: registered_order.count or ASSUMED_VMS,
+    )
+    return Coordination(client, mesh, memberships, lease, ownerships, relays, quotas)
--- a/hawthornlead/gateway/engine_managers.py
+++ b/hawthornlead/gateway/engine_managers.py
@@ -29,6 +29,7 @@
 from .gateway_metrics import GatewayMetrics
 from .holding_announcements import HoldingAnnouncements
 from .load_announcements import LoadAnnouncements
+from .measured_engines import MeasuredEngines
 from .memberships import Memberships
 from .ownerships import Ownerships
 from .records import (
@@ -47,10 +48,6 @@
 CLAIM_INTERVAL_S = 0.25
 # Use counts expire after some half-lives of 10 s.
 EXPIRE_INTERVAL_S = 10.0
-# Changes of one engine within this time are announced in one message. The time grows
-# with the number of VMs, since each change is a message to each of them.
-HOLDINGS_BATCH_S = 0.01
-HOLDINGS_BATCH_PER_VM_S = 0.0005
 # How long a leaving VM waits for its claims and releases: three store calls.
 CHANGES_TIMEOUT_S = 3.0
 
@@ -72,7 +69,9 @@
         events: EventRing,
         metrics: GatewayMetrics,
         quotas: QuotaLedger,
+        measured: MeasuredEngines,
     ):
+        self._measured = measured
         self._metrics = metrics
         self._events = events
         self._memberships = memberships
@@ -294,6 +293,7 @@
             events=self._events,
             metrics=self._metrics,
             unacknowledged=unacknowledged,
+            measured=self._measured.start(entry, spec),
             on_changed=self._publish,
             on_restarted=lambda started_ms: self._on_reported_restart(
                 target, started_ms
@@ -325,10 +325,8 @@
         )
 
     async def _announce(self, owner: EngineOwner) -> None:
-        batch_s = HOLDINGS_BATCH_S
-        if not self._mesh.large:
-            batch_s += HOLDINGS_BATCH_PER_VM_S * len(self._memberships.live())
-        await self._timers.sleep(batch_s)
+        vms = len(self._memberships.live())
+        await self._timers.sleep(self._holding_announcements.batch_s(vms))
         if self._owners.get(owner.target) is owner:
             self._holding_announcements.announce(owner.holdings)
 
@@ -393,6 +391,7 @@
         key = AdapterKey(message.model, message.adapter)
         self._loads.apply_ended(sender.vm, message.target, key, message.running)
         owner.end_turn(key, sender.vm)
+        owner.measured.record(message)
 
     async def _on_missing(self, sender, message: AdapterMissing) -> None:
         owner = self._owner_of(message.target, message.started_ms)
--- a/hawthornlead/gateway/engine_owners.py
+++ b/hawthornlead/gateway/engine_owners.py
@@ -31,6 +31,7 @@
 from .fetch_trackers import FetchTracker, shows_adapter
 from .gateway_metrics import GatewayMetrics
 from .load_checks import LoadChecks
+from .measured_engines import UNMEASURED, MeasuredEngine
 from .ownerships import Ownerships
 from .prompt_pacers import PromptPacer
 from .recent_adapters import remembered_adapters
@@ -83,6 +84,7 @@
         events: EventRing,
         metrics: GatewayMetrics,
         unacknowledged: UnacknowledgedOrders,
+        measured: MeasuredEngine = UNMEASURED,
         on_changed: Callable[["EngineOwner"], None],
         on_restarted: Callable[[int | None], None],
     ):
@@ -101,6 +103,7 @@
             unacknowledged=unacknowledged,
             timers=timers,
         )
+        self.measured = measured
         self._pacer = PromptPacer()
         self._orders = EngineOrders(
             ownerships=ownerships,
@@ -180,6 +183,7 @@
             self._pacer.expected_wait(self._timers.now()),
             self.incarnation.started_ms,
             remembered_adapters(self._spec.adapter_slots),
+            *self.measured.announced,
         )
 
     def start(self) -> None:
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -1,7 +1,8 @@
 """Construction of one gateway's parts in three groups, and the parts that requests use.
 
-Each build function takes the groups that it depends on, so its signature shows the
-dependencies. A part never gets a whole group, only the parts that it uses::
+The first group is built in ``coordination_parts``. Each build function takes the groups
+that it depends on, so its signature shows the dependencies. A part never gets a whole
+group, only the parts that it uses::
 
     coordination = build_coordination(core, metrics)
     targets = build_targets(core, coordination, metrics)
@@ -15,24 +16,20 @@
 from ..decisions.quotas import Limit, QuotaLedger
 from ..decisions.retries import Retries
 from ..decisions.suspects import Suspects
-from ..fleet.fleet_meshes import FleetMesh
-from ..fleet.registered_orders import RegisteredOrder
-from ..mesh.sparse_peers import SparsePeerMesh
 from .brittle_targets import BrittleTargets
+from .coordination_parts import ASSUMED_VMS, Coordination
 from .crash_watches import CrashWatch
 from .engine_calls import EngineCalls
 from .engine_managers import EngineManager
 from .gateway_metrics import GatewayMetrics
 from .leaving_notices import LeavingNotices
 from .loss_detectors import LossDetector
-from .memberships import Memberships
-from .ownerships import Ownerships
+from .measured_engines import MeasuredEngines
 from .placers import Placer
 from .prompt_quarantines import PromptQuarantines
-from .records import Configuration, TargetEntry, VmRecord
+from .records import Configuration, TargetEntry
 from .routes import RouteTable
 from .run_times import RunTimes
-from .store_clients import StoreClient
 from .stream_origins import StreamOrigins
 from .target_backoffs import TargetBackoffs
 from .target_connections import TargetConnections
@@ -42,27 +39,9 @@
 from .target_paths import TargetPaths
 from .target_probes import TargetProbes
 from .target_tables import TargetTable
-from .vm_leases import VmLease
 from .vm_relays import RelayVms
-from .watch_relays import WatchRelays
 from .workspaces import WorkspaceTable
 
-# The number of VMs that a VM assumes until it knows them: too many, so that all of them
-# together stay below a quota.
-ASSUMED_VMS = 400
-
-
-class Coordination(NamedTuple):
-    """What VMs coordinate by: store, mesh, membership, and ownership of engines."""
-
-    client: StoreClient
-    mesh: FleetMesh
-    memberships: Memberships
-    lease: VmLease
-    ownerships: Ownerships
-    relays: WatchRelays
-    quotas: QuotaLedger
-
 
 class TargetParts(NamedTuple):
     """The state of targets, the connections to them, and the engines of this VM."""
@@ -73,6 +52,7 @@
     loads: TargetLoads
     healths: TargetHealths
     engine_manager: EngineManager
+    measured: MeasuredEngines
 
 
 class GatewayParts:
@@ -100,6 +80,7 @@
         run_times: RunTimes,
         quotas: QuotaLedger,
         origins: StreamOrigins,
+        measured: MeasuredEngines,
     ):
         self._settings = core.settings
         self._budgets: dict[str, Retries] = {}
@@ -124,6 +105,7 @@
         self.run_times = run_times
         self.quotas = quotas
         self.origins = origins
+        self.measured = measured
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
         self.workspaces = WorkspaceTable(None)
@@ -153,76 +135,6 @@
         self.quotas.apply_limits(limits)
 
 
-def build_coordination(core: CoreParts, metrics: GatewayMetrics) -> Coordination:
-    """Build what VMs coordinate by."""
-    settings, timers, rng, events = core.settings, core.timers, core.rng, core.events
-    vm, incarnation = settings["VM_NAME"], f"{rng.getrandbits(64):016x}"
-    client = StoreClient(
-        address=settings["STORE_ADDRESS"], timers=timers, metrics=metrics
-    )
-    transport = SparsePeerMesh(
-        settings=settings,
-        timers=timers,
-        events=events,
-        metrics=core.metrics,
-        clock=core.clock,
-        incarnation=incarnation,
-        rng=rng,
-    )
-    registered_order = RegisteredOrder()
-    mesh = FleetMesh(
-        transport=transport,
-        data_centre=settings["DATA_CENTRE"],
-        registered_order=registered_order,
-        timers=timers,
-        message_bytes=settings["MAX_MESSAGE_BYTES"],
-    )
-    record = VmRecord(
-        vm,
-        incarnation,
-        settings["DATA_CENTRE"],
-        settings["PEER_ADDRESS"],
-        settings["CALLER_ADDRESS"],
-        False,
-        settings["RELAY_ADDRESS"],
-    )
-    memberships = Memberships(
-        record=record,
-        client=client,
-        mesh=mesh,
-        timers=timers,
-        rng=rng,
-        events=events,
-        registered_order=registered_order,
-    )
-    lease = VmLease(
-        vm=vm,
-        incarnation=incarnation,
-        client=client,
-        timers=timers,
-        rng=rng,
-        events=events,
-    )
-    memberships.on_registered = lease.start
-    ownerships = Ownerships(
-        memberships=memberships, lease=lease, client=client, mesh=mesh, events=events
-    )
-    relays = WatchRelays(
-        memberships=memberships,
-        mesh=mesh,
-        timers=timers,
-        client=client,
-        events=events,
-    )
-    quotas = QuotaLedger(
-        now=timers.now,
-        rng=rng,
-        share=lambda: memberships.seen_share,
-        vms=lambda: registered_order.count or ASSUMED_VMS,
-    )
-    return Coordination(client, mesh, memberships, lease, ownerships, relays, quotas)
-
-
 def build_targets(
     core: CoreParts, coordination: Coordination, metrics: GatewayMetrics
 ) -> TargetParts:
@@ -244,6 +156,18 @@
         lambda: len(paths.unreachable),
     )
     loads = TargetLoads(timers=timers, incarnation=targets.incarnation)
+    measured = MeasuredEngines(
+        enabled=core.settings["MEASURED_ENGINES"],
+        targets=targets,
+        loads=loads,
+        timers=timers,
+        events=core.events,
+    )
+    metrics.add_gauge(
+        "measured_engines",
+        "Model engines whose measured speed this VM knows",
+        lambda: measured.count,
+    )
     engine_manager = EngineManager(
         memberships=memberships,
         ownerships=coordination.ownerships,
@@ -256,9 +180,12 @@
         events=core.events,
         metrics=metrics,
         quotas=coordination.quotas,
+        measured=measured,
     )
     healths = TargetHealths(timers=timers)
-    return TargetParts(targets, connections, paths, loads, healths, engine_manager)
+    return TargetParts(
+        targets, connections, paths, loads, healths, engine_manager, measured
+    )
 
 
 def build_requests(
@@ -396,4 +323,5 @@
         run_times=run_times,
         quotas=coordination.quotas,
         origins=origins,
+        measured=known.measured,
     )
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -28,11 +28,12 @@
 )
 from ..settings import Settings, read_settings
 from .caller_calls import CallerCall
+from .coordination_parts import build_coordination
 from .drains import Drain
 from .entry_servers import QueryServer, Reply
 from .fleet_views import FleetView
 from .gateway_metrics import GatewayMetrics
-from .gateway_parts import build_coordination, build_requests, build_targets
+from .gateway_parts import build_requests, build_targets
 from .memberships import VMS_KIND
 from .records import StoredRecord
 from .request_forwards import RequestForward
@@ -83,9 +84,8 @@
         self._parts = build_requests(core, coordination, targets, metrics)
         now = core.timers.now
         self._callers = RequestServer(settings["CALLER_ADDRESS"], self._serve, now)
-        self._relayed = RequestServer(
-            settings["RELAY_ADDRESS"], self._serve_relayed, now
-        )
+        relayed_at = settings["RELAY_ADDRESS"]
+        self._relayed = RequestServer(relayed_at, self._serve_relayed, now)
         self._add_gauges(metrics, targets.loads)
         self._drain = Drain(
             timers=core.timers,
--- a/hawthornlead/gateway/holding_announcements.py
+++ b/hawthornlead/gateway/holding_announcements.py
@@ -14,6 +14,10 @@
 from ..tasks import TaskSet
 from ..timers import TimerService
 
+# Changes of one engine within this time are announced in one message. The time grows
+# with the number of VMs, since each change is a message to each of them.
+BATCH_S = 0.01
+BATCH_PER_VM_S = 0.0005
 # How long changes are batched at their VM and at each of two heads. Runs last 0.3 s and
 # more, so most changes are known in time for the next choice.
 GATHER_INTERVAL_S = 0.15
@@ -67,6 +71,10 @@
         """Stop announcing and forwarding."""
         self._tasks.cancel()
 
+    def batch_s(self, vms: int) -> float:
+        """Return how long the changes of an engine are batched where ``vms`` live."""
+        return BATCH_S if self._mesh.large else BATCH_S + BATCH_PER_VM_S * vms
+
     def announce(self, holdings: TargetHoldings) -> None:
         """Announce to all other VMs what an engine holds."""
         if not self._mesh.large:
--- /dev/null
+++ b/hawthornlead/gateway/measured_engines.py
@@ -0,0 +1,183 @@
+"""The measured speeds of engines: of those owned here, and of all as announced.
+
+::
+
+    measured = MeasuredEngines(enabled=True, targets=targets, loads=loads,
+                               timers=timers, events=events)
+    engine = measured.start(entry, spec)
+    engine.record(request_ended)
+    measured.factors(entry).full
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..engine_speeds.engine_speeds import (
+    EngineSpeed,
+    SpeedClass,
+    SpeedFactors,
+    classify,
+    compare,
+    median_speed,
+)
+from ..engine_speeds.speed_estimators import SpeedEstimator
+from ..engine_speeds.stream_samples import StreamSample
+from ..events import EventKind, EventRing
+from ..messages.gateways import RequestEnded
+from ..timers import TimerService
+from .records import EngineSpec, TargetEntry
+from .target_loads import TargetLoads
+from .target_tables import TargetTable
+
+# Speeds change with announcements, several times a second. Comparing all engines for
+# each request would cost more than the changes within this time matter.
+COMPARISON_AGE_S = 0.5
+# Between two events about the class of one engine.
+CLASS_EVENT_INTERVAL_S = 5.0
+
+
+class MeasuredEngine:
+    """The speed of one incarnation of an engine, as its owner measures it.
+
+    Without an estimator nothing is measured, and the initial values are used.
+    """
+
+    def __init__(
+        self,
+        estimator: SpeedEstimator | None = None,
+        now: Callable[[], float] = lambda: 0.0,
+        on_speed: Callable[[EngineSpeed], None] = lambda speed: None,
+    ):
+        self._estimator = estimator
+        self._now = now
+        self._on_speed = on_speed
+
+    @property
+    def speed(self) -> EngineSpeed:
+        """The estimated speed, unknown if nothing is measured."""
+        return self._estimator.speed if self._estimator else EngineSpeed()
+
+    @property
+    def announced(self) -> EngineSpeed:
+        """The speed as the last fields of ``TargetHoldings`` state it."""
+        return self.speed.rounded()
+
+    def record(self, ended: RequestEnded) -> None:
+        """Learn from a request that has ended, if it was measured."""
+        if self._estimator is None or not ended.event_ms:
+            return
+        sample = StreamSample(
+            ended.event_ms, ended.first_ms, ended.prompt_tokens, ended.beside
+        )
+        self._estimator.record(sample, self._now())
+        self._on_speed(self._estimator.speed)
+
+
+# An engine that isn't measured.
+UNMEASURED = MeasuredEngine()
+
+
+class _Comparison(NamedTuple):
+    """The median speed of a service's engines, and how each compares with it."""
+
+    until: float
+    median: EngineSpeed
+    factors: dict[str, SpeedFactors]
+
+
+class _Classified(NamedTuple):
+    """The class of an engine owned here, and when it last changed."""
+
+    at: float
+    speed_class: SpeedClass
+
+
+class MeasuredEngines:
+    """Measures the engines owned here, and compares the speeds of all engines."""
+
+    def __init__(
+        self,
+        *,
+        enabled: bool,
+        targets: TargetTable,
+        loads: TargetLoads,
+        timers: TimerService,
+        events: EventRing,
+    ):
+        self.enabled = enabled
+        self._targets = targets
+        self._loads = loads
+        self._timers = timers
+        self._events = events
+        self._comparisons: dict[str, _Comparison] = {}
+        self._classes: dict[str, _Classified] = {}
+
+    @property
+    def count(self) -> int:
+        """How many engines have a known speed."""
+        if not self.enabled:
+            return 0
+        return sum(self._targets.speed(each).known for each in self._targets.entries)
+
+    def start(self, entry: TargetEntry, spec: EngineSpec) -> MeasuredEngine:
+        """Start to measure an incarnation, from what its former owner announced."""
+        if not self.enabled:
+            return UNMEASURED
+        # A later incarnation starts as a normal engine.
+        self._classes.pop(entry.target, None)
+        estimator = SpeedEstimator(spec.batch, self._targets.speed(entry.target))
+        return MeasuredEngine(
+            estimator, self._timers.now, lambda speed: self._classify(entry, speed)
+        )
+
+    def speed(self, target: str) -> EngineSpeed:
+        """Return an engine's speed, unknown if speeds aren't used."""
+        return self._targets.speed(target) if self.enabled else EngineSpeed()
+
+    def factors(self, entry: TargetEntry) -> SpeedFactors:
+        """Return how an engine compares with the median one of its service."""
+        if not self.enabled:
+            return SpeedFactors()
+        factors = self._comparison(entry.service).factors
+        return factors.get(entry.target) or SpeedFactors()
+
+    def median(self, service: str) -> EngineSpeed:
+        """Return the median speed of a service's engines, unknown if few are known."""
+        return self._comparison(service).median if self.enabled else EngineSpeed()
+
+    def _comparison(self, service: str) -> _Comparison:
+        now = self._timers.now()
+        known = self._comparisons.get(service)
+        if known is not None and now < known.until:
+            return known
+        entries = self._targets.of_service(service)
+        speeds = {each.target: self._targets.speed(each.target) for each in entries}
+        median = median_speed(speeds.values())
+        factors = {target: compare(speed, median) for target, speed in speeds.items()}
+        made = _Comparison(now + COMPARISON_AGE_S, median, factors)
+        self._comparisons[service] = made
+        return made
+
+    def _classify(self, entry: TargetEntry, speed: EngineSpeed) -> None:
+        """Emit an event if an engine's class changed, and not again at once."""
+        now = self._timers.now()
+        known = self._classes.get(entry.target) or _Classified(
+            now - CLASS_EVENT_INTERVAL_S, SpeedClass.NORMAL
+        )
+        if now - known.at < CLASS_EVENT_INTERVAL_S:
+            return
+        median = self._comparison(entry.service).median
+        speed_class = classify(known.speed_class, compare(speed, median))
+        if speed_class is known.speed_class:
+            return
+        self._classes[entry.target] = _Classified(now, speed_class)
+        self._events.emit(
+            EventKind.ENGINE_SPEED_CHANGED,
+            entry.target,
+            speed=speed_class.value,
+            event_ms=round(speed.event_ms),
+            full_event_ms=round(speed.full_event_ms),
+            read_tokens_per_ms=round(speed.read_tokens_per_ms),
+            median_event_ms=round(median.event_ms),
+            running=self._loads.running(entry.target),
+        )
--- a/hawthornlead/gateway/observed_targets.py
+++ b/hawthornlead/gateway/observed_targets.py
@@ -4,6 +4,7 @@
 incarnation only. One object holds all of it, so that a restart resets everything.
 """
 
+from ..engine_speeds.engine_speeds import EngineSpeed, checked_speed
 from ..messages.gateways import TargetHoldings
 from .engine_slots import AdapterKey
 from .recent_adapters import RecentAdapters
@@ -35,6 +36,7 @@
         self.owner = owner
         self.fence = fence
         self.turn_at = 0.0
+        self.speed = EngineSpeed()
 
     @property
     def arriving(self) -> int:
@@ -50,6 +52,9 @@
         self.owner = vm
         self.fence = holdings.fence
         self.turn_at = now + holdings.turn_s
+        self.speed = checked_speed(
+            holdings.event_ms, holdings.full_event_ms, holdings.read_tokens_per_ms
+        )
         self._recent.set_limit(holdings.recently_kept)
         before = self._held
         held = holdings.adapters
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -4,6 +4,7 @@
 
 from result import Err, Ok, Result
 
+from ..engine_speeds.stream_samples import StreamSample
 from ..errors import ErrorKind, Failure
 from ..fleet.fleet_meshes import FleetMesh
 from ..mesh.casts import send
@@ -247,9 +248,11 @@
             return Err(_target_gone())
         return Ok(turn_s)
 
-    def notify_ended(self, placed: Placed) -> None:
+    def notify_ended(self, placed: Placed, sample: StreamSample | None = None) -> None:
         """Notify a target's owner that a request which had its turn has ended.
 
+        ``sample`` shows the speed of the target, None if nothing was measured.
+
         Without this message an adapter would appear in use for 0.2 s to 0.6 s longer
         than it is, which is as long as most runs last.
         """
@@ -259,6 +262,8 @@
             return
         running = self._loads.own_running(entry.target, key)
         message = RequestEnded(entry.target, *key, running, entry.started_ms)
+        if sample is not None:
+            message = RequestEnded(*message[:5], *map(round, sample))
         send(self._mesh, owner, message)
 
     def discard(self, target: str) -> None:
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -228,7 +228,8 @@
             try:
                 outcome = await self._attempt(route, service, placed.ok_value)
             finally:
-                self._parts.placer.notify_ended(placed.ok_value)
+                sample = self._attempts.sample
+                self._parts.placer.notify_ended(placed.ok_value, sample)
             if outcome is None:
                 return
             if not await self._continues(route, placed.ok_value, outcome):
--- a/hawthornlead/gateway/stream_relays.py
+++ b/hawthornlead/gateway/stream_relays.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Callable
 
+from ..engine_speeds.stream_samples import EventTimes
 from ..platform.headers import answer_headers
 from .caller_calls import CallerCall
 from .target_connections import Head
@@ -61,7 +62,7 @@
 
     ``may_begin`` is called once, before the first events are forwarded. If it returns
     False, nothing is forwarded and ``refused`` is done. ``on_answered`` is called once,
-    when the target has survived the request.
+    when the target has survived the request. The gaps between events go to ``times``.
     """
 
     def __init__(
@@ -70,11 +71,14 @@
         now: Callable[[], float],
         may_begin: Callable[[], bool] = lambda: True,
         on_answered: Callable[[], None] = lambda: None,
+        times: EventTimes | None = None,
     ):
         self._stream = stream
         self._now = now
         self._may_begin = may_begin
         self._on_answered = on_answered
+        self._times = times
+        self._event_at = 0.0
         self._answered = False
         self.refused: asyncio.Future = asyncio.get_running_loop().create_future()
         self._buffer = bytearray()
@@ -127,7 +131,11 @@
             if not self._may_begin():
                 self.refused.set_result(None)
                 return
-            self.first_at = self.active_at
+            self.first_at = self._event_at = now
+        if self._times is not None and now > self.first_at:
+            events = self._buffer.count(EVENT_END, 0, cut)
+            self._times.record(events, now - self._event_at)
+            self._event_at = now
         self._stream.send(self.head, bytes(self._buffer[:cut]))
         del self._buffer[:cut]
 
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from ..engine_speeds.stream_samples import EventTimes, StreamSample
 from ..platform.headers import request_headers
 from .attempt_crashes import AttemptCrashes
 from .attempt_outcomes import AttemptOutcome, Unreached
@@ -32,7 +33,8 @@
     ``failed_answer`` is the last complete answer that was a failure and was held back.
     ``loss`` is the proof by which the last attempt's target was lost, if it was, and
     ``unreached`` why the last attempt didn't reach its target, if it didn't.
-    ``crashes`` records what they show about crashes of targets.
+    ``crashes`` records what they show about crashes of targets, and ``sample`` what the
+    last attempt shows of its target's speed.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         self.loss: Loss | None = None
         self.unreached: Unreached | None = None
         self.last_event = ""
+        self.sample: StreamSample | None = None
 
     @property
     def remaining_s(self) -> float:
@@ -72,7 +75,7 @@
         """Send the request to a target and forward its answer."""
         entry = placed.entry
         loss_detector = self._parts.loss_detector
-        self.loss = self.unreached = None
+        self.loss = self.unreached = self.sample = None
         spec = self._parts.configuration.service(entry.service)
         if spec is None:
             return self._on_unreached(Unreached.GONE)
@@ -212,11 +215,13 @@
         subscriber: LossSubscriber,
     ) -> AttemptOutcome:
         entry = placed.entry
+        times = EventTimes() if self._parts.measured.enabled else None
         relay = StreamRelay(
             self._stream,
             self._parts.timers.now,
             lambda: self._binding.accept(entry),
             self.crashes.record_answered,
+            times,
         )
         sent_at = self._parts.timers.now()
         self._send(route, entry, exchange, subscriber, relay)
@@ -240,6 +245,9 @@
         if relay.first_at is not None:
             wait_ms = (relay.first_at - sent_at) * 1000
             self._parts.healths.record_answer(entry.target, wait_ms)
+            if times is not None:
+                tokens, beside = self._request.prompt_tokens, self._running - 1
+                self.sample = times.sample(wait_ms, tokens, beside)
         return self._end_stream(placed, exchange, relay, subscriber, sent_at)
 
     def _end_stream(
--- a/hawthornlead/gateway/target_tables.py
+++ b/hawthornlead/gateway/target_tables.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from ..engine_speeds.engine_speeds import EngineSpeed
 from ..events import EventKind, EventRing
 from ..messages.gateways import TargetHoldings
 from ..platform.configurations import read_adapter_version
@@ -18,6 +19,7 @@
     StoredRecord,
     TargetEntry,
 )
+from .synthetic_starts import next_start, shows_restart
 from .target_choices import Holding
 from .watchers import KindWatcher
 
@@ -258,6 +260,11 @@
         observed = self._observed.get(target)
         return observed.arriving if observed else 0
 
+    def speed(self, target: str) -> EngineSpeed:
+        """Return the speed of an engine as its owner measured it."""
+        observed = self._observed.get(target)
+        return observed.speed if observed else EngineSpeed()
+
     def mark_absent(self, target: str, key: AdapterKey) -> None:
         """Mark an adapter as absent after its target refused a request for it."""
         self._observed_target(target).mark_absent(key)
@@ -294,7 +301,7 @@
         It reports no start, so all VMs tell the new one apart by a synthetic start.
         """
         current = self.incarnation(target)
-        restarted = current._replace(started_ms=_next_start(current))
+        restarted = current._replace(started_ms=next_start(current))
         known = self._entries.get(target)
         if known is not None:
             entry = known._replace(started_ms=restarted.started_ms, models=())
@@ -319,8 +326,8 @@
             return None if old else entry
         # Where starts aren't reported, the synthetic one of the last restart stays.
         known = self._entries.get(target)
-        if known is not None and _shows_restart(known, entry):
-            return entry._replace(started_ms=_next_start(current))
+        if known is not None and shows_restart(known, entry):
+            return entry._replace(started_ms=next_start(current))
         return entry._replace(started_ms=current.started_ms)
 
     def _start_incarnation(self, entry: TargetEntry, source: RestartSeen) -> None:
@@ -385,15 +392,3 @@
     def _notify_lost(self, incarnation: Incarnation, loss: Loss) -> None:
         for on_lost in self._on_lost:
             on_lost(incarnation, loss)
-
-
-def _shows_restart(known: TargetEntry, entry: TargetEntry) -> bool:
-    """Whether an entry without a start differs as only that of a later start can."""
-    if known.address != entry.address:
-        return True
-    return bool(known.software) and known.software != entry.software
-
-
-def _next_start(current: Incarnation) -> int:
-    """Return a synthetic start after the current one, for targets that report none."""
-    return (current.started_ms or 0) + 1
--- a/hawthornlead/messages/gateways.py
+++ b/hawthornlead/messages/gateways.py
@@ -92,7 +92,9 @@
     A higher ``fence`` is a later owner; ``number`` counts the announcements of one
     owner. A prompt would wait ``turn_s`` for its turn there. Of the adapters that left
     the target it still remembers the newest ``recently_kept``. ``started_ms``
-    identifies the target's incarnation, None if unknown.
+    identifies the target's incarnation, None if unknown. An event of a stream takes
+    ``event_ms`` there, ``full_event_ms`` beside a full batch, and prompts are read at
+    ``read_tokens_per_ms``; 0 if unknown.
     """
 
     target: str
@@ -103,6 +105,9 @@
     turn_s: float = 0.0
     started_ms: int | None = None
     recently_kept: int = 0
+    event_ms: int = 0
+    full_event_ms: int = 0
+    read_tokens_per_ms: int = 0
 
 
 @message("target-released")
@@ -180,7 +185,10 @@
 class RequestEnded(NamedTuple):
     """Notify a target's owner that a request which had its turn there has ended.
 
-    ``running`` requests of the sender still use the adapter at the target.
+    ``running`` requests of the sender still use the adapter at the target. If the
+    request was a stream, the median time between its events was ``event_ms``, and its
+    first one came ``first_ms`` after sending; 0 if not measured. Its prompt had
+    ``prompt_tokens``, and ``beside`` other requests ran there when it was sent.
     """
 
     target: str
@@ -188,6 +196,10 @@
     adapter: str
     running: int
     started_ms: int | None = None
+    event_ms: int = 0
+    first_ms: int = 0
+    prompt_tokens: int = 0
+    beside: int = 0
 
 
 @message("load-adapter")
