Pace prompts by the measured speed of each engine

Cause: the pacer assumed 38.1 tokens a ms, an event of 45 ms and bursts of 30 ms of all engines. On engines at 1.7 times the time of a step prompts took 0.85 of the time (129 of 232 long streams had a gap over 300 ms), and on fast engines prompts waited though their streams would have borne them.

Change: where the engine is measured, the pacer uses its reading speed and the time of an event beside the requests that run there. What may be read in a row is the tolerated gap less that time and a margin of 30 ms; the share of time for prompts falls from 0.5 to 0.25 at the least as events get slower. Engines that are as fast as assumed are paced as before, and so are all without the setting. The estimate of the reading speed takes out the steps in which a prompt's chunks are read.

--- a/hawthornlead/engine_speeds/engine_speeds.py
+++ b/hawthornlead/engine_speeds/engine_speeds.py
@@ -21,9 +21,10 @@
 MAX_FACTOR = 4.0
 # Estimates are rounded to powers of this, so that noise seldom changes them.
 ROUNDING = 1.05
-# Engines whose speeds differ by less are alike. Estimates of equal engines under
-# unequal loads differ by up to about a tenth.
-ALIKE = 1.2
+# Engines whose speeds differ by less are alike. Nine in ten estimates of equal engines
+# under played loads are within 0.12 of the real value, of reading speeds within 0.25.
+ALIKE = 1.25
+ALIKE_READING = 1.4
 # A median of fewer engines says little about a fleet.
 MIN_ENGINES = 3
 # An engine is slow if its events take this much longer than the median engine's, and
@@ -110,7 +111,7 @@
     return SpeedFactors(
         _factor(speed.event_ms, median.event_ms),
         _factor(speed.full_event_ms, median.full_event_ms),
-        _factor(median.read_tokens_per_ms, speed.read_tokens_per_ms),
+        _factor(median.read_tokens_per_ms, speed.read_tokens_per_ms, ALIKE_READING),
     )
 
 
@@ -122,9 +123,9 @@
     return SpeedClass.OVERLOADED if factors.full >= limit else SpeedClass.NORMAL
 
 
-def _factor(value: float, median: float) -> float:
+def _factor(value: float, median: float, alike: float = ALIKE) -> float:
     factor = value / median
-    return factor if not 1 / ALIKE < factor < ALIKE else 1.0
+    return factor if not 1 / alike < factor < alike else 1.0
 
 
 def _rounded(value: float) -> int:
--- a/hawthornlead/engine_speeds/speed_estimators.py
+++ b/hawthornlead/engine_speeds/speed_estimators.py
@@ -39,9 +39,12 @@
 # A first event beside more requests waits for the prompts of others.
 MAX_READING_FILL = 0.5
 MIN_PROMPT_DIFFERENCE = 500
+# An engine reads a prompt in chunks, one a step, and each step also writes tokens.
+CHUNK_TOKENS = 1024
+EVENT_TOKENS = 8
 # Speeds of reading and of events scale alike in an engine. So a measured reading speed
 # may differ from the one that the event time suggests only by this factor.
-READING_TOLERANCE = 1.4
+READING_TOLERANCE = 1.25
 # Longer times are those of a VM or engine that was stopped in between.
 MAX_EVENT_MS = 2000.0
 MAX_FIRST_MS = 20000.0
@@ -61,7 +64,7 @@
     """
 
     def __init__(self, batch: int, initial: EngineSpeed | None = None):
-        self._batch = max(1, batch)
+        self.batch = max(1, batch)
         self._speed = initial or EngineSpeed()
         self._samples: deque[_Timed] = deque(maxlen=MAX_SAMPLES)
 
@@ -90,8 +93,7 @@
         newest = list(self._samples)[-MIN_SAMPLES:]
         ratio = statistics.median(
             [
-                sample.event_ms
-                / self._speed.event_ms_beside(sample.beside, self._batch)
+                sample.event_ms / self._speed.event_ms_beside(sample.beside, self.batch)
                 for _, sample in newest
             ]
         )
@@ -105,7 +107,7 @@
         """
         samples = list(self._samples)
         newest = samples[-MIN_SAMPLES:]
-        limit = HIGH_FILL * self._batch
+        limit = HIGH_FILL * self.batch
         self._samples.clear()
         if sum(each.sample.beside >= limit for each in newest) > MIN_SAMPLES // 2:
             former = samples[:-MIN_SAMPLES]
@@ -117,7 +119,7 @@
         self._samples.extend(newest)
 
     def _estimate(self, samples: list[StreamSample]) -> EngineSpeed:
-        limit = HIGH_FILL * self._batch
+        limit = HIGH_FILL * self.batch
         low = [sample for sample in samples if sample.beside < limit]
         high = [sample for sample in samples if sample.beside >= limit]
         enough = len(low) >= MIN_SAMPLES
@@ -128,7 +130,7 @@
             # An engine that is slow only when it is full isn't slow when it runs few.
             alone_ms = min(alone_ms, self._speed.event_ms)
         alone_ms = _bounded(alone_ms, INITIAL_EVENT_MS)
-        at_full = 1 + growth * (self._batch - 1)
+        at_full = 1 + growth * (self.batch - 1)
         full_ms = alone_ms * at_full
         if len(high) >= MIN_SAMPLES:
             full_ms = max(alone_ms, _alone_ms(high, growth) * at_full)
@@ -171,7 +173,7 @@
         quiet = [
             sample
             for sample in samples
-            if sample.beside <= MAX_READING_FILL * self._batch
+            if sample.beside <= MAX_READING_FILL * self.batch
         ]
         if not quiet:
             return suggested
@@ -183,6 +185,7 @@
             return suggested
         more_tokens = _median_tokens(long) - _median_tokens(short)
         more_ms = _quick_first_ms(long) - _quick_first_ms(short)
+        more_ms -= more_tokens / CHUNK_TOKENS * alone_ms / EVENT_TOKENS
         if more_tokens < MIN_PROMPT_DIFFERENCE:
             return suggested
         most = suggested * READING_TOLERANCE
--- a/hawthornlead/gateway/engine_owners.py
+++ b/hawthornlead/gateway/engine_owners.py
@@ -104,7 +104,7 @@
             timers=timers,
         )
         self.measured = measured
-        self._pacer = PromptPacer()
+        self._pacer = PromptPacer(measured.pace)
         self._orders = EngineOrders(
             ownerships=ownerships,
             calls=calls,
--- a/hawthornlead/gateway/measured_engines.py
+++ b/hawthornlead/gateway/measured_engines.py
@@ -25,6 +25,7 @@
 from ..events import EventKind, EventRing
 from ..messages.gateways import RequestEnded
 from ..timers import TimerService
+from .prompt_pacers import ASSUMED_PACE, ReadingPace, pace_of
 from .records import EngineSpec, TargetEntry
 from .target_loads import TargetLoads
 from .target_tables import TargetTable
@@ -47,8 +48,10 @@
         estimator: SpeedEstimator | None = None,
         now: Callable[[], float] = lambda: 0.0,
         on_speed: Callable[[EngineSpeed], None] = lambda speed: None,
+        running: Callable[[], int] = lambda: 0,
     ):
         self._estimator = estimator
+        self._running = running
         self._now = now
         self._on_speed = on_speed
 
@@ -62,6 +65,12 @@
         """The speed as the last fields of ``TargetHoldings`` state it."""
         return self.speed.rounded()
 
+    def pace(self) -> ReadingPace:
+        """Return how the engine reads prompts, with the requests that run there now."""
+        if not self.speed.known:
+            return ASSUMED_PACE
+        return pace_of(self.speed, self._running(), self._estimator.batch)
+
     def record(self, ended: RequestEnded) -> None:
         """Learn from a request that has ended, if it was measured."""
         if self._estimator is None or not ended.event_ms:
@@ -127,7 +136,10 @@
         self._classes.pop(entry.target, None)
         estimator = SpeedEstimator(spec.batch, self._targets.speed(entry.target))
         return MeasuredEngine(
-            estimator, self._timers.now, lambda speed: self._classify(entry, speed)
+            estimator,
+            self._timers.now,
+            on_speed=lambda speed: self._classify(entry, speed),
+            running=lambda: self._loads.running(entry.target),
         )
 
     def speed(self, target: str) -> EngineSpeed:
--- a/hawthornlead/gateway/prompt_pacers.py
+++ b/hawthornlead/gateway/prompt_pacers.py
@@ -3,11 +3,22 @@
 An engine reads prompts between the tokens of its running streams. Several long prompts
 at once delay all streams for longer than callers accept between two events, while a
 prompt that waits a little still starts in time. So the VM that owns an engine spreads
-out the prompts of all VMs.
+out the prompts of all VMs. Where the engine's speed was measured, it decides how much
+is read in a row; else the same is assumed of all engines.
 """
 
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..engine_speeds.engine_speeds import (
+    ALIKE,
+    INITIAL_EVENT_MS,
+    INITIAL_TOKENS_PER_MS,
+    EngineSpeed,
+)
+
 # The assumed reading speed of an engine.
-TOKENS_PER_MS = 38.1
+TOKENS_PER_MS = INITIAL_TOKENS_PER_MS
 # The default gap, for queries about the current wait.
 MAX_GAP_MS = 400.0
 # The share of an engine's time that prompts may take while others wait. The rest must
@@ -16,18 +27,86 @@
 # Short prompts on an idle engine delay nothing, so this much is read without a pause.
 BURST_MS = 30.0
 # The part of the time between two events that the tokens of one event take.
-EVENT_MS = 45.0
+EVENT_MS = INITIAL_EVENT_MS
+# Up to this multiple of the assumed time of an event, engines that read about as fast
+# as assumed are paced as unmeasured ones.
+SLOW_EVENT = 1.6
+# On a measured engine, the part of the tolerated gap that is left for the steps between
+# prompts, the network, and other engines' noise in the estimates.
+MARGIN_MS = 30.0
+# The least share of time for prompts on a measured engine with slow events. Prompts
+# take a quarter of such an engine's time on average.
+MIN_DUTY = 0.25
+# On a measured engine with slow events, the share is lowered until this much can still
+# be read in a row.
+MIN_BURST_MS = 20.0
+
+
+class ReadingPace(NamedTuple):
+    """How an engine reads prompts between the events of its streams.
+
+    An event takes ``event_ms`` beside the requests that run there. ``measured`` is
+    False for the assumed values.
+    """
+
+    tokens_per_ms: float = TOKENS_PER_MS
+    event_ms: float = EVENT_MS
+    measured: bool = False
+
+    def read_ms(self, tokens: int) -> float:
+        """Return how long the engine takes to read a prompt, in milliseconds."""
+        return tokens / self.tokens_per_ms
+
+    def duty(self, gap_ms: float) -> float:
+        """Return the share of the engine's time that prompts may take."""
+        if not self.measured:
+            return DUTY
+        spare_ms = gap_ms - MARGIN_MS - self.event_ms - MIN_BURST_MS
+        return max(MIN_DUTY, min(DUTY, spare_ms / max(1.0, gap_ms)))
+
+    def allowed_ms(self, tokens: int, gap_ms: float) -> float:
+        """Return how much of other prompts may be still to be read before this one.
+
+        Together with them it would delay the streams for longer than they tolerate.
+        """
+        if not self.measured:
+            spare_ms = gap_ms * (1 - DUTY) - EVENT_MS - self.read_ms(tokens)
+            return max(0.0, min(BURST_MS, spare_ms))
+        bearable_ms = (gap_ms - MARGIN_MS) * (1 - self.duty(gap_ms))
+        return max(0.0, bearable_ms - self.event_ms - self.read_ms(tokens))
+
+
+ASSUMED_PACE = ReadingPace()
+
+
+def pace_of(speed: EngineSpeed, beside: int, batch: int) -> ReadingPace:
+    """Return the pace of an engine where ``beside`` requests run.
+
+    The assumed pace also holds for engines that are about as fast as assumed, at a fill
+    at which their events take about as long.
+    """
+    if not speed.known:
+        return ASSUMED_PACE
+    event_ms = speed.event_ms_beside(beside, batch)
+    if (
+        1 / ALIKE < speed.read_tokens_per_ms / TOKENS_PER_MS < ALIKE
+        and 1 / ALIKE < speed.event_ms / EVENT_MS < ALIKE
+        and event_ms < SLOW_EVENT * EVENT_MS
+    ):
+        return ASSUMED_PACE
+    return ReadingPace(speed.read_tokens_per_ms, event_ms, True)
 
 
 class PromptPacer:
     """Assigns turns to the prompts of one engine.
 
-    ::
+    ``pace`` returns how the engine reads prompts now::
 
         wait_s = pacer.reserve(tokens=1800, gap_ms=300.0, now=timers.now())
     """
 
-    def __init__(self):
+    def __init__(self, pace: Callable[[], ReadingPace] = lambda: ASSUMED_PACE):
+        self._pace = pace
         self._free_at = 0.0
 
     def reserve(self, tokens: int, gap_ms: float, now: float) -> float:
@@ -36,8 +115,9 @@
         Streams that run there tolerate ``gap_ms`` between two events.
         """
         wait_s = self.expected_wait(now, tokens, gap_ms)
-        read_s = read_ms(tokens) / 1000
-        self._free_at = max(self._free_at, now) + read_s / DUTY
+        pace = self._pace()
+        taken_s = pace.read_ms(tokens) / 1000 / pace.duty(gap_ms)
+        self._free_at = max(self._free_at, now) + taken_s
         return wait_s
 
     def expected_wait(
@@ -48,11 +128,11 @@
         A long prompt waits until those before it have been read. Together with them it
         would delay the streams for longer than they tolerate.
         """
-        spare_ms = gap_ms * (1 - DUTY) - EVENT_MS - read_ms(tokens)
-        allowed_ms = max(0.0, min(BURST_MS, spare_ms))
-        return max(0.0, self._free_at - allowed_ms / DUTY / 1000 - now)
+        pace = self._pace()
+        allowed_s = pace.allowed_ms(tokens, gap_ms) / pace.duty(gap_ms) / 1000
+        return max(0.0, self._free_at - allowed_s - now)
 
 
 def read_ms(tokens: int) -> float:
-    """Return how long an engine takes to read a prompt, in milliseconds."""
-    return tokens / TOKENS_PER_MS
+    """Return how long an engine is assumed to read a prompt, in milliseconds."""
+    return ASSUMED_PACE.read_ms(tokens)
