Choose targets by the measured speeds of engines

Cause: the choice of a target took all engines for equally fast, so that slow ones got as many requests as fast ones at the same fill: 63 of 144 streams were late there, 31 of 460 on fast ones.

Change: engines are compared with the median engine of their service, in factors that are 1 within 1.25 (reading: 1.4) of it. By these factors a candidate has a longer delay beside a full batch, a longer run, a later first event and a longer reading share. Two costs count in comparisons only, never towards a refusal: a twentieth of a stream's expected time beyond that at the median engine, and a last resort where events take over 0.55 of the tolerated gap at the engine's fill. What a target is known to take longer is not charged again by its health, and runs at slow engines don't lengthen the learned mean.

The homes of adapters are not weighed by speed: all VMs must have the same order, and estimates differ between VMs for moments, which would add fetches.

--- a/hawthornlead/engine_speeds/engine_speeds.py
+++ b/hawthornlead/engine_speeds/engine_speeds.py
@@ -60,8 +60,8 @@
 
     def event_ms_beside(self, beside: int, batch: int) -> float:
         """Return the time of an event beside other requests."""
-        share = min(1.0, max(0, beside) / max(1, batch - 1))
-        return self.event_ms + share * (self.full_event_ms - self.event_ms)
+        fill = _fill(beside, batch)
+        return self.event_ms + fill * (self.full_event_ms - self.event_ms)
 
     def rounded(self) -> "EngineSpeed":
         """Return the speed in the whole numbers in which it is announced."""
@@ -78,6 +78,18 @@
     full: float = 1.0
     reading: float = 1.0
 
+    def beside(self, running: int, batch: int) -> float:
+        """Return the factor of an event's time beside other requests."""
+        return self.alone + _fill(running, batch) * (self.full - self.alone)
+
+
+class ComparedSpeed(NamedTuple):
+    """The speed of an engine, that of the median one, and the factors between them."""
+
+    speed: EngineSpeed = EngineSpeed()
+    median: EngineSpeed = EngineSpeed()
+    factors: SpeedFactors = SpeedFactors()
+
 
 def checked_speed(event_ms: float, full_event_ms: float, read: float) -> EngineSpeed:
     """Return an announced speed, unknown if a value is impossible."""
@@ -128,6 +140,11 @@
     return factor if not 1 / alike < factor < alike else 1.0
 
 
+def _fill(beside: int, batch: int) -> float:
+    """Return the share of a batch that is taken beside one request."""
+    return min(1.0, max(0, beside) / max(1, batch - 1))
+
+
 def _rounded(value: float) -> int:
     if value <= 0:
         return 0
--- a/hawthornlead/gateway/candidate_scorers.py
+++ b/hawthornlead/gateway/candidate_scorers.py
@@ -2,7 +2,7 @@
 
 ::
 
-    survey.scored(spec, AdapterKey("m", "a3"), excluded=frozenset(), reading=0.4)
+    survey.scored(spec, AdapterKey("m", "a3"), excluded=frozenset(), demand)
 """
 
 from typing import NamedTuple
@@ -11,9 +11,10 @@
 from ..timers import TimerService
 from .adapter_homes import AdapterHomes
 from .engine_slots import AdapterKey
-from .prompt_pacers import EVENT_MS, read_ms
-from .records import CallerRequest, Route, ServiceSpec, TargetEntry
+from .measured_engines import MeasuredEngines
+from .records import ServiceSpec, TargetEntry
 from .run_times import RunTimes
+from .speed_costs import StreamDemand, speed_costs
 from .target_backoffs import TargetBackoffs
 from .target_choices import (
     FULL_BATCH_MS,
@@ -55,7 +56,9 @@
         backoffs: TargetBackoffs,
         timers: TimerService,
         run_times: RunTimes,
+        measured: MeasuredEngines | None = None,
     ):
+        self._measured = measured
         self._data_centre = data_centre
         self._targets = targets
         self._loads = loads
@@ -72,12 +75,9 @@
         spec: ServiceSpec,
         key: AdapterKey,
         excluded: frozenset[str],
-        reading: float,
+        demand: StreamDemand,
     ) -> list[Scored]:
-        """Return the usable targets of a service except the excluded, the best first.
-
-        ``reading`` is what ``reading_share`` returns of the request.
-        """
+        """Return the usable targets of a service but the excluded, the best first."""
         entries = self._targets.of_service(spec.name)
         holdings = {
             entry.target: self._targets.holding(entry, spec, key) for entry in entries
@@ -89,8 +89,11 @@
             if entry.target not in listed or not self._accepts_requests(entry.target):
                 continue
             holding = holdings[entry.target]
-            candidates.append(self._candidate(entry, spec, holding))
-        return order_candidates(candidates, Demand(homes, bool(key.adapter), reading))
+            candidate = self._candidate(entry, spec, holding)
+            candidates.append(self._with_speed(candidate, entry, spec, demand))
+        return order_candidates(
+            candidates, Demand(homes, bool(key.adapter), demand.reading)
+        )
 
     def _accepts_requests(self, target: str) -> bool:
         """Whether the target's backoff and limit allow a request of this VM now."""
@@ -140,17 +143,33 @@
             batch_ms=FULL_BATCH_MS if spec.engine else run_ms,
         )
 
+    def _with_speed(
+        self,
+        candidate: Candidate,
+        entry: TargetEntry,
+        spec: ServiceSpec,
+        demand: StreamDemand,
+    ) -> Candidate:
+        """Return a candidate with the costs of its engine's measured speed, if any."""
+        if self._measured is None or not self._measured.enabled or spec.engine is None:
+            return candidate
+        compared = self._measured.compared(entry)
+        if not compared.speed.known:
+            return candidate
+        costs = speed_costs(compared, demand, candidate.running, spec.engine)
+        slowness = max(1.0, costs.slowness)
+        return candidate._replace(
+            slow_ms=self._healths.cost_ms(entry.target, slowness),
+            run_ms=candidate.run_ms * compared.factors.full,
+            batch_ms=candidate.batch_ms * compared.factors.full,
+            first_ms=costs.first_ms,
+            reading=compared.factors.reading,
+            preference_ms=costs.preference_ms,
+        )
+
     def _slot_wait_ms(self, target: str, now: float) -> float:
         """Return the last reported wait for a slot, 0 if it is out of date."""
         reported = self._slot_waits.get(target)
         return (
             reported.wait_ms if reported is not None and reported.until > now else 0.0
         )
-
-
-def reading_share(route: Route, request: CallerRequest) -> float:
-    """Return the time to read a prompt as a share, 1 at most, of the event gap."""
-    gap_ms = route.event_gap_ms - EVENT_MS
-    if gap_ms <= 0:
-        return 0.0
-    return min(1.0, read_ms(request.prompt_tokens) / gap_ms)
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -272,6 +272,7 @@
         timers=timers,
         metrics=metrics,
         run_times=run_times,
+        measured=known.measured,
     )
 
     def discard_former(former: TargetEntry, entry: TargetEntry) -> None:
--- a/hawthornlead/gateway/measured_engines.py
+++ b/hawthornlead/gateway/measured_engines.py
@@ -6,16 +6,16 @@
                                timers=timers, events=events)
     engine = measured.start(entry, spec)
     engine.record(request_ended)
-    measured.factors(entry).full
+    measured.compared(entry).factors.full
 """
 
 from collections.abc import Callable
 from typing import NamedTuple
 
 from ..engine_speeds.engine_speeds import (
+    ComparedSpeed,
     EngineSpeed,
     SpeedClass,
-    SpeedFactors,
     classify,
     compare,
     median_speed,
@@ -33,6 +33,7 @@
 # Speeds change with announcements, several times a second. Comparing all engines for
 # each request would cost more than the changes within this time matter.
 COMPARISON_AGE_S = 0.5
+UNKNOWN = ComparedSpeed()
 # Between two events about the class of one engine.
 CLASS_EVENT_INTERVAL_S = 5.0
 
@@ -91,7 +92,7 @@
 
     until: float
     median: EngineSpeed
-    factors: dict[str, SpeedFactors]
+    engines: dict[str, ComparedSpeed]
 
 
 class _Classified(NamedTuple):
@@ -142,20 +143,15 @@
             running=lambda: self._loads.running(entry.target),
         )
 
-    def speed(self, target: str) -> EngineSpeed:
-        """Return an engine's speed, unknown if speeds aren't used."""
-        return self._targets.speed(target) if self.enabled else EngineSpeed()
-
-    def factors(self, entry: TargetEntry) -> SpeedFactors:
-        """Return how an engine compares with the median one of its service."""
+    def compared(self, entry: TargetEntry) -> ComparedSpeed:
+        """Return an engine's speed, compared with the median one of its service."""
         if not self.enabled:
-            return SpeedFactors()
-        factors = self._comparison(entry.service).factors
-        return factors.get(entry.target) or SpeedFactors()
+            return UNKNOWN
+        return self._comparison(entry.service).engines.get(entry.target, UNKNOWN)
 
-    def median(self, service: str) -> EngineSpeed:
-        """Return the median speed of a service's engines, unknown if few are known."""
-        return self._comparison(service).median if self.enabled else EngineSpeed()
+    def slowness(self, entry: TargetEntry, running: int, batch: int) -> float:
+        """Return how many times as long as at others an event takes at an engine."""
+        return self.compared(entry).factors.beside(running, batch)
 
     def _comparison(self, service: str) -> _Comparison:
         now = self._timers.now()
@@ -165,8 +161,11 @@
         entries = self._targets.of_service(service)
         speeds = {each.target: self._targets.speed(each.target) for each in entries}
         median = median_speed(speeds.values())
-        factors = {target: compare(speed, median) for target, speed in speeds.items()}
-        made = _Comparison(now + COMPARISON_AGE_S, median, factors)
+        engines = {
+            target: ComparedSpeed(speed, median, compare(speed, median))
+            for target, speed in speeds.items()
+        }
+        made = _Comparison(now + COMPARISON_AGE_S, median, engines)
         self._comparisons[service] = made
         return made
 
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -16,9 +16,10 @@
     ReservePrompt,
 )
 from ..timers import TimerService
-from .candidate_scorers import CandidateScorer, reading_share
+from .candidate_scorers import CandidateScorer
 from .engine_slots import AdapterKey
 from .gateway_metrics import GatewayMetrics
+from .measured_engines import MeasuredEngines
 from .records import (
     CallerRequest,
     Configuration,
@@ -28,6 +29,7 @@
 )
 from .refusals import backoff_failure, overload_failure
 from .run_times import RunTimes
+from .speed_costs import stream_demand
 from .target_backoffs import TargetBackoffs
 from .target_choices import Candidate, Holding
 from .target_healths import TargetHealths
@@ -113,6 +115,7 @@
         timers: TimerService,
         metrics: GatewayMetrics,
         run_times: RunTimes,
+        measured: MeasuredEngines | None = None,
     ):
         self._metrics = metrics
         self._timers = timers
@@ -131,6 +134,7 @@
             backoffs=backoffs,
             timers=timers,
             run_times=run_times,
+            measured=measured,
         )
 
     def apply_configuration(self, configuration: Configuration) -> None:
@@ -149,11 +153,11 @@
         place_until = min(
             self._timers.now() + PLACEMENT_TIMEOUT_S, requested.deadline_at
         )
-        prompt_share = reading_share(requested.route, request)
+        demand = stream_demand(requested.route, request)
         search = TargetSearch(
             excluded=requested.excluded,
             score=lambda excluded: self._scorer.score(
-                spec, key, excluded | self._other_software(spec, software), prompt_share
+                spec, key, excluded | self._other_software(spec, software), demand
             ),
             timers=self._timers,
         )
--- a/hawthornlead/gateway/refusals.py
+++ b/hawthornlead/gateway/refusals.py
@@ -23,7 +23,7 @@
     ``left_s`` is the time left before its deadline. A suspect target is tried, because
     it may be healthy again.
     """
-    wait_ms = best.cost_ms
+    wait_ms = best.cost_ms - best.candidate.preference_ms
     if route.kind is not RouteKind.STREAMING:
         # The answer comes at the end of the run, not with a first event.
         wait_ms += best.candidate.run_ms
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -368,6 +368,7 @@
         spec = self._parts.configuration.service(entry.service)
         if spec is not None:
             took_s = self._parts.timers.now() - sent_at
+            took_s /= self._parts.measured.slowness(entry, self._running, self._slots)
             self._parts.run_times.record(spec, took_s, self._running, self._slots)
 
 
--- a/hawthornlead/gateway/target_choices.py
+++ b/hawthornlead/gateway/target_choices.py
@@ -48,6 +48,9 @@
     answers, ``prompts_ms`` how long a prompt waits for its turn, and ``slot_wait_ms``
     how long a load waits for a slot. ``arriving`` adapters are being fetched there. A
     request runs ``run_ms`` there, and is delayed by ``batch_ms`` beside a full batch.
+    Its first event takes ``first_ms`` longer than at other targets of the service, and
+    a prompt token ``reading`` times as long. ``preference_ms`` counts against the
+    target in comparisons, but is no wait.
     """
 
     target: str
@@ -63,6 +66,9 @@
     slot_wait_ms: float = 0.0
     run_ms: float = INITIAL_ENGINE_RUN_MS
     batch_ms: float = FULL_BATCH_MS
+    first_ms: float = 0.0
+    reading: float = 1.0
+    preference_ms: float = 0.0
 
 
 class Demand(NamedTuple):
@@ -176,7 +182,9 @@
     if not candidate.is_local:
         cost += REMOTE_MS
     cost += candidate.prompts_ms
-    cost += PROMPT_DELAY_MS * candidate.running * demand.reading**2
+    cost += candidate.first_ms + candidate.preference_ms
+    reading = min(1.0, demand.reading * candidate.reading)
+    cost += PROMPT_DELAY_MS * candidate.running * reading**2
     if candidate.holding is Holding.READY:
         return cost
     if not demand.adapter:
--- a/hawthornlead/gateway/target_healths.py
+++ b/hawthornlead/gateway/target_healths.py
@@ -71,12 +71,16 @@
         health = self._healths.get(target)
         return health is not None and health.suspect_until > self._timers.now()
 
-    def cost_ms(self, target: str) -> float:
-        """Return the cost of a target's failures and its slowness."""
+    def cost_ms(self, target: str, slowness: float = 1.0) -> float:
+        """Return the cost of a target's failures and its slowness.
+
+        A target that is known to take ``slowness`` times as long as others is already
+        charged for that. Only what it takes longer still is counted.
+        """
         if target not in self._healths:
             return 0.0
         health = self._decayed(target)
-        slow_ms = max(0.0, health.wait_ms - MIN_SLOW_MS)
+        slow_ms = max(0.0, health.wait_ms - MIN_SLOW_MS * slowness)
         return FAILURE_MS * health.failing + slow_ms
 
     def discard(self, target: str) -> None:
--- a/hawthornlead/tests/test_placers.py
+++ b/hawthornlead/tests/test_placers.py
@@ -90,7 +90,7 @@
     def is_suspect(self, target):
         return False
 
-    def cost_ms(self, target):
+    def cost_ms(self, target, slowness=1.0):
         return 0.0
 
 
