--- a/hawthornlead/gateway/measured_engines.py
+++ b/hawthornlead/gateway/measured_engines.py
@@ -133,8 +133,12 @@
         """Start to measure an incarnation, from what its former owner announced."""
         if not self.enabled:
             return UNMEASURED
-        # A later incarnation starts as a normal engine.
-        self._classes.pop(entry.target, None)
+        # A later incarnation starts as a normal engine, and others may be gone.
+        self._classes = {
+            target: classified
+            for target, classified in self._classes.items()
+            if target in self._targets.entries and target != entry.target
+        }
         estimator = SpeedEstimator(spec.batch, self._targets.speed(entry.target))
         return MeasuredEngine(
             estimator,
--- a/hawthornlead/gateway/stream_relays.py
+++ b/hawthornlead/gateway/stream_relays.py
@@ -62,7 +62,8 @@
 
     ``may_begin`` is called once, before the first events are forwarded. If it returns
     False, nothing is forwarded and ``refused`` is done. ``on_answered`` is called once,
-    when the target has survived the request. The gaps between events go to ``times``.
+    when the target has survived the request. The gaps between events go to ``times``;
+    the relay doesn't wait for its caller, so they are the target's alone.
     """
 
     def __init__(
