--- a/hawthornlead/gateway/engine_owners.py
+++ b/hawthornlead/gateway/engine_owners.py
@@ -34,6 +34,7 @@
 from .load_accounts import LoadAccounts
 from .load_checks import LoadChecks
 from .load_turns import LoadTurns, Prompt
+from .measured_engines import UNMEASURED, MeasuredEngine
 from .ownerships import Ownerships
 from .prompt_pacers import PromptPacer
 from .recent_adapters import remembered_adapters
@@ -80,6 +81,7 @@
         events: EventRing,
         metrics: GatewayMetrics,
         unacknowledged: UnacknowledgedOrders,
+        measured: MeasuredEngine = UNMEASURED,
         on_changed: Callable[["EngineOwner"], None],
         on_restarted: Callable[[int | None], None],
     ):
@@ -98,7 +100,8 @@
             unacknowledged=unacknowledged,
             timers=timers,
         )
-        self._pacer = PromptPacer()
+        self.measured = measured
+        self._pacer = PromptPacer(measured.pace)
         self._metrics = metrics
         self._accounts = LoadAccounts()
         self._orders = EngineOrders(
@@ -204,6 +207,7 @@
             self._pacer.expected_wait(self._timers.now()),
             self.incarnation.started_ms,
             remembered_adapters(self._spec.adapter_slots),
+            *self.measured.announced,
         )
 
     def start(self) -> None:
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -4,6 +4,7 @@
 
 from result import Err, Ok, Result
 
+from ..engine_speeds.stream_samples import StreamSample
 from ..errors import ErrorKind, Failure
 from ..fleet.fleet_meshes import FleetMesh
 from ..mesh.casts import send
@@ -15,18 +16,19 @@
     ReservePrompt,
 )
 from ..timers import TimerService
-from .candidate_scorers import CandidateScorer, reading_share
+from .candidate_scorers import CandidateScorer
 from .engine_slots import AdapterKey
 from .gateway_metrics import GatewayMetrics
+from .measured_engines import MeasuredEngines
+from .placement_requests import PlacementRequest
 from .records import (
-    CallerRequest,
     Configuration,
-    Route,
     ServiceSpec,
     TargetEntry,
 )
 from .refusals import backoff_failure, no_target_failure, overload_failure
 from .run_times import RunTimes
+from .speed_costs import stream_demand
 from .target_backoffs import TargetBackoffs
 from .target_choices import Candidate, Holding
 from .target_healths import TargetHealths
@@ -54,6 +56,10 @@
 # From the load order of an adapter to the first token: 0.28 s for the load and about
 # 0.1 s for the prompt, 0.2 s if prompts are waiting.
 START_S = 0.45
+# A target that left or restarted after it was chosen.
+TARGET_GONE = Failure(
+    ErrorKind.NO_TARGET, "the target is leaving, or started again", 0.1
+)
 
 
 class Placed(NamedTuple):
@@ -86,21 +92,6 @@
     foreseen: bool
 
 
-class PlacementRequest(NamedTuple):
-    """A request that needs a target; ``excluded`` targets have been tried already.
-
-    Only targets that run the ``software`` version are used, of any version if None.
-    """
-
-    route: Route
-    service: str
-    request: CallerRequest
-    arrived_at: float
-    deadline_at: float
-    excluded: frozenset[str]
-    software: str | None = None
-
-
 class Placer:
     """Chooses targets for requests from the state that this VM has observed.
 
@@ -122,6 +113,7 @@
         timers: TimerService,
         metrics: GatewayMetrics,
         run_times: RunTimes,
+        measured: MeasuredEngines | None = None,
     ):
         self._metrics = metrics
         self._timers = timers
@@ -140,6 +132,7 @@
             backoffs=backoffs,
             timers=timers,
             run_times=run_times,
+            measured=measured,
         )
 
     def apply_configuration(self, configuration: Configuration) -> None:
@@ -158,11 +151,11 @@
         place_until = min(
             self._timers.now() + PLACEMENT_TIMEOUT_S, requested.deadline_at
         )
-        prompt_share = reading_share(requested.route, request)
+        demand = stream_demand(requested.route, request)
         search = TargetSearch(
             excluded=requested.excluded,
             score=lambda excluded: self._scorer.score(
-                spec, key, excluded | self._other_software(spec, software), prompt_share
+                spec, key, excluded | self._other_software(spec, software), demand
             ),
             timers=self._timers,
         )
@@ -181,7 +174,7 @@
             target = best.candidate.target
             entry = self._targets.entries.get(target)
             if entry is None or not entry.runs(software):
-                search.record_failure(target, _target_gone())
+                search.record_failure(target, TARGET_GONE)
                 continue
             placed = Placed(
                 entry,
@@ -241,7 +234,7 @@
             load_s = self._timers.now() - ordered_at
             self._metrics.load_wait.observe(load_s)
             if not self._targets.is_current(entry):
-                return Err(_target_gone())
+                return Err(TARGET_GONE)
             if loaded.is_err():
                 self._scorer.mark_full(entry.target, loaded.err_value)
                 return loaded
@@ -256,12 +249,14 @@
             turn_s = turn.ok_value
         if not self._targets.is_current(entry):
             self.notify_ended(placed)
-            return Err(_target_gone())
+            return Err(TARGET_GONE)
         return Ok(_Prepared(turn_s, load_s, given_s is not None))
 
-    def notify_ended(self, placed: Placed) -> None:
+    def notify_ended(self, placed: Placed, sample: StreamSample | None = None) -> None:
         """Notify a target's owner that a request which had its turn has ended.
 
+        ``sample`` shows the speed of the target, None if nothing was measured.
+
         Without this message an adapter would appear in use for 0.2 s to 0.6 s longer
         than it is, which is as long as most runs last.
         """
@@ -271,6 +266,8 @@
             return
         running = self._loads.own_running(entry.target, key)
         message = RequestEnded(entry.target, *key, running, entry.started_ms)
+        if sample is not None:
+            message = RequestEnded(*message[:5], *map(round, sample))
         send(self._mesh, owner, message)
 
     def discard(self, target: str) -> None:
@@ -337,7 +334,7 @@
             self._targets.owner(target), message, RESERVE_TIMEOUT_S
         )
         if not self._targets.is_current(entry):
-            return Err(_target_gone())
+            return Err(TARGET_GONE)
         if reply.is_err():
             return Ok(None)
         if not reply.ok_value.held:
@@ -389,8 +386,3 @@
             requested.route.event_gap_ms,
         )
         return await self._mesh.call(owner, message, wait_s + 0.1)
-
-
-def _target_gone() -> Failure:
-    """Return the failure for a target that left or restarted after it was chosen."""
-    return Failure(ErrorKind.NO_TARGET, "the target is leaving, or started again", 0.1)
