--- a/hawthornlead/tests/path_costs.py
+++ b/hawthornlead/tests/path_costs.py
@@ -25,6 +25,7 @@
 from .standins.platform_store import PlatformStore
 
 READY_S = 30.0
+READY_POLL_S = 0.02
 SETTLE_S = 2.0
 IDLE_S = 5.0
 # More than the engines of one small run hold, so that some have to be loaded.
@@ -50,13 +51,38 @@
     process: asyncio.subprocess.Process
 
 
+class VmStart(NamedTuple):
+    """Processor time of a VM's start, and how long it took, in milliseconds."""
+
+    ready: float
+    settled: float
+    took: float
+
+
+class Command(NamedTuple):
+    """How a VM's interpreter is started: its options, further paths, error output."""
+
+    options: tuple[str, ...] = ()
+    paths: tuple[Path, ...] = ()
+    errors: int | None = None
+
+
+def _spent_ms(vm: PathVm) -> float:
+    stat = Path(f"/proc/{vm.process.pid}/stat").read_text()
+    fields = stat.rpartition(")")[2].split()
+    return 1000 * (int(fields[11]) + int(fields[12])) / TICKS_A_SECOND
+
+
 class PathFleet:
     """Stand-ins, and the gateways of one checkout."""
 
-    def __init__(self, checkout: Path, vms: int, engines: int, profile: str):
+    def __init__(
+        self, checkout: Path, vms: int, engines: int, profile: str, command: Command
+    ):
         self._checkout = checkout
         self._count = vms
         self._profile = profile
+        self._command = command
         self._folder = Path(tempfile.mkdtemp(prefix="path-"))
         self._store = PlatformStore()
         self._engines = [
@@ -64,6 +90,7 @@
         ]
         self._plains = [PlatformEngine(f"p{n}", "plain") for n in range(2)]
         self.vms: list[PathVm] = []
+        self.starts: list[VmStart] = []
 
     async def __aenter__(self) -> "PathFleet":
         self._store.start()
@@ -77,9 +104,7 @@
             self._store.write("servers", target.target, target.entry())
         for number in range(self._count):
             self.vms.append(await self._start_vm(number))
-        for vm in self.vms:
-            await self._await_ready(vm)
-        await asyncio.sleep(SETTLE_S)
+        self.starts = await asyncio.gather(*map(self._settle, self.vms))
         return self
 
     async def __aexit__(self, *_) -> None:
@@ -97,12 +122,7 @@
 
     def spent_ms(self) -> float:
         """Return the processor time that the VMs have taken, on average."""
-        total = 0
-        for vm in self.vms:
-            stat = Path(f"/proc/{vm.process.pid}/stat").read_text()
-            fields = stat.rpartition(")")[2].split()
-            total += int(fields[11]) + int(fields[12])
-        return 1000 * total / TICKS_A_SECOND / len(self.vms)
+        return sum(map(_spent_ms, self.vms)) / len(self.vms)
 
     async def _start_vm(self, number: int) -> PathVm:
         peers, callers, ready, directory = [
@@ -133,20 +153,32 @@
         command = ["-m", "hawthornlead.gateway"]
         if self._profile and number == 0:
             command = ["-m", "cProfile", "-o", self._profile, *command]
+        paths = [str(self._checkout), *map(str, self._command.paths)]
         environment = {
             **os.environ,
             "HAWTHORNLEAD_SETTINGS": str(path),
-            "PYTHONPATH": str(self._checkout),
+            "PYTHONPATH": os.pathsep.join(paths),
         }
         process = await asyncio.create_subprocess_exec(
             sys.executable,
+            *self._command.options,
             *command,
             cwd=self._checkout,
             env=environment,
             stdout=asyncio.subprocess.DEVNULL,
+            stderr=self._command.errors,
         )
         return PathVm(callers, ready, process)
 
+    async def _settle(self, vm: PathVm) -> "VmStart":
+        """Wait until a VM is ready and has settled; return what that took."""
+        now = asyncio.get_running_loop().time
+        started_at = now()
+        await self._await_ready(vm)
+        ready_ms, took_ms = _spent_ms(vm), 1000 * (now() - started_at)
+        await asyncio.sleep(SETTLE_S)
+        return VmStart(ready_ms, _spent_ms(vm) - ready_ms, took_ms)
+
     async def _await_ready(self, vm: PathVm) -> None:
         end = asyncio.get_running_loop().time() + READY_S
         headers = {"Host": HOST, "Connection": "close"}
@@ -157,7 +189,7 @@
                 answer = None
             if answer is not None and answer.status == 200:
                 return
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(READY_POLL_S)
         raise RuntimeError(f"{vm.address} is not ready")
 
 
@@ -193,7 +225,7 @@
     checkout: Path, vms: int, engines: int, requests: int, profile: str
 ) -> Costs:
     """Return what one VM of a checkout spends."""
-    async with PathFleet(checkout, vms, engines, profile) as fleet:
+    async with PathFleet(checkout, vms, engines, profile, Command()) as fleet:
         start = fleet.spent_ms()
         await asyncio.sleep(IDLE_S)
         idle = (fleet.spent_ms() - start) / IDLE_S
