--- a/hawthornlead/code_archives.py
+++ b/hawthornlead/code_archives.py
@@ -120,13 +120,16 @@
         def find_name(name: str):
             nonlocal running
             with lock:
+                # A module may ask itself for a name that it doesn't have yet.
                 if running:
                     raise AttributeError(name)
-                if module.__dict__.get("__getattr__") is find_name:
+                if vars(module).get("__getattr__") is find_name:
                     running = True
-                    super(DeferredLoader, self).exec_module(module)
-                    running = False
-                    if module.__dict__.get("__getattr__") is find_name:
+                    try:
+                        super(DeferredLoader, self).exec_module(module)
+                    finally:
+                        running = False
+                    if vars(module)["__getattr__"] is find_name:
                         del module.__getattr__
             return getattr(module, name)
 
@@ -138,6 +141,8 @@
 
     def __init__(self, archive: Archive):
         self._archive = archive
+        self._searched = {os.path.realpath(folder) for folder in sys.path}
+        self._are_searched: dict[str, bool] = {}
 
     def find_spec(self, name: str, path=None, target=None) -> ModuleSpec | None:
         """Return how to load a module, or None to leave it to the ordinary import."""
@@ -148,7 +153,7 @@
         folder, _, file = location.rpartition("/")
         is_package = file == "__init__.py"
         parent = os.path.dirname(folder) if is_package else folder
-        if not _is_searched(parent, path) or not self._archive.is_current(name):
+        if not self._is_searched(parent, path) or not self._archive.is_current(name):
             return None
         kind = DeferredLoader if name in DEFERRED else ArchivedLoader
         loader = kind(name, location, self._archive)
@@ -164,16 +169,25 @@
         if relative is None:
             return None
         location = os.path.join(ROOT, relative)
-        if not _is_searched(os.path.dirname(location), path):
+        if not self._is_searched(os.path.dirname(location), path):
             return None
         if not os.path.exists(location):
             return None
         loader = ExtensionFileLoader(name, location)
         return spec_from_file_location(name, location, loader=loader)
 
-
-def _is_searched(folder: str, path) -> bool:
-    return folder in (sys.path if path is None else path)
+    def _is_searched(self, folder: str, path) -> bool:
+        """Whether the ordinary import would look into a folder.
+
+        ``PYTHONPATH`` may name it relatively or through a link.
+        """
+        if path is not None:
+            return folder in path
+        known = self._are_searched.get(folder)
+        if known is None:
+            known = os.path.realpath(folder) in self._searched
+            self._are_searched[folder] = known
+        return known
 
 
 def archive_prefix() -> bytes:
--- a/hawthornlead/gateway/archive_builds.py
+++ b/hawthornlead/gateway/archive_builds.py
@@ -3,7 +3,8 @@
 ``python3 -S -m hawthornlead.gateway.archive_builds`` compiles the modules that a
 gateway loads, whether its own, of libraries or of the standard library, into one file
 that ``hawthornlead.code_archives`` imports from. It does nothing if the archive is up
-to date.
+to date. With ``-X no_debug_ranges`` the code has no columns for tracebacks, which are
+an eighth of it; lines stay.
 """
 
 import importlib
@@ -40,32 +41,32 @@
     return modules
 
 
+def compiled_module(path: str) -> tuple[tuple, bytes]:
+    """Compile a source; return its entry without a place, and its marshalled code."""
+    import ast
+    from importlib.util import source_hash
+
+    mtime_ns = os.stat(path).st_mtime_ns
+    with open(path, "rb") as file:
+        source = file.read()
+    tree = ast.parse(source, path)
+    _drop_unused(tree)
+    code = compile(tree, path, "exec", dont_inherit=True)
+    entry = (_stored_path(path), len(source), mtime_ns, source_hash(source))
+    return entry, marshal.dumps(code)
+
+
 def build_archive(path: str = ARCHIVE) -> int:
     """Write an archive of the loaded modules; return how many it holds."""
-    import ast
     from importlib.machinery import ExtensionFileLoader, SourceFileLoader
-    from importlib.util import source_hash
 
     entries, codes, extensions = {}, {}, {}
     for name, module in loaded_modules().items():
         spec = module.__spec__
         if isinstance(spec.loader, ExtensionFileLoader):
             extensions[name] = _stored_path(spec.origin)
-        if type(spec.loader) is not SourceFileLoader:
-            continue
-        stat = os.stat(spec.origin)
-        with open(spec.origin, "rb") as file:
-            source = file.read()
-        tree = ast.parse(source, spec.origin)
-        _drop_docstrings(tree)
-        code = compile(tree, spec.origin, "exec", dont_inherit=True)
-        codes[name] = marshal.dumps(code)
-        entries[name] = (
-            _stored_path(spec.origin),
-            len(source),
-            stat.st_mtime_ns,
-            source_hash(source),
-        )
+        if type(spec.loader) is SourceFileLoader:
+            entries[name], codes[name] = compiled_module(spec.origin)
     # A start during the build sees the old archive or the new one.
     part = f"{path}.{os.getpid()}"
     with open(part, "wb") as file:
@@ -80,19 +81,26 @@
     return path[len(inside) :] if path.startswith(inside) else path
 
 
-def _drop_docstrings(tree) -> None:
-    """Remove the docstrings of functions, a tenth of what a start unmarshals.
+def _drop_unused(tree) -> None:
+    """Remove the docstrings and annotations of functions, which a start pays for.
 
-    Those of classes stay: without one, ``dataclasses`` composes it at each start.
+    Docstrings of classes stay, since without one ``dataclasses`` composes it at each
+    start, and so do the annotations of classes, which are fields. A decorator may read
+    the annotations of its function, as that of ``functools.singledispatch`` does.
     """
     import ast
 
     for node in ast.walk(tree):
         if not isinstance(node, ast.FunctionDef | ast.AsyncFunctionDef):
             continue
-        if ast.get_docstring(node, clean=False) is None:
+        if ast.get_docstring(node, clean=False) is not None:
+            node.body = node.body[1:] or [ast.copy_location(ast.Pass(), node.body[0])]
+        if node.decorator_list:
             continue
-        node.body = node.body[1:] or [ast.copy_location(ast.Pass(), node.body[0])]
+        node.returns = None
+        for child in ast.walk(node.args):
+            if isinstance(child, ast.arg):
+                child.annotation = None
 
 
 def is_up_to_date(path: str = ARCHIVE) -> bool:
