--- a/hawthornlead/tests/test_code_archives.py
+++ b/hawthornlead/tests/test_code_archives.py
@@ -175,12 +175,13 @@
     (tmp_path / "target").mkdir()
     (tmp_path / "target" / "deps").symlink_to(libraries)
     monkeypatch.delenv("PYTHONPATH", raising=False)
-    build = [sys.executable, "-S", "-X", "no_debug_ranges"]
+    build = [sys.executable, "-S", "-B", "-X", "no_debug_ranges"]
     build += ["-m", "hawthornlead.gateway.archive_builds"]
     for shown in (b"modules", b""):
         built = subprocess.run(build, cwd=tmp_path, capture_output=True, check=True)
         assert shown in built.stdout
         assert bool(built.stdout) == bool(shown)
+    assert not list((tmp_path / "hawthornlead").rglob("*.pyc"))
     with open(tmp_path / "errors", "w+b") as errors:
         command = Command(("-S", "-v"), (libraries,), errors.fileno())
         async with PathFleet(tmp_path, 1, 1, "", command) as fleet:
