--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -6,8 +6,7 @@
 
 from collections.abc import Callable
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-
+from ..metric_library import CollectorRegistry, Counter, Gauge, Histogram
 from ..metrics import LATENCY_BUCKETS_S
 
 
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -11,13 +11,12 @@
 import signal
 from random import Random
 
-from prometheus_client import generate_latest
-
 from ..core_parts import build_core
 from ..event_loops import new_runner
 from ..events import EventKind
 from ..logs import EventWriter
 from ..messages import Heartbeat, Hello
+from ..metric_library import metrics_text
 from ..platform.configurations import read_configuration
 from ..platform.entries import READY_PATH, RESOLVE_PATH, addresses_body
 from ..platform.objects import (
@@ -227,7 +226,7 @@
         return Reply(status, addresses_body(addresses, ADDRESSES_TTL_S))
 
     def _read_metrics(self) -> Reply:
-        return Reply(200, generate_latest(self._metrics.registry), "text/plain")
+        return Reply(200, metrics_text(self._metrics.registry), "text/plain")
 
     # Observed state
 
--- a/hawthornlead/metrics.py
+++ b/hawthornlead/metrics.py
@@ -6,7 +6,7 @@
 
 from typing import NamedTuple
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from .metric_library import CollectorRegistry, Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_S = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1) + (
     0.25,
