Serve soon after all VMs of a large fleet started at once

After a kill of all 88 VMs, each had its configuration 0.68 s after its start, since it waited for a head to be elected that had one, and refused all requests until then. One VM claimed all 56 engines 0.24 s after its start, because it knew of no other, and decided every load from then on.

With `fast_starts`, a starting VM lists configuration, targets and versions at once by calls that may return data seconds old; it counts as current only once a relay or its own watch has shown it the changes since.

--- a/hawthornlead/gateway/coordination_parts.py
+++ b/hawthornlead/gateway/coordination_parts.py
@@ -89,7 +89,12 @@
     )
     memberships.on_registered = lease.start
     ownerships = Ownerships(
-        memberships=memberships, lease=lease, client=client, mesh=mesh, events=events
+        memberships=memberships,
+        lease=lease,
+        client=client,
+        mesh=mesh,
+        events=events,
+        fast_start=settings["FAST_STARTS"],
     )
     relays = WatchRelays(
         memberships=memberships,
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -279,6 +279,7 @@
             "relays": self._relays,
             "retries": StoreRetries(self._timers),
             "metrics": metrics,
+            "stale_start": self._settings["FAST_STARTS"],
         }
         # If a configuration or version becomes unreadable, the last one stays in force:
         # none is rolled back.
--- a/hawthornlead/gateway/ownerships.py
+++ b/hawthornlead/gateway/ownerships.py
@@ -15,8 +15,9 @@
 from ..fleet.fleet_meshes import FleetMesh
 from ..messages.gateways import YieldTarget
 from ..messages.sessions import Done
+from ..recovery.starting_owners import StartingOwners
 from .batched_reads import BatchedReads
-from .memberships import Memberships
+from .memberships import MAX_OWNERS, Memberships
 from .owner_objects import (
     OWNERS_KIND,
     UNKNOWN,
@@ -84,9 +85,15 @@
         client: StoreClient,
         mesh: FleetMesh,
         events: EventRing,
+        fast_start: bool = False,
     ):
         self._events = events
         self._memberships = memberships
+        self._starting = None
+        if fast_start:
+            self._starting = StartingOwners(
+                memberships.vm, started_at=lease.now(), max_owners=MAX_OWNERS
+            )
         self._lease = lease
         self._client = client
         self._reads = BatchedReads(client, OWNERS_KIND)
@@ -125,6 +132,8 @@
         """
         if self._memberships.leaving:
             return False
+        if self._is_starting():
+            return self._should_claim_at_start(target)
         order = self._memberships.owners_for(target)
         # VMs that reach no target couldn't order it. They count if there are no others.
         unreaching = self._memberships.unreaching()
@@ -137,6 +146,19 @@
         self._lease.want(True)
         return self._lease.holds_for(ORDER_MARGIN_S)
 
+    def _is_starting(self) -> bool:
+        """Whether this VM of a large fleet started too recently to know the others."""
+        if self._starting is None or not self._memberships.large:
+            return False
+        return self._starting.applies(self._lease.now())
+
+    def _should_claim_at_start(self, target: str) -> bool:
+        registered = self._memberships.registered_order.records
+        if not self._starting.is_owner(target, registered) or self._is_held(target):
+            return False
+        self._lease.want(True)
+        return self._lease.holds_for(ORDER_MARGIN_S)
+
     def _is_held(self, target: str) -> bool:
         """Whether the last check showed an owner that probably still holds the engine.
 
--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -112,18 +112,21 @@
             return Err(Failure(ErrorKind.VERSION_CONFLICT, "the object is gone"))
         return answer.and_then(lambda got: _parsed(*got, read_record))
 
-    async def list_all(self, kind: str) -> Result[StoreChanges, Failure]:
+    async def list_all(
+        self, kind: str, stale: bool = False
+    ) -> Result[StoreChanges, Failure]:
         """Return all objects of a kind as changes, and where to watch from.
 
         That is the revision of the first page: changes to a page while later ones are
-        read would otherwise be missed.
+        read would otherwise be missed. A ``stale`` listing may be seconds old and costs
+        a tenth.
         """
         records = []
         skipped = 0
         revision: int | None = None
         after = ""
         while True:
-            answer = await self._call("GET", list_path(kind, after))
+            answer = await self._call("GET", list_path(kind, after, stale))
             page = answer.and_then(lambda got: _parsed(*got, read_page))
             if page.is_err():
                 return page
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -53,7 +53,8 @@
 
     After changes the watch pauses for ``pause_s``, so that a kind with frequent changes
     costs few calls. With ``fetched``, the objects are fetched from a head at the start,
-    in a large fleet. ``KindRecords`` describes how objects are applied.
+    in a large fleet; with ``stale_start``, a listing that may be seconds old comes
+    first. ``KindRecords`` describes how objects are applied.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         effective_content: Callable[[StoredRecord], Any] = lambda record: record,
         pause_s: float = 0.0,
         fetched: bool = False,
+        stale_start: bool = False,
     ):
         self._kind = kind
         self._client = client
@@ -93,6 +95,7 @@
         self._failures = 0
         self._pause_s = pause_s
         self._fetched = fetched
+        self._stale_start = stale_start
         self._current = False
         self._answered_at = 0.0
         self._listed_at = float("-inf")
@@ -196,6 +199,8 @@
         Then wait for a relay's heartbeat, which shows that nothing is missing.
         """
         await self._timers.sleep(REGISTRATIONS_WAIT_S)
+        if self._stale_start and self._relays.has_source:
+            self._listed = await self._list_stale()
         until = self._timers.now() + FETCH_TIMEOUT_S
         while self._relays.has_source and self._timers.now() < until:
             if not self._listed:
@@ -204,6 +209,20 @@
                 return
             await self._timers.sleep(FETCH_RETRY_S)
 
+    async def _list_stale(self) -> bool:
+        """List the kind as it may have been seconds ago; return whether that succeeded.
+
+        If all VMs start at once, no head knows anything yet, and until one does each
+        VM would refuse all requests. It isn't ``current`` before a relay or its own
+        watch has shown it what changed since.
+        """
+        listed = await self._client.list_all(self._kind, stale=True)
+        if listed.is_err():
+            return False
+        found = listed.ok_value
+        self._known.apply_listing(found.revision, found.events)
+        return True
+
     async def _await_next_listing(self) -> None:
         """Wait before the kind is listed again because its history is gone.
 
--- a/hawthornlead/platform/objects.py
+++ b/hawthornlead/platform/objects.py
@@ -2,7 +2,7 @@
 
 import json
 from typing import Any
-from urllib.parse import quote
+from urllib.parse import quote, urlencode
 
 from ..gateway.records import (
     StoreChanges,
@@ -28,10 +28,16 @@
 VERSIONS_KIND = "versions"
 
 
-def list_path(kind: str, after: str = "") -> str:
-    """Return the path that lists the objects of a kind after the name ``after``."""
+def list_path(kind: str, after: str = "", stale: bool = False) -> str:
+    """Return the path that lists the objects of a kind after the name ``after``.
+
+    A ``stale`` listing may be seconds old, at a tenth of the cost.
+    """
+    query = {"after": after} if after else {}
+    if stale:
+        query["allowStale"] = "1"
     path = "/v1/objects/" + quote(kind, safe="")
-    return f"{path}?after={quote(after, safe='')}" if after else path
+    return f"{path}?{urlencode(query, quote_via=quote)}" if query else path
 
 
 def watch_path(kind: str, revision: int, wait_s: float) -> str:
--- /dev/null
+++ b/hawthornlead/recovery/__init__.py
@@ -0,0 +1,4 @@
+"""What VMs do in the moments after all of them have started at once.
+
+May import: the common modules.
+"""
--- a/hawthornlead/setting_rows.py
+++ b/hawthornlead/setting_rows.py
@@ -332,6 +332,13 @@
         False,
         "waiting requests of one rank are served in fair order over workspaces",
     ),
+    "FAST_STARTS": Setting(
+        "scheduling",
+        "switch",
+        False,
+        "a VM that starts in a large fleet serves by a listing that may be seconds "
+        "old, and claims only its share of the engines at first",
+    ),
     # logs
     "LOG_LEVEL": Setting(
         "logs",
