--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -140,6 +140,13 @@
         "targets of a service say that they fall over if they must refuse more",
     )
     SERVICE_NOT_BRITTLE = (539, "INFO", "targets of a service are no longer brittle")
+    PLACE_DELAYED = (560, "INFO", "a request waited for a place at a target")
+    PLACE_REFUSED = (561, "INFO", "a request got no place at a target")
+    PLACE_UNCOUNTED = (
+        562,
+        "INFO",
+        "a request is sent without a place, since the VM that counts did not answer",
+    )
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
