Plain targets: one VM per target counts its places over all VMs

Cause: 75 to 88 VMs send to 2 or 3 plain targets with 6 slots and a queue of 24 each, by announced counts that are older than a run.

The coordinator grants the slots and the few requests that keep these busy over the message delay, orders who waits, and refuses who can't be served in half of its remaining time. A VM asks its targets in turn, waits where the shortest wait is expected, and goes directly for a second if a coordinator doesn't answer within 50 ms; a pending wait there ends then too. Every place ends with the attempt, with a caller that left while waiting, with its VM or by its deadline.

Messages: at the mean one question and one end per request, in a burst about two.

--- a/hawthornlead/gateway/__init__.py
+++ b/hawthornlead/gateway/__init__.py
@@ -4,5 +4,5 @@
 which target answers, which VM may order an adapter there, and what a caller receives.
 The wire formats are in ``hawthornlead.platform`` alone.
 
-May import: the common modules, mesh, fleet, decisions, platform.
+May import: the common modules, mesh, fleet, decisions, admission, platform.
 """
--- a/hawthornlead/gateway/brittle_targets.py
+++ b/hawthornlead/gateway/brittle_targets.py
@@ -75,6 +75,13 @@
             now=self._timers.now(),
         )
 
+    def is_brittle(self, target: str) -> bool:
+        """Whether a target's service is brittle now."""
+        if not self._terms:
+            return False
+        entry = self._targets.entries.get(target)
+        return entry is not None and self._current(entry.service) is not None
+
     def record_answer(
         self, entry: TargetEntry, allowed_per_s: float | None, sent_at: float
     ) -> None:
--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -72,6 +72,11 @@
             "Probes of silent targets by result",
             ["found"],
         )
+        self.places = self._counter(
+            "hawthornlead_gateway_places_total",
+            "Requests for places at targets, by part and outcome",
+            ["part", "outcome"],
+        )
         self.quarantine_refusals = Counter(
             "hawthornlead_gateway_quarantine_refusals_total",
             "Requests refused because of a prompt part that crashes targets",
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -9,7 +9,6 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from ..core_parts import CoreParts
 from ..decisions.quotas import Limit, QuotaLedger
@@ -27,6 +26,8 @@
 from .loss_detectors import LossDetector
 from .memberships import Memberships
 from .ownerships import Ownerships
+from .part_groups import Coordination, TargetParts
+from .place_parts import build_plain_places
 from .placers import Placer
 from .prompt_quarantines import PromptQuarantines
 from .records import Configuration, TargetEntry, VmRecord
@@ -52,29 +53,6 @@
 ASSUMED_VMS = 400
 
 
-class Coordination(NamedTuple):
-    """What VMs coordinate by: store, mesh, membership, and ownership of engines."""
-
-    client: StoreClient
-    mesh: FleetMesh
-    memberships: Memberships
-    lease: VmLease
-    ownerships: Ownerships
-    relays: WatchRelays
-    quotas: QuotaLedger
-
-
-class TargetParts(NamedTuple):
-    """The state of targets, the connections to them, and the engines of this VM."""
-
-    targets: TargetTable
-    connections: TargetConnections
-    paths: TargetPaths
-    loads: TargetLoads
-    healths: TargetHealths
-    engine_manager: EngineManager
-
-
 class GatewayParts:
     """The collaborators of all requests, and the configuration in force."""
 
@@ -334,6 +312,9 @@
         timers=timers, events=core.events, wait_for_room_s=brittle.wait_s
     )
     run_times = RunTimes()
+    plain_places = build_plain_places(
+        core, coordination, known, metrics, limits, brittle, run_times
+    )
     placer = Placer(
         data_centre=core.settings["DATA_CENTRE"],
         targets=known.targets,
@@ -345,6 +326,7 @@
         timers=timers,
         metrics=metrics,
         run_times=run_times,
+        plain_places=plain_places,
     )
 
     def discard_former(former: TargetEntry, entry: TargetEntry) -> None:
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -18,13 +18,9 @@
 from .candidate_scorers import CandidateScorer, reading_share
 from .engine_slots import AdapterKey
 from .gateway_metrics import GatewayMetrics
-from .records import (
-    CallerRequest,
-    Configuration,
-    Route,
-    ServiceSpec,
-    TargetEntry,
-)
+from .placement_requests import PlacementRequest
+from .plain_places import PlaceHold, PlainChoice, PlainPlaces
+from .records import Configuration, ServiceSpec, TargetEntry
 from .refusals import backoff_failure, overload_failure
 from .run_times import RunTimes
 from .target_backoffs import TargetBackoffs
@@ -64,7 +60,8 @@
     ``key`` is None if no adapter is involved. ``tries`` counts the targets that were
     asked to load the adapter, including this one. ``turn_s`` is how long the prompt
     waited for its turn, None if the target's owner didn't assign one. ``counted`` is
-    set if the request already counts against the target's limit.
+    set if the request already counts against the target's limit, and ``hold`` is its
+    place at a plain target whose places are counted.
     """
 
     entry: TargetEntry
@@ -74,21 +71,7 @@
     tries: int
     turn_s: float | None = None
     counted: bool = False
-
-
-class PlacementRequest(NamedTuple):
-    """A request that needs a target; ``excluded`` targets have been tried already.
-
-    Only targets that run the ``software`` version are used, of any version if None.
-    """
-
-    route: Route
-    service: str
-    request: CallerRequest
-    arrived_at: float
-    deadline_at: float
-    excluded: frozenset[str]
-    software: str | None = None
+    hold: PlaceHold | None = None
 
 
 class Placer:
@@ -112,7 +95,9 @@
         timers: TimerService,
         metrics: GatewayMetrics,
         run_times: RunTimes,
+        plain_places: PlainPlaces | None = None,
     ):
+        self._plain_places = plain_places
         self._metrics = metrics
         self._timers = timers
         self._targets = targets
@@ -156,6 +141,10 @@
             ),
             timers=self._timers,
         )
+        if self._plain_places is not None and spec.engine is None:
+            choice = await self._plain_places.choose(requested, spec, search.candidates)
+            if choice is not None:
+                return choice.map(_at_its_place)
         while search.may_continue:
             slack_s = self._slot_due_at(requested) - self._timers.now()
             if not search.candidates:
@@ -254,6 +243,8 @@
         than it is, which is as long as most runs last.
         """
         entry, key = placed.entry, placed.key
+        if placed.hold is not None:
+            self._plain_places.end(placed.hold)
         owner = self._targets.owner(entry.target)
         if key is None or not key.adapter or not owner:
             return
@@ -387,3 +378,7 @@
 def _target_gone() -> Failure:
     """Return the failure for a target that left or restarted after it was chosen."""
     return Failure(ErrorKind.NO_TARGET, "the target is leaving, or started again", 0.1)
+
+
+def _at_its_place(choice: PlainChoice) -> Placed:
+    return Placed(choice.hold.entry, None, *choice.scored, 1, hold=choice.hold)
--- a/hawthornlead/gateway/refusals.py
+++ b/hawthornlead/gateway/refusals.py
@@ -44,6 +44,14 @@
     return Failure(ErrorKind.OVERLOADED, detail, _retry_s(wait_s))
 
 
+def busy_failure(wait_s: float) -> Failure:
+    """Return the refusal of a request that gets no place at any target in time.
+
+    The next place is expected in ``wait_s``.
+    """
+    return Failure(ErrorKind.OVERLOADED, "all places are taken", _retry_s(wait_s))
+
+
 def _retry_s(wait_s: float) -> float:
     """Return when to retry after an expected wait of ``wait_s``, within bounds."""
     return min(MAX_RETRY_S, max(MIN_RETRY_S, wait_s))
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -12,7 +12,8 @@
 from .attempt_outcomes import UNRUN_OUTCOMES, AttemptOutcome
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
-from .placers import Placed, PlacementRequest
+from .placement_requests import PlacementRequest
+from .placers import Placed
 from .records import CallerRequest, Route, RouteKind, Workspace
 from .request_relays import RequestRelay
 from .request_reporters import RequestReporter
@@ -219,6 +220,7 @@
                 self._deadline_at,
                 frozenset(self._excluded),
                 self._binding.software,
+                workspace.name if workspace is not None else "",
             )
             placed = await self._parts.placer.place(placement)
             if placed.is_err():
--- a/hawthornlead/messages/__init__.py
+++ b/hawthornlead/messages/__init__.py
@@ -12,6 +12,7 @@
 May import: the common modules.
 """
 
+from .admission import PlaceEnded, PlaceReserved, ReservePlace
 from .base import MESSAGES, PROTOCOL_VERSION, message
 from .bundles import (
     BundleDecided,
@@ -117,6 +118,8 @@
     "MemberState",
     "MemberUpdate",
     "PROTOCOL_VERSION",
+    "PlaceEnded",
+    "PlaceReserved",
     "PopularityCounts",
     "PromptReserved",
     "Proof",
@@ -131,6 +134,7 @@
     "RenewGrants",
     "RenewLease",
     "RenewedGrants",
+    "ReservePlace",
     "ReservePrompt",
     "ReserveSuspectSlot",
     "Resident",
--- a/hawthornlead/tests/gateways.py
+++ b/hawthornlead/tests/gateways.py
@@ -89,7 +89,8 @@
 class Deployment:
     """A store, two engines, two plain targets, and VMs.
 
-    There is an engine for each of the ``software`` versions; ``routes`` are added.
+    There is an engine for each of the ``software`` versions; ``routes`` are added. The
+    VMs have these further ``settings``.
     """
 
     def __init__(
@@ -97,7 +98,9 @@
         vms: int = 2,
         software: tuple[str, ...] = ("v1", "v1"),
         routes: tuple[dict, ...] = (),
+        **settings,
     ):
+        self._more_settings = settings
         self._routes = routes
         self._vms = vms
         self._ids = itertools.count(1)
@@ -152,6 +155,7 @@
             VM_LIST_ADDRESS=self.store.address,
             HEARTBEAT_S=0.2,
             GRACE_S=3.0,
+            **self._more_settings,
         )
         gateway = gateways.Gateway(settings)
         await gateway.start()
--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -38,7 +38,8 @@
     answers carry the headers ``notices``; ``arrivals`` are the moments at which
     requests reached it. A plain target works ``work_s`` on each request and has no
     ``room`` for more than so many; ``refusals`` are the moments at which it refused one
-    for that. Its entry states the ``software`` version, which ``restart`` may change.
+    for that. Its entry states ``places`` for requests, and the ``software`` version,
+    which ``restart`` may change.
 
     A request whose prompt has the part ``crash_part`` crashes it as it begins to write
     the answer: all connections break, and ``down_s`` later it starts again.
@@ -52,6 +53,7 @@
         self._slots = slots
         self._open: set = set()
         self._server = HTTPServer(CallerDispatcher(self._handle, lambda: 0.0))
+        self.places = 4
         self.target = target
         self.service = service
         self.address = ""
@@ -139,7 +141,7 @@
                 "address": self.address,
                 "zone": "gijon",
                 "version": self.software,
-                "slots": 4,
+                "slots": self.places,
                 "state": state,
                 "coldRemainingMs": 0,
                 "models": models,
