Engines: their owners count places and memory over all VMs

The owner counts places and KV tokens that it granted and announced requests beyond these. It answers at once if the asker can try elsewhere; PromptReserved brings its count, which replaces announced counts for 0.3 s. After six engines without a place, or where the best one is known to be full, the request waits in the owner's order, at most until 1.6 s after its arrival or half of its remaining time, and is refused with the expected time if that isn't enough. Without the owner's answer a request goes directly, within the last known batch if others can be tried. Prompt parts that requests share are counted for each of them.

--- a/hawthornlead/admission/place_books.py
+++ b/hawthornlead/admission/place_books.py
@@ -117,26 +117,30 @@
         return False
 
     def apply_announced(self, announced: int, now: float, age_s: float) -> None:
-        """Apply how many requests of all VMs were announced, ``age_s`` ago.
+        """Apply how many requests of all VMs were announced, ``age_s`` ago on average.
 
         Those beyond what was granted here by then were sent without a grant, or were
         granted by the former owner. If there are fewer than granted, ends were lost.
         """
         then = now - age_s
+        oldest = then - age_s
         self._ended_at = [each for each in self._ended_at if each.ended_at > then]
-        old = [number for number, each in self._held.items() if each.at <= then]
+        old = sum(1 for each in self._held.values() if each.at <= then)
+        # These are in the announcements of all VMs, the oldest of which are twice as
+        # old as the mean.
+        surely = [number for number, each in self._held.items() if each.at <= oldest]
         ended = sum(1 for each in self._ended_at if each.granted_at <= then)
         self._forget_samples(now)
         self._samples.append(
             _Sample(
                 now,
-                max(0, announced - len(old) - ended),
-                max(0, len(old) - announced),
+                max(0, announced - old - ended),
+                max(0, len(surely) - announced),
             )
         )
         if len(self._samples) >= MIN_COMPARED:
             lost = min(each.missing for each in self._samples)
-            for number in old[:lost]:
+            for number in surely[:lost]:
                 self._remove(number)
             if lost:
                 self._samples.clear()
--- a/hawthornlead/admission/place_gates.py
+++ b/hawthornlead/admission/place_gates.py
@@ -79,6 +79,15 @@
             self.book.end(vm, number, now)
         return self.grant_waiting(now)
 
+    def count(self, request: PlaceRequest, now: float) -> None:
+        """Count a request that is sent whether it has a place or not."""
+        self._grant(request, now)
+
+    def end_oldest(self, vm: str, key: str, now: float) -> list[PlaceRequest]:
+        """End the place that a VM has held longest for a key; return who is served."""
+        self.book.end_oldest(vm, key, now)
+        return self.grant_waiting(now)
+
     def grant_waiting(self, now: float) -> list[PlaceRequest]:
         """Grant the free places to the waiting requests, and return these."""
         served = []
--- a/hawthornlead/admission/place_waits.py
+++ b/hawthornlead/admission/place_waits.py
@@ -60,6 +60,10 @@
         """End a VM's request, whether it has a place or waits for one."""
         self._wake(self.gate.end(vm, number, self._timers.now()))
 
+    def end_oldest(self, vm: str, key: str) -> None:
+        """End the place that a VM has held longest for a key."""
+        self._wake(self.gate.end_oldest(vm, key, self._timers.now()))
+
     def refresh(self) -> None:
         """Grant the places that are free now."""
         self._wake(self.gate.grant_waiting(self._timers.now()))
--- a/hawthornlead/errors.py
+++ b/hawthornlead/errors.py
@@ -38,6 +38,7 @@
     ISOLATED = "isolated"
     NO_TARGET = "no-target"
     NO_SLOT = "no-slot"
+    NO_PLACE = "no-place"
     NO_GRANT = "no-grant"
     LOAD_FAILED = "load-failed"
     STORE_UNAVAILABLE = "store-unavailable"
@@ -99,6 +100,7 @@
     ErrorKind.ISOLATED: Answer(503, _NOT, False),
     ErrorKind.NO_TARGET: Answer(503, _NOT, True),
     ErrorKind.NO_SLOT: Answer(503, _NOT, True),
+    ErrorKind.NO_PLACE: Answer(503, _NOT, True),
     ErrorKind.NO_GRANT: Answer(503, _NOT, True),
     ErrorKind.LOAD_FAILED: Answer(503, _NOT, True),
     ErrorKind.STORE_UNAVAILABLE: Answer(503, _NOT, False),
--- a/hawthornlead/gateway/engine_managers.py
+++ b/hawthornlead/gateway/engine_managers.py
@@ -24,10 +24,11 @@
 from .arrival_times import ArrivalTimes
 from .engine_calls import EngineCalls
 from .engine_owners import EngineOwner
+from .engine_places import EnginePlaces, UncountedPlaces
 from .engine_releases import EngineReleases
 from .engine_slots import AdapterKey
 from .gateway_metrics import GatewayMetrics
-from .holding_announcements import HoldingAnnouncements
+from .holding_announcements import HoldingAnnouncements, batch_time_s
 from .load_announcements import LoadAnnouncements
 from .memberships import Memberships
 from .ownerships import Ownerships
@@ -47,10 +48,6 @@
 CLAIM_INTERVAL_S = 0.25
 # Use counts expire after some half-lives of 10 s.
 EXPIRE_INTERVAL_S = 10.0
-# Changes of one engine within this time are announced in one message. The time grows
-# with the number of VMs, since each change is a message to each of them.
-HOLDINGS_BATCH_S = 0.01
-HOLDINGS_BATCH_PER_VM_S = 0.0005
 # How long a leaving VM waits for its claims and releases: three store calls.
 CHANGES_TIMEOUT_S = 3.0
 
@@ -72,7 +69,9 @@
         events: EventRing,
         metrics: GatewayMetrics,
         quotas: QuotaLedger,
+        places: EnginePlaces | None = None,
     ):
+        self._places = places or UncountedPlaces()
         self._metrics = metrics
         self._events = events
         self._memberships = memberships
@@ -325,10 +324,8 @@
         )
 
     async def _announce(self, owner: EngineOwner) -> None:
-        batch_s = HOLDINGS_BATCH_S
-        if not self._mesh.large:
-            batch_s += HOLDINGS_BATCH_PER_VM_S * len(self._memberships.live())
-        await self._timers.sleep(batch_s)
+        vms = 0 if self._mesh.large else len(self._memberships.live())
+        await self._timers.sleep(batch_time_s(vms))
         if self._owners.get(owner.target) is owner:
             self._holding_announcements.announce(owner.holdings)
 
@@ -384,7 +381,8 @@
             not_owned = message.target not in self._owners
             return PromptReserved(0.0, not_owned, not_owned)
         key = AdapterKey(message.model, message.adapter)
-        return owner.reserve(key, sender.vm, message)
+        age_s = self.announce_interval_s()
+        return await self._places.reserve(owner, key, sender.vm, message, age_s)
 
     async def _on_ended(self, sender, message: RequestEnded) -> None:
         owner = self._owner_of(message.target, message.started_ms)
@@ -393,6 +391,7 @@
         key = AdapterKey(message.model, message.adapter)
         self._loads.apply_ended(sender.vm, message.target, key, message.running)
         owner.end_turn(key, sender.vm)
+        self._places.end(owner, key, sender.vm)
 
     async def _on_missing(self, sender, message: AdapterMissing) -> None:
         owner = self._owner_of(message.target, message.started_ms)
--- a/hawthornlead/gateway/engine_slots.py
+++ b/hawthornlead/gateway/engine_slots.py
@@ -83,6 +83,11 @@
         # The start times of the turns of each VM's requests.
         self._turns: dict[AdapterKey, dict[str, list[float]]] = {}
 
+    @property
+    def spec(self) -> EngineSpec:
+        """What the engine can hold and run."""
+        return self._spec
+
     @property
     def models(self) -> tuple[str, ...]:
         """The models that the engine holds."""
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -27,7 +27,7 @@
 from .memberships import Memberships
 from .ownerships import Ownerships
 from .part_groups import Coordination, TargetParts
-from .place_parts import build_plain_places
+from .place_parts import build_engine_places, build_place_questions, build_plain_places
 from .placers import Placer
 from .prompt_quarantines import PromptQuarantines
 from .records import Configuration, TargetEntry, VmRecord
@@ -234,6 +234,7 @@
         events=core.events,
         metrics=metrics,
         quotas=coordination.quotas,
+        places=build_engine_places(core, memberships, targets, loads, metrics),
     )
     healths = TargetHealths(timers=timers)
     return TargetParts(targets, connections, paths, loads, healths, engine_manager)
@@ -327,6 +328,7 @@
         metrics=metrics,
         run_times=run_times,
         plain_places=plain_places,
+        place_questions=build_place_questions(core, known.loads, metrics),
     )
 
     def discard_former(former: TargetEntry, entry: TargetEntry) -> None:
--- a/hawthornlead/gateway/holding_announcements.py
+++ b/hawthornlead/gateway/holding_announcements.py
@@ -20,6 +20,15 @@
 # Changes that a head had gathered when it died are lost, so everything is announced
 # again.
 REANNOUNCE_INTERVAL_S = 4.0
+# Changes of one engine within this time are announced in one message. The time grows
+# with the number of VMs, if each change is a message to each of them.
+BATCH_S = 0.01
+BATCH_PER_VM_S = 0.0005
+
+
+def batch_time_s(vms: int) -> float:
+    """Return how long changes are batched for messages to so many VMs."""
+    return BATCH_S + BATCH_PER_VM_S * vms
 
 
 class HoldingAnnouncements:
--- a/hawthornlead/gateway/place_parts.py
+++ b/hawthornlead/gateway/place_parts.py
@@ -1,14 +1,19 @@
-"""Construction of the parts that count the places of plain targets."""
+"""Construction of the parts that count the places of targets over all VMs."""
 
 from ..admission.place_coordinators import CoordinatedTarget, PlaceCoordinator
 from ..admission.place_events import PlaceEvents
 from ..core_parts import CoreParts
 from .brittle_targets import BrittleTargets
+from .engine_places import EnginePlaces
 from .gateway_metrics import GatewayMetrics
+from .memberships import Memberships
 from .part_groups import Coordination, TargetParts
+from .place_questions import PlaceQuestions
 from .plain_places import PlainPlaces
 from .run_times import RunTimes
 from .target_limits import TargetLimits
+from .target_loads import TargetLoads
+from .target_tables import TargetTable
 
 
 def build_plain_places(
@@ -31,11 +36,7 @@
             return None
         return CoordinatedTarget(entry.slots, entry.started_ms)
 
-    report = PlaceEvents(
-        core.events,
-        core.timers,
-        lambda outcome: metrics.places.labels("plain", outcome).inc(),
-    )
+    report = _report("plain", core, metrics)
     coordinator = PlaceCoordinator(
         mesh=coordination.mesh,
         timers=core.timers,
@@ -66,3 +67,47 @@
             lambda former, _, part=part: part.discard(former.target)
         )
     return places
+
+
+def build_engine_places(
+    core: CoreParts,
+    memberships: Memberships,
+    targets: TargetTable,
+    loads: TargetLoads,
+    metrics: GatewayMetrics,
+) -> EnginePlaces | None:
+    """Build what counts the places of owned engines, None if the setting is off."""
+    if not core.settings["ENGINE_PLACES"]:
+        return None
+    places = EnginePlaces(
+        loads=loads,
+        timers=core.timers,
+        is_seen=memberships.is_reachable,
+        report=_report("engine", core, metrics),
+    )
+    targets.subscribe(lambda lost, _: places.discard(lost.target))
+    metrics.add_gauge(
+        "waiting_for_engine_places",
+        "Requests of all VMs that wait here for places at engines",
+        lambda: places.waiting,
+    )
+    return places
+
+
+def build_place_questions(
+    core: CoreParts, loads: TargetLoads, metrics: GatewayMetrics
+) -> PlaceQuestions | None:
+    """Build what asks for places at engines, None if the setting is off."""
+    if not core.settings["ENGINE_PLACES"]:
+        return None
+    report = _report("engine", core, metrics)
+    return PlaceQuestions(loads=loads, timers=core.timers, report=report)
+
+
+def _report(part: str, core: CoreParts, metrics: GatewayMetrics) -> PlaceEvents:
+    """Return what reports the decisions of one part of admission."""
+    return PlaceEvents(
+        core.events,
+        core.timers,
+        lambda outcome: metrics.places.labels(part, outcome).inc(),
+    )
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -18,9 +18,10 @@
 from .candidate_scorers import CandidateScorer, reading_share
 from .engine_slots import AdapterKey
 from .gateway_metrics import GatewayMetrics
+from .place_questions import PlaceQuestions
 from .placement_requests import PlacementRequest
 from .plain_places import PlaceHold, PlainChoice, PlainPlaces
-from .records import Configuration, ServiceSpec, TargetEntry
+from .records import Configuration, EngineSpec, ServiceSpec, TargetEntry
 from .refusals import backoff_failure, overload_failure
 from .run_times import RunTimes
 from .target_backoffs import TargetBackoffs
@@ -96,7 +97,9 @@
         metrics: GatewayMetrics,
         run_times: RunTimes,
         plain_places: PlainPlaces | None = None,
+        place_questions: PlaceQuestions | None = None,
     ):
+        self._place_questions = place_questions
         self._plain_places = plain_places
         self._metrics = metrics
         self._timers = timers
@@ -227,7 +230,7 @@
                 self._scorer.mark_full(entry.target, loaded.err_value)
                 return loaded
         if spec.engine is not None:
-            turn = await self._await_turn(requested, placed)
+            turn = await self._await_turn(requested, placed, spec.engine)
             if turn.is_err():
                 return turn
             turn_s = turn.ok_value
@@ -246,7 +249,9 @@
         if placed.hold is not None:
             self._plain_places.end(placed.hold)
         owner = self._targets.owner(entry.target)
-        if key is None or not key.adapter or not owner:
+        if key is None or not owner:
+            return
+        if not key.adapter and self._place_questions is None:
             return
         running = self._loads.own_running(entry.target, key)
         message = RequestEnded(entry.target, *key, running, entry.started_ms)
@@ -296,7 +301,7 @@
         return backoff_failure(min(waits)) if waits else None
 
     async def _await_turn(
-        self, requested: PlacementRequest, placed: Placed
+        self, requested: PlacementRequest, placed: Placed, spec: EngineSpec
     ) -> Result[float | None, Failure]:
         """Wait until the engine may read the prompt, and return how long it took.
 
@@ -323,24 +328,29 @@
             entry.started_ms,
             requested.route.event_gap_ms,
         )
-        reply = await self._mesh.call(
-            self._targets.owner(target), message, RESERVE_TIMEOUT_S
+        start_by = (
+            requested.arrived_at + TURN_SHARE * requested.route.objective_ms / 1000
         )
+        places = self._place_questions
+        if places is not None:
+            message = places.with_place(message, requested, spec, start_by, last)
+        timeout_s = RESERVE_TIMEOUT_S + max(0.0, message.wait_s)
+        reply = await self._mesh.call(self._targets.owner(target), message, timeout_s)
         if not self._targets.is_current(entry):
             return Err(_target_gone())
         if reply.is_err():
-            return Ok(None)
+            refusal = places and places.unanswered(entry, spec, reply.err_value, last)
+            return Err(refusal) if refusal else Ok(None)
         if not reply.ok_value.held:
             self._targets.mark_absent(target, placed.key)
             return Err(Failure(ErrorKind.LOAD_FAILED, "the adapter has left", 0.2))
+        refusal = places and places.refusal(message, reply.ok_value)
+        if refusal:
+            return Err(refusal)
         self._targets.record_turn(target, reply.ok_value.wait_s)
         if not reply.ok_value.reserved:
             return Err(Failure(ErrorKind.TOO_LATE_TO_START, "prompts wait there", 0.3))
-        now = self._timers.now()
-        start_by = (
-            requested.arrived_at + TURN_SHARE * requested.route.objective_ms / 1000
-        )
-        wait_s = min(reply.ok_value.wait_s, start_by - now)
+        wait_s = min(reply.ok_value.wait_s, start_by - self._timers.now())
         self._metrics.turn_wait.observe(max(0.0, wait_s))
         if wait_s > 0:
             await self._timers.sleep(wait_s)
--- a/hawthornlead/gateway/target_loads.py
+++ b/hawthornlead/gateway/target_loads.py
@@ -10,6 +10,9 @@
 from .engine_slots import AdapterKey
 from .records import Incarnation
 
+# How long the count in the answer of a target's owner replaces announced counts, which
+# are older than that.
+COUNTED_TTL_S = 0.3
 # A VM that reported nothing for this long is frozen, cut off or gone. Its requests have
 # ended or are unknown.
 UPDATE_TTL_S = 3.0
@@ -22,6 +25,13 @@
     load: TargetLoad
 
 
+class _Counted(NamedTuple):
+    """The other VMs' requests on one target as its owner counted them."""
+
+    at: float
+    others: int
+
+
 class _Total(NamedTuple):
     """All requests on one target by a head's report; ``own`` are this VM's in it."""
 
@@ -64,6 +74,7 @@
         self._totals: dict[str, _Total] = {}
         self._totals_at = -UPDATE_TTL_S
         self._own_reported: dict[str, int] = {}
+        self._counted: dict[str, _Counted] = {}
 
     @property
     def own_total(self) -> int:
@@ -108,6 +119,7 @@
 
     def on_restarted(self, target: str) -> None:
         """Stop counting this VM's requests to a target's former incarnation."""
+        self._counted.pop(target, None)
         running = self._own.pop(target, 0)
         uses = self._own_uses.pop(target, {})
         self._started.pop(target, None)
@@ -117,6 +129,24 @@
 
     def running(self, target: str) -> int:
         """Return the requests on a target, of all VMs."""
+        counted = self._counted.get(target)
+        if counted is not None:
+            if self._timers.now() - counted.at < COUNTED_TTL_S:
+                return self._own.get(target, 0) + counted.others
+            del self._counted[target]
+        return self.announced(target)
+
+    def record_counted(self, target: str, running: int) -> None:
+        """Record how many requests a target has as its owner counts them."""
+        others = max(0, running - self.own_on(target))
+        self._counted[target] = _Counted(self._timers.now(), others)
+
+    def is_counted_full(self, target: str, places: int) -> bool:
+        """Whether a target's owner just counted as many requests as it has places."""
+        return self.running(target) >= places and target in self._counted
+
+    def announced(self, target: str) -> int:
+        """Return the requests on a target, of all VMs, as they announced them."""
         own = self._own.get(target, 0)
         if self._timers.now() - self._totals_at < UPDATE_TTL_S:
             return own + self._others_in_total(target)
@@ -135,7 +165,7 @@
         """Return the requests of all VMs on each target that has any."""
         totals = []
         for target in set(self._own) | set(self._reports):
-            running = self.running(target)
+            running = self.announced(target)
             if running:
                 started_ms = self._incarnation(target).started_ms
                 totals.append(TargetRunning(target, running, started_ms))
--- a/hawthornlead/gateway/target_searches.py
+++ b/hawthornlead/gateway/target_searches.py
@@ -20,6 +20,8 @@
 # engines have few slots, most are in use while one somewhere is free. Beyond these the
 # request waits at the one of them that expects the next free slot.
 MAX_FULL_TRIES = 12
+# Engines that are asked for an immediate place; the next one is asked to wait for one.
+MAX_BUSY_TRIES = 6
 # A caller that retries as soon as one slot is expected to be free meets the same full
 # engines. Half a second is longer than a run, so other runs have ended by then.
 MIN_FULL_RETRY_S = 0.5
@@ -48,6 +50,7 @@
         self._score = score
         self._timers = timers
         self._full: dict[str, float] = {}
+        self._busy = 0
         self._scored: list[Scored] = []
         self._scored_at = -math.inf
         self.count = 1
@@ -95,6 +98,12 @@
             self._scored = with_slot_wait(self._scored, target, wait_ms)
             return
         self._scored_at = -math.inf
+        if failure.kind is ErrorKind.NO_PLACE:
+            # It may still be the best one to wait at, by the count in its answer.
+            self._busy += 1
+            if self._busy >= MAX_BUSY_TRIES:
+                self.count = max(MAX_LOAD_TRIES, self.count + 1)
+            return
         if failure.kind not in OWNERLESS:
             self.count += 1
         if failure.kind is not ErrorKind.TOO_LATE_TO_START:
--- a/hawthornlead/messages/gateways.py
+++ b/hawthornlead/messages/gateways.py
@@ -133,6 +133,10 @@
 
     Nothing is reserved if the turn is more than ``most_s`` away, or if the target runs
     as another incarnation than ``started_ms`` identifies.
+
+    Unless ``wait_s`` is negative, the request also needs a place in the batch, and
+    memory for ``tokens`` and ``output_tokens``. It waits ``wait_s`` for these at most,
+    and must start within ``due_s`` to be in time. ``share_key`` names its workspace.
     """
 
     target: str
@@ -142,18 +146,27 @@
     most_s: float
     started_ms: int | None = None
     gap_ms: float = 300.0
+    rank: int = 0
+    due_s: float = 0.0
+    output_tokens: int = 0
+    wait_s: float = -1.0
+    share_key: str = ""
 
 
 @message("prompt-reserved")
 class PromptReserved(NamedTuple):
     """Send the request in ``wait_s``; ``held`` False if its adapter isn't there.
 
-    ``reserved`` False if the wait is longer than requested.
+    ``reserved`` False if the wait is longer than requested. The target has ``running``
+    requests of all VMs, -1 if they aren't counted. If there is no place for the
+    request, one is expected in ``place_s``.
     """
 
     wait_s: float
     held: bool
     reserved: bool
+    running: int = -1
+    place_s: float = 0.0
 
 
 @message("yield-target")
