--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -145,6 +145,13 @@
         "INFO",
         "an engine counts as slow, as overloaded or as normal by its measured speed",
     )
+    PLACE_DELAYED = (560, "INFO", "a request waited for a place at a target")
+    PLACE_REFUSED = (561, "INFO", "a request got no place at a target")
+    PLACE_UNCOUNTED = (
+        562,
+        "INFO",
+        "a request is sent without a place, since the VM that counts did not answer",
+    )
     TARGET_DIED = (599, "WARNING", "a fresh connection showed that a target died")
 
     # 600: requests
--- a/hawthornlead/gateway/coordination_parts.py
+++ b/hawthornlead/gateway/coordination_parts.py
@@ -5,8 +5,6 @@
     coordination = build_coordination(core, metrics)
 """
 
-from typing import NamedTuple
-
 from ..core_parts import CoreParts
 from ..decisions.quotas import QuotaLedger
 from ..fleet.fleet_meshes import FleetMesh
@@ -15,6 +13,7 @@
 from .gateway_metrics import GatewayMetrics
 from .memberships import Memberships
 from .ownerships import Ownerships
+from .part_groups import Coordination
 from .records import VmRecord
 from .store_clients import StoreClient
 from .vm_leases import VmLease
@@ -25,18 +24,6 @@
 ASSUMED_VMS = 400
 
 
-class Coordination(NamedTuple):
-    """What VMs coordinate by: store, mesh, membership, and ownership of engines."""
-
-    client: StoreClient
-    mesh: FleetMesh
-    memberships: Memberships
-    lease: VmLease
-    ownerships: Ownerships
-    relays: WatchRelays
-    quotas: QuotaLedger
-
-
 def build_coordination(core: CoreParts, metrics: GatewayMetrics) -> Coordination:
     """Build what VMs coordinate by."""
     settings, timers, rng, events = core.settings, core.timers, core.rng, core.events
--- a/hawthornlead/gateway/engine_managers.py
+++ b/hawthornlead/gateway/engine_managers.py
@@ -20,6 +20,7 @@
 from ..timers import TimerService
 from .engine_calls import EngineCalls
 from .engine_owners import EngineOwner
+from .engine_places import EnginePlaces, UncountedPlaces
 from .engine_releases import EngineReleases
 from .engine_slots import AdapterKey
 from .fetch_tracker_builders import FetchTrackerBuilder
@@ -69,8 +70,10 @@
         quotas: QuotaLedger,
         measured: MeasuredEngines,
         learned_fetches: bool = False,
+        places: EnginePlaces | None = None,
     ):
         self._measured = measured
+        self._places = places or UncountedPlaces()
         self._metrics = metrics
         self._events = events
         self._memberships = memberships
@@ -293,9 +296,7 @@
             unacknowledged=unacknowledged,
             measured=self._measured.start(entry, spec),
             on_changed=self._publish,
-            on_restarted=lambda started_ms: self._on_reported_restart(
-                target, started_ms
-            ),
+            on_restarted=partial(self._on_reported_restart, target),
         )
         self._owners[target] = owner
         owner.start()
@@ -310,8 +311,7 @@
         )
 
     def _spec(self, entry: TargetEntry) -> EngineSpec | None:
-        service = self._configuration.service(entry.service)
-        return service.engine if service else None
+        return getattr(self._configuration.service(entry.service), "engine", None)
 
     # Announcements
 
@@ -319,24 +319,22 @@
         """Announce to all VMs, including this one, what an engine holds."""
         self._targets.apply_holdings(self._memberships.vm, owner.holdings)
         self._tasks.spawn_once(
-            f"announce {owner.target}", lambda: self._announce(owner)
+            f"announce {owner.target}", partial(self._announce, owner)
         )
 
     async def _announce(self, owner: EngineOwner) -> None:
-        vms = len(self._memberships.live())
-        await self._timers.sleep(self._holding_announcements.batch_s(vms))
+        announcements, vms = self._holding_announcements, self._memberships.live()
+        await self._timers.sleep(announcements.batch_s(len(vms)))
         if self._owners.get(owner.target) is owner:
-            self._holding_announcements.announce(owner.holdings)
+            announcements.announce(owner.holdings)
 
     def _record_uses(self, update: VmLoads) -> None:
         """Count the started requests that a VM announces for engines owned here."""
         now = self._timers.now()
         for load in update.loads:
             owner = self._owner_of(load.target, load.started_ms)
-            for use in load.uses if owner is not None else ():
-                if use.started or use.running:
-                    key = AdapterKey(use.model, use.adapter)
-                    owner.slots.record_use(key, use.started, now)
+            if owner is not None:
+                owner.slots.record_uses(load.uses, now)
 
     # Requests of other VMs
 
@@ -362,16 +360,18 @@
         )
         prompt = Prompt.of(sender.vm, message)
         loaded = await owner.load(request, message.version, message.wait_s, prompt)
-        if loaded.is_err():
-            self._events.emit(
-                EventKind.LOAD_TURNED_DOWN,
-                message.target,
-                adapter=message.adapter,
-                asked_by=sender.vm,
-                detail=loaded.err_value.detail,
-            )
-            return failed(loaded.err_value)
-        return loaded.ok_value
+        if loaded.is_ok():
+            if loaded.ok_value.turn_s is not None:
+                self._places.count(owner, key, sender.vm, prompt.tokens)
+            return loaded.ok_value
+        self._events.emit(
+            EventKind.LOAD_TURNED_DOWN,
+            message.target,
+            adapter=message.adapter,
+            asked_by=sender.vm,
+            detail=loaded.err_value.detail,
+        )
+        return failed(loaded.err_value)
 
     async def _on_reserve(self, sender, message: ReservePrompt):
         owner = self._owner_of(message.target, message.started_ms)
@@ -381,7 +381,8 @@
             not_owned = message.target not in self._owners
             return PromptReserved(0.0, not_owned, not_owned)
         key = AdapterKey(message.model, message.adapter)
-        return owner.reserve(key, sender.vm, message)
+        age_s = self.announce_interval_s()
+        return await self._places.reserve(owner, key, sender.vm, message, age_s)
 
     async def _on_ended(self, sender, message: RequestEnded) -> None:
         owner = self._owner_of(message.target, message.started_ms)
@@ -391,6 +392,7 @@
         self._loads.apply_ended(sender.vm, message.target, key, message.running)
         owner.end_turn(key, sender.vm)
         owner.measured.record(message)
+        self._places.end(owner, key, sender.vm)
 
     async def _on_missing(self, sender, message: AdapterMissing) -> None:
         owner = self._owner_of(message.target, message.started_ms)
--- a/hawthornlead/gateway/engine_slots.py
+++ b/hawthornlead/gateway/engine_slots.py
@@ -6,10 +6,11 @@
 """
 
 import math
+from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple, Protocol
 
-from ..messages.gateways import HeldAdapter
+from ..messages.gateways import AdapterUse, HeldAdapter
 from .records import EngineReport, EngineSpec
 
 # Before a request is sent the owner is asked for its turn, and it is notified when the
@@ -86,6 +87,11 @@
         # for it any more, though it may turn out that the engine still holds it.
         self.evicting: AdapterKey | None = None
 
+    @property
+    def spec(self) -> EngineSpec:
+        """What the engine can hold and run."""
+        return self._spec
+
     @property
     def models(self) -> tuple[str, ...]:
         """The models that the engine holds."""
@@ -146,6 +152,13 @@
         use.score = self._score(use, now) + count
         use.at = now
 
+    def record_uses(self, uses: Iterable[AdapterUse], now: float) -> None:
+        """Count the started requests that a VM announces for adapters."""
+        for use in uses:
+            if use.started or use.running:
+                key = AdapterKey(use.model, use.adapter)
+                self.record_use(key, use.started, now)
+
     def record_turn(self, key: AdapterKey, vm: str, at: float) -> None:
         """Record that a VM sends a request for an adapter at ``at``."""
         self._turns.setdefault(key, {}).setdefault(vm, []).append(at)
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -10,14 +10,13 @@
 """
 
 from collections.abc import Callable
-from typing import NamedTuple
 
 from ..core_parts import CoreParts
 from ..decisions.quotas import Limit, QuotaLedger
 from ..decisions.retries import Retries
 from ..decisions.suspects import Suspects
 from .brittle_targets import BrittleTargets
-from .coordination_parts import ASSUMED_VMS, Coordination
+from .coordination_parts import ASSUMED_VMS
 from .crash_watches import CrashWatch
 from .engine_calls import EngineCalls
 from .engine_managers import EngineManager
@@ -25,6 +24,8 @@
 from .leaving_notices import LeavingNotices
 from .loss_detectors import LossDetector
 from .measured_engines import MeasuredEngines
+from .part_groups import Coordination, TargetParts
+from .place_parts import build_engine_places, build_place_questions, build_plain_places
 from .placers import Placer
 from .prompt_quarantines import PromptQuarantines
 from .records import Configuration, TargetEntry
@@ -43,18 +44,6 @@
 from .workspaces import WorkspaceTable
 
 
-class TargetParts(NamedTuple):
-    """The state of targets, the connections to them, and the engines of this VM."""
-
-    targets: TargetTable
-    connections: TargetConnections
-    paths: TargetPaths
-    loads: TargetLoads
-    healths: TargetHealths
-    engine_manager: EngineManager
-    measured: MeasuredEngines
-
-
 class GatewayParts:
     """The collaborators of all requests, and the configuration in force."""
 
@@ -182,6 +171,7 @@
         quotas=coordination.quotas,
         learned_fetches=core.settings["LEARNED_FETCHES"],
         measured=measured,
+        places=build_engine_places(core, memberships, targets, loads, metrics),
     )
     healths = TargetHealths(timers=timers)
     return TargetParts(
@@ -262,6 +252,9 @@
         timers=timers, events=core.events, wait_for_room_s=brittle.wait_s
     )
     run_times = RunTimes()
+    plain_places = build_plain_places(
+        core, coordination, known, metrics, limits, brittle, run_times
+    )
     placer = Placer(
         data_centre=core.settings["DATA_CENTRE"],
         targets=known.targets,
@@ -274,6 +267,8 @@
         metrics=metrics,
         run_times=run_times,
         measured=known.measured,
+        plain_places=plain_places,
+        place_questions=build_place_questions(core, known.loads, metrics),
     )
 
     def discard_former(former: TargetEntry, entry: TargetEntry) -> None:
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -1,7 +1,5 @@
 """Placing a request: choose a target and have its adapter loaded there if necessary."""
 
-from typing import NamedTuple
-
 from result import Err, Ok, Result
 
 from ..engine_speeds.stream_samples import StreamSample
@@ -20,17 +18,16 @@
 from .engine_slots import AdapterKey
 from .gateway_metrics import GatewayMetrics
 from .measured_engines import MeasuredEngines
+from .place_questions import PlaceQuestions
+from .placed_requests import Placed, Prepared
 from .placement_requests import PlacementRequest
-from .records import (
-    Configuration,
-    ServiceSpec,
-    TargetEntry,
-)
+from .plain_places import PlainChoice, PlainPlaces
+from .records import Configuration, EngineSpec, ServiceSpec
 from .refusals import backoff_failure, no_target_failure, overload_failure
 from .run_times import RunTimes
 from .speed_costs import stream_demand
 from .target_backoffs import TargetBackoffs
-from .target_choices import Candidate, Holding
+from .target_choices import Holding
 from .target_healths import TargetHealths
 from .target_limits import TargetLimits
 from .target_loads import TargetLoads
@@ -62,36 +59,6 @@
 )
 
 
-class Placed(NamedTuple):
-    """The target of an attempt, and the candidate it was chosen from.
-
-    ``key`` is None if no adapter is involved. ``tries`` counts the targets that were
-    asked to load the adapter, including this one. ``turn_s`` is how long the prompt
-    waited for its turn, None if the target's owner didn't assign one. ``counted`` is
-    set if the request already counts against the target's limit. ``load_s`` is how long
-    it waited for its adapter, None if that was ready. ``foreseen`` is set if its turn
-    was reserved when the adapter was expected, which may have been too early.
-    """
-
-    entry: TargetEntry
-    key: AdapterKey | None
-    cost_ms: float
-    candidate: Candidate
-    tries: int
-    turn_s: float | None = None
-    counted: bool = False
-    load_s: float | None = None
-    foreseen: bool = False
-
-
-class _Prepared(NamedTuple):
-    """What is known of a request once its target is prepared, as in ``Placed``."""
-
-    turn_s: float | None
-    load_s: float | None
-    foreseen: bool
-
-
 class Placer:
     """Chooses targets for requests from the state that this VM has observed.
 
@@ -114,7 +81,11 @@
         metrics: GatewayMetrics,
         run_times: RunTimes,
         measured: MeasuredEngines | None = None,
+        plain_places: PlainPlaces | None = None,
+        place_questions: PlaceQuestions | None = None,
     ):
+        self._place_questions = place_questions
+        self._plain_places = plain_places
         self._metrics = metrics
         self._timers = timers
         self._targets = targets
@@ -159,6 +130,10 @@
             ),
             timers=self._timers,
         )
+        if self._plain_places is not None and spec.engine is None:
+            choice = await self._plain_places.choose(requested, spec, search.candidates)
+            if choice is not None:
+                return choice.map(_at_its_place)
         while search.may_continue:
             slack_s = self._slot_due_at(requested) - self._timers.now()
             if not search.candidates:
@@ -200,7 +175,7 @@
         placed: Placed,
         place_until: float,
         slot_wait_s: float,
-    ) -> Result[_Prepared, Failure]:
+    ) -> Result[Prepared, Failure]:
         """Prepare a target, counting the request against the target's limit if any.
 
         The request counts from here on, because others are placed while its adapter
@@ -221,7 +196,7 @@
         placed: Placed,
         place_until: float,
         slot_wait_s: float,
-    ) -> Result[_Prepared, Failure]:
+    ) -> Result[Prepared, Failure]:
         """Load the adapter if it is missing, and wait for the prompt's turn."""
         entry = placed.entry
         turn_s = load_s = given_s = None
@@ -243,14 +218,14 @@
             self._targets.record_turn(entry.target, given_s)
             turn_s = await self._sleep_until_turn(requested, given_s)
         elif spec.engine is not None:
-            turn = await self._await_turn(requested, placed)
+            turn = await self._await_turn(requested, placed, spec.engine)
             if turn.is_err():
                 return turn
             turn_s = turn.ok_value
         if not self._targets.is_current(entry):
             self.notify_ended(placed)
             return Err(TARGET_GONE)
-        return Ok(_Prepared(turn_s, load_s, given_s is not None))
+        return Ok(Prepared(turn_s, load_s, given_s is not None))
 
     def notify_ended(self, placed: Placed, sample: StreamSample | None = None) -> None:
         """Notify a target's owner that a request which had its turn has ended.
@@ -261,8 +236,12 @@
         than it is, which is as long as most runs last.
         """
         entry, key = placed.entry, placed.key
+        if placed.hold is not None:
+            self._plain_places.end(placed.hold)
         owner = self._targets.owner(entry.target)
-        if key is None or not key.adapter or not owner:
+        if key is None or not owner:
+            return
+        if not key.adapter and self._place_questions is None:
             return
         running = self._loads.own_running(entry.target, key)
         message = RequestEnded(entry.target, *key, running, entry.started_ms)
@@ -303,7 +282,7 @@
         return backoff_failure(min(waits)) if waits else None
 
     async def _await_turn(
-        self, requested: PlacementRequest, placed: Placed
+        self, requested: PlacementRequest, placed: Placed, spec: EngineSpec
     ) -> Result[float | None, Failure]:
         """Wait until the engine may read the prompt, and return how long it took.
 
@@ -330,16 +309,24 @@
             entry.started_ms,
             requested.route.event_gap_ms,
         )
-        reply = await self._mesh.call(
-            self._targets.owner(target), message, RESERVE_TIMEOUT_S
-        )
+        objective_s = requested.route.objective_ms / 1000
+        start_by = requested.arrived_at + TURN_SHARE * objective_s
+        places = self._place_questions
+        if places is not None:
+            message = places.with_place(message, requested, spec, start_by, last)
+        timeout_s = RESERVE_TIMEOUT_S + max(0.0, message.wait_s)
+        reply = await self._mesh.call(self._targets.owner(target), message, timeout_s)
         if not self._targets.is_current(entry):
             return Err(TARGET_GONE)
         if reply.is_err():
-            return Ok(None)
+            refusal = places and places.unanswered(entry, spec, reply.err_value, last)
+            return Err(refusal) if refusal else Ok(None)
         if not reply.ok_value.held:
             self._targets.mark_refused(target, placed.key)
             return Err(Failure(ErrorKind.LOAD_FAILED, "the adapter has left", 0.2))
+        refusal = places and places.refusal(message, reply.ok_value)
+        if refusal:
+            return Err(refusal)
         self._targets.record_turn(target, reply.ok_value.wait_s)
         if not reply.ok_value.reserved:
             return Err(Failure(ErrorKind.TOO_LATE_TO_START, "prompts wait there", 0.3))
@@ -386,3 +373,7 @@
             requested.route.event_gap_ms,
         )
         return await self._mesh.call(owner, message, wait_s + 0.1)
+
+
+def _at_its_place(choice: PlainChoice) -> Placed:
+    return Placed(choice.hold.entry, None, *choice.scored, 1, hold=choice.hold)
