Places: who waits at a VM that hangs is sent directly in both parts

Cause: a frozen owner of an engine keeps its connections, so a question that waited there for a place ended only with its own bound, up to 1.7 s later.

Change: WaitingQuestions, taken out of the places of plain targets, is used for engines too: an unanswered short question ends the waits at that VM, and their requests are sent directly.

Measured: in test_engine_places a request that waits at an owner that hangs is sent within 50 ms of the first unanswered short question.

--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -328,7 +328,7 @@
         metrics=metrics,
         run_times=run_times,
         plain_places=plain_places,
-        place_questions=build_place_questions(core, known.loads, metrics),
+        place_questions=build_place_questions(core, mesh, known.loads, metrics),
     )
 
     def discard_former(former: TargetEntry, entry: TargetEntry) -> None:
--- a/hawthornlead/gateway/place_parts.py
+++ b/hawthornlead/gateway/place_parts.py
@@ -3,6 +3,7 @@
 from ..admission.place_coordinators import CoordinatedTarget, PlaceCoordinator
 from ..admission.place_events import PlaceEvents
 from ..core_parts import CoreParts
+from ..fleet.fleet_meshes import FleetMesh
 from .brittle_targets import BrittleTargets
 from .engine_places import EnginePlaces
 from .gateway_metrics import GatewayMetrics
@@ -95,13 +96,13 @@
 
 
 def build_place_questions(
-    core: CoreParts, loads: TargetLoads, metrics: GatewayMetrics
+    core: CoreParts, mesh: FleetMesh, loads: TargetLoads, metrics: GatewayMetrics
 ) -> PlaceQuestions | None:
     """Build what asks for places at engines, None if the setting is off."""
     if not core.settings["ENGINE_PLACES"]:
         return None
     report = _report("engine", core, metrics)
-    return PlaceQuestions(loads=loads, timers=core.timers, report=report)
+    return PlaceQuestions(mesh=mesh, loads=loads, timers=core.timers, report=report)
 
 
 def _report(part: str, core: CoreParts, metrics: GatewayMetrics) -> PlaceEvents:
--- a/hawthornlead/gateway/place_questions.py
+++ b/hawthornlead/gateway/place_questions.py
@@ -6,8 +6,12 @@
     refusal = questions.apply_reply(target, reply, last)
 """
 
+from result import Result
+
 from ..admission.place_events import PlaceEvents
+from ..admission.waiting_questions import WaitingQuestions
 from ..errors import ErrorKind, Failure
+from ..fleet.fleet_meshes import FleetMesh
 from ..messages.gateways import PromptReserved, ReservePrompt
 from ..timers import TimerService
 from .placement_requests import PlacementRequest
@@ -24,12 +28,26 @@
     """This VM's questions for places at engines."""
 
     def __init__(
-        self, *, loads: TargetLoads, timers: TimerService, report: PlaceEvents
+        self,
+        *,
+        mesh: FleetMesh,
+        loads: TargetLoads,
+        timers: TimerService,
+        report: PlaceEvents,
     ):
+        self._questions = WaitingQuestions(mesh)
         self._loads = loads
         self._timers = timers
         self._report = report
 
+    async def call(
+        self, owner: str, message: ReservePrompt, timeout_s: float
+    ) -> Result[PromptReserved, Failure]:
+        """Ask an engine's owner, which answers in ``timeout_s`` and any wait."""
+        waits = message.wait_s > 0
+        timeout_s += max(0.0, message.wait_s)
+        return await self._questions.call(owner, message, timeout_s, waits)
+
     def with_place(
         self,
         message: ReservePrompt,
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -332,10 +332,12 @@
             requested.arrived_at + TURN_SHARE * requested.route.objective_ms / 1000
         )
         places = self._place_questions
-        if places is not None:
+        owner = self._targets.owner(target)
+        if places is None:
+            reply = await self._mesh.call(owner, message, RESERVE_TIMEOUT_S)
+        else:
             message = places.with_place(message, requested, spec, start_by, last)
-        timeout_s = RESERVE_TIMEOUT_S + max(0.0, message.wait_s)
-        reply = await self._mesh.call(self._targets.owner(target), message, timeout_s)
+            reply = await places.call(owner, message, RESERVE_TIMEOUT_S)
         if not self._targets.is_current(entry):
             return Err(_target_gone())
         if reply.is_err():
--- a/hawthornlead/gateway/plain_places.py
+++ b/hawthornlead/gateway/plain_places.py
@@ -7,9 +7,7 @@
     places.end(choice.hold)
 """
 
-import asyncio
 import itertools
-from collections import defaultdict
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -17,9 +15,9 @@
 
 from ..admission.place_events import PlaceEvents
 from ..admission.place_searches import NEAR_S, PlaceQuestion, PlaceSearch
+from ..admission.waiting_questions import WaitingQuestions, is_silent
 from ..errors import ErrorKind, Failure
 from ..fleet.fleet_meshes import FleetMesh
-from ..mesh.calls import unavailable
 from ..mesh.casts import send
 from ..messages.admission import PlaceEnded, PlaceReserved, ReservePlace
 from ..timers import TimerService
@@ -95,8 +93,7 @@
         self._turns = itertools.count(len(mesh.vm) + sum(mesh.vm.encode()))
         self._direct_until: dict[str, float] = {}
         self._waits: dict[str, _Wait] = {}
-        # Questions that wait for places, by the coordinator that was asked.
-        self._pending: dict[str, set[asyncio.Task]] = defaultdict(set)
+        self._questions = WaitingQuestions(mesh)
 
     async def choose(
         self, requested: PlacementRequest, spec: ServiceSpec, scored: list[Scored]
@@ -211,7 +208,12 @@
         hold = PlaceHold(coordinator, entry, number, 0.0)
         settled = False
         try:
-            reply = await self._call(coordinator, message)
+            reply = await self._questions.call(
+                coordinator,
+                message,
+                question.wait_s + ANSWER_TIMEOUT_S,
+                waits=question.wait_s > NEAR_S,
+            )
             settled = reply.is_ok() and isinstance(reply.ok_value, PlaceReserved)
         finally:
             if not settled:
@@ -221,8 +223,8 @@
         if not settled:
             if reply.is_ok():
                 return Err(Failure(ErrorKind.BAD_MESSAGE, "no reply to a question"))
-            if reply.err_value.kind is ErrorKind.PEER_UNAVAILABLE:
-                self._on_silent(coordinator)
+            if is_silent(reply):
+                self._direct_until[coordinator] = now + DIRECT_S
             return reply
         answer: PlaceReserved = reply.ok_value
         if answer.reserved:
@@ -231,31 +233,6 @@
         self._waits[entry.target] = _Wait(now + WAIT_TTL_S, answer.wait_s)
         return Ok(answer)
 
-    async def _call(self, coordinator: str, message: ReservePlace) -> Result:
-        """Ask a coordinator; a question that waits ends once the VM seems silent.
-
-        A frozen VM keeps its connections, so that only an unanswered short question
-        shows it.
-        """
-        timeout_s = message.wait_s + ANSWER_TIMEOUT_S
-        if message.wait_s <= NEAR_S:
-            return await self._mesh.call(coordinator, message, timeout_s)
-        call = asyncio.ensure_future(self._mesh.call(coordinator, message, timeout_s))
-        self._pending[coordinator].add(call)
-        try:
-            await asyncio.wait({call})
-            if call.cancelled():
-                return unavailable(f"{coordinator} answers no question")
-            return call.result()
-        finally:
-            call.cancel()
-            self._pending[coordinator].discard(call)
-
-    def _on_silent(self, coordinator: str) -> None:
-        self._direct_until[coordinator] = self._timers.now() + DIRECT_S
-        for call in self._pending.pop(coordinator, ()):
-            call.cancel()
-
     def _message(
         self,
         requested: PlacementRequest,
--- a/hawthornlead/tests/test_engine_places.py
+++ b/hawthornlead/tests/test_engine_places.py
@@ -95,7 +95,9 @@
 
     def _placer(self, vm):
         loads = self.loads[vm]
-        questions = PlaceQuestions(loads=loads, timers=self.timers, report=self.report)
+        questions = PlaceQuestions(
+            mesh=self.meshes[vm], loads=loads, timers=self.timers, report=self.report
+        )
         placer = Placer(
             data_centre="gijon",
             targets=self.engines,
@@ -245,6 +247,22 @@
     simulate(play())
 
 
+def test_who_waits_at_an_owner_that_hangs_is_sent_directly():
+    """A frozen owner keeps its connections: who waits there would start too late."""
+
+    async def play():
+        site = EngineSite(engines=1)
+        await fill(site)
+        waiting = asyncio.ensure_future(site.place("vm-7"))
+        await asyncio.sleep(0.1)
+        site.silent.add("vm-0")
+        site.loads["vm-7"].record_counted("e0", 0)
+        assert (await site.place("vm-7")).is_ok()
+        assert (await asyncio.wait_for(waiting, 0.05)).is_ok()
+
+    simulate(play())
+
+
 def test_a_new_owner_counts_the_announced_requests():
     async def play():
         site = EngineSite(engines=1)
