--- a/hawthornlead/code_archives.py
+++ b/hawthornlead/code_archives.py
@@ -6,7 +6,8 @@
 
     SIGNATURE, version of the interpreter, NUL
     CRC-32 of the header (4 bytes), its length (4), length of the file (8), big-endian
-    header: a marshalled tuple of the entries of modules and of compiled extensions
+    header: a marshalled tuple of the entries of modules, the paths of compiled
+        extensions and the two dicts of ``compiled_texts``
     marshalled code objects
 
 An archive for another interpreter, a truncated one or one with a damaged header is
@@ -67,10 +68,9 @@
     and the offset and length of its code.
     """
 
-    def __init__(self, descriptor: int, modules: dict, extensions: dict[str, str]):
+    def __init__(self, descriptor: int, header: tuple):
         self._descriptor = descriptor
-        self.modules = modules
-        self.extensions = extensions
+        self.modules, self.extensions, *self.texts = header
 
     def code_bytes(self, name: str) -> bytes:
         """Return the marshalled code of a module."""
@@ -205,8 +205,7 @@
     if header is None:
         os.close(descriptor)
         return None
-    modules, extensions = marshal.loads(header)
-    return Archive(descriptor, modules, extensions)
+    return Archive(descriptor, marshal.loads(header))
 
 
 def _read_header(descriptor: int) -> bytes | None:
@@ -223,10 +222,12 @@
     return header if crc32(header) == checksum else None
 
 
-def pack_archive(modules: dict, extensions: dict[str, str], codes: dict) -> bytes:
+def pack_archive(modules: dict, codes: dict, extensions=(), texts=({}, {})) -> bytes:
     """Return an archive's content.
 
-    ``modules`` holds the entries without their places, ``codes`` the marshalled code.
+    ``modules`` holds the entries without their places, ``codes`` the marshalled code,
+    ``extensions`` the paths of compiled extensions by name, ``texts`` what
+    ``compiled_texts`` recorded.
     """
     # Places are counted from the end of the header, whose length depends on them, so
     # it is packed anew until they hold.
@@ -236,7 +237,7 @@
         for name, entry in modules.items():
             placed[name] = (*entry, offset, len(codes[name]))
             offset += len(codes[name])
-        header = marshal.dumps((placed, extensions))
+        header = marshal.dumps((placed, dict(extensions), *texts))
         prefix = archive_prefix()
         if start == len(prefix) + _LENGTHS + len(header):
             break
@@ -252,4 +253,7 @@
     if archive is None:
         return False
     sys.meta_path.insert(0, ArchiveFinder(archive))
+    from .compiled_texts import CompiledTexts, install_texts
+
+    install_texts(CompiledTexts(*archive.texts))
     return True
