--- a/hawthornlead/tests/start_costs.py
+++ b/hawthornlead/tests/start_costs.py
@@ -63,19 +63,22 @@
 @click.option("--rounds", default=5, help="measurements of each checkout, in turn")
 @click.option("--against", default="", help="another checkout to compare with")
 @click.option("--deps", default="target/deps", help="where the libraries are installed")
+@click.option(
+    "--bytecode/--no-bytecode", default=True, help="write the checkouts' bytecode first"
+)
 @click.option("--profile", default="", help="where one VM's profile is written")
-def main(vms, rounds, against, deps, profile) -> None:
+def main(vms, rounds, against, deps, bytecode, profile) -> None:
     """Print what a start costs a VM until it is ready, and in the 2 s after."""
     logger.remove()
-    os.environ.pop("PYTHONDONTWRITEBYTECODE", None)
+    os.environ["PYTHONDONTWRITEBYTECODE"] = "" if bytecode else "1"
     libraries = Path(deps).resolve()
     if not libraries.is_dir():
         raise click.ClickException(f"{libraries} is missing: run the build line")
     checkouts = {"this": Path.cwd()}
     if against:
         checkouts["other"] = Path(against).resolve()
-    # This start also writes the bytecode of a fresh checkout, as a build does; without
-    # it, compiling would count as a part of each start.
+    # This start also writes the bytecode of a fresh checkout, as a build does, unless
+    # forbidden; without it, compiling counts as a part of each start.
     for name, path in checkouts.items():
         loads = asyncio.run(count_loads(path, libraries))
         click.echo(json.dumps({"checkout": name, **loads._asdict()}))
