--- a/hawthornlead/tests/test_code_archives.py
+++ b/hawthornlead/tests/test_code_archives.py
@@ -16,6 +16,7 @@
 
 from hawthornlead import code_archives
 from hawthornlead.code_archives import ArchiveFinder, open_archive, pack_archive
+from hawthornlead.gateway import archive_builds
 from hawthornlead.gateway.archive_builds import compiled_module
 
 from .path_costs import Command, PathFleet, play
@@ -137,6 +138,23 @@
     assert find(sample) is not None
 
 
+def test_a_checkout_may_be_moved_after_the_build(tmp_path, monkeypatch):
+    # Modules of the old place must not be used, nor be named by tracebacks.
+    old, new = tmp_path / "old", tmp_path / "new"
+    old.mkdir()
+    path = old / "moved_sample.py"
+    path.write_text(SOURCE)
+    monkeypatch.setattr(archive_builds, "ROOT", str(old))
+    entry, code = compiled_module(str(path))
+    (old / "archive").write_bytes(pack_archive({path.stem: entry}, {path.stem: code}))
+    shutil.copytree(old, new)
+    monkeypatch.setattr(code_archives, "ROOT", str(new))
+    monkeypatch.syspath_prepend(new)
+    module = load(new / path.name, monkeypatch)
+    assert module.__file__ == str(new / path.name)
+    assert module.fail.__code__.co_filename == str(new / path.name)
+
+
 def test_a_deferred_module_is_executed_once_at_its_first_use(sample, monkeypatch):
     monkeypatch.setattr(code_archives, "DEFERRED", {sample.stem})
     module = load(sample, monkeypatch)
