Keep no compiled regular expressions or constructors in the archive

They were taken over by replacing names inside the standard library's re and collections modules, which a patch release of the interpreter may change.

--- a/hawthornlead/code_archives.py
+++ b/hawthornlead/code_archives.py
@@ -6,8 +6,7 @@
 
     SIGNATURE, version of the interpreter, NUL
     CRC-32 of the header (4 bytes), its length (4), length of the file (8), big-endian
-    header: a marshalled tuple of the entries of modules, the paths of compiled
-        extensions and the two dicts of ``compiled_texts``
+    header: a marshalled tuple of the entries of modules and of compiled extensions
     marshalled code objects
 
 An archive for another interpreter, a truncated one or one with a damaged header is
@@ -68,9 +67,10 @@
     and the offset and length of its code.
     """
 
-    def __init__(self, descriptor: int, header: tuple):
+    def __init__(self, descriptor: int, modules: dict, extensions: dict[str, str]):
         self._descriptor = descriptor
-        self.modules, self.extensions, *self.texts = header
+        self.modules = modules
+        self.extensions = extensions
 
     def code_bytes(self, name: str) -> bytes:
         """Return the marshalled code of a module."""
@@ -205,7 +205,8 @@
     if header is None:
         os.close(descriptor)
         return None
-    return Archive(descriptor, marshal.loads(header))
+    modules, extensions = marshal.loads(header)
+    return Archive(descriptor, modules, extensions)
 
 
 def _read_header(descriptor: int) -> bytes | None:
@@ -222,12 +223,10 @@
     return header if crc32(header) == checksum else None
 
 
-def pack_archive(modules: dict, codes: dict, extensions=(), texts=({}, {})) -> bytes:
+def pack_archive(modules: dict, extensions: dict[str, str], codes: dict) -> bytes:
     """Return an archive's content.
 
-    ``modules`` holds the entries without their places, ``codes`` the marshalled code,
-    ``extensions`` the paths of compiled extensions by name, ``texts`` what
-    ``compiled_texts`` recorded.
+    ``modules`` holds the entries without their places, ``codes`` the marshalled code.
     """
     # Places are counted from the end of the header, whose length depends on them, so
     # it is packed anew until they hold.
@@ -237,7 +236,7 @@
         for name, entry in modules.items():
             placed[name] = (*entry, offset, len(codes[name]))
             offset += len(codes[name])
-        header = marshal.dumps((placed, dict(extensions), *texts))
+        header = marshal.dumps((placed, extensions))
         prefix = archive_prefix()
         if start == len(prefix) + _LENGTHS + len(header):
             break
@@ -253,7 +252,4 @@
     if archive is None:
         return False
     sys.meta_path.insert(0, ArchiveFinder(archive))
-    from .compiled_texts import CompiledTexts, install_texts
-
-    install_texts(CompiledTexts(*archive.texts))
     return True
--- a/hawthornlead/gateway/archive_builds.py
+++ b/hawthornlead/gateway/archive_builds.py
@@ -60,13 +60,8 @@
     """Write an archive of the loaded modules; return how many it holds."""
     from importlib.machinery import ExtensionFileLoader, SourceFileLoader
 
-    from ..compiled_texts import Recorder
-
-    recorder = Recorder()
-    loaded = loaded_modules()
-    texts = recorder.texts()
     entries, codes, extensions = {}, {}, {}
-    for name, module in loaded.items():
+    for name, module in loaded_modules().items():
         spec = module.__spec__
         if isinstance(spec.loader, ExtensionFileLoader):
             extensions[name] = _stored_path(spec.origin)
@@ -75,7 +70,7 @@
     # A start during the build sees the old archive or the new one.
     part = f"{path}.{os.getpid()}"
     with open(part, "wb") as file:
-        file.write(pack_archive(entries, codes, extensions, texts))
+        file.write(pack_archive(entries, extensions, codes))
     os.replace(part, path)
     return len(entries)
 
--- a/hawthornlead/tests/test_code_archives.py
+++ b/hawthornlead/tests/test_code_archives.py
@@ -48,7 +48,7 @@
     path = tmp_path / "archived_sample.py"
     path.write_text(SOURCE)
     entry, code = compiled_module(str(path))
-    content = pack_archive({path.stem: entry}, {path.stem: code})
+    content = pack_archive({path.stem: entry}, {}, {path.stem: code})
     (tmp_path / "archive").write_bytes(content)
     monkeypatch.syspath_prepend(tmp_path)
     return path
@@ -146,7 +146,9 @@
     path.write_text(SOURCE)
     monkeypatch.setattr(archive_builds, "ROOT", str(old))
     entry, code = compiled_module(str(path))
-    (old / "archive").write_bytes(pack_archive({path.stem: entry}, {path.stem: code}))
+    (old / "archive").write_bytes(
+        pack_archive({path.stem: entry}, {}, {path.stem: code})
+    )
     shutil.copytree(old, new)
     monkeypatch.setattr(code_archives, "ROOT", str(new))
     monkeypatch.syspath_prepend(new)
@@ -177,7 +179,7 @@
     monkeypatch.setattr(code_archives, "DEFERRED", {sample.stem})
     sample.write_text("import missing_library\n")
     entry, code = compiled_module(str(sample))
-    content = pack_archive({sample.stem: entry}, {sample.stem: code})
+    content = pack_archive({sample.stem: entry}, {}, {sample.stem: code})
     (sample.parent / "archive").write_bytes(content)
     module = load(sample, monkeypatch)
     for _ in range(2):
