Refund a request whose caller left before it was sent

Cause: a caller that leaves while the connection to its target is opened ends the attempt as LEFT, which counts as one that may have run, so its charge to the quota was kept though no byte was sent. A request that is charged again after a relay was not taken, and is then refused by the quota, was answered as not run even if an earlier attempt may have run.

Change: LEFT without a sent attempt is refunded; the second charge is refused like any other request that goes to no further target.

Result: of the paths tried (waiting for a place, waiting for a connection, no place, quarantine, suspects, handed back by the VM it was relayed to) only the second kept its charge; its test fails without the change. Not covered: a request whose task is cancelled as its VM stops is refunded though it may have run.

--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -170,7 +170,7 @@
         cost = workspace.quota.cost(self._request)
         admitted = self._parts.quotas.admit(workspace.name, cost)
         if admitted.is_err():
-            self._reporter.refuse(admitted.err_value)
+            self._refuse_unplaced(admitted.err_value)
             return False
         self._charged = (workspace.name, cost)
         return True
@@ -225,12 +225,18 @@
                 self._refuse_unplaced(placed.err_value)
                 return
             self._reporter.placed(placed.ok_value)
+            sent = self._reporter.sent
             try:
                 outcome = await self._attempt(route, service, placed.ok_value)
             finally:
                 self._parts.placer.notify_ended(placed.ok_value)
             if outcome is None:
                 return
+            if outcome is AttemptOutcome.LEFT and self._reporter.sent == sent:
+                # The caller left while the connection was opened: nothing was sent, and
+                # what was charged is refunded.
+                self._reporter.caller_gone(placed.ok_value.entry.target)
+                return
             if not await self._continues(route, placed.ok_value, outcome):
                 return
 
