--- a/hawthornlead/admission/place_queues.py
+++ b/hawthornlead/admission/place_queues.py
@@ -17,12 +17,15 @@
 class ShareOrder(Protocol):
     """A fair order of requests over workspaces."""
 
-    def order(self, share_key: str, cost: float) -> float:
+    def tag(self, share_key: str, cost: float) -> float:
         """Return the position of a new request; lower ones come first."""
 
-    def on_served(self, position: float) -> None:
+    def served(self, tag: float) -> None:
         """Record that the request at a position was served."""
 
+    def withdraw(self, share_key: str, cost: float) -> None:
+        """Give back the cost of a request that left unserved."""
+
 
 class PlaceRequest(NamedTuple):
     """A request of a VM for a place.
@@ -61,6 +64,9 @@
 
     def __init__(self, shares: ShareOrder | None = None):
         self._shares = shares
+        # Whether a request of a workspace has waited. Without workspaces the requests
+        # that are due first come first.
+        self._has_workspaces = False
         self._waiting: dict[tuple[str, int], _Waiting] = {}
         # How many requests of each rank were served since the last starving one.
         self._since_starving: dict[int, int] = {}
@@ -71,14 +77,19 @@
     def add(self, request: PlaceRequest) -> None:
         """Add a waiting request."""
         position = 0.0
-        if self._shares is not None:
-            cost = float(request.tokens or 1)
-            position = self._shares.order(request.share_key, cost)
+        self._has_workspaces = self._has_workspaces or bool(request.share_key)
+        if self._shares is not None and self._has_workspaces:
+            position = self._shares.tag(request.share_key, _cost(request))
         self._waiting[request.vm, request.number] = _Waiting(request, position)
 
     def remove(self, vm: str, number: int) -> bool:
         """Remove a request that no longer waits; False if it didn't wait."""
-        return self._waiting.pop((vm, number), None) is not None
+        removed = self._waiting.pop((vm, number), None)
+        if removed is None:
+            return False
+        if self._shares is not None and self._has_workspaces:
+            self._shares.withdraw(removed.request.share_key, _cost(removed.request))
+        return True
 
     def first(self, now: float) -> PlaceRequest | None:
         """Return the request that is served next, None if none waits."""
@@ -91,7 +102,7 @@
         """Remove a request that is served now."""
         waiting = self._waiting.pop((request.vm, request.number))
         if self._shares is not None:
-            self._shares.on_served(waiting.position)
+            self._shares.served(waiting.position)
         rank = request.rank
         if _is_starving(request, now):
             self._since_starving[rank] = 0
@@ -130,5 +141,10 @@
         )
 
 
+def _cost(request: PlaceRequest) -> float:
+    """Return what a request costs: its tokens, 1 at a plain target."""
+    return float(request.tokens or 1)
+
+
 def _is_starving(request: PlaceRequest, now: float) -> bool:
     return now > request.due_at + request.patience_s
--- a/hawthornlead/gateway/coordination_parts.py
+++ b/hawthornlead/gateway/coordination_parts.py
@@ -6,7 +6,6 @@
 """
 
 from ..core_parts import CoreParts
-from ..decisions.quotas import QuotaLedger
 from ..fleet.fleet_meshes import FleetMesh
 from ..fleet.registered_orders import RegisteredOrder
 from ..mesh.sparse_peers import SparsePeerMesh
@@ -14,6 +13,7 @@
 from .memberships import Memberships
 from .ownerships import Ownerships
 from .part_groups import Coordination
+from .quota_ledgers import build_ledger
 from .records import VmRecord
 from .store_clients import StoreClient
 from .vm_leases import VmLease
@@ -90,7 +90,9 @@
         client=client,
         events=events,
     )
-    quotas = QuotaLedger(
+    quotas = build_ledger(
+        settings,
+        metrics,
         now=timers.now,
         rng=rng,
         share=lambda: memberships.seen_share,
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 
 from ..core_parts import CoreParts
-from ..decisions.quotas import Limit, QuotaLedger
+from ..decisions.quotas import QuotaLedger
 from ..decisions.retries import Retries
 from ..decisions.suspects import Suspects
 from .brittle_targets import BrittleTargets
@@ -28,6 +28,7 @@
 from .place_parts import build_engine_places, build_place_questions, build_plain_places
 from .placers import Placer
 from .prompt_quarantines import PromptQuarantines
+from .quota_ledgers import read_limits
 from .records import Configuration, TargetEntry
 from .routes import RouteTable
 from .run_times import RunTimes
@@ -116,12 +117,7 @@
         self.routes = RouteTable(configuration.routes)
         self.workspaces = WorkspaceTable(configuration.workspaces)
         self.placer.apply_configuration(configuration)
-        limits = {}
-        for workspace in configuration.workspaces or ():
-            quota = workspace.quota
-            if quota is not None:
-                limits[workspace.name] = Limit(quota.rate, quota.burst)
-        self.quotas.apply_limits(limits)
+        self.quotas.apply_limits(read_limits(configuration))
 
 
 def build_targets(
--- a/hawthornlead/gateway/place_parts.py
+++ b/hawthornlead/gateway/place_parts.py
@@ -1,9 +1,13 @@
 """Construction of the parts that count the places of targets over all VMs."""
 
+from collections.abc import Callable
+
 from ..admission.place_coordinators import CoordinatedTarget, PlaceCoordinator
 from ..admission.place_events import PlaceEvents
+from ..admission.place_queues import ShareOrder
 from ..core_parts import CoreParts
 from ..fleet.fleet_meshes import FleetMesh
+from ..shares.fair_shares import FairShares
 from .brittle_targets import BrittleTargets
 from .engine_places import EnginePlaces
 from .gateway_metrics import GatewayMetrics
@@ -45,6 +49,7 @@
         announced=known.loads.running,
         is_seen=memberships.is_reachable,
         report=report,
+        new_shares=_share_order(core),
     )
     metrics.add_gauge(
         "waiting_for_plain_places",
@@ -85,6 +90,7 @@
         timers=core.timers,
         is_seen=memberships.is_reachable,
         report=_report("engine", core, metrics),
+        new_shares=_share_order(core),
     )
     targets.subscribe(lambda lost, _: places.discard(lost.target))
     metrics.add_gauge(
@@ -105,6 +111,11 @@
     return PlaceQuestions(mesh=mesh, loads=loads, timers=core.timers, report=report)
 
 
+def _share_order(core: CoreParts) -> Callable[[], ShareOrder | None]:
+    """Return what makes the order over workspaces for the waiters of one target."""
+    return FairShares if core.settings["FAIR_SHARES"] else lambda: None
+
+
 def _report(part: str, core: CoreParts, metrics: GatewayMetrics) -> PlaceEvents:
     """Return what reports the decisions of one part of admission."""
     return PlaceEvents(
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -12,8 +12,8 @@
 from .attempt_outcomes import UNRUN_OUTCOMES, AttemptOutcome
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
+from .placed_requests import Placed
 from .placement_requests import PlacementRequest
-from .placers import Placed
 from .records import CallerRequest, Route, RouteKind, Workspace
 from .request_relays import RequestRelay
 from .request_reporters import RequestReporter
@@ -171,7 +171,7 @@
         cost = workspace.quota.cost(self._request)
         admitted = self._parts.quotas.admit(workspace.name, cost)
         if admitted.is_err():
-            self._reporter.refuse(admitted.err_value)
+            self._refuse_unplaced(admitted.err_value)
             return False
         self._charged = (workspace.name, cost)
         return True
@@ -227,6 +227,7 @@
                 self._refuse_unplaced(placed.err_value)
                 return
             self._reporter.placed(placed.ok_value)
+            sent = self._reporter.sent
             try:
                 outcome = await self._attempt(route, service, placed.ok_value)
             finally:
@@ -234,6 +235,10 @@
                 self._parts.placer.notify_ended(placed.ok_value, sample)
             if outcome is None:
                 return
+            if outcome is AttemptOutcome.LEFT and self._reporter.sent == sent:
+                # Nothing was sent, so what was charged is refunded.
+                self._reporter.caller_gone(placed.ok_value.entry.target)
+                return
             if not await self._continues(route, placed.ok_value, outcome):
                 return
 
