Pace measured engines with bursts no longer than assumed ones

The burst of 30 ms now bounds measured engines as well; what is measured still lowers it, and the share of time, on slow ones.

--- a/hawthornlead/gateway/prompt_pacers.py
+++ b/hawthornlead/gateway/prompt_pacers.py
@@ -76,7 +76,8 @@
             spare_ms = gap_ms * (1 - DUTY) - EVENT_MS - self.read_ms(tokens)
             return max(0.0, min(BURST_MS, spare_ms))
         bearable_ms = (gap_ms - MARGIN_MS) * (1 - self.duty(gap_ms))
-        return max(0.0, bearable_ms - self.event_ms - self.read_ms(tokens))
+        spare_ms = bearable_ms - self.event_ms - self.read_ms(tokens)
+        return max(0.0, min(BURST_MS, spare_ms))
 
 
 ASSUMED_PACE = ReadingPace()
