Places: try another engine when one has no memory for a request

Cause: an owner that refused a request for memory reported the engine's few running requests. The engine still looked the least busy, so the VM asked it six times and then waited there, although another engine had places free. Change: such a refusal reports at least a full batch.

--- a/hawthornlead/gateway/engine_places.py
+++ b/hawthornlead/gateway/engine_places.py
@@ -134,9 +134,10 @@
                 announced_age_ms=round(1000 * age_s),
             )
             if not waited.granted:
-                return PromptReserved(
-                    0.0, True, False, self._running(waits), waited.answer.wait_s
-                )
+                # Without a free place for its tokens an engine is full for this
+                # request, however few others run.
+                running = max(waits.gate.places, self._running(waits))
+                return PromptReserved(0.0, True, False, running, waited.answer.wait_s)
         reply = owner.reserve(key, vm, message)
         if not reply.reserved:
             waits.end(vm, request.number)
--- a/hawthornlead/tests/test_engine_places.py
+++ b/hawthornlead/tests/test_engine_places.py
@@ -355,3 +355,25 @@
         assert refused.err_value.kind is ErrorKind.NO_PLACE
 
     simulate(play())
+
+
+def test_a_request_beyond_the_memory_of_one_engine_goes_to_another():
+    """One request fills the memory of an engine, and another engine runs six short ones.
+
+    The first engine looked less busy, so it was asked six times, and the request then
+    waited there until it was refused.
+    """
+
+    async def play():
+        site = EngineSite(engines=2)
+        tokens = ENGINE.kv_tokens - 1000
+        assert (await question(site, tokens=tokens)).unwrap().reserved
+        for _ in range(6):
+            site.loads["vm-7"].on_request_started("e1", KEY)
+        request = STREAM._replace(prompt_tokens=2000)
+        began = site.timers.now()
+        placed = await site.place("vm-7", request=request)
+        assert placed.unwrap().entry.target == "e1"
+        assert site.timers.now() - began < 0.1
+
+    simulate(play())
