Places: end waits at targets that are gone, restarted or owned elsewhere

Cause: the state of such a target was dropped while requests waited for its places. The ends of its requests were reported to the new state or the next owner, so the old one freed no place, and those that waited were refused when their wait ended. Change: dropped waits end at once, or within 0.1 s where an owner stops, with a failure on which the VM sends directly as where nobody counts places.

--- a/hawthornlead/admission/place_coordinators.py
+++ b/hawthornlead/admission/place_coordinators.py
@@ -98,16 +98,19 @@
 
     def discard(self, target: str) -> None:
         """Discard the places of a target that is gone."""
-        self._coordinated.pop(target, None)
+        coordinated = self._coordinated.pop(target, None)
+        if coordinated is not None:
+            coordinated.waits.stop()
 
     async def _on_reserve(self, sender, message: ReservePlace):
         coordinated = self._current(message.target, message.started_ms)
         if coordinated is None:
-            detail = f"{message.target} isn't known here as that incarnation"
-            return failed(Failure(ErrorKind.NO_TARGET, detail, 0.2))
+            return _unknown(message.target)
         request = _request(sender.vm, message, self._timers.now())
         waiting = coordinated.waits.gate.waiting
         waited = await coordinated.waits.reserve(request)
+        if waited.stopped:
+            return _unknown(message.target)
         gate = coordinated.waits.gate
         self._report.record_decision(
             message.target,
@@ -146,6 +149,7 @@
             return None
         coordinated = self._coordinated.get(target)
         if coordinated is None or coordinated.known != known:
+            self.discard(target)
             coordinated = self._coordinated[target] = self._start(target, known)
         return coordinated
 
@@ -157,6 +161,12 @@
         return _Coordinated(known, PlaceWaits(gate, self._timers))
 
 
+def _unknown(target: str):
+    """Return the failure of a question about an incarnation that isn't known here."""
+    detail = f"{target} isn't known here as that incarnation"
+    return failed(Failure(ErrorKind.NO_TARGET, detail, 0.2))
+
+
 def _request(vm: str, message: ReservePlace, now: float) -> PlaceRequest:
     """Return the request of a message, its times bounded whatever it says."""
     wait_s = min(MAX_WAIT_S, max(0.0, message.wait_s))
--- a/hawthornlead/admission/place_waits.py
+++ b/hawthornlead/admission/place_waits.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..timers import TimerService
@@ -21,21 +22,35 @@
 
 
 class Waited(NamedTuple):
-    """The result of a request: the gate's first answer, and how long it waited."""
+    """The result of a request: the gate's first answer, and how long it waited.
+
+    ``stopped`` is set if the places aren't counted here any more.
+    """
 
     granted: bool
     answer: GateAnswer
     waited_s: float
+    stopped: bool = False
 
 
 class PlaceWaits:
-    """The requests that wait at one gate until it grants them a place."""
-
-    def __init__(self, gate: PlaceGate, timers: TimerService):
+    """The requests that wait at one gate until it grants them a place.
+
+    Once ``is_current`` returns False, the places are counted elsewhere, if at all.
+    """
+
+    def __init__(
+        self,
+        gate: PlaceGate,
+        timers: TimerService,
+        is_current: Callable[[], bool] = lambda: True,
+    ):
+        self._is_current = is_current
         self.gate = gate
         self._timers = timers
         self._granted: dict[tuple[str, int], asyncio.Future] = {}
         self._checking = False
+        self._stopped = False
 
     async def reserve(self, request: PlaceRequest) -> Waited:
         """Wait for a place, until the request stops waiting."""
@@ -54,7 +69,8 @@
             del self._granted[request.vm, request.number]
             if not granted:
                 self.end(request.vm, request.number)
-        return Waited(granted, answer, self._timers.now() - asked_at)
+        waited_s = self._timers.now() - asked_at
+        return Waited(granted and not self._stopped, answer, waited_s, self._stopped)
 
     def end(self, vm: str, number: int) -> None:
         """End a VM's request, whether it has a place or waits for one."""
@@ -64,6 +80,17 @@
         """End the place that a VM has held longest for a key."""
         self._wake(self.gate.end_oldest(vm, key, self._timers.now()))
 
+    def stop(self) -> None:
+        """End all waits: the target is gone, or its places are counted elsewhere.
+
+        The ends of its requests aren't reported here any more, so no place would become
+        free for those that wait.
+        """
+        self._stopped = True
+        for future in self._granted.values():
+            if not future.done():
+                future.set_result(None)
+
     def refresh(self) -> None:
         """Grant the places that are free now."""
         self._wake(self.gate.grant_waiting(self._timers.now()))
@@ -75,9 +102,13 @@
 
     def _check(self) -> None:
         self._checking = False
-        if self.gate.waiting:
-            self.refresh()
-            self._check_later()
+        if not self.gate.waiting:
+            return
+        if not self._is_current():
+            self.stop()
+            return
+        self.refresh()
+        self._check_later()
 
     def _wake(self, served: list[PlaceRequest]) -> None:
         for request in served:
--- a/hawthornlead/gateway/engine_owners.py
+++ b/hawthornlead/gateway/engine_owners.py
@@ -184,6 +184,11 @@
         """The time until which an unanswered order may reach the engine."""
         return self._unacknowledged.unanswered_until
 
+    @property
+    def finished(self) -> bool:
+        """Whether no further order is given here."""
+        return self._finished
+
     @property
     def slots(self) -> EngineSlots:
         """What the engine holds."""
@@ -216,6 +221,7 @@
 
     def stop(self) -> None:
         """Give no further order, and fail waiting loads at once."""
+        self._finished = True
         self._tasks.cancel()
         self._requests.stop()
 
--- a/hawthornlead/gateway/engine_places.py
+++ b/hawthornlead/gateway/engine_places.py
@@ -19,7 +19,10 @@
 from ..admission.place_gates import PlaceGate
 from ..admission.place_queues import PlaceQueue, PlaceRequest, ShareOrder
 from ..admission.place_waits import PlaceWaits
+from ..errors import ErrorKind, Failure
+from ..mesh.meshes import failed
 from ..messages.gateways import PromptReserved, ReservePrompt
+from ..messages.sessions import Failed
 from ..timers import TimerService
 from .engine_owners import EngineOwner
 from .engine_slots import AdapterKey
@@ -103,7 +106,7 @@
         vm: str,
         message: ReservePrompt,
         age_s: float,
-    ) -> PromptReserved:
+    ) -> PromptReserved | Failed:
         """Reserve a place for a VM's request, then a turn for its prompt.
 
         ``age_s`` is the maximum age of announced counts.
@@ -119,6 +122,9 @@
         else:
             waiting = waits.gate.waiting
             waited = await waits.reserve(request)
+            if waited.stopped:
+                detail = f"the places of {owner.target} aren't counted here any more"
+                return failed(Failure(ErrorKind.NO_GRANT, detail, 0.2))
             self._report.record_decision(
                 owner.target,
                 request,
@@ -157,8 +163,10 @@
             owned.waits.end_oldest(vm, f"{key.model}/{key.adapter}")
 
     def discard(self, target: str) -> None:
-        """Discard the places of an engine that is gone."""
-        self._owned.pop(target, None)
+        """Discard the places of an engine that is gone or has restarted."""
+        owned = self._owned.pop(target, None)
+        if owned is not None:
+            owned.waits.stop()
         self._compared_at.pop(target, None)
 
     def _of(self, owner: EngineOwner) -> _Owned:
@@ -172,9 +180,10 @@
                 queue=PlaceQueue(self._new_shares()),
                 tokens=spec.kv_tokens,
             )
-            owned = _Owned(owner, spec, PlaceWaits(gate, self._timers))
+            self.discard(target)
+            waits = PlaceWaits(gate, self._timers, lambda: not owner.finished)
+            owned = _Owned(owner, spec, waits)
             self._owned[target] = owned
-            self._compared_at.pop(target, None)
         return owned
 
     def _compare(self, owned: _Owned, age_s: float) -> None:
--- a/hawthornlead/tests/test_engine_places.py
+++ b/hawthornlead/tests/test_engine_places.py
@@ -51,6 +51,7 @@
     def __init__(self, target, held=True):
         self.target = target
         self.held = held
+        self.finished = False
         self.slots = SimpleNamespace(spec=ENGINE)
 
     def reserve(self, key, vm, message):
@@ -284,6 +285,34 @@
     simulate(play())
 
 
+def test_who_waits_at_an_engine_whose_owner_stops_is_sent_directly():
+    """The ends of requests go to the next owner, so the former one frees no place."""
+
+    async def play():
+        site = EngineSite(engines=1)
+        await fill(site)
+        waiting = asyncio.ensure_future(site.place("vm-7"))
+        await asyncio.sleep(0.2)
+        assert gate(site).waiting == 1
+        site.owned["e0"].finished = True
+        assert (await asyncio.wait_for(waiting, 0.15)).is_ok()
+        assert site.report.counts["direct"] == 1
+
+    simulate(play())
+
+
+def test_who_waits_at_an_engine_that_is_gone_waits_no_longer():
+    async def play():
+        site = EngineSite(engines=1)
+        await fill(site)
+        waiting = asyncio.ensure_future(site.place("vm-7"))
+        await asyncio.sleep(0.2)
+        site.engine_places["vm-0"].discard("e0")
+        await asyncio.wait_for(waiting, 0.05)
+
+    simulate(play())
+
+
 def test_a_request_whose_adapter_has_left_holds_no_place():
     async def play():
         site = EngineSite(engines=1)
@@ -358,7 +387,7 @@
 
 
 def test_a_request_beyond_the_memory_of_one_engine_goes_to_another():
-    """One request fills the memory of an engine, and another engine runs six short ones.
+    """One request fills the memory of an engine, while another engine runs six.
 
     The first engine looked less busy, so it was asked six times, and the request then
     waited there until it was refused.
--- a/hawthornlead/tests/test_plain_places.py
+++ b/hawthornlead/tests/test_plain_places.py
@@ -138,6 +138,22 @@
     simulate(play())
 
 
+def test_who_waits_at_a_target_that_restarts_is_sent_directly():
+    """The target restarts empty while a request waits for one of its places.
+
+    The requests of the former incarnation free no place, so it waited for half of its
+    remaining time and was refused.
+    """
+
+    async def play():
+        site = Site(targets=1)
+        _, waiting = await fill(site, another_vm(site))
+        site.coordinators[coordinator_of(site, "t0")].discard("t0")
+        assert await asyncio.wait_for(waiting, 0.05) is None
+
+    simulate(play())
+
+
 def test_a_request_without_a_place_in_time_is_refused_with_the_expected_time():
     async def play():
         site = Site(targets=1)
