Places: don't wait at an owner that just gave no answer

Cause: where all engines seemed full and the owner of the best one hung, its short questions timed out after 0.1 s each, and the last one waited there for a place although none of them had been answered. Change: for 1 s after an unanswered question, a question to that owner waits for no place; without an answer the request is sent directly, as before.

--- a/hawthornlead/gateway/place_questions.py
+++ b/hawthornlead/gateway/place_questions.py
@@ -9,7 +9,7 @@
 from result import Result
 
 from ..admission.place_events import PlaceEvents
-from ..admission.waiting_questions import WaitingQuestions
+from ..admission.waiting_questions import WaitingQuestions, is_silent
 from ..errors import ErrorKind, Failure
 from ..fleet.fleet_meshes import FleetMesh
 from ..messages.gateways import PromptReserved, ReservePrompt
@@ -22,6 +22,9 @@
 # A request waits for a place until this long after its arrival: callers abandon a
 # stream that has not started after 2 to 3 s.
 MAX_PLACE_WAIT_S = 1.6
+# After an unanswered question, requests don't wait for places at that owner for this
+# long: it may hang. They still ask, and are sent directly without an answer.
+SILENT_S = 1.0
 
 
 class PlaceQuestions:
@@ -39,6 +42,8 @@
         self._loads = loads
         self._timers = timers
         self._report = report
+        # Until when the owners of engines are taken for hanging, by engine.
+        self._silent_until: dict[str, float] = {}
 
     async def call(
         self, owner: str, message: ReservePrompt, timeout_s: float
@@ -46,7 +51,12 @@
         """Ask an engine's owner, which answers in ``timeout_s`` and any wait."""
         waits = message.wait_s > 0
         timeout_s += max(0.0, message.wait_s)
-        return await self._questions.call(owner, message, timeout_s, waits)
+        reply = await self._questions.call(owner, message, timeout_s, waits)
+        if is_silent(reply):
+            self._record_silent(message.target)
+        else:
+            self._silent_until.pop(message.target, None)
+        return reply
 
     def with_place(
         self,
@@ -63,7 +73,10 @@
         """
         now = self._timers.now()
         wait_s = 0.0
-        if last or self._loads.is_counted_full(message.target, spec.batch):
+        silent = self._silent_until.get(message.target, 0.0) > now
+        if not silent and (
+            last or self._loads.is_counted_full(message.target, spec.batch)
+        ):
             left_s = (requested.deadline_at - now) / 2
             wait_s = min(requested.arrived_at + MAX_PLACE_WAIT_S - now, left_s)
         return message._replace(
@@ -103,6 +116,14 @@
         )
         return None
 
+    def _record_silent(self, target: str) -> None:
+        now = self._timers.now()
+        # Those that have passed are dropped, also of engines that are gone.
+        self._silent_until = {
+            each: until for each, until in self._silent_until.items() if until > now
+        }
+        self._silent_until[target] = now + SILENT_S
+
 
 def _output_tokens(request: CallerRequest) -> int:
     """Return the expected output, as far as the request declares it.
--- a/hawthornlead/tests/test_engine_places.py
+++ b/hawthornlead/tests/test_engine_places.py
@@ -248,6 +248,21 @@
     simulate(play())
 
 
+def test_no_request_waits_for_a_place_at_an_owner_that_just_gave_no_answer():
+    """The owner hangs and its engine seemed full: a request waited there for 1.6 s."""
+
+    async def play():
+        site = EngineSite(engines=1)
+        for _ in range(BATCH):
+            site.loads["vm-7"].on_request_started("e0", KEY)
+        site.silent.add("vm-0")
+        began = site.timers.now()
+        assert (await site.place("vm-7")).is_ok()
+        assert site.timers.now() - began < 0.75
+
+    simulate(play())
+
+
 def test_who_waits_at_an_owner_that_hangs_is_sent_directly():
     """A frozen owner keeps its connections: who waits there would start too late."""
 
