Places: learn no run time or speed from requests that were not sent

Cause: the end of a place whose caller left before its request was sent was reported as that of a request that took no time, and the sample of an earlier attempt was reported for the engine of the next one. Change: the end of a place says that nothing was sent, and such ends and samples are not learned from.

--- a/hawthornlead/admission/place_books.py
+++ b/hawthornlead/admission/place_books.py
@@ -99,14 +99,18 @@
         self._held[grant.vm, grant.number] = _Held(grant, now)
         self._tokens += grant.tokens
 
-    def end(self, vm: str, number: int, now: float) -> bool:
-        """Free a place whose request has ended; False if it wasn't held."""
+    def end(self, vm: str, number: int, now: float, ran: bool = True) -> bool:
+        """Free a place whose request has ended; False if it wasn't held.
+
+        Unless it ``ran``, it doesn't show how long places are held.
+        """
         held = self._remove((vm, number))
         if held is None:
             return False
         if self._samples:
             self._ended_at.append(_Ended(held.at, now))
-        self._record_hold(now - held.at)
+        if ran:
+            self._record_hold(now - held.at)
         return True
 
     def end_oldest(self, vm: str, key: str, now: float) -> bool:
--- a/hawthornlead/admission/place_coordinators.py
+++ b/hawthornlead/admission/place_coordinators.py
@@ -133,7 +133,7 @@
         took_s = message.took_ms / 1000
         if 0.0 < took_s < MAX_RUN_S:
             coordinated.record_run(took_s)
-        coordinated.waits.end(sender.vm, message.number)
+        coordinated.waits.end(sender.vm, message.number, ran=took_s >= 0)
 
     def _current(self, target: str, started_ms: int | None) -> _Coordinated | None:
         """Return the state of a target's current incarnation, None if it isn't known.
--- a/hawthornlead/admission/place_gates.py
+++ b/hawthornlead/admission/place_gates.py
@@ -73,10 +73,12 @@
         self._queue.add(request)
         return GateAnswer(Admission.WAITS, wait_s, running)
 
-    def end(self, vm: str, number: int, now: float) -> list[PlaceRequest]:
+    def end(
+        self, vm: str, number: int, now: float, ran: bool = True
+    ) -> list[PlaceRequest]:
         """End a VM's request, whether it has a place or waits; return who is served."""
         if not self._queue.remove(vm, number):
-            self.book.end(vm, number, now)
+            self.book.end(vm, number, now, ran)
         return self.grant_waiting(now)
 
     def count(self, request: PlaceRequest, now: float) -> None:
--- a/hawthornlead/admission/place_waits.py
+++ b/hawthornlead/admission/place_waits.py
@@ -68,13 +68,13 @@
         finally:
             del self._granted[request.vm, request.number]
             if not granted:
-                self.end(request.vm, request.number)
+                self.end(request.vm, request.number, ran=False)
         waited_s = self._timers.now() - asked_at
         return Waited(granted and not self._stopped, answer, waited_s, self._stopped)
 
-    def end(self, vm: str, number: int) -> None:
+    def end(self, vm: str, number: int, ran: bool = True) -> None:
         """End a VM's request, whether it has a place or waits for one."""
-        self._wake(self.gate.end(vm, number, self._timers.now()))
+        self._wake(self.gate.end(vm, number, self._timers.now(), ran))
 
     def end_oldest(self, vm: str, key: str) -> None:
         """End the place that a VM has held longest for a key."""
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -227,17 +227,20 @@
             return Err(TARGET_GONE)
         return Ok(Prepared(turn_s, load_s, given_s is not None))
 
-    def notify_ended(self, placed: Placed, sample: StreamSample | None = None) -> None:
+    def notify_ended(
+        self, placed: Placed, sample: StreamSample | None = None, sent: bool = True
+    ) -> None:
         """Notify a target's owner that a request which had its turn has ended.
 
-        ``sample`` shows the speed of the target, None if nothing was measured.
+        ``sample`` shows the speed of the target, None if nothing was measured. ``sent``
+        is False if the request wasn't sent to it; ``sample`` is of another target then.
 
         Without this message an adapter would appear in use for 0.2 s to 0.6 s longer
         than it is, which is as long as most runs last.
         """
         entry, key = placed.entry, placed.key
         if placed.hold is not None:
-            self._plain_places.end(placed.hold)
+            self._plain_places.end(placed.hold, sent)
         owner = self._targets.owner(entry.target)
         if key is None or not owner:
             return
@@ -245,7 +248,7 @@
             return
         running = self._loads.own_running(entry.target, key)
         message = RequestEnded(entry.target, *key, running, entry.started_ms)
-        if sample is not None:
+        if sample is not None and sent:
             message = RequestEnded(*message[:5], *map(round, sample))
         send(self._mesh, owner, message)
 
--- a/hawthornlead/gateway/plain_places.py
+++ b/hawthornlead/gateway/plain_places.py
@@ -138,9 +138,9 @@
             self._end(hold, sent=False)
         return Err(busy_failure(search.expected_s))
 
-    def end(self, hold: PlaceHold) -> None:
-        """End a place whose request has ended."""
-        self._end(hold, sent=True)
+    def end(self, hold: PlaceHold, sent: bool = True) -> None:
+        """End a place whose request has ended, or isn't ``sent`` after all."""
+        self._end(hold, sent)
 
     def discard(self, target: str) -> None:
         """Discard the expected wait at a target that is gone or has restarted."""
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -231,11 +231,11 @@
             try:
                 outcome = await self._attempt(route, service, placed.ok_value)
             finally:
-                sample = self._attempts.sample
-                self._parts.placer.notify_ended(placed.ok_value, sample)
+                was_sent, sample = self._reporter.sent > sent, self._attempts.sample
+                self._parts.placer.notify_ended(placed.ok_value, sample, was_sent)
             if outcome is None:
                 return
-            if outcome is AttemptOutcome.LEFT and self._reporter.sent == sent:
+            if outcome is AttemptOutcome.LEFT and not was_sent:
                 # Nothing was sent, so what was charged is refunded.
                 self._reporter.caller_gone(placed.ok_value.entry.target)
                 return
--- a/hawthornlead/tests/test_plain_places.py
+++ b/hawthornlead/tests/test_plain_places.py
@@ -154,6 +154,32 @@
     simulate(play())
 
 
+def test_requests_that_are_not_sent_do_not_shorten_the_expected_wait():
+    """Thirty callers left just after their requests got places.
+
+    These places were held for a moment only, which made the coordinator expect a third
+    of the actual waits.
+    """
+
+    async def play():
+        site = Site(targets=1)
+        vm = another_vm(site)
+        for _ in range(60):
+            chosen = (await choose(site, vm)).unwrap()
+            await asyncio.sleep(0.075)
+            site.places[vm].end(chosen.hold)
+        book = gate_of(site, "t0").book
+        before_s = book.hold_s
+        for _ in range(30):
+            chosen = (await choose(site, vm)).unwrap()
+            site.places[vm].end(chosen.hold, sent=False)
+            await asyncio.sleep(0.02)
+        assert book.hold_s == pytest.approx(before_s, rel=0.05)
+        assert book.granted == 0
+
+    simulate(play())
+
+
 def test_a_request_without_a_place_in_time_is_refused_with_the_expected_time():
     async def play():
         site = Site(targets=1)
