--- a/hawthornlead/tests/test_engine_places.py
+++ b/hawthornlead/tests/test_engine_places.py
@@ -51,6 +51,7 @@
     def __init__(self, target, held=True):
         self.target = target
         self.held = held
+        self.finished = False
         self.slots = SimpleNamespace(spec=ENGINE)
 
     def reserve(self, key, vm, message):
