Ask for a turn with the place where places are counted

A turn that was given with a load took a place at the engine without asking for one, also at a full batch with requests waiting, so that requests for absent adapters overtook them and engines could preempt.

--- a/hawthornlead/gateway/place_questions.py
+++ b/hawthornlead/gateway/place_questions.py
@@ -2,8 +2,8 @@
 
 ::
 
-    message = questions.with_place(message, requested, placed.entry, spec, last)
-    refusal = questions.apply_reply(target, reply, last)
+    message = questions.with_place(message, requested, spec, start_by, last)
+    refusal = questions.refusal(message, reply)
 """
 
 from result import Result
--- a/hawthornlead/gateway/placers.py
+++ b/hawthornlead/gateway/placers.py
@@ -365,6 +365,9 @@
         owner = self._targets.owner(entry.target)
         version = self._targets.version(key)
         wait_s += slot_wait_s
+        # Where places are counted, the turn comes with the place that is asked for once
+        # the adapter is there.
+        tokens = None if self._place_questions else requested.request.prompt_tokens
         message = LoadAdapter(
             entry.target,
             *key,
@@ -374,7 +377,7 @@
             requested.route.priority,
             self._slot_due_at(requested) - self._timers.now(),
             slot_wait_s,
-            requested.request.prompt_tokens,
+            tokens,
             requested.route.event_gap_ms,
         )
         return await self._mesh.call(owner, message, wait_s + 0.1)
