Learn from refused orders only what they show

Cause: with `learned_fetches`, a report or any answer cleared the list of unanswered orders, though the engine may still carry them out. A later refusal of another load of the same count then seemed to show that this one was taken. And the wait for a report began at the last order that may have changed something. If a late order was carried out after that, its refusals were followed by reports from before it: orders and reports were repeated every 6 ms and the load failed.

Change: unanswered orders are kept until the engine is known to have passed their count. A refusal that no unanswered order explains restarts the wait for a report.

--- a/hawthornlead/gateway/engine_orders.py
+++ b/hawthornlead/gateway/engine_orders.py
@@ -53,7 +53,8 @@
         self._metrics = metrics
         self._unacknowledged = unacknowledged
         self._estimates = estimates
-        # The unanswered orders that name the current count.
+        # The unanswered orders that the engine may still have to carry out, because it
+        # isn't known to have passed their count.
         self._unanswered_orders: set[EngineOrder] = set()
         self._unanswered_at = 0.0
         self._taken_at = 0.0
@@ -95,8 +96,8 @@
     def set_accepted(self, accepted: int | None) -> None:
         """Set the count that a report shows; None requests a report."""
         self._accepted = accepted
-        self._unanswered_orders.clear()
         if accepted is not None:
+            self._discard_passed(accepted)
             # An accepted report overrides what the answers seemed to show.
             self._confirmed_accepted = min(self._confirmed_accepted, accepted)
 
@@ -127,7 +128,7 @@
             allowed=lambda: self._ownerships.current(entry.target) == ownership,
             **self._timeout(),
         )
-        if outcome not in (OrderOutcome.CONFLICT, OrderOutcome.REFUSED):
+        if self._may_have_changed(outcome):
             self._effective_at = self._last_sent_at
         if outcome is not OrderOutcome.UNKNOWN:
             self._unacknowledged.on_answered()
@@ -156,6 +157,17 @@
         self._apply_outcome(order, outcome, confirmed=not taken)
         return outcome
 
+    def _may_have_changed(self, outcome: OrderOutcome) -> bool:
+        """Whether a report from before the order may lack a change.
+
+        A refused order changes nothing. But if no unanswered order explains the
+        refusal, another one was carried out since the last report was read. A report
+        that was read at once would show the same count again.
+        """
+        if outcome is OrderOutcome.CONFLICT:
+            return not self._unanswered
+        return outcome is not OrderOutcome.REFUSED
+
     def _timeout(self) -> dict[str, float]:
         """Return the bound for an answer if it differs from the usual one."""
         if self._estimates is None:
@@ -166,10 +178,11 @@
         """Whether a refusal shows that the engine took this order without an answer.
 
         The engine refuses a count that it has passed. It can have passed it only by an
-        order of this count, and the unanswered ones are all the same. If it refuses for
-        another reason, the count that follows from this is wrong as well. The engine
-        then refuses the next order, and a report is read. After an unload only a report
-        shows whether the adapter has left or is still in use.
+        order of this count, and the unanswered ones are all the same. Those from before
+        the last report count too, since they may be carried out later. If it refuses
+        for another reason, the count that follows from this is wrong as well. The
+        engine then refuses the next order, and a report is read. After an unload only a
+        report shows whether the adapter has left or is still in use.
         """
         if self._estimates is None or outcome is not OrderOutcome.CONFLICT:
             return False
@@ -196,7 +209,6 @@
                 self._unanswered = 0
             return
         self._unanswered = 0
-        self._unanswered_orders.clear()
         loads_already = self._loads_already(order)
         if loads_already or not confirms_acceptance(order, outcome):
             # Only a report shows how many orders the engine has accepted.
@@ -207,6 +219,13 @@
         if self._accepted is not None:
             # None if the count was found to be wrong while the order was in flight.
             self._accepted = order.order_count + 1
+            self._discard_passed(self._accepted)
+
+    def _discard_passed(self, accepted: int) -> None:
+        """Discard the unanswered orders that the engine will refuse by their count."""
+        self._unanswered_orders = {
+            order for order in self._unanswered_orders if order.order_count >= accepted
+        }
 
     def _loads_already(self, order: EngineOrder) -> bool:
         """Whether a load started recently may already bring what is ordered.
