Discard the slow phase of an engine that recovers while it is full

Cause: after a change that was seen beside a full batch, samples beside few requests were kept for up to 20 s. If the engine had become faster, those were from the slow phase, so that events counted as slower alone than beside a full batch.

Change: the samples are discarded if the newest events beside a full batch are faster than the estimate of one alone.

Result: after a phase of 170 ms per event the estimate is that of a normal engine within 3 s of full load; it stayed at 170 ms before.

--- a/hawthornlead/engine_speeds/speed_estimators.py
+++ b/hawthornlead/engine_speeds/speed_estimators.py
@@ -107,14 +107,17 @@
     def _discard_former(self) -> None:
         """Discard the samples of before a change of the engine's speed.
 
-        A change at a high fill says nothing of the speed at a low one, since some
-        engines slow down only when they are nearly full.
+        A slower event at a high fill says nothing of the speed at a low one, since some
+        engines slow down only when they are nearly full. One that is faster than at a
+        low fill shows that this was measured before the change.
         """
         samples = list(self._samples)
         limit = HIGH_FILL * self.batch
-        high = sum(each.sample.beside >= limit for each in samples[-MIN_SAMPLES:])
+        newest = [each.sample for each in samples[-MIN_SAMPLES:]]
+        high = sum(sample.beside >= limit for sample in newest)
+        event_ms = statistics.median([sample.event_ms for sample in newest])
         self._samples.clear()
-        if high > MIN_SAMPLES // 2:
+        if high > MIN_SAMPLES // 2 and event_ms >= self._speed.event_ms:
             # Among the newest samples few may be at a high fill.
             kept = 2 * MIN_SAMPLES
             former = [each for each in samples[:-kept] if each.sample.beside < limit]
--- a/hawthornlead/tests/test_engine_speeds.py
+++ b/hawthornlead/tests/test_engine_speeds.py
@@ -101,3 +101,21 @@
     times.record(events=2, gap_s=0.08)
     times.record(events=1, gap_s=0.04)
     assert times.sample(90.0, 826, -1) == StreamSample(40.0, 90.0, 826, 0)
+
+
+def test_an_engine_that_recovers_while_it_is_full_does_not_stay_slow():
+    """A slow phase ends while the engine runs a full batch.
+
+    The times beside few requests from the slow phase counted for 20 s more, in which
+    the engine's prompts were paced as those of an engine four times as slow.
+    """
+    estimator = SpeedEstimator(BATCH)
+    now = 0.0
+    phases = [(45.0, 3, 30), (170.0, 3, 10), (45.0, 11, 12)]
+    for alone_ms, beside, count in phases:
+        for _ in range(count):
+            now += 0.25
+            event_ms = alone_ms * (1 + 0.04 * beside)
+            estimator.record(StreamSample(event_ms, 100.0, 826, beside), now)
+    assert estimator.speed.event_ms < 1.2 * 45.0
+    assert estimator.speed.full_event_ms < 1.2 * 45.0 * 1.44
