Build the code archive anew if its builder changed

Cause: the builder runs as the main module, and its source was not among those of the archive. An archive was up to date though a later builder compiles modules differently.

Change: the builder is one of the archive's modules.

Result: the test finds it there if the builder runs under another name; it fails before.

--- a/hawthornlead/gateway/archive_builds.py
+++ b/hawthornlead/gateway/archive_builds.py
@@ -16,8 +16,10 @@
 from ..code_archives import ARCHIVE, ROOT, open_archive, pack_archive
 
 LIBRARIES = os.path.join(ROOT, "target", "deps")
-# The program, and what it imports only once it runs.
+# The program, and what it imports only once it runs. The builder is among them so that
+# an archive of a former builder isn't up to date.
 PROGRAM = (
+    "hawthornlead.gateway.archive_builds",
     "hawthornlead.early_signals",
     "hawthornlead.file_settings",
     "hawthornlead.logs",
--- a/hawthornlead/tests/test_code_archives.py
+++ b/hawthornlead/tests/test_code_archives.py
@@ -217,3 +217,20 @@
     # These are loaded only when a deferred module is executed.
     assert not {"html.entities", "zipfile", "_curses", "_pickle"} & imported.keys()
     assert "Traceback" not in lines
+
+
+def test_an_archive_of_a_former_builder_is_built_anew():
+    """An archive holds code as its builder made it, with the faults that this had.
+
+    The builder runs as the main module, so that the archive didn't hold its source and
+    stayed up to date when only the builder changed.
+    """
+    name = "hawthornlead.gateway.archive_builds"
+    program = (
+        "import runpy\n"
+        f"built = runpy.run_module({name!r}, run_name='builder')\n"
+        f"print({name!r} in built['loaded_modules']())"
+    )
+    command = [sys.executable, "-c", program]
+    ran = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, timeout=60)
+    assert ran.stdout.strip() == "True", ran.stderr
