Bound declared prompts, learned lags and the shortest fetch time

Cause: three figures were used as they came. - A prompt counted with the length that its caller declares. With 999,999,999 tokens the next turn at the engine was 14 hours away for all VMs. The shortest time stayed 0, so that all fetches counted as slow and were observed every second.

Change: prompts count for at most the engine's memory, lags are learned only if they are known to 0.1 s, and the shortest time is at least 20 ms.

--- a/hawthornlead/fetches/fetch_observations.py
+++ b/hawthornlead/fetches/fetch_observations.py
@@ -81,7 +81,7 @@
         ahead_s = (POLLS_AHEAD + phase) * self._interval_s
         self._held_from_s = 0.0 if shorter else lag_s + fetch_s - ahead_s
         first_s = lag_s - ahead_s if lag_known else FIRST_POLL_S
-        self._next_poll_s = max(0.02, first_s)
+        self._first_poll_s = self._next_poll_s = max(0.02, first_s)
 
     @property
     def next_poll_s(self) -> float:
@@ -95,8 +95,17 @@
 
     @property
     def lag_s(self) -> float | None:
-        """How far the reports lag, None if unknown."""
-        return self._order.at_s if self._order.seen else None
+        """How far the reports lag, None if unknown or imprecise.
+
+        If already the first report shows the order, the lag is at most its time. A VM
+        that was stopped before that report learns nothing from it.
+        """
+        if not self._order.seen:
+            return None
+        if self._order.bounded:
+            return self._order.at_s if self._order.precise else None
+        late_s = self._order.by_s - self._first_poll_s
+        return self._order.by_s if late_s <= MAX_UNCERTAIN_S else None
 
     @property
     def fetch_s(self) -> float | None:
--- a/hawthornlead/fetches/fetch_times.py
+++ b/hawthornlead/fetches/fetch_times.py
@@ -34,6 +34,8 @@
 # grows with each longer observation so that it follows a lasting change.
 SLOW = 1.25
 SHORTEST_GROWTH = 1.01
+# A VM that is late with its polls may observe a fetch of 0 s, from which nothing grows.
+MIN_SHORTEST_S = 0.02
 # Of the newest outcomes, this many refusals mean that fetches have become longer. A
 # refused request's adapter is then awaited by reports, because the next prediction
 # would be wrong as well.
@@ -126,7 +128,8 @@
             self._outcomes.clear()
         self._observed_at = now
         self._observed_s.append(fetch_s)
-        self._shortest_s = min(fetch_s, SHORTEST_GROWTH * self._shortest_s)
+        shortest_s = min(fetch_s, SHORTEST_GROWTH * self._shortest_s)
+        self._shortest_s = max(MIN_SHORTEST_S, shortest_s)
         if _differs(fetch_s, before_s):
             self._record_change(now)
         if _differs(self.level_s, before_s):
--- a/hawthornlead/gateway/engine_owners.py
+++ b/hawthornlead/gateway/engine_owners.py
@@ -101,7 +101,7 @@
             timers=timers,
         )
         self.measured = measured
-        self._pacer = PromptPacer(measured.pace)
+        self._pacer = PromptPacer(measured.pace, spec.kv_tokens)
         self._metrics = metrics
         self._accounts = LoadAccounts()
         self._orders = EngineOrders(
--- a/hawthornlead/gateway/prompt_pacers.py
+++ b/hawthornlead/gateway/prompt_pacers.py
@@ -7,6 +7,7 @@
 is read in a row; else the same is assumed of all engines.
 """
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -116,6 +117,7 @@
 class PromptPacer:
     """Assigns turns to the prompts of one engine.
 
+    No prompt counts for more than ``max_tokens``, whatever its caller declares.
     ``pace`` returns how the engine reads prompts now::
 
         wait_s = pacer.reserve(tokens=1800, gap_ms=300.0, now=timers.now())
@@ -127,8 +129,13 @@
         wait_s = pacer.claim(turn, now=timers.now())
     """
 
-    def __init__(self, pace: Callable[[], ReadingPace] = lambda: ASSUMED_PACE):
+    def __init__(
+        self,
+        pace: Callable[[], ReadingPace] = lambda: ASSUMED_PACE,
+        max_tokens: float = math.inf,
+    ):
         self._pace = pace
+        self._max_tokens = max_tokens
         self._free_at = 0.0
         self._reserved: list[PromptTurn] = []
 
@@ -185,11 +192,13 @@
 
     def _occupy(self, tokens: int, gap_ms: float, at: float) -> None:
         pace = self._pace()
+        tokens = min(tokens, self._max_tokens)
         taken_s = pace.read_ms(tokens) / 1000 / pace.duty(gap_ms)
         self._free_at = max(self._free_at, at) + taken_s
 
     def _wait(self, now: float, tokens: int, gap_ms: float) -> float:
         pace = self._pace()
+        tokens = min(tokens, self._max_tokens)
         allowed_s = pace.allowed_ms(tokens, gap_ms) / pace.duty(gap_ms) / 1000
         return max(0.0, self._free_at - allowed_s - now)
 
--- a/hawthornlead/tests/test_learned_fetches.py
+++ b/hawthornlead/tests/test_learned_fetches.py
@@ -11,18 +11,24 @@
 
 from hawthornlead.fetches.fetch_estimates import INITIAL_FETCH_S, FetchEstimates
 from hawthornlead.fetches.fetch_observations import FetchObservation
-from hawthornlead.fetches.fetch_times import OUTCOMES
+from hawthornlead.fetches.fetch_times import (
+    CHANGED_S,
+    OBSERVE_INTERVAL_S,
+    OUTCOMES,
+    SLOW_INTERVAL_S,
+    FetchTimes,
+)
 from hawthornlead.fetches.order_times import MAX_TIMEOUT_S, MIN_TIMEOUT_S, OrderTimes
 from hawthornlead.gateway.engine_slots import AdapterKey
 from hawthornlead.gateway.load_turns import Prompt
-from hawthornlead.gateway.prompt_pacers import PromptPacer
+from hawthornlead.gateway.prompt_pacers import DUTY, TOKENS_PER_MS, PromptPacer
 from hawthornlead.gateway.slot_queues import SlotRequest
 from hawthornlead.gateway.unacknowledged_orders import UnacknowledgedOrders
 from hawthornlead.messages.gateways import ReservePrompt
 
 from .fakes_clocks import run_played
 from .fakes_lagging_engines import LaggingBed
-from .fakes_owned_engines import SLOTS
+from .fakes_owned_engines import SLOTS, SPEC
 
 IN_TIME_S = 0.4
 
@@ -291,3 +297,81 @@
     pacer.cancel(given_up)
     assert pacer.reserve(1800, 300.0, 12.0) == 0.0
     assert pacer.reserve(1800, 300.0, 12.04) == 0.0
+
+
+def test_fetches_do_not_count_as_slow_for_good_after_one_observed_as_immediate():
+    """A late poll is the first to show both the order and the adapter.
+
+    The fetch then seems to take 0 s, and all later ones counted as slow and were
+    observed every second instead of every 3 s.
+    """
+    observation = FetchObservation(0.2, True, 0.029)
+    observation.record(0.15, shows_order=False, shows_held=False)
+    observation.record(0.235, shows_order=True, shows_held=True)
+    times = FetchTimes(0.06)
+    now = 0.0
+    for fetch_s in [0.029] * 5 + [observation.fetch_s] + [0.029] * 40:
+        now += 1.0
+        times.observe(fetch_s, now)
+    now += CHANGED_S + OBSERVE_INTERVAL_S
+    assert times.acquire_observation(now)
+    assert not times.acquire_observation(now + 2 * SLOW_INTERVAL_S)
+
+
+@pytest.mark.parametrize("adapter", ["", "new"])
+def test_an_absurd_declared_length_does_not_block_an_engine_for_other_prompts(adapter):
+    """A caller declares a prompt of a thousand million tokens.
+
+    Turns at its engine were 14 hours away from then on, for the requests of all VMs.
+    """
+
+    async def play(bed):
+        length = 999_999_999
+        key = AdapterKey("tide", adapter)
+        if adapter:
+            now = bed.timers.now()
+            prompt = Prompt("vm-2", length, 300.0)
+            await bed.owner.load(SlotRequest(key, 0, now, now), 0, 2.0, prompt)
+        else:
+            bed.owner.reserve(key, "vm-2", ReservePrompt("e1", "tide", "", length, 1.0))
+        other = ReservePrompt("e1", "tide", "", 826, 1.0)
+        turn = bed.owner.reserve(AdapterKey("tide", ""), "vm-3", other)
+        assert turn.reserved
+        # The time in which the engine reads as much as its memory holds.
+        assert turn.wait_s <= SPEC.kv_tokens / TOKENS_PER_MS / DUTY / 1000
+
+    run(play)
+
+
+@pytest.mark.parametrize("polls", [(), (0.16,)], ids=["first poll", "later poll"])
+def test_a_vm_that_was_stopped_does_not_learn_a_longer_lag(polls):
+    """A VM stops for 0.7 s between two polls.
+
+    After that, orders to all its engines waited 0.95 s instead of 0.25 s for each
+    settled report, until nine further lags were observed.
+    """
+    estimates = FetchEstimates()
+    for _ in range(3):
+        estimates.lag.observe(0.2)
+    observation = FetchObservation(0.2, True, 0.288)
+    for at_s in polls:
+        observation.record(at_s, shows_order=False, shows_held=False)
+    observation.record(0.9, shows_order=True, shows_held=True)
+    estimates.end_observation(observation, repeated=False, now=1.0)
+    assert estimates.lag.bound_s < 0.3
+
+
+def test_a_shorter_lag_is_learned_from_first_reports_that_show_their_orders():
+    """Reports lag less than before, and no observation polls early enough to tell."""
+    estimates = FetchEstimates()
+    for _ in range(9):
+        estimates.lag.observe(0.2)
+    for _ in range(9):
+        lag_s = estimates.lag.expected_s
+        observation = FetchObservation(lag_s, True, 0.288)
+        at_s = observation.next_poll_s
+        observation.record(at_s, shows_order=at_s > 0.1, shows_held=False)
+        observation.record(at_s + 0.03, shows_order=True, shows_held=False)
+        observation.record(at_s + 0.3, shows_order=True, shows_held=True)
+        estimates.end_observation(observation, repeated=False, now=1.0)
+    assert estimates.lag.expected_s < 0.18
