Keep what is known of quiet times if an older listing arrives

Cause: a listing from before the known revision set the revision since which nothing has changed back to its own. With `fast_starts`, changes from a relay can arrive before the stale listing. If the VM then became a relay, it would confirm that nothing changed since the listing, and VMs without a later change would count as current.

Change: an older listing, or older names from a relay, doesn't lower that revision.

Result: the test fails before (12 instead of 15) and passes now.

--- a/hawthornlead/gateway/kind_records.py
+++ b/hawthornlead/gateway/kind_records.py
@@ -89,7 +89,8 @@
             if newest or record.revision > self._until:
                 self._store(record)
         self._remove_others(names, until)
-        self._advance(until, until)
+        # A listing older than what is known, as at a start, shows no quiet since then.
+        self._advance(until, max(until, self._quiet_since))
 
     def apply_changes(
         self,
@@ -120,7 +121,7 @@
             self._remove_others(set(names), until)
             changed_at = until
         if changed_at != NO_REVISION:
-            self._advance(until, min(changed_at, until))
+            self._advance(until, max(self._quiet_since, min(changed_at, until)))
         elif not changes and since < self._quiet_since <= until:
             self._advance(until, since)
         else:
--- a/hawthornlead/tests/test_stale_starts.py
+++ b/hawthornlead/tests/test_stale_starts.py
@@ -7,6 +7,8 @@
 
 from hawthornlead.clocks import HybridClock
 from hawthornlead.events import EventRing
+from hawthornlead.gateway.kind_records import KindRecords
+from hawthornlead.gateway.records import StoredRecord, StoreEvent
 from hawthornlead.gateway.store_clients import StoreClient
 from hawthornlead.gateway.store_retries import StoreRetries
 from hawthornlead.gateway.watchers import KindWatcher
@@ -115,3 +117,26 @@
     await asyncio.sleep(0.6)
     assert made.listed
     made.stop()
+
+
+def test_an_older_listing_hides_no_later_change_from_the_followers_of_a_relay():
+    """A relay sends changes to a starting VM before its stale listing arrives.
+
+    As a relay that VM would confirm that nothing changed since the listing, and VMs
+    that lack a later change would count as current.
+    """
+    events = EventRing("edge-1", HybridClock(TimerService()))
+    known = KindRecords(
+        KIND, events=events, on_changed=lambda record: None, on_deleted=print
+    )
+    former = StoredRecord("main", 5, {"version": 1}, None)
+    changed = StoredRecord("main", 15, {"version": 2}, None)
+    known.apply_listing(10, [former])
+    assert known.apply_changes(10, 20, (StoreEvent(changed, False),))
+    assert (known.until, known.quiet_since) == (20, 15)
+    known.apply_listing(12, [former])
+    assert (known.until, known.quiet_since) == (20, 15)
+    assert known.records["main"] == changed
+    # The objects that existed at an older revision, as from a relay.
+    assert known.apply_changes(10, 12, (), names=("main",))
+    assert (known.until, known.quiet_since) == (20, 15)
