Poll missing reports no more often than reports without the adapter

Cause: a report that failed didn't count as a poll, so that an observation polled every 30 ms (15 ms for short fetches) for 5 s while an engine answered no reports.

Change: it counts, and the interval doubles after five polls as usual.

--- a/hawthornlead/fetches/fetch_observations.py
+++ b/hawthornlead/fetches/fetch_observations.py
@@ -129,11 +129,15 @@
         self._order.record(at_s, shows_order)
         self._held.record(at_s, shows_order and shows_held)
         self._polls = 1 if first else self._polls + 1
-        self.skip(at_s)
+        self._schedule(at_s)
         if first:
             self._next_poll_s = max(self._next_poll_s, self._held_from_s)
 
     def skip(self, at_s: float) -> None:
         """Schedule the next poll after one that showed nothing usable."""
+        self._polls += 1
+        self._schedule(at_s)
+
+    def _schedule(self, at_s: float) -> None:
         doubled = 2 if self._polls > FAST_POLLS else 1
         self._next_poll_s = at_s + doubled * self._interval_s
--- a/hawthornlead/tests/test_learned_fetches.py
+++ b/hawthornlead/tests/test_learned_fetches.py
@@ -20,6 +20,7 @@
 )
 from hawthornlead.fetches.order_times import MAX_TIMEOUT_S, MIN_TIMEOUT_S, OrderTimes
 from hawthornlead.gateway.engine_slots import AdapterKey
+from hawthornlead.gateway.fetch_trackers import LOAD_TIMEOUT_S
 from hawthornlead.gateway.load_turns import Prompt
 from hawthornlead.gateway.prompt_pacers import DUTY, TOKENS_PER_MS, PromptPacer
 from hawthornlead.gateway.slot_queues import SlotRequest
@@ -375,3 +376,18 @@
         observation.record(at_s + 0.3, shows_order=True, shows_held=True)
         estimates.end_observation(observation, repeated=False, now=1.0)
     assert estimates.lag.expected_s < 0.18
+
+
+def test_reports_that_are_missing_are_polled_no_more_often_than_unchanged_ones():
+    """An engine answers no report for the 5 s of an observation."""
+    polls = []
+    for missing in (False, True):
+        observation = FetchObservation(0.2, True, 0.288)
+        polls.append(0)
+        while observation.next_poll_s < LOAD_TIMEOUT_S:
+            polls[-1] += 1
+            if missing:
+                observation.skip(observation.next_poll_s)
+            else:
+                observation.record(observation.next_poll_s, False, False)
+    assert polls[1] <= polls[0]
