Keep unanswered orders only while they may be carried out

Cause: an order that the engine never takes would be kept until its count is passed, and orders for many adapters could name one count.

--- a/hawthornlead/gateway/engine_orders.py
+++ b/hawthornlead/gateway/engine_orders.py
@@ -15,7 +15,7 @@
 from .gateway_metrics import GatewayMetrics
 from .ownerships import Ownerships
 from .records import EngineOrder, OrderKind, OrderOutcome, TargetEntry
-from .unacknowledged_orders import UnacknowledgedOrders
+from .unacknowledged_orders import MAX_ORDER_DELAY_S, UnacknowledgedOrders
 
 # Consecutive unanswered orders after which a report is read. If every answer comes too
 # late, the engine carried out the first order and refuses all others, however often the
@@ -54,8 +54,8 @@
         self._unacknowledged = unacknowledged
         self._estimates = estimates
         # The unanswered orders that the engine may still have to carry out, because it
-        # isn't known to have passed their count.
-        self._unanswered_orders: set[EngineOrder] = set()
+        # isn't known to have passed their count, and when each was sent last.
+        self._unanswered_orders: dict[EngineOrder, float] = {}
         self._unanswered_at = 0.0
         self._taken_at = 0.0
         self._effective_at = 0.0
@@ -192,7 +192,7 @@
             return False
         if AdapterKey(order.model, order.adapter) in self._load_started_at:
             return False
-        return self._accepted is not None and self._unanswered_orders == {order}
+        return self._accepted is not None and self._unanswered_orders.keys() == {order}
 
     def _apply_outcome(
         self, order: EngineOrder, outcome: OrderOutcome, confirmed: bool
@@ -202,7 +202,8 @@
             # the same count. The engine takes one of the two and refuses the other, so
             # there is no need to wait for a report.
             self._unanswered += 1
-            self._unanswered_orders.add(order)
+            self._unanswered_orders[order] = self._last_sent_at
+            self._discard_passed(order.order_count)
             self._unanswered_at = self._last_sent_at
             if self._unanswered >= MAX_UNANSWERED:
                 self.set_accepted(None)
@@ -222,9 +223,12 @@
             self._discard_passed(self._accepted)
 
     def _discard_passed(self, accepted: int) -> None:
-        """Discard the unanswered orders that the engine will refuse by their count."""
+        """Discard the unanswered orders that the engine won't carry out any more."""
+        since = self._timers.now() - MAX_ORDER_DELAY_S
         self._unanswered_orders = {
-            order for order in self._unanswered_orders if order.order_count >= accepted
+            order: sent_at
+            for order, sent_at in self._unanswered_orders.items()
+            if order.order_count >= accepted and sent_at >= since
         }
 
     def _loads_already(self, order: EngineOrder) -> bool:
