--- a/hawthornlead/engine_speeds/engine_speeds.py
+++ b/hawthornlead/engine_speeds/engine_speeds.py
@@ -78,6 +78,11 @@
     full: float = 1.0
     reading: float = 1.0
 
+    @property
+    def slower(self) -> bool:
+        """Whether the engine is slower than the median one in any respect."""
+        return max(self) > 1.0
+
     def beside(self, running: int, batch: int) -> float:
         """Return the factor of an event's time beside other requests."""
         return self.alone + _fill(running, batch) * (self.full - self.alone)
--- a/hawthornlead/gateway/measured_engines.py
+++ b/hawthornlead/gateway/measured_engines.py
@@ -50,8 +50,10 @@
         now: Callable[[], float] = lambda: 0.0,
         on_speed: Callable[[EngineSpeed], None] = lambda speed: None,
         running: Callable[[], int] = lambda: 0,
+        is_slower: Callable[[], bool] = lambda: False,
     ):
         self._estimator = estimator
+        self._is_slower = is_slower
         self._running = running
         self._now = now
         self._on_speed = on_speed
@@ -67,8 +69,12 @@
         return self.speed.rounded()
 
     def pace(self) -> ReadingPace:
-        """Return how the engine reads prompts, with the requests that run there now."""
-        if not self.speed.known:
+        """Return how the engine reads prompts, with the requests that run there now.
+
+        Engines that are alike are all paced as assumed: it isn't known which part of
+        their events' time is theirs.
+        """
+        if not self.speed.known or not self._is_slower():
             return ASSUMED_PACE
         return pace_of(self.speed, self._running(), self._estimator.batch)
 
@@ -145,6 +151,7 @@
             self._timers.now,
             on_speed=lambda speed: self._classify(entry, speed),
             running=lambda: self._loads.running(entry.target),
+            is_slower=lambda: self.compared(entry).factors.slower,
         )
 
     def compared(self, entry: TargetEntry) -> ComparedSpeed:
--- a/hawthornlead/gateway/prompt_pacers.py
+++ b/hawthornlead/gateway/prompt_pacers.py
@@ -87,19 +87,16 @@
 def pace_of(speed: EngineSpeed, beside: int, batch: int) -> ReadingPace:
     """Return the pace of an engine where ``beside`` requests run.
 
-    The assumed pace also holds for engines that are about as fast as assumed, at a fill
-    at which their events take about as long.
+    Only slower engines are paced by their speeds. How fast an engine reads can't be
+    told from the time of its events, which hold different numbers of tokens.
     """
     if not speed.known:
         return ASSUMED_PACE
-    event_ms = speed.event_ms_beside(beside, batch)
-    if (
-        1 / ALIKE < speed.read_tokens_per_ms / TOKENS_PER_MS < ALIKE
-        and 1 / ALIKE < speed.event_ms / EVENT_MS < ALIKE
-        and event_ms < SLOW_EVENT * EVENT_MS
-    ):
+    tokens_per_ms = min(speed.read_tokens_per_ms, TOKENS_PER_MS)
+    event_ms = max(speed.event_ms_beside(beside, batch), EVENT_MS)
+    if tokens_per_ms * ALIKE > TOKENS_PER_MS and event_ms < SLOW_EVENT * EVENT_MS:
         return ASSUMED_PACE
-    return ReadingPace(speed.read_tokens_per_ms, event_ms, True)
+    return ReadingPace(tokens_per_ms, event_ms, True)
 
 
 class PromptTurn:
--- a/hawthornlead/tests/test_measured_engines.py
+++ b/hawthornlead/tests/test_measured_engines.py
@@ -7,6 +7,7 @@
 from hawthornlead.engine_speeds.speed_estimators import SpeedEstimator
 from hawthornlead.events import EventKind, EventRing
 from hawthornlead.gateway.measured_engines import MeasuredEngine, MeasuredEngines
+from hawthornlead.gateway.prompt_pacers import ASSUMED_PACE
 from hawthornlead.gateway.records import EngineSpec
 from hawthornlead.messages.gateways import RequestEnded
 from hawthornlead.timers import ManualTimerService
@@ -104,3 +105,15 @@
     assert successor.speed == fleet.speeds["e0"]
     del fleet.speeds["e0"]
     assert not fleet.measured.start(fleet.entries["e0"], SPEC).speed.known
+
+
+def test_engines_that_are_alike_are_paced_as_assumed():
+    """Guards against longer turns where all engines of a deployment read slowly."""
+    slow = EngineSpeed(90.0, 126.0, 19.0)
+    alike = Fleet([slow] * 4)
+    engine = alike.measured.start(alike.entries["e0"], SPEC)
+    assert engine.speed.known
+    assert engine.pace() == ASSUMED_PACE
+    uneven = Fleet([slow, FAST, FAST, FAST])
+    engine = uneven.measured.start(uneven.entries["e0"], SPEC)
+    assert engine.pace().tokens_per_ms == 19.0
