Soak: VMs with all switches of [scheduling], and no request left waiting for a place

Cause: the VMs of the soak over the gateway ran with learned_fetches only, so that places, measured engines and fair shares never met its faults.

Change: all six switches, as deploy/vm.ini.template has them. Plain targets have 1 slot in odd seeds, so that plain_places takes effect with six VMs. The judge waiting-ends reads the VMs' metrics after all callers have stopped: no request may wait for a place. Counts of places are printed and kept.

--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -15,6 +15,7 @@
 from random import Random
 
 import click
+from prometheus_client.parser import text_string_to_metric_families
 
 from . import (
     soak_gateway_bounds,
@@ -29,9 +30,9 @@
 from .soak_gateway_fleet import GatewayFleet
 from .soak_gateway_judges import GATEWAY_JUDGES, Case
 from .soak_gateway_prompts import prompts_crash_engines
-from .soak_gateway_records import SOAK, Journal, Probe, Trouble
+from .soak_gateway_records import SOAK, Journal, PlaceCounts, Probe, Trouble
 from .soak_gateway_targets import DRAIN_S, drained, spoilt
-from .soak_gateway_world import GatewayWorld
+from .soak_gateway_world import PLAIN_SLOTS, GatewayWorld
 from .soak_reports import report_faults, report_verdicts
 
 __all__ = [
@@ -62,6 +63,12 @@
 # Longer than a target that leaves may be sent to.
 SPOILT_S = 4.5
 PROBE_S = 3.0
+# A request waits for a place for less than its deadline, which is 7.5 s at most.
+WAITING_S = 8.0
+WAITING_GAUGES = (
+    "hawthornlead_gateway_waiting_for_plain_places",
+    "hawthornlead_gateway_waiting_for_engine_places",
+)
 # What targets ask for while all else is well: so many requests a second, and rest.
 CALM_LIMIT = 4.0
 CALM_REST_S = 1.5
@@ -109,7 +116,9 @@
         """Start everything and wait until all VMs are ready."""
         await self._fleet.start()
         engines = min(MOST_ENGINES, max(4, round(ENGINES_A_VM * self._vms)))
-        await self._world.start_targets(engines, max(PLAINS, engines // 2))
+        plains = max(PLAINS, engines // 2)
+        plain_slots = PLAIN_SLOTS[self._seed % 2]
+        await self._world.start_targets(engines, plains, plain_slots)
         for vm in self._fleet.vms.values():
             if not await self._ready_within(vm, READY_S):
                 raise RuntimeError(f"{vm.name} never became ready")
@@ -162,6 +171,7 @@
         finally:
             stopped.set()
             await asyncio.gather(*asking, *world.insisting)
+        await asyncio.gather(*(self._count_places(vm) for vm in vms))
 
     async def _calm(self) -> None:
         """Do planned work only, each piece while all else is well."""
@@ -225,6 +235,25 @@
         vms = self._fleet.vms.values()
         await asyncio.gather(*(probe(vm, kind) for vm in vms for kind in kinds))
 
+    async def _count_places(self, vm) -> None:
+        """Note a VM's counts of places once no request waits, or when time is over."""
+        end = time.monotonic() + WAITING_S
+        headers = {"Host": vm.metrics, "Connection": "close"}
+        while True:
+            over = time.monotonic() > end
+            try:
+                answer = await ask(vm.metrics, "GET", "/metrics", headers)
+            except OSError:
+                # It has ended by itself a moment ago, which another judge tells.
+                if over:
+                    return
+            else:
+                counts = _place_counts(vm.name, answer.body.decode())
+                if over or not counts.waiting:
+                    break
+            await asyncio.sleep(0.2)
+        self._journal.place_counts.append(counts)
+
     async def _note_stalls(self) -> None:
         """Note when this process stood still: the platform did so with it."""
         before = time.monotonic()
@@ -251,6 +280,10 @@
         click.echo(
             f"stood still itself: {len(journal.stalls)}, {longest_s:.2f} s at most"
         )
+        decided = Counter()
+        for counts in journal.place_counts:
+            decided.update(counts.decided)
+        click.echo(f"places: {dict(sorted(decided.items()))}")
         held = report_faults(world.injected, GATEWAY_DECK.faults)
         click.echo("rules put to the test:")
         held = report_verdicts(GATEWAY_JUDGES, Case(journal)) and held
@@ -271,6 +304,7 @@
             "arrivals": [arrival._asdict() for arrival in journal.arrivals],
             "told": [told._asdict() for told in journal.told],
             "prompt_crashes": [each._asdict() for each in journal.prompt_crashes],
+            "place_counts": [each._asdict() for each in journal.place_counts],
             "probes": [probe._asdict() for probe in journal.probes],
             "own_ends": [end._asdict() for end in journal.own_ends],
             "injected": [dict(self._world.injected)],
@@ -279,3 +313,16 @@
             text = "\n".join(json.dumps(row, default=str) for row in rows)
             (folder / f"{name}.jsonl").write_text(text)
         click.echo(f"records and logs: {folder}")
+
+
+def _place_counts(vm: str, metrics: str) -> PlaceCounts:
+    """Return what the text of a VM's metrics tells of places at targets."""
+    waiting, decided = 0, Counter()
+    for family in text_string_to_metric_families(metrics):
+        for sample in family.samples:
+            if sample.name in WAITING_GAUGES:
+                waiting += int(sample.value)
+            elif sample.name == "hawthornlead_gateway_places_total":
+                labels = sample.labels
+                decided[f"{labels['part']} {labels['outcome']}"] += int(sample.value)
+    return PlaceCounts(vm, waiting, dict(decided))
--- a/hawthornlead/tests/soak_gateway_cases.py
+++ b/hawthornlead/tests/soak_gateway_cases.py
@@ -11,6 +11,7 @@
     Journal,
     OrderSeen,
     OwnEnd,
+    PlaceCounts,
     Probe,
     PromptCrash,
     Run,
@@ -172,6 +173,7 @@
     made.sent.append(sent("stream", "r14", sent_at=104.0, ended_at=104.2))
     made.runs.append(run(made.sent[-1]))
     made.probes = [Probe("vm-1", "safe", True, "")]
+    made.place_counts = [PlaceCounts("vm-1", 0, {"engine granted": 1})]
     made.troubles = [Trouble(CUT_FROM_TARGETS, "vm-1>targets", 300.0, 306.0)]
     made.sent.append(behind_cut("r10", "vm-1"))
     made.runs.append(run(made.sent[-1]))
--- a/hawthornlead/tests/soak_gateway_fleet.py
+++ b/hawthornlead/tests/soak_gateway_fleet.py
@@ -31,6 +31,15 @@
 HARMLESS = "Exception after Future was cancelled"
 # How long after its grace a process that was asked to stop is killed.
 GRACE_SLACK_S = 1.0
+# All switches, as deploy/vm.ini.template has them.
+SCHEDULING = (
+    "learned_fetches",
+    "measured_engines",
+    "engine_places",
+    "plain_places",
+    "fair_shares",
+    "fast_starts",
+)
 DATA_CENTRES = ("gijon", "bilbao", "santander")
 # VMs are at .N.1, their links at .N.2, and what they open comes from .N.3.
 STORE_NET = 249
@@ -187,7 +196,7 @@
             # As deploy/vm.ini.template has them.
             "peers": {"heartbeat_s": 0.9, "peer_silent_s": 2.0, "peer_call_s": 1.0},
             "requests": {"retry_share": 0.15},
-            "scheduling": {"learned_fetches": "yes"},
+            "scheduling": dict.fromkeys(SCHEDULING, "yes"),
             "logs": {"log_format": "json", "log_lines_per_s": self._lines_per_s},
         }
         lines = []
--- a/hawthornlead/tests/soak_gateway_judges.py
+++ b/hawthornlead/tests/soak_gateway_judges.py
@@ -344,6 +344,14 @@
     return Verdict(exercised, tuple(broken))
 
 
+@judge("waiting-ends")
+def waiting_ends(case: Case) -> Verdict:
+    """PLACES: no request waits for a place at a target once all callers stopped."""
+    counts = case.journal.place_counts
+    broken = [f"{each.vm}: {each.waiting} wait" for each in counts if each.waiting]
+    return Verdict(sum(sum(each.decided.values()) for each in counts), tuple(broken))
+
+
 @judge("recovers")
 def recovers(case: Case) -> Verdict:
     """RECOVER: after the last fault every VM serves every kind of request again."""
--- a/hawthornlead/tests/soak_gateway_records.py
+++ b/hawthornlead/tests/soak_gateway_records.py
@@ -233,6 +233,17 @@
     detail: str
 
 
+class PlaceCounts(NamedTuple):
+    """What a VM's metrics tell of places at targets after all callers have stopped.
+
+    ``waiting`` is how many requests wait there, ``decided`` counts the outcomes.
+    """
+
+    vm: str
+    waiting: int
+    decided: dict[str, int]
+
+
 class Journal:
     """Everything that the judges need; the soak's parts add to it as they go."""
 
@@ -256,6 +267,7 @@
         self.overloaded: list[str] = []
         self.loads = 0
         self.probes: list[Probe] = []
+        self.place_counts: list[PlaceCounts] = []
         self.stalls: list[float] = []
 
     @contextmanager
--- a/hawthornlead/tests/soak_gateway_world.py
+++ b/hawthornlead/tests/soak_gateway_world.py
@@ -18,6 +18,10 @@
 SOFTWARE = ("v1", "v2")
 # At most so many VMs are hurt one by one at a time; all of them may be at once.
 HURT_SHARE = 0.7
+# VMs count the places of plain targets for each other only if a service's targets have
+# fewer slots than there are VMs. With 1 slot each that is so in a fleet of six.
+PLAIN_SLOTS = (6, 1)
+ENGINE_SLOTS = 6
 INSISTENT = 3
 
 
@@ -28,6 +32,7 @@
         self._in_use: set[str] = set()
         self._version = 0
         self._ids = 0
+        self._plain_slots = PLAIN_SLOTS[0]
         self.fleet = fleet
         self.journal = journal
         self.rng = rng
@@ -40,8 +45,9 @@
         self.newest: dict[str, int] = {}
         self.around = Surroundings(fleet.store, journal, fleet.names, rng, self.newest)
 
-    async def start_targets(self, engines: int, plains: int) -> None:
+    async def start_targets(self, engines: int, plains: int, plain_slots: int) -> None:
         """Put a configuration in force and start all targets."""
+        self._plain_slots = plain_slots
         self.configure()
         for _ in range(engines):
             await self.add_target("llm", MODEL)
@@ -59,6 +65,7 @@
             self.around,
             link or await self.fleet.new_target_link(),
             model,
+            slots=ENGINE_SLOTS if model else self._plain_slots,
             # Engines of two versions serve side by side all the while.
             software=SOFTWARE[self._ids % 2] if model else SOFTWARE[0],
         )
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -35,6 +35,7 @@
     ENDED_BY_ITSELF,
     STORE,
     Journal,
+    PlaceCounts,
     Probe,
     Stopped,
 )
@@ -91,6 +92,10 @@
     ),
     ("no-errors-of-its-own", journal(errors=["vm-1: a request failed"])),
     ("every-request-answered", more_sent(cut("r7", process_id=8))),
+    (
+        "waiting-ends",
+        journal(place_counts=[PlaceCounts("vm-1", 1, {"engine granted": 1})]),
+    ),
     ("recovers", journal(probes=[Probe("vm-1", "safe", False, "refused 503")])),
     ("configuration-in-force", of_kind("moved", {"service": "other"})),
     (
