--- a/hawthornlead/code_archives.py
+++ b/hawthornlead/code_archives.py
@@ -35,10 +35,10 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 ARCHIVE = os.path.join(ROOT, "target", "gateway.code")
 _LENGTHS = 16
-# Modules that libraries import as a whole for features which a gateway doesn't use:
-# log files, terminals, versions, files sent by a web server. They
-# are executed when something asks them for a name, which no request does. A module of
-# which a name is imported can't wait and doesn't belong here.
+# Modules that libraries import as a whole for features which a gateway doesn't use: log
+# files, terminals, versions, files sent by a web server. They are executed when
+# something asks them for a name, which no request does. A module of which a name is
+# imported can't wait and doesn't belong here.
 DEFERRED = frozenset(
     (
         "asyncio.sslproto",
--- a/hawthornlead/messages/admission.py
+++ b/hawthornlead/messages/admission.py
@@ -10,9 +10,9 @@
     """Request a place at a plain target from the VM that coordinates its places.
 
     The request must start within ``due_s`` to be in time, and waits ``wait_s`` at most.
-    If it gets a place, it has surely ended after ``ends_s``. If it has waited for
-    ``patience_s`` beyond its due time, it starves. ``number`` is the sender's own for
-    it; ``share_key`` names its workspace.
+    If it gets a place, it has ended after ``ends_s`` at the latest. If it has waited
+    for ``patience_s`` beyond its due time, it starves. ``number`` is the sender's own
+    for it; ``share_key`` names its workspace.
     """
 
     target: str
