--- a/hawthornlead/admission/place_books.py
+++ b/hawthornlead/admission/place_books.py
@@ -24,7 +24,7 @@
 
 
 class Grant(NamedTuple):
-    """A place for a request of a VM, which has surely ended ``until`` a time.
+    """A place for a request of a VM, which has ended by ``until`` at the latest.
 
     ``tokens`` is the memory that it takes, and ``number`` the VM's own for it.
     """
@@ -132,25 +132,25 @@
         old = sum(1 for each in self._held.values() if each.at <= then)
         # These are in the announcements of all VMs, the oldest of which are twice as
         # old as the mean.
-        surely = [number for number, each in self._held.items() if each.at <= oldest]
+        settled = [number for number, each in self._held.items() if each.at <= oldest]
         ended = sum(1 for each in self._ended_at if each.granted_at <= then)
         self._forget_samples(now)
         self._samples.append(
             _Sample(
                 now,
                 max(0, announced - old - ended),
-                max(0, len(surely) - announced),
+                max(0, len(settled) - announced),
             )
         )
         if len(self._samples) >= MIN_COMPARED:
             lost = min(each.missing for each in self._samples)
-            for number in surely[:lost]:
+            for number in settled[:lost]:
                 self._remove(number)
             if lost:
                 self._samples.clear()
 
     def lapse(self, now: float) -> None:
-        """Free the places whose requests have surely ended."""
+        """Free the places whose requests have ended by now at the latest."""
         for number, held in tuple(self._held.items()):
             gone = now - held.at > UNSEEN_S and not self._is_seen(held.grant.vm)
             if gone or held.grant.until <= now:
--- a/hawthornlead/admission/place_queues.py
+++ b/hawthornlead/admission/place_queues.py
@@ -31,7 +31,7 @@
     """A request of a VM for a place.
 
     ``due_at`` is by when it must start to be in time, ``until`` when it stops waiting
-    and ``ends_by`` when it has surely ended, if it runs. ``number`` is the VM's own for
+    and ``ends_by`` when it has ended at the latest. ``number`` is the VM's own for
     it, and ``key`` names what it uses of the target.
     """
 
--- a/hawthornlead/decisions/fair_quotas.py
+++ b/hawthornlead/decisions/fair_quotas.py
@@ -42,17 +42,17 @@
 # The demand is averaged over this time, two intervals of heads. A rate that decays
 # between reports would swing by half of its value with each of them.
 DEMAND_WINDOW_S = 0.8
-# The demand that a head told holds for the interval of its updates, and some lateness.
+# The demand that a head reported holds until its next update, and some lateness.
 DEMAND_HOLD_S = 0.5
-# No overdraft is used once this part of the VMs isn't heard: what they admitted before
+# No overdraft is used once this part of the VMs is missing: what they admitted before
 # they were missed takes its place.
-MOST_AWAY = 0.25
+MAX_MISSING_SHARE = 0.25
 # A VM whose update is later than this may be cut off. Beyond the credit it then uses
 # only this part of its share, and no overdraft.
 LATE_UPDATE_S = 0.5
 LATE_SHARE = 0.1
-# What all VMs together may admit before they are first told the credit, in seconds of
-# the rate.
+# What all VMs together may admit before the credit is first reported to them, in
+# seconds of the rate.
 FRESH_S = 0.2
 # Of requests to such a VM, at least this part is admitted first. A VM gets less than
 # one request in that time from most workspaces, usually and in a surge.
@@ -140,17 +140,17 @@
     _unsure_until = -math.inf
     # Until when it may lack them because it was frozen.
     _resumed_until = -math.inf
-    # When this VM was first told the credit, or first counted it.
+    # When the credit was first reported to this VM, or first counted here.
     _began_at = -math.inf
-    # When another VM was last heard.
-    _heard_at = -math.inf
+    # When another VM last reported.
+    _last_report_at = -math.inf
 
     def __init__(self, *, share: Callable[[], float], **parts):
         super().__init__(share=lambda: self._starting_share(share()), **parts)
 
     def apply_uses(self, uses: tuple[QuotaUse, ...]) -> None:
         """Count another VM's demand and admitted use."""
-        self._heard_at = self._now()
+        self._last_report_at = self._now()
         super().apply_uses(uses)
 
     def refund(self, name: str, cost: float) -> None:
@@ -163,7 +163,7 @@
     def mark_counting_locally(self) -> None:
         """Mark that this VM counts by itself, maybe after it missed uses."""
         now = self._now()
-        self._note_update(now)
+        self._record_first_update(now)
         if now - self._updated_at > GAP_S:
             self._unsure_until = now + GAP_S
             if self._updated_at > -math.inf:
@@ -180,10 +180,10 @@
     def apply_states(self, states: tuple[QuotaState, ...], share: float) -> None:
         """Replace the local state by a head's state of all VMs, if it tells any."""
         if states:
-            self._note_update(self._now())
+            self._record_first_update(self._now())
             super().apply_states(states, share)
 
-    def _note_update(self, now: float) -> None:
+    def _record_first_update(self, now: float) -> None:
         if self._updated_at == -math.inf:
             self._began_at = now
 
@@ -193,7 +193,7 @@
 
     def reconcile(self, states: tuple[QuotaState, ...]) -> None:
         """Move towards the credit that another head tells."""
-        self._heard_at = self._now()
+        self._last_report_at = self._now()
         unsure = self._is_unsure()
         share = 1.0 if unsure else RECONCILE_SHARE
         now = self._now()
@@ -214,7 +214,7 @@
     def _is_current(self, now: float) -> bool:
         """Whether this VM knows what others admit.
 
-        A head that is cut off counts on by itself, but hears nobody.
+        A head that is partitioned counts on by itself, without reports.
         """
         return super()._is_current(now) and self._silence_s(now) < STATE_TTL_S
 
@@ -222,7 +222,7 @@
         """Return for how long this VM has learned nothing of others."""
         if self._announced_share is not None:
             return now - self._updated_at
-        return now - self._heard_at if self._vms() > 1 else 0.0
+        return now - self._last_report_at if self._vms() > 1 else 0.0
 
     def _is_unsure(self) -> bool:
         return self._now() < self._unsure_until
@@ -237,9 +237,9 @@
         return share
 
     def _starting_share(self, share: float) -> float:
-        """Return the share of the rates, from the share of VMs that are heard.
+        """Return the share of the rates, from the share of VMs that report.
 
-        After a start the others are starting too. Those that aren't heard yet use no
+        After a start the others are starting too. Those yet to report use no
         more than a part of their share.
         """
         if self._now() - self._began_at >= START_TTL_S:
@@ -256,7 +256,7 @@
         if now - self._began_at < START_TTL_S:
             credit += account.overdraft
         elif self._silence_s(now) < LATE_UPDATE_S:
-            credit += account.overdraft * max(0.0, 1 - (1 - share) / MOST_AWAY)
+            credit += account.overdraft * max(0.0, 1 - (1 - share) / MAX_MISSING_SHARE)
         else:
             share *= LATE_SHARE
         allowed = account.limit.rate * share + credit / SETTLE_S
