--- a/hawthornlead/gateway/target_searches.py
+++ b/hawthornlead/gateway/target_searches.py
@@ -21,7 +21,8 @@
 # request waits at the one of them that expects the next free slot.
 MAX_FULL_TRIES = 12
 # Engines that are asked for an immediate place; the next one is asked to wait for one.
-MAX_BUSY_TRIES = 6
+# Each question costs processor time at both VMs, and their answers show the load.
+MAX_BUSY_TRIES = 2
 # A caller that retries as soon as one slot is expected to be free meets the same full
 # engines. Half a second is longer than a run, so other runs have ended by then.
 MIN_FULL_RETRY_S = 0.5
