Log the eras that the store names, and listings older than what a VM knows

Two of the hypotheses on CONFIG and DRAIN could not be told apart: no line said which revision an answer had, that a listing was ignored, or which era the store named. Events 319 and 320, gauge store_era. No decision changes.

--- /dev/null
+++ b/hawthornlead/eras/store_eras.py
@@ -0,0 +1,61 @@
+"""Which era of the store this VM has seen, by answers of the store or of other VMs.
+
+::
+
+    eras = StoreEras(now=timers.now, events=events)
+    eras.observe(4)
+    eras.current
+"""
+
+from collections.abc import Callable
+
+from ..events import EventKind, EventRing
+
+# The era of a store that names none; it never goes back.
+NO_ERA = 0
+NEVER = float("-inf")
+
+
+class StoreEras:
+    """The newest era that this VM has seen; times are of ``now``, in seconds."""
+
+    def __init__(self, *, now: Callable[[], float], events: EventRing | None = None):
+        self._now = now
+        self._events = events
+        self._current = NO_ERA
+        self._seen_at = NEVER
+        self._changed_at = NEVER
+        self._subscribers: list[Callable[[], None]] = []
+
+    @property
+    def current(self) -> int:
+        """The newest era seen, ``NO_ERA`` if the store has named none."""
+        return self._current
+
+    @property
+    def seen_at(self) -> float:
+        """When this VM first saw the current era, ``NEVER`` if it has seen none."""
+        return self._seen_at
+
+    @property
+    def changed_at(self) -> float:
+        """When this VM saw an era follow another, ``NEVER`` if it hasn't."""
+        return self._changed_at
+
+    def subscribe(self, on_changed: Callable[[], None]) -> None:
+        """Call ``on_changed`` when a new era follows another."""
+        self._subscribers.append(on_changed)
+
+    def observe(self, era: int) -> None:
+        """Record the era of an answer or a message; older ones change nothing."""
+        if era <= self._current:
+            return
+        former, self._current = self._current, era
+        self._seen_at = self._now()
+        if self._events is not None:
+            self._events.emit(EventKind.STORE_ERA, "store", era=era, former=former)
+        if former == NO_ERA:
+            return
+        self._changed_at = self._seen_at
+        for on_changed in self._subscribers:
+            on_changed()
--- a/hawthornlead/gateway/__init__.py
+++ b/hawthornlead/gateway/__init__.py
@@ -5,5 +5,5 @@
 The wire formats are in ``hawthornlead.platform`` alone.
 
 May import: the common modules, mesh, fleet, admission, decisions, engine_speeds,
-fetches, platform, recovery, shares.
+eras, fetches, platform, recovery, shares.
 """
--- a/hawthornlead/gateway/coordination_parts.py
+++ b/hawthornlead/gateway/coordination_parts.py
@@ -6,6 +6,7 @@
 """
 
 from ..core_parts import CoreParts
+from ..eras.store_eras import StoreEras
 from ..fleet.fleet_meshes import FleetMesh
 from ..fleet.registered_orders import RegisteredOrder
 from ..mesh.sparse_peers import SparsePeerMesh
@@ -29,7 +30,10 @@
     settings, timers, rng, events = core.settings, core.timers, core.rng, core.events
     vm, incarnation = settings["VM_NAME"], f"{rng.getrandbits(64):016x}"
     client = StoreClient(
-        address=settings["STORE_ADDRESS"], timers=timers, metrics=metrics
+        address=settings["STORE_ADDRESS"],
+        timers=timers,
+        metrics=metrics,
+        eras=StoreEras(now=timers.now, events=events),
     )
     transport = SparsePeerMesh(
         settings=settings,
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -243,6 +243,11 @@
             "The version of the configuration in force, 0 for none",
             self._configuration_version,
         )
+        metrics.add_gauge(
+            "store_era",
+            "The newest era of the store",
+            lambda: self._client.eras.current,
+        )
         for name, text, read in (
             ("live_vms", "VMs that callers are sent to", self._memberships.live),
             ("known_targets", "Targets that are registered", self._target_ids),
--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -13,8 +13,10 @@
 from result import Err, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from ..eras.store_eras import StoreEras
 from ..errors import ErrorKind, Failure
 from ..platform.fields import decode
+from ..platform.headers import read_store_era
 from ..platform.objects import (
     CONFIGURATION_KIND,
     list_path,
@@ -55,8 +57,10 @@
         address: str,
         timers: TimerService,
         metrics: GatewayMetrics | None = None,
+        eras: StoreEras | None = None,
     ):
         self._metrics = metrics
+        self._eras = eras or StoreEras(now=timers.now)
         self._url = f"http://{address}"
         self._timers = timers
         self._answered_at = timers.now()
@@ -72,6 +76,11 @@
         """When a call was last served, in seconds of the ``TimerService``."""
         return self._answered_at
 
+    @property
+    def eras(self) -> StoreEras:
+        """The eras that the store's answers have named."""
+        return self._eras
+
     def close(self) -> None:
         """Close the client and end all calls."""
         self._client.close()
@@ -175,6 +184,7 @@
             self._count("unanswered")
             return Err(_unavailable(str(error) or type(error).__name__))
         answered_at = self._timers.now()
+        self._eras.observe(read_store_era(response.headers))
         if response.code not in TURNED_AWAY:
             self._answered_at = answered_at
         self._count(str(response.code))
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -262,12 +262,20 @@
 
     async def _list(self) -> bool:
         started_at = self._timers.now()
+        known_until = self._known.until
         listed = await self._client.list_all(self._kind)
         if listed.is_err():
             self._mark_lost(listed.err_value.detail)
             return False
         self._mark_recovered()
         found = listed.ok_value
+        if found.revision < known_until:
+            self._events.emit(
+                EventKind.LISTING_OUTDATED,
+                self._kind,
+                revision=found.revision,
+                known_until=known_until,
+            )
         self._report_skipped(found.skipped)
         self._known.apply_listing(found.revision, found.events)
         self._listed = True
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -27,6 +27,7 @@
 LENGTH_HINT = "Length-Hint"
 PROMPT_PARTS = "Prompt-Prefix"
 WORKSPACE = "Tenant-Id"
+STORE_ERA = "Store-Era"
 
 # Headers that apply to one connection only, or that describe how a body is framed.
 HOP_BY_HOP = frozenset(
@@ -223,6 +224,11 @@
     )
 
 
+def read_store_era(headers: HTTPHeaders) -> int:
+    """Return the era that an answer of the store names, 0 if it names none."""
+    return _parse_integer(headers.get(STORE_ERA, ""))
+
+
 def _end_to_end_headers(caller_headers: HTTPHeaders) -> HTTPHeaders:
     """Return the headers of a caller's request that the caller may set."""
     headers = HTTPHeaders()
