--- a/hawthornlead/tests/standins/platform_store.py
+++ b/hawthornlead/tests/standins/platform_store.py
@@ -9,9 +9,10 @@
 """
 
 import asyncio
+import copy
 import json
 import re
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from tornado import httputil
@@ -21,9 +22,18 @@
 from hawthornlead.gateway.caller_calls import CallerCall, CallerDispatcher
 
 
+class StoreCopy(NamedTuple):
+    """All objects of a store at one revision."""
+
+    revision: int
+    objects: dict[str, dict[str, dict]]
+
+
 class PlatformStore:
     """Objects by kind and name under one revision counter.
 
+    ``era`` is named in each answer, None for a store that knows no eras.
+
     ``fault`` is "" or how calls fare: "busy" is refused with 503, "silent" is never
     answered, "lost" is carried out and never answered. ``calls`` counts by method.
     """
@@ -39,6 +49,7 @@
         self._server = HTTPServer(CallerDispatcher(self._handle, lambda: 0.0))
         self.address = ""
         self.fault = ""
+        self.era: int | None = None
         self.keeps_history = True
         self.calls: list[tuple[str, str]] = []
 
@@ -113,6 +124,19 @@
         self._oldest = self._revision
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to which the store may go back."""
+        return StoreCopy(self._revision, copy.deepcopy(self._objects))
+
+    def restore(self, taken: StoreCopy) -> None:
+        """Go back to a copy: a new era, which gives out later revisions again."""
+        self.era = (self.era or 0) + 1
+        self._revision = taken.revision
+        self._objects = copy.deepcopy(taken.objects)
+        self._log.clear()
+        self._oldest = taken.revision
+        self._wake()
+
     def _tell(self, kind: str, body: dict, deleted: bool) -> None:
         self._log.append((self._revision, kind, body, deleted))
         self._wake()
@@ -155,7 +179,8 @@
         since = int(query["watch"])
         end = asyncio.get_running_loop().time() + int(query["waitMs"]) / 1000
         while True:
-            if since < self._oldest or not self.keeps_history:
+            gone = since < self._oldest or since > self._revision
+            if gone or not self.keeps_history:
                 return 410, {}
             events = [
                 {"object": _told(body), "deleted": deleted}
@@ -190,6 +215,8 @@
 
     def _answer(self, call: CallerCall, status: int, body: Any) -> None:
         headers = httputil.HTTPHeaders({"Content-Type": "application/json"})
+        if self.era is not None:
+            headers["Store-Era"] = str(self.era)
         data = json.dumps(body).encode()
         if self._raw:
             data = re.sub(rb'"(raw-\d+)"', lambda m: self._raw[m[1].decode()], data)
