Order what the store holds by its era and revision

Callers saw a confirmed configuration not in force (version 20 in place of 24, 2.8 s after its acknowledgement) and requests at a leaving target after 2.5 s.

Revisions are now dated where an answer is decoded: era << 40 | revision, one number that orders objects, claims, leases and messages between VMs. A watch answered by another era counts as one whose history is gone, a listing over two eras fails, a condition of an earlier era conflicts. Relays send the first listing of a new era whole, and are trusted only in the newest era that is known.

--- a/hawthornlead/gateway/change_logs.py
+++ b/hawthornlead/gateway/change_logs.py
@@ -9,10 +9,13 @@
 from collections.abc import Iterable
 from typing import Any, NamedTuple
 
+from ..eras.dated_revisions import era_of
 from .kind_records import KindRecords
 from .records import StoredRecord, StoreEvent
 
 _NOT_SEEN = object()
+# Before all revisions of the store: who knows anything lacks nothing before it.
+_FIRST_REVISION = 0
 
 
 class ChangeBatch(NamedTuple):
@@ -82,6 +85,8 @@
         """Add a listing, which shows each object but not the changes leading to it."""
         if until < self._until:
             return None
+        if era_of(until) > era_of(self._until):
+            return self._listed_anew(until, tuple(records))
         names = set()
         changes = []
         for record in records:
@@ -97,6 +102,21 @@
         self._since = self._until = until
         return batch
 
+    def _listed_anew(
+        self, until: int, records: tuple[StoredRecord, ...]
+    ) -> ChangeBatch:
+        """Forward a whole listing, the first of a new era.
+
+        Other VMs may know changes of the former era that this one doesn't, and that
+        the store has lost. So what is left out here as unchanged may differ there.
+        """
+        self._seen = {
+            record.name: self._known.effective_content_of(record) for record in records
+        }
+        self._since = self._until = until
+        events = tuple([StoreEvent(record, False) for record in records])
+        return ChangeBatch(_FIRST_REVISION, until, events, tuple(sorted(self._seen)))
+
     def _is_effective(self, event: StoreEvent) -> bool:
         name = event.record.name
         if event.deleted:
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -232,46 +232,40 @@
 
     def _add_gauges(self, metrics: GatewayMetrics, loads: TargetLoads) -> None:
         """Add gauges for this VM's observed state and its age."""
-        now = self._timers.now
-        metrics.add_gauge(
-            "store_answer_age_seconds",
-            "Since the store last answered a call",
-            lambda: now() - self._client.answered_at,
-        )
-        metrics.add_gauge(
-            "configuration_version",
-            "The version of the configuration in force, 0 for none",
-            self._configuration_version,
-        )
-        metrics.add_gauge(
-            "store_era",
-            "The newest era of the store",
-            lambda: self._client.eras.current,
-        )
+        now, client, vms = self._timers.now, self._client, self._memberships
+        known, manager = self._targets.entries, self._engine_manager
         for name, text, read in (
-            ("live_vms", "VMs that callers are sent to", self._memberships.live),
-            ("known_targets", "Targets that are registered", self._target_ids),
+            (
+                "store_answer_age_seconds",
+                "Since the store last answered a call",
+                lambda: now() - client.answered_at,
+            ),
+            ("store_era", "The newest era of the store", lambda: client.eras.current),
+            (
+                "configuration_version",
+                "The version of the configuration in force, 0 for none",
+                self._configuration_version,
+            ),
+            ("live_vms", "VMs that callers are sent to", lambda: len(vms.live())),
+            ("known_targets", "Targets that are registered", lambda: len(known)),
             (
                 "owned_engines",
                 "Engines that this VM orders",
-                lambda: self._engine_manager.owned,
+                lambda: len(manager.owned),
+            ),
+            ("open_requests", "Requests being answered", self._open_requests),
+            (
+                "running_requests",
+                "Own requests on targets",
+                lambda: loads.own_total,
             ),
         ):
-            metrics.add_gauge(name, text, lambda read=read: len(read()))
-        metrics.add_gauge(
-            "open_requests", "Requests being answered", self._open_requests
-        )
-        metrics.add_gauge(
-            "running_requests", "Own requests on targets", lambda: loads.own_total
-        )
+            metrics.add_gauge(name, text, read)
 
     def _configuration_version(self) -> int:
         """Return the version in force, 0 for none."""
         return getattr(self._parts.configuration, "version", 0)
 
-    def _target_ids(self) -> tuple[str, ...]:
-        return tuple(self._targets.entries)
-
     def _make_watchers(
         self, rng: Random, metrics: GatewayMetrics
     ) -> dict[str, KindWatcher]:
--- a/hawthornlead/gateway/relayed_records.py
+++ b/hawthornlead/gateway/relayed_records.py
@@ -7,10 +7,11 @@
 """
 
 import zlib
+from collections.abc import Iterable
 
 from ..messages.gateways import RelayedRecord
 from ..platform.objects import content_body, read_content
-from .records import StoredRecord
+from .records import StoredRecord, StoreEvent
 
 # One head sends a configuration of many routes to each VM of its data centre, which
 # would fill its link for seconds. Compressed, it takes a tenth.
@@ -36,6 +37,22 @@
     return read_content(relayed.name, relayed.revision, _unpacked(relayed))
 
 
+def read_events(records: Iterable[RelayedRecord]) -> tuple[StoreEvent, ...]:
+    """Decode changes into events of the store.
+
+    An object that the relay couldn't read arrives as unreadable, so that all VMs stop
+    using it at the same time.
+    """
+    events = []
+    for relayed in records:
+        if relayed.size:
+            events.append(StoreEvent(read_relayed(relayed), False))
+            continue
+        gone = StoredRecord(relayed.name, relayed.revision, None, None)
+        events.append(StoreEvent(gone, True))
+    return tuple(events)
+
+
 def _unpacked(relayed: RelayedRecord) -> str | bytes:
     """Return an object's JSON, empty if it can't be decompressed."""
     if not relayed.packed:
--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -9,10 +9,12 @@
 
 import asyncio
 import json
+from typing import NamedTuple
 
 from result import Err, Ok, Result
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
+from ..eras.dated_revisions import era_of
 from ..eras.store_eras import StoreEras
 from ..errors import ErrorKind, Failure
 from ..platform.fields import decode
@@ -41,15 +43,29 @@
 MAX_CALLS = 64
 # Status codes of a store that is up but doesn't serve this VM, or serves nobody.
 TURNED_AWAY = frozenset((429, 503))
+FOUND = 200
 NOT_FOUND = 404
+GONE = 410
 # The cheapest object to read: there is one configuration only, and the answer that this
 # one doesn't exist is an answer too.
 PROBED_OBJECT = (CONFIGURATION_KIND, "asked-for")
 MAX_LIST_BYTES = 1 << 26
 
 
+class _Answer(NamedTuple):
+    """An answer of the store, and the era that it names."""
+
+    status: int
+    body: bytes
+    era: int
+
+
 class StoreClient:
-    """Calls of the store from one VM; no call is retried here."""
+    """Calls of the store from one VM; no call is retried here.
+
+    Revisions are dated (``eras.dated_revisions``), so that those of an answer are
+    ordered after all that VMs know of earlier eras.
+    """
 
     def __init__(
         self,
@@ -90,10 +106,9 @@
         answer = await self._call("GET", object_path(kind, name))
         if answer.is_err():
             return answer
-        status, body = answer.ok_value
-        if status == NOT_FOUND:
+        if answer.ok_value.status == NOT_FOUND:
             return Ok(None)
-        return _parsed(status, body, read_record)
+        return _parsed(answer.ok_value, read_record)
 
     async def probe(self) -> None:
         """Read an object that need not exist, to update ``answered_at``."""
@@ -105,7 +120,7 @@
         """Create an object; ``VERSION_CONFLICT`` if one of this name exists."""
         body = object_body(name, spec, None)
         answer = await self._call("POST", list_path(kind), body)
-        return answer.and_then(lambda got: _parsed(*got, read_record))
+        return answer.and_then(lambda got: _parsed(got, read_record))
 
     async def replace(
         self, kind: str, name: str, spec: dict, revision: int
@@ -113,13 +128,20 @@
         """Replace an object; ``VERSION_CONFLICT`` if it is not at ``revision``.
 
         A deleted object fails the same way. If it counted as a store failure, a VM
-        whose lease object was deleted would never create it again.
+        whose lease object was deleted would never create it again. A revision of an
+        earlier era fails too: the store may have given its number to another change.
         """
+        if era_of(revision) < self._eras.current:
+            return _restored()
         body = object_body(name, spec, revision)
         answer = await self._call("PUT", object_path(kind, name), body)
-        if answer.is_ok() and answer.ok_value[0] == NOT_FOUND:
+        if answer.is_err():
+            return answer
+        if answer.ok_value.status == NOT_FOUND:
             return Err(Failure(ErrorKind.VERSION_CONFLICT, "the object is gone"))
-        return answer.and_then(lambda got: _parsed(*got, read_record))
+        if answer.ok_value.era > era_of(revision):
+            return _restored()
+        return _parsed(answer.ok_value, read_record)
 
     async def list_all(
         self, kind: str, stale: bool = False
@@ -127,8 +149,8 @@
         """Return all objects of a kind as changes, and where to watch from.
 
         That is the revision of the first page: changes to a page while later ones are
-        read would otherwise be missed. A ``stale`` listing may be seconds old and costs
-        a tenth.
+        read would otherwise be missed. Pages of two eras don't make one listing. A
+        ``stale`` listing may be seconds old and costs a tenth.
         """
         records = []
         skipped = 0
@@ -136,7 +158,7 @@
         after = ""
         while True:
             answer = await self._call("GET", list_path(kind, after, stale))
-            page = answer.and_then(lambda got: _parsed(*got, read_page))
+            page = answer.and_then(lambda got: _parsed(got, read_page))
             if page.is_err():
                 return page
             found = page.ok_value
@@ -144,6 +166,8 @@
             skipped += found.skipped
             if revision is None:
                 revision = found.revision
+            if era_of(found.revision) != era_of(revision):
+                return Err(_unavailable("a new era began between two pages"))
             if not found.more:
                 return Ok(StoreChanges(tuple(records), revision, skipped))
             if not found.records:
@@ -154,19 +178,23 @@
     async def watch(
         self, kind: str, revision: int, wait_s: float
     ) -> Result[StoreChanges | None, Failure]:
-        """Wait for changes after a revision; None if that history is gone."""
+        """Wait for changes after a revision; None if that history is gone.
+
+        So it is if the answer is of another era, whatever its status: these are the
+        changes after another revision of the same number.
+        """
         path = watch_path(kind, revision, wait_s)
         answer = await self._call("GET", path, timeout_s=wait_s + WATCH_SLACK_S)
         if answer.is_err():
             return answer
-        status, body = answer.ok_value
-        if status == 410:
+        got = answer.ok_value
+        if got.status == GONE or (got.status == FOUND and got.era != era_of(revision)):
             return Ok(None)
-        return _parsed(status, body, read_changes)
+        return _parsed(got, read_changes)
 
     async def _call(
         self, method: str, path: str, body: dict | None = None, timeout_s=CALL_TIMEOUT_S
-    ) -> Result[tuple[int, bytes], Failure]:
+    ) -> Result[_Answer, Failure]:
         request = HTTPRequest(
             self._url + path,
             method=method,
@@ -184,13 +212,14 @@
             self._count("unanswered")
             return Err(_unavailable(str(error) or type(error).__name__))
         answered_at = self._timers.now()
-        self._eras.observe(read_store_era(response.headers))
+        era = read_store_era(response.headers)
+        self._eras.observe(era)
         if response.code not in TURNED_AWAY:
             self._answered_at = answered_at
         self._count(str(response.code))
         if self._metrics is not None and "watch=" not in path:
             self._metrics.store_time.observe(answered_at - sent_at)
-        return Ok((response.code, response.body))
+        return Ok(_Answer(response.code, response.body, era))
 
     def _fetch(self, request: HTTPRequest) -> asyncio.Future:
         """Start a call that ends by itself even if its caller is cancelled.
@@ -212,16 +241,21 @@
         fetching.exception()
 
 
-def _parsed(status: int, body: bytes, parse) -> Result:
-    if status == 409:
+def _parsed(answer: _Answer, parse) -> Result:
+    if answer.status == 409:
         return Err(Failure(ErrorKind.VERSION_CONFLICT, "another write came first"))
-    if status not in (200, 201):
-        return Err(_unavailable(f"answered {status}"))
+    if answer.status not in (FOUND, 201):
+        return Err(_unavailable(f"answered {answer.status}"))
     try:
-        return Ok(parse(decode(body)))
+        return Ok(parse(decode(answer.body), answer.era))
     except ValueError as error:
         return Err(_unavailable(f"its answer is not valid: {error!r}"))
 
 
+def _restored() -> Err[Failure]:
+    detail = "the store came back from an older copy"
+    return Err(Failure(ErrorKind.VERSION_CONFLICT, detail))
+
+
 def _unavailable(detail: str) -> Failure:
     return Failure(ErrorKind.STORE_UNAVAILABLE, f"store: {detail}", 1.0)
--- a/hawthornlead/gateway/watch_relays.py
+++ b/hawthornlead/gateway/watch_relays.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from ..eras.dated_revisions import era_of
 from ..events import EventKind, EventRing
 from ..fleet.fleet_meshes import FleetMesh
 from ..messages.gateways import (
@@ -32,7 +33,7 @@
 from .memberships import Memberships
 from .records import StoredRecord, StoreEvent
 from .relay_elections import RELAY_HEARTBEAT_TTL_S, RelayElection
-from .relayed_records import read_relayed, relayed_record
+from .relayed_records import read_events, relayed_record
 from .store_clients import StoreClient
 
 # A relay confirms no kind once the store has been silent for this long. Its watches may
@@ -149,6 +150,8 @@
         """Whether a relay was seen recently and no forwarded change is missing."""
         confirmed_after = self._timers.now() - RELAY_HEARTBEAT_TTL_S
         until = self._followed[kind].known.until
+        if not self._is_of_current_era(until):
+            return False
         for confirmation in self._confirmations[kind].values():
             if confirmation.at >= confirmed_after and confirmation.since <= until:
                 return True
@@ -169,7 +172,12 @@
     def watch_since(self, kind: str) -> int:
         """Return the revision after which the next watch of a kind must start."""
         log = self._logs.get(kind)
-        return log.until if log else self._followed[kind].known.until
+        known = self._followed[kind].known
+        if log and era_of(log.until) < era_of(known.until):
+            # Another relay has listed the kind in the new era and sent it to all.
+            self._start_log(kind)
+            return known.until
+        return log.until if log else known.until
 
     def on_watched(
         self, kind: str, since: int, until: int, events: Iterable[StoreEvent]
@@ -240,31 +248,44 @@
         """Return the kinds whose changes this VM's own calls currently show in full."""
         if self._timers.now() - self._client.answered_at > STORE_MAX_SILENCE_S:
             return set()
-        return {kind for kind in self._logs if self._followed[kind].fresh()}
+        confirmed = set()
+        for kind, log in self._logs.items():
+            if self._followed[kind].fresh() and self._is_of_current_era(log.until):
+                confirmed.add(kind)
+        return confirmed
 
     # Receiving from relays
 
     async def _on_heartbeat(self, sender, message: RelayHeartbeat) -> None:
-        self._election.record_heartbeat(sender.vm, bool(message.kinds))
-        confirmed = {relayed.kind for relayed in message.kinds}
+        kinds = []
+        for relayed in message.kinds:
+            self._client.eras.observe(era_of(relayed.until))
+            # A relay that the store doesn't serve may not know that an era has ended.
+            current = self._is_of_current_era(relayed.until)
+            if relayed.kind in self._followed and current:
+                kinds.append(relayed)
+        self._election.record_heartbeat(sender.vm, bool(kinds))
+        confirmed = {relayed.kind for relayed in kinds}
         for kind in set(self._confirmations) - confirmed:
             self._confirmations[kind].pop(sender.incarnation, None)
-        for kind, since, until in message.kinds:
-            if kind not in self._followed:
-                continue
+        for kind, since, until in kinds:
             self._confirmations[kind][sender.incarnation] = _Confirmation(
                 self._timers.now(), since
             )
             self._apply_changes(sender.vm, RelayedChanges(kind, since, until, ()))
 
+    def _is_of_current_era(self, revision: int) -> bool:
+        return era_of(revision) == self._client.eras.current
+
     async def _on_changes(self, sender, message: RelayedChanges) -> None:
+        self._client.eras.observe(era_of(message.until))
         if message.kind in self._followed:
             self._apply_changes(sender.vm, message)
 
     def _apply_changes(self, relay: str, message: RelayedChanges) -> None:
         kind = message.kind
         known = self._followed[kind].known
-        events = _read_events(message.records)
+        events = read_events(message.records)
         changes = (message.since, message.until, events)
         if known.apply_changes(*changes, message.names, message.compared_at):
             self._missing.discard(kind)
@@ -340,7 +361,7 @@
             page = reply.ok_value
             # Later changes to objects of a page are sent as changes after its revision.
             until = page.until if until is None else min(until, page.until)
-            events += _read_events(page.records)
+            events += read_events(page.records)
             names += page.names
             if not page.more or not page.names:
                 break
@@ -377,19 +398,3 @@
             size += relayed.size
             relayed_records.append(relayed)
         return FetchedRecords(True, tuple(relayed_records), False, until, tuple(names))
-
-
-def _read_events(records: Iterable[RelayedRecord]) -> tuple[StoreEvent, ...]:
-    """Decode changes into events of the store.
-
-    An object that the relay couldn't read arrives as unreadable, so that all VMs stop
-    using it at the same time.
-    """
-    events = []
-    for relayed in records:
-        if relayed.size:
-            events.append(StoreEvent(read_relayed(relayed), False))
-            continue
-        gone = StoredRecord(relayed.name, relayed.revision, None, None)
-        events.append(StoreEvent(gone, True))
-    return tuple(events)
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -11,11 +11,12 @@
 from random import Random
 from typing import Any
 
+from ..eras.dated_revisions import era_of
 from ..events import EventKind, EventRing
 from ..tasks import TaskSet
 from ..timers import TimerService
 from .gateway_metrics import GatewayMetrics
-from .kind_records import NO_REVISION, KindRecords
+from .kind_records import KindRecords
 from .records import StoredRecord, StoreEvent
 from .store_clients import WATCH_SLACK_S, StoreClient
 from .store_retries import StoreRetries
@@ -172,7 +173,8 @@
 
     async def _call_store(self) -> bool:
         """Call the store once for missing changes; return whether that succeeded."""
-        if self._history_gone or self._known.until == NO_REVISION:
+        since = self._relays.watch_since(self._kind)
+        if self._history_gone or era_of(since) < self._client.eras.current:
             return await self._list()
         return await self._watch(WATCH_WAIT_S if self._current else NO_WAIT_S)
 
--- a/hawthornlead/platform/__init__.py
+++ b/hawthornlead/platform/__init__.py
@@ -3,5 +3,5 @@
 Each module decodes one thing into the records of ``hawthornlead.gateway.records`` or
 encodes it. The modules keep no state and make no decisions.
 
-May import: gateway.records.
+May import: eras, gateway.records.
 """
--- a/hawthornlead/platform/objects.py
+++ b/hawthornlead/platform/objects.py
@@ -4,6 +4,8 @@
 from typing import Any
 from urllib.parse import quote, urlencode
 
+from ..eras.dated_revisions import dated_revision, stored_revision
+from ..eras.store_eras import NO_ERA
 from ..gateway.records import (
     StoreChanges,
     StoredRecord,
@@ -42,7 +44,8 @@
 
 def watch_path(kind: str, revision: int, wait_s: float) -> str:
     """Return the path that waits up to ``wait_s`` for changes after a revision."""
-    return f"{list_path(kind)}?watch={revision}&waitMs={int(wait_s * 1000)}"
+    since = stored_revision(revision)
+    return f"{list_path(kind)}?watch={since}&waitMs={int(wait_s * 1000)}"
 
 
 def object_path(kind: str, name: str) -> str:
@@ -59,12 +62,15 @@
     """Return the body that creates an object, or replaces the one at ``revision``."""
     metadata: dict[str, Any] = {"name": name}
     if revision is not None:
-        metadata["revision"] = revision
+        metadata["revision"] = stored_revision(revision)
     return {"metadata": metadata, "spec": spec}
 
 
-def read_record(body: Any) -> StoredRecord:
-    """Decode one object; raises ``ValueError`` if it has no name or revision."""
+def read_record(body: Any, era: int = NO_ERA) -> StoredRecord:
+    """Decode one object from an answer of an era of the store.
+
+    Raises ``ValueError`` if it has no name or revision.
+    """
     body = mapping(body, "the object")
     metadata = mapping(body.get("metadata"), "metadata")
     name = text(metadata, "name")
@@ -73,38 +79,40 @@
     spec, status = body.get("spec"), body.get("status")
     return StoredRecord(
         name=name,
-        revision=whole_number(metadata, "revision"),
+        revision=dated_revision(era, whole_number(metadata, "revision")),
         spec=_readable_content(spec),
         status=_readable_content(status),
         unreadable=_is_unreadable(spec) or (not spec and _is_unreadable(status)),
     )
 
 
-def read_page(body: Any) -> StorePage:
+def read_page(body: Any, era: int = NO_ERA) -> StorePage:
     """Decode one page of a listing; objects without a name are skipped and counted."""
     body = mapping(body, "the page")
     records = []
     skipped = 0
     for item in items(body, "items"):
         try:
-            records.append(read_record(item))
+            records.append(read_record(item, era))
         except ValueError:
             skipped += 1
     more = boolean(body, "hasMore", False)
-    return StorePage(tuple(records), more, whole_number(body, "asOf"), skipped)
+    revision = dated_revision(era, whole_number(body, "asOf"))
+    return StorePage(tuple(records), more, revision, skipped)
 
 
-def read_changes(body: Any) -> StoreChanges:
+def read_changes(body: Any, era: int = NO_ERA) -> StoreChanges:
     """Decode the answer of a watch; objects without a name are skipped and counted."""
     body = mapping(body, "the watch's answer")
     events = []
     skipped = 0
     for item in items(body, "events", []):
         try:
-            events.append(_event(item))
+            events.append(_event(item, era))
         except ValueError:
             skipped += 1
-    return StoreChanges(tuple(events), whole_number(body, "asOf"), skipped)
+    revision = dated_revision(era, whole_number(body, "asOf"))
+    return StoreChanges(tuple(events), revision, skipped)
 
 
 def content_body(record: StoredRecord) -> str:
@@ -115,11 +123,15 @@
 
 
 def read_content(name: str, revision: int, body: str) -> StoredRecord:
-    """Decode an object that another VM encoded; an invalid body makes it unreadable."""
+    """Decode an object that another VM encoded; an invalid body makes it unreadable.
+
+    ``revision`` is dated by the other VM.
+    """
     try:
         spec, status = decode(body)
-        identity = {"metadata": {"name": name, "revision": revision}}
-        return read_record({**identity, "spec": spec, "status": status})
+        identity = {"metadata": {"name": name, "revision": 0}}
+        record = read_record({**identity, "spec": spec, "status": status})
+        return record._replace(revision=revision)
     except (TypeError, ValueError):
         # The body isn't a pair: the other VM couldn't read the object either.
         return StoredRecord(name, revision, None, None, unreadable=True)
@@ -155,9 +167,9 @@
     return address(body, "relay_address") if body.get("relay_address") else ""
 
 
-def _event(body: Any) -> StoreEvent:
+def _event(body: Any, era: int) -> StoreEvent:
     body = mapping(body, "the event")
-    return StoreEvent(read_record(body.get("object")), bool(body.get("deleted")))
+    return StoreEvent(read_record(body.get("object"), era), bool(body.get("deleted")))
 
 
 def _readable_content(value: Any) -> dict | None:
--- a/hawthornlead/tests/fakes_leases.py
+++ b/hawthornlead/tests/fakes_leases.py
@@ -12,6 +12,12 @@
 from result import Err, Ok
 
 from hawthornlead.clocks import HybridClock
+from hawthornlead.eras.dated_revisions import (
+    dated_revision,
+    era_of,
+    stored_revision,
+)
+from hawthornlead.eras.store_eras import StoreEras
 from hawthornlead.errors import ErrorKind, Failure
 from hawthornlead.events import EventRing
 from hawthornlead.gateway.memberships import Memberships
@@ -37,6 +43,7 @@
         self._timers = timers
         self._revision = 0
         self.objects = {}
+        self.era = 0
         self.away = False
         self.answer_s = 0.0
         self.after_read = None
@@ -57,6 +64,16 @@
         records = [each for (of, _), each in self.objects.items() if of == kind]
         return Ok(StoreChanges(tuple(records), self._revision))
 
+    def copy(self):
+        """Return a copy to which the store may go back."""
+        return self._revision, dict(self.objects)
+
+    def restore(self, taken):
+        """Go back to a copy: a new era, which gives out later revisions again."""
+        self.era += 1
+        self._revision, objects = taken
+        self.objects = dict(objects)
+
     def overwrite(self, kind, name, spec):
         """Write unconditionally, as another writer may."""
         return self._write(kind, name, spec)
@@ -91,6 +108,49 @@
         return record
 
 
+class FakeClient:
+    """One VM's calls of the store, with revisions dated by its era."""
+
+    def __init__(self, store, timers):
+        self._store = store
+        self.eras = StoreEras(now=timers.now)
+
+    async def get(self, kind, name):
+        """Return one object, None if there is none."""
+        return self._dated(await self._store.get(kind, name))
+
+    async def list_all(self, kind):
+        """Return all objects of a kind."""
+        listed = await self._store.list_all(kind)
+        if listed.is_err():
+            return listed
+        self.eras.observe(self._store.era)
+        records = tuple([self._dated(Ok(each)).ok_value for each in listed.ok_value[0]])
+        revision = dated_revision(self._store.era, listed.ok_value.revision)
+        return Ok(StoreChanges(records, revision))
+
+    async def create(self, kind, name, spec):
+        """Create an object."""
+        return self._dated(await self._store.create(kind, name, spec))
+
+    async def replace(self, kind, name, spec, revision):
+        """Replace an object that is at a revision."""
+        if era_of(revision) != self._store.era and not self._store.away:
+            self.eras.observe(self._store.era)
+            return Err(Failure(ErrorKind.VERSION_CONFLICT, "another era"))
+        stored = stored_revision(revision)
+        return self._dated(await self._store.replace(kind, name, spec, stored))
+
+    def _dated(self, found):
+        if found.is_err():
+            return found
+        self.eras.observe(self._store.era)
+        if found.ok_value is None:
+            return found
+        revision = dated_revision(self._store.era, found.ok_value.revision)
+        return Ok(found.ok_value._replace(revision=revision))
+
+
 class Vm:
     """The lease and ownerships of one VM over a shared store."""
 
@@ -99,14 +159,20 @@
         mesh.heartbeat_source = lambda: Heartbeat(0, 0, False, 0, 1, 0.0)
         events = EventRing(name, HybridClock(timers))
         record = VmRecord(name, incarnation, "gijon", f"{name}:1", f"{name}:2", False)
-        common = {"client": store, "timers": timers, "rng": Random(1), "events": events}
+        self.client = FakeClient(store, timers)
+        common = {
+            "client": self.client,
+            "timers": timers,
+            "rng": Random(1),
+            "events": events,
+        }
         memberships = Memberships(record=record, mesh=mesh, **common)
         self.lease = VmLease(vm=name, incarnation=incarnation, **common)
         self.lease.want(True)
         self.ownerships = Ownerships(
             memberships=memberships,
             lease=self.lease,
-            client=store,
+            client=self.client,
             mesh=mesh,
             events=events,
         )
--- a/hawthornlead/tests/fakes_played_stores.py
+++ b/hawthornlead/tests/fakes_played_stores.py
@@ -11,9 +11,16 @@
 from collections import defaultdict
 from enum import Enum
 from random import Random
+from typing import NamedTuple
 
 from result import Err, Ok, Result
 
+from hawthornlead.eras.dated_revisions import (
+    dated_revision,
+    era_of,
+    stored_revision,
+)
+from hawthornlead.eras.store_eras import StoreEras
 from hawthornlead.errors import ErrorKind, Failure
 from hawthornlead.gateway.records import StoreChanges, StoredRecord, StoreEvent
 from hawthornlead.gateway.store_clients import CALL_TIMEOUT_S, WATCH_SLACK_S
@@ -31,11 +38,19 @@
     SILENT = "never answers"
 
 
+class StoreCopy(NamedTuple):
+    """All objects of a store at one revision."""
+
+    revision: int
+    objects: dict[str, dict[str, StoredRecord]]
+
+
 class PlayedStore:
-    """Objects by kind, with one revision over all."""
+    """Objects by kind, with one revision over all, which goes back with a new era."""
 
     def __init__(self):
         self.revision = 1
+        self.era = 1
         self.calls = 0
         self.refusals: dict[str, Refusal] = {}
         # How the store treats all VMs; None while it serves.
@@ -81,6 +96,21 @@
         self._forgotten = self.revision
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to which the store may go back."""
+        objects = {kind: dict(of_kind) for kind, of_kind in self._objects.items()}
+        return StoreCopy(self.revision, objects)
+
+    def restore(self, taken: StoreCopy) -> None:
+        """Go back to a copy: a new era, which gives out later revisions again."""
+        self.era += 1
+        self.revision = self._forgotten = taken.revision
+        self._objects.clear()
+        for kind, of_kind in taken.objects.items():
+            self._objects[kind] = dict(of_kind)
+        self._history.clear()
+        self._wake()
+
     def refusal(self, vm: str) -> Refusal | None:
         """Return how a VM is refused, None if it is served."""
         return self.down or self.refusals.get(vm)
@@ -95,7 +125,7 @@
 
     def changes(self, kind: str, after: int) -> tuple[StoreEvent, ...] | None:
         """Return the changes of a kind after a revision, None if they are forgotten."""
-        if after < self._forgotten:
+        if after < self._forgotten or after > self.revision:
             return None
         changes = []
         for of_kind, event in reversed(self._history):
@@ -130,6 +160,7 @@
         self._timers = timers
         self._rng = rng
         self.answered_at = timers.now()
+        self.eras = StoreEras(now=timers.now)
 
     async def probe(self) -> None:
         """Ask for any object."""
@@ -139,7 +170,8 @@
         """Return one object, None if there is none of this name."""
         if not await self._answered(CALL_TIMEOUT_S):
             return _unavailable()
-        return Ok(self._store.record(kind, name))
+        record = self._store.record(kind, name)
+        return Ok(None if record is None else self._dated(record))
 
     async def create(self, kind, name, spec) -> Result[StoredRecord, Failure]:
         """Create an object; ``VERSION_CONFLICT`` if there is one."""
@@ -147,23 +179,26 @@
             return _unavailable()
         if self._store.record(kind, name) is not None:
             return Err(Failure(ErrorKind.VERSION_CONFLICT, "it exists"))
-        return Ok(self._store.write(kind, name, spec))
+        return Ok(self._dated(self._store.write(kind, name, spec)))
 
     async def replace(self, kind, name, spec, revision):
         """Replace an object; ``VERSION_CONFLICT`` if it is at another revision."""
         if not await self._answered(CALL_TIMEOUT_S):
             return _unavailable()
         known = self._store.record(kind, name)
-        if known is None or known.revision != revision:
+        changed = known is None or known.revision != stored_revision(revision)
+        if changed or era_of(revision) != self._store.era:
             return Err(Failure(ErrorKind.VERSION_CONFLICT, "it has changed"))
-        return Ok(self._store.write(kind, name, spec))
+        return Ok(self._dated(self._store.write(kind, name, spec)))
 
     async def list_all(self, kind: str) -> Result[StoreChanges, Failure]:
         """Return all objects of a kind, and where to watch from."""
         if not await self._answered(CALL_TIMEOUT_S):
             return _unavailable()
-        changes = StoreChanges(self._store.records(kind), self._store.revision)
-        return Ok(changes) if await self._come_back() else _unavailable()
+        records = tuple([self._dated(each) for each in self._store.records(kind)])
+        changes = StoreChanges(records, self._now_at())
+        era = self._store.era
+        return Ok(changes) if await self._come_back(era) else _unavailable()
 
     async def watch(self, kind: str, revision: int, wait_s: float):
         """Wait for changes after a revision; None if that history is gone."""
@@ -171,7 +206,9 @@
             return _unavailable()
         until = self._timers.now() + wait_s
         while True:
-            changes = self._store.changes(kind, revision)
+            if era_of(revision) != self._store.era:
+                return Ok(None)
+            changes = self._store.changes(kind, stored_revision(revision))
             if changes is None:
                 return Ok(None)
             left_s = until - self._timers.now()
@@ -182,8 +219,19 @@
                 left_s = until - self._timers.now()
                 await self._refused(max(0.0, left_s) + WATCH_SLACK_S)
                 return _unavailable()
-        told = StoreChanges(changes, self._store.revision)
-        return Ok(told) if await self._come_back() else _unavailable()
+        events = []
+        for event in changes:
+            events.append(event._replace(record=self._dated(event.record)))
+        told = StoreChanges(tuple(events), self._now_at())
+        era = self._store.era
+        return Ok(told) if await self._come_back(era) else _unavailable()
+
+    def _dated(self, record: StoredRecord) -> StoredRecord:
+        revision = dated_revision(self._store.era, record.revision)
+        return record._replace(revision=revision)
+
+    def _now_at(self) -> int:
+        return dated_revision(self._store.era, self._store.revision)
 
     async def _answered(self, timeout_s: float) -> bool:
         """Let a call go to the store; whether it was served."""
@@ -193,14 +241,16 @@
             await self._refused(timeout_s)
             return False
         self.answered_at = self._timers.now()
+        self.eras.observe(self._store.era)
         return True
 
-    async def _come_back(self) -> bool:
-        """Let an answer go back to the VM; whether it arrives."""
+    async def _come_back(self, era: int) -> bool:
+        """Let an answer of an era go back to the VM; whether it arrives."""
         await self._timers.sleep(self._rng.uniform(LEAST_ANSWER_S, MOST_ANSWER_S) / 2)
         if self._store.refusal(self._vm) is not None:
             return False
         self.answered_at = self._timers.now()
+        self.eras.observe(era)
         return True
 
     async def _refused(self, timeout_s: float) -> None:
