Claim engines in a new era only once all claims of former eras have ended

A drill loses leases and claims by which VMs still act. What callers would see: two VMs that order one engine, and evict adapters under running requests. A VM that starts can't see how old an era is: one object of the store names the last settled one. A claim that isn't written again ends with its lease of the former era.

--- a/hawthornlead/gateway/coordination_parts.py
+++ b/hawthornlead/gateway/coordination_parts.py
@@ -6,17 +6,20 @@
 """
 
 from ..core_parts import CoreParts
+from ..eras.reassertions import Reassertions
+from ..eras.settlements import EraSettlement
 from ..eras.store_eras import StoreEras
 from ..fleet.fleet_meshes import FleetMesh
 from ..fleet.registered_orders import RegisteredOrder
 from ..mesh.sparse_peers import SparsePeerMesh
 from .gateway_metrics import GatewayMetrics
 from .memberships import Memberships
-from .ownerships import Ownerships
+from .ownerships import SETTLE_S, Ownerships
 from .part_groups import Coordination
 from .quota_ledgers import build_ledger
 from .records import VmRecord
 from .store_clients import StoreClient
+from .stored_markers import StoredMarker
 from .vm_leases import VmLease
 from .watch_relays import WatchRelays
 
@@ -79,14 +82,28 @@
         events=events,
     )
     memberships.on_registered = lease.start
+    settlement = EraSettlement(
+        eras=client.eras,
+        now=timers.now,
+        settle_s=SETTLE_S,
+        first_start=settings["FIRST_START"],
+        marker=StoredMarker(client),
+    )
     ownerships = Ownerships(
         memberships=memberships,
         lease=lease,
         client=client,
         mesh=mesh,
         events=events,
+        settlement=settlement,
         fast_start=settings["FAST_STARTS"],
     )
+    Reassertions(
+        eras=client.eras,
+        timers=timers,
+        outdated=ownerships.outdated,
+        reassert=ownerships.reassert,
+    )
     relays = WatchRelays(
         memberships=memberships,
         mesh=mesh,
--- a/hawthornlead/gateway/ownerships.py
+++ b/hawthornlead/gateway/ownerships.py
@@ -6,10 +6,13 @@
 owner's lease has expired.
 """
 
+import math
 from typing import NamedTuple
 
 from result import Err, Ok, Result
 
+from ..eras.dated_revisions import era_of
+from ..eras.settlements import EraSettlement
 from ..errors import Failure
 from ..events import EventKind, EventRing
 from ..fleet.fleet_meshes import FleetMesh
@@ -29,7 +32,7 @@
 from .records import StoredRecord
 from .store_clients import StoreClient
 from .unacknowledged_orders import MAX_IN_FLIGHT_S
-from .vm_leases import VmLease
+from .vm_leases import CLOCK_MARGIN_S, LEASE_S, VmLease
 
 # How long a VM further down in an engine's order waits for each VM before it.
 RANK_WAIT_S = 1.5
@@ -39,6 +42,9 @@
 # Alternating orders of two VMs within this time count as orders of two owners at once.
 # The platform bounds it to 3 s.
 MIN_HANDOVER_S = 3.0
+# After a new era of the store, until all claims of former eras have ended and orders
+# given under them no longer count as alternating with later ones.
+SETTLE_S = LEASE_S + CLOCK_MARGIN_S + MIN_HANDOVER_S
 # An order is sent at the latest this long before the lease expires, because an order
 # whose packet is lost and retransmitted must not collide with a successor's order.
 ORDER_MARGIN_S = MAX_IN_FLIGHT_S
@@ -48,7 +54,8 @@
     """The right to order one engine; ``term`` is the term of the lease behind it.
 
     ``since`` is when it was taken, in seconds of the ``TimerService``. ``first`` is set
-    if nobody has owned the engine before.
+    if nobody has owned the engine before. A claim of a former era of the store holds
+    only ``until`` the lease of that era would have expired.
     """
 
     target: str
@@ -58,6 +65,7 @@
     since: float
     owner: OwnerObject
     first: bool = False
+    until: float = math.inf
 
 
 class _Held(NamedTuple):
@@ -85,6 +93,7 @@
         client: StoreClient,
         mesh: FleetMesh,
         events: EventRing,
+        settlement: EraSettlement,
         fast_start: bool = False,
     ):
         self._events = events
@@ -105,6 +114,8 @@
         # How often this VM was requested to yield each engine.
         self._yields: dict[str, int] = {}
         self._held: dict[str, _Held] = {}
+        self._settlement = settlement
+        client.eras.subscribe(self._on_new_era)
         mesh.on(YieldTarget, self._on_yield)
 
     @property
@@ -123,8 +134,19 @@
             return None
         if ownership.term != self._lease.term:
             return None
+        if self._lease.now() + ORDER_MARGIN_S >= ownership.until:
+            return None
         return ownership
 
+    def outdated(self) -> tuple[str, ...]:
+        """Return the engines owned here by claims of former eras of the store."""
+        era = self._client.eras.current
+        outdated = []
+        for target in self.owned:
+            if era_of(self._owned[target].revision) < era:
+                outdated.append(target)
+        return tuple(outdated)
+
     def should_claim(self, target: str, orphaned_s: float) -> bool:
         """Whether this VM should claim an engine without owner for ``orphaned_s``.
 
@@ -132,6 +154,9 @@
         """
         if self._memberships.leaving:
             return False
+        if not self._settlement.settled:
+            self._settlement.check()
+            return False
         if self._is_starting():
             return self._should_claim_at_start(target)
         order = self._memberships.owners_for(target)
@@ -185,6 +210,8 @@
 
     async def claim(self, target: str) -> bool:
         """Try to become the owner of an engine; False if another VM still may be."""
+        if not self._settlement.settled:
+            return False
         term, yields = self._lease.term, self._yields.get(target, 0)
         found = await self._find(target)
         if found.is_err():
@@ -203,13 +230,52 @@
             # Meanwhile this VM was asked to yield the engine, and agreed. The requester
             # may have claimed it since. The next claim finds out.
             return False
+        if era_of(ownership.revision) < self._client.eras.current:
+            # A new era began before this answer arrived.
+            return False
         self._owned[target] = ownership._replace(first=owner == UNOWNED)
+        self._settlement.confirm()
         if self._memberships.leaving:
             # The answer came while this VM was releasing what it owns.
             await self.release(target)
             return False
         return True
 
+    async def reassert(self, target: str) -> None:
+        """Write a claim of a former era again, which the store may have lost.
+
+        No other VM can have claimed the engine since: none does before the era is
+        settled, and by then this claim has ended.
+        """
+        ownership, yields = self.current(target), self._yields.get(target, 0)
+        if ownership is None:
+            return
+        found = await self._find(target)
+        if found.is_err():
+            return
+        record = found.ok_value
+        owner = read_owner(record) or UNKNOWN
+        if self._is_claimed_since(owner, record):
+            self._owned.pop(target, None)
+            return
+        written = await self._write_claim(target, record, owner, ownership.term)
+        if written is None or self._yields.get(target, 0) != yields:
+            return
+        if self._owned.get(target) is ownership:
+            self._owned[target] = written._replace(since=ownership.since)
+
+    def _is_claimed_since(self, owner: OwnerObject, record: StoredRecord) -> bool:
+        """Whether another VM has claimed an engine in the era of this object."""
+        if owner.vm in ("", self._memberships.vm):
+            return False
+        return era_of(owner.fence) == era_of(record.revision)
+
+    def _on_new_era(self) -> None:
+        """Bound claims of former eras by the lease that they were made under."""
+        until = self._lease.now() + self._lease.left_s
+        for target, ownership in self._owned.items():
+            self._owned[target] = ownership._replace(until=min(until, ownership.until))
+
     async def release(self, target: str) -> Ownership | None:
         """Release an engine, so that a successor need not wait.
 
--- a/hawthornlead/setting_rows.py
+++ b/hawthornlead/setting_rows.py
@@ -73,6 +73,12 @@
         1,
         3600,
     ),
+    "FIRST_START": Setting(
+        "platform",
+        "switch",
+        False,
+        "the whole system starts for the first time: no VM holds a lease",
+    ),
     "STORE_ADDRESS": Setting("platform", "address", None, "IP:PORT of the object API"),
     "VM_LIST_ADDRESS": Setting("platform", "address", None, "IP:PORT of the VM list"),
     "STORE_TIMEOUT_S": Setting(
--- a/hawthornlead/tests/fakes_leases.py
+++ b/hawthornlead/tests/fakes_leases.py
@@ -17,12 +17,14 @@
     era_of,
     stored_revision,
 )
+from hawthornlead.eras.settlements import EraSettlement
 from hawthornlead.eras.store_eras import StoreEras
 from hawthornlead.errors import ErrorKind, Failure
 from hawthornlead.events import EventRing
 from hawthornlead.gateway.memberships import Memberships
-from hawthornlead.gateway.ownerships import Ownerships
+from hawthornlead.gateway.ownerships import SETTLE_S, Ownerships
 from hawthornlead.gateway.records import StoreChanges, StoredRecord, VmRecord
+from hawthornlead.gateway.stored_markers import StoredMarker
 from hawthornlead.gateway.vm_leases import VmLease
 from hawthornlead.messages import Heartbeat
 from hawthornlead.timers import ManualTimerService
@@ -154,7 +156,7 @@
 class Vm:
     """The lease and ownerships of one VM over a shared store."""
 
-    def __init__(self, network, store, timers, name, incarnation="1"):
+    def __init__(self, network, store, timers, name, incarnation="1", first_start=True):
         mesh = network.join(name, incarnation=incarnation)
         mesh.heartbeat_source = lambda: Heartbeat(0, 0, False, 0, 1, 0.0)
         events = EventRing(name, HybridClock(timers))
@@ -169,12 +171,20 @@
         memberships = Memberships(record=record, mesh=mesh, **common)
         self.lease = VmLease(vm=name, incarnation=incarnation, **common)
         self.lease.want(True)
+        settlement = EraSettlement(
+            eras=self.client.eras,
+            now=timers.now,
+            settle_s=SETTLE_S,
+            first_start=first_start,
+            marker=StoredMarker(self.client),
+        )
         self.ownerships = Ownerships(
             memberships=memberships,
             lease=self.lease,
             client=self.client,
             mesh=mesh,
             events=events,
+            settlement=settlement,
         )
 
 
@@ -188,9 +198,10 @@
         self.a = self.start("a")
         self.b = self.start("b")
 
-    def start(self, name, incarnation="1"):
+    def start(self, name, incarnation="1", first_start=True):
         """Start the process of a VM."""
-        return Vm(self.network, self.store, self.timers, name, incarnation)
+        network, store = self.network, self.store
+        return Vm(network, store, self.timers, name, incarnation, first_start)
 
     def pass_time(self, seconds):
         """Move the clock without running timers, as a suspension of all VMs does."""
