Keep what targets said last when a copy of the store shows less

A copy may call a target ready that said it is draining, name one that left, or describe a former start. Callers would see requests at leaving targets, and unsafe requests run twice, since a restart proves that the former start runs nothing any more. Such entries wait until the target writes its entry again, or until the store would have removed it (6 s). Entries that the copy lacks get the grace of an outage, also at VMs that didn't call the store meanwhile.

The play of spread excuses a version only where a VM neither knew it before the drill nor can read it.

--- a/hawthornlead/eras/__init__.py
+++ b/hawthornlead/eras/__init__.py
@@ -4,5 +4,5 @@
 and gives out the revisions after the copy a second time. Leases, claims and entries
 written after the copy are gone.
 
-May import: the common modules.
+May import: the common modules, gateway.records.
 """
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -15,6 +15,8 @@
 from ..decisions.quotas import QuotaLedger
 from ..decisions.retries import Retries
 from ..decisions.suspects import Suspects
+from ..eras.followed_targets import FollowedTargets
+from ..platform.targets import read_target
 from .brittle_targets import BrittleTargets
 from .coordination_parts import ASSUMED_VMS
 from .crash_watches import CrashWatch
@@ -170,8 +172,15 @@
         places=build_engine_places(core, memberships, targets, loads, metrics),
     )
     healths = TargetHealths(timers=timers)
+    followed = FollowedTargets(
+        entries=targets.entries,
+        apply=targets.apply_entry,
+        remove=targets.remove_entry,
+        read=read_target,
+        now=timers.now,
+    )
     return TargetParts(
-        targets, connections, paths, loads, healths, engine_manager, measured
+        targets, followed, connections, paths, loads, healths, engine_manager, measured
     )
 
 
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -105,8 +105,10 @@
             quarantines=self._parts.quarantines,
             configuration=self._configuration_version,
         )
+        self._followed_targets = targets.followed
         self._watchers = self._make_watchers(core.rng, metrics)
         self._targets.watcher = self._watchers[TARGETS_KIND]
+        self._followed_targets.watcher = self._watchers[TARGETS_KIND]
         configurations = self._watchers[CONFIGURATION_KIND]
         self._parts.configuration_is_current = lambda: configurations.current
         self._query_servers = self._make_query_servers()
@@ -254,11 +256,7 @@
                 lambda: len(manager.owned),
             ),
             ("open_requests", "Requests being answered", self._open_requests),
-            (
-                "running_requests",
-                "Own requests on targets",
-                lambda: loads.own_total,
-            ),
+            ("running_requests", "Own requests on targets", lambda: loads.own_total),
         ):
             metrics.add_gauge(name, text, read)
 
@@ -293,8 +291,8 @@
             TARGETS_KIND: KindWatcher(
                 TARGETS_KIND,
                 **common,
-                on_changed=targets.apply_entry,
-                on_deleted=targets.remove_entry,
+                on_changed=self._followed_targets.apply_entry,
+                on_deleted=self._followed_targets.remove_entry,
                 on_unreadable=targets.remove_unreadable,
                 effective_content=effective_entry,
                 pause_s=TARGETS_BATCH_S,
@@ -342,6 +340,7 @@
     def _sweep(self) -> None:
         self._connections.sweep()
         self._parts.relay_vms.connections.sweep()
+        self._followed_targets.sweep()
         self._targets.sweep()
         self._parts.healths.retain(self._targets.entries)
         known = self._parts.configuration is not None
--- a/hawthornlead/gateway/kind_records.py
+++ b/hawthornlead/gateway/kind_records.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+from ..eras.dated_revisions import era_of
 from ..events import EventKind, EventRing
 from .gateway_metrics import GatewayMetrics
 from .records import StoredRecord, StoreEvent
@@ -33,7 +34,8 @@
 
     Other writers may store unreadable objects: ``effective_content`` or ``on_changed``
     raise ``ValueError``, and ``on_unreadable`` is called instead, once until the object
-    can be read again. The other objects stay in force.
+    can be read again. The other objects stay in force. If ``on_changed`` returns False,
+    it didn't take the object, and is called again with the next one of its name.
     """
 
     def __init__(
@@ -41,7 +43,7 @@
         kind: str,
         *,
         events: EventRing,
-        on_changed: Callable[[StoredRecord], None],
+        on_changed: Callable[[StoredRecord], bool | None],
         on_deleted: Callable[[str], None],
         on_unreadable: Callable[[str], None] = lambda name: None,
         metrics: GatewayMetrics | None = None,
@@ -61,6 +63,7 @@
         self._removed: dict[str, int] = {}
         self._until = NO_REVISION
         self._quiet_since = NO_REVISION
+        self._restored_until = NO_REVISION
 
     @property
     def records(self) -> dict[str, StoredRecord]:
@@ -77,6 +80,18 @@
         """The revision after which there was no effective change, up to ``until``."""
         return self._quiet_since
 
+    def is_restored(self, revision: int) -> bool:
+        """Whether an object may be from the copy with which its era began.
+
+        It may be older than what this VM knew before. What was written after the first
+        complete state of the era is newer.
+        """
+        if self._until == NO_REVISION:
+            return False
+        if era_of(revision) > era_of(self._until):
+            return True
+        return revision <= self._restored_until
+
     def apply_listing(self, until: int, records: Iterable[StoredRecord]) -> None:
         """Apply a complete listing at a revision.
 
@@ -135,6 +150,12 @@
         except ValueError:
             return _UNREADABLE
 
+    def apply_again(self, name: str) -> None:
+        """Pass on an object again that ``on_changed`` didn't take."""
+        record = self._records.pop(name, None)
+        if record is not None:
+            self._store(record)
+
     def report_unnamed(self) -> None:
         """Report objects without a readable name or revision."""
         self._report_unusable(self._kind, "no name or revision that can be read")
@@ -143,6 +164,8 @@
         self._quiet_since = quiet_since
         if until <= self._until:
             return
+        if self._until != NO_REVISION and era_of(until) > era_of(self._until):
+            self._restored_until = until
         self._until = until
         if self._removed:
             kept = {name: at for name, at in self._removed.items() if at > until}
@@ -168,7 +191,9 @@
                 record.name, _NO_CONTENT
             ):
                 return
-            self._on_changed(record)
+            if self._on_changed(record) is False:
+                self._effective_contents.pop(record.name, None)
+                return
         except ValueError as error:
             self._mark_unreadable(record, error)
             return
--- a/hawthornlead/gateway/part_groups.py
+++ b/hawthornlead/gateway/part_groups.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from ..decisions.quotas import QuotaLedger
+from ..eras.followed_targets import FollowedTargets
 from ..fleet.fleet_meshes import FleetMesh
 from .engine_managers import EngineManager
 from .measured_engines import MeasuredEngines
@@ -34,6 +35,7 @@
     """The state of targets, the connections to them, and the engines of this VM."""
 
     targets: TargetTable
+    followed: FollowedTargets
     connections: TargetConnections
     paths: TargetPaths
     loads: TargetLoads
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -72,7 +72,7 @@
         events: EventRing,
         relays: WatchRelays,
         retries: StoreRetries,
-        on_changed: Callable[[StoredRecord], None],
+        on_changed: Callable[[StoredRecord], bool | None],
         on_deleted: Callable[[str], None],
         on_unreadable: Callable[[str], None] = lambda name: None,
         metrics: GatewayMetrics | None = None,
@@ -134,8 +134,19 @@
 
     @property
     def back_at(self) -> float:
-        """When the store last answered again after an outage; 0 if it had none."""
-        return self._recovered_at
+        """When the store last answered again after an outage; 0 if it had none.
+
+        It was away before a new era, even if this VM didn't call it then.
+        """
+        return max(self._recovered_at, self._client.eras.changed_at)
+
+    def is_restored(self, revision: int) -> bool:
+        """Whether an object may be from a copy of the store, older than known ones."""
+        return self._known.is_restored(revision)
+
+    def apply_again(self, name: str) -> None:
+        """Pass on an object again that ``on_changed`` didn't take."""
+        self._known.apply_again(name)
 
     def start(self) -> None:
         """Start listing and watching."""
--- a/hawthornlead/tests/following_vms.py
+++ b/hawthornlead/tests/following_vms.py
@@ -15,6 +15,7 @@
 from prometheus_client import CollectorRegistry
 
 from hawthornlead.clocks import HybridClock
+from hawthornlead.eras.followed_targets import FollowedTargets
 from hawthornlead.events import EventKind, EventRing
 from hawthornlead.gateway.gateway_metrics import GatewayMetrics
 from hawthornlead.gateway.memberships import VMS_KIND, Memberships
@@ -33,6 +34,7 @@
     TARGETS_KIND,
     VERSIONS_KIND,
 )
+from hawthornlead.platform.targets import read_target
 from hawthornlead.timers import TimerService
 
 from .bad_entries import good_spec
@@ -79,6 +81,13 @@
         self.targets = TargetTable(
             memberships=self.memberships, timers=timers, events=self.events
         )
+        self.followed = FollowedTargets(
+            entries=self.targets.entries,
+            apply=self.targets.apply_entry,
+            remove=self.targets.remove_entry,
+            read=read_target,
+            now=timers.now,
+        )
         self.version = 0
         self.gone = []
         self.targets.subscribe(lambda incarnation, loss: self.gone.append(incarnation))
@@ -95,8 +104,8 @@
             TARGETS_KIND: KindWatcher(
                 TARGETS_KIND,
                 **common,
-                on_changed=self.targets.apply_entry,
-                on_deleted=self.targets.remove_entry,
+                on_changed=self.followed.apply_entry,
+                on_deleted=self.followed.remove_entry,
                 on_unreadable=self.targets.remove_unreadable,
                 effective_content=effective_entry,
             ),
@@ -121,6 +130,7 @@
             ),
         }
         self.targets.watcher = self.watchers[TARGETS_KIND]
+        self.followed.watcher = self.watchers[TARGETS_KIND]
 
     def start(self):
         """Begin to follow all kinds."""
--- a/hawthornlead/tests/spread_plays.py
+++ b/hawthornlead/tests/spread_plays.py
@@ -77,7 +77,7 @@
         self._bound_s = LARGE_BOUND_S if large else SMALL_BOUND_S
         self._store_disturbed_at = float("-inf")
         self._faults = {**FAULTS, **DRILLS} if drills else FAULTS
-        self._knowing: set[str] = set()
+        self._knew: dict[str, int] = {}
         self._knowable_at = 0.0
         self._versions: dict[str, int] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -139,20 +139,20 @@
         self._store_disturbed_at = self.fleet.now
 
     def lose_writes(self, again_s: float) -> None:
-        """Note that a VM without a configuration can't know one that is lost now.
+        """Note that a VM can't know a lost version that it doesn't know now.
 
-        It is written again after ``again_s``.
+        The newest is written again after ``again_s``.
         """
         self.disturb_store()
-        vms = self.fleet.vms.values()
-        self._knowing = {vm.mesh.incarnation for vm in vms if vm.version}
+        for vm in self.fleet.vms.values():
+            self._knew[vm.mesh.incarnation] = vm.version
         self._knowable_at = self.fleet.now + again_s + self._bound_s
 
-    def _may_know(self, vm) -> bool:
-        """Whether a VM may know all that was acknowledged."""
+    def _can_know(self, vm, version: int) -> bool:
+        """Whether a VM can know a version, by the store or from before a drill."""
         if self.fleet.now >= self._knowable_at:
             return True
-        return vm.mesh.incarnation in self._knowing
+        return self._knew.get(vm.mesh.incarnation, 0) >= version
 
     def _change_thing(self) -> None:
         name = f"thing-{self.rng.randrange(MOST_THINGS)}"
@@ -180,7 +180,7 @@
             if vm.version < wanted and self._in_touch(vm):
                 self._breach(name, f"has {vm.version} in force, not {wanted}")
             current = vm.watchers["config"].current
-            if vm.version < settled and current and self._may_know(vm):
+            if vm.version < settled and current and self._can_know(vm, settled):
                 self._breach(name, f"takes {vm.version} for current, not {settled}")
 
     def _serves_some(self) -> bool:
