Write registrations again, and keep versions that a copy of the store lacks

In a new era the store may have lost a VM's registration, unseen by the VM itself: callers were sent to that VM no more, and relays and owners were chosen without it. Each VM writes its registration again within a second. Objects whose writer counts versions up stay as they were known where a copy shows a lower version or none, so that VMs that start after the drill learn the newest from others. A listing that may be seconds old is not used at the start while the era isn't known to be settled: its revisions may be of the era before.

Registration moved from memberships to a module of its own.

--- a/hawthornlead/eras/settlements.py
+++ b/hawthornlead/eras/settlements.py
@@ -12,6 +12,7 @@
         claim()
 """
 
+import asyncio
 from collections.abc import Callable
 from typing import Protocol
 
@@ -55,6 +56,7 @@
         self._marker = marker
         self._marked = NO_ERA
         self._checked_at = NEVER
+        self._reading: asyncio.Task | None = None
         self._tasks = TaskSet()
 
     @property
@@ -74,6 +76,17 @@
         self._checked_at = self._now()
         self._tasks.spawn_once("check", self.read)
 
+    async def ensure(self) -> bool:
+        """Return whether the current era is settled, after reading that if needed.
+
+        Callers at the same time share one read.
+        """
+        if not self.settled:
+            if self._reading is None or self._reading.done():
+                self._reading = self._tasks.spawn(self.read())
+            await asyncio.shield(self._reading)
+        return self.settled
+
     def confirm(self) -> None:
         """Store soon that the current era is settled, for VMs that start later."""
         if self._eras.current != self._marked and self.settled:
--- a/hawthornlead/gateway/coordination_parts.py
+++ b/hawthornlead/gateway/coordination_parts.py
@@ -81,7 +81,7 @@
         rng=rng,
         events=events,
     )
-    memberships.on_registered = lease.start
+    memberships.registration.on_registered = lease.start
     settlement = EraSettlement(
         eras=client.eras,
         now=timers.now,
@@ -119,4 +119,6 @@
         share=lambda: memberships.seen_share,
         vms=lambda: registered_order.count or ASSUMED_VMS,
     )
-    return Coordination(client, mesh, memberships, lease, ownerships, relays, quotas)
+    return Coordination(
+        client, mesh, memberships, lease, ownerships, relays, quotas, settlement
+    )
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -17,7 +17,7 @@
 from ..logs import EventWriter
 from ..messages import Heartbeat, Hello
 from ..metric_library import metrics_text
-from ..platform.configurations import read_configuration
+from ..platform.configurations import read_adapter_version, read_configuration
 from ..platform.entries import READY_PATH, RESOLVE_PATH, addresses_body
 from ..platform.objects import (
     CONFIGURATION_KIND,
@@ -33,13 +33,13 @@
 from .fleet_views import FleetView
 from .gateway_metrics import GatewayMetrics
 from .gateway_parts import build_requests, build_targets
-from .memberships import VMS_KIND
 from .records import StoredRecord
 from .request_forwards import RequestForward
 from .request_servers import RequestServer
 from .store_retries import StoreRetries
 from .target_entries import effective_entry
 from .target_loads import TargetLoads
+from .vm_registrations import VMS_KIND
 from .vm_relays import pop_origin, refuse_relayed
 from .watchers import KindWatcher
 
@@ -77,6 +77,7 @@
         self._memberships = coordination.memberships
         self._lease = coordination.lease
         self._relays = coordination.relays
+        self._settlement = coordination.settlement
         self._targets = targets.targets
         self._connections = targets.connections
         self._engine_manager = targets.engine_manager
@@ -203,16 +204,13 @@
     def _make_query_servers(self) -> list[QueryServer]:
         now = self._timers.now
         queries = {}
-        ready = self._settings["READY_ADDRESS"]
-        directory = self._settings["DIRECTORY_ADDRESS"]
-        metrics = self._settings["METRICS_ADDRESS"]
-        for address, path, query in (
-            (ready, READY_PATH, self._ready),
-            (directory, RESOLVE_PATH, self._resolve),
-            (metrics, "/metrics", self._read_metrics),
-            (metrics, "/fleet", lambda: Reply(200, self._fleet_view.body())),
+        for setting, path, query in (
+            ("READY_ADDRESS", READY_PATH, self._ready),
+            ("DIRECTORY_ADDRESS", RESOLVE_PATH, self._resolve),
+            ("METRICS_ADDRESS", "/metrics", self._read_metrics),
+            ("METRICS_ADDRESS", "/fleet", lambda: Reply(200, self._fleet_view.body())),
         ):
-            if address:
+            if address := self._settings[setting]:
                 queries.setdefault(address, {})[path] = query
         return [
             QueryServer(at, stop_requested, now)
@@ -277,6 +275,7 @@
             "retries": StoreRetries(self._timers),
             "metrics": metrics,
             "stale_start": self._settings["FAST_STARTS"],
+            "settlement": self._settlement,
         }
         # If a configuration or version becomes unreadable, the last one stays in force:
         # none is rolled back.
@@ -286,6 +285,7 @@
                 **common,
                 on_changed=self._on_configuration,
                 on_deleted=self._on_configuration_deleted,
+                version_of=lambda record: read_configuration(record).version,
                 fetched=True,
             ),
             TARGETS_KIND: KindWatcher(
@@ -303,6 +303,7 @@
                 **common,
                 on_changed=targets.apply_version,
                 on_deleted=targets.keep_version,
+                version_of=lambda record: read_adapter_version(record).version,
                 fetched=True,
             ),
             VMS_KIND: KindWatcher(
--- a/hawthornlead/gateway/kind_records.py
+++ b/hawthornlead/gateway/kind_records.py
@@ -36,6 +36,10 @@
     raise ``ValueError``, and ``on_unreadable`` is called instead, once until the object
     can be read again. The other objects stay in force. If ``on_changed`` returns False,
     it didn't take the object, and is called again with the next one of its name.
+
+    With ``version_of``, the writer of the objects counts their versions up and never
+    removes one: an object that a new era shows at a lower version, or lacks, stays as
+    it is until it is written again.
     """
 
     def __init__(
@@ -48,8 +52,10 @@
         on_unreadable: Callable[[str], None] = lambda name: None,
         metrics: GatewayMetrics | None = None,
         effective_content: Callable[[StoredRecord], Any] = lambda record: record,
+        version_of: Callable[[StoredRecord], int] | None = None,
     ):
         self._kind = kind
+        self._version_of = version_of
         self._events = events
         self._on_changed = on_changed
         self._on_deleted = on_deleted
@@ -184,6 +190,8 @@
             return
         if record.revision <= self._removed.get(record.name, NO_REVISION):
             return
+        if known is not None and self._takes_back(known, record):
+            return
         self._records[record.name] = record
         try:
             effective_content = self._read_effective_content(record)
@@ -199,6 +207,15 @@
             return
         self._effective_contents[record.name] = effective_content
 
+    def _takes_back(self, known: StoredRecord, record: StoredRecord) -> bool:
+        """Whether an object of a new era has a lower version than the known one."""
+        if self._version_of is None or not _is_of_later_era(record.revision, known):
+            return False
+        try:
+            return self._version_of(record) < self._version_of(known)
+        except ValueError:
+            return False
+
     def _read_effective_content(self, record: StoredRecord) -> Any:
         if record.unreadable:
             raise ValueError("it is no object, or has bytes that can't be read")
@@ -231,9 +248,16 @@
         known = self._records.get(name)
         if known is not None and revision < known.revision:
             return
+        counted = known is not None and self._version_of is not None
+        if counted and _is_of_later_era(revision, known):
+            return
         self._removed[name] = max(revision, self._removed.get(name, NO_REVISION))
         if known is None:
             return
         del self._records[name]
         self._effective_contents.pop(name, None)
         self._on_deleted(name)
+
+
+def _is_of_later_era(revision: int, known: StoredRecord) -> bool:
+    return era_of(revision) > era_of(known.revision)
--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -6,7 +6,6 @@
 """
 
 from collections import Counter
-from collections.abc import Callable
 from random import Random
 
 from ..events import EventKind, EventRing
@@ -16,14 +15,12 @@
 from ..hashes import rendezvous
 from ..mesh.meshes import PeerInfo
 from ..messages.fleets import MemberState
-from ..platform.objects import read_vm, vm_spec
-from ..tasks import TaskSet
+from ..platform.objects import read_vm
 from ..timers import TimerService
 from .records import StoredRecord, VmRecord
 from .store_clients import StoreClient
-from .upserts import upsert
+from .vm_registrations import VmRegistration
 
-VMS_KIND = "hawthornlead-vms"
 # A VM is left out of answers after this much silence. Callers give a new connection one
 # second, so a longer time-out costs them an attempt. In a small fleet each VM announces
 # its requests to all others four times within this time.
@@ -42,7 +39,6 @@
 # All VMs order those that registered at the same time by this rendezvous key.
 OLDEST_ORDER_KEY = "eldest"
 MAX_CACHED_ORDERS = 4096
-REGISTER_RETRY_S = 0.5
 
 
 class Memberships:
@@ -68,7 +64,6 @@
         self._events = events
         self._record = record
         self._registered_order = registered_order or RegisteredOrder()
-        self._client = client
         self._mesh = mesh
         self._timers = timers
         self._rng = rng
@@ -83,16 +78,24 @@
         self._owners: frozenset[str] = frozenset()
         self._serving = False
         self._reaches_targets = True
-        self._registered = False
-        self._tasks = TaskSet()
-        # Called once, with whether an earlier process of this VM had registered.
-        self.on_registered: Callable[[bool], None] = lambda again: None
+        self._registration = VmRegistration(
+            client=client,
+            timers=timers,
+            rng=rng,
+            events=events,
+            record=lambda: self._record,
+        )
 
     @property
     def vm(self) -> str:
         """The name of this VM."""
         return self._record.vm
 
+    @property
+    def registration(self) -> VmRegistration:
+        """This VM's registration in the store."""
+        return self._registration
+
     @property
     def incarnation(self) -> str:
         """The incarnation of this VM's process."""
@@ -145,11 +148,11 @@
 
     def start(self) -> None:
         """Start registering this VM."""
-        self._tasks.spawn(self._register())
+        self._registration.start()
 
     def stop(self) -> None:
         """Cancel what is under way."""
-        self._tasks.cancel()
+        self._registration.stop()
 
     def mark_serving(self, serving: bool) -> None:
         """Set whether this VM is ready to serve callers."""
@@ -168,7 +171,7 @@
         self._record = self._record._replace(leaving=True)
         self._refreshed_at = None
         self._mesh.heartbeat_changed()
-        self._tasks.spawn(self._register())
+        self._registration.write()
 
     def own_state(self) -> MemberState:
         """Return the state that this VM announces to the others."""
@@ -196,7 +199,7 @@
         otherwise VMs that start later would never know it.
         """
         if name == self.vm:
-            self._tasks.spawn_once("mend", self._register)
+            self._registration.repair()
 
     def remove(self, name: str) -> None:
         """Remove a VM whose object was deleted."""
@@ -376,20 +379,3 @@
         if peer.heartbeat is None or peer.heartbeat.draining:
             return False
         return peer.last_seen_at >= self._seen_after
-
-    async def _register(self) -> None:
-        """Write this VM's object until the store accepts it."""
-        record = self._record
-        spec = vm_spec(record)
-        while record is self._record:
-            written = await upsert(self._client, VMS_KIND, self.vm, spec)
-            if written is not None:
-                self._events.emit(EventKind.VM_REGISTERED, self.vm, **spec)
-                self._on_written(written.created)
-                return
-            await self._timers.sleep(REGISTER_RETRY_S * self._rng.uniform(0.5, 1.5))
-
-    def _on_written(self, created: bool) -> None:
-        if not self._registered:
-            self._registered = True
-            self.on_registered(not created)
--- a/hawthornlead/gateway/part_groups.py
+++ b/hawthornlead/gateway/part_groups.py
@@ -4,6 +4,7 @@
 
 from ..decisions.quotas import QuotaLedger
 from ..eras.followed_targets import FollowedTargets
+from ..eras.settlements import EraSettlement
 from ..fleet.fleet_meshes import FleetMesh
 from .engine_managers import EngineManager
 from .measured_engines import MeasuredEngines
@@ -29,6 +30,7 @@
     ownerships: Ownerships
     relays: WatchRelays
     quotas: QuotaLedger
+    settlement: EraSettlement
 
 
 class TargetParts(NamedTuple):
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from ..eras.dated_revisions import era_of
+from ..eras.settlements import EraSettlement
 from ..events import EventKind, EventRing
 from ..tasks import TaskSet
 from ..timers import TimerService
@@ -77,9 +78,11 @@
         on_unreadable: Callable[[str], None] = lambda name: None,
         metrics: GatewayMetrics | None = None,
         effective_content: Callable[[StoredRecord], Any] = lambda record: record,
+        version_of: Callable[[StoredRecord], int] | None = None,
         pause_s: float = 0.0,
         fetched: bool = False,
         stale_start: bool = False,
+        settlement: EraSettlement | None = None,
     ):
         self._kind = kind
         self._client = client
@@ -96,7 +99,9 @@
             on_unreadable=on_unreadable,
             metrics=metrics,
             effective_content=effective_content,
+            version_of=version_of,
         )
+        self._settlement = settlement
         self._failures = 0
         self._pause_s = pause_s
         self._fetched = fetched
@@ -237,11 +242,14 @@
 
         If all VMs start at once, no head knows anything yet, and until one does each
         VM would refuse all requests. It isn't ``current`` before a relay or its own
-        watch has shown it what changed since.
+        watch has shown it what changed since. In an era that isn't settled, the listing
+        may be of the era before, at revisions that were given out again.
         """
         listed = await self._client.list_all(self._kind, stale=True)
         if listed.is_err():
             return
+        if self._settlement is not None and not await self._settlement.ensure():
+            return
         found = listed.ok_value
         self._known.apply_listing(found.revision, found.events)
         self._listed = True
--- a/hawthornlead/tests/bad_entries.py
+++ b/hawthornlead/tests/bad_entries.py
@@ -12,7 +12,7 @@
 
 from hypothesis import strategies as st
 
-from hawthornlead.gateway.memberships import VMS_KIND
+from hawthornlead.gateway.vm_registrations import VMS_KIND
 from hawthornlead.platform.objects import (
     CONFIGURATION_KIND,
     TARGETS_KIND,
--- a/hawthornlead/tests/fakes_spread.py
+++ b/hawthornlead/tests/fakes_spread.py
@@ -19,10 +19,11 @@
 from hawthornlead.fleet.fleet_meshes import FleetMesh
 from hawthornlead.fleet.registered_orders import RegisteredOrder
 from hawthornlead.gateway.load_announcements import LoadAnnouncements
-from hawthornlead.gateway.memberships import VMS_KIND, Memberships
+from hawthornlead.gateway.memberships import Memberships
 from hawthornlead.gateway.records import StoredRecord, VmRecord
 from hawthornlead.gateway.store_retries import StoreRetries
 from hawthornlead.gateway.target_loads import TargetLoads
+from hawthornlead.gateway.vm_registrations import VMS_KIND
 from hawthornlead.gateway.watch_relays import WatchRelays
 from hawthornlead.gateway.watchers import KindWatcher
 from hawthornlead.mesh.codecs import Frame, decode, encode
@@ -217,6 +218,7 @@
                 **common,
                 on_changed=self._take_configuration,
                 on_deleted=lambda name: None,
+                version_of=lambda record: record.spec["version"],
                 fetched=True,
             ),
             THINGS_KIND: KindWatcher(
--- a/hawthornlead/tests/following_vms.py
+++ b/hawthornlead/tests/following_vms.py
@@ -18,16 +18,20 @@
 from hawthornlead.eras.followed_targets import FollowedTargets
 from hawthornlead.events import EventKind, EventRing
 from hawthornlead.gateway.gateway_metrics import GatewayMetrics
-from hawthornlead.gateway.memberships import VMS_KIND, Memberships
+from hawthornlead.gateway.memberships import Memberships
 from hawthornlead.gateway.records import VmRecord
 from hawthornlead.gateway.store_clients import StoreClient
 from hawthornlead.gateway.store_retries import StoreRetries
 from hawthornlead.gateway.target_entries import effective_entry
 from hawthornlead.gateway.target_tables import TargetTable
+from hawthornlead.gateway.vm_registrations import VMS_KIND
 from hawthornlead.gateway.watch_relays import WatchRelays
 from hawthornlead.gateway.watchers import KindWatcher
 from hawthornlead.messages import Heartbeat
-from hawthornlead.platform.configurations import read_configuration
+from hawthornlead.platform.configurations import (
+    read_adapter_version,
+    read_configuration,
+)
 from hawthornlead.platform.objects import (
     CONFIGURATION_KIND,
     CONFIGURATION_NAME,
@@ -114,12 +118,14 @@
                 **common,
                 on_changed=self.targets.apply_version,
                 on_deleted=self.targets.keep_version,
+                version_of=lambda record: read_adapter_version(record).version,
             ),
             CONFIGURATION_KIND: KindWatcher(
                 CONFIGURATION_KIND,
                 **common,
                 on_changed=self._take_configuration,
                 on_deleted=lambda name: None,
+                version_of=lambda record: read_configuration(record).version,
             ),
             VMS_KIND: KindWatcher(
                 VMS_KIND,
--- a/hawthornlead/tests/soak_gateway_targets.py
+++ b/hawthornlead/tests/soak_gateway_targets.py
@@ -4,9 +4,9 @@
 import time
 from collections.abc import Callable
 
-from hawthornlead.gateway.memberships import VMS_KIND
 from hawthornlead.gateway.ownerships import OWNERS_KIND
 from hawthornlead.gateway.vm_leases import LEASES_KIND
+from hawthornlead.gateway.vm_registrations import VMS_KIND
 from hawthornlead.platform.objects import VERSIONS_KIND
 
 from .soak_gateway_faults import fault, target_fault
--- a/hawthornlead/tests/test_bad_entries.py
+++ b/hawthornlead/tests/test_bad_entries.py
@@ -9,8 +9,8 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from hawthornlead.gateway.memberships import VMS_KIND
 from hawthornlead.gateway.records import StoredRecord
+from hawthornlead.gateway.vm_registrations import VMS_KIND
 from hawthornlead.platform.configurations import (
     read_adapter_version,
     read_configuration,
--- a/hawthornlead/tests/test_stale_starts.py
+++ b/hawthornlead/tests/test_stale_starts.py
@@ -50,7 +50,7 @@
     await store.stop()
 
 
-def watcher(store, stale_start):
+def watcher(store, stale_start, settlement=None):
     timers = TimerService()
     applied = []
     relays = HeadsThatKnowNothing()
@@ -66,10 +66,28 @@
         on_deleted=applied.remove,
         fetched=True,
         stale_start=stale_start,
+        settlement=settlement,
     )
     return made, relays, applied
 
 
+class Unsettled:
+    """An era of which it isn't known that it is settled."""
+
+    async def ensure(self):
+        return False
+
+
+async def test_a_stale_listing_is_not_used_while_the_era_may_be_new(store):
+    """Guards against a VM that starts by a listing of the era before a drill."""
+    store.write(KIND, "main", {"version": 3})
+    made, relays, applied = watcher(store, stale_start=True, settlement=Unsettled())
+    made.start()
+    await asyncio.sleep(0.4)
+    assert applied == []
+    made.stop()
+
+
 async def test_a_vm_serves_before_a_head_knows_anything(store):
     """Guards against a fleet that refuses all requests until its heads are elected."""
     store.write(KIND, "main", {"version": 3})
--- a/hawthornlead/tests/test_store_eras.py
+++ b/hawthornlead/tests/test_store_eras.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from hawthornlead.platform.objects import TARGETS_KIND
+from hawthornlead.gateway.vm_registrations import VMS_KIND
+from hawthornlead.platform.configurations import read_configuration
+from hawthornlead.platform.objects import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    TARGETS_KIND,
+)
 
 from .bad_entries import good_spec
 from .following_vms import KINDS, NAMES, relayed_site
@@ -43,10 +49,10 @@
     await site.agree()
 
 
-async def catch_up(site) -> None:
-    """Wait until all VMs know the first complete state of the new era."""
+async def catch_up(site, kind=TARGETS_KIND) -> None:
+    """Wait until all VMs know the first complete state of a kind in the new era."""
     for vm in site.vms:
-        watcher = vm.watchers[TARGETS_KIND]
+        watcher = vm.watchers[kind]
         await site.until(lambda w=watcher: w.is_restored(w._known.until))
 
 
@@ -120,3 +126,30 @@
     for vm in site.vms:
         vm.targets.sweep()
     assert all(usable(site, "late"))
+
+
+async def test_a_vm_that_starts_learns_the_configuration_that_the_store_has_lost(site):
+    """Guards against an older configuration at VMs that start after a drill."""
+    taken = site.store.copy()
+    site.write_good(CONFIGURATION_KIND, CONFIGURATION_NAME)
+    await site.agree()
+    site.store.restore(taken)
+    await catch_up(site, CONFIGURATION_KIND)
+    for vm in site.vms:
+        records = vm.watchers[CONFIGURATION_KIND]._known.records
+        version = read_configuration(records[CONFIGURATION_NAME]).version
+        assert version == site.expected[CONFIGURATION_KIND]
+    started = site.add("e")
+    assert await started.relays.fetch(CONFIGURATION_KIND)
+    assert started.version == site.expected[CONFIGURATION_KIND]
+
+
+async def test_a_vm_registers_again_after_the_store_has_lost_that(site):
+    """Guards against VMs that no caller is sent to, since their objects are lost."""
+    taken = site.store.copy()
+    for vm in site.vms:
+        vm.memberships.start()
+    names = {vm.memberships.vm for vm in site.vms}
+    await site.until(lambda: names <= set(site.store.names(VMS_KIND)))
+    site.store.restore(taken)
+    await site.until(lambda: names <= set(site.store.names(VMS_KIND)))
--- a/hawthornlead/tests/test_unreadable_records.py
+++ b/hawthornlead/tests/test_unreadable_records.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from hawthornlead.gateway.memberships import VMS_KIND
 from hawthornlead.gateway.records import StoreEvent
+from hawthornlead.gateway.vm_registrations import VMS_KIND
 from hawthornlead.messages.gateways import RelayedChanges, RelayedRecord
 from hawthornlead.platform.objects import (
     CONFIGURATION_KIND,
--- a/hawthornlead/tests/test_whole_unreadable.py
+++ b/hawthornlead/tests/test_whole_unreadable.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from hawthornlead.gateway.memberships import VMS_KIND
 from hawthornlead.gateway.ownerships import OWNERS_KIND
 from hawthornlead.gateway.vm_leases import LEASES_KIND
+from hawthornlead.gateway.vm_registrations import VMS_KIND
 from hawthornlead.platform.objects import (
     CONFIGURATION_KIND,
     TARGETS_KIND,
