Tell a store that names no era from one whose count begins at 0

The first drill of such a store would have passed for the first sight of its era, so that claims went on by leases that it had lost. The test of a lost claim now plays both.

--- a/hawthornlead/eras/settlements.py
+++ b/hawthornlead/eras/settlements.py
@@ -17,7 +17,7 @@
 from typing import Protocol
 
 from ..tasks import TaskSet
-from .store_eras import NEVER, NO_ERA, StoreEras
+from .store_eras import NEVER, StoreEras
 
 # Between reads of the stored era while the current one isn't settled.
 CHECK_INTERVAL_S = 1.0
@@ -54,7 +54,7 @@
         self._settle_s = settle_s
         self._first_start = first_start
         self._marker = marker
-        self._marked = NO_ERA
+        self._marked: int | None = None
         self._checked_at = NEVER
         self._reading: asyncio.Task | None = None
         self._tasks = TaskSet()
@@ -62,8 +62,7 @@
     @property
     def settled(self) -> bool:
         """Whether no VM can act by a lease or claim that the store has lost."""
-        era = self._eras.current
-        if era in (NO_ERA, self._marked):
+        if not self._eras.named or self._eras.current == self._marked:
             return True
         if self._first_start and self._eras.changed_at == NEVER:
             return True
@@ -89,6 +88,8 @@
 
     def confirm(self) -> None:
         """Store soon that the current era is settled, for VMs that start later."""
+        if not self._eras.named:
+            return
         if self._eras.current != self._marked and self.settled:
             self._tasks.spawn_once("confirm", self._write)
 
--- a/hawthornlead/eras/store_eras.py
+++ b/hawthornlead/eras/store_eras.py
@@ -10,9 +10,10 @@
 from collections.abc import Callable
 
 from ..events import EventKind, EventRing
+from .dated_revisions import era_of
 
-# The era of a store that names none; it never goes back.
-NO_ERA = 0
+# Dates the revisions of a store that names no era and never goes back.
+UNNAMED_ERA = 0
 NEVER = float("-inf")
 
 
@@ -22,16 +23,22 @@
     def __init__(self, *, now: Callable[[], float], events: EventRing | None = None):
         self._now = now
         self._events = events
-        self._current = NO_ERA
+        self._current = UNNAMED_ERA
+        self._named = False
         self._seen_at = NEVER
         self._changed_at = NEVER
         self._subscribers: list[Callable[[], None]] = []
 
     @property
     def current(self) -> int:
-        """The newest era seen, ``NO_ERA`` if the store has named none."""
+        """The newest era seen, ``UNNAMED_ERA`` if the store has named none."""
         return self._current
 
+    @property
+    def named(self) -> bool:
+        """Whether the store names eras, whose count may begin at 0."""
+        return self._named
+
     @property
     def seen_at(self) -> float:
         """When this VM first saw the current era, ``NEVER`` if it has seen none."""
@@ -46,15 +53,27 @@
         """Call ``on_changed`` when a new era follows another."""
         self._subscribers.append(on_changed)
 
-    def observe(self, era: int) -> None:
-        """Record the era of an answer or a message; older ones change nothing."""
-        if era <= self._current:
+    def is_current(self, revision: int) -> bool:
+        """Whether a dated revision is of the current era."""
+        return era_of(revision) == self._current
+
+    def observe_revision(self, revision: int) -> None:
+        """Record the era of a dated revision that another VM knows."""
+        if era_of(revision) > self._current:
+            self.observe(era_of(revision))
+
+    def observe(self, era: int | None) -> None:
+        """Record the era of an answer or a message, None if it names none."""
+        if era is None or era < self._current:
+            return
+        if self._named and era == self._current:
             return
-        former, self._current = self._current, era
+        follows, former = self._named, self._current
+        self._current, self._named = era, True
         self._seen_at = self._now()
         if self._events is not None:
             self._events.emit(EventKind.STORE_ERA, "store", era=era, former=former)
-        if former == NO_ERA:
+        if not follows:
             return
         self._changed_at = self._seen_at
         for on_changed in self._subscribers:
--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -15,7 +15,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
 
 from ..eras.dated_revisions import era_of
-from ..eras.store_eras import StoreEras
+from ..eras.store_eras import UNNAMED_ERA, StoreEras
 from ..errors import ErrorKind, Failure
 from ..platform.fields import decode
 from ..platform.headers import read_store_era
@@ -214,6 +214,8 @@
         answered_at = self._timers.now()
         era = read_store_era(response.headers)
         self._eras.observe(era)
+        if era is None:
+            era = UNNAMED_ERA
         if response.code not in TURNED_AWAY:
             self._answered_at = answered_at
         self._count(str(response.code))
--- a/hawthornlead/gateway/watch_relays.py
+++ b/hawthornlead/gateway/watch_relays.py
@@ -150,7 +150,7 @@
         """Whether a relay was seen recently and no forwarded change is missing."""
         confirmed_after = self._timers.now() - RELAY_HEARTBEAT_TTL_S
         until = self._followed[kind].known.until
-        if not self._is_of_current_era(until):
+        if not self._client.eras.is_current(until):
             return False
         for confirmation in self._confirmations[kind].values():
             if confirmation.at >= confirmed_after and confirmation.since <= until:
@@ -250,7 +250,7 @@
             return set()
         confirmed = set()
         for kind, log in self._logs.items():
-            if self._followed[kind].fresh() and self._is_of_current_era(log.until):
+            if self._followed[kind].fresh() and self._client.eras.is_current(log.until):
                 confirmed.add(kind)
         return confirmed
 
@@ -259,9 +259,9 @@
     async def _on_heartbeat(self, sender, message: RelayHeartbeat) -> None:
         kinds = []
         for relayed in message.kinds:
-            self._client.eras.observe(era_of(relayed.until))
+            self._client.eras.observe_revision(relayed.until)
             # A relay that the store doesn't serve may not know that an era has ended.
-            current = self._is_of_current_era(relayed.until)
+            current = self._client.eras.is_current(relayed.until)
             if relayed.kind in self._followed and current:
                 kinds.append(relayed)
         self._election.record_heartbeat(sender.vm, bool(kinds))
@@ -274,11 +274,8 @@
             )
             self._apply_changes(sender.vm, RelayedChanges(kind, since, until, ()))
 
-    def _is_of_current_era(self, revision: int) -> bool:
-        return era_of(revision) == self._client.eras.current
-
     async def _on_changes(self, sender, message: RelayedChanges) -> None:
-        self._client.eras.observe(era_of(message.until))
+        self._client.eras.observe_revision(message.until)
         if message.kind in self._followed:
             self._apply_changes(sender.vm, message)
 
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -5,7 +5,6 @@
 
 from tornado.httputil import HTTPHeaders
 
-from ..eras.store_eras import NO_ERA
 from ..gateway.records import CallerRequest
 from .keys import AUTHORIZATION, read_key_digest
 
@@ -225,9 +224,10 @@
     )
 
 
-def read_store_era(headers: HTTPHeaders) -> int:
-    """Return the era that an answer of the store names, ``NO_ERA`` if it names none."""
-    return _parse_integer(headers.get(STORE_ERA, "")) or NO_ERA
+def read_store_era(headers: HTTPHeaders) -> int | None:
+    """Return the era that an answer of the store names, None if it names none."""
+    era = headers.get(STORE_ERA, "")
+    return int(era) if _is_whole_number(era) else None
 
 
 def _end_to_end_headers(caller_headers: HTTPHeaders) -> HTTPHeaders:
--- a/hawthornlead/platform/objects.py
+++ b/hawthornlead/platform/objects.py
@@ -5,7 +5,7 @@
 from urllib.parse import quote, urlencode
 
 from ..eras.dated_revisions import dated_revision, stored_revision
-from ..eras.store_eras import NO_ERA
+from ..eras.store_eras import UNNAMED_ERA
 from ..gateway.records import (
     StoreChanges,
     StoredRecord,
@@ -66,7 +66,7 @@
     return {"metadata": metadata, "spec": spec}
 
 
-def read_record(body: Any, era: int = NO_ERA) -> StoredRecord:
+def read_record(body: Any, era: int = UNNAMED_ERA) -> StoredRecord:
     """Decode one object from an answer of an era of the store.
 
     Raises ``ValueError`` if it has no name or revision.
@@ -86,7 +86,7 @@
     )
 
 
-def read_page(body: Any, era: int = NO_ERA) -> StorePage:
+def read_page(body: Any, era: int = UNNAMED_ERA) -> StorePage:
     """Decode one page of a listing; objects without a name are skipped and counted."""
     body = mapping(body, "the page")
     records = []
@@ -101,7 +101,7 @@
     return StorePage(tuple(records), more, revision, skipped)
 
 
-def read_changes(body: Any, era: int = NO_ERA) -> StoreChanges:
+def read_changes(body: Any, era: int = UNNAMED_ERA) -> StoreChanges:
     """Decode the answer of a watch; objects without a name are skipped and counted."""
     body = mapping(body, "the watch's answer")
     events = []
--- a/hawthornlead/tests/fakes_leases.py
+++ b/hawthornlead/tests/fakes_leases.py
@@ -45,7 +45,7 @@
         self._timers = timers
         self._revision = 0
         self.objects = {}
-        self.era = 0
+        self.era = None
         self.away = False
         self.answer_s = 0.0
         self.after_read = None
@@ -72,7 +72,7 @@
 
     def restore(self, taken):
         """Go back to a copy: a new era, which gives out later revisions again."""
-        self.era += 1
+        self.era = (self.era or 0) + 1
         self._revision, objects = taken
         self.objects = dict(objects)
 
@@ -128,7 +128,7 @@
             return listed
         self.eras.observe(self._store.era)
         records = tuple([self._dated(Ok(each)).ok_value for each in listed.ok_value[0]])
-        revision = dated_revision(self._store.era, listed.ok_value.revision)
+        revision = dated_revision(self._store.era or 0, listed.ok_value.revision)
         return Ok(StoreChanges(records, revision))
 
     async def create(self, kind, name, spec):
@@ -137,7 +137,7 @@
 
     async def replace(self, kind, name, spec, revision):
         """Replace an object that is at a revision."""
-        if era_of(revision) != self._store.era and not self._store.away:
+        if era_of(revision) != (self._store.era or 0) and not self._store.away:
             self.eras.observe(self._store.era)
             return Err(Failure(ErrorKind.VERSION_CONFLICT, "another era"))
         stored = stored_revision(revision)
@@ -149,7 +149,7 @@
         self.eras.observe(self._store.era)
         if found.ok_value is None:
             return found
-        revision = dated_revision(self._store.era, found.ok_value.revision)
+        revision = dated_revision(self._store.era or 0, found.ok_value.revision)
         return Ok(found.ok_value._replace(revision=revision))
 
 
--- a/hawthornlead/tests/test_era_claims.py
+++ b/hawthornlead/tests/test_era_claims.py
@@ -1,15 +1,17 @@
 """Tests of leases and claims that the store loses as it comes back from a copy."""
 
+import pytest
+
 from hawthornlead.gateway.ownerships import ORDER_MARGIN_S, SETTLE_S
 from hawthornlead.gateway.vm_leases import LEASE_S
 
 from .fakes_leases import Fleet
 
 
-async def drilled_fleet() -> Fleet:
+async def drilled_fleet(era: int = 1) -> Fleet:
     """Return a fleet whose store has lost that VM ``a`` claimed ``e1``."""
     fleet = Fleet()
-    fleet.store.era = 1
+    fleet.store.era = era
     await fleet.a.lease._renew()
     await fleet.b.lease._renew()
     taken = fleet.store.copy()
@@ -24,9 +26,10 @@
     await vm.lease._renew()
 
 
-async def test_nobody_claims_an_engine_whose_owner_the_store_has_lost():
+@pytest.mark.parametrize("era", [0, 1])
+async def test_nobody_claims_an_engine_whose_owner_the_store_has_lost(era):
     """Guards against two owners of an engine after the store went back."""
-    fleet = await drilled_fleet()
+    fleet = await drilled_fleet(era)
     await renew(fleet.b)
     assert not await fleet.b.ownerships.claim("e1")
     assert fleet.a.ownerships.current("e1")
