--- a/hawthornlead/tests/soak_gateway_fleet.py
+++ b/hawthornlead/tests/soak_gateway_fleet.py
@@ -84,6 +84,9 @@
         }
         self.names = {vm.source: vm.name for vm in self.vms.values()}
         self.store = TroubledStore(self.names, rng)
+        self.store.era = 1
+        # Whether all VMs were started for the first time.
+        self._begun = False
         self.store_link = Link("", by_source=True)
         self.target_links: list[Link] = []
 
@@ -100,6 +103,7 @@
             self.store.spellings[vm.peers] = vm.mesh.address
         for name in self.vms:
             await self.start_vm(name)
+        self._begun = True
 
     async def new_target_link(self) -> Link:
         """Return a link at a fresh address, whose upstream is to be set."""
@@ -192,6 +196,7 @@
                 "store_address": store,
                 "vm_list_address": store,
                 "grace_s": GRACE_S,
+                "first_start": "no" if self._begun else "yes",
             },
             # As deploy/vm.ini.template has them.
             "peers": {"heartbeat_s": 0.9, "peer_silent_s": 2.0, "peer_call_s": 1.0},
--- a/hawthornlead/tests/soak_gateway_paths.py
+++ b/hawthornlead/tests/soak_gateway_paths.py
@@ -2,16 +2,19 @@
 
 import asyncio
 
+from hawthornlead.platform.objects import CONFIGURATION_KIND, VERSIONS_KIND
+
 from .soak_gateway_faults import fault, vm_fault
 from .soak_gateway_records import CUT_FROM_TARGETS, STORE
 from .soak_gateway_world import GatewayWorld
 from .soak_links import Path
-from .standins.troubled_store import Fare
+from .standins.troubled_store import Fare, TroubledStore
 
 CUT_S = (0.8, 2.0, 5.0, 8.0)
 DELAY_S = 0.25
 # Three times as long as it takes until such a VM is judged.
 CUT_FROM_TARGETS_S = 9.0
+OPERATORS_KINDS = (CONFIGURATION_KIND, VERSIONS_KIND)
 
 
 def _store_fares(name: str, fare: Fare, holds: tuple, share: float = 1.0) -> None:
@@ -52,6 +55,46 @@
         world.fleet.store.turned_away.difference_update(vms)
 
 
+@fault("store-goes-back")
+async def store_goes_back(world: GatewayWorld) -> None:
+    """The store comes back from a copy some seconds old, at times twice in a row.
+
+    Targets write their entries again by themselves, and the operator what was lost.
+    """
+    world.injected["store-goes-back"] += 1
+    for _ in range(world.rng.choice((1, 1, 2))):
+        store = world.fleet.store
+        taken = store.copy()
+        await asyncio.sleep(world.rng.uniform(0.5, 4.0))
+        written = {}
+        with world.journal.trouble("store-goes-back", STORE):
+            if store.fare is Fare.WELL:
+                store.fare = Fare.DOWN
+                await asyncio.sleep(world.rng.uniform(0.0, 2.0))
+                store.fare = Fare.WELL
+            for kind in OPERATORS_KINDS:
+                written[kind] = {
+                    name: store.spec(kind, name) for name in store.names(kind)
+                }
+            store.restore(taken)
+            await asyncio.sleep(world.rng.uniform(0.05, 1.0))
+            for kind, specs in written.items():
+                _write_again(store, kind, specs)
+
+
+def _write_again(store: TroubledStore, kind: str, specs: dict) -> None:
+    """Write what was lost and hasn't been replaced by something newer since."""
+    for name, spec in specs.items():
+        now = store.spec(kind, name)
+        if now is None or _version(now) < _version(spec):
+            store.write(kind, name, spec)
+
+
+def _version(spec: object) -> int:
+    version = spec.get("version") if isinstance(spec, dict) else None
+    return version if isinstance(version, int) else 0
+
+
 async def _cut(paths: list[Path], hold_s: float, out: bool = True, back: bool = True):
     for path in paths:
         path.cut(out, back)
--- a/hawthornlead/tests/spread_plays.py
+++ b/hawthornlead/tests/spread_plays.py
@@ -89,7 +89,9 @@
         until = fleet.now + self._seconds
         while fleet.now < until:
             await self._step(fleet.now)
-        await asyncio.gather(*self._tasks)
+        while self._tasks:
+            await asyncio.sleep(CHECK_S)
+            self._check()
         calm_until = fleet.now + AFTER_S
         while fleet.now < calm_until:
             await asyncio.sleep(CHECK_S)
@@ -150,9 +152,8 @@
 
     def _can_know(self, vm, version: int) -> bool:
         """Whether a VM can know a version, by the store or from before a drill."""
-        if self.fleet.now >= self._knowable_at:
-            return True
-        return self._knew.get(vm.mesh.incarnation, 0) >= version
+        knew = self._knew.get(vm.mesh.incarnation, 0)
+        return knew >= version or self.fleet.now >= self._knowable_at
 
     def _change_thing(self) -> None:
         name = f"thing-{self.rng.randrange(MOST_THINGS)}"
