Bound what is read of a target whose answer has no end

Callers could wait until their deadline for bytes that are no answer, or be relayed 36 MB of them as a stream; a report without end took 71 MB of its reader. Now an answer breaks off at 16 MB, a report or the answer to a probe or order at 1 MB, an event at 1 MB, and a stream at twice the events that its tokens allow. It may have run, so the caller gets 502 or, for what may be repeated, another target's answer. The target counts as failing; it lives, so its request isn't accused of having crashed it.

Heads were bounded before.

--- a/hawthornlead/gateway/engine_calls.py
+++ b/hawthornlead/gateway/engine_calls.py
@@ -17,7 +17,12 @@
     read_report,
 )
 from .records import EngineOrder, EngineReport, OrderOutcome
-from .target_connections import Exchange, TargetConnections, WholeAnswer
+from .target_connections import (
+    MAX_CONTROL_BYTES,
+    Exchange,
+    TargetConnections,
+    WholeAnswer,
+)
 
 # An engine answers an order in a few milliseconds. An order unanswered after this time
 # may still be carried out, and all orders to its engine wait that long. Repeating it is
@@ -90,7 +95,15 @@
         answer = WholeAnswer()
         headers = control_headers(target)
         headers["Host"] = address
-        exchange.send(method, path, headers, body, request_id="", sink=answer)
+        exchange.send(
+            method,
+            path,
+            headers,
+            body,
+            request_id="",
+            sink=answer,
+            max_bytes=MAX_CONTROL_BYTES,
+        )
         await asyncio.wait([exchange.ended], timeout=timeout_s)
         if answer.head is None or not exchange.whole:
             exchange.close()
--- a/hawthornlead/gateway/stream_relays.py
+++ b/hawthornlead/gateway/stream_relays.py
@@ -18,8 +18,13 @@
 # A target that a request crashes does so as it begins to answer it. One that has gone
 # on for this long after the first event has survived it.
 SURVIVED_S = 0.25
-# Longer than any event of a served stream; longer data is relayed without event bounds.
+# Longer than any event of a served stream. Longer data isn't an event, nor is it the
+# body of an answer that wasn't accepted.
 MAX_EVENT_BYTES = 1 << 20
+# A stream has at most an event for each token, and some that hold none. Twice as many
+# are no answer to its request.
+EVENTS_PER_TOKEN = 2
+TOKENLESS_EVENTS = 64
 
 
 class CallerStream:
@@ -64,6 +69,9 @@
     False, nothing is forwarded and ``refused`` is done. ``on_answered`` is called once,
     when the target has survived the request. The gaps between events go to ``times``;
     the relay doesn't wait for its caller, so they are the target's alone.
+
+    A target in trouble may send bytes, or events, without end: ``overrun`` is done when
+    there are more than an answer of ``max_tokens`` can have, None if that is unknown.
     """
 
     def __init__(
@@ -73,7 +81,12 @@
         may_begin: Callable[[], bool] = lambda: True,
         on_answered: Callable[[], None] = lambda: None,
         times: EventTimes | None = None,
+        max_tokens: int | None = None,
     ):
+        self._max_events: int | None = None
+        if max_tokens is not None:
+            self._max_events = EVENTS_PER_TOKEN * max_tokens + TOKENLESS_EVENTS
+        self._events = 0
         self._stream = stream
         self._now = now
         self._may_begin = may_begin
@@ -82,6 +95,7 @@
         self._event_at = 0.0
         self._answered = False
         self.refused: asyncio.Future = asyncio.get_running_loop().create_future()
+        self.overrun: asyncio.Future = asyncio.get_running_loop().create_future()
         self._buffer = bytearray()
         self.head: Head | None = None
         self.first_at: float | None = None
@@ -121,25 +135,45 @@
                 self._answered = True
                 self._on_answered()
         self.active_at = now
+        if self.overrun.done():
+            return
         self._buffer += chunk
         if not self.accepted or self.refused.done():
+            self._check_length()
             return
         end = self._buffer.rfind(EVENT_END)
-        if end < 0 and len(self._buffer) < MAX_EVENT_BYTES:
+        if end < 0:
+            self._check_length()
+            return
+        cut = end + len(EVENT_END)
+        events = self._buffer.count(EVENT_END, 0, cut)
+        if self._exceeds(events):
+            self._end_overrun()
             return
-        cut = end + len(EVENT_END) if end >= 0 else len(self._buffer)
         if self.first_at is None:
             if not self._may_begin():
                 self.refused.set_result(None)
                 return
             self.first_at = self._event_at = now
         if self._times is not None and now > self.first_at:
-            events = self._buffer.count(EVENT_END, 0, cut)
             self._times.record(events, now - self._event_at)
             self._event_at = now
         self._stream.send(self.head, bytes(self._buffer[:cut]))
         del self._buffer[:cut]
 
+    def _exceeds(self, events: int) -> bool:
+        """Count further events; return whether they are more than the answer has."""
+        self._events += events
+        return self._max_events is not None and self._events > self._max_events
+
+    def _check_length(self) -> None:
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            self._end_overrun()
+
+    def _end_overrun(self) -> None:
+        self._buffer.clear()
+        self.overrun.set_result(None)
+
     def flush(self) -> None:
         """Forward what a complete answer has after its last event."""
         if self._buffer:
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -222,10 +222,12 @@
             lambda: self._binding.accept(entry),
             self.crashes.record_answered,
             times,
+            self._request.max_tokens if self._request.tells_tokens else None,
         )
         sent_at = self._parts.timers.now()
         self._send(route, entry, exchange, subscriber, relay)
-        waiting = {exchange.ended, self._call.gone, subscriber.lost, relay.refused}
+        waiting = {exchange.ended, self._call.gone, subscriber.lost}
+        waiting |= {relay.refused, relay.overrun}
         silent = False
         while not any(each.done() for each in waiting):
             remaining_s = self.remaining_s
@@ -259,9 +261,9 @@
         sent_at: float,
     ) -> AttemptOutcome:
         entry = placed.entry
-        if relay.refused.done():
+        if relay.refused.done() or relay.overrun.done():
             exchange.close()
-            return AttemptOutcome.OTHER_SOFTWARE
+            return self._end_rejected_stream(entry, relay)
         if not exchange.ended.done():
             # Close first, so that a target that is alive cancels the run.
             exchange.close()
@@ -296,6 +298,16 @@
         self._reporter.served(entry, relay.head.status, relay)
         return AttemptOutcome.DONE
 
+    def _end_rejected_stream(
+        self, entry: TargetEntry, relay: StreamRelay
+    ) -> AttemptOutcome:
+        """End a stream that isn't relayed on, whatever its target still sends."""
+        if relay.refused.done():
+            return AttemptOutcome.OTHER_SOFTWARE
+        # The target lives, so its request has not crashed it.
+        self._count_failure(entry)
+        return AttemptOutcome.BROKEN if relay.accepted else AttemptOutcome.LOST
+
     def _end_refused_stream(
         self, placed: Placed, exchange: Exchange, relay: StreamRelay
     ) -> AttemptOutcome:
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -34,7 +34,11 @@
 UNACKNOWLEDGED_TIMEOUT_S = 2.5
 # Answers to other requests that are read and dropped before a connection is abandoned.
 MAX_STRAY_ANSWERS = 4
-MAX_ANSWER_BYTES = 1 << 26
+# A target in trouble may send bytes without end. The smallest VMs have 160 MB, and an
+# answer takes twice its size while it is passed on.
+MAX_ANSWER_BYTES = 16 << 20
+# Reports and the answers to orders and probes have some kilobytes.
+MAX_CONTROL_BYTES = 1 << 20
 
 
 class Head(NamedTuple):
@@ -156,15 +160,14 @@
         *,
         request_id: str,
         sink: AnswerSink,
+        max_bytes: int = MAX_ANSWER_BYTES,
     ) -> None:
         """Send the request; from here on it may reach the target.
 
         The answer goes to ``sink`` while it is read. An empty ``request_id`` accepts
-        any answer.
+        any answer. One whose body is longer than ``max_bytes`` breaks off there.
         """
-        params = HTTP1ConnectionParameters(
-            no_keep_alive=False, max_body_size=MAX_ANSWER_BYTES
-        )
+        params = HTTP1ConnectionParameters(no_keep_alive=False, max_body_size=max_bytes)
         connection = HTTP1Connection(self._stream, True, params)
         if body or method in ("POST", "PUT", "PATCH"):
             headers["Content-Length"] = str(len(body))
--- a/hawthornlead/gateway/target_probes.py
+++ b/hawthornlead/gateway/target_probes.py
@@ -16,7 +16,12 @@
 from ..timers import TimerService
 from .gateway_metrics import GatewayMetrics
 from .records import ServiceSpec, TargetEntry
-from .target_connections import Exchange, TargetConnections, WholeAnswer
+from .target_connections import (
+    MAX_CONTROL_BYTES,
+    Exchange,
+    TargetConnections,
+    WholeAnswer,
+)
 
 # A target accepts a connection and returns its report within a few milliseconds. One
 # lost packet fails a probe, so two in a row must go unanswered.
@@ -106,7 +111,15 @@
         answer = WholeAnswer()
         headers = control_headers(entry.target)
         headers["Host"] = entry.address
-        exchange.send("GET", path, headers, b"", request_id="", sink=answer)
+        exchange.send(
+            "GET",
+            path,
+            headers,
+            b"",
+            request_id="",
+            sink=answer,
+            max_bytes=MAX_CONTROL_BYTES,
+        )
         await asyncio.wait([exchange.ended], timeout=PROBE_TIMEOUT_S)
         if answer.head is None or not exchange.whole:
             exchange.close()
