State machine of change logs: the store comes back from copies

A mutation whose watches go on at the same number in another era is found. A first listing that isn't sent whole is not: VMs that know more refuse it and fetch, so that sending it whole saves fetches and proves nothing more; its comment says so now.

--- a/hawthornlead/gateway/change_logs.py
+++ b/hawthornlead/gateway/change_logs.py
@@ -108,7 +108,7 @@
         """Forward a whole listing, the first of a new era.
 
         Other VMs may know changes of the former era that this one doesn't, and that
-        the store has lost. So what is left out here as unchanged may differ there.
+        the store has lost. Each of them would have to fetch what is left out here.
         """
         self._seen = {
             record.name: self._known.effective_content_of(record) for record in records
--- a/hawthornlead/tests/test_change_logs.py
+++ b/hawthornlead/tests/test_change_logs.py
@@ -13,6 +13,11 @@
 )
 
 from hawthornlead.clocks import HybridClock
+from hawthornlead.eras.dated_revisions import (
+    dated_revision,
+    era_of,
+    stored_revision,
+)
 from hawthornlead.events import EventRing
 from hawthornlead.gateway.change_logs import ChangeBatch, ChangeLog
 from hawthornlead.gateway.kind_records import NO_REVISION, KindRecords
@@ -198,6 +203,63 @@
         return {known, *later}
 
 
+class SpreadingOverEras(Spreading):
+    """A store that also comes back from copies, and gives revisions out again."""
+
+    def __init__(self):
+        super().__init__()
+        self.past: list[list[Change]] = []
+
+    @rule(position=positions)
+    def go_back(self, position):
+        kept = self.history[: 1 + position % len(self.history)]
+        era = era_of(self.revision) + 1
+        self.past.append(self.history)
+        self.history = []
+        for change in kept:
+            revision = dated_revision(era, stored_revision(change.revision))
+            self.history.append(change._replace(revision=revision))
+
+    @rule(number=vms)
+    def watch(self, number):
+        vm = self.vms[number]
+        since = vm.chain.until if vm.chain is not None else vm.known.until
+        if era_of(since) == era_of(self.revision):
+            super().watch(number)
+
+    def possible(self, name: str, until: int) -> set[int | None]:
+        """Return what may be known by who knows all up to a revision of some era."""
+        eras = [*self.past, self.history]
+        history = self.history
+        found = set()
+        for self.history in eras[era_of(until) :]:
+            found |= super().possible(name, until)
+        self.history = history
+        return found
+
+
+def test_who_knows_all_up_to_a_revision_lacks_no_change_of_its_era():
+    """Guards against changes that are missed or undone as the store goes back."""
+    run_state_machine_as_test(SpreadingOverEras, settings=RUN)
+
+
+class WatchingOverEras(SpreadingOverEras):
+    """A mutation: a watch goes on at the same number, whatever era it is of."""
+
+    @rule(number=vms)
+    def watch(self, number):
+        vm = self.vms[number]
+        since = vm.chain.until if vm.chain is not None else vm.known.until
+        number_now = dated_revision(era_of(self.revision), stored_revision(since))
+        vm.known.apply_changes(since, self.revision, self.after(number_now))
+
+
+def test_the_state_machine_finds_a_watch_that_goes_on_in_another_era():
+    """Guards against a state machine that could not fail."""
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(WatchingOverEras, settings=SEARCH)
+
+
 def test_who_knows_all_up_to_a_revision_lacks_no_change_of_before():
     """Guards against changes that are missed, lost or undone on their way."""
     run_state_machine_as_test(Spreading, settings=RUN)
