--- a/hawthornlead/gateway/owner_objects.py
+++ b/hawthornlead/gateway/owner_objects.py
@@ -1,9 +1,9 @@
 """The store object that names the owner of an engine and its fence.
 
-A fence is the object's revision at the claim plus one. The store counts revisions
-upwards for all objects together, and a claim is a conditional update at that revision.
-So the fences of one engine only rise, even if another writer changed or removed the
-object in between::
+A fence is the object's dated revision at the claim plus one. Within an era the store
+counts revisions upwards for all objects together, and a claim is a conditional update
+at that revision. So the fences of one engine only rise, even if another writer changed
+or removed the object in between, or the store came back from an older copy::
 
     found = read_owner(record)
     spec = owner_spec(found.claimed("vm-2", "5c1e", record.revision))
