--- a/hawthornlead/gateway/records.py
+++ b/hawthornlead/gateway/records.py
@@ -338,8 +338,9 @@
 class StoredRecord(NamedTuple):
     """One object of the platform's store, at the dated revision of its last change.
 
-    Dated revisions are those of ``eras.dated_revisions``. ``unreadable`` means that the object exists but its content can't be read; ``spec``
-    and ``status`` are None where they can't. No decoder accepts it.
+    Dated revisions are those of ``eras.dated_revisions``. ``unreadable`` means that the
+    object exists but its content can't be read; ``spec`` and ``status`` are None where
+    they can't. No decoder accepts it.
     """
 
     name: str
