--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -68,7 +68,7 @@
     RELAY_BEGUN = (316, "INFO", "this VM watches the store for others")
     RELAY_ENDED = (317, "INFO", "this VM no longer watches the store for others")
     WAY_CHANGED = (318, "INFO", "this VM has another source of changes of a kind")
-    STORE_ERA = (319, "WARNING", "the store names an era that this VM hadn't seen")
+    STORE_ERA = (319, "INFO", "the store names an era that this VM hadn't seen")
     LISTING_OUTDATED = (320, "WARNING", "a listing is older than what this VM knows")
 
     # 400: bundles
--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -43,7 +43,7 @@
 MAX_CALLS = 64
 # Status codes of a store that is up but doesn't serve this VM, or serves nobody.
 TURNED_AWAY = frozenset((429, 503))
-FOUND = 200
+SUCCEEDED = frozenset((200, 201))
 NOT_FOUND = 404
 GONE = 410
 # The cheapest object to read: there is one configuration only, and the answer that this
@@ -180,15 +180,16 @@
     ) -> Result[StoreChanges | None, Failure]:
         """Wait for changes after a revision; None if that history is gone.
 
-        So it is if the answer is of another era, whatever its status: these are the
-        changes after another revision of the same number.
+        So it is if the answer is of another era: it has the changes after another
+        revision of the same number.
         """
         path = watch_path(kind, revision, wait_s)
         answer = await self._call("GET", path, timeout_s=wait_s + WATCH_SLACK_S)
         if answer.is_err():
             return answer
         got = answer.ok_value
-        if got.status == GONE or (got.status == FOUND and got.era != era_of(revision)):
+        other_era = got.status in SUCCEEDED and got.era != era_of(revision)
+        if other_era or got.status == GONE:
             return Ok(None)
         return _parsed(got, read_changes)
 
@@ -246,7 +247,7 @@
 def _parsed(answer: _Answer, parse) -> Result:
     if answer.status == 409:
         return Err(Failure(ErrorKind.VERSION_CONFLICT, "another write came first"))
-    if answer.status not in (FOUND, 201):
+    if answer.status not in SUCCEEDED:
         return Err(_unavailable(f"answered {answer.status}"))
     try:
         return Ok(parse(decode(answer.body), answer.era))
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -60,7 +60,8 @@
     After changes the watch pauses for ``pause_s``, so that a kind with frequent changes
     costs few calls. With ``fetched``, the objects are fetched from a head at the start,
     in a large fleet; with ``stale_start``, a listing that may be seconds old comes
-    first. ``KindRecords`` describes how objects are applied.
+    first, if ``settlement`` shows that no new era can have begun since. ``KindRecords``
+    describes how objects are applied, and by which ``version_of`` them.
     """
 
     def __init__(
