--- a/hawthornlead/tests/test_engine_orders.py
+++ b/hawthornlead/tests/test_engine_orders.py
@@ -48,7 +48,7 @@
     def close(self):
         """Keep nothing."""
 
-    def send(self, method, path, headers, body, *, request_id, sink):
+    def send(self, method, path, headers, body, *, request_id, sink, max_bytes):
         """Take the order and never answer it."""
         self.sent.append(body)
         self.ended = asyncio.ensure_future(asyncio.sleep(0))
