--- a/hawthornlead/gateway/vm_registrations.py
+++ b/hawthornlead/gateway/vm_registrations.py
@@ -57,7 +57,7 @@
         self._tasks.cancel()
 
     def write(self) -> None:
-        """Write the record as it is now; what is under way for a former one ends."""
+        """Write the record as it is now; a write of a former record ends."""
         self._tasks.spawn(self._write())
 
     def repair(self) -> None:
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -61,7 +61,7 @@
     costs few calls. With ``fetched``, the objects are fetched from a head at the start,
     in a large fleet; with ``stale_start``, a listing that may be seconds old comes
     first, if ``settlement`` shows that no new era can have begun since. ``KindRecords``
-    describes how objects are applied, and by which ``version_of`` them.
+    describes how objects are applied, and what ``version_of`` is for.
     """
 
     def __init__(
