--- a/review/standins.py
+++ b/review/standins.py
@@ -19,9 +19,10 @@
 # An adapter takes this long while no more than so many are on their way.
 ADAPTER_S = 0.25
 AT_FULL_SPEED = 16
+FETCH_STEP_S = 0.025
 # Adapters that an engine held recently load ten times as fast.
 RECENT_FASTER = 10
-RECENT_KEPT = 24
+RECENT_KEPT = 8
 
 
 class Message:
@@ -244,14 +245,17 @@
     def __init__(self):
         self._under_way = 0
 
-    def begin(self) -> float:
-        """Begin one; return how long it takes."""
+    async def fetch(self, work_s: float) -> None:
+        """Fetch one, more slowly while too many are under way."""
         self._under_way += 1
-        return ADAPTER_S * max(1.0, self._under_way / AT_FULL_SPEED)
-
-    def end(self) -> None:
-        """End one."""
-        self._under_way -= 1
+        try:
+            while work_s > 0:
+                slower = max(1.0, self._under_way / AT_FULL_SPEED)
+                step_s = min(work_s, FETCH_STEP_S)
+                await asyncio.sleep(step_s * slower)
+                work_s -= step_s
+        finally:
+            self._under_way -= 1
 
 
 class Engine(Server):
@@ -273,7 +277,7 @@
         self.name = name
         self._fetches = fetches
         self.extra = 0.0
-        self.events_per_stream = 36
+        self.events_per_stream = 24
         self.event_s = 0.03
         self.first_s = 0.06
         self.slots = 64
@@ -286,6 +290,7 @@
         self.pending: dict[str, int] = {}
         self.leaving: set[str] = set()
         self._recent: dict[str, None] = {}
+        self._fetching: dict[str, asyncio.Task] = {}
         self.using: dict[str, int] = {}
         self.orders: list[dict] = []
         self.extras: list[str] = []
@@ -428,23 +433,24 @@
         self.pending[name] = version
         if len(self.adapters) + len(self.pending) > self.adapter_slots:
             self.overfull.append(time.monotonic())
-        took_s = self._fetches.begin()
-        if name in self._recent:
-            took_s /= RECENT_FASTER
-        asyncio.get_running_loop().call_later(took_s, self._loaded, name)
+        self._fetching[name] = asyncio.create_task(self._fetch(name))
         return 202
 
-    def _loaded(self, name: str) -> None:
-        self._fetches.end()
-        if name in self.pending:
-            self.adapters[name] = self.pending.pop(name)
-            self._recent.pop(name, None)
-            self._recent[name] = None
-            while len(self._recent) > RECENT_KEPT:
-                del self._recent[next(iter(self._recent))]
+    async def _fetch(self, name: str) -> None:
+        work_s = ADAPTER_S / (RECENT_FASTER if name in self._recent else 1)
+        await self._fetches.fetch(work_s)
+        self.adapters[name] = self.pending.pop(name)
+        del self._fetching[name]
+        self._recent.pop(name, None)
+        self._recent[name] = None
+        while len(self._recent) > RECENT_KEPT:
+            del self._recent[next(iter(self._recent))]
 
     def _unload(self, name: str) -> int:
         self.seq += 1
+        if self.pending.pop(name, None) is not None:
+            self._fetching.pop(name).cancel()
+            return 200
         if self.using.get(name):
             self.leaving.add(name)
             return 202
