--- a/review/standins.py
+++ b/review/standins.py
@@ -16,6 +16,8 @@
 HEARTBEAT_S = 1.2
 LISTED_AT_ONCE = 500
 HISTORY_S = 20.0
+# Longer than any call waits for an answer.
+SILENT_S = 60.0
 # An adapter takes this long while no more than so many are on their way.
 ADAPTER_S = 0.25
 AT_FULL_SPEED = 16
@@ -122,6 +124,14 @@
         self._log: list[tuple[float, int, str, dict, bool]] = []
         self._oldest = 0
         self._changed = asyncio.Event()
+        self._open: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
+        # The connections on which a call waits for changes, by kind.
+        self.watches: dict[asyncio.StreamWriter, str] = {}
+
+    def silence(self) -> None:
+        """Let all connections that are open now go silent for good."""
+        self._silent |= self._open
 
     def write(self, kind: str, name: str, spec) -> int:
         """Write as the operator or an engine does; return the revision."""
@@ -165,19 +175,31 @@
 
     async def serve(self, reader, writer) -> None:
         """Answer the calls of one connection."""
-        while (message := await read_message(reader)) is not None:
-            status, body = await self._call(message)
-            await asyncio.sleep(0.004)
-            writer.write(json_answer(status, body))
-            await writer.drain()
+        self._open.add(writer)
+        try:
+            while (message := await read_message(reader)) is not None:
+                status, body = await self._call(message, writer)
+                await asyncio.sleep(0.004)
+                if writer in self._silent:
+                    await asyncio.sleep(SILENT_S)
+                    return
+                writer.write(json_answer(status, body))
+                await writer.drain()
+        finally:
+            self._open.discard(writer)
+            self._silent.discard(writer)
 
-    async def _call(self, message: Message) -> tuple[int, dict]:
+    async def _call(self, message: Message, writer) -> tuple[int, dict]:
         url = urlsplit(message.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         parts = [unquote(part) for part in url.path.split("/")[3:]]
         kind, name = parts[0], parts[1] if len(parts) > 1 else ""
         if message.method == "GET" and "watch" in query:
-            return await self._watch(kind, query)
+            self.watches[writer] = kind
+            try:
+                return await self._watch(kind, query)
+            finally:
+                del self.watches[writer]
         if message.method == "GET":
             return self._read(kind, name, query)
         if message.method == "DELETE":
@@ -289,6 +311,7 @@
         self.adapters: dict[str, int] = {}
         self.pending: dict[str, int] = {}
         self.leaving: set[str] = set()
+        self.left_at = 0.0
         self._recent: dict[str, None] = {}
         self._fetching: dict[str, asyncio.Task] = {}
         self.using: dict[str, int] = {}
@@ -340,6 +363,12 @@
             await asyncio.sleep(HEARTBEAT_S * self._rng.uniform(0.9, 1.1))
             self._beat()
 
+    def leave(self) -> None:
+        """Have the entry removed without a word there, and serve on."""
+        self._tasks[0].cancel()
+        self._store.remove("servers", self.name)
+        self.left_at = time.monotonic()
+
     # Connections
 
     async def serve(self, reader, writer) -> None:
@@ -483,6 +512,8 @@
             "Keep-Alive: timeout=10",
             "Transfer-Encoding: chunked",
         ]
+        if self.left_at:
+            head.append("Server-Leaving: 1")
         sent = "\r\n".join(head).encode() + b"\r\n\r\n"
         first = int(message.headers.get("last-event-id", "0") or "0")
         await asyncio.sleep(self.first_s)
