--- a/review/2/run.py
+++ b/review/2/run.py
@@ -219,7 +219,7 @@
 def write_record(began, world: World, attempts, broken) -> None:
     """Write what was sent, answered and run."""
     lines = [f"seed {SEED}, trouble {TROUBLE}, {len(attempts)} requests"]
-    for at in world.silent:
+    for at in world.silent if TROUBLE else ():
         lines.append(f"connections to the store went silent at {at - began:.3f} s")
     for engine in world.engines:
         if engine.left_at:
--- a/review/standins.py
+++ b/review/standins.py
@@ -412,6 +412,8 @@
         return await self._run(message, request, adapter, reader, writer)
 
     def _send(self, writer, data: bytes) -> bytes:
+        if self.left_at:
+            data = data.replace(b"\r\n", b"\r\nServer-Leaving: 1\r\n", 1)
         writer.write(data)
         return data
 
