Log on which connection an attempt was sent, and which answer ended it

By the log nobody could tell an answer to an attempt from a stray one: neither the connection, nor what it carried before, nor the id of the answer was told. Event 609 now has the connection's number in its process, the number of exchanges on it, the strays dropped before the answer, its status, and whether it named its request. No decision is changed.

--- a/hawthornlead/connection_pools.py
+++ b/hawthornlead/connections/connection_pools.py
@@ -5,7 +5,7 @@
     pool = ConnectionPool(timers=timers, connect_s=0.5, unacknowledged_s=2.5)
     opened = await pool.open("10.128.0.9:8080")
     ...
-    pool.keep("10.128.0.9:8080", opened.ok_value.stream, 4.0)
+    pool.keep("10.128.0.9:8080", opened.ok_value, 4.0)
 """
 
 import errno
@@ -18,21 +18,41 @@
 from tornado.tcpclient import TCPClient
 from tornado.util import TimeoutError as GaveUp
 
-from .errors import ErrorKind, Failure
-from .resolvers import NumberResolver
-from .timers import TimerService
+from ..errors import ErrorKind, Failure
+from ..resolvers import NumberResolver
+from ..timers import TimerService
 
 
-class OpenStream(NamedTuple):
-    """An open connection; ``reused`` if it carried an exchange before."""
+class Connection:
+    """An open connection, with its ``number`` in this process.
 
-    stream: iostream.IOStream
-    reused: bool
+    ``uses`` counts the exchanges that it was opened or taken for, this one included.
+    """
+
+    def __init__(self, stream: iostream.IOStream, number: int):
+        self._stream = stream
+        self._number = number
+        self.uses = 1
+
+    @property
+    def stream(self) -> iostream.IOStream:
+        """The stream of its bytes."""
+        return self._stream
+
+    @property
+    def number(self) -> int:
+        """Its number in this process, from 1."""
+        return self._number
+
+    @property
+    def reused(self) -> bool:
+        """Whether it carried an exchange before."""
+        return self.uses > 1
 
 
 class _Kept(NamedTuple):
     until: float
-    stream: iostream.IOStream
+    connection: Connection
 
 
 class ConnectionPool:
@@ -67,7 +87,7 @@
 
     async def open(
         self, address: str, fresh: bool = False, within_s: float | None = None
-    ) -> Result[OpenStream, Failure]:
+    ) -> Result[Connection, Failure]:
         """Return an idle connection or a new one.
 
         Nothing has been sent when this fails, so the error is ``TARGET_UNREACHABLE``,
@@ -75,9 +95,9 @@
         silent old connection proves nothing about the process at its end, but a new one
         does. ``within_s`` replaces ``connect_s`` by a shorter time.
         """
-        stream = None if fresh else self._take(address)
-        if stream is not None:
-            return Ok(OpenStream(stream, True))
+        kept = None if fresh else self._take(address)
+        if kept is not None:
+            return Ok(kept)
         host, _, port = address.rpartition(":")
         try:
             # With its own timeout the client closes the socket. If it were cancelled
@@ -99,10 +119,11 @@
         stream.socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, self._unacknowledged_ms
         )
-        return Ok(OpenStream(stream, False))
+        return Ok(Connection(stream, self._opened))
 
-    def keep(self, address: str, stream: iostream.IOStream, keep_s: float) -> None:
+    def keep(self, address: str, connection: Connection, keep_s: float) -> None:
         """Keep an idle connection for ``keep_s`` seconds."""
+        stream = connection.stream
         kept = self._kept.setdefault(address, deque())
         if stream.closed() or keep_s <= 0 or len(kept) >= self._most_idle:
             stream.close()
@@ -110,19 +131,19 @@
         # With a close callback the stream is read while idle, so that its closing is
         # noticed before the next request is written to it.
         stream.set_close_callback(lambda: None)
-        kept.append(_Kept(self._timers.now() + keep_s, stream))
+        kept.append(_Kept(self._timers.now() + keep_s, connection))
 
     def forget(self, address: str) -> None:
         """Close the idle connections to one address."""
         for kept in self._kept.pop(address, ()):
-            kept.stream.close()
+            kept.connection.stream.close()
 
     def sweep(self) -> None:
         """Close connections that were idle for too long, or that the peer closed."""
         now = self._timers.now()
         for address, kept in tuple(self._kept.items()):
-            while kept and (kept[0].until <= now or kept[0].stream.closed()):
-                kept.popleft().stream.close()
+            while kept and (kept[0].until <= now or kept[0].connection.stream.closed()):
+                kept.popleft().connection.stream.close()
             if not kept:
                 del self._kept[address]
 
@@ -131,17 +152,19 @@
         for address in tuple(self._kept):
             self.forget(address)
 
-    def _take(self, address: str) -> iostream.IOStream | None:
+    def _take(self, address: str) -> Connection | None:
         kept = self._kept.get(address)
         while kept:
-            until, stream = kept.pop()
+            until, connection = kept.pop()
+            stream = connection.stream
             if stream.closed():
                 continue
             if until <= self._timers.now():
                 stream.close()
                 continue
             stream.set_close_callback(None)
-            return stream
+            connection.uses += 1
+            return connection
         return None
 
 
--- a/hawthornlead/engines/__init__.py
+++ b/hawthornlead/engines/__init__.py
@@ -2,5 +2,6 @@
 
 Only this package sends orders to a target or grants that a request may run on it.
 
-May import: the common modules, mesh, stores, ownership, bundles, decisions.
+May import: the common modules, mesh, stores, ownership, bundles, connections,
+decisions.
 """
--- a/hawthornlead/engines/exchanges.py
+++ b/hawthornlead/engines/exchanges.py
@@ -13,10 +13,10 @@
 from typing import NamedTuple
 
 from result import Err, Ok, Result
-from tornado import httputil, iostream
+from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
-from ..connection_pools import ConnectionPool
+from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import ErrorKind, Failure
 from ..timers import TimerService
 from .grant_ledgers import MAX_SEND_S
@@ -80,14 +80,13 @@
         pool: ConnectionPool,
         timers: TimerService,
         address: str,
-        stream: iostream.IOStream,
-        reused: bool,
+        connection: Connection,
     ):
         self._pool = pool
         self._timers = timers
         self._address = address
-        self._stream = stream
-        self._reused = reused
+        self._connection = connection
+        self._stream = connection.stream
         self._response: _Response | None = None
         self._reading: asyncio.Task | None = None
         self._last_active_at = timers.now()
@@ -95,7 +94,7 @@
     @property
     def reused(self) -> bool:
         """Whether the connection carried an exchange before."""
-        return self._reused
+        return self._connection.reused
 
     @property
     def head(self) -> ResponseHead | None:
@@ -161,7 +160,7 @@
         """Keep the connection for reuse if its response is complete."""
         whole = self._response is not None and self._response.finished
         if whole and self._reading.done():
-            self._pool.keep(self._address, self._stream, IDLE_TIMEOUT_S)
+            self._pool.keep(self._address, self._connection, IDLE_TIMEOUT_S)
         else:
             self.close()
 
@@ -208,7 +207,7 @@
         """
         opened = await self._pool.open(address, fresh)
         return opened.map(
-            lambda opening: Exchange(self._pool, self._timers, address, *opening)
+            lambda opening: Exchange(self._pool, self._timers, address, opening)
         )
 
     def close(self) -> None:
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -313,13 +313,8 @@
             self._reporter.caller_gone(target)
             return False
         attempts = self._attempts
-        self._reporter.attempt_failed(
-            target,
-            outcome.value,
-            attempts.remaining_s,
-            proof=attempts.loss and attempts.loss.value,
-            unreached=attempts.unreached and attempts.unreached.value,
-        )
+        causes = (attempts.loss, attempts.unreached, attempts.trace)
+        self._reporter.attempt_failed(target, outcome, attempts.remaining_s, *causes)
         if outcome is AttemptOutcome.TOO_EARLY and not self._retried_early:
             # The adapter is a few milliseconds late, or the target is full. One more
             # try there costs less than a load elsewhere.
--- a/hawthornlead/gateway/request_reporters.py
+++ b/hawthornlead/gateway/request_reporters.py
@@ -3,13 +3,14 @@
 from ..errors import Failure
 from ..events import EventKind
 from ..platform.headers import answer_headers, refusal_headers
+from .attempt_outcomes import AttemptOutcome, Unreached
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
 from .placers import Placed
-from .records import CallerRequest, TargetEntry
+from .records import CallerRequest, Loss, TargetEntry
 from .request_signatures import RequestSignature
 from .stream_relays import CallerStream, StreamRelay
-from .target_connections import WholeAnswer
+from .target_connections import ExchangeTrace, WholeAnswer
 from .vm_relays import RelayOutcome
 
 REASONS = {
@@ -90,24 +91,26 @@
     def attempt_failed(
         self,
         target: str,
-        attempt_outcome: str,
+        outcome: AttemptOutcome,
         remaining_s: float,
-        *,
-        proof: str | None = None,
-        unreached: str | None = None,
+        proof: Loss | None,
+        unreached: Unreached | None,
+        trace: ExchangeTrace | None,
     ) -> None:
         """Report how an attempt failed.
 
         ``remaining_s`` is the time left before the deadline, ``proof`` by what its
-        target counts as lost, and ``unreached`` why nothing was sent there.
+        target counts as lost, ``unreached`` why nothing was sent there, and ``trace``
+        on which connection it was sent.
         """
-        self._parts.metrics.attempts.labels(attempt_outcome).inc()
+        self._parts.metrics.attempts.labels(outcome.value).inc()
         self._emit(
             EventKind.ATTEMPT_FAILED,
             target=target,
-            ending=attempt_outcome,
-            proof=proof,
-            unreached=unreached,
+            ending=outcome.value,
+            proof=proof and proof.value,
+            unreached=unreached and unreached.value,
+            **(trace._asdict() if trace is not None else {}),
             sent=self.sent,
             ran=self.ran,
             left_ms=round(1000 * remaining_s),
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -15,7 +15,7 @@
 from .stream_bindings import StreamBinding
 from .stream_relays import CallerStream, StreamRelay
 from .target_choices import Holding
-from .target_connections import AnswerSink, Exchange, WholeAnswer
+from .target_connections import AnswerSink, Exchange, ExchangeTrace, WholeAnswer
 from .target_liveness import LossSubscriber, Repeat
 from .target_notices import apply_notices
 from .target_probes import MISDIRECTED_STATUS
@@ -32,7 +32,8 @@
 
     ``failed_answer`` is the last complete answer that was a failure and was held back.
     ``loss`` is the proof by which the last attempt's target was lost, if it was, and
-    ``unreached`` why the last attempt didn't reach its target, if it didn't.
+    ``unreached`` why the last attempt didn't reach its target, if it didn't. ``trace``
+    tells on which connection the last attempt was sent, and what it read there.
     ``crashes`` records what they show about crashes of targets, and ``sample`` what the
     last attempt shows of its target's speed.
     """
@@ -63,6 +64,7 @@
         self.failed_answer: WholeAnswer | None = None
         self.loss: Loss | None = None
         self.unreached: Unreached | None = None
+        self.trace: ExchangeTrace | None = None
         self.last_event = ""
         self.sample: StreamSample | None = None
 
@@ -75,7 +77,7 @@
         """Send the request to a target and forward its answer."""
         entry = placed.entry
         loss_detector = self._parts.loss_detector
-        self.loss = self.unreached = self.sample = None
+        self.loss = self.unreached = self.sample = self.trace = None
         spec = self._parts.configuration.service(entry.service)
         if spec is None:
             return self._on_unreached(Unreached.GONE)
@@ -111,6 +113,7 @@
                 return await self._relay_stream(route, placed, exchange, subscriber)
             return await self._fetch_whole(route, entry, exchange, subscriber)
         finally:
+            self.trace = exchange.trace
             loss_detector.unsubscribe(subscriber)
             self._parts.loads.on_request_ended(entry.target, placed.key)
 
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -16,7 +16,7 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
-from ..connection_pools import ConnectionPool
+from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import Failure
 from ..platform.headers import AnswerMetadata, read_answer_metadata
 from ..timers import TimerService
@@ -117,14 +117,31 @@
         self.finished = not self.stray
 
 
+class ExchangeTrace(NamedTuple):
+    """Where one request was sent, and which answer ended it, for the log.
+
+    ``connection`` is the connection's number in this process, and ``use`` counts the
+    exchanges on it up to this one. ``strays`` are answers to other requests that were
+    dropped before. ``named`` tells whether the answer named its request, None if none
+    came.
+    """
+
+    connection: int
+    use: int
+    strays: int
+    status: int | None
+    named: bool | None
+
+
 class Exchange:
     """One request to a target and its answer, on a connection of its own."""
 
-    def __init__(self, pool: ConnectionPool, address: str, stream, reused: bool):
+    def __init__(self, pool: ConnectionPool, address: str, connection: Connection):
         self._pool = pool
         self._address = address
-        self._stream = stream
-        self._reused = reused
+        self._connection = connection
+        self._stream = connection.stream
+        self._strays = 0
         self._reader: _AnswerReader | None = None
         self._reading: asyncio.Task | None = None
         self._written: asyncio.Future | None = None
@@ -132,7 +149,7 @@
     @property
     def reused(self) -> bool:
         """Whether the connection carried an exchange before."""
-        return self._reused
+        return self._connection.reused
 
     @property
     def whole(self) -> bool:
@@ -146,6 +163,18 @@
             return False
         return reader.head.framed or self._stream.error is None
 
+    @property
+    def trace(self) -> ExchangeTrace:
+        """Where the request was sent, and which answer ended it."""
+        head = self._reader.head if self._reader is not None else None
+        return ExchangeTrace(
+            self._connection.number,
+            self._connection.uses,
+            self._strays,
+            head and head.status,
+            head and bool(head.signs.request_id),
+        )
+
     @property
     def ended(self) -> asyncio.Task:
         """The task that reads the answer, done at its end."""
@@ -195,7 +224,7 @@
             return
         idle_s = reader.head.signs.idle_s
         keep_s = DEFAULT_IDLE_S if idle_s is None else idle_s - CLOSING_MARGIN_S
-        self._pool.keep(self._address, self._stream, keep_s)
+        self._pool.keep(self._address, self._connection, keep_s)
 
     def close(self) -> None:
         """Close the connection, which tells the target that its caller is gone."""
@@ -207,6 +236,7 @@
             open_still = await connection.read_response(self._reader)
             if not self._reader.stray or not open_still:
                 return
+            self._strays += 1
             connection = HTTP1Connection(self._stream, True, params)
             connection.finish()
 
@@ -246,7 +276,7 @@
         time for a new one.
         """
         opened = await self._pool.open(address, fresh, within_s)
-        return opened.map(lambda pooled: Exchange(self._pool, address, *pooled))
+        return opened.map(lambda opening: Exchange(self._pool, address, opening))
 
     def forget(self, address: str) -> None:
         """Close the idle connections to one target."""
--- a/hawthornlead/tests/test_user_timeouts.py
+++ b/hawthornlead/tests/test_user_timeouts.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from hawthornlead.connection_pools import ConnectionPool
+from hawthornlead.connections.connection_pools import ConnectionPool
 from hawthornlead.errors import ErrorKind
 from hawthornlead.gateway.target_connections import (
     UNACKNOWLEDGED_TIMEOUT_S,
