Known red: a repeated refusal is taken for the answer to the next request

The stand-in of an engine now sends answers of 400 or more a second time, ahead of the next answer on their connection, with or without an id.

--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -8,6 +8,7 @@
 import json
 from collections import deque
 from collections.abc import Callable
+from weakref import WeakKeyDictionary
 
 from tornado import httputil
 from tornado.httpserver import HTTPServer
@@ -46,6 +47,10 @@
     ``crash_arrivals`` are the moments at which such requests reached it, ``crashes``
     those at which it crashed. While ``unframed``, its streams have neither a length nor
     chunks and end with their connection.
+
+    With ``repeats_refusals`` each answer of 400 or more comes a second time, late:
+    right after the next request on its connection. Without ``names_refusals`` those to
+    requests bear no id. The next ``shed_reports`` reports are refused for want of room.
     """
 
     def __init__(self, target: str, service: str, model: str = "", slots: int = 3):
@@ -89,6 +94,10 @@
         self.crash_arrivals: list[float] = []
         self.crashes: list[float] = []
         self.unframed = False
+        self.repeats_refusals = False
+        self.names_refusals = True
+        self.shed_reports = 0
+        self._copies: WeakKeyDictionary = WeakKeyDictionary()
         self.on_restarted: Callable[[PlatformEngine], None] = lambda engine: None
         self._restarting: asyncio.Task | None = None
 
@@ -163,11 +172,17 @@
         await self._wake(call)
         if call.left:
             return
+        copy = self._copies.pop(call._connection.stream, None)
+        if copy is not None:
+            call._connection.stream.write(copy)
         expected = call.headers.get("Expect-Instance", self.target)
         if self.report_to_any and call.path == "/v1/report":
             expected = self.target
         if expected != self.target:
             self._answer(call, 421, b"", {"Instance-Id": self.target})
+        elif call.path == "/v1/report" and self.shed_reports:
+            self.shed_reports -= 1
+            self._answer(call, 503, b"", {NOT_RUN: "1"})
         elif call.path == "/v1/report":
             self._answer(call, 200, json.dumps(self._report()).encode(), {})
         elif call.path == "/health":
@@ -239,15 +254,15 @@
         self.arrivals.append(asyncio.get_running_loop().time())
         _, _, adapter = call.headers.get("Model", "").partition("/")
         if adapter and adapter not in self.adapters:
-            self._answer(call, 421, b"", {"Request-Id": request_id})
+            self._answer(call, 421, b"", self._echo(request_id))
             return
         if self.room is not None and self.working >= self.room:
             self.refusals.append(asyncio.get_running_loop().time())
-            self._answer(call, 503, b"", {"Request-Id": request_id, NOT_RUN: "1"})
+            self._refuse(call, request_id)
             return
         fault = self.faults.popleft() if self.faults else ""
         if fault == "refuse":
-            self._answer(call, 503, b"", {"Request-Id": request_id, NOT_RUN: "1"})
+            self._refuse(call, request_id)
             return
         self.ran.append(request_id)
         self.headers.append(call.headers)
@@ -264,10 +279,19 @@
         else:
             await self._answer_request(call, request_id, fault)
 
+    def _refuse(self, call: CallerCall, request_id: str) -> None:
+        self._answer(call, 503, b"", {**self._echo(request_id), NOT_RUN: "1"})
+
+    def _echo(self, request_id: str) -> dict[str, str]:
+        return {"Request-Id": request_id} if self.names_refusals else {}
+
     def _answer(
         self, call: CallerCall, status: int, body: bytes, headers: dict
     ) -> None:
         headers = httputil.HTTPHeaders({**headers, **self.notices})
+        if self.repeats_refusals and status >= 400:
+            copy = _whole_answer(status, headers, body)
+            self._copies[call._connection.stream] = copy
         call.answer(status, "OK", headers, body)
 
     def _is_crashed_by(self, call: CallerCall) -> bool:
@@ -341,11 +365,14 @@
 
 def _stray(call: CallerCall) -> None:
     """Send a whole answer that belongs to another request, ahead of the right one."""
-    body = b"another's answer"
-    lines = [
-        "HTTP/1.1 200 OK",
-        "Request-Id: another",
-        "Server-Seal: seal-of-another",
-        f"Content-Length: {len(body)}",
-    ]
-    call._connection.stream.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+    headers = {"Request-Id": "another", "Server-Seal": "seal-of-another"}
+    answer = _whole_answer(200, httputil.HTTPHeaders(headers), b"another's answer")
+    call._connection.stream.write(answer)
+
+
+def _whole_answer(status: int, headers: httputil.HTTPHeaders, body: bytes) -> bytes:
+    """Return the bytes of an answer."""
+    lines = [f"HTTP/1.1 {status} OK"]
+    lines += [f"{name}: {value}" for name, value in headers.get_all()]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
