Keep a connection to a target only after a success

What callers saw: a stream that may run once was answered 503 while it ran, or ran at two engines. Cause: a refused request is tried again at the same engine, on the connection that carried the refusal. An engine that repeats an answer late sends the copy of the refusal ahead of the next answer. The copy has the request's own id, or none, and is taken for the answer to the second attempt.

A connection is now kept after a complete success alone. What can come again on a kept connection is a success, so a refusal that is read there answers the request that waits, whatever ids it has. Weighed: to remember which ids a connection carried, which keeps connections of refused requests but needs ids in all refusals, and a connection for each attempt of what may run once, which costs one for each of them.

--- a/hawthornlead/gateway/stream_relays.py
+++ b/hawthornlead/gateway/stream_relays.py
@@ -105,11 +105,7 @@
     @property
     def accepted(self) -> bool:
         """Whether the target accepted the request in a sealed answer."""
-        return (
-            self.head is not None
-            and 200 <= self.head.status < 300
-            and self.head.signs.sealed
-        )
+        return self.head is not None and self.head.succeeded and self.head.signs.sealed
 
     @property
     def answered(self) -> bool:
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -190,7 +190,7 @@
         exchange.release()
         if answer.head.signs.not_run:
             return self._on_refused(entry, answer.head.status, None)
-        if 200 <= answer.head.status < 300 and answer.head.framed:
+        if answer.head.succeeded and answer.head.framed:
             self.crashes.record_answered()
         self._record_wait(entry, sent_at, answer.head.status)
         return self._forward_whole(route, entry, answer)
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -50,6 +50,11 @@
     signs: AnswerMetadata
     framed: bool
 
+    @property
+    def succeeded(self) -> bool:
+        """Whether the status is a success."""
+        return 200 <= self.status < 300
+
 
 class AnswerSink(Protocol):
     """Receives an answer while it is read."""
@@ -209,20 +214,24 @@
         self._reading.add_done_callback(self._on_read_end)
 
     def release(self) -> None:
-        """Keep the connection for reuse if its answer is complete, else close it.
+        """Keep the connection for reuse after a complete success, else close it.
+
+        A target may send an answer a second time, ahead of the next one. On a kept
+        connection that is then the copy of a success, so a refusal that is read there
+        is always that of the request that waits.
 
-        It is also closed if the target answered before it had read the whole request,
-        because the target still expects the rest of it.
+        The connection is also closed if the target answered before it had read the
+        whole request, because the target still expects the rest of it.
         """
-        reader = self._reader
+        head = self._reader.head if self._reader is not None else None
         request_read = self._written is not None and self._written.done()
-        if not self.whole or not request_read or not reader.head.framed:
+        if not self.whole or not request_read or not head.framed:
             self.close()
             return
-        if reader.head.signs.closes:
+        if not head.succeeded or head.signs.closes:
             self.close()
             return
-        idle_s = reader.head.signs.idle_s
+        idle_s = head.signs.idle_s
         keep_s = DEFAULT_IDLE_S if idle_s is None else idle_s - CLOSING_MARGIN_S
         self._pool.keep(self._address, self._connection, keep_s)
 
