Drop answers that name a request where a control call waits

Orders and reports bear no id and share the kept connections of requests. Any answer was taken for theirs, also the copy of a stream's answer that an engine sent again, late: a report was then unreadable, and an order would count as "holds already". An answer that names a request is now dropped there as stray, as it was for requests of another id. The test failed before: the report was unreadable.

--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -105,8 +105,9 @@
             signs.request_id or start_line.code < 300
         ):
             # A target may send an answer twice, or late in place of the next one.
-            # Without this check a caller would get another caller's answer.
-            self.stray = bool(self._request_id)
+            # Without this check a caller would get another caller's answer, and an
+            # order, which has no id, that of a request.
+            self.stray = True
         if self.stray:
             return
         framed = "Content-Length" in headers or "Transfer-Encoding" in headers
@@ -199,7 +200,8 @@
         """Send the request; from here on it may reach the target.
 
         The answer goes to ``sink`` while it is read. An empty ``request_id`` accepts
-        any answer. One whose body is longer than ``max_bytes`` breaks off there.
+        any answer that names no request. One whose body is longer than ``max_bytes``
+        breaks off there.
         """
         params = HTTP1ConnectionParameters(no_keep_alive=False, max_body_size=max_bytes)
         connection = HTTP1Connection(self._stream, True, params)
--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -48,9 +48,10 @@
     those at which it crashed. While ``unframed``, its streams have neither a length nor
     chunks and end with their connection.
 
-    With ``repeats_refusals`` each answer of 400 or more comes a second time, late:
-    right after the next request on its connection. Without ``names_refusals`` those to
-    requests bear no id. The next ``shed_reports`` reports are refused for want of room.
+    Each answer with a status of ``repeats_from`` or more, 0 for none, comes a second
+    time, late: right after the next request on its connection. Without
+    ``names_refusals`` those that refuse requests bear no id. The next ``shed_reports``
+    reports are refused for want of room.
     """
 
     def __init__(self, target: str, service: str, model: str = "", slots: int = 3):
@@ -94,7 +95,7 @@
         self.crash_arrivals: list[float] = []
         self.crashes: list[float] = []
         self.unframed = False
-        self.repeats_refusals = False
+        self.repeats_from = 0
         self.names_refusals = True
         self.shed_reports = 0
         self._copies: WeakKeyDictionary = WeakKeyDictionary()
@@ -289,10 +290,13 @@
         self, call: CallerCall, status: int, body: bytes, headers: dict
     ) -> None:
         headers = httputil.HTTPHeaders({**headers, **self.notices})
-        if self.repeats_refusals and status >= 400:
+        self._keep_copy(call, status, headers, body)
+        call.answer(status, "OK", headers, body)
+
+    def _keep_copy(self, call: CallerCall, status: int, headers, body: bytes) -> None:
+        if 0 < self.repeats_from <= status:
             copy = _whole_answer(status, headers, body)
             self._copies[call._connection.stream] = copy
-        call.answer(status, "OK", headers, body)
 
     def _is_crashed_by(self, call: CallerCall) -> bool:
         """Whether a request's prompt has the part that crashes the engine."""
@@ -360,6 +364,7 @@
         if self.unframed:
             call.abort()
             return
+        self._keep_copy(call, 200, httputil.HTTPHeaders(sealed), b"id: 1\n\n")
         call.finish()
 
 
--- a/hawthornlead/tests/test_repeated_answers.py
+++ b/hawthornlead/tests/test_repeated_answers.py
@@ -1,6 +1,8 @@
 """Answers of targets that come a second time, late, ahead of the next answer."""
 
+from hawthornlead.gateway.engine_calls import EngineCalls
 from hawthornlead.gateway.owner_objects import OWNERS_KIND
+from hawthornlead.gateway.records import EngineOrder, OrderKind, OrderOutcome
 
 from .gateways import MODEL, Deployment
 from .standins.platform_engine import PlatformEngine
@@ -36,7 +38,7 @@
     """Have an engine refuse a stream, and repeat that ahead of its next answer."""
     async with Deployment(software=("v1",) * engines) as deployment:
         engine, vm = await warmed(deployment)
-        engine.repeats_refusals = True
+        engine.repeats_from = 400
         engine.names_refusals = named
         engine.faults.append("refuse")
         answer = await deployment.ask(
@@ -57,9 +59,44 @@
     await refuse_twice(engines=2, named=False)
     async with Deployment(vms=1) as deployment:
         for target in deployment.plains:
-            target.repeats_refusals = True
+            target.repeats_from = 400
             target.names_refusals = False
             target.faults.append("refuse")
         for number in range(4):
             answer = await deployment.ask("/unsafe/x", Request_Id=f"u{number}")
             assert_kept(deployment, f"u{number}", answer.status)
+
+
+async def test_a_repeated_refusal_of_a_report_refuses_no_request():
+    """Guards against a request that is refused by a late answer to a control call."""
+    async with Deployment() as deployment:
+        engine, vm = await warmed(deployment)
+        engine.repeats_from = 400
+        engine.shed_reports = 1
+        calls = deployment.gateways[vm]._engine_manager._calls
+        reported = await calls.report(engine.address, engine.target)
+        assert reported.is_err()
+        answer = await deployment.ask(
+            "/stream/x", vm=vm, Model=ADAPTER, Request_Id="free"
+        )
+        assert answer.status == 200
+        assert_kept(deployment, "free", answer.status)
+
+
+async def test_a_repeated_answer_to_a_request_answers_no_control_call():
+    """Guards against an order that takes the end of a stream for its acceptance."""
+    async with Deployment() as deployment:
+        engine, vm = await warmed(deployment)
+        engine.repeats_from = 200
+        calls = deployment.gateways[vm]._engine_manager._calls
+        await deployment.ask("/stream/x", vm=vm, Model=ADAPTER)
+        reported = await calls.report(engine.address, engine.target)
+        assert reported.ok_value.order_count == engine.order_count
+        await deployment.ask("/stream/x", vm=vm, Model=ADAPTER)
+        assert await give(calls, engine) is OrderOutcome.CONFLICT
+
+
+async def give(calls: EngineCalls, engine: PlatformEngine) -> OrderOutcome:
+    """Give an order that the engine refuses, since its count is passed."""
+    order = EngineOrder(OrderKind.UNLOAD, MODEL, "a9", 0, -1, "vm-x", 1)
+    return await calls.order(engine.address, engine.target, order, lambda: True)
