--- a/hawthornlead/engines/exchanges.py
+++ b/hawthornlead/engines/exchanges.py
@@ -157,9 +157,13 @@
         return Ok(None)
 
     def release(self) -> None:
-        """Keep the connection for reuse if its response is complete."""
+        """Keep the connection for reuse after a complete success, else close it.
+
+        A target may send a response a second time, ahead of the next one. After a
+        refusal, the copy would refuse the next request, which runs.
+        """
         whole = self._response is not None and self._response.finished
-        if whole and self._reading.done():
+        if whole and self._reading.done() and 200 <= self.head.status < 300:
             self._pool.keep(self._address, self._connection, IDLE_TIMEOUT_S)
         else:
             self.close()
--- a/hawthornlead/tests/test_exchanges.py
+++ b/hawthornlead/tests/test_exchanges.py
@@ -56,3 +56,26 @@
     assert held_ms == MAX_SEND_S * 1000
     exchange.close()
     listener.close()
+
+
+@pytest.mark.parametrize(("status", "kept"), [("200 OK", True), ("503 No", False)])
+async def test_a_repeated_refusal_refuses_no_later_request(status, kept):
+    """Guards against a refusal whose copy is read in place of the next response."""
+
+    async def answer(reader, writer):
+        while await reader.readline():
+            await reader.readuntil(b"{}")
+            writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connections = TargetConnections(timers=TimerService())
+    exchange = (await connections.open(f"{host}:{port}")).ok_value
+    await exchange.send("POST", "/", HTTPHeaders(), b"{}", lambda data: None, 1)
+    await exchange.read_to_end(1)
+    exchange.release()
+    following = (await connections.open(f"{host}:{port}")).ok_value
+    assert following.reused is kept
+    following.close()
+    connections.close()
+    server.close()
