Order unloads on a new connection

An engine may send the answer to a report or an order a second time, ahead of the answer to the next order, and neither names what it answers. An unload whose adapter is still in use is answered 202, and a report is read before anything is loaded in its place. If the copy of a 200 was read in its stead, the adapter counted as gone, and the next load was one too many (LIMIT); the engine's count of orders doesn't guard against that, since the unload was accepted. All other orders are guarded by that count, as the class says.

The test failed before: a refused unload counted as done.

The stand-ins of targets share how answers are repeated.

--- a/hawthornlead/gateway/engine_calls.py
+++ b/hawthornlead/gateway/engine_calls.py
@@ -16,7 +16,7 @@
     read_order_outcome,
     read_report,
 )
-from .records import EngineOrder, EngineReport, OrderOutcome
+from .records import EngineOrder, EngineReport, OrderKind, OrderOutcome
 from .target_connections import (
     MAX_CONTROL_BYTES,
     Exchange,
@@ -32,7 +32,15 @@
 
 
 class EngineCalls:
-    """Calls to engines over persistent connections, separate from those of requests."""
+    """Calls to engines, on the kept connections of requests.
+
+    What an engine sends there a second time is a success (see ``Exchange.release``). If
+    it answers a request, it names it and is dropped. If it answers a report or an
+    order, it may be taken for the answer to the next call: a report then shows a lower
+    count of orders, and a load counts as accepted that wasn't, until the engine refuses
+    the next order for its count. An unload that is wrongly taken for done would be
+    followed by one load too many, so it is sent on a new connection.
+    """
 
     def __init__(self, *, connections: TargetConnections):
         self._connections = connections
@@ -49,11 +57,15 @@
             return answer
         status, body = answer.ok_value
         if status != 200:
+            opened.ok_value.close()
             return Err(Failure(ErrorKind.TARGET_REFUSED, f"report answered {status}"))
         try:
-            return Ok(read_report(decode(body)))
+            report = read_report(decode(body))
         except ValueError as error:
+            opened.ok_value.close()
             return Err(Failure(ErrorKind.WRONG_ANSWER, f"report: {error}"))
+        opened.ok_value.release()
+        return Ok(report)
 
     async def order(
         self,
@@ -68,7 +80,8 @@
         ``allowed`` is called once there is a connection, right before sending, because
         the right to give the order may have been lost while connecting.
         """
-        opened = await self._connections.open(address)
+        unloads = order.kind is OrderKind.UNLOAD
+        opened = await self._connections.open(address, fresh=unloads)
         if opened.is_err():
             return OrderOutcome.REFUSED
         if not allowed():
@@ -78,9 +91,10 @@
         answer = await self._exchange(
             opened.ok_value, "POST", address, target, ORDER_PATH, body, timeout_s
         )
-        if answer.is_ok():
-            return read_order_outcome(answer.ok_value[0])
-        return OrderOutcome.UNKNOWN
+        if answer.is_err():
+            return OrderOutcome.UNKNOWN
+        opened.ok_value.release()
+        return read_order_outcome(answer.ok_value[0])
 
     async def _exchange(
         self,
@@ -92,6 +106,7 @@
         body: bytes,
         timeout_s: float,
     ) -> Result[tuple[int, bytes], Failure]:
+        """Return the status and body of the answer; the connection stays open."""
         answer = WholeAnswer()
         headers = control_headers(target)
         headers["Host"] = address
@@ -109,5 +124,4 @@
             exchange.close()
             self._connections.forget(address)
             return Err(Failure(ErrorKind.TARGET_LOST, f"{address}: no whole answer"))
-        exchange.release()
         return Ok((answer.head.status, answer.body))
--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -8,7 +8,6 @@
 import json
 from collections import deque
 from collections.abc import Callable
-from weakref import WeakKeyDictionary
 
 from tornado import httputil
 from tornado.httpserver import HTTPServer
@@ -16,6 +15,8 @@
 
 from hawthornlead.gateway.caller_calls import CallerCall, CallerDispatcher
 
+from .repeated_answers import RepeatedAnswers, whole_answer
+
 EVENTS = 4
 EVENT_S = 0.01
 LOAD_S = 0.05
@@ -48,10 +49,9 @@
     those at which it crashed. While ``unframed``, its streams have neither a length nor
     chunks and end with their connection.
 
-    Each answer with a status of ``repeats_from`` or more, 0 for none, comes a second
-    time, late: right after the next request on its connection. Without
-    ``names_refusals`` those that refuse requests bear no id. The next ``shed_reports``
-    reports are refused for want of room.
+    Its answers come a second time as ``repeats`` has it. Without ``names_refusals``
+    those that refuse requests bear no id. The next ``shed_reports`` reports are refused
+    for want of room.
     """
 
     def __init__(self, target: str, service: str, model: str = "", slots: int = 3):
@@ -95,10 +95,9 @@
         self.crash_arrivals: list[float] = []
         self.crashes: list[float] = []
         self.unframed = False
-        self.repeats_from = 0
+        self.repeats = RepeatedAnswers()
         self.names_refusals = True
         self.shed_reports = 0
-        self._copies: WeakKeyDictionary = WeakKeyDictionary()
         self.on_restarted: Callable[[PlatformEngine], None] = lambda engine: None
         self._restarting: asyncio.Task | None = None
 
@@ -173,9 +172,7 @@
         await self._wake(call)
         if call.left:
             return
-        copy = self._copies.pop(call._connection.stream, None)
-        if copy is not None:
-            call._connection.stream.write(copy)
+        self.repeats.watch(call)
         expected = call.headers.get("Expect-Instance", self.target)
         if self.report_to_any and call.path == "/v1/report":
             expected = self.target
@@ -290,14 +287,8 @@
         self, call: CallerCall, status: int, body: bytes, headers: dict
     ) -> None:
         headers = httputil.HTTPHeaders({**headers, **self.notices})
-        self._keep_copy(call, status, headers, body)
         call.answer(status, "OK", headers, body)
 
-    def _keep_copy(self, call: CallerCall, status: int, headers, body: bytes) -> None:
-        if 0 < self.repeats_from <= status:
-            copy = _whole_answer(status, headers, body)
-            self._copies[call._connection.stream] = copy
-
     def _is_crashed_by(self, call: CallerCall) -> bool:
         """Whether a request's prompt has the part that crashes the engine."""
         prompt = call.headers.get("Prompt-Prefix", "")
@@ -364,20 +355,12 @@
         if self.unframed:
             call.abort()
             return
-        self._keep_copy(call, 200, httputil.HTTPHeaders(sealed), b"id: 1\n\n")
+        self.repeats.keep(call, 200, httputil.HTTPHeaders(sealed), b"id: 1\n\n")
         call.finish()
 
 
 def _stray(call: CallerCall) -> None:
     """Send a whole answer that belongs to another request, ahead of the right one."""
     headers = {"Request-Id": "another", "Server-Seal": "seal-of-another"}
-    answer = _whole_answer(200, httputil.HTTPHeaders(headers), b"another's answer")
+    answer = whole_answer(200, httputil.HTTPHeaders(headers), b"another's answer")
     call._connection.stream.write(answer)
-
-
-def _whole_answer(status: int, headers: httputil.HTTPHeaders, body: bytes) -> bytes:
-    """Return the bytes of an answer."""
-    lines = [f"HTTP/1.1 {status} OK"]
-    lines += [f"{name}: {value}" for name, value in headers.get_all()]
-    lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
--- /dev/null
+++ b/hawthornlead/tests/standins/repeated_answers.py
@@ -0,0 +1,53 @@
+"""Answers of a stand-in that come a second time, late, on the same connection."""
+
+from weakref import WeakKeyDictionary
+
+from tornado import httputil
+
+from hawthornlead.gateway.caller_calls import CallerCall
+
+
+def whole_answer(status: int, headers: httputil.HTTPHeaders, body: bytes) -> bytes:
+    """Return the bytes of an answer."""
+    lines = [f"HTTP/1.1 {status} OK"]
+    lines += [f"{name}: {value}" for name, value in headers.get_all()]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class RepeatedAnswers:
+    """Sends each answer with a status of ``least`` or more again, 0 for none.
+
+    The copy comes late: right after the next request on its connection::
+
+        repeats = RepeatedAnswers()
+        repeats.least = 400
+        repeats.watch(call)
+        call.answer(503, "OK", headers, b"")
+    """
+
+    def __init__(self):
+        self.least = 0
+        self.sent = 0
+        self._due: WeakKeyDictionary = WeakKeyDictionary()
+
+    def watch(self, call: CallerCall) -> None:
+        """Send the copy that is due on a call's connection, and keep its answer."""
+        stream = call._connection.stream
+        copy = self._due.pop(stream, None)
+        if copy is not None and not stream.closed():
+            self.sent += 1
+            stream.write(copy)
+        answer = call.answer
+
+        def answer_and_keep(status, reason, headers, body):
+            self.keep(call, status, headers, body)
+            answer(status, reason, headers, body)
+
+        call.answer = answer_and_keep
+
+    def keep(self, call: CallerCall, status: int, headers, body: bytes) -> None:
+        """Keep an answer for its copy."""
+        if 0 < self.least <= status:
+            copied = httputil.HTTPHeaders(headers)
+            self._due[call._connection.stream] = whole_answer(status, copied, body)
--- a/hawthornlead/tests/standins/restarting_engine.py
+++ b/hawthornlead/tests/standins/restarting_engine.py
@@ -23,6 +23,7 @@
 from ..soak_gateway_records import Journal, OrderSeen, SoftwareStart
 from ..soak_links import Link
 from .incarnations import Incarnation
+from .repeated_answers import RepeatedAnswers
 from .target_runs import LOST_ANSWER_S, Notice, Runs, answer
 from .troubled_store import Fare, TroubledStore
 
@@ -85,6 +86,11 @@
         """How the next requests fare; see ``Runs``."""
         return self._runs.next_faults
 
+    @property
+    def repeats(self) -> RepeatedAnswers:
+        """Which answers it sends a second time."""
+        return self._runs.repeats
+
     def say(self, notice: str, amount: float) -> None:
         """Say something of itself in all answers from now on; see ``Told``."""
         self._runs.notice = Notice(notice, amount, time.monotonic())
@@ -247,6 +253,7 @@
         await own.awake.wait()
         if own.over:
             return
+        self.repeats.watch(call)
         expected = call.headers.get("Expect-Instance", self.target)
         if expected != self.target:
             answer(call, 421, b"", {"Instance-Id": self.target})
--- a/hawthornlead/tests/standins/target_runs.py
+++ b/hawthornlead/tests/standins/target_runs.py
@@ -12,6 +12,7 @@
 
 from ..soak_gateway_records import Arrival, Journal, PromptCrash, Run, Told
 from .incarnations import Incarnation
+from .repeated_answers import RepeatedAnswers, whole_answer
 
 EVENT_S = 0.03
 PLAIN_S = (0.005, 0.2)
@@ -45,6 +46,7 @@
     ``next_faults`` counts how many next requests fare how: "lost" runs and is never
     answered, "cut" breaks off within an event, "fail" answers 500, "refuse" answers
     503 unrun, "stray" sends another's answer first, "garble" bytes that are none.
+    Whole answers come a second time as ``repeats`` has it.
     With a ``notice`` all answers say so; who asks for rest refuses all requests.
     """
 
@@ -64,6 +66,7 @@
         self._number = 0
         self.next_faults: Counter = Counter()
         self.notice: Notice | None = None
+        self.repeats = RepeatedAnswers()
 
     def _takes(self, fault: str) -> bool:
         if self.next_faults[fault] <= 0:
@@ -269,9 +272,6 @@
 
 
 def _stray(call: CallerCall) -> None:
-    body = b"another's answer"
-    head = (
-        "HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Seal: of-another\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    )
-    call._connection.stream.write(head.encode() + body)
+    headers = {"Request-Id": "another", "Server-Seal": "of-another"}
+    another = whole_answer(200, httputil.HTTPHeaders(headers), b"another's answer")
+    call._connection.stream.write(another)
--- a/hawthornlead/tests/test_engine_orders.py
+++ b/hawthornlead/tests/test_engine_orders.py
@@ -36,7 +36,7 @@
         self.sent = []
         self.ended = None
 
-    async def open(self, address):
+    async def open(self, address, fresh=False):
         """Open a connection once the test allows it."""
         self.connecting.set()
         await self.may_open.wait()
--- a/hawthornlead/tests/test_repeated_answers.py
+++ b/hawthornlead/tests/test_repeated_answers.py
@@ -38,7 +38,7 @@
     """Have an engine refuse a stream, and repeat that ahead of its next answer."""
     async with Deployment(software=("v1",) * engines) as deployment:
         engine, vm = await warmed(deployment)
-        engine.repeats_from = 400
+        engine.repeats.least = 400
         engine.names_refusals = named
         engine.faults.append("refuse")
         answer = await deployment.ask(
@@ -59,7 +59,7 @@
     await refuse_twice(engines=2, named=False)
     async with Deployment(vms=1) as deployment:
         for target in deployment.plains:
-            target.repeats_from = 400
+            target.repeats.least = 400
             target.names_refusals = False
             target.faults.append("refuse")
         for number in range(4):
@@ -71,7 +71,7 @@
     """Guards against a request that is refused by a late answer to a control call."""
     async with Deployment() as deployment:
         engine, vm = await warmed(deployment)
-        engine.repeats_from = 400
+        engine.repeats.least = 400
         engine.shed_reports = 1
         calls = deployment.gateways[vm]._engine_manager._calls
         reported = await calls.report(engine.address, engine.target)
@@ -87,7 +87,7 @@
     """Guards against an order that takes the end of a stream for its acceptance."""
     async with Deployment() as deployment:
         engine, vm = await warmed(deployment)
-        engine.repeats_from = 200
+        engine.repeats.least = 200
         calls = deployment.gateways[vm]._engine_manager._calls
         await deployment.ask("/stream/x", vm=vm, Model=ADAPTER)
         reported = await calls.report(engine.address, engine.target)
@@ -96,6 +96,23 @@
         assert await give(calls, engine) is OrderOutcome.CONFLICT
 
 
+async def test_a_repeated_answer_to_a_control_call_answers_no_unload():
+    """Guards against an unload that is taken for done, and one load too many."""
+    async with Deployment() as deployment:
+        engine, vm = await warmed(deployment)
+        engine.repeats.least = 200
+        calls = deployment.gateways[vm]._engine_manager._calls
+        assert (await calls.report(engine.address, engine.target)).is_ok()
+        assert await give(calls, engine) is OrderOutcome.CONFLICT
+        engine.adapters["a9"] = 1
+        taken = EngineOrder(
+            OrderKind.UNLOAD, MODEL, "a9", 0, engine.order_count, "vm-x", 1
+        )
+        done = await calls.order(engine.address, engine.target, taken, lambda: True)
+        assert done is OrderOutcome.HOLDS_ALREADY
+        assert await give(calls, engine) is OrderOutcome.CONFLICT
+
+
 async def give(calls: EngineCalls, engine: PlatformEngine) -> OrderOutcome:
     """Give an order that the engine refuses, since its count is passed."""
     order = EngineOrder(OrderKind.UNLOAD, MODEL, "a9", 0, -1, "vm-x", 1)
