Soak: engines that send refusals and other answers a second time, late

The fault "answers-repeated" at a model engine, beside all others. At-most-once and refused-never-runs judge it; orders and reports meet the copies too.

--- a/hawthornlead/tests/soak_gateway_targets.py
+++ b/hawthornlead/tests/soak_gateway_targets.py
@@ -20,6 +20,9 @@
 # For how long a target names a limit, and refuses requests.
 LIMIT_S = 5.0
 REFUSES_S = 3.0
+# For how long a target sends its answers twice, and how many requests it refuses then.
+REPEATS_S = 4.0
+REPEATED_REFUSALS = 20
 # Entries that name no target to use, as another writer may leave them.
 SPOILT: tuple[Callable[[dict], object], ...] = (
     lambda entry: {"service": entry["service"]},
@@ -278,6 +281,20 @@
 _next_requests("requests-refused", "refuse", None, 8)
 
 
+@target_fault("answers-repeated", often=3, model=True, hurts=False)
+async def answers_repeated(world: GatewayWorld, target: RestartingTarget) -> bool:
+    """An engine refuses requests, and sends its answers a second time, late.
+
+    Others follow on the connections meanwhile, also orders and reports.
+    """
+    sent = target.repeats.sent
+    target.repeats.least = world.rng.choice((200, 400))
+    target.next_faults["refuse"] = REPEATED_REFUSALS
+    await asyncio.sleep(REPEATS_S)
+    target.repeats.least = target.next_faults["refuse"] = 0
+    return target.repeats.sent > sent
+
+
 # The operator
 
 
