Known red: a line may name a command in place of a test

The review's cases are scripts, and their lines borrowed the id of the soak's test, which was thereby passed over for causes that aren't its own. A command is printed, must exist, and passes over no test.

--- a/conftest.py
+++ b/conftest.py
@@ -4,6 +4,10 @@
 there still runs and its line is printed, but its failure does not fail the run. Any
 other test that is skipped, expected to fail or left out fails the run, so that a
 failing test can't be passed over in some other way.
+
+In place of a test, a line may name a command of the repository, such as
+``review/2/run.sh``, that fails when it is run by hand. It is printed and passes over no
+test.
 """
 
 from pathlib import Path
@@ -22,6 +26,11 @@
     cause: str
     issue: str
 
+    @property
+    def is_command(self) -> bool:
+        """Whether it names a command in place of a test."""
+        return "::" not in self.test
+
 
 def read_known_red(path: Path) -> list[RedTest]:
     """Return the lines of the file; none if there is no file."""
@@ -47,11 +56,15 @@
 class KnownRed:
     """The pytest plugin that passes over the named tests and watches the others."""
 
-    def __init__(self, reds: list[RedTest], whole_run: bool):
-        self._reds = {red.test: red for red in reds}
+    def __init__(self, reds: list[RedTest], whole_run: bool, root: Path):
+        self._commands = [red for red in reds if red.is_command]
+        self._reds = {red.test: red for red in reds if not red.is_command}
         self._whole_run = whole_run
         self._outcomes: dict[str, str] = {}
         self._faults: list[str] = []
+        for red in self._commands:
+            if not (root / red.test).is_file():
+                self._faults.append(f"{FILE_NAME} names no command: {red.test}")
 
     def pytest_collection_modifyitems(self, items):
         """Mark the named tests; a name that fits no test is a fault."""
@@ -100,6 +113,10 @@
             terminalreporter.write_line(
                 f"KNOWN RED ({ended}): {red.test} | {red.cause} | {red.issue}"
             )
+        for red in self._commands:
+            terminalreporter.write_line(
+                f"KNOWN RED (by hand): {red.test} | {red.cause} | {red.issue}"
+            )
         for fault in self._faults:
             terminalreporter.write_line(f"ERROR {fault}")
 
@@ -108,4 +125,5 @@
     """Enter the plugin for the file at the root of the run."""
     reds = read_known_red(config.rootpath / FILE_NAME)
     whole_run = not config.invocation_params.args
-    config.pluginmanager.register(KnownRed(reds, whole_run), "known-red")
+    plugin = KnownRed(reds, whole_run, config.rootpath)
+    config.pluginmanager.register(plugin, "known-red")
--- a/hawthornlead/tests/test_known_red.py
+++ b/hawthornlead/tests/test_known_red.py
@@ -98,3 +98,19 @@
 
 def test_no_tests_at_all_fails(run):
     assert run(None, "").returncode == 5
+
+
+def test_a_named_command_is_printed_and_passes_over_no_test(run, tmp_path):
+    """Guards against a case outside the tests that borrows the name of one."""
+    (tmp_path / "case.sh").write_text("exit 1")
+    line = "case.sh | loses requests | 9\n"
+    done = run(RED + OTHER + line)
+    assert done.returncode == 0
+    assert f"KNOWN RED (by hand): {line.strip()}" in done.stdout.splitlines()
+    assert run(RED + line).returncode == 1
+
+
+def test_a_command_that_is_not_there_fails_the_run(run):
+    done = run(RED + OTHER + "none.sh | loses requests | 9\n")
+    assert done.returncode == 1
+    assert "names no command: none.sh" in done.stdout
