Soak: note the deadline that each try of a caller names

Traced: it was a second try, whose Deadline-Ms was what the first had left of 7.5 s; the VM ended it at that deadline (event 609, the deadline passed, left_ms=0). The judge excuses what ends at its deadline but was told 7.5 s for each try. Each try now notes its own.

--- a/hawthornlead/tests/soak_gateway_callers.py
+++ b/hawthornlead/tests/soak_gateway_callers.py
@@ -166,7 +166,7 @@
     # One attempt
 
     async def _attempt(self, sent: Sent, left_s: float, address: str) -> Sent:
-        sent = sent._replace(sent_at=time.monotonic())
+        sent = sent._replace(sent_at=time.monotonic(), deadline_s=left_s)
         try:
             line, (vm, process_id), kept = await self._line(address)
         except Unconnected as error:
