Don't cut a relayed stream that flows because its VM is silent on the mesh

What callers saw: a stream that one VM relays to another was cut although the other went on serving it. The relay gave it up when the other VM had not been heard on the mesh for 1 s; heartbeats come each 0.9 s, and a VM that stops closes its connections. A stream that brought an event within the last second shows that its VM lives, and is kept. One that hasn't begun is given up as before.

The test failed before: the answer wasn't whole.

--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -36,6 +36,8 @@
 CONNECT_TIMEOUT_S = 0.3
 # How often the other VM is checked for silence while its answer is due.
 POLL_INTERVAL_S = 0.25
+# A stream without events for this long doesn't show that the VM that relays it lives.
+STREAM_SILENCE_S = 1.0
 
 
 class RequestRelay:
@@ -106,7 +108,7 @@
         else:
             sink = WholeAnswer()
         self._send(exchange, sink)
-        await self._wait(vm, exchange)
+        await self._wait(vm, exchange, sink)
         if not exchange.ended.done():
             return self._end_unanswered(vm, exchange, sink)
         return self._end_answered(exchange, sink)
@@ -132,7 +134,9 @@
             sink=sink,
         )
 
-    async def _wait(self, vm: str, exchange: Exchange) -> None:
+    async def _wait(
+        self, vm: str, exchange: Exchange, sink: StreamRelay | WholeAnswer
+    ) -> None:
         """Wait for the end of the answer, of the caller, of the VM or of the time."""
         waiting = {exchange.ended, self._call.gone}
         while not any(each.done() for each in waiting) and self.remaining_s > 0:
@@ -141,9 +145,21 @@
                 timeout=min(self.remaining_s, POLL_INTERVAL_S),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not self._parts.relay_vms.is_reachable(vm):
+            if self._is_lost(vm, sink):
                 return
 
+    def _is_lost(self, vm: str, sink: StreamRelay | WholeAnswer) -> bool:
+        """Whether the other VM is silent on the mesh, and its stream too.
+
+        The mesh alone proves nothing against a stream that flows: its heartbeats may be
+        late, or its connection may have been closed.
+        """
+        if self._parts.relay_vms.is_reachable(vm):
+            return False
+        if not _has_begun(sink):
+            return True
+        return self._parts.timers.now() - sink.active_at > STREAM_SILENCE_S
+
     def _end_unanswered(
         self, vm: str, exchange: Exchange, sink: StreamRelay | WholeAnswer
     ) -> RelayOutcome:
--- a/hawthornlead/tests/test_request_relays.py
+++ b/hawthornlead/tests/test_request_relays.py
@@ -123,6 +123,19 @@
         assert answer.body.endswith(b"\n\n")
 
 
+async def test_a_stream_that_flows_outlives_a_silent_mesh():
+    """Guards against a sound stream that is cut since heartbeats of its VM are late."""
+    async with Deployment() as deployment, unreaching(deployment):
+        for engine in deployment.engines:
+            engine.event_s = 0.4
+        asking = asyncio.create_task(deployment.ask("/stream/x", Model=MODEL))
+        await deployment.until(lambda: runs(deployment))
+        await asyncio.sleep(2 * deployment.engines[0].event_s)
+        deployment.gateways[0]._parts.relay_vms.is_reachable = lambda vm: False
+        answer = await asking
+        assert (answer.status, answer.whole) == (200, True)
+
+
 async def test_vms_that_all_reach_no_target_relay_to_no_third_vm():
     """Guards against requests that go round among VMs."""
     async with Deployment(vms=3) as deployment, unreaching(deployment, 0, 1, 2):
