Take the store for away only after a long gap in its answers

What callers saw: requests reached an engine up to 4.3 s after it had left (DRAIN), since VMs keep a target whose entry was removed for 2.3 s after an outage of the store, and took any failed call for one, also a watch whose own connection had gone silent. The opposite fault was found by the test of it: in a true outage a VM that another one told of a lapsed entry, before its own watch was answered, dropped the target at once.

An outage in which entries may have lapsed is now a gap of 1.8 s or more between two answers of the store to this VM, with a failed call in it; it goes on until the VM's own next answer. A VM that a relay informs knows of none. A watch that fails while the store answers other calls is repeated at once, 0.2 s to 0.6 s sooner.

--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -17,6 +17,7 @@
 from ..eras.dated_revisions import era_of
 from ..eras.store_eras import UNNAMED_ERA, StoreEras
 from ..errors import ErrorKind, Failure
+from ..outages.answer_gaps import AnswerGaps
 from ..platform.fields import decode
 from ..platform.headers import read_store_era
 from ..platform.objects import (
@@ -79,7 +80,7 @@
         self._eras = eras or StoreEras(now=timers.now)
         self._url = f"http://{address}"
         self._timers = timers
-        self._answered_at = timers.now()
+        self._gaps = AnswerGaps(now=timers.now)
         self._client = AsyncHTTPClient(
             force_instance=True,
             max_clients=MAX_CALLS,
@@ -90,7 +91,12 @@
     @property
     def answered_at(self) -> float:
         """When a call was last served, in seconds of the ``TimerService``."""
-        return self._answered_at
+        return self._gaps.answered_at
+
+    @property
+    def gaps(self) -> AnswerGaps:
+        """The gaps between its answers to this VM."""
+        return self._gaps
 
     @property
     def eras(self) -> StoreEras:
@@ -211,14 +217,17 @@
             response = await asyncio.shield(self._fetch(request))
         except (HTTPClientError, OSError) as error:
             self._count("unanswered")
+            self._gaps.record_failure()
             return Err(_unavailable(str(error) or type(error).__name__))
         answered_at = self._timers.now()
         era = read_store_era(response.headers)
         self._eras.observe(era)
         if era is None:
             era = UNNAMED_ERA
-        if response.code not in TURNED_AWAY:
-            self._answered_at = answered_at
+        if response.code in TURNED_AWAY:
+            self._gaps.record_failure()
+        else:
+            self._gaps.record_answer()
         self._count(str(response.code))
         if self._metrics is not None and "watch=" not in path:
             self._metrics.store_time.observe(answered_at - sent_at)
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -33,6 +33,8 @@
 RETRY_S = 0.4
 MAX_FAST_RETRIES = 4
 SLOW_RETRY_S = 0.9
+# A store that answered within this time is up; a relay asks it twice as often.
+STORE_HEARD_S = 1.0
 # When the history that a watch requires is gone, the kind is listed every RETRY_S
 # instead. All changes are known while the last listing is at most two of these old.
 LISTING_MAX_AGE_S = 0.8
@@ -117,7 +119,6 @@
         self._listed = False
         self._answering = True
         self._lost_at = 0.0
-        self._recovered_at = 0.0
         self._tasks = TaskSet()
         relays.follow(kind, self._known, self._is_fresh)
 
@@ -142,9 +143,12 @@
     def back_at(self) -> float:
         """When the store last answered again after an outage; 0 if it had none.
 
-        It was away before a new era, even if this VM didn't call it then.
+        A call that failed while the store answered others of this VM, or a relay, is no
+        outage. Before a new era the store was away, even if this VM didn't call it.
         """
-        return max(self._recovered_at, self._client.eras.changed_at)
+        relayed = self._relays.is_relayed(self._kind)
+        outage_end = 0.0 if relayed else self._client.gaps.outage_end
+        return max(outage_end, self._client.eras.changed_at)
 
     def is_restored(self, revision: int) -> bool:
         """Whether an object may be from a copy of the store, older than known ones."""
@@ -184,7 +188,14 @@
             await self._retries.wait(self._retry_s() * self._rng.uniform(0.5, 1.5))
 
     def _retry_s(self) -> float:
-        """Return the mean pause after a call that failed or was left to others."""
+        """Return the mean pause after a call that failed or was left to others.
+
+        A call that fails first while the store answers others is repeated at once: its
+        connection has gone silent, and changes have been missed for seconds.
+        """
+        heard_s = self._timers.now() - self._client.answered_at
+        if self._failures == 1 and heard_s < STORE_HEARD_S:
+            return 0.0
         soon = self._failures <= MAX_FAST_RETRIES or not self._listed
         return RETRY_S if soon else SLOW_RETRY_S
 
@@ -349,9 +360,11 @@
         self._retries.record(served=True)
         self._answered_at = self._timers.now()
         if not self._answering:
-            self._recovered_at = self._timers.now()
-            away_s = round(self._recovered_at - self._lost_at, 3)
-            self._events.emit(EventKind.WATCH_BACK, self._kind, away_s=away_s)
+            away_s = round(self._timers.now() - self._lost_at, 3)
+            outage = self._client.gaps.outage_end >= self._lost_at
+            self._events.emit(
+                EventKind.WATCH_BACK, self._kind, away_s=away_s, outage=outage
+            )
         self._answering = True
 
 
--- a/hawthornlead/tests/fakes_played_stores.py
+++ b/hawthornlead/tests/fakes_played_stores.py
@@ -24,6 +24,7 @@
 from hawthornlead.errors import ErrorKind, Failure
 from hawthornlead.gateway.records import StoreChanges, StoredRecord, StoreEvent
 from hawthornlead.gateway.store_clients import CALL_TIMEOUT_S, WATCH_SLACK_S
+from hawthornlead.outages.answer_gaps import AnswerGaps
 
 from .fakes_clocks import PlayedTimers
 
@@ -59,6 +60,7 @@
         self._history: list[tuple[str, StoreEvent]] = []
         self._forgotten = 0
         self._changed = asyncio.Event()
+        self.silences = 0
 
     def write(self, kind: str, name: str, spec: dict) -> StoredRecord:
         """Write an object; it is acknowledged when this returns."""
@@ -91,6 +93,11 @@
         self.down = refusal
         self._wake()
 
+    def silence_watches(self) -> None:
+        """Let the connections of all watches that wait go silent; new ones work."""
+        self.silences += 1
+        self._wake()
+
     def forget_history(self) -> None:
         """Drop all changes of before now, and end the watches."""
         self._forgotten = self.revision
@@ -159,9 +166,14 @@
         self._store = store
         self._timers = timers
         self._rng = rng
-        self.answered_at = timers.now()
+        self.gaps = AnswerGaps(now=timers.now)
         self.eras = StoreEras(now=timers.now)
 
+    @property
+    def answered_at(self) -> float:
+        """When a call was last served."""
+        return self.gaps.answered_at
+
     async def probe(self) -> None:
         """Ask for any object."""
         await self._answered(CALL_TIMEOUT_S)
@@ -169,14 +181,14 @@
     async def get(self, kind: str, name: str) -> Result[StoredRecord | None, Failure]:
         """Return one object, None if there is none of this name."""
         if not await self._answered(CALL_TIMEOUT_S):
-            return _unavailable()
+            return self._unavailable()
         record = self._store.record(kind, name)
         return Ok(None if record is None else self._dated(record))
 
     async def create(self, kind, name, spec) -> Result[StoredRecord, Failure]:
         """Create an object; ``VERSION_CONFLICT`` if there is one."""
         if not await self._answered(CALL_TIMEOUT_S):
-            return _unavailable()
+            return self._unavailable()
         if self._store.record(kind, name) is not None:
             return Err(Failure(ErrorKind.VERSION_CONFLICT, "it exists"))
         return Ok(self._dated(self._store.write(kind, name, spec)))
@@ -184,7 +196,7 @@
     async def replace(self, kind, name, spec, revision):
         """Replace an object; ``VERSION_CONFLICT`` if it is at another revision."""
         if not await self._answered(CALL_TIMEOUT_S):
-            return _unavailable()
+            return self._unavailable()
         known = self._store.record(kind, name)
         changed = known is None or known.revision != stored_revision(revision)
         if changed or era_of(revision) != self._store.era:
@@ -194,18 +206,22 @@
     async def list_all(self, kind: str) -> Result[StoreChanges, Failure]:
         """Return all objects of a kind, and where to watch from."""
         if not await self._answered(CALL_TIMEOUT_S):
-            return _unavailable()
+            return self._unavailable()
         records = tuple([self._dated(each) for each in self._store.records(kind)])
         changes = StoreChanges(records, self._now_at())
         era = self._store.era
-        return Ok(changes) if await self._come_back(era) else _unavailable()
+        return Ok(changes) if await self._come_back(era) else self._unavailable()
 
     async def watch(self, kind: str, revision: int, wait_s: float):
         """Wait for changes after a revision; None if that history is gone."""
         if not await self._answered(wait_s + WATCH_SLACK_S):
-            return _unavailable()
+            return self._unavailable()
         until = self._timers.now() + wait_s
+        silences = self._store.silences
         while True:
+            if silences != self._store.silences:
+                await self._timers.sleep(until + WATCH_SLACK_S - self._timers.now())
+                return self._unavailable()
             if era_of(revision) != self._store.era:
                 return Ok(None)
             changes = self._store.changes(kind, stored_revision(revision))
@@ -218,13 +234,13 @@
             if self._store.refusal(self._vm) is not None:
                 left_s = until - self._timers.now()
                 await self._refused(max(0.0, left_s) + WATCH_SLACK_S)
-                return _unavailable()
+                return self._unavailable()
         events = []
         for event in changes:
             events.append(event._replace(record=self._dated(event.record)))
         told = StoreChanges(tuple(events), self._now_at())
         era = self._store.era
-        return Ok(told) if await self._come_back(era) else _unavailable()
+        return Ok(told) if await self._come_back(era) else self._unavailable()
 
     def _dated(self, record: StoredRecord) -> StoredRecord:
         revision = dated_revision(self._store.era, record.revision)
@@ -240,7 +256,7 @@
         if self._store.refusal(self._vm) is not None:
             await self._refused(timeout_s)
             return False
-        self.answered_at = self._timers.now()
+        self.gaps.record_answer()
         self.eras.observe(self._store.era)
         return True
 
@@ -249,7 +265,7 @@
         await self._timers.sleep(self._rng.uniform(LEAST_ANSWER_S, MOST_ANSWER_S) / 2)
         if self._store.refusal(self._vm) is not None:
             return False
-        self.answered_at = self._timers.now()
+        self.gaps.record_answer()
         self.eras.observe(era)
         return True
 
@@ -257,6 +273,6 @@
         if self._store.refusal(self._vm) is Refusal.SILENT:
             await self._timers.sleep(timeout_s)
 
-
-def _unavailable() -> Err[Failure]:
-    return Err(Failure(ErrorKind.STORE_UNAVAILABLE, "not served"))
+    def _unavailable(self) -> Err[Failure]:
+        self.gaps.record_failure()
+        return Err(Failure(ErrorKind.STORE_UNAVAILABLE, "not served"))
