Date removals that bear their object's last revision as late as they can have been

One that bears the object's last was dated right after the start of the watch. Where another relay had confirmed a later revision to a VM by then, that VM skipped the removal, and the next watch brought it no more: a target that had left stayed in use until the next listing. It is now dated before the object came again, or at the end of the watch. A removal with a revision of its own keeps it.

--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -12,13 +12,14 @@
 from typing import Any
 
 from ..eras.dated_revisions import era_of
+from ..eras.removal_dates import dated_removals
 from ..eras.settlements import EraSettlement
 from ..events import EventKind, EventRing
 from ..tasks import TaskSet
 from ..timers import TimerService
 from .gateway_metrics import GatewayMetrics
 from .kind_records import KindRecords
-from .records import StoredRecord, StoreEvent
+from .records import StoredRecord
 from .store_clients import WATCH_SLACK_S, StoreClient
 from .store_retries import StoreRetries
 from .watch_relays import WatchRelays
@@ -332,7 +333,9 @@
             return False
         if changes.skipped:
             self._report_skipped(changes.skipped)
-        events = tuple([_dated_after(event, since) for event in changes.events])
+        events = dated_removals(
+            changes.events, since, changes.revision, self._known.records
+        )
         self._known.apply_changes(since, changes.revision, events)
         self._relays.on_watched(self._kind, since, changes.revision, events)
         if self._timers.now() - started_at > wait_s + WATCH_SLACK_S:
@@ -366,13 +369,3 @@
                 EventKind.WATCH_BACK, self._kind, away_s=away_s, outage=outage
             )
         self._answering = True
-
-
-def _dated_after(event: StoreEvent, since: int) -> StoreEvent:
-    """Return a change dated after ``since``.
-
-    A removal may carry the revision of the object before the removal.
-    """
-    if not event.deleted or event.record.revision > since:
-        return event
-    return event._replace(record=event.record._replace(revision=since + 1))
