--- a/hawthornlead/tests/test_request_relays.py
+++ b/hawthornlead/tests/test_request_relays.py
@@ -3,6 +3,10 @@
 import asyncio
 from contextlib import asynccontextmanager
 
+from result import Err
+
+from hawthornlead.errors import ErrorKind, Failure
+from hawthornlead.gateway.request_relays import CONNECT_TIMEOUT_S, MAX_LAG_S
 from hawthornlead.gateway.vm_relays import NOT_TAKEN
 
 from .cut_paths import Cut, cut_paths
@@ -123,6 +127,25 @@
         assert answer.body.endswith(b"\n\n")
 
 
+async def test_a_time_out_by_own_delay_is_no_refusal_of_another_vm():
+    """Guards against requests refused by a VM that stood still while it connected."""
+    async with Deployment() as deployment, unreaching(deployment):
+        connections = deployment.gateways[0]._parts.relay_vms.connections
+        connect = connections.open
+        delays = [CONNECT_TIMEOUT_S + 2 * MAX_LAG_S]
+
+        async def connect_late(address, **options):
+            if not delays:
+                return await connect(address, **options)
+            await asyncio.sleep(delays.pop())
+            return Err(Failure(ErrorKind.TARGET_UNREACHABLE, "timeout"))
+
+        connections.open = connect_late
+        answer = await deployment.ask("/unsafe/x")
+        assert answer.status == 200
+        assert len(runs(deployment)) == 1
+
+
 async def test_a_stream_that_flows_outlives_a_silent_mesh():
     """Guards against a sound stream that is cut since heartbeats of its VM are late."""
     async with Deployment() as deployment, unreaching(deployment):
