Soak: targets ask for rest in refusals alone

Traced: the refusal of c9-40 at 2585.594 s asked vm-4 for 3 s, and vm-4 sent nothing until 2588.632 s.

--- a/hawthornlead/tests/standins/target_runs.py
+++ b/hawthornlead/tests/standins/target_runs.py
@@ -82,6 +82,9 @@
         notice = self.notice
         if notice is None:
             return headers
+        if self._resting() and "Not-Executed" not in headers:
+            # The platform's targets ask for rest in refusals alone.
+            return headers
         told = Told(self._target, self._vm(call), *notice, time.monotonic())
         self._journal.told.append(told)
         return {**headers, NOTICE_HEADERS[notice.kind]: f"{notice.amount:g}"}
