Tests of relays: begin once two VMs are relays and all others are told

Traced: where the one process of the four VMs stands still for 0.3 s between the two waits of the fixture, the others step in and all four are relays for a moment, in four of four trials on this code and on. The fixture now waits for both at one moment; with the same stall, two relays in six of six trials.

--- a/hawthornlead/tests/following_vms.py
+++ b/hawthornlead/tests/following_vms.py
@@ -267,6 +267,16 @@
         await self.until(lambda: sum(vm.relays.is_relay for vm in self.vms) == 2)
         return [vm for vm in self.vms if not vm.relays.is_relay]
 
+    def is_settled(self) -> bool:
+        """Whether two VMs are relays, and tell all others of each kind.
+
+        More of them step in while this process stands still, and step back after it.
+        """
+        told = [vm for vm in self.vms if not vm.relays.is_relay]
+        if len(self.vms) - len(told) != 2:
+            return False
+        return all(vm.relays.is_relayed(kind) for vm in told for kind in KINDS)
+
     async def until(self, condition):
         """Wait for a condition, which must come about."""
         end = asyncio.get_running_loop().time() + LONGEST_S
@@ -282,7 +292,5 @@
     site = Site()
     for name in "abcd":
         site.add(name)
-    told = await site.told()
-    for kind in KINDS:
-        await site.until(lambda k=kind: all(vm.relays.is_relayed(k) for vm in told))
+    await site.until(site.is_settled)
     return site
