--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -41,7 +41,8 @@
 MAX_LAG_S = 0.1
 # How often the other VM is checked for silence while its answer is due.
 POLL_INTERVAL_S = 0.25
-# A stream without events for this long doesn't show that the VM that relays it lives.
+# A VM that is silent on the mesh counts as lost if its stream has been silent for this
+# long too.
 STREAM_SILENCE_S = 1.0
 
 
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -345,7 +345,7 @@
         self._reporter.served(entry, head.status, None)
         return AttemptOutcome.DONE
 
-    # Records of the target
+    # What an answer that isn't forwarded shows
 
     def _is_not_run(self, head: Head) -> bool:
         """Whether a whole answer proves that the request didn't run; record it."""
--- a/hawthornlead/outages/answer_gaps.py
+++ b/hawthornlead/outages/answer_gaps.py
@@ -12,9 +12,9 @@
 
 from collections.abc import Callable
 
-# An entry lapses three heartbeats of 1.2 s after its last one, which the outage follows
-# within one heartbeat. So no entry lapses in a shorter outage, with some margin for
-# heartbeats that are late.
+# An entry lapses 3.6 s, three heartbeats, after its last heartbeat. That one comes at
+# most one heartbeat before the outage, so entries lapse only in outages of 2.4 s or
+# more. The rest is margin for heartbeats that are late.
 LAPSE_OUTAGE_S = 1.8
 
 
