Prove which start of a target writes a stream before binding it

What callers saw: streams taken up after all VMs were killed in a release were joined from two software versions, the first part from one and the rest from the other, also within one answer.

Cause: the version of a stream was that of the entry by which its request was sent. A target that starts again under its id, with other software, serves before its new entry is in the store, and nothing in its answers names its start. A VM that has just started, and has had no report of that engine, believes the former entry: it binds the stream to the wrong version, or takes a bound one up at the wrong one. Ruled out: an inferred version (no VM infers one) and origins lost with their VMs (these cost refusals). The entry being gone (its version was then taken as it was) is a second way to the same fault.

A report that is read on a connection says who writes there, and a connection ends with the process behind it. So streams that may be resumed are sent on connections with such a proof, and are bound to no version without it; the rest of a stream isn't sent without it.

The tests of bindings name the writer of the events now, and events without one, or of another start, are played.

--- a/hawthornlead/connections/connection_pools.py
+++ b/hawthornlead/connections/connection_pools.py
@@ -11,6 +11,7 @@
 import errno
 import socket
 from collections import deque
+from collections.abc import Hashable
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -27,12 +28,15 @@
     """An open connection, with its ``number`` in this process.
 
     ``uses`` counts the exchanges that it was opened or taken for, this one included.
+    ``peer`` is what the process at its other end has stated of itself there, None if
+    nothing. It holds as long as the connection, which ends with that process.
     """
 
     def __init__(self, stream: iostream.IOStream, number: int):
         self._stream = stream
         self._number = number
         self.uses = 1
+        self.peer: Hashable | None = None
 
     @property
     def stream(self) -> iostream.IOStream:
@@ -86,16 +90,21 @@
         return self._opened
 
     async def open(
-        self, address: str, fresh: bool = False, within_s: float | None = None
+        self,
+        address: str,
+        fresh: bool = False,
+        within_s: float | None = None,
+        peer: Hashable | None = None,
     ) -> Result[Connection, Failure]:
         """Return an idle connection or a new one.
 
         Nothing has been sent when this fails, so the error is ``TARGET_UNREACHABLE``,
         with ``refused`` if nobody listens. With ``fresh`` no connection is reused: a
         silent old connection proves nothing about the process at its end, but a new one
-        does. ``within_s`` replaces ``connect_s`` by a shorter time.
+        does. ``within_s`` replaces ``connect_s`` by a shorter time. An idle connection
+        to ``peer`` is preferred.
         """
-        kept = None if fresh else self._take(address)
+        kept = None if fresh else self._take(address, peer)
         if kept is not None:
             return Ok(kept)
         host, _, port = address.rpartition(":")
@@ -152,10 +161,10 @@
         for address in tuple(self._kept):
             self.forget(address)
 
-    def _take(self, address: str) -> Connection | None:
+    def _take(self, address: str, peer: Hashable | None) -> Connection | None:
         kept = self._kept.get(address)
         while kept:
-            until, connection = kept.pop()
+            until, connection = _pop_newest(kept, peer)
             stream = connection.stream
             if stream.closed():
                 continue
@@ -168,6 +177,17 @@
         return None
 
 
+def _pop_newest(kept: deque[_Kept], peer: Hashable | None) -> _Kept:
+    """Remove and return the newest connection to a peer, else the newest of all."""
+    if peer is not None:
+        for place in range(len(kept) - 1, -1, -1):
+            found = kept[place]
+            if found.connection.peer == peer:
+                del kept[place]
+                return found
+    return kept.pop()
+
+
 def _is_refused(error: Exception) -> bool:
     cause = getattr(error, "real_error", None) or error
     return isinstance(cause, ConnectionRefusedError) or (
--- a/hawthornlead/gateway/__init__.py
+++ b/hawthornlead/gateway/__init__.py
@@ -5,5 +5,5 @@
 The wire formats are in ``hawthornlead.platform`` alone.
 
 May import: the common modules, mesh, fleet, admission, connections, decisions,
-engine_speeds, eras, fetches, outages, platform, promises, recovery, shares.
+engine_speeds, eras, fetches, outages, platform, promises, provenance, recovery, shares.
 """
--- a/hawthornlead/gateway/engine_calls.py
+++ b/hawthornlead/gateway/engine_calls.py
@@ -16,7 +16,13 @@
     read_order_outcome,
     read_report,
 )
-from .records import EngineOrder, EngineReport, OrderKind, OrderOutcome
+from .records import (
+    EngineOrder,
+    EngineReport,
+    Incarnation,
+    OrderKind,
+    OrderOutcome,
+)
 from .target_connections import (
     MAX_CONTROL_BYTES,
     Exchange,
@@ -50,21 +56,33 @@
         opened = await self._connections.open(address)
         if opened.is_err():
             return opened
+        read = await self.report_on(opened.ok_value, address, target, REPORT_TIMEOUT_S)
+        if read.is_ok():
+            opened.ok_value.release()
+        return read
+
+    async def report_on(
+        self, exchange: Exchange, address: str, target: str, timeout_s: float
+    ) -> Result[EngineReport, Failure]:
+        """Return an engine's report, which proves who is behind the connection.
+
+        The caller releases the exchange; after an error it is closed.
+        """
         answer = await self._exchange(
-            opened.ok_value, "GET", address, target, REPORT_PATH, b"", REPORT_TIMEOUT_S
+            exchange, "GET", address, target, REPORT_PATH, b"", timeout_s
         )
         if answer.is_err():
             return answer
         status, body = answer.ok_value
         if status != 200:
-            opened.ok_value.close()
+            exchange.close()
             return Err(Failure(ErrorKind.TARGET_REFUSED, f"report answered {status}"))
         try:
             report = read_report(decode(body))
         except ValueError as error:
-            opened.ok_value.close()
+            exchange.close()
             return Err(Failure(ErrorKind.WRONG_ANSWER, f"report: {error}"))
-        opened.ok_value.release()
+        exchange.record_writer(Incarnation(target, report.started_ms))
         return Ok(report)
 
     async def order(
--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -42,6 +42,11 @@
             "Searches for the origins of resumed streams, by outcome",
             ["outcome"],
         )
+        self.writer_proofs = self._counter(
+            "hawthornlead_gateway_writer_proofs_total",
+            "Connections for streams that may be resumed, by proof of their writer",
+            ["proof"],
+        )
         self.orders = self._counter(
             "hawthornlead_gateway_orders_total",
             "Orders to engines by outcome",
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -17,6 +17,7 @@
 from ..decisions.suspects import Suspects
 from ..eras.followed_targets import FollowedTargets
 from ..platform.targets import read_target
+from ..provenance.writer_proofs import WriterProofs
 from .brittle_targets import BrittleTargets
 from .coordination_parts import ASSUMED_VMS
 from .crash_watches import CrashWatch
@@ -72,6 +73,7 @@
         run_times: RunTimes,
         quotas: QuotaLedger,
         origins: StreamOrigins,
+        writers: WriterProofs,
         measured: MeasuredEngines,
     ):
         self._settings = core.settings
@@ -97,6 +99,7 @@
         self.run_times = run_times
         self.quotas = quotas
         self.origins = origins
+        self.writers = writers
         self.measured = measured
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
@@ -325,5 +328,11 @@
         run_times=run_times,
         quotas=coordination.quotas,
         origins=origins,
+        writers=WriterProofs(
+            targets=known.targets,
+            paths=known.paths,
+            calls=EngineCalls(connections=known.connections),
+            metrics=metrics,
+        ),
         measured=known.measured,
     )
--- a/hawthornlead/gateway/stream_bindings.py
+++ b/hawthornlead/gateway/stream_bindings.py
@@ -5,7 +5,7 @@
 
     binding = StreamBinding(targets, origins, request)
     found = await binding.find_origin(route)
-    binding.accept(entry)  # before the first event of a target is forwarded
+    binding.accept(entry, exchange.writer)  # before the first event is forwarded
     binding.software
 """
 
@@ -13,7 +13,7 @@
 
 from ..errors import ErrorKind, Failure
 from .origin_tables import StreamOrigin
-from .records import CallerRequest, Route, TargetEntry
+from .records import CallerRequest, Incarnation, Route, TargetEntry
 from .stream_origins import StreamOrigins
 from .target_tables import TargetTable
 
@@ -48,6 +48,11 @@
         """The version that the stream is bound to, None if it may begin at any."""
         return None if self.origin is None else self.origin.software
 
+    @property
+    def goes_on(self) -> bool:
+        """Whether the stream has begun, here or at another VM."""
+        return self.origin is not None
+
     @property
     def can_resume(self) -> bool:
         """Whether the stream may go on at a target of some known version."""
@@ -66,13 +71,14 @@
             return Err(Failure(ErrorKind.NO_TARGET, detail, UNKNOWN_RETRY_S))
         return Ok(None)
 
-    def accept(self, entry: TargetEntry) -> bool:
+    def accept(self, entry: TargetEntry, writer: Incarnation | None) -> bool:
         """Whether a target's events may be forwarded; the first ones bind the stream.
 
-        ``entry`` is that by which the request was sent. The target may have restarted
-        since, with other software.
+        ``entry`` is that by which the request was sent, and ``writer`` the start of the
+        target that is proved to write the events. The target may have restarted with
+        other software, before the request was sent or since.
         """
-        software = self._software_of(entry)
+        software = self._software_of(entry, writer)
         if self.origin is None:
             self.origin = StreamOrigin(entry.service, software)
         elif software == UNKNOWN_SOFTWARE or software != self.software:
@@ -83,7 +89,11 @@
             self._origins.record(request, self.origin)
         return True
 
-    def _software_of(self, entry: TargetEntry) -> str:
+    def _software_of(self, entry: TargetEntry, writer: Incarnation | None) -> str:
+        """Return the version that wrote the events, unknown without a proof of it."""
+        states_start = self._targets.states_start(entry.target)
+        if states_start and writer != entry.incarnation:
+            return UNKNOWN_SOFTWARE
         known = self._targets.entries.get(entry.target)
         if known is None:
             # Its entry was removed, which doesn't end its runs.
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -95,7 +95,11 @@
             return self._on_unreached(Unreached.SILENT)
         if not self._may_send(placed):
             return AttemptOutcome.UNWANTED
-        opened = await self._parts.paths.open(entry)
+        opened = await self._parts.writers.open(
+            entry,
+            proved=route.resumable and spec.engine is not None,
+            required=self._binding.goes_on,
+        )
         if opened.is_err():
             self._records.count_failure(entry, gone=True)
             refused = opened.err_value.refused
@@ -234,7 +238,7 @@
         relay = StreamRelay(
             self._stream,
             self._parts.timers.now,
-            lambda: self._binding.accept(entry),
+            lambda: self._binding.accept(entry, exchange.writer),
             self.crashes.record_answered,
             times,
             self._request.max_tokens if self._request.tells_tokens else None,
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -20,6 +20,7 @@
 from ..errors import Failure
 from ..platform.headers import AnswerMetadata, read_answer_metadata
 from ..timers import TimerService
+from .records import Incarnation
 
 # A target accepts a connection in a few milliseconds. A lost packet is sent again after
 # 200 ms or more, and one such loss must not fail the connection.
@@ -127,13 +128,14 @@
     """Where one request was sent, and which answer ended it, for the log.
 
     ``connection`` is the connection's number in this process, and ``use`` counts the
-    exchanges on it up to this one. ``strays`` are answers to other requests that were
-    dropped before. ``named`` tells whether the answer named its request, None if none
-    came.
+    exchanges on it up to this one. ``writer_ms`` is the start that the target stated on
+    it, None if none. ``strays`` are answers to other requests that were dropped before.
+    ``named`` tells whether the answer named its request, None if none came.
     """
 
     connection: int
     use: int
+    writer_ms: int | None
     strays: int
     status: int | None
     named: bool | None
@@ -157,6 +159,11 @@
         """Whether the connection carried an exchange before."""
         return self._connection.reused
 
+    @property
+    def writer(self) -> Incarnation | None:
+        """The start of the target behind the connection, None if it isn't proved."""
+        return self._connection.peer
+
     @property
     def whole(self) -> bool:
         """Whether the answer is complete, by its framing or by its close.
@@ -176,6 +183,7 @@
         return ExchangeTrace(
             self._connection.number,
             self._connection.uses,
+            self.writer and self.writer.started_ms,
             self._strays,
             head and head.status,
             head and bool(head.signs.request_id),
@@ -215,6 +223,18 @@
         )
         self._reading.add_done_callback(self._on_read_end)
 
+    def record_writer(self, writer: Incarnation) -> None:
+        """Record which start of its target an answer on this connection stated."""
+        self._connection.peer = writer if writer.started_ms is not None else None
+
+    def follow_up(self) -> "Exchange | None":
+        """Return an exchange on the same connection, None if it can't be used on."""
+        if not self._may_reuse() or self._stream.closed():
+            self.close()
+            return None
+        self._connection.uses += 1
+        return Exchange(self._pool, self._address, self._connection)
+
     def release(self) -> None:
         """Keep the connection for reuse after a complete success, else close it.
 
@@ -225,18 +245,21 @@
         The connection is also closed if the target answered before it had read the
         whole request, because the target still expects the rest of it.
         """
-        head = self._reader.head if self._reader is not None else None
-        request_read = self._written is not None and self._written.done()
-        if not self.whole or not request_read or not head.framed:
+        if not self._may_reuse():
             self.close()
             return
-        if not head.succeeded or head.signs.closes:
-            self.close()
-            return
-        idle_s = head.signs.idle_s
+        idle_s = self._reader.head.signs.idle_s
         keep_s = DEFAULT_IDLE_S if idle_s is None else idle_s - CLOSING_MARGIN_S
         self._pool.keep(self._address, self._connection, keep_s)
 
+    def _may_reuse(self) -> bool:
+        """Whether nothing but a copy of a success may still come before an answer."""
+        head = self._reader.head if self._reader is not None else None
+        request_read = self._written is not None and self._written.done()
+        if not self.whole or not request_read or not head.framed:
+            return False
+        return head.succeeded and not head.signs.closes
+
     def close(self) -> None:
         """Close the connection, which tells the target that its caller is gone."""
         self._stream.close()
@@ -278,15 +301,19 @@
         return self._pool.opened
 
     async def open(
-        self, address: str, fresh: bool = False, within_s: float | None = None
+        self,
+        address: str,
+        fresh: bool = False,
+        within_s: float | None = None,
+        writer: Incarnation | None = None,
     ) -> Result[Exchange, Failure]:
         """Return an exchange on an idle connection, or on a new one.
 
         Nothing has been sent when this fails, so its error is
         ``TARGET_UNREACHABLE``. ``fresh`` True never reuses; ``within_s`` bounds the
-        time for a new one.
+        time for a new one. An idle connection to the start ``writer`` is preferred.
         """
-        opened = await self._pool.open(address, fresh, within_s)
+        opened = await self._pool.open(address, fresh, within_s, writer)
         return opened.map(lambda opening: Exchange(self._pool, address, opening))
 
     def forget(self, address: str) -> None:
--- a/hawthornlead/gateway/target_paths.py
+++ b/hawthornlead/gateway/target_paths.py
@@ -20,7 +20,7 @@
 from ..events import EventKind, EventRing
 from ..tasks import TaskSet
 from ..timers import TimerService
-from .records import TargetEntry
+from .records import Incarnation, TargetEntry
 from .target_connections import Exchange, TargetConnections
 from .target_tables import TargetTable
 
@@ -86,10 +86,15 @@
             return 0.0
         return self._timers.now() - reachability.unreachable_since
 
-    async def open(self, entry: TargetEntry) -> Result[Exchange, Failure]:
-        """Return an exchange with a target, on a kept connection or on a new one."""
+    async def open(
+        self, entry: TargetEntry, writer: Incarnation | None = None
+    ) -> Result[Exchange, Failure]:
+        """Return an exchange with a target, on a kept connection or on a new one.
+
+        A kept one to the start ``writer`` is preferred.
+        """
         started_at = self._timers.now()
-        opened = await self._connections.open(entry.address)
+        opened = await self._connections.open(entry.address, writer=writer)
         if opened.is_ok() and opened.ok_value.reused:
             return opened
         timeout_s = self._connections.connect_timeout_s
--- a/hawthornlead/gateway/target_tables.py
+++ b/hawthornlead/gateway/target_tables.py
@@ -83,6 +83,10 @@
         observed = self._observed.get(target)
         return Incarnation(target, observed.started_ms if observed else None)
 
+    def states_start(self, target: str) -> bool:
+        """Whether a target's entries state its start, so that it may keep its id."""
+        return self._stored_starts.get(target) is not None
+
     def known_since(self, target: str) -> float:
         """Return when this VM first saw the current incarnation of a target."""
         return self._observed_target(target).since
--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -27,6 +27,8 @@
 class PlatformEngine:
     """One engine; ``ran`` holds the ids of requests that it began to run.
 
+    ``wrote`` tells which software wrote events on each of them, last.
+
     Faults, one for each next request: "stray" answers another request first, "cut"
     breaks off after two events, "reset" breaks off before the answer, "fail" answers
     500, "refuse" answers 503 unrun, "mute" never answers, "replaced" never answers
@@ -70,6 +72,7 @@
         self.orders: list[dict] = []
         self.crashed = ""
         self.ran: list[str] = []
+        self.wrote: dict[str, str] = {}
         self.cancelled: list[str] = []
         self.headers: list[httputil.HTTPHeaders] = []
         self.connections = 0
@@ -343,6 +346,7 @@
                 self.cancelled.append(request_id)
                 return
             event = f"id: {number}\ndata: {self.target}\n\n".encode()
+            self.wrote[request_id] = self.software
             if fault == "cut" and number == 3:
                 call.write(event[:7])
                 await asyncio.sleep(0)
--- a/hawthornlead/tests/test_stream_bindings.py
+++ b/hawthornlead/tests/test_stream_bindings.py
@@ -3,6 +3,7 @@
 from hawthornlead.gateway.origin_tables import StreamOrigin
 from hawthornlead.gateway.records import (
     CallerRequest,
+    Incarnation,
     Route,
     RouteKind,
     ServiceShare,
@@ -28,8 +29,12 @@
 class Targets:
     """The entries that a VM knows."""
 
-    def __init__(self, *entries):
+    def __init__(self, *entries, states_start=True):
         self.entries = {entry.target: entry for entry in entries}
+        self._states_start = states_start
+
+    def states_start(self, target):
+        return self._states_start
 
 
 def entry(target="e1", started_ms=1, software="v1"):
@@ -39,6 +44,11 @@
     )
 
 
+def accepts(binding, sent_by, **writer):
+    """Whether events are taken from the start that an entry describes, or another."""
+    return binding.accept(sent_by, writer.get("writer", sent_by.incarnation))
+
+
 def bound_by(targets):
     """Return the binding of a request's stream that nobody resumes."""
     request = CallerRequest("r1", None, "", "", 0, 0, 0, "")
@@ -48,38 +58,65 @@
 def test_the_first_events_bind_a_stream_to_their_version():
     binding = bound_by(Targets(entry("e1"), entry("e2", software="v2")))
     assert not binding.can_resume
-    assert binding.accept(entry("e1"))
+    assert accepts(binding, entry("e1"))
     assert binding.software == "v1"
-    assert not binding.accept(entry("e2", software="v2"))
-    assert binding.accept(entry("e3"))
+    assert not accepts(binding, entry("e2", software="v2"))
+    assert accepts(binding, entry("e3"))
 
 
 def test_a_target_that_left_in_mid_run_still_binds_its_stream():
     binding = bound_by(Targets())
-    assert binding.accept(entry())
+    assert accepts(binding, entry())
     assert binding.software == "v1"
 
 
 def test_a_target_that_restarted_since_the_request_was_sent_binds_to_no_version():
     """Guards against a stream bound to the version of an engine's former start."""
     binding = bound_by(Targets(entry(started_ms=2, software="v2")))
-    assert binding.accept(entry(started_ms=1))
+    assert accepts(binding, entry(started_ms=1))
     assert not binding.can_resume
-    assert not binding.accept(entry(started_ms=1))
+    assert not accepts(binding, entry(started_ms=1))
 
 
 def test_a_bound_stream_takes_no_events_of_a_target_that_restarted_since():
     """Guards against events of other software from an engine that kept its id."""
     targets = Targets(entry())
     binding = bound_by(targets)
-    assert binding.accept(entry())
+    assert accepts(binding, entry())
     targets.entries["e1"] = entry(started_ms=2, software="v2")
-    assert not binding.accept(entry(started_ms=1))
+    assert not accepts(binding, entry(started_ms=1))
+
+
+def test_events_without_a_proof_of_their_writer_bind_to_no_version():
+    """Guards against a version inferred from the entry by which a request was sent."""
+    binding = bound_by(Targets(entry()))
+    assert accepts(binding, entry(), writer=None)
+    assert binding.goes_on and not binding.can_resume
+    binding = bound_by(Targets())
+    assert accepts(binding, entry(), writer=Incarnation("e1", 2))
+    assert not binding.can_resume
+
+
+def test_a_bound_stream_takes_no_events_of_an_unproved_writer():
+    """Guards against events of a start that the target's entry doesn't describe yet."""
+    binding = bound_by(Targets(entry()))
+    assert accepts(binding, entry())
+    assert not accepts(binding, entry(), writer=None)
+    assert not accepts(binding, entry(), writer=Incarnation("e1", 2))
+    assert accepts(binding, entry())
+
+
+def test_the_id_proves_the_writer_where_targets_state_no_start():
+    """Guards against streams that go on nowhere on a platform without starts."""
+    known = Targets(entry(started_ms=None), states_start=False)
+    binding = bound_by(known)
+    assert accepts(binding, entry(started_ms=None), writer=None)
+    assert binding.software == "v1"
 
 
 def test_an_entry_that_states_no_version_binds_a_stream_to_none():
     binding = bound_by(Targets(entry(software="")))
-    assert binding.accept(entry(software=""))
+    assert accepts(binding, entry(software=""))
     assert not binding.can_resume
     assert not entry(software="").runs("")
     assert entry(software="").runs(None)
@@ -105,9 +142,9 @@
     request = CallerRequest("r2", None, "", "", 0, 0, 0, "7", resumes="r1")
     binding = StreamBinding(Targets(entry()), origins, request)
     assert (await binding.find_origin(ROUTE)).is_ok()
-    assert not binding.accept(entry(software="v2", target="e2"))
+    assert not accepts(binding, entry(software="v2", target="e2"))
     assert origins.recorded == []
-    assert binding.accept(entry())
+    assert accepts(binding, entry())
     assert origins.recorded == [("r1", StreamOrigin("llm", "v1"))]
 
 
@@ -116,7 +153,7 @@
     request = CallerRequest("r1", None, "", "", 0, 0, 0, "")
     binding = StreamBinding(Targets(entry()), origins, request)
     assert (await binding.find_origin(ROUTE._replace(resumable=False))).is_ok()
-    assert binding.accept(entry())
+    assert accepts(binding, entry())
     assert origins.recorded == []
 
 
