Soak: entries written after a restarted engine serves, all VMs killed in a release

A stand-in of an engine wrote its new entry before it served, so the soak could not meet streams joined from two starts under one id. It is up to a heartbeat late now, and a fault kills all VMs twice while engines change their software.

--- a/hawthornlead/tests/soak_gateway_faults.py
+++ b/hawthornlead/tests/soak_gateway_faults.py
@@ -134,12 +134,19 @@
 async def all_vms_killed(world: GatewayWorld) -> None:
     """All VMs are killed at the same moment, engines live on."""
     world.injected["all-vms-killed"] += 1
+    await kill_all(world, "all-vms-killed")
+
+
+async def kill_all(world: GatewayWorld, name: str, times: int = 1) -> None:
+    """Kill all VMs that no other fault works on, several times in series."""
     with ExitStack() as taken:
         vms = [vm for vm in sorted(world.fleet.vms) if not world.taken(vm)]
         for vm in vms:
             taken.enter_context(world.taking(vm))
-        with world.journal.trouble("all-vms-killed", *vms):
-            await asyncio.gather(*(_kill(world, vm, 0.3) for vm in vms))
+        for _ in range(times):
+            with world.journal.trouble(name, *vms):
+                await asyncio.gather(*(_kill(world, vm, 0.3) for vm in vms))
+            await asyncio.sleep(world.rng.uniform(0.5, 4.0))
 
 
 @vm_fault("vm-frozen", often=2)
--- a/hawthornlead/tests/soak_gateway_targets.py
+++ b/hawthornlead/tests/soak_gateway_targets.py
@@ -9,7 +9,7 @@
 from hawthornlead.gateway.vm_registrations import VMS_KIND
 from hawthornlead.platform.objects import VERSIONS_KIND
 
-from .soak_gateway_faults import fault, target_fault
+from .soak_gateway_faults import fault, kill_all, target_fault
 from .soak_gateway_world import SOFTWARE, GatewayWorld
 from .standins.restarting_engine import RestartingTarget
 
@@ -126,6 +126,23 @@
     await _restart(target, world.rng.choice((0.0, 0.5, 3.0)))
 
 
+@fault("all-vms-killed-in-a-release")
+async def all_vms_killed_in_a_release(world: GatewayWorld) -> None:
+    """All VMs are killed, and again, while engines change their software."""
+    name = "all-vms-killed-in-a-release"
+    with world.own_target(model=True) as one, world.own_target(model=True) as two:
+        changing = [target for target in (one, two) if target is not None]
+        if not changing:
+            return
+        world.injected[name] += 1
+        killing = asyncio.create_task(kill_all(world, name, times=2))
+        for target in changing:
+            target.software = SOFTWARE[1 - SOFTWARE.index(target.software)]
+            with world.journal.trouble(name, target.target):
+                await _restart(target, world.rng.uniform(0.0, 1.0))
+        await killing
+
+
 @target_fault("target-says-it-leaves", hurts=False)
 async def target_says_it_leaves(world: GatewayWorld, target: RestartingTarget) -> bool:
     """A target says in its answers that it leaves; its entry says so never."""
--- a/hawthornlead/tests/standins/restarting_engine.py
+++ b/hawthornlead/tests/standins/restarting_engine.py
@@ -128,7 +128,11 @@
         self._server.add_sockets(sockets)
         self.link.upstream = f"127.0.0.1:{sockets[0].getsockname()[1]}"
         await self.link.restart()
-        self._publish()
+        if earlier_ms:
+            # It serves before its entry says that it is another start.
+            self._spawn(self._publish_late(own))
+        else:
+            self._publish()
         self._spawn(self._restart_if_overloaded(own))
         self._spawn(self._restart_if_crashed(own))
         if self._beating is None:
@@ -216,6 +220,11 @@
             if missed_s > least_s:
                 self._remove()
 
+    async def _publish_late(self, own: Incarnation) -> None:
+        await asyncio.sleep(self._around.rng.uniform(0, HEARTBEAT_S))
+        if own is self.now and not own.over:
+            self._publish()
+
     def _publish(self) -> None:
         if not self._listed:
             return
