Record in the store where streams may begin, before they do

What callers saw: after all VMs were lost in a release, each stream that was taken up was refused: "it isn't known at which software version the stream began".

Cause: a stream's origin was held by five VMs and nowhere else. No VM may infer a version, and nothing durable let a VM that had just started prove one.

Each VM writes an object that names, for each route whose streams may be resumed, the services and versions at which streams may have begun there; it forwards no event of such a stream before the store has accepted that. So one version in all objects is a proof, without anything kept for single streams, and without clocks or leases among VMs: each vouches for itself. While several versions serve, the objects name the streams, too, written at most each 0.1 s. A new era of the store, a lost or unreadable object and a VM of an older build make a history young for a minute: nothing is proved then. Streams begin at proved and recorded versions only; the origin is looked up in the store once the other VMs haven't answered for 0.15 s.

--- a/hawthornlead/gateway/attempt_outcomes.py
+++ b/hawthornlead/gateway/attempt_outcomes.py
@@ -28,6 +28,7 @@
     NO_CONNECTION = "no connection in time"
     SILENT = "not tried, the target is silent"
     GONE = "not tried, the target is gone"
+    UNPROVED = "not tried, its software isn't proved or recorded"
 
 
 # After these nothing ran at the target.
--- a/hawthornlead/gateway/coordination_parts.py
+++ b/hawthornlead/gateway/coordination_parts.py
@@ -81,7 +81,7 @@
         rng=rng,
         events=events,
     )
-    memberships.registration.on_registered = lease.start
+    memberships.registration.subscribe(lease.start)
     settlement = EraSettlement(
         eras=client.eras,
         now=timers.now,
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -9,7 +9,7 @@
     parts = build_requests(core, coordination, targets, metrics)
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from ..core_parts import CoreParts
 from ..decisions.quotas import QuotaLedger
@@ -17,6 +17,8 @@
 from ..decisions.suspects import Suspects
 from ..eras.followed_targets import FollowedTargets
 from ..platform.targets import read_target
+from ..provenance.begun_ledgers import Begun
+from ..provenance.origin_parts import OriginParts, build_origin_parts
 from ..provenance.writer_proofs import WriterProofs
 from .brittle_targets import BrittleTargets
 from .coordination_parts import ASSUMED_VMS
@@ -73,6 +75,7 @@
         run_times: RunTimes,
         quotas: QuotaLedger,
         origins: StreamOrigins,
+        origin_parts: OriginParts,
         writers: WriterProofs,
         measured: MeasuredEngines,
     ):
@@ -99,6 +102,7 @@
         self.run_times = run_times
         self.quotas = quotas
         self.origins = origins
+        self.origin_parts = origin_parts
         self.writers = writers
         self.measured = measured
         self.configuration: Configuration | None = None
@@ -116,6 +120,12 @@
             )
         return budget
 
+    def origins_in_use(self) -> Iterable[Begun]:
+        """Return where streams that may be resumed begin."""
+        if self.configuration is None:
+            return ()
+        return self.writers.origins_in_use(self.configuration)
+
     def apply_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
         self.configuration = configuration
@@ -296,6 +306,28 @@
         timers=timers,
         metrics=metrics,
     )
+    origin_parts = build_origin_parts(
+        core.settings,
+        client=coordination.client,
+        timers=timers,
+        vms=coordination.memberships.live,
+        fleet_size=vms,
+        wanted=lambda: parts.origins_in_use(),
+        on_streams=origins.learn,
+    )
+    coordination.memberships.registration.subscribe(origin_parts.start)
+    writers = WriterProofs(
+        targets=known.targets,
+        begun=origin_parts.begun,
+        paths=known.paths,
+        calls=EngineCalls(connections=known.connections),
+        metrics=metrics,
+    )
+    metrics.add_gauge(
+        "recorded_streams",
+        "Streams whose origin this VM's record in the store names",
+        lambda: origin_parts.begun.recorded_streams,
+    )
     metrics.add_gauge(
         "stream_origins",
         "Streams of which this VM knows the software version that began them",
@@ -306,7 +338,7 @@
     known.targets.subscribe(lambda lost, _: limits.discard(lost.target))
     known.targets.subscribe(lambda lost, _: backoffs.discard(lost.target))
     known.targets.subscribe(lambda lost, _: brittle.discard(lost.target))
-    return GatewayParts(
+    parts = GatewayParts(
         core=core,
         metrics=metrics,
         targets=known.targets,
@@ -328,11 +360,8 @@
         run_times=run_times,
         quotas=coordination.quotas,
         origins=origins,
-        writers=WriterProofs(
-            targets=known.targets,
-            paths=known.paths,
-            calls=EngineCalls(connections=known.connections),
-            metrics=metrics,
-        ),
+        origin_parts=origin_parts,
+        writers=writers,
         measured=known.measured,
     )
+    return parts
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -52,6 +52,8 @@
         self._binding = StreamBinding(
             parts.targets,
             parts.origins,
+            parts.origin_parts,
+            call,
             self._request,
             origin.stream if origin is not None else None,
         )
--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -22,6 +22,7 @@
 from ..platform.headers import read_store_era
 from ..platform.objects import (
     CONFIGURATION_KIND,
+    deleted_path,
     list_path,
     object_body,
     object_path,
@@ -149,6 +150,19 @@
             return _restored()
         return _parsed(answer.ok_value, read_record)
 
+    async def delete(
+        self, kind: str, name: str, revision: int
+    ) -> Result[None, Failure]:
+        """Delete an object; ``VERSION_CONFLICT`` if it is not at ``revision``."""
+        if era_of(revision) < self._eras.current:
+            return _restored()
+        answer = await self._call("DELETE", deleted_path(kind, name, revision))
+        if answer.is_err():
+            return answer
+        if answer.ok_value.status == NOT_FOUND:
+            return Ok(None)
+        return _parsed(answer.ok_value, lambda body, era: None)
+
     async def list_all(
         self, kind: str, stale: bool = False
     ) -> Result[StoreChanges, Failure]:
--- a/hawthornlead/gateway/stream_origins.py
+++ b/hawthornlead/gateway/stream_origins.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import math
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 from ..decisions.copy_holders import choose_holders
 from ..fleet.fleet_meshes import FleetMesh
@@ -43,6 +43,10 @@
 MAX_SENT = 1000
 # Longer ids are no caller's and would fill messages between VMs.
 MAX_ID_LENGTH = 128
+# How much longer than the other VMs the store's records are waited for.
+LOOK_UP_TIMEOUT_S = 0.5
+
+LookUp = Callable[[], Awaitable[StreamOrigin | None]]
 
 
 class StreamOrigins:
@@ -97,14 +101,60 @@
                 SEND_INTERVAL_S, self._send_copies, name="stream origins"
             )
 
-    async def find(self, request: str) -> StreamOrigin | None:
-        """Return where a stream began, None if no VM that answers knows it."""
-        if not request or len(request) > MAX_ID_LENGTH:
+    def learn(self, streams: Mapping[str, StreamOrigin]) -> None:
+        """Keep copies of origins that the store's records name."""
+        now = self._timers.now()
+        for request, origin in streams.items():
+            self._copies.add(request, origin, now)
+
+    async def find(
+        self, request: str, look_up: LookUp | None = None
+    ) -> StreamOrigin | None:
+        """Return where a stream began, None if nobody who answers knows it.
+
+        ``look_up`` asks the store's records. It is called if no VM has answered for
+        longer than one takes.
+        """
+        if len(request) > MAX_ID_LENGTH:
             return None
-        known = self._known(request)
+        known = self._known(request) if request else None
         if known is not None:
             self._searched.labels("known here").inc()
             return known
+        looking = asyncio.ensure_future(self._look_up(request, look_up))
+        try:
+            if request:
+                known = await self._ask(request)
+            if known is None and await wait_done(
+                self._timers, looking, LOOK_UP_TIMEOUT_S
+            ):
+                known = looking.result()
+        finally:
+            looking.cancel()
+        if known is None:
+            self._searched.labels("not found").inc()
+        return known
+
+    async def _look_up(
+        self, request: str, look_up: LookUp | None
+    ) -> StreamOrigin | None:
+        if look_up is None:
+            return None
+        if request:
+            await self._timers.sleep(SEARCH_REPEAT_S)
+        found = await look_up()
+        if found is not None:
+            self._searched.labels("recorded").inc()
+            self._end_search(request)
+        return found
+
+    def _end_search(self, request: str) -> None:
+        search = self._searches.get(request)
+        if search is not None and not search.done():
+            search.set_result(None)
+
+    async def _ask(self, request: str) -> StreamOrigin | None:
+        """Ask the other VMs for a stream, until the records show it."""
         search = self._searches.get(request)
         if search is None:
             search = asyncio.get_running_loop().create_future()
@@ -114,7 +164,8 @@
         finally:
             self._searches.pop(request, None)
         found = self._known(request)
-        self._searched.labels("not found" if found is None else "found").inc()
+        if found is not None:
+            self._searched.labels("found").inc()
         return found
 
     async def _search(self, request: str, search: asyncio.Future) -> None:
@@ -192,9 +243,7 @@
             origin = StreamOrigin(streams.service, streams.software)
             for request in streams.requests:
                 self._copies.add(request, origin, now)
-                search = self._searches.get(request)
-                if search is not None and not search.done():
-                    search.set_result(None)
+                self._end_search(request)
 
     async def _on_find(self, sender, message: FindStreams) -> None:
         found = []
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ..engine_speeds.stream_samples import EventTimes, StreamSample
+from ..errors import ErrorKind, Failure
 from ..platform.headers import request_headers
 from ..promises.run_ledgers import PROMISE_STATUSES, RunLedger, prove_not_run
 from .attempt_crashes import AttemptCrashes
@@ -10,6 +11,7 @@
 from .attempt_records import AttemptRecords, LoadAtStart
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
+from .origin_tables import StreamOrigin
 from .placers import Placed
 from .records import CallerRequest, Loss, Route, RouteKind, TargetEntry, Workspace
 from .request_reporters import RequestReporter
@@ -24,7 +26,7 @@
     Head,
     WholeAnswer,
 )
-from .target_liveness import LossSubscriber, Repeat
+from .target_liveness import LossSubscriber, Repeat, repeat_rule
 from .target_notices import apply_notices
 from .target_probes import MISDIRECTED_STATUS
 
@@ -71,6 +73,8 @@
         self._ledger = ledger
         self._records = AttemptRecords(parts)
         self._load = LoadAtStart(0, 0)
+        # Where a stream that may be resumed begins at the target of the attempt.
+        self._origin: StreamOrigin | None = None
         self.failed_answer: WholeAnswer | None = None
         self.loss: Loss | None = None
         self.unreached: Unreached | None = None
@@ -95,17 +99,10 @@
             return self._on_unreached(Unreached.SILENT)
         if not self._may_send(placed):
             return AttemptOutcome.UNWANTED
-        opened = await self._parts.writers.open(
-            entry,
-            proved=route.resumable and spec.engine is not None,
-            required=self._binding.goes_on,
-        )
+        self._origin = self._parts.writers.origin_at(route, spec, entry)
+        opened = await self._parts.writers.open(route, entry, self._origin)
         if opened.is_err():
-            self._records.count_failure(entry, gone=True)
-            refused = opened.err_value.refused
-            return self._on_unreached(
-                Unreached.REFUSED if refused else Unreached.NO_CONNECTION
-            )
+            return self._on_unopened(entry, opened.err_value)
         exchange = opened.ok_value
         if self._call.left:
             exchange.release()
@@ -113,7 +110,7 @@
         if not self._parts.targets.is_current(entry):
             exchange.close()
             return self._on_unreached(Unreached.GONE)
-        if not self._ledger.may_send(repeatable=_repeat(route) is not Repeat.NEVER):
+        if not self._ledger.may_send(repeatable=repeat_rule(route) is not Repeat.NEVER):
             exchange.close()
             return AttemptOutcome.SPENT
         if not self.crashes.acquire():
@@ -122,7 +119,7 @@
         self._parts.loads.on_request_started(entry.target, placed.key)
         slots = spec.engine.batch if spec.engine else entry.slots
         self._load = LoadAtStart(slots, self._parts.loads.running(entry.target))
-        subscriber = loss_detector.subscribe(entry, spec, _repeat(route))
+        subscriber = loss_detector.subscribe(entry, spec, repeat_rule(route))
         try:
             if route.kind is RouteKind.STREAMING:
                 return await self._relay_stream(route, placed, exchange, subscriber)
@@ -132,6 +129,14 @@
             loss_detector.unsubscribe(subscriber)
             self._parts.loads.on_request_ended(entry.target, placed.key)
 
+    def _on_unopened(self, entry: TargetEntry, failure: Failure) -> AttemptOutcome:
+        if failure.kind is ErrorKind.NO_TARGET:
+            return self._on_unreached(Unreached.UNPROVED)
+        self._records.count_failure(entry, gone=True)
+        return self._on_unreached(
+            Unreached.REFUSED if failure.refused else Unreached.NO_CONNECTION
+        )
+
     def _on_unreached(self, cause: Unreached) -> AttemptOutcome:
         self.unreached = cause
         return AttemptOutcome.UNREACHED
@@ -238,7 +243,7 @@
         relay = StreamRelay(
             self._stream,
             self._parts.timers.now,
-            lambda: self._binding.accept(entry, exchange.writer),
+            lambda: self._binding.accept(entry, exchange.writer, self._origin),
             self.crashes.record_answered,
             times,
             self._request.max_tokens if self._request.tells_tokens else None,
@@ -388,10 +393,3 @@
             # owner would answer that the adapter has left.
             self._parts.targets.mark_refused(entry.target, key, arriving=True)
         return AttemptOutcome.TOO_EARLY
-
-
-def _repeat(route: Route) -> Repeat:
-    """Return when a request on a route may be sent to another target."""
-    if route.repeatable:
-        return Repeat.FREELY
-    return Repeat.AFTER_END if route.resumable else Repeat.NEVER
--- a/hawthornlead/gateway/target_liveness.py
+++ b/hawthornlead/gateway/target_liveness.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from enum import Enum
 
-from .records import Loss, ServiceSpec, TargetEntry
+from .records import Loss, Route, ServiceSpec, TargetEntry
 from .target_connections import AnswerSink, Head
 
 # A target with requests of this VM is probed after this much silence. Engines send
@@ -38,6 +38,13 @@
     NEVER = "never"
 
 
+def repeat_rule(route: Route) -> Repeat:
+    """Return when a request on a route may be sent to another target."""
+    if route.repeatable:
+        return Repeat.FREELY
+    return Repeat.AFTER_END if route.resumable else Repeat.NEVER
+
+
 class TargetLiveness:
     """What this VM observed of one incarnation that it sends requests to.
 
--- a/hawthornlead/gateway/vm_registrations.py
+++ b/hawthornlead/gateway/vm_registrations.py
@@ -44,8 +44,14 @@
         self._record = record
         self._registered = False
         self._tasks = TaskSet()
-        # Called once, with whether an earlier process of this VM had registered.
-        self.on_registered: Callable[[bool], None] = lambda again: None
+        self._subscribers: list[Callable[[bool], None]] = []
+
+    def subscribe(self, on_registered: Callable[[bool], None]) -> None:
+        """Call ``on_registered`` once this VM is registered.
+
+        It is told whether an earlier process of this VM had registered.
+        """
+        self._subscribers.append(on_registered)
 
     def start(self) -> None:
         """Write the registration, and again in each new era."""
@@ -85,4 +91,5 @@
     def _on_written(self, created: bool) -> None:
         if not self._registered:
             self._registered = True
-            self.on_registered(not created)
+            for on_registered in self._subscribers:
+                on_registered(not created)
--- a/hawthornlead/platform/objects.py
+++ b/hawthornlead/platform/objects.py
@@ -53,6 +53,11 @@
     return f"{list_path(kind)}/{quote(name, safe='')}"
 
 
+def deleted_path(kind: str, name: str, revision: int) -> str:
+    """Return the path that deletes an object if it is at a revision."""
+    return f"{object_path(kind, name)}?revision={stored_revision(revision)}"
+
+
 def stale_object_path(kind: str, name: str) -> str:
     """Return the path of one object, seconds old, at a tenth of the cost of a read."""
     return f"{object_path(kind, name)}?allowStale=1"
--- a/hawthornlead/provenance/writer_proofs.py
+++ b/hawthornlead/provenance/writer_proofs.py
@@ -1,14 +1,16 @@
-"""Connections whose writer is proved: the start of a target that writes there.
+"""Connections for streams that may be resumed: it is proved who writes on them.
 
 A target that starts again under its id serves before its new entry is in the store, and
 its answers to requests name no start. Its report does. A connection ends with the
 process behind it, so what a report says of the start holds for all that is read from
 that connection, before and after::
 
-    opened = await proofs.open(entry, proved=True)
+    origin = proofs.origin_at(route, spec, entry)
+    opened = await proofs.open(route, entry, origin)
     opened.ok_value.writer  # Incarnation("i-7f3a", 1790000000000), None without a proof
 """
 
+from collections.abc import Iterator
 from enum import Enum
 
 from result import Err, Ok, Result
@@ -16,10 +18,20 @@
 from ..errors import ErrorKind, Failure
 from ..gateway.engine_calls import EngineCalls
 from ..gateway.gateway_metrics import GatewayMetrics
-from ..gateway.records import Incarnation, RestartSeen, TargetEntry
+from ..gateway.origin_tables import StreamOrigin
+from ..gateway.records import (
+    Configuration,
+    Incarnation,
+    RestartSeen,
+    Route,
+    ServiceSpec,
+    TargetEntry,
+)
 from ..gateway.target_connections import Exchange
 from ..gateway.target_paths import TargetPaths
 from ..gateway.target_tables import TargetTable
+from .begun_ledgers import Begun, BegunLedger
+from .origin_records import RouteKey
 
 # A target returns its report within a few milliseconds. The request waits for it.
 PROOF_TIMEOUT_S = 0.25
@@ -34,38 +46,89 @@
     REPORTED = "reported"
     OTHER = "another start reported"
     MISSING = "no report"
+    UNRECORDED = "not recorded"
 
 
 class WriterProofs:
-    """Opens connections to targets and proves which start of them is behind.
+    """Opens connections to targets, for streams with a proof of who writes there.
 
     Targets whose entries state no start have a new id at each start. A request names
     the id that it expects and is refused by any other, so nothing is proved there.
+    Plain targets have no report. Where they state their start, their software is
+    unknown, and what they wrote goes on nowhere.
     """
 
     def __init__(
         self,
         *,
         targets: TargetTable,
+        begun: BegunLedger,
         paths: TargetPaths,
         calls: EngineCalls,
         metrics: GatewayMetrics,
     ):
         self._targets = targets
+        self._begun = begun
         self._paths = paths
         self._calls = calls
         self._outcomes = metrics.writer_proofs
 
+    def origin_at(
+        self, route: Route, spec: ServiceSpec, entry: TargetEntry
+    ) -> StreamOrigin | None:
+        """Return where a stream begins at a target, None if it can't be resumed."""
+        return self._origin_at(spec, entry) if route.resumable else None
+
+    def origins_in_use(self, configuration: Configuration) -> Iterator[Begun]:
+        """Return where streams that may be resumed begin, by what this VM knows."""
+        by_service: dict[str, set[StreamOrigin]] = {}
+        for route in configuration.routes:
+            if not route.resumable:
+                continue
+            key = RouteKey(route.host, route.prefix)
+            for service in [share.service for share in route.services]:
+                if service not in by_service:
+                    by_service[service] = self._origins_of(configuration, service)
+                for origin in by_service[service]:
+                    yield Begun(key, origin)
+
+    def _origins_of(
+        self, configuration: Configuration, service: str
+    ) -> set[StreamOrigin]:
+        spec = configuration.service(service)
+        if spec is None:
+            return set()
+        entries = self._targets.of_service(service)
+        origins = {self._origin_at(spec, entry) for entry in entries}
+        if spec.engine is not None:
+            # A target that has restarted is used once its new entry has come.
+            origins.discard(StreamOrigin(service, ""))
+        return origins
+
+    def _origin_at(self, spec: ServiceSpec, entry: TargetEntry) -> StreamOrigin:
+        states_start = self._targets.states_start(entry.target)
+        provable = spec.engine is not None or not states_start
+        return StreamOrigin(entry.service, entry.software if provable else "")
+
     async def open(
-        self, entry: TargetEntry, *, proved: bool, required: bool = False
+        self, route: Route, entry: TargetEntry, origin: StreamOrigin | None
     ) -> Result[Exchange, Failure]:
-        """Return an exchange with a target, if possible with a ``proved`` writer.
+        """Return an exchange with a target at which a stream may begin or go on.
 
-        Without a proof the exchange has no ``writer``. If the proof is ``required``
-        too, this fails with ``TARGET_UNREACHABLE`` then: nothing was sent.
+        ``origin`` is that of ``origin_at``. The error is ``NO_TARGET`` if it isn't
+        recorded or if another start answers, and ``TARGET_UNREACHABLE`` if there is no
+        connection or no report. Nothing was sent then.
         """
-        if not proved or not self._targets.states_start(entry.target):
+        if origin is None:
             return await self._paths.open(entry)
+        if not await self._begun.ensure(RouteKey(route.host, route.prefix), origin):
+            self._count(WriterProof.UNRECORDED)
+            return _unproved(entry, "not recorded that streams may begin there")
+        if origin.software and self._targets.states_start(entry.target):
+            return await self._open_proved(entry)
+        return await self._paths.open(entry)
+
+    async def _open_proved(self, entry: TargetEntry) -> Result[Exchange, Failure]:
         for _ in range(MAX_REPORTS):
             opened = await self._paths.open(entry, entry.incarnation)
             if opened.is_err():
@@ -82,9 +145,8 @@
                 self._count(WriterProof.OTHER)
                 return _unproved(entry, "another start answers")
         self._count(WriterProof.MISSING)
-        if required:
-            return _unproved(entry, "no report proves its start")
-        return await self._paths.open(entry)
+        detail = f"{entry.target}: no report proves its start"
+        return Err(Failure(ErrorKind.TARGET_UNREACHABLE, detail))
 
     async def _prove(self, entry: TargetEntry, exchange: Exchange) -> Exchange | None:
         """Ask for a report; return the next exchange on the connection, if it proves.
@@ -108,4 +170,4 @@
 
 
 def _unproved(entry: TargetEntry, detail: str) -> Err[Failure]:
-    return Err(Failure(ErrorKind.TARGET_UNREACHABLE, f"{entry.target}: {detail}"))
+    return Err(Failure(ErrorKind.NO_TARGET, f"{entry.target}: {detail}"))
--- /dev/null
+++ b/hawthornlead/tests/test_origin_records.py
@@ -0,0 +1,356 @@
+"""Tests of the records in the store that say at which versions streams began."""
+
+import asyncio
+
+import pytest
+
+from hawthornlead.gateway.records import StoredRecord
+from hawthornlead.provenance import begun_ledgers, origin_sweeps
+from hawthornlead.provenance.begun_ledgers import (
+    ENSURE_TIMEOUT_S,
+    MAX_STREAMS,
+    VALID_S,
+)
+from hawthornlead.provenance.origin_records import (
+    OriginRecord,
+    RouteHistory,
+    find_stream,
+    origin_spec,
+    prove_origin,
+    read_origin_record,
+)
+from hawthornlead.provenance.origin_sweeps import GONE_S
+
+from .fakes_origin_records import (
+    HOST,
+    KEY,
+    PATH,
+    RESUMED_S,
+    V1,
+    V2,
+    V3,
+    RecordingWorld,
+)
+
+# No stream can be resumed for longer after it began.
+LONGEST_STREAM_S = 60.0
+
+
+@pytest.fixture
+async def world():
+    running = RecordingWorld(("a", "b", "c"))
+    await running.advance(1.0)
+    yield running
+    running.stop()
+
+
+def record(vm="a", began=(V1,), whole=True, era=1, key=KEY, **streams):
+    """Return what a VM states of one route."""
+    return OriginRecord(vm, era, {key: RouteHistory(whole, frozenset(began))}, streams)
+
+
+def prove(*records, vms=(), era=1, path=PATH):
+    """Return what records prove of a request."""
+    return prove_origin({each.vm: each for each in records}, vms, era, HOST, path)
+
+
+def test_one_version_in_all_records_is_where_each_stream_began():
+    assert prove(record("a"), record("b")) == V1
+    assert prove(record("a"), record("b"), vms=("a", "b")) == V1
+
+
+def test_two_versions_prove_nothing():
+    """Guards against the version that most VMs use."""
+    assert prove(record("a"), record("b", (V2,))) is None
+    assert prove(record("a", (V1, V2))) is None
+
+
+def test_a_vm_without_a_record_may_have_begun_streams_anywhere():
+    """Guards against streams of VMs whose build keeps no records."""
+    assert prove(record("a"), vms=("a", "b")) is None
+
+
+def test_a_history_that_is_not_whole_proves_nothing():
+    assert prove(record("a"), record("b", whole=False)) is None
+
+
+def test_a_record_of_another_era_proves_nothing():
+    """Guards against a record from a copy of the store that lacks a version."""
+    assert prove(record("a"), record("b", era=0)) is None
+    assert prove(record("a"), record("b"), era=2) is None
+
+
+def test_an_unknown_version_proves_nothing():
+    assert prove(record("a", (V1._replace(software=""),))) is None
+    assert prove() is None
+
+
+def test_routes_that_served_the_path_before_count_too():
+    """Guards against a stream of a route that a longer prefix has replaced."""
+    longer = KEY._replace(prefix="/resume/x/")
+    records = (record("a", (V2,), key=longer), record("b"))
+    assert prove(*records, path="/resume/x/y") is None
+    assert prove(*records, path="/resume/z") == V1
+    assert prove(*records, path="/other/") is None
+
+
+def test_an_id_of_two_origins_is_of_neither():
+    known = {"a": record("a", r1=V1), "b": record("b", r1=V2, r2=V2)}
+    assert find_stream(known, "r1").software == ""
+    assert find_stream(known, "r2") == V2
+    assert find_stream(known, "r3") is None
+
+
+def test_a_record_is_read_as_it_was_written():
+    stated = record("a", (V1, V2), whole=False, r1=V1, r2=V2, r3=V1)
+    assert read_origin_record(StoredRecord("a", 7, origin_spec(stated), None)) == stated
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        None,
+        {},
+        [],
+        {"era": True, "routes": [], "streams": []},
+        {"era": 1, "routes": [["h", "/", True]], "streams": []},
+        {"era": 1, "routes": [["h", "/", True, [["s", 1]]]], "streams": []},
+        {"era": 1, "routes": [], "streams": [["s", "v1", [1]]]},
+        {"era": 1, "routes": [[1, "/", True, []]], "streams": []},
+    ],
+)
+def test_a_record_of_another_writer_is_refused(spec):
+    with pytest.raises(ValueError):
+        read_origin_record(StoredRecord("a", 7, spec, None))
+
+
+async def test_a_stream_is_found_by_its_id_while_two_versions_serve(world):
+    for vm in world.running:
+        world.vms[vm].used.add(V2)
+    await world.advance(1.0)
+    assert await world.begin("a", "r1", V1)
+    assert await world.begin("b", "r2", V2)
+    await world.advance(0.5)
+    for vm in ("a", "b", "c"):
+        world.kill(vm)
+    world.start("c")
+    await world.advance(1.0)
+    assert await world.find("c", "r1") == V1
+    assert await world.find("c", "r2") == V2
+    assert await world.find("c", "r3") is None
+
+
+async def test_streams_of_before_a_release_are_recorded_as_it_begins(world):
+    """Guards against refusing what began shortly before the second version came."""
+    assert await world.begin("a", "r1", V1)
+    assert world.store.objects["a"].spec["streams"] == []
+    world.vms["a"].used.add(V2)
+    await world.advance(1.0)
+    world.kill("a")
+    assert await world.find("b", "r1") == V1
+
+
+async def test_no_stream_is_written_while_one_version_serves(world):
+    """Guards against a write for each stream."""
+    before = world.store.writes
+    for number in range(40):
+        assert await world.begin("a", f"r{number}", V1)
+    await world.advance(5.0)
+    assert world.store.writes == before
+
+
+async def test_a_version_out_of_use_is_dropped_after_its_last_stream(world):
+    """Guards against a release that is never over, and one that is over too soon."""
+    world.vms["a"].used.add(V2)
+    await world.advance(1.0)
+    assert await world.find("b", "unknown") is None
+    for vm in world.running:
+        world.vms[vm].used = {V2}
+    await world.advance(LONGEST_STREAM_S - 2.0)
+    assert await world.find("b", "unknown") is None
+    await world.advance(4.0)
+    assert await world.find("b", "unknown") == V2
+
+
+async def test_a_version_waits_for_the_store_and_no_longer_than_it_may(world):
+    """Guards against streams at a version that no record names."""
+    world.store.away = True
+    started_at = world.timers.now()
+    assert not await world.begin("a", "r1", V2)
+    assert world.timers.now() - started_at <= ENSURE_TIMEOUT_S + 0.1
+    assert await world.begin("a", "r2", V1)
+    world.store.away = False
+    await world.advance(1.0)
+    assert await world.begin("a", "r3", V2)
+
+
+async def test_a_record_counts_only_while_it_is_renewed(world, monkeypatch):
+    """Guards against a VM that relies on a record that was removed."""
+    monkeypatch.setattr(begun_ledgers, "RENEW_S", 4.0)
+    monkeypatch.setattr(begun_ledgers, "VALID_S", 10.0)
+    before = world.store.objects["a"].revision
+    await world.advance(5.0)
+    assert world.store.objects["a"].revision > before
+    world.store.away = True
+    await world.advance(8.0)
+    assert await world.begin("a", "r1", V1)
+    await world.advance(3.0)
+    assert not await world.begin("a", "r2", V1)
+
+
+async def test_a_write_without_an_answer_is_repeated(world):
+    for fault in ("lost", "late"):
+        setattr(world.store, fault, 1)
+        world.vms["a"].used.add(V2 if fault == "lost" else V3)
+        await world.advance(1.5)
+        world.store.carry_out_late()
+        await world.advance(1.5)
+    assert await world.begin("a", "r1", V3)
+    assert await world.find("b", "r1") in (None, V3)
+
+
+async def test_a_vm_of_a_build_without_records_is_young_for_a_while():
+    """Guards against streams of a former build that no record names."""
+    world = RecordingWorld(("a",))
+    await world.advance(1.0)
+    assert await world.find("a", "") == V1
+    world.kill("a")
+    world.store.objects.clear()
+    world.start("a")
+    await world.advance(1.0)
+    assert await world.find("a", "") is None
+    await world.advance(LONGEST_STREAM_S + 1.0)
+    assert await world.find("a", "") == V1
+    world.stop()
+
+
+async def test_a_restored_store_proves_nothing_for_a_while(world):
+    """Guards against records that the store has lost with a copy."""
+    taken = world.store.copy()
+    world.vms["a"].used.add(V2)
+    await world.advance(0.5)
+    assert await world.begin("a", "r1", V2)
+    world.kill("a")
+    world.store.restore(taken)
+    await world.advance(2.0)
+    assert await world.find("b", "") is None
+    world.start("a")
+    await world.advance(2.0)
+    assert await world.find("b", "") is None
+
+
+async def test_a_living_vm_is_young_after_the_store_was_restored():
+    """Guards against streams of a VM whose record the store has lost."""
+    world = RecordingWorld(("a",))
+    await world.advance(1.0)
+    world.store.restore(world.store.copy())
+    for _ in range(3):
+        await world.advance(5.0)
+        assert await world.find("a", "") is None
+    await world.advance(LONGEST_STREAM_S)
+    assert await world.find("a", "") == V1
+    world.stop()
+
+
+async def test_vms_that_start_after_a_restored_copy_take_it_for_old(world):
+    """Guards against a record of a copy that lacks the last version."""
+    taken = world.store.copy()
+    world.vms["a"].used.add(V2)
+    await world.advance(0.5)
+    assert await world.begin("a", "r1", V2)
+    vms = world.running
+    for vm in vms:
+        world.kill(vm)
+    world.store.restore(taken)
+    for vm in vms:
+        world.start(vm)
+    await world.advance(5.0)
+    assert await world.find("b", "") is None
+
+
+async def test_a_young_vm_that_restarts_is_young_again():
+    """Guards against a restart that makes a history whole."""
+    world = RecordingWorld(("a",))
+    await world.advance(1.0)
+    world.kill("a")
+    world.store.objects.clear()
+    world.start("a")
+    await world.advance(1.0)
+    world.kill("a")
+    world.start("a")
+    await world.advance(1.0)
+    assert await world.find("a", "") is None
+    world.stop()
+
+
+async def test_a_vm_whose_record_another_writer_spoilt_is_young(world):
+    """Guards against versions that were lost with the record's content."""
+    world.kill("a")
+    spoilt = world.store.objects["a"]._replace(spec={"vm": "a"})
+    world.store.objects["a"] = spoilt
+    assert await world.find("b", "") is None
+    world.start("a")
+    await world.advance(2.0)
+    assert await world.find("b", "") is None
+
+
+async def test_an_unreadable_record_proves_nothing(world):
+    """Guards against versions that only an unreadable record names."""
+    world.store.objects["z"] = StoredRecord("z", 3, {"vm": "z"}, None)
+    assert await world.find("a", "") is None
+    del world.store.objects["z"]
+    assert await world.find("a", "") == V1
+
+
+async def test_a_listing_that_began_before_the_caller_came_proves_nothing(world):
+    """Guards against a version that was recorded after the listing was made."""
+    world.store.held = asyncio.Event()
+    earlier = asyncio.ensure_future(world.vms["b"].lookups.find(HOST, PATH, ""))
+    await world.advance(0.2)
+    held, world.store.held = world.store.held, None
+    assert await world.begin("a", "r1", V2)
+    later = asyncio.ensure_future(world.vms["b"].lookups.find(HOST, PATH, ""))
+    await world.advance(0.2)
+    held.set()
+    await world.advance(0.5)
+    assert earlier.result() == V1
+    assert later.result() is None
+
+
+async def test_records_of_vms_that_are_gone_are_removed(world, monkeypatch):
+    """Guards against a version that lives on in the record of a removed VM."""
+    assert GONE_S >= VALID_S + LONGEST_STREAM_S
+    monkeypatch.setattr(origin_sweeps, "GONE_S", 10.0)
+    world.kill("c")
+    for _ in range(2):
+        await world.vms["a"].sweeps.sweep()
+        assert "c" in world.store.objects
+        await world.advance(6.0)
+    await world.vms["a"].sweeps.sweep()
+    assert sorted(world.store.objects) == ["a", "b"]
+
+
+async def test_a_record_that_changes_is_not_removed(world, monkeypatch):
+    """Guards against removing the record of a VM that is only unseen by others."""
+    monkeypatch.setattr(origin_sweeps, "GONE_S", 10.0)
+    monkeypatch.setattr(begun_ledgers, "RENEW_S", 4.0)
+    unseen = world.vms.pop("c")
+    for _ in range(4):
+        await world.vms["a"].sweeps.sweep()
+        await world.advance(6.0)
+    assert world.store.deleted == []
+    unseen.stop()
+
+
+async def test_the_streams_of_one_record_are_bounded(world):
+    ledger = world.vms["a"].ledger
+    world.vms["a"].used.add(V2)
+    await world.advance(1.0)
+    for number in range(MAX_STREAMS + 5):
+        ledger.add_stream(f"r{number}", KEY, V1, world.timers.now() + RESUMED_S)
+    await world.advance(0.5)
+    assert ledger.recorded_streams == MAX_STREAMS
+    await world.advance(RESUMED_S)
+    assert await world.begin("a", "last", V1)
+    await world.advance(0.5)
+    assert ledger.recorded_streams == 1
