--- a/hawthornlead/provenance/begun_ledgers.py
+++ b/hawthornlead/provenance/begun_ledgers.py
@@ -43,6 +43,9 @@
 # relies on its own only if the store has accepted it since, which may be away for long.
 RENEW_S = 1200.0
 VALID_S = 3600.0
+# So many writes may come at once, MIN_INTERVAL_S apart, if there were few before.
+BURST = 4
+MIN_INTERVAL_S = 0.1
 # The newest streams of one object, some 80 kB.
 MAX_STREAMS = 4000
 # How long the streams of a former process of this VM are kept; it knew their deadlines.
@@ -66,7 +69,7 @@
     """Writes this VM's object, which only this VM writes.
 
     ``wanted`` returns where streams may begin by the configuration and the targets that
-    this VM knows, and ``interval_s`` the shortest time between two writes.
+    this VM knows, and ``interval_s`` the time between two writes on the mean.
     """
 
     def __init__(
@@ -93,6 +96,8 @@
         self._accepted: OriginRecord | None = None
         self._accepted_at = float("-inf")
         self._failing = False
+        # When the writes of before would have been made at the mean interval.
+        self._due_at = 0.0
         self._changed = Signal()
         self._written = Signal()
         self._tasks = TaskSet()
@@ -206,9 +211,15 @@
                 continue
             self._failing = not await self._write(state)
             self._written.fire()
-            pause_s = RETRY_S if self._failing else self._interval_s()
+            pause_s = RETRY_S if self._failing else self._pause_s()
             await self._timers.sleep(pause_s)
 
+    def _pause_s(self) -> float:
+        """Return the pause after a write, for which a burst before counts."""
+        now, interval_s = self._timers.now(), self._interval_s()
+        self._due_at = max(now, self._due_at) + interval_s
+        return max(MIN_INTERVAL_S, self._due_at - BURST * interval_s - now)
+
     async def _load(self, again: bool) -> bool:
         """Take over what a former process of this VM stated."""
         found = await self._client.get(ORIGINS_KIND, self._vm)
--- a/hawthornlead/provenance/origin_parts.py
+++ b/hawthornlead/provenance/origin_parts.py
@@ -14,7 +14,6 @@
 # The share of the store's writes a second that all VMs together may use for origins.
 # It takes several times as many reads.
 RATE_SHARE = 0.25
-MIN_WRITE_INTERVAL_S = 0.1
 MIN_LIST_PAUSE_S = 0.02
 
 
@@ -55,7 +54,7 @@
         client=client,
         timers=timers,
         wanted=wanted,
-        interval_s=lambda: max(MIN_WRITE_INTERVAL_S, fleet_size() / calls_per_s),
+        interval_s=lambda: fleet_size() / calls_per_s,
     )
     lookups = OriginLookups(
         client=client,
--- a/hawthornlead/tests/test_origin_records.py
+++ b/hawthornlead/tests/test_origin_records.py
@@ -7,6 +7,7 @@
 from hawthornlead.gateway.records import StoredRecord
 from hawthornlead.provenance import begun_ledgers, origin_sweeps
 from hawthornlead.provenance.begun_ledgers import (
+    BURST,
     ENSURE_TIMEOUT_S,
     MAX_STREAMS,
     VALID_S,
@@ -342,6 +343,21 @@
     unseen.stop()
 
 
+async def test_writes_come_in_short_bursts_and_seldom_on_the_mean(world):
+    """Guards against more writes than the store takes from a large fleet."""
+    vm = world.vms["a"]
+    vm.ledger._interval_s = lambda: 2.0
+    vm.used.add(V2)
+    await world.advance(10.0)
+    before = world.store.writes
+    for number in range(200):
+        vm.ledger.add_stream(f"r{number}", KEY, V1, world.timers.now() + RESUMED_S)
+        await world.advance(0.1)
+        if number == 1:
+            assert world.store.writes - before == 2
+    assert world.store.writes - before <= 10 + BURST
+
+
 async def test_the_streams_of_one_record_are_bounded(world):
     ledger = world.vms["a"].ledger
     world.vms["a"].used.add(V2)
