One name for records of origins, one package for them, and what a reader would stumble over

Nothing changes in what the code does. BegunLedger, Begun and OriginParts are OriginLedger, RouteOrigin and RecordedOrigins, as their neighbours are named; the history of a route is complete or incomplete, in code, tests and docs. origin_tables lies beside them in provenance. Two state machines share their event loop (WorldMachine), and tests of records their set-up; each test of a failure says which; the one of lost and late writes asks for the version itself, not for it or none.

--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -17,8 +17,8 @@
 from ..decisions.suspects import Suspects
 from ..eras.followed_targets import FollowedTargets
 from ..platform.targets import read_target
-from ..provenance.begun_ledgers import Begun
-from ..provenance.origin_parts import OriginParts, build_origin_parts
+from ..provenance.origin_ledgers import RouteOrigin
+from ..provenance.recorded_origins import RecordedOrigins, build_recorded_origins
 from ..provenance.writer_proofs import WriterProofs
 from .brittle_targets import BrittleTargets
 from .coordination_parts import ASSUMED_VMS
@@ -75,8 +75,8 @@
         run_times: RunTimes,
         quotas: QuotaLedger,
         origins: StreamOrigins,
-        origin_parts: OriginParts,
-        writers: WriterProofs,
+        recorded_origins: RecordedOrigins,
+        writer_proofs: WriterProofs,
         measured: MeasuredEngines,
     ):
         self._settings = core.settings
@@ -102,8 +102,8 @@
         self.run_times = run_times
         self.quotas = quotas
         self.origins = origins
-        self.origin_parts = origin_parts
-        self.writers = writers
+        self.recorded_origins = recorded_origins
+        self.writer_proofs = writer_proofs
         self.measured = measured
         self.configuration: Configuration | None = None
         self.routes: RouteTable | None = None
@@ -120,11 +120,11 @@
             )
         return budget
 
-    def origins_in_use(self) -> Iterable[Begun]:
+    def origins_in_use(self) -> Iterable[RouteOrigin]:
         """Return where streams that may be resumed begin."""
         if self.configuration is None:
             return ()
-        return self.writers.origins_in_use(self.configuration)
+        return self.writer_proofs.origins_in_use(self.configuration)
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
@@ -306,19 +306,20 @@
         timers=timers,
         metrics=metrics,
     )
-    origin_parts = build_origin_parts(
+    recorded_origins = build_recorded_origins(
         core.settings,
         client=coordination.client,
         timers=timers,
         vms=coordination.memberships.live,
         fleet_size=vms,
+        # Not called before ``parts`` is built below.
         wanted=lambda: parts.origins_in_use(),
         on_streams=origins.learn,
     )
-    coordination.memberships.registration.subscribe(origin_parts.start)
-    writers = WriterProofs(
+    coordination.memberships.registration.subscribe(recorded_origins.start)
+    writer_proofs = WriterProofs(
         targets=known.targets,
-        begun=origin_parts.begun,
+        ledger=recorded_origins.ledger,
         paths=known.paths,
         calls=EngineCalls(connections=known.connections),
         metrics=metrics,
@@ -326,7 +327,7 @@
     metrics.add_gauge(
         "recorded_streams",
         "Streams whose origin this VM's record in the store names",
-        lambda: origin_parts.begun.recorded_streams,
+        lambda: recorded_origins.ledger.recorded_streams,
     )
     metrics.add_gauge(
         "stream_origins",
@@ -360,8 +361,8 @@
         run_times=run_times,
         quotas=coordination.quotas,
         origins=origins,
-        origin_parts=origin_parts,
-        writers=writers,
+        recorded_origins=recorded_origins,
+        writer_proofs=writer_proofs,
         measured=known.measured,
     )
     return parts
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -157,7 +157,7 @@
         self._parts.loss_detector.stop()
         self._parts.paths.stop()
         self._parts.origins.stop()
-        self._parts.origin_parts.stop()
+        self._parts.recorded_origins.stop()
         self._timers.stop()
         self._connections.close()
         self._parts.relay_vms.connections.close()
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -52,7 +52,7 @@
         self._binding = StreamBinding(
             parts.targets,
             parts.origins,
-            parts.origin_parts,
+            parts.recorded_origins,
             call,
             self._request,
             origin.stream if origin is not None else None,
--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -15,9 +15,9 @@
 from ..errors import Failure
 from ..platform.headers import relay_headers
 from ..promises.run_ledgers import RunLedger, prove_not_run
+from ..provenance.origin_tables import StreamOrigin
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
-from .origin_tables import StreamOrigin
 from .records import CallerRequest, Route, RouteKind
 from .request_reporters import RequestReporter
 from .stream_relays import CallerStream, StreamRelay
--- a/hawthornlead/gateway/stream_bindings.py
+++ b/hawthornlead/gateway/stream_bindings.py
@@ -12,10 +12,10 @@
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Failure
-from ..provenance.origin_parts import OriginParts
 from ..provenance.origin_records import RouteKey
+from ..provenance.origin_tables import StreamOrigin
+from ..provenance.recorded_origins import RecordedOrigins
 from .caller_calls import CallerCall
-from .origin_tables import StreamOrigin
 from .records import CallerRequest, Incarnation, Route, TargetEntry
 from .stream_origins import StreamOrigins
 from .target_tables import TargetTable
@@ -37,7 +37,7 @@
         self,
         targets: TargetTable,
         origins: StreamOrigins,
-        records: OriginParts,
+        records: RecordedOrigins,
         call: CallerCall,
         request: CallerRequest,
         origin: StreamOrigin | None = None,
@@ -104,7 +104,9 @@
             # The id by which the caller will name the stream if it breaks off again.
             request = self._request.resumes or self._request.request_id
             self._origins.record(request, self.origin)
-            self._records.begun.add_stream(request, self._key, self.origin, self._until)
+            self._records.ledger.add_stream(
+                request, self._key, self.origin, self._until
+            )
         return True
 
     async def _look_up(self) -> StreamOrigin | None:
--- a/hawthornlead/gateway/stream_origins.py
+++ b/hawthornlead/gateway/stream_origins.py
@@ -16,11 +16,11 @@
 from ..fleet.fleet_meshes import FleetMesh
 from ..mesh.meshes import PeerInfo
 from ..messages.streams import FindStreams, StreamsBegun
+from ..provenance.origin_tables import OriginTable, StreamOrigin, group_streams
 from ..timers import Subscription, TimerService
 from ..waits import wait_done
 from .gateway_metrics import GatewayMetrics
 from .memberships import Memberships
-from .origin_tables import OriginTable, StreamOrigin, group_streams
 
 # The copies of each origin, beside that of the VM where the stream began. With four,
 # the kill of five of nine VMs at once loses one in seventy of their origins.
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -6,12 +6,12 @@
 from ..errors import ErrorKind, Failure
 from ..platform.headers import request_headers
 from ..promises.run_ledgers import PROMISE_STATUSES, RunLedger, prove_not_run
+from ..provenance.origin_tables import StreamOrigin
 from .attempt_crashes import AttemptCrashes
 from .attempt_outcomes import AttemptOutcome, Unreached
 from .attempt_records import AttemptRecords, LoadAtStart
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
-from .origin_tables import StreamOrigin
 from .placers import Placed
 from .records import CallerRequest, Loss, Route, RouteKind, TargetEntry, Workspace
 from .request_reporters import RequestReporter
@@ -99,8 +99,8 @@
             return self._on_unreached(Unreached.SILENT)
         if not self._may_send(placed):
             return AttemptOutcome.UNWANTED
-        self._origin = self._parts.writers.origin_at(route, spec, entry)
-        opened = await self._parts.writers.open(route, entry, self._origin)
+        self._origin = self._parts.writer_proofs.origin_at(route, spec, entry)
+        opened = await self._parts.writer_proofs.open(route, entry, self._origin)
         if opened.is_err():
             return self._on_unopened(entry, opened.err_value)
         exchange = opened.ok_value
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -253,7 +253,7 @@
         self._pool.keep(self._address, self._connection, keep_s)
 
     def _may_reuse(self) -> bool:
-        """Whether nothing but a copy of a success may still come before an answer."""
+        """Whether the connection can carry another request; see ``release``."""
         head = self._reader.head if self._reader is not None else None
         request_read = self._written is not None and self._written.done()
         if not self.whole or not request_read or not head.framed:
--- a/hawthornlead/gateway/vm_relays.py
+++ b/hawthornlead/gateway/vm_relays.py
@@ -15,10 +15,10 @@
 
 from tornado import httputil
 
+from ..provenance.origin_tables import StreamOrigin
 from ..timers import TimerService
 from .caller_calls import CallerCall
 from .memberships import Memberships
-from .origin_tables import StreamOrigin
 from .target_connections import TargetConnections
 
 # Headers between two VMs. The configuration that the sender has in force, how many
--- a/hawthornlead/provenance/__init__.py
+++ b/hawthornlead/provenance/__init__.py
@@ -5,6 +5,6 @@
 just started can prove where a stream began.
 
 May import: the common modules, eras.dated_revisions, gateway.engine_calls,
-gateway.gateway_metrics, gateway.origin_tables, gateway.records, gateway.store_clients,
+gateway.gateway_metrics, gateway.records, gateway.store_clients,
 gateway.target_connections, gateway.target_paths, gateway.target_tables.
 """
--- a/hawthornlead/provenance/begun_ledgers.py
+++ b/hawthornlead/provenance/origin_ledgers.py
@@ -2,7 +2,7 @@
 
 ::
 
-    ledger = BegunLedger(vm="gijon-1", client=client, timers=timers, wanted=wanted,
+    ledger = OriginLedger(vm="gijon-1", client=client, timers=timers, wanted=wanted,
                          interval_s=lambda: 0.1)
     ledger.start(again=False)
     if await ledger.ensure(key, origin):
@@ -15,7 +15,6 @@
 
 from ..eras.dated_revisions import era_of
 from ..errors import ErrorKind
-from ..gateway.origin_tables import ORIGIN_TTL_S, StreamOrigin
 from ..gateway.records import StoredRecord
 from ..gateway.store_clients import StoreClient
 from ..tasks import TaskSet
@@ -29,6 +28,7 @@
     origin_spec,
     read_origin_record,
 )
+from .origin_tables import ORIGIN_TTL_S, StreamOrigin
 
 # Longer than a stream can last and be resumed. After it, a version that this VM no
 # longer uses began none of the streams that may still be resumed.
@@ -43,16 +43,17 @@
 # relies on its own only if the store has accepted it since, which may be away for long.
 RENEW_S = 1200.0
 VALID_S = 3600.0
-# So many writes may come at once, MIN_INTERVAL_S apart, if there were few before.
+# So many writes may follow one another at MIN_INTERVAL_S if there were few before.
 BURST = 4
 MIN_INTERVAL_S = 0.1
 # The newest streams of one object, some 80 kB.
 MAX_STREAMS = 4000
-# How long the streams of a former process of this VM are kept; it knew their deadlines.
+# The deadlines of streams that a former process of this VM recorded aren't recorded.
+# So they are kept for longer than callers wait.
 INHERITED_S = 30.0
 
 
-class Begun(NamedTuple):
+class RouteOrigin(NamedTuple):
     """A route, and where its streams may begin."""
 
     key: RouteKey
@@ -65,7 +66,7 @@
     until: float
 
 
-class BegunLedger:
+class OriginLedger:
     """Writes this VM's object, which only this VM writes.
 
     ``wanted`` returns where streams may begin by the configuration and the targets that
@@ -78,7 +79,7 @@
         vm: str,
         client: StoreClient,
         timers: TimerService,
-        wanted: Callable[[], Iterable[Begun]],
+        wanted: Callable[[], Iterable[RouteOrigin]],
         interval_s: Callable[[], float],
     ):
         self._vm = vm
@@ -86,17 +87,17 @@
         self._timers = timers
         self._wanted = wanted
         self._interval_s = interval_s
-        # When each was last in use, and from when on the history of a route is whole.
-        self._used: dict[Begun, float] = {}
-        self._whole_at: dict[RouteKey, float] = {}
-        # From when on all that began before this process, or in a former era, is over.
+        # When each was last in use, and when a route's history is complete again.
+        self._used: dict[RouteOrigin, float] = {}
+        self._complete_at: dict[RouteKey, float] = {}
+        # When all streams are over that began before this process, or in a former era.
         self._settled_at = 0.0
         self._streams: dict[str, _Stream] = {}
         self._stored: StoredRecord | None = None
         self._accepted: OriginRecord | None = None
         self._accepted_at = float("-inf")
         self._failing = False
-        # When the writes of before would have been made at the mean interval.
+        # When the next write would be due if all came at the mean interval.
         self._due_at = 0.0
         self._changed = Signal()
         self._written = Signal()
@@ -134,7 +135,7 @@
         """
         if self.covers(key, origin):
             return True
-        self._used[Begun(key, origin)] = self._timers.now()
+        self._used[RouteOrigin(key, origin)] = self._timers.now()
         self._changed.fire()
         until = self._timers.now() + ENSURE_TIMEOUT_S
         while not self._failing and self._timers.now() < until:
@@ -164,11 +165,11 @@
     def _refresh(self) -> None:
         """Note what is in use now, and drop what has been out of use for long."""
         now = self._timers.now()
-        for begun in self._wanted():
-            self._used[begun] = now
-        for begun, used_at in tuple(self._used.items()):
+        for route_origin in self._wanted():
+            self._used[route_origin] = now
+        for route_origin, used_at in tuple(self._used.items()):
             if now - used_at > LASTING_S:
-                del self._used[begun]
+                del self._used[route_origin]
         for request, stream in tuple(self._streams.items()):
             if stream.until <= now:
                 del self._streams[request]
@@ -177,12 +178,12 @@
         """Return what is to be stated now."""
         now = self._timers.now()
         began: dict[RouteKey, set[StreamOrigin]] = {}
-        for begun in self._used:
-            began.setdefault(begun.key, set()).add(begun.origin)
+        for key, origin in self._used:
+            began.setdefault(key, set()).add(origin)
         routes = {}
         for key, origins in began.items():
-            whole_at = max(self._settled_at, self._whole_at.get(key, 0.0))
-            routes[key] = RouteHistory(now >= whole_at, frozenset(origins))
+            complete_at = max(self._settled_at, self._complete_at.get(key, 0.0))
+            routes[key] = RouteHistory(now >= complete_at, frozenset(origins))
         streams = {}
         for request, stream in self._streams.items():
             history = routes.get(stream.key)
@@ -217,7 +218,7 @@
             await self._timers.sleep(pause_s)
 
     def _pause_s(self) -> float:
-        """Return the pause after a write, for which a burst before counts."""
+        """Return the pause after a write, the shortest one within a burst."""
         now, interval_s = self._timers.now(), self._interval_s()
         self._due_at = max(now, self._due_at) + interval_s
         return max(MIN_INTERVAL_S, self._due_at - BURST * interval_s - now)
@@ -239,9 +240,10 @@
         if former.era != era_of(self._stored.revision):
             self._settled_at = now + LASTING_S
         for key, history in former.routes.items():
-            if not history.whole:
-                self._whole_at[key] = now + LASTING_S
-            self._used.update({Begun(key, origin): now for origin in history.began})
+            if not history.complete:
+                self._complete_at[key] = now + LASTING_S
+            for origin in history.began:
+                self._used[RouteOrigin(key, origin)] = now
         for request, origin in former.streams.items():
             self._streams[request] = _Stream(None, origin, now + INHERITED_S)
         return True
--- a/hawthornlead/provenance/origin_lookups.py
+++ b/hawthornlead/provenance/origin_lookups.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable, Collection, Mapping
 
 from ..eras.dated_revisions import era_of
-from ..gateway.origin_tables import StreamOrigin
 from ..gateway.store_clients import StoreClient
 from ..tasks import TaskSet
 from ..timers import TimerService
@@ -22,6 +21,7 @@
     prove_origin,
     read_origin_record,
 )
+from .origin_tables import StreamOrigin
 
 
 class _Listing:
--- a/hawthornlead/provenance/origin_records.py
+++ b/hawthornlead/provenance/origin_records.py
@@ -12,8 +12,8 @@
 from collections.abc import Collection, Mapping
 from typing import Any, NamedTuple
 
-from ..gateway.origin_tables import StreamOrigin
 from ..gateway.records import StoredRecord
+from .origin_tables import StreamOrigin
 
 ORIGINS_KIND = "hawthornlead-origins"
 
@@ -32,16 +32,16 @@
 class RouteHistory(NamedTuple):
     """Where streams of a route may have begun at one VM, of late.
 
-    Without ``whole`` there may be others, of which the VM itself doesn't know.
+    Unless it is ``complete``, there may be others, of which the VM itself doesn't know.
     """
 
-    whole: bool
+    complete: bool
     began: frozenset[StreamOrigin]
 
     @property
     def certain(self) -> bool:
         """Whether a stream of the route began where all of them did."""
-        return self.whole and len(self.began) == 1
+        return self.complete and len(self.began) == 1
 
 
 class OriginRecord(NamedTuple):
@@ -59,7 +59,7 @@
 def origin_spec(record: OriginRecord) -> dict[str, Any]:
     """Encode what a VM states as the content of its object."""
     routes = [
-        [*key, history.whole, sorted(history.began)]
+        [*key, history.complete, sorted(history.began)]
         for key, history in sorted(record.routes.items())
     ]
     grouped: dict[StreamOrigin, list[str]] = {}
@@ -74,10 +74,10 @@
     try:
         spec = stored.spec
         routes = {}
-        for host, prefix, whole, began in spec["routes"]:
+        for host, prefix, complete, began in spec["routes"]:
             origins = frozenset([_origin(*each) for each in began])
             routes[RouteKey(_text(host), _text(prefix))] = RouteHistory(
-                whole is True, origins
+                complete is True, origins
             )
         streams = {}
         for service, software, requests in spec["streams"]:
@@ -112,7 +112,7 @@
         for key, history in record.routes.items():
             if not key.matches(host, path):
                 continue
-            if not history.whole:
+            if not history.complete:
                 return None
             began |= history.began
     if len(began) != 1:
--- a/hawthornlead/provenance/origin_sweeps.py
+++ b/hawthornlead/provenance/origin_sweeps.py
@@ -12,7 +12,7 @@
 from ..gateway.store_clients import StoreClient
 from ..tasks import TaskSet
 from ..timers import TimerService
-from .begun_ledgers import LASTING_S, VALID_S
+from .origin_ledgers import LASTING_S, VALID_S
 from .origin_records import ORIGINS_KIND
 
 SWEEP_INTERVAL_S = 60.0
--- a/hawthornlead/provenance/origin_parts.py
+++ b/hawthornlead/provenance/recorded_origins.py
@@ -1,15 +1,15 @@
-"""The parts that keep in the store where streams began, and their construction."""
+"""The parts by which VMs keep in the store where streams began."""
 
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
-from ..gateway.origin_tables import StreamOrigin
 from ..gateway.store_clients import StoreClient
 from ..settings import Settings
 from ..timers import TimerService
-from .begun_ledgers import Begun, BegunLedger
+from .origin_ledgers import OriginLedger, RouteOrigin
 from .origin_lookups import OriginLookups
 from .origin_sweeps import OriginSweeps
+from .origin_tables import StreamOrigin
 
 # The share of the store's writes a second that all VMs together may use for origins.
 # It takes several times as many reads.
@@ -17,39 +17,39 @@
 MIN_LIST_PAUSE_S = 0.02
 
 
-class OriginParts(NamedTuple):
+class RecordedOrigins(NamedTuple):
     """This VM's record of where streams may begin, and what all VMs have recorded."""
 
-    begun: BegunLedger
+    ledger: OriginLedger
     lookups: OriginLookups
     sweeps: OriginSweeps
 
     def start(self, again: bool) -> None:
         """Start, once this VM is registered; ``again`` if it was before."""
-        self.begun.start(again)
+        self.ledger.start(again)
         self.lookups.load()
         self.sweeps.start()
 
     def stop(self) -> None:
         """Stop all."""
-        self.begun.stop()
+        self.ledger.stop()
         self.lookups.stop()
         self.sweeps.stop()
 
 
-def build_origin_parts(
+def build_recorded_origins(
     settings: Settings,
     *,
     client: StoreClient,
     timers: TimerService,
     vms: Callable[[], Collection[str]],
     fleet_size: Callable[[], int],
-    wanted: Callable[[], Iterable[Begun]],
+    wanted: Callable[[], Iterable[RouteOrigin]],
     on_streams: Callable[[Mapping[str, StreamOrigin]], None],
-) -> OriginParts:
+) -> RecordedOrigins:
     """Build the parts; ``vms`` returns those that serve, ``wanted`` what is in use."""
     calls_per_s = RATE_SHARE * settings["STORE_WRITES_PER_S"]
-    begun = BegunLedger(
+    ledger = OriginLedger(
         vm=settings["VM_NAME"],
         client=client,
         timers=timers,
@@ -64,4 +64,4 @@
         on_streams=on_streams,
     )
     sweeps = OriginSweeps(vm=settings["VM_NAME"], client=client, timers=timers, vms=vms)
-    return OriginParts(begun, lookups, sweeps)
+    return RecordedOrigins(ledger, lookups, sweeps)
--- a/hawthornlead/provenance/writer_proofs.py
+++ b/hawthornlead/provenance/writer_proofs.py
@@ -18,7 +18,6 @@
 from ..errors import ErrorKind, Failure
 from ..gateway.engine_calls import EngineCalls
 from ..gateway.gateway_metrics import GatewayMetrics
-from ..gateway.origin_tables import StreamOrigin
 from ..gateway.records import (
     Configuration,
     Incarnation,
@@ -30,8 +29,9 @@
 from ..gateway.target_connections import Exchange
 from ..gateway.target_paths import TargetPaths
 from ..gateway.target_tables import TargetTable
-from .begun_ledgers import Begun, BegunLedger
+from .origin_ledgers import OriginLedger, RouteOrigin
 from .origin_records import RouteKey
+from .origin_tables import StreamOrigin
 
 # A target returns its report within a few milliseconds. The request waits for it.
 PROOF_TIMEOUT_S = 0.25
@@ -62,13 +62,13 @@
         self,
         *,
         targets: TargetTable,
-        begun: BegunLedger,
+        ledger: OriginLedger,
         paths: TargetPaths,
         calls: EngineCalls,
         metrics: GatewayMetrics,
     ):
         self._targets = targets
-        self._begun = begun
+        self._ledger = ledger
         self._paths = paths
         self._calls = calls
         self._outcomes = metrics.writer_proofs
@@ -79,7 +79,7 @@
         """Return where a stream begins at a target, None if it can't be resumed."""
         return self._origin_at(spec, entry) if route.resumable else None
 
-    def origins_in_use(self, configuration: Configuration) -> Iterator[Begun]:
+    def origins_in_use(self, configuration: Configuration) -> Iterator[RouteOrigin]:
         """Return where streams that may be resumed begin, by what this VM knows."""
         by_service: dict[str, set[StreamOrigin]] = {}
         for route in configuration.routes:
@@ -90,7 +90,7 @@
                 if service not in by_service:
                     by_service[service] = self._origins_of(configuration, service)
                 for origin in by_service[service]:
-                    yield Begun(key, origin)
+                    yield RouteOrigin(key, origin)
 
     def _origins_of(
         self, configuration: Configuration, service: str
@@ -121,7 +121,7 @@
         """
         if origin is None:
             return await self._paths.open(entry)
-        if not await self._begun.ensure(RouteKey(route.host, route.prefix), origin):
+        if not await self._ledger.ensure(RouteKey(route.host, route.prefix), origin):
             self._count(WriterProof.UNRECORDED)
             return _unproved(entry, "not recorded that streams may begin there")
         if origin.software and self._targets.states_start(entry.target):
--- a/hawthornlead/setting_rows.py
+++ b/hawthornlead/setting_rows.py
@@ -74,10 +74,10 @@
         3600,
     ),
     "FIRST_START": Setting(
-        "platform", "switch", False, "the first start of all: no VM holds a lease"
+        "platform", "switch", False, "first start of the whole system: no leases yet"
     ),
     "STORE_WRITES_PER_S": Setting(
-        "platform", "number", 400.0, "writes a second, of all VMs together", 1, 1e6
+        "platform", "number", 400.0, "writes a second that the store takes", 1, 1e6
     ),
     "STORE_ADDRESS": Setting("platform", "address", None, "IP:PORT of the object API"),
     "VM_LIST_ADDRESS": Setting("platform", "address", None, "IP:PORT of the VM list"),
--- a/hawthornlead/tests/fakes_origin_records.py
+++ b/hawthornlead/tests/fakes_origin_records.py
@@ -16,12 +16,12 @@
 from hawthornlead.eras.dated_revisions import dated_revision, era_of, stored_revision
 from hawthornlead.eras.store_eras import StoreEras
 from hawthornlead.errors import ErrorKind, Failure
-from hawthornlead.gateway.origin_tables import StreamOrigin
 from hawthornlead.gateway.records import StoreChanges, StoredRecord
-from hawthornlead.provenance.begun_ledgers import Begun, BegunLedger
+from hawthornlead.provenance.origin_ledgers import OriginLedger, RouteOrigin
 from hawthornlead.provenance.origin_lookups import OriginLookups
 from hawthornlead.provenance.origin_records import RouteKey
 from hawthornlead.provenance.origin_sweeps import OriginSweeps
+from hawthornlead.provenance.origin_tables import StreamOrigin
 from hawthornlead.timers import ManualTimerService
 
 HOST, PATH = "office.example", "/resume/x"
@@ -172,11 +172,11 @@
     def __init__(self, name: str, world: "RecordingWorld", again: bool):
         self.client = RecordClient(world.store, world.timers.now)
         self.used: set[StreamOrigin] = set(world.used)
-        self.ledger = BegunLedger(
+        self.ledger = OriginLedger(
             vm=name,
             client=self.client,
             timers=world.timers,
-            wanted=lambda: [Begun(KEY, origin) for origin in self.used],
+            wanted=lambda: [RouteOrigin(KEY, origin) for origin in self.used],
             interval_s=lambda: INTERVAL_S,
         )
         self.lookups = OriginLookups(
--- a/hawthornlead/tests/test_origin_record_machine.py
+++ b/hawthornlead/tests/test_origin_record_machine.py
@@ -1,18 +1,16 @@
 """A state machine over VMs, the store, streams and releases."""
 
-import asyncio
-import itertools
-
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+from hypothesis.stateful import initialize, precondition, rule
 
-from hawthornlead.provenance.begun_ledgers import LASTING_S
+from hawthornlead.provenance.origin_ledgers import LASTING_S
 
 from .fakes_origin_records import RESUMED_S, V1, V2, RecordingWorld
+from .world_machines import WorldMachine
 
 
-class RecordMachine(RuleBasedStateMachine):
+class RecordMachine(WorldMachine):
     """Random histories of streams, releases, kills, lost writes and restored copies.
 
     Whatever happens, a stream is found at the version that began it or not at all.
@@ -20,22 +18,8 @@
 
     def __init__(self):
         super().__init__()
-        self.loop = asyncio.new_event_loop()
-        self.ids = itertools.count(1)
         self.copies = []
 
-    def run(self, coroutine):
-        """Run a coroutine on the machine's loop."""
-        return self.loop.run_until_complete(coroutine)
-
-    def teardown(self):
-        async def stop():
-            self.world.stop()
-            await asyncio.sleep(0)
-
-        self.run(stop())
-        self.loop.close()
-
     @initialize()
     def build(self):
         async def make():
--- a/hawthornlead/tests/test_origin_records.py
+++ b/hawthornlead/tests/test_origin_records.py
@@ -1,23 +1,18 @@
-"""Tests of the records in the store that say at which versions streams began."""
+"""Tests of how VMs record in the store where streams begin, and look it up."""
 
 import asyncio
 
 import pytest
 
 from hawthornlead.gateway.records import StoredRecord
-from hawthornlead.provenance import begun_ledgers, origin_sweeps
-from hawthornlead.provenance.begun_ledgers import (
+from hawthornlead.provenance import origin_ledgers, origin_sweeps
+from hawthornlead.provenance.origin_ledgers import (
     BURST,
     ENSURE_TIMEOUT_S,
     MAX_STREAMS,
     VALID_S,
 )
 from hawthornlead.provenance.origin_records import (
-    OriginRecord,
-    RouteHistory,
-    find_stream,
-    origin_spec,
-    prove_origin,
     read_origin_record,
 )
 from hawthornlead.provenance.origin_sweeps import GONE_S
@@ -45,87 +40,16 @@
     running.stop()
 
 
-def record(vm="a", began=(V1,), whole=True, era=1, key=KEY, **streams):
-    """Return what a VM states of one route."""
-    return OriginRecord(vm, era, {key: RouteHistory(whole, frozenset(began))}, streams)
-
-
-def prove(*records, vms=(), era=1, path=PATH):
-    """Return what records prove of a request."""
-    return prove_origin({each.vm: each for each in records}, vms, era, HOST, path)
-
-
-def test_one_version_in_all_records_is_where_each_stream_began():
-    assert prove(record("a"), record("b")) == V1
-    assert prove(record("a"), record("b"), vms=("a", "b")) == V1
-
-
-def test_two_versions_prove_nothing():
-    """Guards against the version that most VMs use."""
-    assert prove(record("a"), record("b", (V2,))) is None
-    assert prove(record("a", (V1, V2))) is None
-
-
-def test_a_vm_without_a_record_may_have_begun_streams_anywhere():
-    """Guards against streams of VMs whose build keeps no records."""
-    assert prove(record("a"), vms=("a", "b")) is None
-
-
-def test_a_history_that_is_not_whole_proves_nothing():
-    assert prove(record("a"), record("b", whole=False)) is None
-
-
-def test_a_record_of_another_era_proves_nothing():
-    """Guards against a record from a copy of the store that lacks a version."""
-    assert prove(record("a"), record("b", era=0)) is None
-    assert prove(record("a"), record("b"), era=2) is None
-
-
-def test_an_unknown_version_proves_nothing():
-    assert prove(record("a", (V1._replace(software=""),))) is None
-    assert prove() is None
-
-
-def test_routes_that_served_the_path_before_count_too():
-    """Guards against a stream of a route that a longer prefix has replaced."""
-    longer = KEY._replace(prefix="/resume/x/")
-    records = (record("a", (V2,), key=longer), record("b"))
-    assert prove(*records, path="/resume/x/y") is None
-    assert prove(*records, path="/resume/z") == V1
-    assert prove(*records, path="/other/") is None
-
-
-def test_an_id_of_two_origins_is_of_neither():
-    known = {"a": record("a", r1=V1), "b": record("b", r1=V2, r2=V2)}
-    assert find_stream(known, "r1").software == ""
-    assert find_stream(known, "r2") == V2
-    assert find_stream(known, "r3") is None
-
-
-def test_a_record_is_read_as_it_was_written():
-    stated = record("a", (V1, V2), whole=False, r1=V1, r2=V2, r3=V1)
-    assert read_origin_record(StoredRecord("a", 7, origin_spec(stated), None)) == stated
-
-
-@pytest.mark.parametrize(
-    "spec",
-    [
-        None,
-        {},
-        [],
-        {"era": True, "routes": [], "streams": []},
-        {"era": 1, "routes": [["h", "/", True]], "streams": []},
-        {"era": 1, "routes": [["h", "/", True, [["s", 1]]]], "streams": []},
-        {"era": 1, "routes": [], "streams": [["s", "v1", [1]]]},
-        {"era": 1, "routes": [[1, "/", True, []]], "streams": []},
-    ],
-)
-def test_a_record_of_another_writer_is_refused(spec):
-    with pytest.raises(ValueError):
-        read_origin_record(StoredRecord("a", 7, spec, None))
+@pytest.fixture
+async def single():
+    running = RecordingWorld(("a",))
+    await running.advance(1.0)
+    yield running
+    running.stop()
 
 
 async def test_a_stream_is_found_by_its_id_while_two_versions_serve(world):
+    """Guards against refusing what is resumed in a release once its VMs are gone."""
     for vm in world.running:
         world.vms[vm].used.add(V2)
     await world.advance(1.0)
@@ -205,8 +129,8 @@
 
 async def test_a_record_counts_only_while_it_is_renewed(world, monkeypatch):
     """Guards against a VM that relies on a record that was removed."""
-    monkeypatch.setattr(begun_ledgers, "RENEW_S", 4.0)
-    monkeypatch.setattr(begun_ledgers, "VALID_S", 10.0)
+    monkeypatch.setattr(origin_ledgers, "RENEW_S", 4.0)
+    monkeypatch.setattr(origin_ledgers, "VALID_S", 10.0)
     before = world.store.objects["a"].revision
     await world.advance(5.0)
     assert world.store.objects["a"].revision > before
@@ -218,6 +142,7 @@
 
 
 async def test_a_write_without_an_answer_is_repeated(world):
+    """Guards against a VM that records nothing more after a lost or late write."""
     for fault in ("lost", "late"):
         setattr(world.store, fault, 1)
         world.vms["a"].used.add(V2 if fault == "lost" else V3)
@@ -225,30 +150,34 @@
         world.store.carry_out_late()
         await world.advance(1.5)
     assert await world.begin("a", "r1", V3)
-    assert await world.find("b", "r1") in (None, V3)
+    await world.advance(0.5)
+    assert await world.find("b", "r1") == V3
 
 
-async def test_a_vm_of_a_build_without_records_is_young_for_a_while():
+async def test_the_history_of_a_vm_that_kept_no_record_is_incomplete(single):
     """Guards against streams of a former build that no record names."""
-    world = RecordingWorld(("a",))
-    await world.advance(1.0)
-    assert await world.find("a", "") == V1
-    world.kill("a")
-    world.store.objects.clear()
-    world.start("a")
-    await world.advance(1.0)
-    assert await world.find("a", "") is None
-    await world.advance(LONGEST_STREAM_S + 1.0)
-    assert await world.find("a", "") == V1
-    world.stop()
-
-
-async def test_a_restored_store_proves_nothing_for_a_while(world):
-    """Guards against records that the store has lost with a copy."""
+    assert await single.find("a", "") == V1
+    single.kill("a")
+    single.store.objects.clear()
+    single.start("a")
+    await single.advance(1.0)
+    assert await single.find("a", "") is None
+    await single.advance(LONGEST_STREAM_S + 1.0)
+    assert await single.find("a", "") == V1
+
+
+async def copied_before_a_version(world):
+    """Return a copy of the store that lacks a version at which a stream has begun."""
     taken = world.store.copy()
     world.vms["a"].used.add(V2)
     await world.advance(0.5)
     assert await world.begin("a", "r1", V2)
+    return taken
+
+
+async def test_a_restored_store_proves_nothing_for_a_while(world):
+    """Guards against records that the store has lost with a copy."""
+    taken = await copied_before_a_version(world)
     world.kill("a")
     world.store.restore(taken)
     await world.advance(2.0)
@@ -258,25 +187,19 @@
     assert await world.find("b", "") is None
 
 
-async def test_a_living_vm_is_young_after_the_store_was_restored():
+async def test_a_history_is_incomplete_after_the_store_was_restored(single):
     """Guards against streams of a VM whose record the store has lost."""
-    world = RecordingWorld(("a",))
-    await world.advance(1.0)
-    world.store.restore(world.store.copy())
+    single.store.restore(single.store.copy())
     for _ in range(3):
-        await world.advance(5.0)
-        assert await world.find("a", "") is None
-    await world.advance(LONGEST_STREAM_S)
-    assert await world.find("a", "") == V1
-    world.stop()
+        await single.advance(5.0)
+        assert await single.find("a", "") is None
+    await single.advance(LONGEST_STREAM_S)
+    assert await single.find("a", "") == V1
 
 
 async def test_vms_that_start_after_a_restored_copy_take_it_for_old(world):
     """Guards against a record of a copy that lacks the last version."""
-    taken = world.store.copy()
-    world.vms["a"].used.add(V2)
-    await world.advance(0.5)
-    assert await world.begin("a", "r1", V2)
+    taken = await copied_before_a_version(world)
     vms = world.running
     for vm in vms:
         world.kill(vm)
@@ -287,22 +210,19 @@
     assert await world.find("b", "") is None
 
 
-async def test_a_young_vm_that_restarts_is_young_again():
-    """Guards against a restart that makes a history whole."""
-    world = RecordingWorld(("a",))
-    await world.advance(1.0)
-    world.kill("a")
-    world.store.objects.clear()
-    world.start("a")
-    await world.advance(1.0)
-    world.kill("a")
-    world.start("a")
-    await world.advance(1.0)
-    assert await world.find("a", "") is None
-    world.stop()
+async def test_an_incomplete_history_stays_so_after_a_restart(single):
+    """Guards against a restart that makes a history complete."""
+    single.kill("a")
+    single.store.objects.clear()
+    single.start("a")
+    await single.advance(1.0)
+    single.kill("a")
+    single.start("a")
+    await single.advance(1.0)
+    assert await single.find("a", "") is None
 
 
-async def test_a_vm_whose_record_another_writer_spoilt_is_young(world):
+async def test_a_history_that_another_writer_spoilt_is_incomplete(world):
     """Guards against versions that were lost with the record's content."""
     world.kill("a")
     spoilt = world.store.objects["a"]._replace(spec={"vm": "a"})
@@ -352,7 +272,7 @@
 async def test_a_record_that_changes_is_not_removed(world, monkeypatch):
     """Guards against removing the record of a VM that is only unseen by others."""
     monkeypatch.setattr(origin_sweeps, "GONE_S", 10.0)
-    monkeypatch.setattr(begun_ledgers, "RENEW_S", 4.0)
+    monkeypatch.setattr(origin_ledgers, "RENEW_S", 4.0)
     unseen = world.vms.pop("c")
     for _ in range(4):
         await world.vms["a"].sweeps.sweep()
@@ -377,6 +297,7 @@
 
 
 async def test_the_streams_of_one_record_are_bounded(world):
+    """Guards against an object that outgrows what the store takes."""
     ledger = world.vms["a"].ledger
     world.vms["a"].used.add(V2)
     await world.advance(1.0)
--- a/hawthornlead/tests/test_origin_spread.py
+++ b/hawthornlead/tests/test_origin_spread.py
@@ -6,12 +6,12 @@
 from prometheus_client import CollectorRegistry
 
 from hawthornlead.gateway.gateway_metrics import GatewayMetrics
-from hawthornlead.gateway.origin_tables import StreamOrigin
 from hawthornlead.gateway.stream_origins import (
     COPIES,
     SEARCH_TIMEOUT_S,
     StreamOrigins,
 )
+from hawthornlead.provenance.origin_tables import StreamOrigin
 
 from .fakes_fleets import FakeFleet
 
--- a/hawthornlead/tests/test_stream_bindings.py
+++ b/hawthornlead/tests/test_stream_bindings.py
@@ -1,6 +1,5 @@
 """Tests of the software version that a stream is bound to."""
 
-from hawthornlead.gateway.origin_tables import StreamOrigin
 from hawthornlead.gateway.records import (
     CallerRequest,
     Incarnation,
@@ -11,6 +10,7 @@
 )
 from hawthornlead.gateway.stream_bindings import StreamBinding
 from hawthornlead.provenance.origin_records import RouteKey
+from hawthornlead.provenance.origin_tables import StreamOrigin
 
 ROUTE = Route(
     "resume",
@@ -57,7 +57,7 @@
     """What is recorded in the store: itself in the place of both parts."""
 
     def __init__(self, found=None):
-        self.begun = self.lookups = self
+        self.ledger = self.lookups = self
         self.added = []
         self.found = found
 
--- a/hawthornlead/tests/test_stream_origins.py
+++ b/hawthornlead/tests/test_stream_origins.py
@@ -1,24 +1,24 @@
 """Tests of which VMs know where a stream began, and of what bounds it."""
 
 import asyncio
-import itertools
 from random import Random
 
 import pytest
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
-from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+from hypothesis.stateful import initialize, precondition, rule
 
 from hawthornlead.decisions.copy_holders import choose_holders
 from hawthornlead.gateway import stream_origins
-from hawthornlead.gateway.origin_tables import (
+from hawthornlead.gateway.stream_origins import COPIES, MAX_ID_LENGTH, SEND_INTERVAL_S
+from hawthornlead.provenance.origin_tables import (
     ORIGIN_TTL_S,
     OriginTable,
     StreamOrigin,
 )
-from hawthornlead.gateway.stream_origins import COPIES, MAX_ID_LENGTH, SEND_INTERVAL_S
 
 from .fakes_origins import OriginWorld
+from .world_machines import WorldMachine
 
 FIRST, SECOND = StreamOrigin("llm", "v1"), StreamOrigin("llm", "v2")
 CENTRES = ("gijon", "bilbao", "santander")
@@ -193,7 +193,7 @@
     assert table.get("r1", now=1.0) == StreamOrigin("llm", "")
 
 
-class OriginMachine(RuleBasedStateMachine):
+class OriginMachine(WorldMachine):
     """Random histories of streams that begin, and of VMs that die and lose each other.
 
     Whatever happens, a stream is found at the version that began it or not at all.
@@ -201,21 +201,7 @@
 
     def __init__(self):
         super().__init__()
-        self.loop = asyncio.new_event_loop()
-        self.ids = itertools.count(1)
         self.began = {}
-        self.pairs = set()
-
-    def run(self, coroutine):
-        """Run a coroutine on the machine's loop."""
-        return self.loop.run_until_complete(coroutine)
-
-    def teardown(self):
-        self.run(self._stop())
-        self.loop.close()
-
-    async def _stop(self):
-        self.world.stop()
 
     @initialize()
     def build(self):
