--- a/hawthornlead/gateway/request_reporters.py
+++ b/hawthornlead/gateway/request_reporters.py
@@ -118,9 +118,13 @@
         )
 
     def served(
-        self, entry: TargetEntry, status: int, relay: StreamRelay | None
+        self,
+        entry: TargetEntry,
+        status: int,
+        relay: StreamRelay | None,
+        trace: ExchangeTrace,
     ) -> None:
-        """Report that the caller has its complete answer."""
+        """Report that the caller has its complete answer, and from which connection."""
         arrived_at = self._call.arrived_at
         first_ms = gap_ms = None
         if relay is not None and relay.first_at is not None:
@@ -138,6 +142,10 @@
             took_ms=self._since_ms(arrived_at),
             events=self._stream.events,
             sent=self._ledger.sent,
+            connection=trace.connection,
+            use=trace.use,
+            strays=trace.strays,
+            joint=trace.joint,
         )
 
     def answer(self, answer: WholeAnswer) -> None:
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -214,10 +214,10 @@
         if answer.head.succeeded and answer.head.framed:
             self.crashes.record_answered()
         self._records.record_wait(entry, sent_at, answer.head.status, self._load)
-        return self._forward_whole(route, entry, answer)
+        return self._forward_whole(route, entry, exchange, answer)
 
     def _forward_whole(
-        self, route: Route, entry: TargetEntry, answer: WholeAnswer
+        self, route: Route, entry: TargetEntry, exchange: Exchange, answer: WholeAnswer
     ) -> AttemptOutcome:
         head = answer.head
         if not head.signs.sealed or head.status in PROMISE_STATUSES:
@@ -228,7 +228,7 @@
             self.failed_answer = answer
             return AttemptOutcome.FAILED
         self._reporter.answer(answer)
-        self._reporter.served(entry, head.status, None)
+        self._reporter.served(entry, head.status, None, exchange.trace)
         return AttemptOutcome.DONE
 
     async def _relay_stream(
@@ -319,7 +319,7 @@
             self._stream.send(relay.head, b"")
         self._call.finish()
         self._records.record_run(entry, sent_at, self._load)
-        self._reporter.served(entry, relay.head.status, relay)
+        self._reporter.served(entry, relay.head.status, relay, exchange.trace)
         return AttemptOutcome.DONE
 
     def _end_rejected_stream(
@@ -351,7 +351,7 @@
         if head.status in PROMISE_STATUSES:
             return AttemptOutcome.FAILED
         self._reporter.answer(answer)
-        self._reporter.served(entry, head.status, None)
+        self._reporter.served(entry, head.status, None, exchange.trace)
         return AttemptOutcome.DONE
 
     # What an answer that isn't forwarded shows
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -16,9 +16,10 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
+from ..answers.joined_answers import BodyScanner, Joint, is_joined_head
 from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import Failure
-from ..platform.headers import AnswerMetadata, read_answer_metadata
+from ..platform.headers import REQUEST_ID, AnswerMetadata, read_answer_metadata
 from ..timers import TimerService
 from .records import Incarnation
 
@@ -89,18 +90,25 @@
 
 
 class _AnswerReader(httputil.HTTPMessageDelegate):
-    """Reads one answer; ``stray`` if it belongs to another request."""
+    """Reads one answer; ``stray`` if it belongs to another request.
+
+    ``joint`` is where a second answer begins inside it, None if it is one answer.
+    """
 
     def __init__(self, request_id: str, sink: AnswerSink):
         self._request_id = request_id
         self._sink = sink
+        self._scanner = BodyScanner(REQUEST_ID)
         self.stray = False
+        self.joint: Joint | None = None
         self.head: Head | None = None
         self.finished = False
 
     def headers_received(self, start_line, headers):
         if 100 <= start_line.code < 200:
             return
+        if is_joined_head(start_line.reason, headers):
+            self.joint = Joint.HEAD
         signs = read_answer_metadata(start_line.code, headers)
         if signs.request_id != self._request_id and (
             signs.request_id or start_line.code < 300
@@ -117,6 +125,8 @@
         self._sink.handle_head(self.head)
 
     def data_received(self, chunk):
+        if self.joint is None and self._scanner.feed(chunk):
+            self.joint = Joint.BODY
         if not self.stray:
             self._sink.handle_data(chunk)
 
@@ -130,7 +140,8 @@
     ``connection`` is the connection's number in this process, and ``use`` counts the
     exchanges on it up to this one. ``writer_ms`` is the start that the target stated on
     it, None if none. ``strays`` are answers to other requests that were dropped before.
-    ``named`` tells whether the answer named its request, None if none came.
+    ``named`` tells whether the answer named its request, None if none came. ``joint``
+    is the part of the answer in which a second one begins, None if it is one answer.
     """
 
     connection: int
@@ -139,6 +150,7 @@
     strays: int
     status: int | None
     named: bool | None
+    joint: str | None
 
 
 class Exchange:
@@ -179,7 +191,9 @@
     @property
     def trace(self) -> ExchangeTrace:
         """Where the request was sent, and which answer ended it."""
-        head = self._reader.head if self._reader is not None else None
+        reader = self._reader
+        head = reader.head if reader is not None else None
+        joint = reader.joint if reader is not None else None
         return ExchangeTrace(
             self._connection.number,
             self._connection.uses,
@@ -187,6 +201,7 @@
             self._strays,
             head and head.status,
             head and bool(head.signs.request_id),
+            joint and joint.value,
         )
 
     @property
