Failing test: a caller gets a success where its target had failed

A target sends an answer again, late and cut inside its head, ahead of the next one. From 13 bytes on, the caller of the next request gets 200 with the body of a 500.

--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -30,10 +30,11 @@
     ``wrote`` tells which software wrote events on each of them, last.
 
     Faults, one for each next request: "stray" answers another request first, "cut"
-    breaks off after two events, "reset" breaks off before the answer, "fail" answers
-    500, "refuse" answers 503 unrun, "mute" never answers, "replaced" never answers
-    either and leaves its address to an engine of another id. While ``silent`` it takes
-    connections and answers nothing on any of them, nor in a stream that it began. With
+    breaks off after two events, "joined" sends ``joined`` in place of its third event
+    and nothing more, "reset" breaks off before the answer, "fail" answers 500, "refuse"
+    answers 503 unrun, "mute" never answers, "replaced" never answers either and leaves
+    its address to an engine of another id. While ``silent`` it takes connections and
+    answers nothing on any of them, nor in a stream that it began. With
     ``report_to_any`` it tells its report also to who asks for another id.
 
     ``restart`` begins another incarnation under the same id; ``born`` is the start
@@ -98,6 +99,7 @@
         self.crash_arrivals: list[float] = []
         self.crashes: list[float] = []
         self.unframed = False
+        self.joined = b""
         self.repeats = RepeatedAnswers()
         self.names_refusals = True
         self.shed_reports = 0
@@ -352,6 +354,10 @@
                 await asyncio.sleep(0)
                 call.abort()
                 return
+            if fault == "joined" and number == 3:
+                call._connection.stream.write(self.joined)
+                await call.gone
+                return
             if not call.answered:
                 self._begin(call, headers, event)
                 continue
--- a/hawthornlead/tests/standins/repeated_answers.py
+++ b/hawthornlead/tests/standins/repeated_answers.py
@@ -6,6 +6,18 @@
 
 from hawthornlead.gateway.caller_calls import CallerCall
 
+ID = "Request-Id"
+
+
+def with_id_at(headers: httputil.HTTPHeaders, place: int) -> httputil.HTTPHeaders:
+    """Return headers with that of the request's id after ``place`` others."""
+    others = [each for each in headers.get_all() if each[0] != ID]
+    ids = [each for each in headers.get_all() if each[0] == ID]
+    placed = httputil.HTTPHeaders()
+    for name, value in others[:place] + ids + others[place:]:
+        placed.add(name, value)
+    return placed
+
 
 def whole_answer(status: int, headers: httputil.HTTPHeaders, body: bytes) -> bytes:
     """Return the bytes of an answer."""
@@ -18,7 +30,8 @@
 class RepeatedAnswers:
     """Sends each answer with a status of ``least`` or more again, 0 for none.
 
-    The copy comes late: right after the next request on its connection::
+    The copy comes late: right after the next request on its connection. Only its first
+    ``cut`` bytes are sent, None for all, with the id after ``id_place`` other headers::
 
         repeats = RepeatedAnswers()
         repeats.least = 400
@@ -28,6 +41,8 @@
 
     def __init__(self):
         self.least = 0
+        self.cut: int | None = None
+        self.id_place = 0
         self.sent = 0
         self._due: WeakKeyDictionary = WeakKeyDictionary()
 
@@ -37,7 +52,7 @@
         copy = self._due.pop(stream, None)
         if copy is not None and not stream.closed():
             self.sent += 1
-            stream.write(copy)
+            stream.write(copy[: self.cut])
         answer = call.answer
 
         def answer_and_keep(status, reason, headers, body):
@@ -49,5 +64,5 @@
     def keep(self, call: CallerCall, status: int, headers, body: bytes) -> None:
         """Keep an answer for its copy."""
         if 0 < self.least <= status:
-            copied = httputil.HTTPHeaders(headers)
+            copied = with_id_at(headers, self.id_place)
             self._due[call._connection.stream] = whole_answer(status, copied, body)
