Take bytes for an answer only if they are those of one answer

A target in trouble sends an answer a second time, late, and breaks off inside its head; the answer to the next request follows on the same connection. The parser reads both as one head: the line that was cut takes up the next status line, and the id, the length and the body of the next answer follow, so that the check of the id holds. A connection is kept only after a success, so the status was always one.

The class of fault: a check of what a parser has made of the bytes, where nothing says that they were one message. An answer begins with its status line, so wherever the first one is cut, a second status line stands inside it. Now, on every path that reads answers of targets or of other VMs:

- a head with a second status line in it is none;
- a body in which the head of an answer that names a request begins ends there, also where only the beginning of that head fits into the body's length;
- a connection with bytes that nobody has asked for is neither kept nor taken again;
- an answer to another request that lasts until the close is the last: the request behind it isn't left to its deadline.

Such an attempt may have run. What isn't found: bytes that are wrong but begin no answer, and a segment that ends within the first seven bytes of the second answer where these fill the body.

--- a/hawthornlead/answers/joined_answers.py
+++ b/hawthornlead/answers/joined_answers.py
@@ -71,6 +71,20 @@
         self._kept = self._kept[1 - len(STATUS_MARK) :]
         return False
 
+    def ends_inside(self, unread: bytes) -> bool:
+        """Whether the head of another answer begins in the body and ends behind it.
+
+        A body that was cut is filled up to its length by the first bytes of what comes
+        next. ``unread`` is what was received after it.
+        """
+        received = self._kept + unread[:MAX_HEAD_BYTES]
+        at = received.find(STATUS_MARK)
+        while 0 <= at < len(self._kept):
+            if self._head.match(received, at):
+                return True
+            at = received.find(STATUS_MARK, at + 1)
+        return False
+
     def _is_complete(self) -> bool:
         """Whether no further bytes can make a head of what is kept."""
         return HEAD_END in self._kept or len(self._kept) > MAX_HEAD_BYTES
--- a/hawthornlead/connections/connection_pools.py
+++ b/hawthornlead/connections/connection_pools.py
@@ -53,6 +53,12 @@
         """Whether it carried an exchange before."""
         return self.uses > 1
 
+    @property
+    def unread(self) -> bytes:
+        """The bytes that were received and not read: no request has asked for them."""
+        # Tornado has no public look at them.
+        return bytes(self._stream._read_buffer)
+
 
 class _Kept(NamedTuple):
     until: float
@@ -62,6 +68,8 @@
 class ConnectionPool:
     """Open connections by address.
 
+    One on which bytes came that nobody has asked for isn't used again: they would be
+    read ahead of the next answer, or as a part of it.
     A new connection must be established within ``connect_s`` seconds. The system closes
     a connection when bytes stay unacknowledged for ``unacknowledged_s``. Without that,
     a connection whose state a device on the path has lost would stay silent for ever.
@@ -134,7 +142,8 @@
         """Keep an idle connection for ``keep_s`` seconds."""
         stream = connection.stream
         kept = self._kept.setdefault(address, deque())
-        if stream.closed() or keep_s <= 0 or len(kept) >= self._most_idle:
+        full = len(kept) >= self._most_idle
+        if stream.closed() or keep_s <= 0 or full or connection.unread:
             stream.close()
             return
         # With a close callback the stream is read while idle, so that its closing is
@@ -168,7 +177,7 @@
             stream = connection.stream
             if stream.closed():
                 continue
-            if until <= self._timers.now():
+            if until <= self._timers.now() or connection.unread:
                 stream.close()
                 continue
             stream.set_close_callback(None)
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 from result import Result
@@ -92,12 +93,14 @@
 class _AnswerReader(httputil.HTTPMessageDelegate):
     """Reads one answer; ``stray`` if it belongs to another request.
 
-    ``joint`` is where a second answer begins inside it, None if it is one answer.
+    ``joint`` is where a second answer begins inside it, None if it is one answer. What
+    is no answer to its request ends the reading by ``give_up``.
     """
 
-    def __init__(self, request_id: str, sink: AnswerSink):
+    def __init__(self, request_id: str, sink: AnswerSink, give_up: Callable[[], None]):
         self._request_id = request_id
         self._sink = sink
+        self._give_up = give_up
         self._scanner = BodyScanner(REQUEST_ID)
         self.stray = False
         self.joint: Joint | None = None
@@ -105,11 +108,13 @@
         self.finished = False
 
     def headers_received(self, start_line, headers):
+        if is_joined_head(start_line.reason, headers):
+            self._end_joined(Joint.HEAD)
+            return
         if 100 <= start_line.code < 200:
             return
-        if is_joined_head(start_line.reason, headers):
-            self.joint = Joint.HEAD
         signs = read_answer_metadata(start_line.code, headers)
+        framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         if signs.request_id != self._request_id and (
             signs.request_id or start_line.code < 300
         ):
@@ -117,21 +122,35 @@
             # Without this check a caller would get another caller's answer, and an
             # order, which has no id, that of a request.
             self.stray = True
-        if self.stray:
+            if not framed:
+                # It lasts as long as the connection, so that no other answer follows.
+                self._give_up()
             return
-        framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         code = start_line.code
         self.head = Head(code, start_line.reason, headers, signs, framed)
         self._sink.handle_head(self.head)
 
     def data_received(self, chunk):
-        if self.joint is None and self._scanner.feed(chunk):
-            self.joint = Joint.BODY
+        if self.joint is not None:
+            return
+        if self._scanner.feed(chunk):
+            self._end_joined(Joint.BODY)
+            return
         if not self.stray:
             self._sink.handle_data(chunk)
 
     def finish(self):
-        self.finished = not self.stray
+        self.finished = not self.stray and self.joint is None
+
+    def check_end(self, unread: bytes) -> None:
+        """Check, once the answer was read, that it ends before what follows it."""
+        if self.joint is None and self._scanner.ends_inside(unread):
+            self._end_joined(Joint.BODY)
+            self.finished = False
+
+    def _end_joined(self, joint: Joint) -> None:
+        self.joint = joint
+        self._give_up()
 
 
 class ExchangeTrace(NamedTuple):
@@ -273,6 +292,8 @@
         request_read = self._written is not None and self._written.done()
         if not self.whole or not request_read or not head.framed:
             return False
+        if self._connection.unread:
+            return False
         return head.succeeded and not head.signs.closes
 
     def close(self) -> None:
@@ -281,8 +302,9 @@
 
     async def _read(self, connection, params, request_id, sink) -> None:
         for _ in range(MAX_STRAY_ANSWERS):
-            self._reader = _AnswerReader(request_id, sink)
+            self._reader = _AnswerReader(request_id, sink, self.close)
             open_still = await connection.read_response(self._reader)
+            self._reader.check_end(self._connection.unread)
             if not self._reader.stray or not open_still:
                 return
             self._strays += 1
