--- a/hawthornlead/tests/gateways.py
+++ b/hawthornlead/tests/gateways.py
@@ -21,6 +21,8 @@
 HOST = "office.example"
 MODEL = "tide"
 LONGEST_S = 20.0
+# The sockets of ``free_ports``.
+_held: list[socket.socket] = []
 
 
 class ClientAnswer(NamedTuple):
@@ -233,9 +235,16 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports that the system chose and nobody listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    """Return ports that the system chose and that go to nobody else in this process.
+
+    They stay bound without a listener until the process ends. Else the system gives one
+    to an outgoing connection before its VM listens there.
+    """
+    ports = []
+    for _ in range(count):
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", 0))
+        _held.append(held)
+        ports.append(held.getsockname()[1])
     return ports
