Counter of joined answers, and where operators and users read of them

hawthornlead_gateway_joined_answers_total by part; event 608 leaves out the part, as no served answer has one.

--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -32,6 +32,11 @@
             "Attempts at targets by outcome",
             ["ending"],
         )
+        self.joined_answers = self._counter(
+            "hawthornlead_gateway_joined_answers_total",
+            "Answers of targets in which a second answer began, by part",
+            ["part"],
+        )
         self.relays = self._counter(
             "hawthornlead_gateway_relays_total",
             "Requests passed on to another VM, by outcome",
--- a/hawthornlead/gateway/request_reporters.py
+++ b/hawthornlead/gateway/request_reporters.py
@@ -105,6 +105,8 @@
         on which connection it was sent.
         """
         self._parts.metrics.attempts.labels(outcome.value).inc()
+        if trace is not None and trace.joint is not None:
+            self._parts.metrics.joined_answers.labels(trace.joint).inc()
         self._emit(
             EventKind.ATTEMPT_FAILED,
             target=target,
@@ -145,7 +147,6 @@
             connection=trace.connection,
             use=trace.use,
             strays=trace.strays,
-            joint=trace.joint,
         )
 
     def answer(self, answer: WholeAnswer) -> None:
