End a call of the store at once when its connection is reset

A call whose response was reset after its head waited for its time-out, 1 s for the platform's store, although nothing more could come, and each such call left a traceback in the log. Tornado's client raises the stream's error in its close handler, where only the log gets it, and forgets to end the call.

WholeAnswerClient ends it with that error. The platform's store, the object API and the VM list use it.

--- a/hawthornlead/gateway/store_clients.py
+++ b/hawthornlead/gateway/store_clients.py
@@ -12,8 +12,9 @@
 from typing import NamedTuple
 
 from result import Err, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest
 
+from ..answers.whole_clients import WholeAnswerClient
 from ..eras.dated_revisions import era_of
 from ..eras.store_eras import UNNAMED_ERA, StoreEras
 from ..errors import ErrorKind, Failure
@@ -82,7 +83,7 @@
         self._url = f"http://{address}"
         self._timers = timers
         self._gaps = AnswerGaps(now=timers.now)
-        self._client = AsyncHTTPClient(
+        self._client = WholeAnswerClient(
             force_instance=True,
             max_clients=MAX_CALLS,
             max_body_size=MAX_LIST_BYTES,
--- a/hawthornlead/ownership/__init__.py
+++ b/hawthornlead/ownership/__init__.py
@@ -3,5 +3,5 @@
 Contains leases and the proofs that a VM has stopped, ownership with fencing numbers,
 registrations, and the members that this VM sees.
 
-May import: the common modules, mesh, stores.
+May import: the common modules, answers, mesh, stores.
 """
--- a/hawthornlead/ownership/platforms.py
+++ b/hawthornlead/ownership/platforms.py
@@ -6,9 +6,11 @@
 
 from loguru import logger
 from result import Err, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest
 
+from ..answers.whole_clients import WholeAnswerClient
 from ..errors import ErrorKind, Failure
+from ..resolvers import NumberResolver
 
 NOT_MODIFIED = 304
 
@@ -53,7 +55,7 @@
 
     def start(self) -> None:
         """Start to read the list."""
-        self._client = AsyncHTTPClient(force_instance=True)
+        self._client = WholeAnswerClient(force_instance=True, resolver=NumberResolver())
         self._timers.after(0, self.read, "VM list")
         self._subscription = self._timers.every(self._interval, self.read, "VM list")
 
--- a/hawthornlead/stores/http_stores.py
+++ b/hawthornlead/stores/http_stores.py
@@ -6,9 +6,11 @@
 from urllib.parse import quote
 
 from result import Err, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest
 
+from ..answers.whole_clients import WholeAnswerClient
 from ..errors import ErrorKind, Failure
+from ..resolvers import NumberResolver
 from .stored_objects import StoredObject, StoreList, WatchLine
 from .stores import ObjectStore, unavailable
 from .watches import WatchGone
@@ -23,10 +25,15 @@
         )
         self._url = f"http://{settings['STORE_ADDRESS']}/objects/"
         self._timeout_s = settings["STORE_TIMEOUT_S"]
-        self._client = AsyncHTTPClient(force_instance=True, max_clients=64)
+        self._client = WholeAnswerClient(
+            force_instance=True, max_clients=64, resolver=NumberResolver()
+        )
         # Watches stay open, so they must not use the connection limit of calls.
-        self._watch_client = AsyncHTTPClient(
-            force_instance=True, max_clients=64, max_body_size=1 << 40
+        self._watch_client = WholeAnswerClient(
+            force_instance=True,
+            max_clients=64,
+            max_body_size=1 << 40,
+            resolver=NumberResolver(),
         )
 
     async def stop(self) -> None:
--- a/hawthornlead/tests/standins/scripted_target.py
+++ b/hawthornlead/tests/standins/scripted_target.py
@@ -1,6 +1,11 @@
 """A stand-in of a target that answers each request with bytes that a test gives."""
 
 import asyncio
+import socket
+import struct
+
+# With this, closing sends a reset in place of an orderly end.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def answer_bytes(
@@ -29,15 +34,19 @@
     """Answers the requests on each connection with ``answers``, one after the other.
 
     With ``closes``
-    a connection ends after its last answer; otherwise it stays open and silent::
+    a connection ends after its last answer, and with ``resets`` it ends by a reset;
+    otherwise it stays open and silent::
 
         async with ScriptedTarget([copy[:40] + answer]) as target:
             await connections.open(target.address)
     """
 
-    def __init__(self, answers: list[bytes], *, closes: bool = False):
+    def __init__(
+        self, answers: list[bytes], *, closes: bool = False, resets: bool = False
+    ):
         self._answers = answers
-        self._closes = closes
+        self._closes = closes or resets
+        self._resets = resets
         self._writers: list[asyncio.StreamWriter] = []
         self.address = ""
         self.requests = 0
@@ -63,6 +72,9 @@
                 await writer.drain()
             if not self._closes:
                 await reader.read()
+            if self._resets:
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         except (asyncio.IncompleteReadError, OSError):
             return
         finally:
