Take no store response without a length whose connection was reset

A VM took an object of the store for gone, or a listing for complete, when a response with neither a length nor chunks was reset after its head: get returned None for a 404 whose body was lost, and a listing or the VM list whose last byte had come was accepted though the reset showed that more may have been lost. Tornado's client ends such a body at any close and doesn't look at the error.

WholeAnswerClient looks at it (answers/framing.py says when the end of a response is known without a close). A head with neither, closed in order with nothing behind it, is a whole response by HTTP: its status counts, and a body that is needed is missed when it is parsed. Four tests fail without the check and hold with it, for the platform's store, the object API and the VM list.

--- a/hawthornlead/answers/whole_clients.py
+++ b/hawthornlead/answers/whole_clients.py
@@ -1,7 +1,8 @@
-"""An HTTP client whose calls fail as soon as their connection breaks.
+"""An HTTP client that returns an answer only if it is whole.
 
-Tornado's own client waits for the time-out of the call after a reset inside a body.
-Apart from that this is Tornado's client::
+Tornado's own client takes an answer without a length for complete when its connection
+is reset, and after a reset inside any other body it waits for the time-out of the
+call. Apart from that this is Tornado's client::
 
     client = WholeAnswerClient(force_instance=True, max_clients=64)
     response = await client.fetch(request, raise_error=False)
@@ -13,6 +14,8 @@
     _HTTPConnection,
 )
 
+from .framing import is_framed
+
 
 class _WholeAnswerCall(_HTTPConnection):
     """One call; it fails at once if its connection ends before the answer."""
@@ -24,6 +27,13 @@
         error = self.stream.error or HTTPStreamClosedError("Connection closed")
         self._handle_exception(type(error), error, error.__traceback__)
 
+    def finish(self) -> None:
+        framed = is_framed(self.code, self.headers, self.request.method)
+        if self.stream.error is not None and not framed:
+            self.on_connection_close()
+            return
+        super().finish()
+
 
 class WholeAnswerClient(SimpleAsyncHTTPClient):
     """Tornado's client; a call whose connection breaks fails with ``OSError``."""
--- a/hawthornlead/tests/test_truncated_store_answers.py
+++ b/hawthornlead/tests/test_truncated_store_answers.py
@@ -11,10 +11,16 @@
 
 from hawthornlead.errors import ErrorKind
 from hawthornlead.gateway.store_clients import StoreClient
+from hawthornlead.ownership.platforms import VmList
+from hawthornlead.settings import default_settings
+from hawthornlead.stores.http_stores import HttpObjectStore
+from hawthornlead.stores.stores import may_have_taken_effect
 from hawthornlead.timers import TimerService
 
 from .gateways import Deployment
+from .standins.object_api import ObjectApiStandIn
 from .standins.platform_store import PlatformStore
+from .standins.scripted_target import ScriptedTarget
 from .standins.truncating_fronts import TruncatingFront
 
 KIND = "owners"
@@ -86,6 +92,37 @@
         await assert_none_accepted(front, gone, SOME_ENDS)
 
 
+async def test_nothing_behind_a_head_is_no_answer_to_a_read():
+    """Guards against an object that counts as gone as the connection is reset."""
+    async with truncated_store() as (store, front, client):
+        since = store.write(KIND, "e1", SPEC)
+        calls = (
+            partial(client.get, KIND, "none"),
+            partial(client.get, KIND, "e1"),
+            partial(client.list_all, KIND),
+            partial(client.watch, KIND, since + 9, 5.0),
+        )
+        for call, (framing, resets) in itertools.product(calls, ENDS):
+            front.framing, front.resets = framing, resets
+            front.cut = await head_length(front, call)
+            got = await call()
+            if got.is_ok():
+                # A head with neither length nor chunks and an orderly end is a whole
+                # answer, whose status alone says that there is nothing.
+                assert (framing, resets) == ("close", False)
+                assert got.ok_value is None
+
+
+async def test_a_reset_after_a_body_without_a_length_is_no_answer():
+    """Guards against a listing whose end was lost with its connection."""
+    async with truncated_store() as (store, front, client):
+        store.write(KIND, "e1", SPEC)
+        front.cut, front.framing = None, "close"
+        for front.resets in (False, True):
+            for got in (await client.get(KIND, "e1"), await client.list_all(KIND)):
+                assert got.is_err() is front.resets
+
+
 async def test_a_reset_inside_a_body_ends_the_call_at_once():
     """Guards against calls that wait for their time-out after a reset."""
     async with truncated_store() as (store, front, client):
@@ -171,3 +208,43 @@
         assert sorted(owned) == ["e1", "e2"]
         for vm in (0, 1):
             assert (await deployment.ask("/safe/x", "GET", vm=vm)).status == 200
+
+
+async def test_no_part_of_an_answer_of_the_object_api_is_one():
+    """Guards against a claim or an order that counts as gone or as written."""
+    stand_in = ObjectApiStandIn()
+    await stand_in.start()
+    async with truncated(stand_in.address, lambda method, path: True) as front:
+        settings = default_settings(STORE_ADDRESS=front.address)
+        store = HttpObjectStore(settings=settings, timers=TimerService(), rng=Random(1))
+        for framing, resets in SOME_ENDS:
+            front.framing, front.resets = framing, resets
+            length = await head_length(front, partial(store._get, "k", "none"))
+            for cut in range(length + 1):
+                front.cut = cut
+                end = (framing, resets, cut)
+                assert_unavailable(await store._get("k", "none"), end)
+                written = await store._put("k", str(end), {}, None)
+                assert may_have_taken_effect(written.err_value), end
+        await store.stop()
+    await stand_in.stop()
+
+
+async def test_no_part_of_an_answer_is_a_list_of_vms():
+    """Guards against VMs that count as gone as the list's end is lost."""
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+    body = b'{"vms": []}'
+    framed = head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    unframed = head + b"\r\n" + body
+    for whole, resets in itertools.product((framed, unframed), (False, True)):
+        answers = [whole]
+        async with ScriptedTarget(answers, closes=True, resets=resets) as platform:
+            settings = default_settings(VM_LIST_ADDRESS=platform.address)
+            vms = VmList(settings=settings, timers=TimerService())
+            vms.start()
+            got = await vms.read()
+            assert got.is_err() is (resets and whole is unframed)
+            for length in range(len(whole)):
+                answers[:] = [whole[:length]]
+                assert_unavailable(await vms.read(), whole[:length])
+            await vms.stop()
