--- a/hawthornlead/tests/test_layout.py
+++ b/hawthornlead/tests/test_layout.py
@@ -2,6 +2,7 @@
 
 import ast
 import re
+import tomllib
 from pathlib import Path
 
 import pytest
@@ -113,3 +114,13 @@
         if len(path.read_text().splitlines()) > MOST_LINES
     ]
     assert not long, "split these along their jobs"
+
+
+def test_every_package_is_installed():
+    """Guards against an installation that lacks a package of the source tree."""
+    project = tomllib.loads((PACKAGE.parent / "pyproject.toml").read_text())
+    found = [
+        ".".join(path.parent.relative_to(PACKAGE.parent).parts)
+        for path in PACKAGE.rglob("__init__.py")
+    ]
+    assert project["tool"]["setuptools"]["packages"] == sorted(found)
