Reject a head made of two responses on the path of signed bundles

A target that breaks off inside a head and goes on with another response on the same connection gave the caller the second response under the status of the first: a 503 was served as a 200, with the body of the 503. The parser reads the cut line and the next status line as one. Exchanges with targets now apply the guard that the platform's path has: a second status line inside a head ends the exchange, which counts as lost.

The error of a broken reading is retrieved where the reading ends, so that no task is reported as never retrieved. test_exchanges uses ScriptedTarget in place of a handler that was still waiting when its loop closed: its finalizer, run while test_layout compiled a file, made CPython 3.11 raise SystemError there.

--- a/hawthornlead/engines/__init__.py
+++ b/hawthornlead/engines/__init__.py
@@ -3,5 +3,5 @@
 Only this package sends orders to a target or grants that a request may run on it.
 
 May import: the common modules, mesh, stores, ownership, bundles, connections,
-decisions.
+answers, decisions.
 """
--- a/hawthornlead/engines/exchanges.py
+++ b/hawthornlead/engines/exchanges.py
@@ -16,6 +16,7 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
+from ..answers.joined_answers import is_joined_head
 from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import ErrorKind, Failure
 from ..timers import TimerService
@@ -39,17 +40,31 @@
 
 
 class _Response(httputil.HTTPMessageDelegate):
-    """Receives the parts of one response from Tornado."""
+    """Receives the parts of one response from Tornado, and decides if they are one.
 
-    def __init__(self, on_data: DataCallback, on_activity: Callable[[], None]):
+    ``fault`` states why what was received is no response, None if nothing speaks
+    against it. From then on nothing is passed on, and ``give_up`` was called.
+    """
+
+    def __init__(
+        self,
+        on_data: DataCallback,
+        on_activity: Callable[[], None],
+        give_up: Callable[[], None],
+    ):
         self._on_data = on_data
         self._on_activity = on_activity
+        self._give_up = give_up
+        self.fault: str | None = None
         self.head: asyncio.Future[ResponseHead | None] = (
             asyncio.get_running_loop().create_future()
         )
         self.finished = False
 
     def headers_received(self, start_line, headers):
+        if is_joined_head(start_line.reason, headers):
+            self._reject("another response begins inside its head")
+            return
         if 100 <= start_line.code < 200:
             return
         self._on_activity()
@@ -57,20 +72,29 @@
             self.head.set_result(ResponseHead(start_line.code, headers))
 
     def data_received(self, chunk):
+        if self.fault is not None:
+            return None
         self._on_activity()
         return self._on_data(chunk)
 
     def finish(self):
-        self.finished = True
+        self.finished = self.fault is None
 
     def on_connection_close(self):
         self.on_reading_ended()
 
     def on_reading_ended(self, reading: asyncio.Task | None = None) -> None:
         """Record that no more of the response will come."""
+        if reading is not None and not reading.cancelled():
+            # Retrieve the error: a broken connection means an incomplete response.
+            reading.exception()
         if not self.head.done():
             self.head.set_result(None)
 
+    def _reject(self, fault: str) -> None:
+        self.fault = fault
+        self._give_up()
+
 
 class Exchange:
     """One request to a target and its response, on a connection of its own."""
@@ -122,7 +146,7 @@
             no_keep_alive=False, max_body_size=MAX_ANSWER_BYTES
         )
         connection = HTTP1Connection(self._stream, True, params)
-        self._response = _Response(on_data, self._record_activity)
+        self._response = _Response(on_data, self._record_activity, self._stream.close)
         headers["Host"] = self._address
         headers["Content-Length"] = str(len(body))
         self._record_activity()
@@ -141,7 +165,8 @@
         except TimeoutError:
             return self._abort_silent(f"no answer within {head_timeout_s:.1f} s")
         if head is None:
-            return Err(_lost(self._address, "closed before its answer"))
+            detail = self._response.fault or "closed before its answer"
+            return Err(_lost(self._address, detail))
         return Ok(head)
 
     async def read_to_end(self, silence_timeout_s: float) -> Result[None, Failure]:
@@ -153,7 +178,8 @@
             await asyncio.wait([self._reading], timeout=remaining_s)
         if not self._response.finished:
             self.close()
-            return Err(_lost(self._address, "closed within its answer"))
+            detail = self._response.fault or "closed within its answer"
+            return Err(_lost(self._address, detail))
         return Ok(None)
 
     def release(self) -> None:
@@ -171,8 +197,6 @@
     def close(self) -> None:
         """Close the connection; the target sees that its caller has gone."""
         self._stream.close()
-        if self._reading is not None:
-            self._reading.add_done_callback(_consume)
 
     def _abort_silent(self, detail: str) -> Err[Failure]:
         # What made this connection silent, such as lost state in something on the path,
@@ -221,8 +245,3 @@
 
 def _lost(address: str, detail: str) -> Failure:
     return Failure(ErrorKind.TARGET_LOST, f"{address}: {detail}")
-
-
-def _consume(task: asyncio.Task) -> None:
-    if not task.cancelled():
-        task.exception()
--- a/hawthornlead/tests/test_exchanges.py
+++ b/hawthornlead/tests/test_exchanges.py
@@ -12,6 +12,8 @@
 from hawthornlead.errors import ErrorKind
 from hawthornlead.timers import TimerService
 
+from .standins.scripted_target import ScriptedTarget
+
 
 @pytest.mark.parametrize("reset", [False, True])
 async def test_a_target_that_dies_before_its_headers_is_seen_at_once(reset):
@@ -61,21 +63,14 @@
 @pytest.mark.parametrize(("status", "kept"), [("200 OK", True), ("503 No", False)])
 async def test_a_repeated_refusal_refuses_no_later_request(status, kept):
     """Guards against a refusal whose copy is read in place of the next response."""
-
-    async def answer(reader, writer):
-        while await reader.readline():
-            await reader.readuntil(b"{}")
-            writer.write(f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode())
-
-    server = await asyncio.start_server(answer, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
+    answer = f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode()
     connections = TargetConnections(timers=TimerService())
-    exchange = (await connections.open(f"{host}:{port}")).ok_value
-    await exchange.send("POST", "/", HTTPHeaders(), b"{}", lambda data: None, 1)
-    await exchange.read_to_end(1)
-    exchange.release()
-    following = (await connections.open(f"{host}:{port}")).ok_value
-    assert following.reused is kept
-    following.close()
-    connections.close()
-    server.close()
+    async with ScriptedTarget([answer]) as target:
+        exchange = (await connections.open(target.address)).ok_value
+        await exchange.send("POST", "/", HTTPHeaders(), b"{}", lambda data: None, 1)
+        await exchange.read_to_end(1)
+        exchange.release()
+        following = (await connections.open(target.address)).ok_value
+        assert following.reused is kept
+        following.close()
+        connections.close()
