Test of a store without history runs on a played clock

Seen: the test counted 22 calls by the two VMs that relays inform, once at load 12 to 15. It ran on real time: a stall of its own process of 0.6 s or more lets the relays' heartbeats expire, and the informed VMs then call the store as they should.

The test makes the same claim of the same four VMs (two relays, two informed, four kinds, 2.5 s without changes and one more change of each kind; not one call) with the clock, the store and its clients played, so that real time has no part in it. It also requires that the relays list meanwhile. That the store's 410 counts as a lost history is tested over the wire by test_watchers.

It fails without each guard: LISTING_MAX_AGE_S in KindWatcher._is_fresh, the immediate first listing in _await_next_listing, and _history_gone set by _watch.

--- a/hawthornlead/tests/fakes_played_stores.py
+++ b/hawthornlead/tests/fakes_played_stores.py
@@ -8,7 +8,7 @@
 """
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 from enum import Enum
 from random import Random
 from typing import NamedTuple
@@ -52,7 +52,9 @@
     def __init__(self):
         self.revision = 1
         self.era = 1
-        self.calls = 0
+        self.calls: Counter[str] = Counter()
+        # Whether watches can go on; otherwise each ends at once, its history gone.
+        self.keeps_history = True
         self.refusals: dict[str, Refusal] = {}
         # How the store treats all VMs; None while it serves.
         self.down: Refusal | None = None
@@ -132,6 +134,8 @@
 
     def changes(self, kind: str, after: int) -> tuple[StoreEvent, ...] | None:
         """Return the changes of a kind after a revision, None if they are forgotten."""
+        if not self.keeps_history:
+            return None
         if after < self._forgotten or after > self.revision:
             return None
         changes = []
@@ -251,7 +255,7 @@
 
     async def _answered(self, timeout_s: float) -> bool:
         """Let a call go to the store; whether it was served."""
-        self._store.calls += 1
+        self._store.calls[self._vm] += 1
         await self._timers.sleep(self._rng.uniform(LEAST_ANSWER_S, MOST_ANSWER_S) / 2)
         if self._store.refusal(self._vm) is not None:
             await self._refused(timeout_s)
--- a/hawthornlead/tests/following_vms.py
+++ b/hawthornlead/tests/following_vms.py
@@ -42,7 +42,9 @@
 from hawthornlead.timers import TimerService
 
 from .bad_entries import good_spec
+from .fakes_clocks import PlayedTimers
 from .fakes_mesh import LocalNetwork
+from .fakes_played_stores import PlayedClient, PlayedStore
 from .gateways import MODEL
 from .standins.platform_store import PlatformStore
 
@@ -61,12 +63,12 @@
 class FollowingVm:
     """One VM's view of all kinds, kept as a gateway keeps it."""
 
-    def __init__(self, network, timers, store, name):
+    def __init__(self, network, timers, client, name):
         self.mesh = network.join(name)
         self.mesh.heartbeat_source = lambda: Heartbeat(0, 0, False, 0, 1, 0.0)
         self.events = EventRing(name, HybridClock(timers))
         self.metrics = GatewayMetrics(CollectorRegistry())
-        self.client = StoreClient(address=store.address, timers=timers)
+        self.client = client
         self.memberships = Memberships(
             record=VmRecord(name, f"{name}-1", "gijon", "x:1", "x:2", False),
             client=self.client,
@@ -149,7 +151,6 @@
         for watcher in self.watchers.values():
             watcher.stop()
         self.memberships.stop()
-        self.client.close()
 
     def known(self) -> dict:
         """Return what this VM believes of all objects."""
@@ -193,10 +194,9 @@
     """A store, VMs that follow it, and what each of them must believe."""
 
     def __init__(self):
-        self.timers = TimerService()
+        self.timers = self._make_timers()
         self.network = LocalNetwork(self.timers)
-        self.store = PlatformStore()
-        self.store.start()
+        self.store = self._make_store()
         self.vms = []
         self.expected = {
             TARGETS_KIND: {},
@@ -208,7 +208,8 @@
 
     def add(self, name):
         """Start one more VM."""
-        vm = FollowingVm(self.network, self.timers, self.store, name)
+        client = self._make_client(name)
+        vm = FollowingVm(self.network, self.timers, client, name)
         vm.start()
         self.vms.append(vm)
         return vm
@@ -217,6 +218,7 @@
         """End everything."""
         for vm in self.vms:
             vm.stop()
+            vm.client.close()
         await self.store.stop()
 
     def write_good(self, kind, name):
@@ -286,10 +288,45 @@
                 pytest.fail(f"expected {self.expected}, known {known}")
             await asyncio.sleep(0.005)
 
+    def _make_timers(self) -> TimerService:
+        return TimerService()
 
-async def relayed_site() -> Site:
+    def _make_store(self) -> PlatformStore:
+        store = PlatformStore()
+        store.start()
+        return store
+
+    def _make_client(self, name: str) -> StoreClient:
+        return StoreClient(address=self.store.address, timers=self.timers)
+
+
+class PlayedSite(Site):
+    """A site on a played clock, which no stall of the test's process disturbs.
+
+    The store and its clients are played too; all else is as in ``Site``::
+
+        run_played(play_of(PlayedSite()))
+    """
+
+    async def stop(self):
+        """End everything."""
+        for vm in self.vms:
+            vm.stop()
+        self.timers.stop()
+
+    def _make_timers(self) -> PlayedTimers:
+        return PlayedTimers()
+
+    def _make_store(self) -> PlayedStore:
+        return PlayedStore()
+
+    def _make_client(self, name: str) -> PlayedClient:
+        return PlayedClient(name, self.store, self.timers, Random(name))
+
+
+async def relayed_site(kind: type[Site] = Site) -> Site:
     """Return a site of four VMs, of which two are told everything by the others."""
-    site = Site()
+    site = kind()
     for name in "abcd":
         site.add(name)
     await site.until(site.is_settled)
