Requests that waited for places at a relieved owner leave its queue

Cause: PlaceWaits.stop completes the futures of those that wait, and reserve took a completed future for a granted place. It returned a failure to the caller, as it should, but left the request in the queue. The places of a finished owner are kept until its target is gone, so hawthornlead_gateway_waiting_for_engine_places never fell to 0 again.

A wait that was stopped has no place, and ends like one that ran out of time. The test failed before (3 requests waiting for ever) and holds.

--- a/hawthornlead/admission/place_waits.py
+++ b/hawthornlead/admission/place_waits.py
@@ -64,13 +64,14 @@
         self._check_later()
         granted = False
         try:
-            granted = await wait_done(self._timers, future, request.until - asked_at)
+            done = await wait_done(self._timers, future, request.until - asked_at)
+            granted = done and not self._stopped
         finally:
             del self._granted[request.vm, request.number]
             if not granted:
                 self.end(request.vm, request.number, ran=False)
         waited_s = self._timers.now() - asked_at
-        return Waited(granted and not self._stopped, answer, waited_s, self._stopped)
+        return Waited(granted, answer, waited_s, self._stopped)
 
     def end(self, vm: str, number: int, ran: bool = True) -> None:
         """End a VM's request, whether it has a place or waits for one."""
--- a/hawthornlead/tests/test_engine_places.py
+++ b/hawthornlead/tests/test_engine_places.py
@@ -275,6 +275,26 @@
     simulate(play())
 
 
+def test_no_request_waits_at_an_owner_that_was_relieved():
+    """Guards against a count of waiting requests that never falls to 0 again."""
+
+    async def play():
+        site = EngineSite(engines=1)
+        await fill(site)
+        waiting = [
+            asyncio.ensure_future(question(site, wait_s=1.0, due_s=0.5))
+            for _ in range(3)
+        ]
+        await asyncio.sleep(0.05)
+        assert site.engine_places["vm-0"].waiting == 3
+        site.owned["e0"].finished = True
+        for reply in await asyncio.gather(*waiting):
+            assert reply.err_value.kind is ErrorKind.NO_GRANT
+        assert site.engine_places["vm-0"].waiting == 0
+
+    simulate(play())
+
+
 def test_a_restarted_engine_has_no_place_taken():
     async def play():
         site = EngineSite(engines=1)
