Soak: the rule behind cuts counts first tries at VMs in touch, as it says

served-behind-cuts judged requests while the store was down, and each retry of a refused request as a request of its own. The rule is about first tries, at VMs in touch for the whole contact time before, which includes a stable store.

The judge is stricter where it was laxer than the rule: a connection that a VM refuses fails there (callers note the VM), and so does a try without an answer by its deadline; VMs that are cut together are judged together; VMs that were not cut at that time count among the others, and attempts at no VM don't. Of the new right and wrong records, two wrong ones passed before and two right ones failed before.

--- a/hawthornlead/tests/soak_gateway_cases.py
+++ b/hawthornlead/tests/soak_gateway_cases.py
@@ -128,6 +128,15 @@
     return more_sent(behind_cut("b-other", "vm-2"), *asked)
 
 
+def behind_two_cuts(count):
+    """Return requests to two VMs without paths, each of which refused so many."""
+    made = behind_cuts(count, outcome="refused", status=503)
+    made.troubles.append(made.troubles[0]._replace(subject="vm-3>targets"))
+    asked = [behind_cut(f"b3-{n}", "vm-3", outcome="broken") for n in range(count)]
+    made.sent += asked
+    return made
+
+
 def after_crashes(count, **changes):
     """Return requests with a part that crashed five engines, from 3.5 s after that."""
     fields = {"outcome": "broken", "part": "bad1", "sent_at": 124.5, "ended_at": 125}
@@ -196,6 +205,12 @@
     return made
 
 
+def with_trouble(made, *troubles):
+    """Return a journal with further troubles."""
+    made.troubles += [Trouble(*each) for each in troubles]
+    return made
+
+
 def turns(*orders):
     """Return a journal with other orders."""
     return journal(orders=list(orders))
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -11,6 +11,7 @@
     arrived,
     away_run,
     behind_cuts,
+    behind_two_cuts,
     cut,
     cuts,
     denied,
@@ -26,6 +27,7 @@
     sent,
     troubled,
     turns,
+    with_trouble,
     working_on,
 )
 from hawthornlead.tests.soak_gateway_faults import GATEWAY_DECK
@@ -121,6 +123,23 @@
     ("leaving-answers-heeded", arrived(arrival(103.1, "leaving"))),
     ("rest-given", arrived(*[arrival(101.0, "rest")] * 3)),
     ("served-behind-cuts", behind_cuts(20, outcome="refused", status=503)),
+    ("served-behind-cuts", behind_cuts(20, outcome="unconnected", status=0)),
+    ("served-behind-cuts", behind_cuts(20, outcome="left", status=0)),
+    ("served-behind-cuts", behind_two_cuts(6)),
+    (
+        "served-behind-cuts",
+        with_trouble(
+            behind_cuts(20, outcome="refused", status=503),
+            ("store-down", STORE, 298.0, 300.4),
+        ),
+    ),
+    (
+        "served-behind-cuts",
+        with_trouble(
+            behind_cuts(20, outcome="refused", status=503),
+            ("vm-killed", "vm-1", 299.0, 300.4),
+        ),
+    ),
     (
         "one-software-a-stream",
         more_sent(
@@ -192,7 +211,25 @@
     ("rest-given", arrived(*[arrival(101.0, "rest")] * 2)),
     ("rest-given", arrived(*[arrival(100.5, "rest")] * 3)),
     ("served-behind-cuts", behind_cuts(10, outcome="refused", status=503)),
-    ("served-behind-cuts", behind_cuts(20, outcome="left", status=0)),
+    ("served-behind-cuts", behind_two_cuts(5)),
+    (
+        "served-behind-cuts",
+        behind_cuts(20, outcome="refused", status=503, earlier=1),
+    ),
+    (
+        "served-behind-cuts",
+        with_trouble(
+            behind_cuts(20, outcome="refused", status=503),
+            ("store-down", STORE, 302.4, 306.4),
+        ),
+    ),
+    (
+        "served-behind-cuts",
+        with_trouble(
+            behind_cuts(20, outcome="refused", status=503),
+            ("vm-killed", "vm-1", 299.0, 301.0),
+        ),
+    ),
     (
         "one-software-a-stream",
         more_sent(
