Find any answer that begins inside another one, in linear time

The search is one bounded pattern, a status line and the name of a header, over each chunk and at most 400 bytes before it. A body that ends after such a status line, within its head, isn't whole. What follows a joined answer isn't read: an unnamed refusal behind one was taken for the request's own. An answer to another request ends a HEAD request, as Tornado forgets that the next one has no body, and read a stray's body as a head. Empty lines between answers don't cost a connection.

--- a/hawthornlead/answers/joined_answers.py
+++ b/hawthornlead/answers/joined_answers.py
@@ -16,11 +16,18 @@
 
 from tornado.httputil import HTTPHeaders
 
-STATUS_MARK = b"HTTP/1."
-STATUS_LINE = re.compile(r"HTTP/1\.[01] [1-5][0-9][0-9]")
-HEAD_END = b"\r\n\r\n"
-# A status line with no end of its head within so many bytes begins no answer.
-MAX_HEAD_BYTES = 1 << 14
+MARK = b"HTTP/1."
+STATUS_LINE = re.compile(r"HTTP/1\.[0-9] [0-9]{3}")
+REQUEST_LINE_END = re.compile(r"\S HTTP/1\.[0-9]$")
+# No status line and first header's name together are longer. The bounds also keep the
+# search linear in the length of the body.
+MAX_START_BYTES = 400
+_STATUS_LINE = rb"HTTP/1\.[0-9] [0-9]{3}[^\r\n]{0,256}\r\n"
+_NAME = rb"[-!#$%&'*+.^_`|~0-9A-Za-z]"
+# A text that quotes a status line has no header behind it, and no CR before its line
+# feeds in an event stream.
+_HEAD_START = re.compile(_STATUS_LINE + _NAME + rb"{1,64}:")
+_UNFINISHED_START = re.compile(_STATUS_LINE + _NAME + rb"{0,64}\Z")
 
 
 class Joint(Enum):
@@ -31,60 +38,48 @@
 
 
 def is_joined_head(reason: str, headers: HTTPHeaders) -> bool:
-    """Whether a head that was parsed as one contains a second status line."""
+    """Whether the head of an answer, parsed as one, contains a second status line."""
     if STATUS_LINE.search(reason):
         return True
     return any(STATUS_LINE.search(value) for _, value in headers.get_all())
 
 
+def is_joined_request(headers: HTTPHeaders) -> bool:
+    """Whether the head of a request contains the first line of a second one."""
+    return any(REQUEST_LINE_END.search(value) for _, value in headers.get_all())
+
+
 class BodyScanner:
-    """Searches a body, as it comes, for the head of another answer.
+    """Searches a body, as it comes, for the beginning of another answer.
 
-    A text may well quote a status line. So only a head that has the header ``named``
-    counts, by which targets say whose answer it is::
+    That is a status line and the name of a header. The time is linear in the length of
+    the body, and at most ``MAX_START_BYTES`` are kept::
 
-        scanner = BodyScanner("Request-Id")
-        joined = scanner.feed(b"half of the body HTTP/1.1 200 OK\\r\\nRequest-Id: 9c41")
+        scanner = BodyScanner()
+        joined = scanner.feed(b"half of the body HTTP/1.1 200 OK\\r\\nServer: x\\r\\n")
     """
 
-    def __init__(self, named: str):
-        name = re.escape(named.encode())
-        self._head = re.compile(
-            rb"HTTP/1\.[01] [1-5][0-9][0-9][^\r\n]*\r\n"
-            rb"(?:[^\r\n:]+:[^\r\n]*\r\n)*?" + name + rb":",
-            re.IGNORECASE,
-        )
-        # What may be the beginning of a head, or of its mark.
-        self._kept = b""
+    def __init__(self):
+        # The end of the body so far, in which another answer may begin.
+        self._tail = b""
 
     def feed(self, chunk: bytes) -> bool:
-        """Whether the body so far contains the head of another answer."""
-        self._kept += chunk
-        at = self._kept.find(STATUS_MARK)
-        while at >= 0:
-            self._kept = self._kept[at:]
-            if self._head.match(self._kept):
-                return True
-            if not self._is_complete():
-                return False
-            at = self._kept.find(STATUS_MARK, 1)
-        self._kept = self._kept[1 - len(STATUS_MARK) :]
+        """Whether another answer begins in the body so far."""
+        data = self._tail + chunk if self._tail else chunk
+        at = data.find(MARK)
+        if at >= 0 and _HEAD_START.search(data, at):
+            return True
+        at = data.find(MARK, max(0, len(data) - MAX_START_BYTES))
+        self._tail = data[at:] if at >= 0 else data[1 - len(MARK) :]
         return False
 
     def ends_inside(self, unread: bytes) -> bool:
-        """Whether the head of another answer begins in the body and ends behind it.
+        """Whether another answer begins in the body, which ends within its head.
 
         A body that was cut is filled up to its length by the first bytes of what comes
-        next. ``unread`` is what was received after it.
+        next. ``unread`` is what was received behind it.
         """
-        received = self._kept + unread[:MAX_HEAD_BYTES]
-        at = received.find(STATUS_MARK)
-        while 0 <= at < len(self._kept):
-            if self._head.match(received, at):
-                return True
-            at = received.find(STATUS_MARK, at + 1)
-        return False
-
-    def _is_complete(self) -> bool:
-        """Whether no further bytes can make a head of what is kept."""
-        return HEAD_END in self._kept or len(self._kept) > MAX_HEAD_BYTES
+        found = _HEAD_START.search(self._tail + unread[:MAX_START_BYTES])
+        if found is not None and found.start() < len(self._tail):
+            return True
+        return _UNFINISHED_START.search(self._tail) is not None
--- a/hawthornlead/connections/connection_pools.py
+++ b/hawthornlead/connections/connection_pools.py
@@ -59,6 +59,11 @@
         # Tornado has no public look at them.
         return bytes(self._stream._read_buffer)
 
+    @property
+    def clean(self) -> bool:
+        """Whether nothing is unread but empty lines, which may precede an answer."""
+        return not self.unread.strip(b"\r\n")
+
 
 class _Kept(NamedTuple):
     until: float
@@ -143,7 +148,7 @@
         stream = connection.stream
         kept = self._kept.setdefault(address, deque())
         full = len(kept) >= self._most_idle
-        if stream.closed() or keep_s <= 0 or full or connection.unread:
+        if stream.closed() or keep_s <= 0 or full or not connection.clean:
             stream.close()
             return
         # With a close callback the stream is read while idle, so that its closing is
@@ -177,7 +182,7 @@
             stream = connection.stream
             if stream.closed():
                 continue
-            if until <= self._timers.now() or connection.unread:
+            if until <= self._timers.now() or not connection.clean:
                 stream.close()
                 continue
             stream.set_close_callback(None)
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -20,7 +20,7 @@
 from ..answers.joined_answers import BodyScanner, Joint, is_joined_head
 from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import Failure
-from ..platform.headers import REQUEST_ID, AnswerMetadata, read_answer_metadata
+from ..platform.headers import AnswerMetadata, read_answer_metadata
 from ..timers import TimerService
 from .records import Incarnation
 
@@ -101,7 +101,7 @@
         self._request_id = request_id
         self._sink = sink
         self._give_up = give_up
-        self._scanner = BodyScanner(REQUEST_ID)
+        self._scanner = BodyScanner()
         self.stray = False
         self.joint: Joint | None = None
         self.head: Head | None = None
@@ -253,7 +253,7 @@
         self._written = connection.write_headers(start, headers, body)
         connection.finish()
         self._reading = asyncio.ensure_future(
-            self._read(connection, params, request_id, sink)
+            self._read(connection, params, method, request_id, sink)
         )
         self._reading.add_done_callback(self._on_read_end)
 
@@ -292,7 +292,7 @@
         request_read = self._written is not None and self._written.done()
         if not self.whole or not request_read or not head.framed:
             return False
-        if self._connection.unread:
+        if not self._connection.clean:
             return False
         return head.succeeded and not head.signs.closes
 
@@ -300,12 +300,16 @@
         """Close the connection, which tells the target that its caller is gone."""
         self._stream.close()
 
-    async def _read(self, connection, params, request_id, sink) -> None:
+    async def _read(self, connection, params, method, request_id, sink) -> None:
         for _ in range(MAX_STRAY_ANSWERS):
             self._reader = _AnswerReader(request_id, sink, self.close)
             open_still = await connection.read_response(self._reader)
             self._reader.check_end(self._connection.unread)
-            if not self._reader.stray or not open_still:
+            if not self._reader.stray or self._reader.joint or not open_still:
+                return
+            if method == "HEAD":
+                # Tornado knows only of the first answer that it has no body.
+                self.close()
                 return
             self._strays += 1
             connection = HTTP1Connection(self._stream, True, params)
--- a/hawthornlead/tests/test_joined_answers.py
+++ b/hawthornlead/tests/test_joined_answers.py
@@ -28,6 +28,7 @@
 ID_PLACES = (0, 1, 3)
 # Far longer than any of these takes; what lasts so long waits for its deadline.
 LONGEST_S = 20.0
+AT_ONCE = 32
 
 
 class Got(NamedTuple):
@@ -56,12 +57,16 @@
 
 
 async def ask(
-    connections: TargetConnections, address: str, sink: AnswerSink, request_id="own"
+    connections: TargetConnections,
+    address: str,
+    sink: AnswerSink,
+    request_id: str = "own",
+    method: str = "GET",
 ) -> Exchange:
     """Send a request, and read its answer to the end or until it lasts too long."""
-    exchange = (await connections.open(address)).ok_value
+    exchange = (await connections.open(address, within_s=LONGEST_S)).ok_value
     headers = httputil.HTTPHeaders({"Host": "h"})
-    exchange.send("GET", "/x", headers, b"", request_id=request_id, sink=sink)
+    exchange.send(method, "/x", headers, b"", request_id=request_id, sink=sink)
     await asyncio.wait([exchange.ended], timeout=LONGEST_S)
     return exchange
 
@@ -88,11 +93,14 @@
 async def read_all(answers: list[bytes], *, closes: bool, request_id="own"):
     """Return what is taken for the answer, for each of many."""
     connections = TargetConnections(timers=TimerService())
-    reading = (
-        read_one(connections, answer, closes=closes, request_id=request_id)
-        for answer in answers
-    )
-    return await asyncio.gather(*reading)
+    got = []
+    for at in range(0, len(answers), AT_ONCE):
+        reading = (
+            read_one(connections, answer, closes=closes, request_id=request_id)
+            for answer in answers[at : at + AT_ONCE]
+        )
+        got += await asyncio.gather(*reading)
+    return got
 
 
 async def assert_own_or_none(first: bytes, own: bytes, status: int, body: bytes):
@@ -126,6 +134,42 @@
             await assert_own_or_none(first, own, 200, OWN_BODY)
 
 
+async def test_an_answer_joined_to_one_that_names_no_request_is_none():
+    """Guards against a body with the error of a target, or a report, inside it."""
+    body = OWN_BODY * 12
+    first = answer_bytes(200, "own", body, "length", 0)
+    for status, length in ((500, 10), (503, 400), (200, 50)):
+        unnamed = answer_bytes(status, "", b"x" * length, "length", 0)
+        start = first.index(b"\r\n\r\n") + 4
+        cuts = [first[:cut] + unnamed for cut in range(start, len(first))]
+        for got in await read_all(cuts, closes=False):
+            assert got.in_time
+            assert not got.status
+
+
+async def test_what_follows_a_joined_answer_is_not_read():
+    """Guards against a refusal that is read behind bytes known to be no answer."""
+    stray = answer_bytes(200, "another", OTHER_BODY * 3, "length", 0)
+    own = answer_bytes(500, "own", b"failed", "length", 0)
+    cut = stray[: len(stray) - len(own)]
+    got = await read_all(
+        [cut + own + answer_bytes(503, "", b"", "length", 0)], closes=False
+    )
+    assert not got[0].status
+
+
+async def test_an_answer_to_another_request_ends_a_request_for_a_head():
+    """Guards against the body of another's answer that is read as a head."""
+    body = b"HTTP/1.1 503 X\r\nContent-Length: 9\r\n\r\n"
+    stray = answer_bytes(200, "another", body, "length", 0)
+    connections = TargetConnections(timers=TimerService())
+    async with ScriptedTarget([stray]) as target:
+        exchange = await ask(connections, target.address, WholeAnswer(), method="HEAD")
+        assert exchange.ended.done()
+        assert not exchange.whole
+        exchange.close()
+
+
 async def test_a_long_answer_that_its_copy_fits_into_is_none():
     """Guards against a body that has its own copy, head and all, inside it."""
     body = OWN_BODY * 12
@@ -225,10 +269,11 @@
     """Guards against bytes after an answer that are read ahead of the next one."""
     answer = answer_bytes(200, "own", OWN_BODY, "length", 0)
     connections = TargetConnections(timers=TimerService())
-    for extra, kept in ((b"", True), (b"more", False), (answer, False)):
+    for extra in (b"", b"\r\n", b"more", answer):
         async with ScriptedTarget([answer + extra]) as target:
             exchange = await ask(connections, target.address, WholeAnswer())
             assert exchange.whole
+            kept = not extra.strip()
             assert (exchange.follow_up() is not None) is kept
             exchange.close()
 
