Count a response without a body as complete at its head

A caller got 502 for a success with status 204 if the target reset its connection right behind the head: the head states neither a length nor chunks, so the response counted as one that ends with its connection. 204, 304 and responses to HEAD have no body and end with their head (RFC 9112, 6.3).

A head with neither a length nor chunks and with nothing behind it is a whole response if its connection is closed in order, and none if it is reset.

--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -17,6 +17,7 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
+from ..answers.framing import is_framed
 from ..answers.joined_answers import BodyScanner, Joint, is_joined_head
 from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import Failure
@@ -97,8 +98,15 @@
     is no answer to its request ends the reading by ``give_up``.
     """
 
-    def __init__(self, request_id: str, sink: AnswerSink, give_up: Callable[[], None]):
+    def __init__(
+        self,
+        request_id: str,
+        method: str,
+        sink: AnswerSink,
+        give_up: Callable[[], None],
+    ):
         self._request_id = request_id
+        self._method = method
         self._sink = sink
         self._give_up = give_up
         self._scanner = BodyScanner(REQUEST_ID)
@@ -114,7 +122,7 @@
         if 100 <= start_line.code < 200:
             return
         signs = read_answer_metadata(start_line.code, headers)
-        framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        framed = is_framed(start_line.code, headers, self._method)
         if signs.request_id != self._request_id and (
             signs.request_id or start_line.code < 300
         ):
@@ -253,7 +261,7 @@
         self._written = connection.write_headers(start, headers, body)
         connection.finish()
         self._reading = asyncio.ensure_future(
-            self._read(connection, params, request_id, sink)
+            self._read(connection, params, request_id, method, sink)
         )
         self._reading.add_done_callback(self._on_read_end)
 
@@ -300,9 +308,9 @@
         """Close the connection, which tells the target that its caller is gone."""
         self._stream.close()
 
-    async def _read(self, connection, params, request_id, sink) -> None:
+    async def _read(self, connection, params, request_id, method, sink) -> None:
         for _ in range(MAX_STRAY_ANSWERS):
-            self._reader = _AnswerReader(request_id, sink, self.close)
+            self._reader = _AnswerReader(request_id, method, sink, self.close)
             open_still = await connection.read_response(self._reader)
             self._reader.check_end(self._connection.unread)
             if not self._reader.stray or not open_still:
