Show callers that know no chunks where a stream broke off

An HTTP/1.0 caller took a truncated stream for a complete one: it gets no chunks, so its stream ends with the connection, and abort() closed that in order. The same happened where a handler failed, where the VM closed its connections to stop, where a finished stream was closed before the system had taken all of it, and where the process was killed, since the system closes in order for it. With "Connection: keep-alive" such a stream never ended at all: Tornado kept the connection open.

From its begin on, a response that only its connection's close ends has SO_LINGER set so that every close is a reset, whoever makes it. This is taken back when the last byte was handed to the system, right before the close in order. The response says "Connection: close". A stream isn't collected to be sent with a length, because that would hold up its first event until its last. A reset may lose the last events before it, which a break may do anyway.

Responses in chunks or with a length, and what is written to a connection that broke, showed the truncation before.

--- a/hawthornlead/gateway/caller_calls.py
+++ b/hawthornlead/gateway/caller_calls.py
@@ -7,15 +7,23 @@
 """
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 from loguru import logger
 from tornado import httputil
 
+from ..answers.framing import is_framed
 from ..tasks import TaskSet
 
 Handler = Callable[["CallerCall"], Awaitable[None]]
 
+# Values of SO_LINGER. By the first one the system resets the connection whenever it is
+# closed, also if this process is killed.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
+
 
 class CallerCall:
     """One request of a caller, and its answer."""
@@ -27,6 +35,8 @@
         self._parts: list[bytes] = []
         self._answered = False
         self._ended = False
+        # Whether the end of the answer is known without a close.
+        self._framed = True
         self.gone: asyncio.Future = asyncio.get_running_loop().create_future()
         self.arrived_at = 0.0
         # Whether the connection closes with the answer, so that the caller resolves the
@@ -79,8 +89,19 @@
         self.finish()
 
     def begin(self, status: int, reason: str, headers, chunk: bytes) -> None:
-        """Start an answer; without a length in ``headers`` it is sent in chunks."""
+        """Start an answer; without a length in ``headers`` it is sent in chunks.
+
+        HTTP/1.0 has no chunks: there the answer ends with the connection. Until it is
+        complete every close is a reset, because an orderly one would end it too.
+        """
         self._answered = True
+        chunked = self._start.version == "HTTP/1.1"
+        self._framed = chunked or is_framed(status, headers, self.method)
+        if not self._framed:
+            self.closing = True
+            # Tornado would offer to keep the connection if the caller asks for it.
+            self._headers["Connection"] = "close"
+            self._set_linger(RESET_ON_CLOSE)
         if self.closing:
             headers["Connection"] = "close"
         start = httputil.ResponseStartLine("HTTP/1.1", status, reason)
@@ -96,12 +117,16 @@
             return
         self._ended = True
         stream = self._connection.stream
+        if not self._framed and not stream.closed():
+            # What the system has not taken yet would be lost with this process.
+            stream.write(b"").add_done_callback(self._end_unframed)
+            return
         self._connection.finish()
         if self.closing and stream is not None and not stream.closed():
             stream.write(b"").add_done_callback(lambda _: stream.close())
 
     def abort(self) -> None:
-        """Abort the answer: its framing shows that it is incomplete."""
+        """Abort the answer: its framing, or a reset, shows that it is incomplete."""
         if self._ended:
             return
         self._ended = True
@@ -109,6 +134,18 @@
         if stream is not None:
             stream.close()
 
+    def _end_unframed(self, written: asyncio.Future) -> None:
+        """Close the connection in order after all of the answer was sent."""
+        if not written.cancelled() and written.exception() is None:
+            self._set_linger(CLOSE_IN_ORDER)
+        self._connection.finish()
+        self._connection.stream.close()
+
+    def _set_linger(self, value: bytes) -> None:
+        stream = self._connection.stream
+        if not stream.closed():
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
 
 class CallerDispatcher(httputil.HTTPServerConnectionDelegate):
     """Dispatches complete requests to a handler, a task for each."""
