Answer HEAD with the head of the response

A caller of HEAD got a broken connection in place of a refusal: answer() wrote the text of the failure as a body, and Tornado closes the connection on a byte more than the response may have. A success came with the length 0, which no response to GET had, and so did 204, which may state no length, and 304 (RFC 9110, 8.6).

answer() sends no body and no length where the method or the status has none.

--- a/hawthornlead/answers/framing.py
+++ b/hawthornlead/answers/framing.py
@@ -13,8 +13,13 @@
 BODILESS_STATUSES = frozenset((204, 304))
 
 
+def has_body(status: int, method: str) -> bool:
+    """Whether an answer to ``method`` has a body, which may be empty."""
+    return method != "HEAD" and status not in BODILESS_STATUSES
+
+
 def is_framed(status: int, headers: HTTPHeaders, method: str = "GET") -> bool:
     """Whether the end of an answer to ``method`` is known without a close."""
-    if method == "HEAD" or status in BODILESS_STATUSES:
+    if not has_body(status, method):
         return True
     return "Content-Length" in headers or "Transfer-Encoding" in headers
--- a/hawthornlead/gateway/caller_calls.py
+++ b/hawthornlead/gateway/caller_calls.py
@@ -14,7 +14,7 @@
 from loguru import logger
 from tornado import httputil
 
-from ..answers.framing import is_framed
+from ..answers.framing import has_body, is_framed
 from ..tasks import TaskSet
 
 Handler = Callable[["CallerCall"], Awaitable[None]]
@@ -83,9 +83,16 @@
             self.gone.set_result(None)
 
     def answer(self, status: int, reason: str, headers, body: bytes) -> None:
-        """Send a complete answer."""
-        headers["Content-Length"] = str(len(body))
-        self.begin(status, reason, headers, body)
+        """Send a complete answer; of one without a body only the head.
+
+        Such a head has no length: the one that an answer to HEAD may state is that of
+        the body in an answer to GET, which isn't known here.
+        """
+        if has_body(status, self.method):
+            headers["Content-Length"] = str(len(body))
+            self.begin(status, reason, headers, body)
+        else:
+            self.begin(status, reason, headers, b"")
         self.finish()
 
     def begin(self, status: int, reason: str, headers, chunk: bytes) -> None:
--- a/hawthornlead/tests/test_answers_without_chunks.py
+++ b/hawthornlead/tests/test_answers_without_chunks.py
@@ -21,6 +21,7 @@
 # More than the buffers of a connection hold.
 LARGE = b"x" * (24 << 20)
 KEEPS = ("", "Connection: keep-alive\r\n", "Connection: close\r\n")
+FRAMING = {b"content-length", b"transfer-encoding"}
 UNFINISHED = "hawthornlead.tests.standins.unfinished_answers"
 
 
@@ -269,3 +270,39 @@
             caller.transport.abort()
             while len(ended) == before:
                 await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+async def test_a_request_for_a_head_gets_the_head_of_each_answer(version):
+    """Guards against a refusal that breaks off as its body may not be sent."""
+    async with Deployment(vms=1) as deployment:
+        address = deployment.settings[0]["CALLER_ADDRESS"]
+        for path, status in (("/safe/x", b"200"), ("/none", b"404")):
+            asked = request("HEAD", path, version=version, keep="Connection: close\r\n")
+            got = await received(await send(address, asked))
+            assert got.head.split(b" ")[1:2] == [status]
+            assert not got.body
+
+
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+@pytest.mark.parametrize("status", [204, 304])
+async def test_an_answer_that_has_no_body_ends_with_its_head(version, status):
+    """Guards against a body or a length that its caller doesn't expect."""
+
+    async def handle(call):
+        headers = httputil.HTTPHeaders()
+        if call.path == "/whole":
+            call.answer(status, "Some Reason", headers, b"")
+        else:
+            call.begin(status, "Some Reason", headers, b"")
+            call.finish()
+
+    async with served(handle) as (_, address):
+        for path in ("/whole", "/begun"):
+            keep = "Connection: close\r\n"
+            asked = request("GET", path, version=version, keep=keep)
+            got = await received(await send(address, asked))
+            assert got.head.startswith(b"HTTP/1.1 %d " % status)
+            assert got.fields.keys().isdisjoint(FRAMING)
+            assert not got.body
+            assert not got.reset
