Wait for the rest of a head in which a body may end

The target had truncated a response with a length and sent a copy, and the first segment of the copy ended with the body. The search for a second head needs its id header, which had not arrived, so the response counted as complete.

If a body with a length ends in what may be the beginning of a head (at least 'HTTP'), the rest of that head is now awaited for 50 ms, and the connection isn't used again. Texts that merely contain a status line aren't delayed: what follows it must look like header lines up to the end of the body.

--- a/hawthornlead/answers/joined_answers.py
+++ b/hawthornlead/answers/joined_answers.py
@@ -19,6 +19,11 @@
 STATUS_MARK = b"HTTP/1."
 STATUS_LINE = re.compile(r"HTTP/1\.[01] [1-5][0-9][0-9]")
 HEAD_END = b"\r\n\r\n"
+# A body that ends in so much of a status line may end inside another answer. A shorter
+# end, such as a single letter, is common in texts.
+LEAST_MARK = b"HTTP"
+SHORTEST_LINE = b"HTTP/1.1 200"
+MAX_REASON_BYTES = 80
 # A status line with no end of its head within so many bytes begins no answer.
 MAX_HEAD_BYTES = 1 << 14
 
@@ -85,6 +90,30 @@
             at = received.find(STATUS_MARK, at + 1)
         return False
 
+    def may_end_inside(self, unread: bytes) -> bool:
+        """Whether bytes after ``unread`` could show that the body ends inside a head.
+
+        What comes next may arrive in parts, and the first part may end with the body.
+        """
+        received = self._kept + unread
+        at = received.find(LEAST_MARK)
+        while 0 <= at < len(self._kept):
+            if _is_begun_head(received[at:]):
+                return True
+            at = received.find(LEAST_MARK, at + 1)
+        return False
+
     def _is_complete(self) -> bool:
         """Whether no further bytes can make a head of what is kept."""
         return HEAD_END in self._kept or len(self._kept) > MAX_HEAD_BYTES
+
+
+def _is_begun_head(begun: bytes) -> bool:
+    """Whether bytes are the beginning of a head, with none of its body."""
+    start = begun + SHORTEST_LINE[len(begun) :]
+    if not STATUS_LINE.match(start.decode("latin1")):
+        return False
+    reason, *lines = start[len(SHORTEST_LINE) :].split(b"\r\n")
+    if len(reason) > MAX_REASON_BYTES or b"\n" in begun.replace(b"\r\n", b""):
+        return False
+    return len(begun) <= MAX_HEAD_BYTES and all(b":" in line for line in lines[:-1])
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -17,7 +17,13 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
-from ..answers.joined_answers import BodyScanner, Joint, is_joined_head
+from ..answers.joined_answers import (
+    HEAD_END,
+    MAX_HEAD_BYTES,
+    BodyScanner,
+    Joint,
+    is_joined_head,
+)
 from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import Failure
 from ..platform.headers import REQUEST_ID, AnswerMetadata, read_answer_metadata
@@ -40,6 +46,9 @@
 # A target in trouble may send bytes without end. The smallest VMs have 160 MB, and an
 # answer takes twice its size while it is passed on.
 MAX_ANSWER_BYTES = 16 << 20
+# A body may end inside the head of another answer, whose rest is still on its way. The
+# parts of an answer follow each other within some milliseconds.
+JOINT_TIMEOUT_S = 0.05
 # Reports and the answers to orders and probes have some kilobytes.
 MAX_CONTROL_BYTES = 1 << 20
 
@@ -148,6 +157,12 @@
             self._end_joined(Joint.BODY)
             self.finished = False
 
+    def may_end_joined(self, unread: bytes) -> bool:
+        """Whether what is still to come may show that the body ends inside a head."""
+        if not self.finished or "Content-Length" not in self.head.headers:
+            return False
+        return self._scanner.may_end_inside(unread)
+
     def _end_joined(self, joint: Joint) -> None:
         self.joint = joint
         self._give_up()
@@ -304,13 +319,28 @@
         for _ in range(MAX_STRAY_ANSWERS):
             self._reader = _AnswerReader(request_id, sink, self.close)
             open_still = await connection.read_response(self._reader)
-            self._reader.check_end(self._connection.unread)
+            self._reader.check_end(await self._read_on())
             if not self._reader.stray or not open_still:
                 return
             self._strays += 1
             connection = HTTP1Connection(self._stream, True, params)
             connection.finish()
 
+    async def _read_on(self) -> bytes:
+        """Return what follows the answer, awaited if it can show that two are joined.
+
+        The connection is closed then, because a read can't be taken back.
+        """
+        unread = self._connection.unread
+        if self._stream.closed() or not self._reader.may_end_joined(unread):
+            return unread
+        rest = self._stream.read_until(HEAD_END, MAX_HEAD_BYTES)
+        await asyncio.wait([rest], timeout=JOINT_TIMEOUT_S)
+        arrived = rest.done() and rest.exception() is None
+        unread = rest.result() if arrived else self._connection.unread
+        self.close()
+        return unread
+
     def _on_read_end(self, task: asyncio.Task) -> None:
         # Retrieve the error: a broken connection only means an incomplete answer.
         if not task.cancelled():
--- a/hawthornlead/tests/standins/scripted_target.py
+++ b/hawthornlead/tests/standins/scripted_target.py
@@ -28,16 +28,17 @@
 class ScriptedTarget:
     """Answers the requests on each connection with ``answers``, one after the other.
 
-    With ``closes``
-    a connection ends after its last answer; otherwise it stays open and silent::
+    With ``closes`` a connection ends after its last answer; otherwise it stays open and
+    silent. A ``rest`` follows each answer a moment later::
 
         async with ScriptedTarget([copy[:40] + answer]) as target:
             await connections.open(target.address)
     """
 
-    def __init__(self, answers: list[bytes], *, closes: bool = False):
+    def __init__(self, answers: list[bytes], *, closes: bool = False, rest=b""):
         self._answers = answers
         self._closes = closes
+        self._rest = rest
         self._writers: list[asyncio.StreamWriter] = []
         self.address = ""
         self.requests = 0
@@ -61,6 +62,9 @@
                 self.requests += 1
                 writer.write(answer)
                 await writer.drain()
+                if self._rest:
+                    await asyncio.sleep(0.01)
+                    writer.write(self._rest)
             if not self._closes:
                 await reader.read()
         except (asyncio.IncompleteReadError, OSError):
--- a/hawthornlead/tests/test_joined_answers.py
+++ b/hawthornlead/tests/test_joined_answers.py
@@ -4,8 +4,10 @@
 import itertools
 from typing import NamedTuple
 
+import pytest
 from tornado import httputil
 
+from hawthornlead.answers.joined_answers import BodyScanner
 from hawthornlead.connections.connection_pools import ConnectionPool
 from hawthornlead.gateway.records import EngineOrder, OrderKind, OrderOutcome
 from hawthornlead.gateway.stream_relays import CallerStream, StreamRelay
@@ -73,10 +75,14 @@
     closes: bool,
     request_id: str = "own",
     sink: WholeAnswer | StreamRelay | None = None,
+    rest: bytes = b"",
 ) -> Got:
-    """Return what is taken for the answer to a request, on one connection."""
+    """Return what is taken for the answer to a request, on one connection.
+
+    The ``rest`` of what is sent follows a moment later.
+    """
     sink = sink or WholeAnswer()
-    async with ScriptedTarget([answer], closes=closes) as target:
+    async with ScriptedTarget([answer], closes=closes, rest=rest) as target:
         exchange = await ask(connections, target.address, sink, request_id)
         in_time = exchange.ended.done()
         whole = sink.head is not None and exchange.whole
@@ -134,6 +140,49 @@
     await assert_own_or_none(first, own, 200, body)
 
 
+@pytest.mark.parametrize("first_part", range(4, 60, 5))
+async def test_an_answer_joined_to_its_copy_that_comes_in_parts_is_none(first_part):
+    """Guards against a body filled up by a head whose rest has not arrived yet."""
+    own = answer_bytes(200, "own", OWN_BODY * 4, "length", 0)
+    sent = own[: len(own) - first_part] + own[:first_part]
+    got = await read_one(
+        TargetConnections(timers=TimerService()),
+        sent,
+        closes=False,
+        rest=own[first_part:],
+    )
+    assert got.in_time
+    assert not got.status
+
+
+@pytest.mark.parametrize(
+    "end",
+    (b"by HTTP", b"GET / HTTP/1.1", b"HTTP/1.1 200 OK", b"HTTP/1.1 404 x\r\nA: b\r\n"),
+)
+async def test_a_body_that_ends_in_a_status_line_is_whole(end):
+    """Guards against texts about HTTP that reach no caller."""
+    own = answer_bytes(200, "own", OWN_BODY + end, "length", 0)
+    (got,) = await read_all([own], closes=False)
+    assert (got.status, got.body) == (200, OWN_BODY + end)
+
+
+def test_only_what_may_be_a_head_is_waited_for():
+    """Guards against a delay of every text that quotes a status line."""
+    for end, waits in (
+        (b"HTTP", True),
+        (b"HTTP/1.1 503 Some Reason\r\nContent-Ty", True),
+        (b"HTT", False),
+        (b"HTTP is a protocol", False),
+        (b"HTTP/1.1 200 OK" + b"." * 100, False),
+        (b"HTTP/1.1 200 OK\nby a line", False),
+        (b"HTTP/1.1 200 OK\r\na line of text\r\n", False),
+        (b"HTTP/1.1 200 OK\r\nServer: x\r\n\r\n", False),
+    ):
+        scanner = BodyScanner("Request-Id")
+        assert not scanner.feed(b"some text " + end)
+        assert scanner.may_end_inside(b"") is waits, end
+
+
 async def test_nothing_follows_an_answer_to_another_request_without_an_end():
     """Guards against a request that waits for its deadline behind such an answer."""
     stray = answer_bytes(200, "another", OTHER_BODY, "close", 0)
