Tests: an endless target answers reports and orders soundly

EndlessTarget replaced PlatformEngine's method that answers calls by its own of the same name, so each report, order and health check that it passed on to the sound engine ended in a TypeError and a closed connection. Its engine was never orderable; the tests that use it need no orders and didn't show it. Found as the response fuzzer's stand-in, derived from it, never became ready.

--- a/hawthornlead/tests/standins/endless_target.py
+++ b/hawthornlead/tests/standins/endless_target.py
@@ -76,13 +76,13 @@
         self._forwarding.add(asyncio.current_task())
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
-                await self._answer(head, reader, writer)
+                await self._take(head, reader, writer)
         except (asyncio.IncompleteReadError, OSError):
             return
         finally:
             writer.close()
 
-    async def _answer(self, head: bytes, reader, writer) -> None:
+    async def _take(self, head: bytes, reader, writer) -> None:
         path = head.split(b" ", 2)[1]
         fields = _fields(head)
         body = await reader.readexactly(int(fields.get(b"content-length", b"0")))
