A seeded fuzz of what targets send, and its judge

For each request and control call a Random(seed/number) draws what the stand-ins send: whole, truncated and closed, reset, left open or joined to a copy, copies sent late or to an idle connection, noise, extra bytes, a response without an end, a status and an id or none at any place, in segments. Plain requests and streams, resumable or not, go through one VM or through two (one is cut from the targets), orders and reports by EngineCalls.

--- a/hawthornlead/tests/fuzz_responses.py
+++ b/hawthornlead/tests/fuzz_responses.py
@@ -63,7 +63,10 @@
         wanted += ["status 429 unrun", "id own", "id none", "id another"]
         wanted += [f"{kind} at vm {vm}" for kind in PATHS for vm in (0, 1)]
         wanted += ["report at vm 1", "order at vm 1"]
-        return [each for each in wanted if not self.drawn[each]]
+        never = [each for each in wanted if not self.drawn[each]]
+        served = [f"{kind} got 200" for kind in PATHS]
+        served += ["report got 1", "order got 202", "order got 409"]
+        return never + [each for each in served if not self.got[each]]
 
 
 def draw_case(seed: int, number: int) -> Case:
--- a/hawthornlead/tests/standins/fuzzed_target.py
+++ b/hawthornlead/tests/standins/fuzzed_target.py
@@ -37,9 +37,11 @@
     "noise-inside",
     "noise-after",
     "extra",
+    "closes",
+    "endless",
 )
 # Those that leave the connection to be used again, if they are a framed success.
-KEPT_KINDS = frozenset(("late", "late-cut", "idle", "idle-cut"))
+KEPT_KINDS = frozenset(("late", "late-cut", "idle", "idle-cut", "closes"))
 FRAMINGS = ("length", "chunks", "close")
 NAMES = ("own", "none", "another")
 # What a target responds: its status, and whether the request did not run.
@@ -53,6 +55,8 @@
 # What was sent before the first run.
 EARLIER = b"HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Seal: seal-0\r\n"
 EARLIER += b"Content-Length: 5\r\n\r\nrun-0"
+# One of another request that lasts as long as its connection.
+ENDLESS = b"HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Seal: seal-0\r\n\r\n0"
 EVENTS = 6
 PAUSE_S = 0.004
 IDLE_S = 0.01
@@ -218,6 +222,8 @@
         control = path.startswith(b"/v1/")
         self._book.count(plan, control)
         headers = [b"Content-Type: a/b", b"X-Run: %d" % run]
+        if plan.kind == "closes":
+            headers.append(b"Connection: close")
         if not control:
             headers.append(b"Server-Seal: seal-%d" % run)
             if plan.not_run:
@@ -248,12 +254,15 @@
         return mark + (QUOTED if plan.noise % 5 == 0 else b"") + filler
 
     async def _send(self, plan: Plan, name, run, response, reader, writer) -> None:
-        wire, ends, complete, body = self._bytes_of(plan, name, response)
         due = self._due.pop(writer, b"")
+        late = bool(due) or writer in self._spoilt
+        wire, ends, complete, body = self._bytes_of(plan, name, response, late)
         control = name.startswith("call")
         # Nothing tells a response without an id from the rest of another one.
-        spoilt = due or writer in self._spoilt or plan.kind == "cut-copied"
+        spoilt = late or plan.kind == "cut-copied"
         known = plan.ends and not (control and spoilt)
+        if control and spoilt:
+            ends = "close"
         succeeded = 200 <= plan.status < 300
         seal = "" if control else f"seal-{run}"
         sent = Sent(name, run, plan.status, seal, body, complete)
@@ -261,11 +270,16 @@
         self._book.sent.append(sent._replace(due=due))
         if plan.named == "own" and seal and complete:
             self._book.history.append(_Earlier(name, plan.status, response.wire))
-        if plan.kind.startswith("late") and succeeded:
+        if not succeeded:
+            # It comes again if its connection is used again.
+            self._due[writer] = response.wire
+        elif plan.kind.startswith("late"):
             copy = self._book.copy(plan, name, b"")
             share = plan.at if plan.kind == "late-cut" else 1.0
             self._due[writer] = copy[: int(len(copy) * share)]
         await self._write(due + wire, plan, writer)
+        if plan.kind == "closes":
+            await self._ignore(reader)
         if ends == "close":
             writer.close()
         elif ends == "reset":
@@ -280,8 +294,20 @@
             unasked = self._write_idle(copy[: int(len(copy) * share)], writer)
             self._idle[writer] = asyncio.ensure_future(unasked)
 
-    def _bytes_of(self, plan: Plan, name: str, response: _Response):
-        """Return what is sent, how it ends, whether it is complete, and its body."""
+    async def _ignore(self, reader) -> None:
+        """Leave what comes after the word that the connection closes unanswered."""
+        head = await reader.readuntil(b"\r\n\r\n")
+        fields = _fields(head)
+        called = fields.get(b"request-id") or fields.get(b"expect-instance", b"")
+        nothing = Sent(called.decode(), self._book.next_run(), 0, "", b"", False)
+        self._book.sent.append(nothing._replace(plan="after the last response"))
+        await reader.read()
+
+    def _bytes_of(self, plan: Plan, name: str, response: _Response, late: bool):
+        """Return what is sent, how it ends, whether it is complete, and its body.
+
+        ``late`` is whether bytes of another response came before it.
+        """
         wire, body = response.wire, response.body
         at = 1 + int(plan.at * (len(wire) - 1))
         ends = "close" if plan.framing == "close" else "keep"
@@ -300,22 +326,25 @@
             noise = noise if plan.kind == "noise-after" else wire
             body = body + noise if plan.framing == "close" else body
             return wire + noise, ends, True, body
+        if plan.kind == "endless":
+            return ENDLESS, "open", False, body
         if plan.kind != "noise-inside":
             return wire, ends, True, body
         noise = NOISE_INSIDE[plan.noise % len(NOISE_INSIDE)]
-        at = self._noisy_place(plan, response)
+        at = self._noisy_place(plan, response, late)
         return wire[:at] + noise + wire[at:], ends, True, body
 
-    def _noisy_place(self, plan: Plan, response: _Response) -> int:
+    def _noisy_place(self, plan: Plan, response: _Response, late: bool) -> int:
         """Return where noise comes inside: in the head, or in the size of a chunk.
 
-        In a body or in a seal nothing tells it from what the target means.
+        In a body or in a seal nothing tells it from what the target means, nor in a
+        status line that comes after the head of another response.
         """
         head = response.head
         if plan.framing == "chunks" and plan.noise % 4 == 0:
             return len(head) + 1
         at = 1 + int(plan.at * (len(head) - 3))
-        for name in (b"Server-Seal", b"Transfer-Encoding"):
+        for name in (b"Server-Seal", b"Transfer-Encoding", *[b"HTTP/"] * late):
             begin = head.find(name)
             if begin <= at <= head.find(b"\r\n", begin):
                 return head.find(b"Content-Type")
