--- /dev/null
+++ b/hawthornlead/answers/answer_readers.py
@@ -0,0 +1,122 @@
+"""Reading of one answer: whose it is, and that it is one.
+
+A connection gives the reader to Tornado's parser, and the reader gives what belongs to
+its request to a sink::
+
+    reader = AnswerReader("9c41", "POST", sink, give_up=stream.close)
+    await connection.read_response(reader)
+    reader.check_end(unread)
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from tornado import httputil
+
+from ..platform.headers import AnswerMetadata, read_answer_metadata
+from .framing import is_framed
+from .joined_answers import BodyScanner, Joint, is_joined_head
+
+
+class Head(NamedTuple):
+    """The head of an answer; ``framed`` if its end is known without a close."""
+
+    status: int
+    reason: str
+    headers: httputil.HTTPHeaders
+    signs: AnswerMetadata
+    framed: bool
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the status is a success."""
+        return 200 <= self.status < 300
+
+
+class AnswerSink(Protocol):
+    """Receives an answer while it is read."""
+
+    def handle_head(self, head: Head) -> None:
+        """Handle the head."""
+
+    def handle_data(self, chunk: bytes) -> None:
+        """Handle the next chunk of the body."""
+
+
+class AnswerReader(httputil.HTTPMessageDelegate):
+    """Reads one answer; ``stray`` if it belongs to another request.
+
+    ``joint`` is where a second answer begins inside it, None if it is one answer. What
+    is no answer to its request ends the reading by ``give_up``.
+    """
+
+    def __init__(
+        self,
+        request_id: str,
+        method: str,
+        sink: AnswerSink,
+        give_up: Callable[[], None],
+    ):
+        self._request_id = request_id
+        self._method = method
+        self._sink = sink
+        self._give_up = give_up
+        self._scanner = BodyScanner()
+        self.stray = False
+        self.joint: Joint | None = None
+        self.head: Head | None = None
+        self.finished = False
+
+    def headers_received(self, start_line, headers):
+        """Decide whose answer this is."""
+        if is_joined_head(start_line.reason, headers):
+            self._end_joined(Joint.HEAD)
+            return
+        if 100 <= start_line.code < 200:
+            return
+        signs = read_answer_metadata(start_line.code, headers)
+        framed = is_framed(start_line.code, headers, self._method)
+        if signs.request_id != self._request_id and (
+            signs.request_id or start_line.code < 300
+        ):
+            # A target may send an answer twice, or late in place of the next one.
+            # Without this check a caller would get another caller's answer, and an
+            # order, which has no id, that of a request.
+            self.stray = True
+            if not framed:
+                # It lasts as long as the connection, so that no other answer follows.
+                self._give_up()
+            return
+        code = start_line.code
+        self.head = Head(code, start_line.reason, headers, signs, framed)
+        self._sink.handle_head(self.head)
+
+    def data_received(self, chunk):
+        """Pass on a chunk of the request's own answer."""
+        if self.joint is not None:
+            return
+        if self._scanner.feed(chunk):
+            self._end_joined(Joint.BODY)
+            return
+        if not self.stray:
+            self._sink.handle_data(chunk)
+
+    def finish(self):
+        """Record the end of the answer."""
+        self.finished = not self.stray and self.joint is None
+
+    def check_end(self, unread: bytes) -> None:
+        """Check, once the answer was read, that it ends before what follows it."""
+        if self.joint is None and self._scanner.ends_inside(unread):
+            self._end_joined(Joint.BODY)
+            self.finished = False
+
+    def may_end_joined(self, unread: bytes) -> bool:
+        """Whether what is still to come may show that the body ends inside a head."""
+        if not self.finished or "Content-Length" not in self.head.headers:
+            return False
+        return self._scanner.may_end_inside(unread)
+
+    def _end_joined(self, joint: Joint) -> None:
+        self.joint = joint
+        self._give_up()
--- a/hawthornlead/answers/joined_answers.py
+++ b/hawthornlead/answers/joined_answers.py
@@ -28,6 +28,13 @@
 # feeds in an event stream.
 _HEAD_START = re.compile(_STATUS_LINE + _NAME + rb"{1,64}:")
 _UNFINISHED_START = re.compile(_STATUS_LINE + _NAME + rb"{0,64}\Z")
+HEAD_END = b"\r\n\r\n"
+MAX_HEAD_BYTES = 1 << 14
+# A body that ends in so much of a status line may end inside another answer. A shorter
+# end, such as a single letter, is common in texts.
+LEAST_MARK = b"HTTP"
+SHORTEST_LINE = b"HTTP/1.1 200"
+MAX_REASON_BYTES = 80
 
 
 class Joint(Enum):
@@ -83,3 +90,27 @@
         if found is not None and found.start() < len(self._tail):
             return True
         return _UNFINISHED_START.search(self._tail) is not None
+
+    def may_end_inside(self, unread: bytes) -> bool:
+        """Whether bytes after ``unread`` could show that the body ends inside a head.
+
+        What comes next may arrive in parts, and the first part may end with the body.
+        """
+        received = self._tail + unread
+        at = received.find(LEAST_MARK)
+        while 0 <= at < len(self._tail):
+            if _is_begun_head(received[at:]):
+                return True
+            at = received.find(LEAST_MARK, at + 1)
+        return False
+
+
+def _is_begun_head(begun: bytes) -> bool:
+    """Whether bytes are the beginning of a head, with none of its body."""
+    start = begun + SHORTEST_LINE[len(begun) :]
+    if not STATUS_LINE.match(start.decode("latin1")):
+        return False
+    reason, *lines = start[len(SHORTEST_LINE) :].split(b"\r\n")
+    if len(reason) > MAX_REASON_BYTES or b"\n" in begun.replace(b"\r\n", b""):
+        return False
+    return len(begun) <= MAX_HEAD_BYTES and all(b":" in line for line in lines[:-1])
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -10,18 +10,16 @@
 """
 
 import asyncio
-from collections.abc import Callable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from result import Result
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
-from ..answers.framing import is_framed
-from ..answers.joined_answers import BodyScanner, Joint, is_joined_head
+from ..answers.answer_readers import AnswerReader, AnswerSink, Head
+from ..answers.joined_answers import HEAD_END, MAX_HEAD_BYTES
 from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import Failure
-from ..platform.headers import AnswerMetadata, read_answer_metadata
 from ..timers import TimerService
 from .records import Incarnation
 
@@ -41,35 +39,13 @@
 # A target in trouble may send bytes without end. The smallest VMs have 160 MB, and an
 # answer takes twice its size while it is passed on.
 MAX_ANSWER_BYTES = 16 << 20
+# A body may end inside the head of another answer, whose rest is still on its way. The
+# parts of an answer follow each other within some milliseconds.
+JOINT_TIMEOUT_S = 0.05
 # Reports and the answers to orders and probes have some kilobytes.
 MAX_CONTROL_BYTES = 1 << 20
 
 
-class Head(NamedTuple):
-    """The head of an answer; ``framed`` if its end is known without a close."""
-
-    status: int
-    reason: str
-    headers: httputil.HTTPHeaders
-    signs: AnswerMetadata
-    framed: bool
-
-    @property
-    def succeeded(self) -> bool:
-        """Whether the status is a success."""
-        return 200 <= self.status < 300
-
-
-class AnswerSink(Protocol):
-    """Receives an answer while it is read."""
-
-    def handle_head(self, head: Head) -> None:
-        """Handle the head."""
-
-    def handle_data(self, chunk: bytes) -> None:
-        """Handle the next chunk of the body."""
-
-
 class WholeAnswer:
     """A sink that keeps the whole answer; ``head`` is None until it is received."""
 
@@ -91,76 +67,6 @@
         self._parts.append(chunk)
 
 
-class _AnswerReader(httputil.HTTPMessageDelegate):
-    """Reads one answer; ``stray`` if it belongs to another request.
-
-    ``joint`` is where a second answer begins inside it, None if it is one answer. What
-    is no answer to its request ends the reading by ``give_up``.
-    """
-
-    def __init__(
-        self,
-        request_id: str,
-        method: str,
-        sink: AnswerSink,
-        give_up: Callable[[], None],
-    ):
-        self._request_id = request_id
-        self._method = method
-        self._sink = sink
-        self._give_up = give_up
-        self._scanner = BodyScanner()
-        self.stray = False
-        self.joint: Joint | None = None
-        self.head: Head | None = None
-        self.finished = False
-
-    def headers_received(self, start_line, headers):
-        if is_joined_head(start_line.reason, headers):
-            self._end_joined(Joint.HEAD)
-            return
-        if 100 <= start_line.code < 200:
-            return
-        signs = read_answer_metadata(start_line.code, headers)
-        framed = is_framed(start_line.code, headers, self._method)
-        if signs.request_id != self._request_id and (
-            signs.request_id or start_line.code < 300
-        ):
-            # A target may send an answer twice, or late in place of the next one.
-            # Without this check a caller would get another caller's answer, and an
-            # order, which has no id, that of a request.
-            self.stray = True
-            if not framed:
-                # It lasts as long as the connection, so that no other answer follows.
-                self._give_up()
-            return
-        code = start_line.code
-        self.head = Head(code, start_line.reason, headers, signs, framed)
-        self._sink.handle_head(self.head)
-
-    def data_received(self, chunk):
-        if self.joint is not None:
-            return
-        if self._scanner.feed(chunk):
-            self._end_joined(Joint.BODY)
-            return
-        if not self.stray:
-            self._sink.handle_data(chunk)
-
-    def finish(self):
-        self.finished = not self.stray and self.joint is None
-
-    def check_end(self, unread: bytes) -> None:
-        """Check, once the answer was read, that it ends before what follows it."""
-        if self.joint is None and self._scanner.ends_inside(unread):
-            self._end_joined(Joint.BODY)
-            self.finished = False
-
-    def _end_joined(self, joint: Joint) -> None:
-        self.joint = joint
-        self._give_up()
-
-
 class ExchangeTrace(NamedTuple):
     """Where one request was sent, and which answer ended it, for the log.
 
@@ -189,7 +95,7 @@
         self._connection = connection
         self._stream = connection.stream
         self._strays = 0
-        self._reader: _AnswerReader | None = None
+        self._reader: AnswerReader | None = None
         self._reading: asyncio.Task | None = None
         self._written: asyncio.Future | None = None
 
@@ -310,9 +216,9 @@
 
     async def _read(self, connection, params, request_id, method, sink) -> None:
         for _ in range(MAX_STRAY_ANSWERS):
-            self._reader = _AnswerReader(request_id, method, sink, self.close)
+            self._reader = AnswerReader(request_id, method, sink, self.close)
             open_still = await connection.read_response(self._reader)
-            self._reader.check_end(self._connection.unread)
+            self._reader.check_end(await self._read_on())
             if not self._reader.stray or self._reader.joint or not open_still:
                 return
             if method == "HEAD":
@@ -323,6 +229,21 @@
             connection = HTTP1Connection(self._stream, True, params)
             connection.finish()
 
+    async def _read_on(self) -> bytes:
+        """Return what follows the answer, awaited if it can show that two are joined.
+
+        The connection is closed then, because a read can't be taken back.
+        """
+        unread = self._connection.unread
+        if self._stream.closed() or not self._reader.may_end_joined(unread):
+            return unread
+        rest = self._stream.read_until(HEAD_END, MAX_HEAD_BYTES)
+        await asyncio.wait([rest], timeout=JOINT_TIMEOUT_S)
+        arrived = rest.done() and rest.exception() is None
+        unread = rest.result() if arrived else self._connection.unread
+        self.close()
+        return unread
+
     def _on_read_end(self, task: asyncio.Task) -> None:
         # Retrieve the error: a broken connection only means an incomplete answer.
         if not task.cancelled():
