Reject a body with another response's head inside, for signed bundles

A target that breaks off inside a body and goes on with another response gave callers a body made of both: framed by a length as a complete success, and in a stream of an engine as an event 'data: {"i": 0HTTP/1.1 200 ...', which the check of indexes and counts passes because the cut event and the first event of the next response read as one.

Exchanges search each body as it comes, and at its end together with what was received behind it. The failure of a plain service need not name the attempt, so on this path each head counts: a status line that is followed by a header, by the end of the head or by the end of the body. Where a content type says that its bodies hold responses (message/, multipart/, application/http, application/warc), only a head with Hawthornlead-Attempt counts. The price: a service that returns such heads under another type, with CR LF, gets its calls failed as lost. A header that names the attempt alone would let failures of the same service pass unseen.

Not seen: a status line that fills a body up to its length where the rest arrives later.

--- a/hawthornlead/answers/joined_answers.py
+++ b/hawthornlead/answers/joined_answers.py
@@ -21,6 +21,8 @@
 HEAD_END = b"\r\n\r\n"
 # A status line with no end of its head within so many bytes begins no answer.
 MAX_HEAD_BYTES = 1 << 14
+_STATUS_LINE = rb"HTTP/1\.[01] [1-5][0-9][0-9][^\r\n]*\r\n"
+_STATUS_LINE_AT_END = re.compile(_STATUS_LINE + rb"[^\s:]*\r?\Z")
 
 
 class Joint(Enum):
@@ -45,15 +47,15 @@
 
         scanner = BodyScanner("Request-Id")
         joined = scanner.feed(b"half of the body HTTP/1.1 200 OK\\r\\nRequest-Id: 9c41")
+
+    With ``named`` None each head counts: a status line, followed by a header or by the
+    end of the head, or at the end of the body. That is for targets whose answers need
+    not say whose they are.
     """
 
-    def __init__(self, named: str):
-        name = re.escape(named.encode())
-        self._head = re.compile(
-            rb"HTTP/1\.[01] [1-5][0-9][0-9][^\r\n]*\r\n"
-            rb"(?:[^\r\n:]+:[^\r\n]*\r\n)*?" + name + rb":",
-            re.IGNORECASE,
-        )
+    def __init__(self, named: str | None):
+        self._head = _compile_head(named)
+        self._begun = _STATUS_LINE_AT_END if named is None else None
         # What may be the beginning of a head, or of its mark.
         self._kept = b""
 
@@ -82,9 +84,18 @@
         while 0 <= at < len(self._kept):
             if self._head.match(received, at):
                 return True
+            if self._begun is not None and self._begun.match(received, at):
+                return True
             at = received.find(STATUS_MARK, at + 1)
         return False
 
     def _is_complete(self) -> bool:
         """Whether no further bytes can make a head of what is kept."""
         return HEAD_END in self._kept or len(self._kept) > MAX_HEAD_BYTES
+
+
+def _compile_head(named: str | None) -> re.Pattern[bytes]:
+    if named is None:
+        return re.compile(_STATUS_LINE + rb"(?:[^\s:]+:|\r\n)")
+    header = rb"(?:[^\r\n:]+:[^\r\n]*\r\n)*?" + re.escape(named.encode()) + rb":"
+    return re.compile(_STATUS_LINE + header, re.IGNORECASE)
--- a/hawthornlead/callers/service_calls.py
+++ b/hawthornlead/callers/service_calls.py
@@ -16,7 +16,7 @@
 from ..core_parts import CoreParts
 from ..decisions.limits import Admissions
 from ..decisions.retries import Retries
-from ..engines.exchanges import TargetConnections
+from ..engines.exchanges import ATTEMPT_HEADER, TargetConnections
 from ..errors import ErrorKind, Failure
 from ..events import EventKind
 from ..ownership.platforms import VmEntry, VmList
@@ -25,7 +25,6 @@
 from .request_claims import Keyed, Outcome, RequestClaims
 from .sent_attempts import SentAttempts
 
-ATTEMPT_HEADER = "Hawthornlead-Attempt"
 MAX_SERVICE_ANSWER_BYTES = 8 << 20
 
 
--- a/hawthornlead/engines/exchanges.py
+++ b/hawthornlead/engines/exchanges.py
@@ -16,7 +16,7 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
-from ..answers.joined_answers import is_joined_head
+from ..answers.joined_answers import BodyScanner, is_joined_head
 from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import ErrorKind, Failure
 from ..timers import TimerService
@@ -28,9 +28,16 @@
 MAX_IDLE_PER_TARGET = 64
 CONNECT_TIMEOUT_S = 2.0
 MAX_ANSWER_BYTES = 1 << 30
+# By this header a plain service states which attempt it responds to.
+ATTEMPT_HEADER = "Hawthornlead-Attempt"
+# Beginnings of the content types whose bodies may hold whole responses.
+QUOTING_TYPES = ("message/", "multipart/", "application/http", "application/warc")
 
 DataCallback = Callable[[bytes], Awaitable[None] | None]
 
+_JOINED_HEAD = "another response begins inside its head"
+_JOINED_BODY = "another response begins inside its body"
+
 
 class ResponseHead(NamedTuple):
     """The status and headers of a response."""
@@ -55,6 +62,7 @@
         self._on_data = on_data
         self._on_activity = on_activity
         self._give_up = give_up
+        self._scanner = BodyScanner(None)
         self.fault: str | None = None
         self.head: asyncio.Future[ResponseHead | None] = (
             asyncio.get_running_loop().create_future()
@@ -63,23 +71,38 @@
 
     def headers_received(self, start_line, headers):
         if is_joined_head(start_line.reason, headers):
-            self._reject("another response begins inside its head")
+            self._reject(_JOINED_HEAD)
             return
         if 100 <= start_line.code < 200:
             return
         self._on_activity()
+        if headers.get("Content-Type", "").lower().startswith(QUOTING_TYPES):
+            self._scanner = BodyScanner(ATTEMPT_HEADER)
         if not self.head.done():
             self.head.set_result(ResponseHead(start_line.code, headers))
 
     def data_received(self, chunk):
         if self.fault is not None:
             return None
+        if self._scanner.feed(chunk):
+            self._reject(_JOINED_BODY)
+            return None
         self._on_activity()
         return self._on_data(chunk)
 
     def finish(self):
         self.finished = self.fault is None
 
+    def check_end(self, unread: bytes) -> None:
+        """Check, once the response was read, that it ends before ``unread`` begins.
+
+        A body that was cut is filled up to its length by the first bytes of the next
+        response.
+        """
+        if self.fault is None and self._scanner.ends_inside(unread):
+            self._reject(_JOINED_BODY)
+            self.finished = False
+
     def on_connection_close(self):
         self.on_reading_ended()
 
@@ -153,7 +176,7 @@
         start = httputil.RequestStartLine(method, path, "HTTP/1.1")
         connection.write_headers(start, headers, body)
         connection.finish()
-        self._reading = asyncio.ensure_future(connection.read_response(self._response))
+        self._reading = asyncio.ensure_future(self._read(connection))
         # If the connection ends before the headers, the reading ends and the response
         # is not notified. Without this callback a dead target would look slow until
         # the deadline, and the request that killed it would never become a suspect.
@@ -198,6 +221,10 @@
         """Close the connection; the target sees that its caller has gone."""
         self._stream.close()
 
+    async def _read(self, connection: HTTP1Connection) -> None:
+        await connection.read_response(self._response)
+        self._response.check_end(self._connection.unread)
+
     def _abort_silent(self, detail: str) -> Err[Failure]:
         # What made this connection silent, such as lost state in something on the path,
         # may affect all open connections. If they were reused, each could cost a
--- a/hawthornlead/tests/test_exchange_responses.py
+++ b/hawthornlead/tests/test_exchange_responses.py
@@ -7,10 +7,12 @@
 from result import Err
 from tornado.httputil import HTTPHeaders
 
-from hawthornlead.engines.exchanges import Exchange, TargetConnections
+from hawthornlead.callers.relays import AnswerCheck, Expected
+from hawthornlead.engines.exchanges import DataCallback, Exchange, TargetConnections
 from hawthornlead.timers import TimerService
 
 from .standins.scripted_target import ScriptedTarget, answer_bytes
+from .test_relays import stream
 
 OWN_BODY = b"the response to its own request"
 OTHER_BODY = b"what another caller has asked for, " * 3
@@ -41,11 +43,11 @@
     return sent.index(b"\r\n\r\n") + 4
 
 
-async def ask(exchange: Exchange) -> Got:
+async def ask(exchange: Exchange, on_data: DataCallback | None = None) -> Got:
     """Send a request on an exchange and read the response to its end."""
     passed = bytearray()
     sent = await exchange.send(
-        "GET", "/x", HTTPHeaders(), b"", passed.extend, LONGEST_S
+        "GET", "/x", HTTPHeaders(), b"", on_data or passed.extend, LONGEST_S
     )
     if isinstance(sent, Err):
         return Got(0, bytes(passed), sent.err_value.detail)
@@ -55,12 +57,14 @@
     return Got(sent.ok_value.status, bytes(passed))
 
 
-async def read_one(sent: bytes, *, closes: bool) -> Got:
+async def read_one(
+    sent: bytes, *, closes: bool, on_data: DataCallback | None = None
+) -> Got:
     """Return what is taken for the response on a new connection."""
     connections = TargetConnections(timers=TimerService())
     async with ScriptedTarget([sent], closes=closes) as target:
         exchange = (await connections.open(target.address)).ok_value
-        got = await ask(exchange)
+        got = await ask(exchange, on_data)
         exchange.close()
         return got
 
@@ -86,3 +90,73 @@
                 assert got.passed == b""
                 joints += "another response" in got.failure
     assert joints
+
+
+async def test_a_body_with_the_head_of_another_response_is_none():
+    """Guards against a body that is part of one response and part of another.
+
+    The failure of a service need not name the attempt, nor need the services that name
+    none, so that each head counts.
+    """
+    for framing, attempt, other in itertools.product(
+        FRAMINGS, ("", "r.1"), ("", "r.1", "r.2")
+    ):
+        first = response(200, attempt, OWN_BODY * 20, framing)
+        lengths = range(head_length(first), len(first), 7)
+        for status, following in ((200, "length"), (200, "chunks"), (500, "length")):
+            own = response(status, other, OWN_BODY, following)
+            for got in await read_joined(first, own, lengths):
+                assert got.status == 0
+                assert b"Content-Type" not in got.passed
+
+
+async def test_no_event_of_a_stream_has_another_response_in_it():
+    """Guards against an event of an engine that goes on with another response.
+
+    The check of the events looks at their indexes and their number. An event that was
+    cut, the head of the next response and its first event read as one event.
+    """
+    events = stream(texts=["some text"] * 3)
+    first = response(200, "", b"".join(events), "close")
+    # The second response breaks off after its first event.
+    own = response(200, "", events[0], "close")
+    for length in range(head_length(first), len(first)):
+        check = AnswerCheck(Expected("r.1", "tide", "3", 0))
+        passed = bytearray()
+
+        def forward(data, check=check, passed=passed):
+            passed.extend(check.feed(data).unwrap_or(b""))
+
+        await read_one(first[:length] + own, closes=True, on_data=forward)
+        assert b"HTTP/1." not in passed
+
+
+async def test_a_head_that_fills_up_a_body_makes_it_none():
+    """Guards against a body whose last bytes are the first ones of another response."""
+    first = response(200, "r.1", OTHER_BODY, "length")
+    own = response(500, "", OWN_BODY, "length")
+    lengths = range(len(first) - 60, len(first))
+    for length, got in zip(
+        lengths, await read_joined(first, own, lengths), strict=True
+    ):
+        # Fewer bytes than the beginning of a status line tell nothing.
+        assert got.status == 0 or length > len(first) - len(b"HTTP/1.")
+
+
+async def test_a_body_may_hold_a_response_where_its_type_says_so():
+    """Guards against a service that can't return recorded HTTP messages."""
+    quoted = response(200, "", OWN_BODY, "length")
+    named = response(200, "r.2", OWN_BODY, "length")
+    for kind, body, status in (
+        (b"application/http", quoted, 200),
+        (b"multipart/mixed; boundary=x", quoted, 200),
+        (b"message/http", named, 0),
+        (b"text/plain", quoted, 0),
+        (b"text/plain", b"the line HTTP/1.1 200 OK\r\nbegins a response", 200),
+        (b"text/plain", b"it ends in HTTP/1.1 200 OK", 200),
+        (b"text/plain", b"HTTP/1.1 200 OK\r\nServer", 0),
+        (b"text/plain", b"HTTP/1.1 200 OK\r\n\r\n", 0),
+    ):
+        sent = response(200, "r.1", body, "length").replace(b"a/b", kind)
+        got = await read_one(sent, closes=False)
+        assert got.status == status, (kind, body)
--- a/hawthornlead/tests/test_joined_bodies.py
+++ b/hawthornlead/tests/test_joined_bodies.py
@@ -10,9 +10,9 @@
 TEXT = b"Ask by HTTP/1.1; you get HTTP/1.1 200 OK\r\nand headers\r\n\r\nHTTP/1."
 
 
-def search(body: bytes, size: int) -> bool:
+def search(body: bytes, size: int, named: str | None = NAMED) -> bool:
     """Whether the head of another answer is found in a body that comes in chunks."""
-    scanner = BodyScanner(NAMED)
+    scanner = BodyScanner(named)
     found = [scanner.feed(body[at : at + size]) for at in range(0, len(body), size)]
     return any(found)
 
@@ -33,6 +33,14 @@
     assert not search(b"data: HTTP/1.1 200 OK\ndata: Request-Id: 9c41\n\n" * 9, size)
 
 
+@pytest.mark.parametrize("size", [1, 2, 3, 7, 20, 1000])
+def test_an_answer_that_names_nobody_is_found(size):
+    """Guards against a joined answer of a target that names no request."""
+    assert search(b"half a body HTTP/1.1 500 No\r\nServer: s", size, None)
+    assert search(b"half a body HTTP/1.1 502 No\r\n\r\n", size, None)
+    assert not search(b"you get HTTP/1.1 200 OK\r\nand headers: 2" * 9, size, None)
+
+
 def test_a_long_line_after_a_status_line_is_not_kept():
     """Guards against memory spent on a body that never ends what looks like a head."""
     scanner = BodyScanner(NAMED)
