Count a response without a length as whole only after a clean close

A response with neither a length nor chunks ends with its connection. One that was reset in transit was served as complete, because Tornado hands over what it has read in both cases. The end is now that of the response only if the connection has no error and was not closed at this end; a response with a length or chunks is whole by its framing.

Two tests failed before: a reset after the body was received, and a body whose reading was given up. A clean close in the middle of such a response remains unseen: nothing in the protocol tells it.

--- a/hawthornlead/engines/exchanges.py
+++ b/hawthornlead/engines/exchanges.py
@@ -58,11 +58,14 @@
         on_data: DataCallback,
         on_activity: Callable[[], None],
         give_up: Callable[[], None],
+        ended_cleanly: Callable[[], bool],
     ):
         self._on_data = on_data
         self._on_activity = on_activity
         self._give_up = give_up
+        self._ended_cleanly = ended_cleanly
         self._scanner = BodyScanner(None)
+        self._framed = False
         self.fault: str | None = None
         self.head: asyncio.Future[ResponseHead | None] = (
             asyncio.get_running_loop().create_future()
@@ -76,6 +79,7 @@
         if 100 <= start_line.code < 200:
             return
         self._on_activity()
+        self._framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         if headers.get("Content-Type", "").lower().startswith(QUOTING_TYPES):
             self._scanner = BodyScanner(ATTEMPT_HEADER)
         if not self.head.done():
@@ -91,7 +95,10 @@
         return self._on_data(chunk)
 
     def finish(self):
-        self.finished = self.fault is None
+        # A response with neither a length nor chunks ends with its connection. If that
+        # was reset or closed at this end, the end of the response is lost.
+        whole = self._framed or self._ended_cleanly()
+        self.finished = self.fault is None and whole
 
     def check_end(self, unread: bytes) -> None:
         """Check, once the response was read, that it ends before ``unread`` begins.
@@ -137,6 +144,7 @@
         self._response: _Response | None = None
         self._reading: asyncio.Task | None = None
         self._last_active_at = timers.now()
+        self._closed = False
 
     @property
     def reused(self) -> bool:
@@ -169,7 +177,9 @@
             no_keep_alive=False, max_body_size=MAX_ANSWER_BYTES
         )
         connection = HTTP1Connection(self._stream, True, params)
-        self._response = _Response(on_data, self._record_activity, self._stream.close)
+        self._response = _Response(
+            on_data, self._record_activity, self._stream.close, self._ended_cleanly
+        )
         headers["Host"] = self._address
         headers["Content-Length"] = str(len(body))
         self._record_activity()
@@ -219,12 +229,16 @@
 
     def close(self) -> None:
         """Close the connection; the target sees that its caller has gone."""
+        self._closed = True
         self._stream.close()
 
     async def _read(self, connection: HTTP1Connection) -> None:
         await connection.read_response(self._response)
         self._response.check_end(self._connection.unread)
 
+    def _ended_cleanly(self) -> bool:
+        return not self._closed and self._stream.error is None
+
     def _abort_silent(self, detail: str) -> Err[Failure]:
         # What made this connection silent, such as lost state in something on the path,
         # may affect all open connections. If they were reused, each could cost a
--- a/hawthornlead/tests/test_exchange_responses.py
+++ b/hawthornlead/tests/test_exchange_responses.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import itertools
+import socket
+import struct
 from typing import NamedTuple
 
 from result import Err
@@ -160,3 +162,53 @@
         sent = response(200, "r.1", body, "length").replace(b"a/b", kind)
         got = await read_one(sent, closes=False)
         assert got.status == status, (kind, body)
+
+
+async def read_closed(sent: bytes, *, resets: bool) -> Got:
+    """Return what is taken of a response after which the connection is closed."""
+    received = asyncio.Event()
+    passed = bytearray()
+
+    def on_data(data):
+        passed.extend(data)
+        received.set()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(sent)
+        await received.wait()
+        if resets:
+            linger = struct.pack("ii", 1, 0)
+            connected = writer.get_extra_info("socket")
+            connected.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    connections = TargetConnections(timers=TimerService())
+    exchange = (await connections.open(f"{host}:{port}")).ok_value
+    got = await ask(exchange, on_data)
+    exchange.close()
+    server.close()
+    return got._replace(passed=bytes(passed))
+
+
+async def test_a_response_without_a_length_that_was_reset_is_not_whole():
+    """Guards against a body that lost its end and counts as complete."""
+    for framing in FRAMINGS:
+        sent = response(200, "r.1", OWN_BODY, framing)
+        assert await read_closed(sent, resets=False) == Got(200, OWN_BODY)
+        whole = framing != "close"
+        got = await read_closed(sent, resets=True)
+        assert got.passed == OWN_BODY
+        assert got.status == (200 if whole else 0), framing
+
+
+async def test_a_response_without_a_length_that_was_given_up_is_not_whole():
+    """Guards against the caller's own close that counts as the response's end."""
+    connections = TargetConnections(timers=TimerService())
+    sent = response(200, "r.1", OWN_BODY, "close")
+    async with ScriptedTarget([sent]) as target:
+        exchange = (await connections.open(target.address)).ok_value
+        got = await ask(exchange, lambda data: exchange.close())
+        assert got.status == 0
