Look for unread bytes also in the system's buffer before a connection is reused

The pool neither keeps nor hands out a connection on which bytes were received that nobody asked for, but looked only at the stream's own buffer. Bytes that had reached the machine since the event loop last polled were not seen, so that a late copy was read ahead of the next response although it was there before the request was sent. The pool now peeks into the socket, too.

Two tests failed before: late bytes before the connection is kept, and between keeping and taking it.

--- a/hawthornlead/connections/connection_pools.py
+++ b/hawthornlead/connections/connection_pools.py
@@ -23,6 +23,8 @@
 from ..resolvers import NumberResolver
 from ..timers import TimerService
 
+MAX_PEEKED_BYTES = 1 << 14
+
 
 class Connection:
     """An open connection, with its ``number`` in this process.
@@ -55,9 +57,24 @@
 
     @property
     def unread(self) -> bytes:
-        """The bytes that were received and not read: no request has asked for them."""
-        # Tornado has no public look at them.
-        return bytes(self._stream._read_buffer)
+        """The bytes that were received and not read: no request has asked for them.
+
+        Of those that the system holds, as many as ``MAX_PEEKED_BYTES``.
+        """
+        # Tornado has no public look at its buffer. Bytes that came since the event loop
+        # last polled are still the system's.
+        return bytes(self._stream._read_buffer) + self._peek()
+
+    def _peek(self) -> bytes:
+        if self._stream.socket is None:
+            return b""
+        try:
+            return self._stream.socket.recv(
+                MAX_PEEKED_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except OSError:
+            # Nothing to read, or a broken connection, which the stream will notice.
+            return b""
 
 
 class _Kept(NamedTuple):
--- a/hawthornlead/tests/test_exchanges.py
+++ b/hawthornlead/tests/test_exchanges.py
@@ -74,3 +74,37 @@
         assert following.reused is kept
         following.close()
         connections.close()
+
+
+@pytest.mark.parametrize("released", [False, True])
+async def test_a_connection_with_bytes_that_were_not_read_yet_is_not_used(released):
+    """Guards against bytes after a response that are read ahead of the next one.
+
+    They have reached this machine before the connection is kept, or taken again, and
+    the event loop has not read them yet.
+    """
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    connections = TargetConnections(timers=TimerService())
+    exchange = (await connections.open(address)).ok_value
+    target, _ = listener.accept()
+    sending = asyncio.ensure_future(
+        exchange.send("POST", "/", HTTPHeaders(), b"{}", lambda data: None, 5)
+    )
+    await asyncio.sleep(0)
+    target.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    await sending
+    await exchange.read_to_end(5)
+    if released:
+        exchange.release()
+        target.sendall(b"late")
+    else:
+        target.sendall(b"late")
+        exchange.release()
+        assert exchange._stream.closed()
+    following = (await connections.open(address)).ok_value
+    assert not following.reused
+    following.close()
+    connections.close()
+    for opened in (target, listener):
+        opened.close()
