Check whose response it is before anything else is read from it, for services

A plain service's '503, Ran: no' that names another attempt was taken for the refusal of the attempt that waits: the caller was told 'not run', or the call was sent again, while it ran. The name was compared only after refusals and failures had been judged, and only at the end of the body, so that a response to another attempt that has no end kept its call waiting until the deadline. The name is now compared when the head arrives, and the connection is closed.

Two tests failed before: the refusal of another attempt (told target-refused), and a response to another attempt that doesn't end (waited).

--- a/hawthornlead/callers/service_calls.py
+++ b/hawthornlead/callers/service_calls.py
@@ -16,7 +16,7 @@
 from ..core_parts import CoreParts
 from ..decisions.limits import Admissions
 from ..decisions.retries import Retries
-from ..engines.exchanges import ATTEMPT_HEADER, TargetConnections
+from ..engines.exchanges import ATTEMPT_HEADER, ResponseHead, TargetConnections
 from ..errors import ErrorKind, Failure
 from ..events import EventKind
 from ..ownership.platforms import VmEntry, VmList
@@ -222,15 +222,26 @@
         sent = await exchange.send(
             call.method, call.path, headers, call.body, body.on_data, silent_s
         )
-        ended = sent
-        if isinstance(sent, Ok):
-            ended = await self._read(call, exchange, silent_s)
+        if isinstance(sent, Err):
+            return Err(self._timed_out(call, sent.err_value))
+        head = sent.ok_value
+        # A response to another attempt says nothing about this one, not even that it
+        # was refused, and its body may have no end.
+        named = head.headers.get(ATTEMPT_HEADER, attempt_id)
+        if named != attempt_id:
+            exchange.close()
+            self._events.emit(EventKind.ANSWER_DROPPED, attempt_id, named=named)
+            return Err(Failure(ErrorKind.WRONG_ANSWER, "the answer was crossed"))
+        ended = await self._read(call, exchange, silent_s)
         if body.too_large:
             detail = f"{entry.name} answered more than {MAX_SERVICE_ANSWER_BYTES} bytes"
             return Err(Failure(ErrorKind.ANSWER_CUT, detail))
         if isinstance(ended, Err):
             return Err(self._timed_out(call, ended.err_value))
-        head = sent.ok_value
+        return self._judge(call, entry, head, body.content)
+
+    def _judge(self, call, entry: VmEntry, head: ResponseHead, body: bytes):
+        """Return what a whole response to the attempt means for its call."""
         if head.status == 503 and head.headers.get("Ran", "").lower() == "no":
             self._sent.record_not_run(call.request_id)
             detail = f"{entry.name} refused the call"
@@ -238,13 +249,8 @@
         if head.status >= 500:
             detail = f"{entry.name} answered {head.status}"
             return Err(Failure(ErrorKind.TARGET_LOST, detail))
-        # An answer that names another attempt belongs to another caller.
-        answered_id = head.headers.get(ATTEMPT_HEADER, attempt_id)
-        if answered_id != attempt_id:
-            self._events.emit(EventKind.ANSWER_DROPPED, attempt_id, named=answered_id)
-            return Err(Failure(ErrorKind.WRONG_ANSWER, "the answer was crossed"))
         content_type = head.headers.get("Content-Type", "application/octet-stream")
-        return Ok(ServiceAnswer(head.status, content_type, body.content, entry.name))
+        return Ok(ServiceAnswer(head.status, content_type, body, entry.name))
 
     async def _read(self, call, exchange, silent_s: float) -> Result[None, Failure]:
         """Read the answer until its end or the deadline.
