Reuse a connection to a plain service only after a response that named its attempt

A service need not name the attempt in its responses.

A connection is now kept only after a whole success that named its attempt, so that whatever comes again on a kept one names an earlier attempt and is dropped. Engines name it in the body, services in a header; each has connections of its own, so that a copy meets the check that knows its name. A connection to an engine, too, is kept only after an answer that passed all checks.

A new connection for each call holds without any name, and charges all services for it. Remembering which services echo needs state that a new version of a service makes wrong, and costs the same. Requiring the name only on reused connections runs each second call to a service that doesn't echo twice. The rule taken needs no state beside the connection; a service that echoes the header pays nothing.

--- a/hawthornlead/callers/attempts.py
+++ b/hawthornlead/callers/attempts.py
@@ -16,7 +16,7 @@
 
 from ..bundles.bundles import Assignment
 from ..core_parts import CoreParts
-from ..engines.exchanges import Exchange, TargetConnections
+from ..engines.exchanges import Exchange, Naming, TargetConnections
 from ..engines.grants import Grant
 from ..engines.targets import TargetClients
 from ..errors import ErrorKind, Failure
@@ -95,7 +95,9 @@
 
     async def run(self, call: AttemptCall, grant: Grant, sink: Sink) -> AttemptEnd:
         """Run one attempt until it succeeds or fails."""
-        opened = await self._connections.open(call.address, fresh=call.fresh)
+        opened = await self._connections.open(
+            call.address, Naming.EVENTS, fresh=call.fresh
+        )
         if isinstance(opened, Err):
             return self._record_end(call, opened.err_value, call.offset)
         exchange = opened.ok_value
@@ -113,14 +115,13 @@
             exchange.close()
             return self._record_end(call, started.err_value, call.offset)
         self._sent.record_send(call.request_id, call.at_most_once)
-        ended = False
+        whole = ended = False
         try:
             end = await self._exchange(call, exchange, sink)
-            ended = end.failure is None or await self._confirm_stopped(
-                call, exchange, end.failure
-            )
+            whole = end.failure is None
+            ended = whole or await self._confirm_stopped(call, exchange, end.failure)
         finally:
-            exchange.release()
+            exchange.release(named=whole)
             grant.finish(call.attempt_id, ended=ended)
         return self._record_end(call, end.failure, end.next_index)
 
--- a/hawthornlead/callers/service_calls.py
+++ b/hawthornlead/callers/service_calls.py
@@ -16,7 +16,12 @@
 from ..core_parts import CoreParts
 from ..decisions.limits import Admissions
 from ..decisions.retries import Retries
-from ..engines.exchanges import ATTEMPT_HEADER, ResponseHead, TargetConnections
+from ..engines.exchanges import (
+    ATTEMPT_HEADER,
+    Naming,
+    ResponseHead,
+    TargetConnections,
+)
 from ..errors import ErrorKind, Failure
 from ..events import EventKind
 from ..ownership.platforms import VmEntry, VmList
@@ -190,19 +195,21 @@
         # it is unknown whether the call ran. A call that must not be repeated
         # therefore gets a new connection.
         fresh = not call.repeatable or number > 1
-        opened = await self._connections.open(entry.address, fresh=fresh)
+        opened = await self._connections.open(entry.address, Naming.HEADER, fresh=fresh)
         if isinstance(opened, Err):
             return opened
         exchange = opened.ok_value
+        attempt_id = f"{call.request_id}.{number}"
         self._open[entry.name] = self._open.get(entry.name, 0) + 1
         try:
-            return await self._exchange(call, number, entry, exchange)
+            return await self._exchange(call, attempt_id, entry, exchange)
         finally:
             self._open[entry.name] -= 1
-            exchange.release()
+            head = exchange.head
+            named = head is not None and head.headers.get(ATTEMPT_HEADER) == attempt_id
+            exchange.release(named)
 
-    async def _exchange(self, call, number: int, entry: VmEntry, exchange):
-        attempt_id = f"{call.request_id}.{number}"
+    async def _exchange(self, call, attempt_id: str, entry: VmEntry, exchange):
         headers = httputil.HTTPHeaders({ATTEMPT_HEADER: attempt_id})
         if call.content_type:
             headers["Content-Type"] = call.content_type
--- a/hawthornlead/engines/exchanges.py
+++ b/hawthornlead/engines/exchanges.py
@@ -4,12 +4,13 @@
 ``HTTP1Connection`` implements the protocol. This module adds the connection pool and
 the proof of whether a request can have reached its target::
 
-    exchange = await connections.open(address, fresh=False)
+    exchange = (await connections.open(address, Naming.EVENTS)).ok_value
     await exchange.send("POST", "/v1/completions", headers, body)
 """
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from typing import NamedTuple
 
 from result import Err, Ok, Result
@@ -39,6 +40,17 @@
 _JOINED_BODY = "another response begins inside its body"
 
 
+class Naming(Enum):
+    """Where responses name the attempt that they are for.
+
+    Those of engines do in the first event of the body, those of plain services in the
+    header ``ATTEMPT_HEADER``, if at all.
+    """
+
+    EVENTS = "events"
+    HEADER = "header"
+
+
 class ResponseHead(NamedTuple):
     """The status and headers of a response."""
 
@@ -215,14 +227,18 @@
             return Err(_lost(self._address, detail))
         return Ok(None)
 
-    def release(self) -> None:
+    def release(self, named: bool) -> None:
         """Keep the connection for reuse after a complete success, else close it.
 
-        A target may send a response a second time, ahead of the next one. After a
-        refusal, the copy would refuse the next request, which runs.
+        ``named`` tells whether the response named the attempt that was sent. A target
+        may send a response a second time, ahead of the next one. The copy of one that
+        names its attempt can be told from the next response; the copy of one that names
+        none can't, and after a refusal it would refuse the next request, which runs.
         """
         whole = self._response is not None and self._response.finished
-        if whole and self._reading.done() and 200 <= self.head.status < 300:
+        if not named or not whole or not self._reading.done():
+            self.close()
+        elif 200 <= self.head.status < 300:
             self._pool.keep(self._address, self._connection, IDLE_TIMEOUT_S)
         else:
             self.close()
@@ -252,21 +268,33 @@
 
 
 class TargetConnections:
-    """Opens exchanges with targets; keeps idle connections for a short time."""
+    """Opens exchanges with targets; keeps idle connections for a short time.
+
+    All responses on a connection name their attempts in the same place, so that the
+    copy of an earlier one is recognized where the name of the next one is looked for.
+    """
 
     def __init__(self, *, timers: TimerService):
         self._timers = timers
         # GRA-5: a request sent at the end of its grant must not arrive, after many
         # retransmissions, when a report has shown the adapter idle and it is evicted.
-        self._pool = ConnectionPool(
-            timers=timers,
-            connect_s=CONNECT_TIMEOUT_S,
-            unacknowledged_s=MAX_SEND_S,
-            most_idle=MAX_IDLE_PER_TARGET,
-        )
+        self._pools = {
+            naming: ConnectionPool(
+                timers=timers,
+                connect_s=CONNECT_TIMEOUT_S,
+                unacknowledged_s=MAX_SEND_S,
+                most_idle=MAX_IDLE_PER_TARGET,
+            )
+            for naming in Naming
+        }
+
+    @property
+    def opened(self) -> int:
+        """The number of connections opened since the start."""
+        return sum(pool.opened for pool in self._pools.values())
 
     async def open(
-        self, address: str, fresh: bool = False
+        self, address: str, naming: Naming, fresh: bool = False
     ) -> Result[Exchange, Failure]:
         """Return an exchange on an idle connection or on a new one.
 
@@ -274,14 +302,16 @@
         ``TARGET_UNREACHABLE``. With ``fresh`` a new one is always opened: only a new
         connection, not one gone silent, proves something about its target.
         """
-        opened = await self._pool.open(address, fresh)
+        pool = self._pools[naming]
+        opened = await pool.open(address, fresh)
         return opened.map(
-            lambda opening: Exchange(self._pool, self._timers, address, opening)
+            lambda opening: Exchange(pool, self._timers, address, opening)
         )
 
     def close(self) -> None:
         """Close all idle connections."""
-        self._pool.close()
+        for pool in self._pools.values():
+            pool.close()
 
 
 def _lost(address: str, detail: str) -> Failure:
--- a/hawthornlead/tests/fakes_exchanges.py
+++ b/hawthornlead/tests/fakes_exchanges.py
@@ -31,7 +31,7 @@
             return Err(Failure(ErrorKind.TARGET_LOST, "closed within its answer"))
         return Ok(None)
 
-    def release(self):
+    def release(self, named):
         """Release the connection."""
 
     def close(self):
@@ -48,7 +48,7 @@
         self.sent = []
         self.open_s = 0.0
 
-    async def open(self, address, fresh=False):
+    async def open(self, address, naming, fresh=False):
         """Open an exchange."""
         if self.open_s:
             await self._timers.sleep(self.open_s)
--- a/hawthornlead/tests/test_attempts.py
+++ b/hawthornlead/tests/test_attempts.py
@@ -27,7 +27,7 @@
     async def read_to_end(self, silent_s):
         return Err(LOST)
 
-    def release(self):
+    def release(self, named):
         """Do nothing."""
 
     def close(self):
@@ -61,7 +61,7 @@
     """
     head = SimpleNamespace(status=200) if begun else None
 
-    async def open_connection(address, fresh):
+    async def open_connection(address, naming, fresh):
         return Ok(_Exchange(head))
 
     async def cancel(request_id):
--- a/hawthornlead/tests/test_exchange_responses.py
+++ b/hawthornlead/tests/test_exchange_responses.py
@@ -10,7 +10,12 @@
 from tornado.httputil import HTTPHeaders
 
 from hawthornlead.callers.relays import AnswerCheck, Expected
-from hawthornlead.engines.exchanges import DataCallback, Exchange, TargetConnections
+from hawthornlead.engines.exchanges import (
+    DataCallback,
+    Exchange,
+    Naming,
+    TargetConnections,
+)
 from hawthornlead.timers import TimerService
 
 from .standins.scripted_target import ScriptedTarget, answer_bytes
@@ -65,7 +70,7 @@
     """Return what is taken for the response on a new connection."""
     connections = TargetConnections(timers=TimerService())
     async with ScriptedTarget([sent], closes=closes) as target:
-        exchange = (await connections.open(target.address)).ok_value
+        exchange = (await connections.open(target.address, Naming.EVENTS)).ok_value
         got = await ask(exchange, on_data)
         exchange.close()
         return got
@@ -186,7 +191,7 @@
     server = await asyncio.start_server(serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     connections = TargetConnections(timers=TimerService())
-    exchange = (await connections.open(f"{host}:{port}")).ok_value
+    exchange = (await connections.open(f"{host}:{port}", Naming.EVENTS)).ok_value
     got = await ask(exchange, on_data)
     exchange.close()
     server.close()
@@ -209,6 +214,6 @@
     connections = TargetConnections(timers=TimerService())
     sent = response(200, "r.1", OWN_BODY, "close")
     async with ScriptedTarget([sent]) as target:
-        exchange = (await connections.open(target.address)).ok_value
+        exchange = (await connections.open(target.address, Naming.EVENTS)).ok_value
         got = await ask(exchange, lambda data: exchange.close())
         assert got.status == 0
--- a/hawthornlead/tests/test_exchanges.py
+++ b/hawthornlead/tests/test_exchanges.py
@@ -7,7 +7,7 @@
 from result import Err
 from tornado.httputil import HTTPHeaders
 
-from hawthornlead.engines.exchanges import TargetConnections
+from hawthornlead.engines.exchanges import Naming, TargetConnections
 from hawthornlead.engines.grant_ledgers import MAX_SEND_S
 from hawthornlead.errors import ErrorKind
 from hawthornlead.timers import TimerService
@@ -33,7 +33,7 @@
     server = await asyncio.start_server(die, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     connections = TargetConnections(timers=TimerService())
-    opened = await connections.open(f"{host}:{port}")
+    opened = await connections.open(f"{host}:{port}", Naming.EVENTS)
     exchange = opened.ok_value
     sent = await exchange.send("POST", "/", HTTPHeaders(), b"{}", lambda data: None, 1)
     server.close()
@@ -51,7 +51,7 @@
     listener = socket.create_server(("127.0.0.1", 0))
     address = f"127.0.0.1:{listener.getsockname()[1]}"
     connections = TargetConnections(timers=TimerService())
-    exchange = (await connections.open(address)).ok_value
+    exchange = (await connections.open(address, Naming.EVENTS)).ok_value
     held_ms = exchange._stream.socket.getsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
     )
@@ -66,11 +66,11 @@
     answer = f"HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n".encode()
     connections = TargetConnections(timers=TimerService())
     async with ScriptedTarget([answer]) as target:
-        exchange = (await connections.open(target.address)).ok_value
+        exchange = (await connections.open(target.address, Naming.EVENTS)).ok_value
         await exchange.send("POST", "/", HTTPHeaders(), b"{}", lambda data: None, 1)
         await exchange.read_to_end(1)
-        exchange.release()
-        following = (await connections.open(target.address)).ok_value
+        exchange.release(named=True)
+        following = (await connections.open(target.address, Naming.EVENTS)).ok_value
         assert following.reused is kept
         following.close()
         connections.close()
@@ -86,7 +86,7 @@
     listener = socket.create_server(("127.0.0.1", 0))
     address = f"127.0.0.1:{listener.getsockname()[1]}"
     connections = TargetConnections(timers=TimerService())
-    exchange = (await connections.open(address)).ok_value
+    exchange = (await connections.open(address, Naming.EVENTS)).ok_value
     target, _ = listener.accept()
     sending = asyncio.ensure_future(
         exchange.send("POST", "/", HTTPHeaders(), b"{}", lambda data: None, 5)
@@ -96,13 +96,13 @@
     await sending
     await exchange.read_to_end(5)
     if released:
-        exchange.release()
+        exchange.release(named=True)
         target.sendall(b"late")
     else:
         target.sendall(b"late")
-        exchange.release()
+        exchange.release(named=True)
         assert exchange._stream.closed()
-    following = (await connections.open(address)).ok_value
+    following = (await connections.open(address, Naming.EVENTS)).ok_value
     assert not following.reused
     following.close()
     connections.close()
--- a/hawthornlead/tests/test_whole_outages.py
+++ b/hawthornlead/tests/test_whole_outages.py
@@ -6,7 +6,7 @@
 import pytest
 from tornado.httputil import HTTPHeaders
 
-from hawthornlead.engines.exchanges import TargetConnections
+from hawthornlead.engines.exchanges import Naming, TargetConnections
 from hawthornlead.timers import TimerService
 
 from .standins.engine import EngineStandIn
@@ -165,15 +165,17 @@
         )
         if sent.is_ok():
             await exchange.read_to_end(0.2)
-        exchange.release()
+        exchange.release(named=True)
         return sent.is_ok()
 
-    opened = [(await connections.open(address)).unwrap() for _ in range(5)]
+    opened = [
+        (await connections.open(address, Naming.EVENTS)).unwrap() for _ in range(5)
+    ]
     assert all([await ask(exchange) for exchange in opened])
     engine.set_faults(silent=True)
-    first = (await connections.open(address)).unwrap()
+    first = (await connections.open(address, Naming.EVENTS)).unwrap()
     assert first.reused and not await ask(first)
-    following = (await connections.open(address)).unwrap()
+    following = (await connections.open(address, Naming.EVENTS)).unwrap()
     assert not following.reused and await ask(following)
     connections.close()
     await engine.stop()
