Take a head on a reused connection for no beginning of the request's own answer

After a failed attempt its grant is given back at once if a cancel was answered and the answer had begun (GRA-6). That it had begun was taken from any head. On a reused connection the copy of an earlier answer may come while the request is in transit: the attempt fails for the wrong name, the cancel overtakes the request, and the adapter could be evicted below it. On a reused connection the first event now has to name the attempt; on a new one, which carried nothing else, a head suffices as before. Otherwise the grant runs out by itself.

Two cases of the new test failed before: a copy whose head alone was read, and one whose first event names another attempt.

--- a/hawthornlead/callers/attempts.py
+++ b/hawthornlead/callers/attempts.py
@@ -115,44 +115,42 @@
             exchange.close()
             return self._record_end(call, started.err_value, call.offset)
         self._sent.record_send(call.request_id, call.at_most_once)
+        check = _check_of(call)
         whole = ended = False
         try:
-            end = await self._exchange(call, exchange, sink)
+            end = await self._exchange(call, exchange, check, sink)
             whole = end.failure is None
-            ended = whole or await self._confirm_stopped(call, exchange, end.failure)
+            begun = exchange.head is not None and (check.begun or not exchange.reused)
+            ended = whole or await self._confirm_stopped(call, begun, end.failure)
         finally:
             exchange.release(named=whole)
             grant.finish(call.attempt_id, ended=ended)
         return self._record_end(call, end.failure, end.next_index)
 
     async def _confirm_stopped(
-        self, call: AttemptCall, exchange: Exchange, failure: Failure
+        self, call: AttemptCall, begun: bool, failure: Failure
     ) -> bool:
         """Return whether the target is known to have stopped a failed attempt.
 
         A closed connection alone proves nothing: the target may keep running until
         it notices. A cancel that it answered is proof and frees the grant at once.
 
-        GRA-6: a cancel counts only if the answer had started. It uses a connection of
+        GRA-6: a cancel counts only if the answer had ``begun``. It uses a connection of
         its own and may overtake a request that is still in transit. The target then
         does not know the request, runs it later, and the owner evicts the adapter
-        while it is in use.
+        while it is in use. On a reused connection a head proves no beginning, since it
+        may be that of the copy of an earlier answer.
         """
         if failure.kind is ErrorKind.TARGET_REFUSED:
             self._sent.record_not_run(call.request_id)
             return True
         cancelled = await self._clients.client(call.address).cancel(call.attempt_id)
-        return isinstance(cancelled, Ok) and exchange.head is not None
+        return isinstance(cancelled, Ok) and begun
 
     async def _exchange(
-        self, call: AttemptCall, exchange: Exchange, sink: Sink
+        self, call: AttemptCall, exchange: Exchange, check: AnswerCheck, sink: Sink
     ) -> AttemptEnd:
         assignment = call.assignment
-        check = AnswerCheck(
-            Expected(
-                call.attempt_id, assignment.adapter, assignment.version, call.offset
-            )
-        )
         receiver = _Receiver(check, sink, exchange, self._metrics, self._invariants)
         self._events.emit(
             EventKind.REQUEST_SENT,
@@ -302,6 +300,13 @@
     return Failure(ErrorKind.TARGET_LOST, detail)
 
 
+def _check_of(call: AttemptCall) -> AnswerCheck:
+    named = call.assignment
+    return AnswerCheck(
+        Expected(call.attempt_id, named.adapter, named.version, call.offset)
+    )
+
+
 def _body(call: AttemptCall) -> bytes:
     body = {
         "id": call.attempt_id,
--- a/hawthornlead/callers/relays.py
+++ b/hawthornlead/callers/relays.py
@@ -48,6 +48,7 @@
         self._rest = b""
         self._named: tuple[str, str, str, int] | None = None
         self._next_index = expected.offset
+        self._begun = False
         self._done = False
 
     @property
@@ -60,6 +61,11 @@
         """The values that the answer names, None before its first event."""
         return self._named
 
+    @property
+    def begun(self) -> bool:
+        """Whether the first event names the attempt: its target has received it."""
+        return self._begun
+
     @property
     def next_index(self) -> int:
         """The index of the next token, at which a resumed attempt must start."""
@@ -97,6 +103,7 @@
         except (ValueError, KeyError, TypeError):
             return Err(_wrong("the first event names no attempt"))
         required = self._expected.named
+        self._begun = found[0] == self._expected.attempt_id
         if found != required:
             return Err(_wrong(f"the answer is of {found}, not of {required}"))
         self._named = found
--- a/hawthornlead/tests/test_attempts.py
+++ b/hawthornlead/tests/test_attempts.py
@@ -1,5 +1,6 @@
 """Tests of how an attempt reports its end to its grant."""
 
+import json
 from types import SimpleNamespace
 
 import pytest
@@ -18,10 +19,15 @@
 class _Exchange:
     """A connection that breaks before or after the answer has started."""
 
-    def __init__(self, head):
+    def __init__(self, head, reused=False, named=None):
         self.head = head
+        self.reused = reused
+        self._named = named
 
-    async def send(self, *args):
+    async def send(self, method, path, headers, body, on_data, head_timeout_s):
+        if self._named is not None:
+            event = {"id": self._named, "adapter": "tide", "version": "1", "offset": 0}
+            on_data(b"data: " + json.dumps(event).encode() + b"\n\n")
         return Err(LOST) if self.head is None else Ok(self.head)
 
     async def read_to_end(self, silent_s):
@@ -60,9 +66,27 @@
     released now, the owner could evict the adapter while the request arrives and runs.
     """
     head = SimpleNamespace(status=200) if begun else None
+    assert await ended_grant(_Exchange(head), cancelled) is ended
+
+
+@pytest.mark.parametrize(
+    ("named", "ended"), [(None, False), ("r0.1", False), ("r1.1", True)]
+)
+async def test_a_copy_of_an_earlier_answer_is_no_beginning(named, ended):
+    """Guards against an eviction below a request that is still in transit.
+
+    On a reused connection the copy of an earlier answer arrives while the request is on
+    its way. It proves nothing of the request, so that a cancel may have overtaken it.
+    """
+    exchange = _Exchange(SimpleNamespace(status=200), reused=True, named=named)
+    assert await ended_grant(exchange, Ok(None)) is ended
+
+
+async def ended_grant(exchange: _Exchange, cancelled) -> bool:
+    """Run an attempt that fails; return whether its grant counts it as ended."""
 
     async def open_connection(address, naming, fresh):
-        return Ok(_Exchange(head))
+        return Ok(exchange)
 
     async def cancel(request_id):
         return cancelled
@@ -94,4 +118,4 @@
     sink = SimpleNamespace(gone=False, write=lambda events: None)
     end = await runner.run(call, grant, sink)
     assert end.failure is not None
-    assert grant.ended is ended
+    return grant.ended
