--- a/hawthornlead/answers/answer_readers.py
+++ b/hawthornlead/answers/answer_readers.py
@@ -67,6 +67,11 @@
         self.head: Head | None = None
         self.finished = False
 
+    @property
+    def open_ended(self) -> bool:
+        """Whether what follows may show that the body ends within another answer."""
+        return self.joint is None and self._scanner.open
+
     def headers_received(self, start_line, headers):
         """Decide whose answer this is."""
         if is_joined_head(start_line.reason, headers):
--- a/hawthornlead/callers/service_calls.py
+++ b/hawthornlead/callers/service_calls.py
@@ -16,7 +16,12 @@
 from ..core_parts import CoreParts
 from ..decisions.limits import Admissions
 from ..decisions.retries import Retries
-from ..engines.exchanges import TargetConnections
+from ..engines.exchanges import (
+    ATTEMPT_HEADER,
+    Naming,
+    ResponseHead,
+    TargetConnections,
+)
 from ..errors import ErrorKind, Failure
 from ..events import EventKind
 from ..ownership.platforms import VmEntry, VmList
@@ -25,7 +30,6 @@
 from .request_claims import Keyed, Outcome, RequestClaims
 from .sent_attempts import SentAttempts
 
-ATTEMPT_HEADER = "Hawthornlead-Attempt"
 MAX_SERVICE_ANSWER_BYTES = 8 << 20
 
 
@@ -191,19 +195,21 @@
         # it is unknown whether the call ran. A call that must not be repeated
         # therefore gets a new connection.
         fresh = not call.repeatable or number > 1
-        opened = await self._connections.open(entry.address, fresh=fresh)
+        opened = await self._connections.open(entry.address, Naming.HEADER, fresh=fresh)
         if isinstance(opened, Err):
             return opened
         exchange = opened.ok_value
+        attempt_id = f"{call.request_id}.{number}"
         self._open[entry.name] = self._open.get(entry.name, 0) + 1
         try:
-            return await self._exchange(call, number, entry, exchange)
+            return await self._exchange(call, attempt_id, entry, exchange)
         finally:
             self._open[entry.name] -= 1
-            exchange.release()
+            head = exchange.head
+            named = head is not None and head.headers.get(ATTEMPT_HEADER) == attempt_id
+            exchange.release(named)
 
-    async def _exchange(self, call, number: int, entry: VmEntry, exchange):
-        attempt_id = f"{call.request_id}.{number}"
+    async def _exchange(self, call, attempt_id: str, entry: VmEntry, exchange):
         headers = httputil.HTTPHeaders({ATTEMPT_HEADER: attempt_id})
         if call.content_type:
             headers["Content-Type"] = call.content_type
@@ -223,15 +229,26 @@
         sent = await exchange.send(
             call.method, call.path, headers, call.body, body.on_data, silent_s
         )
-        ended = sent
-        if isinstance(sent, Ok):
-            ended = await self._read(call, exchange, silent_s)
+        if isinstance(sent, Err):
+            return Err(self._timed_out(call, sent.err_value))
+        head = sent.ok_value
+        # A response to another attempt says nothing about this one, not even that it
+        # was refused, and its body may have no end.
+        named = head.headers.get(ATTEMPT_HEADER, attempt_id)
+        if named != attempt_id:
+            exchange.close()
+            self._events.emit(EventKind.ANSWER_DROPPED, attempt_id, named=named)
+            return Err(Failure(ErrorKind.WRONG_ANSWER, "the answer was crossed"))
+        ended = await self._read(call, exchange, silent_s)
         if body.too_large:
             detail = f"{entry.name} answered more than {MAX_SERVICE_ANSWER_BYTES} bytes"
             return Err(Failure(ErrorKind.ANSWER_CUT, detail))
         if isinstance(ended, Err):
             return Err(self._timed_out(call, ended.err_value))
-        head = sent.ok_value
+        return self._judge(call, entry, head, body.content)
+
+    def _judge(self, call, entry: VmEntry, head: ResponseHead, body: bytes):
+        """Return what a whole response to the attempt means for its call."""
         if head.status == 503 and head.headers.get("Ran", "").lower() == "no":
             self._sent.record_not_run(call.request_id)
             detail = f"{entry.name} refused the call"
@@ -239,13 +256,8 @@
         if head.status >= 500:
             detail = f"{entry.name} answered {head.status}"
             return Err(Failure(ErrorKind.TARGET_LOST, detail))
-        # An answer that names another attempt belongs to another caller.
-        answered_id = head.headers.get(ATTEMPT_HEADER, attempt_id)
-        if answered_id != attempt_id:
-            self._events.emit(EventKind.ANSWER_DROPPED, attempt_id, named=answered_id)
-            return Err(Failure(ErrorKind.WRONG_ANSWER, "the answer was crossed"))
         content_type = head.headers.get("Content-Type", "application/octet-stream")
-        return Ok(ServiceAnswer(head.status, content_type, body.content, entry.name))
+        return Ok(ServiceAnswer(head.status, content_type, body, entry.name))
 
     async def _read(self, call, exchange, silent_s: float) -> Result[None, Failure]:
         """Read the answer until its end or the deadline.
--- a/hawthornlead/engines/exchanges.py
+++ b/hawthornlead/engines/exchanges.py
@@ -4,19 +4,20 @@
 ``HTTP1Connection`` implements the protocol. This module adds the connection pool and
 the proof of whether a request can have reached its target::
 
-    exchange = await connections.open(address, fresh=False)
+    exchange = (await connections.open(address, Naming.EVENTS)).ok_value
     await exchange.send("POST", "/v1/completions", headers, body)
 """
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from typing import NamedTuple
 
 from result import Err, Ok, Result
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
-from ..answers.joined_answers import is_joined_head
+from ..answers.joined_answers import BodyScanner, is_joined_head
 from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import ErrorKind, Failure
 from ..timers import TimerService
@@ -28,9 +29,27 @@
 MAX_IDLE_PER_TARGET = 64
 CONNECT_TIMEOUT_S = 2.0
 MAX_ANSWER_BYTES = 1 << 30
+# By this header a plain service states which attempt it responds to.
+ATTEMPT_HEADER = "Hawthornlead-Attempt"
+# Beginnings of the content types whose bodies may hold whole responses.
+QUOTING_TYPES = ("message/", "multipart/", "application/http", "application/warc")
 
 DataCallback = Callable[[bytes], Awaitable[None] | None]
 
+_JOINED_HEAD = "another response begins inside its head"
+_JOINED_BODY = "another response begins inside its body"
+
+
+class Naming(Enum):
+    """Where responses name the attempt that they are for.
+
+    Those of engines do in the first event of the body, those of plain services in the
+    header ``ATTEMPT_HEADER``, if at all.
+    """
+
+    EVENTS = "events"
+    HEADER = "header"
+
 
 class ResponseHead(NamedTuple):
     """The status and headers of a response."""
@@ -51,10 +70,14 @@
         on_data: DataCallback,
         on_activity: Callable[[], None],
         give_up: Callable[[], None],
+        ended_cleanly: Callable[[], bool],
     ):
         self._on_data = on_data
         self._on_activity = on_activity
         self._give_up = give_up
+        self._ended_cleanly = ended_cleanly
+        self._scanner = BodyScanner()
+        self._framed = False
         self.fault: str | None = None
         self.head: asyncio.Future[ResponseHead | None] = (
             asyncio.get_running_loop().create_future()
@@ -63,22 +86,41 @@
 
     def headers_received(self, start_line, headers):
         if is_joined_head(start_line.reason, headers):
-            self._reject("another response begins inside its head")
+            self._reject(_JOINED_HEAD)
             return
         if 100 <= start_line.code < 200:
             return
         self._on_activity()
+        self._framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        if headers.get("Content-Type", "").lower().startswith(QUOTING_TYPES):
+            self._scanner = BodyScanner(ATTEMPT_HEADER)
         if not self.head.done():
             self.head.set_result(ResponseHead(start_line.code, headers))
 
     def data_received(self, chunk):
         if self.fault is not None:
             return None
+        if self._scanner.feed(chunk):
+            self._reject(_JOINED_BODY)
+            return None
         self._on_activity()
         return self._on_data(chunk)
 
     def finish(self):
-        self.finished = self.fault is None
+        # A response with neither a length nor chunks ends with its connection. If that
+        # was reset or closed at this end, the end of the response is lost.
+        whole = self._framed or self._ended_cleanly()
+        self.finished = self.fault is None and whole
+
+    def check_end(self, unread: bytes) -> None:
+        """Check, once the response was read, that it ends before ``unread`` begins.
+
+        A body that was cut is filled up to its length by the first bytes of the next
+        response.
+        """
+        if self.fault is None and self._scanner.ends_inside(unread):
+            self._reject(_JOINED_BODY)
+            self.finished = False
 
     def on_connection_close(self):
         self.on_reading_ended()
@@ -114,6 +156,7 @@
         self._response: _Response | None = None
         self._reading: asyncio.Task | None = None
         self._last_active_at = timers.now()
+        self._closed = False
 
     @property
     def reused(self) -> bool:
@@ -146,14 +189,16 @@
             no_keep_alive=False, max_body_size=MAX_ANSWER_BYTES
         )
         connection = HTTP1Connection(self._stream, True, params)
-        self._response = _Response(on_data, self._record_activity, self._stream.close)
+        self._response = _Response(
+            on_data, self._record_activity, self._stream.close, self._ended_cleanly
+        )
         headers["Host"] = self._address
         headers["Content-Length"] = str(len(body))
         self._record_activity()
         start = httputil.RequestStartLine(method, path, "HTTP/1.1")
         connection.write_headers(start, headers, body)
         connection.finish()
-        self._reading = asyncio.ensure_future(connection.read_response(self._response))
+        self._reading = asyncio.ensure_future(self._read(connection))
         # If the connection ends before the headers, the reading ends and the response
         # is not notified. Without this callback a dead target would look slow until
         # the deadline, and the request that killed it would never become a suspect.
@@ -182,22 +227,34 @@
             return Err(_lost(self._address, detail))
         return Ok(None)
 
-    def release(self) -> None:
+    def release(self, named: bool) -> None:
         """Keep the connection for reuse after a complete success, else close it.
 
-        A target may send a response a second time, ahead of the next one. After a
-        refusal, the copy would refuse the next request, which runs.
+        ``named`` tells whether the response named the attempt that was sent. A target
+        may send a response a second time, ahead of the next one. The copy of one that
+        names its attempt can be told from the next response; the copy of one that names
+        none can't, and after a refusal it would refuse the next request, which runs.
         """
         whole = self._response is not None and self._response.finished
-        if whole and self._reading.done() and 200 <= self.head.status < 300:
+        if not named or not whole or not self._reading.done():
+            self.close()
+        elif 200 <= self.head.status < 300:
             self._pool.keep(self._address, self._connection, IDLE_TIMEOUT_S)
         else:
             self.close()
 
     def close(self) -> None:
         """Close the connection; the target sees that its caller has gone."""
+        self._closed = True
         self._stream.close()
 
+    async def _read(self, connection: HTTP1Connection) -> None:
+        await connection.read_response(self._response)
+        self._response.check_end(self._connection.unread)
+
+    def _ended_cleanly(self) -> bool:
+        return not self._closed and self._stream.error is None
+
     def _abort_silent(self, detail: str) -> Err[Failure]:
         # What made this connection silent, such as lost state in something on the path,
         # may affect all open connections. If they were reused, each could cost a
@@ -211,21 +268,33 @@
 
 
 class TargetConnections:
-    """Opens exchanges with targets; keeps idle connections for a short time."""
+    """Opens exchanges with targets; keeps idle connections for a short time.
+
+    All responses on a connection name their attempts in the same place, so that the
+    copy of an earlier one is recognized where the name of the next one is looked for.
+    """
 
     def __init__(self, *, timers: TimerService):
         self._timers = timers
         # GRA-5: a request sent at the end of its grant must not arrive, after many
         # retransmissions, when a report has shown the adapter idle and it is evicted.
-        self._pool = ConnectionPool(
-            timers=timers,
-            connect_s=CONNECT_TIMEOUT_S,
-            unacknowledged_s=MAX_SEND_S,
-            most_idle=MAX_IDLE_PER_TARGET,
-        )
+        self._pools = {
+            naming: ConnectionPool(
+                timers=timers,
+                connect_s=CONNECT_TIMEOUT_S,
+                unacknowledged_s=MAX_SEND_S,
+                most_idle=MAX_IDLE_PER_TARGET,
+            )
+            for naming in Naming
+        }
+
+    @property
+    def opened(self) -> int:
+        """The number of connections opened since the start."""
+        return sum(pool.opened for pool in self._pools.values())
 
     async def open(
-        self, address: str, fresh: bool = False
+        self, address: str, naming: Naming, fresh: bool = False
     ) -> Result[Exchange, Failure]:
         """Return an exchange on an idle connection or on a new one.
 
@@ -233,14 +302,16 @@
         ``TARGET_UNREACHABLE``. With ``fresh`` a new one is always opened: only a new
         connection, not one gone silent, proves something about its target.
         """
-        opened = await self._pool.open(address, fresh)
+        pool = self._pools[naming]
+        opened = await pool.open(address, fresh)
         return opened.map(
-            lambda opening: Exchange(self._pool, self._timers, address, opening)
+            lambda opening: Exchange(pool, self._timers, address, opening)
         )
 
     def close(self) -> None:
         """Close all idle connections."""
-        self._pool.close()
+        for pool in self._pools.values():
+            pool.close()
 
 
 def _lost(address: str, detail: str) -> Failure:
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -218,7 +218,8 @@
         for _ in range(MAX_STRAY_ANSWERS):
             self._reader = AnswerReader(request_id, method, sink, self.close)
             open_still = await connection.read_response(self._reader)
-            self._reader.check_end(await self._read_on())
+            if self._reader.open_ended:
+                self._reader.check_end(await self._read_on())
             if not self._reader.stray or self._reader.joint or not open_still:
                 return
             if method == "HEAD":
--- a/hawthornlead/tests/test_joined_bodies.py
+++ b/hawthornlead/tests/test_joined_bodies.py
@@ -48,6 +48,13 @@
         assert len(scanner._tail) <= MAX_START_BYTES
 
 
+def test_a_body_that_may_hold_answers_holds_none_that_is_named():
+    """Guards against recorded answers that are refused, and joined ones that aren't."""
+    assert not BodyScanner("Request-Id").feed(ANSWER * 3)
+    named = ANSWER.replace(b"\r\n\r\n", b"\r\nrequest-id: 9c41\r\n\r\n")
+    assert BodyScanner("Request-Id").feed(ANSWER + named)
+
+
 def test_a_body_that_ends_within_another_head_is_found():
     """Guards against a body that the first bytes of another answer fill up."""
     line = ANSWER.index(b"\n") + 1
