Soak: rules that no fault put to the test are put to it at the end

VMs are cut from all targets while nothing else is hurt, streams at each VM are left and taken up again, and for any other rule one more stretch of calm is played. The deck, its faults and the judges stay as they are, and a rule with a case gets no more, so that none of what is judged is diluted. Records of software starts are kept too.

--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -31,6 +31,7 @@
 from .soak_gateway_judges import GATEWAY_JUDGES, Case
 from .soak_gateway_prompts import prompts_crash_engines
 from .soak_gateway_records import SOAK, Journal, PlaceCounts, Probe, Trouble
+from .soak_gateway_remedies import play_remedies
 from .soak_gateway_targets import DRAIN_S, drained, spoilt
 from .soak_gateway_world import PLAIN_SLOTS, GatewayWorld
 from .soak_reports import report_faults, report_verdicts
@@ -164,6 +165,7 @@
                     await self._calm()
                 if time.monotonic() > ends:
                     break
+            await play_remedies(world, self._calm)
             await asyncio.sleep(max(0, hurt_until + RECOVERY_S - time.monotonic()))
             vms = self._fleet.vms.values()
             await asyncio.gather(*(self._ready_within(vm, RECOVERY_S) for vm in vms))
@@ -299,6 +301,7 @@
             "orders": [order._asdict() for order in journal.orders],
             "troubles": [trouble._asdict() for trouble in journal.troubles],
             "stopped": [stopped._asdict() for stopped in journal.stopped],
+            "software": [each._asdict() for each in journal.software],
             "written": [written._asdict() for written in journal.written],
             "away": [away._asdict() for away in journal.away],
             "arrivals": [arrival._asdict() for arrival in journal.arrivals],
--- a/hawthornlead/tests/soak_gateway_callers.py
+++ b/hawthornlead/tests/soak_gateway_callers.py
@@ -29,6 +29,8 @@
 STREAMS = ("stream", "resume")
 LEAVES = 0.12
 INSIST_S = 0.4
+# How many streams a caller begins at most until it leaves one.
+TAKE_UPS = 8
 
 
 class Fleet(NamedTuple):
@@ -99,6 +101,20 @@
             sent = self._again(sent)
         return sent
 
+    async def take_up(self, address: str) -> Sent:
+        """Leave a stream of a VM that has begun, and take it up again there at once.
+
+        For a caller that leaves all of its streams. Some end before it leaves.
+        """
+        for _ in range(TAKE_UPS):
+            fresh = self._fresh("resume")
+            sent = await self._attempt(fresh, fresh.deadline_s, address)
+            if sent.events and sent.outcome == "left":
+                break
+        self._leaves = 0.0
+        left_s = fresh.deadline_s - (sent.ended_at - sent.sent_at)
+        return await self._attempt(self._again(sent), left_s, address)
+
     def _fresh(self, kind: str) -> Sent:
         stream = kind in STREAMS
         adapter = f"a{min(ADAPTERS, int(self._rng.paretovariate(0.8)))}"
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -41,6 +41,11 @@
     Probe,
     Stopped,
 )
+from hawthornlead.tests.soak_gateway_remedies import (
+    JUDGED_AT_END,
+    REMEDIES,
+    untested,
+)
 
 # For each judge, journals that differ in one thing from the one that it passes.
 WRONG = [
@@ -286,6 +291,13 @@
     assert all(judge(empty).exercised == 0 for judge in GATEWAY_JUDGES.values())
 
 
+async def test_only_rules_that_nothing_put_to_the_test_get_a_remedy():
+    """Guards against remedies that are played for no need, or for no rule."""
+    assert await untested(journal()) == set()
+    assert await untested(Journal()) == set(GATEWAY_JUDGES) - JUDGED_AT_END
+    assert set(REMEDIES) <= set(GATEWAY_JUDGES) - JUDGED_AT_END
+
+
 def test_the_faults_that_the_users_list_are_in_the_schedule():
     wanted = {"vm-killed", "vm-frozen", "vm-terminated", "vms-reload", "vm-cut-off"}
     wanted |= {"vm-cut-from-store-one-way", "connections-silent", "paths-delayed"}
