A leaving VM answers what connects near the end of its grace period

Cause: a VM waits until no request is open, stops listening, and settles for 0.15 s, in which it answers what is in flight. With one request open to the end (PROCESS_STOPPED open=1, 7.77 s after PROCESS_DRAINING) it waited until the very end of the grace period, so that nothing was left to settle. Callers that had connected just before got no answer.

The wait ends SETTLE_S before the end of the process. Open requests go on until the same moment as before, since settling waits for them too. The test failed before (-0.05 s left to settle) and holds.

--- a/hawthornlead/gateway/drains.py
+++ b/hawthornlead/gateway/drains.py
@@ -73,9 +73,13 @@
         return Failure(ErrorKind.DRAINING, "this VM is leaving", 0.0)
 
     async def wait(self) -> None:
-        """Wait until no request is open and cached answers expired, or grace ends."""
+        """Wait until no request is open and cached answers expired, or grace ends.
+
+        That is ``SETTLE_S`` before the process ends, so that the requests that are in
+        flight then can still be answered.
+        """
         cached_until = self._started_at + MAX_CACHE_FACTOR * self._readiness_ttl_s
-        while self._timers.now() < self.end_at:
+        while self._timers.now() < self.end_at - SETTLE_S:
             if self._timers.now() >= cached_until and not self._open_requests():
                 return
             await self._timers.sleep(POLL_INTERVAL_S)
--- a/hawthornlead/tests/test_gateway_drains.py
+++ b/hawthornlead/tests/test_gateway_drains.py
@@ -2,11 +2,13 @@
 
 import asyncio
 
+from hawthornlead.gateway.drains import POLL_INTERVAL_S, SETTLE_S, Drain
 from hawthornlead.gateway.engine_slots import AdapterKey
 from hawthornlead.gateway.owner_objects import OWNERS_KIND
 from hawthornlead.gateway.slot_queues import SlotRequest
 from hawthornlead.gateway.target_loads import UPDATE_TTL_S
 
+from .fakes_clocks import PlayedTimers, run_played
 from .gateways import MODEL, Deployment, ask
 
 
@@ -58,6 +60,28 @@
         assert answer.whole
 
 
+def test_what_connects_near_the_end_of_the_grace_period_is_still_answered():
+    """Guards against requests that are closed unread as the process ends.
+
+    A request was open until then, so that the VM listened to the last moment.
+    """
+
+    async def drained() -> tuple[float, float]:
+        timers = PlayedTimers()
+        drain = Drain(
+            timers=timers, grace_s=8.0, readiness_ttl_s=1.0, open_requests=lambda: 1
+        )
+        drain.start()
+        await drain.wait()
+        listened_until = timers.now()
+        await drain.settle()
+        return drain.end_at - listened_until, drain.end_at - timers.now()
+
+    left_s, settled_s = run_played(drained())
+    assert left_s >= SETTLE_S - POLL_INTERVAL_S
+    assert -POLL_INTERVAL_S <= settled_s <= 0
+
+
 async def test_an_engine_is_claimed_at_once_when_its_owner_leaves():
     async with Deployment() as deployment:
         first = deployment.gateways[0]
