Soak: a target's word that the store lost binds no VM

Trace: the entry changed at 0 s, the store came back between 0.08 and 0.35 s from a copy that was older than that, and so named i-1 as before. All six VMs read era 2 (event 319) and saw i-1 as the store named it, until it said so again (521 TARGET_GONE at all of them within 6 ms, 1.05 s after the request).

The recorded right history failed before, the wrong one (words next to such stretches) was and is found.

--- a/hawthornlead/tests/soak_gateway.py
+++ b/hawthornlead/tests/soak_gateway.py
@@ -305,6 +305,7 @@
             "software": [each._asdict() for each in journal.software],
             "written": [written._asdict() for written in journal.written],
             "away": [away._asdict() for away in journal.away],
+            "lost_writes": [each._asdict() for each in journal.lost_writes],
             "arrivals": [arrival._asdict() for arrival in journal.arrivals],
             "told": [told._asdict() for told in journal.told],
             "prompt_crashes": [each._asdict() for each in journal.prompt_crashes],
--- a/hawthornlead/tests/soak_gateway_bounds.py
+++ b/hawthornlead/tests/soak_gateway_bounds.py
@@ -7,6 +7,7 @@
     CONTACT_S,
     CUT_FROM_TARGETS,
     STORE,
+    Away,
     Run,
     Sent,
     Stopped,
@@ -87,7 +88,7 @@
         runs[run.target].append(run)
     for away in case.journal.away:
         due = away.begun_at + DRAIN_S
-        if away.ended_at <= due:
+        if away.ended_at <= due or _was_lost(case, away):
             continue
         exercised += not case.troubled(STORE, away.begun_at - CONTACT_S, due)
         for run in runs[away.target]:
@@ -100,6 +101,14 @@
     return Verdict(exercised, tuple(broken))
 
 
+def _was_lost(case: Case, away: Away) -> bool:
+    """Whether the store lost a target's word, so that no VM could read it there."""
+    return any(
+        lost.begun_at <= away.begun_at <= lost.ended_at
+        for lost in case.journal.lost_writes
+    )
+
+
 @judge("stops-cut-nothing")
 def stops_cut_nothing(case: Case) -> Verdict:
     """LOST: nothing is lost by a SIGTERM alone, which ends within its grace."""
--- a/hawthornlead/tests/soak_gateway_cases.py
+++ b/hawthornlead/tests/soak_gateway_cases.py
@@ -9,6 +9,7 @@
     Arrival,
     Away,
     Journal,
+    LostWrites,
     OrderSeen,
     OwnEnd,
     PlaceCounts,
@@ -223,6 +224,12 @@
     return more_sent(of, runs=[run(of, target="i-3", **(arrived | changes))])
 
 
+def losing_writes(made, *lost):
+    """Return a journal in which the store lost what was written in some stretches."""
+    made.lost_writes = [LostWrites(*each) for each in lost]
+    return made
+
+
 def cuts(count):
     """Return requests that were cut at a sound target, with their runs."""
     asked = [cut(f"k{n}", process_id=8) for n in range(count)]
--- a/hawthornlead/tests/soak_gateway_paths.py
+++ b/hawthornlead/tests/soak_gateway_paths.py
@@ -1,11 +1,12 @@
 """Faults of the store and of paths: cut, one way or both, silent, reset, delayed."""
 
 import asyncio
+import time
 
 from hawthornlead.platform.objects import CONFIGURATION_KIND, VERSIONS_KIND
 
 from .soak_gateway_faults import fault, vm_fault
-from .soak_gateway_records import CUT_FROM_TARGETS, STORE
+from .soak_gateway_records import CUT_FROM_TARGETS, STORE, LostWrites
 from .soak_gateway_world import GatewayWorld
 from .soak_links import Path
 from .standins.troubled_store import Fare, TroubledStore
@@ -64,7 +65,7 @@
     world.injected["store-goes-back"] += 1
     for _ in range(world.rng.choice((1, 1, 2))):
         store = world.fleet.store
-        taken = store.copy()
+        taken, taken_at = store.copy(), time.monotonic()
         await asyncio.sleep(world.rng.uniform(0.5, 4.0))
         written = {}
         with world.journal.trouble("store-goes-back", STORE):
@@ -77,6 +78,8 @@
                     name: store.spec(kind, name) for name in store.names(kind)
                 }
             store.restore(taken)
+            lost = LostWrites(taken_at, time.monotonic())
+            world.journal.lost_writes.append(lost)
             await asyncio.sleep(world.rng.uniform(0.05, 1.0))
             for kind, specs in written.items():
                 _write_again(store, kind, specs)
--- a/hawthornlead/tests/soak_gateway_records.py
+++ b/hawthornlead/tests/soak_gateway_records.py
@@ -194,6 +194,13 @@
     ended_at: float
 
 
+class LostWrites(NamedTuple):
+    """A stretch whose writes the store lost, as it came back from a copy."""
+
+    begun_at: float
+    ended_at: float
+
+
 class Arrival(NamedTuple):
     """A request as it reached a target, run or not."""
 
@@ -262,6 +269,7 @@
         self.log_lines = 0
         self.written: list[Written] = []
         self.away: list[Away] = []
+        self.lost_writes: list[LostWrites] = []
         self.software: list[SoftwareStart] = []
         self.arrivals: list[Arrival] = []
         self.told: list[Told] = []
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -16,6 +16,7 @@
     cuts,
     denied,
     journal,
+    losing_writes,
     more_sent,
     of_kind,
     order,
@@ -111,6 +112,7 @@
     ),
     ("newest-version", of_kind("stream", {"version": 1})),
     ("leaving-targets-left", away_run()),
+    ("leaving-targets-left", losing_writes(away_run(), (95.0, 98.9), (99.1, 99.5))),
     ("stops-cut-nothing", of_kind(outcome="broken", status=0, ended_at=101.0)),
     ("stops-cut-nothing", more_sent(cut("r7", sent_at=100.2, ended_at=100.9))),
     (
@@ -191,6 +193,7 @@
         "leaving-targets-left",
         troubled(away_run(), ("store-down", STORE, 98.0, 99.5)),
     ),
+    ("leaving-targets-left", losing_writes(away_run(), (98.0, 99.2))),
     (
         "stops-cut-nothing",
         of_kind(
