Soak: a stream that is taken up again counts once, as the rule says

The rule is about 12 or more streams that clients take up again, and the share of them that goes on. resumed-streams-go-on counted tries: a stream that was refused three times and then went on was three that did not.

A stream counts once for each time that its caller takes it up, and a new one once, however many tries that takes; a connection that a VM in touch refuses is a failed try. Two right records, 10 streams that were refused three times and 20 that went on at the third try, failed before.

--- a/hawthornlead/tests/soak_gateway_cases.py
+++ b/hawthornlead/tests/soak_gateway_cases.py
@@ -111,11 +111,26 @@
     return sent("resume", name, **(fields | changes))
 
 
-def refused_resumes(count, **changes):
-    """Return requests to resume streams that were refused."""
+def refused_resumes(count, tries=1, **changes):
+    """Return streams that were refused so many times as they were taken up again."""
     fields = {"outcome": "refused", "status": 503, "seal": "", "events": ()}
-    asked = [resuming(f"t{n}", **(fields | changes)) for n in range(count)]
-    return more_sent(*asked)
+    origins = [sent("resume", f"o{n}", content=f"c{n}") for n in range(count)]
+    asked = []
+    for origin in origins:
+        for n in range(tries):
+            name = f"{origin.request_id}-{n}"
+            of = {"resumes": origin.request_id, "content": origin.content}
+            asked.append(resuming(name, **(fields | of | changes)))
+    return more_sent(*origins, *asked, runs=[run(each) for each in origins])
+
+
+def resumed_at_last(count):
+    """Return streams that went on at the third try to take them up."""
+    made = refused_resumes(count, tries=2)
+    made.sent += [
+        resuming(f"l{n}", resumes=f"o{n}", content=f"c{n}") for n in range(count)
+    ]
+    return made
 
 
 def behind_cut(name, vm, **changes):
--- a/hawthornlead/tests/soak_gateway_streams.py
+++ b/hawthornlead/tests/soak_gateway_streams.py
@@ -54,23 +54,31 @@
 
 @judge("resumed-streams-go-on")
 def resumed_streams_go_on(case: Case) -> Verdict:
-    """LOST: resumed streams go on at least half as often as new ones begin."""
-    resumed, new = [], []
+    """LOST: resumed streams go on at least half as often as new ones begin.
+
+    A stream that its caller takes up again, or begins, counts once, however many tries
+    that takes at VMs in touch.
+    """
+    resumed: dict[tuple[str, int], bool] = {}
+    new: dict[str, bool] = {}
     for sent in case.journal.sent:
         if sent.kind != "resume" or not sent.vm or sent.outcome == "left":
             continue
         if not case.in_touch(sent.vm, sent.sent_at, sent.ended_at):
             continue
         if not sent.resumes:
-            new.append(bool(sent.events))
+            new[sent.content] = new.get(sent.content, False) or bool(sent.events)
         elif _engines_serving(case, sent) >= SERVING_ENGINES:
-            resumed.append(bool(sent.events) or sent.outcome == "whole")
-    share = sum(resumed) / max(1, len(resumed))
-    begins = sum(new) / max(1, len(new))
+            stream = sent.resumes, sent.last_event
+            went_on = bool(sent.events) or sent.outcome == "whole"
+            resumed[stream] = resumed.get(stream, False) or went_on
+    share = sum(resumed.values()) / max(1, len(resumed))
+    begins = sum(new.values()) / max(1, len(new))
     broken = ()
     if len(resumed) >= FEW_STREAMS and share < GOES_ON_SHARE * begins:
         broken = (
-            f"{sum(resumed)} of {len(resumed)} go on, {sum(new)} of {len(new)} begin",
+            f"{sum(resumed.values())} of {len(resumed)} go on, "
+            f"{sum(new.values())} of {len(new)} begin",
         )
     return Verdict(len(resumed), broken)
 
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -23,6 +23,7 @@
     quarantined,
     refused,
     refused_resumes,
+    resumed_at_last,
     resuming,
     run,
     sent,
@@ -165,6 +166,8 @@
         ),
     ),
     ("resumed-streams-go-on", refused_resumes(20)),
+    ("resumed-streams-go-on", refused_resumes(11, tries=2)),
+    ("resumed-streams-go-on", refused_resumes(20, outcome="unconnected", status=0)),
     ("crashing-parts-stopped", after_crashes(4)),
     ("sound-prompts-served", quarantined()),
 ]
@@ -259,7 +262,9 @@
         "sound-prompts-served",
         troubled(quarantined(), ("vm-killed", "vm-1", 101.0, 102.0)),
     ),
-    ("resumed-streams-go-on", refused_resumes(9)),
+    ("resumed-streams-go-on", refused_resumes(10)),
+    ("resumed-streams-go-on", refused_resumes(10, tries=3)),
+    ("resumed-streams-go-on", resumed_at_last(20)),
     ("resumed-streams-go-on", refused_resumes(20, resumes="unknown")),
     (
         "resumed-streams-go-on",
