--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -16,12 +16,14 @@
     cuts,
     denied,
     journal,
+    losing_writes,
     more_sent,
     of_kind,
     order,
     quarantined,
     refused,
     refused_resumes,
+    resumed_at_last,
     resuming,
     run,
     sent,
@@ -41,6 +43,11 @@
     Probe,
     Stopped,
 )
+from hawthornlead.tests.soak_gateway_remedies import (
+    JUDGED_AT_END,
+    REMEDIES,
+    untested,
+)
 
 # For each judge, journals that differ in one thing from the one that it passes.
 WRONG = [
@@ -106,6 +113,7 @@
     ),
     ("newest-version", of_kind("stream", {"version": 1})),
     ("leaving-targets-left", away_run()),
+    ("leaving-targets-left", losing_writes(away_run(), (95.0, 98.9), (99.1, 99.5))),
     ("stops-cut-nothing", of_kind(outcome="broken", status=0, ended_at=101.0)),
     ("stops-cut-nothing", more_sent(cut("r7", sent_at=100.2, ended_at=100.9))),
     (
@@ -158,6 +166,8 @@
         ),
     ),
     ("resumed-streams-go-on", refused_resumes(20)),
+    ("resumed-streams-go-on", refused_resumes(11, tries=2)),
+    ("resumed-streams-go-on", refused_resumes(20, outcome="unconnected", status=0)),
     ("crashing-parts-stopped", after_crashes(4)),
     ("sound-prompts-served", quarantined()),
 ]
@@ -186,6 +196,7 @@
         "leaving-targets-left",
         troubled(away_run(), ("store-down", STORE, 98.0, 99.5)),
     ),
+    ("leaving-targets-left", losing_writes(away_run(), (98.0, 99.2))),
     (
         "stops-cut-nothing",
         of_kind(
@@ -251,7 +262,9 @@
         "sound-prompts-served",
         troubled(quarantined(), ("vm-killed", "vm-1", 101.0, 102.0)),
     ),
-    ("resumed-streams-go-on", refused_resumes(9)),
+    ("resumed-streams-go-on", refused_resumes(10)),
+    ("resumed-streams-go-on", refused_resumes(10, tries=3)),
+    ("resumed-streams-go-on", resumed_at_last(20)),
     ("resumed-streams-go-on", refused_resumes(20, resumes="unknown")),
     (
         "resumed-streams-go-on",
@@ -286,6 +299,13 @@
     assert all(judge(empty).exercised == 0 for judge in GATEWAY_JUDGES.values())
 
 
+async def test_only_rules_that_nothing_put_to_the_test_get_a_remedy():
+    """Guards against remedies that are played for no need, or for no rule."""
+    assert await untested(journal()) == set()
+    assert await untested(Journal()) == set(GATEWAY_JUDGES) - JUDGED_AT_END
+    assert set(REMEDIES) <= set(GATEWAY_JUDGES) - JUDGED_AT_END
+
+
 def test_the_faults_that_the_users_list_are_in_the_schedule():
     wanted = {"vm-killed", "vm-frozen", "vm-terminated", "vms-reload", "vm-cut-off"}
     wanted |= {"vm-cut-from-store-one-way", "connections-silent", "paths-delayed"}
