--- /dev/null
+++ b/conformance/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the judge, on small hand-written histories."""
