--- a/conformance/__main__.py
+++ b/conformance/__main__.py
@@ -29,16 +29,14 @@
     folder = Path(tempfile.mkdtemp(prefix="conformance-"))
     logger.info("logs of the VMs are in {}", folder)
     world = World(seed, net, folder, "old-callers" in kinds)
-    events = None
+    over = asyncio.Event()
     try:
         await world.start(vms)
-        until = time.monotonic() + minutes * 60
-        events = asyncio.create_task(play_events(world, kinds, until))
-        await world.call(until)
-        await events
+        callers = asyncio.create_task(world.call(over))
+        await play_events(world, kinds, time.monotonic() + minutes * 60)
+        over.set()
+        await callers
     finally:
-        if events is not None:
-            events.cancel()
         await world.stop()
     return world.history
 
--- a/conformance/callers.py
+++ b/conformance/callers.py
@@ -18,7 +18,7 @@
 
 # Connections that were idle for longer may be closed by the VM.
 REUSED_S = 12.0
-DEADLINE_S = 6.0
+DEADLINE_S = 4.0
 # A VM that stands still answers nothing, and its connections stay open.
 PATIENCE_S = 1.0
 PIECE = 1 << 16
@@ -119,9 +119,9 @@
         self._ids = itertools.count(1)
         self._connections = itertools.count(1)
 
-    async def run(self, until: float) -> None:
-        """Send requests one after the other until the end."""
-        while time.monotonic() < until:
+    async def run(self, over: asyncio.Event) -> None:
+        """Send requests one after the other until the run is over."""
+        while not over.is_set():
             await self._call(self._draw())
             await asyncio.sleep(self._rng.uniform(0.0, 0.15))
         for kept in self._kept.values():
--- a/conformance/events.py
+++ b/conformance/events.py
@@ -12,33 +12,36 @@
 from loguru import logger
 
 from .records import Leaving, Trouble
-from .worlds import World
+from .worlds import SERVICES, World
 
 # An event begins each so many seconds.
-PAUSES_S = (0.1, 0.6)
+PAUSES_S = (0.1, 0.4)
 # VMs and store stay undisturbed for so long before and after a target leaves.
 CALM_BEFORE_S = 3.2
 SERVES_ON_S = 4.5
-CALM_AFTER_S = 2.0
 MOST_BUSY_VMS = 0.5
 
 
 class Event(NamedTuple):
-    """A kind of event: what it disturbs, how many go on at most, how it is played."""
+    """A kind of event: what it disturbs, how many go on at most, how it is played.
+
+    None begins that would last for ``lasts_s`` beyond the end of the run.
+    """
 
     kind: str
     most: int
+    lasts_s: float
     play: Callable[["Stage"], Awaitable[None]]
 
 
 EVENTS: dict[str, Event] = {}
 
 
-def event(name: str, kind: str, most: int = 1):
+def event(name: str, kind: str, most: int = 1, lasts_s: float = 4.0):
     """Enter an event under a name."""
 
     def enter(play):
-        EVENTS[name] = Event(kind, most, play)
+        EVENTS[name] = Event(kind, most, lasts_s, play)
         return play
 
     return enter
@@ -89,7 +92,12 @@
         await asyncio.sleep(stage.rng.uniform(*PAUSES_S))
         for name, tasks in running.items():
             running[name] = [each for each in tasks if not each.done()]
-        may = [name for name in kinds if len(running[name]) < EVENTS[name].most]
+        left_s = until - time.monotonic()
+        may = [
+            name
+            for name in kinds
+            if len(running[name]) < EVENTS[name].most and EVENTS[name].lasts_s < left_s
+        ]
         if stage.calm:
             may = [name for name in may if EVENTS[name].kind not in ("vm", "store")]
         if may:
@@ -117,17 +125,17 @@
     stage.give_back(taken)
 
 
-@event("responses-cut", "target", most=2)
+@event("responses-cut", "target", most=3)
 async def responses_cut(stage: Stage) -> None:
     """Targets cut responses at any byte, and go on in one way or another."""
 
     def apply(target, rng):
-        target.faults.cut = rng.choice((0.1, 0.3))
+        target.faults.cut = rng.choice((0.15, 0.4))
 
     await _with_faults(stage, "responses-cut", apply)
 
 
-@event("responses-repeated", "target", most=2)
+@event("responses-repeated", "target", most=3)
 async def responses_repeated(stage: Stage) -> None:
     """Targets send responses a second time, late or at once, whole or cut."""
 
@@ -164,9 +172,9 @@
     """Targets refuse requests unrun."""
 
     def apply(target, rng):
-        target.refusing = rng.choice((0.2, 0.6))
+        target.refusing = rng.choice((0.2, 0.8))
 
-    await _with_faults(stage, "targets-refuse", apply)
+    await _with_faults(stage, "targets-refuse", apply, stage.rng.choice((4, 9)))
 
 
 @event("target-pauses", "target", most=2)
@@ -194,7 +202,7 @@
     stage.give_back(taken)
 
 
-@event("target-leaves", "leave")
+@event("target-leaves", "leave", lasts_s=9.0)
 async def target_leaves(stage: Stage) -> None:
     """A target leaves, serves on for some seconds, and ends; a new one comes."""
     world, history = stage.world, stage.world.history
@@ -222,6 +230,23 @@
         stage.calm = False
 
 
+@event("address-reused", "target")
+async def address_reused(stage: Stage) -> None:
+    """A target crashes for good, and one of another service gets its address."""
+    world = stage.world
+    for target in (taken := stage.take_targets()):
+        since = time.monotonic()
+        target.left = True
+        await target.stop()
+        others = [each for each in SERVICES if each != target.service]
+        await world.add_target(stage.rng.choice(others), address=target.address)
+        await world.add_target(target.service, target.software)
+        await asyncio.sleep(stage.rng.uniform(0.5, 2.0))
+        world.store.remove("servers", target.name)
+        world.record_trouble(since, "target", target.name, "address-reused")
+    stage.give_back(taken)
+
+
 # VMs
 
 
--- a/conformance/servers.py
+++ b/conformance/servers.py
@@ -3,6 +3,16 @@
 import asyncio
 import contextlib
 import itertools
+import socket
+import struct
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection, so that its end can't be taken for that of a response."""
+    raw = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
 
 class Server:
@@ -29,7 +39,7 @@
         return self.address
 
     async def close(self) -> None:
-        """Stop listening and break all connections."""
+        """Stop listening and reset all connections."""
         for server in self._servers:
             server.close()
         self._servers.clear()
@@ -44,7 +54,7 @@
             with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
                 await self.serve(reader, writer, label)
         except asyncio.CancelledError:
-            writer.transport.abort()
+            reset(writer)
         finally:
             self._connections.discard(task)
             writer.close()
--- a/conformance/targets.py
+++ b/conformance/targets.py
@@ -7,15 +7,13 @@
 import asyncio
 import contextlib
 import random
-import socket
-import struct
 import time
 from collections import deque
 
 from .messages import Message, head_bytes, read_message
 from .records import FIXED_HEADERS, Answer, AnswerEnd, Arrival, Extra, Run, digest
 from .responses import FRAMINGS, Faults, Plan, Response, make_response, without_id
-from .servers import Server
+from .servers import Server, reset
 from .stores import Store
 
 HEARTBEAT_S = 1.2
@@ -28,7 +26,8 @@
 class Port:
     """One connection to a target, with the copy that is due before the next response.
 
-    ``broken`` means that nothing else is sent on it.
+    ``broken`` means that nothing else is sent on it, and ``sent`` counts the bytes of
+    the response that is being sent.
     """
 
     def __init__(self, name: str, reader, writer):
@@ -37,14 +36,7 @@
         self.writer = writer
         self.due = b""
         self.broken = False
-
-    def reset(self) -> None:
-        """Reset the connection."""
-        raw = self.writer.get_extra_info("socket")
-        with contextlib.suppress(OSError):
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-        self.writer.transport.abort()
-        self.broken = True
+        self.sent = 0
 
 
 class Target(Server):
@@ -294,13 +286,13 @@
             )
         )
         self._send_due(port, arrival.arrival)
-        sent, how = 0, "broken"
+        port.sent, how = 0, "broken off"
         try:
-            sent, how = await self._send_pieces(port, response, plan, pause_s)
+            how = await self._send_pieces(port, response, plan, pause_s)
         finally:
             size = len(response.data)
             self._world.history.add(
-                AnswerEnd(time.monotonic(), arrival.arrival, sent, size, how)
+                AnswerEnd(time.monotonic(), arrival.arrival, port.sent, size, how)
             )
         if how == "whole":
             self._end_whole(port, arrival, response, plan)
@@ -309,21 +301,20 @@
 
     async def _send_pieces(
         self, port: Port, response: Response, plan: Plan, pause_s: float
-    ) -> tuple[int, str]:
-        sent = 0
+    ) -> str:
+        end = len(response.data) if plan.cut is None else plan.cut
         for piece in response.pieces:
-            if sent:
+            if port.sent:
                 await asyncio.sleep(pause_s)
             await self.awake.wait()
             if port.writer.transport.is_closing() or port.reader.at_eof():
                 port.broken = True
-                return sent, "its caller left"
-            if plan.cut is not None and sent + len(piece) >= plan.cut:
-                port.writer.write(piece[: plan.cut - sent])
-                return plan.cut, "cut"
-            port.writer.write(piece)
-            sent += len(piece)
-        return sent, "whole"
+                return "its caller left"
+            port.writer.write(piece[: end - port.sent])
+            port.sent = min(end, port.sent + len(piece))
+            if port.sent == plan.cut:
+                return "cut"
+        return "whole"
 
     def _end_whole(self, port, arrival: Arrival, response: Response, plan) -> None:
         data = response.data
@@ -352,7 +343,7 @@
         port.broken = True
         if after == "reset":
             await asyncio.sleep(0.02)
-            port.reset()
+            reset(port.writer)
         elif after == "close":
             port.writer.close()
         else:
@@ -379,6 +370,7 @@
             port.due = b""
 
     def _record_extra(self, port: Port, arrival: int, data: bytes, how: str) -> None:
+        named = "with" if b"request-id:" in data.lower() else "without"
         start = data[:40].decode("latin1")
-        what = f"{len(data)} bytes {how}: {start!r}"
+        what = f"{len(data)} bytes {how}, {named} an id: {start!r}"
         self._world.history.add(Extra(time.monotonic(), port.name, arrival, what))
--- a/conformance/timelines.py
+++ b/conformance/timelines.py
@@ -62,7 +62,9 @@
 
 def _received(each: Received) -> str:
     seal, names = each.seal or "none", each.names or "none"
-    events = f", events {each.events[0][0]} to {each.events[-1][0]}" * bool(each.events)
+    events = ""
+    if each.events:
+        events = f", events {each.events[0][0]} to {each.events[-1][0]}"
     complete = "complete" if each.complete else "not complete"
     return (
         f"caller receives {each.status} on {each.connection}, framing {each.framing},"
--- a/conformance/worlds.py
+++ b/conformance/worlds.py
@@ -21,8 +21,9 @@
 LEAD_S = 2.0
 # After the last event, so that what runs late is seen.
 REST_S = 2.0
-CALLERS_PER_VM = 8
+CALLERS_PER_VM = 10
 MOST_CALLERS = 60
+SERVICES = ("plain", "other", "scribe")
 # Route name: prefix, kind, service, attempts, resumable.
 ROUTES = {
     "safe": ("/safe/", "safe", "plain", 2, False),
@@ -144,12 +145,15 @@
         logger.info("{} VMs are ready", vms)
         await asyncio.sleep(LEAD_S)
 
-    async def add_target(self, service: str, software: str = "v1") -> Target:
-        """Start one more target, at a new address and under a new id."""
+    async def add_target(
+        self, service: str, software: str = "v1", address: str = ""
+    ) -> Target:
+        """Start one more target under a new id, at a new address or a given one."""
         number = next(self._names)
         kind = Engine if service == "scribe" else Target
-        host = f"{self._net}.2.{number}"
+        host = address.rpartition(":")[0] or f"{self._net}.2.{number}"
         target = kind(f"i-{number:04x}", service, host, self)
+        target.address = address
         target.software = software
         target.zone = ("hall-a", "hall-b")[number % 2]
         target.says_leaving = self.rng.random() < 0.3
@@ -157,11 +161,11 @@
         await target.start()
         return target
 
-    async def call(self, until: float) -> None:
-        """Have all callers send requests until the end."""
+    async def call(self, over: asyncio.Event) -> None:
+        """Have all callers send requests until the run is over."""
         count = min(MOST_CALLERS, CALLERS_PER_VM * len(self.vms))
         callers = [Caller(number, self) for number in range(1, count + 1)]
-        await asyncio.gather(*[each.run(until) for each in callers])
+        await asyncio.gather(*[each.run(over) for each in callers])
         await asyncio.sleep(REST_S)
 
     def record_trouble(self, since: float, kind: str, subject: str, what: str) -> None:
--- /dev/null
+++ b/hawthornlead/tests/test_conformance.py
@@ -0,0 +1,6 @@
+"""The tests of the judge that shares no code with the product.
+
+They live beside it, in ``conformance/tests``, and run here with all others.
+"""
+
+from conformance.tests.test_judge import *  # noqa: F403
