--- a/conformance/__main__.py
+++ b/conformance/__main__.py
@@ -28,7 +28,7 @@
     net = f"127.{random.Random().randrange(20, 250)}"
     folder = Path(tempfile.mkdtemp(prefix="conformance-"))
     logger.info("logs of the VMs are in {}", folder)
-    world = World(seed, net, folder, "old-callers" in kinds)
+    world = World(seed, net, folder, kinds)
     over = asyncio.Event()
     try:
         await world.start(vms)
--- a/conformance/events.py
+++ b/conformance/events.py
@@ -322,6 +322,14 @@
     stage.give_back(taken)
 
 
-@event("old-callers", "caller", most=0)
+# What lasts for the whole run
+
+
+@event("old-callers", "whole run", most=0)
 async def old_callers(stage: Stage) -> None:
-    """Some callers speak HTTP/1.0; they do so in the whole run."""
+    """A tenth of the requests is in HTTP/1.0."""
+
+
+@event("unnamed-joined", "whole run", most=0)
+async def unnamed_joined(stage: Stage) -> None:
+    """Of the refusals that go on where another response was cut, half have no id."""
--- a/conformance/targets.py
+++ b/conformance/targets.py
@@ -363,7 +363,7 @@
         if draw < 0.6:
             return response.data
         headers = self.names(arrival, sealed=False)
-        if draw < 0.8:
+        if draw < 0.8 and self._world.unnamed_joined:
             headers = [each for each in headers if each[0] != "Request-Id"]
         headers.append(("Not-Executed", "1"))
         return make_response(503, headers, [b"refused"], "length").data
--- a/conformance/timelines.py
+++ b/conformance/timelines.py
@@ -47,7 +47,9 @@
 
 
 def _arrival(each: Arrival) -> str:
-    meant = f", meant for {each.expected}" if each.expected != each.target else ""
+    meant = ""
+    if each.expected not in ("", each.target):
+        meant = f", meant for {each.expected}"
     return (
         f"{each.request} reaches {each.target} ({each.service}, {each.software}){meant}"
         f" on {each.connection} as arrival {each.arrival}"
