--- a/conformance/__main__.py
+++ b/conformance/__main__.py
@@ -81,8 +81,10 @@
     """
     logger.remove()
     logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss} {message}")
+    title = f"seed {seed}, {minutes} minutes, {vms} VMs"
     if recorded is not None:
         history = History.load(recorded)
+        title = f"the history {recorded.name}"
     else:
         kinds = [] if calm else [each for each in only or EVENTS if each not in without]
         history = asyncio.run(play(seed, minutes, vms, kinds))
@@ -90,7 +92,7 @@
         history.save(path)
         logger.info("the history is in {}", path.relative_to(ROOT))
     verdicts = judge(history)
-    click.echo(f"seed {seed}, {minutes} minutes, {vms} VMs")
+    click.echo(title)
     report(history, verdicts)
     sys.exit(any(each.breaches for each in verdicts))
 
--- a/conformance/tests/histories.py
+++ b/conformance/tests/histories.py
@@ -4,6 +4,9 @@
 that arrives, runs and is answered by its target.
 """
 
+import conformance.response_rules
+import conformance.run_rules  # noqa: F401  They enter their rules.
+from conformance.judge import judge
 from conformance.records import (
     Answer,
     AnswerEnd,
@@ -134,3 +137,40 @@
         self._records.append(
             Trouble(self.at - lasted_s, self.at, kind, subject, "vms-stopped")
         )
+
+
+def states(writer):
+    """Return the state of each rule."""
+    return {verdict.rule: verdict.state for verdict in judge(writer.history)}
+
+
+def broken(writer):
+    """Return the names of the rules that were broken."""
+    return {name for name, state in states(writer).items() if state == "broken"}
+
+
+def exchange(path="/safe/1", service="plain", **answer):
+    """Return a history up to the response of a target, which came beside a copy."""
+    writer = Writer()
+    writer.send(path=path)
+    writer.arrive(path=path, service=service)
+    writer.run()
+    writer.extra()
+    writer.answer(**answer)
+    return writer
+
+
+def streamed(path="/recap/1", last=4, sent=100):
+    """Return a history up to the stream of a target, which came beside a copy."""
+    writer = Writer()
+    writer.send(path=path)
+    writer.arrive(path=path, service="scribe")
+    writer.run()
+    writer.extra()
+    writer.stream(last=last, sent=sent)
+    return writer
+
+
+def pieces(*numbers, writer=1):
+    """Return events of one arrival."""
+    return [(writer, number) for number in numbers]
