--- a/conformance/events.py
+++ b/conformance/events.py
@@ -19,6 +19,8 @@
 # VMs and store stay undisturbed for so long before and after a target leaves.
 CALM_BEFORE_S = 3.2
 SERVES_ON_S = 4.5
+# More targets than there are.
+ALL = 100
 MOST_BUSY_VMS = 0.5
 
 
@@ -68,12 +70,14 @@
         self.busy |= {vm.name for vm in taken}
         return taken
 
-    def take_targets(self, most: int = 1) -> list:
-        """Return targets that serve and that no event has."""
+    def take_targets(self, most: int = 1, service: str = "") -> list:
+        """Return targets that serve and that no event has, of a service or of all."""
         free = [
             each
             for each in self.world.targets
-            if each.name not in self.busy and not each.left
+            if each.name not in self.busy
+            and not each.left
+            and service in ("", each.service)
         ]
         taken = self.rng.sample(free, min(most, len(free)))
         self.busy |= {each.name for each in taken}
@@ -111,9 +115,11 @@
 # Targets
 
 
-async def _with_faults(stage: Stage, name: str, apply, most: int = 4) -> None:
+async def _with_faults(
+    stage: Stage, name: str, apply, most: int = 4, service: str = ""
+) -> None:
     """Set faults of some targets for some seconds."""
-    taken = stage.take_targets(most)
+    taken = stage.take_targets(most, service)
     since = time.monotonic()
     for target in taken:
         apply(target, stage.rng)
@@ -177,6 +183,21 @@
     await _with_faults(stage, "targets-refuse", apply, stage.rng.choice((4, 9)))
 
 
+@event("service-in-trouble", "target")
+async def service_in_trouble(stage: Stage) -> None:
+    """All targets of a service cut responses and refuse most requests.
+
+    A request that ran and whose response was lost is then refused everywhere else.
+    """
+
+    def apply(target, rng):
+        target.faults.cut = 0.4
+        target.refusing = 0.6
+
+    service = stage.rng.choice(SERVICES)
+    await _with_faults(stage, "service-in-trouble", apply, ALL, service)
+
+
 @event("target-pauses", "target", most=2)
 async def target_pauses(stage: Stage) -> None:
     """A target stands still for a second."""
--- a/conformance/response_rules.py
+++ b/conformance/response_rules.py
@@ -31,7 +31,7 @@
             what = f"a success where the target's status was {source.status}"
         elif (
             received.complete
-            and not _is_stream(index, received)
+            and not source.events
             and received.body != source.body
             and received.size >= source.size
         ):
@@ -88,7 +88,7 @@
         if not received.complete or source is None:
             continue
         what = ""
-        if _is_stream(index, received) and source.succeeded:
+        if source.events:
             last = received.events[-1][0] if received.events else 0
             if last < source.last or received.tail:
                 what = f"ends after event {last} of {source.last}"
--- a/conformance/tests/test_response_rules.py
+++ b/conformance/tests/test_response_rules.py
@@ -141,6 +141,13 @@
     assert broken(writer) == {"MIXED-4"}
 
 
+def test_a_response_without_events_on_a_route_of_streams():
+    """Guards against a whole body that is taken for a stream without its end."""
+    writer = exchange("/recap/1", "scribe")
+    writer.receive()
+    assert not broken(writer)
+
+
 @pytest.mark.parametrize(
     "numbers", [(1, 2, 4), (1, 2, 2, 3, 4), (2, 3, 4), (1, 3, 2, 4)]
 )
