Refuse requests that can't be told from others

Found by the review of the joined answers; two faults of one class. A caller that sent no Request-Id got another caller's success, sent late on the same connection to the target: any unnamed answer was accepted for an empty id. And a request whose head broke off inside a header, followed by another one on the connection, ran with the path of the first and the id and the body of the second. Both are answered 400 now, unrun; targets answer the first so themselves.

--- a/hawthornlead/answers/joined_answers.py
+++ b/hawthornlead/answers/joined_answers.py
@@ -18,7 +18,7 @@
 
 MARK = b"HTTP/1."
 STATUS_LINE = re.compile(r"HTTP/1\.[0-9] [0-9]{3}")
-REQUEST_LINE_END = re.compile(r"\S HTTP/1\.[0-9]$")
+REQUEST_LINE_END = re.compile(r"[A-Z]{3,} /\S* HTTP/1\.[0-9]$")
 # No status line and first header's name together are longer. The bounds also keep the
 # search linear in the length of the body.
 MAX_START_BYTES = 400
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -184,7 +184,7 @@
     async def _serve(self, call: CallerCall) -> None:
         call.closing = self._drain.draining
         forward = RequestForward(self._parts, call)
-        refusal = self._drain.refusal(forward.deadline_s)
+        refusal = forward.malformed or self._drain.refusal(forward.deadline_s)
         if refusal is not None:
             forward.refuse(refusal)
             return
--- a/hawthornlead/gateway/refusals.py
+++ b/hawthornlead/gateway/refusals.py
@@ -8,8 +8,11 @@
 
 from collections.abc import Iterable
 
+from tornado.httputil import HTTPHeaders
+
+from ..answers.joined_answers import is_joined_request
 from ..errors import ErrorKind, Failure
-from .records import Route, RouteKind, TargetEntry
+from .records import CallerRequest, Route, RouteKind, TargetEntry
 from .target_choices import Scored
 
 # Callers abandon a stream that hasn't started after 2 s or more. A request whose first
@@ -21,6 +24,19 @@
 ABSENT_RETRY_S = 1.0
 
 
+def malformed_failure(request: CallerRequest, headers: HTTPHeaders) -> Failure | None:
+    """Return why a request can't be told from others, None if it can.
+
+    Without an id no answer can be told from that to another caller. A head that another
+    request's first line stands in is made of two requests.
+    """
+    if not request.request_id:
+        return Failure(ErrorKind.BAD_REQUEST, "the request has no id")
+    if is_joined_request(headers):
+        return Failure(ErrorKind.BAD_REQUEST, "a second request begins in its head")
+    return None
+
+
 def overload_failure(best: Scored, route: Route, left_s: float) -> Failure | None:
     """Return why a request isn't sent to its best target, None if it is.
 
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -9,13 +9,14 @@
 
 from ..errors import ErrorKind, Failure
 from ..platform.headers import read_caller_request
-from ..promises.run_ledgers import RunLedger
+from ..promises.run_ledgers import UNRUN_STATUSES, RunLedger
 from .attempt_outcomes import UNRUN_OUTCOMES, AttemptOutcome
 from .caller_calls import CallerCall
 from .gateway_parts import GatewayParts
 from .placed_requests import Placed
 from .placement_requests import PlacementRequest
 from .records import CallerRequest, Route, RouteKind, Workspace
+from .refusals import malformed_failure
 from .request_relays import RequestRelay
 from .request_reporters import RequestReporter
 from .request_signatures import read_signature
@@ -32,8 +33,6 @@
 TOO_EARLY_BACKOFF_S = 0.05
 # A VM that was cut off gets newer configurations about this long after its return.
 STALE_RETRY_S = 0.3
-# Statuses that tell a caller that its request has not run and never will.
-UNRUN_STATUSES = frozenset((404, 429, 503))
 
 
 class RequestForward:
@@ -81,13 +80,17 @@
         deadline_ms = self._request.deadline_ms
         return None if deadline_ms is None else deadline_ms / 1000
 
+    @property
+    def malformed(self) -> Failure | None:
+        """Why the request can't be told from others, None if it can."""
+        return malformed_failure(self._request, self._call.headers)
+
     async def run(self) -> None:
         """Serve the request and answer its caller."""
         parts = self._parts
         if parts.routes is None:
-            self._reporter.refuse(
-                Failure(ErrorKind.NOT_READY, "no configuration yet", 0.3)
-            )
+            unknown = Failure(ErrorKind.NOT_READY, "no configuration yet", 0.3)
+            self._reporter.refuse(unknown)
             return
         route = parts.routes.match(self._call.headers.get("Host", ""), self._call.path)
         if route is None:
@@ -150,9 +153,8 @@
     def _choose_service(self, route: Route) -> str:
         """Return the service at which a stream began, else one by their weights."""
         began = self._binding.origin
-        if began is not None and any(
-            each.service == began.service for each in route.services
-        ):
+        services = [each.service for each in route.services]
+        if began is not None and began.service in services:
             return began.service
         return choose_service(route, self._parts.rng)
 
@@ -298,9 +300,8 @@
         if self._call.left:
             return None
         if self._ledger.sent and not self._parts.budget(service).acquire():
-            self._refuse_unplaced(
-                Failure(ErrorKind.OVERLOADED, "the retry budget is spent", 0.5)
-            )
+            spent = Failure(ErrorKind.OVERLOADED, "the retry budget is spent", 0.5)
+            self._refuse_unplaced(spent)
             return None
         return await self._attempts.make(route, placed)
 
--- a/hawthornlead/promises/run_ledgers.py
+++ b/hawthornlead/promises/run_ledgers.py
@@ -20,6 +20,8 @@
 
 # These promise a caller that its request has not run and never will.
 PROMISE_STATUSES = frozenset((408, 421, 429, 503))
+# By these a request is refused that wasn't sent anywhere.
+UNRUN_STATUSES = frozenset((404, 429, 503))
 
 
 class NotRun(NamedTuple):
