Take no relayed response that only its connection's close ends

A caller got a complete empty stream where the response of the VM that served it stopped behind its head, with neither a length nor chunks, and its connection was closed in order; a request without a stream got 200 with an empty body. The rule that a stream without a length needs a complete last event held for targets only.

A VM gives each response a length or chunks. So a relayed response without either is none, and its request may have run: 502, also where it would have been a refusal to take the request. Three tests cut the relayed responses at each byte of their heads and failed at the last one before.

With them come the tests of targets that stop in their heads, cut at each byte, closed in order and by a reset, with a length, in chunks and with neither: a request that isn't repeatable and a stream get 502 once they have run, a repeatable request and a resumable stream are answered whole by another target or get 502, and engines carry out each load once. These held before.

--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -190,7 +190,9 @@
     def _end_answered(
         self, exchange: Exchange, sink: StreamRelay | WholeAnswer
     ) -> RelayOutcome:
-        if sink.head is None or not exchange.whole:
+        # A VM gives each response a length or sends it in chunks, so one that only its
+        # connection's close ends is not a VM's, or not all of it.
+        if sink.head is None or not exchange.whole or not sink.head.framed:
             exchange.close()
             return RelayOutcome.BROKEN if _has_begun(sink) else RelayOutcome.LOST
         exchange.release()
--- a/hawthornlead/tests/standins/truncating_fronts.py
+++ b/hawthornlead/tests/standins/truncating_fronts.py
@@ -38,7 +38,7 @@
 
     def __init__(self, sound: str, chosen: Callable[[str, str], bool]):
         self._sound = sound
-        self._chosen = chosen
+        self.chosen = chosen
         self._serving: set[asyncio.Task] = set()
         self._server: asyncio.Server | None = None
         self.address = ""
@@ -77,7 +77,7 @@
         method, path = head.decode("latin1").split(" ", 2)[:2]
         length = int(_fields(head).get(b"content-length", b"0"))
         answer = await self._ask(head + await reader.readexactly(length))
-        if not self._chosen(method, path):
+        if not self.chosen(method, path):
             writer.write(answer.head + answer.body)
             await writer.drain()
             return True
