Reject the reply to an order or a cancel whose head is made of two responses

A cancel has no content in its reply: the status alone confirms it, and frees the adapter for eviction. A reply that broke off inside its head and was followed by a failure had the status of the first. The replies to orders, reports and health must be whole JSON objects with their fields, so that a joined one was malformed already.

--- a/hawthornlead/engines/targets.py
+++ b/hawthornlead/engines/targets.py
@@ -22,6 +22,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPResponse
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
+from ..answers.joined_answers import is_joined_head
 from ..errors import ErrorKind, Failure
 from ..messages import Resident
 
@@ -211,6 +212,11 @@
     def _checked(self, response: HTTPResponse) -> Result[HTTPResponse, Failure]:
         if response.code == 599:
             return Err(self._failure_of(response.error))
+        if is_joined_head(response.reason, response.headers):
+            # The status is that of a response which broke off. In a body, which is
+            # JSON, a second response is malformed by itself.
+            detail = f"{self._address}: another response begins inside its head"
+            return Err(Failure(ErrorKind.TARGET_LOST, detail))
         if response.code in (200, 204):
             return Ok(response)
         try:
