--- a/hawthornlead/tests/fuzz_responses.py
+++ b/hawthornlead/tests/fuzz_responses.py
@@ -180,14 +180,13 @@
         for fault in result.faults:
             print(f"seed {seed}: {fault}")
         faults += len(result.faults)
-        if result.missing:
-            print(f"seed {seed}: never drawn: {result.missing}")
         if faults and until_fault:
             break
     for counts in (drawn, got):
         print(", ".join(f"{name}: {count}" for name, count in sorted(counts.items())))
-    print(f"{seed - first + 1} seeds, {faults} faults")
-    raise SystemExit(bool(faults or Result([], drawn, got).missing))
+    missing = Result([], drawn, got).missing
+    print(f"{seed - first + 1} seeds, {faults} faults, never drawn: {missing}")
+    raise SystemExit(bool(faults or missing))
 
 
 if __name__ == "__main__":
--- a/hawthornlead/tests/standins/fuzzed_target.py
+++ b/hawthornlead/tests/standins/fuzzed_target.py
@@ -47,7 +47,7 @@
 # What a target responds: its status, and whether the request did not run.
 STATUSES = ((200, False), (500, False), (503, True), (503, False))
 STATUSES += ((421, True), (429, True), (429, False))
-REASONS = ("OK", "Some Reason", "Some: Reason")
+REASONS = ("OK", "", "Some Reason", "Some: Reason")
 NOISE_OUTSIDE = (b"\x00\xff~", b"\r\n", b"~\r\n\r\n~", b"HTTP/1.1 200 ", b"HTTP/1.1 ")
 NOISE_INSIDE = (b"~x~", b"~\r\n~", b"HTTP/1.1 200 ")
 # A text may quote the head of a response.
--- a/hawthornlead/tests/test_joined_answers.py
+++ b/hawthornlead/tests/test_joined_answers.py
@@ -166,6 +166,18 @@
     assert (got.status, got.body) == (200, OWN_BODY + end)
 
 
+async def test_an_answer_without_a_reason_is_whole():
+    """Guards against a response that no caller gets since its status has no reason."""
+    own = answer_bytes(200, "own", OWN_BODY, "length", 0)
+    own = own.replace(b" Some Reason", b" ")
+    sink = WholeAnswer()
+    got = await read_one(
+        TargetConnections(timers=TimerService()), own, closes=False, sink=sink
+    )
+    assert (got.status, got.body) == (200, OWN_BODY)
+    assert sink.head.reason == ""
+
+
 def test_only_what_may_be_a_head_is_waited_for():
     """Guards against a delay of every text that quotes a status line."""
     for end, waits in (
