--- a/hawthornlead/tests/fuzz_judge.py
+++ b/hawthornlead/tests/fuzz_judge.py
@@ -14,7 +14,7 @@
 PROMISES = frozenset((408, 421, 429, 503))
 STREAMS = frozenset(("stream", "resume"))
 CONTROLS = frozenset(("report", "order"))
-RUN = re.compile(rb"run-(\d+)")
+RUN = re.compile(rb"run-(\d+) of ")
 EVENT_ID = re.compile(rb"id: (\d+)\n")
 EVENT_END = b"\n\n"
 LAST_EVENT = 6
--- a/hawthornlead/tests/standins/fuzzed_target.py
+++ b/hawthornlead/tests/standins/fuzzed_target.py
@@ -52,6 +52,7 @@
 NOISE_INSIDE = (b"~x~", b"~\r\n~", b"HTTP/1.1 200 ")
 # A text may quote the head of a response.
 QUOTED = b"\r\n\r\nHTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
+ID = b"\r\nRequest-Id: "
 # What was sent before the first run.
 EARLIER = b"HTTP/1.1 200 OK\r\nRequest-Id: another\r\nServer-Seal: seal-0\r\n"
 EARLIER += b"Content-Length: 5\r\n\r\nrun-0"
@@ -128,7 +129,8 @@
         self.plans: dict[str, list[Plan]] = {}
         self.sent: list[Sent] = []
         self.drawn: Counter[str] = Counter()
-        # Responses that were sent whole and name their request.
+        # Responses to requests that were sent whole. Those without an id are copied
+        # only ahead of the response to another request, where nothing else has none.
         self.history: list[_Earlier] = [_Earlier("another", 200, EARLIER)]
 
     def next_run(self) -> int:
@@ -148,16 +150,23 @@
         self.drawn[f"id {plan.named}"] += 1
         self.drawn[f"id place {plan.id_place}"] += 1
 
+    def record(self, plan: Plan, request: str, wire: bytes) -> None:
+        """Record a response that was sent whole, if it may be copied."""
+        if plan.named == "own" or (plan.named == "none" and plan.status == 200):
+            self.history.append(_Earlier(request, plan.status, wire))
+
     def copy(self, plan: Plan, request: str, wire: bytes) -> bytes:
         """Return the copy that a plan sends, of the response itself or of another."""
-        late = plan.kind in KEPT_KINDS
+        late, ahead = plan.kind in KEPT_KINDS, plan.kind.startswith("late")
         if plan.own_copy and plan.named == "own" and not late:
             return wire
         # A connection is kept after a success only, so no other comes late on it.
         others = [
             each.wire
             for each in self.history[-20:]
-            if each.request != request and (each.status == 200 or not late)
+            if each.request != request
+            and (each.status == 200 or not late)
+            and (ID in each.wire or ahead)
         ]
         return others[int(plan.pick * len(others))] if others else EARLIER
 
@@ -183,6 +192,7 @@
         self._idle: dict[asyncio.StreamWriter, asyncio.Task] = {}
         # Connections that had bytes which no request asked for.
         self._spoilt: set[asyncio.StreamWriter] = set()
+        self._unnamed: set[asyncio.StreamWriter] = set()
         self._starting: asyncio.Task | None = None
         self.places = 50
 
@@ -254,32 +264,43 @@
         return mark + (QUOTED if plan.noise % 5 == 0 else b"") + filler
 
     async def _send(self, plan: Plan, name, run, response, reader, writer) -> None:
+        control = name.startswith("call")
         due = self._due.pop(writer, b"")
+        if control and writer in self._unnamed:
+            due = b""
+        self._unnamed.discard(writer)
         late = bool(due) or writer in self._spoilt
         wire, ends, complete, body = self._bytes_of(plan, name, response, late)
-        control = name.startswith("call")
         # Nothing tells a response without an id from the rest of another one.
         spoilt = late or plan.kind == "cut-copied"
         known = plan.ends and not (control and spoilt)
         if control and spoilt:
             ends = "close"
-        succeeded = 200 <= plan.status < 300
         seal = "" if control else f"seal-{run}"
         sent = Sent(name, run, plan.status, seal, body, complete)
         sent = sent._replace(ran=not plan.not_run, known=known, plan=str(plan))
         self._book.sent.append(sent._replace(due=due))
-        if plan.named == "own" and seal and complete:
-            self._book.history.append(_Earlier(name, plan.status, response.wire))
-        if not succeeded:
+        self._prepare_late(plan, name, response, writer)
+        if complete and not control:
+            self._book.record(plan, name, response.wire)
+        await self._write(due + wire, plan, writer)
+        if plan.kind == "closes":
+            await self._ignore(reader)
+        await self._end(ends, plan, name, reader, writer)
+
+    def _prepare_late(self, plan: Plan, name, response, writer) -> None:
+        """Choose what comes ahead of the next response on a connection."""
+        if plan.status >= 300:
             # It comes again if its connection is used again.
             self._due[writer] = response.wire
         elif plan.kind.startswith("late"):
             copy = self._book.copy(plan, name, b"")
             share = plan.at if plan.kind == "late-cut" else 1.0
             self._due[writer] = copy[: int(len(copy) * share)]
-        await self._write(due + wire, plan, writer)
-        if plan.kind == "closes":
-            await self._ignore(reader)
+            if ID not in copy:
+                self._unnamed.add(writer)
+
+    async def _end(self, ends: str, plan: Plan, name, reader, writer) -> None:
         if ends == "close":
             writer.close()
         elif ends == "reset":
--- a/hawthornlead/tests/test_fuzz_responses.py
+++ b/hawthornlead/tests/test_fuzz_responses.py
@@ -44,6 +44,7 @@
         (GOT, [OWN]),
         (GOT._replace(status=500), [FAILED]),
         (GOT, [UNRUN._replace(run=2, seal="seal-2"), OWN]),
+        (GOT._replace(body=b"run-"), [OWN._replace(body=b"run-")]),
         (GOT._replace(body=b"run-1", whole=False), [OWN._replace(complete=False)]),
         (REFUSED, []),
         (REFUSED, [UNRUN]),
