Take responses whose status line has no reason on every path

A status line without a reason, which HTTP allows, is None to Tornado, and the search of the head for a second one failed on it for targets of signed bundles.

--- a/hawthornlead/answers/answer_readers.py
+++ b/hawthornlead/answers/answer_readers.py
@@ -74,9 +74,7 @@
 
     def headers_received(self, start_line, headers):
         """Decide whose answer this is."""
-        # None where a status line has no reason, which HTTP allows.
-        reason = start_line.reason or ""
-        if is_joined_head(reason, headers):
+        if is_joined_head(start_line.reason, headers):
             self._end_joined(Joint.HEAD)
             return
         if 100 <= start_line.code < 200:
@@ -95,7 +93,7 @@
                 self._give_up()
             return
         code = start_line.code
-        self.head = Head(code, reason, headers, signs, framed)
+        self.head = Head(code, start_line.reason or "", headers, signs, framed)
         self._sink.handle_head(self.head)
 
     def data_received(self, chunk):
--- a/hawthornlead/answers/joined_answers.py
+++ b/hawthornlead/answers/joined_answers.py
@@ -45,9 +45,12 @@
     BODY = "body"
 
 
-def is_joined_head(reason: str, headers: HTTPHeaders) -> bool:
-    """Whether the head of an answer, parsed as one, contains a second status line."""
-    if STATUS_LINE.search(reason):
+def is_joined_head(reason: str | None, headers: HTTPHeaders) -> bool:
+    """Whether the head of an answer, parsed as one, contains a second status line.
+
+    The ``reason`` is None where the first one has none, which HTTP allows.
+    """
+    if reason and STATUS_LINE.search(reason):
         return True
     return any(STATUS_LINE.search(value) for _, value in headers.get_all())
 
--- a/hawthornlead/tests/test_joined_bodies.py
+++ b/hawthornlead/tests/test_joined_bodies.py
@@ -74,4 +74,5 @@
     """Guards against a head that is made of two."""
     assert is_joined_head("OHTTP/1.1 503 Service Unavailable", HTTPHeaders())
     assert is_joined_head("OK", HTTPHeaders({"Server-Seal": "3e1HTTP/1.0 200 OK"}))
+    assert not is_joined_head(None, HTTPHeaders())
     assert not is_joined_head("OK", HTTPHeaders({"Via": "1.1 HTTP/1.1-proxy"}))
