Send no request on a connection on which bytes have come already

What a target sends unasked on a new connection, such as a refusal by a proxy that has too many, was taken for the response to the request that was sent after it. The attempt now fails as lost before anything is written. The new test failed before with the 200 that came first.

Two tests are extended, because each guard of this path was taken out once and these two were not missed: a response whose length was received is whole however its connection ends, and a connection is not kept after a failed attempt at an engine.

--- a/hawthornlead/engines/exchanges.py
+++ b/hawthornlead/engines/exchanges.py
@@ -183,8 +183,12 @@
 
         From here on the request may have reached the target: every error is
         ``TARGET_LOST``. The body goes to ``on_data`` as it comes; a future that it
-        returns holds back the reading.
+        returns holds back the reading. If bytes came before, nothing is sent: what was
+        not asked for is no response.
         """
+        if self._connection.unread:
+            self.close()
+            return Err(_lost(self._address, "bytes came before the request"))
         params = HTTP1ConnectionParameters(
             no_keep_alive=False, max_body_size=MAX_ANSWER_BYTES
         )
--- a/hawthornlead/tests/test_attempts.py
+++ b/hawthornlead/tests/test_attempts.py
@@ -23,6 +23,7 @@
         self.head = head
         self.reused = reused
         self._named = named
+        self.kept = None
 
     async def send(self, method, path, headers, body, on_data, head_timeout_s):
         if self._named is not None:
@@ -34,7 +35,8 @@
         return Err(LOST)
 
     def release(self, named):
-        """Do nothing."""
+        """Record whether the connection may be kept."""
+        self.kept = named
 
     def close(self):
         """Do nothing; it is closed already."""
@@ -118,4 +120,5 @@
     sink = SimpleNamespace(gone=False, write=lambda events: None)
     end = await runner.run(call, grant, sink)
     assert end.failure is not None
+    assert exchange.kept is False
     return grant.ended
--- a/hawthornlead/tests/test_exchange_responses.py
+++ b/hawthornlead/tests/test_exchange_responses.py
@@ -210,10 +210,30 @@
 
 
 async def test_a_response_without_a_length_that_was_given_up_is_not_whole():
-    """Guards against the caller's own close that counts as the response's end."""
+    """Guards against the caller's own close that counts as the response's end.
+
+    A response whose length was received is whole, however its connection ends.
+    """
     connections = TargetConnections(timers=TimerService())
-    sent = response(200, "r.1", OWN_BODY, "close")
-    async with ScriptedTarget([sent]) as target:
-        exchange = (await connections.open(target.address, Naming.EVENTS)).ok_value
-        got = await ask(exchange, lambda data: exchange.close())
-        assert got.status == 0
+    for framing, status in (("close", 0), ("length", 200)):
+        sent = response(200, "r.1", OWN_BODY, framing)
+        async with ScriptedTarget([sent]) as target:
+            opened = await connections.open(target.address, Naming.EVENTS)
+            exchange = opened.ok_value
+            got = await ask(exchange, lambda data, open_=exchange: open_.close())
+            assert got.status == status
+
+
+async def test_bytes_that_came_before_the_request_are_no_response_to_it():
+    """Guards against what a target sends unasked, such as a greeting or a timeout."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    connections = TargetConnections(timers=TimerService())
+    exchange = (await connections.open(address, Naming.EVENTS)).ok_value
+    target, _ = listener.accept()
+    target.sendall(response(200, "r.1", OWN_BODY, "length"))
+    got = await ask(exchange)
+    assert got.status == 0
+    assert "before the request" in got.failure
+    for opened in (exchange, target, listener):
+        opened.close()
