The soak's repeated answers are cut at any byte, and also of successes

The copies that 'answers-repeated' sends late were whole, of control calls, refusals and failures. The fault that callers met needs one that is truncated within its head, of a success, ahead of a failure. Each copy is now whole or truncated at a drawn byte, with the id at a drawn place; streams that ended are copied too, and a plain target fails requests and repeats its answers beside the engine.

--- a/hawthornlead/tests/soak_gateway_targets.py
+++ b/hawthornlead/tests/soak_gateway_targets.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import ExitStack
+from random import Random
 
 from hawthornlead.gateway.ownerships import OWNERS_KIND
 from hawthornlead.gateway.vm_leases import LEASES_KIND
@@ -23,6 +25,7 @@
 # For how long a target sends its answers twice, and how many requests it refuses then.
 REPEATS_S = 4.0
 REPEATED_REFUSALS = 20
+REPEATED_FAILURES = 40
 # Entries that name no target to use, as another writer may leave them.
 SPOILT: tuple[Callable[[dict], object], ...] = (
     lambda entry: {"service": entry["service"]},
@@ -302,14 +305,27 @@
 async def answers_repeated(world: GatewayWorld, target: RestartingTarget) -> bool:
     """An engine refuses requests, and sends its answers a second time, late.
 
-    Others follow on the connections meanwhile, also orders and reports.
+    Others follow on the connections meanwhile, also orders and reports. A plain target
+    does the same, and fails requests. The copies are whole, or truncated at any byte.
     """
-    sent = target.repeats.sent
-    target.repeats.least = world.rng.choice((200, 400))
-    target.next_faults["refuse"] = REPEATED_REFUSALS
-    await asyncio.sleep(REPEATS_S)
-    target.repeats.least = target.next_faults["refuse"] = 0
-    return target.repeats.sent > sent
+    least = world.rng.choice((200, 400))
+    with world.own_target(model=False) as plain, ExitStack() as hurt:
+        repeating = [target] if plain is None else [target, plain]
+        sent = sum(each.repeats.sent for each in repeating)
+        target.next_faults["refuse"] = REPEATED_REFUSALS
+        target.repeats.least = least
+        if plain is not None:
+            trouble = world.journal.trouble("answers-repeated", plain.target)
+            hurt.enter_context(trouble)
+            plain.next_faults["fail"] = REPEATED_FAILURES
+            plain.repeats.least = 200
+        for each in repeating:
+            each.repeats.rng = Random(world.rng.random())
+        await asyncio.sleep(REPEATS_S)
+        for each in repeating:
+            each.repeats.least = 0
+            each.next_faults["refuse"] = each.next_faults["fail"] = 0
+        return sum(each.repeats.sent for each in repeating) > sent
 
 
 # The operator
--- a/hawthornlead/tests/standins/repeated_answers.py
+++ b/hawthornlead/tests/standins/repeated_answers.py
@@ -1,5 +1,6 @@
 """Answers of a stand-in that come a second time, late, on the same connection."""
 
+from random import Random
 from weakref import WeakKeyDictionary
 
 from tornado import httputil
@@ -31,7 +32,8 @@
     """Sends each answer with a status of ``least`` or more again, 0 for none.
 
     The copy comes late: right after the next request on its connection. Only its first
-    ``cut`` bytes are sent, None for all, with the id after ``id_place`` other headers::
+    ``cut`` bytes are sent, None for all, with the id after ``id_place`` other headers.
+    With an ``rng`` each copy has both drawn, and every third is whole::
 
         repeats = RepeatedAnswers()
         repeats.least = 400
@@ -43,6 +45,7 @@
         self.least = 0
         self.cut: int | None = None
         self.id_place = 0
+        self.rng: Random | None = None
         self.sent = 0
         self._due: WeakKeyDictionary = WeakKeyDictionary()
 
@@ -52,7 +55,7 @@
         copy = self._due.pop(stream, None)
         if copy is not None and not stream.closed():
             self.sent += 1
-            stream.write(copy[: self.cut])
+            stream.write(copy[: self._cut(copy)])
         answer = call.answer
 
         def answer_and_keep(status, reason, headers, body):
@@ -61,8 +64,14 @@
 
         call.answer = answer_and_keep
 
+    def _cut(self, copy: bytes) -> int | None:
+        if self.rng is None:
+            return self.cut
+        return self.rng.choice((None, *[self.rng.randrange(len(copy))] * 2))
+
     def keep(self, call: CallerCall, status: int, headers, body: bytes) -> None:
         """Keep an answer for its copy."""
         if 0 < self.least <= status:
-            copied = with_id_at(headers, self.id_place)
+            place = self.rng.randrange(5) if self.rng else self.id_place
+            copied = with_id_at(headers, place)
             self._due[call._connection.stream] = whole_answer(status, copied, body)
--- a/hawthornlead/tests/standins/target_runs.py
+++ b/hawthornlead/tests/standins/target_runs.py
@@ -236,6 +236,7 @@
             call.abort()
             return
         run.end("done")
+        self.repeats.keep(call, 200, httputil.HTTPHeaders(headers), b"id: 1\n\n")
         if not call.answered:
             self._begin(call, headers, b"")
         call.finish()
