--- a/hawthornlead/tests/standins/fuzzed_target.py
+++ b/hawthornlead/tests/standins/fuzzed_target.py
@@ -96,14 +96,15 @@
     kept = kind in KEPT_KINDS
     succeeds = kept or rng.random() < 0.55
     status, not_run = STATUSES[0] if succeeds else rng.choice(STATUSES)
-    own = kept or rng.random() < 0.8
+    # Refusals often bear no id.
+    own = kept or rng.random() < (0.8 if succeeds else 0.5)
     splits = [rng.random() for _ in range(rng.randint(1, 4))]
     return Plan(
         kind,
         rng.choice(FRAMINGS[:2] if kept or kind == "extra" else FRAMINGS),
         status,
         not_run,
-        "own" if own else rng.choice(NAMES[1:]),
+        "own" if own else rng.choice(NAMES[1:] if succeeds else ("none", *NAMES[1:])),
         rng.randrange(5),
         rng.choice(REASONS),
         rng.random(),
