Soak: an engine behind a cut path can't be told to stop

Trace: vm-5 had both at i-3 when its paths to all targets were cut; i-3 answered none of its calls (609, proof=answers no calls), and 1.35 s after the cut they went on by vm-1 and vm-2 at i-1 from event 28 and 29. i-3 wrote on for 0.6 s, to vm-5, whose closing of the connections could not reach it.

The judge already left out a target that one VM is cut from (vm-cut-from-target names the target as hurt); a VM that is cut from all of them was not looked for. It leaves out a run only if the path between that run's own VM and target was cut: the wrong history with another VM's path cut is found, the right one failed before.

--- a/hawthornlead/tests/soak_gateway_cases.py
+++ b/hawthornlead/tests/soak_gateway_cases.py
@@ -245,6 +245,13 @@
     return made
 
 
+def at_two_engines():
+    """Return a stream that goes on at i-2 while vm-1 has it run at i-3 still."""
+    return more_sent(
+        runs=[run(sent("resume", "r3"), target="i-3", ended_at=101.0)],
+    )
+
+
 def cuts(count):
     """Return requests that were cut at a sound target, with their runs."""
     asked = [cut(f"k{n}", process_id=8) for n in range(count)]
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -9,6 +9,7 @@
     after_crashes,
     arrival,
     arrived,
+    at_two_engines,
     away_run,
     behind_cuts,
     behind_two_cuts,
@@ -66,6 +67,10 @@
         "one-engine-at-a-time",
         more_sent(runs=[run(sent("resume", "r3"), target="i-3", ended_at=101.0)]),
     ),
+    (
+        "one-engine-at-a-time",
+        with_trouble(at_two_engines(), (CUT_FROM_TARGETS, "vm-2>i-3", 99.0, 105.0)),
+    ),
     ("refused-never-runs", more_sent(runs=[run(refused())])),
     ("refused-never-runs", more_sent(runs=[run(refused(), begun_at=130.0)])),
     ("own-answers", of_kind(body=b"a part")),
@@ -181,6 +186,10 @@
             ("vm-frozen", "vm-2", 55.0, 59.9),
         ),
     ),
+    (
+        "one-engine-at-a-time",
+        with_trouble(at_two_engines(), (CUT_FROM_TARGETS, "vm-1>i-3", 99.0, 105.0)),
+    ),
     ("refused-never-runs", of_kind("safe", outcome="refused", status=503)),
     ("not-denied", denied(10)),
     (
