--- a/hawthornlead/tests/test_truncated_heads.py
+++ b/hawthornlead/tests/test_truncated_heads.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from functools import partial
 from typing import NamedTuple
 
 import pytest
@@ -245,7 +246,7 @@
         assert await order() is expected
 
 
-async def test_a_probe_whose_answer_stops_in_its_head_finds_nothing(engine):
+async def test_a_probe_whose_answer_stops_in_its_head_finds_nothing(engine, resets):
     """Guards against a target that counts as alive, or as another, by half a head."""
     probes = TargetProbes(
         connections=TargetConnections(timers=TimerService()),
@@ -257,9 +258,14 @@
     entry = read_target(StoredRecord(engine.target, 1, engine.entry(), None))
     other = entry._replace(target="e9")
     for framing, asked in itertools.product(FRAMINGS, (entry, other)):
-        async for cut in cuts(engine, lambda e=asked: probes.probe(e, spec), framing):
+        async for cut in cuts(engine, partial(probes.probe, asked, spec), framing):
             assert await probes.probe(asked, spec) is ProbeResult.NOTHING, cut
-        async for cut in cuts(
-            engine, lambda e=asked: probes.identify(e, spec), framing
-        ):
+        async for cut in cuts(engine, partial(probes.identify, asked, spec), framing):
             assert await probes.identify(asked, spec) is ProbeResult.UNKNOWN, cut
+    for framing in FRAMINGS:
+        whole = framing == "close" and not resets
+        engine.front.framing, engine.front.cut = framing, None
+        await probes.probe(entry, spec)
+        engine.front.cut = engine.front.lengths[-1]
+        expected = ProbeResult.ALIVE if whole else ProbeResult.NOTHING
+        assert await probes.probe(entry, spec) is expected
