The soak's repeating plain target fails one request in between successes

A connection is kept after a success only, so that with all requests failing no copy of a success came ahead of a failure.

--- a/hawthornlead/tests/soak_gateway_targets.py
+++ b/hawthornlead/tests/soak_gateway_targets.py
@@ -317,11 +317,13 @@
         if plain is not None:
             trouble = world.journal.trouble("answers-repeated", plain.target)
             hurt.enter_context(trouble)
-            plain.next_faults["fail"] = REPEATED_FAILURES
             plain.repeats.least = 200
         for each in repeating:
             each.repeats.rng = Random(world.rng.random())
-        await asyncio.sleep(REPEATS_S)
+        for _ in range(REPEATED_FAILURES):
+            # A connection is kept after a success, and a failure is to follow there.
+            repeating[-1].next_faults["fail"] = 1
+            await asyncio.sleep(REPEATS_S / REPEATED_FAILURES)
         for each in repeating:
             each.repeats.least = 0
             each.next_faults["refuse"] = each.next_faults["fail"] = 0
