Take no stream for whole that ends inside an event, whatever its framing says

The check held only for streams that end with their connection. Such a stream is broken off now, at targets and behind other VMs; line ends after the last event are none. The test failed before with a whole 200 that ended in 'id: 1\ndat'.

A double in test_at_most_once takes the new argument of open, without which that test waited for ever.

--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -195,6 +195,9 @@
         if sink.head is None or not exchange.whole or not sink.head.framed:
             exchange.close()
             return RelayOutcome.BROKEN if _has_begun(sink) else RelayOutcome.LOST
+        if isinstance(sink, StreamRelay) and sink.ends_inside_event:
+            exchange.close()
+            return RelayOutcome.BROKEN
         exchange.release()
         not_taken = NOT_TAKEN in sink.head.headers
         proof = prove_not_run(sink.head.status, stated=not_taken)
--- a/hawthornlead/gateway/stream_relays.py
+++ b/hawthornlead/gateway/stream_relays.py
@@ -117,6 +117,11 @@
         """The data after the last complete event, or all of an answer not accepted."""
         return bytes(self._buffer)
 
+    @property
+    def ends_inside_event(self) -> bool:
+        """Whether an accepted stream has more than line ends after its last event."""
+        return self.accepted and bool(self._buffer.strip(b"\r\n"))
+
     def handle_head(self, head: Head) -> None:
         """Record the head of the target's answer."""
         self.head = head
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -303,11 +303,11 @@
             return self._on_answer_lost(entry, answered=False)
         if not relay.accepted:
             return self._end_refused_stream(placed, exchange, relay)
-        # An answer without a length ends with its connection, and so does one of a
-        # target that crashes. Then only complete events count, and without any the
-        # target didn't answer.
-        cut_off = relay.unsent or relay.first_at is None
-        if not exchange.whole or (cut_off and not relay.head.framed):
+        # A stream that ends inside an event was broken off, whatever its framing says.
+        # Without a length it ends with its connection, and so does that of a target
+        # that crashes before its first event.
+        unanswered = relay.first_at is None and not relay.head.framed
+        if not exchange.whole or relay.ends_inside_event or unanswered:
             exchange.close()
             self._on_answer_lost(entry, relay.answered)
             return AttemptOutcome.BROKEN
--- a/hawthornlead/tests/test_at_most_once.py
+++ b/hawthornlead/tests/test_at_most_once.py
@@ -77,7 +77,7 @@
     not say "not run" either.
     """
 
-    async def never(address, fresh=False):
+    async def never(address, naming, fresh=False):
         holding.set()
         await asyncio.Event().wait()
 
--- a/hawthornlead/tests/test_joined_answers.py
+++ b/hawthornlead/tests/test_joined_answers.py
@@ -306,6 +306,17 @@
         assert b"HTTP/1." not in answer.body
 
 
+async def test_a_stream_that_ends_inside_an_event_is_cut():
+    """Guards against a stream without its last piece that looks complete."""
+    async with Deployment(software=("v1",)) as deployment:
+        engine, vm = await warmed(deployment)
+        engine.joined = b"%x\r\n%s\r\n0\r\n\r\n" % (9, EVENT[:9])
+        engine.faults.append("joined")
+        answer = await deployment.ask("/stream/x", vm=vm, Model=f"{MODEL}/a7")
+        assert answer.status == 200
+        assert not answer.whole
+
+
 async def test_a_connection_with_bytes_that_nobody_asked_for_is_not_used_again():
     """Guards against a late answer that is read ahead of the next request's own."""
     pool = ConnectionPool(timers=TimerService(), connect_s=1.0, unacknowledged_s=1.0)
