--- a/hawthornlead/tests/test_conformance.py
+++ b/hawthornlead/tests/test_conformance.py
@@ -14,16 +14,12 @@
 ROOT = Path(__file__).parents[2]
 # A guard against hanging: a run takes 17 s, and the first build 10 s.
 TIMEOUT_S = 300
-# Known faults are played by hand: docs/design/conformance.md, "Runs".
-LEFT_OUT = ("old-callers", "unnamed-joined")
 TESTED = ("MIXED-1", "MIXED-2", "MIXED-4", "ORDER", "TWICE", "UNASKED")
 
 
 def test_a_short_run_of_the_real_processes_breaks_no_rule():
     """Guards against a guard of the responses, or of the runs, that is gone."""
     command = [sys.executable, "-m", "conformance", "--seed", "22", "--minutes", "0.15"]
-    for name in LEFT_OUT:
-        command += ["--without", name]
     ended = subprocess.run(
         command, cwd=ROOT, capture_output=True, text=True, timeout=TIMEOUT_S
     )
