--- a/hawthornlead/gateway/stream_relays.py
+++ b/hawthornlead/gateway/stream_relays.py
@@ -119,8 +119,8 @@
 
     @property
     def ends_inside_event(self) -> bool:
-        """Whether an accepted stream has more than line ends after its last event."""
-        return self.accepted and bool(self._buffer.strip(b"\r\n"))
+        """Whether an accepted stream has anything after its last complete event."""
+        return self.accepted and bool(self._buffer)
 
     def handle_head(self, head: Head) -> None:
         """Record the head of the target's answer."""
