--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -304,8 +304,8 @@
         if not relay.accepted:
             return self._end_refused_stream(placed, exchange, relay)
         # A stream that ends inside an event was broken off, whatever its framing says.
-        # Without a length it ends with its connection, and so does that of a target
-        # that crashes before its first event.
+        # Without a length it ends with its connection, and so does one of a target that
+        # crashes: without any event the target didn't answer.
         unanswered = relay.first_at is None and not relay.head.framed
         if not exchange.whole or relay.ends_inside_event or unanswered:
             exchange.close()
