Hold what clients send in one account, and refuse what has no room in it

Callers saw: a VM ended, out of memory, and with it every request on it. Clients sent bodies over the limit, announced or not, in large or very small chunks, and most stopped short of the end and stayed connected.

Cause: a request was kept whole for as long as its client liked. The limit that the configuration states was decoded and never used; the limit in force was 16 MB a request at the addresses for callers and relays and 100 MB, Tornado's own, at those for readiness, entry addresses and metrics, and nothing bounded the sum. A head of 60 KB in 8,000 lines takes 1.6 MB once it is parsed. The system kept up to 6 MB for each connection beside that.

Change: each connection has a holding in the account of its process, on every address: its buffers, its head before it is parsed, its body as it comes. When the account (48 MB, max_held_bytes) is full, those give way for which the process waits, the most bytes for the longest time first; a request at work gives way to none, and large ones leave a quarter of the room to small ones. What finds no room is refused with 503 and Retry-After before it runs; a body over the configured limit gets 413, read on for a moment so that the client can read that. Parts of bodies in chunks take turns, one in each pass of the event loop.

--- a/hawthornlead/gateway/__init__.py
+++ b/hawthornlead/gateway/__init__.py
@@ -5,5 +5,6 @@
 The wire formats are in ``hawthornlead.platform`` alone.
 
 May import: the common modules, mesh, fleet, admission, answers, connections, decisions,
-engine_speeds, eras, fetches, outages, platform, promises, provenance, recovery, shares.
+engine_speeds, eras, fetches, outages, platform, promises, provenance, recovery,
+resources, shares.
 """
--- a/hawthornlead/gateway/entry_servers.py
+++ b/hawthornlead/gateway/entry_servers.py
@@ -1,15 +1,21 @@
 """Servers for queries to a VM itself: entry addresses, readiness, metrics."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from tornado import httputil
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from ..resources.accounts import Account
+from ..resources.servers import AccountedServer
+from ..settings import Settings
 from .caller_calls import CallerCall, CallerDispatcher
+from .request_servers import IDLE_TIMEOUT_S
 
 JSON = "application/json"
+# Queries have no body, or a small one that nobody reads.
+MAX_QUERY_BODY_BYTES = 16 << 10
+MAX_QUERY_HEADER_BYTES = 16 << 10
 
 
 class Reply(NamedTuple):
@@ -28,16 +34,25 @@
 
     ::
 
-        server = QueryServer("10.1.0.38:8141", {READY_PATH: ready}, now)
+        server = QueryServer("10.1.0.38:8141", {READY_PATH: ready}, account, now)
         server.start()
     """
 
     def __init__(
-        self, address: str, queries: dict[str, Query], now: Callable[[], float]
+        self,
+        address: str,
+        queries: dict[str, Query],
+        account: Account,
+        now: Callable[[], float],
     ):
         self._address = address
         self._queries = queries
-        self._server = HTTPServer(CallerDispatcher(self._handle, now))
+        self._server = AccountedServer(
+            CallerDispatcher(self._handle, now, lambda: MAX_QUERY_BODY_BYTES),
+            account=account,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            max_header_size=MAX_QUERY_HEADER_BYTES,
+        )
 
     def start(self) -> None:
         """Listen; raises ``OSError`` when the address is taken."""
@@ -53,3 +68,17 @@
         reply = query() if query else Reply(404, b"{}")
         headers = httputil.HTTPHeaders({"Content-Type": reply.content_type})
         call.answer(reply.status, "OK", headers, reply.body)
+
+
+def build_query_servers(
+    settings: Settings,
+    queries: Iterable[tuple[str, str, Query]],
+    account: Account,
+    now: Callable[[], float],
+) -> list[QueryServer]:
+    """Return a server for each address, of queries by setting and path."""
+    by_address: dict[str, dict[str, Query]] = {}
+    for setting, path, query in queries:
+        if address := settings[setting]:
+            by_address.setdefault(address, {})[path] = query
+    return [QueryServer(at, found, account, now) for at, found in by_address.items()]
--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -8,6 +8,7 @@
 
 from ..metric_library import CollectorRegistry, Counter, Gauge, Histogram
 from ..metrics import LATENCY_BUCKETS_S
+from ..resources.accounts import Account
 from .load_accounts import LoadAccount
 
 
@@ -146,6 +147,27 @@
         gauge = Gauge(f"hawthornlead_gateway_{name}", text, registry=self._registry)
         gauge.set_function(read)
 
+    def add_account_gauges(self, account: Account) -> None:
+        """Add gauges of what the process holds for its clients."""
+        for name, text, read in (
+            (
+                "held_bytes",
+                "Memory held for clients' connections, requests and answers",
+                lambda: account.used_bytes,
+            ),
+            (
+                "client_connections",
+                "Connections that clients have open",
+                lambda: account.connections,
+            ),
+            (
+                "closed_connections",
+                "Client connections closed for want of room, or as silent ones",
+                lambda: account.closed,
+            ),
+        ):
+            self.add_gauge(name, text, read)
+
     def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
         return Counter(name, text, labels, registry=self._registry)
 
--- a/hawthornlead/gateway/gateway_parts.py
+++ b/hawthornlead/gateway/gateway_parts.py
@@ -35,6 +35,7 @@
 from .prompt_quarantines import PromptQuarantines
 from .quota_ledgers import read_limits
 from .records import Configuration, TargetEntry
+from .request_servers import MAX_BODY_BYTES
 from .routes import RouteTable
 from .run_times import RunTimes
 from .stream_origins import StreamOrigins
@@ -126,6 +127,15 @@
             return ()
         return self.writer_proofs.origins_in_use(self.configuration)
 
+    def max_body_bytes(self) -> int:
+        """Return the largest body that a caller may send now.
+
+        A configuration that may be old doesn't bind callers of a newer one.
+        """
+        if self.configuration is None or not self.configuration_is_current():
+            return MAX_BODY_BYTES
+        return min(MAX_BODY_BYTES, self.configuration.limits.body_bytes)
+
     def apply_configuration(self, configuration: Configuration) -> None:
         """Put a configuration in force."""
         self.configuration = configuration
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -25,11 +25,13 @@
     TARGETS_KIND,
     VERSIONS_KIND,
 )
+from ..resources.accounts import Account
+from ..resources.process_limits import process_limits
 from ..settings import Settings, read_settings
 from .caller_calls import CallerCall
 from .coordination_parts import build_coordination
 from .drains import Drain
-from .entry_servers import QueryServer, Reply
+from .entry_servers import QueryServer, Reply, build_query_servers
 from .fleet_views import FleetView
 from .gateway_metrics import GatewayMetrics
 from .gateway_parts import build_requests, build_targets
@@ -83,9 +85,11 @@
         self._engine_manager = targets.engine_manager
         self._parts = build_requests(core, coordination, targets, metrics)
         now = core.timers.now
-        self._callers = RequestServer(settings["CALLER_ADDRESS"], self._serve, now)
-        relayed_at = settings["RELAY_ADDRESS"]
-        self._relayed = RequestServer(relayed_at, self._serve_relayed, now)
+        self._account = account = Account(process_limits(settings), now)
+        callers_at, relayed_at = settings["CALLER_ADDRESS"], settings["RELAY_ADDRESS"]
+        max_body = self._parts.max_body_bytes
+        self._callers = RequestServer(callers_at, self._serve, account, now, max_body)
+        self._relayed = RequestServer(relayed_at, self._serve_relayed, account, now)
         self._add_gauges(metrics, targets.loads)
         self._drain = Drain(
             timers=core.timers,
@@ -130,6 +134,7 @@
         self._engine_manager.start()
         self._parts.paths.start()
         self._timers.every(SWEEP_INTERVAL_S, self._sweep, name="sweep")
+        self._timers.every(SWEEP_INTERVAL_S, self._account.sweep, name="account")
         self._emit(EventKind.PROCESS_STARTED)
 
     async def drain(self) -> None:
@@ -203,20 +208,14 @@
         return self._callers.open + self._relayed.open
 
     def _make_query_servers(self) -> list[QueryServer]:
-        now = self._timers.now
-        queries = {}
-        for setting, path, query in (
+        queries = (
             ("READY_ADDRESS", READY_PATH, self._ready),
             ("DIRECTORY_ADDRESS", RESOLVE_PATH, self._resolve),
             ("METRICS_ADDRESS", "/metrics", self._read_metrics),
             ("METRICS_ADDRESS", "/fleet", lambda: Reply(200, self._fleet_view.body())),
-        ):
-            if address := self._settings[setting]:
-                queries.setdefault(address, {})[path] = query
-        return [
-            QueryServer(at, stop_requested, now)
-            for at, stop_requested in queries.items()
-        ]
+        )
+        now = self._timers.now
+        return build_query_servers(self._settings, queries, self._account, now)
 
     def _ready(self) -> Reply:
         return Reply(200 if self._memberships.serving else 503, b"{}")
@@ -235,6 +234,7 @@
         """Add gauges for this VM's observed state and its age."""
         now, client, vms = self._timers.now, self._client, self._memberships
         known, manager = self._targets.entries, self._engine_manager
+        metrics.add_account_gauges(self._account)
         for name, text, read in (
             (
                 "store_answer_age_seconds",
--- a/hawthornlead/gateway/request_servers.py
+++ b/hawthornlead/gateway/request_servers.py
@@ -2,18 +2,19 @@
 
 ::
 
-    server = RequestServer("10.1.0.38:8149", serve, now)
+    server = RequestServer("10.1.0.38:8149", serve, account, now)
     server.start()
 """
 
 from collections.abc import Callable
 
-from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from ..resources.accounts import Account
+from ..resources.servers import AccountedServer
 from .caller_calls import CallerDispatcher, Handler
 
-# The largest accepted body: the platform's own limit is smaller.
+# The largest accepted body, whatever the configuration allows.
 MAX_BODY_BYTES = 16 << 20
 MAX_HEADER_BYTES = 64 << 10
 # Longer than any idle time that the configuration allows callers.
@@ -21,16 +22,26 @@
 
 
 class RequestServer:
-    """Reads requests on one address; without an address it does nothing."""
+    """Reads requests on one address; without an address it does nothing.
 
-    def __init__(self, address: str, handler: Handler, now: Callable[[], float]):
+    ``max_body_bytes`` returns the largest body that a request may have now.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        handler: Handler,
+        account: Account,
+        now: Callable[[], float],
+        max_body_bytes: Callable[[], int] = lambda: MAX_BODY_BYTES,
+    ):
         self._address = address
-        self._dispatcher = CallerDispatcher(handler, now)
-        self._server = HTTPServer(
+        self._dispatcher = CallerDispatcher(handler, now, max_body_bytes)
+        self._server = AccountedServer(
             self._dispatcher,
+            account=account,
             idle_connection_timeout=IDLE_TIMEOUT_S,
             max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
         )
 
     @property
--- a/hawthornlead/platform/headers.py
+++ b/hawthornlead/platform/headers.py
@@ -191,6 +191,11 @@
     return headers
 
 
+def read_request_id(headers: HTTPHeaders) -> str:
+    """Return the id of a request, empty if it has none."""
+    return headers.get(REQUEST_ID, "")
+
+
 def refusal_headers(request_id: str, retry_after_s: float | None) -> HTTPHeaders:
     """Return the headers of an answer that this system generates itself."""
     headers = HTTPHeaders({"Content-Type": "text/plain"})
--- a/hawthornlead/setting_rows.py
+++ b/hawthornlead/setting_rows.py
@@ -247,8 +247,21 @@
         1,
         100000,
     ),
+    "MAX_HELD_BYTES": Setting(
+        "requests",
+        "integer",
+        48 << 20,
+        "memory for connections, requests and unread answers of clients",
+        1 << 20,
+        1 << 40,
+    ),
     "CALLER_SILENT_S": Setting(
-        "requests", "number", 60.0, "longest wait for a head, then a body", 0.1, 3600
+        "requests",
+        "number",
+        60.0,
+        "longest wait for a client that sends or takes nothing",
+        0.1,
+        3600,
     ),
     "MAX_OPEN_REQUESTS": Setting(
         "requests",
@@ -377,23 +390,3 @@
         "tls", "text", "", "secret that VMs prove to each other; empty: none"
     ),
 }
-
-
-class Fit(NamedTuple):
-    """Two settings that must fit: ``lesser * factor`` is at most ``greater``."""
-
-    lesser: str
-    greater: str
-    factor: int
-
-
-# ORDER_S needs no row with LEASE_S: an order starts under a lease and may outlast it,
-# since a successor waits ORDER_S after the lease. LOAD_S needs none either: a load that
-# takes effect even later takes nothing from any request.
-FITS = (
-    Fit("LEASE_RENEW_S", "LEASE_S", 3),
-    Fit("HEARTBEAT_S", "PEER_SILENT_S", 2),
-    Fit("GRANT_RENEW_S", "GRANT_S", 2),
-    Fit("DEFAULT_DEADLINE_S", "MAX_DEADLINE_S", 1),
-    Fit("MAX_DEADLINE_S", "CLAIM_KEEP_S", 2),
-)
--- a/hawthornlead/settings.py
+++ b/hawthornlead/settings.py
@@ -14,7 +14,8 @@
 from result import Err, Ok, Result
 
 from .registries import Registry
-from .setting_rows import FITS, FREE_SECTIONS, SETTINGS, Setting
+from .setting_fits import FITS
+from .setting_rows import FREE_SECTIONS, SETTINGS, Setting
 
 Settings = dict[str, Any]
 
--- /dev/null
+++ b/hawthornlead/tests/test_hostile_clients.py
@@ -0,0 +1,94 @@
+"""Tests of a real gateway process under clients that keep to no limit.
+
+Each checks what doesn't depend on the machine's speed: that the process lives, that its
+memory, with what its sockets hold, and its descriptors stay under a bound, and that it
+answers one ordinary request while the crowd's connections are still open.
+"""
+
+import asyncio
+
+import pytest
+
+from .gateways import HOST, ask
+from .hostile_clients import BODY_LIMIT, PATHS, Crowd, PressedGateway
+
+ADDRESSES = tuple(PATHS)
+REQUEST_ADDRESSES = ("callers", "relay")
+# Twice as long as the limit that the configuration states.
+LONG_BODY_BYTES = 2 * BODY_LIMIT
+LARGE_CHUNK = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
+SMALL_CHUNK = b"100\r\n" + b"x" * 0x100 + b"\r\n"
+TINY_CHUNK = b"40\r\n" + b"x" * 0x40 + b"\r\n"
+HEADERS = 8000
+
+
+def head(path: str, request_id: str = "hostile", *lines: str) -> bytes:
+    """Return the head of a request that has a body."""
+    first = [f"POST {path} HTTP/1.1", f"Host: {HOST}", f"Request-Id: {request_id}"]
+    return "\r\n".join([*first, "Deadline-Ms: 60000", *lines, "", ""]).encode()
+
+
+def bodies(path: str) -> dict[str, tuple[int, list[bytes]]]:
+    """Return crowds whose bodies never end: how many clients, and what each sends."""
+    chunked = head(path, "hostile", "Transfer-Encoding: chunked")
+    announced = head(path, "hostile", f"Content-Length: {LONG_BODY_BYTES + 1}")
+    short_by_one = head(path, "hostile", f"Content-Length: {BODY_LIMIT}")
+    headers = [f"a{number}:" for number in range(HEADERS)]
+    large_head = head(path, "hostile", *headers, "Content-Length: 2")
+    chunks = LONG_BODY_BYTES // 0x10000
+    return {
+        "announced": (24, [announced, b"x" * LONG_BODY_BYTES]),
+        "large chunks": (24, [chunked, LARGE_CHUNK * chunks]),
+        "small chunks": (32, [chunked, SMALL_CHUNK * (BODY_LIMIT // 0x100)]),
+        "tiny chunks": (160, [chunked, TINY_CHUNK * (1 << 14)]),
+        "short by one byte": (48, [short_by_one, b"x" * (BODY_LIMIT - 1)]),
+        "many headers": (200, [large_head, b"x"]),
+    }
+
+
+@pytest.mark.parametrize("role", ADDRESSES)
+@pytest.mark.parametrize("how", bodies(""))
+async def test_bodies_that_never_end_fill_no_memory(role, how):
+    """Guards against requests that are kept for as long as their clients like."""
+    async with PressedGateway() as gateway:
+        count, sent = bodies(PATHS[role])[how]
+        with await Crowd.connect(gateway.address(role), count) as crowd:
+            await crowd.send(sent)
+            await gateway.usage.settle()
+            await gateway.assert_serves(role)
+        gateway.usage.assert_within()
+
+
+@pytest.mark.parametrize("role", REQUEST_ADDRESSES)
+async def test_one_slow_but_honest_caller_is_served_whole(role):
+    """Guards against limits that a single request within them meets in calm."""
+    body = bytes(range(256)) * (BODY_LIMIT // 256)
+    async with PressedGateway() as gateway:
+        host, _, port = gateway.address(role).rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        announced = f"Content-Length: {len(body)}"
+        writer.write(head("/safe/x", "slow", announced, "Connection: close"))
+        for at in range(0, len(body), 1 << 17):
+            writer.write(body[at : at + (1 << 17)])
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        answer = b""
+        while part := await reader.read(1 << 16):
+            answer += part
+            await asyncio.sleep(0.01)
+        writer.close()
+        assert answer.startswith(b"HTTP/1.1 200")
+        assert answer.endswith(body)
+
+
+@pytest.mark.parametrize("role", REQUEST_ADDRESSES)
+async def test_a_body_over_the_limit_is_refused_as_such(role):
+    """Guards against refusals that tell a caller to send the same again."""
+    async with PressedGateway(body_limit=1 << 16) as gateway:
+        sent = {"Host": HOST, "Request-Id": "r1", "Connection": "close"}
+        body = b"x" * ((16 << 20) + 1 if role == "relay" else (1 << 16) + 1)
+        sent["Content-Length"] = str(len(body))
+        answer = await ask(gateway.address(role), "POST", "/safe/x", sent, body)
+        assert (answer.status, answer.whole) == (413, True)
+        assert answer.headers["Request-Id"] == "r1"
+        await gateway.assert_serves(role)
