Hold answers that callers don't read, and close those who keep them longest

Callers saw: a VM ended, out of memory. Many clients asked for long answers and read them slowly or not at all.

Cause: what a target sends was written to the caller's connection at once and without a bound, so that the process kept what the caller had not taken: whole answers of up to 16 MB, and streams of any length. Answers that were still coming were kept too, 16 MB for each request, and nothing bounded their sum.

Change: a connection counts the bytes that its client has not taken, and what the system keeps for it, in its holding. They give way like unfinished requests, also while the request runs: the caller then gets an answer that its framing shows to be cut. The VM still reads from the target at the target's speed, so that a slow caller keeps no slot of an engine. An answer that comes is held in the account; without room for it the request ends as one that ran, which is no fault of its target.

Measured: all four crowds under the bound, an ordinary request is answered; one caller that reads 4 MB slowly gets it whole.

--- a/hawthornlead/answers/answer_readers.py
+++ b/hawthornlead/answers/answer_readers.py
@@ -39,8 +39,8 @@
     def handle_head(self, head: Head) -> None:
         """Handle the head."""
 
-    def handle_data(self, chunk: bytes) -> None:
-        """Handle the next chunk of the body."""
+    def handle_data(self, chunk: bytes) -> bool | None:
+        """Handle the next chunk of the body; return False to end the reading."""
 
 
 class AnswerReader(httputil.HTTPMessageDelegate):
@@ -103,8 +103,8 @@
         if self._scanner.feed(chunk):
             self._end_joined(Joint.BODY)
             return
-        if not self.stray:
-            self._sink.handle_data(chunk)
+        if not self.stray and self._sink.handle_data(chunk) is False:
+            self._give_up()
 
     def finish(self):
         """Record the end of the answer."""
--- a/hawthornlead/gateway/attempt_outcomes.py
+++ b/hawthornlead/gateway/attempt_outcomes.py
@@ -17,6 +17,7 @@
     FAILED = "failed by its target"
     LOST = "may have run"
     BROKEN = "broken off within the answer"
+    DROPPED = "ran, and there was no room for its answer"
     OTHER_SOFTWARE = "ran at another software version"
     LATE = "the deadline passed"
 
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -328,7 +328,7 @@
         if outcome is AttemptOutcome.LATE:
             self._answer_late()
             return False
-        if outcome is AttemptOutcome.SPENT:
+        if outcome in (AttemptOutcome.SPENT, AttemptOutcome.DROPPED):
             self._answer_failed()
             return False
         if outcome in UNRUN_OUTCOMES:
--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -109,7 +109,7 @@
         if route.kind is RouteKind.STREAMING:
             sink = StreamRelay(self._stream, self._parts.timers.now)
         else:
-            sink = WholeAnswer()
+            sink = WholeAnswer(self._call.reserve)
         self._send(exchange, sink)
         await self._wait(vm, exchange, sink)
         if not exchange.ended.done():
@@ -190,6 +190,9 @@
     def _end_answered(
         self, exchange: Exchange, sink: StreamRelay | WholeAnswer
     ) -> RelayOutcome:
+        if sink.dropped:
+            exchange.close()
+            return RelayOutcome.BROKEN
         # A VM gives each response a length or sends it in chunks, so one that only its
         # connection's close ends is not a VM's, or not all of it.
         if sink.head is None or not exchange.whole or not sink.head.framed:
--- a/hawthornlead/gateway/stream_relays.py
+++ b/hawthornlead/gateway/stream_relays.py
@@ -21,6 +21,8 @@
 # Longer than any event of a served stream. Longer data isn't an event, nor is it the
 # body of an answer that wasn't accepted.
 MAX_EVENT_BYTES = 1 << 20
+# Memory for the part of an event that has come is reserved in units of this size.
+RESERVED_BYTES = 4 << 10
 # A stream has at most an event for each token, and some that hold none. Twice as many
 # are no answer to its request.
 EVENTS_PER_TOKEN = 2
@@ -49,6 +51,10 @@
                 return line[len(ID_FIELD) :].strip().decode("latin1")
         return ""
 
+    def reserve(self, size: int) -> bool:
+        """Reserve memory until the end of the call; return False without room."""
+        return self._call.reserve(size)
+
     def send(self, head: Head, events: bytes) -> None:
         """Send complete events, with the target's headers before the first ones."""
         if self._call.left:
@@ -72,6 +78,8 @@
 
     A target in trouble may send bytes, or events, without end: ``overrun`` is done when
     there are more than an answer of ``max_tokens`` can have, None if that is unknown.
+    An event that is not complete takes memory. Without room for it the answer is
+    ``dropped``, and nothing more is forwarded of it.
     """
 
     def __init__(
@@ -97,6 +105,8 @@
         self.refused: asyncio.Future = asyncio.get_running_loop().create_future()
         self.overrun: asyncio.Future = asyncio.get_running_loop().create_future()
         self._buffer = bytearray()
+        self._reserved = 0
+        self.dropped = False
         self.head: Head | None = None
         self.first_at: float | None = None
         self.active_at = now()
@@ -127,8 +137,17 @@
         self.head = head
         self.active_at = self._now()
 
-    def handle_data(self, chunk: bytes) -> None:
-        """Forward the events that are complete."""
+    def handle_data(self, chunk: bytes) -> bool:
+        """Forward the events that are complete; return False without room."""
+        if self.dropped:
+            return False
+        self._take(chunk)
+        if not self._has_room():
+            self.dropped = True
+            self._buffer.clear()
+        return not self.dropped
+
+    def _take(self, chunk: bytes) -> None:
         now = self._now()
         if self.first_at is not None:
             self.longest_gap_s = max(self.longest_gap_s, now - self.active_at)
@@ -167,6 +186,17 @@
         self._events += events
         return self._max_events is not None and self._events > self._max_events
 
+    def _has_room(self) -> bool:
+        """Reserve what the buffer has grown by; return whether there was room."""
+        grown = len(self._buffer) - self._reserved
+        if grown <= 0:
+            return True
+        size = -(-grown // RESERVED_BYTES) * RESERVED_BYTES
+        if not self._stream.reserve(size):
+            return False
+        self._reserved += size
+        return True
+
     def _check_length(self) -> None:
         if len(self._buffer) > MAX_EVENT_BYTES:
             self._end_overrun()
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -188,7 +188,7 @@
         exchange: Exchange,
         subscriber: LossSubscriber,
     ) -> AttemptOutcome:
-        answer = WholeAnswer()
+        answer = WholeAnswer(self._call.reserve)
         sent_at = self._parts.timers.now()
         self._send(route, entry, exchange, subscriber, answer)
         waiting = {exchange.ended, self._call.gone, subscriber.lost}
@@ -205,6 +205,9 @@
                 return AttemptOutcome.LOST
             self._records.count_failure(entry)
             return AttemptOutcome.LATE
+        if answer.dropped:
+            exchange.close()
+            return AttemptOutcome.DROPPED
         if answer.head is None or not exchange.whole:
             exchange.close()
             return self._on_answer_lost(entry, answered=False)
@@ -285,7 +288,7 @@
         sent_at: float,
     ) -> AttemptOutcome:
         entry = placed.entry
-        if relay.refused.done() or relay.overrun.done():
+        if relay.refused.done() or relay.overrun.done() or relay.dropped:
             exchange.close()
             return self._end_rejected_stream(entry, relay)
         if not exchange.ended.done():
@@ -326,6 +329,8 @@
         self, entry: TargetEntry, relay: StreamRelay
     ) -> AttemptOutcome:
         """End a stream that isn't relayed on, whatever its target still sends."""
+        if relay.dropped:
+            return AttemptOutcome.DROPPED
         if relay.refused.done():
             return AttemptOutcome.OTHER_SOFTWARE
         # The target lives, so its request has not crashed it.
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 from typing import NamedTuple
 
 from result import Result
@@ -42,29 +43,44 @@
 # A body may end inside the head of another answer, whose rest is still on its way. The
 # parts of an answer follow each other within some milliseconds.
 JOINT_TIMEOUT_S = 0.05
+# A body up to this size is copied behind its head, so that both are sent at once.
+MAX_COPIED_BYTES = 64 << 10
 # Reports and the answers to orders and probes have some kilobytes.
 MAX_CONTROL_BYTES = 1 << 20
 
 
 class WholeAnswer:
-    """A sink that keeps the whole answer; ``head`` is None until it is received."""
+    """A sink that keeps the whole answer; ``head`` is None until it is received.
 
-    def __init__(self):
-        self._parts: list[bytes] = []
+    ``reserve`` reserves memory for so many bytes and returns whether there is room.
+    Without room the answer is ``dropped``, and nothing more is kept of it.
+    """
+
+    def __init__(self, reserve: Callable[[int], bool] = lambda size: True):
+        self._reserve = reserve
+        self._body: bytearray | bytes = bytearray()
         self.head: Head | None = None
+        self.dropped = False
 
     @property
     def body(self) -> bytes:
-        """The body received so far."""
-        return b"".join(self._parts)
+        """The body, once all of it is received."""
+        if isinstance(self._body, bytearray):
+            self._body = bytes(self._body)
+        return self._body
 
     def handle_head(self, head: Head) -> None:
         """Keep the head."""
         self.head = head
 
-    def handle_data(self, chunk: bytes) -> None:
-        """Keep the next chunk."""
-        self._parts.append(chunk)
+    def handle_data(self, chunk: bytes) -> bool:
+        """Keep the next chunk; return False if there is no room for it."""
+        if self.dropped or not self._reserve(len(chunk)):
+            self.dropped = True
+            self._body = bytearray()
+            return False
+        self._body += chunk
+        return True
 
 
 class ExchangeTrace(NamedTuple):
@@ -164,7 +180,11 @@
         if body or method in ("POST", "PUT", "PATCH"):
             headers["Content-Length"] = str(len(body))
         start = httputil.RequestStartLine(method, path, "HTTP/1.1")
-        self._written = connection.write_headers(start, headers, body)
+        if len(body) > MAX_COPIED_BYTES:
+            connection.write_headers(start, headers)
+            self._written = connection.write(body)
+        else:
+            self._written = connection.write_headers(start, headers, body)
         connection.finish()
         self._reading = asyncio.ensure_future(
             self._read(connection, params, request_id, method, sink)
--- a/hawthornlead/gateway/target_liveness.py
+++ b/hawthornlead/gateway/target_liveness.py
@@ -190,7 +190,7 @@
         self._on_head(head)
         self._sink.handle_head(head)
 
-    def handle_data(self, chunk: bytes) -> None:
+    def handle_data(self, chunk: bytes) -> bool | None:
         """Forward a chunk of the body."""
         self._liveness.on_activity()
-        self._sink.handle_data(chunk)
+        return self._sink.handle_data(chunk)
--- a/hawthornlead/resources/streams.py
+++ b/hawthornlead/resources/streams.py
@@ -16,7 +16,7 @@
     StreamClosedError,
 )
 
-from .accounts import Holding
+from .accounts import SOCKET_BUFFER_BYTES, Holding
 
 # What a parsed header takes beside its bytes.
 HEADER_BYTES = 256
@@ -30,6 +30,7 @@
     """
 
     def __init__(self, connection: socket, holding: Holding, **options):
+        self._given = self._taken = 0
         self._holding = holding
         super().__init__(connection, **options)
 
@@ -51,6 +52,21 @@
         reading.add_done_callback(lambda _: self._hold_head(reading, held))
         return held
 
+    def write(self, data: bytes | memoryview):
+        """Write to the client, as far as it takes the bytes now."""
+        written = super().write(data)
+        self._given += memoryview(data).nbytes
+        self._account_unsent()
+        return written
+
+    def write_to_fd(self, data: memoryview) -> int:
+        """Write to the system."""
+        taken = super().write_to_fd(data)
+        self._taken += taken
+        if self._given > self._taken:
+            self._account_unsent()
+        return taken
+
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the system; what nobody reads on is held."""
         size = super().read_from_fd(buf)
@@ -80,6 +96,15 @@
         # Nobody may wait for it any more.
         held.exception()
 
+    def _account_unsent(self) -> None:
+        if self.closed():
+            return
+        unsent = max(0, self._given - self._taken)
+        # The system takes nothing more while its own buffer is full.
+        held = unsent + SOCKET_BUFFER_BYTES if unsent else 0
+        if not self._holding.set_buffered(held):
+            self.close(StreamBufferFullError("no room for unsent bytes"))
+
 
 class AccountedStream(_Accounted, IOStream):
     """A plain connection of a client."""
--- a/hawthornlead/tests/test_accounts.py
+++ b/hawthornlead/tests/test_accounts.py
@@ -111,6 +111,17 @@
     assert honest.open
 
 
+def test_bytes_that_a_client_does_not_take_give_way_while_its_request_runs():
+    """Guards against streams whose callers never read them."""
+    world = World()
+    reader = world.client()
+    reader.holding.begin_work()
+    assert reader.holding.set_buffered(5 * MIB)
+    world.now = 3.0
+    assert world.client().reserve(MIB)
+    assert not reader.open
+
+
 def test_no_connection_is_accepted_while_all_are_at_work():
     """Guards against more descriptors than the process may have."""
     world = World(connections=4)
--- a/hawthornlead/tests/test_hostile_clients.py
+++ b/hawthornlead/tests/test_hostile_clients.py
@@ -59,6 +59,19 @@
         gateway.usage.assert_within()
 
 
+@pytest.mark.parametrize("role", REQUEST_ADDRESSES)
+@pytest.mark.parametrize("path", ["/safe/long", "/stream/long"])
+async def test_answers_that_are_not_read_fill_no_memory(role, path):
+    """Guards against answers that are kept for as long as their clients like."""
+    async with PressedGateway() as gateway:
+        asked = head(path, "hostile", "Content-Length: 0", "Model: tide")
+        with await Crowd.connect(gateway.address(role), 48) as crowd:
+            await crowd.send([asked])
+            await gateway.usage.settle()
+            await gateway.assert_serves(role)
+        gateway.usage.assert_within()
+
+
 @pytest.mark.parametrize("role", REQUEST_ADDRESSES)
 async def test_one_slow_but_honest_caller_is_served_whole(role):
     """Guards against limits that a single request within them meets in calm."""
