Leave half of the descriptors to the VM, and close the longest silent connections

Callers saw: no answer. Connections that say nothing used up a VM's descriptors; it could neither accept others nor connect to targets and the store, and its listener spun on the connections that waited.

Cause: nothing bounded the number of connections; each stayed for 30 s, or an hour at the addresses for readiness, entry addresses and metrics.

Evidence: 400 silent clients before a process with 256 descriptors. On all 256 were open and an ordinary request got no answer in 20 s, on each of five addresses.

When they are taken, the connections for which the process has waited longest are closed, and some more, so that not every arrival searches them; those whose requests are at work stay. Where accepting fails for want of descriptors, a listener pauses for 0.2 s.

--- a/hawthornlead/resources/servers.py
+++ b/hawthornlead/resources/servers.py
@@ -6,9 +6,12 @@
     server.add_sockets(bind_sockets(8080))
 """
 
+import asyncio
+import errno
 import socket
 from collections.abc import Callable, Iterable
 
+from loguru import logger
 from tornado.httpserver import HTTPServer
 from tornado.ioloop import IOLoop
 from tornado.netutil import ssl_wrap_socket
@@ -20,6 +23,9 @@
 MAX_ACCEPTED = 64
 # Bodies are read in parts of this size.
 PART_BYTES = 4 << 10
+# How long a process without descriptors accepts no connections.
+PAUSE_S = 0.2
+NO_DESCRIPTORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class AccountedServer(HTTPServer):
@@ -89,7 +95,7 @@
 
 
 class _Listener:
-    """Accepts connections on one socket."""
+    """Accepts connections on one socket, and pauses while there are no descriptors."""
 
     def __init__(
         self,
@@ -100,16 +106,24 @@
         self._on_accepted = on_accepted
         self._loop = IOLoop.current()
         self._closed = False
-        self._loop.add_handler(self._socket, self._accept, IOLoop.READ)
+        self._resuming: asyncio.TimerHandle | None = None
+        self._listen()
 
     def close(self) -> None:
         """Close the listening socket."""
         if self._closed:
             return
         self._closed = True
-        self._loop.remove_handler(self._socket)
+        if self._resuming is None:
+            self._loop.remove_handler(self._socket)
+        else:
+            self._resuming.cancel()
         self._socket.close()
 
+    def _listen(self) -> None:
+        self._resuming = None
+        self._loop.add_handler(self._socket, self._accept, IOLoop.READ)
+
     def _accept(self, listening: socket.socket, events: int) -> None:
         for _ in range(MAX_ACCEPTED):
             if self._closed:
@@ -120,4 +134,16 @@
                 return
             except ConnectionAbortedError:
                 continue
+            except OSError as error:
+                if error.errno not in NO_DESCRIPTORS:
+                    raise
+                self._pause(error)
+                return
             self._on_accepted(connection, address)
+
+    def _pause(self, error: OSError) -> None:
+        """Accept nothing for a while; else the loop would spin on the waiting ones."""
+        logger.warning("no connection is accepted for {} s: {}", PAUSE_S, error)
+        self._loop.remove_handler(self._socket)
+        running = asyncio.get_running_loop()
+        self._resuming = running.call_later(PAUSE_S, self._listen)
--- a/hawthornlead/tests/test_accounts.py
+++ b/hawthornlead/tests/test_accounts.py
@@ -2,6 +2,9 @@
 
 import random
 
+import pytest
+
+from hawthornlead.resources import process_limits as process_limits_module
 from hawthornlead.resources.accounts import (
     CONNECTION_BYTES,
     LARGE_SHARE,
@@ -9,7 +12,7 @@
     Account,
     Limits,
 )
-from hawthornlead.resources.process_limits import process_limits
+from hawthornlead.resources.process_limits import OWN_FILES, process_limits
 from hawthornlead.settings import default_settings
 
 MIB = 1 << 20
@@ -122,6 +125,19 @@
     assert not reader.open
 
 
+def test_the_longest_silent_connection_gives_way_to_a_new_one():
+    """Guards against silent connections that use up all descriptors."""
+    world = World(connections=32)
+    silent = []
+    for _ in range(32):
+        silent.append(world.client())
+        world.now += 0.1
+    assert world.client().holding is not None
+    assert not silent[0].open
+    assert silent[-1].open
+    assert world.account.connections <= 32
+
+
 def test_no_connection_is_accepted_while_all_are_at_work():
     """Guards against more descriptors than the process may have."""
     world = World(connections=4)
@@ -195,6 +211,15 @@
         assert world.account.connections == 0
 
 
+@pytest.mark.parametrize("files", [64, 256, 4096])
+def test_clients_get_at_most_half_of_the_descriptors(monkeypatch, files):
+    """Guards against a process that can't connect to its targets."""
+    read = process_limits_module.resource
+    monkeypatch.setattr(read, "getrlimit", lambda kind: (files, files))
+    limits = process_limits(default_settings())
+    assert 2 * limits.connections + OWN_FILES <= files
+
+
 def test_the_default_memory_is_for_more_than_the_largest_request_and_answer():
     """Guards against a default that a client within its limits meets in calm."""
     limits = process_limits(default_settings())
--- a/hawthornlead/tests/test_hostile_clients.py
+++ b/hawthornlead/tests/test_hostile_clients.py
@@ -20,6 +20,10 @@
 SMALL_CHUNK = b"100\r\n" + b"x" * 0x100 + b"\r\n"
 TINY_CHUNK = b"40\r\n" + b"x" * 0x40 + b"\r\n"
 HEADERS = 8000
+OPEN_FILES = 256
+# What a process opens for itself at any time, such as connections to targets.
+SPARE_FILES = 32
+SILENT_CLIENTS = 400
 
 
 def head(path: str, request_id: str = "hostile", *lines: str) -> bytes:
@@ -72,6 +76,18 @@
         gateway.usage.assert_within()
 
 
+@pytest.mark.parametrize("crowded", ADDRESSES)
+async def test_silent_connections_use_up_no_descriptors(crowded):
+    """Guards against a process that can open nothing, on any of its addresses."""
+    async with PressedGateway(open_files=OPEN_FILES) as gateway:
+        with await Crowd.connect(gateway.address(crowded), SILENT_CLIENTS):
+            await gateway.usage.settle()
+            for role in {"callers", crowded} - {"peers"}:
+                await gateway.assert_serves(role)
+        gateway.usage.assert_within()
+        assert gateway.usage.peak_files <= OPEN_FILES - SPARE_FILES
+
+
 @pytest.mark.parametrize("role", REQUEST_ADDRESSES)
 async def test_one_slow_but_honest_caller_is_served_whole(role):
     """Guards against limits that a single request within them meets in calm."""
