Hold what strangers begin to send at the address for VMs in the same account

Callers saw nothing of it yet; found by looking for the same cause at each address.

Cause: the address for other VMs takes websockets from anybody. Until its hello a connection was kept for up to 2 s, with a message of up to 1 MB, in any number.

Evidence: 160 clients that begin a message of 1 MB: 219 MB on with a bound of 160 MB. 400 silent clients before a process with 256 descriptors: all 256 were open.

Change: accepted websockets have a holding like any client's, with what has come of an unfinished message. Once the other end is a VM it gives way to none.

Measured: both crowds hold, an ordinary request is answered.

--- a/hawthornlead/fleet/__init__.py
+++ b/hawthornlead/fleet/__init__.py
@@ -4,5 +4,5 @@
 there and with the other heads; the other VMs learn about the fleet through them. In a
 small fleet every VM is a head. Start reading with ``fleet_meshes``.
 
-May import: the common modules, mesh, gateway.records.
+May import: the common modules, mesh, resources, gateway.records.
 """
--- a/hawthornlead/fleet/fleet_meshes.py
+++ b/hawthornlead/fleet/fleet_meshes.py
@@ -24,6 +24,7 @@
 from ..mesh.sparse_peers import SparsePeerMesh
 from ..messages import Heartbeat
 from ..messages.fleets import ForwardedMessage, MemberState
+from ..resources.accounts import Account
 from ..tasks import TaskSet
 from ..timers import Subscription, TimerService
 from .head_links import HeadLinks
@@ -159,9 +160,12 @@
         """Return this VM's own reply to a message."""
         return await self._transport.answer(sender, message)
 
-    async def listen(self) -> None:
-        """Open the port for other VMs; raises ``OSError`` when it is taken."""
-        await self._transport.listen()
+    async def listen(self, account: Account | None = None) -> None:
+        """Open the port for other VMs; raises ``OSError`` when it is taken.
+
+        Connections that are accepted are held in ``account``.
+        """
+        await self._transport.listen(account)
 
     def start(self) -> None:
         """Start connecting with other VMs."""
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -125,7 +125,7 @@
         """Listen, and start to follow the store and the other VMs."""
         for server in (self._callers, self._relayed, *self._query_servers):
             server.start()
-        await self._mesh.listen()
+        await self._mesh.listen(self._account)
         self._mesh.start()
         self._memberships.start()
         for watcher in self._watchers.values():
--- a/hawthornlead/mesh/__init__.py
+++ b/hawthornlead/mesh/__init__.py
@@ -2,5 +2,5 @@
 
 Sends typed messages and answers calls; it knows no target, bundle or request.
 
-May import: the common modules.
+May import: the common modules, resources.
 """
--- a/hawthornlead/mesh/connections.py
+++ b/hawthornlead/mesh/connections.py
@@ -15,6 +15,7 @@
 from ..clocks import HybridClock
 from ..errors import ErrorKind, Failure
 from ..messages import Challenge, Hello, Proof
+from .accounted_connections import AccountedConnection
 from .codecs import NAMES, Frame, decode, encode
 
 # A connection is dropped when its send queue exceeds this many messages of the largest
@@ -142,6 +143,12 @@
         self.reason = self.reason or reason
         self._ws.transport.abort()
 
+    def admit(self, hello: Hello) -> None:
+        """Note that the other end is the VM that this hello is of."""
+        self.hello = hello
+        if isinstance(self._ws, AccountedConnection):
+            self._ws.admit()
+
     async def close(self) -> None:
         """Close gracefully, so that no frame in flight is lost."""
         self.reason = self.reason or "closed"
--- a/hawthornlead/mesh/peers.py
+++ b/hawthornlead/mesh/peers.py
@@ -10,6 +10,7 @@
 
 import random
 from collections.abc import Iterable
+from functools import partial
 from typing import Any
 
 from result import Result
@@ -19,7 +20,9 @@
 from ..errors import ErrorKind, Failure
 from ..events import EventKind
 from ..messages import Challenge, Failed, Goodbye, Heartbeat, Hello, Proof
+from ..resources.accounts import Account
 from ..tasks import TaskSet
+from .accounted_connections import accounted
 from .calls import PendingCalls, unavailable
 from .codecs import Frame, encode
 from .connections import Connection, QuietLogger, checked_hello
@@ -101,12 +104,12 @@
         """The number of open connections, including those before their hello."""
         return len(self._connections)
 
-    async def listen(self) -> None:
+    async def listen(self, account: Account | None = None) -> None:
         """Open the port for other VMs; raises ``OSError`` when it is taken."""
         host, _, port = self._address.rpartition(":")
-        self._server = await serve(
-            lambda ws: self._run(ws, ""), host.strip("[]"), int(port), **self._options()
-        )
+        options = self._options() | {"create_connection": accounted(account)}
+        run = partial(self._run, expected="")
+        self._server = await serve(run, host.strip("[]"), int(port), **options)
         port = self._server.sockets[0].getsockname()[1]
         self._address = f"{host}:{port}"
 
@@ -153,11 +156,7 @@
         self.cast_to(self._heartbeats.carried_by(self._peers), self.heartbeat_source())
 
     async def probe(self, address: str) -> str:
-        """Open a fresh connection to an address and close it again.
-
-        ``refused`` proves that no process listens there. ``accepted`` proves
-        nothing, since a frozen process accepts too, nor does ``silent``.
-        """
+        """Connect to an address; only ``refused`` proves that nobody listens there."""
         return await probe(address, self._settings["PEER_CALL_S"])
 
     async def call(
@@ -259,7 +258,7 @@
             peer = None
         if peer is None:
             peer = self._peers[hello.vm] = PeerSession(hello)
-        connection.hello = hello
+        connection.admit(hello)
         connection.last_seen_at = self._timers.now()
         peer.add(connection)
         self._dialler.on_connected(hello.vm)
--- a/hawthornlead/tests/test_hostile_clients.py
+++ b/hawthornlead/tests/test_hostile_clients.py
@@ -14,6 +14,15 @@
 
 ADDRESSES = tuple(PATHS)
 REQUEST_ADDRESSES = ("callers", "relay")
+# The largest message between VMs.
+FRAME_BYTES = 1 << 20
+UPGRADE = (
+    b"GET / HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    b"Sec-WebSocket-Key: AAAAAAAAAAAAAAAAAAAAAA==\r\n"
+    b"Sec-WebSocket-Version: 13\r\n\r\n"
+)
+# A masked binary frame of the largest size.
+FRAME_HEAD = b"\x82\xff" + FRAME_BYTES.to_bytes(8) + b"mask"
 # Twice as long as the limit that the configuration states.
 LONG_BODY_BYTES = 2 * BODY_LIMIT
 LARGE_CHUNK = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
@@ -76,7 +85,7 @@
         gateway.usage.assert_within()
 
 
-@pytest.mark.parametrize("crowded", ADDRESSES)
+@pytest.mark.parametrize("crowded", [*ADDRESSES, "peers"])
 async def test_silent_connections_use_up_no_descriptors(crowded):
     """Guards against a process that can open nothing, on any of its addresses."""
     async with PressedGateway(open_files=OPEN_FILES) as gateway:
@@ -88,6 +97,16 @@
         assert gateway.usage.peak_files <= OPEN_FILES - SPARE_FILES
 
 
+async def test_messages_that_never_end_fill_no_memory_at_the_address_for_vms():
+    """Guards against strangers who begin large messages as if they were VMs."""
+    async with PressedGateway() as gateway:
+        with await Crowd.connect(gateway.address("peers"), 160) as crowd:
+            await crowd.send([UPGRADE, FRAME_HEAD, b"x" * (FRAME_BYTES - 1)])
+            await gateway.usage.settle()
+            await gateway.assert_serves("callers")
+        gateway.usage.assert_within()
+
+
 @pytest.mark.parametrize("role", REQUEST_ADDRESSES)
 async def test_one_slow_but_honest_caller_is_served_whole(role):
     """Guards against limits that a single request within them meets in calm."""
