Hold clients of signed bundles in the same account

Callers saw nothing of it yet; found by looking for the same cause in the other server.

Cause: its callers' address allows 2,000 connections with a body of 1 MB each, and the address for metrics bodies of 100 MB without any limit on connections.

Change: both servers open a holding for each connection, and the callers' server holds a body until its request is answered. Its limits on connections, on the time for a head and a body and on a body's size stay as they were, and so do the forms of its refusals.

--- a/hawthornlead/callers/__init__.py
+++ b/hawthornlead/callers/__init__.py
@@ -3,5 +3,6 @@
 Attempts, claims on idempotency keys, relayed answers, and refusals that state whether
 the request may have run.
 
-May import: the common modules, mesh, stores, ownership, bundles, decisions, engines.
+May import: the common modules, mesh, stores, ownership, bundles, decisions, engines,
+resources.
 """
--- a/hawthornlead/callers/caller_servers.py
+++ b/hawthornlead/callers/caller_servers.py
@@ -4,7 +4,7 @@
 wait. This server refuses both in the usual form of refusals, which tells the caller
 that nothing ran and when to retry::
 
-    server = CallerServer(application, settings=settings)
+    server = CallerServer(application, settings=settings, account=account)
     server.add_sockets(sockets)
 """
 
@@ -13,10 +13,11 @@
 import socket
 
 from tornado import httputil
-from tornado.httpserver import HTTPServer
 from tornado.iostream import SSLIOStream, StreamClosedError
 
 from ..errors import ErrorKind, Failure
+from ..resources.accounts import Account, Holding
+from ..resources.servers import AccountedServer
 from .sinks import failure_fields
 
 RETRY_AFTER_S = 1.0
@@ -27,13 +28,14 @@
 UNLIMITED = 1 << 60
 
 
-class CallerServer(HTTPServer):
+class CallerServer(AccountedServer):
     """An HTTP server with limits on connections, heads and bodies."""
 
-    def initialize(self, application, *, settings, ssl_options=None):
+    def initialize(self, application, *, settings, account: Account, ssl_options=None):
         """Set the limits; a head or body must arrive within ``CALLER_SILENT_S``."""
         super().initialize(
             application,
+            account=account,
             ssl_options=ssl_options,
             idle_connection_timeout=settings["CALLER_SILENT_S"],
             body_timeout=settings["CALLER_SILENT_S"],
@@ -41,6 +43,7 @@
         self._max_connections = settings["MAX_CONNECTIONS"]
         self._max_bytes = settings["MAX_BODY_BYTES"]
         self._lingering: set[asyncio.Task] = set()
+        self._reading: dict[object, _BodyGuard] = {}
 
     @property
     def open_connections(self) -> int:
@@ -56,6 +59,7 @@
         encrypted = isinstance(stream, SSLIOStream)
         if encrypted or len(self._lingering) >= MAX_LINGERING:
             stream.close()
+            stream.holding.end()
             return
         task = asyncio.ensure_future(self._refuse_connection(stream))
         self._lingering.add(task)
@@ -66,7 +70,20 @@
         # The guard counts the bytes itself, to refuse with a detailed answer.
         request_conn.set_max_body_size(UNLIMITED)
         inner = super().start_request(server_conn, request_conn)
-        return _BodyGuard(inner, request_conn, self._max_bytes)
+        self._end_request(server_conn)
+        guard = _BodyGuard(inner, request_conn, self._max_bytes)
+        self._reading[server_conn] = guard
+        return guard
+
+    def on_close(self, server_conn) -> None:
+        """Release what was held of the last request."""
+        self._end_request(server_conn)
+        super().on_close(server_conn)
+
+    def _end_request(self, server_conn) -> None:
+        former = self._reading.pop(server_conn, None)
+        if former is not None:
+            former.release()
 
     async def _refuse_connection(self, stream) -> None:
         detail = f"{self._max_connections} connections are open on this VM"
@@ -82,29 +99,33 @@
             pass
         finally:
             stream.close()
+            stream.holding.end()
 
 
 class _BodyGuard(httputil.HTTPMessageDelegate):
     """Forwards a request until its body is too large, then refuses it.
 
-    Later input is read and discarded until the time limit for a body.
+    So it does when there is no room for the body. Later input is read and discarded
+    until the time limit for a body. What was read is held until ``release``.
     """
 
     def __init__(self, inner, connection, max_bytes: int):
         self._inner = inner
         self._connection = connection
         self._max_bytes = max_bytes
-        self._received = 0
-        self._refused = False
+        self._holding: Holding = connection.stream.holding
+        self._received = self._held = 0
+        self._refused = self._works = False
 
     def headers_received(self, start_line, headers):
+        self._holding.begin_request()
         content_length = headers.get("Content-Length", "0")
         if (
             content_length.isascii()
             and content_length.isdigit()
             and int(content_length) > self._max_bytes
         ):
-            self._refuse()
+            self._refuse(self._too_large())
             return None
         return self._inner.headers_received(start_line, headers)
 
@@ -113,23 +134,44 @@
         if self._refused:
             return None
         if self._received > self._max_bytes:
-            self._inner.on_connection_close()
-            self._refuse()
+            self._abandon(self._too_large())
             return None
+        if not self._holding.reserve(len(chunk)):
+            detail = "this VM has no memory left for the request"
+            self._abandon(Failure(ErrorKind.OVERLOADED, detail, RETRY_AFTER_S))
+            return None
+        self._held += len(chunk)
         return self._inner.data_received(chunk)
 
     def finish(self):
-        if not self._refused:
-            self._inner.finish()
+        if self._refused:
+            return
+        self._works = True
+        self._holding.begin_work()
+        self._inner.finish()
 
     def on_connection_close(self):
         if not self._refused:
             self._inner.on_connection_close()
 
-    def _refuse(self) -> None:
+    def release(self) -> None:
+        """Release what was read, once the request is answered or gone."""
+        self._holding.release(self._held)
+        self._held = 0
+        if self._works:
+            self._works = False
+            self._holding.end_work()
+
+    def _too_large(self) -> Failure:
+        return Failure(ErrorKind.TOO_LARGE, f"the body is over {self._max_bytes} bytes")
+
+    def _abandon(self, failure: Failure) -> None:
+        self._inner.on_connection_close()
+        self.release()
+        self._refuse(failure)
+
+    def _refuse(self, failure: Failure) -> None:
         self._refused = True
-        detail = f"the body is over {self._max_bytes} bytes"
-        failure = Failure(ErrorKind.TOO_LARGE, detail)
         headers, body = _refusal_response(failure)
         start = httputil.ResponseStartLine("HTTP/1.1", failure.answer.status, "Refused")
         self._connection.write_headers(start, headers, body)
--- a/hawthornlead/daemon/__init__.py
+++ b/hawthornlead/daemon/__init__.py
@@ -3,5 +3,5 @@
 Builds every part and passes it its collaborators; makes no decisions itself.
 
 May import: the common modules, mesh, stores, ownership, bundles, decisions, engines,
-callers, operators.
+callers, operators, resources.
 """
--- a/hawthornlead/daemon/daemons.py
+++ b/hawthornlead/daemon/daemons.py
@@ -28,6 +28,8 @@
 from ..operators.statuses import StatusParts
 from ..operators.timelines import Timeline
 from ..resolvers import NumberResolver
+from ..resources.accounts import Account
+from ..resources.process_limits import process_limits
 from ..settings import Settings
 from ..signatures import OperatorKeys
 from ..stores.stores import ObjectStore
@@ -36,6 +38,9 @@
 from .listeners import Listeners, address_of, invalid_setting, open_listeners
 from .query_handlers import QueryParts
 
+# How often connections whose clients had their time are closed.
+ACCOUNT_SWEEP_S = 0.25
+
 
 class Daemon:
     """All parts of one VM's process."""
@@ -53,6 +58,7 @@
         coordination = build_coordination(core, store)
         targets = build_targets(core, coordination)
         requests = build_requests(core, coordination, targets)
+        self._account = Account(process_limits(self._settings), core.timers.now)
         self._timers = core.timers
         self._metrics = core.metrics
         self._events = core.events
@@ -104,7 +110,7 @@
             return opened
         self._listeners = opened.ok_value
         try:
-            await self._mesh.listen()
+            await self._mesh.listen(self._account)
         except OSError as error:
             self._listeners.close()
             return invalid_setting(
@@ -135,7 +141,10 @@
         self._claims.start()
         self._keeper.start()
         self._timers.every(self._settings["HEARTBEAT_S"], self._update_peers, "peers")
-        self._servers = start_servers(self._listeners, self._server_parts())
+        self._servers = start_servers(
+            self._listeners, self._server_parts(), self._account
+        )
+        self._timers.every(ACCOUNT_SWEEP_S, self._account.sweep, "account")
         self._events.emit(
             EventKind.PROCESS_STARTED,
             self._settings["VM_NAME"],
--- a/hawthornlead/tests/test_caller_servers.py
+++ b/hawthornlead/tests/test_caller_servers.py
@@ -2,12 +2,15 @@
 
 import asyncio
 import json
+import time
 
 import pytest
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
 from hawthornlead.callers.caller_servers import CallerServer
+from hawthornlead.resources.accounts import Account
+from hawthornlead.resources.process_limits import process_limits
 from hawthornlead.settings import default_settings
 
 GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -29,7 +32,10 @@
         settings = default_settings(
             MAX_CONNECTIONS=2, MAX_BODY_BYTES=1000, CALLER_SILENT_S=0.2
         )
-        self.server = CallerServer(Application([("/", _Echo)]), settings=settings)
+        self.account = Account(process_limits(settings), time.monotonic)
+        self.server = CallerServer(
+            Application([("/", _Echo)]), settings=settings, account=self.account
+        )
         sockets = bind_sockets(0, "127.0.0.1")
         self.server.add_sockets(sockets)
         self.port = sockets[0].getsockname()[1]
