Cut what clients choose of an event before it is kept

Callers saw nothing of it yet; found by reading the account as a stranger: what does a process keep of a request once the request is over?

Cause: the ring of the newest 4,096 events keeps their texts, and a request's id, the stream it resumes and its last event stand in them as its client sent them, up to 64 KB of headers a request. The account releases a request with its answer, and the ring has no account.

Evidence: 4,000 ordinary requests, 8 at a time, each with an id of 60 KB: 188 MB on, bound 160 MB, on a plain route and on one whose streams may be resumed.

Change: the subject of an event is cut at 256 characters, and its text at 4,000, in the one place that keeps and writes events. The longest texts of our own are far shorter.

--- a/hawthornlead/events.py
+++ b/hawthornlead/events.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from enum import Enum
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from loguru import logger
 
@@ -244,6 +244,11 @@
     bound.log(line.kind.level, "{}", line.message)
 
 
+# Longer than the names of requests and targets, and than an event's other details.
+MAX_SUBJECT_CHARS = 256
+MAX_TEXT_CHARS = 4000
+
+
 class EventRing:
     """The newest events of one process; a full ring drops the oldest."""
 
@@ -264,9 +269,14 @@
 
         ``subject`` names the request, target, adapter, bundle or VM it is about;
         ``fields`` are further details, printed in the order given; a ``NamedTuple``
-        is printed as its own fields in place of its name.
+        is printed as its own fields in place of its name. Texts that are far longer
+        than any of this system's own are cut: clients choose some of them.
         """
-        text = " ".join(_field_text(name, value) for name, value in fields.items())
+        subject = subject[:MAX_SUBJECT_CHARS]
+        text = _fields_text(fields)
+        if len(text) > MAX_TEXT_CHARS:
+            fields = {name: _clipped(value) for name, value in fields.items()}
+            text = _fields_text(fields)[:MAX_TEXT_CHARS]
         at = self._clock.tick()
         self._records.append(
             EventRecord(at.wall_ms, at.logical, self._vm, kind.number, subject, text)
@@ -287,6 +297,15 @@
         return tuple(matching[-limit:])
 
 
+def _fields_text(fields: dict[str, Any]) -> str:
+    return " ".join(_field_text(name, value) for name, value in fields.items())
+
+
+def _clipped(value):
+    """Return a value; of a long text its beginning."""
+    return value[:MAX_SUBJECT_CHARS] if isinstance(value, str) else value
+
+
 def _field_text(name: str, value) -> str:
     if not isinstance(value, tuple) or not hasattr(value, "_asdict"):
         return f"{name}={value}"
--- a/hawthornlead/tests/hostile_clients.py
+++ b/hawthornlead/tests/hostile_clients.py
@@ -29,6 +29,8 @@
 BODY_LIMIT = 4 << 20
 LONG_ANSWER_BYTES = 4 << 20
 EVENT_BYTES = 1 << 14
+# A little less than the longest event that a VM takes.
+UNENDED_EVENT_BYTES = 1_000_000
 SAMPLE_S = 0.05
 # After so long without progress a client sends no more, and stays connected.
 STALL_S = 3.0
@@ -56,10 +58,14 @@
 class LongAnswers(PlatformEngine):
     """A target whose answers to requests for ``/long`` paths are long.
 
-    A plain one answers with one body, an engine with many events.
+    A plain one answers with one body, an engine with many events. An answer for an
+    ``/unended`` path stops within the body, or within an event.
     """
 
     async def _answer_request(self, call, request_id: str, fault: str):
+        if "/unended" in call.path:
+            await self._stop_inside(call, request_id)
+            return
         if "/long" not in call.path:
             await super()._answer_request(call, request_id, fault)
             return
@@ -80,6 +86,12 @@
             await asyncio.sleep(0)
         call.finish()
 
+    async def _stop_inside(self, call, request_id: str) -> None:
+        headers = httputil.HTTPHeaders({"Request-Id": request_id, "Server-Seal": "s"})
+        size = UNENDED_EVENT_BYTES if self._model else LONG_ANSWER_BYTES
+        call.begin(200, "OK", headers, b"data: " + b"x" * size)
+        await call.gone
+
 
 class UsageSampler:
     """What one process uses, sampled from ``start`` until ``stop``.
@@ -158,7 +170,7 @@
         for target in self._targets:
             target.start()
             # Every request is served at once, so that only clients slow it down.
-            target.places = 100
+            target.places = 200
             self._store.write("servers", target.target, target.entry())
         path = self._write_settings()
         with open(Path(self._folder.name) / "log", "wb") as log:
@@ -221,6 +233,11 @@
     def _limit_files(self) -> None:
         resource.setrlimit(resource.RLIMIT_NOFILE, (self._open_files,) * 2)
 
+    async def terminate(self) -> int:
+        """Ask the process to stop; return its status."""
+        self._process.terminate()
+        return await asyncio.wait_for(self._process.wait(), LONGEST_S)
+
     async def _until_served(self, role: str) -> None:
         async with asyncio.timeout(LONGEST_S):
             while not await self._is_served(role):
@@ -245,6 +262,10 @@
         return self
 
     def __exit__(self, *error) -> None:
+        """Close all connections."""
+        self.close()
+
+    def close(self) -> None:
         """Close all connections."""
         for each in self._sockets:
             each.close()
--- a/hawthornlead/tests/test_events.py
+++ b/hawthornlead/tests/test_events.py
@@ -127,3 +127,15 @@
             clocks[receiver].observe(HybridTime(*sent))
             assert clocks[receiver].last >= before
             assert clocks[receiver].tick() > sent
+
+
+def test_what_clients_choose_of_an_event_is_cut():
+    """Guards against a ring that clients fill with their longest headers."""
+    events, lines = ring(), []
+    events.write = lines.append
+    events.emit(EventKind.REQUEST_PLACED, "r" * 60_000, resumes="s" * 60_000, tries=2)
+    (kept,) = events.newest()
+    assert len(kept.subject) + len(kept.text) < 1000
+    assert "tries=2" in kept.text
+    assert len(lines[0].message) < 1000
+    assert lines[0].fields["tries"] == 2
--- a/hawthornlead/tests/test_hostile_clients.py
+++ b/hawthornlead/tests/test_hostile_clients.py
@@ -23,6 +23,9 @@
 )
 # A masked binary frame of the largest size.
 FRAME_HEAD = b"\x82\xff" + FRAME_BYTES.to_bytes(8) + b"mask"
+# Requests whose ids are as long as a head may be.
+LONG_IDS = 4000
+LONG_ID_BYTES = 60_000
 # Twice as long as the limit that the configuration states.
 LONG_BODY_BYTES = 2 * BODY_LIMIT
 LARGE_CHUNK = b"10000\r\n" + b"x" * 0x10000 + b"\r\n"
@@ -85,6 +88,25 @@
         gateway.usage.assert_within()
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/resume/x"])
+async def test_what_is_remembered_of_requests_fills_no_memory(path):
+    """Guards against records and tables that keep a client's headers as they came."""
+    async with PressedGateway() as gateway:
+        host, _, port = gateway.address("callers").rpartition(":")
+
+        async def ask_on(client: int) -> None:
+            for number in range(LONG_IDS // 8):
+                identity = f"{client}-{number}-".ljust(LONG_ID_BYTES, "i")
+                sent = {"Host": HOST, "Request-Id": identity, "Deadline-Ms": "6000"}
+                sent |= {"Connection": "close", "Model": "tide"}
+                await ask(f"{host}:{port}", "GET", path, sent)
+
+        await asyncio.gather(*[ask_on(client) for client in range(8)])
+        await gateway.usage.settle()
+        await gateway.assert_serves("callers")
+        gateway.usage.assert_within()
+
+
 @pytest.mark.parametrize("crowded", [*ADDRESSES, "peers"])
 async def test_silent_connections_use_up_no_descriptors(crowded):
     """Guards against a process that can open nothing, on any of its addresses."""
