--- a/hawthornlead/tests/test_hostile_clients.py
+++ b/hawthornlead/tests/test_hostile_clients.py
@@ -88,6 +88,21 @@
         gateway.usage.assert_within()
 
 
+@pytest.mark.parametrize("role", REQUEST_ADDRESSES)
+@pytest.mark.parametrize(
+    ("path", "count"), [("/safe/unended", 48), ("/stream/unended", 200)]
+)
+async def test_answers_that_are_still_coming_fill_no_memory(role, path, count):
+    """Guards against many answers that a VM has to keep until they are complete."""
+    async with PressedGateway() as gateway:
+        asked = head(path, "hostile", "Content-Length: 0", "Model: tide")
+        with await Crowd.connect(gateway.address(role), count) as crowd:
+            await crowd.send([asked])
+            await gateway.usage.settle()
+            await gateway.assert_serves(role)
+        gateway.usage.assert_within()
+
+
 @pytest.mark.parametrize("path", ["/safe/x", "/resume/x"])
 async def test_what_is_remembered_of_requests_fills_no_memory(path):
     """Guards against records and tables that keep a client's headers as they came."""
@@ -107,6 +122,32 @@
         gateway.usage.assert_within()
 
 
+async def test_crowds_of_all_kinds_come_twice_and_the_process_still_ends_in_order():
+    """Guards against memory that the first crowd leaves behind, and a stuck drain."""
+    async with PressedGateway() as gateway:
+        for _ in range(2):
+            crowds = []
+            for role in ADDRESSES:
+                for count, sent in bodies(PATHS[role]).values():
+                    address = gateway.address(role)
+                    crowd = await Crowd.connect(address, count // 8)
+                    crowds.append((crowd, sent))
+            asked = head("/safe/long", "hostile", "Content-Length: 0")
+            crowd = await Crowd.connect(gateway.address("callers"), 24)
+            crowds.append((crowd, [asked]))
+            await asyncio.gather(*[crowd.send(sent) for crowd, sent in crowds])
+            await gateway.usage.settle()
+            for role in ADDRESSES:
+                await gateway.assert_serves(role)
+            for crowd, _ in crowds[::2]:
+                crowd.close()
+        gateway.usage.assert_within()
+        gateway.usage.stop()
+        assert await gateway.terminate() == 0
+        for crowd, _ in crowds:
+            crowd.close()
+
+
 @pytest.mark.parametrize("crowded", [*ADDRESSES, "peers"])
 async def test_silent_connections_use_up_no_descriptors(crowded):
     """Guards against a process that can open nothing, on any of its addresses."""
