Tests that a body in chunks takes turns, and that queries have no large body

With either guard taken out on a scratch copy no test failed: the crowd of tiny chunks is not steady enough to show the first, and the account bounds what the second lets in. Both are tested by themselves now, over real connections in one process.

--- a/hawthornlead/tests/test_accounted_servers.py
+++ b/hawthornlead/tests/test_accounted_servers.py
@@ -10,6 +10,7 @@
 from tornado.netutil import bind_sockets
 
 from hawthornlead.gateway.caller_calls import LINGER_S, CallerCall, CallerDispatcher
+from hawthornlead.gateway.entry_servers import QueryServer
 from hawthornlead.resources.accounts import (
     CONNECTION_BYTES,
     SOCKET_BUFFER_BYTES,
@@ -19,6 +20,8 @@
 from hawthornlead.resources.reading_turns import ReadingTurns
 from hawthornlead.resources.servers import AccountedServer, _Listener
 
+from .gateways import free_ports
+
 MIB = 1 << 20
 MAX_BODY_BYTES = 1000
 # What an ordinary request is allowed to wait for, in passes of the event loop.
@@ -33,9 +36,12 @@
         self.account = Account(Limits(held_bytes, 100, 60.0), self._now)
         self.may_answer = asyncio.Event()
         self.calls: list[CallerCall] = []
-        dispatcher = CallerDispatcher(self._handle, self._now, lambda: MAX_BODY_BYTES)
+        self.max_body_bytes = MAX_BODY_BYTES
+        self.dispatcher = CallerDispatcher(
+            self._handle, self._now, lambda: self.max_body_bytes
+        )
         self.server = AccountedServer(
-            dispatcher, account=self.account, idle_connection_timeout=30.0
+            self.dispatcher, account=self.account, idle_connection_timeout=30.0
         )
         sockets = bind_sockets(0, "127.0.0.1")
         self.server.add_sockets(sockets)
@@ -143,6 +149,45 @@
     assert b"Connection: close" in answer
 
 
+class CountedTurns(ReadingTurns):
+    """Turns, and how many were taken."""
+
+    def __init__(self):
+        super().__init__()
+        self.taken = 0
+
+    def take(self) -> asyncio.Future:
+        """Take a turn."""
+        self.taken += 1
+        return super().take()
+
+
+async def test_a_body_in_chunks_is_read_in_turns(served):
+    """Guards against a crowd of small chunks that holds up heartbeats and leases."""
+    served.max_body_bytes = MIB
+    turns = served.dispatcher._turns = CountedTurns()
+    chunk = b"1000\r\n" + b"x" * 0x1000 + b"\r\n"
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    _, writer = await served.ask(head + 16 * chunk + b"0\r\n\r\n")
+    await until(lambda: served.calls)
+    assert len(served.calls[0].body) == 16 * 0x1000
+    assert turns.taken >= 15
+    writer.close()
+
+
+async def test_a_query_with_a_large_body_is_refused():
+    """Guards against bodies that nobody reads, at the addresses for queries."""
+    account = Account(Limits(64 * MIB, 100, 60.0), time.monotonic)
+    (port,) = free_ports(1)
+    server = QueryServer(f"127.0.0.1:{port}", {}, account, time.monotonic)
+    server.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n")
+    assert (await reader.readline()).startswith(b"HTTP/1.1 413")
+    writer.close()
+    server.stop()
+
+
 class NoDescriptors:
     """A listening socket before a process that has no descriptors left."""
 
