--- a/hawthornlead/tests/test_accounted_servers.py
+++ b/hawthornlead/tests/test_accounted_servers.py
@@ -186,7 +186,8 @@
     server.start()
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     writer.write(b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n")
-    assert (await reader.readline()).startswith(b"HTTP/1.1 413")
+    answer = await asyncio.wait_for(reader.readline(), 20)
+    assert answer.startswith(b"HTTP/1.1 413")
     writer.close()
     server.stop()
 
