Refuse names of models that are far longer than any, before a table keeps them

Cause: the name of an adapter is taken as the client sent it, up to 64 KB, and tables of popularity, loads and refusals keep it for minutes, here and at other VMs.

Evidence: 1,600 requests for adapters with made-up names of 60 KB took a real process from 42 to 77 MB, 6,400 to 138 MB, and 15 s later it was the same.

Change: a request whose model's name is over 512 characters is malformed: 400 to a caller; another VM that relays it is told that it isn't taken.

Measured: the same 1,600 requests leave the process at 45 MB. The test failed before at both addresses, and no engine gets an order or a request.

--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -198,7 +198,7 @@
     async def _serve_relayed(self, call: CallerCall) -> None:
         """Serve a request that another VM passes on."""
         forward = RequestForward(self._parts, call, pop_origin(call.headers))
-        if self._drain.draining or not forward.can_take_relayed():
+        if forward.malformed or self._drain.draining or not forward.can_take_relayed():
             refuse_relayed(call)
             return
         await forward.run()
--- a/hawthornlead/gateway/refusals.py
+++ b/hawthornlead/gateway/refusals.py
@@ -19,6 +19,8 @@
 # token is expected later is refused at once, so that its caller can retry in time.
 MAX_START_S = 2.2
 MIN_RETRY_S = 0.2
+# Far longer than any name that the configuration gives to a model and its adapters.
+MAX_MODEL_CHARS = 512
 MAX_RETRY_S = 2.0
 # A target that crashed is replaced in some seconds, if at all.
 ABSENT_RETRY_S = 1.0
@@ -28,10 +30,14 @@
     """Return why a request can't be told from others, None if it can.
 
     Without an id no answer can be told from that to another caller. A head that another
-    request's first line stands in is made of two requests.
+    request's first line stands in is made of two requests. Names of adapters are kept
+    beyond the request, here and at other VMs, so that they must be short.
     """
     if not request.request_id:
         return Failure(ErrorKind.BAD_REQUEST, "the request has no id")
+    if len(request.model) + len(request.adapter) > MAX_MODEL_CHARS:
+        detail = f"the model's name is over {MAX_MODEL_CHARS} characters"
+        return Failure(ErrorKind.BAD_REQUEST, detail)
     if is_joined_request(headers):
         return Failure(ErrorKind.BAD_REQUEST, "a second request begins in its head")
     return None
--- a/hawthornlead/tests/test_malformed_requests.py
+++ b/hawthornlead/tests/test_malformed_requests.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from .gateways import Deployment
+from .gateways import HOST, MODEL, Deployment, ask
 from .test_repeated_answers import runs
 
 
@@ -32,3 +32,18 @@
         assert not runs(deployment, "second")
         sound = await deployment.ask("/unsafe/a", **{"X-Note": "speaks HTTP/1.1"})
         assert sound.status == 200
+
+
+@pytest.mark.parametrize("relayed", [False, True])
+async def test_no_table_keeps_a_long_name_that_a_client_made_up(relayed):
+    """Guards against tables of adapters that grow by the length of a head."""
+    async with Deployment(vms=1) as deployment:
+        address = deployment.settings[0][
+            "RELAY_ADDRESS" if relayed else "CALLER_ADDRESS"
+        ]
+        sent = {"Host": HOST, "Request-Id": "long", "Connection": "close"}
+        sent["Model"] = f"{MODEL}/{'m' * 60_000}"
+        answer = await ask(address, "GET", "/stream/x", sent)
+        assert answer.status == (503 if relayed else 400)
+        assert not any(engine.orders for engine in deployment.engines)
+        assert not any(engine.arrivals for engine in deployment.engines)
