Soak: a stream that a cut path breaks isn't cut by its VM

The rule excuses it: there is unplanned disruption on the path. A cut of another path of the VM excuses nothing; both cases are tested, the first failed before.

--- a/hawthornlead/tests/soak_gateway_bounds.py
+++ b/hawthornlead/tests/soak_gateway_bounds.py
@@ -168,6 +168,7 @@
             run.outcome in BROKE_OFF
             or case.troubled(run.target, begin - CONTACT_S, end)
             or case.troubled(run.vm, begin - CONTACT_S, end, planned=False)
+            or case.troubled(f"{run.vm}>{run.target}", begin - CONTACT_S, end)
             for run in runs
         )
         if sound:
--- a/hawthornlead/tests/test_soak_gateway.py
+++ b/hawthornlead/tests/test_soak_gateway.py
@@ -131,6 +131,10 @@
     ("stops-cut-nothing", journal(stopped=[Stopped("vm-1", 7, 100.1, 104.0, 1)])),
     ("stops-cut-nothing", journal(stopped=[Stopped("vm-1", 7, 100.1, 109.0, 0)])),
     ("kept-to-the-end", cuts(4)),
+    (
+        "kept-to-the-end",
+        with_trouble(cuts(4), (CUT_FROM_TARGETS, "vm-1>i-9", 100.0, 101.5)),
+    ),
     ("left-is-left", working_on(1)),
     ("limits-kept", arrived(*[arrival(104.0, "limit")] * 18)),
     ("leaving-answers-heeded", arrived(arrival(103.1, "leaving"))),
@@ -224,6 +228,10 @@
         ),
     ),
     ("kept-to-the-end", cuts(3)),
+    (
+        "kept-to-the-end",
+        with_trouble(cuts(4), (CUT_FROM_TARGETS, "vm-1>i-1", 100.0, 101.5)),
+    ),
     ("limits-kept", arrived(*[arrival(104.0, "limit", "vm-2")] * 18)),
     ("limits-kept", arrived(*[arrival(100.5, "limit")] * 18)),
     ("leaving-answers-heeded", arrived(arrival(103.1, "leaving", "vm-2"))),
