Take what has no status of HTTP for no answer, for every reader of answers

Clients got answers with status 000 (HTTP/1.1 0 OK), 001, 099, 600 and 999, with the headers, seal and body of a target in trouble.

Cause: what makes a head one of an answer was decided by each reader, beside Tornado's parser, which takes any three digits for a status. AnswerReader, the responses of signed bundles' targets and the order client each asked for joined heads only, and the store's client for nothing.

answers/heads.py is now the one place that says what a head may be: a status from 100 to 599, no unasked switch of protocols, no second status line. Both readers of exchanges and WholeAnswerClient ask it; the calls to signed bundles' engines and the operators' commands use WholeAnswerClient now, and Tornado's plain client is used by none. What isn't an answer ends the attempt as one that may have run: 502 and no promise, or another target for what may be repeated. The log's field and the counter name the fault.

--- a/hawthornlead/answers/answer_readers.py
+++ b/hawthornlead/answers/answer_readers.py
@@ -15,7 +15,8 @@
 
 from ..platform.headers import AnswerMetadata, read_answer_metadata
 from .framing import is_framed
-from .joined_answers import BodyScanner, Joint, is_joined_head
+from .heads import Fault, find_fault
+from .joined_answers import BodyScanner
 
 
 class Head(NamedTuple):
@@ -46,8 +47,8 @@
 class AnswerReader(httputil.HTTPMessageDelegate):
     """Reads one answer; ``stray`` if it belongs to another request.
 
-    ``joint`` is where a second answer begins inside it, None if it is one answer. What
-    is no answer to its request ends the reading by ``give_up``.
+    ``fault`` is why what was read is no answer, None if it is one. What is no answer to
+    its request ends the reading by ``give_up``.
     """
 
     def __init__(
@@ -63,19 +64,20 @@
         self._give_up = give_up
         self._scanner = BodyScanner()
         self.stray = False
-        self.joint: Joint | None = None
+        self.fault: Fault | None = None
         self.head: Head | None = None
         self.finished = False
 
     @property
     def open_ended(self) -> bool:
         """Whether what follows may show that the body ends within another answer."""
-        return self.joint is None and self._scanner.open
+        return self.fault is None and self._scanner.open
 
     def headers_received(self, start_line, headers):
         """Decide whose answer this is."""
-        if is_joined_head(start_line.reason, headers):
-            self._end_joined(Joint.HEAD)
+        fault = find_fault(start_line, headers)
+        if fault is not None:
+            self._reject(fault)
             return
         if 100 <= start_line.code < 200:
             return
@@ -98,22 +100,22 @@
 
     def data_received(self, chunk):
         """Pass on a chunk of the request's own answer."""
-        if self.joint is not None:
+        if self.fault is not None:
             return
         if self._scanner.feed(chunk):
-            self._end_joined(Joint.BODY)
+            self._reject(Fault.JOINED_BODY)
             return
         if not self.stray and self._sink.handle_data(chunk) is False:
             self._give_up()
 
     def finish(self):
         """Record the end of the answer."""
-        self.finished = not self.stray and self.joint is None
+        self.finished = not self.stray and self.fault is None
 
     def check_end(self, unread: bytes) -> None:
         """Check, once the answer was read, that it ends before what follows it."""
-        if self.joint is None and self._scanner.ends_inside(unread):
-            self._end_joined(Joint.BODY)
+        if self.fault is None and self._scanner.ends_inside(unread):
+            self._reject(Fault.JOINED_BODY)
             self.finished = False
 
     def may_end_joined(self, unread: bytes) -> bool:
@@ -122,6 +124,6 @@
             return False
         return self._scanner.may_end_inside(unread)
 
-    def _end_joined(self, joint: Joint) -> None:
-        self.joint = joint
+    def _reject(self, fault: Fault) -> None:
+        self.fault = fault
         self._give_up()
--- a/hawthornlead/answers/joined_answers.py
+++ b/hawthornlead/answers/joined_answers.py
@@ -12,7 +12,6 @@
 """
 
 import re
-from enum import Enum
 
 from tornado.httputil import HTTPHeaders
 
@@ -38,13 +37,6 @@
 MAX_REASON_BYTES = 80
 
 
-class Joint(Enum):
-    """Where a second answer begins inside the first one."""
-
-    HEAD = "head"
-    BODY = "body"
-
-
 def is_joined_head(reason: str | None, headers: HTTPHeaders) -> bool:
     """Whether the head of an answer, parsed as one, contains a second status line.
 
--- a/hawthornlead/answers/whole_clients.py
+++ b/hawthornlead/answers/whole_clients.py
@@ -1,4 +1,4 @@
-"""An HTTP client that returns an answer only if it is whole.
+"""An HTTP client that returns an answer only if it is one, and whole.
 
 Tornado's own client takes an answer without a length for complete when its connection
 is reset, and after a reset inside any other body it waits for the time-out of the
@@ -15,25 +15,37 @@
 )
 
 from .framing import is_framed
+from .heads import find_fault
 
 
 class _WholeAnswerCall(_HTTPConnection):
     """One call; it fails at once if its connection ends before the answer."""
 
+    async def headers_received(self, first_line, headers) -> None:
+        fault = find_fault(first_line, headers)
+        if fault is not None:
+            self._fail(HTTPStreamClosedError(fault.detail))
+            return
+        await super().headers_received(first_line, headers)
+
     def on_connection_close(self) -> None:
         # The parent raises the stream's error here, which only the log gets.
         if self.final_callback is None:
             return
-        error = self.stream.error or HTTPStreamClosedError("Connection closed")
-        self._handle_exception(type(error), error, error.__traceback__)
+        self._fail(self.stream.error or HTTPStreamClosedError("Connection closed"))
 
     def finish(self) -> None:
+        if self.final_callback is None:
+            return
         framed = is_framed(self.code, self.headers, self.request.method)
         if self.stream.error is not None and not framed:
             self.on_connection_close()
             return
         super().finish()
 
+    def _fail(self, error: Exception) -> None:
+        self._handle_exception(type(error), error, error.__traceback__)
+
 
 class WholeAnswerClient(SimpleAsyncHTTPClient):
     """Tornado's client; a call whose connection breaks fails with ``OSError``."""
--- a/hawthornlead/daemon/daemons.py
+++ b/hawthornlead/daemon/daemons.py
@@ -15,7 +15,6 @@
 from random import Random
 
 from result import Err, Ok, Result
-from tornado.httpclient import AsyncHTTPClient
 from tornado.httpserver import HTTPServer
 
 from ..callers.command_handlers import CallerParts
@@ -27,7 +26,6 @@
 from ..operators.request_guards import RequestGuard
 from ..operators.statuses import StatusParts
 from ..operators.timelines import Timeline
-from ..resolvers import NumberResolver
 from ..resources.accounts import Account
 from ..resources.process_limits import process_limits
 from ..settings import Settings
@@ -256,11 +254,6 @@
 
     Fails at once with ``BAD_SETTINGS`` if a port can't be opened.
     """
-    AsyncHTTPClient.configure(
-        "tornado.simple_httpclient.SimpleAsyncHTTPClient",
-        max_clients=1000,
-        resolver=NumberResolver(),
-    )
     return asyncio.run(_run(settings))
 
 
--- a/hawthornlead/engines/exchanges.py
+++ b/hawthornlead/engines/exchanges.py
@@ -17,7 +17,8 @@
 from tornado import httputil
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 
-from ..answers.joined_answers import BodyScanner, is_joined_head
+from ..answers.heads import Fault, find_fault
+from ..answers.joined_answers import BodyScanner
 from ..connections.connection_pools import Connection, ConnectionPool
 from ..errors import ErrorKind, Failure
 from ..timers import TimerService
@@ -36,9 +37,6 @@
 
 DataCallback = Callable[[bytes], Awaitable[None] | None]
 
-_JOINED_HEAD = "another response begins inside its head"
-_JOINED_BODY = "another response begins inside its body"
-
 
 class Naming(Enum):
     """Where responses name the attempt that they are for.
@@ -78,15 +76,21 @@
         self._ended_cleanly = ended_cleanly
         self._scanner = BodyScanner()
         self._framed = False
-        self.fault: str | None = None
+        self.fault: Fault | None = None
         self.head: asyncio.Future[ResponseHead | None] = (
             asyncio.get_running_loop().create_future()
         )
         self.finished = False
 
+    @property
+    def detail(self) -> str:
+        """Why what was received is no response, empty if nothing speaks against it."""
+        return "" if self.fault is None else self.fault.detail
+
     def headers_received(self, start_line, headers):
-        if is_joined_head(start_line.reason, headers):
-            self._reject(_JOINED_HEAD)
+        fault = find_fault(start_line, headers)
+        if fault is not None:
+            self._reject(fault)
             return
         if 100 <= start_line.code < 200:
             return
@@ -101,7 +105,7 @@
         if self.fault is not None:
             return None
         if self._scanner.feed(chunk):
-            self._reject(_JOINED_BODY)
+            self._reject(Fault.JOINED_BODY)
             return None
         self._on_activity()
         return self._on_data(chunk)
@@ -119,7 +123,7 @@
         response.
         """
         if self.fault is None and self._scanner.ends_inside(unread):
-            self._reject(_JOINED_BODY)
+            self._reject(Fault.JOINED_BODY)
             self.finished = False
 
     def on_connection_close(self):
@@ -133,7 +137,7 @@
         if not self.head.done():
             self.head.set_result(None)
 
-    def _reject(self, fault: str) -> None:
+    def _reject(self, fault: Fault) -> None:
         self.fault = fault
         self._give_up()
 
@@ -214,7 +218,7 @@
         except TimeoutError:
             return self._abort_silent(f"no answer within {head_timeout_s:.1f} s")
         if head is None:
-            detail = self._response.fault or "closed before its answer"
+            detail = self._response.detail or "closed before its answer"
             return Err(_lost(self._address, detail))
         return Ok(head)
 
@@ -227,7 +231,7 @@
             await asyncio.wait([self._reading], timeout=remaining_s)
         if not self._response.finished:
             self.close()
-            detail = self._response.fault or "closed within its answer"
+            detail = self._response.detail or "closed within its answer"
             return Err(_lost(self._address, detail))
         return Ok(None)
 
--- a/hawthornlead/engines/targets.py
+++ b/hawthornlead/engines/targets.py
@@ -19,16 +19,19 @@
 from typing import NamedTuple
 
 from result import Err, Ok, Result
-from tornado.httpclient import AsyncHTTPClient, HTTPResponse
+from tornado.httpclient import HTTPResponse
 from tornado.simple_httpclient import HTTPStreamClosedError, HTTPTimeoutError
 
-from ..answers.joined_answers import is_joined_head
+from ..answers.whole_clients import WholeAnswerClient
 from ..errors import ErrorKind, Failure
 from ..messages import Resident
+from ..resolvers import NumberResolver
 
 # Timeout of calls that are no orders; long enough for a busy engine's event loop.
 QUERY_TIMEOUT_S = 2.0
 MAX_CLIENTS = 200
+# The same for a client that serves all targets.
+MAX_SHARED_CLIENTS = 1000
 
 
 class Order(Enum):
@@ -98,13 +101,11 @@
         address: str,
         *,
         rng: random.Random,
-        http_client: AsyncHTTPClient | None = None,
+        http_client: WholeAnswerClient | None = None,
     ):
         self._address = address
         self._rng = rng
-        self._http_client = http_client or AsyncHTTPClient(
-            force_instance=True, max_clients=MAX_CLIENTS
-        )
+        self._http_client = http_client or _new_client(MAX_CLIENTS)
 
     @property
     def address(self) -> str:
@@ -212,11 +213,6 @@
     def _checked(self, response: HTTPResponse) -> Result[HTTPResponse, Failure]:
         if response.code == 599:
             return Err(self._failure_of(response.error))
-        if is_joined_head(response.reason, response.headers):
-            # The status is that of a response which broke off. In a body, which is
-            # JSON, a second response is malformed by itself.
-            detail = f"{self._address}: another response begins inside its head"
-            return Err(Failure(ErrorKind.TARGET_LOST, detail))
         if response.code in (200, 204):
             return Ok(response)
         try:
@@ -247,7 +243,7 @@
 
     def __init__(self, *, rng: random.Random):
         self._rng = rng
-        self._http_client = AsyncHTTPClient(force_instance=True, max_clients=1000)
+        self._http_client = _new_client(MAX_SHARED_CLIENTS)
         self._clients: dict[str, TargetClient] = {}
 
     def client(self, address: str) -> TargetClient:
@@ -259,6 +255,12 @@
         return client
 
 
+def _new_client(max_clients: int) -> WholeAnswerClient:
+    return WholeAnswerClient(
+        force_instance=True, max_clients=max_clients, resolver=NumberResolver()
+    )
+
+
 def _decode(response: HTTPResponse, convert) -> Result:
     try:
         return Ok(convert(json.loads(response.body)))
--- a/hawthornlead/gateway/gateway_metrics.py
+++ b/hawthornlead/gateway/gateway_metrics.py
@@ -33,10 +33,10 @@
             "Attempts at targets by outcome",
             ["ending"],
         )
-        self.joined_answers = self._counter(
-            "hawthornlead_gateway_joined_answers_total",
-            "Answers of targets in which a second answer began, by part",
-            ["part"],
+        self.broken_answers = self._counter(
+            "hawthornlead_gateway_broken_answers_total",
+            "What targets sent in place of an answer, by fault",
+            ["fault"],
         )
         self.relays = self._counter(
             "hawthornlead_gateway_relays_total",
--- a/hawthornlead/gateway/request_reporters.py
+++ b/hawthornlead/gateway/request_reporters.py
@@ -105,8 +105,8 @@
         on which connection it was sent.
         """
         self._parts.metrics.attempts.labels(outcome.value).inc()
-        if trace is not None and trace.joint is not None:
-            self._parts.metrics.joined_answers.labels(trace.joint).inc()
+        if trace is not None and trace.fault is not None:
+            self._parts.metrics.broken_answers.labels(trace.fault).inc()
         self._emit(
             EventKind.ATTEMPT_FAILED,
             target=target,
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -89,8 +89,8 @@
     ``connection`` is the connection's number in this process, and ``use`` counts the
     exchanges on it up to this one. ``writer_ms`` is the start that the target stated on
     it, None if none. ``strays`` are answers to other requests that were dropped before.
-    ``named`` tells whether the answer named its request, None if none came. ``joint``
-    is the part of the answer in which a second one begins, None if it is one answer.
+    ``named`` tells whether the answer named its request, None if none came. ``fault``
+    is why what came was no answer, None if nothing speaks against it.
     """
 
     connection: int
@@ -99,7 +99,7 @@
     strays: int
     status: int | None
     named: bool | None
-    joint: str | None
+    fault: str | None
 
 
 class Exchange:
@@ -142,7 +142,7 @@
         """Where the request was sent, and which answer ended it."""
         reader = self._reader
         head = reader.head if reader is not None else None
-        joint = reader.joint if reader is not None else None
+        fault = reader.fault if reader is not None else None
         return ExchangeTrace(
             self._connection.number,
             self._connection.uses,
@@ -150,7 +150,7 @@
             self._strays,
             head and head.status,
             head and bool(head.signs.request_id),
-            joint and joint.value,
+            fault and fault.value,
         )
 
     @property
@@ -240,7 +240,7 @@
             open_still = await connection.read_response(self._reader)
             if self._reader.open_ended:
                 self._reader.check_end(await self._read_on())
-            if not self._reader.stray or self._reader.joint or not open_still:
+            if not self._reader.stray or self._reader.fault or not open_still:
                 return
             if method == "HEAD":
                 # Tornado knows only of the first answer that it has no body.
--- a/hawthornlead/operators/__init__.py
+++ b/hawthornlead/operators/__init__.py
@@ -3,5 +3,5 @@
 Nothing here affects how requests are served.
 
 May import: the common modules, mesh, stores, ownership, bundles, decisions, engines,
-callers.
+callers, answers.
 """
--- a/hawthornlead/operators/commands.py
+++ b/hawthornlead/operators/commands.py
@@ -14,8 +14,9 @@
 from typing import Any, NamedTuple
 
 import click
-from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+from tornado.httpclient import HTTPError, HTTPRequest
 
+from ..answers.whole_clients import WholeAnswerClient
 from ..bundles.bundle_diffs import diff
 from ..bundles.bundles import Bundle, prepare
 from ..signatures import (
@@ -65,7 +66,7 @@
             ca_certs=self.ca,
         )
         try:
-            response = await AsyncHTTPClient().fetch(request, raise_error=False)
+            response = await WholeAnswerClient().fetch(request, raise_error=False)
         except (OSError, HTTPError) as error:
             raise click.ClickException(f"{self.url}: {error}") from None
         return _answer(self.url + path, response)
--- a/hawthornlead/operators/queries.py
+++ b/hawthornlead/operators/queries.py
@@ -18,6 +18,7 @@
 from result import Err, Ok, Result
 from tornado.httpclient import HTTPClient, HTTPError
 
+from ..answers.whole_clients import WholeAnswerClient
 from ..errors import ErrorKind, Failure
 from ..file_settings import effective_settings
 from ..settings import FREE_SECTIONS, SETTINGS, Settings
@@ -214,7 +215,7 @@
     headers = {}
     if signer is not None:
         headers = signed_headers(signer.key, signer.operator, "GET", path, b"")
-    client = HTTPClient()
+    client = HTTPClient(WholeAnswerClient)
     try:
         response = client.fetch(
             base + path,
--- a/hawthornlead/tests/test_joined_answers.py
+++ b/hawthornlead/tests/test_joined_answers.py
@@ -272,8 +272,8 @@
             answer = await deployment.ask("/unsafe/x")
             assert answer.status in (500, 502), cut
         assert plain.repeats.sent >= 170
-        joined = deployment.gateways[0]._parts.metrics.joined_answers
-        assert joined.labels("head")._value.get() > 0
+        broken = deployment.gateways[0]._parts.metrics.broken_answers
+        assert broken.labels("joined_head")._value.get() > 0
 
 
 async def test_no_event_of_a_stream_has_another_answer_in_it():
