Let go of what was read with its exchange, and not at a collection of cycles

A VM asks each engine whose report can't be read again five times a second. Engines whose reports went on without end filled its memory: 12 of them 479 and 504 MB in 15 s (bodies to the close, in chunks), 363 and 369 MB in 8 s; the smallest VM has 160 MB. The process would have ended, and with it the requests of all its callers.

Cause: each answer was given up at its 1 MB, but stayed. An exchange holds its reader, the reader by its give_up the exchange, and the reader the sink with the body; the task that reads kept the error of a broken connection, and the stream its own, both with the frames of the reading. Such cycles go only at a collection, after 10,000 new objects, and objects are few here while bytes are many.

The end of the reading lets the sink and the connection go. AnswerConnection reads all answers, those of requests, control calls, signed bundles and the store, and lets no error keep their frames. A lower threshold of the collector would have cost every stream.

--- a/hawthornlead/answers/answer_readers.py
+++ b/hawthornlead/answers/answer_readers.py
@@ -124,6 +124,15 @@
             return False
         return self._scanner.may_end_inside(unread)
 
+    def release(self) -> None:
+        """Let go of the sink and the connection, once nothing more is read.
+
+        An exchange holds its reader, and ``give_up`` the exchange. Without this the
+        bytes of each answer would stay until the next collection of such cycles.
+        """
+        self._sink = self._give_up = None
+        self._scanner = BodyScanner()
+
     def _reject(self, fault: Fault) -> None:
         self.fault = fault
         self._give_up()
--- a/hawthornlead/answers/whole_clients.py
+++ b/hawthornlead/answers/whole_clients.py
@@ -8,12 +8,14 @@
     response = await client.fetch(request, raise_error=False)
 """
 
+from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.simple_httpclient import (
     HTTPStreamClosedError,
     SimpleAsyncHTTPClient,
     _HTTPConnection,
 )
 
+from .answer_connections import AnswerConnection
 from .framing import is_framed
 from .heads import find_fault
 
@@ -43,6 +45,16 @@
             return
         super().finish()
 
+    def _create_connection(self, stream) -> AnswerConnection:
+        stream.set_nodelay(True)
+        params = HTTP1ConnectionParameters(
+            no_keep_alive=True,
+            max_header_size=self.max_header_size,
+            max_body_size=self.max_body_size,
+            decompress=bool(self.request.decompress_response),
+        )
+        return AnswerConnection(stream, True, params)
+
     def _fail(self, error: Exception) -> None:
         self._handle_exception(type(error), error, error.__traceback__)
 
--- a/hawthornlead/engines/exchanges.py
+++ b/hawthornlead/engines/exchanges.py
@@ -15,8 +15,9 @@
 
 from result import Err, Ok, Result
 from tornado import httputil
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.http1connection import HTTP1ConnectionParameters
 
+from ..answers.answer_connections import AnswerConnection
 from ..answers.heads import Fault, find_fault
 from ..answers.joined_answers import BodyScanner
 from ..connections.connection_pools import Connection, ConnectionPool
@@ -137,6 +138,13 @@
         if not self.head.done():
             self.head.set_result(None)
 
+    def release(self) -> None:
+        """Let go of the exchange and of who gets the data, once nothing more is read.
+
+        The exchange holds its response, so that both would stay until a collection.
+        """
+        self._on_data = self._on_activity = self._give_up = self._ended_cleanly = None
+
     def _reject(self, fault: Fault) -> None:
         self.fault = fault
         self._give_up()
@@ -196,7 +204,7 @@
         params = HTTP1ConnectionParameters(
             no_keep_alive=False, max_body_size=MAX_ANSWER_BYTES
         )
-        connection = HTTP1Connection(self._stream, True, params)
+        connection = AnswerConnection(self._stream, True, params)
         self._response = _Response(
             on_data, self._record_activity, self._stream.close, self._ended_cleanly
         )
@@ -210,7 +218,7 @@
         # If the connection ends before the headers, the reading ends and the response
         # is not notified. Without this callback a dead target would look slow until
         # the deadline, and the request that killed it would never become a suspect.
-        self._reading.add_done_callback(self._response.on_reading_ended)
+        self._reading.add_done_callback(self._on_read_end)
         try:
             head = await asyncio.wait_for(
                 asyncio.shield(self._response.head), head_timeout_s
@@ -256,10 +264,14 @@
         self._closed = True
         self._stream.close()
 
-    async def _read(self, connection: HTTP1Connection) -> None:
+    async def _read(self, connection: AnswerConnection) -> None:
         await connection.read_response(self._response)
         self._response.check_end(self._connection.unread)
 
+    def _on_read_end(self, task: asyncio.Task) -> None:
+        self._response.on_reading_ended(task)
+        self._response.release()
+
     def _ended_cleanly(self) -> bool:
         return not self._closed and self._stream.error is None
 
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -15,8 +15,9 @@
 
 from result import Result
 from tornado import httputil
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.http1connection import HTTP1ConnectionParameters
 
+from ..answers.answer_connections import AnswerConnection
 from ..answers.answer_readers import AnswerReader, AnswerSink, Head
 from ..answers.joined_answers import HEAD_END, MAX_HEAD_BYTES
 from ..connections.connection_pools import Connection, ConnectionPool
@@ -176,7 +177,7 @@
         breaks off there.
         """
         params = HTTP1ConnectionParameters(no_keep_alive=False, max_body_size=max_bytes)
-        connection = HTTP1Connection(self._stream, True, params)
+        connection = AnswerConnection(self._stream, True, params)
         if body or method in ("POST", "PUT", "PATCH"):
             headers["Content-Length"] = str(len(body))
         start = httputil.RequestStartLine(method, path, "HTTP/1.1")
@@ -247,7 +248,7 @@
                 self.close()
                 return
             self._strays += 1
-            connection = HTTP1Connection(self._stream, True, params)
+            connection = AnswerConnection(self._stream, True, params)
             connection.finish()
 
     async def _read_on(self) -> bytes:
@@ -266,6 +267,7 @@
         return unread
 
     def _on_read_end(self, task: asyncio.Task) -> None:
+        self._reader.release()
         # Retrieve the error: a broken connection only means an incomplete answer.
         if not task.cancelled():
             task.exception()
--- a/hawthornlead/tests/hostile_clients.py
+++ b/hawthornlead/tests/hostile_clients.py
@@ -171,7 +171,7 @@
             target.start()
             # Every request is served at once, so that only clients slow it down.
             target.places = 200
-            self._store.write("servers", target.target, target.entry())
+            self.register(target)
         path = self._write_settings()
         with open(Path(self._folder.name) / "log", "wb") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -199,6 +199,10 @@
         await self._store.stop()
         self._folder.cleanup()
 
+    def register(self, target: PlatformEngine) -> None:
+        """Write a target's entry to the store."""
+        self._store.write("servers", target.target, target.entry())
+
     def address(self, role: str) -> str:
         """Return the process's address for callers, peers and so on."""
         return f"127.0.0.1:{self._ports[role]}"
