Fail a call of the store whose answer has a head over the limit

A head of over 64 KB from the store, or without end, ended the caller of the store's client by an error that nobody handles: a watch or an owner would have stopped for it.

Cause: WholeAnswerClient raised the error of the stream as it was. Tornado closes a stream whose head is too long with UnsatisfiableReadError, which is no OSError.

Such a call fails now like any other that is broken off. Evidence: the two tests of large heads at the store failed before with UnsatisfiableReadError. That heads without end are given up at 64 KB, and that an idle connection takes no bytes without end, held before; these tests are kept.

--- a/hawthornlead/answers/whole_clients.py
+++ b/hawthornlead/answers/whole_clients.py
@@ -34,7 +34,11 @@
         # The parent raises the stream's error here, which only the log gets.
         if self.final_callback is None:
             return
-        self._fail(self.stream.error or HTTPStreamClosedError("Connection closed"))
+        error = self.stream.error or "Connection closed"
+        if not isinstance(error, OSError):
+            # A head over the limit, for one.
+            error = HTTPStreamClosedError(str(error))
+        self._fail(error)
 
     def finish(self) -> None:
         if self.final_callback is None:
