Give up replies and watch lines of signed bundles' platforms that have no end

A reply of a signed bundle's engine to a report, an order or a probe was kept up to 100 MB, and a line of the object API's watch without any bound, until the watch's time-out: an endless one would have filled the VM's memory.

Cause: the clients had the limits of Tornado's buffer, or none. A reply may have 1 MB now, and a line twice the largest value.

--- a/hawthornlead/engines/targets.py
+++ b/hawthornlead/engines/targets.py
@@ -30,7 +30,9 @@
 # Timeout of calls that are no orders; long enough for a busy engine's event loop.
 QUERY_TIMEOUT_S = 2.0
 MAX_CLIENTS = 200
-# The same for a client that serves all targets.
+# Replies have some kilobytes. A target in trouble may send one without end.
+MAX_REPLY_BYTES = 1 << 20
+# The most calls at once of a client that serves all targets.
 MAX_SHARED_CLIENTS = 1000
 
 
@@ -257,7 +259,10 @@
 
 def _new_client(max_clients: int) -> WholeAnswerClient:
     return WholeAnswerClient(
-        force_instance=True, max_clients=max_clients, resolver=NumberResolver()
+        force_instance=True,
+        max_clients=max_clients,
+        max_body_size=MAX_REPLY_BYTES,
+        resolver=NumberResolver(),
     )
 
 
--- a/hawthornlead/stores/http_stores.py
+++ b/hawthornlead/stores/http_stores.py
@@ -12,9 +12,12 @@
 from ..errors import ErrorKind, Failure
 from ..resolvers import NumberResolver
 from .stored_objects import StoredObject, StoreList, WatchLine
-from .stores import ObjectStore, unavailable
+from .stores import MAX_VALUE_BYTES, ObjectStore, unavailable
 from .watches import WatchGone
 
+# A line holds one value and its name.
+MAX_LINE_BYTES = 2 * MAX_VALUE_BYTES
+
 
 class HttpObjectStore(ObjectStore):
     """The object API over HTTP, with a new connection for each call and watch."""
@@ -61,6 +64,8 @@
             rest.extend(chunk)
             *whole, last = bytes(rest).split(b"\n")
             rest[:] = last
+            if len(rest) > MAX_LINE_BYTES:
+                raise ValueError(f"a line of the watch is over {MAX_LINE_BYTES} bytes")
             for line in whole:
                 if line.strip():
                     lines.put_nowait(_watch_line(line))
--- a/hawthornlead/tests/test_endless_heads.py
+++ b/hawthornlead/tests/test_endless_heads.py
@@ -11,6 +11,8 @@
 from hawthornlead.errors import ErrorKind
 from hawthornlead.gateway.store_clients import StoreClient
 from hawthornlead.gateway.target_connections import TargetConnections, WholeAnswer
+from hawthornlead.settings import default_settings
+from hawthornlead.stores.http_stores import HttpObjectStore
 from hawthornlead.timers import TimerService
 
 from .standins.broken_target import BODY, broken_answer
@@ -66,6 +68,29 @@
         assert isinstance(reply, Err)
 
 
+async def test_a_large_reply_is_none():
+    """Guards against memory that endless reports of signed bundles' engines fill."""
+    body = b'{"boot_id": "b", "now": 1, "x": "' + b"x" * 2 * LARGE + b'"}'
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+    async with ScriptedTarget([head + body]) as target:
+        client = TargetClient(target.address, rng=random.Random(1))
+        assert isinstance(await client.health(), Err)
+
+
+async def test_a_line_of_a_watch_without_end_ends_the_watch():
+    """Guards against memory that a store in trouble fills with one line."""
+    head = b"HTTP/1.1 200 OK\r\n\r\n"
+    async with ScriptedTarget([head + b"x" * 4 * LARGE]) as target:
+        settings = default_settings(STORE_ADDRESS=target.address)
+        store = HttpObjectStore(settings=settings, timers=TimerService(), rng=None)
+        with pytest.raises(OSError) as raised:
+            async with asyncio.timeout(LONGEST_S):
+                async for _ in store.open_watch("k", 0):
+                    pass
+        assert not isinstance(raised.value, TimeoutError)
+        await store.stop()
+
+
 async def test_bytes_without_end_on_an_idle_connection_are_not_kept():
     """Guards against memory that a target fills while no request waits."""
     sent_bytes = 0
