Take no request at a planned stop that may be cut and can't be sent again

Requests that reached a VM up to 2.8 s after SIGTERM were all taken and passed on. What still ran at the end of the grace was cut: the caller got a closed connection with no answer, also for what may run only once.

Cause: the drain asked how long a request may take only after 2.8 s, by the caller's deadline alone, and the end of the process answered nobody.

A request that may run only once is now taken at a stop only if its deadline, or the time of its route, ends before the grace; else it gets 503, not run, and its caller goes to another VM at once. A VM that is alone takes it as before, as the caller has nowhere else to go. What may run again is taken as before.

--- a/hawthornlead/gateway/drains.py
+++ b/hawthornlead/gateway/drains.py
@@ -9,10 +9,11 @@
 MAX_CACHE_FACTOR = 3
 # The process ends this long before it would be killed.
 END_MARGIN_S = 0.25
-# All requests are accepted for this time. After it callers with a cached answer have
-# left, and the platform tolerates that earlier requests are cut off at the end of the
-# grace period. A later request is accepted only if its deadline is before that end.
-# Otherwise it is refused without being run, and its caller goes to another VM.
+# Requests that may be repeated are accepted for this time. After it callers with a
+# cached answer have left, and the platform tolerates that earlier requests are cut off
+# at the end of the grace period. A later request, and from the start one that may run
+# only once, is accepted only if its deadline is before that end. Otherwise it is
+# refused without being run, and its caller goes to another VM.
 ACCEPT_S = 2.8
 POLL_INTERVAL_S = 0.05
 # How long requests may be in flight to a VM that takes no further connections: a round
@@ -36,11 +37,13 @@
         grace_s: float,
         readiness_ttl_s: float,
         open_requests: Callable[[], int],
+        others_serve: Callable[[], bool] = lambda: True,
     ):
         self._timers = timers
         self._grace_s = grace_s
         self._readiness_ttl_s = readiness_ttl_s
         self._open_requests = open_requests
+        self._others_serve = others_serve
         self._started_at: float | None = None
 
     @property
@@ -58,18 +61,23 @@
         if self._started_at is None:
             self._started_at = self._timers.now()
 
-    def refusal(self, deadline_s: float | None = None) -> Failure | None:
+    def refusal(
+        self, deadline_s: float | None = None, runs_once: bool = False
+    ) -> Failure | None:
         """Return why a new request is refused, None if it is accepted.
 
-        ``deadline_s`` is how long its caller waits for it, None if unknown.
+        ``deadline_s`` is how long it may take, None if unknown. One that ``runs_once``
+        must not be cut, since its caller can't send it again. If no other VM serves,
+        it is accepted like the others, as its caller has nowhere else to go.
         """
         if self._started_at is None:
             return None
         now = self._timers.now()
-        if now - self._started_at < ACCEPT_S:
-            return None
         if deadline_s is not None and now + deadline_s <= self.end_at:
             return None
+        must_end = runs_once and self._others_serve()
+        if not must_end and now - self._started_at < ACCEPT_S:
+            return None
         return Failure(ErrorKind.DRAINING, "this VM is leaving", 0.0)
 
     async def wait(self) -> None:
--- a/hawthornlead/tests/hostile_clients.py
+++ b/hawthornlead/tests/hostile_clients.py
@@ -199,6 +199,10 @@
         await self._store.stop()
         self._folder.cleanup()
 
+    def target(self, name: str) -> PlatformEngine:
+        """Return one of its targets."""
+        return next(each for each in self._targets if each.target == name)
+
     def register(self, target: PlatformEngine) -> None:
         """Write a target's entry to the store."""
         self._store.write("servers", target.target, target.entry())
--- a/hawthornlead/tests/test_gateway_drains.py
+++ b/hawthornlead/tests/test_gateway_drains.py
@@ -10,6 +10,7 @@
 
 from .fakes_clocks import PlayedTimers, run_played
 from .gateways import MODEL, Deployment, ask
+from .hostile_clients import PressedGateway
 
 
 async def test_directory_leaves_a_draining_vm_out_and_it_still_serves():
@@ -60,6 +61,73 @@
         assert answer.whole
 
 
+async def drained_after(gateway, grace_s: float) -> None:
+    """Stop a VM as a signal does, with the given time to finish."""
+    gateway._drain._grace_s = grace_s
+    await gateway.drain()
+    gateway.stop()
+
+
+async def test_a_request_that_may_outlast_the_grace_runs_only_if_it_may_run_again():
+    """Guards against requests that a planned stop cuts and that can't be sent again."""
+    async with Deployment() as deployment:
+        stopping = asyncio.create_task(drained_after(deployment.gateways[0], 6.0))
+        await deployment.until(lambda: deployment.gateways[0]._drain.draining)
+        ran = deployment.plains[0].ran, deployment.plains[1].ran
+        for path, model in (("/unsafe/x", {}), ("/stream/x", {"Model": MODEL})):
+            answer = await deployment.ask(path, **model)
+            assert (answer.status, answer.whole) == (503, True)
+        assert ran == ([], [])
+        sent = {"Deadline_Ms": "2000"}
+        assert (await deployment.ask("/unsafe/x", **sent)).status == 200
+        assert (await deployment.ask("/safe/x", "GET")).status == 200
+        answer = await deployment.ask("/resume/x", Model=MODEL)
+        assert (answer.status, answer.whole) == (200, True)
+        await stopping
+
+
+async def test_a_vm_that_is_alone_takes_requests_while_it_stops():
+    """Guards against callers that are refused where no other VM serves them."""
+    async with Deployment(vms=1) as deployment:
+        stopping = asyncio.create_task(drained_after(deployment.gateways[0], 6.0))
+        await deployment.until(lambda: deployment.gateways[0]._drain.draining)
+        assert (await deployment.ask("/unsafe/x")).status == 200
+        await stopping
+
+
+async def test_a_request_that_outlasts_the_grace_gets_an_answer_without_a_promise():
+    """Guards against a closed connection where a request may have run."""
+    async with Deployment(vms=1) as deployment:
+        for target in deployment.plains:
+            target.work_s = 10.0
+        asking = [
+            asyncio.create_task(deployment.ask("/unsafe/x")),
+            asyncio.create_task(deployment.ask("/safe/x", "GET")),
+        ]
+        await deployment.until(
+            lambda: sum(len(target.ran) for target in deployment.plains) == 2
+        )
+        await drained_after(deployment.gateways[0], 1.0)
+        for answer in await asyncio.gather(*asking):
+            assert (answer.status, answer.whole) == (502, True)
+
+
+async def test_a_process_that_is_stopped_answers_each_request_that_it_took():
+    """Guards against connections that the end of a process closes unanswered."""
+    async with PressedGateway() as gateway:
+        targets = [gateway.target(name) for name in ("p1", "p2")]
+        for target in targets:
+            target.work_s = 30.0
+        asking = asyncio.create_task(
+            gateway.ask("callers", "/unsafe/x", **{"Deadline-Ms": "20000"})
+        )
+        while not any(target.ran for target in targets):
+            await asyncio.sleep(0.01)
+        assert await gateway.terminate() == 0
+        answer = await asking
+        assert (answer.status, answer.whole) == (502, True)
+
+
 def test_what_connects_near_the_end_of_the_grace_period_is_still_answered():
     """Guards against requests that are closed unread as the process ends.
 
