--- a/hawthornlead/answers/answer_readers.py
+++ b/hawthornlead/answers/answer_readers.py
@@ -131,7 +131,6 @@
         bytes of each answer would stay until the next collection of such cycles.
         """
         self._sink = self._give_up = None
-        self._scanner = BodyScanner()
 
     def _reject(self, fault: Fault) -> None:
         self.fault = fault
--- a/hawthornlead/gateway/target_connections.py
+++ b/hawthornlead/gateway/target_connections.py
@@ -267,7 +267,8 @@
         return unread
 
     def _on_read_end(self, task: asyncio.Task) -> None:
-        self._reader.release()
+        if self._reader is not None:
+            self._reader.release()
         # Retrieve the error: a broken connection only means an incomplete answer.
         if not task.cancelled():
             task.exception()
