--- a/hawthornlead/tests/hostile_clients.py
+++ b/hawthornlead/tests/hostile_clients.py
@@ -207,6 +207,10 @@
         """Write a target's entry to the store."""
         self._store.write("servers", target.target, target.entry())
 
+    def remove(self, name: str) -> None:
+        """Remove a target's entry from the store."""
+        self._store.remove("servers", name)
+
     def address(self, role: str) -> str:
         """Return the process's address for callers, peers and so on."""
         return f"127.0.0.1:{self._ports[role]}"
--- a/hawthornlead/tests/standins/endless_target.py
+++ b/hawthornlead/tests/standins/endless_target.py
@@ -33,6 +33,7 @@
         b"%x\r\n%s\r\n" % (CHUNK_BYTES, CHUNK),
     ),
     "body with a large length": (OK + b"Content-Length: 99999999999\r\n\r\n", CHUNK),
+    "unended": (OK + b"Content-Type: text/event-stream\r\n\r\ndata: ", CHUNK),
     "events": (
         OK + b"Transfer-Encoding: chunked\r\n\r\n",
         b"%x\r\n%s\r\n" % (len(EVENTS), EVENTS),
