Bound what the calls of a store hold together, not each alone

Cause: each call may have an answer of 64 MB, and a VM has a call open for each kind that it follows. The class is that of the clients' crowds: a limit on each of several.

WholeAnswerClient counts what its calls hold. Over 32 MB the one that holds most fails, as if its connection had broken, so that an endless answer doesn't take the others with it.

A test of two sound calls beside an endless one fails if the call that asks gives way, or if nothing is released.

--- a/hawthornlead/answers/whole_clients.py
+++ b/hawthornlead/answers/whole_clients.py
@@ -8,6 +8,8 @@
     response = await client.fetch(request, raise_error=False)
 """
 
+from collections.abc import Awaitable
+
 from tornado.http1connection import HTTP1ConnectionParameters
 from tornado.simple_httpclient import (
     HTTPStreamClosedError,
@@ -19,6 +21,10 @@
 from .framing import is_framed
 from .heads import find_fault
 
+# What a client holds of all answers that are coming, where each alone may be as long as
+# its limit. Lists of a store have about a megabyte.
+MAX_HELD_BYTES = 1 << 25
+
 
 class _WholeAnswerCall(_HTTPConnection):
     """One call; it fails at once if its connection ends before the answer."""
@@ -30,6 +36,17 @@
             return
         await super().headers_received(first_line, headers)
 
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        if self.final_callback is None:
+            return None
+        taken = super().data_received(chunk)
+        self.client.bound(self)
+        return taken
+
+    def give_way(self, limit: int) -> None:
+        """Fail, as the answers of all calls have over ``limit`` bytes."""
+        self._fail(HTTPStreamClosedError(f"answers of over {limit} bytes at once"))
+
     def on_connection_close(self) -> None:
         # The parent raises the stream's error here, which only the log gets.
         if self.final_callback is None:
@@ -59,12 +76,38 @@
         )
         return AnswerConnection(stream, True, params)
 
+    def _run_callback(self, response) -> None:
+        self.client.release(self)
+        self.chunks = bytearray()
+        super()._run_callback(response)
+
     def _fail(self, error: Exception) -> None:
         self._handle_exception(type(error), error, error.__traceback__)
 
 
 class WholeAnswerClient(SimpleAsyncHTTPClient):
-    """Tornado's client; a call whose connection breaks fails with ``OSError``."""
+    """Tornado's client; a call whose connection breaks fails with ``OSError``.
+
+    If the answers that are coming have over ``max_held_bytes``, the call that holds
+    most fails likewise.
+    """
+
+    def initialize(self, *, max_held_bytes: int = MAX_HELD_BYTES, **options) -> None:
+        """Set the limits; the other options are those of Tornado's client."""
+        super().initialize(**options)
+        self._max_held_bytes = max_held_bytes
+        self._holding: set[_WholeAnswerCall] = set()
+
+    def bound(self, call: _WholeAnswerCall) -> None:
+        """Count what a call holds, and keep the sum of all within the limit."""
+        self._holding.add(call)
+        if sum(len(each.chunks) for each in self._holding) > self._max_held_bytes:
+            most = max(self._holding, key=lambda each: len(each.chunks))
+            most.give_way(self._max_held_bytes)
+
+    def release(self, call: _WholeAnswerCall) -> None:
+        """Count no more what a call held, as it has ended."""
+        self._holding.discard(call)
 
     def _connection_class(self) -> type:
         return _WholeAnswerCall
--- a/hawthornlead/tests/hostile_clients.py
+++ b/hawthornlead/tests/hostile_clients.py
@@ -20,6 +20,7 @@
 from tornado import httputil
 
 from .gateways import HOST, ClientAnswer, ask, configuration, free_ports
+from .standins.endless_target import EndlessStore
 from .standins.platform_engine import PlatformEngine
 from .standins.platform_store import PlatformStore
 
@@ -146,7 +147,13 @@
 class PressedGateway:
     """One gateway process with its store and targets; ``usage`` is what it uses."""
 
-    def __init__(self, open_files: int | None = None, body_limit: int = BODY_LIMIT):
+    def __init__(
+        self,
+        open_files: int | None = None,
+        body_limit: int = BODY_LIMIT,
+        store_front: EndlessStore | None = None,
+    ):
+        self._store_front = store_front
         self._open_files = open_files
         self._body_limit = body_limit
         self._folder = tempfile.TemporaryDirectory(prefix="pressed-")
@@ -164,6 +171,8 @@
     async def __aenter__(self) -> "PressedGateway":
         """Start all and wait until the process serves."""
         self._store.start()
+        if self._store_front is not None:
+            await self._store_front.begin(self._store.address)
         first = configuration(1)
         first["limits"]["maxBodyBytes"] = self._body_limit
         self._store.write("config", "main", first)
@@ -196,6 +205,8 @@
             await self._process.wait()
         for target in self._targets:
             await target.stop()
+        if self._store_front is not None:
+            await self._store_front.stop()
         await self._store.stop()
         self._folder.cleanup()
 
@@ -236,8 +247,9 @@
     def _write_settings(self) -> Path:
         lines = ["[vm]", "vm_name = vm-1", "data_centre = gijon"]
         lines += [f"{OPTIONS[role]} = {self.address(role)}" for role in ROLES]
-        lines += ["[platform]", f"store_address = {self._store.address}"]
-        lines += [f"vm_list_address = {self._store.address}", "first_start = yes"]
+        store = (self._store_front or self._store).address
+        lines += ["[platform]", f"store_address = {store}"]
+        lines += [f"vm_list_address = {store}", "first_start = yes"]
         path = Path(self._folder.name) / "vm.ini"
         path.write_text("\n".join(lines) + "\n")
         return path
--- a/hawthornlead/tests/standins/endless_target.py
+++ b/hawthornlead/tests/standins/endless_target.py
@@ -122,6 +122,27 @@
         own.close()
 
 
+class EndlessStore(EndlessTarget):
+    """A front of a store, whose answers have no end once ``endless`` is set."""
+
+    def __init__(self, how: str):
+        super().__init__("store", "", how)
+        self.endless = False
+
+    async def begin(self, sound: str) -> None:
+        """Listen in front of a ``sound`` store."""
+        await super().begin()
+        self._sound = sound
+
+    async def _take(self, head: bytes, reader, writer) -> None:
+        length = int(_fields(head).get(b"content-length", b"0"))
+        body = await reader.readexactly(length)
+        if self.endless:
+            await self._answer_endlessly(b"", writer)
+            return
+        await self._forward(head + body, writer)
+
+
 def _fields(head: bytes) -> dict[bytes, bytes]:
     fields = {}
     for line in head.split(b"\r\n")[1:]:
--- a/hawthornlead/tests/test_endless_reports.py
+++ b/hawthornlead/tests/test_endless_reports.py
@@ -1,4 +1,4 @@
-"""Engines in trouble whose reports go on until their reader closes."""
+"""Engines and stores in trouble, whose answers go on until their reader closes."""
 
 import asyncio
 
@@ -6,7 +6,7 @@
 
 from .gateways import MODEL
 from .hostile_clients import PressedGateway
-from .standins.endless_target import EndlessTarget
+from .standins.endless_target import EndlessStore, EndlessTarget
 
 ENGINES = 12
 LASTS_S = 8.0
@@ -59,3 +59,15 @@
         gateway.usage.assert_within()
         await plain.stop()
         await engine.stop()
+
+
+@pytest.mark.parametrize("how", ["body without length", "body in chunks"])
+async def test_a_store_with_endless_answers_fills_no_memory(how):
+    """Guards against a VM that ends for memory by what a store in trouble sends."""
+    store = EndlessStore(how)
+    async with PressedGateway(store_front=store) as gateway:
+        store.endless = True
+        await asyncio.sleep(LASTS_S)
+        assert store.begun
+        await gateway.assert_serves("callers")
+        gateway.usage.assert_within()
--- a/hawthornlead/tests/test_released_answers.py
+++ b/hawthornlead/tests/test_released_answers.py
@@ -28,6 +28,7 @@
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 PART = b"x" * (MOST_BYTES // 2)
 CHUNK = b"%x\r\n%s\r\n" % (len(PART), PART)
+SOUND = HEAD + b"Content-Length: 1000\r\n\r\n" + PART[:1000]
 ANSWERS = {
     "whole": HEAD + b"Content-Length: %d\r\n\r\n" % len(PART) + PART,
     "too long": HEAD + b"\r\n" + PART * 3,
@@ -113,3 +114,18 @@
             for _ in range(READS):
                 await read(target.address)
             assert held_bytes() - before < len(PART)
+
+
+async def test_the_call_that_holds_most_gives_way_to_the_others():
+    """Guards against sound answers that are lost as another one has no end."""
+    client = WholeAnswerClient(force_instance=True, max_held_bytes=MOST_BYTES)
+    endless = HEAD + b"\r\n" + PART * 8
+    async with ScriptedTarget([endless]) as large, ScriptedTarget([SOUND]) as small:
+        urls = [f"http://{each.address}/x" for each in (large, small, small)]
+        got = await asyncio.gather(
+            *[client.fetch(url, request_timeout=LONGEST_S) for url in urls],
+            return_exceptions=True,
+        )
+    assert "at once" in str(got[0])
+    assert [each.body for each in got[1:]] == [PART[:1000]] * 2
+    client.close()
