--- a/hawthornlead/tests/standins/broken_target.py
+++ b/hawthornlead/tests/standins/broken_target.py
@@ -52,6 +52,18 @@
 }
 
 
+def with_no_status(answer: bytes, pick: int) -> bytes:
+    """Return an answer whose status is one that HTTP doesn't know."""
+    version, _, rest = answer.split(b" ", 2)
+    return b" ".join((version, NO_STATUSES[pick % len(NO_STATUSES)], rest))
+
+
+def with_no_field(answer: bytes, pick: int) -> bytes:
+    """Return an answer with a line in its head that is no field."""
+    start, _, rest = answer.partition(b"\r\n")
+    return b"\r\n".join((start, NO_FIELDS[pick % len(NO_FIELDS)], rest))
+
+
 class BrokenTarget(EndlessTarget):
     """A target whose answers to requests are broken."""
 
--- a/hawthornlead/tests/standins/fuzzed_target.py
+++ b/hawthornlead/tests/standins/fuzzed_target.py
@@ -20,6 +20,7 @@
 from tornado.netutil import bind_sockets
 
 from ..fuzz_judge import Sent
+from .broken_target import with_no_field, with_no_status
 from .endless_target import EndlessTarget, _fields
 from .platform_engine import PlatformEngine
 
@@ -39,6 +40,8 @@
     "extra",
     "closes",
     "endless",
+    "bad-status",
+    "bad-field",
 )
 # Those that leave the connection to be used again, if they are a framed success.
 KEPT_KINDS = frozenset(("late", "late-cut", "idle", "idle-cut", "closes"))
@@ -350,6 +353,10 @@
             return wire + noise, ends, True, body
         if plan.kind == "endless":
             return ENDLESS, "open", False, body
+        if plan.kind == "bad-status":
+            return with_no_status(wire, plan.noise), "open", False, b""
+        if plan.kind == "bad-field":
+            return with_no_field(wire, plan.noise), "open", False, b""
         if plan.kind != "noise-inside":
             return wire, ends, True, body
         noise = NOISE_INSIDE[plan.noise % len(NOISE_INSIDE)]
