--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -91,13 +91,11 @@
         self._callers = RequestServer(callers_at, self._serve, account, now, max_body)
         self._relayed = RequestServer(relayed_at, self._serve_relayed, account, now)
         self._add_gauges(metrics, targets.loads)
-        self._forwards: set[RequestForward] = set()
         self._drain = Drain(
             timers=core.timers,
             grace_s=settings["GRACE_S"],
             readiness_ttl_s=ADDRESSES_TTL_S,
             open_requests=self._open_requests,
-            others_serve=self._others_serve,
         )
         self._fleet_view = FleetView(
             memberships=self._memberships,
@@ -149,8 +147,6 @@
         self._callers.stop()
         self._relayed.stop()
         await self._drain.settle()
-        for forward in self._forwards:
-            forward.end()
 
     def stop(self) -> None:
         """Stop everything, and abort open requests."""
@@ -193,17 +189,11 @@
     async def _serve(self, call: CallerCall) -> None:
         call.closing = self._drain.draining
         forward = RequestForward(self._parts, call)
-        refusal = forward.malformed
-        if refusal is None and self._drain.draining:
-            refusal = self._drain.refusal(forward.longest_s, forward.runs_once)
+        refusal = forward.malformed or self._drain.refusal(forward.deadline_s)
         if refusal is not None:
             forward.refuse(refusal)
             return
-        self._forwards.add(forward)
-        try:
-            await forward.run()
-        finally:
-            self._forwards.discard(forward)
+        await forward.run()
 
     async def _serve_relayed(self, call: CallerCall) -> None:
         """Serve a request that another VM passes on."""
@@ -213,11 +203,6 @@
             return
         await forward.run()
 
-    def _others_serve(self) -> bool:
-        """Whether a caller that is refused here finds another VM."""
-        own = self._settings["CALLER_ADDRESS"]
-        return any(each != own for each in self._memberships.entry_addresses())
-
     def _open_requests(self) -> int:
         """Return how many requests are being read or answered."""
         return self._callers.open + self._relayed.open
--- a/hawthornlead/gateway/request_forwards.py
+++ b/hawthornlead/gateway/request_forwards.py
@@ -75,19 +75,10 @@
         self._first_counted = self._ledger.sent > 0
 
     @property
-    def longest_s(self) -> float | None:
-        """How long the request may take, None if neither caller nor route says it."""
-        route = self._matched_route()
-        limits_ms = [] if route is None else [route.timeout_ms]
-        if self._request.deadline_ms is not None:
-            limits_ms.append(self._request.deadline_ms)
-        return min(limits_ms) / 1000 if limits_ms else None
-
-    @property
-    def runs_once(self) -> bool:
-        """Whether the request can't be sent again once it may have run."""
-        route = self._matched_route()
-        return route is not None and not (route.repeatable or route.resumable)
+    def deadline_s(self) -> float | None:
+        """How long the caller waits, None if it doesn't say."""
+        deadline_ms = self._request.deadline_ms
+        return None if deadline_ms is None else deadline_ms / 1000
 
     @property
     def malformed(self) -> Failure | None:
@@ -101,7 +92,7 @@
             unknown = Failure(ErrorKind.NOT_READY, "no configuration yet", 0.3)
             self._reporter.refuse(unknown)
             return
-        route = self._matched_route()
+        route = parts.routes.match(self._call.headers.get("Host", ""), self._call.path)
         if route is None:
             self._refuse_unknown(Failure(ErrorKind.NOT_FOUND, "no route"))
             return
@@ -112,13 +103,6 @@
         workspace = found.ok_value
         await self._serve_for(workspace, ranked(route, workspace))
 
-    def end(self) -> None:
-        """Answer what has no answer yet, as the process ends and sends nothing more.
-
-        A caller can't tell a closed connection from an answer that is lost.
-        """
-        self._reporter.refuse(Failure(ErrorKind.DRAINING, "this VM has ended", 0.0))
-
     def can_take_relayed(self) -> bool:
         """Whether this VM can serve a request that another VM passes on.
 
@@ -130,17 +114,10 @@
             return False
         if parts.configuration.version < self._origin.configuration:
             return False
-        route = self._matched_route()
+        route = parts.routes.match(self._call.headers.get("Host", ""), self._call.path)
         services = route.services if route is not None else ()
         return not any(parts.paths.is_unreachable(each.service) for each in services)
 
-    def _matched_route(self) -> Route | None:
-        """Return the route by the configuration in force, None if there is none."""
-        routes = self._parts.routes
-        if routes is None:
-            return None
-        return routes.match(self._call.headers.get("Host", ""), self._call.path)
-
     async def _serve_for(self, workspace: Workspace | None, route: Route) -> None:
         """Serve the request at its route, for a workspace if it has one."""
         wait_ms = route.timeout_ms
