--- a/hawthornlead/gateway/drains.py
+++ b/hawthornlead/gateway/drains.py
@@ -4,6 +4,8 @@
 
 from ..errors import ErrorKind, Failure
 from ..timers import TimerService
+from .records import Route
+from .request_forwards import RequestForward
 
 # Callers cache a readiness answer three times as long as it allows, some even longer.
 MAX_CACHE_FACTOR = 3
@@ -45,6 +47,7 @@
         self._open_requests = open_requests
         self._others_serve = others_serve
         self._started_at: float | None = None
+        self._running: set[RequestForward] = set()
 
     @property
     def draining(self) -> bool:
@@ -80,6 +83,33 @@
             return None
         return Failure(ErrorKind.DRAINING, "this VM is leaving", 0.0)
 
+    async def serve(
+        self, forward: RequestForward, match: Callable[[], Route | None]
+    ) -> None:
+        """Serve a request, or refuse it; ``match`` returns its route, None if none."""
+        refusal = forward.malformed
+        if refusal is None and self.draining:
+            refusal = self.refusal_at(match(), forward.deadline_s)
+        if refusal is not None:
+            forward.refuse(refusal)
+            return
+        self._running.add(forward)
+        try:
+            await forward.run()
+        finally:
+            self._running.discard(forward)
+
+    def refusal_at(
+        self, route: Route | None, deadline_s: float | None
+    ) -> Failure | None:
+        """Return why a new request at a route is refused, None if it is accepted."""
+        if route is None:
+            return self.refusal(deadline_s)
+        timeout_s = route.timeout_ms / 1000
+        longest_s = timeout_s if deadline_s is None else min(timeout_s, deadline_s)
+        runs_once = not (route.repeatable or route.resumable)
+        return self.refusal(longest_s, runs_once)
+
     async def wait(self) -> None:
         """Wait until no request is open and cached answers expired, or grace ends.
 
@@ -103,3 +133,11 @@
             if self._timers.now() >= settled_at and not self._open_requests():
                 return
             await self._timers.sleep(POLL_INTERVAL_S)
+
+    def end(self) -> None:
+        """Answer what has no answer yet, as the process ends and sends nothing more.
+
+        A caller can't tell a closed connection from an answer that is lost.
+        """
+        for forward in tuple(self._running):
+            forward.refuse(Failure(ErrorKind.DRAINING, "this VM has ended", 0.0))
--- a/hawthornlead/gateway/gateways.py
+++ b/hawthornlead/gateway/gateways.py
@@ -38,6 +38,7 @@
 from .records import StoredRecord
 from .request_forwards import RequestForward
 from .request_servers import RequestServer
+from .routes import match_call
 from .store_retries import StoreRetries
 from .target_entries import effective_entry
 from .target_loads import TargetLoads
@@ -96,6 +97,7 @@
             grace_s=settings["GRACE_S"],
             readiness_ttl_s=ADDRESSES_TTL_S,
             open_requests=self._open_requests,
+            others_serve=self._memberships.others_serve,
         )
         self._fleet_view = FleetView(
             memberships=self._memberships,
@@ -147,6 +149,7 @@
         self._callers.stop()
         self._relayed.stop()
         await self._drain.settle()
+        self._drain.end()
 
     def stop(self) -> None:
         """Stop everything, and abort open requests."""
@@ -189,11 +192,7 @@
     async def _serve(self, call: CallerCall) -> None:
         call.closing = self._drain.draining
         forward = RequestForward(self._parts, call)
-        refusal = forward.malformed or self._drain.refusal(forward.deadline_s)
-        if refusal is not None:
-            forward.refuse(refusal)
-            return
-        await forward.run()
+        await self._drain.serve(forward, lambda: match_call(self._parts.routes, call))
 
     async def _serve_relayed(self, call: CallerCall) -> None:
         """Serve a request that another VM passes on."""
--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -361,6 +361,12 @@
         self._rng.shuffle(addresses)
         return tuple(addresses[:MAX_ADDRESSES])
 
+    def others_serve(self) -> bool:
+        """Whether a caller that is refused here finds another VM."""
+        return any(
+            each != self._record.caller_address for each in self.entry_addresses()
+        )
+
     def _entry_vms(self) -> list[tuple[PeerInfo, VmRecord]]:
         """Return the other VMs that serve callers, with their registrations."""
         self._refresh()
--- a/hawthornlead/gateway/routes.py
+++ b/hawthornlead/gateway/routes.py
@@ -9,6 +9,7 @@
 
 from random import Random
 
+from .caller_calls import CallerCall
 from .records import Route
 
 
@@ -34,6 +35,13 @@
         return None
 
 
+def match_call(routes: RouteTable | None, call: CallerCall) -> Route | None:
+    """Return the route of a call, None if there is none or no configuration."""
+    if routes is None:
+        return None
+    return routes.match(call.headers.get("Host", ""), call.path)
+
+
 def choose_service(route: Route, rng: Random) -> str:
     """Return a random service of the route, in proportion to the weights."""
     if len(route.services) == 1:
