--- a/hawthornlead/answers/heads.py
+++ b/hawthornlead/answers/heads.py
@@ -34,7 +34,7 @@
 
 
 _DETAILS = {
-    Fault.STATUS: "its status is none",
+    Fault.STATUS: "its status is invalid",
     Fault.JOINED_HEAD: "another response begins inside its head",
     Fault.JOINED_BODY: "another response begins inside its body",
 }
