Give versions that the store has lost to VMs that listed its copy

Cause: after a drill the store shows configuration 9 where all VMs keep 13. The kept version has its revision of the former era, which is below that of any listing of the copy. A VM that listed first asked for what came after its listing, so that version was left out of the answer, and ignored where it came. Until the operator wrote it again that VM served by the older one. In a small fleet each VM that starts lists first; the test passed only when its own fetch was faster. By the same cause a relay elected after the drill took the version, written again, for known to all, and didn't forward it.

Change: KindRecords names the versions that the store has lost, and takes newer ones of a former era. A page for another VM has them whatever revision it asks from. Relays tell a digest in their heartbeats, and a VM with another one fetches from them, once for a digest. A VM that starts in an era that isn't settled fetches before its first listing counts, for 1 s at most.

--- a/hawthornlead/gateway/change_logs.py
+++ b/hawthornlead/gateway/change_logs.py
@@ -47,8 +47,11 @@
         self._since = known.quiet_since
         self._until = known.until
         self._seen: dict[str, Any] = {}
+        # Other VMs may know what the current era shows in place of a lost version, and
+        # have to be told when that is written again.
+        lost = known.lost_versions
         for name, record in known.records.items():
-            if record.revision <= self._until:
+            if record.revision <= self._until and name not in lost:
                 self._seen[name] = known.effective_content_of(record)
 
     @property
--- a/hawthornlead/gateway/kind_records.py
+++ b/hawthornlead/gateway/kind_records.py
@@ -8,6 +8,7 @@
     known.until
 """
 
+import zlib
 from collections.abc import Callable, Iterable
 from typing import Any
 
@@ -18,6 +19,8 @@
 
 # The revision of a VM that knows nothing yet; the store counts from above 0.
 NO_REVISION = -1
+# The digest of lost versions where there are none.
+NONE_LOST = 0
 _NO_CONTENT = object()
 _UNREADABLE = object()
 
@@ -39,7 +42,8 @@
 
     With ``version_of``, the writer of the objects counts their versions up and never
     removes one: an object that a new era shows at a lower version, or lacks, stays as
-    it is until it is written again.
+    it is until it is written again. ``lost_versions`` names these objects, and
+    ``keep_versions`` takes them from other VMs.
     """
 
     def __init__(
@@ -70,6 +74,25 @@
         self._until = NO_REVISION
         self._quiet_since = NO_REVISION
         self._restored_until = NO_REVISION
+        self._lost: set[str] = set()
+
+    @property
+    def counts_versions(self) -> bool:
+        """Whether the writer of the objects counts their versions up."""
+        return self._version_of is not None
+
+    @property
+    def lost_versions(self) -> frozenset[str]:
+        """The names of objects in force that are newer than in the current era."""
+        return frozenset(self._lost)
+
+    @property
+    def lost_digest(self) -> int:
+        """A digest of the lost versions, equal at VMs that keep the same ones."""
+        if not self._lost:
+            return NONE_LOST
+        lost = [(name, self._records[name].revision) for name in sorted(self._lost)]
+        return zlib.crc32(repr(lost).encode())
 
     @property
     def records(self) -> dict[str, StoredRecord]:
@@ -149,6 +172,18 @@
             self._advance(until, self._quiet_since)
         return True
 
+    def keep_versions(self, records: Iterable[StoredRecord]) -> None:
+        """Put versions of former eras in force that are newer than the known ones.
+
+        The store has lost them, so that no listing of the current era shows them.
+        """
+        for record in records:
+            known = self._records.get(record.name)
+            if era_of(record.revision) >= era_of(self._until):
+                continue
+            if self._is_newer_version(record, known):
+                self._put(record)
+
     def effective_content_of(self, record: StoredRecord) -> Any:
         """Return an object's effective content, one value for all unreadable."""
         try:
@@ -159,6 +194,7 @@
     def apply_again(self, name: str) -> None:
         """Pass on an object again that ``on_changed`` didn't take."""
         record = self._records.pop(name, None)
+        self._lost.discard(name)
         if record is not None:
             self._store(record)
 
@@ -170,9 +206,13 @@
         self._quiet_since = quiet_since
         if until <= self._until:
             return
-        if self._until != NO_REVISION and era_of(until) > era_of(self._until):
+        new_era = era_of(until) > era_of(self._until)
+        if self._until != NO_REVISION and new_era:
             self._restored_until = until
         self._until = until
+        if new_era:
+            for record in self._records.values():
+                self._mark_lost(record)
         if self._removed:
             kept = {name: at for name, at in self._removed.items() if at > until}
             self._removed = kept
@@ -192,7 +232,11 @@
             return
         if known is not None and self._takes_back(known, record):
             return
+        self._put(record)
+
+    def _put(self, record: StoredRecord) -> None:
         self._records[record.name] = record
+        self._mark_lost(record)
         try:
             effective_content = self._read_effective_content(record)
             if effective_content == self._effective_contents.get(
@@ -207,6 +251,25 @@
             return
         self._effective_contents[record.name] = effective_content
 
+    def _mark_lost(self, record: StoredRecord) -> None:
+        """Note whether the store has lost an object that is in force."""
+        former = era_of(record.revision) < era_of(self._until)
+        if former and self.counts_versions:
+            self._lost.add(record.name)
+        else:
+            self._lost.discard(record.name)
+
+    def _is_newer_version(
+        self, record: StoredRecord, known: StoredRecord | None
+    ) -> bool:
+        if self._version_of is None:
+            return False
+        try:
+            version = self._version_of(record)
+            return known is None or version > self._version_of(known)
+        except ValueError:
+            return False
+
     def _takes_back(self, known: StoredRecord, record: StoredRecord) -> bool:
         """Whether an object of a new era has a lower version than the known one."""
         if self._version_of is None or not _is_of_later_era(record.revision, known):
@@ -255,6 +318,7 @@
         if known is None:
             return
         del self._records[name]
+        self._lost.discard(name)
         self._effective_contents.pop(name, None)
         self._on_deleted(name)
 
--- a/hawthornlead/gateway/memberships.py
+++ b/hawthornlead/gateway/memberships.py
@@ -210,6 +210,11 @@
         """Return a VM's registration, None if it is unknown."""
         return self._registered_order.records.get(vm)
 
+    @property
+    def has_registered_others(self) -> bool:
+        """Whether other VMs are registered, which may have ended since."""
+        return any(vm != self.vm for vm in self._registered_order.records)
+
     def live(self) -> tuple[str, ...]:
         """Return this VM and the recently seen VMs that aren't leaving."""
         self._refresh()
--- a/hawthornlead/gateway/watch_relays.py
+++ b/hawthornlead/gateway/watch_relays.py
@@ -13,8 +13,10 @@
 
 from collections import defaultdict
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import NamedTuple
 
+from ..copies.record_pages import MAX_RELAYED_BYTES, record_page
 from ..eras.dated_revisions import era_of
 from ..events import EventKind, EventRing
 from ..fleet.fleet_meshes import FleetMesh
@@ -23,13 +25,12 @@
     FetchRecords,
     RelayedChanges,
     RelayedKind,
-    RelayedRecord,
     RelayHeartbeat,
 )
 from ..tasks import TaskSet
 from ..timers import TimerService
 from .change_logs import ChangeBatch, ChangeLog
-from .kind_records import NO_REVISION, KindRecords
+from .kind_records import NO_REVISION, NONE_LOST, KindRecords
 from .memberships import Memberships
 from .records import StoredRecord, StoreEvent
 from .relay_elections import RELAY_HEARTBEAT_TTL_S, RelayElection
@@ -47,13 +48,8 @@
 STORE_PROBE_AFTER_S = 0.45
 RELAY_HEARTBEAT_INTERVAL_S = 0.4
 RELAY_ELECTION_INTERVAL_S = 0.2
-# An object of the store may be as large as the largest message between VMs, by default
-# 1 MiB, and larger once it is escaped. Half of it leaves room for what goes with it.
-MAX_RELAYED_BYTES = 500_000
 # How many VMs to fetch objects from while the store is unavailable.
 MAX_FETCH_SOURCES = 8
-# Objects are fetched from other VMs in messages of about this size.
-FETCH_PAGE_BYTES = 200_000
 
 
 class _Confirmation(NamedTuple):
@@ -105,6 +101,8 @@
         self._confirmations: dict[str, dict[str, _Confirmation]] = defaultdict(dict)
         self._confirmed_kinds_sent: set[str] = set()
         self._missing: set[str] = set()
+        # By kind and relay: the digest of the lost versions that were fetched last.
+        self._lost_fetched: dict[tuple[str, str], int] = {}
         self._fetch_count = 0
         self._relaying = False
         self._election = RelayElection(
@@ -132,6 +130,11 @@
         """
         return self._mesh.large and not self.is_relay
 
+    @property
+    def has_registered_others(self) -> bool:
+        """Whether other VMs are registered, which may have ended since."""
+        return self._memberships.has_registered_others
+
     def start(self) -> None:
         """Start electing relays, and sending heartbeats as a relay."""
         self._update_role()
@@ -241,7 +244,8 @@
         kinds = []
         for kind, log in self._logs.items():
             if kind in self._confirmed_kinds_sent:
-                kinds.append(RelayedKind(kind, log.since, log.until))
+                lost = self._followed[kind].known.lost_digest
+                kinds.append(RelayedKind(kind, log.since, log.until, lost))
         self._mesh.broadcast(RelayHeartbeat(tuple(kinds)))
 
     def _confirmed_kinds(self) -> set[str]:
@@ -268,11 +272,12 @@
         confirmed = {relayed.kind for relayed in kinds}
         for kind in set(self._confirmations) - confirmed:
             self._confirmations[kind].pop(sender.incarnation, None)
-        for kind, since, until in kinds:
+        for kind, since, until, lost in kinds:
             self._confirmations[kind][sender.incarnation] = _Confirmation(
                 self._timers.now(), since
             )
             self._apply_changes(sender.vm, RelayedChanges(kind, since, until, ()))
+            self._compare_lost_versions(sender.vm, kind, lost)
 
     async def _on_changes(self, sender, message: RelayedChanges) -> None:
         self._client.eras.observe_revision(message.until)
@@ -303,6 +308,15 @@
 
     # Fetching from other VMs
 
+    def _compare_lost_versions(self, relay: str, kind: str, lost: int) -> None:
+        """Fetch a relay's versions that the store has lost, unless they are known."""
+        known = self._followed[kind].known
+        if known.until == NO_REVISION or lost in (NONE_LOST, known.lost_digest):
+            return
+        if self._lost_fetched.get((kind, relay)) != lost:
+            fetch = partial(self._fetch_lost_versions, kind, relay, lost)
+            self._tasks.spawn_once(f"lost {kind}", fetch)
+
     async def fetch_at_start(self, kind: str) -> bool:
         """Fetch all objects of a kind from a source; return False if there is none."""
         sources = self._sources()
@@ -365,33 +379,16 @@
             after = page.names[-1]
         if until > since or until == NO_REVISION:
             known.apply_changes(since, until, tuple(events), tuple(names))
+        known.keep_versions(event.record for event in events if not event.deleted)
         return True
 
+    async def _fetch_lost_versions(self, kind: str, relay: str, lost: int) -> None:
+        """Fetch versions that a relay keeps though the store has lost them."""
+        if await self._fetch_from(relay, kind):
+            self._lost_fetched[kind, relay] = lost
+
     async def _on_fetch(self, sender, message: FetchRecords) -> FetchedRecords:
         followed = self._followed.get(message.kind)
-        if followed is None or followed.known.until == NO_REVISION:
+        if followed is None:
             return FetchedRecords(False, (), False)
-        records, until = followed.known.records, followed.known.until
-        if until <= message.since:
-            return FetchedRecords(True, (), False, until)
-        relayed_records: list[RelayedRecord] = []
-        names: list[str] = []
-        size = 0
-        for name in sorted(name for name in records if name > message.after):
-            if size > FETCH_PAGE_BYTES:
-                return FetchedRecords(
-                    True, tuple(relayed_records), True, until, tuple(names)
-                )
-            names.append(name)
-            size += len(name)
-            if records[name].revision <= message.since:
-                continue
-            relayed = relayed_record(name, records[name], records[name].revision)
-            if relayed.size > MAX_RELAYED_BYTES:
-                # It is listed once the store is available again; the other objects must
-                # not wait for it.
-                until = NO_REVISION
-                continue
-            size += relayed.size
-            relayed_records.append(relayed)
-        return FetchedRecords(True, tuple(relayed_records), False, until, tuple(names))
+        return record_page(followed.known, message)
--- a/hawthornlead/gateway/watchers.py
+++ b/hawthornlead/gateway/watchers.py
@@ -50,6 +50,9 @@
 # that is overloaded or silent would delay the start by the time-out of a call, 1 s.
 STALE_LISTING_WAIT_S = 0.25
 STALE_LISTING_POLL_S = 0.02
+# A VM that starts while an era isn't settled looks for this long for another VM that
+# knows what the store has lost.
+LOST_VERSIONS_WAIT_S = 1.0
 # After this pause a starting VM knows whether the fleet is large, if the store answers.
 REGISTRATIONS_WAIT_S = 0.1
 # In a large fleet all VMs lose their relays at once. Their own calls are spread over
@@ -302,6 +305,7 @@
             self._mark_lost(listed.err_value.detail)
             return False
         self._mark_recovered()
+        await self._fetch_lost_versions()
         found = listed.ok_value
         if found.revision < known_until:
             self._events.emit(
@@ -318,6 +322,22 @@
         self._relays.on_listed(self._kind, found.revision, found.events)
         return True
 
+    async def _fetch_lost_versions(self) -> None:
+        """Fetch what other VMs know before a first listing that may lack versions.
+
+        It is put in force without them if no VM that knows them is found in time.
+        """
+        if self._listed or not self._known.counts_versions:
+            return
+        if self._settlement is None or await self._settlement.ensure():
+            return
+        until = self._timers.now() + LOST_VERSIONS_WAIT_S
+        await self._timers.sleep(REGISTRATIONS_WAIT_S)
+        while self._relays.has_registered_others and self._timers.now() < until:
+            if await self._relays.fetch(self._kind):
+                return
+            await self._timers.sleep(FETCH_RETRY_S)
+
     async def _watch(self, wait_s: float) -> bool:
         """Wait for changes once; False if the history is gone or the call failed."""
         started_at = self._timers.now()
--- a/hawthornlead/messages/gateways.py
+++ b/hawthornlead/messages/gateways.py
@@ -288,7 +288,8 @@
 class FetchRecords(NamedTuple):
     """Request the store's objects of a kind that a VM knows, after a name.
 
-    Objects that haven't changed after the revision ``since`` are only named.
+    Objects that haven't changed after the revision ``since`` are only named, except
+    versions that the store has lost.
     """
 
     kind: str
@@ -314,12 +315,14 @@
 class RelayedKind(NamedTuple):
     """A kind that a relay watches: there was no effective change after ``since``.
 
-    The relay has forwarded all changes up to the revision ``until``.
+    The relay has forwarded all changes up to the revision ``until``. ``lost`` is a
+    digest of the versions that it keeps though the store has lost them, 0 for none.
     """
 
     kind: str
     since: int
     until: int
+    lost: int = 0
 
 
 @message("target-leaves")
--- a/hawthornlead/tests/following_vms.py
+++ b/hawthornlead/tests/following_vms.py
@@ -63,7 +63,7 @@
 class FollowingVm:
     """One VM's view of all kinds, kept as a gateway keeps it."""
 
-    def __init__(self, network, timers, client, name):
+    def __init__(self, network, timers, client, name, **settings):
         self.mesh = network.join(name)
         self.mesh.heartbeat_source = lambda: Heartbeat(0, 0, False, 0, 1, 0.0)
         self.events = EventRing(name, HybridClock(timers))
@@ -95,6 +95,7 @@
             now=timers.now,
         )
         self.version = 0
+        self.versions = []
         self.gone = []
         self.targets.subscribe(lambda incarnation, loss: self.gone.append(incarnation))
         common = {
@@ -105,6 +106,7 @@
             "relays": self.relays,
             "retries": StoreRetries(timers),
             "metrics": self.metrics,
+            **settings,
         }
         self.watchers = {
             TARGETS_KIND: KindWatcher(
@@ -187,6 +189,7 @@
 
     def _take_configuration(self, record):
         version = read_configuration(record).version
+        self.versions.append(version)
         self.version = max(self.version, version)
 
 
@@ -206,10 +209,10 @@
         }
         self._number = 0
 
-    def add(self, name):
-        """Start one more VM."""
+    def add(self, name, **settings):
+        """Start one more VM, with further settings of its watchers."""
         client = self._make_client(name)
-        vm = FollowingVm(self.network, self.timers, client, name)
+        vm = FollowingVm(self.network, self.timers, client, name, **settings)
         vm.start()
         self.vms.append(vm)
         return vm
--- a/hawthornlead/tests/test_change_logs.py
+++ b/hawthornlead/tests/test_change_logs.py
@@ -332,3 +332,24 @@
     mutate(monkeypatch)
     with pytest.raises(AssertionError):
         run_state_machine_as_test(Spreading, settings=SEARCH)
+
+
+def test_a_lost_version_that_is_written_again_is_forwarded():
+    """Guards against VMs that listed a copy, whose relay knew the version before."""
+    events = EventRing("vm", HybridClock(ManualTimerService()))
+    known = KindRecords(
+        "things",
+        events=events,
+        on_changed=lambda record: None,
+        on_deleted=lambda name: None,
+        effective_content=lambda record: record.spec["n"],
+        version_of=lambda record: record.spec["n"],
+    )
+    lost = StoredRecord("a", dated_revision(1, 9), {"n": 4}, None)
+    copied = StoredRecord("a", dated_revision(2, 5), {"n": 3}, None)
+    known.apply_listing(dated_revision(1, 9), [lost])
+    known.apply_listing(dated_revision(2, 5), [copied])
+    log = ChangeLog(known)
+    again = StoreEvent(lost._replace(revision=dated_revision(2, 6)), False)
+    batch = log.watched(dated_revision(2, 5), dated_revision(2, 6), [again])
+    assert batch is not None and batch.events == (again,)
