Don't take an own standstill for silence of the VM that runs a request

Callers got 502 for a request that another VM was running, after the VM that had relayed it stood still for 1 s.

Cause: RequestRelay polls whether the other VM was seen lately. After a standstill the poll fires before what that VM sent meanwhile is read, so all other VMs look silent.

Elsewhere a VM that looks silent for a moment delays a claim or an order and ends nothing.

--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -156,12 +156,14 @@
         """Wait for the end of the answer, of the caller, of the VM or of the time."""
         waiting = {exchange.ended, self._call.gone}
         while not any(each.done() for each in waiting) and self.remaining_s > 0:
+            polled_at = self._parts.timers.now()
+            wait_s = min(self.remaining_s, POLL_INTERVAL_S)
             await asyncio.wait(
-                waiting,
-                timeout=min(self.remaining_s, POLL_INTERVAL_S),
-                return_when=asyncio.FIRST_COMPLETED,
+                waiting, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
             )
-            if self._is_lost(vm, sink):
+            # After a standstill of this VM, what others sent meanwhile isn't read yet.
+            late = self._parts.timers.now() - polled_at > wait_s + MAX_LAG_S
+            if not late and self._is_lost(vm, sink):
                 return
 
     def _is_lost(self, vm: str, sink: StreamRelay | WholeAnswer) -> bool:
--- a/hawthornlead/tests/test_request_relays.py
+++ b/hawthornlead/tests/test_request_relays.py
@@ -1,17 +1,24 @@
 """Requests that a VM without paths to targets relays to another VM."""
 
 import asyncio
+import time
 from contextlib import asynccontextmanager
 
 from result import Err
 
 from hawthornlead.errors import ErrorKind, Failure
-from hawthornlead.gateway.request_relays import CONNECT_TIMEOUT_S, MAX_LAG_S
+from hawthornlead.gateway.request_relays import (
+    CONNECT_TIMEOUT_S,
+    MAX_LAG_S,
+    POLL_INTERVAL_S,
+)
 from hawthornlead.gateway.vm_relays import NOT_TAKEN
 
 from .cut_paths import Cut, cut_paths
 from .gateways import MODEL, Deployment, ask, configuration, route
 
+# Longer than the silence after which a VM isn't taken for live any more.
+STANDSTILL_S = 1.2
 KEY = "6msvcus9h44hg6vx2neb"
 RESOLVE = "/v1/resolve?name=office.example&zone=gijon"
 
@@ -146,6 +153,20 @@
         assert len(runs(deployment)) == 1
 
 
+async def test_a_relayed_request_outlives_a_standstill_of_the_vm_that_relays_it():
+    """Guards against 502 for a request that another VM is running, after a pause."""
+    async with Deployment() as deployment, unreaching(deployment):
+        for target in deployment.plains:
+            target.work_s = 2 * STANDSTILL_S
+        asking = asyncio.create_task(deployment.ask("/unsafe/x", Deadline_Ms="6000"))
+        await deployment.until(lambda: runs(deployment))
+        await asyncio.sleep(POLL_INTERVAL_S)
+        time.sleep(STANDSTILL_S)
+        answer = await asking
+        assert (answer.status, answer.whole) == (200, True)
+        assert len(runs(deployment)) == 1
+
+
 async def test_a_stream_that_flows_outlives_a_silent_mesh():
     """Guards against a sound stream that is cut since heartbeats of its VM are late."""
     async with Deployment() as deployment, unreaching(deployment):
