Test of batches by priority: let all requests wait before one runs

Traced: it took for granted that the connections of p1 and p2 are made within the 8 ms in which p0 runs. Where that of p2 comes later, p1 rightly goes first.

Now the engine runs nothing until all three wait, and the order of all three is checked, not of two. With the order by priority taken out of the stand-in the test fails.

--- a/hawthornlead/tests/test_standins.py
+++ b/hawthornlead/tests/test_standins.py
@@ -302,16 +302,18 @@
 
 
 async def test_engine_batches_by_priority(engine):
-    engine.set_faults(max_running=1)
     await call(engine.address, "/orders", order("load"))
-    await asyncio.gather(
-        *[
-            call(engine.address, "/v1/completions", completion(f"p{p}", priority=p))
-            for p in (0, 1, 2)
-        ]
-    )
+    engine.set_faults(max_running=0)
+    calls = [
+        call(engine.address, "/v1/completions", completion(f"p{p}", priority=p))
+        for p in (0, 1, 2)
+    ]
+    asking = asyncio.gather(*calls)
+    await until(lambda: len(engine.batch.queued) == len(calls))
+    engine.set_faults(max_running=1)
+    await asking
     started = {run["id"]: run["started"] for run in engine.runs}
-    assert started["p2"] < started["p1"]
+    assert started["p2"] < started["p1"] < started["p0"]
     assert engine.batch.step_fill == 1.0
 
 
