--- a/hawthornlead/tests/standins/broken_target.py
+++ b/hawthornlead/tests/standins/broken_target.py
@@ -1,4 +1,4 @@
-"""A stand-in of a target in trouble, whose answers have a head that is none.
+"""A stand-in of a target in trouble, whose answers have invalid heads.
 
 It is healthy when probed, and answers each request with ``answer`` on a connection that
 stays open; ``%s`` in it is the request's id::
--- a/hawthornlead/tests/test_broken_heads.py
+++ b/hawthornlead/tests/test_broken_heads.py
@@ -1,4 +1,4 @@
-"""Targets, stores and VMs whose answers have a status or a field that is none."""
+"""Targets, stores and VMs whose answers have an invalid status or field."""
 
 import asyncio
 import random
