Connect once more if the process stood still until the time-out

A VM or daemon that stood still while it connected took a live target, engine or service for unreachable: a time-out that is due is run before the event loop has seen that the connection was established meanwhile. Requests then went to another target or were refused, and orders and reports failed.

RequestRelay had mended this for itself only. Now the pool, by which all connections to targets, VMs and services are made, connects once more after a time-out that fired over 0.1 s late; RequestRelay's own way is gone. Its test delays the connection in the pool now, no longer the call of the pool, and expects the same.

--- a/hawthornlead/connections/connection_pools.py
+++ b/hawthornlead/connections/connection_pools.py
@@ -24,6 +24,8 @@
 from ..timers import TimerService
 
 MAX_PEEKED_BYTES = 1 << 14
+# A time-out that fires this much too late was delayed by this process itself.
+MAX_LAG_S = 0.1
 
 
 class Connection:
@@ -142,8 +144,8 @@
             # With its own timeout the client closes the socket. If it were cancelled
             # from outside, each attempt at an address that doesn't answer would leave
             # a socket open for the minutes until the system gives up.
-            stream = await self._client.connect(
-                host.strip("[]"), int(port), timeout=within_s or self._connect_s
+            stream = await self._connect(
+                host.strip("[]"), int(port), within_s or self._connect_s
             )
         except (OSError, iostream.StreamClosedError, GaveUp) as error:
             detail = f"no connection to {address}: {error or 'timeout'}"
@@ -160,6 +162,20 @@
         )
         return Ok(Connection(stream, self._opened))
 
+    async def _connect(self, host: str, port: int, within_s: float):
+        """Connect, once more if this process stood still meanwhile.
+
+        A time-out that fires late shows nothing about the address, and ends connections
+        that were established during the standstill.
+        """
+        started_at = self._timers.now()
+        try:
+            return await self._client.connect(host, port, timeout=within_s)
+        except GaveUp:
+            if self._timers.now() - started_at <= within_s + MAX_LAG_S:
+                raise
+        return await self._client.connect(host, port, timeout=within_s)
+
     def keep(self, address: str, connection: Connection, keep_s: float) -> None:
         """Keep an idle connection for ``keep_s`` seconds."""
         stream = connection.stream
--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -10,9 +10,6 @@
 
 import asyncio
 
-from result import Result
-
-from ..errors import Failure
 from ..platform.headers import relay_headers
 from ..promises.run_ledgers import RunLedger, prove_not_run
 from ..provenance.origin_tables import StreamOrigin
@@ -37,7 +34,7 @@
 MAX_VMS = 3
 # Another VM accepts a connection in a few milliseconds.
 CONNECT_TIMEOUT_S = 0.3
-# A time-out that fires this much too late was delayed by this VM itself.
+# A poll that comes this much too late was delayed by this VM itself.
 MAX_LAG_S = 0.1
 # How often the other VM is checked for silence while its answer is due.
 POLL_INTERVAL_S = 0.25
@@ -96,7 +93,10 @@
         return RelayOutcome.LOST if self._ledger.ran else RelayOutcome.NOT_TAKEN
 
     async def _relay_to(self, vm: str, route: Route) -> RelayOutcome:
-        opened = await self._open(vm)
+        relay_vms = self._parts.relay_vms
+        opened = await relay_vms.connections.open(
+            relay_vms.address(vm), within_s=CONNECT_TIMEOUT_S
+        )
         if opened.is_err():
             return RelayOutcome.NOT_TAKEN
         exchange = opened.ok_value
@@ -116,19 +116,6 @@
             return self._end_unanswered(vm, exchange, sink)
         return self._end_answered(exchange, sink)
 
-    async def _open(self, vm: str) -> Result[Exchange, Failure]:
-        """Connect to another VM, once more if this one stood still meanwhile.
-
-        A time-out that fires late shows nothing about the other VM.
-        """
-        relay_vms, timers = self._parts.relay_vms, self._parts.timers
-        started_at = timers.now()
-        address = relay_vms.address(vm)
-        opened = await relay_vms.connections.open(address, within_s=CONNECT_TIMEOUT_S)
-        if opened.is_ok() or timers.now() - started_at < CONNECT_TIMEOUT_S + MAX_LAG_S:
-            return opened
-        return await relay_vms.connections.open(address, within_s=CONNECT_TIMEOUT_S)
-
     def _send(self, exchange: Exchange, sink: StreamRelay | WholeAnswer) -> None:
         headers = relay_headers(
             self._call.headers,
--- a/hawthornlead/tests/test_request_relays.py
+++ b/hawthornlead/tests/test_request_relays.py
@@ -4,9 +4,8 @@
 import time
 from contextlib import asynccontextmanager
 
-from result import Err
+from tornado.util import TimeoutError as GaveUp
 
-from hawthornlead.errors import ErrorKind, Failure
 from hawthornlead.gateway.request_relays import (
     CONNECT_TIMEOUT_S,
     MAX_LAG_S,
@@ -137,17 +136,17 @@
 async def test_a_time_out_by_own_delay_is_no_refusal_of_another_vm():
     """Guards against requests refused by a VM that stood still while it connected."""
     async with Deployment() as deployment, unreaching(deployment):
-        connections = deployment.gateways[0]._parts.relay_vms.connections
-        connect = connections.open
+        client = deployment.gateways[0]._parts.relay_vms.connections._pool._client
+        connect = client.connect
         delays = [CONNECT_TIMEOUT_S + 2 * MAX_LAG_S]
 
-        async def connect_late(address, **options):
+        async def connect_late(host, port, **options):
             if not delays:
-                return await connect(address, **options)
+                return await connect(host, port, **options)
             await asyncio.sleep(delays.pop())
-            return Err(Failure(ErrorKind.TARGET_UNREACHABLE, "timeout"))
+            raise GaveUp
 
-        connections.open = connect_late
+        client.connect = connect_late
         answer = await deployment.ask("/unsafe/x")
         assert answer.status == 200
         assert len(runs(deployment)) == 1
