Tests of safe requests beside a target in trouble share their request

test_broken_heads and test_endless_answers held six lines in common: a safe request that the target in trouble has, and that it answers only once a sound one is known. Deployment.ask_before does that for both. Nothing else changes.

--- a/hawthornlead/tests/gateways.py
+++ b/hawthornlead/tests/gateways.py
@@ -142,6 +142,17 @@
         """Enter a target in the store."""
         self.store.write("servers", target.target, target.entry(state))
 
+    async def ask_before(self, target, sound: PlatformEngine) -> ClientAnswer:
+        """Send a safe request, which a target answers once a sound one is known too."""
+        target.may_answer.clear()
+        asking = asyncio.create_task(self.ask("/safe/x", "GET"))
+        await self.until(lambda: target.begun)
+        self.register(sound)
+        known = self.gateways[0]._targets.entries
+        await self.until(lambda: sound.target in known)
+        target.may_answer.set()
+        return await asking
+
     async def add_vm(self, name: str) -> gateways.Gateway:
         """Start one more VM."""
         address = [f"127.0.0.1:{port}" for port in free_ports(5)]
--- a/hawthornlead/tests/test_broken_heads.py
+++ b/hawthornlead/tests/test_broken_heads.py
@@ -103,14 +103,8 @@
 async def test_a_safe_request_with_a_broken_answer_goes_to_another_target(kind):
     """Guards against a broken answer that a caller gets while another target serves."""
     async with broken(kind) as (deployment, (target,), (sound, *_)):
-        target.may_answer.clear()
-        asking = asyncio.create_task(deployment.ask("/safe/x", "GET"))
-        await deployment.until(lambda: target.begun)
-        deployment.register(sound)
-        known = deployment.gateways[0]._targets.entries
-        await deployment.until(lambda: sound.target in known)
-        target.may_answer.set()
-        assert (await asking).status == 200
+        answer = await deployment.ask_before(target, sound)
+        assert answer.status == 200
         assert len(sound.ran) == 1
 
 
--- a/hawthornlead/tests/test_endless_answers.py
+++ b/hawthornlead/tests/test_endless_answers.py
@@ -49,15 +49,9 @@
     """Guards against callers that wait for bytes without end."""
     async with Deployment(vms=1) as deployment:
         target = await endless(deployment, how)
-        target.may_answer.clear()
-        asking = asyncio.create_task(deployment.ask("/safe/x", "GET"))
-        await deployment.until(lambda: target.begun)
         sound = deployment.plains[0]
-        deployment.register(sound)
-        known = deployment.gateways[0]._targets.entries
-        await deployment.until(lambda: sound.target in known)
-        target.may_answer.set()
-        assert (await asking).status == 200
+        answer = await deployment.ask_before(target, sound)
+        assert answer.status == 200
         assert len(sound.ran) == 1
         await assert_closed(deployment, target)
 
