--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -1,10 +1,10 @@
 """What the cases of the second review share: a small deployment between stand-ins.
 
-The gateways are started by the command of the deploy file (``conformance.fleets``). Store
-and targets are those of ``conformance``. A case adds its own targets and callers::
+The gateways are started by the command of the deploy file (``conformance.fleets``).
+Store and targets are those of ``conformance``. A case adds targets and callers::
 
-    async with Rig("127.41") as rig:
-        await rig.start({"edge-1", "edge-2"}, routes)
+    async with Rig("127.44", Path("record.txt")) as rig:
+        await rig.start(["edge-1", "edge-2"], configuration(routes, services))
 """
 
 import asyncio
@@ -24,6 +24,8 @@
 
 HOST = "office.example"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# The zone of all VMs.
+ZONE = "hall-a"
 # From the readiness of the VMs to the first request.
 LEAD_S = 2.0
 
@@ -126,10 +128,13 @@
     async def start(self, names: list[str], body: dict) -> list[Vm]:
         """Write the configuration, and start the VMs until all are ready."""
         self.store.write("config", "main", body)
-        stores = {}
-        for name in names:
-            stores[name] = await self.store.listen(f"{self._net}.0.1", name)
-        await self.fleet.start(stores)
+        for number, name in enumerate(names, start=1):
+            store = await self.store.listen(f"{self._net}.0.1", name)
+            host = f"{self._net}.1.{number}"
+            vm = Vm(name, host, ZONE, Path(self._folder.name), store)
+            self.fleet.vms.append(vm)
+            await self.fleet.start_vm(vm, bootstrap=True)
+        await self.fleet.wait_ready(self.fleet.vms)
         await asyncio.sleep(LEAD_S)
         return self.fleet.vms
 
