Count unanswered probes anew once the target sends data

Cause: a target is probed after each 0.35 s without data. Behind the partition each probe is refused at once, for all of the service, and counts as unanswered. Data in between didn't set the count back, so five pauses of 0.35 s passed for a silence of 1.6 s.

Ruled out: the refusal as a strong proof (the log says "answers no calls", as all targets of the service refused), a silence of the streams (events 0.4 s apart on both sides).

Change: TargetLiveness.on_activity sets the count back as data arrives and reports a proof that was wrong; the check at the end of an attempt, which did this too late, goes.

Watched, with its list of probes, moves from test_loss_detectors.py to a module of its own; its tests are as they were.

--- a/hawthornlead/gateway/loss_detectors.py
+++ b/hawthornlead/gateway/loss_detectors.py
@@ -103,7 +103,7 @@
         now = self._timers.now
         liveness = self._livenesses.get(entry.incarnation)
         if liveness is None:
-            liveness = TargetLiveness(entry, spec, now)
+            liveness = TargetLiveness(entry, spec, now, self._on_heard)
             self._livenesses[entry.incarnation] = liveness
         if not liveness.subscribers:
             liveness.waiting_since = now()
@@ -117,8 +117,6 @@
         """End the tracking for an attempt that has ended."""
         liveness = subscriber.liveness
         liveness.subscribers.discard(subscriber)
-        if liveness.seen_since_missed:
-            self._mark_alive(liveness)
         if not liveness.subscribers and liveness.entry_gone:
             self._discard(liveness)
 
@@ -201,19 +199,26 @@
             self._apply_proof(liveness, Loss.UNANSWERED)
 
     def _mark_alive(self, liveness: TargetLiveness) -> None:
-        wrong = liveness.proof
-        if wrong is not None:
-            # The target was suspect only for its silence, which is over.
-            self._healths.record_answer(liveness.entry.target, 0.0)
-            self._metrics.wrong_losses.labels(wrong.value).inc()
-            self._events.emit(
-                EventKind.TARGET_NOT_LOST,
-                liveness.entry.target,
-                proof=wrong.value,
-                missed=liveness.missed_probes,
-            )
+        if liveness.proof is not None:
+            self._report_wrong_proof(liveness, liveness.proof)
         liveness.on_answer(self._timers.now() + ALIVE_MAX_AGE_S)
 
+    def _on_heard(self, liveness: TargetLiveness) -> None:
+        """Handle data from a target that left probes unanswered."""
+        if liveness.proof is Loss.UNANSWERED:
+            self._report_wrong_proof(liveness, Loss.UNANSWERED)
+
+    def _report_wrong_proof(self, liveness: TargetLiveness, wrong: Loss) -> None:
+        # The target was suspect only for its silence, which is over.
+        self._healths.record_answer(liveness.entry.target, 0.0)
+        self._metrics.wrong_losses.labels(wrong.value).inc()
+        self._events.emit(
+            EventKind.TARGET_NOT_LOST,
+            liveness.entry.target,
+            proof=wrong.value,
+            missed=liveness.missed_probes,
+        )
+
     def _others_answered(self, liveness: TargetLiveness) -> bool:
         """Whether another target sent data since the first probe missed here."""
         for other in self._livenesses.values():
--- a/hawthornlead/gateway/target_liveness.py
+++ b/hawthornlead/gateway/target_liveness.py
@@ -49,12 +49,21 @@
     """What this VM observed of one incarnation that it sends requests to.
 
     ``next_probe_at`` is when it may be probed next and ``probed_at`` when it was last.
-    ``missed_probes`` counts the probes in a row that went unanswered. ``others_answer``
-    tells whether other targets sent data since the first of them.
+    ``missed_probes`` counts the probes in a row that went unanswered, without data from
+    the target in between. ``others_answer`` tells whether other targets sent data since
+    the first of them. ``on_heard`` is called when the target sends data after an
+    unanswered probe.
     """
 
-    def __init__(self, entry: TargetEntry, spec: ServiceSpec, now: Callable):
+    def __init__(
+        self,
+        entry: TargetEntry,
+        spec: ServiceSpec,
+        now: Callable[[], float],
+        on_heard: Callable[["TargetLiveness"], None],
+    ):
         self._now = now
+        self._on_heard = on_heard
         self.entry = entry
         self.spec = spec
         self.subscribers: set[LossSubscriber] = set()
@@ -95,16 +104,12 @@
         """The proof by which the incarnation counts as lost, None if it doesn't."""
         return self.strong_proof or (Loss.UNANSWERED if self.unanswered else None)
 
-    @property
-    def seen_since_missed(self) -> bool:
-        """Whether the target sent data after its first unanswered probe."""
-        return (
-            self.proof is Loss.UNANSWERED and self.last_seen_at > self.first_missed_at
-        )
-
     def on_activity(self) -> None:
         """Record that the target sent data."""
         self.last_seen_at = self._now()
+        if self.missed_probes:
+            self._on_heard(self)
+            self.missed_probes = 0
 
     def on_missed_probe(self, started_at: float) -> None:
         """Count an unanswered probe."""
--- a/hawthornlead/tests/standins/platform_engine.py
+++ b/hawthornlead/tests/standins/platform_engine.py
@@ -27,7 +27,8 @@
 class PlatformEngine:
     """One engine; ``ran`` holds the ids of requests that it began to run.
 
-    ``wrote`` tells which software wrote events on each of them, last.
+    ``wrote`` tells which software wrote events on each of them, last. A stream has
+    ``events``, each ``event_s`` after the one before.
 
     Faults, one for each next request: "stray" answers another request first, "cut"
     breaks off after two events, "joined" sends ``joined`` in place of its third event
@@ -81,6 +82,7 @@
         self.mute_orders = 0
         self.late_orders = 0
         self.kept_orders: list[dict] = []
+        self.events = EVENTS
         self.event_s = EVENT_S
         self.load_s = LOAD_S
         self.born: int | None = BORN_MS
@@ -341,7 +343,7 @@
         first = int(call.headers.get("Last-Event-Id", "0"))
         headers = httputil.HTTPHeaders({**sealed, **self.notices})
         headers["Content-Type"] = "text/event-stream"
-        for number in range(first + 1, EVENTS + 1):
+        for number in range(first + 1, self.events + 1):
             await asyncio.sleep(self.event_s)
             await self._wake(call)
             if call.left:
--- a/hawthornlead/tests/test_loss_detectors.py
+++ b/hawthornlead/tests/test_loss_detectors.py
@@ -2,20 +2,15 @@
 
 import asyncio
 import time
-from unittest.mock import AsyncMock, Mock
 
-from prometheus_client import CollectorRegistry
-
-from hawthornlead.gateway.gateway_metrics import GatewayMetrics
-from hawthornlead.gateway.loss_detectors import ALIVE_MAX_AGE_S, LossDetector
-from hawthornlead.gateway.records import Loss, ServiceSpec, TargetEntry
-from hawthornlead.gateway.target_healths import TargetHealths
+from hawthornlead.gateway.loss_detectors import ALIVE_MAX_AGE_S
+from hawthornlead.gateway.records import Loss
 from hawthornlead.gateway.target_liveness import Repeat
 from hawthornlead.gateway.target_probes import ProbeResult
 from hawthornlead.platform.objects import TARGETS_KIND
-from hawthornlead.timers import ManualTimerService
 
 from .gateways import MODEL, Deployment
+from .watched_targets import ENTRY, Watched
 
 # A proof takes 0.35 s of silence and two probes of 0.25 s; then a request elsewhere.
 SOON_S = 2.0
@@ -291,53 +286,13 @@
         assert took_s < SOON_S
 
 
-ENTRY = TargetEntry("e1", "llm", "127.0.0.1:9", "gijon", 4, False, None, (), 1)
-SPEC = ServiceSpec("llm", "/health", 9, None)
-
-
-class Probes:
-    """Answers probes from a list, and counts them."""
-
-    def __init__(self, *found):
-        self._found = list(found)
-        self.asked = 0
-
-    async def probe(self, entry, spec):
-        """Give the next answer; the last one stands."""
-        self.asked += 1
-        return self._found.pop(0) if len(self._found) > 1 else self._found[0]
-
-
-class Watched:
-    """Losses on time moved by hand; targets, connections and events do nothing."""
-
-    def __init__(self, *found):
-        self.timers = ManualTimerService()
-        self.probes = Probes(*found)
-        self.losses = LossDetector(
-            targets=Mock(),
-            probes=self.probes,
-            connections=Mock(),
-            healths=TargetHealths(timers=self.timers),
-            paths=Mock(check=AsyncMock(return_value=False)),
-            timers=self.timers,
-            events=Mock(),
-            metrics=GatewayMetrics(CollectorRegistry()),
-        )
-
-    def follow(self, may_repeat, entry=ENTRY):
-        """Follow a target with one request."""
-        repeat = Repeat.FREELY if may_repeat else Repeat.NEVER
-        return self.losses.subscribe(entry, SPEC, repeat)
-
-
 async def test_a_vm_that_thaws_does_not_take_its_targets_for_silent():
     """After a freeze of 3 s a VM ends all requests that it may repeat.
 
     No byte came while it stood still, and none was read yet when its timers went on.
     """
     watched = Watched(ProbeResult.NOTHING)
-    follower = watched.follow(may_repeat=True)
+    follower = watched.follow(Repeat.FREELY)
     await asyncio.sleep(0)
     watched.timers._now += 3.0
     await watched.timers.advance(0.0)
@@ -349,7 +304,7 @@
 
 async def test_one_unanswered_probe_ends_nothing():
     watched = Watched(ProbeResult.NOTHING, ProbeResult.ALIVE)
-    follower = watched.follow(may_repeat=True)
+    follower = watched.follow(Repeat.FREELY)
     await asyncio.sleep(0)
     await watched.timers.advance(1.5)
     assert watched.probes.asked == 2
@@ -358,7 +313,7 @@
 
 async def test_a_target_that_was_asked_in_vain_just_now_holds_no_request_up():
     watched = Watched(ProbeResult.NOTHING)
-    watched.follow(may_repeat=True)
+    watched.follow(Repeat.FREELY)
     await asyncio.sleep(0)
     await watched.timers.advance(1.0)
     asked = watched.probes.asked
@@ -368,7 +323,7 @@
 
 async def test_a_start_that_is_over_by_the_watch_ends_all_requests_there():
     watched = Watched(ProbeResult.ALIVE)
-    follower = watched.follow(may_repeat=False)
+    follower = watched.follow(Repeat.NEVER)
     watched.losses._on_lost(ENTRY.incarnation, Loss.RESTARTED)
     assert follower.lost.result() is Loss.RESTARTED
     watched.losses.unsubscribe(follower)
--- /dev/null
+++ b/hawthornlead/tests/watched_targets.py
@@ -0,0 +1,66 @@
+"""A loss detector over targets whose probes are answered from a list.
+
+::
+
+    watched = Watched(ProbeResult.REFUSED)
+    stream = watched.follow(Repeat.NEVER)
+    await watched.timers.advance(1.0)
+    assert not stream.lost.done()
+"""
+
+from unittest.mock import AsyncMock, Mock
+
+from prometheus_client import CollectorRegistry
+
+from hawthornlead.gateway.gateway_metrics import GatewayMetrics
+from hawthornlead.gateway.loss_detectors import LossDetector
+from hawthornlead.gateway.records import ServiceSpec, TargetEntry
+from hawthornlead.gateway.target_healths import TargetHealths
+from hawthornlead.gateway.target_liveness import LossSubscriber, Repeat
+from hawthornlead.gateway.target_probes import ProbeResult
+from hawthornlead.timers import ManualTimerService
+
+ENTRY = TargetEntry("e1", "llm", "127.0.0.1:9", "gijon", 4, False, None, (), 1)
+SPEC = ServiceSpec("llm", "/health", 9, None)
+
+
+class Probes:
+    """Answers probes from a list, and counts them in ``asked``."""
+
+    def __init__(self, *found: ProbeResult):
+        self._found = list(found)
+        self.asked = 0
+
+    async def probe(self, entry, spec):
+        """Return the next result; the last one repeats."""
+        self.asked += 1
+        return self._found.pop(0) if len(self._found) > 1 else self._found[0]
+
+
+class Watched:
+    """A loss detector on time moved by hand.
+
+    Targets, connections and events do nothing.
+    """
+
+    def __init__(self, *found: ProbeResult):
+        self.timers = ManualTimerService()
+        self.probes = Probes(*found)
+        self.losses = LossDetector(
+            targets=Mock(),
+            probes=self.probes,
+            connections=Mock(),
+            healths=TargetHealths(timers=self.timers),
+            paths=Mock(check=AsyncMock(return_value=False)),
+            timers=self.timers,
+            events=Mock(),
+            metrics=GatewayMetrics(CollectorRegistry()),
+        )
+
+    def follow(self, repeat: Repeat, entry: TargetEntry = ENTRY) -> LossSubscriber:
+        """Follow a target with one request."""
+        return self.losses.subscribe(entry, SPEC, repeat)
+
+    def send_data(self, subscriber: LossSubscriber) -> None:
+        """Have a request's target send data on its connection."""
+        subscriber.watch_answer(Mock(), Mock()).handle_data(b"id: 1\n\n")
