Don't end streams on open connections because a new one is refused

Cause: a refused connection was a strong proof and ended every request at the engine 0.35 s into any silence. It shows that nobody listens, and nothing about open connections.

Ruled out: that the entry's state mattered (an engine that doesn't drain fails the same test), and the path (other targets of the service were reached).

Change: refused connections are weak proof. Requests that may run twice end on it as before. Others end once the target has also been silent for 1.5 s, measured and not counted in probes, as a refused probe takes no time. A refusal shows that the path works, so that no other target has to be heard. For the same reason probes that are reset at once no longer add up to a long silence within 1.36 s, and a target's death is reported as a crash under a request only after a long silence.

--- a/hawthornlead/gateway/attempt_crashes.py
+++ b/hawthornlead/gateway/attempt_crashes.py
@@ -2,13 +2,12 @@
 
 from .crash_watches import BrokenRequest
 from .gateway_parts import GatewayParts
-from .records import Incarnation, Loss, TargetEntry
+from .records import Incarnation, TargetEntry
 from .request_signatures import RequestSignature
+from .target_liveness import LossSubscriber
 
 # What another VM knows of the parts of a prompt arrives within this time.
 ANSWERS_KNOWN_S = 0.1
-# By these an incarnation of a target is surely over.
-CRASH_PROOFS = frozenset((Loss.RESTARTED, Loss.REFUSED))
 
 
 class AttemptCrashes:
@@ -41,10 +40,10 @@
         request = BrokenRequest(self._signature, answered)
         self._parts.crash_watch.on_connection_broken(entry, request)
 
-    def on_lost(self, entry: TargetEntry, loss: Loss, answered: bool) -> None:
+    def on_lost(self, subscriber: LossSubscriber, answered: bool) -> None:
         """Record that the target of an attempt is lost."""
-        if loss in CRASH_PROOFS:
-            self.on_broken(entry, answered)
+        if subscriber.may_have_crashed:
+            self.on_broken(subscriber.liveness.entry, answered)
 
     async def may_repeat(self) -> bool:
         """Whether the request may be sent to a further target.
--- a/hawthornlead/gateway/loss_detectors.py
+++ b/hawthornlead/gateway/loss_detectors.py
@@ -22,9 +22,7 @@
 from .target_connections import TargetConnections
 from .target_healths import TargetHealths
 from .target_liveness import (
-    LONG_SILENCE_PROBES,
     PROBE_AFTER_S,
-    WEAK_PROOF_PROBES,
     LossSubscriber,
     Repeat,
     TargetLiveness,
@@ -40,11 +38,6 @@
 # When a caller may retry a request that was lost with its target: others serve it.
 CALLER_RETRY_S = 0.2
 
-STRONG_PROOFS = {
-    ProbeResult.RESTARTED: Loss.RESTARTED,
-    ProbeResult.REFUSED: Loss.REFUSED,
-}
-
 
 class LossDetector:
     """Tracks the liveness of the incarnations that have requests of this VM."""
@@ -131,7 +124,7 @@
 
     async def _watch(self, liveness: TargetLiveness) -> None:
         """Probe a silent target for as long as requests wait there."""
-        while liveness.subscribers and liveness.strong_proof is None:
+        while liveness.subscribers and not liveness.restarted:
             now = self._timers.now()
             wait_s = (
                 max(liveness.silent_since + PROBE_AFTER_S, liveness.next_probe_at) - now
@@ -152,21 +145,21 @@
         return await asyncio.shield(liveness.probe_task)
 
     async def _run_probe(self, liveness: TargetLiveness) -> ProbeResult:
-        if liveness.strong_proof is Loss.RESTARTED:
+        if liveness.restarted:
             return ProbeResult.RESTARTED
         started_at = self._timers.now()
         entry, spec = liveness.entry, liveness.spec
         found = await self._probes.probe(entry, spec)
         if found is ProbeResult.ALIVE and liveness.proof and entry.started_ms is None:
             found = await self._probes.identify(entry, spec)
-        if liveness.last_seen_at > started_at:
-            # The target answers requests, so it is only busy or refuses further
-            # connections.
-            found = ProbeResult.ALIVE
         if found is ProbeResult.REFUSED and await self._paths.check(entry.service):
             # All targets of the service refuse: this VM's path is at fault, and
             # connections that are open may still work.
             found = ProbeResult.NOTHING
+        if liveness.last_seen_at > started_at:
+            # The target answers requests, so it is only busy or refuses further
+            # connections.
+            found = ProbeResult.ALIVE
         self._apply_result(liveness, found, started_at)
         return found
 
@@ -184,19 +177,26 @@
             return
         self._healths.record_failure(liveness.entry.target, gone=True)
         self._paths.suspect(liveness.entry.service)
-        if found is not ProbeResult.NOTHING:
-            liveness.missed_probes = max(liveness.missed_probes, WEAK_PROOF_PROBES)
-            self._apply_strong_proof(liveness, STRONG_PROOFS[found])
+        if found is ProbeResult.RESTARTED:
+            self._mark_restarted(liveness)
             return
-        liveness.on_missed_probe(started_at)
-        if liveness.missed_probes < LONG_SILENCE_PROBES:
-            # A refused connection fails at once. Without the pause several of them
-            # would count as a long silence within milliseconds.
-            liveness.next_probe_at = max(now, started_at + PROBE_TIMEOUT_S)
+        self._count_missed(liveness, found is ProbeResult.REFUSED, started_at)
+
+    def _count_missed(
+        self, liveness: TargetLiveness, refused: bool, started_at: float
+    ) -> None:
+        """Count a probe that was refused or unanswered, and end what it ends."""
+        known = liveness.proof
+        liveness.on_missed_probe(started_at, refused)
+        if not liveness.is_long_silent:
+            # A refused connection fails at once, and must not be tried in a busy loop.
+            next_at = started_at + PROBE_TIMEOUT_S
+            liveness.next_probe_at = max(liveness.probed_at, next_at)
         liveness.others_answer = self._others_answered(liveness)
         ends = any(subscriber.would_be_lost for subscriber in liveness.subscribers)
-        if liveness.missed_probes == WEAK_PROOF_PROBES or ends:
-            self._apply_proof(liveness, Loss.UNANSWERED)
+        proof = liveness.proof
+        if proof is not None and (ends or proof is not known):
+            self._apply_proof(liveness, proof)
 
     def _mark_alive(self, liveness: TargetLiveness) -> None:
         if liveness.proof is not None:
@@ -235,17 +235,17 @@
             self._discard(liveness)
             return
         if loss is not Loss.ENTRY_GONE:
-            self._apply_strong_proof(liveness, loss)
+            self._mark_restarted(liveness)
             return
         # Some engines remove their entry and serve on, so this alone ends no request.
         self._apply_proof(liveness, loss)
         self._tasks.spawn(self._probe_once(liveness))
 
-    def _apply_strong_proof(self, liveness: TargetLiveness, loss: Loss) -> None:
-        """Apply a strong proof, if it is the first."""
-        if liveness.strong_proof is None:
-            liveness.strong_proof = loss
-            self._apply_proof(liveness, loss)
+    def _mark_restarted(self, liveness: TargetLiveness) -> None:
+        """Apply the strong proof, once."""
+        if not liveness.restarted:
+            liveness.restarted = True
+            self._apply_proof(liveness, Loss.RESTARTED)
 
     def _apply_proof(self, liveness: TargetLiveness, loss: Loss) -> None:
         """Report a proof, and end the requests for which it is enough."""
--- a/hawthornlead/gateway/records.py
+++ b/hawthornlead/gateway/records.py
@@ -218,8 +218,8 @@
 class Loss(Enum):
     """Why an incarnation of a target is known, or suspected, to be lost.
 
-    The first two prove that its requests no longer run; a removed entry and unanswered
-    calls don't.
+    The first proves that its requests no longer run. The others don't: a target may
+    have closed its listener, be cut off for a while, or serve on without an entry.
     """
 
     RESTARTED = "restarted"
--- a/hawthornlead/gateway/target_attempts.py
+++ b/hawthornlead/gateway/target_attempts.py
@@ -201,7 +201,7 @@
                 return AttemptOutcome.LEFT
             if subscriber.lost.done():
                 self.loss = subscriber.lost.result()
-                self.crashes.on_lost(entry, self.loss, answered=False)
+                self.crashes.on_lost(subscriber, answered=False)
                 return AttemptOutcome.LOST
             self._records.count_failure(entry)
             return AttemptOutcome.LATE
@@ -298,7 +298,7 @@
                 return AttemptOutcome.LEFT
             if subscriber.lost.done():
                 self.loss = subscriber.lost.result()
-                self.crashes.on_lost(entry, self.loss, relay.answered)
+                self.crashes.on_lost(subscriber, relay.answered)
                 return AttemptOutcome.BROKEN if relay.accepted else AttemptOutcome.LOST
             return AttemptOutcome.LATE
         if relay.head is None:
--- a/hawthornlead/gateway/target_liveness.py
+++ b/hawthornlead/gateway/target_liveness.py
@@ -1,9 +1,10 @@
 """The liveness of one incarnation of a target, and the attempts that depend on it.
 
-*Strong* proof shows that the incarnation is gone: another one answers, or a fresh
-connection is refused. *Weak* proof leaves it open: probes go unanswered, or the entry
-was removed. A sound target may be silent for a second and then go on, so what ends on
-unanswered probes depends on what a wrong proof would do (``Repeat``).
+*Strong* proof shows that the incarnation is gone: another one answers at its address or
+has written its entry. *Weak* proof leaves it open: probes go unanswered, fresh
+connections are refused, or the entry was removed. A sound target may be silent for a
+second and then go on, also after it has closed its listener, so what ends on weak proof
+depends on what a wrong proof would do (``Repeat``).
 """
 
 import asyncio
@@ -18,9 +19,11 @@
 PROBE_AFTER_S = 0.35
 # Unanswered probes in a row that make a weak proof.
 WEAK_PROOF_PROBES = 2
-# Unanswered probes in a row, 1.6 s of silence: a sound target pauses for less. Callers
-# abandon a request after 2 to 3 s.
+# Unanswered probes in a row that show a long silence, if each waits for its time-out.
 LONG_SILENCE_PROBES = 5
+# A sound target pauses for less: a second or so. Probes that are refused fail at once,
+# so their number alone shows no silence. Callers abandon a request after 2 to 3 s.
+LONG_SILENCE_S = 1.5
 
 
 class Repeat(Enum):
@@ -29,8 +32,9 @@
     ``FREELY`` is for requests that may run twice at a time: they end on a weak proof.
     ``AFTER_END`` is for streams that may be resumed once the first run has ended: they
     end after a long silence. ``NEVER`` is for all others. They also end after a long
-    silence, but only while other targets send data, which shows that this VM's own
-    network path works. Both end sooner if the target's entry was removed too.
+    silence, but only if this VM's own network path works: other targets send data, or
+    the target itself refuses connections. Both end sooner if the target's entry was
+    removed too.
     """
 
     FREELY = "freely"
@@ -51,7 +55,9 @@
     ``next_probe_at`` is when it may be probed next and ``probed_at`` when it was last.
     ``missed_probes`` counts the probes in a row that went unanswered, without data from
     the target in between. ``others_answer`` tells whether other targets sent data since
-    the first of them. ``on_heard`` is called when the target sends data after an
+    the first of them, and ``refuses`` whether the last probe was refused, which says
+    nothing about the connections that are open. ``restarted`` is the strong proof.
+    ``on_heard`` is called when the target sends data after an
     unanswered probe.
     """
 
@@ -73,7 +79,8 @@
         self.missed_probes = 0
         self.first_missed_at = 0.0
         self.others_answer = False
-        self.strong_proof: Loss | None = None
+        self.refuses = False
+        self.restarted = False
         self.entry_gone = False
         self.probe_task: asyncio.Task | None = None
 
@@ -92,17 +99,26 @@
         """For how long requests have waited without data, 0 if none waits."""
         return self._now() - self.silent_since if self.subscribers else 0.0
 
+    @property
+    def is_long_silent(self) -> bool:
+        """Whether requests have waited for longer than a sound target pauses."""
+        return self.silent_s >= LONG_SILENCE_S
+
     @property
     def is_suspect(self) -> bool:
         """Whether the target must show that it is alive before it is sent a request."""
-        if self.missed_probes or self.strong_proof:
+        if self.missed_probes or self.proof:
             return True
         return self.silent_s > PROBE_AFTER_S and self._now() > self.next_probe_at
 
     @property
     def proof(self) -> Loss | None:
         """The proof by which the incarnation counts as lost, None if it doesn't."""
-        return self.strong_proof or (Loss.UNANSWERED if self.unanswered else None)
+        if self.restarted:
+            return Loss.RESTARTED
+        if self.refuses:
+            return Loss.REFUSED
+        return Loss.UNANSWERED if self.unanswered else None
 
     def on_activity(self) -> None:
         """Record that the target sent data."""
@@ -111,31 +127,31 @@
             self._on_heard(self)
             self.missed_probes = 0
 
-    def on_missed_probe(self, started_at: float) -> None:
-        """Count an unanswered probe."""
+    def on_missed_probe(self, started_at: float, refused: bool) -> None:
+        """Count a probe that was refused or unanswered."""
         if not self.missed_probes:
             self.first_missed_at = started_at
         self.missed_probes += 1
+        self.refuses = refused
 
     def on_answer(self, next_probe_at: float) -> None:
-        """Clear all proofs, because the target is alive."""
+        """Clear the weak proofs, because the target is alive."""
         self.missed_probes = 0
-        self.strong_proof = None
+        self.refuses = False
         self.next_probe_at = next_probe_at
 
     def proof_for(self, repeat: Repeat) -> Loss | None:
         """Return the proof that ends a request to the target, None if there is none."""
-        if self.strong_proof is not None:
-            return self.strong_proof
-        if not self.unanswered:
+        if self.restarted:
+            return Loss.RESTARTED
+        if not self.missed_probes or not (self.refuses or self.unanswered):
             return None
         if repeat is Repeat.FREELY or self.entry_gone:
-            return Loss.UNANSWERED
-        if self.missed_probes < LONG_SILENCE_PROBES:
+            return self.proof
+        if self.missed_probes < LONG_SILENCE_PROBES or not self.is_long_silent:
             return None
-        if repeat is Repeat.AFTER_END or self.others_answer:
-            return Loss.UNANSWERED
-        return None
+        path_works = self.refuses or self.others_answer
+        return self.proof if repeat is Repeat.AFTER_END or path_works else None
 
 
 class LossSubscriber:
@@ -156,6 +172,19 @@
         """Whether there is proof enough to end this attempt, which hasn't ended."""
         return not self.lost.done() and self._proof() is not None
 
+    @property
+    def may_have_crashed(self) -> bool:
+        """Whether the attempt ended because its target is gone, or probably is.
+
+        A target that refuses connections may only have closed its listener.
+        """
+        if not self.lost.done():
+            return False
+        loss = self.lost.result()
+        if loss is Loss.REFUSED:
+            return self._liveness.is_long_silent
+        return loss is Loss.RESTARTED
+
     def watch_answer(
         self, sink: AnswerSink, on_head: Callable[[Head], None]
     ) -> "ActivitySink":
--- a/hawthornlead/tests/test_live_connections.py
+++ b/hawthornlead/tests/test_live_connections.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+import pytest
+
+from hawthornlead.gateway.records import Loss
 from hawthornlead.gateway.target_liveness import Repeat
-from hawthornlead.gateway.target_probes import ProbeResult
+from hawthornlead.gateway.target_probes import PROBE_TIMEOUT_S, ProbeResult
 
 from .cut_paths import Cut, cut_paths
 from .gateways import MODEL, Deployment
@@ -12,6 +15,8 @@
 OTHER = ENTRY._replace(target="e2", address="127.0.0.1:10")
 # Longer than the silence after which a target is probed.
 EVENT_S = 0.4
+# "A second or so", for which a sound target may fall silent.
+PAUSE_S = 1.1
 
 
 async def test_streams_behind_a_partition_go_on_while_their_events_come():
@@ -51,3 +56,75 @@
     watched.send_data(request)
     await watched.timers.advance(1.0)
     assert request.lost.done()
+
+
+async def test_streams_go_on_at_an_engine_that_has_closed_its_listener():
+    """Guards against a refused connection that ends streams on other connections."""
+    async with Deployment(vms=1) as deployment:
+        for engine in deployment.engines:
+            engine.event_s = 0.1
+        asking = [
+            asyncio.create_task(deployment.ask(path, Model=MODEL))
+            for path in ("/stream/x", "/resume/x") * 4
+        ]
+        engines = deployment.engines
+        await deployment.until(lambda: sum(len(e.ran) for e in engines) == 8)
+        await asyncio.sleep(0.15)
+        leaving = engines[0]
+        leaving.vanish()
+        leaving.silent = True
+        await asyncio.sleep(PAUSE_S)
+        leaving.silent = False
+        answers = await asyncio.gather(*asking)
+        assert all(answer.whole for answer in answers)
+        assert sum(len(e.ran) for e in engines) == 8
+
+
+@pytest.mark.parametrize("repeat", [Repeat.NEVER, Repeat.AFTER_END])
+@pytest.mark.parametrize("found", [ProbeResult.REFUSED, ProbeResult.NOTHING])
+async def test_a_pause_of_a_sound_target_ends_nothing(repeat, found):
+    """Guards against probes that fail at once and so add up within a short pause."""
+    watched = Watched(found)
+    request, other = watched.follow(repeat), watched.follow(Repeat.NEVER, OTHER)
+    for _ in range(3):
+        await watched.timers.advance(PAUSE_S)
+        assert not request.lost.done()
+        watched.send_data(request)
+        watched.send_data(other)
+
+
+@pytest.mark.parametrize(
+    ("found", "took_s", "repeat", "within_s"),
+    [
+        (ProbeResult.REFUSED, 0.0, Repeat.FREELY, 0.4),
+        (ProbeResult.REFUSED, 0.0, Repeat.AFTER_END, 1.65),
+        (ProbeResult.REFUSED, 0.0, Repeat.NEVER, 1.65),
+        (ProbeResult.NOTHING, PROBE_TIMEOUT_S, Repeat.FREELY, 0.9),
+        (ProbeResult.NOTHING, PROBE_TIMEOUT_S, Repeat.AFTER_END, 1.65),
+        (ProbeResult.NOTHING, PROBE_TIMEOUT_S, Repeat.NEVER, 1.65),
+        (ProbeResult.RESTARTED, 0.0, Repeat.FREELY, 0.4),
+        (ProbeResult.RESTARTED, 0.0, Repeat.AFTER_END, 0.4),
+        (ProbeResult.RESTARTED, 0.0, Repeat.NEVER, 0.4),
+    ],
+)
+async def test_a_dead_target_is_found_in_time(found, took_s, repeat, within_s):
+    """Guards against requests that wait for a target which will never answer."""
+    watched = Watched(found)
+    watched.probes.took_s = took_s
+    request, other = watched.follow(repeat), watched.follow(Repeat.NEVER, OTHER)
+    for _ in range(round(within_s / 0.05)):
+        watched.send_data(other)
+        await watched.timers.advance(0.05)
+    assert request.lost.done()
+
+
+async def test_a_request_that_leaves_a_closed_listener_early_accuses_no_prompt():
+    """Guards against prompts that count as crashing a target that only pauses."""
+    watched = Watched(ProbeResult.REFUSED)
+    freely, never = watched.follow(Repeat.FREELY), watched.follow(Repeat.NEVER)
+    await watched.timers.advance(0.5)
+    assert freely.lost.result() is Loss.REFUSED
+    assert not freely.may_have_crashed
+    await watched.timers.advance(1.5)
+    assert never.lost.result() is Loss.REFUSED
+    assert never.may_have_crashed
