Ask for a target's entry when it counts, and let its absence shorten no silence

Cause: LossDetector._on_lost set entry_gone on the liveness of the engine's start. The object stays while the VM always has a request there, and nothing cleared it. With it, two unanswered probes ended every request, 0.85 s into the pause. The log: proof=entry gone ended=0, and 4.3 s later proof=answers no calls missed=2 silent_ms=856 ended=12.

Ruled out: another start (the entry is back under the same one), lost events (each began within the usual 0.1 s until the pause).

Change: no flag. TargetTable.has_entry is asked when a proof is judged. While an entry is away, requests that may not run twice at a time end after the same long silence as others; the absence shows that not this VM's path is at fault, in place of data from other targets. Before, an engine that is cut off from the store and pauses for a second lost its streams in the same way.

--- a/hawthornlead/gateway/loss_detectors.py
+++ b/hawthornlead/gateway/loss_detectors.py
@@ -54,6 +54,7 @@
         events: EventRing,
         metrics: GatewayMetrics,
     ):
+        self._targets = targets
         self._paths = paths
         self._events = events
         self._metrics = metrics
@@ -96,8 +97,15 @@
         now = self._timers.now
         liveness = self._livenesses.get(entry.incarnation)
         if liveness is None:
-            liveness = TargetLiveness(entry, spec, now, self._on_heard)
-            self._livenesses[entry.incarnation] = liveness
+            incarnation = entry.incarnation
+            liveness = TargetLiveness(
+                entry,
+                spec,
+                now,
+                self._on_heard,
+                lambda: self._targets.has_entry(incarnation),
+            )
+            self._livenesses[incarnation] = liveness
         if not liveness.subscribers:
             liveness.waiting_since = now()
         subscriber = LossSubscriber(liveness, repeat)
@@ -110,7 +118,7 @@
         """End the tracking for an attempt that has ended."""
         liveness = subscriber.liveness
         liveness.subscribers.discard(subscriber)
-        if not liveness.subscribers and liveness.entry_gone:
+        if not liveness.subscribers and liveness.is_over:
             self._discard(liveness)
 
     def failure(self, loss: Loss | None) -> Failure:
@@ -230,7 +238,6 @@
         liveness = self._livenesses.get(incarnation)
         if liveness is None:
             return
-        liveness.entry_gone = True
         if not liveness.subscribers:
             self._discard(liveness)
             return
--- a/hawthornlead/gateway/target_liveness.py
+++ b/hawthornlead/gateway/target_liveness.py
@@ -32,9 +32,8 @@
     ``FREELY`` is for requests that may run twice at a time: they end on a weak proof.
     ``AFTER_END`` is for streams that may be resumed once the first run has ended: they
     end after a long silence. ``NEVER`` is for all others. They also end after a long
-    silence, but only if this VM's own network path works: other targets send data, or
-    the target itself refuses connections. Both end sooner if the target's entry was
-    removed too.
+    silence, but only if this VM's own network path works: other targets send data,
+    the target itself refuses connections, or the store has no entry of it.
     """
 
     FREELY = "freely"
@@ -57,8 +56,8 @@
     the target in between. ``others_answer`` tells whether other targets sent data since
     the first of them, and ``refuses`` whether the last probe was refused, which says
     nothing about the connections that are open. ``restarted`` is the strong proof.
-    ``on_heard`` is called when the target sends data after an
-    unanswered probe.
+    ``on_heard`` is called when the target sends data after an unanswered probe, and
+    ``has_entry`` tells whether the incarnation has an entry in the store now.
     """
 
     def __init__(
@@ -67,9 +66,11 @@
         spec: ServiceSpec,
         now: Callable[[], float],
         on_heard: Callable[["TargetLiveness"], None],
+        has_entry: Callable[[], bool],
     ):
         self._now = now
         self._on_heard = on_heard
+        self._has_entry = has_entry
         self.entry = entry
         self.spec = spec
         self.subscribers: set[LossSubscriber] = set()
@@ -81,9 +82,13 @@
         self.others_answer = False
         self.refuses = False
         self.restarted = False
-        self.entry_gone = False
         self.probe_task: asyncio.Task | None = None
 
+    @property
+    def is_over(self) -> bool:
+        """Whether the incarnation gets no further requests: it restarted, or left."""
+        return self.restarted or not self._has_entry()
+
     @property
     def unanswered(self) -> bool:
         """Whether enough probes went unanswered for a weak proof."""
@@ -146,12 +151,17 @@
             return Loss.RESTARTED
         if not self.missed_probes or not (self.refuses or self.unanswered):
             return None
-        if repeat is Repeat.FREELY or self.entry_gone:
+        if repeat is Repeat.FREELY:
             return self.proof
         if self.missed_probes < LONG_SILENCE_PROBES or not self.is_long_silent:
             return None
-        path_works = self.refuses or self.others_answer
-        return self.proof if repeat is Repeat.AFTER_END or path_works else None
+        if repeat is Repeat.AFTER_END or self._path_works():
+            return self.proof
+        return None
+
+    def _path_works(self) -> bool:
+        """Whether this VM's own path is not what makes the target silent."""
+        return self.refuses or self.others_answer or not self._has_entry()
 
 
 class LossSubscriber:
--- a/hawthornlead/gateway/target_tables.py
+++ b/hawthornlead/gateway/target_tables.py
@@ -73,10 +73,12 @@
 
     def is_current(self, entry: TargetEntry) -> bool:
         """Whether the incarnation that an entry describes takes new work."""
-        known = self._entries.get(entry.target)
-        if known is None or known.draining:
-            return False
-        return known.incarnation.matches(entry.incarnation)
+        return self.is_usable(entry.target) and self.has_entry(entry.incarnation)
+
+    def has_entry(self, incarnation: Incarnation) -> bool:
+        """Whether an incarnation, draining or not, has an entry now."""
+        known = self._entries.get(incarnation.target)
+        return known is not None and known.incarnation.matches(incarnation)
 
     def incarnation(self, target: str) -> Incarnation:
         """Return the newest incarnation of a target that this VM knows of."""
--- a/hawthornlead/tests/test_live_connections.py
+++ b/hawthornlead/tests/test_live_connections.py
@@ -7,9 +7,11 @@
 from hawthornlead.gateway.records import Loss
 from hawthornlead.gateway.target_liveness import Repeat
 from hawthornlead.gateway.target_probes import PROBE_TIMEOUT_S, ProbeResult
+from hawthornlead.platform.objects import TARGETS_KIND
 
 from .cut_paths import Cut, cut_paths
 from .gateways import MODEL, Deployment
+from .standins.platform_engine import BORN_MS
 from .watched_targets import ENTRY, Watched
 
 OTHER = ENTRY._replace(target="e2", address="127.0.0.1:10")
@@ -41,7 +43,7 @@
     requests = [watched.follow(repeat) for repeat in Repeat]
     other = watched.follow(Repeat.NEVER, OTHER)
     for _ in range(20):
-        await watched.timers.advance(EVENT_S)
+        await watched.advance(EVENT_S)
         watched.send_data(requests[0])
         watched.send_data(other)
     assert watched.probes.asked > 10
@@ -52,9 +54,9 @@
     """Guards against data that defers the next probe, so that a loss is found later."""
     watched = Watched(ProbeResult.NOTHING)
     request = watched.follow(Repeat.FREELY)
-    await watched.timers.advance(EVENT_S)
+    await watched.advance(EVENT_S)
     watched.send_data(request)
-    await watched.timers.advance(1.0)
+    await watched.advance(1.0)
     assert request.lost.done()
 
 
@@ -87,7 +89,7 @@
     watched = Watched(found)
     request, other = watched.follow(repeat), watched.follow(Repeat.NEVER, OTHER)
     for _ in range(3):
-        await watched.timers.advance(PAUSE_S)
+        await watched.advance(PAUSE_S)
         assert not request.lost.done()
         watched.send_data(request)
         watched.send_data(other)
@@ -114,7 +116,7 @@
     request, other = watched.follow(repeat), watched.follow(Repeat.NEVER, OTHER)
     for _ in range(round(within_s / 0.05)):
         watched.send_data(other)
-        await watched.timers.advance(0.05)
+        await watched.advance(0.05)
     assert request.lost.done()
 
 
@@ -122,9 +124,69 @@
     """Guards against prompts that count as crashing a target that only pauses."""
     watched = Watched(ProbeResult.REFUSED)
     freely, never = watched.follow(Repeat.FREELY), watched.follow(Repeat.NEVER)
-    await watched.timers.advance(0.5)
+    await watched.advance(0.5)
     assert freely.lost.result() is Loss.REFUSED
     assert not freely.may_have_crashed
-    await watched.timers.advance(1.5)
+    await watched.advance(1.5)
     assert never.lost.result() is Loss.REFUSED
     assert never.may_have_crashed
+
+
+@pytest.mark.parametrize("born", [BORN_MS, None])
+async def test_streams_go_on_at_an_engine_whose_entry_was_away(born):
+    """Guards against an entry that went once and so speaks against each later pause."""
+    deployment = Deployment(vms=1)
+    for engine in deployment.engines:
+        engine.events, engine.event_s, engine.born = 20, 0.1, born
+    async with deployment:
+        asking = [
+            asyncio.create_task(deployment.ask("/stream/x", Model=MODEL))
+            for _ in range(4)
+        ]
+        engines = deployment.engines
+        await deployment.until(lambda: sum(len(e.ran) for e in engines) == 4)
+        cut_off = engines[0]
+        deployment.store.remove(TARGETS_KIND, cut_off.target)
+        await asyncio.sleep(0.5)
+        deployment.register(cut_off)
+        await asyncio.sleep(0.5)
+        cut_off.silent = True
+        await asyncio.sleep(PAUSE_S)
+        cut_off.silent = False
+        answers = await asyncio.gather(*asking)
+        assert all(answer.whole for answer in answers)
+
+
+@pytest.mark.parametrize("repeat", [Repeat.NEVER, Repeat.AFTER_END])
+@pytest.mark.parametrize("found", [ProbeResult.REFUSED, ProbeResult.NOTHING])
+async def test_a_pause_of_a_target_without_an_entry_ends_nothing(repeat, found):
+    """Guards against an engine that is cut off from the store and loses its streams."""
+    watched = Watched(found)
+    request = watched.follow(repeat)
+    watched.remove_entry()
+    for _ in range(3):
+        await watched.advance(PAUSE_S)
+        assert not request.lost.done()
+        watched.send_data(request)
+
+
+async def test_an_entry_that_went_tells_a_dead_target_from_a_cut_of_the_path():
+    """Guards against requests that wait for a dead target while no other is heard."""
+    watched = Watched(ProbeResult.NOTHING)
+    request = watched.follow(Repeat.NEVER)
+    await watched.advance(2.5)
+    assert not request.lost.done()
+    watched.remove_entry()
+    await watched.advance(0.5)
+    assert request.lost.result() is Loss.UNANSWERED
+
+
+async def test_an_entry_that_is_back_ends_nothing_any_more():
+    """Guards against a fact of the store that holds after the store took it back."""
+    watched = Watched(ProbeResult.NOTHING)
+    request = watched.follow(Repeat.NEVER)
+    watched.remove_entry()
+    await watched.advance(0.5)
+    watched.registered = True
+    await watched.advance(2.5)
+    assert not request.lost.done()
--- a/hawthornlead/tests/watched_targets.py
+++ b/hawthornlead/tests/watched_targets.py
@@ -4,17 +4,18 @@
 
     watched = Watched(ProbeResult.REFUSED)
     stream = watched.follow(Repeat.NEVER)
-    await watched.timers.advance(1.0)
+    await watched.advance(1.0)
     assert not stream.lost.done()
 """
 
+import asyncio
 from unittest.mock import AsyncMock, Mock
 
 from prometheus_client import CollectorRegistry
 
 from hawthornlead.gateway.gateway_metrics import GatewayMetrics
 from hawthornlead.gateway.loss_detectors import LossDetector
-from hawthornlead.gateway.records import ServiceSpec, TargetEntry
+from hawthornlead.gateway.records import Loss, ServiceSpec, TargetEntry
 from hawthornlead.gateway.target_healths import TargetHealths
 from hawthornlead.gateway.target_liveness import LossSubscriber, Repeat
 from hawthornlead.gateway.target_probes import ProbeResult
@@ -45,14 +46,16 @@
 class Watched:
     """A loss detector on time moved by hand.
 
-    Targets, connections and events do nothing.
+    Targets, connections and events do nothing. All targets have entries while
+    ``registered``.
     """
 
     def __init__(self, *found: ProbeResult):
         self.timers = ManualTimerService()
         self.probes = Probes(self.timers, *found)
+        self.registered = True
         self.losses = LossDetector(
-            targets=Mock(),
+            targets=Mock(has_entry=lambda incarnation: self.registered),
             probes=self.probes,
             connections=Mock(),
             healths=TargetHealths(timers=self.timers),
@@ -66,6 +69,16 @@
         """Follow a target with one request."""
         return self.losses.subscribe(entry, SPEC, repeat)
 
+    async def advance(self, seconds: float) -> None:
+        """Advance the time, after tasks that were just begun have started."""
+        await asyncio.sleep(0)
+        await self.timers.advance(seconds)
+
+    def remove_entry(self) -> None:
+        """Remove the entry of the target."""
+        self.registered = False
+        self.losses._on_lost(ENTRY.incarnation, Loss.ENTRY_GONE)
+
     def send_data(self, subscriber: LossSubscriber) -> None:
         """Have a request's target send data on its connection."""
         subscriber.watch_answer(Mock(), Mock()).handle_data(b"id: 1\n\n")
