Don't take a request sent to another target for word of it

A request that may run once ends after a long silence only while other targets send data, which shows that this VM's own path works. A target counted as heard from the moment a first request was sent to it: TargetLiveness began with last_seen_at = now. So a VM that is cut from all targets, on connections that hang, ended its requests for the reason that it sent further ones; their answers may come after the cut.

Change: a target that has sent nothing has not been seen. silent_since is as before, as it takes the later of two times.

Before: test_a_request_that_is_sent_elsewhere_is_no_word_of_another_target failed; now it passes, with the other tests of losses.

--- a/hawthornlead/gateway/target_liveness.py
+++ b/hawthornlead/gateway/target_liveness.py
@@ -74,7 +74,8 @@
         self.entry = entry
         self.spec = spec
         self.subscribers: set[LossSubscriber] = set()
-        self.waiting_since = self.last_seen_at = now()
+        self.waiting_since = now()
+        self.last_seen_at = float("-inf")
         self.next_probe_at = 0.0
         self.probed_at = 0.0
         self.missed_probes = 0
--- a/hawthornlead/tests/test_live_connections.py
+++ b/hawthornlead/tests/test_live_connections.py
@@ -190,3 +190,13 @@
     watched.registered = True
     await watched.advance(2.5)
     assert not request.lost.done()
+
+
+async def test_a_request_that_is_sent_elsewhere_is_no_word_of_another_target():
+    """Guards against a cut VM that ends its requests because it sends further ones."""
+    watched = Watched(ProbeResult.NOTHING)
+    request = watched.follow(Repeat.NEVER)
+    await watched.advance(0.7)
+    watched.follow(Repeat.NEVER, OTHER)
+    await watched.advance(2.0)
+    assert not request.lost.done()
