Don't end a request at another VM for a silent mesh alone

A request that a VM without paths to targets had relayed was answered with 502 as soon as the mesh took the other VM for away, within a poll of 0.25 s, unless its stream had begun: the same cause as at engines, what one connection met was held against another. A mesh connection may be closed while both VMs and the request's connection are sound.

Change: the request's connection must have been silent for 1 s too, whatever it carries. A VM that loses its power is silent on the mesh for a second before it counts as away, so that requests that it had by then end as soon as before.

Before: test_a_request_that_was_just_relayed_outlives_a_silent_mesh failed (502); now it passes, and test_a_request_at_a_vm_that_is_silent_everywhere_ends_in_time bounds the end.

--- a/hawthornlead/gateway/request_relays.py
+++ b/hawthornlead/gateway/request_relays.py
@@ -9,6 +9,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 from ..platform.headers import relay_headers
 from ..promises.run_ledgers import RunLedger, prove_not_run
@@ -19,7 +20,7 @@
 from .request_reporters import RequestReporter
 from .stream_relays import CallerStream, StreamRelay
 from .target_attempts import MIN_REMAINING_S
-from .target_connections import Exchange, Head, WholeAnswer
+from .target_connections import AnswerSink, Exchange, Head, WholeAnswer
 from .vm_relays import (
     CONFIGURATION,
     NOT_TAKEN,
@@ -38,9 +39,28 @@
 MAX_LAG_S = 0.1
 # How often the other VM is checked for silence while its answer is due.
 POLL_INTERVAL_S = 0.25
-# A VM that is silent on the mesh counts as lost if its stream has been silent for this
-# long too.
-STREAM_SILENCE_S = 1.0
+# A VM that is silent on the mesh counts as lost if the connection of the request has
+# been silent for this long too.
+ANSWER_SILENCE_S = 1.0
+
+
+class _TimedSink:
+    """Forwards an answer to its sink; ``active_at`` is when it last came on."""
+
+    def __init__(self, sink: AnswerSink, now: Callable[[], float]):
+        self._sink = sink
+        self._now = now
+        self.active_at = now()
+
+    def handle_head(self, head: Head) -> None:
+        """Forward the head."""
+        self.active_at = self._now()
+        self._sink.handle_head(head)
+
+    def handle_data(self, chunk: bytes) -> bool | None:
+        """Forward a chunk of the body."""
+        self.active_at = self._now()
+        return self._sink.handle_data(chunk)
 
 
 class RequestRelay:
@@ -110,13 +130,14 @@
             sink = StreamRelay(self._stream, self._parts.timers.now)
         else:
             sink = WholeAnswer(self._call.reserve)
-        self._send(exchange, sink)
-        await self._wait(vm, exchange, sink)
+        timed = _TimedSink(sink, self._parts.timers.now)
+        self._send(exchange, timed)
+        await self._wait(vm, exchange, timed)
         if not exchange.ended.done():
             return self._end_unanswered(vm, exchange, sink)
         return self._end_answered(exchange, sink)
 
-    def _send(self, exchange: Exchange, sink: StreamRelay | WholeAnswer) -> None:
+    def _send(self, exchange: Exchange, sink: _TimedSink) -> None:
         headers = relay_headers(
             self._call.headers,
             deadline_ms=self.remaining_s * 1000,
@@ -137,9 +158,7 @@
             sink=sink,
         )
 
-    async def _wait(
-        self, vm: str, exchange: Exchange, sink: StreamRelay | WholeAnswer
-    ) -> None:
+    async def _wait(self, vm: str, exchange: Exchange, sink: _TimedSink) -> None:
         """Wait for the end of the answer, of the caller, of the VM or of the time."""
         waiting = {exchange.ended, self._call.gone}
         while not any(each.done() for each in waiting) and self.remaining_s > 0:
@@ -153,17 +172,15 @@
             if not late and self._is_lost(vm, sink):
                 return
 
-    def _is_lost(self, vm: str, sink: StreamRelay | WholeAnswer) -> bool:
-        """Whether the other VM is silent on the mesh, and its stream too.
+    def _is_lost(self, vm: str, sink: _TimedSink) -> bool:
+        """Whether the other VM is silent on the mesh, and on this connection too.
 
-        The mesh alone proves nothing against a stream that flows: its heartbeats may be
-        late, or its connection may have been closed.
+        The mesh alone proves nothing against a connection that lives: its heartbeats
+        may be late, or its own connection may have been closed.
         """
         if self._parts.relay_vms.is_reachable(vm):
             return False
-        if not _has_begun(sink):
-            return True
-        return self._parts.timers.now() - sink.active_at > STREAM_SILENCE_S
+        return self._parts.timers.now() - sink.active_at > ANSWER_SILENCE_S
 
     def _end_unanswered(
         self, vm: str, exchange: Exchange, sink: StreamRelay | WholeAnswer
--- a/hawthornlead/tests/test_request_relays.py
+++ b/hawthornlead/tests/test_request_relays.py
@@ -7,6 +7,7 @@
 from tornado.util import TimeoutError as GaveUp
 
 from hawthornlead.gateway.request_relays import (
+    ANSWER_SILENCE_S,
     CONNECT_TIMEOUT_S,
     MAX_LAG_S,
     POLL_INTERVAL_S,
@@ -179,6 +180,31 @@
         assert (answer.status, answer.whole) == (200, True)
 
 
+async def test_a_request_that_was_just_relayed_outlives_a_silent_mesh():
+    """Guards against 502 for a request that runs, as a mesh connection was closed."""
+    async with Deployment() as deployment, unreaching(deployment):
+        for target in deployment.plains:
+            target.work_s = 2 * POLL_INTERVAL_S
+        asking = asyncio.create_task(deployment.ask("/unsafe/x"))
+        await deployment.until(lambda: runs(deployment))
+        deployment.gateways[0]._parts.relay_vms.is_reachable = lambda vm: False
+        answer = await asking
+        assert (answer.status, answer.whole) == (200, True)
+        assert len(runs(deployment)) == 1
+
+
+async def test_a_request_at_a_vm_that_is_silent_everywhere_ends_in_time():
+    """Guards against callers that wait to their deadline for a VM without power."""
+    async with Deployment() as deployment, unreaching(deployment):
+        for plain in deployment.plains:
+            plain.faults.append("mute")
+        asking = asyncio.create_task(deployment.ask("/unsafe/x"))
+        await deployment.until(lambda: runs(deployment))
+        deployment.gateways[0]._parts.relay_vms.is_reachable = lambda vm: False
+        answer = await asyncio.wait_for(asking, ANSWER_SILENCE_S + 4 * POLL_INTERVAL_S)
+        assert answer.status == 502
+
+
 async def test_vms_that_all_reach_no_target_relay_to_no_third_vm():
     """Guards against requests that go round among VMs."""
     async with Deployment(vms=3) as deployment, unreaching(deployment, 0, 1, 2):
