Cut bodies that are too deep in runs of brackets

Cause: a body that is too deep for the parser is cut first, one bracket at a time.

Change: brackets that follow each other, with the names of members in between, are one token. Possessive groups keep the search linear.

--- a/hawthornlead/platform/fields.py
+++ b/hawthornlead/platform/fields.py
@@ -8,6 +8,7 @@
 """
 
 import ipaddress
+import itertools
 import json
 import math
 import re
@@ -24,7 +25,18 @@
 MAX_PARSED_DEPTH = 200
 MAX_PORT = 65535
 _REQUIRED: Any = object()
-_TOKENS = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+# Strings, and runs of brackets that open or close levels one after the other, with the
+# names of members in between. Taken one by one, those of a body of 1 MB would occupy
+# the event loop for a third of a second.
+_TOKENS = re.compile(
+    r"""
+        "(?:[^"\\]|\\.)*"
+        | [\[{]++ (?: \s*+ (?: "[^"\\\[\]{}]*+" \s*+ : \s*+ )? [\[{]++ )*+
+        | [\]}]++ (?: \s++ [\]}]++ )*+
+    """,
+    re.DOTALL | re.VERBOSE,
+)
+_BRACKETS = re.compile(r"[\[\]{}]")
 
 
 def decode(body: bytes | str) -> Any:
@@ -177,14 +189,26 @@
     kept = []
     depth = start = 0
     for token in _TOKENS.finditer(body):
-        if token.group() in ("[", "{"):
-            depth += 1
-            if depth == MAX_PARSED_DEPTH + 1:
-                kept += [body[start : token.start()], "null"]
-        elif token.group() in ("]", "}"):
-            depth -= 1
-            if depth == MAX_PARSED_DEPTH:
-                start = token.end()
+        run = token.group()
+        if run[0] in "[{":
+            levels = run.count("[") + run.count("{")
+            if depth <= MAX_PARSED_DEPTH < depth + levels:
+                cut = token.start() + _nth_bracket(run, MAX_PARSED_DEPTH - depth)
+                kept += [body[start:cut], "null"]
+            depth += levels
+        elif run[0] in "]}":
+            levels = run.count("]") + run.count("}")
+            depth -= levels
+            if depth <= MAX_PARSED_DEPTH < depth + levels:
+                # Few brackets follow the one that closes the first level too deep.
+                from_end = _nth_bracket(run[::-1], MAX_PARSED_DEPTH - depth)
+                start = token.end() - from_end
     if depth <= MAX_PARSED_DEPTH:
         kept.append(body[start:])
     return "".join(kept)
+
+
+def _nth_bracket(run: str, number: int) -> int:
+    """Return the position of a bracket in a run, counted from 0."""
+    positions = (bracket.start() for bracket in _BRACKETS.finditer(run))
+    return next(itertools.islice(positions, number, None))
--- a/hawthornlead/tests/test_platform_fields.py
+++ b/hawthornlead/tests/test_platform_fields.py
@@ -4,8 +4,15 @@
 import math
 
 import pytest
-
-from hawthornlead.platform.fields import MAX_PARSED_DEPTH, decode, is_readable
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hawthornlead.platform.fields import (
+    MAX_PARSED_DEPTH,
+    _truncate_depth,
+    decode,
+    is_readable,
+)
 from hawthornlead.platform.objects import (
     content_body,
     read_content,
@@ -127,3 +134,40 @@
     assert read_content("i-1", 3, content_body(record)) == record
     assert not read_content("i-1", 3, "[null, null]").unreadable
     assert read_content("i-1", 3, json.dumps([{"x": DEEP}, None])).unreadable
+
+
+def truncated_by_levels(body):
+    """Return a body truncated as ``_truncate_depth`` does, one bracket at a time."""
+    kept, depth, quoted, escaped = [], 0, False, False
+    for char in body:
+        opens, closes = char in "[{" and not quoted, char in "]}" and not quoted
+        if opens and depth == MAX_PARSED_DEPTH:
+            kept.append("null")
+        depth += opens
+        if depth <= MAX_PARSED_DEPTH:
+            kept.append(char)
+        depth -= closes
+        if quoted and not escaped:
+            quoted, escaped = char != '"', char == "\\"
+            continue
+        quoted, escaped = quoted or char == '"', False
+    return "".join(kept)
+
+
+LEVELS = st.sampled_from(["[", '{"a": ', '{ "b[":', "[1, ", '["]", ', ' [ "\\"{" , '])
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    outer=st.lists(LEVELS, max_size=3),
+    runs=st.lists(st.tuples(LEVELS, st.integers(1, 200)), min_size=1, max_size=3),
+    gap=st.sampled_from(["", " ", "\n"]),
+)
+def test_only_levels_that_are_too_deep_are_cut_out_of_any_body(outer, runs, gap):
+    """Guards against a sound entry that goes with a deep one beside it."""
+    levels = outer + [level for level, count in runs for _ in range(count)]
+    closing = [gap + ("]" if "[" in level[:2] else "}") for level in levels]
+    deep = "".join(levels) + "1" + "".join(reversed(closing))
+    body = f'[{deep}, {{"sound": [1]}}, {deep}]'
+    assert json.loads(body)[1] == {"sound": [1]}
+    assert _truncate_depth(body) == truncated_by_levels(body)
