Let data that comes during a probe defer no later one, and keep a restart

Data from a target while a probe of it fails counted as an answered probe: the next one was due 1.5 s later, so that a target which then died was found up to a second later. The check of the paths after a refusal had made this window up to 0.3 s long. Now such a probe shows nothing, and the next is due 0.4 s later.

After a refused probe the paths aren't checked a second time.

Before: the three new tests of test_live_connections.py failed; now they pass.

--- a/hawthornlead/gateway/loss_detectors.py
+++ b/hawthornlead/gateway/loss_detectors.py
@@ -164,10 +164,12 @@
             # All targets of the service refuse: this VM's path is at fault, and
             # connections that are open may still work.
             found = ProbeResult.NOTHING
-        if liveness.last_seen_at > started_at:
+        if liveness.restarted:
+            return ProbeResult.RESTARTED
+        if liveness.last_seen_at > started_at and found is not ProbeResult.ALIVE:
             # The target answers requests, so it is only busy or refuses further
             # connections.
-            found = ProbeResult.ALIVE
+            found = ProbeResult.UNKNOWN
         self._apply_result(liveness, found, started_at)
         return found
 
@@ -184,11 +186,14 @@
         if found is ProbeResult.UNKNOWN:
             return
         self._healths.record_failure(liveness.entry.target, gone=True)
-        self._paths.suspect(liveness.entry.service)
+        refused = found is ProbeResult.REFUSED
+        if not refused:
+            # After a refusal the path has just been checked.
+            self._paths.suspect(liveness.entry.service)
         if found is ProbeResult.RESTARTED:
             self._mark_restarted(liveness)
             return
-        self._count_missed(liveness, found is ProbeResult.REFUSED, started_at)
+        self._count_missed(liveness, refused, started_at)
 
     def _count_missed(
         self, liveness: TargetLiveness, refused: bool, started_at: float
--- a/hawthornlead/tests/test_live_connections.py
+++ b/hawthornlead/tests/test_live_connections.py
@@ -200,3 +200,29 @@
     watched.follow(Repeat.NEVER, OTHER)
     await watched.advance(2.0)
     assert not request.lost.done()
+
+
+@pytest.mark.parametrize("found", [ProbeResult.REFUSED, ProbeResult.NOTHING])
+async def test_data_that_comes_during_a_probe_defers_no_later_one(found):
+    """Guards against a target that dies behind its last data and is found late."""
+    watched = Watched(found)
+    watched.probes.took_s = 0.1
+    request = watched.follow(Repeat.FREELY)
+    await watched.advance(EVENT_S)
+    watched.send_data(request)
+    await watched.advance(1.3)
+    assert request.lost.done()
+
+
+async def test_a_probe_that_was_under_way_takes_no_restart_back():
+    """Guards against a start that is over and yet counts as wrongly lost."""
+    watched = Watched(ProbeResult.ALIVE)
+    watched.probes.took_s = 0.1
+    request = watched.follow(Repeat.NEVER)
+    await watched.advance(EVENT_S)
+    watched.losses._on_lost(ENTRY.incarnation, Loss.RESTARTED)
+    await watched.advance(0.2)
+    assert request.lost.result() is Loss.RESTARTED
+    assert request.liveness.restarted
+    metric = watched.metrics.wrong_losses
+    assert metric.labels(Loss.RESTARTED.value)._value.get() == 0
--- a/hawthornlead/tests/watched_targets.py
+++ b/hawthornlead/tests/watched_targets.py
@@ -54,6 +54,7 @@
         self.timers = ManualTimerService()
         self.probes = Probes(self.timers, *found)
         self.registered = True
+        self.metrics = GatewayMetrics(CollectorRegistry())
         self.losses = LossDetector(
             targets=Mock(has_entry=lambda incarnation: self.registered),
             probes=self.probes,
@@ -62,7 +63,7 @@
             paths=Mock(check=AsyncMock(return_value=False)),
             timers=self.timers,
             events=Mock(),
-            metrics=GatewayMetrics(CollectorRegistry()),
+            metrics=self.metrics,
         )
 
     def follow(self, repeat: Repeat, entry: TargetEntry = ENTRY) -> LossSubscriber:
