--- a/hawthornlead/tests/test_live_connections.py
+++ b/hawthornlead/tests/test_live_connections.py
@@ -19,6 +19,8 @@
 EVENT_S = 0.4
 # "A second or so", for which a sound target may fall silent.
 PAUSE_S = 1.1
+# Five probes that fail at once take less than this.
+LONG_PAUSE_S = 1.4
 
 
 async def test_streams_behind_a_partition_go_on_while_their_events_come():
@@ -89,7 +91,7 @@
     watched = Watched(found)
     request, other = watched.follow(repeat), watched.follow(Repeat.NEVER, OTHER)
     for _ in range(3):
-        await watched.advance(PAUSE_S)
+        await watched.advance(LONG_PAUSE_S)
         assert not request.lost.done()
         watched.send_data(request)
         watched.send_data(other)
@@ -165,7 +167,7 @@
     request = watched.follow(repeat)
     watched.remove_entry()
     for _ in range(3):
-        await watched.advance(PAUSE_S)
+        await watched.advance(LONG_PAUSE_S)
         assert not request.lost.done()
         watched.send_data(request)
 
@@ -226,3 +228,46 @@
     assert request.liveness.restarted
     metric = watched.metrics.wrong_losses
     assert metric.labels(Loss.RESTARTED.value)._value.get() == 0
+
+
+@pytest.mark.parametrize("repeat", [Repeat.NEVER, Repeat.AFTER_END])
+async def test_few_probes_that_take_long_are_no_long_silence(repeat):
+    """Guards against a path with losses that ends requests after two probes."""
+    watched = Watched(ProbeResult.NOTHING)
+    watched.probes.took_s = 2 * PROBE_TIMEOUT_S
+    request, other = watched.follow(repeat), watched.follow(Repeat.NEVER, OTHER)
+    await watched.advance(1.0)
+    watched.send_data(other)
+    await watched.advance(1.0)
+    assert not request.lost.done()
+
+
+async def test_a_refusal_before_the_last_data_ends_no_request():
+    """Guards against a closed listener that ends requests whose data flows."""
+    watched = Watched(ProbeResult.REFUSED)
+    stream = watched.follow(Repeat.NEVER)
+    await watched.advance(EVENT_S)
+    watched.send_data(stream)
+    freely = watched.follow(Repeat.FREELY)
+    watched.remove_entry()
+    assert not freely.lost.done()
+
+
+async def test_an_answered_probe_takes_a_refusal_back():
+    """Guards against an engine that gets no requests after it listens again."""
+    watched = Watched(ProbeResult.REFUSED, ProbeResult.ALIVE)
+    request = watched.follow(Repeat.NEVER)
+    await watched.advance(EVENT_S)
+    assert request.liveness.proof is Loss.REFUSED
+    await watched.advance(EVENT_S)
+    assert request.liveness.proof is None
+    metric = watched.metrics.wrong_losses
+    assert metric.labels(Loss.REFUSED.value)._value.get() == 1
+
+
+async def test_a_refusal_tells_nothing_of_a_path_that_is_cut_later():
+    """Guards against the loss of a run, as its target refused before a partition."""
+    watched = Watched(ProbeResult.REFUSED, ProbeResult.NOTHING)
+    request = watched.follow(Repeat.NEVER)
+    await watched.advance(3.0)
+    assert not request.lost.done()
