--- a/hawthornlead/tests/test_live_connections.py
+++ b/hawthornlead/tests/test_live_connections.py
@@ -212,7 +212,9 @@
     request = watched.follow(Repeat.FREELY)
     await watched.advance(EVENT_S)
     watched.send_data(request)
-    await watched.advance(1.3)
+    await watched.advance(0.2)
+    assert not request.liveness.missed_probes
+    await watched.advance(1.1)
     assert request.lost.done()
 
 
@@ -253,6 +255,15 @@
     assert not freely.lost.done()
 
 
+async def test_a_refusal_by_all_targets_is_a_fault_of_the_path():
+    """Guards against the loss of runs on open connections behind a partition."""
+    watched = Watched(ProbeResult.REFUSED)
+    watched.paths.check.return_value = True
+    request = watched.follow(Repeat.NEVER)
+    await watched.advance(3.0)
+    assert not request.lost.done()
+
+
 async def test_an_answered_probe_takes_a_refusal_back():
     """Guards against an engine that gets no requests after it listens again."""
     watched = Watched(ProbeResult.REFUSED, ProbeResult.ALIVE)
--- a/hawthornlead/tests/watched_targets.py
+++ b/hawthornlead/tests/watched_targets.py
@@ -55,12 +55,13 @@
         self.probes = Probes(self.timers, *found)
         self.registered = True
         self.metrics = GatewayMetrics(CollectorRegistry())
+        self.paths = Mock(check=AsyncMock(return_value=False))
         self.losses = LossDetector(
             targets=Mock(has_entry=lambda incarnation: self.registered),
             probes=self.probes,
             connections=Mock(),
             healths=TargetHealths(timers=self.timers),
-            paths=Mock(check=AsyncMock(return_value=False)),
+            paths=self.paths,
             timers=self.timers,
             events=Mock(),
             metrics=self.metrics,
