--- a/hawthornlead/tests/test_live_connections.py
+++ b/hawthornlead/tests/test_live_connections.py
@@ -264,6 +264,15 @@
     assert not request.lost.done()
 
 
+async def test_a_target_that_refuses_connections_gets_no_request_while_its_data_flows():
+    """Guards against requests that are sent to an engine which closed its listener."""
+    watched = Watched(ProbeResult.REFUSED)
+    stream = watched.follow(Repeat.NEVER)
+    await watched.advance(EVENT_S)
+    watched.send_data(stream)
+    assert not await watched.losses.check_healthy(ENTRY)
+
+
 async def test_an_answered_probe_takes_a_refusal_back():
     """Guards against an engine that gets no requests after it listens again."""
     watched = Watched(ProbeResult.REFUSED, ProbeResult.ALIVE)
