Played clock: let no wait for the rest of a time stand still

A whole run of the tests, beside load, stood still in test_changes_are_in_force_in_time_in_a_large_fleet_under_faults[128] and used a processor for 9 minutes, until it was aborted. Its stack: the played store's watch, which waits for what is left of its time, again and again.

Cause: the loop runs a timer that is due within its resolution, 1 ns, without moving the played clock. wait_for starts a task each time, so that something is always ready, the clock never jumps, and what is left stays. It takes two times less than 1 ns apart.

Change: a timer in the future is at least 10 ns on, so that each wait moves the clock. Only the clock of tests is concerned; a real one goes on by itself.

--- a/hawthornlead/tests/fakes_clocks.py
+++ b/hawthornlead/tests/fakes_clocks.py
@@ -12,6 +12,9 @@
 
 from hawthornlead.timers import Subscription, TimerService
 
+# Longer than the resolution of the loop's clock, 1 ns.
+LEAST_STEP_S = 1e-8
+
 
 class PlayedLoop(asyncio.SelectorEventLoop):
     """A loop that never waits: it moves its clock to the next timer instead."""
@@ -24,6 +27,16 @@
         """Seconds of the played clock."""
         return self._played_s
 
+    def call_at(self, when, callback, *args, context=None):
+        """Call back at a time, which is at least ``LEAST_STEP_S`` on unless it is past.
+
+        The loop runs a timer that is due within its resolution without moving the
+        clock. Whoever then waits for what is left would wait in a circle.
+        """
+        if when > self._played_s:
+            when = max(when, self._played_s + LEAST_STEP_S)
+        return super().call_at(when, callback, *args, context=context)
+
     def jump(self, seconds: float) -> None:
         """Move the clock on."""
         self._played_s += seconds
