--- a/hawthornlead/gateway/target_liveness.py
+++ b/hawthornlead/gateway/target_liveness.py
@@ -19,7 +19,8 @@
 PROBE_AFTER_S = 0.35
 # Unanswered probes in a row that make a weak proof.
 WEAK_PROOF_PROBES = 2
-# Unanswered probes in a row that show a long silence, if each waits for its time-out.
+# Unanswered probes in a row that show a long silence: 1.6 s if each waits for its
+# time-out. A path that loses packets fails some probes of a sound target.
 LONG_SILENCE_PROBES = 5
 # A sound target pauses for less: a second or so. Probes that are refused fail at once,
 # so their number alone shows no silence. Callers abandon a request after 2 to 3 s.
@@ -87,7 +88,7 @@
 
     @property
     def is_over(self) -> bool:
-        """Whether the incarnation gets no further requests: it restarted, or left."""
+        """Whether the incarnation gets no requests: it restarted, or has no entry."""
         return self.restarted or not self._has_entry()
 
     @property
--- a/hawthornlead/tests/fakes_clocks.py
+++ b/hawthornlead/tests/fakes_clocks.py
@@ -31,7 +31,7 @@
         """Call back at a time, which is at least ``LEAST_STEP_S`` on unless it is past.
 
         The loop runs a timer that is due within its resolution without moving the
-        clock. Whoever then waits for what is left would wait in a circle.
+        clock, so that a repeated wait for the rest of a time would never end.
         """
         if when > self._played_s:
             when = max(when, self._played_s + LEAST_STEP_S)
--- a/hawthornlead/tests/test_live_connections.py
+++ b/hawthornlead/tests/test_live_connections.py
@@ -194,7 +194,7 @@
     assert not request.lost.done()
 
 
-async def test_a_request_that_is_sent_elsewhere_is_no_word_of_another_target():
+async def test_a_request_to_another_target_shows_no_working_path():
     """Guards against a cut VM that ends its requests because it sends further ones."""
     watched = Watched(ProbeResult.NOTHING)
     request = watched.follow(Repeat.NEVER)
--- a/hawthornlead/tests/test_loss_detectors.py
+++ b/hawthornlead/tests/test_loss_detectors.py
@@ -96,7 +96,8 @@
         assert sum(len(engine.ran) for engine in deployment.engines) == 1
 
 
-async def test_a_begun_stream_is_cut_on_strong_proof():
+async def test_a_begun_stream_is_cut_at_a_silent_engine_that_refuses_connections():
+    """Guards against callers that wait to their deadline for an engine that is gone."""
     async with Deployment(vms=1) as deployment:
         for engine in deployment.engines:
             engine.event_s = 0.1
